--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Everything a fresh machine needs is set up by the first target that wants it.
+VENV := .venv
+BIN := $(VENV)/bin
+EXAMPLE ?= tenger
+PACKAGES := $(wildcard packages/*)
+
+.PHONY: demo up test lint format lock proto clean
+
+demo: $(VENV)/ready
+	$(BIN)/python tools/demo.py
+
+up: $(VENV)/ready
+	$(BIN)/python tools/up.py $(EXAMPLE)
+
+test: $(VENV)/ready
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/ready
+	$(BIN)/black --check --quiet packages tests tools
+	$(BIN)/ruff check packages tests tools
+	$(BIN)/mypy packages/*/src
+
+format: $(VENV)/ready
+	$(BIN)/ruff check --fix packages tests tools
+	$(BIN)/black --quiet packages tests tools
+
+# Renews the pinned versions.
+lock: $(VENV)/ready
+	$(BIN)/pip-compile --quiet --strip-extras --no-emit-index-url --no-emit-trusted-host --allow-unsafe \
+	    --output-file requirements.txt requirements.in
+
+# Renews the committed stubs after a change of the protocol.
+proto: $(VENV)/ready
+	cd packages/wire/src && ../../../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
+	    --pyi_out=. --grpclib_python_out=. gradelug_wire/control.proto
+
+$(VENV)/ready: requirements.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(addprefix -e ./,$(PACKAGES))
+	touch $@
+
+clean:
+	rm -rf $(VENV) .run
--- /dev/null
+++ b/packages/cli/src/gradelug_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/coordination/src/gradelug_coordination/membership.py
@@ -0,0 +1,115 @@
+"""Who takes part: a record per instance, tied to its lease."""
+
+from __future__ import annotations
+
+import json
+import typing as t
+from dataclasses import asdict, dataclass, replace
+
+from .kv import ABSENT, KeyValue, KvEntry, swap_surely
+from .lease import LeaseKeeper
+from .mirror import Mirror
+
+MEMBERS = "members/"
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """One process that takes part.
+
+    Parameters
+    ----------
+    name : str
+        Unique to this start of the process: a restarted instance is another member, so that
+        nothing of its predecessor is mistaken for its own.
+    address : str
+        ``IP:port`` where its peers reach it.
+    hall : str
+        Where it stands.
+    leaving : bool
+        Whether it is stopping; it takes nothing new then.
+    """
+
+    name: str
+    address: str
+    hall: str = ""
+    leaving: bool = False
+
+    @classmethod
+    def decode(cls, value: bytes) -> Member:
+        """Read a member from its record."""
+        return cls(**json.loads(value))
+
+    def encode(self) -> bytes:
+        """Return the member's record."""
+        return json.dumps(asdict(self), sort_keys=True).encode()
+
+
+class Membership:
+    """Registers this process and lists the others.
+
+    Parameters
+    ----------
+    kv : KeyValue
+        The platform's service.
+    root : str
+        Prefix of all mirrored keys.
+    mirror : Mirror
+        Mirror of `root`.
+    lease : LeaseKeeper
+        This process's lease.
+    me : Member
+        This process.
+    """
+
+    __slots__ = ("_kv", "_lease", "_mirror", "_root", "me")
+
+    def __init__(
+        self, kv: KeyValue, root: str, mirror: Mirror, lease: LeaseKeeper, me: Member
+    ) -> None:
+        self._kv = kv
+        self._root = root
+        self._mirror = mirror
+        self._lease = lease
+        self.me = me
+
+    def all(self) -> dict[str, Member]:
+        """Return every member known, leaving ones included."""
+        return {
+            member.name: member
+            for member in map(_decode, self._mirror.below(f"{self._root}{MEMBERS}"))
+            if member is not None
+        }
+
+    def active(self) -> list[str]:
+        """Return the names of members that may take on work."""
+        return sorted(name for name, member in self.all().items() if not member.leaving)
+
+    async def register(self) -> None:
+        """Write this process's record if the service does not hold it as it should be."""
+        if not self._lease.lease or not self._lease.is_valid():
+            return
+        key = f"{self._root}{MEMBERS}{self.me.name}"
+        found = self._mirror.entries.get(key)
+        if found and found.value == self.me.encode() and found.lease == self._lease.lease:
+            return
+        expected = found.revision if found else ABSENT
+        await swap_surely(self._kv, key, self.me.encode(), expected, self._lease.lease)
+
+    async def leave(self) -> None:
+        """Mark this process as leaving."""
+        self.me = replace(self.me, leaving=True)
+        await self.register()
+
+
+def _decode(entry: KvEntry) -> Member | None:
+    try:
+        return Member.decode(entry.value)
+    except (TypeError, ValueError):
+        # Written by a newer release: not one of ours to talk to.
+        return None
+
+
+def names(members: t.Iterable[Member]) -> list[str]:
+    """Return the members' names, sorted."""
+    return sorted(member.name for member in members)
--- /dev/null
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -0,0 +1,89 @@
+"""A local copy of the keys below a prefix, kept by one listing and one resumed watch."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing as t
+
+from .backoff import Backoff
+from .exceptions import CoordinationError, WatchCompacted
+from .kv import KeyValue, KvEntry
+
+FIRST_DELAY_S = 0.1
+MOST_DELAY_S = 5.0
+
+
+class Mirror:
+    """Keeps `entries` like the service's, as far as its watch has come.
+
+    Members, owners and the head of the configuration share one mirror, since the service
+    counts a waiting watch as a call.
+
+    Parameters
+    ----------
+    kv : KeyValue
+        The platform's service.
+    prefix : str
+        What to mirror.
+    rng : random.Random
+        Source of jitter for the way back after an outage.
+    """
+
+    __slots__ = ("_backoff", "_kv", "_listeners", "_prefix", "entries", "revision", "synced")
+
+    def __init__(self, kv: KeyValue, prefix: str, rng: random.Random) -> None:
+        self._kv = kv
+        self._prefix = prefix
+        self._backoff = Backoff(FIRST_DELAY_S, MOST_DELAY_S, rng)
+        self._listeners: list[t.Callable[[], None]] = []
+        self.entries: dict[str, KvEntry] = {}
+        self.revision = 0
+        self.synced = False
+        """Whether the watch is running; False from an outage until the next listing."""
+
+    def subscribe(self, listener: t.Callable[[], None]) -> None:
+        """Call `listener` after every change."""
+        self._listeners.append(listener)
+
+    def below(self, prefix: str) -> t.Iterator[KvEntry]:
+        """Yield the entries below a prefix."""
+        return (entry for key, entry in self.entries.items() if key.startswith(prefix))
+
+    async def run(self) -> None:
+        """Mirror until cancelled."""
+        while True:
+            try:
+                await self._list()
+                self._backoff.reset()
+                await self._watch()
+            except WatchCompacted:
+                continue
+            except CoordinationError:
+                self.synced = False
+                await asyncio.sleep(self._backoff.next_delay())
+
+    async def _list(self) -> None:
+        listing = await self._kv.list(self._prefix)
+        if listing.revision < self.revision:
+            raise CoordinationError("the service answered from before what was already seen")
+        self.entries = {entry.key: entry for entry in listing.entries}
+        self.revision = listing.revision
+        self.synced = True
+        self._notify()
+
+    async def _watch(self) -> None:
+        async for events in self._kv.watch(self._prefix, self.revision):
+            for event in events:
+                if event.revision <= self.revision and event.entry is None:
+                    continue
+                if event.entry is None:
+                    self.entries.pop(event.key, None)
+                else:
+                    self.entries[event.key] = event.entry
+            self.revision = max([self.revision, *(event.revision for event in events)])
+            self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/__init__.py
@@ -0,0 +1,19 @@
+"""Pure decisions: no input or output, time is passed in."""
+
+from .admission import Refusal as Refusal
+from .admission import judge as judge
+from .credits import VALID_S as VALID_S
+from .credits import offer_credits as offer_credits
+from .permits import StorePermits as StorePermits
+from .placement import EngineView as EngineView
+from .placement import PlacementSettings as PlacementSettings
+from .placement import choose_engine as choose_engine
+from .popularity import Popularity as Popularity
+from .queue import priority as priority
+from .retries import Circuit as Circuit
+from .retries import RetryBudget as RetryBudget
+from .slots import Demand as Demand
+from .slots import Resident as Resident
+from .slots import SlotSettings as SlotSettings
+from .slots import choose_demand as choose_demand
+from .slots import choose_victim as choose_victim
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/placement.py
@@ -0,0 +1,103 @@
+"""Which engine is asked to run a request."""
+
+from __future__ import annotations
+
+import typing as t
+from dataclasses import dataclass
+
+import xxhash
+
+
+@dataclass(slots=True, frozen=True)
+class EngineView:
+    """What is known of an engine, late as it may be.
+
+    Parameters
+    ----------
+    name, hall : str
+        Which, and where.
+    resident, loading : frozenset of str
+        Adapters in its slots, and on their way there.
+    slots : int
+        Adapter slots.
+    evictable : int
+        Resident adapters that nobody uses.
+    load : int
+        Requests running or about to, corrected by what was asked for since.
+    batch : int
+        Requests it runs at once.
+    waiting : int
+        Requests waiting at its owner.
+    """
+
+    name: str
+    hall: str
+    resident: frozenset[str]
+    loading: frozenset[str]
+    slots: int
+    evictable: int
+    load: int
+    batch: int
+    waiting: int
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementSettings:
+    """Costs, in seconds, that the choice weighs against each other.
+
+    Parameters
+    ----------
+    load_s : float
+        Expected time to load an adapter.
+    service_s : float
+        Expected time a request occupies a place in the batch.
+    evict_s : float
+        Added when a slot must be cleared of an idle adapter first.
+    drain_s : float
+        Added when a slot must be cleared of a busy adapter first.
+    hall_s : float
+        Added for another hall.
+    """
+
+    load_s: float = 1.0
+    service_s: float = 4.0
+    evict_s: float = 0.2
+    drain_s: float = 4.0
+    hall_s: float = 0.003
+
+
+def choose_engine(
+    views: t.Iterable[EngineView], key: str, hall: str, settings: PlacementSettings
+) -> EngineView | None:
+    """Return the engine with the least expected wait for the adapter.
+
+    Ties go by rendezvous hashing of the adapter, so that routers which do not talk to each
+    other send requests for a cold adapter to the same engine and one load serves them all.
+    """
+    return min(
+        views,
+        key=lambda view: (
+            round(expected_wait_s(view, key, hall, settings), 2),
+            -affinity(view.name, key),
+        ),
+        default=None,
+    )
+
+
+def expected_wait_s(view: EngineView, key: str, hall: str, settings: PlacementSettings) -> float:
+    """Return the seconds a request for the adapter is expected to wait at the engine."""
+    # A place in a full batch comes free every service_s / batch seconds.
+    excess = view.load + view.waiting + 1 - view.batch
+    wait = max(0, excess) * settings.service_s / view.batch
+    if key not in view.resident:
+        wait += settings.load_s * (0.5 if key in view.loading else 1.0)
+        if key not in view.loading and len(view.resident) + len(view.loading) >= view.slots:
+            wait += settings.evict_s if view.evictable else settings.drain_s
+    if view.hall != hall:
+        wait += settings.hall_s
+    return wait
+
+
+def affinity(engine: str, key: str) -> int:
+    """Return the engine's rendezvous score for an adapter."""
+    return xxhash.xxh3_64_intdigest(f"{engine}\0{key}".encode())
--- /dev/null
+++ b/packages/router/src/gradelug_router/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' door: authenticates, routes and streams."""
--- /dev/null
+++ b/packages/router/src/gradelug_router/main.py
@@ -0,0 +1,143 @@
+"""The router's program."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+
+import fire
+import logbook
+from gradelug_runtime import Metrics, Tasks, load_or_exit, wait_for_stop
+from gradelug_runtime.logs import open_log
+from gradelug_wire import Peers
+
+from .acquire import Accountant, Acquirer
+from .door import Door
+from .once import OnceKeeper
+from .relay import Relay
+from .serving import Parts, Serving
+from .settings import RouterSettings, load_router_settings
+from .upstream import UpstreamClient
+from .view import View
+from .wallet import Wallet
+
+log = logbook.Logger("router")
+NOTICE_S = 1.0
+"""Between saying that it is not ready and accepting no more: balancers look once a second."""
+EXIT_FAILED = 1
+
+
+class Router:
+    """A router, assembled.
+
+    Parameters
+    ----------
+    cfg : RouterSettings
+        Its settings.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "accountant",
+        "client",
+        "door",
+        "metrics",
+        "peers",
+        "serving",
+        "tasks",
+        "view",
+        "wallet",
+    )
+
+    def __init__(self, cfg: RouterSettings) -> None:
+        self._cfg = cfg
+        loop = asyncio.get_running_loop()
+        self.tasks = Tasks()
+        self.peers = Peers()
+        self.metrics = Metrics(cfg.statsd, f"router.{cfg.name}")
+        name = f"{cfg.name}-{uuid.uuid4().hex[:8]}"
+        self.view = View(name, cfg.schedulers, self.peers, self.metrics)
+        self.wallet = Wallet(loop.time)
+        acquirer = Acquirer(
+            self.view,
+            self.wallet,
+            self.peers,
+            self.metrics,
+            cfg.placement,
+            cfg.hall,
+            cfg.limits.waiting,
+        )
+        self.accountant = Accountant(self.view, self.wallet, self.peers, self.metrics)
+        self.client = UpstreamClient(loop.time, cfg.limits.answer_bytes)
+        parts = Parts(
+            cfg=cfg,
+            view=self.view,
+            wallet=self.wallet,
+            acquirer=acquirer,
+            client=self.client,
+            once=OnceKeeper(self.view, self.peers),
+            relay=Relay(self.view, self.client, acquirer, cfg.hall, loop.time),
+            metrics=self.metrics,
+            clock=loop.time,
+        )
+        self.serving = Serving(parts)
+        host, _, port = cfg.listen.rpartition(":")
+        self.door = Door((host.strip("[]"), int(port)), cfg.limits, self.serving.serve)
+
+    def start(self) -> None:
+        """Start the background tasks."""
+        self.tasks.start(self.view.run(self._cfg.timing.sync_s), "sync")
+        self.tasks.start(self.accountant.run(self._cfg.timing.report_s), "accounts")
+        self.tasks.start(self.metrics.run(), "metrics")
+
+    async def stop(self) -> None:
+        """Take nothing new, let what runs end, give the last accounts."""
+        self.serving.stopping = True
+        log.info("stopping: {} requests in progress", self.door.in_progress)
+        await asyncio.sleep(NOTICE_S)
+        self.door.close_listener()
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + self._cfg.timing.stop_s
+        while self.door.in_progress and loop.time() < give_up_at:
+            await asyncio.sleep(0.05)
+        await self.door.close()
+        await self.accountant.send()
+        await self.tasks.cancel()
+        await self.client.close()
+        self.peers.close()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(run, name="gradelug-router")
+
+
+def run(settings: str, check: bool = False) -> None:
+    """Run a router until it is told to stop.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the TOML file.
+    check : bool
+        Only check the settings.
+    """
+    cfg = load_or_exit(settings, load_router_settings)
+    if check:
+        return
+    with open_log(cfg.log, cfg.name):
+        raise SystemExit(asyncio.run(_serve(cfg)))
+
+
+async def _serve(cfg: RouterSettings) -> int:
+    router = Router(cfg)
+    router.start()
+    log.info("{} listens on {}", router.view.name, cfg.listen)
+    stop = asyncio.ensure_future(wait_for_stop())
+    failure = asyncio.ensure_future(router.tasks.wait_for_failure())
+    await asyncio.wait([stop, failure], return_when=asyncio.FIRST_COMPLETED)
+    failed = failure.done()
+    stop.cancel()
+    failure.cancel()
+    await router.stop()
+    return EXIT_FAILED if failed else 0
--- /dev/null
+++ b/packages/router/src/gradelug_router/view.py
@@ -0,0 +1,221 @@
+"""What a router knows: the configuration in force, the engines and their owners."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import random
+import typing as t
+
+import logbook
+from gradelug_config import Catalog, Document
+from gradelug_config.buckets import read_adapters, read_rules
+from gradelug_coordination import Fact, Gossip, Head
+from gradelug_coordination.rendezvous import rank
+from gradelug_policy import EngineView
+from gradelug_runtime import Metrics
+from gradelug_wire import Peers, PeerUnavailable
+from gradelug_wire import control_pb2 as pb
+from gradelug_wire.facts import EngineFact, MemberFact, engine_name, member_name
+
+log = logbook.Logger("view")
+FETCH_LIMIT_S = 5.0
+FACT_LIFE_S = 12.0
+
+
+class View:
+    """Kept by exchanges with one scheduler, the instance's own if it answers.
+
+    Parameters
+    ----------
+    name : str
+        The router's name, unique to this start.
+    schedulers : sequence of str
+        Addresses, in order of preference.
+    peers : Peers
+        Connections to schedulers.
+    metrics : Metrics
+        Counters.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_contents",
+        "_current",
+        "_engines",
+        "_gossip",
+        "_lock",
+        "_members",
+        "_metrics",
+        "_peers",
+        "_schedulers",
+        "catalog",
+        "changed",
+        "head",
+        "heard_at",
+        "leaving_upstreams",
+        "name",
+    )
+
+    def __init__(
+        self, name: str, schedulers: t.Sequence[str], peers: Peers, metrics: Metrics
+    ) -> None:
+        self._clock = asyncio.get_running_loop().time
+        self._schedulers = list(schedulers)
+        self._current = 0
+        self._peers = peers
+        self._metrics = metrics
+        self._gossip = Gossip(self._clock, random.Random(), expire_s=FACT_LIFE_S)
+        self._contents: dict[str, bytes] = {}
+        self._engines: dict[str, EngineFact] = {}
+        self._members: dict[str, MemberFact] = {}
+        self._lock = asyncio.Lock()
+        self.name = name
+        self.head = Head()
+        self.catalog = Catalog(0, Document())
+        self.heard_at = float("-inf")
+        self.leaving_upstreams: frozenset[str] = frozenset()
+        self.changed = asyncio.Event()
+        """Set, and made anew, after every exchange that brought something."""
+
+    def stamp(self) -> pb.Stamp:
+        """Return what every message carries."""
+        return pb.Stamp(member=self.name, revision=self.head.revision)
+
+    def is_fresh(self, limit_s: float) -> bool:
+        """Tell whether a scheduler was heard from within `limit_s` seconds."""
+        return self.head.revision > 0 and self._clock() - self.heard_at < limit_s
+
+    def owner_address(self, engine: str) -> str | None:
+        """Return the ``IP:port`` of the engine's owner, if one is known."""
+        fact = self._engines.get(engine)
+        return fact.address if fact else None
+
+    def engines(self, pools: t.Iterable[str]) -> list[EngineView]:
+        """Return the engines of some pools that have an owner and are not leaving."""
+        found = []
+        for name in pools:
+            pool = self.catalog.pools.get(name)
+            for engine in pool.engines if pool else []:
+                fact = self._engines.get(engine.name)
+                if fact is None or fact.leaving or self.is_leaving(engine.name, engine.address):
+                    continue
+                found.append(
+                    EngineView(
+                        name=engine.name,
+                        hall=engine.hall,
+                        resident=frozenset(fact.resident),
+                        loading=frozenset(fact.loading),
+                        slots=pool.slots if pool else 0,
+                        evictable=fact.evictable,
+                        load=fact.load,
+                        batch=pool.batch if pool else 1,
+                        waiting=fact.waiting,
+                    )
+                )
+        return found
+
+    def is_leaving(self, name: str, address: str) -> bool:
+        """Tell whether an upstream is leaving, by operators or the instance list."""
+        return (
+            name in self.catalog.rules.draining
+            or address.partition("://")[2] in self.leaving_upstreams
+        )
+
+    def once_homes(self, shard: int) -> list[str]:
+        """Return the addresses of schedulers for a shard of at-most-once records, best first."""
+        active = [name for name, fact in self._members.items() if not fact.leaving]
+        return [self._members[name].address for name in rank(active, f"once/{shard}")]
+
+    async def sync(self) -> bool:
+        """Exchange with a scheduler; tell whether one answered."""
+        async with self._lock:
+            for _ in range(len(self._schedulers)):
+                address = self._schedulers[self._current]
+                try:
+                    await self._exchange(address)
+                except PeerUnavailable as exc:
+                    self._metrics.count("syncs_failed")
+                    log.debug("{} did not answer: {}", address, exc)
+                    self._current = (self._current + 1) % len(self._schedulers)
+                else:
+                    return True
+            return False
+
+    async def run(self, period_s: float) -> None:
+        """Exchange once a period until cancelled."""
+        rounds = 0
+        while True:
+            await self.sync()
+            rounds += 1
+            if rounds % 40 == 0:
+                # Now and then, see whether the instance's own scheduler is back.
+                self._current = 0
+            await asyncio.sleep(period_s)
+
+    async def _exchange(self, address: str) -> None:
+        sent_at = self._clock()
+        everything = not self._members
+        message = pb.Sync(stamp=self.stamp(), everything=everything)
+        reply = await self._peers.call(self._peers.stub(address).Exchange, message)
+        for item in reply.facts:
+            self._gossip.put(Fact(item.key, item.epoch, item.version, item.payload))
+        self._read_facts()
+        if reply.head:
+            await self._adopt(Head.decode(reply.head), address)
+        self.heard_at = sent_at
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _read_facts(self) -> None:
+        engines, members = {}, {}
+        for fact in self._gossip.facts():
+            engine, member = engine_name(fact.key), member_name(fact.key)
+            if engine is not None:
+                engines[engine] = EngineFact.decode(fact.payload)
+            elif member is not None:
+                members[member] = MemberFact.decode(fact.payload)
+        self._engines, self._members = engines, members
+        self.leaving_upstreams = frozenset(
+            address for fact in members.values() for address in fact.leaving_upstreams
+        )
+        others = {fact.address for fact in members.values()}
+        known = set(self._schedulers)
+        self._schedulers.extend(sorted(others - known))
+
+    async def _adopt(self, head: Head, address: str) -> None:
+        if head.revision <= self.head.revision:
+            return
+        contents = {d: self._contents[d] for d in head.buckets if d in self._contents}
+        missing = [digest for digest in head.buckets if digest not in contents]
+        if missing:
+            message = pb.Fetch(stamp=self.stamp(), digests=missing)
+            stub = self._peers.stub(address)
+            reply = await self._peers.call(stub.FetchBuckets, message, FETCH_LIMIT_S)
+            contents.update(_verified(reply.contents))
+        if any(digest not in contents for digest in head.buckets):
+            raise PeerUnavailable("the scheduler lacks a bucket of its own head")
+        ordered = {digest: contents[digest] for digest in head.buckets}
+        catalog = Catalog(head.revision, read_rules(ordered.values()))
+        for content in ordered.values():
+            catalog.add_adapters(read_adapters(content))
+            await asyncio.sleep(0)
+        self.catalog, self.head, self._contents = catalog, head, ordered
+        self._metrics.count("configurations")
+        log.info("configuration {} is in force: {} adapters", head.revision, len(catalog))
+
+
+def _verified(contents: t.Mapping[str, bytes]) -> dict[str, bytes]:
+    return {
+        digest: content
+        for digest, content in contents.items()
+        if hashlib.sha256(content).hexdigest() == digest
+    }
+
+
+async def wait_changed(view: View, limit_s: float) -> None:
+    """Wait for the next exchange that brought something, or for `limit_s` seconds."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await view.changed.wait()
--- /dev/null
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -0,0 +1,589 @@
+"""Keeping one engine: what is in its slots, who waits for it, what is granted, loaded, dropped."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+from collections import deque
+from dataclasses import dataclass, field
+
+import logbook
+from gradelug_config.model import Engine, Pool
+from gradelug_coordination import Account, GrantBook, Observation
+from gradelug_platform import (
+    EngineControl,
+    EngineReport,
+    FencedOff,
+    OrderRefused,
+    UpstreamError,
+    UpstreamUnavailable,
+)
+from gradelug_policy import (
+    VALID_S,
+    Demand,
+    Popularity,
+    Resident,
+    SlotSettings,
+    choose_demand,
+    choose_victim,
+    offer_credits,
+    priority,
+)
+from gradelug_runtime import Metrics
+from gradelug_wire import control_pb2 as pb
+from gradelug_wire.facts import EngineFact
+from returns.result import Failure, Result, Success
+
+from .authority import Authority
+from .settings import Limits
+
+log = logbook.Logger("keeper")
+FAILED_FIRST_S = 1.0
+FAILED_MOST_S = 60.0
+DELAYED_ORDER_S = 10.0
+PEAK_SAMPLES = 8
+LOAD_TASK = "load"
+UNLOAD_TASK = "unload"
+NOT_LOADED = "not_loaded"
+ALREADY_LOADED = "already_loaded"
+
+
+@dataclass(slots=True, frozen=True)
+class Offer:
+    """Credits granted.
+
+    Parameters
+    ----------
+    number : int
+        The grant's number.
+    credits : int
+        Requests that may start.
+    valid_s : float
+        For how long, counted from when the asker sent its question.
+    stall_s : float
+        How long the question waited for the adapter to be loaded.
+    """
+
+    number: int
+    credits: int
+    valid_s: float
+    stall_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Decline:
+    """No credits, and why."""
+
+    verdict: pb.Verdict
+    reason: str = ""
+    retry_after_s: float = 0.0
+
+
+Answer = Result[Offer, Decline]
+
+
+@dataclass(slots=True, frozen=True)
+class Question:
+    """A holder's question for credits.
+
+    Parameters
+    ----------
+    holder, key : str
+        Who asks, for which adapter and version.
+    want, fresh : int
+        Requests waiting, and requests that came since the last question.
+    weight : float
+        Greatest weight among those waiting.
+    wait_s : float
+        How long the answer may be held back.
+    """
+
+    holder: str
+    key: str
+    want: int
+    fresh: int
+    weight: float
+    wait_s: float
+
+
+@dataclass(slots=True)
+class _Waiter:
+    question: Question
+    since: float
+    fut: asyncio.Future[Answer]
+    needed_load: bool = False
+
+
+@dataclass(slots=True)
+class _Slot:
+    loaded_at: float
+    used_at: float
+    draining: bool = False
+    unloading: bool = False
+
+
+@dataclass(slots=True)
+class _Failed:
+    until: float
+    delay_s: float
+    reason: str
+
+
+class Store(t.Protocol):
+    """Permits to use the weight store, whose limit is shared by all schedulers."""
+
+    async def acquire(self, engine: str, key: str, urgency: float) -> int:
+        """Return a permit's number once there is one."""
+        ...
+
+    async def end(self, number: int) -> None:
+        """Give a permit back."""
+        ...
+
+
+@dataclass(slots=True, frozen=True)
+class KeeperParts:
+    """What a keeper works with.
+
+    Parameters
+    ----------
+    control : EngineControl
+        Orders to the engine.
+    store : Store
+        Permits for loads.
+    clock : callable
+        The runtime's clock.
+    carries : callable
+        Whether the configuration lets this pool carry an adapter version.
+    path_of : callable
+        An adapter version's path in the weight store.
+    """
+
+    control: EngineControl
+    store: Store
+    clock: t.Callable[[], float]
+    carries: t.Callable[[str], bool]
+    path_of: t.Callable[[str], str]
+    metrics: Metrics
+    slots: SlotSettings = field(default_factory=SlotSettings)
+    limits: Limits = field(default_factory=Limits)
+
+
+class EngineKeeper:
+    """Keeps one engine as long as this process owns it.
+
+    Parameters
+    ----------
+    engine : Engine
+        The engine.
+    pool : Pool
+        Its pool.
+    authority : Authority
+        What may be done at a moment.
+    parts : KeeperParts
+        What it works with.
+    """
+
+    __slots__ = (
+        "_boot",
+        "_claimed",
+        "_dropped",
+        "_failed",
+        "_foreign",
+        "_leaving",
+        "_loading",
+        "_parts",
+        "_peaks",
+        "_popularity",
+        "_residents",
+        "_tasks",
+        "_waiters",
+        "authority",
+        "book",
+        "drained",
+        "engine",
+        "pool",
+        "reported",
+    )
+
+    def __init__(
+        self, engine: Engine, pool: Pool, authority: Authority, parts: KeeperParts
+    ) -> None:
+        self.engine = engine
+        self.pool = pool
+        self.authority = authority
+        self._parts = parts
+        self._claimed = not engine.checks_fences
+        taken_at = authority.held.taken_at if self._claimed else float("inf")
+        self.book = GrantBook(taken_at, VALID_S)
+        self._popularity = Popularity(parts.slots.half_life_s)
+        self._residents: dict[str, _Slot] = {}
+        self._loading: dict[str, float] = {}
+        self._dropped: dict[str, float] = {}
+        self._failed: dict[str, _Failed] = {}
+        self._waiters: list[_Waiter] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._peaks: deque[int] = deque(maxlen=PEAK_SAMPLES)
+        self._foreign = 0
+        self._boot = ""
+        self._leaving = False
+        self.drained = False
+        """Whether operators or the instance list say that the engine is to leave."""
+        self.reported = False
+        """Whether the engine has reported to this owner."""
+
+    # Questions and accounts of holders
+
+    async def ask(self, question: Question) -> Answer:
+        """Answer a holder, holding the answer back for up to its `wait_s`."""
+        declined = self._decline_at_once(question)
+        if declined is not None:
+            return Failure(declined)
+        now = self._parts.clock()
+        if question.fresh:
+            self._popularity.note(question.key, now, question.fresh * question.weight)
+        fut: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(question, now, fut, question.key not in self._residents)
+        self._waiters.append(waiter)
+        self.decide()
+        try:
+            async with asyncio.timeout(question.wait_s):
+                return await fut
+        except TimeoutError:
+            return Failure(Decline(pb.VERDICT_BUSY, "no room yet", self._expected_wait_s()))
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def account(self, account: Account) -> bool:
+        """Take in a holder's account; tell whether it should drop its credits."""
+        self.book.account(account, self._parts.clock())
+        slot = self._residents.get(account.key)
+        if slot is not None and (account.running or account.unspent):
+            slot.used_at = self._parts.clock()
+        self.decide()
+        return self.is_leaving or slot is None or slot.draining
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the engine takes no new work."""
+        return self._leaving or self.drained
+
+    def fact(self, owner: str, address: str) -> EngineFact:
+        """Return what others are told."""
+        now = self._parts.clock()
+        granted = [key for key, slot in self._residents.items() if self._serves(slot)]
+        return EngineFact(
+            owner=owner,
+            address=address,
+            resident=sorted(granted),
+            loading=sorted(self._loading),
+            evictable=sum(not self.book.load_of(key, now) for key in granted),
+            load=self._load(now),
+            waiting=sum(waiter.question.want for waiter in self._waiters),
+            leaving=self.is_leaving,
+        )
+
+    # Decisions
+
+    def decide(self) -> None:
+        """Grant, load and drop what can be now."""
+        if self.is_leaving:
+            self._decline_all(Decline(pb.VERDICT_LEAVING, "the engine is leaving"))
+            return
+        if not self.authority.may_grant():
+            return
+        self._grant_waiting()
+        self._load_waiting()
+        self._drop_drained()
+
+    def _grant_waiting(self) -> None:
+        now = self._parts.clock()
+        self._waiters.sort(key=lambda waiter: -self._priority(waiter, now))
+        free = self.pool.batch - self._load(now)
+        contended = len(self._waiters) > 1
+        for waiter in list(self._waiters):
+            if free <= 0:
+                return
+            slot = self._residents.get(waiter.question.key)
+            if slot is None or not self._serves(slot):
+                continue
+            free -= self._grant(waiter, slot, free, contended, now)
+
+    def _grant(self, waiter: _Waiter, slot: _Slot, free: int, contended: bool, now: float) -> int:
+        question = waiter.question
+        rate = self._popularity.rate(question.key, now) / question.weight
+        holders = len(set(self.book.holders(question.key)) | {question.holder})
+        offer = offer_credits(question.want, free, rate, holders, contended)
+        valid_s = self.authority.grant_valid_s()
+        if not offer.credits or valid_s <= 0 or waiter.fut.done():
+            return 0
+        number = self.book.issue(question.holder, question.key, offer.credits, now + valid_s)
+        slot.used_at = now
+        self._waiters.remove(waiter)
+        # The asker counts validity from when it sent the question, which is earlier than the
+        # moment counted from here: the time the answer was held back goes on top for it.
+        stall_s = now - waiter.since if waiter.needed_load else 0.0
+        held_back_s = now - waiter.since
+        granted = Offer(number, offer.credits, valid_s + held_back_s, stall_s)
+        waiter.fut.set_result(Success(granted))
+        self._parts.metrics.count("grants")
+        return offer.credits
+
+    def _load_waiting(self) -> None:
+        now = self._parts.clock()
+        while len(self._loading) < self._parts.limits.loads and self.reported:
+            demand = choose_demand(self._demands(now), now)
+            if demand is None or not self.authority.may_load():
+                return
+            taken = len(self._residents) + len(self._loading)
+            if taken >= self.pool.slots:
+                self._begin_drop(demand, now)
+                return
+            self._loading[demand.key] = now
+            self._spawn(self._load_adapter(demand), LOAD_TASK)
+
+    def _demands(self, now: float) -> list[Demand]:
+        by_key: dict[str, list[_Waiter]] = {}
+        for waiter in self._waiters:
+            key = waiter.question.key
+            failed = self._failed.get(key)
+            if key in self._residents or key in self._loading or (failed and failed.until > now):
+                continue
+            by_key.setdefault(key, []).append(waiter)
+        return [
+            Demand(
+                key=key,
+                waiters=sum(waiter.question.want for waiter in waiters),
+                weight=sum(waiter.question.weight * waiter.question.want for waiter in waiters),
+                since=min(waiter.since for waiter in waiters),
+                rate=self._popularity.rate(key, now),
+            )
+            for key, waiters in by_key.items()
+        ]
+
+    def _begin_drop(self, demand: Demand, now: float) -> None:
+        if any(slot.draining for slot in self._residents.values()):
+            return
+        if self.authority.unload_limit_s() <= 0:
+            return
+        residents = [
+            Resident(
+                key=key,
+                busy=self.book.load_of(key, now),
+                rate=self._popularity.rate(key, now),
+                loaded_at=slot.loaded_at,
+                used_at=slot.used_at,
+            )
+            for key, slot in self._residents.items()
+        ]
+        victim = choose_victim(residents, demand, now, self._parts.slots)
+        if victim is not None:
+            self._residents[victim.key].draining = True
+
+    def _drop_drained(self) -> None:
+        for key, slot in self._residents.items():
+            if not slot.draining or slot.unloading or not self.book.is_free(key):
+                continue
+            limit_s = self.authority.unload_limit_s()
+            if limit_s > 0:
+                slot.unloading = True
+                self._spawn(self._unload_adapter(key, slot, limit_s), UNLOAD_TASK)
+
+    # Orders
+
+    async def _load_adapter(self, demand: Demand) -> None:
+        key = demand.key
+        permit = 0
+        try:
+            now = self._parts.clock()
+            urgency = priority(demand.weight, now - demand.since)
+            permit = await self._parts.store.acquire(self.engine.name, key, urgency)
+            if not self.authority.may_load():
+                return
+            path = self._parts.path_of(key)
+            await self._parts.control.load(key, path, self.authority.next_token())
+        except OrderRefused as exc:
+            if exc.code != ALREADY_LOADED:
+                self._note_failed_load(key, exc)
+                return
+            self._note_loaded(key)
+        except UpstreamUnavailable as exc:
+            self._note_failed_load(key, exc)
+        else:
+            self._note_loaded(key)
+        finally:
+            self._loading.pop(key, None)
+            if permit:
+                await self._parts.store.end(permit)
+            self.decide()
+
+    async def _unload_adapter(self, key: str, slot: _Slot, limit_s: float) -> None:
+        try:
+            await self._parts.control.unload(key, self.authority.next_token(), limit_s)
+        except OrderRefused as exc:
+            slot.unloading = False
+            if exc.code != NOT_LOADED:
+                # Nothing was done; a later token or a busy engine: the next report decides.
+                slot.draining = False
+                return
+        except UpstreamUnavailable:
+            # The order may arrive yet. The slot stays drained and the order is given again
+            # with a later token, which fences the first off; an engine that checks no tokens
+            # gets the adapter back only when a delayed order is no longer to be feared.
+            slot.unloading = False
+            self._failed[key] = _Failed(
+                self._parts.clock() + DELAYED_ORDER_S, DELAYED_ORDER_S, "an unload is in doubt"
+            )
+            return
+        self._residents.pop(key, None)
+        self._dropped[key] = self._parts.clock()
+        self.book.forget(key)
+        self._parts.metrics.count("unloads")
+        self.decide()
+
+    def _note_loaded(self, key: str) -> None:
+        now = self._parts.clock()
+        self._failed.pop(key, None)
+        self._residents[key] = _Slot(now, now)
+        self.book.note_created(key, now)
+        self._parts.metrics.count("loads")
+
+    def _note_failed_load(self, key: str, exc: UpstreamError) -> None:
+        if isinstance(exc, FencedOff):
+            # A later token, possibly our own: the engine's report tells whose.
+            return
+        now = self._parts.clock()
+        known = self._failed.get(key)
+        delay_s = min(FAILED_MOST_S, known.delay_s * 2) if known else FAILED_FIRST_S
+        self._failed[key] = _Failed(now + delay_s, delay_s, str(exc))
+        self._parts.metrics.count("loads_failed")
+        log.warning("{}: loading {} failed: {}", self.engine.name, key, exc)
+        declined = self._failed_decline(self._failed[key], now)
+        for waiter in [item for item in self._waiters if item.question.key == key]:
+            self._answer(waiter, Failure(declined))
+
+    # The engine's own word
+
+    async def poll(self) -> None:
+        """Claim the engine if need be, ask for its report and act on it."""
+        if not self._claimed:
+            await self._claim()
+        asked_at = self._parts.clock()
+        try:
+            report = await self._parts.control.report()
+        except UpstreamUnavailable:
+            self._parts.metrics.count("reports_missed")
+            return
+        self.observe(report, asked_at)
+
+    def observe(self, report: EngineReport, asked_at: float) -> None:
+        """Take in a report asked for at `asked_at`."""
+        taken_at = asked_at - report.age_s
+        self.authority.note_report(taken_at, report.fence)
+        if report.boot != self._boot:
+            self._restarted(report, taken_at)
+        self._leaving = report.leaving
+        self.reported = True
+        for key, running in report.running.items():
+            self.book.observe(key, Observation(taken_at, running))
+        self._reconcile_slots(report, taken_at)
+        self._note_foreign(report)
+        self.decide()
+
+    async def _claim(self) -> None:
+        try:
+            await self._parts.control.claim(self.authority.next_token())
+        except UpstreamError as exc:
+            log.debug("{}: claim: {}", self.engine.name, exc)
+            return
+        self._claimed = True
+        over_at = self.authority.predecessors_over_at(self._parts.clock())
+        self.book.set_predecessors_over(over_at)
+
+    def _restarted(self, report: EngineReport, taken_at: float) -> None:
+        if self._boot:
+            log.warning("{}: the engine has restarted", self.engine.name)
+            self._parts.metrics.count("engine_restarts")
+            for key in list(self._residents):
+                self.book.forget(key)
+        self._boot = report.boot
+        now = self._parts.clock()
+        self._residents = {key: _Slot(now, now) for key in report.running}
+
+    def _reconcile_slots(self, report: EngineReport, taken_at: float) -> None:
+        now = self._parts.clock()
+        for key, slot in list(self._residents.items()):
+            if key not in report.running and taken_at > slot.loaded_at:
+                del self._residents[key]
+                self.book.forget(key)
+        self._dropped = {key: at for key, at in self._dropped.items() if at >= taken_at}
+        for key in report.running:
+            known = key in self._residents or key in self._loading or key in self._dropped
+            if not known:
+                self._residents[key] = _Slot(now, now)
+
+    def _note_foreign(self, report: EngineReport) -> None:
+        # Requests that do not come through us. The report lags, so it is held against the
+        # most that we ourselves had running lately.
+        self._peaks.append(self.book.load(self._parts.clock()))
+        self._foreign = max(0, sum(report.running.values()) - max(self._peaks))
+
+    # Helpers
+
+    def close(self) -> None:
+        """Stop keeping: answer everyone, cancel loads; an order to unload runs to its end."""
+        self.authority.deposed = True
+        self._decline_all(Decline(pb.VERDICT_NOT_OWNER, "the engine has another owner"))
+        for task in self._tasks:
+            if task.get_name() == LOAD_TASK:
+                task.cancel()
+
+    async def finish(self) -> None:
+        """Wait until no order to the engine is under way any more."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _decline_at_once(self, question: Question) -> Decline | None:
+        now = self._parts.clock()
+        if not self.authority.may_grant():
+            return Decline(pb.VERDICT_NOT_OWNER, "this scheduler's lease is over")
+        if self.is_leaving:
+            return Decline(pb.VERDICT_LEAVING, "the engine is leaving")
+        if not self._parts.carries(question.key):
+            return Decline(pb.VERDICT_NOT_CARRIED, f"{self.pool.name} may not carry it")
+        failed = self._failed.get(question.key)
+        if failed and failed.until > now and question.key not in self._residents:
+            return self._failed_decline(failed, now)
+        if len(self._waiters) >= self._parts.limits.waiting:
+            return Decline(pb.VERDICT_OVERLOADED, "too many wait", self._expected_wait_s())
+        return None
+
+    def _failed_decline(self, failed: _Failed, now: float) -> Decline:
+        return Decline(pb.VERDICT_LOAD_FAILED, failed.reason, failed.until - now)
+
+    def _decline_all(self, decline: Decline) -> None:
+        for waiter in list(self._waiters):
+            self._answer(waiter, Failure(decline))
+
+    def _answer(self, waiter: _Waiter, answer: Answer) -> None:
+        self._waiters.remove(waiter)
+        if not waiter.fut.done():
+            waiter.fut.set_result(answer)
+
+    def _serves(self, slot: _Slot) -> bool:
+        return not (slot.draining or slot.unloading)
+
+    def _priority(self, waiter: _Waiter, now: float) -> float:
+        return priority(waiter.question.weight, now - waiter.since)
+
+    def _load(self, now: float) -> int:
+        return self.book.load(now) + self._foreign
+
+    def _expected_wait_s(self) -> float:
+        waiting = sum(waiter.question.want for waiter in self._waiters)
+        return max(0.25, waiting / self.pool.batch)
+
+    def _spawn(self, coro: t.Coroutine[t.Any, t.Any, None], name: str) -> None:
+        task = asyncio.get_running_loop().create_task(coro, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -0,0 +1,545 @@
+"""One scheduler instance: what it is, what it owns, and the tasks that keep it so."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+import typing as t
+import uuid
+
+import aiohttp
+import logbook
+from gradelug_config import AdapterKey, Catalog, Document, InvalidConfig
+from gradelug_config.buckets import read_adapters, read_rules
+from gradelug_coordination import (
+    CoordinationError,
+    Fact,
+    Follower,
+    Gossip,
+    Head,
+    KeyValue,
+    KvBuckets,
+    LeaseKeeper,
+    Member,
+    Membership,
+    Mirror,
+    OnceShard,
+    Ownership,
+)
+from gradelug_coordination.documents import HEAD
+from gradelug_coordination.once import SHARDS
+from gradelug_platform import (
+    EngineControl,
+    HttpEngineControl,
+    InstanceList,
+    UpstreamUnavailable,
+)
+from gradelug_policy.permits import PermitRequest
+from gradelug_runtime import Metrics, Tasks
+from gradelug_wire import Peers, PeerUnavailable
+from gradelug_wire import control_pb2 as pb
+from gradelug_wire.facts import ENGINE, MEMBER, MemberFact
+
+from .authority import Authority
+from .keeper import EngineKeeper, KeeperParts
+from .settings import SchedulerSettings
+from .store import RESOURCE, StoreDesk
+
+log = logbook.Logger("node")
+LIVE = "gradelug/live/"
+STORE = "gradelug/store/"
+ONCE = "gradelug/once/"
+TICK_S = 0.25
+PERMIT_WAIT_S = 5.0
+FACT_REFRESH_S = 4.0
+
+
+class PeerBuckets:
+    """Buckets from peers, for when the platform's service does not answer."""
+
+    __slots__ = ("_node",)
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def fetch(self, digests: t.Sequence[str]) -> dict[str, bytes]:
+        """Return those of the buckets that some peer holds."""
+        found: dict[str, bytes] = {}
+        for address in self._node.peer_addresses():
+            missing = [digest for digest in digests if digest not in found]
+            if not missing:
+                break
+            message = pb.Fetch(stamp=self._node.stamp(), digests=missing)
+            with contextlib.suppress(PeerUnavailable):
+                reply = await self._node.peers.call(
+                    self._node.peers.stub(address).FetchBuckets, message, limit_s=3.0
+                )
+                found.update(reply.contents)
+        return found
+
+
+class Node:
+    """A scheduler instance.
+
+    Parameters
+    ----------
+    cfg : SchedulerSettings
+        Its settings.
+    kv : KeyValue
+        The platform's key-value service.
+    instances : InstanceList or None
+        The platform's instance list.
+    session : aiohttp.ClientSession or None
+        For the engines; None with `make_control`.
+    metrics : Metrics
+        Counters.
+    rng : random.Random
+        Source of jitter and of gossip's choices.
+    make_control : callable, optional
+        Returns the control of an engine; tests pass their own.
+    wall : callable
+        Wall-clock time, for the retention of at-most-once records alone.
+    """
+
+    def __init__(
+        self,
+        cfg: SchedulerSettings,
+        kv: KeyValue,
+        instances: InstanceList | None,
+        session: aiohttp.ClientSession | None,
+        metrics: Metrics,
+        rng: random.Random,
+        make_control: t.Callable[[t.Any], EngineControl] | None = None,
+        wall: t.Callable[[], float] = time.time,
+    ) -> None:
+        self.cfg = cfg
+        self.metrics = metrics
+        self.clock = asyncio.get_running_loop().time
+        self.name = f"{cfg.name}-{uuid.UUID(int=rng.getrandbits(128)).hex[:8]}"
+        self.address = cfg.listen
+        self.peers = Peers()
+        self.tasks = Tasks()
+        self.leaving = False
+        self._kv = kv
+        self._instances = instances
+        self._session = session
+        self._rng = rng
+        self._make_control = make_control or self._http_control
+        self.lease = LeaseKeeper(kv, cfg.timing.lease_s, self.clock, rng, self._wake)
+        self.mirror = Mirror(kv, LIVE, rng)
+        member = Member(self.name, cfg.listen, cfg.hall)
+        self.membership = Membership(kv, LIVE, self.mirror, self.lease, member)
+        self.ownership = Ownership(
+            kv,
+            LIVE,
+            self.mirror,
+            self.lease,
+            self.membership,
+            self.clock,
+            before_release=self._finish_keeper,
+        )
+        self.gossip = Gossip(self.clock, rng)
+        self.follower = Follower([KvBuckets(kv, STORE), PeerBuckets(self)], self._install)
+        self.catalog = Catalog(0, Document())
+        self.keepers: dict[str, EngineKeeper] = {}
+        self.shards = [
+            OnceShard(kv, f"{ONCE}{number}", wall, window_s=0.02) for number in range(SHARDS)
+        ]
+        self.desk: StoreDesk | None = None
+        self._own_desk: StoreDesk | None = None
+        self._pollers: dict[str, asyncio.Task[t.Any]] = {}
+        self._leaving_upstreams: list[str] = []
+        self._heard_at = self.clock()
+        self._offered: Head | None = None
+        self._offered_from = ""
+        self._woken = asyncio.Event()
+        self._new_head = asyncio.Event()
+        self._version = 0
+        self._published: dict[str, tuple[bytes, float]] = {}
+
+    # Life
+
+    def start(self) -> None:
+        """Start the background tasks."""
+        self.mirror.subscribe(self._on_mirror)
+        self.tasks.start(self.lease.run(), "lease")
+        self.tasks.start(self.mirror.run(), "mirror")
+        self.tasks.start(self._reconcile_forever(), "reconcile")
+        self.tasks.start(self._exchange_forever(), "exchange")
+        self.tasks.start(self._follow_forever(), "follow")
+        self.tasks.start(self.metrics.run(), "metrics")
+        if self._instances is not None:
+            self.tasks.start(self._look_forever(self._instances), "instances")
+
+    async def stop(self) -> None:
+        """Leave: hand everything over, then end."""
+        self.leaving = True
+        log.info("leaving")
+        with contextlib.suppress(CoordinationError):
+            await self.membership.leave()
+        for resource in list(self.ownership.held):
+            await self.ownership.release(resource)
+        self._publish()
+        for address in self.peer_addresses():
+            with contextlib.suppress(PeerUnavailable):
+                await self._exchange_with(address)
+        with contextlib.suppress(CoordinationError):
+            await self.lease.release()
+        await self.tasks.cancel()
+        self.peers.close()
+
+    def stamp(self) -> pb.Stamp:
+        """Return what every message carries."""
+        return pb.Stamp(member=self.name, revision=self.follower.head.revision)
+
+    # Configuration
+
+    def offer_head(self, head: Head, source: str = "") -> None:
+        """Note a head; the newest is brought into force by its own task."""
+        known = max(self.follower.head.revision, self._offered.revision if self._offered else 0)
+        if head.revision > known:
+            self._offered, self._offered_from = head, source
+            self._new_head.set()
+
+    async def note_stamp(self, stamp: pb.Stamp, address: str = "") -> None:
+        """Take in what a message says of its sender's configuration."""
+        self._heard_at = self.clock()
+        if stamp.revision > self.follower.head.revision and address:
+            with contextlib.suppress(PeerUnavailable):
+                await self._exchange_with(address)
+
+    async def _follow_forever(self) -> None:
+        while True:
+            await self._new_head.wait()
+            self._new_head.clear()
+            head = self._offered
+            if head is None or head.revision <= self.follower.head.revision:
+                continue
+            try:
+                await self.follower.offer(head)
+            except (CoordinationError, InvalidConfig) as exc:
+                log.warning("configuration {} not yet in force: {}", head.revision, exc)
+                await asyncio.sleep(0.2)
+                self._new_head.set()
+
+    async def _install(self, head: Head, contents: dict[str, bytes]) -> None:
+        catalog = Catalog(head.revision, read_rules(contents.values()))
+        for content in contents.values():
+            catalog.add_adapters(read_adapters(content))
+            # The loop goes on between buckets.
+            await asyncio.sleep(0)
+        self.catalog = catalog
+        self.metrics.count("configurations")
+        log.info("configuration {} is in force: {} adapters", head.revision, len(catalog))
+        self._refresh_keepers()
+        self._wake()
+
+    def _refresh_keepers(self) -> None:
+        rules = self.catalog.rules
+        for desk in (self.desk, self._own_desk):
+            if desk is not None:
+                desk.limit(rules.store_loads_per_s, rules.store_parallel)
+        for name, keeper in list(self.keepers.items()):
+            known = self.catalog.engines.get(name)
+            if known is None or known != (keeper.engine, keeper.pool):
+                self._close_keeper(name)
+
+    # Ownership
+
+    def _wake(self) -> None:
+        self._woken.set()
+
+    def _on_mirror(self) -> None:
+        self._heard_at = self.clock()
+        entry = self.mirror.entries.get(f"{LIVE}{HEAD}")
+        if entry is not None:
+            self.offer_head(Head.decode(entry.value))
+        self._wake()
+
+    async def _reconcile_forever(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK_S):
+                    await self._woken.wait()
+            self._woken.clear()
+            if self.leaving:
+                continue
+            try:
+                await self._reconcile()
+            except CoordinationError as exc:
+                log.debug("reconcile: {}", exc)
+                await asyncio.sleep(self._rng.uniform(TICK_S / 2, TICK_S))
+
+    async def _reconcile(self) -> None:
+        for resource in [*self.ownership.forget_lost(), *self._outranked()]:
+            self.ownership.held.pop(resource, None)
+            self._close_keeper(resource)
+        self._keep_what_is_held()
+        await self.membership.register()
+        await self.ownership.reconcile([*self.catalog.engines, RESOURCE])
+        self._keep_what_is_held()
+        self._publish()
+
+    def _outranked(self) -> list[str]:
+        """Return what a peer is known to own by a later token, or the engine says so."""
+        lost = []
+        for name, keeper in self.keepers.items():
+            fact = self.gossip.get(ENGINE + name)
+            if keeper.authority.deposed or (fact and fact.epoch > keeper.authority.held.fence):
+                lost.append(name)
+        return lost
+
+    def _keep_what_is_held(self) -> None:
+        for name in [name for name in self.keepers if name not in self.ownership.held]:
+            self._close_keeper(name)
+        for name, held in self.ownership.held.items():
+            if name in self.keepers or name not in self.catalog.engines:
+                continue
+            engine, pool = self.catalog.engines[name]
+            authority = Authority(held, self.lease, engine.checks_fences, self.clock)
+            parts = KeeperParts(
+                control=self._make_control(engine),
+                store=_NodeStore(self),
+                clock=self.clock,
+                carries=lambda key, pool=pool: self.carries(pool.name, key),  # type: ignore[misc]
+                path_of=lambda key: key,
+                metrics=self.metrics,
+                slots=self.cfg.slots,
+                limits=self.cfg.limits,
+            )
+            keeper = self.keepers[name] = EngineKeeper(engine, pool, authority, parts)
+            self._pollers[name] = self.tasks.start(self._poll_forever(keeper), f"poll {name}")
+            log.info("took {} with token {}", name, held.fence)
+            self.metrics.count("engines_taken")
+        self._keep_desk()
+
+    def _keep_desk(self) -> None:
+        rules = self.catalog.rules
+        if RESOURCE not in self.ownership.held:
+            self.desk = None
+        elif self.desk is None:
+            self.desk = StoreDesk(rules.store_loads_per_s, rules.store_parallel, self.clock)
+
+    def _close_keeper(self, name: str) -> None:
+        keeper = self.keepers.pop(name, None)
+        if keeper is None:
+            return
+        self._pollers.pop(name).cancel()
+        keeper.close()
+        log.info("gave up {}", name)
+
+    async def _finish_keeper(self, name: str) -> None:
+        keeper = self.keepers.get(name)
+        self._close_keeper(name)
+        if keeper is not None:
+            await keeper.finish()
+
+    async def _poll_forever(self, keeper: EngineKeeper) -> None:
+        while True:
+            await keeper.poll()
+            if keeper.authority.deposed:
+                self._wake()
+            period_s = self.cfg.timing.report_s
+            await asyncio.sleep(self._rng.uniform(0.9, 1.1) * period_s)
+
+    def carries(self, pool: str, text: str) -> bool:
+        """Tell whether the configuration lets a pool carry an adapter version."""
+        try:
+            key = AdapterKey.parse(text)
+        except ValueError:
+            return False
+        known = self.catalog.pools.get(pool)
+        return known is not None and self.catalog.carries(known, key)
+
+    def is_isolated(self) -> bool:
+        """Tell whether this instance hears neither the platform nor any peer.
+
+        It cannot know then whether a newer configuration is in force.
+        """
+        if self.mirror.synced:
+            return False
+        return self.clock() - self._heard_at > self.cfg.timing.isolated_s
+
+    def _http_control(self, engine: t.Any) -> EngineControl:
+        assert self._session is not None
+        return HttpEngineControl(self._session, engine.address)
+
+    # Permits
+
+    async def acquire_permit(self, request: PermitRequest) -> tuple[int, str]:
+        """Return a permit's number and the address of the desk that gave it."""
+        while True:
+            if self.desk is not None:
+                number = await self.desk.acquire(request, PERMIT_WAIT_S)
+                if number:
+                    return number, ""
+                continue
+            owner = self.ownership.records().get(RESOURCE)
+            member = self.membership.all().get(owner.owner) if owner else None
+            if member is None or member.name == self.name:
+                return await self._share_of_store().acquire(request, PERMIT_WAIT_S), "share"
+            message = pb.PermitAsk(
+                stamp=self.stamp(),
+                engine=request.engine,
+                adapter=request.key,
+                urgency=request.urgency,
+                wait_ms=int(PERMIT_WAIT_S * 1000),
+            )
+            try:
+                reply = await self.peers.call(
+                    self.peers.stub(member.address).AskPermit, message, PERMIT_WAIT_S + 1
+                )
+            except PeerUnavailable:
+                number = await self._share_of_store().acquire(request, PERMIT_WAIT_S)
+                if number:
+                    return number, "share"
+                continue
+            if reply.granted:
+                return reply.number, member.address
+            await asyncio.sleep(reply.retry_after_ms / 1000)
+
+    async def end_permit(self, number: int, desk: str) -> None:
+        """Give a permit back to the desk it came from."""
+        if not desk:
+            if self.desk is not None:
+                self.desk.end(number)
+            return
+        if desk == "share":
+            self._share_of_store().end(number)
+            return
+        message = pb.PermitDone(stamp=self.stamp(), number=number)
+        # A permit that is not given back lapses.
+        with contextlib.suppress(PeerUnavailable):
+            await self.peers.call(self.peers.stub(desk).EndPermit, message)
+
+    def _share_of_store(self) -> StoreDesk:
+        members = max(1, len(self.membership.active()))
+        rules = self.catalog.rules
+        rate = rules.store_loads_per_s / members
+        if self._own_desk is None:
+            self._own_desk = StoreDesk(rate, 1, self.clock)
+        self._own_desk.limit(rate, max(1, rules.store_parallel // members))
+        return self._own_desk
+
+    # Gossip
+
+    def peer_addresses(self) -> list[str]:
+        """Return the addresses of all other schedulers known."""
+        addresses = {
+            member.address for member in self.membership.all().values() if member.name != self.name
+        }
+        for fact in self.gossip.facts():
+            if fact.key.startswith(MEMBER) and fact.key != MEMBER + self.name:
+                addresses.add(MemberFact.decode(fact.payload).address)
+        if not addresses:
+            addresses = set(self.cfg.seeds)
+        return sorted(addresses - {self.address})
+
+    def _publish(self) -> None:
+        me = MemberFact(self.address, self.cfg.hall, self.leaving, self._leaving_upstreams)
+        self._publish_fact(MEMBER + self.name, 0, me.encode())
+        for name, keeper in self.keepers.items():
+            if keeper.reported and keeper.authority.may_grant():
+                payload = keeper.fact(self.name, self.address).encode()
+                self._publish_fact(ENGINE + name, keeper.authority.held.fence, payload)
+
+    def _publish_fact(self, key: str, epoch: int, payload: bytes) -> None:
+        last, at = self._published.get(key, (b"", float("-inf")))
+        now = self.clock()
+        if last == payload and now - at < FACT_REFRESH_S:
+            return
+        self._version += 1
+        self._published[key] = (payload, now)
+        self.gossip.put(Fact(key, epoch, self._version, payload))
+
+    async def _exchange_forever(self) -> None:
+        while True:
+            period_s = self.cfg.timing.exchange_s
+            await asyncio.sleep(self._rng.uniform(0.8, 1.2) * period_s)
+            self._publish()
+            addresses = self.peer_addresses()
+            self.peers.keep_only(addresses)
+            await asyncio.gather(
+                *(self._try_exchange(peer) for peer in self.gossip.choose_peers(addresses))
+            )
+
+    async def _try_exchange(self, address: str) -> None:
+        try:
+            await self._exchange_with(address)
+        except PeerUnavailable:
+            self.metrics.count("exchanges_failed")
+
+    async def _exchange_with(self, address: str) -> None:
+        message = self.make_sync(self.gossip.news_for(address))
+        reply = await self.peers.call(self.peers.stub(address).Exchange, message)
+        self.take_sync(reply)
+
+    def make_sync(self, facts: list[Fact]) -> pb.Sync:
+        """Return a message with facts."""
+        return pb.Sync(
+            stamp=self.stamp(),
+            facts=[
+                pb.Fact(key=item.key, epoch=item.epoch, version=item.version, payload=item.payload)
+                for item in facts
+            ],
+        )
+
+    def take_sync(self, message: pb.Sync) -> None:
+        """Take in a message's facts and head."""
+        self._heard_at = self.clock()
+        for item in message.facts:
+            self.gossip.put(Fact(item.key, item.epoch, item.version, item.payload))
+        if message.head:
+            self.offer_head(Head.decode(message.head))
+        if self._outranked():
+            self._wake()
+
+    # The instance list
+
+    async def _look_forever(self, instances: InstanceList) -> None:
+        while True:
+            try:
+                found = await instances.fetch()
+            except UpstreamUnavailable:
+                self.metrics.count("instance_lists_missed")
+            else:
+                leaving = sorted(item.address for item in found.values() if item.leaving)
+                if leaving != self._leaving_upstreams:
+                    log.info("leaving by the instance list: {}", ", ".join(leaving) or "none")
+                self._leaving_upstreams = leaving
+            self._note_drained()
+            await asyncio.sleep(self.cfg.timing.instances_s)
+
+    def _note_drained(self) -> None:
+        for name, keeper in self.keepers.items():
+            address = keeper.engine.address.partition("://")[2]
+            draining = self.catalog.rules.draining
+            keeper.drained = name in draining or address in self._leaving_upstreams
+            if keeper.drained:
+                keeper.decide()
+
+
+class _NodeStore:
+    """Permits for a keeper."""
+
+    __slots__ = ("_desks", "_node")
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._desks: dict[int, tuple[int, str]] = {}
+
+    async def acquire(self, engine: str, key: str, urgency: float) -> int:
+        """Return a permit's number once there is one."""
+        request = PermitRequest(self._node.name, engine, key, urgency)
+        number, desk = await self._node.acquire_permit(request)
+        handle = len(self._desks) + 1
+        while handle in self._desks:
+            handle += 1
+        self._desks[handle] = (number, desk)
+        return handle
+
+    async def end(self, number: int) -> None:
+        """Give a permit back."""
+        await self._node.end_permit(*self._desks.pop(number))
--- /dev/null
+++ b/packages/standins/src/gradelug_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for engines, services and the platform."""
