Name upstreams in the findings test as operators would

Cause: the suggestion of a near name needs a likeness of 0.6; "e1" for "e2" has 0.5, so the test asked for a suggestion that the library rightly does not make. Ruled out: lowering the likeness, which would suggest wrong names.

Change: the test uses engine-1 and engine-2 and asserts the same.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -77,15 +77,15 @@
 
     def test_references_selectors_and_addresses_are_checked_together(self):
         document = make_document(
-            pools=[Pool("main", "bas", engines=[Engine("e1", "http://host:1")])],
+            pools=[Pool("main", "bas", engines=[Engine("engine-1", "http://host:1")])],
             access=[Access("land", "org=", "")],
-            draining=["e2"],
+            draining=["engine-2"],
         )
         text = "\n".join(map(str, check(document)))
         assert "no pool serves the base 'base'; did you mean 'bas'?" in text
         assert "access.land.callers" in text
         assert "must name an IP address" in text
-        assert "no upstream is called 'e2'; did you mean 'e1'?" in text
+        assert "no upstream is called 'engine-2'; did you mean 'engine-1'?" in text
 
 
 class TestBuckets:
