--- a/packages/router/src/gradelug_router/acquire.py
+++ b/packages/router/src/gradelug_router/acquire.py
@@ -251,6 +251,7 @@
 
     async def _ask(self, line: _Line, engine: EngineView, address: str) -> pb.Grant:
         wanted = [waiter.wanted for _, _, waiter in line.heap]
+        since = min(waiter.since for _, _, waiter in line.heap)
         fresh, line.fresh = line.fresh, 0
         message = pb.Ask(
             stamp=self._view.stamp(),
@@ -261,6 +262,7 @@
             wait_ms=int(ASK_WAIT_S * 1000),
             request_id=line.heap[0][2].wanted.request_id,
             fresh=fresh,
+            waited_ms=int((self._clock() - since) * 1000),
         )
         self._metrics.count("asks")
         stub = self._peers.stub(address)
--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -96,6 +96,8 @@
         Greatest weight among those waiting.
     wait_s : float
         How long the answer may be held back.
+    waited_s : float
+        How long the first of the requests has waited before this question.
     """
 
     holder: str
@@ -104,15 +106,21 @@
     fresh: int
     weight: float
     wait_s: float
+    waited_s: float = 0.0
 
 
 @dataclass(slots=True)
 class _Waiter:
     question: Question
-    since: float
+    asked_at: float
     fut: asyncio.Future[Answer]
     needed_load: bool = False
 
+    @property
+    def since(self) -> float:
+        """Since when the first of the requests has waited."""
+        return self.asked_at - self.question.waited_s
+
 
 @dataclass(slots=True)
 class _Slot:
@@ -323,8 +331,8 @@
         self._waiters.remove(waiter)
         # The asker counts validity from when it sent the question, which is earlier than the
         # moment counted from here: the time the answer was held back goes on top for it.
+        held_back_s = now - waiter.asked_at
         stall_s = now - waiter.since if waiter.needed_load else 0.0
-        held_back_s = now - waiter.since
         granted = Offer(number, offer.credits, valid_s + held_back_s, stall_s)
         waiter.fut.set_result(Success(granted))
         self._parts.metrics.count("grants")
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -99,6 +99,8 @@
         Source of jitter and of gossip's choices.
     make_control : callable, optional
         Returns the control of an engine; tests pass their own.
+    peers : Peers, optional
+        Connections to other schedulers; tests pass their own.
     wall : callable
         Wall-clock time, for the retention of at-most-once records alone.
     """
@@ -112,6 +114,7 @@
         metrics: Metrics,
         rng: random.Random,
         make_control: t.Callable[[t.Any], EngineControl] | None = None,
+        peers: Peers | None = None,
         wall: t.Callable[[], float] = time.time,
     ) -> None:
         self.cfg = cfg
@@ -119,7 +122,7 @@
         self.clock = asyncio.get_running_loop().time
         self.name = f"{cfg.name}-{uuid.UUID(int=rng.getrandbits(128)).hex[:8]}"
         self.address = cfg.listen
-        self.peers = Peers()
+        self.peers = peers or Peers()
         self.tasks = Tasks()
         self.leaving = False
         self._kv = kv
