--- /dev/null
+++ b/packages/bench/src/gradelug_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios, baselines and measures for the policy."""
--- a/packages/cli/src/gradelug_cli/status.py
+++ b/packages/cli/src/gradelug_cli/status.py
@@ -73,7 +73,7 @@
 
 
 async def _ask(peers: Peers, member: MemberStatus, status: Status) -> None:
-    message = pb.Sync(stamp=pb.Stamp(member="gradelug"), everything=True)
+    message = pb.Sync(stamp=pb.Stamp(member="gradelug"), reader=True)
     try:
         reply = await peers.call(peers.stub(member.address).Exchange, message)
     except PeerUnavailable:
--- a/packages/coordination/src/gradelug_coordination/gossip.py
+++ b/packages/coordination/src/gradelug_coordination/gossip.py
@@ -1,18 +1,21 @@
-"""Spreading facts among members by exchanging recent changes with a few random peers.
+"""Spreading facts among members by telling a few random peers what is new.
 
-A fact has one writer and a version that only grows. Each round a member sends what has changed
-lately to a few peers and receives the same; a peer not met before is sent everything. The cost
-of a round depends on the rate of changes and the fan-out, not on the number of members.
+A fact has one writer and a version that only grows. Whoever learns a fact tells it a bounded
+number of times, to peers chosen at random, and then no more; a peer not met before is told
+everything. The traffic thus follows the rate of changes, not the number of facts there are.
 """
 
 from __future__ import annotations
 
+import math
 import random
 import typing as t
 from dataclasses import dataclass
 
-FANOUT = 3
-RECENT_S = 5.0
+FANOUT = 2
+TELLINGS_PER_DOUBLING = 2
+"""A fact is told this often for every doubling of the members: the chance that somebody never
+hears of it falls with the square of their number. A writer's refreshes make up for the rest."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,6 +46,14 @@
         return (self.epoch, self.version) > (other.epoch, other.version)
 
 
+@dataclass(slots=True)
+class _Known:
+    fact: Fact
+    at: float
+    number: int
+    tellings: int
+
+
 class Gossip:
     """The facts known to one member.
 
@@ -56,7 +67,7 @@
         A fact not refreshed for this long is dropped.
     """
 
-    __slots__ = ("_clock", "_expire_s", "_facts", "_met", "_rng")
+    __slots__ = ("_clock", "_expire_s", "_facts", "_met", "_number", "_rng", "_tellings")
 
     def __init__(
         self, clock: t.Callable[[], float], rng: random.Random, expire_s: float = 30.0
@@ -64,44 +75,62 @@
         self._clock = clock
         self._rng = rng
         self._expire_s = expire_s
-        self._facts: dict[str, tuple[Fact, float]] = {}
+        self._facts: dict[str, _Known] = {}
         self._met: set[str] = set()
+        self._number = 0
+        self._tellings = TELLINGS_PER_DOUBLING
+
+    @property
+    def cursor(self) -> int:
+        """Number of the latest fact taken in; `since` continues from it."""
+        return self._number
 
     def put(self, fact: Fact) -> bool:
         """Take in a fact; tell whether it was news."""
         known = self._facts.get(fact.key)
-        if not fact.newer_than(known[0] if known else None):
+        if not fact.newer_than(known.fact if known else None):
             return False
-        self._facts[fact.key] = (fact, self._clock())
+        self._number += 1
+        self._facts[fact.key] = _Known(fact, self._clock(), self._number, self._tellings)
         return True
 
     def get(self, key: str) -> Fact | None:
         """Return the fact under a key."""
         known = self._facts.get(key)
-        return known[0] if known else None
-
-    def age_s(self, key: str) -> float:
-        """Return how long ago the fact was last news here; infinite if unknown."""
-        known = self._facts.get(key)
-        return self._clock() - known[1] if known else float("inf")
+        return known.fact if known else None
 
     def facts(self) -> list[Fact]:
         """Return every fact that has not expired."""
-        oldest = self._clock() - self._expire_s
-        for key in [key for key, (_, at) in self._facts.items() if at < oldest]:
-            del self._facts[key]
-        return [fact for fact, _ in self._facts.values()]
+        return [known.fact for known in self._live()]
 
     def choose_peers(self, peers: t.Sequence[str]) -> list[str]:
         """Return the peers of this round."""
         self._met &= set(peers)
+        self._tellings = TELLINGS_PER_DOUBLING * math.ceil(math.log2(len(peers) + 2))
         return self._rng.sample(list(peers), min(FANOUT, len(peers)))
 
     def news_for(self, peer: str) -> list[Fact]:
-        """Return what to send to a peer: everything at first, later what changed lately."""
-        everything = self.facts()
-        if peer not in self._met:
-            self._met.add(peer)
-            return everything
-        since = self._clock() - RECENT_S
-        return [fact for fact in everything if self._facts[fact.key][1] >= since]
+        """Return what to tell a peer: everything at first, later what is new."""
+        first = peer not in self._met
+        self._met.add(peer)
+        told = []
+        for known in self._live():
+            if first or known.tellings > 0:
+                known.tellings -= 1
+                told.append(known.fact)
+        return told
+
+    def since(self, cursor: int) -> list[Fact]:
+        """Return what was taken in after a cursor, for a reader that comes again and again.
+
+        A cursor from another life of this member, or from another member, gets everything.
+        """
+        if cursor > self._number:
+            cursor = 0
+        return [known.fact for known in self._live() if known.number > cursor]
+
+    def _live(self) -> list[_Known]:
+        oldest = self._clock() - self._expire_s
+        for key in [key for key, known in self._facts.items() if known.at < oldest]:
+            del self._facts[key]
+        return list(self._facts.values())
--- a/packages/router/src/gradelug_router/main.py
+++ b/packages/router/src/gradelug_router/main.py
@@ -81,6 +81,7 @@
             clock=loop.time,
         )
         self.serving = Serving(parts)
+        self.metrics.before_flush.append(self._set_gauges)
         host, _, port = cfg.listen.rpartition(":")
         self.door = Door((host.strip("[]"), int(port)), cfg.limits, self.serving.serve)
 
@@ -90,6 +91,12 @@
         self.tasks.start(self.accountant.run(self._cfg.timing.report_s), "accounts")
         self.tasks.start(self.metrics.run(), "metrics")
 
+    def _set_gauges(self) -> None:
+        self.metrics.gauge("revision", self.view.head.revision)
+        self.metrics.gauge("running", self.wallet.running())
+        self.metrics.gauge("peer_calls", self.peers.calls)
+        self.metrics.gauge("peer_bytes", self.peers.transferred_bytes)
+
     async def stop(self) -> None:
         """Take nothing new, let what runs end, give the last accounts."""
         self.serving.stopping = True
--- a/packages/router/src/gradelug_router/serving.py
+++ b/packages/router/src/gradelug_router/serving.py
@@ -359,7 +359,9 @@
         fresh = self._parts.view.is_fresh(self._parts.cfg.timing.stale_s)
         ready = fresh and not self.stopping
         status, text = (200, b"ready\n") if ready else (503, b"not ready\n")
-        exchange.respond(status, text, {"Content-Type": "text/plain"})
+        revision = str(self._parts.view.head.revision)
+        headers = {"Content-Type": "text/plain", "Gradelug-Revision": revision}
+        exchange.respond(status, text, headers)
 
     def _answer_error(self, exchange: Exchange, exc: ApiError, request_id: str) -> None:
         self._parts.metrics.count(f"errors.{exc.status}")
--- a/packages/router/src/gradelug_router/settings.py
+++ b/packages/router/src/gradelug_router/settings.py
@@ -61,7 +61,7 @@
         How long a planned stop waits for requests in progress at the most.
     """
 
-    sync_s: float = 0.25
+    sync_s: float = 0.5
     report_s: float = 0.25
     stale_s: float = 3.0
     stop_s: float = 600.0
--- a/packages/router/src/gradelug_router/view.py
+++ b/packages/router/src/gradelug_router/view.py
@@ -21,7 +21,7 @@
 
 log = logbook.Logger("view")
 FETCH_LIMIT_S = 5.0
-FACT_LIFE_S = 12.0
+FACT_LIFE_S = 30.0
 
 
 class View:
@@ -43,6 +43,8 @@
         "_clock",
         "_contents",
         "_current",
+        "_cursor",
+        "_cursor_of",
         "_engines",
         "_gossip",
         "_lock",
@@ -64,6 +66,8 @@
         self._clock = asyncio.get_running_loop().time
         self._schedulers = list(schedulers)
         self._current = 0
+        self._cursor = 0
+        self._cursor_of = ""
         self._peers = peers
         self._metrics = metrics
         self._gossip = Gossip(self._clock, random.Random(), expire_s=FACT_LIFE_S)
@@ -156,11 +160,13 @@
 
     async def _exchange(self, address: str) -> None:
         sent_at = self._clock()
-        everything = not self._members
-        message = pb.Sync(stamp=self.stamp(), everything=everything)
+        if address != self._cursor_of:
+            self._cursor, self._cursor_of = 0, address
+        message = pb.Sync(stamp=self.stamp(), reader=True, cursor=self._cursor)
         reply = await self._peers.call(self._peers.stub(address).Exchange, message)
         for item in reply.facts:
             self._gossip.put(Fact(item.key, item.epoch, item.version, item.payload))
+        self._cursor = reply.cursor
         self._read_facts()
         if reply.head:
             await self._adopt(Head.decode(reply.head), address)
--- a/packages/runtime/src/gradelug_runtime/metrics.py
+++ b/packages/runtime/src/gradelug_runtime/metrics.py
@@ -21,13 +21,15 @@
     to a dict.
     """
 
-    __slots__ = ("_client", "_gauges", "_period_s", "_timings", "counts", "totals")
+    __slots__ = ("_client", "_gauges", "_period_s", "_timings", "before_flush", "counts", "totals")
 
     def __init__(self, settings: StatsdSettings, process: str) -> None:
         self._client: StatsClient | None = None
         self._period_s = settings.period_s
         self._gauges: dict[str, float] = {}
         self._timings: dict[str, list[float]] = defaultdict(list)
+        self.before_flush: list[t.Callable[[], None]] = []
+        """Called before each sending, to set gauges."""
         self.counts: Counter[str] = Counter()
         self.totals: Counter[str] = Counter()
         """Counts since the start."""
@@ -59,6 +61,8 @@
 
     def flush(self) -> None:
         """Send what was gathered."""
+        for hook in self.before_flush:
+            hook()
         counts, self.counts = self.counts, Counter()
         timings, self._timings = self._timings, defaultdict(list)
         if self._client is None:
--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -177,6 +177,12 @@
     limits: Limits = field(default_factory=Limits)
 
 
+def _rounded(load: int) -> int:
+    """Round a load up, so that small changes of a large one are not worth telling."""
+    step = 1 if load < 8 else 4
+    return -(-load // step) * step
+
+
 class EngineKeeper:
     """Keeps one engine as long as this process owns it.
 
@@ -277,6 +283,12 @@
         """Whether the engine takes no new work."""
         return self._leaving or self.drained
 
+    def is_active(self) -> bool:
+        """Tell whether something waits for the engine's next report."""
+        if self._waiters or self._loading or not self.reported or not self._claimed:
+            return True
+        return any(slot.draining for slot in self._residents.values())
+
     def fact(self, owner: str, address: str) -> EngineFact:
         """Return what others are told."""
         now = self._parts.clock()
@@ -287,7 +299,7 @@
             resident=sorted(granted),
             loading=sorted(self._loading),
             evictable=sum(not self.book.load_of(key, now) for key in granted),
-            load=self._load(now),
+            load=_rounded(self._load(now)),
             waiting=sum(waiter.question.want for waiter in self._waiters),
             leaving=self.is_leaving,
         )
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -52,8 +52,13 @@
 STORE = "gradelug/store/"
 ONCE = "gradelug/once/"
 TICK_S = 0.25
+IDLE_FACTOR = 2.5
+"""An engine on which nothing waits is asked for its report so much more seldom."""
 PERMIT_WAIT_S = 5.0
-FACT_REFRESH_S = 4.0
+FACT_REFRESH_S = 10.0
+"""A fact that has not changed is told anew after this long, well before it expires."""
+FACT_PAUSE_S = 0.5
+"""Between two tellings of a changed fact."""
 
 
 class PeerBuckets:
@@ -161,6 +166,7 @@
         self._new_head = asyncio.Event()
         self._version = 0
         self._published: dict[str, tuple[bytes, float]] = {}
+        metrics.before_flush.append(self._set_gauges)
 
     # Life
 
@@ -197,6 +203,12 @@
         """Return what every message carries."""
         return pb.Stamp(member=self.name, revision=self.follower.head.revision)
 
+    def _set_gauges(self) -> None:
+        self.metrics.gauge("revision", self.follower.head.revision)
+        self.metrics.gauge("engines", len(self.keepers))
+        self.metrics.gauge("peer_calls", self.peers.calls)
+        self.metrics.gauge("peer_bytes", self.peers.transferred_bytes)
+
     # Configuration
 
     def offer_head(self, head: Head, source: str = "") -> None:
@@ -344,7 +356,7 @@
             await keeper.poll()
             if keeper.authority.deposed:
                 self._wake()
-            period_s = self.cfg.timing.report_s
+            period_s = self.cfg.timing.report_s * (1.0 if keeper.is_active() else IDLE_FACTOR)
             await asyncio.sleep(self._rng.uniform(0.9, 1.1) * period_s)
 
     def carries(self, pool: str, text: str) -> bool:
@@ -451,7 +463,7 @@
     def _publish_fact(self, key: str, epoch: int, payload: bytes) -> None:
         last, at = self._published.get(key, (b"", float("-inf")))
         now = self.clock()
-        if last == payload and now - at < FACT_REFRESH_S:
+        if now - at < (FACT_REFRESH_S if last == payload else FACT_PAUSE_S):
             return
         self._version += 1
         self._published[key] = (payload, now)
--- a/packages/scheduler/src/gradelug_scheduler/service.py
+++ b/packages/scheduler/src/gradelug_scheduler/service.py
@@ -138,8 +138,11 @@
         node = self._node
         node.take_sync(message)
         gossip = node.gossip
-        news = gossip.facts() if message.everything else gossip.news_for(message.stamp.member)
-        reply = node.make_sync(news)
+        if message.reader:
+            reply = node.make_sync(gossip.since(message.cursor))
+            reply.cursor = gossip.cursor
+        else:
+            reply = node.make_sync(gossip.news_for(message.stamp.member))
         head = node.follower.head
         if message.stamp.revision < head.revision:
             reply.head = head.encode()
--- a/packages/standins/src/gradelug_standins/layout.py
+++ b/packages/standins/src/gradelug_standins/layout.py
@@ -112,6 +112,7 @@
     load_s: float = 0.05,
     log_level: str = "info",
     timing: t.Mapping[str, float] | None = None,
+    statsd: str = "",
 ) -> Layout:
     """Write everything that an example's processes need below `folder`.
 
@@ -129,6 +130,8 @@
         Speed of the stand-in engines.
     timing : mapping, optional
         Overrides of the schedulers' periods.
+    statsd : str
+        ``IP:port`` where counters go.
     """
     folder.mkdir(parents=True, exist_ok=True)
     configuration = folder / "configuration"
@@ -141,7 +144,8 @@
     document = _readdress(document, ports, layout, f"http://{legacy}")
     _write_rules(document, configuration)
     _add_standins(document, layout, store, legacy, token_s, load_s)
-    _add_instances(document, layout, ports, instances, log_level, dict(timing or {}))
+    common = {"log": {"level": log_level}, "statsd": {"address": statsd}}
+    _add_instances(document, layout, ports, instances, common, dict(timing or {}))
     for caller in document.callers:
         layout.tokens[caller.name] = f"{source.name}-{caller.name}"
     lines = [f"{name}: {' '.join(command)}" for name, command in layout.processes.items()]
@@ -217,7 +221,7 @@
     layout: Layout,
     ports: Ports,
     instances: int,
-    log_level: str,
+    common: dict[str, t.Any],
     timing: dict[str, float],
 ) -> None:
     halls = sorted({engine.hall for pool in document.pools for engine in pool.engines})
@@ -226,19 +230,20 @@
     addresses = {number: ports.take() for number in numbers}
     for number, hall in places.items():
         seeds = [address for other, address in addresses.items() if other != number]
-        common = {"hall": hall, "log": {"level": log_level}}
         scheduler = {
             "name": f"scheduler-{number}",
             "listen": addresses[number],
             "seeds": seeds,
             "platform": {"kv": layout.kv, "instances": layout.instances},
             "timing": timing,
+            "hall": hall,
             **common,
         }
         router = {
             "name": f"router-{number}",
             "listen": ports.take(),
             "schedulers": [addresses[number], *seeds],
+            "hall": hall,
             **common,
         }
         layout.schedulers[f"scheduler-{number}"] = addresses[number]
--- a/packages/wire/src/gradelug_wire/peer.py
+++ b/packages/wire/src/gradelug_wire/peer.py
@@ -5,6 +5,7 @@
 import asyncio
 import typing as t
 
+from google.protobuf.message import Message
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
@@ -13,8 +14,8 @@
 
 CALL_LIMIT_S = 1.0
 
-Req = t.TypeVar("Req", contravariant=True)
-Rep = t.TypeVar("Rep", covariant=True)
+Req = t.TypeVar("Req", bound=Message, contravariant=True)
+Rep = t.TypeVar("Rep", bound=Message, covariant=True)
 
 
 class UnaryMethod(t.Protocol[Req, Rep]):
@@ -33,9 +34,12 @@
     >>> reply = await peers.call(peers.stub("127.0.0.1:7001").AskGrant, ask, limit_s=0.5)
     """
 
-    __slots__ = ("_channels",)
+    __slots__ = ("_channels", "calls", "transferred_bytes")
 
     def __init__(self) -> None:
+        self.calls = 0
+        self.transferred_bytes = 0
+        """Bytes of all messages sent and received by `call`, without their framing."""
         self._channels: dict[str, Channel] = {}
 
     def stub(self, address: str) -> ControlStub:
@@ -56,10 +60,14 @@
         PeerUnavailable
             If it does not answer within `limit_s` seconds or breaks off.
         """
+        self.calls += 1
+        self.transferred_bytes += message.ByteSize()
         try:
             # grpclib's own time-out does not cover a connection that hangs while it opens.
             async with asyncio.timeout(limit_s):
-                return await method(message, timeout=limit_s)
+                reply = await method(message, timeout=limit_s)
+                self.transferred_bytes += reply.ByteSize()
+                return reply
         except (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError) as exc:
             raise PeerUnavailable(f"{type(exc).__name__}: {exc}") from exc
 
