Choose among a few engines in a large fleet

Change: a fleet of more than 16 engines offers those that hold the adapter and six others that every router picks alike; the hash breaks ties only; a router's purses are found by adapter rather than by a walk over all of them.

--- a/packages/bench/src/gradelug_bench/cost.py
+++ b/packages/bench/src/gradelug_bench/cost.py
@@ -9,6 +9,7 @@
 from gradelug_policy import (
     Demand,
     EngineView,
+    Fleet,
     PlacementSettings,
     Popularity,
     Resident,
@@ -35,15 +36,15 @@
     popularity = Popularity(300.0)
     for number in range(adapters):
         popularity.note(f"a{number}@1", 0.0, 1.0)
-    views = [_view(index, adapters, rng) for index in range(engines)]
+    fleet = Fleet([_view(index, adapters, rng) for index in range(engines)])
     keys = [f"a{rng.randrange(adapters)}@1" for _ in range(ROUNDS)]
     started = time.process_time()
     for key in keys:
-        choose_engine(views, key, "h0", PlacementSettings())
+        choose_engine(fleet.candidates(key), key, "h0", PlacementSettings())
     route_us = (time.process_time() - started) / ROUNDS * 1e6
     started = time.process_time()
     for key in keys:
-        _place(popularity, key, views[0])
+        _place(popularity, key, fleet.views[0])
     place_us = (time.process_time() - started) / ROUNDS * 1e6
     line = {
         "measure": "decision",
--- a/packages/policy/src/gradelug_policy/__init__.py
+++ b/packages/policy/src/gradelug_policy/__init__.py
@@ -6,6 +6,7 @@
 from .credits import offer_credits as offer_credits
 from .permits import StorePermits as StorePermits
 from .placement import EngineView as EngineView
+from .placement import Fleet as Fleet
 from .placement import PlacementSettings as PlacementSettings
 from .placement import choose_engine as choose_engine
 from .popularity import Popularity as Popularity
--- a/packages/policy/src/gradelug_policy/placement.py
+++ b/packages/policy/src/gradelug_policy/placement.py
@@ -7,6 +7,13 @@
 
 import xxhash
 
+SMALL_FLEET = 16
+"""Up to this many engines, all are considered for every request."""
+STRANGERS = 6
+"""In a larger fleet, engines that do not hold the adapter but are considered all the same."""
+STRIDE = 7919
+"""Prime, so that the strangers are spread over any fleet."""
+
 
 @dataclass(slots=True, frozen=True)
 class EngineView:
@@ -75,6 +82,40 @@
     pack_s: float = 0.05
 
 
+class Fleet:
+    """The engines of some pools, indexed so that a choice does not look at all of them.
+
+    Parameters
+    ----------
+    views : sequence of EngineView
+        The engines, in an order that all routers share.
+    """
+
+    __slots__ = ("_holders", "views")
+
+    def __init__(self, views: t.Sequence[EngineView]) -> None:
+        self.views = views
+        self._holders: dict[str, list[EngineView]] = {}
+        for view in views:
+            for key in view.resident | view.loading:
+                self._holders.setdefault(key, []).append(view)
+
+    def candidates(self, key: str) -> t.Sequence[EngineView]:
+        """Return the engines among which to choose for an adapter.
+
+        In a small fleet that is every engine; in a large one those that hold the adapter and a
+        few others, the same for every router, among which a cold adapter finds its place.
+        """
+        if len(self.views) <= SMALL_FLEET:
+            return self.views
+        start = xxhash.xxh3_64_intdigest(key.encode())
+        found = {view.name: view for view in self._holders.get(key, ())}
+        for step in range(STRANGERS):
+            view = self.views[(start + step * STRIDE) % len(self.views)]
+            found[view.name] = view
+        return list(found.values())
+
+
 def choose_engine(
     views: t.Iterable[EngineView], key: str, hall: str, settings: PlacementSettings
 ) -> EngineView | None:
@@ -83,14 +124,17 @@
     Ties go by rendezvous hashing of the adapter, so that routers which do not talk to each
     other send requests for a cold adapter to the same engine and one load serves them all.
     """
-    return min(
-        views,
-        key=lambda view: (
-            round(expected_wait_s(view, key, hall, settings), 2),
-            -affinity(view.name, key),
-        ),
-        default=None,
-    )
+    best: list[EngineView] = []
+    least = float("inf")
+    for view in views:
+        wait = round(expected_wait_s(view, key, hall, settings), 2)
+        if wait < least:
+            best, least = [view], wait
+        elif wait == least:
+            best.append(view)
+    if len(best) <= 1:
+        return best[0] if best else None
+    return max(best, key=lambda view: affinity(view.name, key))
 
 
 def expected_wait_s(view: EngineView, key: str, hall: str, settings: PlacementSettings) -> float:
--- a/packages/router/src/gradelug_router/acquire.py
+++ b/packages/router/src/gradelug_router/acquire.py
@@ -212,8 +212,16 @@
         return line
 
     def _spend_held(self, wanted: Wanted) -> Credit | None:
-        usable = {view.name for view in self._candidates(wanted.key, wanted.pools)}
-        return self._wallet.spend_any(wanted.key, usable)
+        engines = self._wallet.engines_with_credit(wanted.key)
+        if not engines:
+            return None
+        now = self._clock()
+        for view in self._view.fleet(wanted.pools).views:
+            if view.name in engines and self._is_usable(view, wanted.key, now):
+                credit = self._wallet.spend(view.name, wanted.key)
+                if credit is not None:
+                    return credit
+        return None
 
     async def _pump(self, line: _Line) -> None:
         """Ask for credits until nobody waits in the line."""
@@ -333,15 +341,18 @@
         return bool(line.heap)
 
     def _candidates(self, key: str, pools: tuple[str, ...]) -> list[EngineView]:
+        fleet = self._view.fleet(pools)
         now = self._clock()
-        self._avoided = {place: a for place, a in self._avoided.items() if a.until > now}
-        return [
-            view
-            for view in self._view.engines(pools)
-            if (view.name, key) not in self._avoided
-            and (view.name, "") not in self._avoided
-            and self.circuit(view.name).allows(now)
-        ]
+        if self._avoided:
+            self._avoided = {place: a for place, a in self._avoided.items() if a.until > now}
+        usable = [view for view in fleet.candidates(key) if self._is_usable(view, key, now)]
+        return usable or [view for view in fleet.views if self._is_usable(view, key, now)]
+
+    def _is_usable(self, view: EngineView, key: str, now: float) -> bool:
+        if (view.name, key) in self._avoided or (view.name, "") in self._avoided:
+            return False
+        circuit = self._circuits.get(view.name)
+        return circuit is None or circuit.allows(now)
 
     def _avoid(
         self, engine: str, key: str, limit_s: float, verdict: pb.Verdict, reason: str
--- a/packages/router/src/gradelug_router/view.py
+++ b/packages/router/src/gradelug_router/view.py
@@ -14,7 +14,7 @@
 from gradelug_config.model import Pool
 from gradelug_coordination import Fact, Gossip, Head
 from gradelug_coordination.rendezvous import rank
-from gradelug_policy import EngineView
+from gradelug_policy import EngineView, Fleet
 from gradelug_runtime import Metrics
 from gradelug_wire import Peers, PeerUnavailable
 from gradelug_wire import control_pb2 as pb
@@ -47,13 +47,13 @@
         "_cursor",
         "_cursor_of",
         "_engines",
+        "_fleets",
         "_gossip",
         "_lock",
         "_members",
         "_metrics",
         "_peers",
         "_schedulers",
-        "_views",
         "catalog",
         "changed",
         "head",
@@ -76,7 +76,7 @@
         self._contents: dict[str, bytes] = {}
         self._engines: dict[str, EngineFact] = {}
         self._members: dict[str, MemberFact] = {}
-        self._views: dict[str, list[EngineView]] = {}
+        self._fleets: dict[tuple[str, ...], Fleet] = {}
         self._lock = asyncio.Lock()
         self.name = name
         self.head = Head()
@@ -99,13 +99,14 @@
         fact = self._engines.get(engine)
         return fact.address if fact else None
 
-    def engines(self, pools: t.Iterable[str]) -> list[EngineView]:
+    def fleet(self, pools: tuple[str, ...]) -> Fleet:
         """Return the engines of some pools that have an owner and are not leaving."""
-        return [view for name in pools for view in self._views.get(name, ())]
-
-    def _make_views(self) -> None:
-        """Make the views anew after an exchange: far more questions are asked of them."""
-        self._views = {name: self._views_of(pool) for name, pool in self.catalog.pools.items()}
+        fleet = self._fleets.get(pools)
+        if fleet is None:
+            found = [self.catalog.pools[name] for name in pools if name in self.catalog.pools]
+            views = [view for pool in found for view in self._views_of(pool)]
+            fleet = self._fleets[pools] = Fleet(views)
+        return fleet
 
     def _views_of(self, pool: Pool) -> list[EngineView]:
         found = []
@@ -179,7 +180,8 @@
         self._read_facts()
         if reply.head:
             await self._adopt(Head.decode(reply.head), address)
-        self._make_views()
+        # Made anew when they are asked for: far more questions come than exchanges.
+        self._fleets = {}
         self.heard_at = sent_at
         self.changed.set()
         self.changed = asyncio.Event()
--- a/packages/router/src/gradelug_router/wallet.py
+++ b/packages/router/src/gradelug_router/wallet.py
@@ -56,11 +56,11 @@
 
     def __init__(self, clock: t.Callable[[], float]) -> None:
         self._clock = clock
-        self._purses: dict[tuple[str, str], _Purse] = {}
+        self._purses: dict[str, dict[str, _Purse]] = {}
 
     def add(self, engine: str, key: str, number: int, credits_: int, valid_until: float) -> None:
         """Take in a grant; it replaces what was left of an earlier one."""
-        purse = self._purses.setdefault((engine, key), _Purse())
+        purse = self._purses.setdefault(key, {}).setdefault(engine, _Purse())
         if number < purse.number:
             return
         purse.number = number
@@ -70,7 +70,7 @@
 
     def spend(self, engine: str, key: str, stall_s: float = 0.0) -> Credit | None:
         """Return a credit for a request that starts now, if there is one."""
-        purse = self._purses.get((engine, key))
+        purse = self._purses.get(key, {}).get(engine)
         if purse is None or purse.credits < 1:
             return None
         if self._clock() + MARGIN_S >= purse.valid_until:
@@ -80,37 +80,33 @@
         purse.dirty = True
         return Credit(engine, key, purse.valid_until, stall_s)
 
-    def spend_any(self, key: str, engines: t.Collection[str]) -> Credit | None:
-        """Return a credit on any of the engines."""
-        for engine, held_key in self._purses:
-            if held_key == key and engine in engines:
-                credit = self.spend(engine, key)
-                if credit is not None:
-                    return credit
-        return None
+    def engines_with_credit(self, key: str) -> list[str]:
+        """Return the engines on which credits for an adapter are held."""
+        purses = self._purses.get(key, {})
+        return [engine for engine, purse in purses.items() if purse.credits]
 
     def end(self, credit: Credit) -> None:
         """Note that the request under a credit has ended, however it did."""
-        purse = self._purses[(credit.engine, credit.key)]
+        purse = self._purses[credit.key][credit.engine]
         purse.running -= 1
         purse.dirty = True
 
     def drop(self, engine: str, key: str) -> None:
         """Give up the credits left for an adapter on an engine."""
-        purse = self._purses.get((engine, key))
+        purse = self._purses.get(key, {}).get(engine)
         if purse is not None and purse.credits:
             purse.credits = 0
             purse.dirty = True
 
     def running(self) -> int:
         """Return the requests running."""
-        return sum(purse.running for purse in self._purses.values())
+        return sum(purse.running for _, _, purse in self._all())
 
     def accounts(self) -> dict[str, list[pb.Holding]]:
         """Return the accounts that are due, by engine."""
         now = self._clock()
         due: dict[str, list[pb.Holding]] = {}
-        for (engine, key), purse in self._purses.items():
+        for engine, key, purse in self._all():
             if purse.credits and now >= purse.valid_until:
                 purse.credits = 0
                 purse.dirty = True
@@ -133,8 +129,7 @@
         """Note accounts that their owner has taken in."""
         now = self._clock()
         for item in holdings:
-            place = (item.engine, item.adapter)
-            purse = self._purses.get(place)
+            purse = self._purses.get(item.adapter, {}).get(item.engine)
             if purse is None:
                 continue
             purse.reported_at = now
@@ -146,4 +141,14 @@
             if same:
                 purse.dirty = False
             if same and item.closed:
-                del self._purses[place]
+                self._forget(item.engine, item.adapter)
+
+    def _forget(self, engine: str, key: str) -> None:
+        del self._purses[key][engine]
+        if not self._purses[key]:
+            del self._purses[key]
+
+    def _all(self) -> t.Iterator[tuple[str, str, _Purse]]:
+        for key, purses in self._purses.items():
+            for engine, purse in purses.items():
+                yield engine, key, purse
