--- a/packages/config/src/gradelug_config/catalog.py
+++ b/packages/config/src/gradelug_config/catalog.py
@@ -12,7 +12,17 @@
 from dataclasses import dataclass
 
 from .exceptions import ConfigError
-from .model import DEFAULT_WEIGHT, Adapter, Caller, Document, Engine, Pool, Route, Service
+from .model import (
+    DEFAULT_WEIGHT,
+    Adapter,
+    Caller,
+    Document,
+    Engine,
+    Objective,
+    Pool,
+    Route,
+    Service,
+)
 from .selector import Labels, Selector
 
 LabelSet = tuple[tuple[str, str], ...]
@@ -245,6 +255,23 @@
         """Tell whether the caller may reach the plain service."""
         return self.selectors.matches(service.callers, self._share(caller.labels))
 
+    def is_operator(self, caller: Caller) -> bool:
+        """Tell whether the caller may read the service-level windows."""
+        return self.selectors.matches(self.rules.operators, self._share(caller.labels))
+
+    def objectives_of(self, caller: Caller, key: AdapterKey) -> list[Objective]:
+        """Return the objectives that a caller's request for an adapter counts towards."""
+        entry = self._adapters.get(key.name)
+        if entry is None:
+            return []
+        caller_labels, matches = self._share(caller.labels), self.selectors.matches
+        return [
+            objective
+            for objective in self.rules.objectives
+            if matches(objective.callers, caller_labels)
+            and matches(objective.adapters, entry.labels)
+        ]
+
     def _allowed(self, caller_labels: LabelSet, adapter_labels: LabelSet) -> bool:
         matches = self.selectors.matches
         return any(
--- a/packages/config/src/gradelug_config/model.py
+++ b/packages/config/src/gradelug_config/model.py
@@ -173,13 +173,27 @@
     adapters: str = ""
     first_token_s: float = 0.34
     between_tokens_s: float = 0.071
+    load_stall_s: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
 class Document:
-    """A whole configuration, as written."""
+    """A whole configuration, as written.
+
+    Parameters
+    ----------
+    legacy_address : str
+        ``http://IP:port`` of the old scripts.
+    operators : str
+        Selector of the callers that may read the routers' service-level windows.
+    store_loads_per_s, store_parallel : float, int
+        The weight store's limit.
+    draining : list of str
+        Upstreams that get no new work.
+    """
 
     legacy_address: str = ""
+    operators: str = "gradelug-operator=yes"
     store_loads_per_s: float = 2.0
     store_parallel: int = 2
     callers: list[Caller] = field(default_factory=list)
--- a/packages/config/src/gradelug_config/validation.py
+++ b/packages/config/src/gradelug_config/validation.py
@@ -95,6 +95,10 @@
 
 
 def _check_selectors(document: Document) -> t.Iterator[Finding]:
+    try:
+        Selector.parse(document.operators)
+    except SelectorError as exc:
+        yield Finding("operators", str(exc))
     for kind, names in _selector_fields.items():
         for item in getattr(document, kind):
             for name in names:
--- /dev/null
+++ b/packages/report/src/gradelug_report/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn, gathered from the routers."""
--- a/packages/router/src/gradelug_router/main.py
+++ b/packages/router/src/gradelug_router/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import uuid
 
 import fire
@@ -13,6 +14,7 @@
 
 from .acquire import Accountant, Acquirer
 from .door import Door
+from .levels import Levels
 from .once import OnceKeeper
 from .relay import Relay
 from .serving import Parts, Serving
@@ -78,12 +80,14 @@
             once=OnceKeeper(self.view, self.peers),
             relay=Relay(self.view, self.client, acquirer, cfg.hall, loop.time),
             metrics=self.metrics,
+            levels=Levels(time.time),
             clock=loop.time,
         )
         self.serving = Serving(parts)
         self.metrics.before_flush.append(self._set_gauges)
         host, _, port = cfg.listen.rpartition(":")
         self.door = Door((host.strip("[]"), int(port)), cfg.limits, self.serving.serve)
+        self.view.address = f"{host}:{self.door.port}"
 
     def start(self) -> None:
         """Start the background tasks."""
--- a/packages/router/src/gradelug_router/serving.py
+++ b/packages/router/src/gradelug_router/serving.py
@@ -13,6 +13,7 @@
 import logbook
 from gradelug_config import Forbidden, Plan, UnknownModel
 from gradelug_config.model import Caller
+from gradelug_objectives import Served
 from gradelug_policy import RetryBudget
 from gradelug_runtime import Metrics
 from returns.result import Success
@@ -21,6 +22,7 @@
 from .acquire import Acquirer, Wanted
 from .door import Exchange
 from .exceptions import ApiError, CallerGone, NotSent, Outcome, UpstreamBroken, UpstreamRefused
+from .levels import Levels
 from .once import OnceKeeper, Reservation
 from .relay import Progress, Relay
 from .settings import RouterSettings
@@ -31,6 +33,7 @@
 log = logbook.Logger("serving")
 MAX_ATTEMPTS = 4
 SERVICES = "/services/"
+WINDOWS = "/-/windows"
 PRIORITY_SCALE = 10
 _request_id_re = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
 _JSON = "application/json"
@@ -51,6 +54,7 @@
     once: OnceKeeper
     relay: Relay
     metrics: Metrics
+    levels: Levels
     clock: t.Callable[[], float]
 
 
@@ -64,7 +68,7 @@
         The caller's, or one made for it.
     caller : Caller
         Who asked.
-    deadline : float
+    arrived_at, deadline : float
         By the runtime's clock.
     single : bool
         Whether it may be run at most once.
@@ -74,10 +78,14 @@
 
     request_id: str
     caller: Caller
+    arrived_at: float
     deadline: float
     single: bool
     key: str
     progress: Progress
+    first_token_s: float | None = None
+    between_tokens_s: float | None = None
+    stall_s: float = 0.0
 
 
 class Serving:
@@ -122,9 +130,8 @@
         if path == "/readyz":
             self._answer_ready(exchange)
             return
-        if path not in (openai.CHAT, openai.COMPLETIONS, openai.MODELS) and not path.startswith(
-            SERVICES
-        ):
+        known = (openai.CHAT, openai.COMPLETIONS, openai.MODELS, WINDOWS)
+        if path not in known and not path.startswith(SERVICES):
             raise ApiError(404, "not_found", f"there is nothing at {path!r}")
         await self._ensure_fresh()
         caller = self._authenticate(exchange)
@@ -134,6 +141,8 @@
             self._require(exchange, "GET")
             models = (str(key) for key in self._parts.view.catalog.reachable(caller))
             exchange.respond(200, openai.model_list(models), self._headers(job, Outcome.RAN))
+        elif path == WINDOWS:
+            self._answer_windows(exchange, job)
         elif path.startswith(SERVICES):
             await self._serve_service(exchange, job)
         else:
@@ -149,9 +158,29 @@
                 await self._parts.relay.legacy(exchange, headers, job.progress)
                 return
             self._budget.note_attempt()
-            for attempt in itertools.count(1):
-                if await self._attempt(exchange, job, completion, plan, attempt):
-                    return
+            answered = False
+            try:
+                for attempt in itertools.count(1):
+                    if await self._attempt(exchange, job, completion, plan, attempt):
+                        break
+                answered = True
+            except ApiError as exc:
+                # What the engine finds wrong with a request is no failure of ours.
+                answered = exc.status < 500
+                raise
+            finally:
+                self._note_level(job, plan, answered)
+
+    def _note_level(self, job: Job, plan: Plan, answered: bool) -> None:
+        served = Served(
+            adapter=str(plan.adapter),
+            answered=answered,
+            first_token_s=job.first_token_s,
+            between_tokens_s=job.between_tokens_s,
+            stall_s=job.stall_s,
+        )
+        catalog = self._parts.view.catalog
+        self._parts.levels.note(catalog, job.caller, plan.adapter, served)
 
     async def _attempt(
         self,
@@ -193,6 +222,7 @@
         acquired = await self._parts.acquirer.acquire(wanted)
         self._parts.metrics.time("credit_wait", self._parts.clock() - started)
         if isinstance(acquired, Success):
+            job.stall_s += acquired.unwrap().stall_s
             return acquired.unwrap()
         refused = acquired.failure()
         self._parts.metrics.count(f"refused.{refused.code}")
@@ -247,18 +277,22 @@
     ) -> None:
         metrics, clock = self._parts.metrics, self._parts.clock
         events = self._parts.client.stream(out, credit.valid_until)
-        started = clock()
         try:
             async with asyncio.timeout_at(job.deadline):
                 first = await anext(events)
-            metrics.time("first_token", clock() - started)
+            began = clock()
+            job.first_token_s = began - job.arrived_at
+            metrics.time("first_token", job.first_token_s)
             headers["Content-Type"] = "text/event-stream"
             headers["Cache-Control"] = "no-cache"
             exchange.begin(200, headers)
             await exchange.send(first)
+            count = 0
             async for chunk in events:
-                metrics.counts["token_events"] += 1
+                count += 1
                 await exchange.send(chunk)
+            metrics.count("token_events", count)
+            job.between_tokens_s = (clock() - began) / count if count else None
         finally:
             await events.aclose()  # type: ignore[attr-defined]
         exchange.finish()
@@ -340,9 +374,9 @@
             if not given.isascii() or not given.isdigit() or len(given) > 9:
                 raise ApiError(400, "bad_header", f"{_DEADLINE} must be a whole number")
             limit_s = min(limit_s, int(given) / 1000)
-        deadline = self._parts.clock() + limit_s
+        now = self._parts.clock()
         single = bool(key) or repeatable == "no"
-        return Job(request_id, caller, deadline, single, key, Progress())
+        return Job(request_id, caller, now, now + limit_s, single, key, Progress())
 
     def _require(self, exchange: Exchange, method: str) -> None:
         if exchange.method != method:
@@ -355,6 +389,13 @@
             _OUTCOME: outcome.value,
         }
 
+    def _answer_windows(self, exchange: Exchange, job: Job) -> None:
+        view = self._parts.view
+        if not view.catalog.is_operator(job.caller):
+            raise ApiError(403, "forbidden", "the configuration's operators do not match")
+        windows = self._parts.levels.encode(view.name)
+        exchange.respond(200, windows, self._headers(job, Outcome.RAN))
+
     def _answer_ready(self, exchange: Exchange) -> None:
         fresh = self._parts.view.is_fresh(self._parts.cfg.timing.stale_s)
         ready = fresh and not self.stopping
--- a/packages/router/src/gradelug_router/view.py
+++ b/packages/router/src/gradelug_router/view.py
@@ -54,6 +54,7 @@
         "_metrics",
         "_peers",
         "_schedulers",
+        "address",
         "catalog",
         "changed",
         "head",
@@ -79,6 +80,8 @@
         self._fleets: dict[tuple[str, ...], Fleet] = {}
         self._lock = asyncio.Lock()
         self.name = name
+        self.address = ""
+        """Where this router's door is, once it is open."""
         self.head = Head()
         self.catalog = Catalog(0, Document())
         self.heard_at = float("-inf")
@@ -172,7 +175,9 @@
         sent_at = self._clock()
         if address != self._cursor_of:
             self._cursor, self._cursor_of = 0, address
-        message = pb.Sync(stamp=self.stamp(), reader=True, cursor=self._cursor)
+        message = pb.Sync(
+            stamp=self.stamp(), reader=True, cursor=self._cursor, address=self.address
+        )
         reply = await self._peers.call(self._peers.stub(address).Exchange, message)
         for item in reply.facts:
             self._gossip.put(Fact(item.key, item.epoch, item.version, item.payload))
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -57,6 +57,7 @@
 PERMIT_WAIT_S = 5.0
 FACT_REFRESH_S = 10.0
 """A fact that has not changed is told anew after this long, well before it expires."""
+ROUTER_LIFE_S = 10.0
 FACT_PAUSE_S = 0.5
 """Between two tellings of a changed fact."""
 
@@ -165,6 +166,7 @@
         self._woken = asyncio.Event()
         self._new_head = asyncio.Event()
         self._version = 0
+        self._routers: dict[str, float] = {}
         self._published: dict[str, tuple[bytes, float]] = {}
         metrics.before_flush.append(self._set_gauges)
 
@@ -453,13 +455,28 @@
         return sorted(addresses - {self.address})
 
     def _publish(self) -> None:
-        me = MemberFact(self.address, self.cfg.hall, self.leaving, self._leaving_upstreams)
+        me = MemberFact(
+            address=self.address,
+            hall=self.cfg.hall,
+            leaving=self.leaving,
+            leaving_upstreams=self._leaving_upstreams,
+            routers=self._present_routers(),
+        )
         self._publish_fact(MEMBER + self.name, 0, me.encode())
         for name, keeper in self.keepers.items():
             if keeper.reported and keeper.authority.may_grant():
                 payload = keeper.fact(self.name, self.address).encode()
                 self._publish_fact(ENGINE + name, keeper.authority.held.fence, payload)
 
+    def note_router(self, address: str) -> None:
+        """Note that a router reads from here."""
+        self._routers[address] = self.clock()
+
+    def _present_routers(self) -> list[str]:
+        oldest = self.clock() - ROUTER_LIFE_S
+        self._routers = {name: at for name, at in self._routers.items() if at >= oldest}
+        return sorted(self._routers)
+
     def _publish_fact(self, key: str, epoch: int, payload: bytes) -> None:
         last, at = self._published.get(key, (b"", float("-inf")))
         now = self.clock()
--- a/packages/scheduler/src/gradelug_scheduler/service.py
+++ b/packages/scheduler/src/gradelug_scheduler/service.py
@@ -139,6 +139,8 @@
         node.take_sync(message)
         gossip = node.gossip
         if message.reader:
+            if message.address:
+                node.note_router(message.address)
             reply = node.make_sync(gossip.since(message.cursor))
             reply.cursor = gossip.cursor
         else:
--- a/packages/wire/src/gradelug_wire/facts.py
+++ b/packages/wire/src/gradelug_wire/facts.py
@@ -63,12 +63,15 @@
         Whether it is stopping.
     leaving_upstreams : list of str
         ``IP:port`` of the upstreams it has seen leaving in the instance list.
+    routers : list of str
+        ``IP:port`` of the routers that read from it.
     """
 
     address: str
     hall: str
     leaving: bool = False
     leaving_upstreams: list[str] = field(default_factory=list)
+    routers: list[str] = field(default_factory=list)
 
     def encode(self) -> bytes:
         """Return the fact's payload."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -163,6 +163,41 @@
     run_cluster(rolling)
 
 
+def test_the_report_gathers_from_every_router_and_names_the_silent():
+    async def report(cluster):
+        routers = list(cluster.layout.routers)
+        for router in routers:
+            status, _, _ = await cluster.complete(router, TAX, body(stream=True))
+            assert status == 200
+
+        def run(*words):
+            return cluster.run(
+                "gradelug-report", "--kv", cluster.layout.kv, "--token", "tenger-operator", *words
+            )
+
+        async def all_found():
+            done = await asyncio.to_thread(run, "--format", "json")
+            return done.returncode == 0 and len(json.loads(done.stdout)["answered"]) == 3
+
+        await cluster.wait_until(all_found, 20, "routers in the report")
+        told = json.loads(run("--format", "json").stdout)
+        assert {item["name"]: item["requests"] for item in told["objectives"]} == {
+            "counter": 3,
+            "valuation": 3,
+        }
+        assert "availability" in run().stdout
+        page = cluster.layout.folder / "report.html"
+        assert run("--format", "html", "--out", str(page)).returncode == 0
+        assert "data:image/png" in page.read_text()
+        cluster.signal(routers[0], signal.SIGKILL)
+        cluster.processes[routers[0]].wait()
+        done = run()
+        assert (done.returncode, "did not answer" in done.stdout) == (3, True)
+        assert run("--format", "pdf").returncode == 2
+
+    run_cluster(report)
+
+
 @pytest.mark.parametrize(
     ("sent", "status", "code"),
     [
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,6 +21,7 @@
 from gradelug_policy import PlacementSettings
 from gradelug_router.acquire import Accountant, Acquirer
 from gradelug_router.exceptions import CallerGone, NotSent, UpstreamBroken, UpstreamRefused
+from gradelug_router.levels import Levels
 from gradelug_router.once import OnceKeeper
 from gradelug_router.openai import DONE
 from gradelug_router.serving import Parts, Serving
@@ -426,7 +427,18 @@
             client = FakeClient(world, self.process)
             once = OnceKeeper(self.view, peers)
             self.serving = Serving(
-                Parts(cfg, self.view, self.wallet, acquirer, client, once, None, metrics, clock)
+                Parts(
+                    cfg,
+                    self.view,
+                    self.wallet,
+                    acquirer,
+                    client,
+                    once,
+                    None,
+                    metrics,
+                    Levels(clock),
+                    clock,
+                )
             )
             self.spawn(self.view.run(cfg.timing.sync_s))
             self.spawn(self.accountant.run(cfg.timing.report_s))
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -78,7 +78,11 @@
 
     def gradelug(self, *words: str) -> subprocess.CompletedProcess[str]:
         """Run the operators' command line."""
-        command = [str(BIN / "gradelug"), "--kv", self.layout.kv, *words]
+        return self.run("gradelug", "--kv", self.layout.kv, *words)
+
+    def run(self, program: str, *words: str) -> subprocess.CompletedProcess[str]:
+        """Run one of the project's programs to its end."""
+        command = [str(BIN / program), *words]
         return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
 
     async def wait_for(self, url: str, limit_s: float = START_LIMIT_S) -> None:
