--- a/packages/coordination/src/gradelug_coordination/grants.py
+++ b/packages/coordination/src/gradelug_coordination/grants.py
@@ -103,6 +103,10 @@
         self._predecessors_over = at + CLOCK_MARGIN_S
         self._cleared.clear()
 
+    def doubt_s(self, now: float) -> float:
+        """Return how much longer grants of former owners may be valid, in seconds."""
+        return max(0.0, self._predecessors_over - now)
+
     def issue(self, holder: str, key: str, credits_: int, valid_until: float) -> int:
         """Record credits handed to a holder and return the grant's number."""
         number = self._next_grant
--- a/packages/coordination/src/gradelug_coordination/ownership.py
+++ b/packages/coordination/src/gradelug_coordination/ownership.py
@@ -34,6 +34,8 @@
 
     owner: str
     fence: int
+    doubt_s: float = 0.0
+    """How long, from when the record is found, former owners may still act."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -50,12 +52,15 @@
         When it was taken, by the runtime's clock.
     clean : bool
         Whether the former owner gave it up itself; False if its lease lapsed.
+    doubt_s : float
+        How long after `taken_at` an owner before the former one may still act.
     """
 
     fence: int
     lease: int
     taken_at: float
     clean: bool
+    doubt_s: float = 0.0
 
 
 class Ownership:
@@ -71,7 +76,8 @@
         How long another member must be preferred before a resource is handed to it.
     before_release : callable
         Coroutine function called with a resource's name before it is given up; nothing must be
-        done to the resource in this process's name after it returns.
+        done to the resource in this process's name after it returns. It returns how long, in
+        seconds, owners before this one may still act.
     step_s : float
         How much longer each next-ranked member waits before it takes a free resource, so that
         a frozen member does not keep one free.
@@ -100,7 +106,7 @@
         lease: LeaseKeeper,
         membership: Membership,
         clock: t.Callable[[], float],
-        before_release: t.Callable[[str], t.Awaitable[None]] | None = None,
+        before_release: t.Callable[[str], t.Awaitable[float]] | None = None,
         settle_s: float = 3.0,
         step_s: float = 0.5,
     ) -> None:
@@ -170,12 +176,13 @@
         if held is None:
             return
         self._unwanted_since.pop(resource, None)
+        doubt_s = 0.0
         if self._before_release is not None:
-            await self._before_release(resource)
+            doubt_s = await self._before_release(resource)
         with contextlib.suppress(CoordinationError):
             # On failure the record goes with the lease, and the next owner, finding none,
             # takes us for lapsed.
-            await self._kv.swap(self._key(resource), _encode(""), held.fence)
+            await self._kv.swap(self._key(resource), _encode("", doubt_s), held.fence)
 
     async def _consider_release(self, resource: str, active: list[str]) -> None:
         me = self._membership.me
@@ -209,15 +216,20 @@
         if not outcome.swapped:
             return
         self._free_since.pop(resource, None)
-        self.held[resource] = Held(outcome.revision, lease, self._clock(), free is not None)
+        doubt_s = free.doubt_s if free else 0.0
+        self.held[resource] = Held(
+            outcome.revision, lease, self._clock(), free is not None, doubt_s
+        )
 
     def _key(self, resource: str) -> str:
         return f"{self._root}{OWNERS}{resource}"
 
 
-def _encode(owner: str) -> bytes:
-    return json.dumps({"owner": owner, "operation": uuid.uuid4().hex}).encode()
+def _encode(owner: str, doubt_s: float = 0.0) -> bytes:
+    data = {"owner": owner, "doubt_s": round(doubt_s, 1), "operation": uuid.uuid4().hex}
+    return json.dumps(data).encode()
 
 
 def _read(entry: KvEntry) -> OwnerRecord:
-    return OwnerRecord(json.loads(entry.value)["owner"], entry.revision)
+    data = json.loads(entry.value)
+    return OwnerRecord(data["owner"], entry.revision, float(data["doubt_s"]))
--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -228,8 +228,10 @@
         self.authority = authority
         self._parts = parts
         self._claimed = not engine.checks_fences
-        taken_at = authority.held.taken_at if self._claimed else float("inf")
-        self.book = GrantBook(taken_at, VALID_S)
+        self.book = GrantBook(float("inf"), VALID_S)
+        if self._claimed:
+            over_at = authority.predecessors_over_at(authority.held.taken_at)
+            self.book.set_predecessors_over(over_at)
         self._popularity = Popularity(parts.slots.half_life_s)
         self._residents: dict[str, _Slot] = {}
         self._loading: dict[str, float] = {}
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -315,7 +315,9 @@
             if name in self.keepers or name not in self.catalog.engines:
                 continue
             engine, pool = self.catalog.engines[name]
-            authority = Authority(held, self.lease, engine.checks_fences, self.clock)
+            authority = Authority(
+                held, self.lease, engine.checks_fences, self.clock, self.cfg.timing.outage_s
+            )
             parts = KeeperParts(
                 control=self._make_control(engine),
                 store=_NodeStore(self),
@@ -347,11 +349,14 @@
         keeper.close()
         log.info("gave up {}", name)
 
-    async def _finish_keeper(self, name: str) -> None:
+    async def _finish_keeper(self, name: str) -> float:
         keeper = self.keepers.get(name)
+        if keeper is None:
+            return 0.0
         self._close_keeper(name)
-        if keeper is not None:
-            await keeper.finish()
+        await keeper.finish()
+        # An engine that checks tokens makes its next owner certain by itself.
+        return 0.0 if keeper.engine.checks_fences else keeper.book.doubt_s(self.clock())
 
     async def _poll_forever(self, keeper: EngineKeeper) -> None:
         while True:
--- a/packages/scheduler/src/gradelug_scheduler/settings.py
+++ b/packages/scheduler/src/gradelug_scheduler/settings.py
@@ -28,6 +28,10 @@
         Between two reports asked of an engine.
     instances_s : float
         Between two looks at the instance list.
+    outage_s : float
+        How long an owner whose lease cannot be renewed lets requests through to what is loaded
+        on an engine that checks no fencing tokens; after an owner has lapsed, its successor
+        drops nothing there for as long. The same for all instances.
     isolated_s : float
         An instance that has heard neither the platform nor a peer for this long grants nothing.
     """
@@ -36,6 +40,7 @@
     exchange_s: float = 0.5
     report_s: float = 0.25
     instances_s: float = 1.0
+    outage_s: float = 120.0
     isolated_s: float = 3.0
 
 
@@ -88,7 +93,7 @@
     for index, seed in enumerate(cfg.seeds):
         checks.address(f"seeds[{index}]", seed)
     checks.positive("statsd.period_s", cfg.statsd.period_s)
-    for name in ("lease_s", "exchange_s", "report_s", "instances_s", "isolated_s"):
+    for name in ("lease_s", "exchange_s", "report_s", "instances_s", "outage_s", "isolated_s"):
         checks.positive(f"timing.{name}", getattr(cfg.timing, name))
     for name in ("waiting", "loads"):
         checks.positive(f"limits.{name}", getattr(cfg.limits, name))
