Start both daemons by one function, name the keys in one place

Cause: read as a newcomer: router and scheduler had the same twenty lines for settings, signals and failed tasks; four modules named the prefixes of the keys in the key-value service. Change: runtime.run_daemon and wait_for_end, platform.keys; how long reservations are gathered became a setting.

--- a/packages/report/src/gradelug_report/main.py
+++ b/packages/report/src/gradelug_report/main.py
@@ -15,12 +15,12 @@
 from gradelug_config.model import Objective
 from gradelug_coordination import CoordinationError, KvBuckets, Publisher
 from gradelug_platform import EtcdKeyValue
+from gradelug_platform.keys import LIVE, STORE
 
 from .burn import make_report
-from .gathering import LIVE, Gathered, find_routers, gather
+from .gathering import Gathered, find_routers, gather
 from .rendering import to_page, to_text
 
-STORE = "gradelug/store/"
 FORMATS = ("text", "json", "html")
 EXIT_FAILED, EXIT_INVALID, EXIT_INCOMPLETE = 1, 2, 3
 
--- a/packages/router/src/gradelug_router/main.py
+++ b/packages/router/src/gradelug_router/main.py
@@ -8,8 +8,7 @@
 
 import fire
 import logbook
-from gradelug_runtime import Metrics, Tasks, load_or_exit, wait_for_stop
-from gradelug_runtime.logs import open_log
+from gradelug_runtime import Metrics, Tasks, run_daemon, wait_for_end
 from gradelug_wire import Peers
 
 from .acquire import Accountant, Acquirer
@@ -26,7 +25,6 @@
 log = logbook.Logger("router")
 NOTICE_S = 1.0
 """Between saying that it is not ready and accepting no more: balancers look once a second."""
-EXIT_FAILED = 1
 
 
 class Router:
@@ -133,22 +131,13 @@
     check : bool
         Only check the settings.
     """
-    cfg = load_or_exit(settings, load_router_settings)
-    if check:
-        return
-    with open_log(cfg.log, cfg.name):
-        raise SystemExit(asyncio.run(_serve(cfg)))
+    run_daemon(settings, load_router_settings, check, _serve)
 
 
-async def _serve(cfg: RouterSettings) -> int:
+async def _serve(cfg: RouterSettings) -> bool:
     router = Router(cfg)
     router.start()
     log.info("{} listens on {}", router.view.name, cfg.listen)
-    stop = asyncio.ensure_future(wait_for_stop())
-    failure = asyncio.ensure_future(router.tasks.wait_for_failure())
-    await asyncio.wait([stop, failure], return_when=asyncio.FIRST_COMPLETED)
-    failed = failure.done()
-    stop.cancel()
-    failure.cancel()
+    failed = await wait_for_end(router.tasks)
     await router.stop()
-    return EXIT_FAILED if failed else 0
+    return failed
--- a/packages/runtime/src/gradelug_runtime/process.py
+++ b/packages/runtime/src/gradelug_runtime/process.py
@@ -12,8 +12,13 @@
 import logbook
 from gradelug_config.exceptions import InvalidConfig
 
+from .logs import open_log
+from .settings import ProcessSettings
+
 log = logbook.Logger("process")
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+S = t.TypeVar("S", bound=ProcessSettings)
 
 
 class Tasks:
@@ -67,7 +72,44 @@
     await stop.wait()
 
 
-def load_or_exit(path: str, load: t.Callable[[Path], t.Any]) -> t.Any:
+async def wait_for_end(tasks: Tasks) -> bool:
+    """Wait until the daemon is to stop; tell whether that is because a task failed."""
+    stop = asyncio.ensure_future(wait_for_stop())
+    failure = asyncio.ensure_future(tasks.wait_for_failure())
+    await asyncio.wait([stop, failure], return_when=asyncio.FIRST_COMPLETED)
+    failed = failure.done()
+    stop.cancel()
+    failure.cancel()
+    return failed
+
+
+def run_daemon(
+    path: str,
+    load: t.Callable[[Path], S],
+    check: bool,
+    serve: t.Callable[[S], t.Coroutine[t.Any, t.Any, bool]],
+) -> None:
+    """Run a daemon and exit.
+
+    Parameters
+    ----------
+    path : str
+        Its settings file.
+    load : callable
+        Reads and checks the settings; may raise `InvalidConfig`.
+    check : bool
+        Only check the settings.
+    serve : callable
+        Coroutine function that serves until the end and tells whether a task failed.
+    """
+    cfg = load_or_exit(path, load)
+    if check:
+        return
+    with open_log(cfg.log, cfg.name):
+        raise SystemExit(EXIT_FAILED if asyncio.run(serve(cfg)) else 0)
+
+
+def load_or_exit(path: str, load: t.Callable[[Path], S]) -> S:
     """Load settings, or print every finding and exit with `EXIT_BAD_SETTINGS`."""
     try:
         return load(Path(path))
--- a/packages/scheduler/src/gradelug_scheduler/main.py
+++ b/packages/scheduler/src/gradelug_scheduler/main.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 
 import aiohttp
 import fire
 import logbook
 from gradelug_platform import EtcdKeyValue, HttpInstanceList
-from gradelug_runtime import Metrics, load_or_exit, wait_for_stop
-from gradelug_runtime.logs import open_log
+from gradelug_runtime import Metrics, run_daemon, wait_for_end
 from grpclib.server import Server
 
 from .node import Node
@@ -18,7 +16,6 @@
 from .settings import SchedulerSettings, load_scheduler_settings
 
 log = logbook.Logger("scheduler")
-EXIT_FAILED = 1
 
 
 def main() -> None:
@@ -36,14 +33,10 @@
     check : bool
         Only check the settings.
     """
-    cfg = load_or_exit(settings, load_scheduler_settings)
-    if check:
-        return
-    with open_log(cfg.log, cfg.name):
-        raise SystemExit(asyncio.run(_serve(cfg)))
+    run_daemon(settings, load_scheduler_settings, check, _serve)
 
 
-async def _serve(cfg: SchedulerSettings) -> int:
+async def _serve(cfg: SchedulerSettings) -> bool:
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
         kv = EtcdKeyValue(session, cfg.platform.kv)
         listing = cfg.platform.instances
@@ -55,18 +48,8 @@
         await server.start(host.strip("[]"), int(port))
         node.start()
         log.info("{} listens on {}", node.name, cfg.listen)
-        failed = await _wait(node)
+        failed = await wait_for_end(node.tasks)
         await node.stop()
         server.close()
         await server.wait_closed()
-        return EXIT_FAILED if failed else 0
-
-
-async def _wait(node: Node) -> bool:
-    stop = asyncio.ensure_future(wait_for_stop())
-    failure = asyncio.ensure_future(node.tasks.wait_for_failure())
-    await asyncio.wait([stop, failure], return_when=asyncio.FIRST_COMPLETED)
-    failed = failure.done()
-    stop.cancel()
-    failure.cancel()
-    return failed
+        return failed
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -36,6 +36,7 @@
     InstanceList,
     UpstreamUnavailable,
 )
+from gradelug_platform.keys import LIVE, ONCE, STORE
 from gradelug_policy.permits import PermitRequest
 from gradelug_runtime import Metrics, Tasks
 from gradelug_wire import Peers, PeerUnavailable
@@ -48,9 +49,6 @@
 from .store import RESOURCE, StoreDesk
 
 log = logbook.Logger("node")
-LIVE = "gradelug/live/"
-STORE = "gradelug/store/"
-ONCE = "gradelug/once/"
 TICK_S = 0.25
 IDLE_FACTOR = 2.5
 """An engine on which nothing waits is asked for its report so much more seldom."""
@@ -154,7 +152,7 @@
         self.catalog = Catalog(0, Document())
         self.keepers: dict[str, EngineKeeper] = {}
         self.shards = [
-            OnceShard(kv, f"{ONCE}{number}", wall, window_s=0.02) for number in range(SHARDS)
+            OnceShard(kv, f"{ONCE}{number}", wall, cfg.timing.once_s) for number in range(SHARDS)
         ]
         self.desk: StoreDesk | None = None
         self._own_desk: StoreDesk | None = None
--- a/packages/scheduler/src/gradelug_scheduler/settings.py
+++ b/packages/scheduler/src/gradelug_scheduler/settings.py
@@ -28,6 +28,9 @@
         Between two reports asked of an engine.
     instances_s : float
         Between two looks at the instance list.
+    once_s : float
+        How long reservations of keys are gathered before they are written; sixteen shards
+        write at most once in this time each.
     outage_s : float
         How long an owner whose lease cannot be renewed lets requests through to what is loaded
         on an engine that checks no fencing tokens; after an owner has lapsed, its successor
@@ -40,6 +43,7 @@
     exchange_s: float = 0.5
     report_s: float = 0.25
     instances_s: float = 1.0
+    once_s: float = 0.02
     outage_s: float = 120.0
     isolated_s: float = 3.0
 
@@ -93,7 +97,15 @@
     for index, seed in enumerate(cfg.seeds):
         checks.address(f"seeds[{index}]", seed)
     checks.positive("statsd.period_s", cfg.statsd.period_s)
-    for name in ("lease_s", "exchange_s", "report_s", "instances_s", "outage_s", "isolated_s"):
+    for name in (
+        "lease_s",
+        "exchange_s",
+        "report_s",
+        "instances_s",
+        "once_s",
+        "outage_s",
+        "isolated_s",
+    ):
         checks.positive(f"timing.{name}", getattr(cfg.timing, name))
     for name in ("waiting", "loads"):
         checks.positive(f"limits.{name}", getattr(cfg.limits, name))
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,6 +18,7 @@
 from gradelug_config.model import Access, Adapter, Caller, Document, Engine, Pool, Version
 from gradelug_coordination import KvThrottled, KvUnavailable, Publisher
 from gradelug_platform import Instance, UpstreamUnavailable
+from gradelug_platform.keys import LIVE, STORE
 from gradelug_policy import PlacementSettings
 from gradelug_router.acquire import Accountant, Acquirer
 from gradelug_router.exceptions import CallerGone, NotSent, UpstreamBroken, UpstreamRefused
@@ -30,7 +31,7 @@
 from gradelug_router.view import View
 from gradelug_router.wallet import Wallet
 from gradelug_runtime import Metrics, StatsdSettings
-from gradelug_scheduler.node import LIVE, STORE, Node
+from gradelug_scheduler.node import Node
 from gradelug_scheduler.service import ControlService
 from gradelug_scheduler.settings import SchedulerSettings, Timing
 from gradelug_standins.engine import EngineDied, EngineSpec, NotStarted, StubEngine
