Carry the request's identifier to upstreams; keep callers' tokens from services

Cause: read against the issue: an engine's log knew a request by the attempt's identifier alone, a plain service by none, and services were sent the caller's bearer token. Change: the attempt's identifier begins with the request's, the services get X-Request-Id and no token, a load's log line names the request it was for.

--- a/packages/router/src/gradelug_router/relay.py
+++ b/packages/router/src/gradelug_router/relay.py
@@ -121,8 +121,11 @@
                 raise ApiError(503, "unavailable", "no replica can take it", progress.outcome, 1.0)
             tried.add(replica.name)
             target = Target(replica.name, f"{replica.address}/{path}")
+            sent = _forwarded(exchange.headers.items(), headers)
+            # A caller's token is for us; a service has no use for it.
+            sent.pop("Authorization", None)
             try:
-                await self._pass_on(exchange, target, headers, progress)
+                await self._pass_on(exchange, target, sent, headers, progress)
                 return
             except NotSent as exc:
                 # Nothing ran: another replica may take even what may not be repeated.
@@ -139,8 +142,9 @@
         address = self._view.catalog.rules.legacy_address
         query = f"?{exchange.query}" if exchange.query else ""
         target = Target("legacy", f"{address}{exchange.path}{query}")
+        sent = _forwarded(exchange.headers.items(), headers)
         try:
-            await self._pass_on(exchange, target, headers, progress)
+            await self._pass_on(exchange, target, sent, headers, progress)
         except NotSent as exc:
             raise ApiError(503, "unavailable", str(exc), progress.outcome, 1.0) from exc
         except UpstreamBroken as exc:
@@ -165,6 +169,7 @@
         self,
         exchange: Exchange,
         target: Target,
+        sent: t.Mapping[str, str],
         headers: t.Mapping[str, str],
         progress: Progress,
     ) -> None:
@@ -179,7 +184,7 @@
             context = self._client.request(
                 exchange.method,
                 target.url,
-                _forwarded(exchange.headers.items()),
+                sent,
                 handed,
                 len(exchange.body),
             )
@@ -227,5 +232,10 @@
         exchange.finish()
 
 
-def _forwarded(headers: t.Iterable[tuple[str, str]]) -> dict[str, str]:
-    return {name: value for name, value in headers if name.lower() not in _HOP_BY_HOP}
+def _forwarded(
+    headers: t.Iterable[tuple[str, str]], answer_headers: t.Mapping[str, str]
+) -> dict[str, str]:
+    """Return what is sent on of a request's headers, with the request's identifier."""
+    sent = {name.title(): value for name, value in headers if name.lower() not in _HOP_BY_HOP}
+    sent["X-Request-Id"] = answer_headers["Gradelug-Request-Id"]
+    return sent
--- a/packages/router/src/gradelug_router/serving.py
+++ b/packages/router/src/gradelug_router/serving.py
@@ -243,7 +243,8 @@
         out = Outgoing(
             url=engine.address + completion.path,
             body=completion.for_engine(credit.key, priority),
-            attempt=uuid.uuid4().hex,
+            # Ours alone, whatever identifier the caller gave, yet found by it in any log.
+            attempt=f"{job.request_id}-{uuid.uuid4().hex[:16]}",
             adapter=credit.key,
             single_use=job.single,
         )
--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -100,6 +100,8 @@
         How long the answer may be held back.
     waited_s : float
         How long the first of the requests has waited before this question.
+    request_id : str
+        Of the first of them, for the log.
     """
 
     holder: str
@@ -109,6 +111,7 @@
     weight: float
     wait_s: float
     waited_s: float = 0.0
+    request_id: str = ""
 
 
 @dataclass(slots=True)
@@ -472,6 +475,9 @@
 
     def _note_loaded(self, key: str) -> None:
         now = self._parts.clock()
+        waiting = [item for item in self._waiters if item.question.key == key]
+        first = waiting[0].question.request_id if waiting else "nobody any more"
+        log.info("{}: loaded {} for {}", self.engine.name, key, first)
         self._failed.pop(key, None)
         self._residents[key] = _Slot(now, now)
         self.book.note_created(key, now)
--- a/packages/scheduler/src/gradelug_scheduler/service.py
+++ b/packages/scheduler/src/gradelug_scheduler/service.py
@@ -108,6 +108,7 @@
             weight=ask.weight or 1.0,
             wait_s=min(MAX_WAIT_S, ask.wait_ms / 1000),
             waited_s=ask.waited_ms / 1000,
+            request_id=ask.request_id,
         )
         answer = await keeper.ask(question)
         if isinstance(answer, Success):
