--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -32,14 +32,14 @@
 from gradelug_runtime import Metrics
 from gradelug_wire import control_pb2 as pb
 from gradelug_wire.facts import EngineFact
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from .authority import Authority
+from .questions import Answer, Decline, Offer, Question
 from .settings import Limits
+from .slots import FailedLoad, FailedLoads, Slot, SlotTable
 
 log = logbook.Logger("keeper")
-FAILED_FIRST_S = 1.0
-FAILED_MOST_S = 60.0
 DELAYED_ORDER_S = 10.0
 CREDIT_HALF_LIFE_S = 3.0
 """Credits follow the demand of the last seconds, slots that of the last minutes."""
@@ -50,70 +50,6 @@
 ALREADY_LOADED = "already_loaded"
 
 
-@dataclass(slots=True, frozen=True)
-class Offer:
-    """Credits granted.
-
-    Parameters
-    ----------
-    number : int
-        The grant's number.
-    credits : int
-        Requests that may start.
-    valid_s : float
-        For how long, counted from when the asker sent its question.
-    stall_s : float
-        How long the question waited for the adapter to be loaded.
-    """
-
-    number: int
-    credits: int
-    valid_s: float
-    stall_s: float
-
-
-@dataclass(slots=True, frozen=True)
-class Decline:
-    """No credits, and why."""
-
-    verdict: pb.Verdict
-    reason: str = ""
-    retry_after_s: float = 0.0
-
-
-Answer = Result[Offer, Decline]
-
-
-@dataclass(slots=True, frozen=True)
-class Question:
-    """A holder's question for credits.
-
-    Parameters
-    ----------
-    holder, key : str
-        Who asks, for which adapter and version.
-    want, fresh : int
-        Requests waiting, and requests that came since the last question.
-    weight : float
-        Greatest weight among those waiting.
-    wait_s : float
-        How long the answer may be held back.
-    waited_s : float
-        How long the first of the requests has waited before this question.
-    request_id : str
-        Of the first of them, for the log.
-    """
-
-    holder: str
-    key: str
-    want: int
-    fresh: int
-    weight: float
-    wait_s: float
-    waited_s: float = 0.0
-    request_id: str = ""
-
-
 @dataclass(slots=True)
 class _Waiter:
     question: Question
@@ -127,21 +63,6 @@
         return self.asked_at - self.question.waited_s
 
 
-@dataclass(slots=True)
-class _Slot:
-    loaded_at: float
-    used_at: float
-    draining: bool = False
-    unloading: bool = False
-
-
-@dataclass(slots=True)
-class _Failed:
-    until: float
-    delay_s: float
-    reason: str
-
-
 class Store(t.Protocol):
     """Permits to use the weight store, whose limit is shared by all schedulers."""
 
@@ -206,16 +127,14 @@
     __slots__ = (
         "_boot",
         "_claimed",
-        "_dropped",
         "_failed",
         "_foreign",
         "_leaving",
-        "_loading",
         "_parts",
         "_peaks",
         "_popularity",
         "_recent",
-        "_residents",
+        "_slots",
         "_tasks",
         "_took_over",
         "_waiters",
@@ -241,10 +160,8 @@
             self.book.set_predecessors_over(over_at)
         self._popularity = Popularity(parts.slots.half_life_s)
         self._recent = Popularity(CREDIT_HALF_LIFE_S)
-        self._residents: dict[str, _Slot] = {}
-        self._loading: dict[str, float] = {}
-        self._dropped: dict[str, float] = {}
-        self._failed: dict[str, _Failed] = {}
+        self._slots = SlotTable()
+        self._failed = FailedLoads()
         self._waiters: list[_Waiter] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._peaks: deque[int] = deque(maxlen=PEAK_SAMPLES)
@@ -268,7 +185,7 @@
             self._popularity.note(question.key, now, question.fresh * question.weight)
             self._recent.note(question.key, now, question.fresh)
         fut: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(question, now, fut, question.key not in self._residents)
+        waiter = _Waiter(question, now, fut, question.key not in self._slots.residents)
         self._waiters.append(waiter)
         self.decide()
         try:
@@ -283,7 +200,7 @@
     def account(self, account: Account) -> bool:
         """Take in a holder's account; tell whether it should drop its credits."""
         self.book.account(account, self._parts.clock())
-        slot = self._residents.get(account.key)
+        slot = self._slots.residents.get(account.key)
         if slot is not None and (account.running or account.unspent):
             slot.used_at = self._parts.clock()
         self.decide()
@@ -294,22 +211,27 @@
         """Whether the engine takes no new work."""
         return self._leaving or self.drained
 
+    @property
+    def _is_known(self) -> bool:
+        """Whether the engine's slots are known and it knows its owner."""
+        return self.reported and self._claimed
+
     def is_active(self) -> bool:
         """Tell whether something waits for the engine's next report."""
-        if self._waiters or self._loading or not self.reported or not self._claimed:
+        if self._waiters or self._slots.loading or not self._is_known:
             return True
-        return any(slot.draining for slot in self._residents.values())
+        return self._slots.is_draining
 
     def fact(self, owner: str, address: str) -> EngineFact:
         """Return what others are told."""
         now = self._parts.clock()
-        granted = [key for key, slot in self._residents.items() if self._serves(slot)]
+        granted = self._slots.serving()
         idle = [key for key in granted if not self.book.load_of(key, now)]
         return EngineFact(
             owner=owner,
             address=address,
             resident=sorted(granted),
-            loading=sorted(self._loading),
+            loading=sorted(self._slots.loading),
             evictable=len(idle),
             coldest=round(min((self._popularity.rate(key, now) for key in idle), default=0.0), 2),
             load=_rounded(self._load(now)),
@@ -338,12 +260,12 @@
         for waiter in list(self._waiters):
             if free <= 0:
                 return
-            slot = self._residents.get(waiter.question.key)
-            if slot is None or not self._serves(slot):
+            slot = self._slots.residents.get(waiter.question.key)
+            if slot is None or not slot.serves:
                 continue
             free -= self._grant(waiter, slot, free, contended, now)
 
-    def _grant(self, waiter: _Waiter, slot: _Slot, free: int, contended: bool, now: float) -> int:
+    def _grant(self, waiter: _Waiter, slot: Slot, free: int, contended: bool, now: float) -> int:
         question = waiter.question
         rate = self._recent.rate(question.key, now)
         holders = len(set(self.book.holders(question.key)) | {question.holder})
@@ -365,23 +287,22 @@
 
     def _load_waiting(self) -> None:
         now = self._parts.clock()
-        while len(self._loading) < self._parts.limits.loads and self.reported and self._claimed:
+        while len(self._slots.loading) < self._parts.limits.loads and self._is_known:
             demand = choose_demand(self._demands(now), now)
             if demand is None or not self.authority.may_load():
                 return
-            taken = len(self._residents) + len(self._loading)
-            if taken >= self.pool.slots:
+            if self._slots.taken >= self.pool.slots:
                 self._begin_drop(demand, now)
                 return
-            self._loading[demand.key] = now
+            self._slots.loading[demand.key] = now
             self._spawn(self._load_adapter(demand), LOAD_TASK)
 
     def _demands(self, now: float) -> list[Demand]:
         by_key: dict[str, list[_Waiter]] = {}
         for waiter in self._waiters:
             key = waiter.question.key
-            failed = self._failed.get(key)
-            if key in self._residents or key in self._loading or (failed and failed.until > now):
+            there = key in self._slots.residents or key in self._slots.loading
+            if there or self._failed.blocking(key, now):
                 continue
             by_key.setdefault(key, []).append(waiter)
         return [
@@ -396,7 +317,7 @@
         ]
 
     def _begin_drop(self, demand: Demand, now: float) -> None:
-        if any(slot.draining for slot in self._residents.values()):
+        if self._slots.is_draining:
             return
         if self.authority.unload_limit_s() <= 0:
             return
@@ -407,14 +328,14 @@
                 rate=self._popularity.rate(key, now),
                 used_at=slot.used_at,
             )
-            for key, slot in self._residents.items()
+            for key, slot in self._slots.residents.items()
         ]
         victim = choose_victim(residents, demand, now, self._parts.slots)
         if victim is not None:
-            self._residents[victim.key].draining = True
+            self._slots.residents[victim.key].draining = True
 
     def _drop_drained(self) -> None:
-        for key, slot in self._residents.items():
+        for key, slot in self._slots.residents.items():
             if not slot.draining or slot.unloading or not self.book.is_free(key):
                 continue
             limit_s = self.authority.unload_limit_s()
@@ -445,12 +366,12 @@
         else:
             self._note_loaded(key)
         finally:
-            self._loading.pop(key, None)
+            self._slots.loading.pop(key, None)
             if permit:
                 await self._parts.store.end(permit)
             self.decide()
 
-    async def _unload_adapter(self, key: str, slot: _Slot, limit_s: float) -> None:
+    async def _unload_adapter(self, key: str, slot: Slot, limit_s: float) -> None:
         try:
             await self._parts.control.unload(key, self.authority.next_token(), limit_s)
         except OrderRefused as exc:
@@ -464,12 +385,10 @@
             # with a later token, which fences the first off; an engine that checks no tokens
             # gets the adapter back only when a delayed order is no longer to be feared.
             slot.unloading = False
-            self._failed[key] = _Failed(
-                self._parts.clock() + DELAYED_ORDER_S, DELAYED_ORDER_S, "an unload is in doubt"
-            )
+            now = self._parts.clock()
+            self._failed.block(key, "an unload is in doubt", now, DELAYED_ORDER_S)
             return
-        self._residents.pop(key, None)
-        self._dropped[key] = self._parts.clock()
+        self._slots.note_dropped(key, self._parts.clock())
         self._parts.metrics.count("unloads")
         self.decide()
 
@@ -478,8 +397,8 @@
         waiting = [item for item in self._waiters if item.question.key == key]
         first = waiting[0].question.request_id if waiting else "nobody any more"
         log.info("{}: loaded {} for {}", self.engine.name, key, first)
-        self._failed.pop(key, None)
-        self._residents[key] = _Slot(now, now)
+        self._failed.clear(key)
+        self._slots.note_loaded(key, now)
         self.book.note_created(key, now)
         self._parts.metrics.count("loads")
 
@@ -488,12 +407,10 @@
             # A later token, possibly our own: the engine's report tells whose.
             return
         now = self._parts.clock()
-        known = self._failed.get(key)
-        delay_s = min(FAILED_MOST_S, known.delay_s * 2) if known else FAILED_FIRST_S
-        self._failed[key] = _Failed(now + delay_s, delay_s, str(exc))
+        failed = self._failed.note(key, str(exc), now)
         self._parts.metrics.count("loads_failed")
         log.warning("{}: loading {} failed: {}", self.engine.name, key, exc)
-        declined = self._failed_decline(self._failed[key], now)
+        declined = self._failed_decline(failed, now)
         for waiter in [item for item in self._waiters if item.question.key == key]:
             self._answer(waiter, Failure(declined))
 
@@ -522,7 +439,7 @@
         # What is not resident does not run; but credits for it stay good until they end.
         for key in {*report.running, *self.book.keys()}:
             self.book.observe(key, Observation(taken_at, report.running.get(key, 0)))
-        self._reconcile_slots(report, taken_at)
+        self._slots.reconcile(report.running, taken_at, self._parts.clock())
         self._note_foreign(report)
         self.decide()
 
@@ -545,19 +462,7 @@
             # It may have lost the token it had seen, too.
             self._claimed = not self.engine.checks_fences
         self._boot = report.boot
-        now = self._parts.clock()
-        self._residents = {key: _Slot(now, now) for key in report.running}
-
-    def _reconcile_slots(self, report: EngineReport, taken_at: float) -> None:
-        now = self._parts.clock()
-        for key, slot in list(self._residents.items()):
-            if key not in report.running and taken_at > slot.loaded_at:
-                del self._residents[key]
-        self._dropped = {key: at for key, at in self._dropped.items() if at >= taken_at}
-        for key in report.running:
-            known = key in self._residents or key in self._loading or key in self._dropped
-            if not known:
-                self._residents[key] = _Slot(now, now)
+        self._slots.restart(report.running, self._parts.clock())
 
     def _note_foreign(self, report: EngineReport) -> None:
         # Requests that do not come through us. The report lags, so it is held against the
@@ -587,14 +492,14 @@
             return Decline(pb.VERDICT_LEAVING, "the engine is leaving")
         if not self._parts.carries(question.key):
             return Decline(pb.VERDICT_NOT_CARRIED, f"{self.pool.name} may not carry it")
-        failed = self._failed.get(question.key)
-        if failed and failed.until > now and question.key not in self._residents:
+        failed = self._failed.blocking(question.key, now)
+        if failed is not None and question.key not in self._slots.residents:
             return self._failed_decline(failed, now)
         if len(self._waiters) >= self._parts.limits.waiting:
             return Decline(pb.VERDICT_OVERLOADED, "too many wait", self._expected_wait_s())
         return None
 
-    def _failed_decline(self, failed: _Failed, now: float) -> Decline:
+    def _failed_decline(self, failed: FailedLoad, now: float) -> Decline:
         return Decline(pb.VERDICT_LOAD_FAILED, failed.reason, failed.until - now)
 
     def _decline_all(self, decline: Decline) -> None:
@@ -606,9 +511,6 @@
         if not waiter.fut.done():
             waiter.fut.set_result(answer)
 
-    def _serves(self, slot: _Slot) -> bool:
-        return not (slot.draining or slot.unloading)
-
     def _priority(self, waiter: _Waiter, now: float) -> float:
         return priority(waiter.question.weight, now - waiter.since)
 
--- a/packages/scheduler/src/gradelug_scheduler/service.py
+++ b/packages/scheduler/src/gradelug_scheduler/service.py
@@ -11,8 +11,8 @@
 from gradelug_wire.control_grpc import ControlBase
 from returns.result import Success
 
-from .keeper import Decline, Offer, Question
 from .node import Node
+from .questions import Decline, Offer, Question
 
 if t.TYPE_CHECKING:
     from grpclib.server import Stream
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -6,7 +6,8 @@
 from gradelug_coordination.ownership import Held
 from gradelug_runtime import Metrics, StatsdSettings
 from gradelug_scheduler.authority import Authority
-from gradelug_scheduler.keeper import EngineKeeper, KeeperParts, Question
+from gradelug_scheduler.keeper import EngineKeeper, KeeperParts
+from gradelug_scheduler.questions import Question
 from gradelug_standins.engine import EngineSpec, StubEngine
 from world import new_loop
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -199,48 +199,49 @@
 
 
 async def control() -> None:
-    """What control costs an instance, idle, by the number of instances."""
+    """What control costs an instance, by the number of instances, idle and under load."""
     for instances in (3, 6, 9):
         statsd = Statsd()
 
-        async def measure(
-            cluster: Cluster, instances: int = instances, statsd: Statsd = statsd
-        ) -> None:
-            window_s = 15.0
-            first = await cluster.get(f"{cluster.layout.kv}/_stats")
-            gauges = statsd.gauges()
-            names = [
-                f"{kind}-{n + 1}" for kind in ("scheduler", "router") for n in range(instances)
-            ]
-            before = {name: cpu_s(cluster, name) for name in names}
-            await asyncio.sleep(window_s)
-            last = await cluster.get(f"{cluster.layout.kv}/_stats")
-            used = {name: (cpu_s(cluster, name) - at) / window_s for name, at in before.items()}
-            now = statsd.gauges()
-            moved = {
-                kind: sum(
-                    value - gauges.get(name, value)
-                    for name, value in now.items()
-                    if name.endswith(kind)
-                )
-                / window_s
-                / instances
-                for kind in ("peer_bytes", "peer_calls")
-            }
-            emit(
-                "control",
-                instances=instances,
-                kv_calls_per_instance_s=(last["calls"] - first["calls"]) / window_s / instances,
-                kv_writes_per_instance_s=(last["writes"] - first["writes"]) / window_s / instances,
-                scheduler_core=mean(used, "scheduler"),
-                router_core=mean(used, "router"),
-                bytes_per_instance_s=moved["peer_bytes"],
-                calls_per_instance_s=moved["peer_calls"],
-            )
+        async def measure(cluster: Cluster, statsd: Statsd = statsd) -> None:
+            await measure_control(cluster, statsd, "idle")
+            load = [asyncio.create_task(keep_asking(cluster, r)) for r in cluster.layout.routers]
+            await measure_control(cluster, statsd, "loaded")
+            for task in load:
+                task.cancel()
+            await asyncio.gather(*load, return_exceptions=True)
 
         await run("control", measure, instances=instances, count=200, statsd=statsd.address)
 
 
+async def measure_control(cluster: Cluster, statsd: Statsd, state: str) -> None:
+    """Read off what all instances used within a while."""
+    window_s = 12.0
+    names = [*cluster.layout.schedulers, *cluster.layout.routers]
+    instances = len(cluster.layout.routers)
+    first = await cluster.get(f"{cluster.layout.kv}/_stats")
+    gauges = statsd.gauges()
+    before = {name: cpu_s(cluster, name) for name in names}
+    await asyncio.sleep(window_s)
+    last = await cluster.get(f"{cluster.layout.kv}/_stats")
+    used = {name: (cpu_s(cluster, name) - at) / window_s for name, at in before.items()}
+    moved = dict.fromkeys(("peer_bytes", "peer_calls"), 0.0)
+    for name, value in statsd.gauges().items():
+        kind = name.rpartition(".")[2]
+        if kind in moved:
+            moved[kind] += (value - gauges.get(name, value)) / window_s / instances
+    emit(
+        "control",
+        state=state,
+        instances=instances,
+        kv_calls_per_instance_s=(last["calls"] - first["calls"]) / window_s / instances,
+        scheduler_core=mean(used, "scheduler"),
+        router_core=mean(used, "router"),
+        bytes_per_instance_s=moved["peer_bytes"],
+        calls_per_instance_s=moved["peer_calls"],
+    )
+
+
 def mean(used: t.Mapping[str, float], kind: str) -> float:
     """Return the mean over the processes of a kind."""
     return statistics.mean(value for name, value in used.items() if name.startswith(kind))
