--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -66,11 +66,11 @@
 class Store(t.Protocol):
     """Permits to use the weight store, whose limit is shared by all schedulers."""
 
-    async def acquire(self, engine: str, key: str, urgency: float) -> int:
-        """Return a permit's number once there is one."""
+    async def acquire(self, engine: str, key: str, urgency: float) -> t.Any:
+        """Return a permit once there is one."""
         ...
 
-    async def end(self, number: int) -> None:
+    async def end(self, permit: t.Any) -> None:
         """Give a permit back."""
         ...
 
@@ -347,7 +347,7 @@
 
     async def _load_adapter(self, demand: Demand) -> None:
         key = demand.key
-        permit = 0
+        permit = None
         try:
             now = self._parts.clock()
             urgency = priority(demand.weight, now - demand.since)
@@ -367,7 +367,7 @@
             self._note_loaded(key)
         finally:
             self._slots.loading.pop(key, None)
-            if permit:
+            if permit is not None:
                 await self._parts.store.end(permit)
             self.decide()
 
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -37,7 +37,6 @@
     UpstreamUnavailable,
 )
 from gradelug_platform.keys import LIVE, ONCE, STORE
-from gradelug_policy.permits import PermitRequest
 from gradelug_runtime import Metrics, Tasks
 from gradelug_wire import Peers, PeerUnavailable
 from gradelug_wire import control_pb2 as pb
@@ -45,14 +44,15 @@
 
 from .authority import Authority
 from .keeper import EngineKeeper, KeeperParts
+from .peerbuckets import PeerBuckets
+from .permits import StoreAccess
 from .settings import SchedulerSettings
-from .store import RESOURCE, StoreDesk
+from .store import RESOURCE
 
 log = logbook.Logger("node")
 TICK_S = 0.25
 IDLE_FACTOR = 2.5
 """An engine on which nothing waits is asked for its report so much more seldom."""
-PERMIT_WAIT_S = 5.0
 FACT_REFRESH_S = 10.0
 """A fact that has not changed is told anew after this long, well before it expires."""
 ROUTER_LIFE_S = 10.0
@@ -60,30 +60,6 @@
 """Between two tellings of a changed fact."""
 
 
-class PeerBuckets:
-    """Buckets from peers, for when the platform's service does not answer."""
-
-    __slots__ = ("_node",)
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-
-    async def fetch(self, digests: t.Sequence[str]) -> dict[str, bytes]:
-        """Return those of the buckets that some peer holds."""
-        found: dict[str, bytes] = {}
-        for address in self._node.peer_addresses():
-            missing = [digest for digest in digests if digest not in found]
-            if not missing:
-                break
-            message = pb.Fetch(stamp=self._node.stamp(), digests=missing)
-            with contextlib.suppress(PeerUnavailable):
-                reply = await self._node.peers.call(
-                    self._node.peers.stub(address).FetchBuckets, message, limit_s=3.0
-                )
-                found.update(reply.contents)
-        return found
-
-
 class Node:
     """A scheduler instance.
 
@@ -148,14 +124,18 @@
             before_release=self._finish_keeper,
         )
         self.gossip = Gossip(self.clock, rng)
-        self.follower = Follower([KvBuckets(kv, STORE), PeerBuckets(self)], self._install)
+        self.follower = Follower(
+            [KvBuckets(kv, STORE), PeerBuckets(self.peers, self.peer_addresses, self.stamp)],
+            self._install,
+        )
         self.catalog = Catalog(0, Document())
         self.keepers: dict[str, EngineKeeper] = {}
         self.shards = [
             OnceShard(kv, f"{ONCE}{number}", wall, cfg.timing.once_s) for number in range(SHARDS)
         ]
-        self.desk: StoreDesk | None = None
-        self._own_desk: StoreDesk | None = None
+        self.store = StoreAccess(
+            self.membership, self.ownership, self.peers, self.stamp, self._store_limits, self.clock
+        )
         self._pollers: dict[str, asyncio.Task[t.Any]] = {}
         self._leaving_upstreams: list[str] = []
         self._heard_at = self.clock()
@@ -252,10 +232,6 @@
         self._wake()
 
     def _refresh_keepers(self) -> None:
-        rules = self.catalog.rules
-        for desk in (self.desk, self._own_desk):
-            if desk is not None:
-                desk.limit(rules.store_loads_per_s, rules.store_parallel)
         for name, keeper in list(self.keepers.items()):
             known = self.catalog.engines.get(name)
             if known is None or known != (keeper.engine, keeper.pool):
@@ -318,7 +294,7 @@
             )
             parts = KeeperParts(
                 control=self._make_control(engine),
-                store=_NodeStore(self),
+                store=self.store,
                 clock=self.clock,
                 carries=lambda key, pool=pool: self.carries(pool.name, key),  # type: ignore[misc]
                 path_of=lambda key: key,
@@ -330,14 +306,11 @@
             self._pollers[name] = self.tasks.start(self._poll_forever(keeper), f"poll {name}")
             log.info("took {} with token {}", name, held.fence)
             self.metrics.count("engines_taken")
-        self._keep_desk()
+        self.store.refresh()
 
-    def _keep_desk(self) -> None:
+    def _store_limits(self) -> tuple[float, int]:
         rules = self.catalog.rules
-        if RESOURCE not in self.ownership.held:
-            self.desk = None
-        elif self.desk is None:
-            self.desk = StoreDesk(rules.store_loads_per_s, rules.store_parallel, self.clock)
+        return rules.store_loads_per_s, rules.store_parallel
 
     def _close_keeper(self, name: str) -> None:
         keeper = self.keepers.pop(name, None)
@@ -386,63 +359,6 @@
         assert self._session is not None
         return HttpEngineControl(self._session, engine.address)
 
-    # Permits
-
-    async def acquire_permit(self, request: PermitRequest) -> tuple[int, str]:
-        """Return a permit's number and the address of the desk that gave it."""
-        while True:
-            if self.desk is not None:
-                number = await self.desk.acquire(request, PERMIT_WAIT_S)
-                if number:
-                    return number, ""
-                continue
-            owner = self.ownership.records().get(RESOURCE)
-            member = self.membership.all().get(owner.owner) if owner else None
-            if member is None or member.name == self.name:
-                return await self._share_of_store().acquire(request, PERMIT_WAIT_S), "share"
-            message = pb.PermitAsk(
-                stamp=self.stamp(),
-                engine=request.engine,
-                adapter=request.key,
-                urgency=request.urgency,
-                wait_ms=int(PERMIT_WAIT_S * 1000),
-            )
-            try:
-                reply = await self.peers.call(
-                    self.peers.stub(member.address).AskPermit, message, PERMIT_WAIT_S + 1
-                )
-            except PeerUnavailable:
-                number = await self._share_of_store().acquire(request, PERMIT_WAIT_S)
-                if number:
-                    return number, "share"
-                continue
-            if reply.granted:
-                return reply.number, member.address
-            await asyncio.sleep(reply.retry_after_ms / 1000)
-
-    async def end_permit(self, number: int, desk: str) -> None:
-        """Give a permit back to the desk it came from."""
-        if not desk:
-            if self.desk is not None:
-                self.desk.end(number)
-            return
-        if desk == "share":
-            self._share_of_store().end(number)
-            return
-        message = pb.PermitDone(stamp=self.stamp(), number=number)
-        # A permit that is not given back lapses.
-        with contextlib.suppress(PeerUnavailable):
-            await self.peers.call(self.peers.stub(desk).EndPermit, message)
-
-    def _share_of_store(self) -> StoreDesk:
-        members = max(1, len(self.membership.active()))
-        rules = self.catalog.rules
-        rate = rules.store_loads_per_s / members
-        if self._own_desk is None:
-            self._own_desk = StoreDesk(rate, 1, self.clock)
-        self._own_desk.limit(rate, max(1, rules.store_parallel // members))
-        return self._own_desk
-
     # Gossip
 
     def peer_addresses(self) -> list[str]:
@@ -554,27 +470,3 @@
             keeper.drained = name in draining or address in self._leaving_upstreams
             if keeper.drained:
                 keeper.decide()
-
-
-class _NodeStore:
-    """Permits for a keeper."""
-
-    __slots__ = ("_desks", "_node")
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-        self._desks: dict[int, tuple[int, str]] = {}
-
-    async def acquire(self, engine: str, key: str, urgency: float) -> int:
-        """Return a permit's number once there is one."""
-        request = PermitRequest(self._node.name, engine, key, urgency)
-        number, desk = await self._node.acquire_permit(request)
-        handle = len(self._desks) + 1
-        while handle in self._desks:
-            handle += 1
-        self._desks[handle] = (number, desk)
-        return handle
-
-    async def end(self, number: int) -> None:
-        """Give a permit back."""
-        await self._node.end_permit(*self._desks.pop(number))
--- a/packages/scheduler/src/gradelug_scheduler/service.py
+++ b/packages/scheduler/src/gradelug_scheduler/service.py
@@ -71,8 +71,8 @@
         message = await stream.recv_message()
         if message is None:
             return
-        if self._node.desk is not None:
-            self._node.desk.end(message.number)
+        if self._node.store.desk is not None:
+            self._node.store.desk.end(message.number)
         await stream.send_message(pb.Done(stamp=self._node.stamp()))
 
     async def ReserveKey(self, stream: Stream[pb.Reserve, pb.Reserved]) -> None:  # noqa: N802
@@ -153,7 +153,7 @@
 
     async def permit(self, message: pb.PermitAsk) -> pb.Permit:
         """Hand out a permit, if this node owns the store."""
-        desk = self._node.desk
+        desk = self._node.store.desk
         stamp = self._node.stamp()
         if desk is None:
             return pb.Permit(stamp=stamp, retry_after_ms=200)
--- a/tests/world.py
+++ b/tests/world.py
@@ -390,8 +390,8 @@
             contents = {d: held[d] for d in message.digests if d in held}
             return pb.Buckets(stamp=self.node.stamp(), contents=contents)
         if name == "EndPermit":
-            if self.node.desk is not None:
-                self.node.desk.end(message.number)
+            if self.node.store.desk is not None:
+                self.node.store.desk.end(message.number)
             return pb.Done(stamp=self.node.stamp())
         if name == "SettleKey":
             from gradelug_coordination.once import shard_of
