--- /dev/null
+++ b/tests/test_coordination.py
@@ -0,0 +1,212 @@
+import asyncio
+import random
+
+import pytest
+from gradelug_coordination import (
+    ABSENT,
+    Account,
+    Fact,
+    Gossip,
+    GrantBook,
+    KvUnavailable,
+    LeaseKeeper,
+    Mirror,
+    Observation,
+    OnceShard,
+    OnceState,
+    OnceVerdict,
+    Publisher,
+)
+from gradelug_coordination.documents import KEPT_REVISIONS
+from gradelug_coordination.kv import swap_surely
+from gradelug_coordination.once import SPILL_RECORDS, digest
+from gradelug_standins.kv import MemoryKv
+from world import new_loop
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+class TestLease:
+    def test_validity_counts_from_before_the_renewal_was_sent(self):
+        async def scenario():
+            kv, clock = MemoryKv(), asyncio.get_running_loop().time
+            lease = LeaseKeeper(kv, 3.0, clock, random.Random(1))
+            kv.faults.delay_s = 1.0
+            sent_at = clock()
+            await lease.step()
+            assert lease.valid_until == pytest.approx(sent_at + 2.7)
+            await asyncio.sleep(1.8)
+            assert not lease.is_valid()
+
+        run(scenario)
+
+    def test_a_lease_that_lapsed_unnoticed_is_replaced_and_told(self):
+        async def scenario():
+            kv, told = MemoryKv(), []
+            clock = asyncio.get_running_loop().time
+            lease = LeaseKeeper(kv, 3.0, clock, random.Random(1), lambda: told.append(1))
+            await lease.step()
+            first = lease.lease
+            kv.lapse(first)
+            await lease.step()
+            assert lease.lease not in (0, first)
+            assert len(told) == 3
+
+        run(scenario)
+
+
+class TestSwap:
+    def test_a_lost_answer_is_found_out(self):
+        async def scenario():
+            kv = MemoryKv()
+            kv.faults.lose_answers = 1
+            outcome = await swap_surely(kv, "k", b"mine", ABSENT)
+            assert outcome.swapped
+            kv.faults.lose_answers = 1
+            with pytest.raises(KvUnavailable):
+                await kv.swap("k", b"other", outcome.revision)
+            assert not (await swap_surely(kv, "k", b"mine again", outcome.revision)).swapped
+
+        run(scenario)
+
+
+class TestMirror:
+    def test_it_resumes_after_an_outage_with_what_changed_meanwhile(self):
+        async def scenario():
+            kv = MemoryKv()
+            await kv.swap("p/a", b"1", ABSENT)
+            mirror = Mirror(kv, "p/", random.Random(1))
+            task = asyncio.ensure_future(mirror.run())
+            await asyncio.sleep(0.1)
+            kv.set_down(True)
+            await asyncio.sleep(1.0)
+            assert not mirror.synced
+            kv.set_down(False)
+            entry = await kv.get("p/a")
+            await kv.delete("p/a", entry.revision)
+            await kv.swap("p/b", b"2", ABSENT)
+            await asyncio.sleep(6.0)
+            assert {key: e.value for key, e in mirror.entries.items()} == {"p/b": b"2"}
+            task.cancel()
+
+        run(scenario)
+
+
+class TestPublisher:
+    def test_buckets_no_longer_used_are_deleted_some_revisions_later(self):
+        async def scenario():
+            kv = MemoryKv()
+            publisher = Publisher(kv, "live/", "store/")
+            for number in range(KEPT_REVISIONS + 5):
+                await publisher.publish({f"d{number}": b"x"}, number, "me")
+            kept = [key for key in kv.entries() if key.startswith("store/")]
+            assert len(kept) <= KEPT_REVISIONS + 1
+            assert f"store/buckets/d{KEPT_REVISIONS + 4}" in kept
+
+        run(scenario)
+
+
+class TestGossip:
+    def test_a_fact_reaches_everybody_by_a_bounded_number_of_tellings(self):
+        members = [f"m{n}" for n in range(64)]
+        nodes = {m: Gossip(lambda: 0.0, random.Random(m)) for m in members}
+        for one in members:
+            for other in members:
+                nodes[one].news_for(other)
+        nodes["m0"].choose_peers(members[1:])
+        nodes["m0"].put(Fact("k", 0, 1, b"v"))
+        told = rounds = 0
+        while any(node.get("k") is None for node in nodes.values()):
+            rounds += 1
+            assert rounds <= 12
+            for name, node in nodes.items():
+                for peer in node.choose_peers([m for m in members if m != name]):
+                    for source, target in ((node, peer), (nodes[peer], name)):
+                        news = source.news_for(target)
+                        told += len(news)
+                        for fact in news:
+                            nodes[target].put(fact)
+        assert told <= 64 * 14 * 2
+
+    def test_a_later_owner_outranks_any_version_of_an_earlier_one(self):
+        gossip = Gossip(lambda: 0.0, random.Random(1))
+        assert gossip.put(Fact("k", 2, 1, b"new"))
+        assert not gossip.put(Fact("k", 1, 99, b"old"))
+
+    def test_a_reader_gets_what_came_after_its_cursor(self):
+        gossip = Gossip(lambda: 0.0, random.Random(1))
+        gossip.put(Fact("a", 0, 1, b""))
+        cursor = gossip.cursor
+        gossip.put(Fact("b", 0, 1, b""))
+        assert [fact.key for fact in gossip.since(cursor)] == ["b"]
+        assert len(gossip.since(cursor + 99)) == 2
+
+
+class TestGrantBook:
+    def test_an_account_from_before_the_latest_grant_closes_nothing(self):
+        book = GrantBook(taken_at=-10.0, longest_s=2.0)
+        book.note_created("k", 0.0)
+        first = book.issue("r", "k", 1, 2.0)
+        book.issue("r", "k", 1, 3.0)
+        book.account(Account("r", "k", first, closed=True), 1.0)
+        assert not book.is_free("k")
+
+    def test_a_report_from_before_a_grants_end_frees_nothing(self):
+        book = GrantBook(taken_at=-10.0, longest_s=2.0)
+        book.note_created("k", 0.0)
+        book.issue("r", "k", 1, 2.0)
+        book.observe("k", Observation(taken_at=2.1, running=0))
+        assert not book.is_free("k")
+        book.observe("k", Observation(taken_at=2.3, running=0))
+        assert book.is_free("k")
+
+    def test_a_new_owner_waits_for_its_predecessors_grants(self):
+        book = GrantBook(taken_at=0.0, longest_s=2.0)
+        book.observe("k", Observation(taken_at=2.0, running=0))
+        assert not book.is_free("k")
+        book.observe("k", Observation(taken_at=2.3, running=0))
+        assert book.is_free("k")
+
+
+class TestOnce:
+    def test_two_processes_on_one_shard_give_a_key_away_once(self):
+        async def scenario():
+            kv = MemoryKv()
+            shards = [OnceShard(kv, "once/0", lambda: 0.0) for _ in range(2)]
+            verdicts = await asyncio.gather(
+                *(shard.reserve("k", "b", f"attempt-{n}") for n, shard in enumerate(shards))
+            )
+            assert sorted(v.value for v in verdicts) == ["fresh", "running"]
+
+        run(scenario)
+
+    def test_a_key_that_was_not_run_may_be_used_again(self):
+        async def scenario():
+            shard = OnceShard(MemoryKv(), "once/0", lambda: 0.0)
+            assert await shard.reserve("k", "b", "1") is OnceVerdict.FRESH
+            shard.settle("k", "1", OnceState.RELEASED)
+            assert await shard.reserve("k", "b", "2") is OnceVerdict.FRESH
+            assert await shard.reserve("k", "b", "3") is OnceVerdict.RUNNING
+
+        run(scenario)
+
+    def test_keys_moved_to_a_segment_are_still_known_to_another_process(self):
+        async def scenario():
+            kv = MemoryKv()
+            first = OnceShard(kv, "once/0", lambda: 0.0)
+            keys = [digest(str(number)) for number in range(SPILL_RECORDS + 50)]
+            for start in range(0, len(keys), 50):
+                await asyncio.gather(
+                    *(first.reserve(key, "b", key) for key in keys[start : start + 50])
+                )
+            assert first.writes < 30, "reservations that come together are written together"
+            second = OnceShard(kv, "once/0", lambda: 0.0)
+            assert await second.reserve(keys[0], "b", "other") is OnceVerdict.RUNNING
+
+        run(scenario)
