Take three more mechanisms out, one for each promise that had none

Cause: "not run is true", leaving upstreams and the end of a lease had no test that fails without its mechanism. Change: mutations for all three; a test that an owner waking up grants nothing before it has heard anybody.

Ruled out: the first form of the leaving mutation, which also kept its own set-up from working and so proved nothing; it now begins after the set-up.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -97,6 +97,19 @@
 
         run_world(scenario)
 
+    def test_an_owner_that_wakes_grants_nothing_before_it_has_heard_anybody(self):
+        async def scenario(world):
+            await load_on(world, "e1")
+            owner = owner_of(world, "e1")
+            kept = owner.node.keepers["e1"]
+            assert kept.authority.may_grant()
+            world.freeze(owner)
+            await asyncio.sleep(6.0)
+            assert not kept.authority.may_grant()
+            assert kept.authority.unload_limit_s() == 0.0
+
+        run_world(scenario)
+
     def test_an_order_to_unload_that_comes_late_is_fenced_off(self):
         async def scenario(world):
             await load_on(world, "e1")
@@ -454,6 +467,40 @@
         with pytest.raises(AssertionError):
             TestConfigurationInForce().test_a_frozen_router_admits_nothing_by_an_old_configuration()
 
+    def test_without_the_leases_end_a_woken_owner_goes_on(self, monkeypatch):
+        from gradelug_scheduler.authority import Authority
+
+        monkeypatch.setattr(Authority, "_leased", lambda self: True)
+        test = TestNeverUnloadedUnderARequest()
+        with pytest.raises(AssertionError):
+            test.test_an_owner_that_wakes_grants_nothing_before_it_has_heard_anybody()
+
+    def test_without_the_last_look_a_broken_answer_is_told_as_not_run(self, monkeypatch):
+        from gradelug_router.exceptions import ApiError, Outcome
+        from gradelug_router.serving import Serving
+
+        def take_broken(self, exchange, job, credit, exc, attempt):
+            raise ApiError(502, "upstream_broken", str(exc), Outcome.NOT_RUN)
+
+        monkeypatch.setattr(Serving, "_take_broken", take_broken)
+        with pytest.raises(AssertionError):
+            TestNotRunIsTrue().test_an_engine_that_accepts_and_dies_leaves_the_outcome_unknown()
+
+    def test_without_a_look_at_who_leaves_work_goes_on_there(self, monkeypatch):
+        from gradelug_router.view import View
+
+        async def scenario(world):
+            await load_on(world, "e1")
+            monkeypatch.setattr(View, "is_leaving", lambda self, name, address: False)
+            monkeypatch.setattr(keeper.EngineKeeper, "is_leaving", False)
+            await world.publish(replace(world.document, draining=["e1"]))
+            await asyncio.sleep(4.0)
+            before = len(world.engines["e1"].runs)
+            await world.ask(world.routers[0], "a0")
+            assert len(world.engines["e1"].runs) > before
+
+        run_world(scenario)
+
     def test_without_fencing_a_late_order_is_carried_out(self, monkeypatch):
         from gradelug_standins.engine import StubEngine
 
