Keep a keeper's grants and tokens through a change of its pool

Cause: found by reading: when a change of configuration touched a pool, its engines' keepers were made anew under the same ownership. The new one knew no grant of the old, so that on an engine without fencing an adapter in use counted as free; and its tokens began again from the first, so that an engine that checks them refused every order. Also a version's path in the weight store was never used, and without an instance list an operator's drain did not reach the owner.

Change: a change of the pool's settings goes to the keeper as it is; an engine that itself changes is given up and taken anew, with a record that says so; paths are kept for the versions that have one; drains are looked at with every round.

Before: three new tests fail (token not above itself; the fence stays 20; 'a0@2' ordered for 'bucket/a0-two'). After: 62 tests pass, the state machine among them.

--- a/packages/config/src/gradelug_config/catalog.py
+++ b/packages/config/src/gradelug_config/catalog.py
@@ -141,6 +141,7 @@
     __slots__ = (
         "_adapters",
         "_callers",
+        "_paths",
         "_shared",
         "engines",
         "pools",
@@ -162,6 +163,7 @@
         self._callers = {caller.token_sha256: caller for caller in rules.callers}
         self._shared: dict[LabelSet, LabelSet] = {}
         self._adapters: dict[str, _AdapterEntry] = {}
+        self._paths: dict[AdapterKey, str] = {}
         self.add_adapters(rules.adapters)
 
     def __len__(self) -> int:
@@ -176,6 +178,9 @@
                 for version in adapter.versions
             }
             self._adapters[adapter.name] = _AdapterEntry(adapter.base, labels, versions)
+            for version in adapter.versions:
+                if version.path:
+                    self._paths[AdapterKey(adapter.name, version.version)] = version.path
 
     def authenticate(self, token: str) -> Caller | None:
         """Return the caller whose token this is.
@@ -201,6 +206,10 @@
         entry = self._adapters.get(key.name)
         return entry is not None and key.version in entry.versions
 
+    def path_of(self, key: AdapterKey) -> str:
+        """Return an adapter version's path in the weight store; its own name if none is set."""
+        return self._paths.get(key, str(key))
+
     def reachable(self, caller: Caller) -> t.Iterator[AdapterKey]:
         """Yield every adapter version that the caller may reach."""
         caller_labels = self._share(caller.labels)
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -136,6 +136,7 @@
         self.store = StoreAccess(
             self.membership, self.ownership, self.peers, self.stamp, self._store_limits, self.clock
         )
+        self._outdated: set[str] = set()
         self._pollers: dict[str, asyncio.Task[t.Any]] = {}
         self._leaving_upstreams: list[str] = []
         self._heard_at = self.clock()
@@ -232,10 +233,14 @@
         self._wake()
 
     def _refresh_keepers(self) -> None:
-        for name, keeper in list(self.keepers.items()):
-            known = self.catalog.engines.get(name)
-            if known is None or known != (keeper.engine, keeper.pool):
-                self._close_keeper(name)
+        for name, keeper in self.keepers.items():
+            engine, pool = self.catalog.engines.get(name, (None, None))
+            if engine != keeper.engine or pool is None or pool.base != keeper.pool.base:
+                # Given up and taken anew: what a keeper has granted must not be forgotten
+                # while its ownership goes on.
+                self._outdated.add(name)
+            else:
+                keeper.pool = pool
 
     # Ownership
 
@@ -268,9 +273,13 @@
             self.ownership.held.pop(resource, None)
             self._close_keeper(resource)
         self._keep_what_is_held()
+        outdated, self._outdated = self._outdated, set()
+        for name in outdated:
+            await self.ownership.release(name)
         await self.membership.register()
         await self.ownership.reconcile([*self.catalog.engines, RESOURCE])
         self._keep_what_is_held()
+        self._note_drained()
         self._publish()
 
     def _outranked(self) -> list[str]:
@@ -297,7 +306,7 @@
                 store=self.store,
                 clock=self.clock,
                 carries=lambda key, pool=pool: self.carries(pool.name, key),  # type: ignore[misc]
-                path_of=lambda key: key,
+                path_of=lambda key: self.catalog.path_of(AdapterKey.parse(key)),
                 metrics=self.metrics,
                 slots=self.cfg.slots,
                 limits=self.cfg.limits,
@@ -460,7 +469,6 @@
                 if leaving != self._leaving_upstreams:
                     log.info("leaving by the instance list: {}", ", ".join(leaving) or "none")
                 self._leaving_upstreams = leaving
-            self._note_drained()
             await asyncio.sleep(self.cfg.timing.instances_s)
 
     def _note_drained(self) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import pytest
+from gradelug_config.model import Adapter, Version
 from gradelug_scheduler import keeper
 from world import FakeExchange, run_world
 
@@ -168,6 +169,61 @@
         run_world(scenario)
 
 
+class TestChangesOfPools:
+    def test_a_change_of_a_pool_leaves_its_engines_in_use_and_their_books_kept(self):
+        """A keeper made anew forgot its grants and began its tokens from the first again."""
+
+        async def scenario(world):
+            for engine in ("e1", "e3"):
+                await load_on(world, engine)
+            kept = owner_of(world, "e1").node.keepers["e1"]
+            token = kept.authority.next_token()
+            (pool,) = world.document.pools
+            await world.publish(replace(world.document, pools=[replace(pool, batch=4)]))
+            await asyncio.sleep(3.0)
+            now = owner_of(world, "e1").node.keepers["e1"]
+            assert now.pool.batch == 4
+            assert now.authority.next_token() > token
+            for n in range(1, 7):
+                assert (await world.ask(world.routers[0], f"a{n}")).is_whole
+
+        run_world(scenario)
+
+    def test_an_engine_that_moves_is_taken_anew(self):
+        async def scenario(world):
+            await load_on(world, "e3")
+            before = owner_of(world, "e3").node.keepers["e3"].authority.held.fence
+            (pool,) = world.document.pools
+            engines = [*pool.engines[:2], replace(pool.engines[2], hall="h9")]
+            await world.publish(replace(world.document, pools=[replace(pool, engines=engines)]))
+            await asyncio.sleep(3.0)
+            after = owner_of(world, "e3").node.keepers["e3"]
+            assert after.engine.hall == "h9"
+            assert after.authority.held.fence > before
+
+        run_world(scenario)
+
+    def test_the_weight_stores_path_of_a_version_is_the_one_ordered(self):
+        async def scenario(world):
+            ordered = []
+            for engine in world.engines.values():
+                load = engine.load
+
+                async def spy(adapter, path, fence, load=load):
+                    ordered.append(path)
+                    await load(adapter, path, fence)
+
+                engine.load = spy
+            adapters = [Adapter("a0", "base", [Version(1), Version(2, path="bucket/a0-two")])]
+            await world.publish(replace(world.document, adapters=adapters))
+            await asyncio.sleep(2.0)
+            assert (await world.ask(world.routers[0], "a0@2")).is_whole
+            assert (await world.ask(world.routers[0], "a0@1")).is_whole
+            assert ordered == ["bucket/a0-two", "a0@1"]
+
+        run_world(scenario)
+
+
 class TestOutage:
     def test_what_is_loaded_is_served_through_a_long_outage_on_every_engine(self):
         async def scenario(world):
