Read the counters as they come in the capacity tool

Cause: under load the socket's buffer filled and the newest gauges were dropped, so that bytes and calls read 0. Change: the socket is read by the loop.

--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -59,19 +59,20 @@
         self.sock.bind(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
 
+        self.latest: dict[str, float] = {}
+        # Read as it comes: under load a full buffer would drop what is newest.
+        asyncio.get_running_loop().add_reader(self.sock, self._read)
+
     def gauges(self) -> dict[str, float]:
-        """Return the latest gauges received."""
-        found = {}
-        while True:
-            try:
-                data = self.sock.recv(65536).decode()
-            except BlockingIOError:
-                return found
-            for line in data.splitlines():
-                name, _, rest = line.partition(":")
-                value, _, kind = rest.partition("|")
-                if kind == "g":
-                    found[name] = float(value)
+        """Return the latest gauges."""
+        return dict(self.latest)
+
+    def _read(self) -> None:
+        for line in self.sock.recv(65536).decode().splitlines():
+            name, _, rest = line.partition(":")
+            value, _, kind = rest.partition("|")
+            if kind == "g":
+                self.latest[name] = float(value)
 
 
 def body(tokens: int, stream: bool) -> dict[str, t.Any]:
