Serve a connection's next request while the last one is being settled

Cause: found by reading: a task that ends takes its connection off the list of those served; with an Idempotency-Key it ends after its answer, when the note of the outcome has been given, and by then the connection's next request may have begun. That one then counted as gone and its stream was cut. Change: a task takes off only itself.

Before: the new test reads nothing (IncompleteReadError). After: 17 tests of the door pass.

--- a/packages/router/src/gradelug_router/door.py
+++ b/packages/router/src/gradelug_router/door.py
@@ -247,7 +247,9 @@
         except asyncio.CancelledError:
             exchange.cut()
         finally:
-            self._tasks.pop(exchange.sock, None)
+            # The connection's next request may have begun while this one was settled.
+            if self._tasks.get(exchange.sock) is asyncio.current_task():
+                del self._tasks[exchange.sock]
 
     def _unsent(self, sock: t.Any) -> int:
         buffers = self._web.server._buffers
--- a/packages/router/src/gradelug_router/exceptions.py
+++ b/packages/router/src/gradelug_router/exceptions.py
@@ -43,6 +43,14 @@
         super().__init__(message)
 
 
+class DeadlinePassed(ApiError):
+    """The request's deadline passed while an upstream had it."""
+
+    def __init__(self) -> None:
+        message = "its deadline passed before its answer came"
+        super().__init__(504, "deadline", message, Outcome.UNKNOWN)
+
+
 class NotSent(Exception):
     """Nothing that could be run was handed to the upstream."""
 
--- a/packages/router/src/gradelug_router/serving.py
+++ b/packages/router/src/gradelug_router/serving.py
@@ -21,7 +21,15 @@
 from . import openai
 from .acquire import Acquirer, Wanted
 from .door import Exchange
-from .exceptions import ApiError, CallerGone, NotSent, Outcome, UpstreamBroken, UpstreamRefused
+from .exceptions import (
+    ApiError,
+    CallerGone,
+    DeadlinePassed,
+    NotSent,
+    Outcome,
+    UpstreamBroken,
+    UpstreamRefused,
+)
 from .levels import Levels
 from .once import OnceKeeper, Reservation
 from .relay import Progress, Relay
@@ -206,6 +214,10 @@
             circuit.note_success()
             self._take_refusal(job, credit, exc, attempt)
             return False
+        except DeadlinePassed:
+            # An engine that hangs is left alone like one that breaks.
+            circuit.note_failure(parts.clock())
+            raise
         except UpstreamBroken as exc:
             circuit.note_failure(parts.clock())
             parts.metrics.count("upstream_broken")
@@ -238,7 +250,10 @@
         plan: Plan,
         credit: Credit,
     ) -> None:
-        engine, _ = self._parts.view.catalog.engines[credit.engine]
+        known = self._parts.view.catalog.engines.get(credit.engine)
+        if known is None:
+            raise NotSent("the configuration no longer has the engine")
+        engine, _ = known
         priority = -round(plan.weight * PRIORITY_SCALE)
         out = Outgoing(
             url=engine.address + completion.path,
@@ -264,8 +279,7 @@
             job.progress.outcome = before
             raise
         except TimeoutError:
-            message = "its deadline passed before its answer was whole"
-            raise ApiError(504, "deadline", message, Outcome.UNKNOWN) from None
+            raise DeadlinePassed() from None
         job.progress.outcome = Outcome.RAN
 
     async def _stream(
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -118,6 +118,32 @@
 
         with_door(scenario)
 
+    def test_a_request_that_follows_before_the_last_ones_task_has_ended_is_served(self):
+        """The ending task took the new one off the list, which then counted as gone."""
+        ended = asyncio.Event()
+
+        async def serve(exchange):
+            if exchange.body == b"one":
+                exchange.respond(200, b"one", {})
+                await ended.wait()
+                return
+            exchange.begin(200, {})
+            ended.set()
+            await asyncio.sleep(0.02)
+            await exchange.send(b"two")
+            exchange.finish()
+
+        async def scenario(door):
+            reader, writer = await connect(door)
+            writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+            assert await read_answer(reader) == (200, b"one")
+            writer.write(HEAD + b"Content-Length: 3\r\n\r\ntwo")
+            await reader.readuntil(b"\r\n\r\n")
+            assert await reader.readuntil(b"0\r\n\r\n") == b"3\r\ntwo\r\n0\r\n\r\n"
+            writer.close()
+
+        with_door(scenario, serve)
+
     def test_a_caller_that_leaves_cancels_its_request(self):
         cancelled = asyncio.Event()
 
