--- a/packages/router/src/gradelug_router/main.py
+++ b/packages/router/src/gradelug_router/main.py
@@ -8,7 +8,7 @@
 
 import fire
 import logbook
-from gradelug_runtime import Metrics, Tasks, run_daemon, wait_for_end
+from gradelug_runtime import Metrics, Tasks, run_daemon, settle_garbage, wait_for_end
 from gradelug_wire import Peers
 
 from .acquire import Accountant, Acquirer
@@ -57,6 +57,7 @@
         self.metrics = Metrics(cfg.statsd, f"router.{cfg.name}")
         name = f"{cfg.name}-{uuid.uuid4().hex[:8]}"
         self.view = View(name, cfg.schedulers, self.peers, self.metrics)
+        self.view.after_install = settle_garbage
         self.wallet = Wallet(loop.time)
         acquirer = Acquirer(
             self.view,
--- a/packages/router/src/gradelug_router/view.py
+++ b/packages/router/src/gradelug_router/view.py
@@ -55,6 +55,7 @@
         "_peers",
         "_schedulers",
         "address",
+        "after_install",
         "catalog",
         "changed",
         "head",
@@ -82,6 +83,8 @@
         self.name = name
         self.address = ""
         """Where this router's door is, once it is open."""
+        self.after_install: t.Callable[[], None] = lambda: None
+        """Called after a configuration has come into force."""
         self.head = Head()
         self.catalog = Catalog(0, Document())
         self.heard_at = float("-inf")
@@ -225,6 +228,7 @@
             catalog.add_adapters(read_adapters(content))
             await asyncio.sleep(0)
         self.catalog, self.head, self._contents = catalog, head, ordered
+        self.after_install()
         self._metrics.count("configurations")
         log.info("configuration {} is in force: {} adapters", head.revision, len(catalog))
 
--- a/packages/scheduler/src/gradelug_scheduler/main.py
+++ b/packages/scheduler/src/gradelug_scheduler/main.py
@@ -8,7 +8,7 @@
 import fire
 import logbook
 from gradelug_platform import EtcdKeyValue, HttpInstanceList
-from gradelug_runtime import Metrics, run_daemon, wait_for_end
+from gradelug_runtime import Metrics, run_daemon, settle_garbage, wait_for_end
 from grpclib.server import Server
 
 from .node import Node
@@ -43,6 +43,7 @@
         instances = HttpInstanceList(session, listing) if listing else None
         metrics = Metrics(cfg.statsd, f"scheduler.{cfg.name}")
         node = Node(cfg, kv, instances, session, metrics, random.Random())
+        node.after_install = settle_garbage
         server = Server([ControlService(node)])
         host, _, port = cfg.listen.rpartition(":")
         await server.start(host.strip("[]"), int(port))
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -129,6 +129,8 @@
             self._install,
         )
         self.catalog = Catalog(0, Document())
+        self.after_install: t.Callable[[], None] = lambda: None
+        """Called after a configuration has come into force."""
         self.keepers: dict[str, EngineKeeper] = {}
         self.shards = [
             OnceShard(kv, f"{ONCE}{number}", wall, cfg.timing.once_s) for number in range(SHARDS)
@@ -227,6 +229,7 @@
             # The loop goes on between buckets.
             await asyncio.sleep(0)
         self.catalog = catalog
+        self.after_install()
         self.metrics.count("configurations")
         log.info("configuration {} is in force: {} adapters", head.revision, len(catalog))
         self._refresh_keepers()
