Take up a record that was written without our knowing

Cause: found by reading: when the answer to taking an engine is lost and the service then goes down, the record may name this member as owner, tied to its live lease, while the member does not know; it passed over records that have an owner, and so did everybody else: the engine was kept by nobody until the lease ended, which renewals put off for ever. Ruled out: giving such a record up again (another round trip, and as safe to hold).

Change: a record of our own under our present lease is held, with nothing trusted of whoever was before; what was given up, lost or outranked is not taken up again by a mirror that has yet to show it (found by the second test, which failed with the first form).

Before: both tests fail. After: 64 tests of this part pass.

--- a/packages/coordination/src/gradelug_coordination/ownership.py
+++ b/packages/coordination/src/gradelug_coordination/ownership.py
@@ -34,6 +34,8 @@
 
     owner: str
     fence: int
+    lease: int = 0
+    """The lease the record is tied to."""
     doubt_s: float = 0.0
     """How long, from when the record is found, former owners may still act."""
 
@@ -87,6 +89,7 @@
         "_before_release",
         "_clock",
         "_free_since",
+        "_given_up",
         "_kv",
         "_lease",
         "_membership",
@@ -120,6 +123,7 @@
         self._settle_s = settle_s
         self._step_s = step_s
         self._free_since: dict[str, float] = {}
+        self._given_up: dict[str, int] = {}
         self._unwanted_since: dict[str, float] = {}
         self.held: dict[str, Held] = {}
 
@@ -148,9 +152,15 @@
             if taken or (self._lease.lease and held.lease != self._lease.lease):
                 lost.append(resource)
         for resource in lost:
-            del self.held[resource]
+            self.drop(resource)
         return lost
 
+    def drop(self, resource: str) -> None:
+        """Hold a resource no longer, because another is known to own it."""
+        held = self.held.pop(resource, None)
+        if held is not None:
+            self._given_up[resource] = held.fence
+
     async def reconcile(self, resources: t.Iterable[str]) -> None:
         """Take what is free and preferred here, give up what another is preferred for."""
         if not self._lease.is_valid() or not self._mirror.synced:
@@ -165,6 +175,7 @@
             record = records.get(resource)
             if record is not None and record.owner:
                 self._free_since.pop(resource, None)
+                self._take_up(resource, record)
                 continue
             await self._consider_taking(resource, active, record)
         for resource in set(self.held) - wanted:
@@ -175,6 +186,7 @@
         held = self.held.pop(resource, None)
         if held is None:
             return
+        self._given_up[resource] = held.fence
         self._unwanted_since.pop(resource, None)
         doubt_s = 0.0
         if self._before_release is not None:
@@ -221,6 +233,16 @@
             outcome.revision, lease, self._clock(), free is not None, doubt_s
         )
 
+    def _take_up(self, resource: str, record: OwnerRecord) -> None:
+        """Hold what a write of ours took whose outcome we never learned."""
+        lease = self._lease.lease
+        if record.fence <= self._given_up.get(resource, ABSENT):
+            # The mirror has yet to show that we gave it up.
+            return
+        if record.owner == self._membership.me.name and record.lease == lease:
+            # Who held it before is not known any more, so nothing is trusted of it.
+            self.held[resource] = Held(record.fence, lease, self._clock(), clean=False)
+
     def _key(self, resource: str) -> str:
         return f"{self._root}{OWNERS}{resource}"
 
@@ -232,4 +254,4 @@
 
 def _read(entry: KvEntry) -> OwnerRecord:
     data = json.loads(entry.value)
-    return OwnerRecord(data["owner"], entry.revision, float(data["doubt_s"]))
+    return OwnerRecord(data["owner"], entry.revision, entry.lease, float(data["doubt_s"]))
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -273,7 +273,7 @@
 
     async def _reconcile(self) -> None:
         for resource in [*self.ownership.forget_lost(), *self._outranked()]:
-            self.ownership.held.pop(resource, None)
+            self.ownership.drop(resource)
             self._close_keeper(resource)
         self._keep_what_is_held()
         outdated, self._outdated = self._outdated, set()
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -10,11 +10,14 @@
     GrantBook,
     KvUnavailable,
     LeaseKeeper,
+    Member,
+    Membership,
     Mirror,
     Observation,
     OnceShard,
     OnceState,
     OnceVerdict,
+    Ownership,
     Publisher,
 )
 from gradelug_coordination.documents import KEPT_REVISIONS
@@ -98,6 +101,66 @@
         run(scenario)
 
 
+class DyingKv(MemoryKv):
+    """Goes down in the very moment an answer is lost."""
+
+    def _lose_answer(self):
+        if self.faults.lose_answers:
+            self.faults.down = True
+        super()._lose_answer()
+
+
+class TestOwnership:
+    def test_a_record_written_unknowingly_is_taken_up(self):
+        """Neither its owner, who did not know, nor anybody else kept the resource."""
+
+        async def scenario():
+            kv, clock, rng = DyingKv(), asyncio.get_running_loop().time, random.Random(1)
+            mirror = Mirror(kv, "r/", rng)
+            lease = LeaseKeeper(kv, 3.0, clock, rng)
+            member = Member("me", "127.0.0.1:1")
+            membership = Membership(kv, "r/", mirror, lease, member)
+            ownership = Ownership(kv, "r/", mirror, lease, membership, clock)
+            tasks = [asyncio.ensure_future(lease.run()), asyncio.ensure_future(mirror.run())]
+            await asyncio.sleep(0.1)
+            await membership.register()
+            await asyncio.sleep(0.1)
+            kv.faults.lose_answers = 1
+            with pytest.raises(KvUnavailable):
+                await ownership.reconcile(["engine"])
+            assert not ownership.held
+            kv.set_down(False)
+            await asyncio.sleep(1.0)
+            await ownership.reconcile(["engine"])
+            assert ownership.holds("engine")
+            assert not ownership.held["engine"].clean
+            for task in tasks:
+                task.cancel()
+
+        run(scenario)
+
+    def test_what_was_given_up_is_not_taken_up_again_by_old_knowledge(self):
+        async def scenario():
+            kv, clock, rng = MemoryKv(), asyncio.get_running_loop().time, random.Random(1)
+            mirror = Mirror(kv, "r/", rng)
+            lease = LeaseKeeper(kv, 3.0, clock, rng)
+            membership = Membership(kv, "r/", mirror, lease, Member("me", "127.0.0.1:1"))
+            ownership = Ownership(kv, "r/", mirror, lease, membership, clock)
+            await lease.step()
+            task = asyncio.ensure_future(mirror.run())
+            await asyncio.sleep(0.1)
+            await membership.register()
+            await asyncio.sleep(0.1)
+            await ownership.reconcile(["engine"])
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await ownership.release("engine")
+            await ownership.reconcile(["engine"])
+            assert not ownership.held
+
+        run(scenario)
+
+
 class TestPublisher:
     def test_buckets_no_longer_used_are_deleted_some_revisions_later(self):
         async def scenario():
