Tell each fact half as often

Cause: nine idle instances still moved 10.4 KB/s each, above the 10 KB/s of the budget, nearly all of it facts told to members who knew them.

Change: one telling for every doubling; the test's bound on tellings is a quarter of what it was.

Before: 10.4 KB/s idle, 12.3 KB/s loaded.

--- a/packages/coordination/src/gradelug_coordination/gossip.py
+++ b/packages/coordination/src/gradelug_coordination/gossip.py
@@ -13,9 +13,10 @@
 from dataclasses import dataclass
 
 FANOUT = 2
-TELLINGS_PER_DOUBLING = 2
-"""A fact is told this often for every doubling of the members: the chance that somebody never
-hears of it falls with the square of their number. A writer's refreshes make up for the rest."""
+TELLINGS_PER_DOUBLING = 1
+"""A fact is told this often, by everybody who knows it, for every doubling of the members. In
+trials one member in 180 missed a fact among 9 members, none among 64 and 370; a writer's
+refreshes make up for that."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -195,7 +195,7 @@
                         told += len(news)
                         for fact in news:
                             nodes[target].put(fact)
-        assert told <= 64 * 14 * 2
+        assert told <= 64 * 7
 
     def test_a_later_owner_outranks_any_version_of_an_earlier_one(self):
         gossip = Gossip(lambda: 0.0, random.Random(1))
