--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -443,6 +443,7 @@
         """Return a message with facts."""
         return pb.Sync(
             stamp=self.stamp(),
+            address=self.address,
             facts=[
                 pb.Fact(key=item.key, epoch=item.epoch, version=item.version, payload=item.payload)
                 for item in facts
--- a/packages/scheduler/src/gradelug_scheduler/service.py
+++ b/packages/scheduler/src/gradelug_scheduler/service.py
@@ -145,7 +145,7 @@
             reply = node.make_sync(gossip.since(message.cursor))
             reply.cursor = gossip.cursor
         else:
-            reply = node.make_sync(gossip.news_for(message.stamp.member))
+            reply = node.make_sync(gossip.news_for(message.address))
         head = node.follower.head
         if message.stamp.revision < head.revision:
             reply.head = head.encode()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -5,6 +5,7 @@
 
 import pytest
 from gradelug_config.model import Adapter, Version
+from gradelug_coordination import Gossip
 from gradelug_scheduler import keeper
 from world import FakeExchange, run_world
 
@@ -436,6 +437,27 @@
         run_world(scenario)
 
 
+class TestGossip:
+    def test_peers_that_have_met_are_not_told_everything_again(self, monkeypatch):
+        """Whoever asked was looked up by its name and remembered by its address."""
+        told = []
+        news_for = Gossip.news_for
+
+        def spy(self, peer):
+            told.append((len(news_for(self, peer)), len(self.facts())))
+            return []
+
+        async def scenario(world):
+            await asyncio.sleep(20.0)
+            monkeypatch.setattr(Gossip, "news_for", spy)
+            await asyncio.sleep(5.0)
+
+        run_world(scenario)
+        assert len(told) > 50
+        share = sum(news for news, _ in told) / sum(known for _, known in told)
+        assert share < 0.25, share
+
+
 class TestConfigurationInForce:
     async def _serve_everywhere(self, world, limit_s=4.0):
         revision = await world.publish(world.document)
