Number grants on from owner to owner

Cause: found by reading: every owner numbered its grants from one. A router's account of a former owner's grants, with a higher number, could close a holding of the new owner whose grant was still on its way, and the adapter counted as free; and a router that held the old number passed over new grants until theirs had caught up. Ruled out: clearing routers' numbers on a change of owner, which they learn of late.

Change: a book's numbers begin above the fencing token.

Before: the new test's later owner grants number 1 after 5.

--- a/packages/coordination/src/gradelug_coordination/grants.py
+++ b/packages/coordination/src/gradelug_coordination/grants.py
@@ -88,15 +88,18 @@
     longest_s : float
         Longest validity that any owner gives a grant. What former owners granted is unknown
         here, but over by ``taken_at + longest_s``.
+    first : int
+        Number of the first grant. Greater than any number of a former owner's, so that an
+        account of what that one granted is not taken for one of ours.
     """
 
     __slots__ = ("_cleared", "_holdings", "_next_grant", "_predecessors_over")
 
-    def __init__(self, taken_at: float, longest_s: float) -> None:
+    def __init__(self, taken_at: float, longest_s: float, first: int = 1) -> None:
         self._predecessors_over = taken_at + longest_s + CLOCK_MARGIN_S
         self._cleared: set[str] = set()
         self._holdings: dict[str, dict[str, Holding]] = {}
-        self._next_grant = 1
+        self._next_grant = first
 
     def set_predecessors_over(self, at: float) -> None:
         """State anew from when on no grant of a former owner can be valid."""
--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -154,7 +154,7 @@
         self.authority = authority
         self._parts = parts
         self._claimed = self._took_over = not engine.checks_fences
-        self.book = GrantBook(float("inf"), VALID_S)
+        self.book = GrantBook(float("inf"), VALID_S, authority.next_token())
         if self._claimed:
             over_at = authority.predecessors_over_at(authority.held.taken_at)
             self.book.set_predecessors_over(over_at)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -458,6 +458,36 @@
         assert share < 0.25, share
 
 
+class TestChangeOfOwner:
+    def test_a_new_owners_grants_are_told_from_its_predecessors(self):
+        """Numbers began again, so that a router took new grants for old ones."""
+
+        async def scenario(world):
+            await load_on(world, "e1")
+            others = [name for name in world.engines if name != "e1"]
+            await world.publish(replace(world.document, draining=others))
+            await asyncio.sleep(2.0)
+            router = world.routers[0]
+            long = FakeExchange("a0", tokens=1500)
+            task = router.send(long)
+            for _ in range(5):
+                await asyncio.sleep(2.5)
+                if task.done():
+                    break
+                await world.ask(router, "a0", tokens=1)
+            assert not task.done()
+            world.kill(owner_of(world, "e1"))
+            await asyncio.sleep(0.5)
+            started = world.loop.time()
+            exchange = await world.ask(router, "a0", tokens=1)
+            assert exchange.is_whole
+            assert world.loop.time() - started < 6.0
+            await asyncio.wait([task])
+            assert long.is_whole
+
+        run_world(scenario)
+
+
 class TestConfigurationInForce:
     async def _serve_everywhere(self, world, limit_s=4.0):
         revision = await world.publish(world.document)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from gradelug_config.model import Engine, Pool
+from gradelug_coordination import Account
 from gradelug_coordination.ownership import Held
 from gradelug_runtime import Metrics, StatsdSettings
 from gradelug_scheduler.authority import Authority
@@ -30,11 +31,11 @@
 class Bench:
     """A keeper of one engine with two slots."""
 
-    def __init__(self, checks_fences=True):
+    def __init__(self, checks_fences=True, fence=7):
         clock = asyncio.get_running_loop().time
         self.stub = StubEngine("e", EngineSpec(slots=2, checks_fences=checks_fences))
         engine = Engine("e", "http://127.0.0.1:1", "h", checks_fences)
-        held = Held(fence=7, lease=1, taken_at=clock(), clean=True)
+        held = Held(fence=fence, lease=1, taken_at=clock(), clean=True)
         parts = KeeperParts(
             control=self.stub,
             store=Store(),
@@ -65,6 +66,24 @@
         loop.close()
 
 
+class TestGrantNumbers:
+    def test_an_account_of_a_former_owners_grants_closes_nothing_of_a_later_ones(self):
+        """Numbers began again with every owner, so that an old, higher one closed a new grant."""
+
+        async def scenario():
+            former = Bench(fence=7)
+            await former.settle(6.0)
+            numbers = [(await former.ask("a0")).number for _ in range(5)]
+            later = Bench(fence=8)
+            await later.settle(6.0)
+            granted = await later.ask("a0")
+            assert granted.number > max(numbers)
+            later.keeper.account(Account("r1", "a0", max(numbers), closed=True))
+            assert not later.keeper.book.is_free("a0")
+
+        run(scenario)
+
+
 class TestRestart:
     def test_credits_given_before_a_restart_was_noticed_still_count(self):
         """The restart's first report, late, made the owner forget what it had granted since."""
