Give plain services the request's deadline

Cause: found by reading: Gradelug-Deadline-Ms held for completions alone; a service that hung kept its caller waiting until the upstream's read limit of 30 s. Change: the deadline ends a service's request too: 504, outcome unknown, or the answer cut if it had begun.

--- a/packages/router/src/gradelug_router/serving.py
+++ b/packages/router/src/gradelug_router/serving.py
@@ -347,9 +347,15 @@
         query = f"?{exchange.query}" if exchange.query else ""
         headers = {"Gradelug-Request-Id": job.request_id}
         async with _Reserved(self._parts.once, job, exchange):
-            await self._parts.relay.service(
-                exchange, service, rest + query, job.single, headers, job.progress
-            )
+            try:
+                async with asyncio.timeout_at(job.deadline):
+                    await self._parts.relay.service(
+                        exchange, service, rest + query, job.single, headers, job.progress
+                    )
+            except TimeoutError:
+                if not exchange.started:
+                    raise DeadlinePassed() from None
+                exchange.cut()
 
     async def _ensure_fresh(self) -> None:
         view, limit_s = self._parts.view, self._parts.cfg.timing.stale_s
--- a/packages/standins/src/gradelug_standins/plain.py
+++ b/packages/standins/src/gradelug_standins/plain.py
@@ -152,6 +152,7 @@
         body = await req.read()
         key = req.headers.get("Idempotency-Key", "")
         self.ran[key or f"{req.method} {req.path}"] += 1
+        await asyncio.sleep(float(req.query.get("delay_s", "0")))
         data = {"served_by": self._name, "path": req.path, "bytes": len(body)}
         return web.json_response(data)
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -224,6 +224,24 @@
     assert (got, answer["error"]["code"], outcome) == (status, code, "not-run")
 
 
+def test_a_service_that_hangs_is_given_up_at_the_deadline(shared_cluster):
+    loop, cluster = shared_cluster
+
+    async def get():
+        url = next(iter(cluster.layout.routers.values())) + "/services/cadastre/x?delay_s=4"
+        headers = {
+            "Authorization": f"Bearer {cluster.layout.tokens[TAX]}",
+            "Gradelug-Deadline-Ms": "300",
+        }
+        started = loop.time()
+        async with cluster.session.get(url, headers=headers) as res:
+            return res.status, res.headers["Gradelug-Outcome"], loop.time() - started
+
+    status, outcome, took_s = loop.run_until_complete(get())
+    assert (status, outcome) == (504, "unknown")
+    assert took_s < 3.0
+
+
 @pytest.fixture(scope="module")
 def shared_cluster():
     with asyncio.Runner() as runner:
