--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,6 +5,7 @@
 import shutil
 import signal
 
+import aiohttp
 import openai
 import pytest
 from cluster import Cluster, example, scratch
@@ -224,6 +225,34 @@
     assert (got, answer["error"]["code"], outcome) == (status, code, "not-run")
 
 
+def test_an_engines_closed_connection_is_told_as_a_cut_and_never_as_an_end(shared_cluster):
+    loop, cluster = shared_cluster
+    engines = cluster.layout.engines.values()
+
+    async def stream():
+        for url in engines:
+            await cluster.post(f"{url}/_faults", {"cut_after": 3})
+        url = next(iter(cluster.layout.routers.values())) + "/v1/chat/completions"
+        headers = {"Authorization": f"Bearer {cluster.layout.tokens[TAX]}"}
+        data = b""
+        sent = body(stream=True, max_tokens=20)
+        try:
+            async with cluster.session.post(url, json=sent, headers=headers) as res:
+                async for chunk in res.content.iter_any():
+                    data += chunk
+        except aiohttp.ClientPayloadError:
+            return data, True
+        finally:
+            for url in engines:
+                await cluster.post(f"{url}/_faults", {})
+        return data, False
+
+    data, was_cut = loop.run_until_complete(stream())
+    assert was_cut
+    assert b"[DONE]" not in data
+    assert b'"outcome": "unknown"' in data
+
+
 def test_a_service_that_hangs_is_given_up_at_the_deadline(shared_cluster):
     loop, cluster = shared_cluster
 
