--- a/Makefile
+++ b/Makefile
@@ -40,8 +40,8 @@
 
 # Renews the committed stubs after a change of the protocol.
 proto: $(VENV)/ready
-	cd packages/wire/src && ../../../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
-	    --pyi_out=. --grpclib_python_out=. gradelug_wire/control.proto
+	cd packages/wire/src && PATH="$(CURDIR)/$(BIN):$$PATH" python -m grpc_tools.protoc -I. --python_out=. \
+	    --pyi_out=. --grpclib_python_out=. gradelug_wire/control.proto gradelug_wire/placement.proto
 
 $(VENV)/ready: requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
--- a/packages/cli/src/gradelug_cli/main.py
+++ b/packages/cli/src/gradelug_cli/main.py
@@ -27,7 +27,7 @@
 from gradelug_config.model import Adapter, Caller, Pool, Service
 from gradelug_config.validation import check
 from gradelug_coordination import CoordinationError, Raced
-from gradelug_platform import EtcdKeyValue
+from gradelug_backends import EtcdKeyValue
 
 from .exceptions import (
     EXIT_DECLINED,
--- a/packages/cli/src/gradelug_cli/repository.py
+++ b/packages/cli/src/gradelug_cli/repository.py
@@ -8,7 +8,7 @@
 from gradelug_config import Document
 from gradelug_config.buckets import join, split
 from gradelug_coordination import CoordinationError, Head, KeyValue, KvBuckets, Publisher, Raced
-from gradelug_platform.keys import LIVE, STORE
+from gradelug_backends.keys import LIVE, STORE
 
 from .exceptions import EXIT_FAILED, CommandError
 
--- a/packages/coordination/src/gradelug_coordination/__init__.py
+++ b/packages/coordination/src/gradelug_coordination/__init__.py
@@ -10,6 +10,8 @@
 from .documents import Head as Head
 from .documents import KvBuckets as KvBuckets
 from .documents import Publisher as Publisher
+from .election import Election as Election
+from .election import ElectionRecord as ElectionRecord
 from .exceptions import CoordinationError as CoordinationError
 from .exceptions import KvThrottled as KvThrottled
 from .exceptions import KvUnavailable as KvUnavailable
--- /dev/null
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -0,0 +1,213 @@
+"""One holder of a duty among all instances, elected through the key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import typing as t
+import uuid
+from dataclasses import dataclass
+
+import logbook
+
+from .exceptions import CoordinationError
+from .kv import ABSENT, KeyValue, swap_surely
+from .lease import LeaseKeeper
+from .mirror import Mirror
+
+log = logbook.Logger("election")
+CAMPAIGN_S = 0.3
+"""Candidates wait up to this long at random, so that few of them write at once."""
+STEP_S = 0.1
+RETRY_S = 0.25
+
+
+@dataclass(slots=True, frozen=True)
+class ElectionRecord:
+    """Who holds a duty.
+
+    Parameters
+    ----------
+    owner : str
+        Name of the instance, the same before and after a restart.
+    address : str
+        Where it is reached for this duty.
+    fence : int
+        Fencing token: the revision of the record.
+    """
+
+    owner: str
+    address: str
+    fence: int
+
+
+class Election:
+    """Stands for a duty and holds it while the record is this instance's.
+
+    The record is tied to a lease. A holder whose lease cannot be renewed stops, unless
+    `outlasts_lease` is set: what the duty acts on then checks fencing tokens, so that a
+    successor's greater token ends the old holder's orders.
+
+    Parameters
+    ----------
+    kv : KeyValue
+        The platform's service.
+    mirror : Mirror
+        Mirror in which the record shows.
+    key : str
+        The record's key.
+    name, address : str
+        This instance.
+    lease : LeaseKeeper
+        The lease to tie the record to; kept alive only while the duty is held.
+    clock : callable
+        The runtime's clock.
+    rng : random.Random
+        Source of jitter.
+    hold_off_s : float
+        A holder waits so long after the last sign of another one before it acts, in seconds.
+    first_start : bool
+        Whether no instance can have held the duty before this process began.
+    outlasts_lease : bool
+        See above.
+    """
+
+    __slots__ = (
+        "_absent_since",
+        "_act_from",
+        "_clock",
+        "_delay_s",
+        "_hold_off_s",
+        "_key",
+        "_kv",
+        "_lease",
+        "_mirror",
+        "_name",
+        "_other_seen_at",
+        "_outlasts_lease",
+        "_rng",
+        "_standing",
+        "_value",
+        "fence",
+    )
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        mirror: Mirror,
+        key: str,
+        name: str,
+        address: str,
+        lease: LeaseKeeper,
+        clock: t.Callable[[], float],
+        rng: random.Random,
+        hold_off_s: float,
+        first_start: bool,
+        outlasts_lease: bool,
+    ) -> None:
+        self._kv = kv
+        self._mirror = mirror
+        self._key = key
+        self._name = name
+        self._lease = lease
+        self._clock = clock
+        self._rng = rng
+        self._hold_off_s = hold_off_s
+        self._outlasts_lease = outlasts_lease
+        self._other_seen_at = float("-inf") if first_start else clock()
+        self._absent_since: float | None = None
+        self._delay_s = 0.0
+        self._act_from = float("inf")
+        self._standing = True
+        self._value = json.dumps(
+            {"owner": name, "address": address, "operation": uuid.uuid4().hex}
+        ).encode()
+        self.fence = 0
+        """Token of the record this instance holds, 0 if none."""
+
+    def record(self) -> ElectionRecord | None:
+        """Return the present record as the mirror shows it."""
+        entry = self._mirror.entries.get(self._key)
+        if entry is None:
+            return None
+        try:
+            data = json.loads(entry.value)
+            return ElectionRecord(str(data["owner"]), str(data["address"]), entry.revision)
+        except (ValueError, KeyError, TypeError) as exc:
+            log.error("the record cannot be read", key=self._key, why=repr(exc))
+            return None
+
+    def may_act(self) -> bool:
+        """Tell whether this instance holds the duty right now and may act on it."""
+        if not self.fence or self._clock() < self._act_from:
+            return False
+        return self._lease.is_valid() or (self._outlasts_lease and not self._mirror.synced)
+
+    async def run(self) -> None:
+        """Stand for the duty until cancelled."""
+        while True:
+            await asyncio.sleep(await self.step())
+
+    async def step(self) -> float:
+        """Do what is due now and return the seconds until the next step."""
+        if self.fence:
+            return await self._keep()
+        return await self._stand()
+
+    async def resign(self) -> None:
+        """Give the duty up, and stand for it no longer."""
+        self._standing = False
+        self.fence = 0
+        try:
+            await self._lease.release()
+        except CoordinationError as exc:
+            log.info("the lease could not be ended and will lapse", key=self._key, why=repr(exc))
+
+    async def _keep(self) -> float:
+        delay_s = await self._lease.step()
+        record = self.record()
+        gone = record is None and self._mirror.synced and self._mirror.revision >= self.fence
+        taken = record is not None and record.fence > self.fence
+        if gone or taken:
+            log.info("duty lost", key=self._key, fence=self.fence, taken=taken)
+            self.fence = 0
+            return STEP_S
+        return delay_s
+
+    async def _stand(self) -> float:
+        if not self._mirror.synced or not self._standing:
+            return STEP_S
+        now = self._clock()
+        record = self.record()
+        if record is not None and record.owner != self._name:
+            self._other_seen_at = now
+            self._absent_since = None
+            return STEP_S
+        if record is not None:
+            return await self._campaign(record.fence)
+        if self._absent_since is None:
+            self._absent_since = now
+            self._delay_s = self._rng.uniform(0.0, CAMPAIGN_S)
+        if now - self._absent_since < self._delay_s:
+            return self._delay_s - (now - self._absent_since)
+        return await self._campaign(ABSENT)
+
+    async def _campaign(self, expected: int) -> float:
+        try:
+            await self._lease.step()
+            if not self._lease.is_valid():
+                return RETRY_S
+            swap = await swap_surely(self._kv, self._key, self._value, expected, self._lease.lease)
+        except CoordinationError as exc:
+            log.info("could not stand for the duty", key=self._key, why=repr(exc))
+            return RETRY_S
+        if not swap.swapped:
+            return RETRY_S
+        self.fence = swap.revision
+        now = self._clock()
+        self._act_from = now if expected else max(now, self._other_seen_at + self._hold_off_s)
+        log.info(
+            "duty taken", key=self._key, fence=self.fence, acts_in_s=round(self._act_from - now, 2)
+        )
+        return STEP_S
--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -30,14 +30,27 @@
         Source of jitter for the way back after an outage.
     """
 
-    __slots__ = ("_backoff", "_kv", "_listeners", "_prefix", "entries", "revision", "synced")
+    __slots__ = (
+        "_backoff",
+        "_interrupted",
+        "_kv",
+        "_listeners",
+        "_prefix",
+        "entries",
+        "missing",
+        "revision",
+        "synced",
+    )
 
     def __init__(self, kv: KeyValue, prefix: str, rng: random.Random) -> None:
         self._kv = kv
         self._prefix = prefix
         self._backoff = Backoff(FIRST_DELAY_S, MOST_DELAY_S, rng)
+        self._interrupted = False
         self._listeners: list[t.Callable[[], None]] = []
         self.entries: dict[str, KvEntry] = {}
+        self.missing: set[str] = set()
+        """Keys that a listing after an outage lacked; no deletion of theirs was seen."""
         self.revision = 0
         self.synced = False
         """Whether the watch is running; False from an outage until the next listing."""
@@ -61,13 +74,19 @@
                 continue
             except CoordinationError:
                 self.synced = False
+                self._interrupted = True
                 await asyncio.sleep(self._backoff.next_delay())
 
     async def _list(self) -> None:
         listing = await self._kv.list(self._prefix)
         if listing.revision < self.revision:
             raise CoordinationError("the service answered from before what was already seen")
-        self.entries = {entry.key: entry for entry in listing.entries}
+        entries = {entry.key: entry for entry in listing.entries}
+        if self._interrupted:
+            self.missing |= self.entries.keys()
+        self.missing -= entries.keys()
+        self._interrupted = False
+        self.entries = entries
         self.revision = listing.revision
         self.synced = True
         self._notify()
@@ -77,6 +96,7 @@
             for event in events:
                 if event.revision <= self.revision and event.entry is None:
                     continue
+                self.missing.discard(event.key)
                 if event.entry is None:
                     self.entries.pop(event.key, None)
                 else:
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -0,0 +1,254 @@
+"""The daemon: its parts put together, its life from start to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import typing as t
+
+import logbook
+from gradelug_coordination import Election, KeyValue, LeaseKeeper, Mirror
+from gradelug_http import HttpPool, HttpServer, Incoming, ServerLimits
+from gradelug_policy import RetryBudget
+from gradelug_policy.residency import LoadWindow
+from gradelug_runtime.process import Tasks
+from grpclib.server import Server
+
+from .directory import Directory, PlannerAddress
+from .feed import EntryReader, Feed
+from .fleet import Fleet
+from .metrics import Meters
+from .model import EngineSpec, FleetState
+from .placement import Duty, PlacementService
+from .planner import Planner
+from .ports import Dialect, OrderTransport
+from .serving import Serving
+from .settings import GatewaySettings
+
+log = logbook.Logger("daemon")
+DUTY_PREFIX = "gradelug/planner/"
+LEASE_S = 1.8
+"""Time to live of a planner's lease: how long a lost one is missed at most."""
+UPKEEP_S = 0.5
+BUDGET_SHARE = 0.6
+"""Part of the repeated sendings that is given out; the rest covers instances that come and go."""
+GATEWAYS_GUESS = 9
+"""Instances among which the budget is shared until a planner tells how many there are."""
+WINDOW_EXTRA = 1
+"""Loads beyond the rate in a window; the weight store bears three, two are kept in reserve."""
+OUT_OF_ROTATION_S = 2.6
+"""After this the balancer has asked twice in vain and sends nothing new."""
+END_MARGIN_S = 0.4
+"""The process ends by itself this long before it would be killed."""
+POLL_S = 0.05
+METRICS_PATH = b"/metrics"
+
+
+class Daemon:
+    """One instance.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Of this instance.
+    kv : KeyValue
+        The platform's key-value service.
+    reader : EntryReader
+        Reads its entries.
+    dialect : Dialect
+        How callers and replicas speak.
+    transport : OrderTransport
+        Gives orders to engines.
+    pool : HttpPool
+        Connections to replicas.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        kv: KeyValue,
+        reader: EntryReader,
+        dialect: Dialect,
+        transport: OrderTransport,
+        pool: HttpPool,
+    ) -> None:
+        self.settings = settings
+        self._kv = kv
+        self._transport = transport
+        self._pool = pool
+        self._clock = asyncio.get_running_loop().time
+        self._rng = random.Random(settings.name)
+        self._tasks = Tasks()
+        self._stopping_at: float | None = None
+        self._state = FleetState()
+        self._mirror = Mirror(kv, "", self._rng)
+        self._feed = Feed(self._mirror, reader, self._state, self._clock)
+        self._feed.subscribe(self._on_change)
+        self._fleet = Fleet(self._state, settings.hall, self._clock)
+        self._duties: dict[str, Duty] = {}
+        self._directory = Directory(settings.name, self._fleet, self._clock, self._locate)
+        bounds = settings.bounds
+        self._budget = RetryBudget(bounds.retry_ratio * BUDGET_SHARE, self._burst(GATEWAYS_GUESS))
+        self._meters = Meters()
+        serving = Serving(
+            dialect, self._fleet, self._directory, pool, self._budget, self._meters,
+            self._clock, self._rng,
+        )
+        self._callers = HttpServer(serving.serve, self._limits, self._clock)
+        self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
+        self._peers = Server([PlacementService(self._duties)])
+        self._add_gauges()
+
+    async def run(self) -> bool:
+        """Serve until asked to stop; tell whether a background task failed."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        await self._start()
+        failure = asyncio.ensure_future(self._tasks.wait_for_failure())
+        stopped = asyncio.ensure_future(stop.wait())
+        await asyncio.wait([stopped, failure], return_when=asyncio.FIRST_COMPLETED)
+        failed = failure.done()
+        if not failed:
+            await self._drain()
+        await self._close()
+        return failed
+
+    async def _start(self) -> None:
+        addresses = self.settings.addresses
+        await self._status.start(*_split(addresses.status))
+        await self._peers.start(*_split(addresses.peers))
+        await self._callers.start(*_split(addresses.callers))
+        self._tasks.start(self._mirror.run(), "mirror")
+        self._tasks.start(self._upkeep(), "upkeep")
+        log.info("started", instance=self.settings.name, hall=self.settings.hall)
+
+    async def _drain(self) -> None:
+        """Take nothing new, end what runs, within the grace."""
+        began = self._stopping_at = self._clock()
+        log.info("stopping", requests=self._callers.in_progress)
+        self._callers.draining = True
+        await asyncio.gather(*(duty.election.resign() for duty in self._duties.values()))
+        end_at = began + self.settings.bounds.grace_s - END_MARGIN_S
+        while self._clock() < end_at:
+            out = self._clock() - began >= OUT_OF_ROTATION_S
+            if out:
+                self._callers.close_idle()
+            if out and not self._callers.in_progress:
+                break
+            await asyncio.sleep(POLL_S)
+        log.info(
+            "stopped", after_s=round(self._clock() - began, 2), cut=self._callers.in_progress
+        )
+
+    async def _close(self) -> None:
+        await self._directory.close()
+        await self._tasks.cancel()
+        await self._callers.close()
+        await self._status.close()
+        self._peers.close()
+        self._pool.close()
+
+    def _on_hangup(self) -> None:
+        log.info("reload asked for: nothing in the settings can change while this process runs")
+
+    def _on_change(self) -> None:
+        snapshot = self._state.snapshot
+        if snapshot is None:
+            return
+        for name, service in snapshot.services.items():
+            if service.engine is not None and name not in self._duties:
+                self._duties[name] = self._new_duty(name)
+                self._tasks.start(self._duties[name].run(), f"duty {name}")
+        self._directory.ensure(self._duties)
+        for duty in self._duties.values():
+            if duty.planner is not None:
+                duty.planner.refresh()
+
+    def _new_duty(self, service: str) -> Duty:
+        bounds = self.settings.bounds
+        lease = LeaseKeeper(self._kv, LEASE_S, self._clock, self._rng)
+        election = Election(
+            self._kv, self._mirror, f"{DUTY_PREFIX}{service}", self.settings.name,
+            self.settings.addresses.peers, lease, self._clock, self._rng,
+            bounds.holder_s, self.settings.first_start, bounds.fenced,
+        )
+        return Duty(election, lambda: self._new_planner(service))
+
+    def _new_planner(self, service: str) -> Planner:
+        bounds = self.settings.bounds
+        spec = self._engine_spec(service)
+        window = LoadWindow(
+            spec.loads_per_s, bounds.load_window_s, bounds.load_overage, WINDOW_EXTRA
+        )
+        window.assume_used(self._clock())
+        return Planner(
+            service, self.settings.name, spec, self._state, self._transport, window, self._clock
+        )
+
+    def _engine_spec(self, service: str) -> EngineSpec:
+        snapshot = self._state.snapshot
+        found = snapshot.services.get(service) if snapshot is not None else None
+        if found is None or found.engine is None:
+            # The service was taken out of the configuration: nothing may be loaded.
+            return EngineSpec((), 0.0, 0, 1, 0, 0.0)
+        return found.engine
+
+    def _locate(self, service: str) -> PlannerAddress | None:
+        duty = self._duties.get(service)
+        return duty.address() if duty is not None else None
+
+    def _limits(self) -> ServerLimits:
+        snapshot = self._state.snapshot
+        return snapshot.limits if snapshot is not None else ServerLimits()
+
+    def _burst(self, gateways: int) -> float:
+        return max(1.0, self.settings.bounds.retry_extra * BUDGET_SHARE / gateways)
+
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_S)
+            self._feed.refresh()
+            self._fleet.forget_gone()
+            self._pool.prune({rep.address for rep in self._state.replicas.values()})
+            self._budget.set_burst(self._burst(self._directory.gateways or GATEWAYS_GUESS))
+
+    # Status.
+
+    def _is_ready(self) -> bool:
+        known = self._state.snapshot is not None and bool(self._state.replicas)
+        return known and self._stopping_at is None
+
+    async def _serve_status(self, inc: Incoming) -> None:
+        if inc.target == METRICS_PATH:
+            inc.respond(200, [(b"Content-Type", b"text/plain")], self._meters.text())
+            return
+        inc.respond(200 if self._is_ready() else 503, [], b"")
+
+    def _add_gauges(self) -> None:
+        gauge = self._meters.gauge
+        gauge("requests_in_progress", "Requests now", lambda: self._callers.in_progress)
+        gauge("connections_opened", "Connections opened to replicas", lambda: self._pool.opened)
+        gauge("replicas", "Replicas known", lambda: len(self._state.replicas))
+        gauge("mirror_synced", "1 while the platform's watch runs", lambda: self._mirror.synced)
+        gauge("plans", "Services planned for", lambda: self._count_planned())
+
+    def _count_planned(self) -> int:
+        return sum(duty.planner is not None for duty in self._duties.values())
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def run(make: t.Callable[[], Daemon]) -> int:
+    """Run a daemon and return the process's exit status."""
+
+    async def main() -> bool:
+        return await make().run()
+
+    return 1 if asyncio.run(main()) else 0
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -0,0 +1,343 @@
+"""Where weights are: what the planner tells, and questions to it."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+from collections import Counter
+from dataclasses import dataclass
+
+import logbook
+from gradelug_wire import placement_pb2 as pb
+from gradelug_wire.placement_grpc import PlacementStub
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from .exceptions import Refused
+from .fleet import Fleet
+from .model import AdapterKey, Replica
+
+log = logbook.Logger("directory")
+FLUSH_S = 0.04
+"""Uses are told in messages of this spacing; an eviction may be decided on what is older."""
+IDLE_FLUSH_S = 0.5
+"""Without news a message goes out this often, so that both ends know of each other."""
+SILENT_S = 1.6
+"""A planner that sends nothing for three such messages is taken for lost."""
+RECONNECT_S = 0.1
+REFUSED_RETRY_S = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class PlannerAddress:
+    """Where a service's planner is.
+
+    Parameters
+    ----------
+    owner : str
+        Name of its instance.
+    address : str
+        ``IP:port``.
+    fence : int
+        Its fencing token.
+    """
+
+    owner: str
+    address: str
+    fence: int
+
+
+class _Question:
+    __slots__ = ("ask", "fut", "sent")
+
+    def __init__(self, ask: pb.Ask) -> None:
+        self.ask = ask
+        self.fut: asyncio.Future[pb.Answer] = asyncio.get_running_loop().create_future()
+        self.sent = False
+
+
+class PlannerLink:
+    """This instance's stream to the planner of one service."""
+
+    __slots__ = (
+        "_cancelled",
+        "_changed",
+        "_clock",
+        "_fleet",
+        "_instance",
+        "_questions",
+        "_started",
+        "_told_loads",
+        "_wake",
+        "active",
+        "gateways",
+        "service",
+    )
+
+    def __init__(
+        self, service: str, instance: str, fleet: Fleet, clock: t.Callable[[], float]
+    ) -> None:
+        self.service = service
+        self.active: Counter[tuple[str, AdapterKey]] = Counter()
+        """Requests of this instance by replica and weights."""
+        self.gateways = 0
+        """Instances that the planner knows, 0 if it has not told."""
+        self._instance = instance
+        self._fleet = fleet
+        self._clock = clock
+        self._questions: dict[int, _Question] = {}
+        self._cancelled: list[int] = []
+        self._changed: set[tuple[str, AdapterKey]] = set()
+        self._started: Counter[tuple[str, AdapterKey]] = Counter()
+        self._told_loads: dict[str, tuple[int, int]] = {}
+        self._wake = asyncio.Event()
+
+    async def ask(self, ticket: int, ask: pb.Ask, until: float) -> pb.Answer:
+        """Return the planner's answer; raises `TimeoutError` at `until`."""
+        question = self._questions[ticket] = _Question(ask)
+        self._wake.set()
+        try:
+            async with asyncio.timeout_at(until):
+                return await question.fut
+        finally:
+            del self._questions[ticket]
+            if question.sent and not question.fut.done():
+                self._cancelled.append(ticket)
+            elif question.fut.cancelled():
+                self._cancelled.append(ticket)
+
+    def note(self, replica: str, key: AdapterKey, change: int) -> None:
+        """Note that a request began (1) or ended (-1)."""
+        use = (replica, key)
+        self.active[use] += change
+        if change > 0:
+            self._started[use] += 1
+        self._changed.add(use)
+        self._wake.set()
+
+    async def follow(self, planner: PlannerAddress) -> None:
+        """Exchange messages with a planner until the stream breaks."""
+        host, _, port = planner.address.rpartition(":")
+        channel = Channel(host, int(port))
+        for question in self._questions.values():
+            question.sent = False
+        self._changed.update(self.active)
+        self._told_loads.clear()
+        try:
+            async with asyncio.timeout(SILENT_S) as limit:
+                async with PlacementStub(channel).Follow.open() as stream:
+                    await stream.send_message(self._message(True))
+                    sender = asyncio.create_task(self._send(stream))
+                    try:
+                        while (message := await stream.recv_message()) is not None:
+                            limit.reschedule(self._clock() + SILENT_S)
+                            self._take(message)
+                    finally:
+                        sender.cancel()
+        except (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError) as exc:
+            log.info("planner lost", service=self.service, owner=planner.owner, why=repr(exc))
+        finally:
+            channel.close()
+
+    async def _send(self, stream: t.Any) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_FLUSH_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            await stream.send_message(self._message(False))
+            await asyncio.sleep(FLUSH_S)
+
+    def _message(self, first: bool) -> pb.FromGateway:
+        message = pb.FromGateway()
+        if first:
+            message.instance = self._instance
+            message.service = self.service
+        for question in self._questions.values():
+            if not question.sent:
+                question.sent = True
+                message.asks.append(question.ask)
+        message.cancelled.extend(self._cancelled)
+        self._cancelled.clear()
+        for use in self._changed:
+            replica, key = use
+            message.uses.add(
+                replica=replica,
+                model=key.model,
+                adapter=key.adapter,
+                active=self.active[use],
+                started=self._started[use],
+            )
+            if not self.active[use]:
+                del self.active[use]
+        self._changed.clear()
+        self._started.clear()
+        self._add_loads(message)
+        return message
+
+    def _add_loads(self, message: pb.FromGateway) -> None:
+        for name, load in self._fleet.loads():
+            own = (load.starting, load.running)
+            if self._told_loads.get(name, (0, 0)) != own:
+                self._told_loads[name] = own
+                message.loads.add(replica=name, starting=own[0], running=own[1])
+
+    def _take(self, message: pb.FromPlanner) -> None:
+        self.gateways = message.gateways
+        directory = self._fleet.directory
+        if directory is None:
+            directory = self._fleet.directory = {}
+        for holdings in message.holdings:
+            directory[holdings.replica] = {
+                AdapterKey(held.model, held.adapter): held.version for held in holdings.held
+            }
+        for told in message.loads:
+            load = self._fleet.load(told.replica)
+            starting, running = self._told_loads.get(told.replica, (0, 0))
+            load.others_starting = max(0, told.starting - starting)
+            load.others_running = max(0, told.running - running)
+        for answer in message.answers:
+            question = self._questions.get(answer.ticket)
+            if question is not None and not question.fut.done():
+                question.fut.set_result(answer)
+
+
+class Directory:
+    """Asks planners for weights and tells them what is in use.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    fleet : Fleet
+        Takes what planners tell.
+    clock : callable
+        The runtime's clock.
+    locate : callable
+        Returns a service's planner, or None.
+    """
+
+    __slots__ = ("_clock", "_fleet", "_instance", "_links", "_locate", "_tasks", "_ticket")
+
+    def __init__(
+        self,
+        instance: str,
+        fleet: Fleet,
+        clock: t.Callable[[], float],
+        locate: t.Callable[[str], PlannerAddress | None],
+    ) -> None:
+        self._instance = instance
+        self._fleet = fleet
+        self._clock = clock
+        self._locate = locate
+        self._links: dict[str, PlannerLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._ticket = 0
+
+    @property
+    def gateways(self) -> int:
+        """Instances that share the work, 0 if unknown."""
+        return max((link.gateways for link in self._links.values()), default=0)
+
+    async def place(
+        self,
+        service: str,
+        key: AdapterKey,
+        *,
+        rank: int,
+        until: float,
+        excluded: t.Collection[str],
+        only: t.Container[str] | None,
+        absent: str,
+    ) -> Replica:
+        """Return a replica on which weights can be used.
+
+        Parameters
+        ----------
+        rank : int
+            Urgency, 0 first.
+        until : float
+            By the runtime's clock; `TimeoutError` is raised then.
+        excluded : collection of str
+            Replicas that must not run it.
+        only : container of str or None
+            Replicas that may run it; None for any.
+        absent : str
+            A replica that said it lacks the weights.
+
+        Raises
+        ------
+        Refused
+            If the planner says that it cannot be placed.
+        """
+        link = self._link(service)
+        while True:
+            self._ticket += 1
+            ask = pb.Ask(
+                ticket=self._ticket,
+                model=key.model,
+                adapter=key.adapter,
+                rank=rank,
+                wait_ms=max(0, round((until - self._clock()) * 1000)),
+                excluded=sorted(excluded),
+                only=_first(only),
+                absent=absent,
+            )
+            answer = await link.ask(self._ticket, ask, until)
+            if not answer.replica:
+                raise Refused(answer.reason, answer.retry_after_ms / 1000 or REFUSED_RETRY_S)
+            replica = self._fleet.state.replicas.get(answer.replica)
+            if replica is not None and not replica.leaving:
+                self._fleet.directory = self._fleet.directory or {}
+                self._fleet.directory.setdefault(replica.name, {})[key] = answer.version
+                return replica
+            await asyncio.sleep(FLUSH_S)
+
+    def note_begin(self, replica: str, key: AdapterKey) -> None:
+        """Note that a request is being sent to a replica."""
+        self._note(replica, key, 1)
+
+    def note_end(self, replica: str, key: AdapterKey) -> None:
+        """Note that a request has left a replica."""
+        self._note(replica, key, -1)
+
+    def ensure(self, services: t.Iterable[str]) -> None:
+        """Keep a link to the planner of each of these services."""
+        for service in services:
+            self._link(service)
+
+    async def close(self) -> None:
+        """End every link."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _note(self, replica: str, key: AdapterKey, change: int) -> None:
+        known = self._fleet.state.replicas.get(replica)
+        for link in self._links.values():
+            if (known is not None and known.service == link.service) or (
+                known is None and (replica, key) in link.active
+            ):
+                link.note(replica, key, change)
+
+    def _link(self, service: str) -> PlannerLink:
+        link = self._links.get(service)
+        if link is None:
+            link = PlannerLink(service, self._instance, self._fleet, self._clock)
+            self._links[service] = link
+            self._tasks[service] = asyncio.create_task(self._keep(link))
+        return link
+
+    async def _keep(self, link: PlannerLink) -> None:
+        while True:
+            planner = self._locate(link.service)
+            if planner is not None:
+                await link.follow(planner)
+            await asyncio.sleep(RECONNECT_S)
+
+
+def _first(names: t.Container[str] | None) -> str:
+    return "" if names is None else next(iter(t.cast(t.Collection[str], names)), "")
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -0,0 +1,187 @@
+"""One engine as its planner keeps it: places, orders in their sequence, doubts."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+from collections import Counter, OrderedDict
+from enum import Enum
+
+import logbook
+
+from .model import AdapterKey, EngineReport, EngineSpec, Holding, Order, OrderOutcome, Replica
+from .ports import OrderTransport
+
+log = logbook.Logger("engine")
+HOST_ADAPTERS = 36
+"""Adapters that an engine's host memory is taken to keep; what it says itself goes first."""
+REPORT_LAG_S = 0.35
+"""A report shows the state of some hundred ms ago."""
+LOADS_AT_ONCE = 4
+"""Adapters that may be on their way to an engine."""
+IDLE_S = 0.12
+"""An adapter makes way when it was unused this long: uses are told with a delay."""
+
+
+class Phase(Enum):
+    """What may be done with weights in a place."""
+
+    LOADING = "loading"
+    READY = "ready"
+    LEAVING = "leaving"
+    """No new requests; it goes when its requests have ended."""
+
+
+class Place:
+    """A place of an engine with weights in it."""
+
+    __slots__ = ("phase", "ready_at", "used_at", "version")
+
+    def __init__(self, version: int, phase: Phase, now: float) -> None:
+        self.version = version
+        self.phase = phase
+        self.ready_at = now
+        self.used_at = now
+
+
+class Engine:
+    """State of an engine.
+
+    Parameters
+    ----------
+    replica : Replica
+        As it says of itself.
+    spec : EngineSpec
+        What replicas of its service are like.
+    """
+
+    __slots__ = (
+        "active",
+        "cached",
+        "loads",
+        "lock",
+        "orders",
+        "places",
+        "replica",
+        "spec",
+        "synced",
+        "syncing",
+    )
+
+    def __init__(self, replica: Replica, spec: EngineSpec) -> None:
+        self.replica = replica
+        self.spec = spec
+        self.orders = 0
+        self.places: dict[AdapterKey, Place] = {}
+        self.cached: OrderedDict[Holding, None] = OrderedDict()
+        self.active: dict[AdapterKey, Counter[int]] = {}
+        """Requests by weights and gateway."""
+        self.loads: dict[int, tuple[int, int]] = {}
+        """Requests before and after their first event, by gateway."""
+        self.lock = asyncio.Lock()
+        """Held while an order is on its way: each names how many came before it."""
+        self.synced = False
+        """Whether places and number of orders are known."""
+        self.syncing = False
+
+    @property
+    def starting(self) -> int:
+        """Requests before their first event."""
+        return sum(starting for starting, _ in self.loads.values())
+
+    @property
+    def running(self) -> int:
+        """Requests after their first event."""
+        return sum(running for _, running in self.loads.values())
+
+    def users(self, key: AdapterKey) -> int:
+        """Return how many requests use weights."""
+        counts = self.active.get(key)
+        return sum(counts.values()) if counts else 0
+
+    def holds(self, key: AdapterKey) -> bool:
+        """Tell whether weights can be used now."""
+        place = self.places.get(key)
+        return place is not None and place.phase is Phase.READY
+
+    def has_base(self, model: str) -> bool:
+        """Tell whether a base model can be used now."""
+        return self.holds(AdapterKey(model))
+
+    def adapters(self) -> t.Iterator[tuple[AdapterKey, Place]]:
+        """Yield the adapters in places."""
+        return ((key, place) for key, place in self.places.items() if key.adapter)
+
+    def free(self) -> int:
+        """Return the number of empty places for adapters."""
+        return self.spec.adapter_slots - sum(1 for _ in self.adapters())
+
+    def loading(self) -> int:
+        """Return how many adapters are on their way."""
+        return sum(place.phase is Phase.LOADING for _, place in self.adapters())
+
+    def idle(self, now: float) -> list[AdapterKey]:
+        """Return the adapters that can make way."""
+        return [
+            key
+            for key, place in self.adapters()
+            if place.phase is not Phase.LOADING
+            and not self.users(key)
+            and now - place.used_at >= IDLE_S
+        ]
+
+    def is_cached(self, key: AdapterKey, version: int) -> bool:
+        """Tell whether host memory keeps an adapter at a version."""
+        return Holding(key, version) in self.cached
+
+    def remember(self, holding: Holding) -> None:
+        """Note that host memory has a copy now."""
+        self.cached[holding] = None
+        self.cached.move_to_end(holding)
+        while len(self.cached) > HOST_ADAPTERS:
+            self.cached.popitem(last=False)
+
+    def take_report(self, report: EngineReport, now: float) -> None:
+        """Take over what the engine reports."""
+        self.orders = report.orders
+        known = self.places
+        self.places = {}
+        for holding in report.holdings:
+            old = known.get(holding.key)
+            place = Place(holding.version, Phase.READY, now)
+            if old is not None:
+                place.used_at = old.used_at
+            self.places[holding.key] = place
+        for holding in report.loading:
+            self.places[holding.key] = Place(holding.version, Phase.LOADING, now)
+        for holding in report.cached:
+            self.remember(holding)
+        self.synced = not report.busy and not report.loading
+
+    async def give(
+        self,
+        transport: OrderTransport,
+        load: bool,
+        key: AdapterKey,
+        version: int,
+        owner: str,
+        fence: int,
+    ) -> OrderOutcome:
+        """Give an order; the lock must be held. Doubtful outcomes leave it unsynced."""
+        order = Order(load, key, version, self.orders, owner, fence)
+        outcome = await transport.order(self.replica, order)
+        if outcome in (OrderOutcome.TAKEN, OrderOutcome.HOLDS):
+            self.orders += 1
+        else:
+            self.synced = False
+        log.info(
+            "order",
+            replica=self.replica.name,
+            load=load,
+            weights=key.text,
+            version=version,
+            expected=order.expected,
+            fence=fence,
+            outcome=outcome.value,
+        )
+        return outcome
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -0,0 +1,159 @@
+"""Replicas as this instance sees them: who is usable, how busy, how reliable."""
+
+from __future__ import annotations
+
+import math
+import typing as t
+
+from gradelug_policy import Circuit
+
+from .model import AdapterKey, FleetState, Holding, Replica
+
+FAILURE_WEIGHT = 0.25
+"""Share of the newest outcome in a replica's failure rate."""
+FAILURE_HALF_LIFE_S = 4.0
+"""A replica that is avoided gets no new outcomes; its failures count half after this."""
+FAILURE_COST = 12.0
+"""A replica that always fails is taken for one with so many more requests waiting."""
+OTHER_HALL_COST = 0.3
+"""A nearer replica wins among equals only: bytes between halls have a price."""
+RUNNING_COST = 0.06
+"""A running stream slows a new request down by this part of one that waits for its prompt."""
+CIRCUIT_FAILURES = 3
+CIRCUIT_OPEN_S = 1.5
+
+
+class Health:
+    """Outcomes of the requests that were sent to a replica."""
+
+    __slots__ = ("_at", "_rate", "circuit")
+
+    def __init__(self) -> None:
+        self.circuit = Circuit(CIRCUIT_FAILURES, CIRCUIT_OPEN_S)
+        self._rate = 0.0
+        self._at = 0.0
+
+    def rate(self, now: float) -> float:
+        """Return the part of requests that failed lately, 0 to 1."""
+        return self._rate * math.exp2(-(now - self._at) / FAILURE_HALF_LIFE_S)
+
+    def note(self, failed: bool, now: float) -> None:
+        """Take an outcome into account."""
+        rate = self.rate(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * failed
+        self._rate, self._at = rate, now
+        if failed:
+            self.circuit.note_failure(now)
+        else:
+            self.circuit.note_success()
+
+
+class ReplicaLoad:
+    """Requests at a replica."""
+
+    __slots__ = ("others_running", "others_starting", "running", "starting")
+
+    def __init__(self) -> None:
+        self.starting = 0
+        """Sent by this instance, no answer yet."""
+        self.running = 0
+        """Sent by this instance, answers coming."""
+        self.others_starting = 0
+        self.others_running = 0
+
+    def cost(self) -> float:
+        """Return how much is before a new request, in requests."""
+        starting = self.starting + self.others_starting
+        return starting + RUNNING_COST * (self.running + self.others_running)
+
+
+class Fleet:
+    """Chooses replicas.
+
+    Parameters
+    ----------
+    state : FleetState
+        What the platform has told.
+    hall : str
+        Where this instance stands.
+    clock : callable
+        The runtime's clock.
+    """
+
+    __slots__ = ("_clock", "_hall", "_health", "_loads", "directory", "state")
+
+    def __init__(self, state: FleetState, hall: str, clock: t.Callable[[], float]) -> None:
+        self.state = state
+        self._hall = hall
+        self._clock = clock
+        self._health: dict[str, Health] = {}
+        self._loads: dict[str, ReplicaLoad] = {}
+        self.directory: dict[str, dict[AdapterKey, int]] | None = None
+        """Weights usable on each replica as the planner tells; None without a planner."""
+
+    def health(self, replica: str) -> Health:
+        """Return a replica's record."""
+        return self._health.setdefault(replica, Health())
+
+    def load(self, replica: str) -> ReplicaLoad:
+        """Return what runs at a replica."""
+        return self._loads.setdefault(replica, ReplicaLoad())
+
+    def loads(self) -> t.Iterator[tuple[str, ReplicaLoad]]:
+        """Yield what runs at each replica."""
+        return iter(self._loads.items())
+
+    def usable(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that take new work."""
+        replicas = self.state.replicas.values()
+        return [rep for rep in replicas if rep.service == service and not rep.leaving]
+
+    def holders(self, service: str, key: AdapterKey) -> list[Replica]:
+        """Return the replicas of a service on which weights can be used now."""
+        return [rep for rep in self.usable(service) if self.version(rep, key) is not None]
+
+    def version(self, replica: Replica, key: AdapterKey) -> int | None:
+        """Return the version of usable weights on a replica, None if there are none."""
+        newest = self.state.versions.get(key, 0)
+        if self.directory is not None and replica.name in self.directory:
+            held = self.directory[replica.name].get(key)
+        else:
+            held = _told_version(replica.holdings, key)
+        return held if held is not None and held >= newest else None
+
+    def choose(
+        self,
+        replicas: t.Iterable[Replica],
+        excluded: t.Container[str] = (),
+        only: t.Container[str] | None = None,
+    ) -> Replica | None:
+        """Return the replica at which a request waits least, None if none may be used."""
+        now = self._clock()
+        best, least = None, math.inf
+        for rep in replicas:
+            if rep.name in excluded or (only is not None and rep.name not in only):
+                continue
+            if not self.health(rep.name).circuit.allows(now):
+                continue
+            cost = self.cost(rep, now)
+            if cost < least:
+                best, least = rep, cost
+        return best
+
+    def cost(self, replica: Replica, now: float) -> float:
+        """Return how long a request would wait at a replica, in requests before it."""
+        cost = self.load(replica.name).cost()
+        cost += FAILURE_COST * self.health(replica.name).rate(now)
+        return cost + (OTHER_HALL_COST if replica.hall != self._hall else 0.0)
+
+    def forget_gone(self) -> None:
+        """Drop the records of replicas that are gone and at which nothing runs."""
+        known = self.state.replicas
+        for name in [name for name in self._health if name not in known]:
+            del self._health[name]
+        for name, load in list(self._loads.items()):
+            if name not in known and not load.starting and not load.running:
+                del self._loads[name]
+
+
+def _told_version(holdings: t.Iterable[Holding], key: AdapterKey) -> int | None:
+    return next((held.version for held in holdings if held.key == key), None)
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -0,0 +1,56 @@
+"""Counters and latency histograms of the daemon, as text for whoever asks."""
+
+from __future__ import annotations
+
+import typing as t
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0)
+
+
+class Meters:
+    """What the daemon counts.
+
+    Parameters
+    ----------
+    gauges : mapping of str to callable
+        Read whenever the figures are asked for.
+    """
+
+    __slots__ = ("_first", "_latency", "_outcomes", "_registry")
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._outcomes = Counter(
+            "gradelug_requests", "Requests by route and end", ["route", "end"],
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "gradelug_request_seconds", "From arrival to the last byte", ["kind"],
+            buckets=BUCKETS_S, registry=self._registry,
+        )
+        self._first = Histogram(
+            "gradelug_first_event_seconds", "From arrival to a stream's first event",
+            buckets=BUCKETS_S, registry=self._registry,
+        )
+
+    def gauge(self, name: str, text: str, read: t.Callable[[], float]) -> None:
+        """Add a figure that is read whenever somebody asks."""
+        Gauge(f"gradelug_{name}", text, registry=self._registry).set_function(read)
+
+    def outcome(self, route: str, end: str) -> None:
+        """Count a request's end."""
+        self._outcomes.labels(route, end).inc()
+
+    def latency(self, streaming: bool, seconds: float) -> None:
+        """Take a served request's time."""
+        self._latency.labels("stream" if streaming else "whole").observe(seconds)
+
+    def first_event(self, seconds: float) -> None:
+        """Take the time of a stream's first event."""
+        self._first.observe(seconds)
+
+    def text(self) -> bytes:
+        """Return all figures in the text format of Prometheus."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -0,0 +1,126 @@
+"""Being a service's planner: elected, reached by the other instances, replaced when lost."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+import logbook
+from gradelug_coordination import Election
+from gradelug_wire import placement_pb2 as pb
+from gradelug_wire.placement_grpc import PlacementBase
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from .directory import PlannerAddress
+from .planner import Gateway, Planner
+
+log = logbook.Logger("placement")
+SPACING_S = 0.03
+"""Answers go out at once, then further news is gathered this long."""
+NEWS_S = 0.25
+"""Loads of replicas are told this often."""
+LOOK_S = 0.05
+
+
+class Duty:
+    """The duty of planning for one service, held or not.
+
+    Parameters
+    ----------
+    election : Election
+        Decides who holds it.
+    make : callable
+        Makes a fresh planner.
+    """
+
+    __slots__ = ("_make", "election", "planner")
+
+    def __init__(self, election: Election, make: t.Callable[[], Planner]) -> None:
+        self.election = election
+        self._make = make
+        self.planner: Planner | None = None
+
+    def address(self) -> PlannerAddress | None:
+        """Return where the planner is."""
+        record = self.election.record()
+        return PlannerAddress(record.owner, record.address, record.fence) if record else None
+
+    async def run(self) -> None:
+        """Stand for the duty and plan while it is held, until cancelled."""
+        standing = asyncio.create_task(self.election.run())
+        try:
+            while True:
+                if self.election.fence:
+                    await self._hold()
+                await asyncio.sleep(LOOK_S)
+        finally:
+            standing.cancel()
+
+    async def _hold(self) -> None:
+        fence = self.election.fence
+        planner = self.planner = self._make()
+        planning = asyncio.create_task(planner.run())
+        acted = False
+        try:
+            while self.election.fence == fence and not planning.done():
+                may_act = self.election.may_act()
+                if may_act != acted:
+                    acted = may_act
+                    planner.fence = fence if may_act else 0
+                    log.info("planner", service=planner.service, fence=fence, acts=may_act)
+                await asyncio.sleep(LOOK_S)
+        finally:
+            planner.fence = 0
+            planning.cancel()
+            self.planner = None
+
+
+class PlacementService(PlacementBase):
+    """Serves the streams of gateways.
+
+    Parameters
+    ----------
+    duties : mapping of str to Duty
+        By service.
+    """
+
+    def __init__(self, duties: t.Mapping[str, Duty]) -> None:
+        self._duties = duties
+
+    async def Follow(self, stream: t.Any) -> None:  # noqa: N802
+        """Exchange messages with a gateway until either end leaves."""
+        first = await stream.recv_message()
+        if first is None:
+            return
+        duty = self._duties.get(first.service)
+        planner = duty.planner if duty is not None else None
+        if planner is None:
+            raise GRPCError(Status.UNAVAILABLE, "this instance does not plan for the service")
+        gateway = planner.join()
+        gateway.instance = first.instance
+        planner.take(gateway, first)
+        telling = asyncio.create_task(_tell(stream, planner, gateway))
+        try:
+            while (message := await stream.recv_message()) is not None:
+                planner.take(gateway, message)
+                if duty is not None and duty.planner is not planner:
+                    return
+        except StreamTerminatedError as exc:
+            log.info("gateway left", instance=gateway.instance, why=str(exc))
+        finally:
+            telling.cancel()
+            planner.leave(gateway)
+
+
+async def _tell(stream: t.Any, planner: Planner, gateway: Gateway) -> None:
+    while True:
+        await stream.send_message(planner.compose(gateway))
+        await asyncio.sleep(SPACING_S)
+        try:
+            async with asyncio.timeout(NEWS_S):
+                await gateway.wake.wait()
+        except TimeoutError:
+            # Nothing to answer; the loads are told all the same.
+            pass
+        gateway.wake.clear()
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -0,0 +1,49 @@
+"""What the daemon needs of a platform; an adapter for one implements these."""
+
+from __future__ import annotations
+
+import typing as t
+
+from gradelug_http import Header, Incoming, OutgoingRequest, ResponseHead
+
+from .model import Attempt, EngineReport, Order, OrderOutcome, Replica, Request, Verdict
+
+
+class BadRequest(Exception):
+    """A request cannot be read; the message says why."""
+
+
+class OrderTransport(t.Protocol):
+    """Gives orders to engines and reads their state."""
+
+    async def order(self, replica: Replica, order: Order) -> OrderOutcome:
+        """Give an order."""
+        ...
+
+    async def report(self, replica: Replica) -> EngineReport | None:
+        """Return the engine's state, None if it cannot be had."""
+        ...
+
+
+class Dialect(t.Protocol):
+    """How callers and replicas speak HTTP on a platform."""
+
+    def read_request(self, inc: Incoming) -> Request:
+        """Return what a caller asks; raises `BadRequest`."""
+        ...
+
+    def outgoing(self, req: Request, attempt: Attempt) -> OutgoingRequest:
+        """Return the request as it goes to a replica."""
+        ...
+
+    def is_own(self, head: ResponseHead, req: Request) -> bool:
+        """Tell whether an answer belongs to the request."""
+        ...
+
+    def judge(self, head: ResponseHead, replica: Replica) -> Verdict:
+        """Return what an answer's head says."""
+        ...
+
+    def refusal(self, request_id: str, retry_after_s: float | None) -> list[Header]:
+        """Return the headers of an answer of our own."""
+        ...
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/routing.py
@@ -0,0 +1,40 @@
+"""Choosing a route by host and path, and a service by the route's shares."""
+
+from __future__ import annotations
+
+import random
+import typing as t
+
+from .model import Route
+
+
+class RouteTable:
+    """Routes by host; the longest prefix that begins the path wins.
+
+    Parameters
+    ----------
+    routes : iterable of Route
+        All routes of a configuration.
+    """
+
+    __slots__ = ("_by_host",)
+
+    def __init__(self, routes: t.Iterable[Route]) -> None:
+        self._by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Return the service of one request, drawn by the weights of the route's shares."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return rng.choices(route.shares, weights)[0].service
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -0,0 +1,73 @@
+"""Settings of the daemon."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Addresses:
+    """Where the daemon listens, as ``IP:port``.
+
+    Parameters
+    ----------
+    callers : str
+        For callers' requests.
+    status : str
+        For readiness and metrics.
+    peers : str
+        For other instances.
+    """
+
+    callers: str
+    status: str
+    peers: str
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """What the operators of the fleet ask for.
+
+    Parameters
+    ----------
+    grace_s : float
+        From a request to stop until the process is killed, in seconds.
+    holder_s : float
+        Two holders of a duty must not act within this time of each other, in seconds.
+    fenced : bool
+        Whether engines check fencing tokens.
+    retry_ratio : float
+        Repeated sendings that all instances together may make per request.
+    retry_extra : float
+        Repeated sendings beyond that in a window.
+    load_window_s, load_overage : float
+        Window in which loads from the weight store are counted, in seconds, and the factor by
+        which they may exceed its rate.
+    """
+
+    grace_s: float = 8.0
+    holder_s: float = 3.0
+    fenced: bool = False
+    retry_ratio: float = 0.2
+    retry_extra: float = 10.0
+    load_window_s: float = 5.0
+    load_overage: float = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class GatewaySettings:
+    """What an instance must know of itself.
+
+    Parameters
+    ----------
+    name, hall : str
+        The instance, and where it stands.
+    first_start : bool
+        Whether the whole system starts for the first time.
+    """
+
+    name: str
+    hall: str
+    addresses: Addresses
+    bounds: Bounds
+    first_start: bool = False
--- /dev/null
+++ b/packages/http/src/gradelug_http/exceptions.py
@@ -0,0 +1,19 @@
+"""Errors of the HTTP package."""
+
+from __future__ import annotations
+
+
+class HttpError(Exception):
+    """Base class of everything this package raises."""
+
+
+class ConnectFailed(HttpError):
+    """No connection came up, so nothing was sent."""
+
+
+class ResponseBroken(HttpError):
+    """The request was sent and its answer is missing, cut short or malformed."""
+
+
+class ClientGone(HttpError):
+    """The client has closed its connection."""
--- /dev/null
+++ b/packages/http/src/gradelug_http/server.py
@@ -0,0 +1,368 @@
+"""An HTTP/1.1 server that hands over whole requests and answers them part by part."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+from dataclasses import dataclass
+
+import h11
+
+from .exceptions import ClientGone
+from .headers import Header, Headers, find
+
+IDLE_SLACK = 1.25
+"""Idle connections are closed this much later than stated, for clients that are slow to know."""
+SWEEP_S = 0.25
+LINGER_S = 0.5
+"""After a refusal, what still arrives is read this long so that the client sees its answer."""
+UNSENT_BYTES = 262_144
+"""A client that has this much unread holds its upstream up."""
+
+
+@dataclass(slots=True, frozen=True)
+class ServerLimits:
+    """Bounds on what clients send.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+        Longest head and body.
+    header_s : float
+        How long a request may take to arrive, in seconds.
+    idle_s : float
+        How long a connection may rest, in seconds.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+Serve = t.Callable[["Incoming"], t.Awaitable[None]]
+
+
+class HttpServer:
+    """Accepts connections and runs `serve` in a task for each request.
+
+    Parameters
+    ----------
+    serve : callable
+        Coroutine function that answers an `Incoming`; cancelled when the client leaves.
+    limits : callable
+        Returns the limits in force.
+    clock : callable
+        The runtime's clock.
+    """
+
+    def __init__(
+        self, serve: Serve, limits: t.Callable[[], ServerLimits], clock: t.Callable[[], float]
+    ) -> None:
+        self.serve = serve
+        self.limits = limits
+        self.clock = clock
+        self.draining = False
+        """Whether each connection is closed after its next answer."""
+        self.connections: set[_ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen, and return the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _ServerConnection(self), host, port, backlog=1024
+        )
+        self._sweep()
+        return int(self._server.sockets[0].getsockname()[1])
+
+    @property
+    def in_progress(self) -> int:
+        """Requests being served."""
+        return sum(conn.task is not None for conn in self.connections)
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is being received or served."""
+        for conn in list(self.connections):
+            if conn.is_idle():
+                conn.close()
+
+    async def close(self) -> None:
+        """Stop listening and end everything at once."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is not None:
+            self._server.close()
+        tasks = [conn.task for conn in self.connections if conn.task is not None]
+        for conn in list(self.connections):
+            conn.abort()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _sweep(self) -> None:
+        now = self.clock()
+        limits = self.limits()
+        for conn in list(self.connections):
+            conn.check_time(now, limits)
+        self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
+
+
+class _ServerConnection(asyncio.Protocol):
+    """One client's connection."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task[None] | None = None
+        self._limits = server.limits()
+        self._h11 = self._new_parser()
+        self._req: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._size = 0
+        self._began_at: float | None = None
+        self._rested_at = server.clock()
+        self._refused_at: float | None = None
+        self._drained: asyncio.Future[None] | None = None
+        self._paused = False
+        self._gone = False
+
+    # Called by the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = t.cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._gone = True
+        self.server.connections.discard(self)
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+        if self.task is not None:
+            self.task.cancel()
+
+    def eof_received(self) -> bool:
+        # A client that closes its side has left: nobody waits for the answer.
+        return False
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+
+    def data_received(self, data: bytes) -> None:
+        if self._refused_at is not None:
+            return
+        if self._began_at is None:
+            self._began_at = self.server.clock()
+        self._h11.receive_data(data)
+        if self.task is None:
+            self._parse()
+
+    # Used by the server and by requests.
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing is being received or served."""
+        return self.task is None and self._began_at is None
+
+    def close(self) -> None:
+        """Close after what was written has been sent."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def check_time(self, now: float, limits: ServerLimits) -> None:
+        """Refuse a request that arrives too slowly, close a connection that rests too long."""
+        if self._refused_at is not None:
+            if now - self._refused_at > LINGER_S:
+                self.close()
+        elif self.task is not None:
+            return
+        elif self._began_at is not None:
+            if now - self._began_at > limits.header_s:
+                self._refuse(408)
+        elif now - self._rested_at > limits.idle_s * IDLE_SLACK:
+            self.close()
+
+    def write(self, data: bytes | None) -> None:
+        """Send bytes; raises `ClientGone`."""
+        if self._gone or self.transport is None or self.transport.is_closing():
+            raise ClientGone("the client has closed its connection")
+        if data:
+            self.transport.write(data)
+
+    def send_event(self, event: t.Any) -> None:
+        """Send a part of an answer; raises `ClientGone`."""
+        self.write(self._h11.send(event))
+
+    async def wait_sent(self) -> None:
+        """Wait until the client has read enough."""
+        if not self._paused or self._gone:
+            return
+        self._drained = asyncio.get_running_loop().create_future()
+        await self._drained
+
+    def finished(self) -> None:
+        """Go on with the connection's next request after a whole answer."""
+        self.task = None
+        if self._gone:
+            return
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            self.close()
+            return
+        self._h11.start_next_cycle()
+        self._limits = self.server.limits()
+        self._req = None
+        self._body = []
+        self._size = 0
+        self._rested_at = self.server.clock()
+        waiting = bool(self._h11.trailing_data[0])
+        self._began_at = self._rested_at if waiting else None
+        self._parse()
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.header_bytes)
+
+    def _parse(self) -> None:
+        while self._refused_at is None:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                self._refuse(exc.error_status_hint)
+                return
+            if event is h11.NEED_DATA:
+                if self._h11.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    self.write(self._h11.send(go_on))
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            self._take(event)
+
+    def _take(self, event: t.Any) -> None:
+        if isinstance(event, h11.Request):
+            self._req = event
+            headers = list(event.headers)
+            if find(headers, b"transfer-encoding") and find(headers, b"content-length"):
+                # Whoever stands before us may frame such a request in another way.
+                self._refuse(400)
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._size += len(event.data)
+            if self._size > self._limits.body_bytes:
+                self._refuse(413)
+        elif isinstance(event, h11.EndOfMessage):
+            self._start()
+
+    def _start(self) -> None:
+        assert self._req is not None
+        began_at = self._began_at if self._began_at is not None else self.server.clock()
+        inc = Incoming(self, self._req, b"".join(self._body), began_at)
+        self._began_at = None
+        self.task = asyncio.get_running_loop().create_task(self._run(inc))
+
+    async def _run(self, inc: Incoming) -> None:
+        try:
+            await self.server.serve(inc)
+        except ClientGone:
+            self.abort()
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        except Exception:
+            # Whatever was sent so far must not look complete.
+            self.abort()
+            raise
+        if inc.ended:
+            self.finished()
+        else:
+            self.task = None
+            self.abort()
+
+    def _refuse(self, status: int) -> None:
+        self._refused_at = self.server.clock()
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            self.write(self._h11.send(h11.Response(status_code=status, headers=headers)))
+            self.write(self._h11.send(h11.EndOfMessage()))
+
+
+class Incoming:
+    """A request that arrived whole, and the way to answer it.
+
+    Parameters
+    ----------
+    conn : _ServerConnection
+        Where it came in.
+    req : h11.Request
+        Its head.
+    body : bytes
+        Its body, without framing.
+    arrived_at : float
+        When its first byte came, by the runtime's clock.
+    """
+
+    __slots__ = (
+        "_conn",
+        "arrived_at",
+        "body",
+        "ended",
+        "headers",
+        "method",
+        "started",
+        "target",
+    )
+
+    def __init__(
+        self, conn: _ServerConnection, req: h11.Request, body: bytes, arrived_at: float
+    ) -> None:
+        self._conn = conn
+        self.method = req.method
+        self.target = req.target
+        self.headers: tuple[Header, ...] = tuple(req.headers.raw_items())
+        self.body = body
+        self.arrived_at = arrived_at
+        self.started = False
+        """Whether an answer has begun."""
+        self.ended = False
+        """Whether the answer is whole."""
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return a header's first value, `name` in lower case."""
+        return find(self.headers, name)
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Answer whole; raises `ClientGone`."""
+        self._head(status, [*headers, (b"Content-Length", b"%d" % len(body))])
+        if body and self.method != b"HEAD":
+            self._conn.send_event(h11.Data(data=body))
+        self.finish()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Begin an answer of unknown length; raises `ClientGone`."""
+        self._head(status, headers)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part, waiting for a client that reads slowly; raises `ClientGone`."""
+        self._conn.send_event(h11.Data(data=data))
+        await self._conn.wait_sent()
+
+    def finish(self) -> None:
+        """End the answer as whole; raises `ClientGone`."""
+        self._conn.send_event(h11.EndOfMessage())
+        self.ended = True
+
+    def _head(self, status: int, headers: Headers) -> None:
+        sent = [*headers]
+        if self._conn.server.draining:
+            sent.append((b"Connection", b"close"))
+        self.started = True
+        self._conn.send_event(h11.Response(status_code=status, headers=sent))
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/residency.py
@@ -0,0 +1,151 @@
+"""Which engine takes in which adapter, and what makes way: pure decisions.
+
+Engines have few places for adapters. Their host memory keeps adapters that were there lately and
+loads them much faster than the weight store, which bears few loads at once.
+"""
+
+from __future__ import annotations
+
+import math
+import typing as t
+from collections import deque
+from dataclasses import dataclass
+
+from .placement import affinity
+
+QUEUE_COST_S = 0.1
+"""Time that each request before the first event adds: reading a prompt of 1,800 tokens."""
+RUNNING_COST_S = 0.006
+"""Time that each running stream adds to that."""
+MISSED_COST_S = 0.15
+"""Cost of evicting an adapter per request a second that it will be missed for."""
+SAME_S = 0.004
+"""Costs this near to each other are taken for equal and decided by hashing."""
+
+
+@dataclass(slots=True, frozen=True)
+class Victim:
+    """An adapter that could make way.
+
+    Parameters
+    ----------
+    key : str
+        Which.
+    rate : float
+        Requests a second for it.
+    """
+
+    key: str
+    rate: float
+
+
+@dataclass(slots=True, frozen=True)
+class EnginePlaces:
+    """What decides whether an engine takes an adapter in.
+
+    Parameters
+    ----------
+    name : str
+        Which engine.
+    free : int
+        Empty places.
+    victims : tuple of Victim
+        Adapters that nobody uses.
+    cached : bool
+        Whether its host memory keeps the adapter.
+    starting, running : int
+        Requests before and after their first event.
+    """
+
+    name: str
+    free: int
+    victims: tuple[Victim, ...]
+    cached: bool
+    starting: int
+    running: int
+
+
+@dataclass(slots=True, frozen=True)
+class LoadCosts:
+    """Expected times of a load, in seconds."""
+
+    cached_s: float
+    store_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """Where to load, and what makes way (None: a free place)."""
+
+    engine: str
+    victim: str | None
+    cached: bool
+
+
+def choose_home(
+    engines: t.Iterable[EnginePlaces], key: str, costs: LoadCosts, may_use_store: bool
+) -> Choice | None:
+    """Return the engine on which an adapter can be used soonest, None if none can take it."""
+    best: list[tuple[EnginePlaces, Victim | None]] = []
+    least = math.inf
+    for engine in engines:
+        if not engine.cached and not may_use_store:
+            continue
+        victim = None
+        if engine.free <= 0:
+            victim = min(engine.victims, key=lambda victim: victim.rate, default=None)
+            if victim is None:
+                continue
+        cost = expected_s(engine, costs) + (MISSED_COST_S * victim.rate if victim else 0.0)
+        if cost < least - SAME_S:
+            best, least = [(engine, victim)], cost
+        elif cost <= least + SAME_S:
+            best.append((engine, victim))
+    if not best:
+        return None
+    engine, victim = max(best, key=lambda item: affinity(item[0].name, key))
+    return Choice(engine.name, victim.key if victim else None, engine.cached)
+
+
+def expected_s(engine: EnginePlaces, costs: LoadCosts) -> float:
+    """Return the time until a request has its first event there, less its own prompt's."""
+    load_s = costs.cached_s if engine.cached else costs.store_s
+    return load_s + QUEUE_COST_S * engine.starting + RUNNING_COST_S * engine.running
+
+
+class LoadWindow:
+    """Keeps loads from the weight store within its limit in every window.
+
+    Parameters
+    ----------
+    rate : float
+        Loads a second that it allows.
+    window_s : float
+        Length of the windows in which they are counted, in seconds.
+    overage : float
+        Factor by which the count may exceed the rate.
+    extra : int
+        Loads that are allowed beyond that.
+    """
+
+    __slots__ = ("_at", "_window_s", "most")
+
+    def __init__(self, rate: float, window_s: float, overage: float, extra: int) -> None:
+        self._window_s = window_s
+        self.most = max(1, math.floor(rate * window_s * overage + extra))
+        self._at: deque[float] = deque()
+
+    def assume_used(self, now: float) -> None:
+        """Count as if somebody else had used the limit evenly until now."""
+        step = self._window_s / self.most
+        self._at = deque(now - self._window_s + step * i for i in range(1, self.most + 1))
+
+    def allows(self, now: float) -> bool:
+        """Tell whether a load may begin."""
+        while self._at and self._at[0] <= now - self._window_s:
+            self._at.popleft()
+        return len(self._at) < self.most
+
+    def note(self, now: float) -> None:
+        """Count a load that begins."""
+        self._at.append(now)
--- a/packages/policy/src/gradelug_policy/retries.py
+++ b/packages/policy/src/gradelug_policy/retries.py
@@ -26,6 +26,11 @@
         self._burst = burst
         self._balance = burst
 
+    def set_burst(self, burst: float) -> None:
+        """Change how many retries may be saved up."""
+        self._burst = burst
+        self._balance = min(self._balance, burst)
+
     def note_attempt(self) -> None:
         """Count a first attempt."""
         self._balance = min(self._burst, self._balance + self._ratio)
--- a/packages/router/src/gradelug_router/door.py
+++ b/packages/router/src/gradelug_router/door.py
@@ -9,7 +9,7 @@
 from circuits.net.events import close
 from circuits.web.events import response
 from circuits.web.servers import BaseServer
-from gradelug_runtime import LoopPoller, Root
+from gradelug_runtime.loop import LoopPoller, Root
 
 from .exceptions import ApiError, CallerGone
 from .guard import Guard
--- a/packages/runtime/src/gradelug_runtime/__init__.py
+++ b/packages/runtime/src/gradelug_runtime/__init__.py
@@ -1,8 +1,6 @@
 """Settings, logs, metrics and the event loop shared by the daemons."""
 
 from .garbage import settle_garbage as settle_garbage
-from .loop import LoopPoller as LoopPoller
-from .loop import Root as Root
 from .metrics import Metrics as Metrics
 from .process import Tasks as Tasks
 from .process import load_or_exit as load_or_exit
--- a/packages/runtime/src/gradelug_runtime/logs.py
+++ b/packages/runtime/src/gradelug_runtime/logs.py
@@ -28,14 +28,14 @@
     logbook.set_datetime_format("utc")
     handler = logbook.StreamHandler(sys.stderr, level=settings.level.upper(), bubble=False)
     if settings.format == "json":
-        handler.formatter = _JsonFormatter(process)
+        handler.formatter = JsonFormatter(process)
     else:
         handler.format_string = TEXT_FORMAT
     handler.push_application()
     return handler
 
 
-class _JsonFormatter:
+class JsonFormatter:
     __slots__ = ("_process",)
 
     def __init__(self, process: str) -> None:
--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -10,7 +10,7 @@
 import logbook
 from gradelug_config.model import Engine, Pool
 from gradelug_coordination import Account, GrantBook, Observation
-from gradelug_platform import (
+from gradelug_backends import (
     EngineControl,
     EngineReport,
     FencedOff,
--- a/packages/scheduler/src/gradelug_scheduler/main.py
+++ b/packages/scheduler/src/gradelug_scheduler/main.py
@@ -7,7 +7,7 @@
 import aiohttp
 import fire
 import logbook
-from gradelug_platform import EtcdKeyValue, HttpInstanceList
+from gradelug_backends import EtcdKeyValue, HttpInstanceList
 from gradelug_runtime import Metrics, run_daemon, settle_garbage, wait_for_end
 from grpclib.server import Server
 
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -30,13 +30,13 @@
 )
 from gradelug_coordination.documents import HEAD
 from gradelug_coordination.once import SHARDS
-from gradelug_platform import (
+from gradelug_backends import (
     EngineControl,
     HttpEngineControl,
     InstanceList,
     UpstreamUnavailable,
 )
-from gradelug_platform.keys import LIVE, ONCE, STORE
+from gradelug_backends.keys import LIVE, ONCE, STORE
 from gradelug_runtime import Metrics, Tasks
 from gradelug_wire import Peers, PeerUnavailable
 from gradelug_wire import control_pb2 as pb
--- a/packages/standins/src/gradelug_standins/engine.py
+++ b/packages/standins/src/gradelug_standins/engine.py
@@ -13,7 +13,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from gradelug_platform import EngineReport, FencedOff, OrderRefused, UpstreamUnavailable
+from gradelug_backends import EngineReport, FencedOff, OrderRefused, UpstreamUnavailable
 
 KEPT_RUNS = 200_000
 
--- a/packages/standins/src/gradelug_standins/engine_http.py
+++ b/packages/standins/src/gradelug_standins/engine_http.py
@@ -8,7 +8,7 @@
 import uuid
 
 from aiohttp import web
-from gradelug_platform import OrderRefused, UpstreamUnavailable
+from gradelug_backends import OrderRefused, UpstreamUnavailable
 
 from .engine import EngineDied, EngineFaults, NotStarted, StubEngine
 
--- a/packages/standins/src/gradelug_standins/plain.py
+++ b/packages/standins/src/gradelug_standins/plain.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 from aiohttp import web
-from gradelug_platform import OrderRefused, UpstreamUnavailable
+from gradelug_backends import OrderRefused, UpstreamUnavailable
 
 STORE_LIMIT_S = 30.0
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,8 +17,8 @@
 from gradelug_config.buckets import split
 from gradelug_config.model import Access, Adapter, Caller, Document, Engine, Pool, Version
 from gradelug_coordination import KvThrottled, KvUnavailable, Publisher
-from gradelug_platform import Instance, UpstreamUnavailable
-from gradelug_platform.keys import LIVE, STORE
+from gradelug_backends import Instance, UpstreamUnavailable
+from gradelug_backends.keys import LIVE, STORE
 from gradelug_policy import PlacementSettings
 from gradelug_router.acquire import Accountant, Acquirer
 from gradelug_router.exceptions import CallerGone, NotSent, UpstreamBroken, UpstreamRefused
