Order loads by what they gain, refuse early what would come too late

Ruled out: loads that fail or are repeated without need (96 orders to load, 86 kinds of weights). Change: a request's rank and size decide, in time before late; a refusal comes within a quarter of the target and says when to come back; a caller that came back goes first.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -35,8 +35,10 @@
 """Part of the repeated sendings that is given out; the rest covers instances that come and go."""
 GATEWAYS_GUESS = 9
 """Instances among which the budget is shared until a planner tells how many there are."""
-WINDOW_EXTRA = 1
-"""Loads beyond the rate in a window; the weight store bears three, two are kept in reserve."""
+WINDOW_EXTRA = 3
+"""Loads beyond the rate that the weight store bears in a window."""
+WINDOW_SLACK_S = 0.1
+"""Orders are under way for different times, so windows are taken longer by this."""
 OUT_OF_ROTATION_S = 2.6
 """After this the balancer has asked twice in vain and sends nothing new."""
 END_MARGIN_S = 0.4
@@ -182,7 +184,11 @@
         bounds = self.settings.bounds
         spec = self._engine_spec(service)
         window = LoadWindow(
-            spec.loads_per_s, bounds.load_window_s, bounds.load_overage, WINDOW_EXTRA
+            spec.loads_per_s,
+            bounds.load_window_s,
+            bounds.load_overage,
+            WINDOW_EXTRA,
+            WINDOW_SLACK_S,
         )
         window.assume_used(self._clock())
         return Planner(
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -26,6 +26,30 @@
 """A planner that sends nothing for three such messages is taken for lost."""
 RECONNECT_S = 0.1
 REFUSED_RETRY_S = 0.5
+LATE_RETRY_S = 0.5
+
+
+@dataclass(slots=True, frozen=True)
+class Wish:
+    """How urgent and how valuable a request is.
+
+    Parameters
+    ----------
+    rank : int
+        Urgency, 0 first.
+    value : float
+        What an answer in time is worth, 1 for an ordinary urgent request.
+    returning : bool
+        Whether its caller was refused before and has come back.
+    target_at, until : float
+        Until when it is in time, and until when it waits, by the runtime's clock.
+    """
+
+    rank: int
+    value: float
+    returning: bool
+    target_at: float
+    until: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -246,8 +270,7 @@
         service: str,
         key: AdapterKey,
         *,
-        rank: int,
-        until: float,
+        wish: Wish,
         excluded: t.Collection[str],
         only: t.Container[str] | None,
         absent: str,
@@ -256,10 +279,8 @@
 
         Parameters
         ----------
-        rank : int
-            Urgency, 0 first.
-        until : float
-            By the runtime's clock; `TimeoutError` is raised then.
+        wish : Wish
+            How urgent and how valuable the request is.
         excluded : collection of str
             Replicas that must not run it.
         only : container of str or None
@@ -270,7 +291,7 @@
         Raises
         ------
         Refused
-            If the planner says that it cannot be placed.
+            If the planner says that it cannot be placed, or time runs out.
         """
         link = self._link(service)
         while True:
@@ -279,13 +300,19 @@
                 ticket=self._ticket,
                 model=key.model,
                 adapter=key.adapter,
-                rank=rank,
-                wait_ms=max(0, round((until - self._clock()) * 1000)),
+                rank=wish.rank,
+                wait_ms=self._ms_until(wish.until),
+                target_ms=self._ms_until(wish.target_at),
+                value=wish.value,
+                returning=wish.returning,
                 excluded=sorted(excluded),
                 only=_first(only),
                 absent=absent,
             )
-            answer = await link.ask(self._ticket, ask, until)
+            try:
+                answer = await link.ask(self._ticket, ask, wish.until)
+            except TimeoutError:
+                raise Refused("the weights could not be placed in time", LATE_RETRY_S) from None
             if not answer.replica:
                 raise Refused(answer.reason, answer.retry_after_ms / 1000 or REFUSED_RETRY_S)
             replica = self._fleet.state.replicas.get(answer.replica)
@@ -295,6 +322,9 @@
                 return replica
             await asyncio.sleep(FLUSH_S)
 
+    def _ms_until(self, at: float) -> int:
+        return max(0, round((at - self._clock()) * 1000))
+
     def note_begin(self, replica: str, key: AdapterKey) -> None:
         """Note that a request is being sent to a replica."""
         self._note(replica, key, 1)
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -10,6 +10,12 @@
 from gradelug_http import Header, ServerLimits
 
 
+PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+"""Callers give a stream up after the longest of these, as the platform's pages say."""
+
+
 class Repeat(Enum):
     """What may be done to a request whose outcome is in doubt."""
 
@@ -66,6 +72,13 @@
     max_replicas: int
     rank: int
 
+    @property
+    def patience_s(self) -> float:
+        """How long a caller waits for the next event of a stream, in seconds."""
+        if not self.streaming:
+            return math.inf
+        return max(PATIENCE_S, PATIENCE_TARGETS * self.target_s, PATIENCE_GAPS * self.gap_s)
+
 
 @dataclass(slots=True, frozen=True)
 class BaseModel:
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -99,15 +99,18 @@
             raise GRPCError(Status.UNAVAILABLE, "this instance does not plan for the service")
         gateway = planner.join()
         gateway.instance = first.instance
-        planner.take(gateway, first)
         telling = asyncio.create_task(_tell(stream, planner, gateway))
         try:
+            planner.take(gateway, first)
             while (message := await stream.recv_message()) is not None:
                 planner.take(gateway, message)
                 if duty is not None and duty.planner is not planner:
                     return
         except StreamTerminatedError as exc:
             log.info("gateway left", instance=gateway.instance, why=str(exc))
+        except Exception as exc:
+            log.error("a gateway's stream failed", instance=gateway.instance, why=repr(exc))
+            raise
         finally:
             telling.cancel()
             planner.leave(gateway)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -34,6 +34,19 @@
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 NOT_READY_S = 0.06
+FUTURE_S = 2.0
+"""Requests of the coming seconds that loaded weights will serve count like those that wait."""
+FIRST_EVENT_S = 0.2
+"""From loaded weights to the first event."""
+LATE_GAIN = 0.4
+"""An answer that is late anyway is worth about a third, whenever it comes."""
+RETURNING_GAIN = 1.5
+"""A caller that was refused once is not to be refused again."""
+HOLD_PART = 0.15
+"""A refusal comes within a quarter of the target, or not at all."""
+COME_BACK_PART = 0.33
+"""Callers come back after at most a third of their time."""
+COME_BACK_S = 0.3
 RATE_PER_COPY = 3.0
 """Requests a second for an adapter above which it gets another engine."""
 FIRST_VERSION = 1
@@ -57,7 +70,7 @@
 class Waiter:
     """A question that is not answered yet."""
 
-    __slots__ = ("ask", "asked_at", "gateway", "key", "until")
+    __slots__ = ("ask", "asked_at", "gateway", "key", "target_at", "until")
 
     def __init__(self, gateway: Gateway, ask: pb.Ask, now: float) -> None:
         self.gateway = gateway
@@ -65,6 +78,7 @@
         self.key = AdapterKey(ask.model, ask.adapter)
         self.asked_at = now
         self.until = now + ask.wait_ms / 1000
+        self.target_at = now + ask.target_ms / 1000
 
     def may_use(self, replica: str) -> bool:
         """Tell whether the request may run on a replica."""
@@ -275,8 +289,10 @@
         self._waiters = waiting
         if not self.fence:
             return
-        for waiter in self._in_order(waiting, now):
+        ordered = self._in_order(waiting, now)
+        for waiter in ordered:
             self._consider_load(waiter, now)
+        self._refuse_hopeless(ordered, now)
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
         best, least = None, math.inf
@@ -304,9 +320,53 @@
         urgency: Counter[AdapterKey] = Counter()
         for waiter in waiting:
             wanted.setdefault(waiter.key, waiter)
-            urgency[waiter.key] += 1.0 / (1 + waiter.ask.rank) + (now - waiter.asked_at)  # type: ignore
+            urgency[waiter.key] += self._gain(waiter, now)  # type: ignore[assignment]
+        for key in wanted:
+            urgency[key] += FUTURE_S * self._popularity.rate(key.text, now)  # type: ignore
         return [wanted[key] for key, _ in urgency.most_common()]
 
+    def _gain(self, waiter: Waiter, now: float) -> float:
+        """Return what is gained by loading what a request waits for now and not later."""
+        gain = waiter.ask.value * (RETURNING_GAIN if waiter.ask.returning else 1.0)
+        in_time = now + STORE_LOAD_S + FIRST_EVENT_S < waiter.target_at
+        return gain if in_time else gain * LATE_GAIN
+
+    def _refuse_hopeless(self, ordered: list[Waiter], now: float) -> None:
+        """Refuse early what will not be loaded in time, so that its caller can come back."""
+        ahead = 0
+        late: dict[AdapterKey, float] = {}
+        for waiter in ordered:
+            if any(waiter.key in engine.places for engine in self.engines.values()):
+                continue
+            ahead += 1
+            late[waiter.key] = now + ahead / self._window.rate + STORE_LOAD_S
+        kept = []
+        for waiter in self._waiters:
+            ready_at = late.get(waiter.key)
+            held_s = now - waiter.asked_at
+            if ready_at is None or waiter.ask.returning or held_s < self._hold_s(waiter):
+                kept.append(waiter)
+            elif ready_at + FIRST_EVENT_S < waiter.target_at or held_s > 2 * self._hold_s(waiter):
+                kept.append(waiter)
+            else:
+                self._refuse(waiter, ready_at - now)
+        self._waiters = kept
+
+    def _hold_s(self, waiter: Waiter) -> float:
+        return HOLD_PART * (waiter.target_at - waiter.asked_at)
+
+    def _refuse(self, waiter: Waiter, ready_s: float) -> None:
+        most_s = COME_BACK_PART * (waiter.until - self._clock())
+        retry_s = max(COME_BACK_S, min(ready_s, most_s))
+        waiter.gateway.answers.append(
+            pb.Answer(
+                ticket=waiter.ask.ticket,
+                reason="the weights would come too late",
+                retry_after_ms=round(retry_s * 1000),
+            )
+        )
+        waiter.gateway.wake.set()
+
     def _consider_load(self, waiter: Waiter, now: float) -> None:
         key = waiter.key
         if not key.adapter:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -21,7 +21,7 @@
 )
 from gradelug_policy import RetryBudget
 
-from .directory import Directory
+from .directory import Directory, Wish
 from .exceptions import GATEWAY_TIMEOUT, Failed, Refused
 from .fleet import Fleet
 from .metrics import Meters
@@ -29,6 +29,7 @@
 from .ports import BadRequest, Dialect
 from .routing import RouteTable, choose_service
 from .streams import EventAssembler
+from .values import RequestValues
 
 log = logbook.Logger("serving")
 CONNECT_S = 0.35
@@ -51,6 +52,9 @@
 """How long a request waits for a replica to turn up before it is refused."""
 POLL_S = 0.05
 RETRY_AFTER_S = 0.3
+RETURNING_PART = 0.97
+PATIENCE_MARGIN_S = 0.25
+"""A request that gets its weights later than this before its caller leaves is not worth a run."""
 MAX_SENDS = 6
 """Bound on sendings of one request, whatever their outcomes."""
 
@@ -145,6 +149,7 @@
         "_rng",
         "_table",
         "_table_version",
+        "_values",
     )
 
     def __init__(
@@ -168,6 +173,7 @@
         self._rng = rng
         self._table = RouteTable(())
         self._table_version = -1
+        self._values = RequestValues()
 
     async def serve(self, inc: Incoming) -> None:
         """Answer a request."""
@@ -253,13 +259,24 @@
         return await self._directory.place(
             job.service.name,
             key,
-            rank=job.route.rank,
-            until=job.deadline_at,
+            wish=self._wish(job),
             excluded=job.excluded,
             only=job.candidates(),
             absent=job.absent,
         )
 
+    def _wish(self, job: Job) -> Wish:
+        route, req = job.route, job.req
+        # Another try of the same caller has less than the whole time left.
+        returning = req.wait_s < RETURNING_PART * self._values.longest_wait(route.name, req.wait_s)
+        return Wish(
+            rank=route.rank,
+            value=self._values.value(route, req),
+            returning=returning,
+            target_at=req.arrived_at + route.target_s,
+            until=min(job.deadline_at, req.arrived_at + route.patience_s) - PATIENCE_MARGIN_S,
+        )
+
     # Sending.
 
     async def _send(self, job: Job, replica: Replica) -> Outcome:
@@ -279,6 +296,15 @@
             return Outcome.NOT_SENT
         load = self._fleet.load(replica.name)
         key = job.req.key
+        log.info(
+            "placed",
+            id=job.req.id,
+            route=job.route.name,
+            replica=replica.name,
+            weights=key.text if key is not None else "",
+            waited_s=round(job.placed_s, 3),
+            cost=round(self._fleet.cost(replica, now), 2),
+        )
         load.starting += 1
         if key is not None:
             self._directory.note_begin(replica.name, key)
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/values.py
@@ -0,0 +1,43 @@
+"""What a request is worth next to others: by its route's rank and its own size."""
+
+from __future__ import annotations
+
+import math
+
+from .model import Request, Route
+
+RANK_FACTOR = 0.72
+"""Each rank is worth this part of the one before; sheets of both users fall about so."""
+OUTPUT_WEIGHT = 10
+"""A token generated costs about as much as ten that are read."""
+SIZE_PART = 0.7
+"""Part of a request's value that grows with its size."""
+MAX_SIZE_FACTOR = 4.0
+MEAN_WEIGHT = 0.02
+"""Share of the newest size in a route's mean."""
+
+
+class RequestValues:
+    """Learns the usual size and waiting time of each route's requests."""
+
+    __slots__ = ("_longest_wait", "_mean_size")
+
+    def __init__(self) -> None:
+        self._mean_size: dict[str, float] = {}
+        self._longest_wait: dict[str, float] = {}
+
+    def value(self, route: Route, req: Request) -> float:
+        """Return what an answer in time is worth, 1 for an ordinary request of rank 0."""
+        size = req.prompt_tokens + OUTPUT_WEIGHT * req.most_tokens
+        mean = self._mean_size.get(route.name, size)
+        self._mean_size[route.name] = mean + MEAN_WEIGHT * (size - mean)
+        part = 1 - SIZE_PART + SIZE_PART * (size / mean if mean else 1.0)
+        return RANK_FACTOR**route.rank * min(MAX_SIZE_FACTOR, part)
+
+    def longest_wait(self, route: str, wait_s: float) -> float:
+        """Return the longest time that callers of a route gave a request, this one included."""
+        if math.isinf(wait_s):
+            return wait_s
+        longest = max(self._longest_wait.get(route, 0.0), wait_s)
+        self._longest_wait[route] = longest
+        return longest
--- a/packages/policy/src/gradelug_policy/residency.py
+++ b/packages/policy/src/gradelug_policy/residency.py
@@ -126,13 +126,19 @@
         Factor by which the count may exceed the rate.
     extra : int
         Loads that are allowed beyond that.
+    slack_s : float
+        Windows are taken longer by this, in seconds.
     """
 
-    __slots__ = ("_at", "_window_s", "most")
+    __slots__ = ("_at", "_window_s", "most", "rate")
 
-    def __init__(self, rate: float, window_s: float, overage: float, extra: int) -> None:
-        self._window_s = window_s
+    def __init__(
+        self, rate: float, window_s: float, overage: float, extra: int, slack_s: float = 0.0
+    ) -> None:
+        self._window_s = window_s + slack_s
         self.most = max(1, math.floor(rate * window_s * overage + extra))
+        self.rate = self.most / self._window_s
+        """Loads a second in the long run."""
         self._at: deque[float] = deque()
 
     def assume_used(self, now: float) -> None:
