Load adapters one at a time at full speed; count base models alone in the weight store's window

Eight at once were worse than one: each takes so much longer. Change: as many at once as the store serves at full speed; the window holds for base models. A planner whose lease cannot be renewed goes on as soon as the renewal fails, not when the watch does.

--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -142,7 +142,7 @@
         """Tell whether this instance holds the duty right now and may act on it."""
         if not self.fence or self._clock() < self._act_from:
             return False
-        return self._lease.is_valid() or (self._outlasts_lease and not self._mirror.synced)
+        return self._lease.is_valid() or (self._outlasts_lease and not self._lease.answered)
 
     async def run(self) -> None:
         """Stand for the duty until cancelled."""
--- a/packages/coordination/src/gradelug_coordination/lease.py
+++ b/packages/coordination/src/gradelug_coordination/lease.py
@@ -35,7 +35,7 @@
         Called without arguments when a lease is gained or lost.
     """
 
-    __slots__ = ("_backoff", "_clock", "_kv", "_on_change", "_rng", "lease", "ttl_s", "valid_until")
+    __slots__ = ("_backoff", "_clock", "_kv", "_on_change", "_rng", "answered", "lease", "ttl_s", "valid_until")
 
     def __init__(
         self,
@@ -51,6 +51,8 @@
         self._backoff = Backoff(ttl_s / 12, ttl_s / 2, rng)
         self._on_change = on_change
         self.ttl_s = ttl_s
+        self.answered = True
+        """Whether the service answered the last renewal."""
         self.lease = 0
         self.valid_until = float("-inf")
 
@@ -72,7 +74,9 @@
         try:
             await self._renew()
         except CoordinationError:
+            self.answered = False
             return self._backoff.next_delay()
+        self.answered = True
         self._backoff.reset()
         # Jitter keeps the fleet's renewals from falling into step.
         return self.ttl_s / RENEWALS_PER_TTL * self._rng.uniform(0.8, 1.0)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -25,8 +25,10 @@
 log = logbook.Logger("planner")
 CACHED_LOAD_S = 0.03
 """Time to load an adapter from an engine's host memory, measured on the users' bench."""
-STORE_LOAD_S = 0.27
+STORE_LOAD_S = 0.255
 """Time to load an adapter from the weight store at full speed, measured there too."""
+LOADS_PER_S_AT_ONCE = 6.0
+"""The store serves one load at a time at full speed for so many loads a second that it allows."""
 HALF_LIFE_S = 4.0
 """Demand moves within seconds."""
 TICK_S = 0.1
@@ -103,7 +105,7 @@
     transport : OrderTransport
         Gives orders.
     window : LoadWindow
-        The weight store's limit.
+        The weight store's limit on loads of base models.
     clock : callable
         The runtime's clock.
     """
@@ -133,6 +135,7 @@
         self._next_gateway = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._store_loads = 0
+        self._at_once = max(1, round(spec.loads_per_s / LOADS_PER_S_AT_ONCE))
         self.engines: dict[str, Engine] = {}
         self.counts: Counter[str] = Counter()
 
@@ -339,7 +342,7 @@
             if any(waiter.key in engine.places for engine in self.engines.values()):
                 continue
             ahead += 1
-            late[waiter.key] = now + ahead / self._window.rate + STORE_LOAD_S
+            late[waiter.key] = now + (ahead / self._at_once + 1) * STORE_LOAD_S
         kept = []
         for waiter in self._waiters:
             ready_at = late.get(waiter.key)
@@ -380,13 +383,13 @@
 
     def _load(self, key: AdapterKey, now: float, may_use: t.Callable[[str], bool]) -> bool:
         version = self._state.versions.get(key, 0)
-        store_free = self._window.allows(now) and self._store_loads < self._store_most()
+        store_free = self._store_loads < self._at_once
         views = [
             self._view(engine, key, version, now)
             for name, engine in self.engines.items()
             if may_use(name) and self._can_take(engine, key)
         ]
-        costs = LoadCosts(CACHED_LOAD_S, STORE_LOAD_S * (1 + self._store_loads))
+        costs = LoadCosts(CACHED_LOAD_S, STORE_LOAD_S)
         choice = choose_home(views, key.text, costs, store_free)
         if choice is None:
             return False
@@ -402,14 +405,10 @@
         engine.places[key] = place
         if not choice.cached:
             self._store_loads += 1
-            self._window.note(now)
         self._mark(choice.engine)
         self._start(self._swap(engine, victim, key, place, choice.cached))
         return True
 
-    def _store_most(self) -> int:
-        return max(2, math.ceil(self._spec.loads_per_s * STORE_LOAD_S))
-
     def _can_take(self, engine: Engine, key: AdapterKey) -> bool:
         return (
             engine.synced
@@ -463,7 +462,7 @@
         if outcome is not OrderOutcome.TAKEN:
             self._undo(engine, key, place)
             return
-        expected_s = CACHED_LOAD_S if cached else STORE_LOAD_S * max(1, self._store_loads)
+        expected_s = CACHED_LOAD_S if cached else STORE_LOAD_S
         place.ready_at = began + expected_s
         await self._make_ready(engine, key, place)
 
@@ -565,9 +564,13 @@
         async with engine.lock:
             if engine.places.get(key) is not place:
                 return
+            if not self._window.allows(self._clock()):
+                self._undo(engine, key, place)
+                return
             self._window.note(self._clock())
             outcome = await self._order(engine, True, key, 0)
             if outcome in (OrderOutcome.TAKEN, OrderOutcome.HOLDS):
+                # Another order for this engine may only come when it is through.
                 load_s = next(m.load_s for m in self._spec.models if m.name == key.model)
                 await asyncio.sleep(load_s)
             # The report tells when it is there.
