Hand planning over at once where engines check tokens; refuse late arrivals while stopping

Change: no pause where tokens are checked; from 2.6 s after SIGTERM a request is refused as not run; the platform's store is tried again after 0.8 s at most.

--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -28,6 +28,8 @@
         What to mirror.
     rng : random.Random
         Source of jitter for the way back after an outage.
+    most_delay_s : float
+        Longest pause between attempts, in seconds.
     """
 
     __slots__ = (
@@ -42,10 +44,12 @@
         "synced",
     )
 
-    def __init__(self, kv: KeyValue, prefix: str, rng: random.Random) -> None:
+    def __init__(
+        self, kv: KeyValue, prefix: str, rng: random.Random, most_delay_s: float = MOST_DELAY_S
+    ) -> None:
         self._kv = kv
         self._prefix = prefix
-        self._backoff = Backoff(FIRST_DELAY_S, MOST_DELAY_S, rng)
+        self._backoff = Backoff(FIRST_DELAY_S, most_delay_s, rng)
         self._interrupted = False
         self._listeners: list[t.Callable[[], None]] = []
         self.entries: dict[str, KvEntry] = {}
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -30,6 +30,9 @@
 DUTY_PREFIX = "gradelug/planner/"
 LEASE_S = 1.8
 """Time to live of a planner's lease: how long a lost one is missed at most."""
+MOST_DELAY_S = 0.8
+"""Longest pause before the platform's store is tried again: a configuration has to be in force
+two seconds after it was accepted, also just after an outage."""
 UPKEEP_S = 0.5
 BUDGET_SHARE = 0.6
 """Part of the repeated sendings that is given out; the rest covers instances that come and go."""
@@ -84,7 +87,7 @@
         self._tasks = Tasks()
         self._stopping_at: float | None = None
         self._state = FleetState()
-        self._mirror = Mirror(kv, "", self._rng)
+        self._mirror = Mirror(kv, "", self._rng, MOST_DELAY_S)
         self._feed = Feed(self._mirror, reader, self._state, self._clock)
         self._feed.subscribe(self._on_change)
         self._fleet = Fleet(self._state, settings.hall, self._clock)
@@ -93,11 +96,11 @@
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio * BUDGET_SHARE, self._burst(GATEWAYS_GUESS))
         self._meters = Meters()
-        serving = Serving(
+        self._serving = Serving(
             dialect, self._fleet, self._directory, pool, self._budget, self._meters,
             self._clock, self._rng,
         )
-        self._callers = HttpServer(serving.serve, self._limits, self._clock)
+        self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
         self._peers = Server([PlacementService(self._duties)])
         self._add_gauges()
@@ -133,6 +136,7 @@
         began = self._stopping_at = self._clock()
         log.info("stopping", requests=self._callers.in_progress)
         self._callers.draining = True
+        self._serving.refuse_from(began + OUT_OF_ROTATION_S)
         await asyncio.gather(*(duty.election.resign() for duty in self._duties.values()))
         end_at = began + self.settings.bounds.grace_s - END_MARGIN_S
         while self._clock() < end_at:
@@ -176,7 +180,7 @@
         election = Election(
             self._kv, self._mirror, f"{DUTY_PREFIX}{service}", self.settings.name,
             self.settings.addresses.peers, lease, self._clock, self._rng,
-            bounds.holder_s, self.settings.first_start, bounds.fenced,
+            0.0 if bounds.fenced else bounds.holder_s, self.settings.first_start, bounds.fenced,
         )
         return Duty(election, lambda: self._new_planner(service))
 
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -52,6 +52,8 @@
 """How long a request waits for a replica to turn up before it is refused."""
 POLL_S = 0.05
 RETRY_AFTER_S = 0.3
+ELSEWHERE_S = 0.05
+"""Another instance can take it at once."""
 RETURNING_PART = 0.97
 PATIENCE_MARGIN_S = 0.25
 """A request that gets its weights later than this before its caller leaves is not worth a run."""
@@ -146,6 +148,7 @@
         "_fleet",
         "_meters",
         "_pool",
+        "_refuses_from",
         "_rng",
         "_table",
         "_table_version",
@@ -173,8 +176,13 @@
         self._rng = rng
         self._table = RouteTable(())
         self._table_version = -1
+        self._refuses_from = math.inf
         self._values = RequestValues()
 
+    def refuse_from(self, at: float) -> None:
+        """Refuse requests that arrive from a moment on: the process is about to end."""
+        self._refuses_from = at
+
     async def serve(self, inc: Incoming) -> None:
         """Answer a request."""
         try:
@@ -205,6 +213,10 @@
 
     def _admit(self, inc: Incoming, req: Request) -> Job | None:
         snapshot = self._fleet.state.snapshot
+        if self._clock() >= self._refuses_from:
+            log.info("refused", id=req.id, why="this instance is about to end")
+            self._answer_self(inc, req.id, 503, ELSEWHERE_S)
+            return None
         if snapshot is None:
             log.info("refused", id=req.id, why="no configuration is known yet")
             self._answer_self(inc, req.id, 503, RETRY_AFTER_S)
