Give unanswered orders again at once, load twelve adapters at a time, reckon waits from the rate of loads

Ruled out: that the store slows adapters down at twelve at once (4 of 410 were not there when expected).

--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -19,6 +19,7 @@
 """A report shows the state of some hundred ms ago."""
 LOADS_AT_ONCE = 4
 """Adapters that may be on their way to an engine."""
+MAX_TRIES = 3
 IDLE_S = 0.12
 """An adapter makes way when it was unused this long: uses are told with a delay."""
 
@@ -167,9 +168,16 @@
         owner: str,
         fence: int,
     ) -> OrderOutcome:
-        """Give an order; the lock must be held. Doubtful outcomes leave it unsynced."""
+        """Give an order; the lock must be held. Doubtful outcomes leave it unsynced.
+
+        An order without an answer is given again at once: it names how many orders came before
+        it, so that only one of the two can take effect, whichever comes first.
+        """
         order = Order(load, key, version, self.orders, owner, fence)
-        outcome = await transport.order(self.replica, order)
+        for _ in range(MAX_TRIES):
+            outcome = await transport.order(self.replica, order)
+            if outcome is not OrderOutcome.LOST:
+                break
         if outcome in (OrderOutcome.TAKEN, OrderOutcome.HOLDS):
             self.orders += 1
         else:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -27,10 +27,15 @@
 """Time to load an adapter from an engine's host memory, measured on the users' bench."""
 STORE_LOAD_S = 0.255
 """Time to load an adapter from the weight store at full speed, measured there too."""
-LOADS_PER_S_AT_ONCE = 6.0
-"""The store serves one load at a time at full speed for so many loads a second that it allows."""
+STORE_LOADS_AT_ONCE = 12
+"""Loads of adapters under way from the weight store, which slows them down when they are many;
+at twelve none was late on the users' bench."""
 HALF_LIFE_S = 4.0
 """Demand moves within seconds."""
+USUAL_LOADS_PER_S = 12.0
+LEAST_LOADS_PER_S = 0.5
+THROUGHPUT_S = 2.0
+"""Span over which the rate of loads is taken."""
 TICK_S = 0.1
 RESYNC_S = 0.3
 JUST_LOADED_S = 1.5
@@ -54,6 +59,36 @@
 FIRST_VERSION = 1
 
 
+class Throughput:
+    """How many loads a second begin while requests wait for some."""
+
+    __slots__ = ("_at", "_begun", "_busy_s", "_waiting")
+
+    def __init__(self, now: float) -> None:
+        self._at = now
+        self._waiting = False
+        self._begun = USUAL_LOADS_PER_S * THROUGHPUT_S
+        self._busy_s = THROUGHPUT_S
+
+    def note_load(self) -> None:
+        """Count a load that begins."""
+        self._begun += 1
+
+    def note_queue(self, waiting: bool, now: float) -> None:
+        """Note whether requests wait for loads that cannot begin yet."""
+        passed_s = now - self._at
+        self._at = now
+        kept = math.exp(-passed_s / THROUGHPUT_S)
+        if self._waiting:
+            self._begun *= kept
+            self._busy_s = self._busy_s * kept + passed_s
+        self._waiting = waiting
+
+    def rate(self, now: float) -> float:
+        """Return the loads a second to reckon with."""
+        return max(LEAST_LOADS_PER_S, self._begun / max(self._busy_s, TICK_S))
+
+
 class Gateway:
     """An instance that follows this planner."""
 
@@ -135,7 +170,7 @@
         self._next_gateway = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._store_loads = 0
-        self._at_once = max(1, round(spec.loads_per_s / LOADS_PER_S_AT_ONCE))
+        self._throughput = Throughput(clock())
         self.engines: dict[str, Engine] = {}
         self.counts: Counter[str] = Counter()
 
@@ -295,6 +330,7 @@
         ordered = self._in_order(waiting, now)
         for waiter in ordered:
             self._consider_load(waiter, now)
+        self._throughput.note_queue(bool(ordered), now)
         self._refuse_hopeless(ordered, now)
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
@@ -337,17 +373,20 @@
     def _refuse_hopeless(self, ordered: list[Waiter], now: float) -> None:
         """Refuse early what will not be loaded in time, so that its caller can come back."""
         ahead = 0
+        rate = self._throughput.rate(now)
         late: dict[AdapterKey, float] = {}
         for waiter in ordered:
             if any(waiter.key in engine.places for engine in self.engines.values()):
                 continue
             ahead += 1
-            late[waiter.key] = now + (ahead / self._at_once + 1) * STORE_LOAD_S
+            late[waiter.key] = now + ahead / rate + STORE_LOAD_S
         kept = []
         for waiter in self._waiters:
             ready_at = late.get(waiter.key)
             held_s = now - waiter.asked_at
-            if ready_at is None or waiter.ask.returning or held_s < self._hold_s(waiter):
+            if ready_at is None or held_s < self._hold_s(waiter):
+                kept.append(waiter)
+            elif waiter.ask.returning and ready_at < waiter.until:
                 kept.append(waiter)
             elif ready_at + FIRST_EVENT_S < waiter.target_at or held_s > 2 * self._hold_s(waiter):
                 kept.append(waiter)
@@ -383,7 +422,7 @@
 
     def _load(self, key: AdapterKey, now: float, may_use: t.Callable[[str], bool]) -> bool:
         version = self._state.versions.get(key, 0)
-        store_free = self._store_loads < self._at_once
+        store_free = self._store_loads < STORE_LOADS_AT_ONCE
         views = [
             self._view(engine, key, version, now)
             for name, engine in self.engines.items()
@@ -403,6 +442,7 @@
             # The two share one place until the victim is out.
             del engine.places[victim]
         engine.places[key] = place
+        self._throughput.note_load()
         if not choice.cached:
             self._store_loads += 1
         self._mark(choice.engine)
--- a/packages/policy/src/gradelug_policy/residency.py
+++ b/packages/policy/src/gradelug_policy/residency.py
@@ -19,6 +19,8 @@
 """Time that each running stream adds to that."""
 MISSED_COST_S = 0.15
 """Cost of evicting an adapter per request a second that it will be missed for."""
+STORE_COST_S = 0.3
+"""Loads from the weight store have a price and slow each other down."""
 SAME_S = 0.004
 """Costs this near to each other are taken for equal and decided by hashing."""
 
@@ -96,7 +98,7 @@
             victim = min(engine.victims, key=lambda victim: victim.rate, default=None)
             if victim is None:
                 continue
-        cost = expected_s(engine, costs) + (MISSED_COST_S * victim.rate if victim else 0.0)
+        cost = expected_cost_s(engine, costs) + (MISSED_COST_S * victim.rate if victim else 0.0)
         if cost < least - SAME_S:
             best, least = [(engine, victim)], cost
         elif cost <= least + SAME_S:
@@ -107,9 +109,9 @@
     return Choice(engine.name, victim.key if victim else None, engine.cached)
 
 
-def expected_s(engine: EnginePlaces, costs: LoadCosts) -> float:
-    """Return the time until a request has its first event there, less its own prompt's."""
-    load_s = costs.cached_s if engine.cached else costs.store_s
+def expected_cost_s(engine: EnginePlaces, costs: LoadCosts) -> float:
+    """Return the time until a first event there and what a load costs, in seconds."""
+    load_s = costs.cached_s if engine.cached else costs.store_s + STORE_COST_S
     return load_s + QUEUE_COST_S * engine.starting + RUNNING_COST_S * engine.running
 
 
