Follow the newest planner; peers tell where it is when the platform cannot

Ruled out: that the successor did not act (it acted 0.03 s after it was elected). Change: an outranked planner gives its duty up and ends its streams; instances leave for a planner with a greater token; one that cannot ask the platform asks peers that the last planner named.

--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -155,6 +155,11 @@
             return await self._keep()
         return await self._stand()
 
+    def lose(self) -> None:
+        """Hold the duty no longer: another instance was seen to have a greater token."""
+        self.fence = 0
+        self._other_seen_at = self._clock()
+
     async def resign(self) -> None:
         """Give the duty up, and stand for it no longer."""
         self._standing = False
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -92,7 +92,9 @@
         self._feed.subscribe(self._on_change)
         self._fleet = Fleet(self._state, settings.hall, self._clock)
         self._duties: dict[str, Duty] = {}
-        self._directory = Directory(settings.name, self._fleet, self._clock, self._locate)
+        self._directory = Directory(
+            settings.name, settings.addresses.peers, self._fleet, self._clock, self._locate
+        )
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio * BUDGET_SHARE, self._burst(GATEWAYS_GUESS))
         self._meters = Meters()
@@ -102,7 +104,7 @@
         )
         self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
-        self._peers = Server([PlacementService(self._duties)])
+        self._peers = Server([PlacementService(self._duties, self._directory.known)])
         self._add_gauges()
 
     async def run(self) -> bool:
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -25,6 +25,7 @@
 SILENT_S = 1.6
 """A planner that sends nothing for three such messages is taken for lost."""
 RECONNECT_S = 0.1
+ASK_PEER_S = 0.3
 REFUSED_RETRY_S = 0.5
 LATE_RETRY_S = 0.5
 
@@ -84,6 +85,7 @@
     """This instance's stream to the planner of one service."""
 
     __slots__ = (
+        "_address",
         "_cancelled",
         "_changed",
         "_clock",
@@ -95,17 +97,26 @@
         "_wake",
         "active",
         "gateways",
+        "peers",
         "service",
     )
 
     def __init__(
-        self, service: str, instance: str, fleet: Fleet, clock: t.Callable[[], float]
+        self,
+        service: str,
+        instance: str,
+        address: str,
+        fleet: Fleet,
+        clock: t.Callable[[], float],
     ) -> None:
         self.service = service
         self.active: Counter[tuple[str, AdapterKey]] = Counter()
         """Requests of this instance by replica and weights."""
         self.gateways = 0
         """Instances that the planner knows, 0 if it has not told."""
+        self.peers: list[str] = []
+        """Some other instances, as the planner last told."""
+        self._address = address
         self._instance = instance
         self._fleet = fleet
         self._clock = clock
@@ -139,8 +150,10 @@
         self._changed.add(use)
         self._wake.set()
 
-    async def follow(self, planner: PlannerAddress) -> None:
-        """Exchange messages with a planner until the stream breaks."""
+    async def follow(
+        self, planner: PlannerAddress, is_newest: t.Callable[[PlannerAddress], bool]
+    ) -> None:
+        """Exchange messages with a planner until the stream breaks or there is a newer one."""
         host, _, port = planner.address.rpartition(":")
         channel = Channel(host, int(port))
         for question in self._questions.values():
@@ -156,6 +169,9 @@
                         while (message := await stream.recv_message()) is not None:
                             limit.reschedule(self._clock() + SILENT_S)
                             self._take(message)
+                            if not is_newest(planner):
+                                log.info("newer planner", service=self.service, old=planner.owner)
+                                return
                     finally:
                         sender.cancel()
         except (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError) as exc:
@@ -179,6 +195,7 @@
         if first:
             message.instance = self._instance
             message.service = self.service
+            message.address = self._address
         for question in self._questions.values():
             if not question.sent:
                 question.sent = True
@@ -210,6 +227,8 @@
 
     def _take(self, message: pb.FromPlanner) -> None:
         self.gateways = message.gateways
+        if message.peers:
+            self.peers = list(message.peers)
         directory = self._fleet.directory
         if directory is None:
             directory = self._fleet.directory = {}
@@ -233,8 +252,8 @@
 
     Parameters
     ----------
-    instance : str
-        Name of this instance.
+    instance, address : str
+        This instance, and where its peers reach it.
     fleet : Fleet
         Takes what planners tell.
     clock : callable
@@ -243,19 +262,33 @@
         Returns a service's planner, or None.
     """
 
-    __slots__ = ("_clock", "_fleet", "_instance", "_links", "_locate", "_tasks", "_ticket")
+    __slots__ = (
+        "_address",
+        "_clock",
+        "_fleet",
+        "_hints",
+        "_instance",
+        "_links",
+        "_locate",
+        "_tasks",
+        "_ticket",
+    )
 
     def __init__(
         self,
         instance: str,
+        address: str,
         fleet: Fleet,
         clock: t.Callable[[], float],
         locate: t.Callable[[str], PlannerAddress | None],
     ) -> None:
         self._instance = instance
+        self._address = address
         self._fleet = fleet
         self._clock = clock
         self._locate = locate
+        self._hints: dict[str, PlannerAddress] = {}
+        """Planners that peers told of."""
         self._links: dict[str, PlannerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._ticket = 0
@@ -325,6 +358,17 @@
     def _ms_until(self, at: float) -> int:
         return max(0, round((at - self._clock()) * 1000))
 
+    def known(self, service: str) -> PlannerAddress | None:
+        """Return the newest planner of a service that the platform or a peer told of."""
+        told, hint = self._locate(service), self._hints.get(service)
+        if told is None or (hint is not None and hint.fence > told.fence):
+            return hint
+        return told
+
+    def _is_newest(self, service: str, planner: PlannerAddress) -> bool:
+        known = self.known(service)
+        return known is None or known.fence <= planner.fence
+
     def note_begin(self, replica: str, key: AdapterKey) -> None:
         """Note that a request is being sent to a replica."""
         self._note(replica, key, 1)
@@ -356,17 +400,48 @@
     def _link(self, service: str) -> PlannerLink:
         link = self._links.get(service)
         if link is None:
-            link = PlannerLink(service, self._instance, self._fleet, self._clock)
+            link = PlannerLink(
+                service, self._instance, self._address, self._fleet, self._clock
+            )
             self._links[service] = link
             self._tasks[service] = asyncio.create_task(self._keep(link))
         return link
 
     async def _keep(self, link: PlannerLink) -> None:
         while True:
-            planner = self._locate(link.service)
+            planner = self.known(link.service)
             if planner is not None:
-                await link.follow(planner)
+                await link.follow(planner, lambda used: self._is_newest(link.service, used))
             await asyncio.sleep(RECONNECT_S)
+            if planner is not None and self._is_newest(link.service, planner):
+                # Lost, and the platform tells of no other.
+                await self._ask_peers(link)
+
+    async def _ask_peers(self, link: PlannerLink) -> None:
+        for address in link.peers:
+            found = await ask_where(address, link.service)
+            known = self.known(link.service)
+            if found is not None and (known is None or found.fence > known.fence):
+                self._hints[link.service] = found
+                log.info("planner told by a peer", service=link.service, owner=found.owner)
+                return
+
+
+async def ask_where(address: str, service: str) -> PlannerAddress | None:
+    """Return the planner that a peer knows of, None if it cannot tell."""
+    host, _, port = address.rpartition(":")
+    channel = Channel(host, int(port))
+    try:
+        async with asyncio.timeout(ASK_PEER_S):
+            reply = await PlacementStub(channel).Locate(pb.Where(service=service))
+    except (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError) as exc:
+        log.info("a peer does not answer", address=address, why=repr(exc))
+        return None
+    finally:
+        channel.close()
+    if not reply.address:
+        return None
+    return PlannerAddress(reply.owner, reply.address, reply.fence)
 
 
 def _first(names: t.Container[str] | None) -> str:
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -64,6 +64,9 @@
         acted = False
         try:
             while self.election.fence == fence and not planning.done():
+                if planner.is_outranked:
+                    self.election.lose()
+                    return
                 may_act = self.election.may_act()
                 if may_act != acted:
                     acted = may_act
@@ -83,10 +86,26 @@
     ----------
     duties : mapping of str to Duty
         By service.
+    locate : callable
+        Returns the planner of a service that this instance knows of, or None.
     """
 
-    def __init__(self, duties: t.Mapping[str, Duty]) -> None:
+    def __init__(
+        self,
+        duties: t.Mapping[str, Duty],
+        locate: t.Callable[[str], PlannerAddress | None],
+    ) -> None:
         self._duties = duties
+        self._locate = locate
+
+    async def Locate(self, stream: t.Any) -> None:  # noqa: N802
+        """Tell a peer which planner this instance knows of."""
+        where = await stream.recv_message()
+        found = self._locate(where.service) if where is not None else None
+        reply = pb.Planner()
+        if found is not None:
+            reply = pb.Planner(owner=found.owner, address=found.address, fence=found.fence)
+        await stream.send_message(reply)
 
     async def Follow(self, stream: t.Any) -> None:  # noqa: N802
         """Exchange messages with a gateway until either end leaves."""
@@ -99,6 +118,7 @@
             raise GRPCError(Status.UNAVAILABLE, "this instance does not plan for the service")
         gateway = planner.join()
         gateway.instance = first.instance
+        gateway.address = first.address
         telling = asyncio.create_task(_tell(stream, planner, gateway))
         try:
             planner.take(gateway, first)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -36,6 +36,9 @@
 LEAST_LOADS_PER_S = 0.5
 THROUGHPUT_S = 2.0
 """Span over which the rate of loads is taken."""
+PEERS_TOLD = 6
+PEERS_S = 2.0
+"""So many peers are told so often to each gateway."""
 TICK_S = 0.1
 RESYNC_S = 0.3
 JUST_LOADED_S = 1.5
@@ -92,15 +95,16 @@
 class Gateway:
     """An instance that follows this planner."""
 
-    __slots__ = ("answers", "dirty", "instance", "number", "sent_all", "wake")
+    __slots__ = ("address", "answers", "dirty", "instance", "number", "peers_told_at", "wake")
 
     def __init__(self, number: int) -> None:
         self.number = number
         self.instance = ""
+        self.address = ""
+        self.peers_told_at = -math.inf
         self.answers: list[pb.Answer] = []
         self.dirty: set[str] = set()
         """Replicas whose holdings it has not been told."""
-        self.sent_all = False
         self.wake = asyncio.Event()
 
 
@@ -172,6 +176,8 @@
         self._store_loads = 0
         self._throughput = Throughput(clock())
         self.engines: dict[str, Engine] = {}
+        self.is_outranked = False
+        """Whether an engine has seen a greater token than this planner's."""
         self.counts: Counter[str] = Counter()
 
     # Life.
@@ -216,6 +222,7 @@
         """Give no further orders: another planner has a greater token."""
         log.info("outranked", service=self.service, fence=self.fence)
         self.fence = 0
+        self.is_outranked = True
 
     # Gateways.
 
@@ -264,6 +271,9 @@
         message = pb.FromPlanner(gateways=len(self._gateways), active=bool(self.fence))
         message.answers.extend(gateway.answers)
         gateway.answers.clear()
+        if self._clock() - gateway.peers_told_at >= PEERS_S:
+            gateway.peers_told_at = self._clock()
+            message.peers.extend(self._peers_of(gateway))
         for name in gateway.dirty:
             holdings = message.holdings.add(replica=name)
             engine = self.engines.get(name)
@@ -277,6 +287,15 @@
             message.loads.add(replica=name, starting=engine.starting, running=engine.running)
         return message
 
+    def _peers_of(self, gateway: Gateway) -> list[str]:
+        others = [
+            other.address
+            for other in self._gateways.values()
+            if other is not gateway and other.address
+        ]
+        start = gateway.number % len(others) if others else 0
+        return (others[start:] + others[:start])[:PEERS_TOLD]
+
     def _take_use(self, gateway: Gateway, use: pb.Use, now: float) -> None:
         key = AdapterKey(use.model, use.adapter)
         if use.started:
--- a/packages/wire/src/gradelug_wire/placement_grpc.py
+++ b/packages/wire/src/gradelug_wire/placement_grpc.py
@@ -18,6 +18,10 @@
     async def Follow(self, stream: 'grpclib.server.Stream[gradelug_wire.placement_pb2.FromGateway, gradelug_wire.placement_pb2.FromPlanner]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Locate(self, stream: 'grpclib.server.Stream[gradelug_wire.placement_pb2.Where, gradelug_wire.placement_pb2.Planner]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/gradelug.placement.v1.Placement/Follow': grpclib.const.Handler(
@@ -26,6 +30,12 @@
                 gradelug_wire.placement_pb2.FromGateway,
                 gradelug_wire.placement_pb2.FromPlanner,
             ),
+            '/gradelug.placement.v1.Placement/Locate': grpclib.const.Handler(
+                self.Locate,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                gradelug_wire.placement_pb2.Where,
+                gradelug_wire.placement_pb2.Planner,
+            ),
         }
 
 
@@ -38,3 +48,9 @@
             gradelug_wire.placement_pb2.FromGateway,
             gradelug_wire.placement_pb2.FromPlanner,
         )
+        self.Locate = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/gradelug.placement.v1.Placement/Locate',
+            gradelug_wire.placement_pb2.Where,
+            gradelug_wire.placement_pb2.Planner,
+        )
