--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -300,6 +300,8 @@
     """Not run: the weights are not there, or not at that version."""
     MISDIRECTED = "misdirected"
     """Not run: another replica has the address."""
+    SPOILED = "spoiled"
+    """It may have run; what came is not the replica's answer."""
     REJECTED = "rejected"
     """Not run: the request itself is wrong."""
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -34,7 +34,7 @@
 """Demand moves within seconds."""
 USUAL_LOADS_PER_S = 12.0
 LEAST_LOADS_PER_S = 0.5
-THROUGHPUT_S = 2.0
+THROUGHPUT_S = 1.0
 """Span over which the rate of loads is taken."""
 PEERS_TOLD = 6
 PEERS_S = 2.0
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -359,6 +359,8 @@
                 raise
             raise ResponseBroken("the replica is silent") from None
         verdict = self._dialect.judge(head, replica)
+        if verdict is Verdict.SPOILED:
+            raise ResponseBroken("the answer does not come from the replica")
         if verdict is Verdict.ANSWERED and job.route.streaming:
             return await self._stream(sending, head)
         body = await sending.conn.body(ANSWER_BYTES)
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -4,6 +4,7 @@
 from .client import HttpPool as HttpPool
 from .client import OutgoingRequest as OutgoingRequest
 from .client import ResponseHead as ResponseHead
+from .client import Wire as Wire
 from .exceptions import ConnectFailed as ConnectFailed
 from .exceptions import HttpError as HttpError
 from .exceptions import ResponseBroken as ResponseBroken
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -48,7 +48,7 @@
         return find(self.headers, name)
 
 
-class _Wire(asyncio.Protocol):
+class Wire(asyncio.Protocol):
     """Bytes of one connection, with the difference between a close and a reset kept."""
 
     def __init__(self) -> None:
@@ -96,12 +96,22 @@
             self._waiter.set_result(None)
 
 
+Dial = t.Callable[[str], t.Awaitable[Wire]]
+
+
+async def dial_tcp(address: str) -> Wire:
+    """Connect to ``IP:port``; raises `OSError`."""
+    host, _, port = address.rpartition(":")
+    _, wire = await asyncio.get_running_loop().create_connection(Wire, host, int(port))
+    return wire
+
+
 class Connection:
     """One connection to an upstream, carrying one request at a time.
 
     Parameters
     ----------
-    wire : _Wire
+    wire : Wire
         Its bytes.
     address : str
         ``IP:port`` of the upstream.
@@ -111,7 +121,7 @@
 
     __slots__ = ("_clock", "_h11", "_method", "_wire", "address", "idle_until", "used_at", "uses")
 
-    def __init__(self, wire: _Wire, address: str, clock: t.Callable[[], float]) -> None:
+    def __init__(self, wire: Wire, address: str, clock: t.Callable[[], float]) -> None:
         self._wire = wire
         self._clock = clock
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -246,12 +256,15 @@
     ----------
     clock : callable
         The runtime's clock.
+    dial : callable
+        Coroutine function that connects to an address.
     """
 
-    __slots__ = ("_clock", "_idle", "opened")
+    __slots__ = ("_clock", "_dial", "_idle", "opened")
 
-    def __init__(self, clock: t.Callable[[], float]) -> None:
+    def __init__(self, clock: t.Callable[[], float], dial: Dial | None = None) -> None:
         self._clock = clock
+        self._dial = dial or dial_tcp
         self._idle: dict[str, list[Connection]] = defaultdict(list)
         self.opened = 0
         """Connections opened since the start."""
@@ -311,12 +324,10 @@
         self.prune(())
 
     async def _open(self, address: str, limit_s: float) -> Connection:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
         self.opened += 1
         try:
             async with asyncio.timeout(limit_s):
-                _, wire = await loop.create_connection(_Wire, host, int(port))
+                wire = await self._dial(address)
         except (OSError, TimeoutError, ValueError) as exc:
             raise ConnectFailed(f"{address} cannot be reached: {exc!r}") from exc
         return Connection(wire, address, self._clock)
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -16,8 +16,8 @@
 SWEEP_S = 0.25
 LINGER_S = 0.5
 """After a refusal, what still arrives is read this long so that the client sees its answer."""
-UNSENT_BYTES = 262_144
-"""A client that has this much unread holds its upstream up."""
+READ_AHEAD_BYTES = 262_144
+"""What a client may send ahead while a request of its is being served."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,17 +64,15 @@
         self.clock = clock
         self.draining = False
         """Whether each connection is closed after its next answer."""
-        self.connections: set[_ServerConnection] = set()
+        self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Listen, and return the port."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _ServerConnection(self), host, port, backlog=1024
-        )
-        self._sweep()
+        self._server = await loop.create_server(self.new_connection, host, port, backlog=1024)
+        self.start_sweeping()
         return int(self._server.sockets[0].getsockname()[1])
 
     @property
@@ -82,6 +80,10 @@
         """Requests being served."""
         return sum(conn.task is not None for conn in self.connections)
 
+    def new_connection(self) -> ServerConnection:
+        """Return the protocol of a connection that is about to come up."""
+        return ServerConnection(self)
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is being received or served."""
         for conn in list(self.connections):
@@ -101,6 +103,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def start_sweeping(self) -> None:
+        """Check the time limits of all connections from now on."""
+        self._sweep()
+
     def _sweep(self) -> None:
         now = self.clock()
         limits = self.limits()
@@ -109,7 +115,7 @@
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
 
-class _ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol):
     """One client's connection."""
 
     def __init__(self, server: HttpServer) -> None:
@@ -162,6 +168,9 @@
         self._h11.receive_data(data)
         if self.task is None:
             self._parse()
+        elif len(self._h11.trailing_data[0]) > READ_AHEAD_BYTES:
+            # Far more than a next request, sent before this one's answer.
+            self.abort()
 
     # Used by the server and by requests.
 
@@ -254,6 +263,9 @@
             if find(headers, b"transfer-encoding") and find(headers, b"content-length"):
                 # Whoever stands before us may frame such a request in another way.
                 self._refuse(400)
+            elif _head_bytes(event) > self._limits.header_bytes:
+                # The parser bounds only what it has to keep waiting.
+                self._refuse(431)
         elif isinstance(event, h11.Data):
             self._body.append(bytes(event.data))
             self._size += len(event.data)
@@ -295,12 +307,17 @@
             self.write(self._h11.send(h11.EndOfMessage()))
 
 
+def _head_bytes(req: h11.Request) -> int:
+    line = len(req.method) + len(req.target) + len(b"  HTTP/1.1\r\n\r\n")
+    return line + sum(len(name) + len(value) + 4 for name, value in req.headers)
+
+
 class Incoming:
     """A request that arrived whole, and the way to answer it.
 
     Parameters
     ----------
-    conn : _ServerConnection
+    conn : ServerConnection
         Where it came in.
     req : h11.Request
         Its head.
@@ -322,7 +339,7 @@
     )
 
     def __init__(
-        self, conn: _ServerConnection, req: h11.Request, body: bytes, arrived_at: float
+        self, conn: ServerConnection, req: h11.Request, body: bytes, arrived_at: float
     ) -> None:
         self._conn = conn
         self.method = req.method
--- /dev/null
+++ b/tests/pipes.py
@@ -0,0 +1,143 @@
+"""Connections in memory between the HTTP package's client and server, on a paused clock."""
+
+import asyncio
+
+from gradelug_http import HttpServer, Wire
+
+
+class MemoryTransport(asyncio.Transport):
+    """One end of a connection; what it writes reaches the other end's protocol soon."""
+
+    def __init__(self, protocol):
+        super().__init__()
+        self.protocol = protocol
+        self.peer = None
+        self.closing = False
+        self.written = bytearray()
+        self._loop = asyncio.get_running_loop()
+
+    def write(self, data):
+        self.written += data
+        if not self.closing:
+            self._loop.call_soon(self.peer.deliver, bytes(data))
+
+    def deliver(self, data):
+        if not self.closing:
+            self.protocol.data_received(data)
+
+    def close(self):
+        self._end(None, self.peer.end_of_file)
+
+    def abort(self):
+        self._end(None, lambda: self.peer.lose(ConnectionResetError(104, "reset")))
+
+    def end_of_file(self):
+        if not self.closing and not self.protocol.eof_received():
+            self.lose(None)
+
+    def lose(self, exc):
+        if not self.closing:
+            self.closing = True
+            self.protocol.connection_lost(exc)
+
+    def is_closing(self):
+        return self.closing
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+    def _end(self, exc, tell_peer):
+        if self.closing:
+            return
+        self.closing = True
+        self._loop.call_soon(self.protocol.connection_lost, exc)
+        self._loop.call_soon(tell_peer)
+
+
+def join(client, server):
+    """Connect two protocols and return the client's end."""
+    ends = MemoryTransport(client), MemoryTransport(server)
+    ends[0].peer, ends[1].peer = ends[1], ends[0]
+    client.connection_made(ends[0])
+    server.connection_made(ends[1])
+    return ends[0]
+
+
+class Network:
+    """Servers by address."""
+
+    def __init__(self):
+        self.servers: dict[str, object] = {}
+        self.dialled: list[str] = []
+
+    async def dial(self, address):
+        self.dialled.append(address)
+        make = self.servers.get(address)
+        if make is None:
+            raise ConnectionRefusedError(111, "nobody listens")
+        wire = Wire()
+        join(wire, make())
+        return wire
+
+    def serve(self, address, serve, limits, clock):
+        server = HttpServer(serve, limits, clock)
+        server.start_sweeping()
+        self.servers[address] = server.new_connection
+        return server
+
+
+class RawServer(asyncio.Protocol):
+    """A server that answers by a script: one reply for each piece of a request it receives."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.received = bytearray()
+        self.transport = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.received += data
+        if self.script:
+            for action in self.script.pop(0):
+                if action == "close":
+                    self.transport.close()
+                elif action == "reset":
+                    self.transport.abort()
+                else:
+                    self.transport.write(action)
+
+    def eof_received(self):
+        return False
+
+    def connection_lost(self, exc):
+        pass
+
+
+class RawClient(asyncio.Protocol):
+    """A client that sends bytes as they are and keeps what comes back."""
+
+    def __init__(self):
+        self.received = bytearray()
+        self.ended = False
+        self.transport = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.received += data
+
+    def eof_received(self):
+        self.ended = True
+        return False
+
+    def connection_lost(self, exc):
+        self.ended = True
--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,141 @@
+import asyncio
+import contextlib
+import random
+
+from gradelug_coordination import Election, LeaseKeeper, Mirror
+from gradelug_standins.kv import MemoryKv
+from world import new_loop
+
+KEY = "duty/one"
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+class Candidate:
+    def __init__(self, kv, name, hold_off_s=0.0, outlasts=False, first_start=True):
+        self.clock = asyncio.get_running_loop().time
+        rng = random.Random(name)
+        self.mirror = Mirror(kv, "", rng, 0.5)
+        self.lease = LeaseKeeper(kv, 1.8, self.clock, rng)
+        self.election = Election(
+            kv, self.mirror, KEY, name, f"{name}:1", self.lease, self.clock, rng,
+            hold_off_s, first_start, outlasts,
+        )
+        self.tasks = [
+            asyncio.create_task(self.mirror.run()),
+            asyncio.create_task(self.election.run()),
+        ]
+
+    async def die(self):
+        for task in self.tasks:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+
+def holders(candidates):
+    return [cand for cand in candidates if cand.election.may_act()]
+
+
+class TestElection:
+    def test_one_of_many_holds_the_duty_and_all_know_where(self):
+        async def scenario():
+            kv = MemoryKv()
+            cands = [Candidate(kv, f"n{at}") for at in range(5)]
+            await asyncio.sleep(1.0)
+            (holder,) = holders(cands)
+            assert {cand.election.record().fence for cand in cands} == {holder.election.fence}
+            for cand in cands:
+                await cand.die()
+
+        run(scenario)
+
+    def test_a_dead_holder_is_replaced_with_a_greater_token(self):
+        async def scenario():
+            kv = MemoryKv()
+            cands = [Candidate(kv, f"n{at}") for at in range(3)]
+            await asyncio.sleep(1.0)
+            (first,) = holders(cands)
+            await first.die()
+            fence = first.election.fence
+            rest = [cand for cand in cands if cand is not first]
+            await asyncio.sleep(2.5)
+            (second,) = holders(rest)
+            assert second.election.fence > fence
+            for cand in rest:
+                await cand.die()
+
+        run(scenario)
+
+    def test_another_instance_holds_off_where_tokens_are_not_checked(self):
+        async def scenario():
+            kv = MemoryKv()
+            first = Candidate(kv, "n0", hold_off_s=3.0)
+            await asyncio.sleep(1.0)
+            second = Candidate(kv, "n1", hold_off_s=3.0)
+            await asyncio.sleep(0.5)
+            await first.election.resign()
+            gone_at = second.clock()
+            while not second.election.may_act():
+                await asyncio.sleep(0.05)
+            assert second.clock() - gone_at >= 2.8
+            await first.die()
+            await second.die()
+
+        run(scenario)
+
+    def test_a_restarted_holder_goes_on_at_once(self):
+        async def scenario():
+            kv = MemoryKv()
+            first = Candidate(kv, "n0", hold_off_s=3.0)
+            await asyncio.sleep(1.0)
+            await first.die()
+            again = Candidate(kv, "n0", hold_off_s=3.0, first_start=False)
+            await asyncio.sleep(0.5)
+            assert again.election.may_act()
+            assert again.election.fence > first.election.fence
+            await again.die()
+
+        run(scenario)
+
+    def test_an_outage_ends_the_duty_unless_tokens_are_checked(self):
+        async def scenario():
+            for outlasts in (False, True):
+                kv = MemoryKv()
+                cand = Candidate(kv, "n0", outlasts=outlasts)
+                await asyncio.sleep(1.0)
+                kv.faults.down = True
+                await asyncio.sleep(4.0)
+                assert cand.election.may_act() is outlasts
+                await cand.die()
+
+        run(scenario)
+
+    def test_a_lease_that_lapsed_ends_the_duty(self):
+        async def scenario():
+            kv = MemoryKv()
+            cand = Candidate(kv, "n0", outlasts=True)
+            await asyncio.sleep(1.0)
+            fence = cand.election.fence
+            kv.lapse(cand.lease.lease)
+            await asyncio.sleep(2.0)
+            assert cand.election.fence > fence
+            await cand.die()
+
+        run(scenario)
+
+    def test_who_was_outranked_does_not_act_on_its_old_token(self):
+        async def scenario():
+            cand = Candidate(MemoryKv(), "n0", hold_off_s=3.0)
+            await asyncio.sleep(1.0)
+            cand.election.lose()
+            assert not cand.election.may_act()
+            await cand.die()
+
+        run(scenario)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,312 @@
+import asyncio
+
+import pytest
+from gradelug_http import (
+    ConnectFailed,
+    HttpPool,
+    OutgoingRequest,
+    ResponseBroken,
+    ServerLimits,
+    end_to_end,
+)
+from pipes import Network, RawClient, RawServer, join
+from world import new_loop
+
+GET = OutgoingRequest(b"GET", b"/a", [(b"Host", b"h")])
+ADDRESS = "10.0.0.1:80"
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+def clock():
+    return asyncio.get_running_loop().time()
+
+
+def own(text):
+    return lambda head: head.get(b"x-id") == text
+
+
+def answer(body=b"ok", ident=b"1", extra=b""):
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: %d\r\n%b\r\n" % (ident, len(body), extra)
+    ) + body
+
+
+class TestPool:
+    def test_a_whole_answer_lets_the_connection_be_used_again(self):
+        async def scenario():
+            net = Network()
+            net.servers[ADDRESS] = lambda: RawServer([[answer()], [answer(b"two")]])
+            pool = HttpPool(clock, net.dial)
+            for body in (b"ok", b"two"):
+                conn = await pool.acquire(ADDRESS, 1.0)
+                conn.send(GET)
+                head = await conn.head(own(b"1"))
+                assert await conn.body(100) == body
+                pool.release(conn, head)
+            assert net.dialled == [ADDRESS]
+
+        run(scenario)
+
+    def test_an_answer_to_an_earlier_request_is_skipped(self):
+        async def scenario():
+            net = Network()
+            late = answer(b"old one", b"0")
+            net.servers[ADDRESS] = lambda: RawServer([[late + answer(b"mine")]])
+            pool = HttpPool(clock, net.dial)
+            conn = await pool.acquire(ADDRESS, 1.0)
+            conn.send(GET)
+            await conn.head(own(b"1"))
+            assert await conn.body(100) == b"mine"
+
+        run(scenario)
+
+    def test_bytes_behind_an_answer_end_the_connection(self):
+        async def scenario():
+            net = Network()
+            net.servers[ADDRESS] = lambda: RawServer([[answer() + b"HTTP/1.1 200 OK\r\n"]])
+            pool = HttpPool(clock, net.dial)
+            conn = await pool.acquire(ADDRESS, 1.0)
+            conn.send(GET)
+            head = await conn.head(own(b"1"))
+            await conn.body(100)
+            pool.release(conn, head)
+            assert await pool.acquire(ADDRESS, 1.0) is not conn
+
+        run(scenario)
+
+    def test_a_surplus_answer_that_comes_while_idle_ends_the_connection(self):
+        async def scenario():
+            net, servers = Network(), []
+
+            def make():
+                servers.append(RawServer([[answer()]]))
+                return servers[-1]
+
+            net.servers[ADDRESS] = make
+            pool = HttpPool(clock, net.dial)
+            conn = await pool.acquire(ADDRESS, 1.0)
+            conn.send(GET)
+            head = await conn.head(own(b"1"))
+            await conn.body(100)
+            pool.release(conn, head)
+            servers[0].transport.write(answer(b"surplus"))
+            await asyncio.sleep(0.01)
+            assert await pool.acquire(ADDRESS, 1.0) is not conn
+
+        run(scenario)
+
+    def test_an_answer_without_length_is_whole_when_closed_and_broken_when_reset(self):
+        async def scenario(ending):
+            net = Network()
+            raw = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nsome"
+            net.servers[ADDRESS] = lambda: RawServer([[raw, ending]])
+            conn = await HttpPool(clock, net.dial).acquire(ADDRESS, 1.0)
+            conn.send(GET)
+            await conn.head(own(b"1"))
+            return await conn.body(100)
+
+        assert run(lambda: scenario("close")) == b"some"
+        with pytest.raises(ResponseBroken):
+            run(lambda: scenario("reset"))
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"no answer at all\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nshort",
+            b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            b"",
+        ],
+    )
+    def test_what_is_cut_or_malformed_is_broken(self, raw):
+        async def scenario():
+            net = Network()
+            net.servers[ADDRESS] = lambda: RawServer([[raw, "close"]])
+            conn = await HttpPool(clock, net.dial).acquire(ADDRESS, 1.0)
+            conn.send(GET)
+            await conn.head(own(b"1"))
+            await conn.body(100)
+
+        with pytest.raises(ResponseBroken):
+            run(scenario)
+
+    def test_a_connection_rests_no_longer_than_the_upstream_says(self):
+        async def scenario():
+            net = Network()
+            net.servers[ADDRESS] = lambda: RawServer(
+                [[answer(extra=b"Keep-Alive: timeout=2\r\n")]]
+            )
+            pool = HttpPool(clock, net.dial)
+            conn = await pool.acquire(ADDRESS, 1.0)
+            conn.send(GET)
+            head = await conn.head(own(b"1"))
+            await conn.body(100)
+            pool.release(conn, head)
+            await asyncio.sleep(1.6)
+            assert await pool.acquire(ADDRESS, 1.0) is not conn
+
+        run(scenario)
+
+    def test_a_dead_address_is_told_as_not_connected(self):
+        async def scenario():
+            await HttpPool(clock, Network().dial).acquire(ADDRESS, 1.0)
+
+        with pytest.raises(ConnectFailed):
+            run(scenario)
+
+
+class Door:
+    """A server that echoes, and what it saw."""
+
+    def __init__(self, limits=None):
+        self.seen = []
+        self.left = 0
+        self.hold = None
+        self.limits = limits or ServerLimits()
+
+    async def serve(self, inc):
+        self.seen.append((inc.method, inc.target, inc.headers, inc.body))
+        try:
+            if self.hold is not None:
+                await self.hold.wait()
+        except asyncio.CancelledError:
+            self.left += 1
+            raise
+        inc.respond(200, [], inc.body)
+
+    def connect(self):
+        net = Network()
+        server = net.serve(ADDRESS, self.serve, lambda: self.limits, clock)
+        client = RawClient()
+        join(client, server.new_connection())
+        client.server = server
+        return client
+
+
+class TestServer:
+    def test_method_target_headers_and_body_arrive_unchanged(self):
+        async def scenario():
+            door = Door()
+            client = door.connect()
+            client.transport.write(
+                b"POST /a//b%2F?q=%20&r HTTP/1.1\r\nHost: h\r\nX-Two: 1\r\nx-two: 2\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+            )
+            await asyncio.sleep(0.01)
+            method, target, headers, body = door.seen[0]
+            assert (method, target, body) == (b"POST", b"/a//b%2F?q=%20&r", b"abc")
+            assert end_to_end(headers) == [
+                (b"Host", b"h"),
+                (b"X-Two", b"1"),
+                (b"x-two", b"2"),
+            ]
+            assert client.received.endswith(b"abc")
+
+        run(scenario)
+
+    def test_requests_sent_ahead_are_answered_in_order(self):
+        async def scenario():
+            door = Door()
+            client = door.connect()
+            one = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n"
+            client.transport.write(one + b"a" + one + b"b")
+            await asyncio.sleep(0.01)
+            assert [body for *_, body in door.seen] == [b"a", b"b"]
+            assert client.received.count(b"200 ") == 2
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("raw", "status"),
+        [
+            (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 500 + b"\r\n\r\n", b"431"),
+            (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30\r\n\r\n" + b"z" * 30, b"413"),
+            (
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                b"400",
+            ),
+            (b"nonsense\r\n\r\n", b"400"),
+        ],
+    )
+    def test_what_exceeds_the_limits_or_is_malformed_is_refused(self, raw, status):
+        async def scenario():
+            door = Door(ServerLimits(header_bytes=200, body_bytes=20))
+            client = door.connect()
+            client.transport.write(raw)
+            await asyncio.sleep(0.01)
+            assert client.received.split(b" ")[1] == status
+            assert not door.seen
+            await asyncio.sleep(2.0)
+            assert client.ended
+
+        run(scenario)
+
+    def test_a_request_that_arrives_too_slowly_is_refused(self):
+        async def scenario():
+            door = Door(ServerLimits(header_s=1.0))
+            client = door.connect()
+            client.transport.write(b"GET / HTTP/1.1\r\nHost:")
+            await asyncio.sleep(1.5)
+            assert client.received.startswith(b"HTTP/1.1 408 ")
+
+        run(scenario)
+
+    def test_a_client_that_leaves_ends_its_request(self):
+        async def scenario():
+            door = Door()
+            door.hold = asyncio.Event()
+            client = door.connect()
+            client.transport.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.01)
+            client.transport.close()
+            await asyncio.sleep(0.01)
+            assert door.left == 1
+
+        run(scenario)
+
+    def test_an_answer_that_was_not_ended_closes_the_connection(self):
+        async def scenario():
+            async def serve(inc):
+                inc.begin(200, [])
+                await inc.send(b"part")
+
+            net = Network()
+            server = net.serve(ADDRESS, serve, ServerLimits, clock)
+            client = RawClient()
+            join(client, server.new_connection())
+            client.transport.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.01)
+            assert b"part" in client.received
+            assert not client.received.endswith(b"0\r\n\r\n")
+            assert client.ended
+
+        run(scenario)
+
+    def test_a_resting_connection_outlives_four_fifths_of_its_time_and_is_closed_later(self):
+        async def scenario():
+            client = Door(ServerLimits(idle_s=4.0)).connect()
+            await asyncio.sleep(4.0)
+            assert not client.ended
+            await asyncio.sleep(2.0)
+            assert client.ended
+
+        run(scenario)
+
+    def test_while_draining_the_next_answer_closes_its_connection(self):
+        async def scenario():
+            client = Door().connect()
+            client.server.draining = True
+            client.transport.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.01)
+            assert b"connection: close" in client.received.lower()
+            assert client.ended
+
+        run(scenario)
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,361 @@
+"""The planner over engines that lose, delay and refuse orders as the platform's may."""
+
+import asyncio
+import random
+
+import pytest
+from gradelug_gateway.model import (
+    AdapterKey,
+    BaseModel,
+    EngineReport,
+    EngineSpec,
+    FleetState,
+    Holding,
+    OrderOutcome,
+    Replica,
+)
+from gradelug_gateway.planner import STORE_LOAD_S, Planner
+from gradelug_policy.residency import LoadWindow
+from gradelug_wire import placement_pb2 as pb
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import new_loop
+
+SLOTS = 3
+SPEC = EngineSpec((BaseModel("m", 500.0, 0.6, 14.0),), 1000.0, SLOTS, 96, 100_000, 2.0)
+MODEL = AdapterKey("m")
+REPORT_LAG_S = 0.2
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+class ModelEngine:
+    """An engine: places, a count of orders, fences, reports that lag."""
+
+    def __init__(self, clock, versions):
+        self.clock = clock
+        self.versions = versions
+        self.held = {MODEL: 1}
+        self.ready_at = {MODEL: clock()}
+        self.orders = 0
+        self.fence = 0
+        self.fell = False
+        self.users = {}
+        self.past = []
+        self._keep()
+
+    def carry_out(self, order):
+        if order.fence < self.fence:
+            return OrderOutcome.OUTRANKED
+        self.fence = order.fence
+        if order.expected != self.orders:
+            return OrderOutcome.CONFLICT
+        outcome = self._load(order) if order.load else self._unload(order)
+        self._keep()
+        return outcome
+
+    def can_run(self, key):
+        return key in self.held and self.ready_at[key] <= self.clock()
+
+    def report(self):
+        at = self.clock() - REPORT_LAG_S
+        seen = self.past[0]
+        for state in self.past:
+            if state[0] <= at:
+                seen = state
+        _, orders, held, ready_at = seen
+        ready = [Holding(key, held[key]) for key in held if ready_at[key] <= at]
+        coming = [Holding(key, held[key]) for key in held if ready_at[key] > at]
+        return EngineReport(orders, tuple(ready), tuple(coming), frozenset(), False)
+
+    def _load(self, order):
+        version = order.version or self.versions.get(order.key, 1)
+        if self.held.get(order.key) == version:
+            return OrderOutcome.HOLDS
+        self.orders += 1
+        self.held[order.key] = version
+        load_s = 0.6 if order.key == MODEL else 0.25
+        self.ready_at[order.key] = self.clock() + load_s
+        if sum(bool(key.adapter) for key in self.held) > SLOTS:
+            self.fell = True
+        return OrderOutcome.TAKEN
+
+    def _unload(self, order):
+        self.orders += 1
+        if self.users.get(order.key):
+            return OrderOutcome.TAKEN
+        self.held.pop(order.key, None)
+        return OrderOutcome.HOLDS
+
+    def _keep(self):
+        self.past.append((self.clock(), self.orders, dict(self.held), dict(self.ready_at)))
+
+
+class ModelTransport:
+    """Carries orders to engines, and loses or delays some."""
+
+    def __init__(self, rng, lost=0.0, late=0.0):
+        self.engines = {}
+        self.rng = rng
+        self.lost = lost
+        self.late = late
+        self.given = []
+
+    async def order(self, replica, order):
+        await asyncio.sleep(0.002)
+        engine = self.engines.get(replica.name)
+        if engine is None:
+            return OrderOutcome.GONE
+        self.given.append((replica.name, order))
+        if self.rng.random() < self.late:
+            asyncio.get_running_loop().call_later(
+                self.rng.uniform(0.5, 4.0), engine.carry_out, order
+            )
+            await asyncio.sleep(0.12)
+            return OrderOutcome.LOST
+        outcome = engine.carry_out(order)
+        if self.rng.random() < self.lost:
+            await asyncio.sleep(0.12)
+            return OrderOutcome.LOST
+        return outcome
+
+    async def report(self, replica):
+        await asyncio.sleep(0.002)
+        engine = self.engines.get(replica.name)
+        return engine.report() if engine is not None else None
+
+
+class Bench:
+    def __init__(self, engines=2, seed=1, lost=0.0, late=0.0):
+        self.clock = asyncio.get_running_loop().time
+        self.state = FleetState()
+        self.transport = ModelTransport(random.Random(seed), lost, late)
+        for at in range(engines):
+            self.add(f"e{at}")
+        window = LoadWindow(2.0, 5.0, 1.1, 3)
+        self.planner = Planner(
+            "llm", "me", SPEC, self.state, self.transport, window, self.clock
+        )
+        self.planner.fence = 7
+        self.gateway = self.planner.join()
+        self.task = asyncio.create_task(self.planner.run())
+        self.tickets = 0
+        self.answers = {}
+
+    def add(self, name):
+        self.transport.engines[name] = ModelEngine(self.clock, self.state.versions)
+        self.state.replicas[name] = Replica(name, "llm", f"{name}:1", "hall")
+
+    def ask(self, adapter, wait_s=4.0, target_s=1.0, **more):
+        self.tickets += 1
+        ask = pb.Ask(
+            ticket=self.tickets, model="m", adapter=adapter, wait_ms=round(wait_s * 1000),
+            target_ms=round(target_s * 1000), value=1.0, **more,
+        )
+        self.planner.take(self.gateway, pb.FromGateway(asks=[ask]))
+        return self.tickets
+
+    def use(self, replica, adapter, active):
+        use = pb.Use(replica=replica, model="m", adapter=adapter, active=active)
+        self.transport.engines[replica].users[AdapterKey("m", adapter)] = active
+        self.planner.take(self.gateway, pb.FromGateway(uses=[use]))
+
+    def collect(self):
+        for answer in self.planner.compose(self.gateway).answers:
+            self.answers[answer.ticket] = answer
+        return self.answers
+
+    async def stop(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+class TestPlacing:
+    def test_an_adapter_is_loaded_and_its_waiters_answered_when_it_can_run(self):
+        async def scenario():
+            bench = Bench()
+            await asyncio.sleep(0.5)
+            tickets = [bench.ask("a1"), bench.ask("a1")]
+            await asyncio.sleep(STORE_LOAD_S + 0.1)
+            answers = bench.collect()
+            names = {answers[ticket].replica for ticket in tickets}
+            assert len(names) == 1
+            assert bench.transport.engines[names.pop()].can_run(AdapterKey("m", "a1"))
+            assert sum(order.load for _, order in bench.transport.given) == 1
+            await bench.stop()
+
+        run(scenario)
+
+    def test_used_adapters_stay_and_the_rest_wait(self):
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(0.5)
+            for adapter in ("a1", "a2", "a3"):
+                bench.ask(adapter)
+            await asyncio.sleep(0.6)
+            for adapter in ("a1", "a2", "a3"):
+                bench.use("e0", adapter, 1)
+            waiting = bench.ask("a4", returning=True)
+            await asyncio.sleep(1.0)
+            assert waiting not in bench.collect()
+            bench.use("e0", "a2", 0)
+            await asyncio.sleep(0.7)
+            assert bench.collect()[waiting].replica == "e0"
+            held = set(bench.transport.engines["e0"].held)
+            assert AdapterKey("m", "a2") not in held
+            await bench.stop()
+
+        run(scenario)
+
+    def test_what_would_come_too_late_is_refused_within_a_quarter_of_its_target(self):
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(0.5)
+            for adapter in ("a1", "a2", "a3"):
+                bench.ask(adapter)
+            await asyncio.sleep(0.6)
+            for adapter in ("a1", "a2", "a3"):
+                bench.use("e0", adapter, 1)
+            for at in range(40):
+                bench.ask(f"b{at}", wait_s=9.0, returning=True)
+            await asyncio.sleep(4.0)
+            fresh = bench.ask("c1")
+            await asyncio.sleep(0.25)
+            answer = bench.collect()[fresh]
+            assert answer.replica == ""
+            assert 0 < answer.retry_after_ms <= 4000 / 3
+            await bench.stop()
+
+        run(scenario)
+
+    def test_an_engine_that_comes_back_empty_gets_its_base_model(self):
+        async def scenario():
+            bench = Bench(engines=1)
+            engine = bench.transport.engines["e0"]
+            engine.held.clear()
+            engine.past.clear()
+            engine._keep()
+            await asyncio.sleep(3.0)
+            assert engine.can_run(MODEL)
+            await bench.stop()
+
+        run(scenario)
+
+    def test_a_renewed_version_replaces_the_old_one_when_nobody_uses_it(self):
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(0.5)
+            bench.ask("a1")
+            await asyncio.sleep(0.5)
+            key = AdapterKey("m", "a1")
+            bench.use("e0", "a1", 1)
+            bench.state.versions[key] = 2
+            bench.planner.refresh()
+            await asyncio.sleep(0.3)
+            waiting = bench.ask("a1", returning=True)
+            await asyncio.sleep(0.3)
+            assert waiting not in bench.collect()
+            bench.use("e0", "a1", 0)
+            await asyncio.sleep(1.0)
+            assert bench.collect()[waiting].version == 2
+            assert bench.transport.engines["e0"].held[key] == 2
+            await bench.stop()
+
+        run(scenario)
+
+    def test_an_outranked_planner_gives_no_further_orders(self):
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(0.5)
+            bench.transport.engines["e0"].fence = 99
+            bench.ask("a1")
+            await asyncio.sleep(0.5)
+            given = len(bench.transport.given)
+            assert bench.planner.is_outranked
+            for at in range(5):
+                bench.ask(f"b{at}")
+            await asyncio.sleep(2.0)
+            assert len(bench.transport.given) == given
+            await bench.stop()
+
+        run(scenario)
+
+    def test_a_gateway_that_leaves_holds_nothing(self):
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(0.5)
+            bench.ask("a1")
+            await asyncio.sleep(0.5)
+            bench.use("e0", "a1", 1)
+            bench.planner.leave(bench.gateway)
+            assert bench.planner.engines["e0"].users(AdapterKey("m", "a1")) == 0
+            await bench.stop()
+
+        run(scenario)
+
+
+@pytest.mark.parametrize(("lost", "late"), [(0.0, 0.0), (0.3, 0.0), (0.0, 0.3), (0.2, 0.2)])
+class TestUnderFaults:
+    @settings(derandomize=True, max_examples=12, deadline=None)
+    @given(
+        seed=st.integers(0, 1000),
+        steps=st.lists(
+            st.tuples(st.integers(1, 12), st.floats(0.0, 0.4), st.sampled_from("auvrd")),
+            min_size=15,
+            max_size=40,
+        ),
+    )
+    def test_no_engine_is_overfilled_and_no_adapter_is_lost_for_good(self, lost, late, seed, steps):
+        async def scenario():
+            bench = Bench(3, seed, lost, late)
+            await asyncio.sleep(0.5)
+            for number, pause_s, what in steps:
+                await asyncio.sleep(pause_s)
+                step(bench, number, what)
+                assert not any(engine.fell for engine in bench.transport.engines.values())
+            await asyncio.sleep(5.0)
+            assert not any(engine.fell for engine in bench.transport.engines.values())
+            bench.transport.lost = bench.transport.late = 0.0
+            release_all(bench)
+            await asyncio.sleep(6.0)
+            last = bench.ask("z1", returning=True)
+            await asyncio.sleep(3.5)
+            name = bench.collect()[last].replica
+            assert bench.transport.engines[name].can_run(AdapterKey("m", "z1"))
+            await bench.stop()
+
+        run(scenario)
+
+
+def step(bench, number, what):
+    adapter = f"a{number}"
+    if what in "au":
+        bench.ask(adapter)
+    elif what == "v":
+        key = AdapterKey("m", adapter)
+        bench.state.versions[key] = bench.state.versions.get(key, 1) + 1
+    elif what == "r":
+        name = f"e{number % 3}"
+        if name in bench.state.replicas:
+            del bench.state.replicas[name], bench.transport.engines[name]
+        else:
+            bench.add(name)
+    if what == "u":
+        for name, engine in bench.transport.engines.items():
+            if engine.can_run(AdapterKey("m", adapter)):
+                bench.use(name, adapter, number % 2)
+
+
+def release_all(bench):
+    for name, engine in bench.transport.engines.items():
+        for key in list(engine.users):
+            bench.use(name, key.adapter, 0)
+    for name in ("e0", "e1", "e2"):
+        if name not in bench.state.replicas:
+            bench.add(name)
--- /dev/null
+++ b/tests/test_residency.py
@@ -0,0 +1,68 @@
+from gradelug_policy.residency import EnginePlaces, LoadCosts, LoadWindow, Victim, choose_home
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+COSTS = LoadCosts(0.03, 0.255)
+
+
+def places(name, free=1, victims=(), cached=False, starting=0, running=0):
+    return EnginePlaces(name, free, tuple(victims), cached, starting, running)
+
+
+class TestChooseHome:
+    def test_host_memory_goes_before_the_weight_store(self):
+        choice = choose_home([places("a"), places("b", cached=True, running=9)], "k", COSTS, True)
+        assert choice is not None
+        assert (choice.engine, choice.cached) == ("b", True)
+
+    def test_a_busy_store_leaves_only_host_memory(self):
+        assert choose_home([places("a"), places("b")], "k", COSTS, False) is None
+
+    def test_the_least_wanted_makes_way(self):
+        victims = [Victim("hot", 3.0), Victim("cold", 0.1), Victim("warm", 1.0)]
+        choice = choose_home([places("a", 0, victims)], "k", COSTS, True)
+        assert choice is not None
+        assert choice.victim == "cold"
+
+    def test_an_engine_whose_places_are_all_in_use_takes_nothing(self):
+        assert choose_home([places("a", free=0)], "k", COSTS, True) is None
+
+    def test_an_engine_with_many_requests_before_their_first_event_is_avoided(self):
+        choice = choose_home([places("a", starting=8), places("b")], "k", COSTS, True)
+        assert choice is not None
+        assert choice.engine == "b"
+
+    def test_among_equals_everybody_chooses_the_same(self):
+        views = [places(name) for name in "abcde"]
+        chosen = {choose_home(order, "k", COSTS, True) for order in (views, views[::-1])}
+        assert len(chosen) == 1
+
+
+class TestLoadWindow:
+    @settings(derandomize=True)
+    @given(
+        st.lists(st.floats(0.0, 0.9), min_size=1, max_size=120),
+        st.floats(0.5, 20.0),
+        st.booleans(),
+    )
+    def test_no_window_holds_more_than_the_limit(self, pauses, rate, taken_over):
+        window, now, begun = LoadWindow(rate, 5.0, 1.1, 3), 100.0, []
+        if taken_over:
+            window.assume_used(now)
+        for pause in pauses:
+            now += pause
+            if window.allows(now):
+                window.note(now)
+                begun.append(now)
+        most = max((sum(at <= x < at + 5.0 for x in begun) for at in begun), default=0)
+        assert most <= rate * 5.0 * 1.1 + 3
+
+    def test_a_successor_goes_on_at_the_rate_of_the_limit(self):
+        window, now, begun = LoadWindow(2.0, 5.0, 1.0, 0), 0.0, 0
+        window.assume_used(now)
+        for _ in range(500):
+            now += 0.01
+            if window.allows(now):
+                window.note(now)
+                begun += 1
+        assert begun in (9, 10)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,27 @@
+import random
+from collections import Counter
+
+from gradelug_gateway.model import Repeat, Route, Share
+from gradelug_gateway.routing import RouteTable, choose_service
+
+
+def route(prefix, host="h", shares=(Share("s", 1.0),)):
+    return Route(prefix, host, prefix, shares, False, Repeat.FREELY, 1.0, 1.0, 1.0, 1, 0)
+
+
+class TestRouteTable:
+    def test_the_longest_prefix_that_begins_the_path_wins(self):
+        table = RouteTable([route("/"), route("/a/b/"), route("/a/")])
+        found = [table.find("h", path) for path in ("/a/b/c", "/a/bc", "/x", "/a")]
+        assert [item.prefix for item in found] == ["/a/b/", "/a/", "/", "/"]
+
+    def test_hosts_are_apart(self):
+        table = RouteTable([route("/a/", "one")])
+        assert table.find("two", "/a/") is None
+
+    def test_shares_are_drawn_by_their_weights(self):
+        split = route("/", shares=(Share("most", 9.0), Share("some", 1.0), Share("none", 0.0)))
+        rng = random.Random(1)
+        drawn = Counter(choose_service(split, rng) for _ in range(2000))
+        assert drawn["none"] == 0
+        assert 100 < drawn["some"] < 300
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,426 @@
+"""Requests through the gateway's own code, in memory, with replicas that answer by a script."""
+
+import asyncio
+import random
+
+import pytest
+from gradelug_gateway.directory import Directory
+from gradelug_gateway.exceptions import Refused
+from gradelug_gateway.fleet import Fleet
+from gradelug_gateway.metrics import Meters
+from gradelug_gateway.model import (
+    AdapterKey,
+    EngineSpec,
+    FleetState,
+    Holding,
+    Repeat,
+    Replica,
+    Route,
+    Service,
+    Share,
+    Snapshot,
+)
+from gradelug_gateway.serving import Serving
+from gradelug_http import HttpPool, ServerLimits
+from gradelug_platform.dialect import PlatformDialect
+from gradelug_policy import RetryBudget
+from pipes import Network, RawClient, RawServer, join
+from world import new_loop
+
+SPEC = EngineSpec((), 1000.0, 6, 96, 1000, 2.0)
+KEY = AdapterKey("m", "a1")
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+def route(repeat, streaming=False, replicas=2, service="plain", timeout_s=2.0):
+    return Route(
+        "r", "h", "/", (Share(service, 1.0),), streaming, repeat, timeout_s, 0.2, 0.4, replicas, 0
+    )
+
+
+def reply(body=b"ok", status=b"200 OK", ident=b"q1", extra=b""):
+    return (
+        b"HTTP/1.1 %b\r\nX-Gradelug-Request-Id: %b\r\n%bContent-Length: %d\r\n\r\n"
+        % (status, ident, extra, len(body))
+    ) + body
+
+
+SIGNED = b"X-Gradelug-Server-Signature: s1\r\n"
+OK = reply(extra=SIGNED)
+FULL = reply(b"", b"503 Service Unavailable", extra=b"X-Gradelug-Not-Executed: 1\r\n")
+ELSEWHERE = reply(b"", b"421 Misdirected Request", extra=b"X-Gradelug-Instance-Id: other\r\n")
+ABSENT = reply(b"", b"421 Misdirected Request")
+FAILED = reply(b"no", b"500 Internal Server Error", extra=SIGNED)
+STREAM = (
+    b"HTTP/1.1 200 OK\r\nX-Gradelug-Request-Id: q1\r\n" + SIGNED + b"Content-Type: "
+    b"text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+END = b"0\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number):
+    return chunk(b"id: %d\ndata: x\n\n" % number)
+
+
+class StubDirectory(Directory):
+    """Answers questions from a list; the planner itself is tested elsewhere."""
+
+    def __init__(self, fleet):
+        super().__init__("i", "10.0.0.9:1", fleet, fleet._clock, lambda service: None)
+        self.answers = []
+        self.asked = []
+
+    async def place(self, service, key, **asked):
+        self.asked.append(asked)
+        if not self.answers:
+            await asyncio.sleep(max(0.0, asked["wish"].until - self._clock()))
+            raise Refused("the weights could not be placed in time", 0.5)
+        return self.answers.pop(0)
+
+
+class Bench:
+    def __init__(self, the_route, scripts, holdings=(), engine=False, budget=10.0):
+        clock = asyncio.get_running_loop().time
+        self.clock = clock
+        self.net = Network()
+        self.servers = {}
+        state = FleetState()
+        name = the_route.shares[0].service
+        services = {name: Service(name, 10, SPEC if engine else None)}
+        state.snapshot = Snapshot(1, (the_route,), services, ServerLimits())
+        for at, script in enumerate(scripts):
+            self._add(state, name, at, script, holdings)
+        self.state = state
+        self.fleet = Fleet(state, "hall", clock)
+        self.directory = StubDirectory(self.fleet)
+        self.serving = Serving(
+            PlatformDialect(), self.fleet, self.directory, HttpPool(clock, self.net.dial),
+            RetryBudget(0.0, budget), Meters(), clock, random.Random(1),
+        )
+        self.server = self.net.serve("10.0.0.9:80", self.serving.serve, ServerLimits, clock)
+
+    def _add(self, state, service, at, script, holdings):
+        replica, address = f"s{at}", f"10.0.1.{at}:80"
+        hall = "hall" if at == 0 else "other"
+        state.replicas[replica] = Replica(replica, service, address, hall, holdings=holdings)
+        self.servers[replica] = []
+        if script is None:
+            return
+
+        def make():
+            self.servers[replica].append(RawServer(script))
+            return self.servers[replica][-1]
+
+        self.net.servers[address] = make
+
+    def client(self, deadline_ms=1000, headers=b"", method=b"POST", body=b"body"):
+        client = RawClient()
+        join(client, self.server.new_connection())
+        client.transport.write(
+            b"%b /p/q%%20r?x=1 HTTP/1.1\r\nHost: h\r\nX-Gradelug-Request-Id: q1\r\n"
+            b"X-Gradelug-Deadline-Ms: %d\r\n%bContent-Length: %d\r\n\r\n%b"
+            % (method, deadline_ms, headers, len(body), body)
+        )
+        return client
+
+    def received(self, replica):
+        return b"".join(bytes(server.received) for server in self.servers[replica])
+
+
+def status(client):
+    return int(client.received.split(b" ")[1])
+
+
+class TestPlainRequests:
+    def test_request_and_answer_pass_unchanged_with_the_time_that_is_left(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=1), [[[OK]]])
+            client = bench.client(headers=b"X-Own: 1\r\nX-Gradelug-Expect-Instance: forged\r\n")
+            await asyncio.sleep(0.1)
+            sent = bench.received("s0")
+            assert sent.startswith(b"POST /p/q%20r?x=1 HTTP/1.1\r\n")
+            assert sent.endswith(b"\r\n\r\nbody")
+            assert b"X-Own: 1\r\n" in sent
+            assert b"X-Gradelug-Expect-Instance: s0\r\n" in sent
+            assert b"forged" not in sent
+            left = int(sent.split(b"X-Gradelug-Deadline-Ms: ")[1].split(b"\r\n")[0])
+            assert 900 < left <= 1000
+            assert status(client) == 200
+            assert SIGNED in client.received
+
+        run(scenario)
+
+    def test_what_may_run_once_is_not_sent_again_after_a_doubt(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[["reset"]], [[OK]]])
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 502
+            assert not bench.received("s1")
+
+        run(scenario)
+
+    def test_what_may_run_once_goes_elsewhere_when_it_was_not_run(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[FULL]], [[OK]]])
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 200
+
+        run(scenario)
+
+    def test_it_is_sent_to_no_more_replicas_than_the_route_allows(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=1), [[[FULL]], [[OK]]])
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 503
+            assert b"Retry-After: " in client.received
+            assert not bench.received("s1")
+
+        run(scenario)
+
+    def test_a_replica_that_cannot_be_reached_counts_as_not_sent(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=1), [None, [[OK]]])
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 200
+
+        run(scenario)
+
+    def test_another_replica_at_the_address_runs_nothing(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[ELSEWHERE]], [[OK]]])
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 200
+
+        run(scenario)
+
+    @pytest.mark.parametrize("first", [[FAILED], ["reset"], []])
+    def test_a_repeatable_request_is_tried_once_more(self, first):
+        async def scenario():
+            bench = Bench(route(Repeat.FREELY), [[first], [[OK]]])
+            client = bench.client()
+            await asyncio.sleep(0.6)
+            assert status(client) == 200
+
+        run(scenario)
+
+    def test_a_replicas_failure_is_passed_on_when_no_other_does_better(self):
+        async def scenario():
+            bench = Bench(route(Repeat.FREELY), [[[FAILED]], [[FAILED]]])
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 500
+            assert SIGNED in client.received
+
+        run(scenario)
+
+    def test_without_budget_nothing_is_sent_again(self):
+        async def scenario():
+            bench = Bench(route(Repeat.FREELY), [[["reset"]], [[OK]]], budget=0.0)
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 502
+            assert not bench.received("s1")
+
+        run(scenario)
+
+    def test_a_success_without_a_signature_is_no_answer(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=1), [[[reply()]]])
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) >= 500
+
+        run(scenario)
+
+    def test_a_silent_replica_costs_no_more_than_the_time_of_the_route(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=1, timeout_s=0.5), [[[]]])
+            client = bench.client(deadline_ms=5000)
+            await asyncio.sleep(0.45)
+            assert not client.received
+            await asyncio.sleep(0.1)
+            assert status(client) == 504
+
+        run(scenario)
+
+    def test_a_replica_that_is_leaving_gets_nothing(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[OK]], [[OK]]])
+            gone = bench.state.replicas["s0"]
+            bench.state.replicas["s0"] = Replica(
+                gone.name, gone.service, gone.address, gone.hall, leaving=True
+            )
+            client = bench.client()
+            await asyncio.sleep(0.1)
+            assert status(client) == 200
+            assert not bench.received("s0")
+
+        run(scenario)
+
+    def test_when_the_caller_leaves_its_replica_is_told(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[]], [[]]])
+            client = bench.client()
+            await asyncio.sleep(0.1)
+            client.transport.close()
+            await asyncio.sleep(0.05)
+            assert bench.servers["s0"][0].transport.closing
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("raw", "expected"),
+        [(b"Host: nowhere\r\nX-Gradelug-Request-Id: q1\r\n", 404), (b"Host: h\r\n", 400)],
+    )
+    def test_no_route_and_no_identifier(self, raw, expected):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[OK]]])
+            client = RawClient()
+            join(client, bench.server.new_connection())
+            client.transport.write(b"GET / HTTP/1.1\r\n" + raw + b"\r\n")
+            await asyncio.sleep(0.05)
+            assert status(client) == expected
+
+        run(scenario)
+
+    def test_without_a_configuration_nothing_is_denied(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[OK]]])
+            bench.state.snapshot = None
+            client = bench.client()
+            await asyncio.sleep(0.05)
+            assert status(client) == 503
+
+        run(scenario)
+
+    def test_an_instance_that_is_about_to_end_refuses_what_arrives(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[OK]]])
+            bench.serving.refuse_from(bench.clock())
+            client = bench.client()
+            await asyncio.sleep(0.05)
+            assert status(client) == 503
+            assert b"Retry-After: 0.05" in client.received
+            assert not bench.received("s0")
+
+        run(scenario)
+
+
+HELD = (Holding(AdapterKey("m"), 1), Holding(KEY, 1))
+ADAPTER = b"X-Gradelug-Model: m/a1\r\n"
+
+
+class TestStreams:
+    def bench(self, scripts, repeat=Repeat.RESUME, replicas=2, **more):
+        the_route = route(repeat, True, replicas, "llm", 10.0)
+        return Bench(the_route, scripts, HELD, engine=True, **more)
+
+    def test_events_come_as_they_are_made_and_the_end_is_told(self):
+        async def scenario():
+            bench = self.bench([[[STREAM + event(1)]]])
+            client = bench.client(8000, ADAPTER)
+            await asyncio.sleep(0.05)
+            assert event(1) in client.received
+            assert not client.received.endswith(END)
+            bench.servers["s0"][0].transport.write(event(2) + END)
+            await asyncio.sleep(0.05)
+            assert client.received.endswith(END)
+            assert b"X-Gradelug-Request-Priority: 0\r\n" in bench.received("s0")
+
+        run(scenario)
+
+    def test_a_broken_stream_goes_on_after_its_last_event_elsewhere(self):
+        async def scenario():
+            first = STREAM + event(1) + event(2) + chunk(b"id: 3\nda")
+            bench = self.bench([[[first, "reset"]], [[STREAM + event(3) + event(4) + END]]])
+            client = bench.client(8000, ADAPTER)
+            await asyncio.sleep(0.3)
+            assert b"Last-Event-Id: 2\r\n" in bench.received("s1")
+            payload = bytes(client.received).partition(b"\r\n\r\n")[2]
+            found = [payload.count(b"id: %d\n" % number) for number in (1, 2, 3, 4)]
+            assert found == [1, 1, 1, 1]
+            assert client.received.endswith(END)
+            assert client.received.count(b"HTTP/1.1 200") == 1
+
+        run(scenario)
+
+    def test_a_silent_stream_goes_on_elsewhere_after_the_first_replica_was_left(self):
+        async def scenario():
+            bench = self.bench([[[STREAM + event(1)]], [[STREAM + event(2) + END]]])
+            client = bench.client(8000, ADAPTER)
+            await asyncio.sleep(2.0)
+            assert client.received.endswith(END)
+            assert bench.servers["s0"][0].transport.closing
+
+        run(scenario)
+
+    def test_a_stream_that_must_not_be_resumed_is_cut_without_its_end(self):
+        async def scenario():
+            bench = self.bench([[[STREAM + event(1), "reset"]], [[STREAM + END]]], Repeat.NEVER)
+            client = bench.client(8000, ADAPTER)
+            await asyncio.sleep(0.3)
+            assert client.ended
+            assert not client.received.endswith(END)
+            assert not bench.received("s1")
+
+        run(scenario)
+
+    def test_a_stream_that_misses_an_event_is_not_passed_on(self):
+        async def scenario():
+            bench = self.bench([[[STREAM + event(1) + event(3) + END]]], Repeat.NEVER, 1)
+            client = bench.client(8000, ADAPTER)
+            await asyncio.sleep(0.3)
+            assert b"id: 3" not in client.received
+            assert not client.received.endswith(END)
+
+        run(scenario)
+
+    def test_weights_that_are_not_there_are_asked_for(self):
+        async def scenario():
+            bench = self.bench([[[ABSENT], [STREAM + event(1) + END]]], Repeat.NEVER, 1)
+            bench.directory.answers = [bench.state.replicas["s0"]]
+            client = bench.client(8000, ADAPTER)
+            await asyncio.sleep(0.3)
+            assert bench.directory.asked[0]["absent"] == "s0"
+            assert client.received.endswith(END)
+
+        run(scenario)
+
+    def test_weights_that_never_come_are_refused_as_not_run_before_the_caller_gives_up(self):
+        async def scenario():
+            bench = self.bench([[[STREAM]]])
+            client = bench.client(9000, b"X-Gradelug-Model: m/a2\r\n")
+            await asyncio.sleep(3.2)
+            assert status(client) == 503
+            assert b"Retry-After: " in client.received
+            assert not bench.received("s0")
+
+        run(scenario)
+
+    def test_a_named_version_is_demanded_and_older_holders_get_nothing(self):
+        async def scenario():
+            bench = self.bench([[[STREAM + event(1) + END]]])
+            bench.state.versions[KEY] = 2
+            bench.directory.answers = [bench.state.replicas["s0"]]
+            bench.client(8000, ADAPTER)
+            await asyncio.sleep(0.2)
+            assert len(bench.directory.asked) == 1
+            assert b"X-Gradelug-Expect-Version: 2\r\n" in bench.received("s0")
+
+        run(scenario)
