--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -28,13 +28,13 @@
 
 log = logbook.Logger("daemon")
 DUTY_PREFIX = "gradelug/planner/"
-LEASE_S = 1.8
-"""Time to live of a planner's lease: how long a lost one is missed at most."""
+LEASE_S = 1.2
+"""Time to live of a planner's lease: a lost one is replaced somewhat later than this."""
 MOST_DELAY_S = 0.8
 """Longest pause before the platform's store is tried again: a configuration has to be in force
 two seconds after it was accepted, also just after an outage."""
 UPKEEP_S = 0.5
-BUDGET_SHARE = 0.6
+BUDGET_SHARE = 0.8
 """Part of the repeated sendings that is given out; the rest covers instances that come and go."""
 GATEWAYS_GUESS = 9
 """Instances among which the budget is shared until a planner tells how many there are."""
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -20,7 +20,7 @@
 LOADS_AT_ONCE = 4
 """Adapters that may be on their way to an engine."""
 MAX_TRIES = 3
-IDLE_S = 0.12
+IDLE_S = 0.06
 """An adapter makes way when it was unused this long: uses are told with a delay."""
 
 
@@ -36,13 +36,15 @@
 class Place:
     """A place of an engine with weights in it."""
 
-    __slots__ = ("phase", "ready_at", "used_at", "version")
+    __slots__ = ("beside", "phase", "ready_at", "used_at", "version")
 
     def __init__(self, version: int, phase: Phase, now: float) -> None:
         self.version = version
         self.phase = phase
         self.ready_at = now
         self.used_at = now
+        self.beside = 0
+        """Loads from the weight store under way when its own began; 0 for other loads."""
 
 
 class Engine:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -9,6 +9,7 @@
 
 import logbook
 from gradelug_policy import Popularity
+from gradelug_policy.pace import StorePace
 from gradelug_policy.residency import (
     EnginePlaces,
     LoadCosts,
@@ -25,11 +26,6 @@
 log = logbook.Logger("planner")
 CACHED_LOAD_S = 0.03
 """Time to load an adapter from an engine's host memory, measured on the users' bench."""
-STORE_LOAD_S = 0.255
-"""Time to load an adapter from the weight store at full speed, measured there too."""
-STORE_LOADS_AT_ONCE = 12
-"""Loads of adapters under way from the weight store, which slows them down when they are many;
-at twelve none was late on the users' bench."""
 HALF_LIFE_S = 4.0
 """Demand moves within seconds."""
 USUAL_LOADS_PER_S = 12.0
@@ -175,6 +171,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._store_loads = 0
         self._throughput = Throughput(clock())
+        self._pace = StorePace()
         self.engines: dict[str, Engine] = {}
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
@@ -315,6 +312,9 @@
         if engine is None or place is None or place.phase is not Phase.READY:
             return
         if now - place.ready_at < JUST_LOADED_S:
+            if place.beside:
+                self._pace.note_late(place.beside)
+                place.beside = 0
             place.phase = Phase.LOADING
             place.ready_at = now + NOT_READY_S
             self._start(self._make_ready(engine, waiter.key, place))
@@ -386,7 +386,7 @@
     def _gain(self, waiter: Waiter, now: float) -> float:
         """Return what is gained by loading what a request waits for now and not later."""
         gain = waiter.ask.value * (RETURNING_GAIN if waiter.ask.returning else 1.0)
-        in_time = now + STORE_LOAD_S + FIRST_EVENT_S < waiter.target_at
+        in_time = now + self._pace.load_s + FIRST_EVENT_S < waiter.target_at
         return gain if in_time else gain * LATE_GAIN
 
     def _refuse_hopeless(self, ordered: list[Waiter], now: float) -> None:
@@ -398,7 +398,7 @@
             if any(waiter.key in engine.places for engine in self.engines.values()):
                 continue
             ahead += 1
-            late[waiter.key] = now + ahead / rate + STORE_LOAD_S
+            late[waiter.key] = now + ahead / rate + self._pace.load_s
         kept = []
         for waiter in self._waiters:
             ready_at = late.get(waiter.key)
@@ -441,13 +441,13 @@
 
     def _load(self, key: AdapterKey, now: float, may_use: t.Callable[[str], bool]) -> bool:
         version = self._state.versions.get(key, 0)
-        store_free = self._store_loads < STORE_LOADS_AT_ONCE
+        store_free = self._store_loads < self._pace.at_once
         views = [
             self._view(engine, key, version, now)
             for name, engine in self.engines.items()
             if may_use(name) and self._can_take(engine, key)
         ]
-        costs = LoadCosts(CACHED_LOAD_S, STORE_LOAD_S)
+        costs = LoadCosts(CACHED_LOAD_S, self._pace.load_s)
         choice = choose_home(views, key.text, costs, store_free)
         if choice is None:
             return False
@@ -464,6 +464,7 @@
         self._throughput.note_load()
         if not choice.cached:
             self._store_loads += 1
+            place.beside = self._store_loads
         self._mark(choice.engine)
         self._start(self._swap(engine, victim, key, place, choice.cached))
         return True
@@ -498,6 +499,7 @@
         finally:
             if not cached:
                 self._store_loads -= 1
+                self._pace.note_in_time()
             self._mark(engine.replica.name)
             self._pump()
 
@@ -521,7 +523,7 @@
         if outcome is not OrderOutcome.TAKEN:
             self._undo(engine, key, place)
             return
-        expected_s = CACHED_LOAD_S if cached else STORE_LOAD_S
+        expected_s = CACHED_LOAD_S if cached else self._pace.load_s
         place.ready_at = began + expected_s
         await self._make_ready(engine, key, place)
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -14,7 +14,8 @@
     OrderOutcome,
     Replica,
 )
-from gradelug_gateway.planner import STORE_LOAD_S, Planner
+from gradelug_gateway.planner import Planner
+from gradelug_policy.pace import FIRST_LOAD_S
 from gradelug_policy.residency import LoadWindow
 from gradelug_wire import placement_pb2 as pb
 from hypothesis import given, settings
@@ -182,7 +183,7 @@
             bench = Bench()
             await asyncio.sleep(0.5)
             tickets = [bench.ask("a1"), bench.ask("a1")]
-            await asyncio.sleep(STORE_LOAD_S + 0.1)
+            await asyncio.sleep(FIRST_LOAD_S + 0.1)
             answers = bench.collect()
             names = {answers[ticket].replica for ticket in tickets}
             assert len(names) == 1
