Let a resigned planner act until it has a successor; wait longer for replicas that answer others

Cause: rolling restarts left 0.6 s without orders at each handover; after a loss of power streams that waited their turn were taken for silent after 1.2 s and read again elsewhere. Change: where tokens are checked a resigned planner goes on until outranked; young instances stand first; a replica heard within 0.5 s is waited for up to 2.4 s.

--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -19,6 +19,10 @@
 log = logbook.Logger("election")
 CAMPAIGN_S = 0.3
 """Candidates wait up to this long at random, so that few of them write at once."""
+YOUNG_S = 20.0
+YOUNG_CAMPAIGN_S = 0.06
+"""Instances that were started this lately go first: when all are restarted in turn, they are the
+last to be restarted again."""
 STEP_S = 0.1
 RETRY_S = 0.25
 
@@ -86,8 +90,10 @@
         "_name",
         "_other_seen_at",
         "_outlasts_lease",
+        "_resigned",
         "_rng",
         "_standing",
+        "_started_at",
         "_value",
         "fence",
     )
@@ -119,7 +125,9 @@
         self._absent_since: float | None = None
         self._delay_s = 0.0
         self._act_from = float("inf")
+        self._resigned = False
         self._standing = True
+        self._started_at = clock()
         self._value = json.dumps(
             {"owner": name, "address": address, "operation": uuid.uuid4().hex}
         ).encode()
@@ -142,6 +150,8 @@
         """Tell whether this instance holds the duty right now and may act on it."""
         if not self.fence or self._clock() < self._act_from:
             return False
+        if self._resigned:
+            return True
         return self._lease.is_valid() or (self._outlasts_lease and not self._lease.answered)
 
     async def run(self) -> None:
@@ -161,18 +171,24 @@
         self._other_seen_at = self._clock()
 
     async def resign(self) -> None:
-        """Give the duty up, and stand for it no longer."""
+        """Give the duty up, and stand for it no longer.
+
+        Where tokens are checked, this instance goes on acting until there is a successor.
+        """
         self._standing = False
-        self.fence = 0
+        if self._outlasts_lease and self.fence:
+            self._resigned = True
+        else:
+            self.fence = 0
         try:
             await self._lease.release()
         except CoordinationError as exc:
             log.info("the lease could not be ended and will lapse", key=self._key, why=repr(exc))
 
     async def _keep(self) -> float:
-        delay_s = await self._lease.step()
+        delay_s = STEP_S if self._resigned else await self._lease.step()
         record = self.record()
-        gone = record is None and self._mirror.synced and self._mirror.revision >= self.fence
+        gone = not self._resigned and record is None and self._mirror.synced and self._mirror.revision >= self.fence
         taken = record is not None and record.fence > self.fence
         if gone or taken:
             log.info("duty lost", key=self._key, fence=self.fence, taken=taken)
@@ -193,7 +209,8 @@
             return await self._campaign(record.fence)
         if self._absent_since is None:
             self._absent_since = now
-            self._delay_s = self._rng.uniform(0.0, CAMPAIGN_S)
+            most_s = CAMPAIGN_S if now - self._started_at > YOUNG_S else YOUNG_CAMPAIGN_S
+            self._delay_s = self._rng.uniform(0.0, most_s)
         if now - self._absent_since < self._delay_s:
             return self._delay_s - (now - self._absent_since)
         return await self._campaign(ABSENT)
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -36,11 +36,12 @@
 class Place:
     """A place of an engine with weights in it."""
 
-    __slots__ = ("beside", "phase", "ready_at", "used_at", "version")
+    __slots__ = ("began_at", "beside", "phase", "ready_at", "used_at", "version")
 
     def __init__(self, version: int, phase: Phase, now: float) -> None:
         self.version = version
         self.phase = phase
+        self.began_at = now
         self.ready_at = now
         self.used_at = now
         self.beside = 0
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -26,12 +26,14 @@
 class Health:
     """Outcomes of the requests that were sent to a replica."""
 
-    __slots__ = ("_at", "_rate", "circuit")
+    __slots__ = ("_at", "_rate", "circuit", "heard_at")
 
     def __init__(self) -> None:
         self.circuit = Circuit(CIRCUIT_FAILURES, CIRCUIT_OPEN_S)
         self._rate = 0.0
         self._at = 0.0
+        self.heard_at = float("-inf")
+        """When something came from it last."""
 
     def rate(self, now: float) -> float:
         """Return the part of requests that failed lately, 0 to 1."""
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -316,7 +316,7 @@
                 self._pace.note_late(place.beside)
                 place.beside = 0
             place.phase = Phase.LOADING
-            place.ready_at = now + NOT_READY_S
+            place.ready_at = max(now + NOT_READY_S, place.began_at + self._pace.load_s)
             self._start(self._make_ready(engine, waiter.key, place))
         else:
             log.info("holdings in doubt", replica=engine.replica.name, weights=waiter.key.text)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -32,6 +32,7 @@
 from .values import RequestValues
 
 log = logbook.Logger("serving")
+T = t.TypeVar("T")
 CONNECT_S = 0.35
 """Opening a connection takes a round trip of milliseconds; a lost packet is not waited for."""
 ANSWER_BYTES = 8_388_608
@@ -46,6 +47,10 @@
 SILENT_STREAM_S = 1.2
 """A resumable stream without a first event, or without the next one, for this long goes on
 elsewhere; callers give up after 2 s or more."""
+BUSY_STREAM_S = 2.4
+"""The same at a replica that answers others: there it waits its turn, and would elsewhere."""
+HEARD_S = 0.5
+"""A replica from which something came this lately answers others."""
 NOT_READY_S = 0.03
 """Pause before a request is sent again to a replica whose weights are about to be ready."""
 NO_REPLICA_S = 0.25
@@ -351,13 +356,9 @@
         job.tried.add(replica.name)
         was_in_doubt, job.in_doubt = job.in_doubt, True
         log.debug("sent", id=job.req.id, replica=replica.name, left_s=round(attempt.left_s, 3))
-        try:
-            async with asyncio.timeout(self._silence_s(job)):
-                head = await sending.conn.head(lambda head: self._dialect.is_own(head, job.req))
-        except TimeoutError:
-            if self._clock() >= job.deadline_at - 0.001:
-                raise
-            raise ResponseBroken("the replica is silent") from None
+        head = await self._listen(
+            sending, sending.conn.head(lambda head: self._dialect.is_own(head, job.req))
+        )
         verdict = self._dialect.judge(head, replica)
         if verdict is Verdict.SPOILED:
             raise ResponseBroken("the answer does not come from the replica")
@@ -376,12 +377,31 @@
         left_s = job.deadline_at - self._clock()
         return Attempt(replica, left_s, version, job.route.rank, job.events.last_event)
 
-    def _silence_s(self, job: Job) -> float | None:
+    async def _listen(self, sending: _Sending, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
+        """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
+        health = self._fleet.health(sending.replica.name)
+        usual_s, most_s = self._silence_s(sending.job)
+        task = asyncio.ensure_future(coming)
+        try:
+            done, _ = await asyncio.wait([task], timeout=usual_s)
+            if not done and most_s is not None and usual_s is not None:
+                busy = self._clock() - health.heard_at < HEARD_S
+                if busy:
+                    done, _ = await asyncio.wait([task], timeout=most_s - usual_s)
+            if not done:
+                raise ResponseBroken("the replica is silent")
+        finally:
+            if not task.done():
+                task.cancel()
+        health.heard_at = self._clock()
+        return task.result()
+
+    def _silence_s(self, job: Job) -> tuple[float | None, float | None]:
         if job.route.repeat is Repeat.FREELY and job.route.max_replicas > 1:
-            return SILENT_TARGETS * job.route.target_s
+            return SILENT_TARGETS * job.route.target_s, None
         if job.route.repeat is Repeat.RESUME:
-            return SILENT_STREAM_S
-        return None
+            return SILENT_STREAM_S, BUSY_STREAM_S
+        return None, None
 
     def _conclude(
         self, job: Job, replica: Replica, verdict: Verdict, head: ResponseHead, body: bytes
@@ -408,15 +428,8 @@
 
     async def _stream(self, sending: _Sending, head: ResponseHead) -> Outcome:
         job = sending.job
-        silence_s = self._silence_s(job)
         while True:
-            try:
-                async with asyncio.timeout(silence_s):
-                    data = await sending.conn.chunk()
-            except TimeoutError:
-                if self._clock() >= job.deadline_at - 0.001:
-                    raise
-                raise ResponseBroken("the stream is silent") from None
+            data = await self._listen(sending, sending.conn.chunk())
             if data is None:
                 break
             events = job.events.feed(data)
