Test the store's client, the wire, the log's outlet; formatter, linter and types clean

Cause: what speaks to the platform had no tests. Change: a stand-in that speaks the store's calls; answers of wrong shapes give typed errors only.

--- a/Makefile
+++ b/Makefile
@@ -25,13 +25,13 @@
 	@$(BIN)/python tools/capacity.py
 
 lint: $(VENV)/ready
-	$(BIN)/black --check --quiet packages tests tools
-	$(BIN)/ruff check packages tests tools
-	$(BIN)/mypy packages/*/src
+	$(BIN)/black --check --quiet packages platform tests tools
+	$(BIN)/ruff check packages platform tests tools
+	$(BIN)/mypy packages/*/src platform/gradelug_platform
 
 format: $(VENV)/ready
-	$(BIN)/ruff check --fix packages tests tools
-	$(BIN)/black --quiet packages tests tools
+	$(BIN)/ruff check --fix packages platform tests tools
+	$(BIN)/black --quiet packages platform tests tools
 
 # Renews the pinned versions.
 lock: $(VENV)/ready
--- a/packages/cli/src/gradelug_cli/main.py
+++ b/packages/cli/src/gradelug_cli/main.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import fire
+from gradelug_backends import EtcdKeyValue
 from gradelug_config import (
     ConfigError,
     Document,
@@ -27,7 +28,6 @@
 from gradelug_config.model import Adapter, Caller, Pool, Service
 from gradelug_config.validation import check
 from gradelug_coordination import CoordinationError, Raced
-from gradelug_backends import EtcdKeyValue
 
 from .exceptions import (
     EXIT_DECLINED,
--- a/packages/cli/src/gradelug_cli/repository.py
+++ b/packages/cli/src/gradelug_cli/repository.py
@@ -5,10 +5,10 @@
 import typing as t
 from dataclasses import dataclass
 
+from gradelug_backends.keys import LIVE, STORE
 from gradelug_config import Document
 from gradelug_config.buckets import join, split
 from gradelug_coordination import CoordinationError, Head, KeyValue, KvBuckets, Publisher, Raced
-from gradelug_backends.keys import LIVE, STORE
 
 from .exceptions import EXIT_FAILED, CommandError
 
--- a/packages/cli/src/gradelug_cli/status.py
+++ b/packages/cli/src/gradelug_cli/status.py
@@ -6,9 +6,9 @@
 import typing as t
 from dataclasses import asdict, dataclass, field
 
+from gradelug_backends.keys import LIVE
 from gradelug_coordination import KeyValue
 from gradelug_coordination.membership import MEMBERS, Member
-from gradelug_backends.keys import LIVE
 from gradelug_wire import Peers, PeerUnavailable
 from gradelug_wire import control_pb2 as pb
 from gradelug_wire.facts import EngineFact, engine_name
--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -188,7 +188,12 @@
     async def _keep(self) -> float:
         delay_s = STEP_S if self._resigned else await self._lease.step()
         record = self.record()
-        gone = not self._resigned and record is None and self._mirror.synced and self._mirror.revision >= self.fence
+        gone = (
+            not self._resigned
+            and record is None
+            and self._mirror.synced
+            and self._mirror.revision >= self.fence
+        )
         taken = record is not None and record.fence > self.fence
         if gone or taken:
             log.info("duty lost", key=self._key, fence=self.fence, taken=taken)
--- a/packages/coordination/src/gradelug_coordination/lease.py
+++ b/packages/coordination/src/gradelug_coordination/lease.py
@@ -35,7 +35,17 @@
         Called without arguments when a lease is gained or lost.
     """
 
-    __slots__ = ("_backoff", "_clock", "_kv", "_on_change", "_rng", "answered", "lease", "ttl_s", "valid_until")
+    __slots__ = (
+        "_backoff",
+        "_clock",
+        "_kv",
+        "_on_change",
+        "_rng",
+        "answered",
+        "lease",
+        "ttl_s",
+        "valid_until",
+    )
 
     def __init__(
         self,
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -99,8 +99,14 @@
         self._budget = RetryBudget(bounds.retry_ratio * BUDGET_SHARE, self._burst(GATEWAYS_GUESS))
         self._meters = Meters()
         self._serving = Serving(
-            dialect, self._fleet, self._directory, pool, self._budget, self._meters,
-            self._clock, self._rng,
+            dialect,
+            self._fleet,
+            self._directory,
+            pool,
+            self._budget,
+            self._meters,
+            self._clock,
+            self._rng,
         )
         self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
@@ -148,9 +154,7 @@
             if out and not self._callers.in_progress:
                 break
             await asyncio.sleep(POLL_S)
-        log.info(
-            "stopped", after_s=round(self._clock() - began, 2), cut=self._callers.in_progress
-        )
+        log.info("stopped", after_s=round(self._clock() - began, 2), cut=self._callers.in_progress)
 
     async def _close(self) -> None:
         await self._directory.close()
@@ -180,9 +184,17 @@
         bounds = self.settings.bounds
         lease = LeaseKeeper(self._kv, LEASE_S, self._clock, self._rng)
         election = Election(
-            self._kv, self._mirror, f"{DUTY_PREFIX}{service}", self.settings.name,
-            self.settings.addresses.peers, lease, self._clock, self._rng,
-            0.0 if bounds.fenced else bounds.holder_s, self.settings.first_start, bounds.fenced,
+            self._kv,
+            self._mirror,
+            f"{DUTY_PREFIX}{service}",
+            self.settings.name,
+            self.settings.addresses.peers,
+            lease,
+            self._clock,
+            self._rng,
+            0.0 if bounds.fenced else bounds.holder_s,
+            self.settings.first_start,
+            bounds.fenced,
         )
         return Duty(election, lambda: self._new_planner(service))
 
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -136,9 +136,7 @@
                 return await question.fut
         finally:
             del self._questions[ticket]
-            if question.sent and not question.fut.done():
-                self._cancelled.append(ticket)
-            elif question.fut.cancelled():
+            if question.sent and not question.fut.done() or question.fut.cancelled():
                 self._cancelled.append(ticket)
 
     def note(self, replica: str, key: AdapterKey, change: int) -> None:
@@ -400,9 +398,7 @@
     def _link(self, service: str) -> PlannerLink:
         link = self._links.get(service)
         if link is None:
-            link = PlannerLink(
-                service, self._instance, self._address, self._fleet, self._clock
-            )
+            link = PlannerLink(service, self._instance, self._address, self._fleet, self._clock)
             self._links[service] = link
             self._tasks[service] = asyncio.create_task(self._keep(link))
         return link
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -100,7 +100,9 @@
         try:
             fact = self._reader.read(entry)
         except MalformedEntry as exc:
-            log.error("entry ignored, the last good one stays in force", key=entry.key, why=str(exc))
+            log.error(
+                "entry ignored, the last good one stays in force", key=entry.key, why=str(exc)
+            )
             return False
         if isinstance(fact, Snapshot):
             return self._take_snapshot(fact)
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -23,16 +23,23 @@
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
         self._outcomes = Counter(
-            "gradelug_requests", "Requests by route and end", ["route", "end"],
+            "gradelug_requests",
+            "Requests by route and end",
+            ["route", "end"],
             registry=self._registry,
         )
         self._latency = Histogram(
-            "gradelug_request_seconds", "From arrival to the last byte", ["kind"],
-            buckets=BUCKETS_S, registry=self._registry,
+            "gradelug_request_seconds",
+            "From arrival to the last byte",
+            ["kind"],
+            buckets=BUCKETS_S,
+            registry=self._registry,
         )
         self._first = Histogram(
-            "gradelug_first_event_seconds", "From arrival to a stream's first event",
-            buckets=BUCKETS_S, registry=self._registry,
+            "gradelug_first_event_seconds",
+            "From arrival to a stream's first event",
+            buckets=BUCKETS_S,
+            registry=self._registry,
         )
 
     def gauge(self, name: str, text: str, read: t.Callable[[], float]) -> None:
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -9,7 +9,6 @@
 
 from gradelug_http import Header, ServerLimits
 
-
 PATIENCE_S = 2.0
 PATIENCE_TARGETS = 4.0
 PATIENCE_GAPS = 8.0
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -403,11 +403,14 @@
         for waiter in self._waiters:
             ready_at = late.get(waiter.key)
             held_s = now - waiter.asked_at
-            if ready_at is None or held_s < self._hold_s(waiter):
-                kept.append(waiter)
-            elif waiter.ask.returning and ready_at < waiter.until:
-                kept.append(waiter)
-            elif ready_at + FIRST_EVENT_S < waiter.target_at or held_s > 2 * self._hold_s(waiter):
+            if (
+                ready_at is None
+                or held_s < self._hold_s(waiter)
+                or waiter.ask.returning
+                and ready_at < waiter.until
+                or ready_at + FIRST_EVENT_S < waiter.target_at
+                or held_s > 2 * self._hold_s(waiter)
+            ):
                 kept.append(waiter)
             else:
                 self._refuse(waiter, ready_at - now)
@@ -434,9 +437,9 @@
             return
         for engine in self.engines.values():
             place = engine.places.get(key)
-            if place is not None and place.phase is Phase.LOADING:
-                if waiter.may_use(engine.replica.name):
-                    return
+            is_coming = place is not None and place.phase is Phase.LOADING
+            if is_coming and waiter.may_use(engine.replica.name):
+                return
         self._load(key, now, waiter.may_use)
 
     def _load(self, key: AdapterKey, now: float, may_use: t.Callable[[str], bool]) -> bool:
@@ -549,9 +552,7 @@
         self, engine: Engine, load: bool, key: AdapterKey, version: int
     ) -> OrderOutcome:
         self.counts["orders"] += 1
-        outcome = await engine.give(
-            self._transport, load, key, version, self._owner, self.fence
-        )
+        outcome = await engine.give(self._transport, load, key, version, self._owner, self.fence)
         if outcome is OrderOutcome.OUTRANKED:
             self.outranked()
         return outcome
@@ -644,7 +645,9 @@
         now = self._clock()
         copies: Counter[AdapterKey] = Counter()
         for engine in self.engines.values():
-            copies.update(key for key, place in engine.adapters() if place.phase is not Phase.LEAVING)
+            copies.update(
+                key for key, place in engine.adapters() if place.phase is not Phase.LEAVING
+            )
         for key, count in copies.items():
             rate = self._popularity.rate(key.text, now)
             if rate > RATE_PER_COPY * count:
@@ -659,5 +662,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.error("a planner's task failed", why=repr(task.exception()))
-
-
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -11,8 +11,8 @@
 import logbook
 from gradelug_http import (
     ClientGone,
-    Connection,
     ConnectFailed,
+    Connection,
     HttpPool,
     Incoming,
     ResponseBroken,
@@ -412,7 +412,10 @@
             self._pass_on(job, head, body)
             return Outcome.DONE
         log.info(
-            "replica refused", id=job.req.id, replica=replica.name, why=verdict.value,
+            "replica refused",
+            id=job.req.id,
+            replica=replica.name,
+            why=verdict.value,
             status=head.status,
         )
         if verdict is Verdict.FAILED:
@@ -458,8 +461,11 @@
         self._meters.first_event(first_s)
         if first_s > sending.job.route.target_s:
             log.info(
-                "late first event", id=sending.job.req.id, replica=sending.replica.name,
-                first_s=round(first_s, 3), placed_s=round(sending.job.placed_s, 3),
+                "late first event",
+                id=sending.job.req.id,
+                replica=sending.replica.name,
+                first_s=round(first_s, 3),
+                placed_s=round(sending.job.placed_s, 3),
                 sends=sending.job.sends,
             )
 
@@ -492,8 +498,12 @@
         if outcome is not Outcome.NOT_SENT and not self._budget.try_retry():
             raise Refused("the budget of repeated sendings is spent", RETRY_AFTER_S)
         log.info(
-            "send again", id=job.req.id, after=outcome.value, replica=replica.name,
-            sends=job.sends, last_event=job.events.last_event,
+            "send again",
+            id=job.req.id,
+            after=outcome.value,
+            replica=replica.name,
+            sends=job.sends,
+            last_event=job.events.last_event,
         )
 
     # Answering.
@@ -513,14 +523,20 @@
             self._fail(job, Failed(str(exc)))
             return
         waited_s = self._clock() - job.req.arrived_at
-        log.info("refused", id=job.req.id, why=str(exc), waited_s=round(waited_s, 3), sends=job.sends)
+        log.info(
+            "refused", id=job.req.id, why=str(exc), waited_s=round(waited_s, 3), sends=job.sends
+        )
         self._meters.outcome(job.route.name, "refused")
         self._answer_self(job.inc, job.req.id, 503, exc.retry_after_s)
 
     def _fail(self, job: Job, exc: Failed) -> None:
         log.info(
-            "failed", id=job.req.id, why=str(exc), sends=job.sends,
-            last_event=job.events.last_event, started=job.inc.started,
+            "failed",
+            id=job.req.id,
+            why=str(exc),
+            sends=job.sends,
+            last_event=job.events.last_event,
+            started=job.inc.started,
         )
         self._meters.outcome(job.route.name, "failed")
         if job.inc.started:
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -59,19 +59,23 @@
         self._waiter: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport over."""
         self.transport = t.cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        """Keep what came and wake up whoever waits."""
         self.received += data
         if len(self.received) > READ_AHEAD_BYTES and self.transport is not None:
             self.transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> None:
+        """Note that the other end closes."""
         self.ended = True
         self._wake()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end, by a reset or not."""
         self.ended = True
         self.reset = exc
         self._wake()
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -137,10 +137,12 @@
     # Called by the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport over."""
         self.transport = t.cast(asyncio.Transport, transport)
         self.server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """End the request that is being served."""
         self._gone = True
         self.server.connections.discard(self)
         if self._drained is not None and not self._drained.done():
@@ -149,18 +151,22 @@
             self.task.cancel()
 
     def eof_received(self) -> bool:
+        """Note that the other end closes."""
         # A client that closes its side has left: nobody waits for the answer.
         return False
 
     def pause_writing(self) -> None:
+        """Note that the client reads slowly."""
         self._paused = True
 
     def resume_writing(self) -> None:
+        """Note that the client has read enough."""
         self._paused = False
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
 
     def data_received(self, data: bytes) -> None:
+        """Parse what came."""
         if self._refused_at is not None:
             return
         if self._began_at is None:
--- a/packages/report/src/gradelug_report/gathering.py
+++ b/packages/report/src/gradelug_report/gathering.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+from gradelug_backends.keys import LIVE
 from gradelug_coordination import KeyValue
 from gradelug_coordination.membership import MEMBERS, Member
 from gradelug_objectives import Joined
-from gradelug_backends.keys import LIVE
 from gradelug_wire import Peers, PeerUnavailable
 from gradelug_wire import control_pb2 as pb
 from gradelug_wire.facts import MemberFact, member_name
--- a/packages/report/src/gradelug_report/main.py
+++ b/packages/report/src/gradelug_report/main.py
@@ -10,12 +10,12 @@
 
 import aiohttp
 import fire
+from gradelug_backends import EtcdKeyValue
+from gradelug_backends.keys import LIVE, STORE
 from gradelug_config import InvalidConfig
 from gradelug_config.buckets import read_rules
 from gradelug_config.model import Objective
 from gradelug_coordination import CoordinationError, KvBuckets, Publisher
-from gradelug_backends import EtcdKeyValue
-from gradelug_backends.keys import LIVE, STORE
 
 from .burn import make_report
 from .gathering import Gathered, find_routers, gather
--- a/packages/runtime/src/gradelug_runtime/logs.py
+++ b/packages/runtime/src/gradelug_runtime/logs.py
@@ -36,12 +36,21 @@
 
 
 class JsonFormatter:
+    """Formats a record as one JSON object.
+
+    Parameters
+    ----------
+    process : str
+        Name of the process, part of every line.
+    """
+
     __slots__ = ("_process",)
 
     def __init__(self, process: str) -> None:
         self._process = process
 
     def __call__(self, record: t.Any, handler: logbook.Handler) -> str:
+        """Return the line, without its end."""
         data = {
             "time": record.time.isoformat(),
             "level": record.level_name.lower(),
--- a/packages/runtime/src/gradelug_runtime/outlet.py
+++ b/packages/runtime/src/gradelug_runtime/outlet.py
@@ -99,9 +99,15 @@
         self._stop_waiting()
 
     def _wait(self) -> None:
-        if not self._waiting:
-            self._waiting = True
-            asyncio.get_running_loop().add_writer(self._descriptor, self._flush)
+        if self._waiting:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            # Outside of the loop the next line tries again.
+            return
+        self._waiting = True
+        loop.add_writer(self._descriptor, self._flush)
 
     def _stop_waiting(self) -> None:
         if self._waiting:
--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -8,8 +8,6 @@
 from dataclasses import dataclass, field
 
 import logbook
-from gradelug_config.model import Engine, Pool
-from gradelug_coordination import Account, GrantBook, Observation
 from gradelug_backends import (
     EngineControl,
     EngineReport,
@@ -18,6 +16,8 @@
     UpstreamError,
     UpstreamUnavailable,
 )
+from gradelug_config.model import Engine, Pool
+from gradelug_coordination import Account, GrantBook, Observation
 from gradelug_policy import (
     VALID_S,
     Demand,
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -11,6 +11,13 @@
 
 import aiohttp
 import logbook
+from gradelug_backends import (
+    EngineControl,
+    HttpEngineControl,
+    InstanceList,
+    UpstreamUnavailable,
+)
+from gradelug_backends.keys import LIVE, ONCE, STORE
 from gradelug_config import AdapterKey, Catalog, Document, InvalidConfig
 from gradelug_config.buckets import read_adapters, read_rules
 from gradelug_coordination import (
@@ -30,13 +37,6 @@
 )
 from gradelug_coordination.documents import HEAD
 from gradelug_coordination.once import SHARDS
-from gradelug_backends import (
-    EngineControl,
-    HttpEngineControl,
-    InstanceList,
-    UpstreamUnavailable,
-)
-from gradelug_backends.keys import LIVE, ONCE, STORE
 from gradelug_runtime import Metrics, Tasks
 from gradelug_wire import Peers, PeerUnavailable
 from gradelug_wire import control_pb2 as pb
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -24,8 +24,17 @@
         self.mirror = Mirror(kv, "", rng, 0.5)
         self.lease = LeaseKeeper(kv, 1.8, self.clock, rng)
         self.election = Election(
-            kv, self.mirror, KEY, name, f"{name}:1", self.lease, self.clock, rng,
-            hold_off_s, first_start, outlasts,
+            kv,
+            self.mirror,
+            KEY,
+            name,
+            f"{name}:1",
+            self.lease,
+            self.clock,
+            rng,
+            hold_off_s,
+            first_start,
+            outlasts,
         )
         self.tasks = [
             asyncio.create_task(self.mirror.run()),
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -530,8 +530,8 @@
 
     def test_of_two_racing_operators_one_is_told(self):
         async def scenario(world):
-            from gradelug_coordination import Publisher, Raced
             from gradelug_backends.keys import LIVE, STORE
+            from gradelug_coordination import Publisher, Raced
 
             publishers = [Publisher(world.kv, LIVE, STORE) for _ in range(2)]
             base = world.revision
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,4 +1,5 @@
 import asyncio
+from pipes import Network, RawClient, RawServer, join
 
 import pytest
 from gradelug_http import (
@@ -9,7 +10,6 @@
     ServerLimits,
     end_to_end,
 )
-from pipes import Network, RawClient, RawServer, join
 from world import new_loop
 
 GET = OutgoingRequest(b"GET", b"/a", [(b"Host", b"h")])
@@ -140,9 +140,7 @@
     def test_a_connection_rests_no_longer_than_the_upstream_says(self):
         async def scenario():
             net = Network()
-            net.servers[ADDRESS] = lambda: RawServer(
-                [[answer(extra=b"Keep-Alive: timeout=2\r\n")]]
-            )
+            net.servers[ADDRESS] = lambda: RawServer([[answer(extra=b"Keep-Alive: timeout=2\r\n")]])
             pool = HttpPool(clock, net.dial)
             conn = await pool.acquire(ADDRESS, 1.0)
             conn.send(GET)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -140,9 +140,7 @@
         for at in range(engines):
             self.add(f"e{at}")
         window = LoadWindow(2.0, 5.0, 1.1, 3)
-        self.planner = Planner(
-            "llm", "me", SPEC, self.state, self.transport, window, self.clock
-        )
+        self.planner = Planner("llm", "me", SPEC, self.state, self.transport, window, self.clock)
         self.planner.fence = 7
         self.gateway = self.planner.join()
         self.task = asyncio.create_task(self.planner.run())
@@ -156,8 +154,13 @@
     def ask(self, adapter, wait_s=4.0, target_s=1.0, **more):
         self.tickets += 1
         ask = pb.Ask(
-            ticket=self.tickets, model="m", adapter=adapter, wait_ms=round(wait_s * 1000),
-            target_ms=round(target_s * 1000), value=1.0, **more,
+            ticket=self.tickets,
+            model="m",
+            adapter=adapter,
+            wait_ms=round(wait_s * 1000),
+            target_ms=round(target_s * 1000),
+            value=1.0,
+            **more,
         )
         self.planner.take(self.gateway, pb.FromGateway(asks=[ask]))
         return self.tickets
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,264 @@
+"""The platform's store client against a stand-in that speaks its calls, in memory."""
+
+import asyncio
+import base64
+import json
+import random
+from pipes import Network
+from urllib.parse import parse_qs, urlsplit
+
+import pytest
+from gradelug_coordination import (
+    ABSENT,
+    CoordinationError,
+    KvEntry,
+    KvListing,
+    KvSwap,
+    KvThrottled,
+    KvUnavailable,
+    Mirror,
+    WatchCompacted,
+)
+from gradelug_coordination.kv import swap_surely
+from gradelug_http import HttpPool, ServerLimits
+from gradelug_platform.store import PlatformStore
+from gradelug_standins.kv import MemoryKv
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import new_loop
+
+ADDRESS = "10.9.0.1:80"
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+def item(entry):
+    value = base64.b64encode(entry.value).decode()
+    return {"TlsKey": entry.key, "Value": value, "Revision": entry.revision, "Lease": entry.lease}
+
+
+class StandIn:
+    """Speaks the store's calls for a service in memory."""
+
+    def __init__(self, page=500):
+        self.kv = MemoryKv()
+        self.page = page
+        self.status = None
+        self.raw = None
+        self.silent = False
+        self.lose = 0
+        net = Network()
+        clock = asyncio.get_running_loop().time
+        net.serve(ADDRESS, self.serve, ServerLimits, clock)
+        self.store = PlatformStore(ADDRESS, HttpPool(clock, net.dial))
+
+    async def serve(self, inc):
+        if self.silent:
+            await asyncio.sleep(60)
+        if self.status is not None:
+            inc.respond(self.status, [], b"")
+            return
+        if self.raw is not None:
+            inc.respond(200, [], self.raw)
+            return
+        parts = urlsplit(inc.target.decode())
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        body = json.loads(inc.body) if inc.body else {}
+        status, reply = await self.call(
+            inc.method, parts.path.removeprefix("/gradelug/"), query, body
+        )
+        if self.lose and inc.method == b"POST":
+            self.lose -= 1
+            return
+        inc.respond(status, [], json.dumps(reply).encode())
+
+    async def call(self, method, call, query, body):
+        if call == "kv-key":
+            entry = await self.kv.get(query["TlsKey"])
+            return (200, item(entry)) if entry else (404, {})
+        if call == "kv-range":
+            listing = await self.kv.list(query.get("PathPrefix", ""))
+            rest = [entry for entry in listing.entries if entry.key > query.get("after", "")]
+            page = [item(entry) for entry in rest[: self.page]]
+            more = len(rest) > self.page
+            return 200, {"items": page, "HasMore": more, "StoreRevision": listing.revision}
+        if call == "kv-watch":
+            return await self.watch(query)
+        if call == "kv-txn":
+            return await self.transact(body)
+        if call == "kv-lease":
+            return 200, {"Lease": await self.kv.grant_lease(body["TtlMs"] / 1000)}
+        if call.startswith("kv-keep/"):
+            kept = await self.kv.renew_lease(int(call.partition("/")[2]))
+            return (200 if kept else 404), {}
+        if call.startswith("kv-lease-end/"):
+            await self.kv.revoke_lease(int(call.partition("/")[2]))
+            return 200, {}
+        return 400, {}
+
+    async def watch(self, query):
+        after, prefix = int(query["after"]), query.get("PathPrefix", "")
+        try:
+            async with asyncio.timeout(int(query["WaitMs"]) / 1000):
+                async for events in self.kv.watch(prefix, after):
+                    rows = [
+                        (
+                            item(ev.entry)
+                            if ev.entry is not None
+                            else {"TlsKey": ev.key, "Revision": ev.revision, "Deleted": True}
+                        )
+                        for ev in events
+                    ]
+                    return 200, {"events": rows, "StoreRevision": events[-1].revision}
+        except TimeoutError:
+            return 200, {"events": [], "StoreRevision": after}
+        except WatchCompacted:
+            return 410, {}
+
+    async def transact(self, body):
+        (condition,) = body["Expected"]
+        if body["SetKeys"]:
+            (put,) = body["SetKeys"]
+            value = base64.b64decode(put["Value"])
+            swap = await self.kv.swap(
+                put["TlsKey"], value, condition["Revision"], put.get("Lease", 0)
+            )
+            return (200, {"Revision": swap.revision}) if swap.swapped else (412, {"items": []})
+        done = await self.kv.delete(condition["TlsKey"], condition["Revision"])
+        return (200, {"Revision": self.kv.revision}) if done else (412, {"items": []})
+
+
+class TestStore:
+    def test_entries_are_written_read_listed_in_pages_and_deleted(self):
+        async def scenario():
+            stand_in = StandIn(page=2)
+            store = stand_in.store
+            for at in range(5):
+                assert (await store.swap(f"k/{at}", b"\x00\xff", ABSENT)).swapped
+            assert not (await store.swap("k/0", b"x", ABSENT)).swapped
+            listing = await store.list("k/")
+            assert [entry.key for entry in listing.entries] == [f"k/{at}" for at in range(5)]
+            entry = await store.get("k/3")
+            assert entry.value == b"\x00\xff"
+            assert await store.delete("k/3", entry.revision)
+            assert await store.get("k/3") is None
+
+        run(scenario)
+
+    def test_leases_are_kept_and_tell_when_they_are_over(self):
+        async def scenario():
+            store = StandIn().store
+            lease = await store.grant_lease(2.0)
+            await store.swap("k", b"v", ABSENT, lease)
+            assert await store.renew_lease(lease)
+            await store.revoke_lease(lease)
+            assert await store.get("k") is None
+            assert not await store.renew_lease(lease)
+
+        run(scenario)
+
+    def test_a_mirror_follows_through_an_outage(self):
+        async def scenario():
+            stand_in = StandIn()
+            mirror = Mirror(stand_in.store, "", random.Random(1), 0.5)
+            task = asyncio.create_task(mirror.run())
+            await stand_in.kv.swap("a", b"1", ABSENT)
+            await stand_in.kv.swap("b", b"1", ABSENT)
+            await asyncio.sleep(1.5)
+            assert set(mirror.entries) == {"a", "b"}
+            stand_in.status = 503
+            await asyncio.sleep(4.0)
+            assert not mirror.synced
+            entry = await stand_in.kv.get("a")
+            await stand_in.kv.delete("a", entry.revision)
+            await stand_in.kv.swap("c", b"1", ABSENT)
+            stand_in.status = None
+            await asyncio.sleep(1.5)
+            assert set(mirror.entries) == {"b", "c"}
+            assert mirror.missing == {"a"}
+            task.cancel()
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("status", "expected"),
+        [(503, KvUnavailable), (429, KvThrottled), (500, CoordinationError)],
+    )
+    def test_refusals_are_told_apart(self, status, expected):
+        async def scenario():
+            stand_in = StandIn()
+            stand_in.status = status
+            with pytest.raises(expected):
+                await stand_in.store.get("k")
+
+        run(scenario)
+
+    def test_history_that_is_gone_is_told(self):
+        async def scenario():
+            stand_in = StandIn()
+            stand_in.status = 410
+            with pytest.raises(WatchCompacted):
+                async for _ in stand_in.store.watch("", 1):
+                    pass
+
+        run(scenario)
+
+    def test_silence_is_not_waited_for(self):
+        async def scenario():
+            stand_in = StandIn()
+            stand_in.silent = True
+            began = asyncio.get_running_loop().time()
+            with pytest.raises(KvUnavailable):
+                await stand_in.store.get("k")
+            assert asyncio.get_running_loop().time() - began < 1.0
+
+        run(scenario)
+
+    def test_a_write_whose_answer_was_lost_is_found(self):
+        async def scenario():
+            stand_in = StandIn()
+            stand_in.lose = 1
+            swap = await swap_surely(stand_in.store, "k", b"mine", ABSENT)
+            assert swap.swapped
+            assert (await stand_in.kv.get("k")).revision == swap.revision
+
+        run(scenario)
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.one_of(
+            st.binary(max_size=60),
+            st.recursive(
+                st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+                lambda inner: st.lists(inner, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(["items", "events", "TlsKey", "Value", "Revision", "Lease"]),
+                    inner,
+                    max_size=4,
+                ),
+                max_leaves=8,
+            ).map(lambda data: json.dumps(data).encode()),
+        )
+    )
+    def test_whatever_it_answers_there_is_a_result_or_a_typed_error(self, raw):
+        async def scenario():
+            stand_in = StandIn()
+            stand_in.raw = raw
+            store = stand_in.store
+            calls = (
+                (store.get("k"), KvEntry),
+                (store.list(""), KvListing),
+                (store.swap("k", b"", 0), KvSwap),
+                (anext(store.watch("", 1)), tuple),
+            )
+            for call, expected in calls:
+                (outcome,) = await asyncio.gather(call, return_exceptions=True)
+                assert isinstance(outcome, (expected, CoordinationError))
+
+        run(scenario)
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,293 @@
+"""Reading and writing what stands on the platform's wire."""
+
+import asyncio
+import json
+from pipes import Network, RawServer
+
+import pytest
+from gradelug_config.exceptions import InvalidConfig
+from gradelug_coordination import KvEntry, Mirror
+from gradelug_gateway.feed import LAPSED_GRACE_S, Feed, MalformedEntry, NewestVersion
+from gradelug_gateway.model import (
+    AdapterKey,
+    FleetState,
+    Holding,
+    Order,
+    OrderOutcome,
+    Repeat,
+    Replica,
+    Snapshot,
+    Verdict,
+)
+from gradelug_http import HttpPool, ResponseHead
+from gradelug_platform.dialect import PlatformDialect
+from gradelug_platform.entries import PlatformEntries
+from gradelug_platform.orders import PlatformOrders
+from gradelug_platform.settings import load
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import new_loop
+
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Hostname": "One.example",
+            "PathPrefix": "/a/",
+            "Kind": "streaming",
+            "TimeoutMs": 6000,
+            "TargetLatencyMs": 1000,
+            "Priority": 1,
+            "MaxAttempts": 2,
+            "Resumable": True,
+            "GapAimMs": 400,
+            "Backend": "llm",
+        },
+        {
+            "Name": "r2",
+            "Hostname": "one.example",
+            "PathPrefix": "/b/",
+            "Kind": "non_idempotent",
+            "TrafficSplit": [{"Backend": "x", "Weight": 90}, {"Backend": "y", "Weight": 10}],
+        },
+    ],
+    "Services": [
+        {
+            "Name": "llm",
+            "MaxConns": 500,
+            "Engine": {
+                "Slots": 96,
+                "KvCapacity": 1000,
+                "WeightsMb": 16500.0,
+                "AdapterSlots": 6,
+                "LoadsPerS": 2.1,
+                "Models": [{"Name": "m", "WeightsMb": 16100.0, "LoadS": 0.6}],
+            },
+        }
+    ],
+    "Limits": {"MaxHeaderBytes": 16384, "IdleTimeoutMs": 15000},
+}
+SERVER = {
+    "Backend": "llm",
+    "Address": "10.0.0.1:80",
+    "Zone": "z",
+    "Slots": 96,
+    "State": "ready",
+    "Seq": 4,
+    "Models": [{"Name": "m", "Version": 1, "Adapters": ["a3@2"]}],
+    "AtHand": {"InMemory": ["m/a9@1"], "OnDisk": []},
+}
+
+
+def entry(key, data, revision=1):
+    raw = data if isinstance(data, bytes) else json.dumps(data).encode()
+    return KvEntry(key, raw, revision)
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+def read_or_error(item):
+    try:
+        return PlatformEntries().read(item)
+    except MalformedEntry as exc:
+        return exc
+
+
+class TestEntries:
+    def test_a_configuration_is_read_into_our_words(self):
+        snapshot = PlatformEntries().read(entry("op/config", CONFIG))
+        first, second = snapshot.routes
+        assert (first.host, first.repeat, first.timeout_s) == ("one.example", Repeat.RESUME, 6.0)
+        assert second.repeat is Repeat.NEVER
+        assert [share.weight for share in second.shares] == [90.0, 10.0]
+        assert snapshot.services["llm"].engine.adapter_slots == 6
+        assert snapshot.limits.idle_s == 15.0
+
+    def test_a_replica_tells_what_it_holds_and_keeps(self):
+        replica = PlatformEntries().read(entry("servers/i-1", SERVER))
+        assert (replica.name, replica.hall, replica.orders) == ("i-1", "z", 4)
+        assert Holding(AdapterKey("m", "a3"), 2) in replica.holdings
+        assert replica.cached == {Holding(AdapterKey("m", "a9"), 1)}
+
+    def test_a_new_version_is_read(self):
+        fact = PlatformEntries().read(
+            entry("op/version/m.a3", {"Model": "m", "Adapter": "a3", "Version": 5})
+        )
+        assert fact == NewestVersion(AdapterKey("m", "a3"), 5)
+
+    def test_every_finding_is_told_with_its_place(self):
+        wrong = json.loads(json.dumps(CONFIG))
+        wrong["Routes"][0]["TimeoutMs"] = "soon"
+        del wrong["Routes"][1]["Hostname"]
+        with pytest.raises(MalformedEntry) as caught:
+            PlatformEntries().read(entry("op/config", wrong))
+        assert "op/config.Routes[0].TimeoutMs" in str(caught.value)
+        assert "op/config.Routes[1].Hostname" in str(caught.value)
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.sampled_from(["op/config", "servers/x", "op/version/a.b"]),
+        st.one_of(
+            st.binary(max_size=40),
+            st.recursive(
+                st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
+                lambda inner: st.lists(inner, max_size=3)
+                | st.dictionaries(st.sampled_from(sorted({*CONFIG, *SERVER, "Name"})), inner),
+                max_leaves=10,
+            ).map(lambda data: json.dumps(data).encode()),
+        ),
+    )
+    def test_nonsense_is_told_as_malformed(self, key, raw):
+        outcome = read_or_error(entry(key, raw))
+        assert isinstance(outcome, (Snapshot, Replica, NewestVersion, MalformedEntry))
+        assert str(outcome)
+
+
+class StubMirror(Mirror):
+    def __init__(self):
+        super().__init__(None, "", None)
+
+    def show(self, *entries, missing=()):
+        self.entries = {item.key: item for item in entries}
+        self.missing = set(missing)
+        self._notify()
+
+
+class TestFeed:
+    def feed(self):
+        self.now = 0.0
+        mirror, state = StubMirror(), FleetState()
+        feed = Feed(mirror, PlatformEntries(), state, lambda: self.now)
+        return mirror, state, feed
+
+    def test_the_last_good_configuration_stays(self):
+        mirror, state, _ = self.feed()
+        mirror.show(entry("op/config", CONFIG, 1))
+        mirror.show(entry("op/config", b"{", 2))
+        assert state.snapshot.version == 7
+
+    def test_a_configuration_never_goes_back(self):
+        mirror, state, _ = self.feed()
+        mirror.show(entry("op/config", CONFIG, 1))
+        mirror.show(entry("op/config", {**CONFIG, "Version": 6}, 2))
+        assert state.snapshot.version == 7
+
+    def test_a_deleted_replica_is_gone_at_once(self):
+        mirror, state, _ = self.feed()
+        mirror.show(entry("servers/i-1", SERVER))
+        mirror.show()
+        assert not state.replicas
+
+    def test_one_that_is_missing_after_an_outage_has_a_moment_to_come_back(self):
+        mirror, state, feed = self.feed()
+        mirror.show(entry("servers/i-1", SERVER))
+        mirror.show(missing=["servers/i-1"])
+        assert state.replicas
+        self.now = LAPSED_GRACE_S + 0.1
+        feed.refresh()
+        assert not state.replicas
+
+    def test_one_that_drains_is_known_as_leaving(self):
+        mirror, state, _ = self.feed()
+        mirror.show(entry("servers/i-1", SERVER, 1))
+        mirror.show(entry("servers/i-1", {**SERVER, "State": "draining"}, 2))
+        assert state.replicas["i-1"].leaving
+
+
+class TestDialect:
+    @pytest.mark.parametrize(
+        ("status", "headers", "verdict"),
+        [
+            (200, [(b"X-Gradelug-Server-Signature", b"s")], Verdict.ANSWERED),
+            (200, [], Verdict.SPOILED),
+            (503, [(b"X-Gradelug-Not-Executed", b"1")], Verdict.FULL),
+            (503, [], Verdict.FAILED),
+            (400, [(b"X-Gradelug-Not-Executed", b"1")], Verdict.REJECTED),
+            (421, [(b"X-Gradelug-Instance-Id", b"other")], Verdict.MISDIRECTED),
+            (421, [(b"X-Gradelug-Instance-Id", b"me")], Verdict.ABSENT),
+            (500, [], Verdict.FAILED),
+        ],
+    )
+    def test_only_a_replicas_own_word_counts_as_not_run(self, status, headers, verdict):
+        head = ResponseHead(status, tuple(headers))
+        assert PlatformDialect().judge(head, Replica("me", "s", "a:1", "h")) is verdict
+
+
+class TestOrders:
+    def give(self, script):
+        async def scenario():
+            net, servers = Network(), []
+
+            def make():
+                servers.append(RawServer(script))
+                return servers[-1]
+
+            net.servers["e:1"] = make
+            orders = PlatformOrders(HttpPool(asyncio.get_running_loop().time, net.dial))
+            order = Order(True, AdapterKey("m", "a3"), 2, 5, "me", 41)
+            replica = Replica("i-1", "llm", "e:1", "h")
+            outcome = await orders.order(replica, order)
+            return outcome, await orders.report(replica), bytes(servers[0].received)
+
+        return run(scenario)
+
+    @pytest.mark.parametrize(
+        ("status", "outcome"),
+        [
+            (202, OrderOutcome.TAKEN),
+            (200, OrderOutcome.HOLDS),
+            (409, OrderOutcome.CONFLICT),
+            (412, OrderOutcome.OUTRANKED),
+            (421, OrderOutcome.GONE),
+            (500, OrderOutcome.LOST),
+        ],
+    )
+    def test_an_order_names_owner_token_and_count_and_its_answer_is_told(self, status, outcome):
+        raw = b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+        told, _, sent = self.give([[raw], []])
+        assert told is outcome
+        body = json.loads(sent.split(b"\r\n\r\n")[1].partition(b"GET")[0])
+        assert body == {
+            "Operation": "model_load",
+            "Model": "m",
+            "Adapter": "a3",
+            "Version": 2,
+            "Expected": 5,
+            "Owner": "me",
+            "FencingToken": 41,
+        }
+        assert b"X-Gradelug-Expect-Instance: i-1\r\n" in sent
+
+    def test_silence_leaves_an_order_in_doubt(self):
+        assert self.give([[], []])[0] is OrderOutcome.LOST
+
+    def test_a_report_that_cannot_be_read_is_none(self):
+        ok = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        nonsense = b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"Models": 12}'
+        assert self.give([[ok], [nonsense]])[1] is None
+
+
+class TestSettings:
+    def test_every_finding_is_told_together(self, tmp_path):
+        path = tmp_path / "settings.toml"
+        path.write_text('Node = 3\nZone = "z"\nUnknown = 1\n[Bounds]\nGraceS = -1\n')
+        with pytest.raises(InvalidConfig) as caught:
+            load(path)
+        places = " ".join(str(finding) for finding in caught.value.findings)
+        for name in (
+            "Node",
+            "Ip",
+            "PortRange",
+            "Listen.Front",
+            "Bounds.GraceS",
+            "Provider.Address",
+        ):
+            assert name in places
+        assert "Unknown" not in places
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,8 +4,10 @@
 from gradelug_gateway.model import Repeat, Route, Share
 from gradelug_gateway.routing import RouteTable, choose_service
 
+ONE_SERVICE = (Share("s", 1.0),)
 
-def route(prefix, host="h", shares=(Share("s", 1.0),)):
+
+def route(prefix, host="h", shares=ONE_SERVICE):
     return Route(prefix, host, prefix, shares, False, Repeat.FREELY, 1.0, 1.0, 1.0, 1, 0)
 
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from pipes import Network, RawClient, RawServer, join
 
 import pytest
 from gradelug_gateway.directory import Directory
@@ -24,7 +25,6 @@
 from gradelug_http import HttpPool, ServerLimits
 from gradelug_platform.dialect import PlatformDialect
 from gradelug_policy import RetryBudget
-from pipes import Network, RawClient, RawServer, join
 from world import new_loop
 
 SPEC = EngineSpec((), 1000.0, 6, 96, 1000, 2.0)
@@ -105,8 +105,14 @@
         self.fleet = Fleet(state, "hall", clock)
         self.directory = StubDirectory(self.fleet)
         self.serving = Serving(
-            PlatformDialect(), self.fleet, self.directory, HttpPool(clock, self.net.dial),
-            RetryBudget(0.0, budget), Meters(), clock, random.Random(1),
+            PlatformDialect(),
+            self.fleet,
+            self.directory,
+            HttpPool(clock, self.net.dial),
+            RetryBudget(0.0, budget),
+            Meters(),
+            clock,
+            random.Random(1),
         )
         self.server = self.net.serve("10.0.0.9:80", self.serving.serve, ServerLimits, clock)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,11 +14,11 @@
 from dataclasses import dataclass, field
 
 import looptime
+from gradelug_backends import Instance, UpstreamUnavailable
+from gradelug_backends.keys import LIVE, STORE
 from gradelug_config.buckets import split
 from gradelug_config.model import Access, Adapter, Caller, Document, Engine, Pool, Version
 from gradelug_coordination import KvThrottled, KvUnavailable, Publisher
-from gradelug_backends import Instance, UpstreamUnavailable
-from gradelug_backends.keys import LIVE, STORE
 from gradelug_policy import PlacementSettings
 from gradelug_router.acquire import Accountant, Acquirer
 from gradelug_router.exceptions import CallerGone, NotSent, UpstreamBroken, UpstreamRefused
