--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -75,6 +75,8 @@
         Whether no instance can have held the duty before this process began.
     outlasts_lease : bool
         See above.
+    handicap_s : float
+        How much later than others this instance stands, in seconds.
     """
 
     __slots__ = (
@@ -82,6 +84,7 @@
         "_act_from",
         "_clock",
         "_delay_s",
+        "_handicap_s",
         "_hold_off_s",
         "_key",
         "_kv",
@@ -111,6 +114,7 @@
         hold_off_s: float,
         first_start: bool,
         outlasts_lease: bool,
+        handicap_s: float = 0.0,
     ) -> None:
         self._kv = kv
         self._mirror = mirror
@@ -121,6 +125,7 @@
         self._rng = rng
         self._hold_off_s = hold_off_s
         self._outlasts_lease = outlasts_lease
+        self._handicap_s = handicap_s
         self._other_seen_at = float("-inf") if first_start else clock()
         self._absent_since: float | None = None
         self._delay_s = 0.0
@@ -215,7 +220,7 @@
         if self._absent_since is None:
             self._absent_since = now
             most_s = CAMPAIGN_S if now - self._started_at > YOUNG_S else YOUNG_CAMPAIGN_S
-            self._delay_s = self._rng.uniform(0.0, most_s)
+            self._delay_s = self._handicap_s + self._rng.uniform(0.0, most_s)
         if now - self._absent_since < self._delay_s:
             return self._delay_s - (now - self._absent_since)
         return await self._campaign(ABSENT)
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -33,6 +33,10 @@
 MOST_DELAY_S = 0.8
 """Longest pause before the platform's store is tried again: a configuration has to be in force
 two seconds after it was accepted, also just after an outage."""
+STRONG_CORES = 1.0
+WEAK_HANDICAP_S = 0.35
+"""Instances with less than a core stand for planning later: it takes most of half a core at 86
+instances."""
 UPKEEP_S = 0.5
 BUDGET_SHARE = 0.8
 """Part of the repeated sendings that is given out; the rest covers instances that come and go."""
@@ -195,6 +199,7 @@
             0.0 if bounds.fenced else bounds.holder_s,
             self.settings.first_start,
             bounds.fenced,
+            0.0 if self.settings.cores >= STRONG_CORES else WEAK_HANDICAP_S,
         )
         return Duty(election, lambda: self._new_planner(service))
 
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -19,7 +19,11 @@
 
 log = logbook.Logger("directory")
 FLUSH_S = 0.04
-"""Uses are told in messages of this spacing; an eviction may be decided on what is older."""
+FLUSH_S_PER_GATEWAY = 0.0025
+"""Uses are told in messages of this spacing, longer with many gateways: the planner then takes
+400 messages a second. An eviction may be decided on what is older."""
+ASKS_S = 0.002
+"""Questions that come within this time go out together."""
 IDLE_FLUSH_S = 0.5
 """Without news a message goes out this often, so that both ends know of each other."""
 SILENT_S = 1.6
@@ -86,6 +90,7 @@
 
     __slots__ = (
         "_address",
+        "_asked",
         "_cancelled",
         "_changed",
         "_clock",
@@ -126,10 +131,12 @@
         self._started: Counter[tuple[str, AdapterKey]] = Counter()
         self._told_loads: dict[str, tuple[int, int]] = {}
         self._wake = asyncio.Event()
+        self._asked = asyncio.Event()
 
     async def ask(self, ticket: int, ask: pb.Ask, until: float) -> pb.Answer:
         """Return the planner's answer; raises `TimeoutError` at `until`."""
         question = self._questions[ticket] = _Question(ask)
+        self._asked.set()
         self._wake.set()
         try:
             async with asyncio.timeout_at(until):
@@ -185,8 +192,15 @@
             except TimeoutError:
                 pass
             self._wake.clear()
+            self._asked.clear()
             await stream.send_message(self._message(False))
-            await asyncio.sleep(FLUSH_S)
+            await asyncio.sleep(ASKS_S)
+            try:
+                async with asyncio.timeout(max(FLUSH_S, FLUSH_S_PER_GATEWAY * self.gateways)):
+                    await self._asked.wait()
+            except TimeoutError:
+                # No question came, so what is in use is told by now.
+                pass
 
     def _message(self, first: bool) -> pb.FromGateway:
         message = pb.FromGateway()
@@ -224,7 +238,7 @@
                 message.loads.add(replica=name, starting=own[0], running=own[1])
 
     def _take(self, message: pb.FromPlanner) -> None:
-        self.gateways = message.gateways
+        self.gateways = message.gateways or self.gateways
         if message.peers:
             self.peers = list(message.peers)
         directory = self._fleet.directory
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -145,6 +145,31 @@
         while len(self.cached) > HOST_ADAPTERS:
             self.cached.popitem(last=False)
 
+    def can_load(self) -> bool:
+        """Tell whether an order to load an adapter may be given now."""
+        return self.synced and self.loading() < LOADS_AT_ONCE
+
+    def lacks(self, key: AdapterKey) -> bool:
+        """Tell whether an adapter is not there although its base model is."""
+        return key not in self.places and self.has_base(key.model)
+
+    def take_out(self, text: str) -> AdapterKey:
+        """Take an adapter out of its place, which another shares until the first is gone."""
+        key = next(found for found in self.places if found.text == text)
+        del self.places[key]
+        return key
+
+    def undo(self, key: AdapterKey, place: Place) -> None:
+        """Take weights out of a place that did not get there."""
+        if self.places.get(key) is place:
+            del self.places[key]
+
+    def forget(self, gateway: int) -> None:
+        """Forget what a gateway ran."""
+        self.loads.pop(gateway, None)
+        for counts in self.active.values():
+            counts.pop(gateway, None)
+
     def take_report(self, report: EngineReport, now: float) -> None:
         """Take over what the engine reports."""
         self.orders = report.orders
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -0,0 +1,138 @@
+"""The gateways that follow a planner, and what they are told."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import typing as t
+
+from gradelug_wire import placement_pb2 as pb
+
+from .engines import Engine, Phase
+
+NEWS_S = 0.05
+"""News are gathered this long and told to everybody in one message."""
+NEWS_S_PER_FOLLOWER = 0.003
+"""With many followers news are rarer: telling them costs 330 messages a second however many."""
+PEERS_TOLD = 6
+PEERS_S = 2.0
+"""So many other gateways are named so often to each."""
+
+
+class Follower:
+    """A gateway that follows this planner."""
+
+    __slots__ = ("address", "answers", "instance", "number", "outbox", "peers_told_at", "wake")
+
+    def __init__(self, number: int, instance: str, address: str) -> None:
+        self.number = number
+        self.instance = instance
+        self.address = address
+        self.answers: list[pb.Answer] = []
+        self.outbox: list[pb.FromPlanner] = []
+        self.peers_told_at = -math.inf
+        self.wake = asyncio.Event()
+
+    def answer(self, answer: pb.Answer) -> None:
+        """Answer a question soon."""
+        self.answers.append(answer)
+        self.wake.set()
+
+    def take_messages(self) -> list[pb.FromPlanner]:
+        """Return what is to be sent, answers first."""
+        messages, self.outbox = self.outbox, []
+        if self.answers:
+            messages.insert(0, pb.FromPlanner(answers=self.answers, active=True))
+            self.answers = []
+        return messages
+
+
+class Followers:
+    """All gateways that follow a planner.
+
+    Parameters
+    ----------
+    engines : mapping of str to Engine
+        The planner's engines.
+    clock : callable
+        The runtime's clock.
+    """
+
+    __slots__ = ("_by_number", "_changed", "_clock", "_engines", "_told_loads")
+
+    def __init__(self, engines: t.Mapping[str, Engine], clock: t.Callable[[], float]) -> None:
+        self._engines = engines
+        self._clock = clock
+        self._by_number: dict[int, Follower] = {}
+        self._changed: set[str] = set()
+        self._told_loads: dict[str, tuple[int, int]] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_number)
+
+    @property
+    def news_s(self) -> float:
+        """How long news are gathered, in seconds."""
+        return max(NEWS_S, NEWS_S_PER_FOLLOWER * len(self))
+
+    def join(self, instance: str, address: str) -> Follower:
+        """Take a gateway on and tell it all that is held."""
+        number = max(self._by_number, default=0) + 1
+        follower = self._by_number[number] = Follower(number, instance, address)
+        message = pb.FromPlanner(gateways=len(self))
+        for name in self._engines:
+            message.holdings.append(self._holdings(name))
+        for name, engine in self._engines.items():
+            message.loads.add(replica=name, starting=engine.starting, running=engine.running)
+        follower.outbox.append(message)
+        follower.wake.set()
+        return follower
+
+    def leave(self, follower: Follower) -> None:
+        """Forget a gateway."""
+        del self._by_number[follower.number]
+
+    def mark(self, replica: str) -> None:
+        """Note that what a replica holds has changed."""
+        self._changed.add(replica)
+
+    def tell_news(self, active: bool) -> None:
+        """Tell everybody what has changed since the last time."""
+        news = pb.FromPlanner(gateways=len(self), active=active)
+        for name in self._changed:
+            news.holdings.append(self._holdings(name))
+        self._changed.clear()
+        for name, engine in self._engines.items():
+            load = (engine.starting, engine.running)
+            if self._told_loads.get(name) != load:
+                self._told_loads[name] = load
+                news.loads.add(replica=name, starting=load[0], running=load[1])
+        for follower in self._by_number.values():
+            follower.outbox.append(self._with_peers(news, follower))
+            follower.wake.set()
+
+    def _with_peers(self, news: pb.FromPlanner, follower: Follower) -> pb.FromPlanner:
+        now = self._clock()
+        if now - follower.peers_told_at < PEERS_S:
+            return news
+        follower.peers_told_at = now
+        others = [
+            other.address
+            for other in self._by_number.values()
+            if other is not follower and other.address
+        ]
+        start = follower.number % len(others) if others else 0
+        message = pb.FromPlanner()
+        message.CopyFrom(news)
+        message.peers.extend((others[start:] + others[:start])[:PEERS_TOLD])
+        return message
+
+    def _holdings(self, name: str) -> pb.Holdings:
+        holdings = pb.Holdings(replica=name)
+        engine = self._engines.get(name)
+        if engine is None:
+            return holdings
+        for key, place in engine.places.items():
+            if place.phase is Phase.READY:
+                holdings.held.add(model=key.model, adapter=key.adapter, version=place.version)
+        return holdings
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -13,13 +13,12 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from .directory import PlannerAddress
-from .planner import Gateway, Planner
+from .followers import Follower
+from .planner import Planner
 
 log = logbook.Logger("placement")
-SPACING_S = 0.03
-"""Answers go out at once, then further news is gathered this long."""
-NEWS_S = 0.25
-"""Loads of replicas are told this often."""
+SPACING_S = 0.005
+"""What is to be told within this time goes out together."""
 LOOK_S = 0.05
 
 
@@ -116,10 +115,8 @@
         planner = duty.planner if duty is not None else None
         if planner is None:
             raise GRPCError(Status.UNAVAILABLE, "this instance does not plan for the service")
-        gateway = planner.join()
-        gateway.instance = first.instance
-        gateway.address = first.address
-        telling = asyncio.create_task(_tell(stream, planner, gateway))
+        gateway = planner.followers.join(first.instance, first.address)
+        telling = asyncio.create_task(_tell(stream, gateway))
         try:
             planner.take(gateway, first)
             while (message := await stream.recv_message()) is not None:
@@ -136,14 +133,10 @@
             planner.leave(gateway)
 
 
-async def _tell(stream: t.Any, planner: Planner, gateway: Gateway) -> None:
+async def _tell(stream: t.Any, gateway: Follower) -> None:
     while True:
-        await stream.send_message(planner.compose(gateway))
-        await asyncio.sleep(SPACING_S)
-        try:
-            async with asyncio.timeout(NEWS_S):
-                await gateway.wake.wait()
-        except TimeoutError:
-            # Nothing to answer; the loads are told all the same.
-            pass
+        await gateway.wake.wait()
         gateway.wake.clear()
+        for message in gateway.take_messages():
+            await stream.send_message(message)
+        await asyncio.sleep(SPACING_S)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -64,6 +64,8 @@
         The instance, and where it stands.
     first_start : bool
         Whether the whole system starts for the first time.
+    cores : float
+        Processor time that it has, in cores.
     """
 
     name: str
@@ -71,3 +73,4 @@
     addresses: Addresses
     bounds: Bounds
     first_start: bool = False
+    cores: float = 1.0
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/waiting.py
@@ -0,0 +1,191 @@
+"""Requests that wait for their weights: whose turn it is, and who had better come back."""
+
+from __future__ import annotations
+
+import math
+import typing as t
+from collections import Counter
+
+from gradelug_policy import Popularity
+from gradelug_wire import placement_pb2 as pb
+
+from .followers import Follower
+from .model import AdapterKey
+
+FUTURE_S = 2.0
+"""Requests of the coming seconds that loaded weights will serve count like those that wait."""
+FIRST_EVENT_S = 0.2
+"""From loaded weights to the first event."""
+LATE_GAIN = 0.4
+"""An answer that is late anyway is worth about a third, whenever it comes."""
+RETURNING_GAIN = 1.5
+"""A caller that was refused once is not to be refused again."""
+HOLD_PART = 0.15
+"""A refusal comes within a quarter of the target, or not at all."""
+COME_BACK_PART = 0.33
+"""Callers come back after at most a third of their time."""
+COME_BACK_S = 0.3
+USUAL_LOADS_PER_S = 12.0
+LEAST_LOADS_PER_S = 0.5
+THROUGHPUT_S = 1.0
+"""Span over which the rate of loads is taken."""
+LEAST_SPAN_S = 0.1
+
+
+class Waiter:
+    """A question that is not answered yet."""
+
+    __slots__ = ("ask", "asked_at", "follower", "key", "target_at", "until")
+
+    def __init__(self, follower: Follower, ask: pb.Ask, now: float) -> None:
+        self.follower = follower
+        self.ask = ask
+        self.key = AdapterKey(ask.model, ask.adapter)
+        self.asked_at = now
+        self.until = now + ask.wait_ms / 1000
+        self.target_at = now + ask.target_ms / 1000
+
+    @property
+    def hold_s(self) -> float:
+        """How long it is held before it may be refused, in seconds."""
+        return HOLD_PART * (self.target_at - self.asked_at)
+
+    def may_use(self, replica: str) -> bool:
+        """Tell whether the request may run on a replica."""
+        if self.ask.only:
+            return replica == self.ask.only
+        return replica not in self.ask.excluded
+
+    def answer(self, replica: str, version: int) -> None:
+        """Tell where it can run."""
+        self.follower.answer(pb.Answer(ticket=self.ask.ticket, replica=replica, version=version))
+
+    def refuse(self, ready_s: float, now: float) -> None:
+        """Tell when to come back, the weights being ready in `ready_s` seconds."""
+        retry_s = max(COME_BACK_S, min(ready_s, COME_BACK_PART * (self.until - now)))
+        self.follower.answer(
+            pb.Answer(
+                ticket=self.ask.ticket,
+                reason="the weights would come too late",
+                retry_after_ms=round(retry_s * 1000),
+            )
+        )
+
+
+class Throughput:
+    """How many loads a second begin while requests wait for some."""
+
+    __slots__ = ("_at", "_begun", "_busy_s", "_waiting")
+
+    def __init__(self, now: float) -> None:
+        self._at = now
+        self._waiting = False
+        self._begun = USUAL_LOADS_PER_S * THROUGHPUT_S
+        self._busy_s = THROUGHPUT_S
+
+    def note_load(self) -> None:
+        """Count a load that begins."""
+        self._begun += 1
+
+    def note_queue(self, waiting: bool, now: float) -> None:
+        """Note whether requests wait for loads that cannot begin yet."""
+        passed_s = now - self._at
+        self._at = now
+        kept = math.exp(-passed_s / THROUGHPUT_S)
+        if self._waiting:
+            self._begun *= kept
+            self._busy_s = self._busy_s * kept + passed_s
+        self._waiting = waiting
+
+    def rate(self) -> float:
+        """Return the loads a second to reckon with."""
+        return max(LEAST_LOADS_PER_S, self._begun / max(self._busy_s, LEAST_SPAN_S))
+
+
+class WaitingLine:
+    """All requests that wait for weights on the engines of a service.
+
+    Parameters
+    ----------
+    popularity : Popularity
+        How often weights are asked for.
+    now : float
+        By the runtime's clock.
+    """
+
+    __slots__ = ("_popularity", "throughput", "waiters")
+
+    def __init__(self, popularity: Popularity, now: float) -> None:
+        self._popularity = popularity
+        self.throughput = Throughput(now)
+        self.waiters: list[Waiter] = []
+
+    def cancel(self, follower: Follower, tickets: t.Collection[int]) -> None:
+        """Forget questions that a gateway took back."""
+        self.waiters = [
+            waiter
+            for waiter in self.waiters
+            if waiter.follower is not follower or waiter.ask.ticket not in tickets
+        ]
+
+    def forget(self, follower: Follower) -> None:
+        """Forget all questions of a gateway."""
+        self.waiters = [waiter for waiter in self.waiters if waiter.follower is not follower]
+
+    def in_order(self, now: float, load_s: float) -> list[Waiter]:
+        """Return one waiter for each kind of weights, the most urgent first.
+
+        Parameters
+        ----------
+        now : float
+            By the runtime's clock.
+        load_s : float
+            Expected time of a load, in seconds.
+        """
+        wanted: dict[AdapterKey, Waiter] = {}
+        urgency: dict[AdapterKey, float] = Counter()  # type: ignore[assignment]
+        for waiter in self.waiters:
+            wanted.setdefault(waiter.key, waiter)
+            urgency[waiter.key] += _gain(waiter, now, load_s)
+        for key in wanted:
+            urgency[key] += FUTURE_S * self._popularity.rate(key.text, now)
+        return sorted(wanted.values(), key=lambda waiter: -urgency[waiter.key])
+
+    def refuse_hopeless(self, queued: t.Iterable[AdapterKey], now: float, load_s: float) -> None:
+        """Refuse early what will not be loaded in time, so that its caller can come back.
+
+        Parameters
+        ----------
+        queued : iterable of AdapterKey
+            Weights that are not on their way yet, in their order.
+        now : float
+            By the runtime's clock.
+        load_s : float
+            Expected time of a load, in seconds.
+        """
+        rate = self.throughput.rate()
+        ready = {key: now + (at + 1) / rate + load_s for at, key in enumerate(queued)}
+        kept = []
+        for waiter in self.waiters:
+            ready_at = ready.get(waiter.key)
+            if ready_at is None or not _is_hopeless(waiter, ready_at, now):
+                kept.append(waiter)
+            else:
+                waiter.refuse(ready_at - now, now)
+        self.waiters = kept
+
+
+def _gain(waiter: Waiter, now: float, load_s: float) -> float:
+    """Return what is gained by loading what a request waits for now and not later."""
+    gain = waiter.ask.value * (RETURNING_GAIN if waiter.ask.returning else 1.0)
+    in_time = now + load_s + FIRST_EVENT_S < waiter.target_at
+    return gain if in_time else gain * LATE_GAIN
+
+
+def _is_hopeless(waiter: Waiter, ready_at: float, now: float) -> bool:
+    held_s = now - waiter.asked_at
+    if not waiter.hold_s <= held_s <= 2 * waiter.hold_s:
+        return False
+    if waiter.ask.returning:
+        return ready_at >= waiter.until
+    return ready_at + FIRST_EVENT_S >= waiter.target_at
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -142,7 +142,7 @@
         window = LoadWindow(2.0, 5.0, 1.1, 3)
         self.planner = Planner("llm", "me", SPEC, self.state, self.transport, window, self.clock)
         self.planner.fence = 7
-        self.gateway = self.planner.join()
+        self.gateway = self.planner.followers.join("g", "")
         self.task = asyncio.create_task(self.planner.run())
         self.tickets = 0
         self.answers = {}
@@ -171,8 +171,8 @@
         self.planner.take(self.gateway, pb.FromGateway(uses=[use]))
 
     def collect(self):
-        for answer in self.planner.compose(self.gateway).answers:
-            self.answers[answer.ticket] = answer
+        for message in self.gateway.take_messages():
+            self.answers.update({answer.ticket: answer for answer in message.answers})
         return self.answers
 
     async def stop(self):
