Gather changes on the platform for 1.2 s; use idle connections where replicas close them properly

Requests that run once opened a connection each. Change: a look every 1.2 s, at once while a planner is missed; idle connections of any age for such requests, 1.5 s where replicas forget idle connections.

--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -30,14 +30,18 @@
         Source of jitter for the way back after an outage.
     most_delay_s : float
         Longest pause between attempts, in seconds.
+    spacing_s : float
+        Changes are gathered this long, in seconds, since each look at them is a call.
     """
 
     __slots__ = (
         "_backoff",
         "_interrupted",
+        "_hurry",
         "_kv",
         "_listeners",
         "_prefix",
+        "_spacing_s",
         "entries",
         "missing",
         "revision",
@@ -45,11 +49,18 @@
     )
 
     def __init__(
-        self, kv: KeyValue, prefix: str, rng: random.Random, most_delay_s: float = MOST_DELAY_S
+        self,
+        kv: KeyValue,
+        prefix: str,
+        rng: random.Random,
+        most_delay_s: float = MOST_DELAY_S,
+        spacing_s: float = 0.0,
     ) -> None:
         self._kv = kv
         self._prefix = prefix
         self._backoff = Backoff(FIRST_DELAY_S, most_delay_s, rng)
+        self._spacing_s = spacing_s
+        self._hurry = asyncio.Event()
         self._interrupted = False
         self._listeners: list[t.Callable[[], None]] = []
         self.entries: dict[str, KvEntry] = {}
@@ -59,6 +70,10 @@
         self.synced = False
         """Whether the watch is running; False from an outage until the next listing."""
 
+    def hurry(self) -> None:
+        """Look for changes now: somebody waits for one."""
+        self._hurry.set()
+
     def subscribe(self, listener: t.Callable[[], None]) -> None:
         """Call `listener` after every change."""
         self._listeners.append(listener)
@@ -107,6 +122,18 @@
                     self.entries[event.key] = event.entry
             self.revision = max([self.revision, *(event.revision for event in events)])
             self._notify()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        if not self._spacing_s:
+            return
+        try:
+            async with asyncio.timeout(self._spacing_s):
+                await self._hurry.wait()
+        except TimeoutError:
+            # Nobody was in a hurry.
+            pass
+        self._hurry.clear()
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import signal
 import typing as t
@@ -30,9 +31,15 @@
 DUTY_PREFIX = "gradelug/planner/"
 LEASE_S = 1.2
 """Time to live of a planner's lease: a lost one is replaced somewhat later than this."""
+RESTED_S = 1.5
+"""Where replicas forget idle connections silently, requests that may run once only go over
+connections that were used this lately: a reset would leave their outcome in doubt."""
 MOST_DELAY_S = 0.8
 """Longest pause before the platform's store is tried again: a configuration has to be in force
 two seconds after it was accepted, also just after an outage."""
+SPACING_S = 1.2
+"""Changes on the platform are gathered this long. Replicas that leave must get nothing new two
+seconds after they said so, and a configuration must be in force as soon."""
 STRONG_CORES = 1.0
 WEAK_HANDICAP_S = 0.35
 """Instances with less than a core stand for planning later: it takes most of half a core at 86
@@ -91,13 +98,18 @@
         self._tasks = Tasks()
         self._stopping_at: float | None = None
         self._state = FleetState()
-        self._mirror = Mirror(kv, "", self._rng, MOST_DELAY_S)
+        self._mirror = Mirror(kv, "", self._rng, MOST_DELAY_S, SPACING_S)
         self._feed = Feed(self._mirror, reader, self._state, self._clock)
         self._feed.subscribe(self._on_change)
         self._fleet = Fleet(self._state, settings.hall, self._clock)
         self._duties: dict[str, Duty] = {}
         self._directory = Directory(
-            settings.name, settings.addresses.peers, self._fleet, self._clock, self._locate
+            settings.name,
+            settings.addresses.peers,
+            self._fleet,
+            self._clock,
+            self._locate,
+            self._mirror.hurry,
         )
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio * BUDGET_SHARE, self._burst(GATEWAYS_GUESS))
@@ -111,6 +123,7 @@
             self._meters,
             self._clock,
             self._rng,
+            RESTED_S if settings.bounds.forgets_idle else math.inf,
         )
         self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -272,9 +272,12 @@
         The runtime's clock.
     locate : callable
         Returns a service's planner, or None.
+    hurry : callable
+        Called while a planner is missed.
     """
 
     __slots__ = (
+        "_hurry",
         "_address",
         "_clock",
         "_fleet",
@@ -293,12 +296,14 @@
         fleet: Fleet,
         clock: t.Callable[[], float],
         locate: t.Callable[[str], PlannerAddress | None],
+        hurry: t.Callable[[], None] = lambda: None,
     ) -> None:
         self._instance = instance
         self._address = address
         self._fleet = fleet
         self._clock = clock
         self._locate = locate
+        self._hurry = hurry
         self._hints: dict[str, PlannerAddress] = {}
         """Planners that peers told of."""
         self._links: dict[str, PlannerLink] = {}
@@ -422,6 +427,7 @@
             planner = self.known(link.service)
             if planner is not None:
                 await link.follow(planner, lambda used: self._is_newest(link.service, used))
+            self._hurry()
             await asyncio.sleep(RECONNECT_S)
             if planner is not None and self._is_newest(link.service, planner):
                 # Lost, and the platform tells of no other.
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -39,9 +39,6 @@
 """Largest answer that is not streamed."""
 DEADLINE_MARGIN_S = 0.012
 """The final answer leaves this long before the caller stops waiting."""
-RESTED_S = 1.5
-"""Requests that may run once only go over connections that were used this lately: one that the
-upstream has closed meanwhile would leave their outcome in doubt."""
 SILENT_TARGETS = 1.5
 """A repeatable request without an answer for this many of its target times is sent elsewhere."""
 SILENT_STREAM_S = 1.2
@@ -143,6 +140,9 @@
         Repeated sendings that this instance may make.
     clock, rng
         The runtime's clock and source of chance.
+    rested_s : float
+        Longest time, in seconds, that a connection may have been idle for a request that may
+        run once only.
     """
 
     __slots__ = (
@@ -154,6 +154,7 @@
         "_meters",
         "_pool",
         "_refuses_from",
+        "_rested_s",
         "_rng",
         "_table",
         "_table_version",
@@ -170,6 +171,7 @@
         meters: Meters,
         clock: t.Callable[[], float],
         rng: random.Random,
+        rested_s: float = math.inf,
     ) -> None:
         self._dialect = dialect
         self._fleet = fleet
@@ -182,6 +184,7 @@
         self._table = RouteTable(())
         self._table_version = -1
         self._refuses_from = math.inf
+        self._rested_s = rested_s
         self._values = RequestValues()
 
     def refuse_from(self, at: float) -> None:
@@ -302,7 +305,7 @@
         health.circuit.note_start(now)
         repeatable = job.may_repeat()
         try:
-            rested_s = math.inf if repeatable else RESTED_S
+            rested_s = math.inf if repeatable else self._rested_s
             conn = await self._pool.acquire(replica.address, CONNECT_S, rested_s)
         except ConnectFailed as exc:
             health.note(True, self._clock())
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -41,8 +41,10 @@
     retry_extra : float
         Repeated sendings beyond that in a window.
     load_window_s, load_overage : float
-        Window in which loads from the weight store are counted, in seconds, and the factor by
-        which they may exceed its rate.
+        Window in which loads of base models are counted, in seconds, and the factor by which
+        they may exceed the weight store's rate.
+    forgets_idle : bool
+        Whether replicas forget idle connections without closing them.
     """
 
     grace_s: float = 8.0
@@ -52,6 +54,7 @@
     retry_extra: float = 10.0
     load_window_s: float = 5.0
     load_overage: float = 1.0
+    forgets_idle: bool = False
 
 
 @dataclass(slots=True, frozen=True)
