Split serving and directory; bring in models nobody holds; use failing replicas when all fail

Change: job, sending, serving; link, directory. A wanted model goes where there is room, else to an unused engine whose models others hold too. Circuits are overruled when no replica is left. Conclusion: tests fail without each of the two.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -16,14 +16,16 @@
 from gradelug_runtime.process import Tasks
 from grpclib.server import Server
 
-from .directory import Directory, PlannerAddress
+from .directory import Directory
 from .feed import EntryReader, Feed
 from .fleet import Fleet
+from .link import PlannerAddress
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .placement import Duty, PlacementService
 from .planner import Planner
 from .ports import Dialect, OrderTransport
+from .sending import Sender
 from .serving import Serving
 from .settings import GatewaySettings
 
@@ -114,16 +116,24 @@
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio * BUDGET_SHARE, self._burst(GATEWAYS_GUESS))
         self._meters = Meters()
-        self._serving = Serving(
+        sender = Sender(
             dialect,
             self._fleet,
             self._directory,
             pool,
+            self._meters,
+            self._clock,
+            RESTED_S if settings.bounds.forgets_idle else math.inf,
+        )
+        self._serving = Serving(
+            dialect,
+            self._fleet,
+            self._directory,
+            sender,
             self._budget,
             self._meters,
             self._clock,
             self._rng,
-            RESTED_S if settings.bounds.forgets_idle else math.inf,
         )
         self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -103,6 +103,10 @@
         counts = self.active.get(key)
         return sum(counts.values()) if counts else 0
 
+    def is_in_use(self) -> bool:
+        """Tell whether any request runs there."""
+        return bool(self.starting or self.running) or any(map(self.users, self.active))
+
     def holds(self, key: AdapterKey) -> bool:
         """Tell whether weights can be used now."""
         place = self.places.get(key)
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -128,18 +128,16 @@
         excluded: t.Container[str] = (),
         only: t.Container[str] | None = None,
     ) -> Replica | None:
-        """Return the replica at which a request waits least, None if none may be used."""
+        """Return the replica at which a request waits least, None if there is none."""
         now = self._clock()
-        best, least = None, math.inf
-        for rep in replicas:
-            if rep.name in excluded or (only is not None and rep.name not in only):
-                continue
-            if not self.health(rep.name).circuit.allows(now):
-                continue
-            cost = self.cost(rep, now)
-            if cost < least:
-                best, least = rep, cost
-        return best
+        found = [
+            rep
+            for rep in replicas
+            if rep.name not in excluded and (only is None or rep.name in only)
+        ]
+        closed = [rep for rep in found if self.health(rep.name).circuit.allows(now)]
+        # When all of them fail, some requests still get through.
+        return min(closed or found, key=lambda rep: self.cost(rep, now), default=None)
 
     def cost(self, replica: Replica, now: float) -> float:
         """Return how long a request would wait at a replica, in requests before it."""
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -0,0 +1,74 @@
+"""A request on its way through the daemon."""
+
+from __future__ import annotations
+
+import typing as t
+from enum import Enum
+
+from gradelug_http import Incoming, ResponseHead
+
+from .model import Repeat, Request, Route, Service
+from .streams import EventAssembler
+
+DEADLINE_MARGIN_S = 0.012
+"""The final answer leaves this long before the caller stops waiting."""
+
+
+class Outcome(Enum):
+    """How one sending ended."""
+
+    DONE = "done"
+    NOT_SENT = "not sent"
+    NOT_RUN = "not run"
+    ABSENT = "absent"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Job:
+    """A request on its way through the daemon."""
+
+    __slots__ = (
+        "absent",
+        "deadline_at",
+        "events",
+        "excluded",
+        "failure",
+        "inc",
+        "in_doubt",
+        "placed_s",
+        "req",
+        "route",
+        "sends",
+        "service",
+        "tried",
+    )
+
+    def __init__(self, inc: Incoming, req: Request, route: Route, service: Service) -> None:
+        self.inc = inc
+        self.req = req
+        self.route = route
+        self.service = service
+        wait_s = min(req.wait_s - DEADLINE_MARGIN_S, route.timeout_s)
+        self.deadline_at = req.arrived_at + wait_s
+        self.events = EventAssembler(req.last_event)
+        self.tried: set[str] = set()
+        """Replicas to which it was sent."""
+        self.excluded: set[str] = set()
+        """Replicas that failed it."""
+        self.absent = ""
+        """The replica that last said it lacks the weights."""
+        self.sends = 0
+        self.in_doubt = False
+        """Whether it may have run without an answer that reached us."""
+        self.failure: tuple[ResponseHead, bytes] | None = None
+        """A replica's own failure, answered unless another sending does better."""
+        self.placed_s = 0.0
+
+    def may_repeat(self) -> bool:
+        """Tell whether it may be sent again after it may have run."""
+        return self.route.repeat is not Repeat.NEVER
+
+    def candidates(self) -> t.Container[str] | None:
+        """Return the replicas to which it may still go; None for any."""
+        return self.tried if len(self.tried) >= self.route.max_replicas else None
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -0,0 +1,250 @@
+"""The stream of one instance to the planner of a service."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+from collections import Counter
+from dataclasses import dataclass
+
+import logbook
+from gradelug_wire import placement_pb2 as pb
+from gradelug_wire.placement_grpc import PlacementStub
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from .fleet import Fleet
+from .model import AdapterKey
+
+log = logbook.Logger("link")
+FLUSH_S = 0.04
+FLUSH_S_PER_GATEWAY = 0.0025
+"""Uses are told in messages of this spacing, longer with many gateways: the planner then takes
+400 messages a second. An eviction may be decided on what is older."""
+ASKS_S = 0.002
+"""Questions that come within this time go out together."""
+IDLE_FLUSH_S = 0.5
+"""Without news a message goes out this often, so that both ends know of each other."""
+SILENT_S = 1.6
+"""A planner that sends nothing for three such messages is taken for lost."""
+ASK_PEER_S = 0.3
+"""A peer that knows answers in a round trip."""
+
+
+@dataclass(slots=True, frozen=True)
+class PlannerAddress:
+    """Where a service's planner is.
+
+    Parameters
+    ----------
+    owner : str
+        Name of its instance.
+    address : str
+        ``IP:port``.
+    fence : int
+        Its fencing token.
+    """
+
+    owner: str
+    address: str
+    fence: int
+
+
+class _Question:
+    __slots__ = ("ask", "fut", "sent")
+
+    def __init__(self, ask: pb.Ask) -> None:
+        self.ask = ask
+        self.fut: asyncio.Future[pb.Answer] = asyncio.get_running_loop().create_future()
+        self.sent = False
+
+
+class PlannerLink:
+    """This instance's stream to the planner of one service."""
+
+    __slots__ = (
+        "_address",
+        "_asked",
+        "_cancelled",
+        "_changed",
+        "_clock",
+        "_fleet",
+        "_instance",
+        "_questions",
+        "_started",
+        "_told_loads",
+        "_wake",
+        "active",
+        "gateways",
+        "peers",
+        "service",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        instance: str,
+        address: str,
+        fleet: Fleet,
+        clock: t.Callable[[], float],
+    ) -> None:
+        self.service = service
+        self.active: Counter[tuple[str, AdapterKey]] = Counter()
+        """Requests of this instance by replica and weights."""
+        self.gateways = 0
+        """Instances that the planner knows, 0 if it has not told."""
+        self.peers: list[str] = []
+        """Some other instances, as the planner last told."""
+        self._address = address
+        self._instance = instance
+        self._fleet = fleet
+        self._clock = clock
+        self._questions: dict[int, _Question] = {}
+        self._cancelled: list[int] = []
+        self._changed: set[tuple[str, AdapterKey]] = set()
+        self._started: Counter[tuple[str, AdapterKey]] = Counter()
+        self._told_loads: dict[str, tuple[int, int]] = {}
+        self._wake = asyncio.Event()
+        self._asked = asyncio.Event()
+
+    async def ask(self, ticket: int, ask: pb.Ask, until: float) -> pb.Answer:
+        """Return the planner's answer; raises `TimeoutError` at `until`."""
+        question = self._questions[ticket] = _Question(ask)
+        self._asked.set()
+        self._wake.set()
+        try:
+            async with asyncio.timeout_at(until):
+                return await question.fut
+        finally:
+            del self._questions[ticket]
+            if question.sent and not question.fut.done() or question.fut.cancelled():
+                self._cancelled.append(ticket)
+
+    def note(self, replica: str, key: AdapterKey, change: int) -> None:
+        """Note that a request began (1) or ended (-1)."""
+        use = (replica, key)
+        self.active[use] += change
+        if change > 0:
+            self._started[use] += 1
+        self._changed.add(use)
+        self._wake.set()
+
+    async def follow(
+        self, planner: PlannerAddress, is_newest: t.Callable[[PlannerAddress], bool]
+    ) -> None:
+        """Exchange messages with a planner until the stream breaks or there is a newer one."""
+        host, _, port = planner.address.rpartition(":")
+        channel = Channel(host, int(port))
+        for question in self._questions.values():
+            question.sent = False
+        self._changed.update(self.active)
+        self._told_loads.clear()
+        try:
+            async with asyncio.timeout(SILENT_S) as limit:
+                async with PlacementStub(channel).Follow.open() as stream:
+                    await stream.send_message(self._message(True))
+                    sender = asyncio.create_task(self._send(stream))
+                    try:
+                        while (message := await stream.recv_message()) is not None:
+                            limit.reschedule(self._clock() + SILENT_S)
+                            self._take(message)
+                            if not is_newest(planner):
+                                log.info("newer planner", service=self.service, old=planner.owner)
+                                return
+                    finally:
+                        sender.cancel()
+        except (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError) as exc:
+            log.info("planner lost", service=self.service, owner=planner.owner, why=repr(exc))
+        finally:
+            channel.close()
+
+    async def _send(self, stream: t.Any) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_FLUSH_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            self._asked.clear()
+            await stream.send_message(self._message(False))
+            await asyncio.sleep(ASKS_S)
+            try:
+                async with asyncio.timeout(max(FLUSH_S, FLUSH_S_PER_GATEWAY * self.gateways)):
+                    await self._asked.wait()
+            except TimeoutError:
+                # No question came, so what is in use is told by now.
+                pass
+
+    def _message(self, first: bool) -> pb.FromGateway:
+        message = pb.FromGateway()
+        if first:
+            message.instance = self._instance
+            message.service = self.service
+            message.address = self._address
+        for question in self._questions.values():
+            if not question.sent:
+                question.sent = True
+                message.asks.append(question.ask)
+        message.cancelled.extend(self._cancelled)
+        self._cancelled.clear()
+        for use in self._changed:
+            replica, key = use
+            message.uses.add(
+                replica=replica,
+                model=key.model,
+                adapter=key.adapter,
+                active=self.active[use],
+                started=self._started[use],
+            )
+            if not self.active[use]:
+                del self.active[use]
+        self._changed.clear()
+        self._started.clear()
+        self._add_loads(message)
+        return message
+
+    def _add_loads(self, message: pb.FromGateway) -> None:
+        for name, load in self._fleet.loads():
+            own = (load.starting, load.running)
+            if self._told_loads.get(name, (0, 0)) != own:
+                self._told_loads[name] = own
+                message.loads.add(replica=name, starting=own[0], running=own[1])
+
+    def _take(self, message: pb.FromPlanner) -> None:
+        self.gateways = message.gateways or self.gateways
+        if message.peers:
+            self.peers = list(message.peers)
+        directory = self._fleet.directory
+        if directory is None:
+            directory = self._fleet.directory = {}
+        for holdings in message.holdings:
+            directory[holdings.replica] = {
+                AdapterKey(held.model, held.adapter): held.version for held in holdings.held
+            }
+        for told in message.loads:
+            load = self._fleet.load(told.replica)
+            starting, running = self._told_loads.get(told.replica, (0, 0))
+            load.others_starting = max(0, told.starting - starting)
+            load.others_running = max(0, told.running - running)
+        for answer in message.answers:
+            question = self._questions.get(answer.ticket)
+            if question is not None and not question.fut.done():
+                question.fut.set_result(answer)
+
+
+async def ask_where(address: str, service: str) -> PlannerAddress | None:
+    """Return the planner that a peer knows of, None if it cannot tell."""
+    host, _, port = address.rpartition(":")
+    channel = Channel(host, int(port))
+    try:
+        async with asyncio.timeout(ASK_PEER_S):
+            reply = await PlacementStub(channel).Locate(pb.Where(service=service))
+    except (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError) as exc:
+        log.info("a peer does not answer", address=address, why=repr(exc))
+        return None
+    finally:
+        channel.close()
+    if not reply.address:
+        return None
+    return PlannerAddress(reply.owner, reply.address, reply.fence)
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -12,8 +12,8 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
-from .directory import PlannerAddress
 from .followers import Follower
+from .link import PlannerAddress
 from .planner import Planner
 
 log = logbook.Logger("placement")
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -272,6 +272,10 @@
                 return True
         return False
 
+    def wanted_models(self) -> set[str]:
+        """Return the base models of all that is waited for."""
+        return {waiter.key.model for waiter in self._line.waiters}
+
     def openings(self) -> dict[str, Opening]:
         """Return the engines that can take an adapter in now."""
         return self._openings(self._clock())
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -0,0 +1,291 @@
+"""Sending a request to a replica once, and passing on what comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import typing as t
+
+import logbook
+from gradelug_http import (
+    ConnectFailed,
+    Connection,
+    HttpPool,
+    ResponseBroken,
+    ResponseHead,
+    end_to_end,
+)
+
+from .directory import Directory
+from .fleet import Fleet
+from .job import Job, Outcome
+from .metrics import Meters
+from .model import Attempt, Repeat, Replica, Verdict
+from .ports import Dialect
+
+log = logbook.Logger("sending")
+T = t.TypeVar("T")
+CONNECT_S = 0.35
+"""Opening a connection takes a round trip of milliseconds; a lost packet is not waited for."""
+ANSWER_BYTES = 8_388_608
+"""Largest answer that is not streamed."""
+SILENT_TARGETS = 1.5
+"""A repeatable request without an answer for this many of its target times is sent elsewhere."""
+SILENT_STREAM_S = 1.2
+"""A resumable stream without a first event, or without the next one, for this long goes on
+elsewhere; callers give up after 2 s or more."""
+BUSY_STREAM_S = 2.4
+"""The same at a replica that answers others: there it waits its turn, and would elsewhere."""
+HEARD_S = 0.5
+"""A replica from which something came this lately answers others."""
+
+
+class Sender:
+    """Sends requests to replicas and passes their answers on.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        How callers and replicas speak.
+    fleet : Fleet
+        Replicas, and what runs there.
+    directory : Directory
+        Is told which weights are in use.
+    pool : HttpPool
+        Connections to replicas.
+    meters : Meters
+        Counts answers.
+    clock : callable
+        The runtime's clock.
+    rested_s : float
+        Longest time, in seconds, that a connection may have been idle for a request that may
+        run once only.
+    """
+
+    __slots__ = ("_clock", "_dialect", "_directory", "_fleet", "_meters", "_pool", "_rested_s")
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        fleet: Fleet,
+        directory: Directory,
+        pool: HttpPool,
+        meters: Meters,
+        clock: t.Callable[[], float],
+        rested_s: float = math.inf,
+    ) -> None:
+        self._dialect = dialect
+        self._fleet = fleet
+        self._directory = directory
+        self._pool = pool
+        self._meters = meters
+        self._clock = clock
+        self._rested_s = rested_s
+
+    async def send(self, job: Job, replica: Replica) -> Outcome:
+        """Send a request to a replica, pass its answer on, and tell how that ended."""
+        now = self._clock()
+        health = self._fleet.health(replica.name)
+        health.circuit.note_start(now)
+        repeatable = job.may_repeat()
+        try:
+            rested_s = math.inf if repeatable else self._rested_s
+            conn = await self._pool.acquire(replica.address, CONNECT_S, rested_s)
+        except ConnectFailed as exc:
+            health.note(True, self._clock())
+            log.info("not sent", id=job.req.id, replica=replica.name, why=str(exc))
+            return Outcome.NOT_SENT
+        if self._fleet.state.replicas.get(replica.name, replica).leaving:
+            conn.close()
+            return Outcome.NOT_SENT
+        load = self._fleet.load(replica.name)
+        key = job.req.key
+        log.info(
+            "placed",
+            id=job.req.id,
+            route=job.route.name,
+            replica=replica.name,
+            weights=key.text if key is not None else "",
+            waited_s=round(job.placed_s, 3),
+            cost=round(self._fleet.cost(replica, now), 2),
+        )
+        load.starting += 1
+        if key is not None:
+            self._directory.note_begin(replica.name, key)
+        sending = _Exchange(job, replica, conn)
+        try:
+            outcome = await self._exchange(sending)
+        except ResponseBroken as exc:
+            health.note(True, self._clock())
+            log.info("broken", id=job.req.id, replica=replica.name, why=str(exc))
+            return Outcome.UNKNOWN
+        finally:
+            # Also when the caller leaves: the replica stops when its connection closes.
+            if not sending.released:
+                conn.abort()
+            if sending.running:
+                load.running -= 1
+            else:
+                load.starting -= 1
+            if key is not None:
+                self._directory.note_end(replica.name, key)
+        health.note(outcome is Outcome.RAN, self._clock())
+        return outcome
+
+    async def _exchange(self, sending: _Exchange) -> Outcome:
+        job, replica = sending.job, sending.replica
+        attempt = self._attempt(job, replica)
+        try:
+            sending.conn.send(self._dialect.outgoing(job.req, attempt))
+        except ConnectFailed:
+            return Outcome.NOT_SENT
+        job.sends += 1
+        job.tried.add(replica.name)
+        was_in_doubt, job.in_doubt = job.in_doubt, True
+        log.debug("sent", id=job.req.id, replica=replica.name, left_s=round(attempt.left_s, 3))
+        head = await self._listen(
+            sending, sending.conn.head(lambda head: self._dialect.is_own(head, job.req))
+        )
+        verdict = self._dialect.judge(head, replica)
+        if verdict is Verdict.SPOILED:
+            raise ResponseBroken("the answer does not come from the replica")
+        if verdict is Verdict.ANSWERED and job.route.streaming:
+            return await self._stream(sending, head)
+        body = await sending.conn.body(ANSWER_BYTES)
+        sending.release(self._pool, head)
+        if verdict not in (Verdict.ANSWERED, Verdict.FAILED):
+            job.in_doubt = was_in_doubt
+        return self._conclude(job, replica, verdict, head, body)
+
+    def _attempt(self, job: Job, replica: Replica) -> Attempt:
+        version = 0
+        if job.req.key is not None:
+            version = self._fleet.state.versions.get(job.req.key, 0)
+        left_s = job.deadline_at - self._clock()
+        return Attempt(replica, left_s, version, job.route.rank, job.events.last_event)
+
+    async def _listen(self, sending: _Exchange, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
+        """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
+        health = self._fleet.health(sending.replica.name)
+        usual_s, most_s = self._silence_s(sending.job)
+        task = asyncio.ensure_future(coming)
+        try:
+            done, _ = await asyncio.wait([task], timeout=usual_s)
+            if not done and most_s is not None and usual_s is not None:
+                busy = self._clock() - health.heard_at < HEARD_S
+                if busy:
+                    done, _ = await asyncio.wait([task], timeout=most_s - usual_s)
+            if not done:
+                raise ResponseBroken("the replica is silent")
+        finally:
+            if not task.done():
+                task.cancel()
+        health.heard_at = self._clock()
+        return task.result()
+
+    def _silence_s(self, job: Job) -> tuple[float | None, float | None]:
+        if job.route.repeat is Repeat.FREELY and job.route.max_replicas > 1:
+            return SILENT_TARGETS * job.route.target_s, None
+        if job.route.repeat is Repeat.RESUME:
+            return SILENT_STREAM_S, BUSY_STREAM_S
+        return None, None
+
+    def _conclude(
+        self, job: Job, replica: Replica, verdict: Verdict, head: ResponseHead, body: bytes
+    ) -> Outcome:
+        if verdict is Verdict.ANSWERED:
+            if head.get(b"content-encoding") is not None:
+                raise ResponseBroken("the answer's body is encoded, which nobody asked for")
+            self.pass_on(job, head, body)
+            return Outcome.DONE
+        log.info(
+            "replica refused",
+            id=job.req.id,
+            replica=replica.name,
+            why=verdict.value,
+            status=head.status,
+        )
+        if verdict is Verdict.FAILED:
+            job.failure = (head, body)
+            return Outcome.RAN
+        if verdict is Verdict.REJECTED:
+            self.pass_on(job, head, body)
+            return Outcome.DONE
+        if verdict is Verdict.ABSENT:
+            job.absent = replica.name
+            return Outcome.ABSENT
+        return Outcome.NOT_RUN
+
+    async def _stream(self, sending: _Exchange, head: ResponseHead) -> Outcome:
+        job = sending.job
+        while True:
+            data = await self._listen(sending, sending.conn.chunk())
+            if data is None:
+                break
+            events = job.events.feed(data)
+            if not events:
+                continue
+            if not sending.running:
+                self._note_running(sending)
+            if not job.inc.started:
+                job.inc.begin(head.status, end_to_end(head.headers))
+            await job.inc.send(events)
+        if not job.events.is_between_events:
+            raise ResponseBroken("the stream ended within an event")
+        sending.release(self._pool, head)
+        if not job.inc.started:
+            job.inc.begin(head.status, end_to_end(head.headers))
+        job.inc.finish()
+        self._note_served(job, head.status)
+        return Outcome.DONE
+
+    def _note_running(self, sending: _Exchange) -> None:
+        load = self._fleet.load(sending.replica.name)
+        load.starting -= 1
+        load.running += 1
+        sending.running = True
+        first_s = self._clock() - sending.job.req.arrived_at
+        self._meters.first_event(first_s)
+        if first_s > sending.job.route.target_s:
+            log.info(
+                "late first event",
+                id=sending.job.req.id,
+                replica=sending.replica.name,
+                first_s=round(first_s, 3),
+                placed_s=round(sending.job.placed_s, 3),
+                sends=sending.job.sends,
+            )
+
+    def pass_on(self, job: Job, head: ResponseHead, body: bytes) -> None:
+        """Answer with a replica's whole answer."""
+        job.inc.respond(head.status, end_to_end(head.headers), body)
+        self._note_served(job, head.status)
+
+    def _note_served(self, job: Job, status: int) -> None:
+        self._meters.outcome(job.route.name, f"status {status}")
+        log.info(
+            "answered",
+            id=job.req.id,
+            status=status,
+            held_s=round(self._clock() - job.req.arrived_at, 3),
+            sends=job.sends,
+            last_event=job.events.last_event,
+        )
+
+
+class _Exchange:
+    """One sending of a request over one connection."""
+
+    __slots__ = ("conn", "job", "released", "replica", "running")
+
+    def __init__(self, job: Job, replica: Replica, conn: Connection) -> None:
+        self.job = job
+        self.replica = replica
+        self.conn = conn
+        self.running = False
+        self.released = False
+
+    def release(self, pool: HttpPool, head: ResponseHead) -> None:
+        """Give the connection back after a whole answer."""
+        pool.release(self.conn, head)
+        self.released = True
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -1,4 +1,4 @@
-"""Serving a request: admit, place, send, check, send again or resume, answer."""
+"""Serving a request: admit it, have it placed and sent, send again or resume, answer."""
 
 from __future__ import annotations
 
@@ -6,48 +6,23 @@
 import math
 import random
 import typing as t
-from enum import Enum
 
 import logbook
-from gradelug_http import (
-    ClientGone,
-    ConnectFailed,
-    Connection,
-    HttpPool,
-    Incoming,
-    ResponseBroken,
-    ResponseHead,
-    end_to_end,
-)
+from gradelug_http import ClientGone, Incoming
 from gradelug_policy import RetryBudget
 
 from .directory import Directory, Wish
 from .exceptions import GATEWAY_TIMEOUT, Failed, Refused
 from .fleet import Fleet
+from .job import Job, Outcome
 from .metrics import Meters
-from .model import AdapterKey, Attempt, Repeat, Replica, Request, Route, Service, Verdict
+from .model import AdapterKey, Repeat, Replica, Request, Service
 from .ports import BadRequest, Dialect
 from .routing import RouteTable, choose_service
-from .streams import EventAssembler
+from .sending import Sender
 from .values import RequestValues
 
 log = logbook.Logger("serving")
-T = t.TypeVar("T")
-CONNECT_S = 0.35
-"""Opening a connection takes a round trip of milliseconds; a lost packet is not waited for."""
-ANSWER_BYTES = 8_388_608
-"""Largest answer that is not streamed."""
-DEADLINE_MARGIN_S = 0.012
-"""The final answer leaves this long before the caller stops waiting."""
-SILENT_TARGETS = 1.5
-"""A repeatable request without an answer for this many of its target times is sent elsewhere."""
-SILENT_STREAM_S = 1.2
-"""A resumable stream without a first event, or without the next one, for this long goes on
-elsewhere; callers give up after 2 s or more."""
-BUSY_STREAM_S = 2.4
-"""The same at a replica that answers others: there it waits its turn, and would elsewhere."""
-HEARD_S = 0.5
-"""A replica from which something came this lately answers others."""
 NOT_READY_S = 0.03
 """Pause before a request is sent again to a replica whose weights are about to be ready."""
 NO_REPLICA_S = 0.25
@@ -57,72 +32,13 @@
 ELSEWHERE_S = 0.05
 """Another instance can take it at once."""
 RETURNING_PART = 0.97
+"""A caller that has less than this part of the usual time was refused before."""
 PATIENCE_MARGIN_S = 0.25
 """A request that gets its weights later than this before its caller leaves is not worth a run."""
 MAX_SENDS = 6
 """Bound on sendings of one request, whatever their outcomes."""
 
 
-class Outcome(Enum):
-    """How one sending ended."""
-
-    DONE = "done"
-    NOT_SENT = "not sent"
-    NOT_RUN = "not run"
-    ABSENT = "absent"
-    RAN = "ran"
-    UNKNOWN = "unknown"
-
-
-class Job:
-    """A request on its way through the daemon."""
-
-    __slots__ = (
-        "absent",
-        "deadline_at",
-        "events",
-        "excluded",
-        "failure",
-        "inc",
-        "in_doubt",
-        "placed_s",
-        "req",
-        "route",
-        "sends",
-        "service",
-        "tried",
-    )
-
-    def __init__(self, inc: Incoming, req: Request, route: Route, service: Service) -> None:
-        self.inc = inc
-        self.req = req
-        self.route = route
-        self.service = service
-        wait_s = min(req.wait_s - DEADLINE_MARGIN_S, route.timeout_s)
-        self.deadline_at = req.arrived_at + wait_s
-        self.events = EventAssembler(req.last_event)
-        self.tried: set[str] = set()
-        """Replicas to which it was sent."""
-        self.excluded: set[str] = set()
-        """Replicas that failed it."""
-        self.absent = ""
-        """The replica that last said it lacks the weights."""
-        self.sends = 0
-        self.in_doubt = False
-        """Whether it may have run without an answer that reached us."""
-        self.failure: tuple[ResponseHead, bytes] | None = None
-        """A replica's own failure, answered unless another sending does better."""
-        self.placed_s = 0.0
-
-    def may_repeat(self) -> bool:
-        """Tell whether it may be sent again after it may have run."""
-        return self.route.repeat is not Repeat.NEVER
-
-    def candidates(self) -> t.Container[str] | None:
-        """Return the replicas to which it may still go; None for any."""
-        return self.tried if len(self.tried) >= self.route.max_replicas else None
-
-
 class Serving:
     """Serves requests of callers.
 
@@ -134,15 +50,12 @@
         Replicas.
     directory : Directory
         Asks for weights to be placed.
-    pool : HttpPool
-        Connections to replicas.
+    sender : Sender
+        Sends to replicas.
     budget : RetryBudget
         Repeated sendings that this instance may make.
     clock, rng
         The runtime's clock and source of chance.
-    rested_s : float
-        Longest time, in seconds, that a connection may have been idle for a request that may
-        run once only.
     """
 
     __slots__ = (
@@ -152,10 +65,9 @@
         "_directory",
         "_fleet",
         "_meters",
-        "_pool",
         "_refuses_from",
-        "_rested_s",
         "_rng",
+        "_sender",
         "_table",
         "_table_version",
         "_values",
@@ -166,17 +78,16 @@
         dialect: Dialect,
         fleet: Fleet,
         directory: Directory,
-        pool: HttpPool,
+        sender: Sender,
         budget: RetryBudget,
         meters: Meters,
         clock: t.Callable[[], float],
         rng: random.Random,
-        rested_s: float = math.inf,
     ) -> None:
         self._dialect = dialect
         self._fleet = fleet
         self._directory = directory
-        self._pool = pool
+        self._sender = sender
         self._budget = budget
         self._meters = meters
         self._clock = clock
@@ -184,7 +95,6 @@
         self._table = RouteTable(())
         self._table_version = -1
         self._refuses_from = math.inf
-        self._rested_s = rested_s
         self._values = RequestValues()
 
     def refuse_from(self, at: float) -> None:
@@ -247,7 +157,7 @@
             began = self._clock()
             replica = await self._place(job)
             job.placed_s += self._clock() - began
-            outcome = await self._send(job, replica)
+            outcome = await self._sender.send(job, replica)
             if outcome is Outcome.DONE:
                 return
             await self._consider_again(job, replica, outcome)
@@ -297,181 +207,6 @@
             until=min(job.deadline_at, req.arrived_at + route.patience_s) - PATIENCE_MARGIN_S,
         )
 
-    # Sending.
-
-    async def _send(self, job: Job, replica: Replica) -> Outcome:
-        now = self._clock()
-        health = self._fleet.health(replica.name)
-        health.circuit.note_start(now)
-        repeatable = job.may_repeat()
-        try:
-            rested_s = math.inf if repeatable else self._rested_s
-            conn = await self._pool.acquire(replica.address, CONNECT_S, rested_s)
-        except ConnectFailed as exc:
-            health.note(True, self._clock())
-            log.info("not sent", id=job.req.id, replica=replica.name, why=str(exc))
-            return Outcome.NOT_SENT
-        if self._fleet.state.replicas.get(replica.name, replica).leaving:
-            conn.close()
-            return Outcome.NOT_SENT
-        load = self._fleet.load(replica.name)
-        key = job.req.key
-        log.info(
-            "placed",
-            id=job.req.id,
-            route=job.route.name,
-            replica=replica.name,
-            weights=key.text if key is not None else "",
-            waited_s=round(job.placed_s, 3),
-            cost=round(self._fleet.cost(replica, now), 2),
-        )
-        load.starting += 1
-        if key is not None:
-            self._directory.note_begin(replica.name, key)
-        sending = _Sending(job, replica, conn)
-        try:
-            outcome = await self._exchange(sending)
-        except ResponseBroken as exc:
-            health.note(True, self._clock())
-            log.info("broken", id=job.req.id, replica=replica.name, why=str(exc))
-            return Outcome.UNKNOWN
-        finally:
-            # Also when the caller leaves: the replica stops when its connection closes.
-            if not sending.released:
-                conn.abort()
-            if sending.running:
-                load.running -= 1
-            else:
-                load.starting -= 1
-            if key is not None:
-                self._directory.note_end(replica.name, key)
-        health.note(outcome is Outcome.RAN, self._clock())
-        return outcome
-
-    async def _exchange(self, sending: _Sending) -> Outcome:
-        job, replica = sending.job, sending.replica
-        attempt = self._attempt(job, replica)
-        try:
-            sending.conn.send(self._dialect.outgoing(job.req, attempt))
-        except ConnectFailed:
-            return Outcome.NOT_SENT
-        job.sends += 1
-        job.tried.add(replica.name)
-        was_in_doubt, job.in_doubt = job.in_doubt, True
-        log.debug("sent", id=job.req.id, replica=replica.name, left_s=round(attempt.left_s, 3))
-        head = await self._listen(
-            sending, sending.conn.head(lambda head: self._dialect.is_own(head, job.req))
-        )
-        verdict = self._dialect.judge(head, replica)
-        if verdict is Verdict.SPOILED:
-            raise ResponseBroken("the answer does not come from the replica")
-        if verdict is Verdict.ANSWERED and job.route.streaming:
-            return await self._stream(sending, head)
-        body = await sending.conn.body(ANSWER_BYTES)
-        sending.release(self._pool, head)
-        if verdict not in (Verdict.ANSWERED, Verdict.FAILED):
-            job.in_doubt = was_in_doubt
-        return self._conclude(job, replica, verdict, head, body)
-
-    def _attempt(self, job: Job, replica: Replica) -> Attempt:
-        version = 0
-        if job.req.key is not None:
-            version = self._fleet.state.versions.get(job.req.key, 0)
-        left_s = job.deadline_at - self._clock()
-        return Attempt(replica, left_s, version, job.route.rank, job.events.last_event)
-
-    async def _listen(self, sending: _Sending, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
-        """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
-        health = self._fleet.health(sending.replica.name)
-        usual_s, most_s = self._silence_s(sending.job)
-        task = asyncio.ensure_future(coming)
-        try:
-            done, _ = await asyncio.wait([task], timeout=usual_s)
-            if not done and most_s is not None and usual_s is not None:
-                busy = self._clock() - health.heard_at < HEARD_S
-                if busy:
-                    done, _ = await asyncio.wait([task], timeout=most_s - usual_s)
-            if not done:
-                raise ResponseBroken("the replica is silent")
-        finally:
-            if not task.done():
-                task.cancel()
-        health.heard_at = self._clock()
-        return task.result()
-
-    def _silence_s(self, job: Job) -> tuple[float | None, float | None]:
-        if job.route.repeat is Repeat.FREELY and job.route.max_replicas > 1:
-            return SILENT_TARGETS * job.route.target_s, None
-        if job.route.repeat is Repeat.RESUME:
-            return SILENT_STREAM_S, BUSY_STREAM_S
-        return None, None
-
-    def _conclude(
-        self, job: Job, replica: Replica, verdict: Verdict, head: ResponseHead, body: bytes
-    ) -> Outcome:
-        if verdict is Verdict.ANSWERED:
-            if head.get(b"content-encoding") is not None:
-                raise ResponseBroken("the answer's body is encoded, which nobody asked for")
-            self._pass_on(job, head, body)
-            return Outcome.DONE
-        log.info(
-            "replica refused",
-            id=job.req.id,
-            replica=replica.name,
-            why=verdict.value,
-            status=head.status,
-        )
-        if verdict is Verdict.FAILED:
-            job.failure = (head, body)
-            return Outcome.RAN
-        if verdict is Verdict.REJECTED:
-            self._pass_on(job, head, body)
-            return Outcome.DONE
-        if verdict is Verdict.ABSENT:
-            job.absent = replica.name
-            return Outcome.ABSENT
-        return Outcome.NOT_RUN
-
-    async def _stream(self, sending: _Sending, head: ResponseHead) -> Outcome:
-        job = sending.job
-        while True:
-            data = await self._listen(sending, sending.conn.chunk())
-            if data is None:
-                break
-            events = job.events.feed(data)
-            if not events:
-                continue
-            if not sending.running:
-                self._note_running(sending)
-            if not job.inc.started:
-                job.inc.begin(head.status, end_to_end(head.headers))
-            await job.inc.send(events)
-        if not job.events.is_between_events:
-            raise ResponseBroken("the stream ended within an event")
-        sending.release(self._pool, head)
-        if not job.inc.started:
-            job.inc.begin(head.status, end_to_end(head.headers))
-        job.inc.finish()
-        self._note_served(job, head.status)
-        return Outcome.DONE
-
-    def _note_running(self, sending: _Sending) -> None:
-        load = self._fleet.load(sending.replica.name)
-        load.starting -= 1
-        load.running += 1
-        sending.running = True
-        first_s = self._clock() - sending.job.req.arrived_at
-        self._meters.first_event(first_s)
-        if first_s > sending.job.route.target_s:
-            log.info(
-                "late first event",
-                id=sending.job.req.id,
-                replica=sending.replica.name,
-                first_s=round(first_s, 3),
-                placed_s=round(sending.job.placed_s, 3),
-                sends=sending.job.sends,
-            )
-
     # Sending again.
 
     async def _consider_again(self, job: Job, replica: Replica, outcome: Outcome) -> None:
@@ -511,21 +246,6 @@
 
     # Answering.
 
-    def _pass_on(self, job: Job, head: ResponseHead, body: bytes) -> None:
-        job.inc.respond(head.status, end_to_end(head.headers), body)
-        self._note_served(job, head.status)
-
-    def _note_served(self, job: Job, status: int) -> None:
-        self._meters.outcome(job.route.name, f"status {status}")
-        log.info(
-            "answered",
-            id=job.req.id,
-            status=status,
-            held_s=round(self._clock() - job.req.arrived_at, 3),
-            sends=job.sends,
-            last_event=job.events.last_event,
-        )
-
     def _expire(self, job: Job) -> None:
         if job.in_doubt or job.inc.started:
             self._fail(job, Failed("out of time", GATEWAY_TIMEOUT))
@@ -557,7 +277,7 @@
             # Left without its end, the answer cannot be taken for whole.
             return
         if job.failure is not None:
-            self._pass_on(job, *job.failure)
+            self._sender.pass_on(job, *job.failure)
             return
         self._answer_self(job.inc, job.req.id, exc.status, None)
 
@@ -566,21 +286,3 @@
     ) -> None:
         headers = self._dialect.refusal(request_id, retry_after_s)
         inc.respond(status, headers, b"")
-
-
-class _Sending:
-    """One sending of a request over one connection."""
-
-    __slots__ = ("conn", "job", "released", "replica", "running")
-
-    def __init__(self, job: Job, replica: Replica, conn: Connection) -> None:
-        self.job = job
-        self.replica = replica
-        self.conn = conn
-        self.running = False
-        self.released = False
-
-    def release(self, pool: HttpPool, head: ResponseHead) -> None:
-        """Give the connection back after a whole answer."""
-        pool.release(self.conn, head)
-        self.released = True
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -16,6 +16,8 @@
     from .planner import Planner
 
 log = logbook.Logger("upkeep")
+MODEL_SLACK_S = 1.5
+"""A base model shows in an engine's report this long after its load at the latest."""
 RATE_PER_COPY = 3.0
 """Requests a second for an adapter above which it gets another engine: an engine reads about ten
 prompts a second."""
@@ -36,7 +38,7 @@
         The runtime's clock.
     """
 
-    __slots__ = ("_clock", "_planner", "_spec", "_window")
+    __slots__ = ("_clock", "_coming", "_planner", "_spec", "_window")
 
     def __init__(
         self,
@@ -49,11 +51,14 @@
         self._spec = spec
         self._window = window
         self._clock = clock
+        self._coming: dict[str, float] = {}
+        """Until when a base model is on its way, by its name."""
 
     def do(self) -> None:
         """Do what is due; the planner must hold its token."""
         self._renew_versions()
         self._ensure_models()
+        self._place_wanted_models()
         self._add_copies()
 
     def _renew_versions(self) -> None:
@@ -95,8 +100,59 @@
             holders.update(key.model for key in engine.places if not key.adapter)
         return min(self._spec.models, key=lambda model: holders[model.name])
 
+    def _place_wanted_models(self) -> None:
+        """Bring in models that requests wait for and no engine holds."""
+        held = Counter(
+            key.model
+            for engine in self._planner.engines.values()
+            for key in engine.places
+            if not key.adapter
+        )
+        now = self._clock()
+        self._coming = {name: until for name, until in self._coming.items() if until > now}
+        for name in self._planner.wanted_models() - held.keys() - self._coming.keys():
+            model = next((model for model in self._spec.models if model.name == name), None)
+            engine = self._engine_for(model, held) if model is not None else None
+            if model is None or engine is None:
+                continue
+            victim = None if self._fits(engine, model) else self._victim(engine)
+            self._coming[name] = now + model.load_s + MODEL_SLACK_S
+            key = AdapterKey(name)
+            place = engine.places[key] = Place(0, Phase.LOADING, self._clock())
+            self._planner.start(self._load_model(engine, key, place, model.load_s, victim))
+
+    def _engine_for(self, model: BaseModel, held: Counter[str]) -> Engine | None:
+        """Return an engine with room, else the unused one whose models are held most elsewhere."""
+        found = [
+            engine
+            for engine in self._planner.engines.values()
+            if engine.synced and not engine.loading() and not engine.is_in_use()
+        ]
+        return max(
+            found,
+            key=lambda engine: (
+                self._fits(engine, model),
+                min((held[key.model] for key in engine.places if not key.adapter), default=0),
+            ),
+            default=None,
+        )
+
+    def _fits(self, engine: Engine, model: BaseModel) -> bool:
+        sizes = {other.name: other.size_mb for other in self._spec.models}
+        used_mb = sum(sizes.get(key.model, 0.0) for key in engine.places if not key.adapter)
+        adapters_mb = self._spec.adapter_slots * model.adapter_mb
+        return used_mb + model.size_mb + adapters_mb <= self._spec.memory_mb
+
+    def _victim(self, engine: Engine) -> AdapterKey | None:
+        return next((key for key in engine.places if not key.adapter), None)
+
     async def _load_model(
-        self, engine: Engine, key: AdapterKey, place: Place, load_s: float
+        self,
+        engine: Engine,
+        key: AdapterKey,
+        place: Place,
+        load_s: float,
+        victim: AdapterKey | None = None,
     ) -> None:
         async with engine.lock:
             if engine.places.get(key) is not place:
@@ -104,6 +160,12 @@
             if not self._window.allows(self._clock()):
                 engine.undo(key, place)
                 return
+            if victim is not None:
+                outcome = await self._planner.order(engine, False, victim, 0)
+                if outcome is not OrderOutcome.HOLDS:
+                    engine.undo(key, place)
+                    engine.synced = False
+                    return
             self._window.note(self._clock())
             outcome = await self._planner.order(engine, True, key, 0)
             if outcome in (OrderOutcome.TAKEN, OrderOutcome.HOLDS):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -81,7 +81,7 @@
             return OrderOutcome.HOLDS
         self.orders += 1
         self.held[order.key] = version
-        load_s = 0.6 if order.key == MODEL else 0.25
+        load_s = 0.25 if order.key.adapter else 0.6
         self.ready_at[order.key] = self.clock() + load_s
         if sum(bool(key.adapter) for key in self.held) > SLOTS:
             self.fell = True
@@ -92,6 +92,8 @@
         if self.users.get(order.key):
             return OrderOutcome.TAKEN
         self.held.pop(order.key, None)
+        if not order.key.adapter:
+            self.held = {key: at for key, at in self.held.items() if key.model != order.key.model}
         return OrderOutcome.HOLDS
 
     def _keep(self):
@@ -132,15 +134,25 @@
         return engine.report() if engine is not None else None
 
 
+TWO_MODELS = EngineSpec(
+    (BaseModel("m", 500.0, 0.6, 14.0), BaseModel("n", 700.0, 0.6, 14.0)),
+    1000.0,
+    SLOTS,
+    96,
+    100_000,
+    2.0,
+)
+
+
 class Bench:
-    def __init__(self, engines=2, seed=1, lost=0.0, late=0.0):
+    def __init__(self, engines=2, seed=1, lost=0.0, late=0.0, spec=SPEC):
         self.clock = asyncio.get_running_loop().time
         self.state = FleetState()
         self.transport = ModelTransport(random.Random(seed), lost, late)
         for at in range(engines):
             self.add(f"e{at}")
         window = LoadWindow(2.0, 5.0, 1.1, 3)
-        self.planner = Planner("llm", "me", SPEC, self.state, self.transport, window, self.clock)
+        self.planner = Planner("llm", "me", spec, self.state, self.transport, window, self.clock)
         self.planner.fence = 7
         self.gateway = self.planner.followers.join("g", "")
         self.task = asyncio.create_task(self.planner.run())
@@ -151,11 +163,11 @@
         self.transport.engines[name] = ModelEngine(self.clock, self.state.versions)
         self.state.replicas[name] = Replica(name, "llm", f"{name}:1", "hall")
 
-    def ask(self, adapter, wait_s=4.0, target_s=1.0, **more):
+    def ask(self, adapter, wait_s=4.0, target_s=1.0, model="m", **more):
         self.tickets += 1
         ask = pb.Ask(
             ticket=self.tickets,
-            model="m",
+            model=model,
             adapter=adapter,
             wait_ms=round(wait_s * 1000),
             target_ms=round(target_s * 1000),
@@ -273,6 +285,20 @@
 
         run(scenario)
 
+    def test_a_model_that_nobody_holds_takes_the_place_of_one_that_many_hold(self):
+        async def scenario():
+            bench = Bench(engines=2, spec=TWO_MODELS)
+            await asyncio.sleep(0.5)
+            waiting = bench.ask("a1", model="n", returning=True, wait_s=5.0)
+            await asyncio.sleep(4.0)
+            name = bench.collect()[waiting].replica
+            engines = bench.transport.engines
+            assert engines[name].can_run(AdapterKey("n", "a1"))
+            assert {key.model for engine in engines.values() for key in engine.held} == {"m", "n"}
+            await bench.stop()
+
+        run(scenario)
+
     def test_an_outranked_planner_gives_no_further_orders(self):
         async def scenario():
             bench = Bench(engines=1)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -21,6 +21,7 @@
     Share,
     Snapshot,
 )
+from gradelug_gateway.sending import Sender
 from gradelug_gateway.serving import Serving
 from gradelug_http import HttpPool, ServerLimits
 from gradelug_platform.dialect import PlatformDialect
@@ -104,13 +105,16 @@
         self.state = state
         self.fleet = Fleet(state, "hall", clock)
         self.directory = StubDirectory(self.fleet)
+        dialect, meters = PlatformDialect(), Meters()
+        pool = HttpPool(clock, self.net.dial)
+        sender = Sender(dialect, self.fleet, self.directory, pool, meters, clock)
         self.serving = Serving(
-            PlatformDialect(),
+            dialect,
             self.fleet,
             self.directory,
-            HttpPool(clock, self.net.dial),
+            sender,
             RetryBudget(0.0, budget),
-            Meters(),
+            meters,
             clock,
             random.Random(1),
         )
@@ -279,6 +283,18 @@
 
         run(scenario)
 
+    def test_when_all_replicas_have_failed_some_are_tried_all_the_same(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=1), [[[OK]], [[OK]]])
+            for name in ("s0", "s1"):
+                for _ in range(5):
+                    bench.fleet.health(name).note(True, bench.clock())
+            client = bench.client()
+            await asyncio.sleep(0.05)
+            assert status(client) == 200
+
+        run(scenario)
+
     def test_when_the_caller_leaves_its_replica_is_told(self):
         async def scenario():
             bench = Bench(route(Repeat.NEVER), [[[]], [[]]])
