Never refuse a stream that was begun; tell one request's story from the logs

Change: a begun stream asks as one that must not be refused, with time until its caller gives up. gradelug trace ID FILE... prints a request's lines in order with the orders for its weights. Conclusion: the test fails without the change.

--- a/packages/cli/src/gradelug_cli/main.py
+++ b/packages/cli/src/gradelug_cli/main.py
@@ -41,6 +41,7 @@
 from .explanation import explain
 from .repository import Repository
 from .status import gather_status
+from .trace import trace
 
 KV_VARIABLE = "GRADELUG_KV"
 LABELLED = ("adapters", "callers", "pools", "services")
@@ -187,6 +188,25 @@
         if problems:
             raise CommandError(EXIT_FAILED, "; ".join(problems))
 
+    def trace(self, request_id: str, *files: str) -> None:
+        """Tell one request's story from the logs of several instances; 5 if they lack it."""
+        if not files:
+            raise CommandError(EXIT_INVALID, "name at least one log file")
+        rows: list[str] = []
+        for name in files:
+            try:
+                rows += Path(name).read_text(encoding="utf-8", errors="replace").splitlines()
+            except OSError as exc:
+                raise CommandError(EXIT_INVALID, str(exc)) from exc
+        # Identifiers of digits reach a command as numbers.
+        story = trace(str(request_id), rows)
+        for line in story.lines:
+            print(line)
+        if story.unreadable:
+            print(f"{story.unreadable} lines could not be read", file=sys.stderr)
+        if not story.lines:
+            raise CommandError(EXIT_NOT_FOUND, f"no line tells of request {request_id}")
+
     def _set_draining(self, names: t.Sequence[str], drained: bool) -> None:
         if not names:
             raise CommandError(EXIT_INVALID, "name at least one upstream")
--- /dev/null
+++ b/packages/cli/src/gradelug_cli/trace.py
@@ -0,0 +1,115 @@
+"""The story of one request, from the logs of several instances."""
+
+from __future__ import annotations
+
+import json
+import typing as t
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+COMMON = frozenset({"time", "level", "process", "logger", "message"})
+WAITED = ("waited_s", "held_s")
+PLANNING = frozenset({"order", "planner", "duty taken", "duty lost", "engine in step", "outranked"})
+"""Lines without a request's identifier that tell why its weights came when they did."""
+
+
+@dataclass(slots=True, frozen=True)
+class LogLine:
+    """A line that a process wrote.
+
+    Parameters
+    ----------
+    time, process, message : str
+        When, who, what; times sort as text.
+    fields : dict
+        What decided it and the outcome.
+    """
+
+    time: str
+    process: str
+    message: str
+    fields: dict[str, t.Any]
+
+    def __str__(self) -> str:
+        rest = " ".join(f"{name}={value}" for name, value in self.fields.items())
+        return f"{self.time}  {self.process}  {self.message}  {rest}".rstrip()
+
+
+@dataclass(slots=True, frozen=True)
+class Story:
+    """What the logs tell of a request.
+
+    Parameters
+    ----------
+    lines : tuple of LogLine
+        In order of time.
+    unreadable : int
+        Lines of the logs that are no log lines.
+    """
+
+    lines: tuple[LogLine, ...]
+    unreadable: int
+
+
+def trace(request_id: str, rows: t.Iterable[str]) -> Story:
+    """Return a request's story.
+
+    Parameters
+    ----------
+    request_id : str
+        The caller's identifier of the attempt.
+    rows : iterable of str
+        Lines of any logs; what stands before a line's JSON object is passed over.
+    """
+    found: list[LogLine] = []
+    planning: list[LogLine] = []
+    unreadable = 0
+    for row in rows:
+        line = _read(row)
+        if line is None:
+            unreadable += bool(row.strip())
+        elif line.fields.get("id") == request_id:
+            found.append(line)
+        elif line.message in PLANNING:
+            planning.append(line)
+    found.sort(key=lambda line: line.time)
+    related = _related(found, planning)
+    return Story(tuple(sorted(found + related, key=lambda line: line.time)), unreadable)
+
+
+def _related(found: list[LogLine], planning: list[LogLine]) -> list[LogLine]:
+    """Return orders for a request's weights and changes of the planner while it was served."""
+    if not found:
+        return []
+    weights = {line.fields["weights"] for line in found if line.fields.get("weights")}
+    first = min(_began(line) for line in found)
+    last = found[-1].time
+    return [
+        line
+        for line in planning
+        if first <= line.time <= last
+        and (line.message != "order" or line.fields.get("weights") in weights)
+    ]
+
+
+def _began(line: LogLine) -> str:
+    """Return since when the request was there, as far as a line tells."""
+    waited_s = max(float(line.fields.get(name) or 0.0) for name in WAITED)
+    try:
+        return (datetime.fromisoformat(line.time) - timedelta(seconds=waited_s)).isoformat()
+    except ValueError:
+        return line.time
+
+
+def _read(row: str) -> LogLine | None:
+    start = row.find("{")
+    if start < 0:
+        return None
+    try:
+        data = json.loads(row[start:])
+    except ValueError:
+        return None
+    if not isinstance(data, dict) or not {"time", "process", "message"} <= data.keys():
+        return None
+    fields = {name: value for name, value in data.items() if name not in COMMON}
+    return LogLine(str(data["time"]), str(data["process"]), str(data["message"]), fields)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -33,6 +33,8 @@
 """Another instance can take it at once."""
 RETURNING_PART = 0.97
 """A caller that has less than this part of the usual time was refused before."""
+BEGUN_VALUE = 3.0
+"""A stream cut midway costs its caller more than one that was refused."""
 PATIENCE_MARGIN_S = 0.25
 """A request that gets its weights later than this before its caller leaves is not worth a run."""
 MAX_SENDS = 6
@@ -197,6 +199,11 @@
 
     def _wish(self, job: Job) -> Wish:
         route, req = job.route, job.req
+        if job.inc.started:
+            # A stream that was begun must not be refused; its caller waits for the next event.
+            now = self._clock()
+            until = min(job.deadline_at, now + route.patience_s) - PATIENCE_MARGIN_S
+            return Wish(route.rank, BEGUN_VALUE, True, now + route.target_s, until)
         # Another try of the same caller has less than the whole time left.
         returning = req.wait_s < RETURNING_PART * self._values.longest_wait(route.name, req.wait_s)
         return Wish(
@@ -258,7 +265,12 @@
             return
         waited_s = self._clock() - job.req.arrived_at
         log.info(
-            "refused", id=job.req.id, why=str(exc), waited_s=round(waited_s, 3), sends=job.sends
+            "refused",
+            id=job.req.id,
+            weights=job.req.key.text if job.req.key is not None else "",
+            why=str(exc),
+            waited_s=round(waited_s, 3),
+            sends=job.sends,
         )
         self._meters.outcome(job.route.name, "refused")
         self._answer_self(job.inc, job.req.id, 503, exc.retry_after_s)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -382,6 +382,21 @@
 
         run(scenario)
 
+    def test_a_broken_streams_weights_are_asked_for_as_one_that_must_not_be_refused(self):
+        async def scenario():
+            bench = self.bench([[[STREAM + event(1), "reset"]], [[STREAM + event(2) + END]]])
+            s1 = bench.state.replicas["s1"]
+            bench.state.replicas["s1"] = Replica(s1.name, s1.service, s1.address, s1.hall)
+            bench.directory.answers = [bench.state.replicas["s1"]]
+            client = bench.client(8000, ADAPTER)
+            await asyncio.sleep(0.5)
+            wish = bench.directory.asked[0]["wish"]
+            assert wish.returning
+            assert wish.until > bench.clock() + 1.0
+            assert client.received.endswith(END)
+
+        run(scenario)
+
     def test_a_silent_stream_goes_on_elsewhere_after_the_first_replica_was_left(self):
         async def scenario():
             bench = self.bench([[[STREAM + event(1)]], [[STREAM + event(2) + END]]])
