--- /dev/null
+++ b/tests/engine_model.py
@@ -0,0 +1,71 @@
+"""An engine's places, its count of orders, fences, and reports that lag."""
+
+from gradelug_gateway.model import AdapterKey, EngineReport, Holding, OrderOutcome
+
+SLOTS = 3
+MODEL = AdapterKey("m")
+REPORT_LAG_S = 0.2
+
+
+class ModelEngine:
+    """An engine: places, a count of orders, fences, reports that lag."""
+
+    def __init__(self, clock, versions):
+        self.clock = clock
+        self.versions = versions
+        self.held = {MODEL: 1}
+        self.ready_at = {MODEL: clock()}
+        self.orders = 0
+        self.fence = 0
+        self.fell = False
+        self.users = {}
+        self.past = []
+        self._keep()
+
+    def carry_out(self, order):
+        if order.fence < self.fence:
+            return OrderOutcome.OUTRANKED
+        self.fence = order.fence
+        if order.expected != self.orders:
+            return OrderOutcome.CONFLICT
+        outcome = self._load(order) if order.load else self._unload(order)
+        self._keep()
+        return outcome
+
+    def can_run(self, key):
+        return key in self.held and self.ready_at[key] <= self.clock()
+
+    def report(self):
+        at = self.clock() - REPORT_LAG_S
+        seen = self.past[0]
+        for state in self.past:
+            if state[0] <= at:
+                seen = state
+        _, orders, held, ready_at = seen
+        ready = [Holding(key, held[key]) for key in held if ready_at[key] <= at]
+        coming = [Holding(key, held[key]) for key in held if ready_at[key] > at]
+        return EngineReport(orders, tuple(ready), tuple(coming), frozenset(), False)
+
+    def _load(self, order):
+        version = order.version or self.versions.get(order.key, 1)
+        if self.held.get(order.key) == version:
+            return OrderOutcome.HOLDS
+        self.orders += 1
+        self.held[order.key] = version
+        load_s = 0.25 if order.key.adapter else 0.6
+        self.ready_at[order.key] = self.clock() + load_s
+        if sum(bool(key.adapter) for key in self.held) > SLOTS:
+            self.fell = True
+        return OrderOutcome.TAKEN
+
+    def _unload(self, order):
+        self.orders += 1
+        if self.users.get(order.key):
+            return OrderOutcome.TAKEN
+        self.held.pop(order.key, None)
+        if not order.key.adapter:
+            self.held = {key: at for key, at in self.held.items() if key.model != order.key.model}
+        return OrderOutcome.HOLDS
+
+    def _keep(self):
+        self.past.append((self.clock(), self.orders, dict(self.held), dict(self.ready_at)))
--- /dev/null
+++ b/tests/fleet_soak.py
@@ -0,0 +1,399 @@
+"""Gateways as real processes under faults from outside, their promises checked meanwhile.
+
+Signals, resets, delays, silences and changes come in series and overlap. What clients and
+replicas see is held against each other.
+"""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from fleet_stand_in import EVENTS, Ledger, Proxy, ReplicaStandIn
+from gradelug_http import (
+    ConnectFailed,
+    HttpPool,
+    HttpServer,
+    OutgoingRequest,
+    ResponseBroken,
+    ServerLimits,
+)
+from platform_stand_in import StoreStandIn
+
+ROOT = Path(__file__).resolve().parent.parent
+GATEWAYS = 3
+SETTLE_S = 6.0
+PROBES = 12
+ACTIONS = (
+    "kill",
+    "term",
+    "freeze",
+    "reset",
+    "delay",
+    "silence",
+    "store",
+    "replace",
+    "version",
+)
+NOT_RUN = frozenset({408, 421, 429, 503})
+CONFIG = {
+    "Version": 1,
+    "Routes": [
+        {
+            "Name": "s",
+            "Hostname": "h",
+            "PathPrefix": "/s/",
+            "Kind": "streaming",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 1000,
+            "MaxAttempts": 2,
+            "Resumable": True,
+            "Backend": "llm",
+        },
+        {
+            "Name": "u",
+            "Hostname": "h",
+            "PathPrefix": "/u/",
+            "Kind": "non_idempotent",
+            "TimeoutMs": 2000,
+            "TargetLatencyMs": 200,
+            "MaxAttempts": 1,
+            "Backend": "plain",
+        },
+        {
+            "Name": "i",
+            "Hostname": "h",
+            "PathPrefix": "/i/",
+            "Kind": "idempotent",
+            "TimeoutMs": 2000,
+            "TargetLatencyMs": 200,
+            "MaxAttempts": 2,
+            "Backend": "plain",
+        },
+    ],
+    "Services": [
+        {
+            "Name": "llm",
+            "MaxConns": 100,
+            "Engine": {
+                "Slots": 8,
+                "WeightsMb": 1000,
+                "AdapterSlots": 3,
+                "LoadsPerS": 4,
+                "Models": [{"Name": "m", "WeightsMb": 500, "LoadS": 0.6, "AdapterMb": 14}],
+            },
+        },
+        {"Name": "plain", "MaxConns": 100},
+    ],
+}
+
+
+class Gateway:
+    """One gateway process, restarted when it ends."""
+
+    def __init__(self, at, folder, store_port, ports):
+        self.front, self.ready, self.peer = ports
+        self.log = folder / f"g{at}.log"
+        self.settings = folder / f"g{at}.toml"
+        self.settings.write_text(
+            f'Node = "g{at}"\nZone = "z"\nIp = "127.0.0.1"\n'
+            f"PortRange = [{self.peer}, {self.peer}]\n"
+            f'[Listen]\nFront = "127.0.0.1:{self.front}"\nReady = "127.0.0.1:{self.ready}"\n'
+            f"[Bounds]\nGraceS = 4\nRequireFence = true\nBudgetExtra = 400\n"
+            f'[Provider]\nAddress = "127.0.0.1:{store_port}"\n'
+        )
+        self.process = None
+
+    def start(self):
+        env = {**os.environ, "GRADELUG_CONFIG": str(self.settings)}
+        with self.log.open("ab") as out:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "serve.py")],
+                env=env,
+                stdout=out,
+                stderr=out,
+            )
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def revive(self):
+        if self.process.poll() is not None:
+            self.start()
+
+
+class Soak:
+    """One run.
+
+    Parameters
+    ----------
+    seed : int
+        Of all that happens.
+    seconds : float
+        How long faults go on.
+    """
+
+    def __init__(self, seed, seconds):
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.clock = asyncio.get_running_loop().time
+        self.ledger = Ledger()
+        self.versions = {}
+        self.store = StoreStandIn()
+        self.replicas = {}
+        self.proxies = {}
+        self.answers = {}
+        self.numbers = iter(range(1, 1_000_000))
+        self.pool = HttpPool(self.clock)
+        self.late_served = 0
+        self.done = []
+
+    async def run(self):
+        """Return what was broken, empty if nothing was."""
+        with tempfile.TemporaryDirectory() as name:
+            await self._start(Path(name))
+            clients = [asyncio.create_task(self._client()) for _ in range(6)]
+            try:
+                await self._faults()
+                await self._heal()
+                await asyncio.sleep(SETTLE_S)
+                self.late_served = await self._probe()
+            finally:
+                for task in clients:
+                    task.cancel()
+                await asyncio.gather(*clients, return_exceptions=True)
+                await self._stop()
+        return self._judge()
+
+    async def _start(self, folder):
+        await self.store.kv.swap("op/config", json.dumps(CONFIG).encode(), 0)
+        server = HttpServer(self.store.serve, ServerLimits, self.clock)
+        self.store_proxy = Proxy(await server.start("127.0.0.1", 0))
+        await self.store_proxy.start()
+        for service, count in (("llm", 3), ("plain", 2)):
+            for _ in range(count):
+                await self._add_replica(service)
+        self.gateways = [
+            Gateway(at, folder, self.store_proxy.port, free_ports(3)) for at in range(GATEWAYS)
+        ]
+        for gateway in self.gateways:
+            gateway.start()
+        await asyncio.sleep(2.5)
+
+    async def _add_replica(self, service):
+        name = f"i-{next(self.numbers)}"
+        replica = ReplicaStandIn(name, service, self.store.kv, self.ledger, self.versions)
+        await replica.start()
+        proxy = Proxy(replica.port)
+        await proxy.start()
+        await replica.enter(f"127.0.0.1:{proxy.port}")
+        self.replicas[name], self.proxies[name] = replica, proxy
+
+    async def _client(self):
+        while True:
+            await self._request()
+            await asyncio.sleep(self.rng.uniform(0.0, 0.1))
+
+    async def _request(self):
+        request_id = f"q{next(self.numbers)}"
+        kind = self.rng.choice("ssui")
+        body = f"body of {request_id}".encode()
+        self.ledger.bodies[request_id] = body
+        headers = [(b"Host", b"h"), (b"X-Gradelug-Request-Id", request_id.encode())]
+        headers.append((b"X-Gradelug-Deadline-Ms", b"3000"))
+        if kind == "s":
+            headers.append((b"X-Gradelug-Model", b"m/a%d" % self.rng.randint(1, 12)))
+        out = OutgoingRequest(b"POST", f"/{kind}/x".encode(), headers, body)
+        gateway = self.rng.choice(self.gateways)
+        self.answers[request_id] = (kind, *await self._ask(gateway, out))
+        return self.answers[request_id]
+
+    async def _ask(self, gateway, out):
+        conn = None
+        try:
+            async with asyncio.timeout(4.0):
+                conn = await self.pool.acquire(f"127.0.0.1:{gateway.front}", 1.0)
+                conn.send(out)
+                head = await conn.head(lambda head: True)
+                body = await conn.body(100_000)
+                self.pool.release(conn, head)
+                return head.status, head, body
+        except (ConnectFailed, ResponseBroken, TimeoutError) as exc:
+            if conn is not None:
+                conn.abort()
+            return 0, None, repr(exc).encode()
+
+    async def _faults(self):
+        end = self.clock() + self.seconds
+        pending = []
+        while self.clock() < end:
+            action = self.rng.choice(ACTIONS)
+            self.done.append(action)
+            pending.append(asyncio.create_task(getattr(self, f"_do_{action}")()))
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+        await asyncio.gather(*pending)
+
+    async def _do_kill(self):
+        gateway = self.rng.choice(self.gateways)
+        gateway.signal(signal.SIGKILL)
+        await asyncio.sleep(0.3)
+        gateway.revive()
+
+    async def _do_term(self):
+        gateway = self.rng.choice(self.gateways)
+        gateway.signal(signal.SIGTERM)
+        await asyncio.sleep(4.5)
+        gateway.revive()
+
+    async def _do_freeze(self):
+        gateway = self.rng.choice(self.gateways)
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+        gateway.signal(signal.SIGCONT)
+
+    async def _do_reset(self):
+        self.rng.choice([*self.proxies.values(), self.store_proxy]).reset()
+
+    async def _do_delay(self):
+        proxy = self.rng.choice([*self.proxies.values(), self.store_proxy])
+        proxy.delay_s = self.rng.uniform(0.01, 0.3)
+        await asyncio.sleep(1.0)
+        proxy.delay_s = 0.0
+
+    async def _do_silence(self):
+        proxy = self.rng.choice([*self.proxies.values(), self.store_proxy])
+        proxy.silent = True
+        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        proxy.silent = False
+
+    async def _do_store(self):
+        self.store.status = self.rng.choice([503, 429])
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        self.store.status = None
+
+    async def _do_replace(self):
+        name = self.rng.choice(list(self.replicas))
+        replica = self.replicas.pop(name)
+        await self._add_replica(replica.service)
+        await replica.drain()
+        await asyncio.sleep(3.5)
+        await replica.leave()
+        await self.proxies.pop(name).close()
+
+    async def _do_version(self):
+        adapter = f"a{self.rng.randint(1, 12)}"
+        key = f"op/version/m.{adapter}"
+        found = await self.store.kv.get(key)
+        version = json.loads(found.value)["Version"] + 1 if found else 2
+        data = {"Model": "m", "Adapter": adapter, "Version": version}
+        await self.store.kv.swap(key, json.dumps(data).encode(), found.revision if found else 0)
+
+    async def _heal(self):
+        self.store.status = None
+        for proxy in [*self.proxies.values(), self.store_proxy]:
+            proxy.silent, proxy.delay_s = False, 0.0
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGCONT)
+        await asyncio.sleep(0.2)
+        for gateway in self.gateways:
+            gateway.revive()
+
+    async def _probe(self):
+        """Return how many of some requests are served one after the other, tried twice at most."""
+        served = 0
+        for _ in range(PROBES):
+            for _ in range(2):
+                _, status, _, _ = await self._request()
+                if status == 200:
+                    served += 1
+                    break
+                await asyncio.sleep(0.5)
+        return served
+
+    async def _stop(self):
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
+            gateway.process.wait()
+        for replica in self.replicas.values():
+            await replica.server.close()
+        for proxy in [*self.proxies.values(), self.store_proxy]:
+            await proxy.close()
+        self.pool.close()
+
+    def _judge(self):
+        faults = list(self.ledger.faults)
+        for request_id, (kind, status, head, body) in self.answers.items():
+            runs = self.ledger.runs.get(request_id, [])
+            if status in NOT_RUN and runs:
+                faults.append(f"{request_id}: answered {status} although it ran at {runs}")
+            if kind == "u" and len(runs) > 1:
+                faults.append(f"{request_id}: ran {len(runs)} times: {runs}")
+            if status == 200:
+                faults += self._wrong_answer(request_id, kind, head, body, runs)
+        if self.late_served < PROBES:
+            faults.append(f"only {self.late_served} of {PROBES} were served after all had healed")
+        return faults
+
+    def _wrong_answer(self, request_id, kind, head, body, runs):
+        signature = (head.get(b"x-gradelug-server-signature") or b"").decode()
+        if signature not in [f"{name}.{request_id}" for name, _ in runs]:
+            return [f"{request_id}: signed {signature!r}, ran at {runs}"]
+        whole = b"whole " + self.ledger.bodies[request_id]
+        if kind == "s":
+            whole = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, EVENTS + 1))
+        return [] if body == whole else [f"{request_id}: the answer is not the replica's"]
+
+
+def free_ports(count):
+    """Return ports that the kernel has free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for found in sockets:
+        found.bind(("127.0.0.1", 0))
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
+
+
+class Outcome:
+    """What one run found."""
+
+    def __init__(self, broken, asked, served, done):
+        self.broken = broken
+        self.asked = asked
+        self.served = served
+        self.done = done
+
+
+def soak(seed, seconds):
+    """Run once and return its `Outcome`."""
+
+    async def main():
+        run = Soak(seed, seconds)
+        faults = await run.run()
+        served = sum(answer[1] == 200 for answer in run.answers.values())
+        return Outcome(faults, len(run.answers), served, run.done)
+
+    return asyncio.run(main())
+
+
+if __name__ == "__main__":
+    sys.path.insert(0, str(ROOT / "platform"))
+    first, count, duration = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
+    for number in range(first, first + count):
+        found = soak(number, duration)
+        print(
+            f"seed {number}: {found.asked} asked, {found.served} served, "
+            f"{len(found.broken)} broken; {' '.join(found.done)}",
+            flush=True,
+        )
+        for line in found.broken[:5]:
+            print("   ", line, flush=True)
--- /dev/null
+++ b/tests/fleet_stand_in.py
@@ -0,0 +1,211 @@
+"""Replicas of the users' platform over loopback, and what they saw."""
+
+import asyncio
+import json
+from collections import defaultdict
+
+from engine_model import ModelEngine
+from gradelug_gateway.model import AdapterKey, Order, OrderOutcome
+from gradelug_http import HttpServer, ServerLimits, find
+
+STATUS = {
+    OrderOutcome.TAKEN: 202,
+    OrderOutcome.HOLDS: 200,
+    OrderOutcome.CONFLICT: 409,
+    OrderOutcome.OUTRANKED: 412,
+}
+EVENT_S = 0.02
+EVENTS = 12
+
+
+class Ledger:
+    """What replicas ran, by the request's identifier."""
+
+    def __init__(self):
+        self.runs = defaultdict(list)
+        self.bodies = {}
+        self.faults = []
+
+
+class ReplicaStandIn:
+    """One start of a replica, entered in the store while it lives."""
+
+    def __init__(self, name, service, kv, ledger, versions):
+        self.name = name
+        self.service = service
+        self.kv = kv
+        self.ledger = ledger
+        self.clock = asyncio.get_running_loop().time
+        self.engine = ModelEngine(self.clock, versions) if service == "llm" else None
+        self.state = "ready"
+        self.draining_at = None
+        self.server = HttpServer(self.serve, ServerLimits, self.clock)
+        self.port = 0
+
+    async def start(self):
+        self.port = await self.server.start("127.0.0.1", 0)
+
+    async def enter(self, address):
+        """Write the entry, as replicas do when more than their count of orders changes."""
+        self.address = address
+        holdings = []
+        if self.engine is not None:
+            held = self.engine.held
+            names = [f"{key.adapter}@{held[key]}" for key in held if key.adapter]
+            holdings = [{"Name": "m", "Version": 1, "Adapters": names}]
+        data = {
+            "Backend": self.service,
+            "Address": address,
+            "Zone": "z",
+            "Slots": 8,
+            "State": self.state,
+            "Models": holdings,
+        }
+        key = f"servers/{self.name}"
+        found = await self.kv.get(key)
+        await self.kv.swap(key, json.dumps(data).encode(), found.revision if found else 0)
+
+    async def drain(self):
+        self.state = "draining"
+        self.draining_at = self.clock()
+        await self.enter(self.address)
+
+    async def leave(self):
+        found = await self.kv.get(f"servers/{self.name}")
+        if found is not None:
+            await self.kv.delete(found.key, found.revision)
+        await self.server.close()
+
+    async def serve(self, inc):
+        expected = inc.header(b"x-gradelug-expect-instance")
+        if expected != self.name.encode():
+            self._refuse(inc, 421)
+        elif inc.target == b"/gradelug/order":
+            self._order(inc)
+        elif inc.target == b"/gradelug/report":
+            self._report(inc)
+        else:
+            await self._run(inc)
+
+    def _refuse(self, inc, status):
+        request_id = inc.header(b"x-gradelug-request-id") or b""
+        headers = [
+            (b"X-Gradelug-Request-Id", request_id),
+            (b"X-Gradelug-Not-Executed", b"1"),
+            (b"X-Gradelug-Instance-Id", self.name.encode()),
+        ]
+        inc.respond(status, headers, b"")
+
+    def _order(self, inc):
+        body = json.loads(inc.body)
+        key = AdapterKey(body["Model"], body.get("Adapter", ""))
+        order = Order(
+            body["Operation"] == "model_load",
+            key,
+            body.get("Version", 0),
+            body["Expected"],
+            body["Owner"],
+            body["FencingToken"],
+        )
+        inc.respond(STATUS[self.engine.carry_out(order)], [], b"")
+        if self.engine.fell:
+            self.ledger.faults.append(f"{self.name} was overfilled")
+
+    def _report(self, inc):
+        report = self.engine.report()
+        adapters = [f"{h.key.adapter}@{h.version}" for h in report.holdings if h.key.adapter]
+        data = {
+            "Models": [{"Name": "m", "Version": 1, "Adapters": adapters}],
+            "Pending": [f"m/{h.key.adapter}@{h.version}" for h in report.loading],
+            "Seq": report.orders,
+            "Busy": False,
+        }
+        inc.respond(200, [], json.dumps(data).encode())
+
+    async def _run(self, inc):
+        request_id = inc.header(b"x-gradelug-request-id").decode()
+        if self.draining_at is not None and self.clock() - self.draining_at > 3.0:
+            self.ledger.faults.append(f"{request_id} reached {self.name} long after it drained")
+        model = inc.header(b"x-gradelug-model")
+        key = AdapterKey(*model.decode().split("/")) if model else None
+        if self.engine is not None and not self.engine.can_run(key):
+            self._refuse(inc, 421)
+            return
+        first = int(find(inc.headers, b"last-event-id") or 0) + 1
+        self.ledger.runs[request_id].append((self.name, first))
+        if self.ledger.bodies.get(request_id) != inc.body:
+            self.ledger.faults.append(f"{request_id} ran with another body")
+        headers = [
+            (b"X-Gradelug-Request-Id", request_id.encode()),
+            (b"X-Gradelug-Server-Signature", f"{self.name}.{request_id}".encode()),
+        ]
+        if self.engine is None:
+            await asyncio.sleep(EVENT_S)
+            inc.respond(200, headers, b"whole " + inc.body)
+            return
+        users = self.engine.users
+        users[key] = users.get(key, 0) + 1
+        try:
+            inc.begin(200, [*headers, (b"Content-Type", b"text/event-stream")])
+            for number in range(first, EVENTS + 1):
+                await asyncio.sleep(EVENT_S)
+                await inc.send(b"id: %d\ndata: x\n\n" % number)
+            inc.finish()
+        finally:
+            users[key] -= 1
+
+
+class Proxy:
+    """A loopback proxy whose connections can be delayed, reset or silenced."""
+
+    def __init__(self, port):
+        self.target = port
+        self.delay_s = 0.0
+        self.silent = False
+        self.port = 0
+        self._server = None
+        self._writers = set()
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._spawn, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def reset(self):
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def close(self):
+        self._server.close()
+        self.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(self, reader, writer):
+        task = asyncio.create_task(self._accept(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _accept(self, reader, writer):
+        try:
+            up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, up_writer}
+        await asyncio.gather(self._pump(reader, up_writer), self._pump(up_reader, writer))
+        self._writers -= {writer, up_writer}
+
+    async def _pump(self, reader, writer):
+        try:
+            while data := await reader.read(65_536):
+                await asyncio.sleep(self.delay_s)
+                while self.silent:
+                    await asyncio.sleep(0.02)
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            writer.transport.abort()
+            return
+        writer.close()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,11 +1,9 @@
 """The platform's store client against a stand-in that speaks its calls, in memory."""
 
 import asyncio
-import base64
 import json
 import random
 from pipes import Network
-from urllib.parse import parse_qs, urlsplit
 
 import pytest
 from gradelug_coordination import (
@@ -22,9 +20,9 @@
 from gradelug_coordination.kv import swap_surely
 from gradelug_http import HttpPool, ServerLimits
 from gradelug_platform.store import PlatformStore
-from gradelug_standins.kv import MemoryKv
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from platform_stand_in import StoreStandIn
 from world import new_loop
 
 ADDRESS = "10.9.0.1:80"
@@ -38,101 +36,14 @@
         loop.close()
 
 
-def item(entry):
-    value = base64.b64encode(entry.value).decode()
-    return {"TlsKey": entry.key, "Value": value, "Revision": entry.revision, "Lease": entry.lease}
-
-
-class StandIn:
-    """Speaks the store's calls for a service in memory."""
-
+class StandIn(StoreStandIn):
     def __init__(self, page=500):
-        self.kv = MemoryKv()
-        self.page = page
-        self.status = None
-        self.raw = None
-        self.silent = False
-        self.lose = 0
+        super().__init__(page)
         net = Network()
         clock = asyncio.get_running_loop().time
         net.serve(ADDRESS, self.serve, ServerLimits, clock)
         self.store = PlatformStore(ADDRESS, HttpPool(clock, net.dial))
 
-    async def serve(self, inc):
-        if self.silent:
-            await asyncio.sleep(60)
-        if self.status is not None:
-            inc.respond(self.status, [], b"")
-            return
-        if self.raw is not None:
-            inc.respond(200, [], self.raw)
-            return
-        parts = urlsplit(inc.target.decode())
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        body = json.loads(inc.body) if inc.body else {}
-        status, reply = await self.call(
-            inc.method, parts.path.removeprefix("/gradelug/"), query, body
-        )
-        if self.lose and inc.method == b"POST":
-            self.lose -= 1
-            return
-        inc.respond(status, [], json.dumps(reply).encode())
-
-    async def call(self, method, call, query, body):
-        if call == "kv-key":
-            entry = await self.kv.get(query["TlsKey"])
-            return (200, item(entry)) if entry else (404, {})
-        if call == "kv-range":
-            listing = await self.kv.list(query.get("PathPrefix", ""))
-            rest = [entry for entry in listing.entries if entry.key > query.get("after", "")]
-            page = [item(entry) for entry in rest[: self.page]]
-            more = len(rest) > self.page
-            return 200, {"items": page, "HasMore": more, "StoreRevision": listing.revision}
-        if call == "kv-watch":
-            return await self.watch(query)
-        if call == "kv-txn":
-            return await self.transact(body)
-        if call == "kv-lease":
-            return 200, {"Lease": await self.kv.grant_lease(body["TtlMs"] / 1000)}
-        if call.startswith("kv-keep/"):
-            kept = await self.kv.renew_lease(int(call.partition("/")[2]))
-            return (200 if kept else 404), {}
-        if call.startswith("kv-lease-end/"):
-            await self.kv.revoke_lease(int(call.partition("/")[2]))
-            return 200, {}
-        return 400, {}
-
-    async def watch(self, query):
-        after, prefix = int(query["after"]), query.get("PathPrefix", "")
-        try:
-            async with asyncio.timeout(int(query["WaitMs"]) / 1000):
-                async for events in self.kv.watch(prefix, after):
-                    rows = [
-                        (
-                            item(ev.entry)
-                            if ev.entry is not None
-                            else {"TlsKey": ev.key, "Revision": ev.revision, "Deleted": True}
-                        )
-                        for ev in events
-                    ]
-                    return 200, {"events": rows, "StoreRevision": events[-1].revision}
-        except TimeoutError:
-            return 200, {"events": [], "StoreRevision": after}
-        except WatchCompacted:
-            return 410, {}
-
-    async def transact(self, body):
-        (condition,) = body["Expected"]
-        if body["SetKeys"]:
-            (put,) = body["SetKeys"]
-            value = base64.b64decode(put["Value"])
-            swap = await self.kv.swap(
-                put["TlsKey"], value, condition["Revision"], put.get("Lease", 0)
-            )
-            return (200, {"Revision": swap.revision}) if swap.swapped else (412, {"items": []})
-        done = await self.kv.delete(condition["TlsKey"], condition["Revision"])
-        return (200, {"Revision": self.kv.revision}) if done else (412, {"items": []})
-
 
 class TestStore:
     def test_entries_are_written_read_listed_in_pages_and_deleted(self):
