--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -151,8 +151,7 @@
                 raise Refused(answer.reason, answer.retry_after_ms / 1000 or REFUSED_RETRY_S)
             replica = self._fleet.state.replicas.get(answer.replica)
             if replica is not None and not replica.leaving:
-                self._fleet.directory = self._fleet.directory or {}
-                self._fleet.directory.setdefault(replica.name, {})[key] = answer.version
+                self._fleet.add_holding(replica.name, key, answer.version)
                 return replica
             await asyncio.sleep(RECONNECT_S)
 
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -124,6 +124,7 @@
         known = self.state.replicas.get(fact.name)
         self._names[key] = fact.name
         self.state.replicas[fact.name] = fact
+        self.state.change += 1
         if known is None or known.leaving != fact.leaving:
             log.info("replica", replica=fact.name, service=fact.service, leaving=fact.leaving)
         return True
@@ -147,5 +148,6 @@
         self._missing_since.pop(key, None)
         self._read.pop(key, None)
         self.state.replicas.pop(name, None)
+        self.state.change += 1
         log.info("replica gone", replica=name)
         return True
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 import typing as t
 
 from gradelug_policy import Circuit
@@ -19,6 +20,9 @@
 """A nearer replica wins among equals only: bytes between halls have a price."""
 RUNNING_COST = 0.06
 """A running stream slows a new request down by this part of one that waits for its prompt."""
+CHOICES = 16
+"""Of more replicas than this a request looks at so many, drawn anew each time."""
+NOT_HELD = -1
 CIRCUIT_FAILURES = 3
 CIRCUIT_OPEN_S = 1.5
 
@@ -81,16 +85,50 @@
         The runtime's clock.
     """
 
-    __slots__ = ("_clock", "_hall", "_health", "_loads", "directory", "state")
-
-    def __init__(self, state: FleetState, hall: str, clock: t.Callable[[], float]) -> None:
+    __slots__ = (
+        "_by_key",
+        "_by_service",
+        "_clock",
+        "_directory",
+        "_hall",
+        "_health",
+        "_loads",
+        "_rng",
+        "_seen_change",
+        "state",
+    )
+
+    def __init__(
+        self,
+        state: FleetState,
+        hall: str,
+        clock: t.Callable[[], float],
+        rng: random.Random | None = None,
+    ) -> None:
         self.state = state
         self._hall = hall
         self._clock = clock
+        self._rng = rng or random.Random(0)
         self._health: dict[str, Health] = {}
         self._loads: dict[str, ReplicaLoad] = {}
-        self.directory: dict[str, dict[AdapterKey, int]] | None = None
-        """Weights usable on each replica as the planner tells; None without a planner."""
+        # Weights usable on each replica as planners tell, and the other way round.
+        self._directory: dict[str, dict[AdapterKey, int]] = {}
+        self._by_key: dict[AdapterKey, dict[str, int]] = {}
+        self._by_service: dict[str, list[Replica]] = {}
+        self._seen_change = -1
+
+    def set_holdings(self, replica: str, held: dict[AdapterKey, int]) -> None:
+        """Take over what a planner tells of a replica."""
+        for key in self._directory.get(replica, ()):
+            self._by_key[key].pop(replica, None)
+        self._directory[replica] = held
+        for key, version in held.items():
+            self._by_key.setdefault(key, {})[replica] = version
+
+    def add_holding(self, replica: str, key: AdapterKey, version: int) -> None:
+        """Note weights that a planner says are usable on a replica now."""
+        self._directory.setdefault(replica, {})[key] = version
+        self._by_key.setdefault(key, {})[replica] = version
 
     def health(self, replica: str) -> Health:
         """Return a replica's record."""
@@ -106,21 +144,31 @@
 
     def usable(self, service: str) -> list[Replica]:
         """Return the replicas of a service that take new work."""
-        replicas = self.state.replicas.values()
-        return [rep for rep in replicas if rep.service == service and not rep.leaving]
+        if self._seen_change != self.state.change:
+            self._seen_change = self.state.change
+            self._by_service = {}
+            for rep in self.state.replicas.values():
+                if not rep.leaving:
+                    self._by_service.setdefault(rep.service, []).append(rep)
+        return self._by_service.get(service, [])
 
     def holders(self, service: str, key: AdapterKey) -> list[Replica]:
         """Return the replicas of a service on which weights can be used now."""
-        return [rep for rep in self.usable(service) if self.version(rep, key) is not None]
-
-    def version(self, replica: Replica, key: AdapterKey) -> int | None:
-        """Return the version of usable weights on a replica, None if there are none."""
         newest = self.state.versions.get(key, 0)
-        if self.directory is not None and replica.name in self.directory:
-            held = self.directory[replica.name].get(key)
-        else:
-            held = _told_version(replica.holdings, key)
-        return held if held is not None and held >= newest else None
+        if not self._directory:
+            # No planner has told anything yet; replicas tell the same, later.
+            return [
+                rep for rep in self.usable(service) if _told_version(rep.holdings, key) >= newest
+            ]
+        known = self.state.replicas
+        found = []
+        for name, version in self._by_key.get(key, {}).items():
+            rep = known.get(name)
+            if rep is None or rep.leaving or rep.service != service:
+                continue
+            if version >= newest:
+                found.append(rep)
+        return found
 
     def choose(
         self,
@@ -135,6 +183,8 @@
             for rep in replicas
             if rep.name not in excluded and (only is None or rep.name in only)
         ]
+        if len(found) > CHOICES:
+            found = self._rng.sample(found, CHOICES)
         closed = [rep for rep in found if self.health(rep.name).circuit.allows(now)]
         # When all of them fail, some requests still get through.
         return min(closed or found, key=lambda rep: self.cost(rep, now), default=None)
@@ -153,7 +203,11 @@
         for name, load in list(self._loads.items()):
             if name not in known and not load.starting and not load.running:
                 del self._loads[name]
+        for name in [name for name in self._directory if name not in known]:
+            self.set_holdings(name, {})
+            del self._directory[name]
+        self._by_key = {key: names for key, names in self._by_key.items() if names}
 
 
-def _told_version(holdings: t.Iterable[Holding], key: AdapterKey) -> int | None:
-    return next((held.version for held in holdings if held.key == key), None)
+def _told_version(holdings: t.Iterable[Holding], key: AdapterKey) -> int:
+    return next((held.version for held in holdings if held.key == key), NOT_HELD)
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -215,13 +215,11 @@
         self.gateways = message.gateways or self.gateways
         if message.peers:
             self.peers = list(message.peers)
-        directory = self._fleet.directory
-        if directory is None:
-            directory = self._fleet.directory = {}
         for holdings in message.holdings:
-            directory[holdings.replica] = {
-                AdapterKey(held.model, held.adapter): held.version for held in holdings.held
-            }
+            self._fleet.set_holdings(
+                holdings.replica,
+                {AdapterKey(held.model, held.adapter): held.version for held in holdings.held},
+            )
         for told in message.loads:
             load = self._fleet.load(told.replica)
             starting, running = self._told_loads.get(told.replica, (0, 0))
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -363,8 +363,11 @@
         Replicas by name.
     versions : dict
         Newest version of adapters that were renewed.
+    change : int
+        Grows with every change of the replicas.
     """
 
     snapshot: Snapshot | None = None
     replicas: dict[str, Replica] = field(default_factory=dict)
     versions: dict[AdapterKey, int] = field(default_factory=dict)
+    change: int = 0
