--- a/packages/backends/src/gradelug_backends/instances.py
+++ b/packages/backends/src/gradelug_backends/instances.py
@@ -59,11 +59,21 @@
         limits = aiohttp.ClientTimeout(total=CALL_LIMIT_S)
         try:
             async with self._session.get(self._url, timeout=limits) as res:
-                groups = await res.json(content_type=None)
-                return {
-                    target: Instance(target, group.get("labels", {}).get("state") == LEAVING)
-                    for group in groups
-                    for target in group["targets"]
-                }
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, AttributeError) as exc:
+                return read_groups(await res.json(content_type=None))
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
             raise UpstreamUnavailable(f"instance list: {exc!r}") from exc
+
+
+def read_groups(groups: t.Any) -> dict[str, Instance]:
+    """Return the instances of a list's answer; raises `UpstreamUnavailable` for other shapes."""
+    if not isinstance(groups, list):
+        raise UpstreamUnavailable("the instance list's answer is not a list")
+    found = {}
+    for group in groups:
+        targets = group.get("targets") if isinstance(group, dict) else None
+        if not isinstance(targets, list) or not all(isinstance(item, str) for item in targets):
+            raise UpstreamUnavailable("a group of the instance list has no targets")
+        labels = group.get("labels")
+        leaving = isinstance(labels, dict) and labels.get("state") == LEAVING
+        found.update({target: Instance(target, leaving) for target in targets})
+    return found
