Tests for three mechanisms whose removal no test noticed

Cause: 26 mutations, one for each mechanism; three passed: answers by id, an unsigned success told as not run, replicas that leave.

--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -254,7 +254,32 @@
             bench = Bench(route(Repeat.NEVER, replicas=1), [[[reply()]]])
             client = bench.client()
             await asyncio.sleep(0.2)
-            assert status(client) >= 500
+            # It may have run: a refusal would say that it has not.
+            assert status(client) == 502
+
+        run(scenario)
+
+    def test_an_answer_to_another_request_is_not_passed_on(self):
+        async def scenario():
+            other = reply(b"not yours", ident=b"q0", extra=SIGNED)
+            bench = Bench(route(Repeat.NEVER, replicas=1), [[[other + OK]]])
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 200
+            assert b"not yours" not in client.received
+            assert client.received.endswith(b"ok")
+
+        run(scenario)
+
+    def test_a_replica_that_leaves_is_not_among_those_to_choose_from(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[OK]], [[OK]]])
+            gone = bench.state.replicas["s0"]
+            bench.state.replicas["s0"] = Replica(
+                gone.name, gone.service, gone.address, gone.hall, leaving=True
+            )
+            bench.state.change += 1
+            assert [rep.name for rep in bench.fleet.usable("plain")] == ["s1"]
 
         run(scenario)
 
