Soak: gateways have a loopback address for themselves

Ruled out: the product; the same requests were served by the other two gateways. Change: gateways listen at an address that nothing else uses.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -16,7 +16,7 @@
 import tempfile
 from pathlib import Path
 
-from fleet_stand_in import EVENTS, HOST, Ledger, Proxy, ReplicaStandIn
+from fleet_stand_in import EVENTS, GATEWAY_HOST, HOST, Ledger, Proxy, ReplicaStandIn
 from gradelug_http import (
     ConnectFailed,
     HttpPool,
@@ -103,9 +103,10 @@
         self.log = folder / f"g{at}.log"
         self.settings = folder / f"g{at}.toml"
         self.settings.write_text(
-            f'Node = "g{at}"\nZone = "z"\nIp = "{HOST}"\n'
+            f'Node = "g{at}"\nZone = "z"\nIp = "{GATEWAY_HOST}"\n'
             f"PortRange = [{self.peer}, {self.peer}]\n"
-            f'[Listen]\nFront = "{HOST}:{self.front}"\nReady = "{HOST}:{self.ready}"\n'
+            f'[Listen]\nFront = "{GATEWAY_HOST}:{self.front}"\n'
+            f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
             f"[Bounds]\nGraceS = 4\nRequireFence = true\nBudgetExtra = 400\n"
             f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
         )
@@ -234,7 +235,7 @@
         conn = None
         try:
             async with asyncio.timeout(4.0):
-                conn = await self.pool.acquire(f"{HOST}:{gateway.front}", 1.0)
+                conn = await self.pool.acquire(f"{GATEWAY_HOST}:{gateway.front}", 1.0)
                 conn.send(out)
                 head = await conn.head(lambda head: True)
                 body = await conn.body(100_000)
@@ -371,7 +372,7 @@
     """Return ports that the kernel has free."""
     sockets = [socket.socket() for _ in range(count)]
     for found in sockets:
-        found.bind((HOST, 0))
+        found.bind((GATEWAY_HOST, 0))
     ports = [found.getsockname()[1] for found in sockets]
     for found in sockets:
         found.close()
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -15,8 +15,11 @@
     OrderOutcome.CONFLICT: 409,
     OrderOutcome.OUTRANKED: 412,
 }
-# Each run has an address of its own, so that runs beside each other cannot meet.
-HOST = f"127.{os.getpid() % 199 + 1}.{os.getpid() // 199 % 199}.1"
+# Each run has addresses of its own, so that runs beside each other cannot meet. Gateways have one
+# for themselves: a port that one leaves while it is down is nobody else's meanwhile.
+_NET = f"127.{os.getpid() % 199 + 1}.{os.getpid() // 199 % 199}"
+HOST = f"{_NET}.1"
+GATEWAY_HOST = f"{_NET}.2"
 EVENT_S = 0.02
 EVENTS = 12
 
