--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -10,13 +10,7 @@
 
 
 class Meters:
-    """What the daemon counts.
-
-    Parameters
-    ----------
-    gauges : mapping of str to callable
-        Read whenever the figures are asked for.
-    """
+    """What the daemon counts."""
 
     __slots__ = ("_first", "_latency", "_outcomes", "_registry")
 
