--- a/packages/coordination/src/gradelug_coordination/lasting.py
+++ b/packages/coordination/src/gradelug_coordination/lasting.py
@@ -3,9 +3,9 @@
 A record names the owner of a resource and outlasts the owner's lease. Beside it each instance keeps
 its presence, which goes with its lease. An owner acts on the records that it wrote under the lease
 which it holds now. Another instance takes a record over after its owner has been seen absent for
-`hold_off_s` and the time to live of its lease: a service that takes an instance's entries away does
-not tell it, and it goes on until its lease is over by its own clock. Whichever of the two writes the
-record first is its owner, and the other's write fails.
+`hold_off_s` and the time to live of its lease: a service that takes an instance's entries away
+does not tell it, and it goes on until its lease is over by its own clock. Whichever of the two
+writes the record first is its owner, and the other's write fails.
 """
 
 from __future__ import annotations
@@ -30,11 +30,11 @@
 OWNERS = "owners/"
 STEP_S = 0.1
 TURN_S = 0.4
-"""Each next instance waits so much longer before it takes what is free: a write takes a few ms, and
-up to 0.3 s with the store slow."""
+"""Each next instance waits so much longer before it takes what is free: a write takes a few ms,
+and up to 0.3 s with the store slow."""
 SETTLE_S = 1.0
-"""What nobody has owned yet is not taken earlier than this after a start: all instances start within
-0.3 s of each other and are to share it."""
+"""What nobody has owned yet is not taken earlier than this after a start: all instances start
+within 0.3 s of each other and are to share it."""
 FORGET_S = 30.0
 """Records of resources that are gone are kept this long: some come back."""
 MEMBERS_PER_TTL = 25
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -9,7 +9,7 @@
 import typing as t
 
 import logbook
-from gradelug_coordination import Election, KeyValue, LeaseKeeper, Mirror
+from gradelug_coordination import Election, KeyValue, LastingOwnership, LeaseKeeper, Mirror
 from gradelug_http import HttpPool, HttpServer, Incoming, ServerLimits
 from gradelug_policy import RetryBudget
 from gradelug_policy.residency import LoadWindow
@@ -17,6 +17,7 @@
 from grpclib.server import Server
 
 from .directory import Directory
+from .executing import Executor
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
 from .link import PlannerAddress
@@ -25,14 +26,17 @@
 from .placement import Duty, PlacementService
 from .planner import Planner
 from .ports import Dialect, OrderTransport
+from .relay import OrderRelay
 from .sending import Sender
 from .serving import Serving
 from .settings import GatewaySettings
 
 log = logbook.Logger("daemon")
 DUTY_PREFIX = "gradelug/planner/"
+ENGINES_PREFIX = "gradelug/engines/"
 LEASE_S = 1.2
-"""Time to live of a planner's lease: a lost one is replaced somewhat later than this."""
+"""Time to live of a planner's and of an engine owner's lease: a lost planner is replaced somewhat
+later than this."""
 RESTED_S = 1.5
 """Where replicas forget idle connections silently, requests that may run once only go over
 connections that were used this lately: a reset would leave their outcome in doubt."""
@@ -107,6 +111,10 @@
         self._feed.subscribe(self._on_change)
         self._fleet = Fleet(self._state, settings.hall, self._clock)
         self._duties: dict[str, Duty] = {}
+        self._ownership = None if settings.bounds.fenced else self._new_ownership()
+        executor = None
+        if self._ownership is not None:
+            executor = Executor(settings.name, self._ownership, self._state, transport)
         self._directory = Directory(
             settings.name,
             settings.addresses.peers,
@@ -114,6 +122,7 @@
             self._clock,
             self._locate,
             self._mirror.hurry,
+            executor,
         )
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio * BUDGET_SHARE, self._burst(GATEWAYS_GUESS))
@@ -166,6 +175,8 @@
         await self._callers.start(*_split(addresses.callers))
         self._tasks.start(self._mirror.run(), "mirror")
         self._tasks.start(self._upkeep(), "upkeep")
+        if self._ownership is not None:
+            self._tasks.start(self._ownership.run(), "ownership")
         log.info("started", instance=self.settings.name, hall=self.settings.hall)
 
     async def _drain(self) -> None:
@@ -183,6 +194,8 @@
             if out and not self._callers.in_progress:
                 break
             await asyncio.sleep(POLL_S)
+        if self._ownership is not None:
+            await self._ownership.leave()
         log.info("stopped", after_s=round(self._clock() - began, 2), cut=self._callers.in_progress)
 
     async def _close(self) -> None:
@@ -209,8 +222,36 @@
             if duty.planner is not None:
                 duty.planner.refresh()
 
+    def _new_ownership(self) -> LastingOwnership:
+        host, _ = _split(self.settings.addresses.peers)
+        return LastingOwnership(
+            self._kv,
+            ENGINES_PREFIX,
+            self._mirror,
+            LeaseKeeper(self._kv, LEASE_S, self._clock, self._rng, self._on_owned),
+            # A machine that takes another one's place may have its name, and not its address.
+            f"{self.settings.name}@{host}",
+            self._clock,
+            self.settings.bounds.holder_s,
+            self._engines,
+            self._on_owned,
+        )
+
+    def _engines(self) -> list[str]:
+        snapshot = self._state.snapshot
+        if snapshot is None:
+            return []
+        services = snapshot.services
+        return [
+            rep.name
+            for rep in self._state.replicas.values()
+            if rep.service in services and services[rep.service].engine is not None
+        ]
+
+    def _on_owned(self) -> None:
+        self._directory.note_owned()
+
     def _new_duty(self, service: str) -> Duty:
-        bounds = self.settings.bounds
         lease = LeaseKeeper(self._kv, LEASE_S, self._clock, self._rng)
         election = Election(
             self._kv,
@@ -221,9 +262,10 @@
             lease,
             self._clock,
             self._rng,
-            0.0 if bounds.fenced else bounds.holder_s,
+            0.0,
             self.settings.first_start,
-            bounds.fenced,
+            # Engines, or their owners, see to it that a planner with a lesser token orders nothing.
+            True,
             0.0 if self.settings.cores >= STRONG_CORES else WEAK_HANDICAP_S,
         )
         return Duty(election, lambda: self._new_planner(service))
@@ -239,8 +281,16 @@
             WINDOW_SLACK_S,
         )
         window.assume_used(self._clock())
+        transport = self._transport if bounds.fenced else OrderRelay(self._transport)
         return Planner(
-            service, self.settings.name, spec, self._state, self._transport, window, self._clock
+            service,
+            self.settings.name,
+            spec,
+            self._state,
+            transport,
+            window,
+            self._clock,
+            self._fleet.speeds,
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass
 
 import logbook
+from gradelug_policy.reading import Work
 from gradelug_wire import placement_pb2 as pb
 
 from .exceptions import Refused
+from .executing import Executor
 from .fleet import Fleet
 from .link import PlannerAddress, PlannerLink, ask_where
 from .model import AdapterKey, Replica
@@ -37,6 +39,8 @@
     target_at, half_at, until : float
         Until when it is in time, when half of its caller's time is over, and until when it waits,
         by the runtime's clock.
+    work : Work
+        What the request asks of an engine.
     """
 
     rank: int
@@ -45,6 +49,7 @@
     target_at: float
     half_at: float
     until: float
+    work: Work = Work()
 
 
 class Directory:
@@ -62,12 +67,15 @@
         Returns a service's planner, or None.
     hurry : callable
         Called while a planner is missed.
+    executor : Executor or None
+        Gives planners' orders to the engines that this instance owns, where engines have owners.
     """
 
     __slots__ = (
         "_hurry",
         "_address",
         "_clock",
+        "_executor",
         "_fleet",
         "_hints",
         "_instance",
@@ -85,6 +93,7 @@
         clock: t.Callable[[], float],
         locate: t.Callable[[str], PlannerAddress | None],
         hurry: t.Callable[[], None] = lambda: None,
+        executor: Executor | None = None,
     ) -> None:
         self._instance = instance
         self._address = address
@@ -92,6 +101,7 @@
         self._clock = clock
         self._locate = locate
         self._hurry = hurry
+        self._executor = executor
         self._hints: dict[str, PlannerAddress] = {}
         """Planners that peers told of."""
         self._links: dict[str, PlannerLink] = {}
@@ -144,6 +154,8 @@
                 half_ms=self._ms_until(wish.half_at),
                 value=wish.value,
                 returning=wish.returning,
+                prompt_tokens=wish.work.prompt_tokens,
+                answer_tokens=round(wish.work.answer_tokens),
                 excluded=sorted(excluded),
                 only=_first(only),
                 absent=absent,
@@ -174,9 +186,14 @@
         known = self.known(service)
         return known is None or known.fence <= planner.fence
 
-    def note_begin(self, replica: str, key: AdapterKey) -> None:
-        """Note that a request is being sent to a replica."""
-        self._note(replica, key, 1)
+    def is_followed(self, service: str) -> bool:
+        """Tell whether a planner of a service answers."""
+        link = self._links.get(service)
+        return link is not None and link.is_followed
+
+    def note_begin(self, replica: str, key: AdapterKey, tokens: int) -> None:
+        """Note that a request with a prompt of some tokens is being sent to a replica."""
+        self._note(replica, key, 1, tokens)
 
     def note_end(self, replica: str, key: AdapterKey) -> None:
         """Note that a request has left a replica."""
@@ -187,6 +204,11 @@
         for service in services:
             self._link(service)
 
+    def note_owned(self) -> None:
+        """Tell planners at once which engines this instance owns."""
+        for link in self._links.values():
+            link.hurry()
+
     async def close(self) -> None:
         """End every link."""
         tasks = list(self._tasks.values())
@@ -194,18 +216,20 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _note(self, replica: str, key: AdapterKey, change: int) -> None:
+    def _note(self, replica: str, key: AdapterKey, change: int, tokens: int = 0) -> None:
         known = self._fleet.state.replicas.get(replica)
         for link in self._links.values():
             if (known is not None and known.service == link.service) or (
                 known is None and (replica, key) in link.active
             ):
-                link.note(replica, key, change)
+                link.note(replica, key, change, tokens)
 
     def _link(self, service: str) -> PlannerLink:
         link = self._links.get(service)
         if link is None:
-            link = PlannerLink(service, self._instance, self._address, self._fleet, self._clock)
+            link = PlannerLink(
+                service, self._instance, self._address, self._fleet, self._clock, self._executor
+            )
             self._links[service] = link
             self._tasks[service] = asyncio.create_task(self._keep(link))
         return link
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -8,8 +8,20 @@
 from enum import Enum
 
 import logbook
-
-from .model import AdapterKey, EngineReport, EngineSpec, Holding, Order, OrderOutcome, Replica
+from gradelug_policy import Popularity
+from gradelug_policy.reading import Busyness, add_queues
+
+from .model import (
+    AdapterKey,
+    EngineReport,
+    EngineSpec,
+    Holding,
+    Order,
+    OrderOutcome,
+    Replica,
+    Term,
+    ToldLoad,
+)
 from .ports import OrderTransport
 
 log = logbook.Logger("engine")
@@ -20,6 +32,9 @@
 LOADS_AT_ONCE = 4
 """Adapters that may be on their way to an engine."""
 MAX_TRIES = 3
+READING_HALF_LIFE_S = 1.5
+"""What an engine reads is taken over about this time: streams last some seconds."""
+READING = "reading"
 IDLE_S = 0.06
 """An adapter makes way when it was unused this long: uses are told with a delay."""
 
@@ -71,6 +86,7 @@
         "orders",
         "places",
         "replica",
+        "_reading",
         "spec",
         "synced",
         "syncing",
@@ -84,8 +100,9 @@
         self.cached: OrderedDict[Holding, None] = OrderedDict()
         self.active: dict[AdapterKey, Counter[int]] = {}
         """Requests by weights and gateway."""
-        self.loads: dict[int, tuple[int, int]] = {}
-        """Requests before and after their first event, by gateway."""
+        self.loads: dict[int, ToldLoad] = {}
+        """What runs there, by gateway."""
+        self._reading = Popularity(READING_HALF_LIFE_S)
         self.lock = asyncio.Lock()
         """Held while an order is on its way: each names how many came before it."""
         self.synced = False
@@ -95,12 +112,29 @@
     @property
     def starting(self) -> int:
         """Requests before their first event."""
-        return sum(starting for starting, _ in self.loads.values())
+        return sum(load.starting for load in self.loads.values())
 
     @property
     def running(self) -> int:
         """Requests after their first event."""
-        return sum(running for _, running in self.loads.values())
+        return sum(load.running for load in self.loads.values())
+
+    def load(self) -> ToldLoad:
+        """Return what runs there, of all gateways."""
+        queued = add_queues(load.queued for load in self.loads.values())
+        return ToldLoad(self.starting, self.running, queued)
+
+    def note_begun(self, tokens: int, now: float) -> None:
+        """Note that requests with so many tokens in their prompts have begun."""
+        self._reading.note(READING, now, tokens)
+
+    def reading(self, now: float) -> float:
+        """Return the tokens of prompts that were begun lately, a second."""
+        return self._reading.rate(READING, now)
+
+    def busyness(self, now: float) -> Busyness:
+        """Return what the engine does."""
+        return Busyness(self.load().queued, self.reading(now), self.running)
 
     def users(self, key: AdapterKey) -> int:
         """Return how many requests use weights."""
@@ -211,15 +245,19 @@
         key: AdapterKey,
         version: int,
         owner: str,
-        fence: int,
+        term: Term,
     ) -> OrderOutcome:
         """Give an order; the lock must be held. Doubtful outcomes leave it unsynced.
 
         An order without an answer is given again at once: it names how many orders came before
-        it, so that only one of the two can take effect, whichever comes first.
+        it, so that only one of the two can take effect, whichever comes first. Nothing is sent
+        once the term under which it was decided is over.
         """
-        order = Order(load, key, version, self.orders, owner, fence)
+        order = Order(load, key, version, self.orders, owner, term.fence)
+        outcome = OrderOutcome.NOT_GIVEN
         for _ in range(MAX_TRIES):
+            if term.is_over:
+                break
             outcome = await transport.order(self.replica, order)
             if outcome is not OrderOutcome.LOST:
                 break
@@ -234,7 +272,7 @@
             weights=key.text,
             version=version,
             expected=order.expected,
-            fence=fence,
+            fence=term.fence,
             outcome=outcome.value,
         )
         return outcome
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -7,8 +7,17 @@
 import typing as t
 
 from gradelug_policy import Circuit
-
-from .model import AdapterKey, FleetState, Holding, Replica
+from gradelug_policy.reading import (
+    URGENCIES,
+    Busyness,
+    ReadingSpeeds,
+    Work,
+    add_queues,
+    cost_s,
+    first_event_s,
+)
+
+from .model import AdapterKey, FleetState, Holding, Replica, ToldLoad
 
 FAILURE_WEIGHT = 0.25
 """Share of the newest outcome in a replica's failure rate."""
@@ -22,6 +31,8 @@
 """A running stream slows a new request down by this part of one that waits for its prompt."""
 CHOICES = 16
 """Of more replicas than this a request looks at so many, drawn anew each time."""
+REQUEST_S = 0.1
+"""Time that a request before a new one stands for where work is reckoned in seconds."""
 NOT_HELD = -1
 CIRCUIT_FAILURES = 3
 CIRCUIT_OPEN_S = 1.5
@@ -56,22 +67,35 @@
 class ReplicaLoad:
     """Requests at a replica."""
 
-    __slots__ = ("others_running", "others_starting", "running", "starting", "told_running")
+    __slots__ = ("others", "running", "starting", "queued", "told_running", "tokens_per_s")
 
     def __init__(self) -> None:
         self.starting = 0
         """Sent by this instance, no answer yet."""
         self.running = 0
         """Sent by this instance, answers coming."""
-        self.others_starting = 0
-        self.others_running = 0
+        self.queued = [0] * URGENCIES
+        """Tokens of the prompts of those that are starting, by urgency."""
+        self.others = ToldLoad()
+        """Sent by other instances."""
+        self.tokens_per_s = 0.0
+        """Of prompts begun there lately, of all instances, as the planner last told."""
         self.told_running = 0
         """Running of all instances, as the planner last told."""
 
     def cost(self) -> float:
         """Return how much is before a new request, in requests."""
-        starting = self.starting + self.others_starting
-        return starting + RUNNING_COST * (self.running + self.others_running)
+        starting = self.starting + self.others.starting
+        return starting + RUNNING_COST * (self.running + self.others.running)
+
+    def busyness(self) -> Busyness:
+        """Return what the replica does, if it is an engine."""
+        running = self.running + self.others.running
+        return Busyness(add_queues([self.queued, self.others.queued]), self.tokens_per_s, running)
+
+    def own(self) -> ToldLoad:
+        """Return what this instance has there."""
+        return ToldLoad(self.starting, self.running, tuple(self.queued))
 
 
 class Fleet:
@@ -97,6 +121,7 @@
         "_loads",
         "_rng",
         "_seen_change",
+        "speeds",
         "state",
     )
 
@@ -118,6 +143,8 @@
         self._by_key: dict[AdapterKey, dict[str, int]] = {}
         self._by_service: dict[str, list[Replica]] = {}
         self._seen_change = -1
+        self.speeds = ReadingSpeeds()
+        """How fast engines read, as seen by this instance."""
 
     def set_holdings(self, replica: str, held: dict[AdapterKey, int]) -> None:
         """Take over what a planner tells of a replica."""
@@ -177,8 +204,19 @@
         replicas: t.Iterable[Replica],
         excluded: t.Container[str] = (),
         only: t.Container[str] | None = None,
+        work: Work | None = None,
     ) -> Replica | None:
-        """Return the replica at which a request waits least, None if there is none."""
+        """Return the replica at which a request costs least, None if there is none.
+
+        Parameters
+        ----------
+        replicas : iterable of Replica
+            To choose from.
+        excluded, only : container of str
+            Replicas that must not be chosen, and those that may be; None for any.
+        work : Work or None
+            What is asked of an engine; None for other replicas.
+        """
         now = self._clock()
         found = [
             rep
@@ -189,14 +227,23 @@
             found = self._rng.sample(found, CHOICES)
         closed = [rep for rep in found if self.health(rep.name).circuit.allows(now)]
         # When all of them fail, some requests still get through.
-        return min(closed or found, key=lambda rep: self.cost(rep, now), default=None)
+        return min(closed or found, key=lambda rep: self.cost(rep, now, work), default=None)
 
-    def cost(self, replica: Replica, now: float) -> float:
+    def cost(self, replica: Replica, now: float, work: Work | None = None) -> float:
         """Return how long a request would wait at a replica, in requests before it."""
-        cost = self.load(replica.name).cost()
+        load = self.load(replica.name)
+        if work is None:
+            cost = load.cost()
+        else:
+            cost = cost_s(load.busyness(), work, self.speeds.speed(replica.service)) / REQUEST_S
         cost += FAILURE_COST * self.health(replica.name).rate(now)
         return cost + (OTHER_HALL_COST if replica.hall != self._hall else 0.0)
 
+    def is_late(self, replica: Replica, work: Work, target_at: float) -> bool:
+        """Tell whether a request's first event would come too late if it was sent now."""
+        busy, speed = self.load(replica.name).busyness(), self.speeds.speed(replica.service)
+        return self._clock() + first_event_s(busy, work, speed) > target_at
+
     def forget_gone(self) -> None:
         """Drop the records of replicas that are gone and at which nothing runs."""
         known = self.state.replicas
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -9,11 +9,14 @@
 from gradelug_wire import placement_pb2 as pb
 
 from .engines import Engine, Phase
+from .model import ToldLoad
 
 NEWS_S = 0.05
 """News are gathered this long and told to everybody in one message."""
 NEWS_S_PER_FOLLOWER = 0.003
 """With many followers news are rarer: telling them costs 330 messages a second however many."""
+READING_STEP = 2_000.0
+"""A change of the tokens that an engine reads a second by less than this is not told."""
 PEERS_TOLD = 6
 PEERS_S = 2.0
 """So many other gateways are named so often to each."""
@@ -38,6 +41,11 @@
         self.answers.append(answer)
         self.wake.set()
 
+    def send(self, message: pb.FromPlanner) -> None:
+        """Send a message soon."""
+        self.outbox.append(message)
+        self.wake.set()
+
     def take_messages(self) -> list[pb.FromPlanner]:
         """Return what is to be sent, answers first."""
         messages, self.outbox = self.outbox, []
@@ -65,7 +73,7 @@
         self._clock = clock
         self._by_number: dict[int, Follower] = {}
         self._changed: set[str] = set()
-        self._told_loads: dict[str, tuple[int, int]] = {}
+        self._told_loads: dict[str, tuple[ToldLoad, int]] = {}
 
     def __len__(self) -> int:
         return len(self._by_number)
@@ -83,9 +91,8 @@
         for name in self._engines:
             message.holdings.append(self._holdings(name))
         for name, engine in self._engines.items():
-            message.loads.add(replica=name, starting=engine.starting, running=engine.running)
-        follower.outbox.append(message)
-        follower.wake.set()
+            self._add_load(message, name, engine)
+        follower.send(message)
         return follower
 
     def leave(self, follower: Follower) -> None:
@@ -103,13 +110,22 @@
             news.holdings.append(self._holdings(name))
         self._changed.clear()
         for name, engine in self._engines.items():
-            load = (engine.starting, engine.running)
-            if self._told_loads.get(name) != load:
-                self._told_loads[name] = load
-                news.loads.add(replica=name, starting=load[0], running=load[1])
+            told = (engine.load(), round(engine.reading(self._clock()) / READING_STEP))
+            if self._told_loads.get(name) != told:
+                self._told_loads[name] = told
+                self._add_load(news, name, engine)
         for follower in self._by_number.values():
-            follower.outbox.append(self._with_peers(news, follower))
-            follower.wake.set()
+            follower.send(self._with_peers(news, follower))
+
+    def _add_load(self, message: pb.FromPlanner, name: str, engine: Engine) -> None:
+        load = engine.load()
+        message.loads.add(
+            replica=name,
+            starting=load.starting,
+            running=load.running,
+            queued=load.queued,
+            tokens_per_s=engine.reading(self._clock()),
+        )
 
     def _with_peers(self, news: pb.FromPlanner, follower: Follower) -> pb.FromPlanner:
         now = self._clock()
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from gradelug_http import Incoming, ResponseHead
+from gradelug_policy.reading import Work
 
 from .model import Repeat, Request, Route, Service
 from .streams import EventAssembler
@@ -30,6 +31,7 @@
 
     __slots__ = (
         "absent",
+        "asked",
         "deadline_at",
         "events",
         "excluded",
@@ -42,9 +44,12 @@
         "sends",
         "service",
         "tried",
+        "work",
     )
 
-    def __init__(self, inc: Incoming, req: Request, route: Route, service: Service) -> None:
+    def __init__(
+        self, inc: Incoming, req: Request, route: Route, service: Service, work: Work
+    ) -> None:
         self.inc = inc
         self.req = req
         self.route = route
@@ -58,12 +63,16 @@
         """Replicas that failed it."""
         self.absent = ""
         """The replica that last said it lacks the weights."""
+        self.asked = False
+        """Whether the planner was to be asked for a better replica than those known here."""
         self.sends = 0
         self.in_doubt = False
         """Whether it may have run without an answer that reached us."""
         self.failure: tuple[ResponseHead, bytes] | None = None
         """A replica's own failure, answered unless another sending does better."""
         self.placed_s = 0.0
+        self.work = work
+        """What it asks of an engine."""
 
     def may_repeat(self) -> bool:
         """Tell whether it may be sent again after it may have run."""
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -9,13 +9,15 @@
 from dataclasses import dataclass
 
 import logbook
+from gradelug_policy.reading import less_queue
 from gradelug_wire import placement_pb2 as pb
 from gradelug_wire.placement_grpc import PlacementStub
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
+from .executing import Executor
 from .fleet import Fleet
-from .model import AdapterKey
+from .model import AdapterKey, ToldLoad
 
 log = logbook.Logger("link")
 FLUSH_S = 0.04
@@ -73,12 +75,17 @@
         "_cancelled",
         "_changed",
         "_clock",
+        "_executor",
         "_fleet",
         "_instance",
         "_questions",
+        "_results",
         "_sent_at",
         "_started",
+        "_started_tokens",
+        "_stream",
         "_told_loads",
+        "_told_owned",
         "_wake",
         "active",
         "gateways",
@@ -94,6 +101,7 @@
         address: str,
         fleet: Fleet,
         clock: t.Callable[[], float],
+        executor: Executor | None = None,
     ) -> None:
         self.service = service
         self.active: Counter[tuple[str, AdapterKey]] = Counter()
@@ -108,12 +116,18 @@
         self._instance = instance
         self._fleet = fleet
         self._clock = clock
+        self._executor = executor
+        self._results: list[pb.OrderResult] = []
+        self._told_owned: frozenset[str] | None = None
+        self._stream = 0
+        """Number of the present stream: what belongs to an earlier one is not told on it."""
         self._questions: dict[int, _Question] = {}
         self._sent_at = -math.inf
         self._cancelled: list[int] = []
         self._changed: set[tuple[str, AdapterKey]] = set()
         self._started: Counter[tuple[str, AdapterKey]] = Counter()
-        self._told_loads: dict[str, tuple[int, int]] = {}
+        self._started_tokens: Counter[tuple[str, AdapterKey]] = Counter()
+        self._told_loads: dict[str, ToldLoad] = {}
         self._wake = asyncio.Event()
         self._asked = asyncio.Event()
 
@@ -150,12 +164,13 @@
             if question.sent and not question.fut.done() or question.fut.cancelled():
                 self._cancelled.append(ticket)
 
-    def note(self, replica: str, key: AdapterKey, change: int) -> None:
-        """Note that a request began (1) or ended (-1)."""
+    def note(self, replica: str, key: AdapterKey, change: int, tokens: int = 0) -> None:
+        """Note that a request began (1), with a prompt of some tokens, or ended (-1)."""
         use = (replica, key)
         self.active[use] += change
         if change > 0:
             self._started[use] += 1
+            self._started_tokens[use] += tokens
         rested_s = self._clock() - self._sent_at
         if change > 0 and self.active[use] == 1 and rested_s >= FIRST_USE_PART * self._flush_s():
             # Told at once: until the planner knows, it may order the weights to be unloaded.
@@ -163,6 +178,11 @@
         self._changed.add(use)
         self._wake.set()
 
+    def hurry(self) -> None:
+        """Tell the planner at once what has changed."""
+        self._asked.set()
+        self._wake.set()
+
     async def follow(self, planner: PlannerAddress) -> None:
         """Exchange messages with a planner until the stream breaks or it falls silent."""
         host, _, port = planner.address.rpartition(":")
@@ -171,6 +191,9 @@
             question.sent = False
         self._changed.update(self.active)
         self._told_loads.clear()
+        self._told_owned = None
+        self._results.clear()
+        self._stream += 1
         try:
             async with asyncio.timeout(SILENT_S) as limit:
                 async with PlacementStub(channel).Follow.open() as stream:
@@ -237,20 +260,49 @@
                 adapter=key.adapter,
                 active=self.active[use],
                 started=self._started[use],
+                started_tokens=self._started_tokens[use],
             )
             if not self.active[use]:
                 del self.active[use]
         self._changed.clear()
         self._started.clear()
+        self._started_tokens.clear()
         self._add_loads(message)
+        self._add_owned(message)
         return message
 
     def _add_loads(self, message: pb.FromGateway) -> None:
         for name, load in self._fleet.loads():
-            own = (load.starting, load.running)
-            if self._told_loads.get(name, (0, 0)) != own:
+            own = load.own()
+            if self._told_loads.get(name, ToldLoad()) != own:
                 self._told_loads[name] = own
-                message.loads.add(replica=name, starting=own[0], running=own[1])
+                message.loads.add(
+                    replica=name,
+                    starting=own.starting,
+                    running=own.running,
+                    queued=own.queued,
+                )
+
+    def _add_owned(self, message: pb.FromGateway) -> None:
+        message.results.extend(self._results)
+        self._results.clear()
+        if self._executor is None:
+            return
+        owned = self._executor.owned(self.service)
+        if owned != self._told_owned:
+            self._told_owned = owned
+            message.owned.CopyFrom(pb.OwnedEngines(replicas=sorted(owned)))
+
+    def _carry_out(self, order: pb.EngineOrder) -> None:
+        stream = self._stream
+
+        def tell(result: pb.OrderResult) -> None:
+            if stream == self._stream:
+                self._results.append(result)
+                self.hurry()
+
+        if self._executor is not None:
+            self._executor.carry_out(order, tell)
 
     def _take(self, message: pb.FromPlanner) -> None:
         self.gateways = message.gateways or self.gateways
@@ -263,13 +315,19 @@
             )
         for told in message.loads:
             load = self._fleet.load(told.replica)
-            starting, running = self._told_loads.get(told.replica, (0, 0))
-            load.others_starting = max(0, told.starting - starting)
-            load.others_running = max(0, told.running - running)
+            own = self._told_loads.get(told.replica, ToldLoad())
+            load.others = ToldLoad(
+                max(0, told.starting - own.starting),
+                max(0, told.running - own.running),
+                less_queue(told.queued, own.queued),
+            )
+            load.tokens_per_s = told.tokens_per_s
             if told.running > load.told_running:
                 # Some instance had a first event from it.
                 self._fleet.health(told.replica).heard_at = self._clock()
             load.told_running = told.running
+        for order in message.orders:
+            self._carry_out(order)
         for answer in message.answers:
             question = self._questions.get(answer.ticket)
             if question is not None and not question.fut.done():
--- a/packages/gateway/src/gradelug_gateway/loading.py
+++ b/packages/gateway/src/gradelug_gateway/loading.py
@@ -10,7 +10,7 @@
 from gradelug_policy.residency import LoadCosts
 
 from .engines import REPORT_LAG_S, Engine, Phase, Place
-from .model import AdapterKey, Holding, OrderOutcome
+from .model import AdapterKey, Holding, OrderOutcome, Term
 from .ports import OrderTransport
 
 if t.TYPE_CHECKING:
@@ -67,14 +67,20 @@
         return self._store_loads < self.pace.at_once
 
     def begin(
-        self, engine: Engine, victim: AdapterKey | None, key: AdapterKey, place: Place, cached: bool
+        self,
+        term: Term,
+        engine: Engine,
+        victim: AdapterKey | None,
+        key: AdapterKey,
+        place: Place,
+        cached: bool,
     ) -> None:
         """Begin to load an adapter into a place that was booked, after unloading its victim."""
         if not cached:
             self._store_loads += 1
             place.under_way = self._store_loads
             place.at_limit = self._store_loads >= self.pace.at_once
-        self._planner.start(self._swap(engine, victim, key, place, cached))
+        self._planner.start(self._swap(term, engine, victim, key, place, cached))
 
     def take_back(self, engine: Engine, key: AdapterKey, place: Place) -> None:
         """Await a load longer: the engine says that the adapter is not there yet."""
@@ -96,11 +102,11 @@
         self._planner.start(self._await_unload(engine, key, place))
 
     async def order(
-        self, engine: Engine, load: bool, key: AdapterKey, version: int
+        self, term: Term, engine: Engine, load: bool, key: AdapterKey, version: int
     ) -> OrderOutcome:
-        """Give an order; the engine's lock must be held."""
+        """Give an order decided in a term; the engine's lock must be held."""
         planner = self._planner
-        outcome = await engine.give(self._transport, load, key, version, self._owner, planner.fence)
+        outcome = await engine.give(self._transport, load, key, version, self._owner, term)
         if outcome is OrderOutcome.OUTRANKED and not planner.is_outranked:
             planner.outranked()
         return outcome
@@ -132,10 +138,16 @@
             engine.syncing = False
 
     async def _swap(
-        self, engine: Engine, victim: AdapterKey | None, key: AdapterKey, place: Place, cached: bool
+        self,
+        term: Term,
+        engine: Engine,
+        victim: AdapterKey | None,
+        key: AdapterKey,
+        place: Place,
+        cached: bool,
     ) -> None:
         try:
-            await self._do_swap(engine, victim, key, place, cached)
+            await self._do_swap(term, engine, victim, key, place, cached)
         finally:
             if not cached:
                 self._store_loads -= 1
@@ -143,23 +155,29 @@
             self._planner.decide_soon()
 
     async def _do_swap(
-        self, engine: Engine, victim: AdapterKey | None, key: AdapterKey, place: Place, cached: bool
+        self,
+        term: Term,
+        engine: Engine,
+        victim: AdapterKey | None,
+        key: AdapterKey,
+        place: Place,
+        cached: bool,
     ) -> None:
         async with engine.lock:
-            if not self._planner.fence or engine.places.get(key) is not place:
+            if term.is_over or engine.places.get(key) is not place:
                 # Its victim is out of the account and still there.
                 engine.undo(key, place)
                 engine.synced = False
                 return
             if victim is not None:
-                outcome = await self.order(engine, False, victim, 0)
+                outcome = await self.order(term, engine, False, victim, 0)
                 if outcome is not OrderOutcome.HOLDS:
                     engine.undo(key, place)
                     self.keep_unloading(engine, victim, outcome)
                     return
             newest = self._planner.state.versions.get(key, 0)
             place.version = newest or FIRST_VERSION
-            outcome = await self.order(engine, True, key, newest)
+            outcome = await self.order(term, engine, True, key, newest)
         if outcome is OrderOutcome.HOLDS:
             self._set_ready(engine, key, place)
             return
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -12,7 +12,7 @@
 class Meters:
     """What the daemon counts."""
 
-    __slots__ = ("_first", "_latency", "_outcomes", "_registry")
+    __slots__ = ("_error", "_first", "_latency", "_outcomes", "_registry")
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
@@ -36,6 +36,13 @@
             registry=self._registry,
         )
 
+        self._error = Histogram(
+            "gradelug_first_event_error_seconds",
+            "From a stream's first event to when it was expected, either way",
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+
     def gauge(self, name: str, text: str, read: t.Callable[[], float]) -> None:
         """Add a figure that is read whenever somebody asks."""
         Gauge(f"gradelug_{name}", text, registry=self._registry).set_function(read)
@@ -52,6 +59,10 @@
         """Take the time of a stream's first event."""
         self._first.observe(seconds)
 
+    def estimate(self, error_s: float) -> None:
+        """Take how far an expected first event was off."""
+        self._error.observe(error_s)
+
     def text(self) -> bytes:
         """Return all figures in the text format of Prometheus."""
         return generate_latest(self._registry)
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -241,6 +241,8 @@
         How long the caller waits, in seconds.
     prompt_tokens, most_tokens : int
         Size of the prompt and of the longest answer; 0 if not told.
+    told_tokens : int
+        What the caller expects of the answer, correct at the median; 0 if not told.
     last_event : int
         Last event that the caller has of the stream; 0 for none.
     arrived_at : float
@@ -259,6 +261,7 @@
     wait_s: float = math.inf
     prompt_tokens: int = 0
     most_tokens: int = 0
+    told_tokens: int = 0
     last_event: int = 0
 
 
@@ -321,6 +324,40 @@
     """Another replica has the address, or it cannot be reached: not done."""
     LOST = "lost"
     """No answer: done, not done, or done later."""
+    NOT_GIVEN = "not given"
+    """Nobody may order the engine now, so nothing was sent."""
+
+
+class ToldLoad(t.NamedTuple):
+    """Requests of one instance, or of all, at a replica.
+
+    Parameters
+    ----------
+    starting, running : int
+        Requests before and after their first event.
+    queued : tuple of int
+        Tokens of the prompts of those before it, by urgency.
+    """
+
+    starting: int = 0
+    running: int = 0
+    queued: tuple[int, ...] = ()
+
+
+class Term:
+    """The time during which a planner may order, under one token.
+
+    Parameters
+    ----------
+    fence : int
+        Its fencing token; never 0.
+    """
+
+    __slots__ = ("fence", "is_over")
+
+    def __init__(self, fence: int) -> None:
+        self.fence = fence
+        self.is_over = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -69,11 +69,14 @@
                 may_act = self.election.may_act()
                 if may_act != acted:
                     acted = may_act
-                    planner.fence = fence if may_act else 0
+                    if may_act:
+                        planner.begin_term(fence)
+                    else:
+                        planner.end_term()
                     log.info("planner", service=planner.service, fence=fence, acts=may_act)
                 await asyncio.sleep(LOOK_S)
         finally:
-            planner.fence = 0
+            planner.end_term()
             planning.cancel()
             self.planner = None
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -9,15 +9,16 @@
 
 import logbook
 from gradelug_policy import Popularity
+from gradelug_policy.reading import ReadingSpeeds, Work, cost_s, first_event_s
 from gradelug_policy.residency import EnginePlaces, LoadWindow, Victim, choose_home
 from gradelug_wire import placement_pb2 as pb
 
 from .engines import Engine, Phase, Place
-from .fleet import RUNNING_COST
 from .followers import Follower, Followers
 from .loading import FIRST_VERSION, Loading
-from .model import AdapterKey, EngineSpec, FleetState
+from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .ports import OrderTransport
+from .relay import OrderRelay
 from .upkeep import Upkeep
 from .waiting import Waiter, WaitingLine
 
@@ -27,6 +28,11 @@
 TICK_S = 0.1
 DECIDE_S = 0.008
 """What comes within this time is decided together."""
+MOVE_S = 0.5
+"""A request waits no longer than this for another engine than the one that could run it: a load
+takes 0.25 s from the weight store."""
+MOVE_MARGIN_S = 0.1
+"""The other engine must be better by this: that it takes a place there costs others."""
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
@@ -56,11 +62,13 @@
     state : FleetState
         What the platform has told.
     transport : OrderTransport
-        Gives orders.
+        Gives orders; an `OrderRelay` where engines have owners among the instances.
     window : LoadWindow
         The weight store's limit on loads of base models.
     clock : callable
         The runtime's clock.
+    speeds : ReadingSpeeds or None
+        How fast engines read; None to know nothing of it.
     """
 
     def __init__(
@@ -72,16 +80,22 @@
         transport: OrderTransport,
         window: LoadWindow,
         clock: t.Callable[[], float],
+        speeds: ReadingSpeeds | None = None,
     ) -> None:
         self.service = service
-        self.fence = 0
-        """Token for orders; 0 while none may be given."""
+        self.term: Term | None = None
+        """Under which orders are given; None while none may be."""
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
         self.followers = Followers(self.engines, clock)
         self.popularity = Popularity(HALF_LIFE_S)
+        self.tokens = Popularity(HALF_LIFE_S)
+        """Tokens of prompts a second, by adapter."""
+        self._speeds = speeds or ReadingSpeeds()
         self.state = state
+        self._transport = transport
+        self._relay = transport if isinstance(transport, OrderRelay) else None
         self._clock = clock
         self._line = WaitingLine(self.popularity, clock())
         self.loading = Loading(self, owner, transport, clock)
@@ -102,13 +116,24 @@
                 self.decide()
                 await asyncio.sleep(TICK_S)
         finally:
-            self.fence = 0
+            self.end_term()
             telling.cancel()
             if self._deciding is not None:
                 self._deciding.cancel()
             for task in list(self._tasks):
                 task.cancel()
 
+    def begin_term(self, fence: int) -> None:
+        """Give orders from now on, under a token."""
+        self.end_term()
+        self.term = Term(fence)
+
+    def end_term(self) -> None:
+        """Give no orders, nor those that were decided before."""
+        if self.term is not None:
+            self.term.is_over = True
+        self.term = None
+
     def refresh(self) -> None:
         """Follow the replicas that the platform tells of."""
         told = {
@@ -127,15 +152,15 @@
             for holding in rep.cached:
                 if holding.key.adapter and holding not in engine.cached:
                     engine.remember(holding)
-            if not engine.synced and self.fence:
+            if not engine.synced and self.term is not None:
                 self.start(self.loading.sync(engine))
-        if self.fence:
-            self._upkeep.do()
+        if self.term is not None:
+            self._upkeep.do(self.term)
 
     def outranked(self) -> None:
         """Give no further orders: another planner has a greater token."""
-        log.info("outranked", service=self.service, fence=self.fence)
-        self.fence = 0
+        log.info("outranked", service=self.service, fence=self.term.fence if self.term else 0)
+        self.end_term()
         self.is_outranked = True
 
     # Gateways.
@@ -143,6 +168,8 @@
     def leave(self, follower: Follower) -> None:
         """Forget a gateway; what it ran ends with its connections."""
         self.followers.leave(follower)
+        if self._relay is not None:
+            self._relay.forget(follower)
         self._line.forget(follower)
         for engine in self.engines.values():
             engine.forget(follower.number)
@@ -150,12 +177,16 @@
     def take(self, follower: Follower, message: pb.FromGateway) -> None:
         """Take a gateway's message."""
         now = self._clock()
+        if self._relay is not None:
+            self._relay.take(follower, message)
         for use in message.uses:
             self._take_use(follower, use, now)
         for load in message.loads:
             engine = self.engines.get(load.replica)
             if engine is not None:
-                engine.loads[follower.number] = (load.starting, load.running)
+                engine.loads[follower.number] = ToldLoad(
+                    load.starting, load.running, tuple(load.queued)
+                )
         if message.cancelled:
             self._line.cancel(follower, set(message.cancelled))
         for ask in message.asks:
@@ -175,6 +206,8 @@
         engine = self.engines.get(use.replica)
         if engine is None:
             return
+        self.tokens.note(key.text, now, use.started_tokens)
+        engine.note_begun(use.started_tokens, now)
         counts = engine.active.setdefault(key, Counter())
         counts[follower.number] = use.active
         place = engine.places.get(key)
@@ -197,7 +230,7 @@
     async def _tell(self) -> None:
         while True:
             await asyncio.sleep(self.followers.news_s)
-            self.followers.tell_news(bool(self.fence))
+            self.followers.tell_news(self.term is not None)
 
     # Deciding.
 
@@ -218,7 +251,7 @@
             for waiter in self._line.waiters
             if now < waiter.until and not self._try_answer(waiter, now)
         ]
-        if not self.fence:
+        if self.term is None:
             return
         ordered = self._line.in_order(now, self.loading.pace.load_s)
         openings = self._openings(now) if ordered else {}
@@ -226,7 +259,7 @@
         for waiter in ordered:
             if self._is_coming(waiter):
                 continue
-            if not self.load(waiter.key, now, openings, waiter.may_use):
+            if not self.load(waiter.key, now, openings, waiter.may_use, work=waiter.work):
                 queued.append(waiter.key)
         self._line.throughput.note_queue(bool(queued), now)
         self._line.refuse_hopeless(queued, now, self.loading.pace.load_s)
@@ -238,16 +271,37 @@
             place = engine.places.get(waiter.key)
             if place is None or place.phase is not Phase.READY or not waiter.may_use(name):
                 continue
-            cost = engine.starting + RUNNING_COST * engine.running
+            cost = self.cost_s(engine, waiter.work, now)
             if place.version >= newest and cost < least:
                 best, least = name, cost
-        if best is None:
+        if best is None or self._goes_elsewhere(waiter, best, least, now):
             return False
         place = self.engines[best].places[waiter.key]
         place.used_at = now
         waiter.answer(best, place.version)
         return True
 
+    def _goes_elsewhere(self, waiter: Waiter, best: str, least_s: float, now: float) -> bool:
+        """Tell whether a request that would be late on the best holder waits for another one."""
+        if now > waiter.asked_at + MOVE_S:
+            return False
+        first_s = first_event_s(self.engines[best].busyness(now), waiter.work, self.speed)
+        if now + first_s <= waiter.target_at:
+            return False
+        if self._is_coming(waiter):
+            return True
+        most_s = least_s - MOVE_MARGIN_S
+        return self.load(waiter.key, now, self._openings(now), waiter.may_use, most_s, waiter.work)
+
+    @property
+    def speed(self) -> float:
+        """Tokens of prompts that an engine reads a second."""
+        return self._speeds.speed(self.service)
+
+    def cost_s(self, engine: Engine, work: Work, now: float) -> float:
+        """Return what a request costs on an engine that has its adapter, in seconds."""
+        return cost_s(engine.busyness(now), work, self.speed)
+
     def _is_coming(self, waiter: Waiter) -> bool:
         for name, engine in self.engines.items():
             place = engine.places.get(waiter.key)
@@ -284,7 +338,7 @@
         return found
 
     def _opening(self, engine: Engine, copies: Counter[AdapterKey], now: float) -> Opening | None:
-        if not engine.can_load():
+        if not engine.can_load() or not self._transport.may_order(engine.replica):
             return None
         free = engine.free()
         if free > 0:
@@ -303,6 +357,7 @@
         openings: dict[str, Opening],
         may_use: t.Callable[[str], bool],
         most_s: float = math.inf,
+        work: Work = Work(),  # noqa: B008
     ) -> bool:
         """Begin to load an adapter where it can be used soonest; False if nowhere.
 
@@ -318,8 +373,10 @@
             Tells whether an engine may be chosen, by its name.
         most_s : float
             What the load may cost at most, in seconds (see `choose_home`).
+        work : Work
+            What its requests ask of an engine.
         """
-        if not key.adapter or not openings:
+        if not key.adapter or not openings or self.term is None:
             return False
         version = self.state.versions.get(key, 0) or FIRST_VERSION
         views = [
@@ -328,8 +385,7 @@
                 opening.free,
                 opening.victims,
                 opening.engine.is_cached(key, version),
-                opening.engine.starting,
-                opening.engine.running,
+                self.cost_s(opening.engine, work, now),
             )
             for name, opening in openings.items()
             if may_use(name) and opening.engine.lacks(key)
@@ -349,7 +405,7 @@
             openings[choice.engine] = opening
         else:
             del openings[choice.engine]
-        self.loading.begin(engine, victim, key, place, choice.cached)
+        self.loading.begin(self.term, engine, victim, key, place, choice.cached)
         return True
 
     # Tasks.
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -24,6 +24,10 @@
         """Return the engine's state, None if it cannot be had."""
         ...
 
+    def may_order(self, replica: Replica) -> bool:
+        """Tell whether an order to an engine can be given now."""
+        ...
+
 
 class Dialect(t.Protocol):
     """How callers and replicas speak HTTP on a platform."""
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/relay.py
@@ -0,0 +1,108 @@
+"""A planner's orders, given by the instances that own the engines.
+
+Engines that check no fencing tokens bear one giver of orders at a time. So that the loss of an
+instance holds up its own engines alone, each engine has an owner among the instances. The planner
+decides for all engines, needs to own none, and may be replaced at any moment: engines' owners carry
+out what the newest one decides.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import logbook
+from gradelug_wire import placement_pb2 as pb
+
+from .followers import Follower
+from .model import EngineReport, Order, OrderOutcome, Replica
+from .ports import OrderTransport
+
+log = logbook.Logger("relay")
+ANSWER_S = 0.25
+"""An owner tells how an order was taken within this: its own wait for the engine (0.12 s), two ways
+between instances, and the gathering of messages at both ends."""
+
+
+class OrderRelay:
+    """Implements `gradelug_gateway.ports.OrderTransport` for a planner.
+
+    Parameters
+    ----------
+    transport : OrderTransport
+        Reads the state of engines, which anybody may.
+    """
+
+    __slots__ = ("_owners", "_pending", "_tickets", "_transport")
+
+    def __init__(self, transport: OrderTransport) -> None:
+        self._transport = transport
+        self._owners: dict[str, Follower] = {}
+        """Who says that it may order an engine, by the engine's name."""
+        self._pending: dict[int, tuple[Follower, asyncio.Future[OrderOutcome]]] = {}
+        self._tickets = itertools.count(1)
+
+    def may_order(self, replica: Replica) -> bool:
+        """Tell whether an engine's owner is known and follows the planner."""
+        return replica.name in self._owners
+
+    async def order(self, replica: Replica, order: Order) -> OrderOutcome:
+        """Have an order given by the engine's owner."""
+        owner = self._owners.get(replica.name)
+        if owner is None:
+            return OrderOutcome.NOT_GIVEN
+        ticket = next(self._tickets)
+        fut: asyncio.Future[OrderOutcome] = asyncio.get_running_loop().create_future()
+        self._pending[ticket] = (owner, fut)
+        owner.send(pb.FromPlanner(active=True, orders=[_encode(ticket, replica, order)]))
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                return await fut
+        except TimeoutError:
+            log.info("no word of an order", replica=replica.name, owner=owner.instance)
+            return OrderOutcome.LOST
+        finally:
+            del self._pending[ticket]
+
+    async def report(self, replica: Replica) -> EngineReport | None:
+        """Return the engine's state, None if it cannot be had."""
+        return await self._transport.report(replica)
+
+    def take(self, follower: Follower, message: pb.FromGateway) -> None:
+        """Take what a gateway says of its engines and of orders that it gave."""
+        if message.HasField("owned"):
+            self._disown(follower)
+            for name in message.owned.replicas:
+                self._owners[name] = follower
+        for result in message.results:
+            outcome = OrderOutcome[pb.Outcome.Name(result.outcome)]
+            self._resolve(result.ticket, outcome)
+
+    def forget(self, follower: Follower) -> None:
+        """Take a gateway for gone: whether it gave its last orders is not known."""
+        self._disown(follower)
+        for ticket, (owner, _) in list(self._pending.items()):
+            if owner is follower:
+                self._resolve(ticket, OrderOutcome.LOST)
+
+    def _disown(self, follower: Follower) -> None:
+        self._owners = {
+            name: owner for name, owner in self._owners.items() if owner is not follower
+        }
+
+    def _resolve(self, ticket: int, outcome: OrderOutcome) -> None:
+        _, fut = self._pending.get(ticket, (None, None))
+        if fut is not None and not fut.done():
+            fut.set_result(outcome)
+
+
+def _encode(ticket: int, replica: Replica, order: Order) -> pb.EngineOrder:
+    return pb.EngineOrder(
+        ticket=ticket,
+        replica=replica.name,
+        load=order.load,
+        model=order.key.model,
+        adapter=order.key.adapter,
+        version=order.version,
+        expected=order.expected,
+    )
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import typing as t
+from dataclasses import replace
 
 import logbook
 from gradelug_http import (
@@ -15,6 +16,7 @@
     ResponseHead,
     end_to_end,
 )
+from gradelug_policy.reading import LATE, Busyness, Work, first_event_s
 
 from .directory import Directory
 from .fleet import Fleet
@@ -109,11 +111,15 @@
             weights=key.text if key is not None else "",
             waited_s=round(job.placed_s, 3),
             cost=round(self._fleet.cost(replica, now), 2),
+            ahead=load.busyness().ahead(job.work.urgency),
+            prompt=job.work.prompt_tokens,
         )
+        work = self._with_urgency(job, replica)
+        sending = _Exchange(job, replica, conn, work, load.busyness(), now)
         load.starting += 1
+        load.queued[work.urgency] += work.prompt_tokens
         if key is not None:
-            self._directory.note_begin(replica.name, key)
-        sending = _Exchange(job, replica, conn)
+            self._directory.note_begin(replica.name, key, job.work.prompt_tokens)
         try:
             outcome = await self._exchange(sending)
         except ResponseBroken as exc:
@@ -128,14 +134,23 @@
                 load.running -= 1
             else:
                 load.starting -= 1
+                load.queued[work.urgency] -= work.prompt_tokens
             if key is not None:
                 self._directory.note_end(replica.name, key)
         health.note(outcome is Outcome.RAN, self._clock())
         return outcome
 
+    def _with_urgency(self, job: Job, replica: Replica) -> Work:
+        """Return a request's work; one that would be late anyway waits for those that would not."""
+        if job.inc.started or not job.work.prompt_tokens:
+            return job.work
+        if self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s):
+            return replace(job.work, urgency=LATE)
+        return job.work
+
     async def _exchange(self, sending: _Exchange) -> Outcome:
         job, replica = sending.job, sending.replica
-        attempt = self._attempt(job, replica)
+        attempt = self._attempt(job, replica, sending.work)
         try:
             sending.conn.send(self._dialect.outgoing(job.req, attempt))
         except ConnectFailed:
@@ -158,12 +173,12 @@
             job.in_doubt = was_in_doubt
         return self._conclude(job, replica, verdict, head, body)
 
-    def _attempt(self, job: Job, replica: Replica) -> Attempt:
+    def _attempt(self, job: Job, replica: Replica, work: Work) -> Attempt:
         version = 0
         if job.req.key is not None:
             version = self._fleet.state.versions.get(job.req.key, 0)
         left_s = job.deadline_at - self._clock()
-        return Attempt(replica, left_s, version, job.route.rank, job.events.last_event)
+        return Attempt(replica, left_s, version, work.urgency, job.events.last_event)
 
     async def _listen(self, sending: _Exchange, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
         """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
@@ -243,8 +258,10 @@
     def _note_running(self, sending: _Exchange) -> None:
         load = self._fleet.load(sending.replica.name)
         load.starting -= 1
+        load.queued[sending.work.urgency] -= sending.work.prompt_tokens
         load.running += 1
         sending.running = True
+        self._learn_speed(sending)
         first_s = self._clock() - sending.job.req.arrived_at
         self._meters.first_event(first_s)
         if first_s > sending.job.route.target_s:
@@ -255,8 +272,21 @@
                 first_s=round(first_s, 3),
                 placed_s=round(sending.job.placed_s, 3),
                 sends=sending.job.sends,
+                prompt=sending.work.prompt_tokens,
+                urgency=sending.work.urgency,
+                queued=[tokens for tokens in sending.busy.queued if tokens],
+                speed=round(self._fleet.speeds.speed(sending.replica.service)),
             )
 
+    def _learn_speed(self, sending: _Exchange) -> None:
+        service, work = sending.replica.service, sending.work
+        if not work.prompt_tokens:
+            return
+        took_s = self._clock() - sending.sent_at
+        expected_s = first_event_s(sending.busy, work, self._fleet.speeds.speed(service))
+        self._meters.estimate(abs(took_s - expected_s))
+        self._fleet.speeds.note(service, sending.busy, work, took_s)
+
     def pass_on(self, job: Job, head: ResponseHead, body: bytes) -> None:
         """Answer with a replica's whole answer."""
         job.inc.respond(head.status, end_to_end(head.headers), body)
@@ -277,9 +307,21 @@
 class _Exchange:
     """One sending of a request over one connection."""
 
-    __slots__ = ("conn", "job", "released", "replica", "running")
+    __slots__ = ("busy", "conn", "job", "released", "replica", "running", "sent_at", "work")
 
-    def __init__(self, job: Job, replica: Replica, conn: Connection) -> None:
+    def __init__(
+        self,
+        job: Job,
+        replica: Replica,
+        conn: Connection,
+        work: Work,
+        busy: Busyness,
+        sent_at: float,
+    ) -> None:
+        self.work = work
+        self.busy = busy
+        """What the replica did when the request was sent."""
+        self.sent_at = sent_at
         self.job = job
         self.replica = replica
         self.conn = conn
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -154,7 +154,7 @@
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
         self._budget.note_attempt()
-        return Job(inc, req, route, service)
+        return Job(inc, req, route, service, self._values.work(route, req))
 
     async def _run(self, job: Job) -> None:
         while True:
@@ -187,8 +187,8 @@
     async def _place_weights(self, job: Job, key: AdapterKey) -> Replica:
         if not job.absent:
             holders = self._fleet.holders(job.service.name, key)
-            replica = self._fleet.choose(holders, job.excluded, job.candidates())
-            if replica is not None:
+            replica = self._fleet.choose(holders, job.excluded, job.candidates(), job.work)
+            if replica is not None and not self._had_better_ask(job, replica):
                 return replica
         return await self._directory.place(
             job.service.name,
@@ -199,13 +199,20 @@
             absent=job.absent,
         )
 
+    def _had_better_ask(self, job: Job, replica: Replica) -> bool:
+        """Tell whether a request would be late at a replica and the planner may know a better."""
+        if job.asked or job.inc.started or not self._directory.is_followed(job.service.name):
+            return False
+        job.asked = True
+        return self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s)
+
     def _wish(self, job: Job) -> Wish:
         route, req = job.route, job.req
         if job.inc.started:
             # A stream that was begun must not be refused; its caller waits for the next event.
             now = self._clock()
             until = min(job.deadline_at, now + route.patience_s) - PATIENCE_MARGIN_S
-            return Wish(route.rank, BEGUN_VALUE, True, now + route.target_s, until, until)
+            return Wish(route.rank, BEGUN_VALUE, True, now + route.target_s, until, until, job.work)
         # Another try of the same caller has less than the whole time left.
         returning = req.wait_s < RETURNING_PART * self._values.longest_wait(route.name, req.wait_s)
         return Wish(
@@ -215,6 +222,7 @@
             target_at=req.arrived_at + route.target_s,
             half_at=req.arrived_at + HALF * (job.deadline_at - req.arrived_at),
             until=min(job.deadline_at, req.arrived_at + route.patience_s) - PATIENCE_MARGIN_S,
+            work=job.work,
         )
 
     # Sending again.
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -8,10 +8,11 @@
 from collections import Counter
 
 import logbook
-from gradelug_policy.residency import LoadWindow, expected_wait_s
+from gradelug_policy.reading import LATE, Work, first_event_s
+from gradelug_policy.residency import LoadWindow
 
 from .engines import Engine, Phase, Place
-from .model import AdapterKey, BaseModel, EngineSpec, OrderOutcome
+from .model import AdapterKey, BaseModel, EngineSpec, OrderOutcome, Term
 
 if t.TYPE_CHECKING:
     from .planner import Planner
@@ -19,12 +20,12 @@
 log = logbook.Logger("upkeep")
 MODEL_SLACK_S = 1.5
 """A base model shows in an engine's report this long after its load at the latest."""
-RATE_PER_COPY = 3.0
-"""Requests a second for an adapter above which it gets another engine: an engine reads about ten
-prompts a second."""
-LONG_QUEUE = 4
-"""Requests before their first event on an engine from which on another engine may take over:
-reading a prompt takes about 0.1 s, and answers in time begin within 1 s."""
+PART_PER_COPY = 0.35
+"""Part of an engine's time that reading the prompts for one adapter may take before it gets another
+engine: beside the other adapters there it waits for itself then."""
+LONG_QUEUE_S = 0.4
+"""Reading that is before a new request on an engine, in seconds, from which on another engine may
+take over: answers in time begin within about 1 s."""
 RELIEF_MARGIN_S = 0.15
 """Another engine must be better by this: those that queue already stay where they are."""
 
@@ -60,15 +61,15 @@
         self._coming: dict[str, float] = {}
         """Until when a base model is on its way, by its name."""
 
-    def do(self) -> None:
-        """Do what is due; the planner must hold its token."""
-        self._renew_versions()
-        self._ensure_models()
-        self._place_wanted_models()
+    def do(self, term: Term) -> None:
+        """Do what is due in the planner's term."""
+        self._renew_versions(term)
+        self._ensure_models(term)
+        self._place_wanted_models(term)
         self._add_copies()
         self._relieve_queues()
 
-    def _renew_versions(self) -> None:
+    def _renew_versions(self, term: Term) -> None:
         planner = self._planner
         for key, version in planner.state.versions.items():
             for name, engine in planner.engines.items():
@@ -81,26 +82,26 @@
                     place.phase = Phase.LEAVING
                     planner.followers.mark(name)
                 if engine.synced and not engine.users(key):
-                    planner.start(self._drop(engine, key, place))
+                    planner.start(self._drop(term, engine, key, place))
 
-    async def _drop(self, engine: Engine, key: AdapterKey, place: Place) -> None:
+    async def _drop(self, term: Term, engine: Engine, key: AdapterKey, place: Place) -> None:
         async with engine.lock:
             held = engine.places.get(key) is place
-            if not self._planner.fence or not engine.synced or not held:
+            if term.is_over or not engine.synced or not held:
                 return
-            outcome = await self._planner.loading.order(engine, False, key, 0)
+            outcome = await self._planner.loading.order(term, engine, False, key, 0)
             engine.undo(key, place)
             if outcome is not OrderOutcome.HOLDS:
                 self._planner.loading.keep_unloading(engine, key, outcome)
 
-    def _ensure_models(self) -> None:
+    def _ensure_models(self, term: Term) -> None:
         for engine in self._planner.engines.values():
             held = [key for key in engine.places if not key.adapter]
             if engine.synced and not held and self._spec.models:
                 model = self._least_held_model()
                 key = AdapterKey(model.name)
                 place = engine.places[key] = Place(0, Phase.LOADING, self._clock())
-                self._planner.start(self._load_model(engine, key, place, model.load_s))
+                self._planner.start(self._load_model(term, engine, key, place, model.load_s))
 
     def _least_held_model(self) -> BaseModel:
         holders: Counter[str] = Counter()
@@ -108,7 +109,7 @@
             holders.update(key.model for key in engine.places if not key.adapter)
         return min(self._spec.models, key=lambda model: holders[model.name])
 
-    def _place_wanted_models(self) -> None:
+    def _place_wanted_models(self, term: Term) -> None:
         """Bring in models that requests wait for and no engine holds."""
         held = Counter(
             key.model
@@ -127,7 +128,7 @@
             self._coming[name] = now + model.load_s + MODEL_SLACK_S
             key = AdapterKey(name)
             place = engine.places[key] = Place(0, Phase.LOADING, self._clock())
-            self._planner.start(self._load_model(engine, key, place, model.load_s, victim))
+            self._planner.start(self._load_model(term, engine, key, place, model.load_s, victim))
 
     def _engine_for(self, model: BaseModel, held: Counter[str]) -> Engine | None:
         """Return an engine with room, else the unused one whose models are held most elsewhere."""
@@ -156,6 +157,7 @@
 
     async def _load_model(
         self,
+        term: Term,
         engine: Engine,
         key: AdapterKey,
         place: Place,
@@ -169,13 +171,13 @@
                 engine.undo(key, place)
                 return
             if victim is not None:
-                outcome = await self._planner.loading.order(engine, False, victim, 0)
+                outcome = await self._planner.loading.order(term, engine, False, victim, 0)
                 if outcome is not OrderOutcome.HOLDS:
                     engine.undo(key, place)
                     engine.synced = False
                     return
             self._window.note(self._clock())
-            outcome = await self._planner.loading.order(engine, True, key, 0)
+            outcome = await self._planner.loading.order(term, engine, True, key, 0)
             if outcome in (OrderOutcome.TAKEN, OrderOutcome.HOLDS):
                 # Another order for this engine may only come when it is through.
                 await asyncio.sleep(load_s)
@@ -188,7 +190,7 @@
         wanted = [
             key
             for key, count in planner.copies().items()
-            if planner.popularity.rate(key.text, now) > RATE_PER_COPY * count
+            if planner.tokens.rate(key.text, now) > PART_PER_COPY * planner.speed * count
         ]
         openings = planner.openings() if wanted else {}
         for key in wanted:
@@ -197,19 +199,28 @@
     def _relieve_queues(self) -> None:
         """Bring adapters whose requests queue on every engine that has them in on another one."""
         planner, now = self._planner, self._clock()
-        queued = [engine for engine in planner.engines.values() if engine.starting >= LONG_QUEUE]
+        queued = [
+            engine
+            for engine in planner.engines.values()
+            if self._queue_s(engine, now) >= LONG_QUEUE_S
+        ]
         openings = planner.openings() if queued else {}
         for engine in queued:
             key = engine.most_used()
             if key is None:
                 continue
-            wait_s = self._least_wait_s(key)
+            load = engine.load()
+            work = Work(sum(load.queued) // max(1, load.starting), urgency=LATE - 1)
+            wait_s = self._least_wait_s(key, work, now)
             if wait_s is not None:
                 most_s = wait_s - RELIEF_MARGIN_S
-                planner.load(key, now, openings, lambda name: True, most_s)
+                planner.load(key, now, openings, lambda name: True, most_s, work)
+
+    def _queue_s(self, engine: Engine, now: float) -> float:
+        return first_event_s(engine.busyness(now), Work(urgency=LATE - 1), self._planner.speed)
 
-    def _least_wait_s(self, key: AdapterKey) -> float | None:
-        """Return the shortest wait on engines that have an adapter, None if one is loading it."""
+    def _least_wait_s(self, key: AdapterKey, work: Work, now: float) -> float | None:
+        """Return the least cost on engines that have an adapter, None if one is loading it."""
         least_s = math.inf
         for engine in self._planner.engines.values():
             place = engine.places.get(key)
@@ -217,5 +228,6 @@
                 continue
             if place.phase is Phase.LOADING:
                 return None
-            least_s = min(least_s, expected_wait_s(engine.starting, engine.running))
+            if place.phase is Phase.READY:
+                least_s = min(least_s, self._planner.cost_s(engine, work, now))
         return least_s
--- a/packages/gateway/src/gradelug_gateway/waiting.py
+++ b/packages/gateway/src/gradelug_gateway/waiting.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from gradelug_policy import Popularity
+from gradelug_policy.reading import Work
 from gradelug_wire import placement_pb2 as pb
 
 from .followers import Follower
@@ -40,7 +41,7 @@
 class Waiter:
     """A question that is not answered yet."""
 
-    __slots__ = ("ask", "asked_at", "follower", "half_at", "key", "target_at", "until")
+    __slots__ = ("ask", "asked_at", "follower", "half_at", "key", "target_at", "until", "work")
 
     def __init__(self, follower: Follower, ask: pb.Ask, now: float) -> None:
         self.follower = follower
@@ -50,6 +51,7 @@
         self.until = now + ask.wait_ms / 1000
         self.target_at = now + ask.target_ms / 1000
         self.half_at = now + ask.half_ms / 1000
+        self.work = Work(ask.prompt_tokens, ask.answer_tokens, ask.rank)
 
     @property
     def hold_s(self) -> float:
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/reading.py
@@ -0,0 +1,165 @@
+"""What a request costs on an engine, in time: its own and that of the others there.
+
+An engine reads prompts in pieces between the steps in which its running streams make tokens. Until
+its prompt is read a request waits for those before it; and while prompts are read, each running
+stream makes its tokens several times as slowly, and so holds its adapter's place for longer.
+"""
+
+from __future__ import annotations
+
+import itertools
+import typing as t
+from dataclasses import dataclass
+
+URGENCIES = 10
+"""Engines know so many; 0 goes first."""
+LATE = URGENCIES - 1
+"""Urgency of requests that would be late anyway: they wait for those that can be in time."""
+FIRST_TOKENS_PER_S = 20_000.0
+"""Speed of reading until something was observed: the users' engines read 19,000 and 38,000."""
+STEP = 0.03
+FIRST_STEP = 0.3
+"""A learned speed moves by this part towards each observation, the first ones by more."""
+MEAN_WEIGHT = 0.02
+"""Share of the newest prompt in the mean length: shorter prompts say little of the speed, since
+most of the time to their first event is not reading."""
+MOST_AHEAD = 0.3
+"""Requests with more than this part of their own prompt before them say little either."""
+TOKEN_S = 0.008
+"""Time of a token while no prompt is read: 5 and 9 ms on the users' engines."""
+MOST_BUSY = 0.9
+"""An engine is not taken to read for more than this part of its time: streams are slowed ten times
+then."""
+PLACE_PART = 0.1
+"""What a second for which a stream holds its place longer costs next to a second until a first
+event. Rounds: docs/DECISIONS.md."""
+
+
+@dataclass(slots=True, frozen=True)
+class Work:
+    """What a request asks of an engine.
+
+    Parameters
+    ----------
+    prompt_tokens : int
+        To be read.
+    answer_tokens : float
+        Expected in the answer.
+    urgency : int
+        Engines begin with the prompts of the least.
+    """
+
+    prompt_tokens: int = 0
+    answer_tokens: float = 0.0
+    urgency: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Busyness:
+    """What an engine does at the moment.
+
+    Parameters
+    ----------
+    queued : tuple of int
+        Tokens of prompts whose requests have no first event yet, by urgency.
+    tokens_per_s : float
+        Of prompts that were begun lately, a second.
+    running : int
+        Streams after their first event.
+    """
+
+    queued: tuple[int, ...] = ()
+    tokens_per_s: float = 0.0
+    running: int = 0
+
+    def ahead(self, urgency: int) -> int:
+        """Return the tokens that are read before the prompt of a new request."""
+        return sum(self.queued[: urgency + 1])
+
+
+class _Speed:
+    """What is known of one service's engines."""
+
+    __slots__ = ("mean_prompt", "seen", "tokens_per_s")
+
+    def __init__(self) -> None:
+        self.tokens_per_s = FIRST_TOKENS_PER_S
+        self.mean_prompt = 0.0
+        self.seen = 0
+
+
+class ReadingSpeeds:
+    """Learns how many tokens of prompts a second the engines of each service read.
+
+    It is the median of what is seen of long prompts with little before them: some are found kept
+    and take a tenth of the time, some wait for what was not known of.
+    """
+
+    __slots__ = ("_speeds",)
+
+    def __init__(self) -> None:
+        self._speeds: dict[str, _Speed] = {}
+
+    def speed(self, service: str) -> float:
+        """Return the tokens a second to reckon with."""
+        known = self._speeds.get(service)
+        return known.tokens_per_s if known is not None else FIRST_TOKENS_PER_S
+
+    def note(self, service: str, busy: Busyness, work: Work, took_s: float) -> None:
+        """Learn from a first event.
+
+        Parameters
+        ----------
+        service : str
+            Whose engine.
+        busy : Busyness
+            What the engine did when the request was sent.
+        work : Work
+            What was asked.
+        took_s : float
+            From sending to the first event, in seconds.
+        """
+        known = self._speeds.setdefault(service, _Speed())
+        prompt = work.prompt_tokens
+        if not known.mean_prompt:
+            known.mean_prompt = prompt
+        known.mean_prompt += MEAN_WEIGHT * (prompt - known.mean_prompt)
+        if prompt < known.mean_prompt or sum(busy.queued) > MOST_AHEAD * prompt or took_s <= 0:
+            return
+        known.seen += 1
+        step = 1 + max(STEP, FIRST_STEP / known.seen)
+        known.tokens_per_s *= step if prompt / took_s > known.tokens_per_s else 1 / step
+
+
+def first_event_s(busy: Busyness, work: Work, speed: float) -> float:
+    """Return the time until a first event, in seconds."""
+    return (busy.ahead(work.urgency) + work.prompt_tokens) / speed
+
+
+def cost_s(busy: Busyness, work: Work, speed: float) -> float:
+    """Return the time that a request costs on an engine, its own and the others', in seconds.
+
+    Parameters
+    ----------
+    busy : Busyness
+        What the engine does.
+    work : Work
+        What is asked of it.
+    speed : float
+        Tokens of prompts that it reads a second.
+    """
+    part = min(MOST_BUSY, busy.tokens_per_s / speed)
+    slowed_s = work.answer_tokens * TOKEN_S * part / (1 - part)
+    slows_s = busy.running * work.prompt_tokens / speed
+    return first_event_s(busy, work, speed) + PLACE_PART * (slowed_s + slows_s)
+
+
+def add_queues(queues: t.Iterable[t.Sequence[int]]) -> tuple[int, ...]:
+    """Return the sum of some queues, each given by urgency."""
+    return tuple(map(sum, itertools.zip_longest(*queues, fillvalue=0)))
+
+
+def less_queue(queue: t.Sequence[int], part: t.Sequence[int]) -> tuple[int, ...]:
+    """Return a queue without a part of it, each given by urgency."""
+    pairs = itertools.zip_longest(queue, part, fillvalue=0)
+    return tuple(max(0, tokens - less) for tokens, less in pairs)
--- a/packages/policy/src/gradelug_policy/residency.py
+++ b/packages/policy/src/gradelug_policy/residency.py
@@ -13,10 +13,6 @@
 
 from .placement import affinity
 
-QUEUE_COST_S = 0.1
-"""Time that each request before the first event adds: reading a prompt of 1,800 tokens."""
-RUNNING_COST_S = 0.006
-"""Time that each running stream adds to that."""
 MISSED_COST_S = 0.15
 """Cost of evicting an adapter per request a second that it will be missed for."""
 STORE_COST_S = 0.3
@@ -55,16 +51,15 @@
         Adapters that nobody uses.
     cached : bool
         Whether its host memory keeps the adapter.
-    starting, running : int
-        Requests before and after their first event.
+    wait_s : float
+        What the request costs there once the adapter is there, in seconds (`reading.cost_s`).
     """
 
     name: str
     free: int
     victims: tuple[Victim, ...]
     cached: bool
-    starting: int
-    running: int
+    wait_s: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -130,12 +125,7 @@
 def expected_cost_s(engine: EnginePlaces, costs: LoadCosts) -> float:
     """Return the time until a first event there and what a load costs, in seconds."""
     load_s = costs.cached_s if engine.cached else costs.store_s + STORE_COST_S
-    return load_s + expected_wait_s(engine.starting, engine.running)
-
-
-def expected_wait_s(starting: int, running: int) -> float:
-    """Return the time until a first event on an engine that has the adapter, in seconds."""
-    return QUEUE_COST_S * starting + RUNNING_COST_S * running
+    return load_s + engine.wait_s
 
 
 class LoadWindow:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -150,8 +150,8 @@
         run(scenario)
 
     def test_a_lease_that_changed_hands_ends_the_duty(self):
-        """On the new customer's quiet-1 a planner whose lease had lapsed behind a cut acted again on
-        its old token, under a new lease, until its mirror showed the successor 0.7 s later."""
+        """On the new customer's quiet-1 a planner whose lease had lapsed behind a cut acted again
+        on its old token, under a new lease, until its mirror showed the successor 0.7 s later."""
 
         async def scenario():
             for outlasts in (False, True):
--- /dev/null
+++ b/tests/test_lasting.py
@@ -0,0 +1,258 @@
+"""Owners of engines that check no tokens: never two within the hold-off, one that comes back."""
+
+import asyncio
+import random
+
+from gradelug_coordination import KvUnavailable, LastingOwnership, LeaseKeeper, Mirror
+from gradelug_standins.kv import MemoryKv
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import new_loop
+
+HOLD_OFF_S = 3.0
+TTL_S = 1.2
+RESOURCES = ("r0", "r1", "r2", "r3")
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+class PathToKv:
+    """One instance's way to the service: it can be cut, or lose answers."""
+
+    def __init__(self, kv):
+        self.kv = kv
+        self.cut = False
+        self.lose = 0
+
+    def __getattr__(self, name):
+        call = getattr(self.kv, name)
+
+        async def through(*args):
+            if self.cut:
+                await asyncio.sleep(0.05)
+                raise KvUnavailable("cut off")
+            found = await call(*args)
+            if self.lose and name == "swap":
+                self.lose -= 1
+                raise KvUnavailable("the answer was lost")
+            return found
+
+        return through
+
+    async def watch(self, prefix, after):
+        async for events in self.kv.watch(prefix, after):
+            if self.cut:
+                raise KvUnavailable("cut off")
+            yield events
+
+
+class Instance:
+    """An instance whose process can be killed and started again."""
+
+    def __init__(self, kv, name):
+        self.kv = kv
+        self.name = name
+        self.path = PathToKv(kv)
+        self.ownership = None
+        self.tasks = []
+        self.start()
+
+    def start(self):
+        clock = asyncio.get_running_loop().time
+        rng = random.Random(self.name)
+        mirror = Mirror(self.path, "", rng, 0.5)
+        self.lease = LeaseKeeper(self.path, TTL_S, clock, rng)
+        self.ownership = LastingOwnership(
+            self.path, "e/", mirror, self.lease, self.name, clock, HOLD_OFF_S, lambda: RESOURCES
+        )
+        self.tasks = [
+            asyncio.create_task(mirror.run()),
+            asyncio.create_task(self.ownership.run()),
+        ]
+
+    async def kill(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks = []
+
+    @property
+    def is_up(self):
+        return bool(self.tasks)
+
+    def token(self, resource):
+        return self.ownership.token(resource) if self.is_up else None
+
+
+class Fleet:
+    """Instances, and a watch over who may act when."""
+
+    def __init__(self, count):
+        self.kv = MemoryKv()
+        self.clock = asyncio.get_running_loop().time
+        self.instances = [Instance(self.kv, f"n{at}") for at in range(count)]
+        self.last = {}
+        self.watching = asyncio.create_task(self._watch())
+
+    async def _watch(self):
+        while True:
+            await asyncio.sleep(0.02)
+            self.check()
+
+    def check(self):
+        now = self.clock()
+        for resource in RESOURCES:
+            for instance in self.instances:
+                fence = instance.token(resource)
+                if fence is None:
+                    continue
+                name, at, before = self.last.get(resource, (instance.name, now, 0))
+                if name != instance.name:
+                    assert now - at >= HOLD_OFF_S, (resource, name, instance.name, now - at)
+                assert fence >= before
+                self.last[resource] = (instance.name, now, fence)
+
+    def owners(self):
+        return {
+            resource: [found.name for found in self.instances if found.token(resource)]
+            for resource in RESOURCES
+        }
+
+    async def stop(self):
+        for instance in self.instances:
+            await instance.kill()
+        self.watching.cancel()
+        done = await asyncio.gather(self.watching, return_exceptions=True)
+        assert isinstance(done[0], asyncio.CancelledError), done
+
+
+class TestLastingOwnership:
+    def test_resources_are_shared_evenly(self):
+        async def scenario():
+            fleet = Fleet(4)
+            await asyncio.sleep(3.0)
+            owners = fleet.owners()
+            assert sorted(names for [names] in owners.values()) == ["n0", "n1", "n2", "n3"]
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_the_loss_of_one_holds_up_its_own_resources_alone(self):
+        async def scenario():
+            fleet = Fleet(4)
+            await asyncio.sleep(3.0)
+            before = fleet.owners()
+            await fleet.instances[0].kill()
+            for _ in range(30):
+                await asyncio.sleep(0.1)
+                kept = {name: who for name, who in fleet.owners().items() if before[name] != ["n0"]}
+                assert all(kept[name] == before[name] for name in kept)
+            await asyncio.sleep(4.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_who_comes_back_goes_on_at_once(self):
+        """After power was lost everywhere loads stood still for 3 s: nobody was remembered."""
+
+        async def scenario():
+            fleet = Fleet(3)
+            await asyncio.sleep(3.0)
+            before = fleet.owners()
+            for instance in fleet.instances:
+                await instance.kill()
+            await asyncio.sleep(1.5)
+            for instance in fleet.instances:
+                instance.start()
+            await asyncio.sleep(0.5)
+            assert fleet.owners() == before
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_a_lease_that_was_taken_away_untold_is_outlived_by_the_wait(self):
+        async def scenario():
+            fleet = Fleet(3)
+            await asyncio.sleep(3.0)
+            victim = fleet.instances[0]
+            victim.path.cut = True
+            fleet.kv.lapse(victim.lease.lease)
+            await asyncio.sleep(8.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            victim.path.cut = False
+            await asyncio.sleep(3.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_a_token_ends_with_the_lease_under_which_it_was_taken(self):
+        async def scenario():
+            fleet = Fleet(1)
+            await asyncio.sleep(3.0)
+            (one,) = fleet.instances
+            first = one.token("r0")
+            fleet.kv.lapse(one.lease.lease)
+            tokens = set()
+            for _ in range(60):
+                await asyncio.sleep(0.02)
+                if one.lease.lease and one.ownership._claims["r0"].lease != one.lease.lease:
+                    assert one.token("r0") is None
+                tokens.add(one.token("r0"))
+            assert one.token("r0") > first
+            await fleet.stop()
+
+        run(scenario)
+
+    @settings(derandomize=True, max_examples=25, deadline=None)
+    @given(
+        steps=st.lists(
+            st.tuples(st.integers(0, 2), st.floats(0.0, 2.5), st.sampled_from("kkscchlrod")),
+            min_size=8,
+            max_size=25,
+        )
+    )
+    def test_never_two_within_the_hold_off(self, steps):
+        async def scenario():
+            fleet = Fleet(3)
+            await asyncio.sleep(2.5)
+            for number, pause_s, what in steps:
+                await disturb(fleet, fleet.instances[number], what)
+                await asyncio.sleep(pause_s)
+                assert not fleet.watching.done()
+            fleet.kv.set_down(False)
+            for instance in fleet.instances:
+                instance.path.cut = False
+                if not instance.is_up:
+                    instance.start()
+            await asyncio.sleep(10.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+
+async def disturb(fleet, instance, what):
+    if what == "k":
+        await instance.kill()
+    elif what == "s" and not instance.is_up:
+        instance.start()
+    elif what == "c":
+        instance.path.cut = True
+    elif what == "h":
+        instance.path.cut = False
+    elif what == "l":
+        instance.path.lose = 2
+    elif what == "r":
+        fleet.kv.lapse(instance.lease.lease)
+    elif what == "o":
+        fleet.kv.set_down(True)
+    elif what == "d":
+        fleet.kv.set_down(False)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -61,6 +61,9 @@
             return OrderOutcome.LOST
         return outcome
 
+    def may_order(self, replica):
+        return True
+
     async def report(self, replica):
         await asyncio.sleep(0.002)
         engine = self.engines.get(replica.name)
@@ -86,7 +89,7 @@
             self.add(f"e{at}")
         window = LoadWindow(2.0, 5.0, 1.1, 3)
         self.planner = Planner("llm", "me", spec, self.state, self.transport, window, self.clock)
-        self.planner.fence = 7
+        self.planner.begin_term(7)
         self.gateway = self.planner.followers.join("g", "")
         self.task = asyncio.create_task(self.planner.run())
         self.tickets = 0
@@ -116,7 +119,7 @@
         self.planner.take(self.gateway, pb.FromGateway(uses=[use]))
 
     def load(self, replica, starting):
-        load = pb.Load(replica=replica, starting=starting)
+        load = pb.Load(replica=replica, starting=starting, queued=[2000 * starting])
         self.planner.take(self.gateway, pb.FromGateway(loads=[load]))
 
     def collect(self):
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,166 @@
+"""Orders that the owners of engines give for a planner."""
+
+import asyncio
+
+from gradelug_gateway.engines import Engine
+from gradelug_gateway.executing import Executor
+from gradelug_gateway.fleet import Fleet
+from gradelug_gateway.followers import Followers
+from gradelug_gateway.link import PlannerLink
+from gradelug_gateway.model import (
+    AdapterKey,
+    EngineSpec,
+    FleetState,
+    Order,
+    OrderOutcome,
+    Replica,
+    Term,
+)
+from gradelug_gateway.relay import OrderRelay
+from gradelug_wire import placement_pb2 as pb
+from world import new_loop
+
+SPEC = EngineSpec((), 1000.0, 3, 96, 1000, 2.0)
+REPLICA = Replica("e0", "llm", "e0:1", "hall")
+ORDER = Order(True, AdapterKey("m", "a1"), 0, 0, "planner", 5)
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+class Transport:
+    """Notes the orders that reach engines."""
+
+    def __init__(self):
+        self.given = []
+        self.wait_s = 0.0
+
+    async def order(self, replica, order):
+        self.given.append(order)
+        await asyncio.sleep(self.wait_s)
+        return OrderOutcome.TAKEN
+
+    def may_order(self, replica):
+        return True
+
+
+class Tokens:
+    """Ownership whose tokens a test sets."""
+
+    def __init__(self, **tokens):
+        self.tokens = tokens
+
+    def token(self, resource):
+        return self.tokens.get(resource)
+
+    def held(self):
+        return frozenset(self.tokens)
+
+
+class Pair:
+    """A planner's relay and the link of an instance that owns engines, without a network."""
+
+    def __init__(self, **tokens):
+        clock = asyncio.get_running_loop().time
+        state = FleetState(replicas={"e0": REPLICA})
+        self.transport, self.tokens = Transport(), Tokens(**tokens)
+        executor = Executor("me", self.tokens, state, self.transport)
+        self.link = PlannerLink("llm", "me", "", Fleet(state, "hall", clock), clock, executor)
+        self.relay = OrderRelay(self.transport)
+        self.follower = Followers({}, clock).join("me", "")
+        self.task = asyncio.create_task(self._carry())
+
+    async def _carry(self):
+        while True:
+            await asyncio.sleep(0.005)
+            for message in self.follower.take_messages():
+                self.link._take(message)
+            self.relay.take(self.follower, self.link._message(False))
+
+    async def stop(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+class TestOrderRelay:
+    def test_an_order_is_given_by_the_owner_under_its_own_token(self):
+        async def scenario():
+            pair = Pair(e0=41)
+            await asyncio.sleep(0.05)
+            assert pair.relay.may_order(REPLICA)
+            assert await pair.relay.order(REPLICA, ORDER) is OrderOutcome.TAKEN
+            (given,) = pair.transport.given
+            assert (given.owner, given.fence, given.expected) == ("me", 41, 0)
+            await pair.stop()
+
+        run(scenario)
+
+    def test_without_an_owner_nothing_is_given(self):
+        async def scenario():
+            pair = Pair()
+            await asyncio.sleep(0.05)
+            assert not pair.relay.may_order(REPLICA)
+            assert await pair.relay.order(REPLICA, ORDER) is OrderOutcome.NOT_GIVEN
+            assert not pair.transport.given
+            await pair.stop()
+
+        run(scenario)
+
+    def test_an_owner_whose_token_is_over_gives_nothing(self):
+        async def scenario():
+            pair = Pair(e0=41)
+            await asyncio.sleep(0.05)
+            pair.tokens.tokens["e0"] = None
+            assert await pair.relay.order(REPLICA, ORDER) is OrderOutcome.NOT_GIVEN
+            assert not pair.transport.given
+            await pair.stop()
+
+        run(scenario)
+
+    def test_an_owner_that_leaves_midway_leaves_a_doubt(self):
+        async def scenario():
+            pair = Pair(e0=41)
+            await asyncio.sleep(0.05)
+            pair.transport.wait_s = 10.0
+            ordering = asyncio.create_task(pair.relay.order(REPLICA, ORDER))
+            await asyncio.sleep(0.05)
+            pair.relay.forget(pair.follower)
+            assert await ordering is OrderOutcome.LOST
+            await pair.stop()
+
+        run(scenario)
+
+    def test_a_result_for_an_earlier_planner_is_not_told_to_its_successor(self):
+        """Both number their orders from 1."""
+
+        async def scenario():
+            pair = Pair(e0=41)
+            pair.transport.wait_s = 0.1
+            pair.link._carry_out(pb.EngineOrder(ticket=1, replica="e0", model="m", adapter="a1"))
+            pair.link._stream += 1
+            await asyncio.sleep(0.2)
+            assert pair.transport.given
+            assert not pair.link._message(False).results
+            await pair.stop()
+
+        run(scenario)
+
+
+class TestTerm:
+    def test_an_order_is_not_sent_once_its_term_is_over(self):
+        """On the grown site a planner gave an order with token 130, and 2 ms later one with 0."""
+
+        async def scenario():
+            transport, engine, term = Transport(), Engine(REPLICA, SPEC), Term(130)
+            term.is_over = True
+            outcome = await engine.give(transport, True, AdapterKey("m", "a1"), 0, "me", term)
+            assert outcome is OrderOutcome.NOT_GIVEN
+            assert not transport.given
+            assert not engine.synced
+
+        run(scenario)
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -5,13 +5,15 @@
 COSTS = LoadCosts(0.03, 0.255)
 
 
-def places(name, free=1, victims=(), cached=False, starting=0, running=0):
-    return EnginePlaces(name, free, tuple(victims), cached, starting, running)
+def places(name, free=1, victims=(), cached=False, wait_s=0.0):
+    return EnginePlaces(name, free, tuple(victims), cached, wait_s)
 
 
 class TestChooseHome:
     def test_host_memory_goes_before_the_weight_store(self):
-        choice = choose_home([places("a"), places("b", cached=True, running=9)], "k", COSTS, True)
+        choice = choose_home(
+            [places("a"), places("b", cached=True, wait_s=0.054)], "k", COSTS, True
+        )
         assert choice is not None
         assert (choice.engine, choice.cached) == ("b", True)
 
@@ -27,8 +29,8 @@
     def test_an_engine_whose_places_are_all_in_use_takes_nothing(self):
         assert choose_home([places("a", free=0)], "k", COSTS, True) is None
 
-    def test_an_engine_with_many_requests_before_their_first_event_is_avoided(self):
-        choice = choose_home([places("a", starting=8), places("b")], "k", COSTS, True)
+    def test_an_engine_on_which_a_request_would_wait_long_is_avoided(self):
+        choice = choose_home([places("a", wait_s=0.8), places("b")], "k", COSTS, True)
         assert choice is not None
         assert choice.engine == "b"
 
