Engines' owners go on while the store is away for everybody

Change: instances tell the planner whether the store answers them; while most say that it does not and none says that it does, owners keep what has not been over since their lease was valid. Absence of an owner counts only while in contact with the store.

--- a/packages/coordination/src/gradelug_coordination/lasting.py
+++ b/packages/coordination/src/gradelug_coordination/lasting.py
@@ -6,6 +6,10 @@
 `hold_off_s` and the time to live of its lease: a service that takes an instance's entries away
 does not tell it, and it goes on until its lease is over by its own clock. Whichever of the two
 writes the record first is its owner, and the other's write fails.
+
+While the service is away nobody can take a record over, and owners go on. An owner takes it for
+away, and not only itself for cut off, while most instances say that they cannot reach it and none
+says that it can. What they say is a second old at most, far less than others wait who reach it.
 """
 
 from __future__ import annotations
@@ -35,6 +39,8 @@
 SETTLE_S = 1.0
 """What nobody has owned yet is not taken earlier than this after a start: all instances start
 within 0.3 s of each other and are to share it."""
+OUTAGE_S = 1.0
+"""What instances say of the service's absence holds for so long."""
 FORGET_S = 30.0
 """Records of resources that are gone are kept this long: some come back."""
 MEMBERS_PER_TTL = 25
@@ -101,6 +107,7 @@
         "_mirror",
         "_name",
         "_on_change",
+        "_outage_until",
         "_presence",
         "_root",
         "_started_at",
@@ -132,6 +139,7 @@
         self._on_change = on_change
         self._started_at = clock()
         self._ttl_s = lease.ttl_s
+        self._outage_until = float("-inf")
         self._claims: dict[str, Claim] = {}
         self._presence = Claim(ABSENT, 0)
         self._absent_since: dict[LastingRecord, float] = {}
@@ -143,9 +151,28 @@
     def token(self, resource: str) -> int | None:
         """Return the fencing token to act on a resource with right now, None if that is over."""
         claim = self._claims.get(resource)
-        if claim is None or claim.lease != self._lease.lease or not self._lease.is_valid():
+        if claim is None or claim.lease != self._lease.lease:
             return None
-        return claim.fence
+        return claim.fence if self._lease.is_valid() or self._is_outage() else None
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the service does not answer this process."""
+        return self._lease.is_cut_off()
+
+    def note_outage(self, cut_off: int) -> None:
+        """Take that so many instances cannot reach the service, and that none is known to.
+
+        It keeps alive what has not been over since the lease was valid: once it was, another
+        instance may have been in contact for long enough to take over.
+        """
+        now, known = self._clock(), len(self.present() | {self._name})
+        goes_on = now < max(self._lease.valid_until, self._outage_until)
+        if goes_on and self.is_cut_off and 2 * cut_off > known:
+            self._outage_until = now + OUTAGE_S
+
+    def _is_outage(self) -> bool:
+        return self.is_cut_off and self._clock() < self._outage_until
 
     def held(self) -> frozenset[str]:
         """Return the resources that this process may act on now."""
@@ -180,7 +207,9 @@
 
     async def step(self) -> None:
         """Do what is due now."""
-        if not self._mirror.synced or not self._lease.is_valid():
+        if not self._mirror.synced or not self._lease.is_valid() or self.is_cut_off:
+            # Owners may go on while nobody reaches the service: absence counts from contact on.
+            self._absent_since.clear()
             return
         try:
             await self._announce()
--- a/packages/coordination/src/gradelug_coordination/lease.py
+++ b/packages/coordination/src/gradelug_coordination/lease.py
@@ -12,6 +12,9 @@
 
 RENEWALS_PER_TTL = 3
 MARGIN_FRACTION = 0.1
+PENDING_S = 0.2
+"""A service that has not answered a renewal for so long is out of reach for the moment: it answers
+in some ms."""
 
 
 class LeaseKeeper:
@@ -36,6 +39,7 @@
     """
 
     __slots__ = (
+        "_asked_at",
         "_backoff",
         "_clock",
         "_granted_ttl_s",
@@ -61,6 +65,7 @@
         self._rng = rng
         self._backoff = Backoff(ttl_s / 12, ttl_s / 2, rng)
         self._on_change = on_change
+        self._asked_at = float("inf")
         self.ttl_s = ttl_s
         """Time to live of the next lease; the present one keeps its own."""
         self._granted_ttl_s = ttl_s
@@ -73,6 +78,10 @@
         """Tell whether the lease holds at this moment."""
         return self._clock() < self.valid_until
 
+    def is_cut_off(self) -> bool:
+        """Tell whether the service did not answer the last renewal, or lets one wait."""
+        return not self.answered or self._clock() - self._asked_at > PENDING_S
+
     def remaining_s(self) -> float:
         """Return the seconds left, 0 if it is over."""
         return max(0.0, self.valid_until - self._clock())
@@ -84,11 +93,14 @@
 
     async def step(self) -> float:
         """Renew once, or gain a new lease; return the seconds until the next step."""
+        self._asked_at = self._clock()
         try:
             await self._renew()
         except CoordinationError:
             self.answered = False
             return self._backoff.next_delay()
+        finally:
+            self._asked_at = float("inf")
         self.answered = True
         self._backoff.reset()
         # Jitter keeps the fleet's renewals from falling into step.
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -25,8 +25,9 @@
 from .ports import OrderTransport
 
 log = logbook.Logger("engine")
-HOST_ADAPTERS = 36
-"""Adapters that an engine's host memory is taken to keep; what it says itself goes first."""
+HOST_PER_PLACE = 6
+"""Adapters that an engine's host memory is taken to keep for each place: 36 with 6 places and 54
+with 9 on the users' engines. A load that was wrongly expected from there is awaited longer."""
 REPORT_LAG_S = 0.35
 """A report shows the state of some hundred ms ago."""
 LOADS_AT_ONCE = 4
@@ -190,7 +191,7 @@
         """Note that host memory has a copy now."""
         self.cached[holding] = None
         self.cached.move_to_end(holding)
-        while len(self.cached) > HOST_ADAPTERS:
+        while len(self.cached) > HOST_PER_PLACE * self.spec.adapter_slots:
             self.cached.popitem(last=False)
 
     def can_load(self) -> bool:
--- a/packages/gateway/src/gradelug_gateway/executing.py
+++ b/packages/gateway/src/gradelug_gateway/executing.py
@@ -54,6 +54,15 @@
             if name in replicas and replicas[name].service == service
         )
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the platform's store did not answer this instance last."""
+        return self._ownership.is_cut_off
+
+    def note_outage(self, cut_off: int) -> None:
+        """Take that so many instances cannot reach the platform's store, and none is known to."""
+        self._ownership.note_outage(cut_off)
+
     def carry_out(self, message: pb.EngineOrder, tell: t.Callable[[pb.OrderResult], None]) -> None:
         """Give an order beside other work, and tell how it was taken."""
         task = asyncio.get_running_loop().create_task(self._carry_out(message, tell))
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -17,6 +17,8 @@
 """With many followers news are rarer: telling them costs 330 messages a second however many."""
 READING_STEP = 2_000.0
 """A change of the tokens that an engine reads a second by less than this is not told."""
+HEARD_S = 0.8
+"""What a gateway said last holds for so long: it says something twice a second."""
 PEERS_TOLD = 6
 PEERS_S = 2.0
 """So many other gateways are named so often to each."""
@@ -25,7 +27,17 @@
 class Follower:
     """A gateway that follows this planner."""
 
-    __slots__ = ("address", "answers", "instance", "number", "outbox", "peers_told_at", "wake")
+    __slots__ = (
+        "address",
+        "answers",
+        "heard_at",
+        "instance",
+        "number",
+        "outbox",
+        "peers_told_at",
+        "store_away",
+        "wake",
+    )
 
     def __init__(self, number: int, instance: str, address: str) -> None:
         self.number = number
@@ -34,6 +46,9 @@
         self.answers: list[pb.Answer] = []
         self.outbox: list[pb.FromPlanner] = []
         self.peers_told_at = -math.inf
+        self.heard_at = -math.inf
+        self.store_away = False
+        """Whether it said last that it cannot reach the platform's store."""
         self.wake = asyncio.Event()
 
     def answer(self, answer: pb.Answer) -> None:
@@ -99,13 +114,19 @@
         """Forget a gateway."""
         del self._by_number[follower.number]
 
+    def cut_off(self) -> int:
+        """Return how many gateways cannot reach the platform's store; 0 while any can."""
+        since = self._clock() - HEARD_S
+        heard = [follower for follower in self._by_number.values() if follower.heard_at > since]
+        return len(heard) if all(follower.store_away for follower in heard) else 0
+
     def mark(self, replica: str) -> None:
         """Note that what a replica holds has changed."""
         self._changed.add(replica)
 
     def tell_news(self, active: bool) -> None:
         """Tell everybody what has changed since the last time."""
-        news = pb.FromPlanner(gateways=len(self), active=active)
+        news = pb.FromPlanner(gateways=len(self), active=active, cut_off=self.cut_off())
         for name in self._changed:
             news.holdings.append(self._holdings(name))
         self._changed.clear()
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -288,6 +288,7 @@
         self._results.clear()
         if self._executor is None:
             return
+        message.store_away = self._executor.is_cut_off
         owned = self._executor.owned(self.service)
         if owned != self._told_owned:
             self._told_owned = owned
@@ -326,6 +327,8 @@
                 # Some instance had a first event from it.
                 self._fleet.health(told.replica).heard_at = self._clock()
             load.told_running = told.running
+        if message.cut_off and self._executor is not None:
+            self._executor.note_outage(message.cut_off)
         for order in message.orders:
             self._carry_out(order)
         for answer in message.answers:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -177,6 +177,8 @@
     def take(self, follower: Follower, message: pb.FromGateway) -> None:
         """Take a gateway's message."""
         now = self._clock()
+        follower.heard_at = now
+        follower.store_away = message.store_away
         if self._relay is not None:
             self._relay.take(follower, message)
         for use in message.uses:
@@ -290,8 +292,15 @@
             return False
         if self._is_coming(waiter):
             return True
-        most_s = least_s - MOVE_MARGIN_S
-        return self.load(waiter.key, now, self._openings(now), waiter.may_use, most_s, waiter.work)
+        return self.load(
+            waiter.key,
+            now,
+            self._openings(now),
+            waiter.may_use,
+            least_s - MOVE_MARGIN_S,
+            waiter.work,
+            from_store=False,
+        )
 
     @property
     def speed(self) -> float:
@@ -358,6 +367,7 @@
         may_use: t.Callable[[str], bool],
         most_s: float = math.inf,
         work: Work = Work(),  # noqa: B008
+        from_store: bool = True,
     ) -> bool:
         """Begin to load an adapter where it can be used soonest; False if nowhere.
 
@@ -375,6 +385,8 @@
             What the load may cost at most, in seconds (see `choose_home`).
         work : Work
             What its requests ask of an engine.
+        from_store : bool
+            Whether it may come from the weight store, which has a price.
         """
         if not key.adapter or not openings or self.term is None:
             return False
@@ -391,7 +403,11 @@
             if may_use(name) and opening.engine.lacks(key)
         ]
         choice = choose_home(
-            views, key.text, self.loading.costs(), self.loading.may_use_store(), most_s
+            views,
+            key.text,
+            self.loading.costs(),
+            from_store and self.loading.may_use_store(),
+            most_s,
         )
         if choice is None:
             return False
--- a/packages/policy/src/gradelug_policy/residency.py
+++ b/packages/policy/src/gradelug_policy/residency.py
@@ -15,7 +15,7 @@
 
 MISSED_COST_S = 0.15
 """Cost of evicting an adapter per request a second that it will be missed for."""
-STORE_COST_S = 0.3
+STORE_COST_S = 0.8
 """Loads from the weight store have a price and slow each other down."""
 SAME_S = 0.004
 """Costs this near to each other are taken for equal and decided by hashing."""
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -93,12 +93,25 @@
 class Fleet:
     """Instances, and a watch over who may act when."""
 
-    def __init__(self, count):
+    def __init__(self, count, told_after_s=0.15):
+        self.told_after_s = told_after_s
         self.kv = MemoryKv()
         self.clock = asyncio.get_running_loop().time
         self.instances = [Instance(self.kv, f"n{at}") for at in range(count)]
         self.last = {}
+        self.told = True
+        """Whether instances hear of each other, as they do through a planner."""
         self.watching = asyncio.create_task(self._watch())
+        self.telling = asyncio.create_task(self._tell())
+
+    async def _tell(self):
+        while True:
+            up = [found for found in self.instances if found.is_up]
+            count = len(up) if all(found.ownership.is_cut_off for found in up) else 0
+            await asyncio.sleep(self.told_after_s)
+            for instance in self.instances:
+                if count and self.told and instance.is_up:
+                    instance.ownership.note_outage(count)
 
     async def _watch(self):
         while True:
@@ -127,6 +140,7 @@
     async def stop(self):
         for instance in self.instances:
             await instance.kill()
+        self.telling.cancel()
         self.watching.cancel()
         done = await asyncio.gather(self.watching, return_exceptions=True)
         assert isinstance(done[0], asyncio.CancelledError), done
@@ -211,6 +225,36 @@
 
         run(scenario)
 
+    def test_owners_go_on_while_the_service_is_away_for_everybody(self):
+        """On the new customer's trouble-3 nothing was loaded for 8 s without the store."""
+
+        async def scenario():
+            for told in (True, False):
+                fleet = Fleet(3)
+                fleet.told = told
+                await asyncio.sleep(3.0)
+                before = fleet.owners()
+                fleet.kv.set_down(True)
+                await asyncio.sleep(8.0)
+                assert (fleet.owners() == before) is told
+                fleet.kv.set_down(False)
+                await asyncio.sleep(3.0)
+                assert fleet.owners() == before
+                await fleet.stop()
+
+        run(scenario)
+
+    def test_who_is_cut_off_alone_does_not_go_on(self):
+        async def scenario():
+            fleet = Fleet(3)
+            await asyncio.sleep(3.0)
+            fleet.instances[0].path.cut = True
+            await asyncio.sleep(2.0)
+            assert not fleet.instances[0].ownership.held()
+            await fleet.stop()
+
+        run(scenario)
+
     @settings(derandomize=True, max_examples=25, deadline=None)
     @given(
         steps=st.lists(
@@ -221,7 +265,7 @@
     )
     def test_never_two_within_the_hold_off(self, steps):
         async def scenario():
-            fleet = Fleet(3)
+            fleet = Fleet(3, told_after_s=0.7)
             await asyncio.sleep(2.5)
             for number, pause_s, what in steps:
                 await disturb(fleet, fleet.instances[number], what)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -58,6 +58,8 @@
     def token(self, resource):
         return self.tokens.get(resource)
 
+    is_cut_off = False
+
     def held(self):
         return frozenset(self.tokens)
 
