Refuse at once what cannot be served; drop what measures nothing: relief of queues, place seconds, windows

Change: one rule: what will not be loaded before its caller leaves is refused at once, with when to come back; what would be late and can be served waits; a begun stream is not refused. Without a planner questions are given up once one should long have been replaced. Relief of queues by upkeep, the cost of place seconds (slower streams) and the length hint behind it leave; a request that would be late is taken elsewhere by its own question.

--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -36,20 +36,21 @@
         What an answer in time is worth, 1 for an ordinary urgent request.
     returning : bool
         Whether its caller was refused before and has come back.
-    target_at, half_at, until : float
-        Until when it is in time, when half of its caller's time is over, and until when it waits,
-        by the runtime's clock.
+    target_at, until : float
+        Until when it is in time, and until when it waits, by the runtime's clock.
     work : Work
         What the request asks of an engine.
+    begun : bool
+        Whether its caller has had a part of the answer.
     """
 
     rank: int
     value: float
     returning: bool
     target_at: float
-    half_at: float
     until: float
     work: Work = Work()
+    begun: bool = False
 
 
 class Directory:
@@ -151,17 +152,16 @@
                 rank=wish.rank,
                 wait_ms=self._ms_until(wish.until),
                 target_ms=self._ms_until(wish.target_at),
-                half_ms=self._ms_until(wish.half_at),
                 value=wish.value,
                 returning=wish.returning,
                 prompt_tokens=wish.work.prompt_tokens,
-                answer_tokens=round(wish.work.answer_tokens),
+                begun=wish.begun,
                 excluded=sorted(excluded),
                 only=_first(only),
                 absent=absent,
             )
             try:
-                answer = await link.ask(self._ticket, ask, wish.half_at, wish.until)
+                answer = await link.ask(self._ticket, ask, wish.until)
             except TimeoutError:
                 raise Refused("the weights could not be placed in time", LATE_RETRY_S) from None
             if not answer.replica:
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -8,7 +8,6 @@
 from enum import Enum
 
 import logbook
-from gradelug_policy import Popularity
 from gradelug_policy.reading import Busyness, add_queues
 
 from .model import (
@@ -33,9 +32,6 @@
 LOADS_AT_ONCE = 4
 """Adapters that may be on their way to an engine."""
 MAX_TRIES = 3
-READING_HALF_LIFE_S = 1.5
-"""What an engine reads is taken over about this time: streams last some seconds."""
-READING = "reading"
 IDLE_S = 0.06
 """An adapter makes way when it was unused this long: uses are told with a delay."""
 
@@ -87,7 +83,6 @@
         "orders",
         "places",
         "replica",
-        "_reading",
         "spec",
         "synced",
         "syncing",
@@ -103,7 +98,6 @@
         """Requests by weights and gateway."""
         self.loads: dict[int, ToldLoad] = {}
         """What runs there, by gateway."""
-        self._reading = Popularity(READING_HALF_LIFE_S)
         self.lock = asyncio.Lock()
         """Held while an order is on its way: each names how many came before it."""
         self.synced = False
@@ -125,29 +119,15 @@
         queued = add_queues(load.queued for load in self.loads.values())
         return ToldLoad(self.starting, self.running, queued)
 
-    def note_begun(self, tokens: int, now: float) -> None:
-        """Note that requests with so many tokens in their prompts have begun."""
-        self._reading.note(READING, now, tokens)
-
-    def reading(self, now: float) -> float:
-        """Return the tokens of prompts that were begun lately, a second."""
-        return self._reading.rate(READING, now)
-
-    def busyness(self, now: float) -> Busyness:
+    def busyness(self) -> Busyness:
         """Return what the engine does."""
-        return Busyness(self.load().queued, self.reading(now), self.running)
+        return Busyness(self.load().queued, self.running)
 
     def users(self, key: AdapterKey) -> int:
         """Return how many requests use weights."""
         counts = self.active.get(key)
         return sum(counts.values()) if counts else 0
 
-    def most_used(self) -> AdapterKey | None:
-        """Return the adapter that most requests use, None if no two use the same one."""
-        counts = {key: self.users(key) for key, _ in self.adapters()}
-        key = max(counts, key=lambda found: counts[found], default=None)
-        return key if key is not None and counts[key] > 1 else None
-
     def is_in_use(self) -> bool:
         """Tell whether any request runs there."""
         return bool(self.starting or self.running) or any(map(self.users, self.active))
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -13,7 +13,6 @@
     ReadingSpeeds,
     Work,
     add_queues,
-    cost_s,
     first_event_s,
 )
 
@@ -67,7 +66,7 @@
 class ReplicaLoad:
     """Requests at a replica."""
 
-    __slots__ = ("others", "running", "starting", "queued", "told_running", "tokens_per_s")
+    __slots__ = ("others", "running", "starting", "queued", "told_running")
 
     def __init__(self) -> None:
         self.starting = 0
@@ -78,8 +77,6 @@
         """Tokens of the prompts of those that are starting, by urgency."""
         self.others = ToldLoad()
         """Sent by other instances."""
-        self.tokens_per_s = 0.0
-        """Of prompts begun there lately, of all instances, as the planner last told."""
         self.told_running = 0
         """Running of all instances, as the planner last told."""
 
@@ -91,7 +88,7 @@
     def busyness(self) -> Busyness:
         """Return what the replica does, if it is an engine."""
         running = self.running + self.others.running
-        return Busyness(add_queues([self.queued, self.others.queued]), self.tokens_per_s, running)
+        return Busyness(add_queues([self.queued, self.others.queued]), running)
 
     def own(self) -> ToldLoad:
         """Return what this instance has there."""
@@ -235,7 +232,9 @@
         if work is None:
             cost = load.cost()
         else:
-            cost = cost_s(load.busyness(), work, self.speeds.speed(replica.service)) / REQUEST_S
+            cost = (
+                first_event_s(load.busyness(), work, self.speeds.speed(replica.service)) / REQUEST_S
+            )
         cost += FAILURE_COST * self.health(replica.name).rate(now)
         return cost + (OTHER_HALL_COST if replica.hall != self._hall else 0.0)
 
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -15,8 +15,6 @@
 """News are gathered this long and told to everybody in one message."""
 NEWS_S_PER_FOLLOWER = 0.003
 """With many followers news are rarer: telling them costs 330 messages a second however many."""
-READING_STEP = 2_000.0
-"""A change of the tokens that an engine reads a second by less than this is not told."""
 HEARD_S = 0.8
 """What a gateway said last holds for so long: it says something twice a second."""
 PEERS_TOLD = 6
@@ -88,7 +86,7 @@
         self._clock = clock
         self._by_number: dict[int, Follower] = {}
         self._changed: set[str] = set()
-        self._told_loads: dict[str, tuple[ToldLoad, int]] = {}
+        self._told_loads: dict[str, ToldLoad] = {}
 
     def __len__(self) -> int:
         return len(self._by_number)
@@ -131,9 +129,9 @@
             news.holdings.append(self._holdings(name))
         self._changed.clear()
         for name, engine in self._engines.items():
-            told = (engine.load(), round(engine.reading(self._clock()) / READING_STEP))
-            if self._told_loads.get(name) != told:
-                self._told_loads[name] = told
+            load = engine.load()
+            if self._told_loads.get(name) != load:
+                self._told_loads[name] = load
                 self._add_load(news, name, engine)
         for follower in self._by_number.values():
             follower.send(self._with_peers(news, follower))
@@ -145,7 +143,6 @@
             starting=load.starting,
             running=load.running,
             queued=load.queued,
-            tokens_per_s=engine.reading(self._clock()),
         )
 
     def _with_peers(self, news: pb.FromPlanner, follower: Follower) -> pb.FromPlanner:
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -34,6 +34,11 @@
 SILENT_S = 1.0
 """A planner sends news four times a second or more; one that sends nothing for so long is lost. Its
 lease runs out at about the same time, so that a successor can be looked for."""
+REPLACED_S = 4.0
+"""A planner that is lost is followed by another one within this: 2 s, and 3.3 s where the store was
+away as well (Tenger's trouble-3). Without one for longer nobody knows when there will be one."""
+LOOK_S = 0.1
+"""How often those who wait look whether a planner is followed."""
 ASK_PEER_S = 0.3
 """A peer that knows answers in a round trip."""
 
@@ -78,6 +83,7 @@
         "_executor",
         "_fleet",
         "_instance",
+        "_missed_at",
         "_questions",
         "_results",
         "_sent_at",
@@ -123,6 +129,8 @@
         """Number of the present stream: what belongs to an earlier one is not told on it."""
         self._questions: dict[int, _Question] = {}
         self._sent_at = -math.inf
+        self._missed_at = clock()
+        """Since when no planner is followed."""
         self._cancelled: list[int] = []
         self._changed: set[tuple[str, AdapterKey]] = set()
         self._started: Counter[tuple[str, AdapterKey]] = Counter()
@@ -131,7 +139,7 @@
         self._wake = asyncio.Event()
         self._asked = asyncio.Event()
 
-    async def ask(self, ticket: int, ask: pb.Ask, half_at: float, until: float) -> pb.Answer:
+    async def ask(self, ticket: int, ask: pb.Ask, until: float) -> pb.Answer:
         """Return the planner's answer.
 
         Parameters
@@ -140,8 +148,6 @@
             Names the question on this stream.
         ask : Ask
             The question.
-        half_at : float
-            Without a planner the question is given up then, by the runtime's clock.
         until : float
             It is given up at the latest then.
 
@@ -155,10 +161,11 @@
         self._wake.set()
         try:
             async with asyncio.timeout_at(until):
-                await asyncio.wait([question.fut], timeout=max(0.0, half_at - self._clock()))
-                if not question.fut.done() and not self.is_followed:
-                    raise TimeoutError
-                return await question.fut
+                while not question.fut.done():
+                    if not self.is_followed and self._clock() >= self._missed_at + REPLACED_S:
+                        raise TimeoutError
+                    await asyncio.wait([question.fut], timeout=LOOK_S)
+                return question.fut.result()
         finally:
             del self._questions[ticket]
             if question.sent and not question.fut.done() or question.fut.cancelled():
@@ -209,6 +216,8 @@
         except (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError) as exc:
             log.info("planner lost", service=self.service, owner=planner.owner, why=repr(exc))
         finally:
+            if self.is_followed:
+                self._missed_at = self._clock()
             self.is_followed = False
             channel.close()
 
@@ -322,7 +331,6 @@
                 max(0, told.running - own.running),
                 less_queue(told.queued, own.queued),
             )
-            load.tokens_per_s = told.tokens_per_s
             if told.running > load.told_running:
                 # Some instance had a first event from it.
                 self._fleet.health(told.replica).heard_at = self._clock()
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -9,7 +9,7 @@
 
 import logbook
 from gradelug_policy import Popularity
-from gradelug_policy.reading import ReadingSpeeds, Work, cost_s, first_event_s
+from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
 from gradelug_policy.residency import EnginePlaces, LoadWindow, Victim, choose_home
 from gradelug_wire import placement_pb2 as pb
 
@@ -209,7 +209,6 @@
         if engine is None:
             return
         self.tokens.note(key.text, now, use.started_tokens)
-        engine.note_begun(use.started_tokens, now)
         counts = engine.active.setdefault(key, Counter())
         counts[follower.number] = use.active
         place = engine.places.get(key)
@@ -273,22 +272,21 @@
             place = engine.places.get(waiter.key)
             if place is None or place.phase is not Phase.READY or not waiter.may_use(name):
                 continue
-            cost = self.cost_s(engine, waiter.work, now)
+            cost = self.wait_s(engine, waiter.work)
             if place.version >= newest and cost < least:
                 best, least = name, cost
-        if best is None or self._goes_elsewhere(waiter, best, least, now):
+        if best is None or self._goes_elsewhere(waiter, least, now):
             return False
         place = self.engines[best].places[waiter.key]
         place.used_at = now
         waiter.answer(best, place.version)
         return True
 
-    def _goes_elsewhere(self, waiter: Waiter, best: str, least_s: float, now: float) -> bool:
+    def _goes_elsewhere(self, waiter: Waiter, least_s: float, now: float) -> bool:
         """Tell whether a request that would be late on the best holder waits for another one."""
         if now > waiter.asked_at + MOVE_S:
             return False
-        first_s = first_event_s(self.engines[best].busyness(now), waiter.work, self.speed)
-        if now + first_s <= waiter.target_at:
+        if now + least_s <= waiter.target_at:
             return False
         if self._is_coming(waiter):
             return True
@@ -299,7 +297,6 @@
             waiter.may_use,
             least_s - MOVE_MARGIN_S,
             waiter.work,
-            from_store=False,
         )
 
     @property
@@ -307,9 +304,9 @@
         """Tokens of prompts that an engine reads a second."""
         return self._speeds.speed(self.service)
 
-    def cost_s(self, engine: Engine, work: Work, now: float) -> float:
-        """Return what a request costs on an engine that has its adapter, in seconds."""
-        return cost_s(engine.busyness(now), work, self.speed)
+    def wait_s(self, engine: Engine, work: Work) -> float:
+        """Return the time to a first event on an engine that has the adapter, in seconds."""
+        return first_event_s(engine.busyness(), work, self.speed)
 
     def _is_coming(self, waiter: Waiter) -> bool:
         for name, engine in self.engines.items():
@@ -367,7 +364,6 @@
         may_use: t.Callable[[str], bool],
         most_s: float = math.inf,
         work: Work = Work(),  # noqa: B008
-        from_store: bool = True,
     ) -> bool:
         """Begin to load an adapter where it can be used soonest; False if nowhere.
 
@@ -385,8 +381,6 @@
             What the load may cost at most, in seconds (see `choose_home`).
         work : Work
             What its requests ask of an engine.
-        from_store : bool
-            Whether it may come from the weight store, which has a price.
         """
         if not key.adapter or not openings or self.term is None:
             return False
@@ -397,7 +391,7 @@
                 opening.free,
                 opening.victims,
                 opening.engine.is_cached(key, version),
-                self.cost_s(opening.engine, work, now),
+                self.wait_s(opening.engine, work),
             )
             for name, opening in openings.items()
             if may_use(name) and opening.engine.lacks(key)
@@ -406,7 +400,7 @@
             views,
             key.text,
             self.loading.costs(),
-            from_store and self.loading.may_use_store(),
+            self.loading.may_use_store(),
             most_s,
         )
         if choice is None:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -35,8 +35,6 @@
 """A caller that has less than this part of the usual time was refused before."""
 BEGUN_VALUE = 3.0
 """A stream cut midway costs its caller more than one that was refused."""
-HALF = 0.5
-"""A caller that is told later than this part of its time has little use of coming back."""
 PATIENCE_MARGIN_S = 0.25
 """A request that gets its weights later than this before its caller leaves is not worth a run."""
 MAX_SENDS = 6
@@ -212,7 +210,7 @@
             # A stream that was begun must not be refused; its caller waits for the next event.
             now = self._clock()
             until = min(job.deadline_at, now + route.patience_s) - PATIENCE_MARGIN_S
-            return Wish(route.rank, BEGUN_VALUE, True, now + route.target_s, until, until, job.work)
+            return Wish(route.rank, BEGUN_VALUE, True, now + route.target_s, until, job.work, True)
         # Another try of the same caller has less than the whole time left.
         returning = req.wait_s < RETURNING_PART * self._values.longest_wait(route.name, req.wait_s)
         return Wish(
@@ -220,7 +218,6 @@
             value=self._values.value(route, req),
             returning=returning,
             target_at=req.arrived_at + route.target_s,
-            half_at=req.arrived_at + HALF * (job.deadline_at - req.arrived_at),
             until=min(job.deadline_at, req.arrived_at + route.patience_s) - PATIENCE_MARGIN_S,
             work=job.work,
         )
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import typing as t
 from collections import Counter
 
 import logbook
-from gradelug_policy.reading import LATE, Work, first_event_s
 from gradelug_policy.residency import LoadWindow
 
 from .engines import Engine, Phase, Place
@@ -23,11 +21,6 @@
 PART_PER_COPY = 0.35
 """Part of an engine's time that reading the prompts for one adapter may take before it gets another
 engine: beside the other adapters there it waits for itself then."""
-LONG_QUEUE_S = 0.4
-"""Reading that is before a new request on an engine, in seconds, from which on another engine may
-take over: answers in time begin within about 1 s."""
-RELIEF_MARGIN_S = 0.15
-"""Another engine must be better by this: those that queue already stay where they are."""
 
 
 class Upkeep:
@@ -67,7 +60,6 @@
         self._ensure_models(term)
         self._place_wanted_models(term)
         self._add_copies()
-        self._relieve_queues()
 
     def _renew_versions(self, term: Term) -> None:
         planner = self._planner
@@ -195,39 +187,3 @@
         openings = planner.openings() if wanted else {}
         for key in wanted:
             planner.load(key, now, openings, lambda name: True)
-
-    def _relieve_queues(self) -> None:
-        """Bring adapters whose requests queue on every engine that has them in on another one."""
-        planner, now = self._planner, self._clock()
-        queued = [
-            engine
-            for engine in planner.engines.values()
-            if self._queue_s(engine, now) >= LONG_QUEUE_S
-        ]
-        openings = planner.openings() if queued else {}
-        for engine in queued:
-            key = engine.most_used()
-            if key is None:
-                continue
-            load = engine.load()
-            work = Work(sum(load.queued) // max(1, load.starting), urgency=LATE - 1)
-            wait_s = self._least_wait_s(key, work, now)
-            if wait_s is not None:
-                most_s = wait_s - RELIEF_MARGIN_S
-                planner.load(key, now, openings, lambda name: True, most_s, work)
-
-    def _queue_s(self, engine: Engine, now: float) -> float:
-        return first_event_s(engine.busyness(now), Work(urgency=LATE - 1), self._planner.speed)
-
-    def _least_wait_s(self, key: AdapterKey, work: Work, now: float) -> float | None:
-        """Return the least cost on engines that have an adapter, None if one is loading it."""
-        least_s = math.inf
-        for engine in self._planner.engines.values():
-            place = engine.places.get(key)
-            if place is None:
-                continue
-            if place.phase is Phase.LOADING:
-                return None
-            if place.phase is Phase.READY:
-                least_s = min(least_s, self._planner.cost_s(engine, work, now))
-        return least_s
--- a/packages/gateway/src/gradelug_gateway/values.py
+++ b/packages/gateway/src/gradelug_gateway/values.py
@@ -23,32 +23,20 @@
 MAX_SIZE_FACTOR = 4.0
 MEAN_WEIGHT = 0.02
 """Share of the newest size in a route's mean."""
-UNTOLD_PART = 0.5
-"""Answers are taken to be so long next to the longest allowed while no caller has told more."""
 
 
 class RequestValues:
     """Learns the usual size and waiting time of each route's requests."""
 
-    __slots__ = ("_longest_wait", "_mean_size", "_mean_told")
+    __slots__ = ("_longest_wait", "_mean_size")
 
     def __init__(self) -> None:
         self._mean_size: dict[str, float] = {}
         self._longest_wait: dict[str, float] = {}
-        self._mean_told: dict[str, float] = {}
 
     def work(self, route: Route, req: Request) -> Work:
         """Return what a request asks of an engine."""
-        urgency = min(route.rank, LATE - 1)
-        mean = self._mean_told.get(route.name)
-        if req.told_tokens:
-            told = float(req.told_tokens)
-            self._mean_told[route.name] = (
-                told if mean is None else mean + MEAN_WEIGHT * (told - mean)
-            )
-            return Work(req.prompt_tokens, told, urgency)
-        expected = UNTOLD_PART * req.most_tokens if mean is None else mean
-        return Work(req.prompt_tokens, min(expected, req.most_tokens), urgency)
+        return Work(req.prompt_tokens, min(route.rank, LATE - 1))
 
     def value(self, route: Route, req: Request) -> float:
         """Return what an answer in time is worth, 1 for an ordinary request of rank 0."""
--- a/packages/gateway/src/gradelug_gateway/waiting.py
+++ b/packages/gateway/src/gradelug_gateway/waiting.py
@@ -23,14 +23,9 @@
 """A caller that was refused once is not to be refused again."""
 CAUTION = 2.0
 """Those who come later and are more urgent go first: waits last so many times as long."""
-HOLD_PART = 0.15
-"""A refusal comes within a quarter of the target, or not at all."""
 COME_BACK_PART = 0.33
 """Callers come back after at most a third of their time."""
 COME_BACK_S = 0.3
-LAST_CALL_S = 0.3
-"""This long before half of a caller's time is over it is refused if it would not be served at all:
-after that it could hardly be served elsewhere."""
 USUAL_LOADS_PER_S = 12.0
 LEAST_LOADS_PER_S = 0.5
 THROUGHPUT_S = 1.0
@@ -41,7 +36,7 @@
 class Waiter:
     """A question that is not answered yet."""
 
-    __slots__ = ("ask", "asked_at", "follower", "half_at", "key", "target_at", "until", "work")
+    __slots__ = ("ask", "asked_at", "follower", "key", "target_at", "until", "work")
 
     def __init__(self, follower: Follower, ask: pb.Ask, now: float) -> None:
         self.follower = follower
@@ -50,13 +45,7 @@
         self.asked_at = now
         self.until = now + ask.wait_ms / 1000
         self.target_at = now + ask.target_ms / 1000
-        self.half_at = now + ask.half_ms / 1000
-        self.work = Work(ask.prompt_tokens, ask.answer_tokens, ask.rank)
-
-    @property
-    def hold_s(self) -> float:
-        """How long it is held before it may be refused, in seconds."""
-        return HOLD_PART * (self.target_at - self.asked_at)
+        self.work = Work(ask.prompt_tokens, ask.rank)
 
     def may_use(self, replica: str) -> bool:
         """Tell whether the request may run on a replica."""
@@ -160,7 +149,7 @@
         return sorted(wanted.values(), key=lambda waiter: -urgency[waiter.key])
 
     def refuse_hopeless(self, queued: t.Iterable[AdapterKey], now: float, load_s: float) -> None:
-        """Refuse early what will not be loaded in time, so that its caller can come back.
+        """Refuse what will not be loaded before its caller leaves, so that it can come back.
 
         Parameters
         ----------
@@ -176,7 +165,8 @@
         kept = []
         for waiter in self.waiters:
             ready_at = ready.get(waiter.key)
-            if ready_at is None or not _is_hopeless(waiter, ready_at, now):
+            served = ready_at is None or ready_at + FIRST_EVENT_S < waiter.until
+            if ready_at is None or served or waiter.ask.begun:
                 kept.append(waiter)
             else:
                 waiter.refuse(ready_at - now, now)
@@ -188,14 +178,3 @@
     gain = waiter.ask.value * (RETURNING_GAIN if waiter.ask.returning else 1.0)
     in_time = now + load_s + FIRST_EVENT_S < waiter.target_at
     return gain if in_time else gain * LATE_GAIN
-
-
-def _is_hopeless(waiter: Waiter, ready_at: float, now: float) -> bool:
-    if waiter.half_at - LAST_CALL_S <= now < waiter.half_at:
-        return ready_at >= waiter.until
-    held_s = now - waiter.asked_at
-    if not waiter.hold_s <= held_s <= 2 * waiter.hold_s:
-        return False
-    if waiter.ask.returning:
-        return ready_at >= waiter.until
-    return ready_at + FIRST_EVENT_S >= waiter.target_at
--- a/packages/policy/src/gradelug_policy/reading.py
+++ b/packages/policy/src/gradelug_policy/reading.py
@@ -1,8 +1,8 @@
-"""What a request costs on an engine, in time: its own and that of the others there.
+"""How long a request waits for its first event on an engine.
 
-An engine reads prompts in pieces between the steps in which its running streams make tokens. Until
-its prompt is read a request waits for those before it; and while prompts are read, each running
-stream makes its tokens several times as slowly, and so holds its adapter's place for longer.
+An engine reads one prompt after the other, the most urgent first, in pieces between the steps in
+which its running streams make tokens. Prompts differ by a hundred times, so what is before a
+request is counted in tokens.
 """
 
 from __future__ import annotations
@@ -25,14 +25,8 @@
 most of the time to their first event is not reading."""
 MOST_AHEAD = 0.3
 """Requests with more than this part of their own prompt before them say little either."""
-TOKEN_S = 0.008
-"""Time of a token while no prompt is read: 5 and 9 ms on the users' engines."""
-MOST_BUSY = 0.9
-"""An engine is not taken to read for more than this part of its time: streams are slowed ten times
-then."""
-PLACE_PART = 0.1
-"""What a second for which a stream holds its place longer costs next to a second until a first
-event. Rounds: docs/DECISIONS.md."""
+RUNNING_S = 0.006
+"""Time that each running stream adds until a first event."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,14 +37,11 @@
     ----------
     prompt_tokens : int
         To be read.
-    answer_tokens : float
-        Expected in the answer.
     urgency : int
         Engines begin with the prompts of the least.
     """
 
     prompt_tokens: int = 0
-    answer_tokens: float = 0.0
     urgency: int = 0
 
 
@@ -62,14 +53,11 @@
     ----------
     queued : tuple of int
         Tokens of prompts whose requests have no first event yet, by urgency.
-    tokens_per_s : float
-        Of prompts that were begun lately, a second.
     running : int
         Streams after their first event.
     """
 
     queued: tuple[int, ...] = ()
-    tokens_per_s: float = 0.0
     running: int = 0
 
     def ahead(self, urgency: int) -> int:
@@ -133,25 +121,7 @@
 
 def first_event_s(busy: Busyness, work: Work, speed: float) -> float:
     """Return the time until a first event, in seconds."""
-    return (busy.ahead(work.urgency) + work.prompt_tokens) / speed
-
-
-def cost_s(busy: Busyness, work: Work, speed: float) -> float:
-    """Return the time that a request costs on an engine, its own and the others', in seconds.
-
-    Parameters
-    ----------
-    busy : Busyness
-        What the engine does.
-    work : Work
-        What is asked of it.
-    speed : float
-        Tokens of prompts that it reads a second.
-    """
-    part = min(MOST_BUSY, busy.tokens_per_s / speed)
-    slowed_s = work.answer_tokens * TOKEN_S * part / (1 - part)
-    slows_s = busy.running * work.prompt_tokens / speed
-    return first_event_s(busy, work, speed) + PLACE_PART * (slowed_s + slows_s)
+    return (busy.ahead(work.urgency) + work.prompt_tokens) / speed + RUNNING_S * busy.running
 
 
 def add_queues(queues: t.Iterable[t.Sequence[int]]) -> tuple[int, ...]:
--- a/packages/policy/src/gradelug_policy/residency.py
+++ b/packages/policy/src/gradelug_policy/residency.py
@@ -16,7 +16,8 @@
 MISSED_COST_S = 0.15
 """Cost of evicting an adapter per request a second that it will be missed for."""
 STORE_COST_S = 0.8
-"""Loads from the weight store have a price and slow each other down."""
+"""Loads from the weight store have a price, about half of a request's worth, and slow each other
+down; at 0.3 more adapters were brought in from there (docs/DECISIONS.md)."""
 SAME_S = 0.004
 """Costs this near to each other are taken for equal and decided by hashing."""
 
@@ -52,7 +53,7 @@
     cached : bool
         Whether its host memory keeps the adapter.
     wait_s : float
-        What the request costs there once the adapter is there, in seconds (`reading.cost_s`).
+        Time to a first event there once the adapter is there, in seconds (`reading.first_event_s`).
     """
 
     name: str
