--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -408,6 +408,25 @@
 
         run(scenario)
 
+    def test_the_store_is_away_only_while_no_gateway_reaches_it(self):
+        async def scenario():
+            bench = Bench()
+            followers = bench.planner.followers
+            others = [bench.gateway, followers.join("h", "")]
+            for away, expected in (((True, False), 0), ((True, True), 2), ((False, False), 0)):
+                for follower, store_away in zip(others, away, strict=True):
+                    bench.planner.take(follower, pb.FromGateway(store_away=store_away))
+                assert followers.cut_off() == expected
+            bench.planner.take(bench.gateway, pb.FromGateway(store_away=True))
+            await asyncio.sleep(0.5)
+            bench.planner.take(others[1], pb.FromGateway(store_away=True))
+            await asyncio.sleep(0.5)
+            # What the first one said has become old.
+            assert followers.cut_off() == 1
+            await bench.stop()
+
+        run(scenario)
+
     def test_a_gateway_that_leaves_holds_nothing(self):
         async def scenario():
             bench = Bench(engines=1)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -81,6 +81,10 @@
         super().__init__("i", "10.0.0.9:1", fleet, fleet._clock, lambda service: None)
         self.answers = []
         self.asked = []
+        self.followed = False
+
+    def is_followed(self, service):
+        return self.followed
 
     async def place(self, service, key, **asked):
         self.asked.append(asked)
@@ -392,6 +396,35 @@
 
         run(scenario)
 
+    def test_what_would_be_late_anyway_waits_for_what_can_be_in_time(self):
+        """Queues of 50,000 tokens made everything behind them late on the new customer's days."""
+
+        async def scenario():
+            for queued, urgency in ((0, b"0"), (100_000, b"9")):
+                bench = self.bench([[[STREAM + event(1) + END]]])
+                bench.fleet.load("s0").queued[0] = queued
+                bench.client(8000, ADAPTER + b"X-Gradelug-Token-Usage: 1000,50\r\n")
+                await asyncio.sleep(0.05)
+                sent = bench.received("s0")
+                assert b"X-Gradelug-Request-Priority: %b\r\n" % urgency in sent
+                assert bench.fleet.load("s0").queued[9] == 0
+
+        run(scenario)
+
+    def test_the_planner_is_asked_when_the_best_holder_would_be_late(self):
+        async def scenario():
+            bench = self.bench([[], [[STREAM + event(1) + END]]])
+            for name in ("s0", "s1"):
+                bench.fleet.load(name).queued[0] = 100_000
+            bench.directory.followed = True
+            bench.directory.answers = [bench.state.replicas["s1"]]
+            bench.client(8000, ADAPTER + b"X-Gradelug-Token-Usage: 1000,50\r\n")
+            await asyncio.sleep(0.05)
+            assert [asked["wish"].work.prompt_tokens for asked in bench.directory.asked] == [1000]
+            assert bench.received("s1")
+
+        run(scenario)
+
     def test_a_broken_stream_goes_on_after_its_last_event_elsewhere(self):
         async def scenario():
             first = STREAM + event(1) + event(2) + chunk(b"id: 3\nda")
