--- a/packages/gateway/src/gradelug_gateway/loading.py
+++ b/packages/gateway/src/gradelug_gateway/loading.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import typing as t
+from dataclasses import dataclass
 
 import logbook
 from gradelug_policy.pace import StorePace
@@ -27,6 +28,34 @@
 """Version of adapters for which none was named."""
 
 
+@dataclass(slots=True, frozen=True)
+class Swap:
+    """A load that was decided, and what makes way for it.
+
+    Parameters
+    ----------
+    term : Term
+        Under which it was decided.
+    engine : Engine
+        Where.
+    key : AdapterKey
+        What is loaded.
+    place : Place
+        Booked for it.
+    victim : AdapterKey or None
+        What is unloaded before; None where there is a free place.
+    cached : bool
+        Whether the engine's host memory has it.
+    """
+
+    term: Term
+    engine: Engine
+    key: AdapterKey
+    place: Place
+    victim: AdapterKey | None
+    cached: bool
+
+
 class Loading:
     """Loads and unloads on the engines of one planner.
 
@@ -66,21 +95,14 @@
         """Tell whether another load from the weight store may begin."""
         return self._store_loads < self.pace.at_once
 
-    def begin(
-        self,
-        term: Term,
-        engine: Engine,
-        victim: AdapterKey | None,
-        key: AdapterKey,
-        place: Place,
-        cached: bool,
-    ) -> None:
+    def begin(self, swap: Swap) -> None:
         """Begin to load an adapter into a place that was booked, after unloading its victim."""
-        if not cached:
+        place = swap.place
+        if not swap.cached:
             self._store_loads += 1
             place.under_way = self._store_loads
             place.at_limit = self._store_loads >= self.pace.at_once
-        self._planner.start(self._swap(term, engine, victim, key, place, cached))
+        self._planner.start(self._carry_out(swap))
 
     def take_back(self, engine: Engine, key: AdapterKey, place: Place) -> None:
         """Await a load longer: the engine says that the adapter is not there yet."""
@@ -137,43 +159,28 @@
         finally:
             engine.syncing = False
 
-    async def _swap(
-        self,
-        term: Term,
-        engine: Engine,
-        victim: AdapterKey | None,
-        key: AdapterKey,
-        place: Place,
-        cached: bool,
-    ) -> None:
+    async def _carry_out(self, swap: Swap) -> None:
         try:
-            await self._do_swap(term, engine, victim, key, place, cached)
+            await self._swap(swap)
         finally:
-            if not cached:
+            if not swap.cached:
                 self._store_loads -= 1
-            self._planner.followers.mark(engine.replica.name)
+            self._planner.followers.mark(swap.engine.replica.name)
             self._planner.decide_soon()
 
-    async def _do_swap(
-        self,
-        term: Term,
-        engine: Engine,
-        victim: AdapterKey | None,
-        key: AdapterKey,
-        place: Place,
-        cached: bool,
-    ) -> None:
+    async def _swap(self, swap: Swap) -> None:
+        term, engine, key, place = swap.term, swap.engine, swap.key, swap.place
         async with engine.lock:
             if term.is_over or engine.places.get(key) is not place:
                 # Its victim is out of the account and still there.
                 engine.undo(key, place)
                 engine.synced = False
                 return
-            if victim is not None:
-                outcome = await self.order(term, engine, False, victim, 0)
+            if swap.victim is not None:
+                outcome = await self.order(term, engine, False, swap.victim, 0)
                 if outcome is not OrderOutcome.HOLDS:
                     engine.undo(key, place)
-                    self.keep_unloading(engine, victim, outcome)
+                    self.keep_unloading(engine, swap.victim, outcome)
                     return
             newest = self._planner.state.versions.get(key, 0)
             place.version = newest or FIRST_VERSION
@@ -185,7 +192,7 @@
             engine.undo(key, place)
             return
         # Counted from the answer: before it the order may have been given more than once.
-        place.ready_at = self._clock() + (CACHED_LOAD_S if cached else self.pace.load_s)
+        place.ready_at = self._clock() + (CACHED_LOAD_S if swap.cached else self.pace.load_s)
         await self._make_ready(engine, key, place)
         if place.under_way:
             self.pace.note_in_time(place.at_limit)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -10,13 +10,14 @@
 import logbook
 from gradelug_policy import Popularity
 from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
-from gradelug_policy.residency import EnginePlaces, LoadWindow, Victim, choose_home
+from gradelug_policy.residency import EnginePlaces, LoadWindow, choose_home
 from gradelug_wire import placement_pb2 as pb
 
 from .engines import Engine, Phase, Place
 from .followers import Follower, Followers
-from .loading import FIRST_VERSION, Loading
+from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
+from .openings import Openings
 from .ports import OrderTransport
 from .relay import OrderRelay
 from .upkeep import Upkeep
@@ -37,17 +38,6 @@
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
 
-class Opening:
-    """Room on an engine for one more adapter."""
-
-    __slots__ = ("engine", "free", "victims")
-
-    def __init__(self, engine: Engine, free: int, victims: tuple[Victim, ...]) -> None:
-        self.engine = engine
-        self.free = free
-        self.victims = victims
-
-
 class Planner:
     """Decides what is loaded where, gives the orders, answers the instances.
 
@@ -255,15 +245,20 @@
         if self.term is None:
             return
         ordered = self._line.in_order(now, self.loading.pace.load_s)
-        openings = self._openings(now) if ordered else {}
+        queued = self._load_for(ordered, now) if ordered else []
+        self._line.throughput.note_queue(bool(queued), now)
+        self._line.refuse_hopeless(queued, now, self.loading.pace.load_s)
+
+    def _load_for(self, ordered: t.Iterable[Waiter], now: float) -> list[AdapterKey]:
+        """Begin to load what is waited for; return what cannot be begun yet, in its order."""
+        openings = self.openings()
         queued = []
         for waiter in ordered:
             if self._is_coming(waiter):
                 continue
             if not self.load(waiter.key, now, openings, waiter.may_use, work=waiter.work):
                 queued.append(waiter.key)
-        self._line.throughput.note_queue(bool(queued), now)
-        self._line.refuse_hopeless(queued, now, self.loading.pace.load_s)
+        return queued
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
         best, least = None, math.inf
@@ -293,7 +288,7 @@
         return self.load(
             waiter.key,
             now,
-            self._openings(now),
+            self.openings(),
             waiter.may_use,
             least_s - MOVE_MARGIN_S,
             waiter.work,
@@ -319,48 +314,15 @@
         """Return the base models of all that is waited for."""
         return {waiter.key.model for waiter in self._line.waiters}
 
-    def openings(self) -> dict[str, Opening]:
+    def openings(self) -> Openings:
         """Return the engines that can take an adapter in now."""
-        return self._openings(self._clock())
-
-    def _openings(self, now: float) -> dict[str, Opening]:
-        found = {}
-        copies = self.copies()
-        for name, engine in self.engines.items():
-            opening = self._opening(engine, copies, now)
-            if opening is not None:
-                found[name] = opening
-        return found
-
-    def copies(self) -> Counter[AdapterKey]:
-        """Return on how many engines each adapter is or will be."""
-        found: Counter[AdapterKey] = Counter()
-        for engine in self.engines.values():
-            found.update(
-                key
-                for key, place in engine.adapters()
-                if place.phase in (Phase.LOADING, Phase.READY)
-            )
-        return found
-
-    def _opening(self, engine: Engine, copies: Counter[AdapterKey], now: float) -> Opening | None:
-        if not engine.can_load() or not self._transport.may_order(engine.replica):
-            return None
-        free = engine.free()
-        if free > 0:
-            return Opening(engine, free, ())
-        victims = tuple(
-            # Each copy of an adapter is missed for its share of the requests.
-            Victim(key.text, self.popularity.rate(key.text, now) / max(1, copies[key]))
-            for key in engine.idle(now)
-        )
-        return Opening(engine, 0, victims) if victims else None
+        return Openings(self.engines, self.popularity, self._transport.may_order, self._clock())
 
     def load(
         self,
         key: AdapterKey,
         now: float,
-        openings: dict[str, Opening],
+        openings: Openings,
         may_use: t.Callable[[str], bool],
         most_s: float = math.inf,
         work: Work = Work(),  # noqa: B008
@@ -373,7 +335,7 @@
             What.
         now : float
             By the runtime's clock.
-        openings : dict of str to Opening
+        openings : Openings
             Engines with room; brought up to date.
         may_use : callable
             Tells whether an engine may be chosen, by its name.
@@ -382,7 +344,7 @@
         work : Work
             What its requests ask of an engine.
         """
-        if not key.adapter or not openings or self.term is None:
+        if not key.adapter or not openings.by_engine or self.term is None:
             return False
         version = self.state.versions.get(key, 0) or FIRST_VERSION
         views = [
@@ -393,7 +355,7 @@
                 opening.engine.is_cached(key, version),
                 self.wait_s(opening.engine, work),
             )
-            for name, opening in openings.items()
+            for name, opening in openings.by_engine.items()
             if may_use(name) and opening.engine.lacks(key)
         ]
         choice = choose_home(
@@ -410,12 +372,8 @@
         place = engine.places[key] = Place(version, Phase.LOADING, now)
         self._line.throughput.note_load()
         self.followers.mark(choice.engine)
-        opening = self._opening(engine, self.copies(), now)
-        if opening is not None:
-            openings[choice.engine] = opening
-        else:
-            del openings[choice.engine]
-        self.loading.begin(self.term, engine, victim, key, place, choice.cached)
+        openings.renew(engine)
+        self.loading.begin(Swap(self.term, engine, key, place, victim, choice.cached))
         return True
 
     # Tasks.
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -11,6 +11,7 @@
 
 from .engines import Engine, Phase, Place
 from .model import AdapterKey, BaseModel, EngineSpec, OrderOutcome, Term
+from .openings import count_copies
 
 if t.TYPE_CHECKING:
     from .planner import Planner
@@ -181,9 +182,11 @@
         planner, now = self._planner, self._clock()
         wanted = [
             key
-            for key, count in planner.copies().items()
+            for key, count in count_copies(planner.engines.values()).items()
             if planner.tokens.rate(key.text, now) > PART_PER_COPY * planner.speed * count
         ]
-        openings = planner.openings() if wanted else {}
+        if not wanted:
+            return
+        openings = planner.openings()
         for key in wanted:
             planner.load(key, now, openings, lambda name: True)
