Soak engines that check no tokens, and watch who orders them

Cause: the soak ran with engines that check tokens alone, and could not see two givers of orders (ONE on the new customer). Change: a second mode; replicas note who orders them. Orders within 0.5 s of the end of a delay, a silence or a freeze are not judged.

--- a/tests/engine_model.py
+++ b/tests/engine_model.py
@@ -10,7 +10,8 @@
 class ModelEngine:
     """An engine: places, a count of orders, fences, reports that lag."""
 
-    def __init__(self, clock, versions):
+    def __init__(self, clock, versions, checks_tokens=True):
+        self.checks_tokens = checks_tokens
         self.clock = clock
         self.versions = versions
         self.held = {MODEL: 1}
@@ -24,7 +25,7 @@
         self._keep()
 
     def carry_out(self, order):
-        if order.fence < self.fence:
+        if self.checks_tokens and order.fence < self.fence:
             return OrderOutcome.OUTRANKED
         self.fence = order.fence
         if order.expected != self.orders:
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -31,6 +31,8 @@
 GATEWAYS = 3
 SETTLE_S = 6.0
 PROBES = 12
+SLACK_S = 0.5
+"""What was held up arrives within this after a link has healed or an instance was woken."""
 ACTIONS = (
     "kill",
     "term",
@@ -98,7 +100,7 @@
 class Gateway:
     """One gateway process, restarted when it ends."""
 
-    def __init__(self, at, folder, store_port, ports):
+    def __init__(self, at, folder, store_port, ports, checks_tokens):
         self.front, self.ready, self.peer = ports
         self.log = folder / f"g{at}.log"
         self.settings = folder / f"g{at}.toml"
@@ -107,7 +109,8 @@
             f"PortRange = [{self.peer}, {self.peer}]\n"
             f'[Listen]\nFront = "{GATEWAY_HOST}:{self.front}"\n'
             f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
-            f"[Bounds]\nGraceS = 4\nRequireFence = true\nBudgetExtra = 400\n"
+            f"[Bounds]\nGraceS = 4\nBudgetExtra = 400\n"
+            f"RequireFence = {str(checks_tokens).lower()}\n"
             f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
         )
         self.process = None
@@ -140,9 +143,12 @@
         Of all that happens.
     seconds : float
         How long faults go on.
+    checks_tokens : bool
+        Whether engines check fencing tokens; where they do not, it is watched who orders them.
     """
 
-    def __init__(self, seed, seconds):
+    def __init__(self, seed, seconds, checks_tokens=True):
+        self.checks_tokens = checks_tokens
         self.seed = seed
         self.rng = random.Random(seed)
         self.fault_rng = random.Random(seed)
@@ -197,7 +203,8 @@
             for _ in range(count):
                 await self._add_replica(service)
         self.gateways = [
-            Gateway(at, folder, self.store_proxy.port, free_ports(3)) for at in range(GATEWAYS)
+            Gateway(at, folder, self.store_proxy.port, free_ports(3), self.checks_tokens)
+            for at in range(GATEWAYS)
         ]
         for gateway in self.gateways:
             gateway.start()
@@ -205,7 +212,9 @@
 
     async def _add_replica(self, service):
         name = f"i-{next(self.numbers)}"
-        replica = ReplicaStandIn(name, service, self.store.kv, self.ledger, self.versions)
+        replica = ReplicaStandIn(
+            name, service, self.store.kv, self.ledger, self.versions, self.checks_tokens
+        )
         await replica.start()
         proxy = Proxy(replica.port)
         await proxy.start()
@@ -268,6 +277,7 @@
         gateway = self.fault_rng.choice(self.gateways)
         gateway.signal(signal.SIGSTOP)
         await asyncio.sleep(self.fault_rng.uniform(0.3, 2.5))
+        self._slacken()
         gateway.signal(signal.SIGCONT)
 
     async def _do_reset(self):
@@ -278,12 +288,18 @@
         proxy.delay_s = self.fault_rng.uniform(0.01, 0.3)
         await asyncio.sleep(1.0)
         proxy.delay_s = 0.0
+        self._slacken()
 
     async def _do_silence(self):
         proxy = self.fault_rng.choice([*self.proxies.values(), self.store_proxy])
         proxy.silent = True
         await asyncio.sleep(self.fault_rng.uniform(0.3, 2.0))
         proxy.silent = False
+        self._slacken()
+
+    def _slacken(self):
+        """Excuse orders that were held up by what ends now."""
+        self.ledger.slack_until = self.clock() + SLACK_S
 
     async def _do_store(self):
         self.store.status = self.fault_rng.choice([503, 429])
@@ -389,11 +405,11 @@
         self.done = done
 
 
-def soak(seed, seconds):
+def soak(seed, seconds, checks_tokens=True):
     """Run once and return its `Outcome`."""
 
     async def main():
-        run = Soak(seed, seconds)
+        run = Soak(seed, seconds, checks_tokens)
         faults = await run.run()
         served = sum(answer[1] == 200 for answer in run.answers.values())
         return Outcome(faults, len(run.answers), served, run.done)
@@ -404,8 +420,9 @@
 if __name__ == "__main__":
     sys.path.insert(0, str(ROOT / "platform"))
     first, count, duration = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
+    checking = "untokened" not in sys.argv[4:]
     for number in range(first, first + count):
-        found = soak(number, duration)
+        found = soak(number, duration, checking)
         print(
             f"seed {number}: {found.asked} asked, {found.served} served, "
             f"{len(found.broken)} broken; {' '.join(found.done)}",
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -20,6 +20,8 @@
 _NET = f"127.{os.getpid() % 199 + 1}.{os.getpid() // 199 % 199}"
 HOST = f"{_NET}.1"
 GATEWAY_HOST = f"{_NET}.2"
+HOLDER_S = 3.0
+"""No two instances may order an engine that checks no tokens within this time."""
 EVENT_S = 0.02
 EVENTS = 12
 
@@ -31,18 +33,23 @@
         self.runs = defaultdict(list)
         self.bodies = {}
         self.faults = []
+        self.slack_until = 0.0
+        """Orders until then may have been held up by a link or a frozen instance."""
 
 
 class ReplicaStandIn:
     """One start of a replica, entered in the store while it lives."""
 
-    def __init__(self, name, service, kv, ledger, versions):
+    def __init__(self, name, service, kv, ledger, versions, checks_tokens=True):
         self.name = name
         self.service = service
         self.kv = kv
         self.ledger = ledger
         self.clock = asyncio.get_running_loop().time
-        self.engine = ModelEngine(self.clock, versions) if service == "llm" else None
+        self.engine = None
+        if service == "llm":
+            self.engine = ModelEngine(self.clock, versions, checks_tokens)
+        self.last_order = None
         self.state = "ready"
         self.draining_at = None
         self.server = HttpServer(self.serve, ServerLimits, self.clock)
@@ -113,10 +120,28 @@
             body["Owner"],
             body["FencingToken"],
         )
+        if not self.engine.checks_tokens:
+            self._watch_givers(order)
         inc.respond(STATUS[self.engine.carry_out(order)], [], b"")
         if self.engine.fell:
             self.ledger.faults.append(f"{self.name} was overfilled")
 
+    def _watch_givers(self, order):
+        """Note a fault if two instances order this engine in turn, or with lesser tokens."""
+        now = self.clock()
+        if now < self.ledger.slack_until:
+            return
+        if self.last_order is not None:
+            before, at = self.last_order
+            if order.fence < before.fence:
+                self.ledger.faults.append(f"{self.name}: token {order.fence} after {before.fence}")
+            elif order.owner != before.owner and now - at < HOLDER_S:
+                givers = f"{before.owner} and {order.owner}"
+                self.ledger.faults.append(
+                    f"{self.name}: ordered by {givers} within {now - at:.2f} s"
+                )
+        self.last_order = (order, now)
+
     def _report(self, inc):
         report = self.engine.report()
         adapters = [f"{h.key.adapter}@{h.version}" for h in report.holdings if h.key.adapter]
