--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -33,8 +33,8 @@
 """After so many that cannot be loaded now, those of less gain are not tried in the same decision:
 each takes 0.7 ms with 45 engines."""
 REST_PART = 4.0
-"""The planner rests so many times as long as its last decision took: owners and gateways wait for it
-to read what they say."""
+"""The planner rests so many times as long as its last decision took: owners and gateways wait for
+it to read what they say."""
 MOVE_S = 0.5
 """A request waits no longer than this for another engine than the one that could run it: a load
 takes 0.25 s from the weight store."""
@@ -261,7 +261,7 @@
     def _load_for(self, ordered: t.Iterable[Waiter], now: float) -> list[AdapterKey]:
         """Begin to load what is waited for; return what cannot be begun yet, in its order."""
         openings = self.openings()
-        queued = []
+        queued: list[AdapterKey] = []
         for waiter in ordered:
             if self._is_coming(waiter):
                 continue
