Notice connections that fall silent without a reset, and gateways' streams

A pooled connection was then taken again after each time-out, since its neighbours of the same age are silent too; a request over one waited for 1.2 s to its deadline; a planner never noticed that a gateway's stream had fallen silent: what it ran kept places, and orders to its engines were lost for good. Ruled out: gateways' own view of a planner (1 s without news ends the stream).

Change: TCP_USER_TIMEOUT and keep-alive probes on every connection that we open (0.7 s without an acknowledgement); HttpPool.doubt closes idle connections over which nothing came since a request got no answer; a planner forgets a gateway after 2.5 s of silence or when its process comes back on another stream. A gauge counts doubted connections.

Tests failed first (no doubt, no option set, the stream followed for ever).

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -337,6 +337,11 @@
         gauge = self._meters.gauge
         gauge("requests_in_progress", "Requests now", lambda: self._callers.in_progress)
         gauge("connections_opened", "Connections opened to replicas", lambda: self._pool.opened)
+        gauge(
+            "connections_doubted",
+            "Idle connections closed because another one had fallen silent",
+            lambda: self._pool.doubted,
+        )
         gauge("replicas", "Replicas known", lambda: len(self._state.replicas))
         gauge("mirror_synced", "1 while the platform's watch runs", lambda: self._mirror.synced)
         gauge("plans", "Services planned for", lambda: self._count_planned())
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import typing as t
 
@@ -30,6 +31,7 @@
         "answers",
         "heard_at",
         "instance",
+        "is_gone",
         "number",
         "outbox",
         "peers_told_at",
@@ -45,6 +47,8 @@
         self.outbox: list[pb.FromPlanner] = []
         self.peers_told_at = -math.inf
         self.heard_at = -math.inf
+        self.is_gone = False
+        """Whether it was taken for lost: nothing that comes from it counts any more."""
         self.store_away = False
         """Whether it said last that it cannot reach the platform's store."""
         self.wake = asyncio.Event()
@@ -79,12 +83,13 @@
         The runtime's clock.
     """
 
-    __slots__ = ("_by_number", "_changed", "_clock", "_engines", "_told_loads")
+    __slots__ = ("_by_number", "_changed", "_clock", "_engines", "_numbers", "_told_loads")
 
     def __init__(self, engines: t.Mapping[str, Engine], clock: t.Callable[[], float]) -> None:
         self._engines = engines
         self._clock = clock
         self._by_number: dict[int, Follower] = {}
+        self._numbers = itertools.count(1)
         self._changed: set[str] = set()
         self._told_loads: dict[str, ToldLoad] = {}
 
@@ -98,7 +103,7 @@
 
     def join(self, instance: str, address: str) -> Follower:
         """Take a gateway on and tell it all that is held."""
-        number = max(self._by_number, default=0) + 1
+        number = next(self._numbers)
         follower = self._by_number[number] = Follower(number, instance, address)
         message = pb.FromPlanner(gateways=len(self))
         for name in self._engines:
@@ -108,9 +113,17 @@
         follower.send(message)
         return follower
 
-    def leave(self, follower: Follower) -> None:
-        """Forget a gateway."""
-        del self._by_number[follower.number]
+    def find(self, instance: str, address: str) -> Follower | None:
+        """Return the gateway of a process, None if it does not follow."""
+        for follower in self._by_number.values():
+            if follower.instance == instance and follower.address == address:
+                return follower
+        return None
+
+    def leave(self, follower: Follower) -> bool:
+        """Forget a gateway; False if that was done before."""
+        follower.is_gone = True
+        return self._by_number.pop(follower.number, None) is not None
 
     def cut_off(self) -> int:
         """Return how many gateways cannot reach the platform's store; 0 while any can."""
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -20,6 +20,9 @@
 SPACING_S = 0.005
 """What is to be told within this time goes out together."""
 LOOK_S = 0.05
+GATEWAY_SILENT_S = 2.5
+"""A gateway says something every 0.5 s and the gathering of its news (0.9 s with 370 gateways); of
+one that says nothing for so long the stream has fallen silent. What it ran is forgotten."""
 
 
 class Duty:
@@ -118,16 +121,18 @@
         planner = duty.planner if duty is not None else None
         if planner is None:
             raise GRPCError(Status.UNAVAILABLE, "this instance does not plan for the service")
-        gateway = planner.followers.join(first.instance, first.address)
+        gateway = planner.join(first.instance, first.address)
         telling = asyncio.create_task(_tell(stream, gateway))
         try:
             planner.take(gateway, first)
-            while (message := await stream.recv_message()) is not None:
-                planner.take(gateway, message)
-                if duty is not None and duty.planner is not planner:
+            while (message := await _next(stream)) is not None:
+                if gateway.is_gone or (duty is not None and duty.planner is not planner):
                     return
+                planner.take(gateway, message)
         except StreamTerminatedError as exc:
             log.info("gateway left", instance=gateway.instance, why=str(exc))
+        except TimeoutError:
+            log.info("gateway silent", instance=gateway.instance, after_s=GATEWAY_SILENT_S)
         except Exception as exc:
             log.error("a gateway's stream failed", instance=gateway.instance, why=repr(exc))
             raise
@@ -136,6 +141,12 @@
             planner.leave(gateway)
 
 
+async def _next(stream: t.Any) -> pb.FromGateway | None:
+    """Return a gateway's next message; raises `TimeoutError` if it falls silent."""
+    async with asyncio.timeout(GATEWAY_SILENT_S):
+        return t.cast("pb.FromGateway | None", await stream.recv_message())
+
+
 async def _tell(stream: t.Any, gateway: Follower) -> None:
     while True:
         await gateway.wake.wait()
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -163,9 +163,18 @@
 
     # Gateways.
 
+    def join(self, instance: str, address: str) -> Follower:
+        """Take a gateway on; its earlier stream, if it had one, has fallen silent."""
+        earlier = self.followers.find(instance, address)
+        if earlier is not None:
+            log.info("gateway is back on another stream", instance=instance, address=address)
+            self.leave(earlier)
+        return self.followers.join(instance, address)
+
     def leave(self, follower: Follower) -> None:
         """Forget a gateway; what it ran ends with its connections."""
-        self.followers.leave(follower)
+        if not self.followers.leave(follower):
+            return
         if self._relay is not None:
             self._relay.forget(follower)
         self._line.forget(follower)
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -125,6 +125,8 @@
         except ResponseBroken as exc:
             health.note(True, self._clock())
             log.info("broken", id=job.req.id, replica=replica.name, why=str(exc))
+            if conn.is_silenced or health.heard_at < now:
+                self._pool.doubt(replica.address, now)
             return Outcome.UNKNOWN
         finally:
             # Also when the caller leaves: the replica stops when its connection closes.
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -12,6 +12,7 @@
 
 from .exceptions import ConnectFailed, ResponseBroken
 from .headers import Header, Headers, find
+from .liveness import is_silenced, keep_alive
 
 READ_AHEAD_BYTES = 262_144
 """Reading pauses above this, so that a slow client holds up its upstream, not our memory."""
@@ -61,6 +62,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport over."""
         self.transport = t.cast(asyncio.Transport, transport)
+        keep_alive(transport)
 
     def data_received(self, data: bytes) -> None:
         """Keep what came and wake up whoever waits."""
@@ -135,6 +137,11 @@
         self.used_at = clock()
         self.uses = 0
 
+    @property
+    def is_silenced(self) -> bool:
+        """Whether it ended because the upstream could not be reached over it any more."""
+        return is_silenced(self._wire.reset)
+
     def is_fit(self, now: float) -> bool:
         """Tell whether an idle connection may carry another request."""
         wire = self._wire
@@ -264,7 +271,7 @@
         Coroutine function that connects to an address.
     """
 
-    __slots__ = ("_clock", "_dial", "_idle", "opened")
+    __slots__ = ("_clock", "_dial", "_idle", "doubted", "opened")
 
     def __init__(self, clock: t.Callable[[], float], dial: Dial | None = None) -> None:
         self._clock = clock
@@ -272,6 +279,8 @@
         self._idle: dict[str, list[Connection]] = defaultdict(list)
         self.opened = 0
         """Connections opened since the start."""
+        self.doubted = 0
+        """Idle connections closed since the start because another one had fallen silent."""
 
     async def acquire(
         self, address: str, limit_s: float, rested_s: float = float("inf")
@@ -338,6 +347,7 @@
         """
         async with asyncio.timeout(limit_s):
             conn = await self.acquire(address, limit_s)
+            sent_at = self._clock()
             is_whole = False
             try:
                 conn.send(req)
@@ -349,6 +359,30 @@
             finally:
                 if not is_whole:
                     conn.abort()
+                    self.doubt(address, sent_at)
+
+    def doubt(self, address: str, sent_at: float) -> None:
+        """Close the idle connections over which nothing has come since a request got no answer.
+
+        Links silence all connections of one age: what is sent over another one of them would be
+        lost as well, and takes a new connection instead.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:port`` of the upstream.
+        sent_at : float
+            When the request was sent, by the runtime's clock.
+        """
+        proven = []
+        for conn in self._idle.pop(address, ()):
+            if conn.used_at > sent_at:
+                proven.append(conn)
+            else:
+                conn.close()
+                self.doubted += 1
+        if proven:
+            self._idle[address] = proven
 
     def prune(self, addresses: t.Container[str]) -> None:
         """Close what is unfit, and every idle connection to other addresses than these."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 from pipes import Network, RawClient, RawServer, join
 
 import pytest
@@ -10,6 +11,8 @@
     ServerLimits,
     end_to_end,
 )
+from gradelug_http.client import dial_tcp
+from gradelug_http.liveness import UNACKED_S
 from world import new_loop
 
 GET = OutgoingRequest(b"GET", b"/a", [(b"Host", b"h")])
@@ -54,6 +57,64 @@
 
         run(scenario)
 
+    def test_after_silence_the_next_request_takes_a_new_connection(self):
+        """Links silence all connections of one age: the next kept one would be silent as well."""
+
+        async def scenario():
+            net = Network()
+            net.servers[ADDRESS] = lambda: RawServer([[answer()], []])
+            pool = HttpPool(clock, net.dial)
+            conns = [await pool.acquire(ADDRESS, 1.0) for _ in range(3)]
+            for conn in conns:
+                conn.send(GET)
+                head = await conn.head(own(b"1"))
+                await conn.body(100)
+                pool.release(conn, head)
+            await asyncio.sleep(0.1)
+            with pytest.raises(TimeoutError):
+                await pool.exchange(ADDRESS, GET, 0.5, 100)
+            assert (len(net.dialled), pool.doubted) == (3, 2)
+            await pool.exchange(ADDRESS, GET, 0.5, 100)
+            assert len(net.dialled) == 4
+
+        run(scenario)
+
+    def test_a_connection_that_was_proven_since_is_kept(self):
+        async def scenario():
+            net = Network()
+            net.servers[ADDRESS] = lambda: RawServer([[answer()]])
+            pool = HttpPool(clock, net.dial)
+            conn = await pool.acquire(ADDRESS, 1.0)
+            sent_at = clock()
+            await asyncio.sleep(0.1)
+            conn.send(GET)
+            head = await conn.head(own(b"1"))
+            await conn.body(100)
+            pool.release(conn, head)
+            pool.doubt(ADDRESS, sent_at)
+            assert await pool.acquire(ADDRESS, 1.0) is conn
+            assert pool.doubted == 0
+
+        run(scenario)
+
+    def test_a_connection_is_watched_by_the_kernel(self):
+        """A connection that was silenced without a reset was waited for until the deadline."""
+
+        async def scenario():
+            server = await asyncio.get_running_loop().create_server(
+                lambda: RawServer([]), "127.0.0.1", 0
+            )
+            host, port = server.sockets[0].getsockname()
+            wire = await dial_tcp(f"{host}:{port}")
+            sock = wire.transport.get_extra_info("socket")
+            unacked_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            assert unacked_ms == round(UNACKED_S * 1000)
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+            wire.transport.abort()
+            server.close()
+
+        asyncio.run(scenario())
+
     def test_an_answer_to_an_earlier_request_is_skipped(self):
         async def scenario():
             net = Network()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -459,6 +459,28 @@
 
         run(scenario)
 
+    def test_a_gateway_that_comes_back_on_another_stream_counts_once(self):
+        """A stream that was silenced without a reset stands beside its successor."""
+
+        async def scenario():
+            bench = Bench(engines=1)
+            earlier = bench.planner.join("h", "h:1")
+            other = bench.planner.join("i", "h:1")
+            await asyncio.sleep(0.5)
+            key = AdapterKey("m", "a1")
+            use = pb.Use(replica="e0", model="m", adapter="a1", active=1)
+            for follower in (earlier, other):
+                bench.planner.take(follower, pb.FromGateway(uses=[use]))
+            later = bench.planner.join("h", "h:1")
+            assert bench.planner.engines["e0"].users(key) == 1
+            assert (earlier.is_gone, other.is_gone, later.is_gone) == (True, False, False)
+            assert len(bench.planner.followers) == 3
+            bench.planner.leave(earlier)
+            assert len(bench.planner.followers) == 3
+            await bench.stop()
+
+        run(scenario)
+
 
 @pytest.mark.parametrize(("lost", "late"), [(0.0, 0.0), (0.3, 0.0), (0.0, 0.3), (0.2, 0.2)])
 class TestUnderFaults:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,6 +16,7 @@
     Replica,
     Term,
 )
+from gradelug_gateway.placement import GATEWAY_SILENT_S, PlacementService
 from gradelug_gateway.relay import OrderRelay
 from gradelug_wire import placement_pb2 as pb
 from world import new_loop
@@ -153,6 +154,70 @@
         run(scenario)
 
 
+class TestPlacementService:
+    def test_a_gateway_whose_stream_falls_silent_is_forgotten(self):
+        """Its stream is not reset: what it ran would have kept places, and orders been lost."""
+
+        async def scenario():
+            stream = SilentStream([pb.FromGateway(instance="me", service="llm", address="a:1")])
+            planner = FollowedPlanner()
+            service = PlacementService({"llm": DutyOf(planner)}, lambda service: None)
+            await asyncio.wait_for(service.Follow(stream), GATEWAY_SILENT_S + 0.1)
+            assert planner.left == [planner.joined[0]]
+
+        run(scenario)
+
+    def test_a_gateway_that_says_something_is_kept(self):
+        async def scenario():
+            first = pb.FromGateway(instance="me", service="llm", address="a:1")
+            stream = SilentStream([first, *[pb.FromGateway()] * 5], GATEWAY_SILENT_S * 0.8)
+            planner = FollowedPlanner()
+            service = PlacementService({"llm": DutyOf(planner)}, lambda service: None)
+            following = asyncio.create_task(service.Follow(stream))
+            await asyncio.sleep(GATEWAY_SILENT_S * 0.8 * 5)
+            assert not planner.left
+            following.cancel()
+
+        run(scenario)
+
+
+class DutyOf:
+    def __init__(self, planner):
+        self.planner = planner
+
+
+class FollowedPlanner:
+    """Notes who joins and leaves."""
+
+    def __init__(self):
+        self.joined, self.left = [], []
+
+    def join(self, instance, address):
+        self.joined.append(Followers({}, asyncio.get_running_loop().time).join(instance, address))
+        return self.joined[-1]
+
+    def take(self, follower, message):
+        pass
+
+    def leave(self, follower):
+        self.left.append(follower)
+
+
+class SilentStream:
+    """Brings some messages, one after the other, and then nothing."""
+
+    def __init__(self, messages, spacing_s=0.0):
+        self.messages = messages
+        self.spacing_s = spacing_s
+
+    async def recv_message(self):
+        await asyncio.sleep(self.spacing_s if self.messages else 3600.0)
+        return self.messages.pop(0)
+
+    async def send_message(self, message):
+        pass
+
+
 class TestTerm:
     def test_an_order_is_not_sent_once_its_term_is_over(self):
         """On the grown site a planner gave an order with token 130, and 2 ms later one with 0."""
