Gateways ask first where news are old; tell and space messages by what there is to say

Cause: what a gateway knew of engines was up to 0.23 s old with 75 gateways and 0.59 s with 195, what a planner knew of gateways as much: spacings grew with the number of gateways, however little they had to tell. Requests went to engines that had unloaded their weights or had the longest queues. A planner's news at 370 gateways (1.1 s apart) were taken for silence after 1 s.

Change: planners tell how far apart their news are; where that is over 0.1 s and up to 600 requests a second begin, gateways ask also for weights that they know of, and go where they know if the planner may be lost. Answers tell what runs at the engine; what is answered counts there until its gateway tells. Gateways gather what they tell as long as the rate of messages asks for (gateway.pacing).

Tests failed first for news at 370 gateways and for bookings.

--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -123,6 +123,7 @@
         excluded: t.Collection[str],
         only: t.Container[str] | None,
         absent: str,
+        known: Replica | None = None,
     ) -> Replica:
         """Return a replica on which weights can be used.
 
@@ -136,6 +137,9 @@
             Replicas that may run it; None for any.
         absent : str
             A replica that said it lacks the weights.
+        known : Replica or None
+            Where the request can run as far as is known here: it goes there if the planner may
+            be lost.
 
         Raises
         ------
@@ -159,10 +163,13 @@
                 excluded=sorted(excluded),
                 only=_first(only),
                 absent=absent,
+                doubted=self._fleet.doubted(),
             )
             try:
-                answer = await link.ask(self._ticket, ask, wish.until)
+                answer = await link.ask(self._ticket, ask, wish.until, known is not None)
             except TimeoutError:
+                if known is not None:
+                    return known
                 raise Refused("the weights could not be placed in time", LATE_RETRY_S) from None
             if not answer.replica:
                 raise Refused(answer.reason, answer.retry_after_ms / 1000 or REFUSED_RETRY_S)
@@ -191,6 +198,11 @@
         link = self._links.get(service)
         return link is not None and link.is_followed
 
+    def asks_first(self, service: str) -> bool:
+        """Tell whether the planner is to be asked although a holder of weights is known."""
+        link = self._links.get(service)
+        return link is not None and link.ask_first and not link.is_quiet
+
     def note_begin(self, replica: str, key: AdapterKey, tokens: int) -> None:
         """Note that a request with a prompt of some tokens is being sent to a replica."""
         self._note(replica, key, 1, tokens)
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 import logbook
-from gradelug_policy.reading import Busyness, add_queues, less_queue
+from gradelug_policy.reading import Busyness, Work, add_queues, less_queue
 
 from .model import (
     AdapterKey,
@@ -134,6 +134,13 @@
             less_queue(add_queues((total.queued, load.queued)), before.queued),
         )
 
+    def book(self, gateway: int, work: Work) -> None:
+        """Count a request that a gateway was told to send here, until it tells what it has here."""
+        load = self._loads.get(gateway, ToldLoad())
+        prompt = (0,) * work.urgency + (work.prompt_tokens,)
+        queued = add_queues((load.queued, prompt))
+        self.take_load(gateway, ToldLoad(load.starting + 1, load.running, queued))
+
     def busyness(self) -> Busyness:
         """Return what the engine does."""
         return Busyness(self._total.queued, self._total.running)
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -33,6 +33,8 @@
 REQUEST_S = 0.1
 """Time that a request before a new one stands for where work is reckoned in seconds."""
 NOT_HELD = -1
+DOUBTED_RATE = 0.4
+"""Two failures one after the other, or more than that part of all."""
 CIRCUIT_FAILURES = 3
 CIRCUIT_OPEN_S = 1.5
 
@@ -113,11 +115,11 @@
         "_by_service",
         "_clock",
         "_directory",
-        "_hall",
         "_health",
         "_loads",
         "_rng",
         "_seen_change",
+        "hall",
         "speeds",
         "state",
     )
@@ -130,7 +132,7 @@
         rng: random.Random | None = None,
     ) -> None:
         self.state = state
-        self._hall = hall
+        self.hall = hall
         self._clock = clock
         self._rng = rng or random.Random(0)
         self._health: dict[str, Health] = {}
@@ -236,13 +238,22 @@
                 first_event_s(load.busyness(), work, self.speeds.speed(replica.service)) / REQUEST_S
             )
         cost += FAILURE_COST * self.health(replica.name).rate(now)
-        return cost + (OTHER_HALL_COST if replica.hall != self._hall else 0.0)
+        return cost + (OTHER_HALL_COST if replica.hall != self.hall else 0.0)
 
     def is_late(self, replica: Replica, work: Work, target_at: float) -> bool:
         """Tell whether a request's first event would come too late if it was sent now."""
         busy, speed = self.load(replica.name).busyness(), self.speeds.speed(replica.service)
         return self._clock() + first_event_s(busy, work, speed) > target_at
 
+    def doubted(self) -> list[str]:
+        """Return the replicas that fail this instance's requests."""
+        now = self._clock()
+        return [
+            name
+            for name, health in self._health.items()
+            if health.rate(now) > DOUBTED_RATE or not health.circuit.allows(now)
+        ]
+
     def forget_gone(self) -> None:
         """Drop the records of replicas that are gone and at which nothing runs."""
         known = self.state.replicas
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -11,11 +11,8 @@
 
 from .engines import Engine, Phase
 from .model import ToldLoad
+from .pacing import Pacing
 
-NEWS_S = 0.05
-"""News are gathered this long and told to everybody in one message."""
-NEWS_S_PER_FOLLOWER = 0.003
-"""With many followers news are rarer: telling them costs 330 messages a second however many."""
 HEARD_S = 0.8
 """What a gateway said last holds for so long: it says something twice a second."""
 PEERS_TOLD = 6
@@ -29,6 +26,7 @@
     __slots__ = (
         "address",
         "answers",
+        "hall",
         "heard_at",
         "instance",
         "is_gone",
@@ -43,6 +41,8 @@
         self.number = number
         self.instance = instance
         self.address = address
+        self.hall = ""
+        """Where it stands, as it told first."""
         self.answers: list[pb.Answer] = []
         self.outbox: list[pb.FromPlanner] = []
         self.peers_told_at = -math.inf
@@ -83,7 +83,15 @@
         The runtime's clock.
     """
 
-    __slots__ = ("_by_number", "_changed", "_clock", "_engines", "_numbers", "_told_loads")
+    __slots__ = (
+        "_by_number",
+        "_changed",
+        "_clock",
+        "_engines",
+        "_numbers",
+        "_told_loads",
+        "pacing",
+    )
 
     def __init__(self, engines: t.Mapping[str, Engine], clock: t.Callable[[], float]) -> None:
         self._engines = engines
@@ -91,25 +99,21 @@
         self._by_number: dict[int, Follower] = {}
         self._numbers = itertools.count(1)
         self._changed: set[str] = set()
+        self.pacing = Pacing(clock())
         self._told_loads: dict[str, ToldLoad] = {}
 
     def __len__(self) -> int:
         return len(self._by_number)
 
-    @property
-    def news_s(self) -> float:
-        """How long news are gathered, in seconds."""
-        return max(NEWS_S, NEWS_S_PER_FOLLOWER * len(self))
-
     def join(self, instance: str, address: str) -> Follower:
         """Take a gateway on and tell it all that is held."""
         number = next(self._numbers)
         follower = self._by_number[number] = Follower(number, instance, address)
-        message = pb.FromPlanner(gateways=len(self))
-        for name in self._engines:
-            message.holdings.append(self._holdings(name))
+        self.pacing.note_gateways(len(self))
+        message = self._news()
         for name, engine in self._engines.items():
-            self._add_load(message, name, engine)
+            message.holdings.append(self._holdings(name))
+            message.loads.append(encode_load(name, engine))
         follower.send(message)
         return follower
 
@@ -123,7 +127,9 @@
     def leave(self, follower: Follower) -> bool:
         """Forget a gateway; False if that was done before."""
         follower.is_gone = True
-        return self._by_number.pop(follower.number, None) is not None
+        left = self._by_number.pop(follower.number, None) is not None
+        self.pacing.note_gateways(len(self))
+        return left
 
     def cut_off(self) -> int:
         """Return how many gateways cannot reach the platform's store; 0 while any can."""
@@ -137,7 +143,10 @@
 
     def tell_news(self, active: bool) -> None:
         """Tell everybody what has changed since the last time."""
-        news = pb.FromPlanner(gateways=len(self), active=active, cut_off=self.cut_off())
+        self.pacing.step(self._clock())
+        news = self._news()
+        news.active = active
+        news.cut_off = self.cut_off()
         for name in self._changed:
             news.holdings.append(self._holdings(name))
         self._changed.clear()
@@ -145,17 +154,16 @@
             load = engine.load()
             if self._told_loads.get(name) != load:
                 self._told_loads[name] = load
-                self._add_load(news, name, engine)
+                news.loads.append(encode_load(name, engine))
         for follower in self._by_number.values():
             follower.send(self._with_peers(news, follower))
 
-    def _add_load(self, message: pb.FromPlanner, name: str, engine: Engine) -> None:
-        load = engine.load()
-        message.loads.add(
-            replica=name,
-            starting=load.starting,
-            running=load.running,
-            queued=load.queued,
+    def _news(self) -> pb.FromPlanner:
+        return pb.FromPlanner(
+            gateways=len(self),
+            news_ms=round(self.pacing.news_s * 1000),
+            flush_ms=round(self.pacing.flush_s * 1000),
+            ask_first=self.pacing.ask_first,
         )
 
     def _with_peers(self, news: pb.FromPlanner, follower: Follower) -> pb.FromPlanner:
@@ -183,3 +191,11 @@
             if place.phase is Phase.READY:
                 holdings.held.add(model=key.model, adapter=key.adapter, version=place.version)
         return holdings
+
+
+def encode_load(replica: str, engine: Engine) -> pb.Load:
+    """Return what runs on an engine, of all gateways."""
+    load = engine.load()
+    return pb.Load(
+        replica=replica, starting=load.starting, running=load.running, queued=load.queued
+    )
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -18,12 +18,9 @@
 from .executing import Executor
 from .fleet import Fleet
 from .model import AdapterKey, ToldLoad
+from .pacing import FLUSH_S, NEWS_S
 
 log = logbook.Logger("link")
-FLUSH_S = 0.04
-FLUSH_S_PER_GATEWAY = 0.0025
-"""What ends and how much runs is told in messages of this spacing, longer with many gateways: the
-planner then takes 400 messages a second. The first use of weights is told at once."""
 FIRST_USE_PART = 0.25
 """But not within this part of the spacing after the last message: so the planner takes 1,600
 messages a second at most, however many instances there are."""
@@ -32,8 +29,11 @@
 IDLE_FLUSH_S = 0.5
 """Without news a message goes out this often, so that both ends know of each other."""
 SILENT_S = 1.0
-"""A planner sends news four times a second or more; one that sends nothing for so long is lost. Its
+SILENT_NEWS = 2.5
+"""A planner that sends nothing for so long, or for the time of so many of its news, is lost. Its
 lease runs out at about the same time, so that a successor can be looked for."""
+QUIET_S = 0.15
+"""A planner from which nothing has come for the time of its news and this may be lost."""
 REPLACED_S = 4.0
 """A planner that is lost is followed by another one within this: 2 s, and 3.3 s where the store was
 away as well (Tenger's trouble-3). Without one for longer nobody knows when there will be one."""
@@ -82,10 +82,13 @@
         "_clock",
         "_executor",
         "_fleet",
+        "_flush_s",
+        "_heard_at",
         "_instance",
         "_missed_at",
         "_questions",
         "_results",
+        "_retold",
         "_sent_at",
         "_started",
         "_started_tokens",
@@ -94,8 +97,10 @@
         "_told_owned",
         "_wake",
         "active",
+        "ask_first",
         "gateways",
         "is_followed",
+        "news_s",
         "peers",
         "service",
     )
@@ -118,6 +123,14 @@
         """Whether a planner has said something on the present stream."""
         self.peers: list[str] = []
         """Some other instances, as the planner last told."""
+        self.ask_first = False
+        """Whether the planner wants to be asked also for weights that are known here."""
+        self.news_s = NEWS_S
+        """How long the planner gathers its news, in seconds."""
+        self._flush_s = FLUSH_S
+        self._heard_at = -math.inf
+        self._retold: set[str] = set()
+        """Replicas for which the planner has booked requests: it is told what really is there."""
         self._address = address
         self._instance = instance
         self._fleet = fleet
@@ -139,7 +152,15 @@
         self._wake = asyncio.Event()
         self._asked = asyncio.Event()
 
-    async def ask(self, ticket: int, ask: pb.Ask, until: float) -> pb.Answer:
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the planner may be lost: none is followed, or nothing has come when it should."""
+        quiet_s = self._clock() - self._heard_at
+        return not self.is_followed or quiet_s > self.news_s + QUIET_S
+
+    async def ask(
+        self, ticket: int, ask: pb.Ask, until: float, has_choice: bool = False
+    ) -> pb.Answer:
         """Return the planner's answer.
 
         Parameters
@@ -150,6 +171,9 @@
             The question.
         until : float
             It is given up at the latest then.
+        has_choice : bool
+            Whether the asker knows what to do without an answer: it is given up as soon as the
+            planner may be lost.
 
         Raises
         ------
@@ -162,6 +186,8 @@
         try:
             async with asyncio.timeout_at(until):
                 while not question.fut.done():
+                    if has_choice and self.is_quiet:
+                        raise TimeoutError
                     if not self.is_followed and self._clock() >= self._missed_at + REPLACED_S:
                         raise TimeoutError
                     await asyncio.wait([question.fut], timeout=LOOK_S)
@@ -179,7 +205,7 @@
             self._started[use] += 1
             self._started_tokens[use] += tokens
         rested_s = self._clock() - self._sent_at
-        if change > 0 and self.active[use] == 1 and rested_s >= FIRST_USE_PART * self._flush_s():
+        if change > 0 and self.active[use] == 1 and rested_s >= FIRST_USE_PART * self._flush_s:
             # Told at once: until the planner knows, it may order the weights to be unloaded.
             self._asked.set()
         self._changed.add(use)
@@ -198,6 +224,7 @@
             question.sent = False
         self._changed.update(self.active)
         self._told_loads.clear()
+        self._retold.clear()
         self._told_owned = None
         self._results.clear()
         self._stream += 1
@@ -208,7 +235,8 @@
                     sender = asyncio.create_task(self._send(stream))
                     try:
                         while (message := await stream.recv_message()) is not None:
-                            limit.reschedule(self._clock() + SILENT_S)
+                            silent_s = max(SILENT_S, SILENT_NEWS * self.news_s)
+                            limit.reschedule(self._clock() + silent_s)
                             self._note_followed(planner)
                             self._take(message)
                     finally:
@@ -239,15 +267,12 @@
             await stream.send_message(self._message(False))
             await asyncio.sleep(ASKS_S)
             try:
-                async with asyncio.timeout(self._flush_s()):
+                async with asyncio.timeout(self._flush_s):
                     await self._asked.wait()
             except TimeoutError:
                 # No question came, so what is in use is told by now.
                 pass
 
-    def _flush_s(self) -> float:
-        return max(FLUSH_S, FLUSH_S_PER_GATEWAY * self.gateways)
-
     def _message(self, first: bool) -> pb.FromGateway:
         self._sent_at = self._clock()
         message = pb.FromGateway()
@@ -255,6 +280,7 @@
             message.instance = self._instance
             message.service = self.service
             message.address = self._address
+            message.hall = self._fleet.hall
         for question in self._questions.values():
             if not question.sent:
                 question.sent = True
@@ -281,9 +307,11 @@
         return message
 
     def _add_loads(self, message: pb.FromGateway) -> None:
+        for name in self._retold:
+            self._fleet.load(name)
         for name, load in self._fleet.loads():
             own = load.own()
-            if self._told_loads.get(name, ToldLoad()) != own:
+            if name in self._retold or self._told_loads.get(name, ToldLoad()) != own:
                 self._told_loads[name] = own
                 message.loads.add(
                     replica=name,
@@ -291,6 +319,7 @@
                     running=own.running,
                     queued=own.queued,
                 )
+        self._retold.clear()
 
     def _add_owned(self, message: pb.FromGateway) -> None:
         message.results.extend(self._results)
@@ -315,7 +344,9 @@
             self._executor.carry_out(order, tell)
 
     def _take(self, message: pb.FromPlanner) -> None:
-        self.gateways = message.gateways or self.gateways
+        self._heard_at = self._clock()
+        if message.gateways:
+            self._take_pacing(message)
         if message.peers:
             self.peers = list(message.peers)
         for holdings in message.holdings:
@@ -324,26 +355,57 @@
                 {AdapterKey(held.model, held.adapter): held.version for held in holdings.held},
             )
         for told in message.loads:
-            load = self._fleet.load(told.replica)
-            own = self._told_loads.get(told.replica, ToldLoad())
-            load.others = ToldLoad(
-                max(0, told.starting - own.starting),
-                max(0, told.running - own.running),
-                less_queue(told.queued, own.queued),
-            )
-            if told.running > load.told_running:
-                # Some instance had a first event from it.
-                self._fleet.health(told.replica).heard_at = self._clock()
-            load.told_running = told.running
+            self._take_load(told, ToldLoad())
         if message.cut_off and self._executor is not None:
             self._executor.note_outage(message.cut_off)
         for order in message.orders:
             self._carry_out(order)
         for answer in message.answers:
+            self._take_booking(answer)
             question = self._questions.get(answer.ticket)
             if question is not None and not question.fut.done():
                 question.fut.set_result(answer)
 
+    def _take_pacing(self, message: pb.FromPlanner) -> None:
+        self.gateways = message.gateways
+        self.news_s = message.news_ms / 1000
+        self._flush_s = message.flush_ms / 1000
+        self.ask_first = message.ask_first
+
+    def _take_load(self, told: pb.Load, booked: ToldLoad) -> None:
+        """Take over what runs at a replica.
+
+        Parameters
+        ----------
+        told : pb.Load
+            Of all gateways.
+        booked : ToldLoad
+            What the planner counts beyond that for a request of this instance.
+        """
+        load = self._fleet.load(told.replica)
+        own = self._told_loads.get(told.replica, ToldLoad())
+        load.others = ToldLoad(
+            max(0, told.starting - own.starting - booked.starting),
+            max(0, told.running - own.running),
+            less_queue(less_queue(told.queued, own.queued), booked.queued),
+        )
+        if told.running > load.told_running:
+            # Some instance had a first event from it.
+            self._fleet.health(told.replica).heard_at = self._clock()
+        load.told_running = told.running
+
+    def _take_booking(self, answer: pb.Answer) -> None:
+        """Take over the state of the replica that an answer names, less what is booked there."""
+        if not answer.replica:
+            return
+        self._retold.add(answer.replica)
+        self._wake.set()
+        question = self._questions.get(answer.ticket)
+        if question is None or not answer.HasField("load"):
+            return
+        queued = (0,) * question.ask.rank + (question.ask.prompt_tokens,)
+        self._take_load(answer.load, ToldLoad(1, 0, queued))
+
 
 async def ask_where(address: str, service: str) -> PlannerAddress | None:
     """Return the planner that a peer knows of, None if it cannot tell."""
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -14,7 +14,7 @@
 from gradelug_wire import placement_pb2 as pb
 
 from .engines import Engine, Phase, Place
-from .followers import Follower, Followers
+from .followers import Follower, Followers, encode_load
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .openings import Openings
@@ -40,6 +40,10 @@
 takes 0.25 s from the weight store."""
 MOVE_MARGIN_S = 0.1
 """The other engine must be better by this: that it takes a place there costs others."""
+DOUBTED_S = 1.0
+"""An engine that fails an asker's requests is taken for one with so much more to read."""
+OTHER_HALL_S = 0.03
+"""A nearer engine wins among equals only: bytes between halls have a price."""
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
@@ -186,6 +190,8 @@
         now = self._clock()
         follower.heard_at = now
         follower.store_away = message.store_away
+        follower.hall = message.hall or follower.hall
+        self.followers.pacing.note_message(sum(use.started for use in message.uses))
         if self._relay is not None:
             self._relay.take(follower, message)
         for use in message.uses:
@@ -202,9 +208,9 @@
         self.decide_soon()
 
     def _take_ask(self, waiter: Waiter, now: float) -> None:
-        self.popularity.note(waiter.key.text, now)
         self._note_absent(waiter, now)
         if not self._try_answer(waiter, now):
+            self.popularity.note(waiter.key.text, now)
             self._line.waiters.append(waiter)
 
     def _take_use(self, follower: Follower, use: pb.Use, now: float) -> None:
@@ -236,7 +242,7 @@
 
     async def _tell(self) -> None:
         while True:
-            await asyncio.sleep(self.followers.news_s)
+            await asyncio.sleep(self.followers.pacing.news_s)
             self.followers.tell_news(self.term is not None)
 
     # Deciding.
@@ -282,22 +288,34 @@
         return queued
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
-        best, least = None, math.inf
+        best: Engine | None = None
+        least = math.inf
         newest = self.state.versions.get(waiter.key, 0)
         for name, engine in self.engines.items():
             place = engine.places.get(waiter.key)
             if place is None or place.phase is not Phase.READY or not waiter.may_use(name):
                 continue
-            cost = self.wait_s(engine, waiter.work)
+            cost = self.cost_s(engine, waiter)
             if place.version >= newest and cost < least:
-                best, least = name, cost
+                best, least = engine, cost
         if best is None or self._goes_elsewhere(waiter, least, now):
             return False
-        place = self.engines[best].places[waiter.key]
-        place.used_at = now
-        waiter.answer(best, place.version)
+        place = best.places[waiter.key]
+        # Until its gateway tells that it is there.
+        place.used_at = now + self.followers.pacing.flush_s
+        best.book(waiter.follower.number, waiter.work)
+        waiter.answer(best.replica.name, place.version, encode_load(best.replica.name, best))
         return True
 
+    def cost_s(self, engine: Engine, waiter: Waiter) -> float:
+        """Return what a request costs on an engine that has the adapter, in seconds."""
+        cost = self.wait_s(engine, waiter.work)
+        if engine.replica.name in waiter.ask.doubted:
+            cost += DOUBTED_S
+        if engine.replica.hall != waiter.follower.hall:
+            cost += OTHER_HALL_S
+        return cost
+
     def _goes_elsewhere(self, waiter: Waiter, least_s: float, now: float) -> bool:
         """Tell whether a request that would be late on the best holder waits for another one."""
         if now > waiter.asked_at + MOVE_S:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -183,11 +183,12 @@
             await asyncio.sleep(POLL_S)
 
     async def _place_weights(self, job: Job, key: AdapterKey) -> Replica:
+        known = None
         if not job.absent:
             holders = self._fleet.holders(job.service.name, key)
-            replica = self._fleet.choose(holders, job.excluded, job.candidates(), job.work)
-            if replica is not None and not self._had_better_ask(job, replica):
-                return replica
+            known = self._fleet.choose(holders, job.excluded, job.candidates(), job.work)
+            if known is not None and not self._had_better_ask(job, known):
+                return known
         return await self._directory.place(
             job.service.name,
             key,
@@ -195,13 +196,16 @@
             excluded=job.excluded,
             only=job.candidates(),
             absent=job.absent,
+            known=known,
         )
 
     def _had_better_ask(self, job: Job, replica: Replica) -> bool:
-        """Tell whether a request would be late at a replica and the planner may know a better."""
+        """Tell whether the planner may know of a better replica than the one that is known here."""
         if job.asked or job.inc.started or not self._directory.is_followed(job.service.name):
             return False
         job.asked = True
+        if self._directory.asks_first(job.service.name):
+            return True
         return self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s)
 
     def _wish(self, job: Job) -> Wish:
--- a/packages/gateway/src/gradelug_gateway/waiting.py
+++ b/packages/gateway/src/gradelug_gateway/waiting.py
@@ -53,9 +53,11 @@
             return replica == self.ask.only
         return replica not in self.ask.excluded
 
-    def answer(self, replica: str, version: int) -> None:
-        """Tell where it can run."""
-        self.follower.answer(pb.Answer(ticket=self.ask.ticket, replica=replica, version=version))
+    def answer(self, replica: str, version: int, load: pb.Load) -> None:
+        """Tell where it can run, and what runs there."""
+        self.follower.answer(
+            pb.Answer(ticket=self.ask.ticket, replica=replica, version=version, load=load)
+        )
 
     def refuse(self, ready_s: float, now: float) -> None:
         """Tell when to come back, the weights being ready in `ready_s` seconds."""
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -5,8 +5,8 @@
 import pytest
 from gradelug_gateway.directory import Directory
 from gradelug_gateway.fleet import Fleet
-from gradelug_gateway.link import REPLACED_S, PlannerAddress, PlannerLink
-from gradelug_gateway.model import AdapterKey, FleetState
+from gradelug_gateway.link import QUIET_S, REPLACED_S, PlannerAddress, PlannerLink
+from gradelug_gateway.model import AdapterKey, FleetState, ToldLoad
 from gradelug_wire import placement_pb2 as pb
 from world import new_loop
 
@@ -64,7 +64,7 @@
                 async def send_message(self, message):
                     sent.append(message)
 
-            link.gateways = 80
+            link._take(pb.FromPlanner(gateways=80, news_ms=240, flush_ms=200))
             sending = asyncio.create_task(link._send(Stream()))
             key = AdapterKey("m", "a1")
             link.note("e0", AdapterKey("m", "a9"), 1)
@@ -102,6 +102,50 @@
 
         run(scenario)
 
+    def test_news_that_are_rare_by_design_are_not_taken_for_silence(self):
+        """With 370 gateways a planner's news are 1.1 s apart, and it was given up after 1 s."""
+
+        async def scenario():
+            clock, link = new_link()
+            link._take(pb.FromPlanner(gateways=370, news_ms=1110, flush_ms=900))
+            link.is_followed = True
+            await asyncio.sleep(1.1)
+            assert not link.is_quiet
+            await asyncio.sleep(QUIET_S + 0.1)
+            assert link.is_quiet
+
+        run(scenario)
+
+    def test_who_knows_a_choice_does_not_wait_for_a_planner_that_is_quiet(self):
+        async def scenario():
+            clock, link = new_link()
+            link._take(pb.FromPlanner(gateways=90, news_ms=270, flush_ms=40, ask_first=True))
+            link.is_followed = True
+            began = clock()
+            with pytest.raises(TimeoutError):
+                await link.ask(1, pb.Ask(ticket=1), began + 4.0, has_choice=True)
+            assert clock() - began <= 0.27 + QUIET_S + 0.11
+
+        run(scenario)
+
+    def test_an_answer_tells_what_runs_there_and_what_was_booked_is_told_as_it_is(self):
+        """Otherwise a request that was never sent would count at its engine for good."""
+
+        async def scenario():
+            clock, link = new_link()
+            ask = pb.Ask(ticket=1, rank=1, prompt_tokens=500)
+            asking = asyncio.create_task(link.ask(1, ask, clock() + 10.0))
+            await asyncio.sleep(0.01)
+            told = pb.Load(replica="e0", starting=3, running=2, queued=[100, 700])
+            link._take(pb.FromPlanner(answers=[pb.Answer(ticket=1, replica="e0", load=told)]))
+            await asking
+            assert link._fleet.load("e0").others == ToldLoad(2, 2, (100, 200))
+            (load,) = link._message(False).loads
+            assert (load.replica, load.starting) == ("e0", 0)
+            assert not link._message(False).loads
+
+        run(scenario)
+
 
 class TestDirectory:
     def test_a_newer_planner_is_followed_while_the_old_one_does_not_answer(self, monkeypatch):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -5,6 +5,7 @@
 
 import pytest
 from engine_model import MODEL, SLOTS, ModelEngine
+from gradelug_gateway.engines import Phase, Place
 from gradelug_gateway.model import (
     AdapterKey,
     BaseModel,
@@ -459,6 +460,49 @@
 
         run(scenario)
 
+    def test_what_was_answered_counts_at_the_engine_until_its_gateway_tells(self):
+        """Two gateways that ask at once were sent to the same engine."""
+
+        async def scenario():
+            bench = Bench(engines=2)
+            other = bench.planner.join("h", "h:1")
+            await asyncio.sleep(0.5)
+            key = AdapterKey("m", "a1")
+            for engine in bench.planner.engines.values():
+                engine.places[key] = Place(1, Phase.READY, bench.clock())
+            answers = []
+            for follower in (bench.gateway, other):
+                ask = pb.Ask(
+                    ticket=1, model="m", adapter="a1", wait_ms=4000, target_ms=1000, rank=2,
+                    prompt_tokens=4000,
+                )  # fmt: skip
+                bench.planner.take(follower, pb.FromGateway(asks=[ask]))
+                for message in follower.take_messages():
+                    answers.extend(message.answers)
+            assert {answer.replica for answer in answers} == {"e0", "e1"}
+            assert [list(answer.load.queued) for answer in answers] == [[0, 0, 4000]] * 2
+            told = pb.Load(replica=answers[0].replica)
+            bench.planner.take(bench.gateway, pb.FromGateway(loads=[told]))
+            assert bench.planner.engines[answers[0].replica].starting == 0
+            await bench.stop()
+
+        run(scenario)
+
+    def test_an_engine_that_fails_an_asker_is_avoided(self):
+        async def scenario():
+            bench = Bench(engines=2)
+            await asyncio.sleep(0.5)
+            for engine in bench.planner.engines.values():
+                engine.places[AdapterKey("m", "a1")] = Place(1, Phase.READY, bench.clock())
+            bench.load("e1", 3)
+            first, second = bench.ask("a1"), bench.ask("a1", doubted=["e0"])
+            await asyncio.sleep(0.05)
+            assert bench.collect()[first].replica == "e0"
+            assert bench.collect()[second].replica == "e1"
+            await bench.stop()
+
+        run(scenario)
+
     def test_a_gateway_that_comes_back_on_another_stream_counts_once(self):
         """A stream that was silenced without a reset stands beside its successor."""
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -82,10 +82,14 @@
         self.answers = []
         self.asked = []
         self.followed = False
+        self.wants_asking = False
 
     def is_followed(self, service):
         return self.followed
 
+    def asks_first(self, service):
+        return self.wants_asking
+
     async def place(self, service, key, **asked):
         self.asked.append(asked)
         if not self.answers:
@@ -425,6 +429,21 @@
 
         run(scenario)
 
+    def test_the_planner_is_asked_first_where_news_are_old(self):
+        """With 195 gateways what each knew was 0.6 s old: requests went to engines that had long
+        unloaded their weights, and to those with the longest queues."""
+
+        async def scenario():
+            bench = self.bench([[], [[STREAM + event(1) + END]]])
+            bench.directory.followed = bench.directory.wants_asking = True
+            bench.directory.answers = [bench.state.replicas["s1"]]
+            bench.client(8000, ADAPTER)
+            await asyncio.sleep(0.05)
+            assert [asked["known"].name for asked in bench.directory.asked] == ["s0"]
+            assert bench.received("s1")
+
+        run(scenario)
+
     def test_a_broken_stream_goes_on_after_its_last_event_elsewhere(self):
         async def scenario():
             first = STREAM + event(1) + event(2) + chunk(b"id: 3\nda")
