Budgets of repeated sendings by windows; a few instances own engines

Change: policy.RetryWindow allows in each window its share of the requests in it, for each service apart, as the platform counts them (gateway.budgets). coordination.Candidacy: nine instances keep leases and own engines, those with a core at once, weaker ones later and only while there are fewer; who owned something before a restart goes on at once. Of gateways only those that keep a lease say whether the store answers.

Tests: a window spent at once; fuzz of 8 instances of which 4 take part, never two orderers within the hold-off; members gone for good, started again.

--- a/packages/coordination/src/gradelug_coordination/__init__.py
+++ b/packages/coordination/src/gradelug_coordination/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from .backoff import Backoff as Backoff
+from .candidacy import Candidacy as Candidacy
 from .documents import BucketSource as BucketSource
 from .documents import Follower as Follower
 from .documents import Head as Head
--- a/packages/coordination/src/gradelug_coordination/lasting.py
+++ b/packages/coordination/src/gradelug_coordination/lasting.py
@@ -23,6 +23,7 @@
 
 import logbook
 
+from .candidacy import Candidacy
 from .exceptions import CoordinationError
 from .kv import ABSENT, KeyValue, KvEntry, swap_surely
 from .lease import LeaseKeeper
@@ -96,14 +97,18 @@
         Called without arguments when something was gained or lost.
     spacing_s : float
         How long the mirror gathers changes, in seconds.
+    candidacy : Candidacy or None
+        Tells whether this instance takes part; None if it does in any case.
     """
 
     __slots__ = (
         "_absent_since",
+        "_candidacy",
         "_claims",
         "_clock",
         "_free_since",
         "_hold_off_s",
+        "_joined",
         "_kv",
         "_lease",
         "_mirror",
@@ -132,8 +137,13 @@
         wanted: t.Callable[[], t.Collection[str]],
         on_change: t.Callable[[], None] = lambda: None,
         spacing_s: float = 0.0,
+        candidacy: Candidacy | None = None,
     ) -> None:
         self._kv = kv
+        self._candidacy = candidacy
+        self._joined = asyncio.Event()
+        if candidacy is None:
+            self._joined.set()
         self._root = root
         self._mirror = mirror
         self._lease = lease
@@ -163,13 +173,18 @@
             return None
         return claim.fence if self._lease.is_valid() or self._is_outage() else None
 
+    @property
+    def has_joined(self) -> bool:
+        """Whether this process takes part, and so knows whether the service answers."""
+        return self._joined.is_set()
+
     @property
     def is_cut_off(self) -> bool:
-        """Whether the service does not answer this process."""
+        """Whether the service does not answer this process, if it takes part."""
         return self._lease.is_cut_off()
 
     def note_outage(self, cut_off: int) -> None:
-        """Take that so many instances cannot reach the service, and that none is known to.
+        """Take that so many that take part cannot reach the service, and that none is known to.
 
         It keeps alive what has not been over since the lease was valid: once it was, another
         instance may have been in contact for long enough to take over.
@@ -205,7 +220,7 @@
 
     async def run(self) -> None:
         """Take, keep and lose resources until cancelled."""
-        renewing = asyncio.create_task(self._lease.run())
+        renewing = asyncio.create_task(self._renew())
         try:
             while True:
                 await self.step()
@@ -213,8 +228,14 @@
         finally:
             renewing.cancel()
 
+    async def _renew(self) -> None:
+        await self._joined.wait()
+        await self._lease.run()
+
     async def step(self) -> None:
         """Do what is due now."""
+        if not self._takes_part():
+            return
         if not self._mirror.synced or not self._lease.is_valid() or self.is_cut_off:
             # Owners may go on while nobody reaches the service: absence counts from contact on.
             self._absent_since.clear()
@@ -226,6 +247,18 @@
         except CoordinationError as exc:
             log.info("the store did not take a record", root=self._root, why=repr(exc))
 
+    def _takes_part(self) -> bool:
+        if self._joined.is_set():
+            return True
+        if self._candidacy is None or not self._mirror.synced:
+            return False
+        present, records = self.present(), self.records().values()
+        is_awaited = self._name in present or any(record.owner == self._name for record in records)
+        if self._candidacy.consider(len(present), is_awaited, self._mirror.hurry):
+            log.info("joined", root=self._root, present=len(present), awaited=is_awaited)
+            self._joined.set()
+        return self._joined.is_set()
+
     async def leave(self) -> None:
         """End the lease: others see at once that this process is gone."""
         try:
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -9,13 +9,20 @@
 import typing as t
 
 import logbook
-from gradelug_coordination import Election, KeyValue, LastingOwnership, LeaseKeeper, Mirror
+from gradelug_coordination import (
+    Candidacy,
+    Election,
+    KeyValue,
+    LastingOwnership,
+    LeaseKeeper,
+    Mirror,
+)
 from gradelug_http import HttpPool, HttpServer, Incoming, ServerLimits
-from gradelug_policy import RetryBudget
 from gradelug_policy.residency import LoadWindow
 from gradelug_runtime.process import Tasks
 from grpclib.server import Server
 
+from .budgets import GATEWAYS_GUESS, RetryBudgets
 from .directory import Directory
 from .executing import Executor
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
@@ -49,13 +56,9 @@
 LEAST_SPACING_S = 0.2
 STRONG_CORES = 1.0
 WEAK_HANDICAP_S = 0.35
-"""Instances with less than a core stand for planning later: it takes most of half a core at 86
-instances."""
+"""Instances with less than a core stand later for planning and for owning engines: planning takes
+most of half a core at 86 instances."""
 UPKEEP_S = 0.5
-BUDGET_SHARE = 0.8
-"""Part of the repeated sendings that is given out; the rest covers instances that come and go."""
-GATEWAYS_GUESS = 9
-"""Instances among which the budget is shared until a planner tells how many there are."""
 WINDOW_EXTRA = 3
 """Loads beyond the rate that the weight store bears in a window."""
 WINDOW_SLACK_S = 0.1
@@ -125,7 +128,9 @@
             executor,
         )
         bounds = settings.bounds
-        self._budget = RetryBudget(bounds.retry_ratio * BUDGET_SHARE, self._burst(GATEWAYS_GUESS))
+        self._budgets = RetryBudgets(
+            bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s, self._clock
+        )
         self._meters = Meters()
         sender = Sender(
             dialect,
@@ -141,7 +146,7 @@
             self._fleet,
             self._directory,
             sender,
-            self._budget,
+            self._budgets,
             self._meters,
             self._clock,
             self._rng,
@@ -236,6 +241,7 @@
             self._engines,
             self._on_owned,
             self._spacing_s,
+            Candidacy(self._clock, self._rng, 0.0 if self._is_strong else WEAK_HANDICAP_S),
         )
 
     def _engines(self) -> list[str]:
@@ -252,6 +258,10 @@
     def _on_owned(self) -> None:
         self._directory.note_owned()
 
+    @property
+    def _is_strong(self) -> bool:
+        return self.settings.cores >= STRONG_CORES
+
     def _new_duty(self, service: str) -> Duty:
         lease = LeaseKeeper(self._kv, LEASE_S, self._clock, self._rng)
         election = Election(
@@ -267,7 +277,7 @@
             self.settings.first_start,
             # Engines, or their owners, see to it that a planner with a lesser token orders nothing.
             True,
-            0.0 if self.settings.cores >= STRONG_CORES else WEAK_HANDICAP_S,
+            0.0 if self._is_strong else WEAK_HANDICAP_S,
         )
         return Duty(election, lambda: self._new_planner(service))
 
@@ -310,16 +320,13 @@
         snapshot = self._state.snapshot
         return snapshot.limits if snapshot is not None else ServerLimits()
 
-    def _burst(self, gateways: int) -> float:
-        return max(1.0, self.settings.bounds.retry_extra * BUDGET_SHARE / gateways)
-
     async def _upkeep(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_S)
             self._feed.refresh()
             self._fleet.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
-            self._budget.set_burst(self._burst(self._directory.gateways or GATEWAYS_GUESS))
+            self._budgets.share_among(self._directory.gateways or GATEWAYS_GUESS)
 
     # Status.
 
--- a/packages/gateway/src/gradelug_gateway/executing.py
+++ b/packages/gateway/src/gradelug_gateway/executing.py
@@ -54,6 +54,11 @@
             if name in replicas and replicas[name].service == service
         )
 
+    @property
+    def knows_store(self) -> bool:
+        """Whether this instance calls the platform's store all the time."""
+        return self._ownership.has_joined
+
     @property
     def is_cut_off(self) -> bool:
         """Whether the platform's store did not answer this instance last."""
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -30,6 +30,7 @@
         "heard_at",
         "instance",
         "is_gone",
+        "knows_store",
         "number",
         "outbox",
         "peers_told_at",
@@ -49,6 +50,8 @@
         self.heard_at = -math.inf
         self.is_gone = False
         """Whether it was taken for lost: nothing that comes from it counts any more."""
+        self.knows_store = False
+        """Whether it calls the platform's store all the time."""
         self.store_away = False
         """Whether it said last that it cannot reach the platform's store."""
         self.wake = asyncio.Event()
@@ -132,9 +135,16 @@
         return left
 
     def cut_off(self) -> int:
-        """Return how many gateways cannot reach the platform's store; 0 while any can."""
+        """Return how many gateways cannot reach the platform's store; 0 while any can.
+
+        Only those count that call it all the time: the others do not know.
+        """
         since = self._clock() - HEARD_S
-        heard = [follower for follower in self._by_number.values() if follower.heard_at > since]
+        heard = [
+            follower
+            for follower in self._by_number.values()
+            if follower.heard_at > since and follower.knows_store
+        ]
         return len(heard) if all(follower.store_away for follower in heard) else 0
 
     def mark(self, replica: str) -> None:
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -326,6 +326,7 @@
         self._results.clear()
         if self._executor is None:
             return
+        message.knows_store = self._executor.knows_store
         message.store_away = self._executor.is_cut_off
         owned = self._executor.owned(self.service)
         if owned != self._told_owned:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -189,6 +189,7 @@
         """Take a gateway's message."""
         now = self._clock()
         follower.heard_at = now
+        follower.knows_store = message.knows_store
         follower.store_away = message.store_away
         follower.hall = message.hall or follower.hall
         self.followers.pacing.note_message(sum(use.started for use in message.uses))
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -9,8 +9,8 @@
 
 import logbook
 from gradelug_http import ClientGone, Incoming
-from gradelug_policy import RetryBudget
 
+from .budgets import RetryBudgets
 from .directory import Directory, Wish
 from .exceptions import GATEWAY_TIMEOUT, Failed, Refused
 from .fleet import Fleet
@@ -54,14 +54,14 @@
         Asks for weights to be placed.
     sender : Sender
         Sends to replicas.
-    budget : RetryBudget
+    budgets : RetryBudgets
         Repeated sendings that this instance may make.
     clock, rng
         The runtime's clock and source of chance.
     """
 
     __slots__ = (
-        "_budget",
+        "_budgets",
         "_clock",
         "_dialect",
         "_directory",
@@ -81,7 +81,7 @@
         fleet: Fleet,
         directory: Directory,
         sender: Sender,
-        budget: RetryBudget,
+        budgets: RetryBudgets,
         meters: Meters,
         clock: t.Callable[[], float],
         rng: random.Random,
@@ -90,7 +90,7 @@
         self._fleet = fleet
         self._directory = directory
         self._sender = sender
-        self._budget = budget
+        self._budgets = budgets
         self._meters = meters
         self._clock = clock
         self._rng = rng
@@ -151,7 +151,7 @@
             return None
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
-        self._budget.note_attempt()
+        self._budgets.note_request(name)
         return Job(inc, req, route, service, self._values.work(route, req))
 
     async def _run(self, job: Job) -> None:
@@ -252,7 +252,7 @@
             if job.route.repeat is not Repeat.RESUME:
                 raise Failed("no further replica may be tried")
             job.excluded.clear()
-        if outcome is not Outcome.NOT_SENT and not self._budget.try_retry():
+        if outcome is not Outcome.NOT_SENT and not self._budgets.try_retry(job.service.name):
             raise Refused("the budget of repeated sendings is spent", RETRY_AFTER_S)
         log.info(
             "send again",
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -40,6 +40,8 @@
         Repeated sendings that all instances together may make per request.
     retry_extra : float
         Repeated sendings beyond that in a window.
+    retry_window_s : float
+        Length of the window, in seconds.
     load_window_s, load_overage : float
         Window in which loads of base models are counted, in seconds, and the factor by which
         they may exceed the weight store's rate.
@@ -54,6 +56,7 @@
     fenced: bool = False
     retry_ratio: float = 0.2
     retry_extra: float = 10.0
+    retry_window_s: float = 10.0
     load_window_s: float = 5.0
     load_overage: float = 1.0
     forgets_idle: bool = False
--- a/packages/policy/src/gradelug_policy/__init__.py
+++ b/packages/policy/src/gradelug_policy/__init__.py
@@ -13,6 +13,7 @@
 from .queue import priority as priority
 from .retries import Circuit as Circuit
 from .retries import RetryBudget as RetryBudget
+from .retries import RetryWindow as RetryWindow
 from .slots import Demand as Demand
 from .slots import Resident as Resident
 from .slots import SlotSettings as SlotSettings
--- a/packages/policy/src/gradelug_policy/retries.py
+++ b/packages/policy/src/gradelug_policy/retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import Enum
 
 RETRY_RATIO = 0.1
@@ -43,6 +44,52 @@
         return True
 
 
+class RetryWindow:
+    """Allows retries in each window as a share of the requests in it.
+
+    A `RetryBudget` saves a few retries up and throws the rest of the share away: of many
+    instances with few requests each, one whose upstream breaks off a handful of them at once may
+    repeat two. Here all of the share of the last window may be spent at any moment of it.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries per request.
+    extra : float
+        Retries beyond that.
+    window_s : float
+        Length of the window, in seconds.
+    """
+
+    __slots__ = ("_ratio", "_requests", "_retries", "_window_s", "extra")
+
+    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
+        self._ratio = ratio
+        self._window_s = window_s
+        self._requests: deque[float] = deque()
+        self._retries: deque[float] = deque()
+        self.extra = extra
+
+    def note_request(self, now: float) -> None:
+        """Count a request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def try_retry(self, now: float) -> bool:
+        """Take a retry from the window if there is one."""
+        self._forget(now)
+        if len(self._retries) + 1 > self._ratio * len(self._requests) + self.extra:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        since = now - self._window_s
+        for times in (self._requests, self._retries):
+            while times and times[0] <= since:
+                times.popleft()
+
+
 class CircuitState(Enum):
     """Whether an upstream is tried."""
 
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from gradelug_coordination import KvUnavailable, LastingOwnership, LeaseKeeper, Mirror
+from gradelug_coordination import Candidacy, KvUnavailable, LastingOwnership, LeaseKeeper, Mirror
 from gradelug_standins.kv import MemoryKv
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -57,7 +57,9 @@
 class Instance:
     """An instance whose process can be killed and started again."""
 
-    def __init__(self, kv, name, spacing_s):
+    def __init__(self, kv, name, spacing_s, handicap_s=None, most=4):
+        self.handicap_s = handicap_s
+        self.most = most
         self.kv = kv
         self.name = name
         self.spacing_s = spacing_s
@@ -81,12 +83,18 @@
             HOLD_OFF_S,
             lambda: RESOURCES,
             spacing_s=self.spacing_s,
+            candidacy=self._new_candidacy(clock, rng),
         )
         self.tasks = [
             asyncio.create_task(mirror.run()),
             asyncio.create_task(self.ownership.run()),
         ]
 
+    def _new_candidacy(self, clock, rng):
+        if self.handicap_s is None:
+            return None
+        return Candidacy(clock, rng, self.handicap_s, self.most)
+
     async def kill(self):
         for task in self.tasks:
             task.cancel()
@@ -104,11 +112,14 @@
 class Fleet:
     """Instances, and a watch over who may act when."""
 
-    def __init__(self, count, told_after_s=0.15, spacing_s=0.0):
+    def __init__(self, count, told_after_s=0.15, spacing_s=0.0, handicaps_s=()):
         self.told_after_s = told_after_s
         self.kv = MemoryKv()
         self.clock = asyncio.get_running_loop().time
-        self.instances = [Instance(self.kv, f"n{at}", spacing_s) for at in range(count)]
+        self.instances = [
+            Instance(self.kv, f"n{at}", spacing_s, handicap_s)
+            for at, handicap_s in zip(range(count), handicaps_s or [None] * count, strict=True)
+        ]
         self.last = {}
         self.told = True
         """Whether instances hear of each other, as they do through a planner."""
@@ -117,7 +128,7 @@
 
     async def _tell(self):
         while True:
-            up = [found for found in self.instances if found.is_up]
+            up = [found for found in self.instances if found.is_up and found.ownership.has_joined]
             count = len(up) if all(found.ownership.is_cut_off for found in up) else 0
             await asyncio.sleep(self.told_after_s)
             for instance in self.instances:
@@ -312,6 +323,33 @@
 
         run(scenario)
 
+    @settings(derandomize=True, max_examples=25, deadline=None)
+    @given(
+        steps=st.lists(
+            st.tuples(st.integers(0, 7), st.floats(0.0, 2.5), st.sampled_from("kkscchlrod")),
+            min_size=8,
+            max_size=25,
+        )
+    )
+    def test_never_two_where_a_few_of_many_take_part(self, steps):
+        async def scenario():
+            fleet = Fleet(8, 0.7, 0.3, [0.0, 0.0, *[0.35] * 6])
+            await asyncio.sleep(6.0)
+            for number, pause_s, what in steps:
+                await disturb(fleet, fleet.instances[number], what)
+                await asyncio.sleep(pause_s)
+                assert not fleet.watching.done()
+            fleet.kv.set_down(False)
+            for instance in fleet.instances:
+                instance.path.cut = False
+                if not instance.is_up:
+                    instance.start()
+            await asyncio.sleep(12.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
 
 async def disturb(fleet, instance, what):
     if what == "k":
@@ -330,3 +368,59 @@
         fleet.kv.set_down(True)
     elif what == "d":
         fleet.kv.set_down(False)
+
+
+class TestFewOfMany:
+    """With 75 instances the leases of all of them were half of the calls to the store."""
+
+    HANDICAPS_S = (0.0, 0.0, *[0.35] * 18)
+
+    def fleet(self):
+        return Fleet(20, spacing_s=0.5, handicaps_s=self.HANDICAPS_S)
+
+    def members(self, fleet):
+        return [found for found in fleet.instances if found.is_up and found.ownership.has_joined]
+
+    def test_only_a_few_keep_leases_the_strong_ones_among_them(self):
+        async def scenario():
+            fleet = self.fleet()
+            await asyncio.sleep(8.0)
+            members = {found.name for found in self.members(fleet)}
+            assert {"n0", "n1"} <= members
+            assert 4 <= len(members) <= 6
+            owners = [name for [name] in fleet.owners().values()]
+            assert set(owners) <= members
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_others_join_when_members_are_gone_for_good(self):
+        async def scenario():
+            fleet = self.fleet()
+            await asyncio.sleep(8.0)
+            gone = self.members(fleet)
+            for instance in gone:
+                await instance.kill()
+            await asyncio.sleep(HOLD_OFF_S + 2 * TTL_S + 8.0)
+            assert 4 <= len(self.members(fleet)) <= 7
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_a_member_that_is_started_again_goes_on_at_once(self):
+        async def scenario():
+            fleet = self.fleet()
+            await asyncio.sleep(8.0)
+            owners = fleet.owners()
+            members = self.members(fleet)
+            for instance in members:
+                await instance.kill()
+            await asyncio.sleep(4.0)
+            for instance in members:
+                instance.start()
+            await asyncio.sleep(0.6)
+            assert fleet.owners() == owners
+            await fleet.stop()
+
+        run(scenario)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -417,11 +417,15 @@
             others = [bench.gateway, followers.join("h", "")]
             for away, expected in (((True, False), 0), ((True, True), 2), ((False, False), 0)):
                 for follower, store_away in zip(others, away, strict=True):
-                    bench.planner.take(follower, pb.FromGateway(store_away=store_away))
+                    said = pb.FromGateway(store_away=store_away, knows_store=True)
+                    bench.planner.take(follower, said)
                 assert followers.cut_off() == expected
-            bench.planner.take(bench.gateway, pb.FromGateway(store_away=True))
+            away = pb.FromGateway(store_away=True, knows_store=True)
+            bench.planner.take(bench.gateway, away)
+            # One that does not call the store cannot tell.
+            bench.planner.take(followers.join("i", ""), pb.FromGateway())
             await asyncio.sleep(0.5)
-            bench.planner.take(others[1], pb.FromGateway(store_away=True))
+            bench.planner.take(others[1], away)
             await asyncio.sleep(0.5)
             # What the first one said has become old.
             assert followers.cut_off() == 1
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,6 +3,7 @@
     EngineView,
     PlacementSettings,
     RetryBudget,
+    RetryWindow,
     StorePermits,
     choose_engine,
     judge,
@@ -52,6 +53,29 @@
         attempts = sum(not turn for turn in turns)
         assert retries <= 10 + 0.1 * attempts
 
+    @fixed
+    @given(st.lists(st.tuples(st.floats(0, 2), st.booleans()), max_size=200))
+    def test_retries_of_a_window_stay_a_share_of_its_requests(self, turns):
+        window = RetryWindow(ratio=0.2, extra=2.0, window_s=5.0)
+        now, requests, retries = 0.0, [], []
+        for pause_s, is_retry in turns:
+            now += pause_s
+            if not is_retry:
+                window.note_request(now)
+                requests.append(now)
+            elif window.try_retry(now):
+                retries.append(now)
+                counted = sum(at > now - 5.0 for at in requests)
+                assert sum(at > now - 5.0 for at in retries) <= 2.0 + 0.2 * counted
+
+    def test_the_share_of_a_window_can_be_spent_at_once(self):
+        """Of 75 instances each could repeat two at once, and 123 streams broken off by crashes of
+        engines failed while the fleet's budget was far from spent."""
+        window = RetryWindow(ratio=0.16, extra=2.0, window_s=10.0)
+        for number in range(30):
+            window.note_request(number / 3)
+        assert [window.try_retry(10.0) for _ in range(7)] == [True] * 6 + [False]
+
     def test_an_open_circuit_lets_one_request_try_after_a_while(self):
         circuit = Circuit(threshold=3, open_s=2.0)
         for _ in range(3):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -60,6 +60,7 @@
         return self.tokens.get(resource)
 
     is_cut_off = False
+    has_joined = True
 
     def held(self):
         return frozenset(self.tokens)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -5,6 +5,7 @@
 from pipes import Network, RawClient, RawServer, join
 
 import pytest
+from gradelug_gateway.budgets import BUDGET_SHARE, RetryBudgets
 from gradelug_gateway.directory import Directory
 from gradelug_gateway.exceptions import Refused
 from gradelug_gateway.fleet import Fleet
@@ -25,7 +26,6 @@
 from gradelug_gateway.serving import Serving
 from gradelug_http import HttpPool, ServerLimits
 from gradelug_platform.dialect import PlatformDialect
-from gradelug_policy import RetryBudget
 from world import new_loop
 
 SPEC = EngineSpec((), 1000.0, 6, 96, 1000, 2.0)
@@ -114,6 +114,8 @@
         self.fleet = Fleet(state, "hall", clock)
         self.directory = StubDirectory(self.fleet)
         dialect, meters = PlatformDialect(), Meters()
+        budgets = RetryBudgets(0.0, budget / BUDGET_SHARE, 1000.0, clock)
+        budgets.share_among(1)
         pool = HttpPool(clock, self.net.dial)
         sender = Sender(dialect, self.fleet, self.directory, pool, meters, clock)
         self.serving = Serving(
@@ -121,7 +123,7 @@
             self.fleet,
             self.directory,
             sender,
-            RetryBudget(0.0, budget),
+            budgets,
             meters,
             clock,
             random.Random(1),
