--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -23,6 +23,8 @@
 YOUNG_CAMPAIGN_S = 0.06
 """Instances that were started this lately go first: when all are restarted in turn, they are the
 last to be restarted again."""
+ASIDE_S = 10.0
+"""Who stepped aside lets others have the duty for so long."""
 STEP_S = 0.1
 RETRY_S = 0.25
 
@@ -97,6 +99,7 @@
         "_resigned",
         "_rng",
         "_standing",
+        "_stands_from",
         "_started_at",
         "_value",
         "fence",
@@ -135,6 +138,7 @@
         """The lease to which the record was tied when this instance was entered."""
         self._resigned = False
         self._standing = True
+        self._stands_from = float("-inf")
         self._started_at = clock()
         self._value = json.dumps(
             {"owner": name, "address": address, "operation": uuid.uuid4().hex}
@@ -186,6 +190,14 @@
         Where tokens are checked, this instance goes on acting until there is a successor.
         """
         self._standing = False
+        await self._give_up()
+
+    async def step_aside(self) -> None:
+        """Give the duty up to an instance that can do it better, and stand again later."""
+        self._stands_from = self._clock() + ASIDE_S
+        await self._give_up()
+
+    async def _give_up(self) -> None:
         if self._outlasts_lease and self.fence:
             self._resigned = True
         else:
@@ -209,13 +221,14 @@
         if gone or taken or lapsed:
             log.info("duty lost", key=self._key, fence=self.fence, taken=taken, lapsed=lapsed)
             self.fence = 0
+            self._resigned = False
             return STEP_S
         return delay_s
 
     async def _stand(self) -> float:
-        if not self._mirror.synced or not self._standing:
-            return STEP_S
         now = self._clock()
+        if not self._mirror.synced or not self._standing or now < self._stands_from:
+            return STEP_S
         record = self.record()
         if record is not None and record.owner != self._name:
             self._other_seen_at = now
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -54,10 +54,9 @@
 """Changes on the platform are gathered for the time in which they must be acted on less this: for
 the store's answer, a packet lost on its way, and a request's way to a replica."""
 LEAST_SPACING_S = 0.2
-STRONG_CORES = 1.0
-WEAK_HANDICAP_S = 0.35
-"""Instances with less than a core stand later for planning and for owning engines: planning takes
-most of half a core at 86 instances."""
+WEAK_HANDICAP_S = 0.5
+"""Weak instances stand later for planning and for owning engines: planning takes most of half a
+core at 86 instances."""
 UPKEEP_S = 0.5
 WINDOW_EXTRA = 3
 """Loads beyond the rate that the weight store bears in a window."""
@@ -126,6 +125,7 @@
             self._locate,
             self._mirror.hurry,
             executor,
+            settings.strength,
         )
         bounds = settings.bounds
         self._budgets = RetryBudgets(
@@ -190,7 +190,7 @@
         log.info("stopping", requests=self._callers.in_progress)
         self._callers.draining = True
         self._serving.refuse_from(began + OUT_OF_ROTATION_S)
-        await asyncio.gather(*(duty.election.resign() for duty in self._duties.values()))
+        await asyncio.gather(*(duty.resign() for duty in self._duties.values()))
         end_at = began + self.settings.bounds.grace_s - END_MARGIN_S
         while self._clock() < end_at:
             out = self._clock() - began >= OUT_OF_ROTATION_S
@@ -260,7 +260,7 @@
 
     @property
     def _is_strong(self) -> bool:
-        return self.settings.cores >= STRONG_CORES
+        return self.settings.strength >= 1
 
     def _new_duty(self, service: str) -> Duty:
         lease = LeaseKeeper(self._kv, LEASE_S, self._clock, self._rng)
@@ -279,7 +279,7 @@
             True,
             0.0 if self._is_strong else WEAK_HANDICAP_S,
         )
-        return Duty(election, lambda: self._new_planner(service))
+        return Duty(election, lambda: self._new_planner(service), self.settings.strength)
 
     def _new_planner(self, service: str) -> Planner:
         bounds = self.settings.bounds
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -70,6 +70,8 @@
         Called while a planner is missed.
     executor : Executor or None
         Gives planners' orders to the engines that this instance owns, where engines have owners.
+    strength : float
+        How well this instance could plan itself.
     """
 
     __slots__ = (
@@ -82,6 +84,7 @@
         "_instance",
         "_links",
         "_locate",
+        "_strength",
         "_tasks",
         "_ticket",
     )
@@ -95,7 +98,9 @@
         locate: t.Callable[[str], PlannerAddress | None],
         hurry: t.Callable[[], None] = lambda: None,
         executor: Executor | None = None,
+        strength: float = 1.0,
     ) -> None:
+        self._strength = strength
         self._instance = instance
         self._address = address
         self._fleet = fleet
@@ -240,7 +245,13 @@
         link = self._links.get(service)
         if link is None:
             link = PlannerLink(
-                service, self._instance, self._address, self._fleet, self._clock, self._executor
+                service,
+                self._instance,
+                self._address,
+                self._fleet,
+                self._clock,
+                self._executor,
+                self._strength,
             )
             self._links[service] = link
             self._tasks[service] = asyncio.create_task(self._keep(link))
@@ -266,7 +277,7 @@
                 if not self._is_newest(link.service, planner):
                     log.info("newer planner", service=link.service, old=planner.owner)
                     return
-                if not link.is_followed:
+                if not link.is_followed or link.has_resigned:
                     # A successor may be entered at any moment, and this one may never answer.
                     self._hurry()
             following.result()
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -13,6 +13,8 @@
 from .model import ToldLoad
 from .pacing import Pacing
 
+NEWS_SLACK_S = 0.01
+"""Timers fire a little late or early."""
 HEARD_S = 0.8
 """What a gateway said last holds for so long: it says something twice a second."""
 PEERS_TOLD = 6
@@ -35,6 +37,7 @@
         "outbox",
         "peers_told_at",
         "store_away",
+        "strength",
         "wake",
     )
 
@@ -54,6 +57,8 @@
         """Whether it calls the platform's store all the time."""
         self.store_away = False
         """Whether it said last that it cannot reach the platform's store."""
+        self.strength = 0.0
+        """How well it could plan, as it told first."""
         self.wake = asyncio.Event()
 
     def answer(self, answer: pb.Answer) -> None:
@@ -91,8 +96,10 @@
         "_changed",
         "_clock",
         "_engines",
+        "_holdings_at",
         "_numbers",
         "_told_loads",
+        "has_resigned",
         "pacing",
     )
 
@@ -102,6 +109,9 @@
         self._by_number: dict[int, Follower] = {}
         self._numbers = itertools.count(1)
         self._changed: set[str] = set()
+        self._holdings_at = -math.inf
+        """When it was told last what is held."""
+        self.has_resigned = False
         self.pacing = Pacing(clock())
         self._told_loads: dict[str, ToldLoad] = {}
 
@@ -147,6 +157,18 @@
         ]
         return len(heard) if all(follower.store_away for follower in heard) else 0
 
+    def has_stronger(self, strength: float) -> bool:
+        """Tell whether a gateway could plan and one of a strength can not."""
+        return strength < 1 and any(found.strength >= 1 for found in self._by_number.values())
+
+    def resign(self) -> None:
+        """Tell everybody at once that a successor is to be looked for."""
+        self.has_resigned = True
+        news = self._news()
+        news.active = True
+        for follower in self._by_number.values():
+            follower.send(news)
+
     def mark(self, replica: str) -> None:
         """Note that what a replica holds has changed."""
         self._changed.add(replica)
@@ -157,9 +179,10 @@
         news = self._news()
         news.active = active
         news.cut_off = self.cut_off()
-        for name in self._changed:
-            news.holdings.append(self._holdings(name))
-        self._changed.clear()
+        if self._clock() - self._holdings_at >= self.pacing.holdings_s - NEWS_SLACK_S:
+            self._holdings_at = self._clock()
+            news.holdings.extend(self._holdings(name) for name in self._changed)
+            self._changed.clear()
         for name, engine in self._engines.items():
             load = engine.load()
             if self._told_loads.get(name) != load:
@@ -174,6 +197,7 @@
             news_ms=round(self.pacing.news_s * 1000),
             flush_ms=round(self.pacing.flush_s * 1000),
             ask_first=self.pacing.ask_first,
+            resigned=self.has_resigned,
         )
 
     def _with_peers(self, news: pb.FromPlanner, follower: Follower) -> pb.FromPlanner:
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -93,12 +93,14 @@
         "_started",
         "_started_tokens",
         "_stream",
+        "_strength",
         "_told_loads",
         "_told_owned",
         "_wake",
         "active",
         "ask_first",
         "gateways",
+        "has_resigned",
         "is_followed",
         "news_s",
         "peers",
@@ -113,7 +115,9 @@
         fleet: Fleet,
         clock: t.Callable[[], float],
         executor: Executor | None = None,
+        strength: float = 1.0,
     ) -> None:
+        self._strength = strength
         self.service = service
         self.active: Counter[tuple[str, AdapterKey]] = Counter()
         """Requests of this instance by replica and weights."""
@@ -121,6 +125,8 @@
         """Instances that the planner knows, 0 if it has not told."""
         self.is_followed = False
         """Whether a planner has said something on the present stream."""
+        self.has_resigned = False
+        """Whether the planner that is followed has said that a successor is to be looked for."""
         self.peers: list[str] = []
         """Some other instances, as the planner last told."""
         self.ask_first = False
@@ -246,7 +252,7 @@
         finally:
             if self.is_followed:
                 self._missed_at = self._clock()
-            self.is_followed = False
+            self.is_followed = self.has_resigned = False
             channel.close()
 
     def _note_followed(self, planner: PlannerAddress) -> None:
@@ -281,6 +287,7 @@
             message.service = self.service
             message.address = self._address
             message.hall = self._fleet.hall
+            message.strength = self._strength
         for question in self._questions.values():
             if not question.sent:
                 question.sent = True
@@ -372,6 +379,7 @@
         self.news_s = message.news_ms / 1000
         self._flush_s = message.flush_ms / 1000
         self.ask_first = message.ask_first
+        self.has_resigned = message.resigned
 
     def _take_load(self, told: pb.Load, booked: ToldLoad) -> None:
         """Take over what runs at a replica.
--- a/packages/gateway/src/gradelug_gateway/pacing.py
+++ b/packages/gateway/src/gradelug_gateway/pacing.py
@@ -6,6 +6,9 @@
 """News are gathered this long and told to everybody in one message."""
 NEWS_S_PER_GATEWAY = 0.003
 """With many gateways news are rarer: telling them costs 330 messages a second however many."""
+HOLDINGS_S = 1.0
+"""What is held is told no more often than this to gateways that ask first: it is most of the bytes
+of news, and they use it only while no planner answers."""
 FRESH_S = 0.1
 """What is known of engines for longer does not tell where a request had better run: a load takes
 0.25 s, and callers want a first event within a second."""
@@ -56,6 +59,11 @@
         """Whether gateways ask also for weights that they know of, since their news are old."""
         return self.news_s > FRESH_S and self.starts <= STARTS_PER_S
 
+    @property
+    def holdings_s(self) -> float:
+        """How long changes of what is held are gathered, in seconds."""
+        return max(HOLDINGS_S, self.news_s) if self.ask_first else self.news_s
+
     def note_gateways(self, gateways: int) -> None:
         """Note how many gateways there are."""
         if gateways > self._gateways:
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -34,13 +34,18 @@
         Decides who holds it.
     make : callable
         Makes a fresh planner.
+    strength : float
+        How well this instance can plan: a weak one lets a strong one have the duty.
     """
 
-    __slots__ = ("_make", "election", "planner")
+    __slots__ = ("_make", "_strength", "election", "planner")
 
-    def __init__(self, election: Election, make: t.Callable[[], Planner]) -> None:
+    def __init__(
+        self, election: Election, make: t.Callable[[], Planner], strength: float = 1.0
+    ) -> None:
         self.election = election
         self._make = make
+        self._strength = strength
         self.planner: Planner | None = None
 
     def address(self) -> PlannerAddress | None:
@@ -48,6 +53,12 @@
         record = self.election.record()
         return PlannerAddress(record.owner, record.address, record.fence) if record else None
 
+    async def resign(self) -> None:
+        """Give the duty up; its gateways look for a successor at once."""
+        await self.election.resign()
+        if self.planner is not None:
+            self.planner.followers.resign()
+
     async def run(self) -> None:
         """Stand for the duty and plan while it is held, until cancelled."""
         standing = asyncio.create_task(self.election.run())
@@ -63,7 +74,7 @@
         fence = self.election.fence
         planner = self.planner = self._make()
         planning = asyncio.create_task(planner.run())
-        acted = False
+        acted = has_stepped_aside = False
         try:
             while self.election.fence == fence and not planning.done():
                 if planner.is_outranked:
@@ -77,6 +88,11 @@
                     else:
                         planner.end_term()
                     log.info("planner", service=planner.service, fence=fence, acts=may_act)
+                if not has_stepped_aside and planner.followers.has_stronger(self._strength):
+                    has_stepped_aside = True
+                    log.info("a stronger instance is to plan", service=planner.service)
+                    planner.followers.resign()
+                    await self.election.step_aside()
                 await asyncio.sleep(LOOK_S)
         finally:
             planner.end_term()
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -192,6 +192,7 @@
         follower.knows_store = message.knows_store
         follower.store_away = message.store_away
         follower.hall = message.hall or follower.hall
+        follower.strength = message.strength or follower.strength
         self.followers.pacing.note_message(sum(use.started for use in message.uses))
         if self._relay is not None:
             self._relay.take(follower, message)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 
+STRONG_CORES = 1.0
+STRONG_LINK_MBPS = 50.0
+"""What a planner of 75 gateways sends is 26 Mbit/s at its most."""
+
 
 @dataclass(slots=True, frozen=True)
 class Addresses:
@@ -75,6 +79,8 @@
         Whether the whole system starts for the first time.
     cores : float
         Processor time that it has, in cores.
+    link_mbps : float
+        Bandwidth of its link, in megabits a second.
     """
 
     name: str
@@ -83,3 +89,9 @@
     bounds: Bounds
     first_start: bool = False
     cores: float = 1.0
+    link_mbps: float = 1_000.0
+
+    @property
+    def strength(self) -> float:
+        """How well the instance can carry more than its own requests; from 1 on, well."""
+        return min(self.cores / STRONG_CORES, self.link_mbps / STRONG_LINK_MBPS)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -3,6 +3,7 @@
 import random
 
 from gradelug_coordination import Election, LeaseKeeper, Mirror
+from gradelug_coordination.election import ASIDE_S
 from gradelug_standins.kv import MemoryKv
 from world import new_loop
 
@@ -169,3 +170,27 @@
                 await cand.die()
 
         run(scenario)
+
+    def test_who_steps_aside_acts_until_there_is_a_successor_and_stands_again_later(self):
+        """On the grown new customer an instance with half a core and a link of 5 Mbit/s planned for
+        75 gateways: it happened to look first after the first configuration had come."""
+
+        async def scenario():
+            kv = MemoryKv()
+            weak = Candidate(kv, "weak", outlasts=True)
+            await asyncio.sleep(1.0)
+            assert holders([weak]) == [weak]
+            fence = weak.election.fence
+            strong = Candidate(kv, "strong", outlasts=True)
+            await asyncio.sleep(1.0)
+            await weak.election.step_aside()
+            assert holders([weak]) == [weak]
+            await asyncio.sleep(1.0)
+            assert holders([weak, strong]) == [strong]
+            assert strong.election.fence > fence
+            await strong.die()
+            await asyncio.sleep(ASIDE_S + 3.0)
+            assert holders([weak]) == [weak]
+            await weak.die()
+
+        run(scenario)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -181,3 +181,35 @@
             await directory.close()
 
         run(scenario)
+
+    def test_a_successor_is_looked_for_while_the_planner_has_resigned(self, monkeypatch):
+        """On the grown new customer's scale-1 a planner stopped, and the store was looked at 2.2 s
+        later; an instance with half a core that had just been started saw it first and planned."""
+
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            hurried = []
+
+            async def follow(link, planner):
+                link.is_followed = True
+                await asyncio.sleep(1.0)
+                link._take(pb.FromPlanner(gateways=9, news_ms=50, resigned=True))
+                await asyncio.sleep(60.0)
+
+            monkeypatch.setattr(PlannerLink, "follow", follow)
+            directory = Directory(
+                "me",
+                "",
+                Fleet(FleetState(), "hall", clock),
+                clock,
+                lambda service: PlannerAddress("old", "old:1", 3),
+                lambda: hurried.append(clock()),
+            )
+            directory.ensure(["llm"])
+            await asyncio.sleep(0.9)
+            assert not hurried
+            await asyncio.sleep(0.5)
+            assert len(hurried) >= 3
+            await directory.close()
+
+        run(scenario)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -433,6 +433,36 @@
 
         run(scenario)
 
+    def test_a_weak_planner_has_a_strong_gateway_only_if_it_said_so(self):
+        async def scenario():
+            bench = Bench()
+            followers = bench.planner.followers
+            bench.planner.take(bench.gateway, pb.FromGateway(strength=0.4))
+            assert not followers.has_stronger(0.3)
+            other = bench.planner.join("h", "h:1")
+            bench.planner.take(other, pb.FromGateway(strength=2.0))
+            bench.planner.take(other, pb.FromGateway())
+            assert followers.has_stronger(0.3)
+            assert not followers.has_stronger(1.0)
+            await bench.stop()
+
+        run(scenario)
+
+    def test_all_gateways_are_told_at_once_that_the_planner_has_resigned(self):
+        async def scenario():
+            bench = Bench()
+            other = bench.planner.join("h", "h:1")
+            for follower in (bench.gateway, other):
+                follower.take_messages()
+            bench.planner.followers.resign()
+            for follower in (bench.gateway, other):
+                (message,) = follower.take_messages()
+                assert message.resigned
+                assert message.active
+            await bench.stop()
+
+        run(scenario)
+
     def test_what_all_gateways_have_at_an_engine_is_their_sum(self):
         """Summing it for each decision held up a planner of 75 gateways and 45 engines."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,8 +16,10 @@
     Replica,
     Term,
 )
-from gradelug_gateway.placement import GATEWAY_SILENT_S, PlacementService
+from gradelug_gateway.placement import GATEWAY_SILENT_S, Duty, PlacementService
+from gradelug_gateway.planner import Planner
 from gradelug_gateway.relay import OrderRelay
+from gradelug_policy.residency import LoadWindow
 from gradelug_wire import placement_pb2 as pb
 from world import new_loop
 
@@ -182,6 +184,50 @@
         run(scenario)
 
 
+class StubElection:
+    """Holds a duty until a successor is entered."""
+
+    def __init__(self):
+        self.fence = 5
+        self.aside = 0
+
+    async def run(self):
+        await asyncio.sleep(3600.0)
+
+    def may_act(self):
+        return True
+
+    async def step_aside(self):
+        self.aside += 1
+
+
+class TestDuty:
+    def test_a_weak_instance_steps_aside_once_for_a_strong_one(self):
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            election = StubElection()
+            window = LoadWindow(2.0, 5.0, 1.1, 3)
+            duty = Duty(
+                election,
+                lambda: Planner("llm", "me", SPEC, FleetState(), Transport(), window, clock),
+                0.2,
+            )
+            task = asyncio.create_task(duty.run())
+            await asyncio.sleep(0.3)
+            gateway = duty.planner.join("g", "g:1")
+            duty.planner.take(gateway, pb.FromGateway(strength=0.5))
+            await asyncio.sleep(0.3)
+            assert not election.aside
+            duty.planner.take(gateway, pb.FromGateway(strength=1.0))
+            await asyncio.sleep(0.5)
+            assert election.aside == 1
+            assert any(message.resigned for message in gateway.take_messages())
+            assert duty.planner.term is not None
+            task.cancel()
+
+        run(scenario)
+
+
 class DutyOf:
     def __init__(self, planner):
         self.planner = planner
