Gateways rest while the planner tells what it sees in the store

What each saw was the same, and late: a replica that drains, a new one, a version was known 1 to 3 s later than it could be.

Change: a planner of 16 gateways or more looks every 0.3 s and tells the others, with its news, of replicas that came, changed or went and of versions, and how old that is; for anything else (a configuration) it has them look themselves. A gateway rests while it is told, at most 12 s, and looks as often as before when it is told nothing, by a planner that lost the store, or while it owns engines. What is newer by the store's revision wins, whoever saw it (gateway.storenews).

Tests: told changes without a look, configurations at once, fallback to own looks in four cases, replicas that came and went unseen, older looks that undo nothing.

--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -15,6 +15,13 @@
 log = logbook.Logger("mirror")
 FIRST_DELAY_S = 0.1
 MOST_DELAY_S = 5.0
+MOST_REST_S = 12.0
+"""Whoever is told of changes by others looks itself after this."""
+LEAST_REST_S = 1.0
+LIST_AFTER = 2.0
+"""After a rest of more than so many usual pauses, or of so many seconds, the keys are listed anew: a
+watch brings each state in between as well, 400 KB after 8 s with 45 replicas, which fills a link of
+5 Mbit/s for 0.6 s."""
 
 
 class Mirror:
@@ -50,10 +57,12 @@
         "_lost_at",
         "_prefix",
         "_regained_at",
-        "_spacing_s",
+        "_rest_until",
         "entries",
+        "looked_at",
         "missing",
         "revision",
+        "spacing_s",
         "synced",
     )
 
@@ -69,7 +78,10 @@
         self._kv = kv
         self._prefix = prefix
         self._backoff = Backoff(FIRST_DELAY_S, most_delay_s, rng)
-        self._spacing_s = spacing_s
+        self.spacing_s = spacing_s
+        self._rest_until = float("-inf")
+        self.looked_at = float("-inf")
+        """When the service answered last."""
         self._lapse_s = lapse_s
         self._regained_at = float("-inf")
         self._hurry = asyncio.Event()
@@ -87,6 +99,10 @@
         """Look for changes now: somebody waits for one."""
         self._hurry.set()
 
+    def rest_until(self, at: float) -> None:
+        """Do not look for changes before a moment: this instance is told of them otherwise."""
+        self._rest_until = min(at, self.looked_at + MOST_REST_S)
+
     def subscribe(self, listener: t.Callable[[], None]) -> None:
         """Call `listener` after every change."""
         self._listeners.append(listener)
@@ -102,6 +118,10 @@
                 await self._list()
                 self._backoff.reset()
                 await self._watch()
+                while True:
+                    await self._list()
+                    if not await self._pause():
+                        await self._watch()
             except WatchCompacted:
                 continue
             except CoordinationError as exc:
@@ -141,18 +161,23 @@
         self.missing -= entries.keys()
         self.entries = entries
         self.revision = listing.revision
+        self.looked_at = asyncio.get_running_loop().time()
         self._note_regained()
         self._notify()
 
     async def _watch(self) -> None:
+        """Follow changes until so much time has passed that a listing is less to read."""
+        loop = asyncio.get_running_loop()
         async for events in self._kv.watch(self._prefix, self.revision):
             for event in events:
                 if event.revision <= self.revision and event.entry is None:
                     continue
                 self._take(event)
             self.revision = max([self.revision, *(event.revision for event in events)])
+            self.looked_at = loop.time()
             self._notify()
-            await self._pause()
+            if await self._pause():
+                return
 
     def _take(self, event: KvEvent) -> None:
         self.missing.discard(event.key)
@@ -163,16 +188,23 @@
         if asyncio.get_running_loop().time() - self._regained_at < self._lapse_s:
             self.missing.add(event.key)
 
-    async def _pause(self) -> None:
-        if not self._spacing_s:
-            return
-        try:
-            async with asyncio.timeout(self._spacing_s):
-                await self._hurry.wait()
-        except TimeoutError:
-            # Nobody was in a hurry.
-            pass
+    async def _pause(self) -> bool:
+        """Gather changes; return whether so many may have come that a listing is less to read."""
+        if not self.spacing_s:
+            return False
+        loop = asyncio.get_running_loop()
+        while not self._hurry.is_set():
+            rest_s = max(self.looked_at + self.spacing_s, self._rest_until) - loop.time()
+            if rest_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(rest_s):
+                    await self._hurry.wait()
+            except TimeoutError:
+                # Nobody was in a hurry; it may have been told to rest longer.
+                continue
         self._hurry.clear()
+        return loop.time() - self.looked_at > LIST_AFTER * max(self.spacing_s, LEAST_REST_S)
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -37,6 +37,7 @@
 from .sending import Sender
 from .serving import Serving
 from .settings import GatewaySettings
+from .storenews import TELL_SPACING_S, StoreListener, StoreTeller
 
 log = logbook.Logger("daemon")
 DUTY_PREFIX = "gradelug/planner/"
@@ -126,6 +127,7 @@
             self._mirror.hurry,
             executor,
             settings.strength,
+            StoreListener(self._feed, self._mirror, self._clock, self._spacing_s, self._may_rest),
         )
         bounds = settings.bounds
         self._budgets = RetryBudgets(
@@ -302,6 +304,7 @@
             window,
             self._clock,
             self._fleet.speeds,
+            StoreTeller(self._feed, self._mirror, self._clock),
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
@@ -316,6 +319,11 @@
         duty = self._duties.get(service)
         return duty.address() if duty is not None else None
 
+    def _may_rest(self) -> bool:
+        """Tell whether what a planner tells of the store is all that this instance needs of it."""
+        owns = self._ownership is not None and self._ownership.has_joined
+        return not owns and not self._count_planned()
+
     def _limits(self) -> ServerLimits:
         snapshot = self._state.snapshot
         return snapshot.limits if snapshot is not None else ServerLimits()
@@ -324,10 +332,15 @@
         while True:
             await asyncio.sleep(UPKEEP_S)
             self._feed.refresh()
+            self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
             self._budgets.share_among(self._directory.gateways or GATEWAYS_GUESS)
 
+    def _tells_store(self) -> bool:
+        planners = [duty.planner for duty in self._duties.values() if duty.planner is not None]
+        return any(planner.followers.tells_store for planner in planners)
+
     # Status.
 
     def _is_ready(self) -> bool:
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -15,6 +15,7 @@
 from .fleet import Fleet
 from .link import PlannerAddress, PlannerLink, ask_where
 from .model import AdapterKey, Replica
+from .storenews import StoreListener
 
 log = logbook.Logger("directory")
 RECONNECT_S = 0.1
@@ -72,6 +73,8 @@
         Gives planners' orders to the engines that this instance owns, where engines have owners.
     strength : float
         How well this instance could plan itself.
+    listener : StoreListener or None
+        Takes what planners tell of the platform's store.
     """
 
     __slots__ = (
@@ -83,6 +86,7 @@
         "_hints",
         "_instance",
         "_links",
+        "_listener",
         "_locate",
         "_strength",
         "_tasks",
@@ -99,8 +103,10 @@
         hurry: t.Callable[[], None] = lambda: None,
         executor: Executor | None = None,
         strength: float = 1.0,
+        listener: StoreListener | None = None,
     ) -> None:
         self._strength = strength
+        self._listener = listener
         self._instance = instance
         self._address = address
         self._fleet = fleet
@@ -252,6 +258,7 @@
                 self._clock,
                 self._executor,
                 self._strength,
+                self._listener,
             )
             self._links[service] = link
             self._tasks[service] = asyncio.create_task(self._keep(link))
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -61,6 +61,9 @@
         "_names",
         "_read",
         "_reader",
+        "_revisions",
+        "_told",
+        "_told_changed",
         "state",
     )
 
@@ -74,6 +77,11 @@
         self._names: dict[str, str] = {}
         self._missing_since: dict[str, float] = {}
         self._listeners: list[t.Callable[[], None]] = []
+        self._revisions: dict[str, int] = {}
+        """Revision of the store at which each replica, also one that is gone, was known last."""
+        self._told: set[str] = set()
+        """Replicas that another instance has told of and the mirror does not show yet."""
+        self._told_changed = False
         self.state = state
         mirror.subscribe(self.refresh)
 
@@ -92,9 +100,50 @@
             changed |= self._consider_gone(key)
         for key in [key for key in self._missing_since if key in self._mirror.entries]:
             del self._missing_since[key]
+        changed |= self._drop_missed()
         if changed:
-            for listener in self._listeners:
-                listener()
+            self._notify()
+
+    def revision(self, replica: str) -> int:
+        """Return the store's revision at which a replica was known last; 0 if it never was."""
+        return self._revisions.get(replica, 0)
+
+    def take_told(self, name: str, revision: int, rep: Replica | None) -> None:
+        """Take over what another instance has seen of a replica, unless something newer is known.
+
+        Parameters
+        ----------
+        name : str
+            Of the replica.
+        revision : int
+            The store's, when it was seen.
+        rep : Replica or None
+            None if it is gone.
+        """
+        if revision <= self.revision(name):
+            return
+        self._revisions[name] = revision
+        if rep is not None:
+            self._told.add(name)
+            self._put_replica(rep)
+        elif self.state.replicas.pop(name, None) is not None:
+            self.state.change += 1
+            log.info("replica gone", replica=name, told=True)
+        self._told_changed = True
+
+    def take_told_version(self, key: AdapterKey, version: int) -> None:
+        """Take over that another instance has seen a version named."""
+        self._told_changed |= self._take_version(NewestVersion(key, version))
+
+    def notify_told(self) -> None:
+        """Tell listeners of what was taken over since the last call."""
+        if self._told_changed:
+            self._told_changed = False
+            self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
 
     def _apply(self, entry: KvEntry) -> bool:
         try:
@@ -107,7 +156,7 @@
         if isinstance(fact, Snapshot):
             return self._take_snapshot(fact)
         if isinstance(fact, Replica):
-            return self._take_replica(entry.key, fact)
+            return self._take_replica(entry, fact)
         if isinstance(fact, NewestVersion):
             return self._take_version(fact)
         return False
@@ -120,15 +169,22 @@
         log.info("configuration in force", version=fact.version, routes=len(fact.routes))
         return True
 
-    def _take_replica(self, key: str, fact: Replica) -> bool:
-        known = self.state.replicas.get(fact.name)
-        self._names[key] = fact.name
-        self.state.replicas[fact.name] = fact
-        self.state.change += 1
-        if known is None or known.leaving != fact.leaving:
-            log.info("replica", replica=fact.name, service=fact.service, leaving=fact.leaving)
+    def _take_replica(self, entry: KvEntry, fact: Replica) -> bool:
+        self._names[entry.key] = fact.name
+        if entry.revision < self.revision(fact.name):
+            # Another instance has seen something newer.
+            return False
+        self._revisions[fact.name] = entry.revision
+        self._put_replica(fact)
         return True
 
+    def _put_replica(self, rep: Replica) -> None:
+        known = self.state.replicas.get(rep.name)
+        self.state.replicas[rep.name] = rep
+        self.state.change += 1
+        if known is None or known.leaving != rep.leaving:
+            log.info("replica", replica=rep.name, service=rep.service, leaving=rep.leaving)
+
     def _take_version(self, fact: NewestVersion) -> bool:
         if fact.version <= self.state.versions.get(fact.key, 0):
             return False
@@ -136,6 +192,17 @@
         log.info("version named", weights=fact.key.text, version=fact.version)
         return True
 
+    def _drop_missed(self) -> bool:
+        """Drop replicas that came and went between two looks at the store."""
+        self._told -= set(self._names.values())
+        missed = [name for name in self._told if self.revision(name) <= self._mirror.revision]
+        for name in missed:
+            self._told.discard(name)
+            if self.state.replicas.pop(name, None) is not None:
+                self.state.change += 1
+                log.info("replica gone", replica=name)
+        return bool(missed)
+
     def _consider_gone(self, key: str) -> bool:
         if key in self._mirror.missing:
             # Not seen to be deleted, only missing after an outage.
@@ -147,7 +214,8 @@
         name = self._names.pop(key)
         self._missing_since.pop(key, None)
         self._read.pop(key, None)
-        self.state.replicas.pop(name, None)
+        if self.state.replicas.pop(name, None) is None:
+            return False
         self.state.change += 1
         log.info("replica gone", replica=name)
         return True
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -12,6 +12,7 @@
 from .engines import Engine, Phase
 from .model import ToldLoad
 from .pacing import Pacing
+from .storenews import LEAST_FOLLOWERS, StoreTeller
 
 NEWS_SLACK_S = 0.01
 """Timers fire a little late or early."""
@@ -29,6 +30,7 @@
         "address",
         "answers",
         "hall",
+        "has_store",
         "heard_at",
         "instance",
         "is_gone",
@@ -50,6 +52,8 @@
         self.answers: list[pb.Answer] = []
         self.outbox: list[pb.FromPlanner] = []
         self.peers_told_at = -math.inf
+        self.has_store = False
+        """Whether it was told all that is in the store, and since then what has changed."""
         self.heard_at = -math.inf
         self.is_gone = False
         """Whether it was taken for lost: nothing that comes from it counts any more."""
@@ -89,6 +93,8 @@
         The planner's engines.
     clock : callable
         The runtime's clock.
+    store : StoreTeller or None
+        Tells what the planner has seen in the platform's store; None to tell nothing of it.
     """
 
     __slots__ = (
@@ -98,13 +104,20 @@
         "_engines",
         "_holdings_at",
         "_numbers",
+        "_store",
         "_told_loads",
         "has_resigned",
         "pacing",
     )
 
-    def __init__(self, engines: t.Mapping[str, Engine], clock: t.Callable[[], float]) -> None:
+    def __init__(
+        self,
+        engines: t.Mapping[str, Engine],
+        clock: t.Callable[[], float],
+        store: StoreTeller | None = None,
+    ) -> None:
         self._engines = engines
+        self._store = store
         self._clock = clock
         self._by_number: dict[int, Follower] = {}
         self._numbers = itertools.count(1)
@@ -188,8 +201,17 @@
             if self._told_loads.get(name) != load:
                 self._told_loads[name] = load
                 news.loads.append(encode_load(name, engine))
+        if self.tells_store and self._store is not None:
+            store = self._store.news()
+            if store is not None:
+                news.store.CopyFrom(store)
         for follower in self._by_number.values():
-            follower.send(self._with_peers(news, follower))
+            follower.send(self._for_one(news, follower))
+
+    @property
+    def tells_store(self) -> bool:
+        """Whether there are enough gateways for the planner to look at the store for them."""
+        return self._store is not None and len(self) >= LEAST_FOLLOWERS
 
     def _news(self) -> pb.FromPlanner:
         return pb.FromPlanner(
@@ -200,10 +222,24 @@
             resigned=self.has_resigned,
         )
 
-    def _with_peers(self, news: pb.FromPlanner, follower: Follower) -> pb.FromPlanner:
+    def _for_one(self, news: pb.FromPlanner, follower: Follower) -> pb.FromPlanner:
+        """Return news with what this gateway alone is told."""
+        peers = self._peers(follower)
+        is_first = news.HasField("store") and not follower.has_store
+        if not peers and not is_first:
+            return news
+        message = pb.FromPlanner()
+        message.CopyFrom(news)
+        message.peers.extend(peers)
+        if is_first and self._store is not None:
+            follower.has_store = True
+            message.store.CopyFrom(self._store.all())
+        return message
+
+    def _peers(self, follower: Follower) -> list[str]:
         now = self._clock()
         if now - follower.peers_told_at < PEERS_S:
-            return news
+            return []
         follower.peers_told_at = now
         others = [
             other.address
@@ -211,10 +247,7 @@
             if other is not follower and other.address
         ]
         start = follower.number % len(others) if others else 0
-        message = pb.FromPlanner()
-        message.CopyFrom(news)
-        message.peers.extend((others[start:] + others[:start])[:PEERS_TOLD])
-        return message
+        return (others[start:] + others[:start])[:PEERS_TOLD]
 
     def _holdings(self, name: str) -> pb.Holdings:
         holdings = pb.Holdings(replica=name)
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -19,6 +19,7 @@
 from .fleet import Fleet
 from .model import AdapterKey, ToldLoad
 from .pacing import FLUSH_S, NEWS_S
+from .storenews import StoreListener
 
 log = logbook.Logger("link")
 FIRST_USE_PART = 0.25
@@ -85,6 +86,7 @@
         "_flush_s",
         "_heard_at",
         "_instance",
+        "_listener",
         "_missed_at",
         "_questions",
         "_results",
@@ -116,8 +118,10 @@
         clock: t.Callable[[], float],
         executor: Executor | None = None,
         strength: float = 1.0,
+        listener: StoreListener | None = None,
     ) -> None:
         self._strength = strength
+        self._listener = listener
         self.service = service
         self.active: Counter[tuple[str, AdapterKey]] = Counter()
         """Requests of this instance by replica and weights."""
@@ -355,6 +359,8 @@
         self._heard_at = self._clock()
         if message.gateways:
             self._take_pacing(message)
+        if message.HasField("store") and self._listener is not None:
+            self._listener.take(message.store)
         if message.peers:
             self.peers = list(message.peers)
         for holdings in message.holdings:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -20,6 +20,7 @@
 from .openings import Openings
 from .ports import OrderTransport
 from .relay import OrderRelay
+from .storenews import StoreTeller
 from .upkeep import Upkeep
 from .waiting import Waiter, WaitingLine
 
@@ -69,6 +70,8 @@
         The runtime's clock.
     speeds : ReadingSpeeds or None
         How fast engines read; None to know nothing of it.
+    store : StoreTeller or None
+        Tells gateways what this instance sees in the platform's store.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         window: LoadWindow,
         clock: t.Callable[[], float],
         speeds: ReadingSpeeds | None = None,
+        store: StoreTeller | None = None,
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -88,7 +92,7 @@
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
-        self.followers = Followers(self.engines, clock)
+        self.followers = Followers(self.engines, clock, store)
         self.popularity = Popularity(HALF_LIFE_S)
         self.tokens = Popularity(HALF_LIFE_S)
         """Tokens of prompts a second, by adapter."""
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/storenews.py
@@ -0,0 +1,167 @@
+"""What a planner sees in the platform's store, told to the gateways that follow it.
+
+Each look at the store is a call, and all instances see the same changes. So the planner looks
+often, and its gateways rest as long as it tells them what it has seen: they look themselves when
+they are told nothing any more, and now and then in any case.
+"""
+
+from __future__ import annotations
+
+import typing as t
+from dataclasses import replace
+
+import logbook
+from gradelug_coordination import Mirror
+from gradelug_wire import placement_pb2 as pb
+
+from .feed import Feed
+from .model import AdapterKey, FleetState, Replica
+
+log = logbook.Logger("storenews")
+TELL_SPACING_S = 0.3
+"""A planner's own looks at the store are so far apart."""
+LEAST_FOLLOWERS = 16
+"""With fewer gateways the planner's looks would cost as much as theirs."""
+
+
+class StoreTeller:
+    """Finds what has changed since gateways were told last.
+
+    Parameters
+    ----------
+    feed : Feed
+        What is known of the platform.
+    mirror : Mirror
+        The copy of the store that it reads.
+    clock : callable
+        The runtime's clock.
+    """
+
+    __slots__ = ("_clock", "_config", "_feed", "_mirror", "_replicas", "_versions")
+
+    def __init__(self, feed: Feed, mirror: Mirror, clock: t.Callable[[], float]) -> None:
+        self._feed = feed
+        self._mirror = mirror
+        self._clock = clock
+        self._replicas: dict[str, Replica] = {}
+        self._versions: dict[AdapterKey, int] = {}
+        self._config = 0
+
+    def news(self) -> pb.StoreNews | None:
+        """Return what is new since the last call, None while the store does not answer."""
+        if not self._mirror.synced:
+            return None
+        state = self._feed.state
+        told = pb.StoreNews(age_ms=self._age_ms(), look=self._config_version(state) != self._config)
+        for name, rep in state.replicas.items():
+            known = self._replicas.get(name)
+            if known is None or _essence(known) != _essence(rep):
+                told.replicas.append(self._encode(rep))
+        gone = self._replicas.keys() - state.replicas.keys()
+        told.replicas.extend(
+            pb.ReplicaFact(replica=name, revision=self._mirror.revision, gone=True) for name in gone
+        )
+        told.versions.extend(
+            _encode_version(key, version)
+            for key, version in state.versions.items()
+            if self._versions.get(key) != version
+        )
+        self._replicas = dict(state.replicas)
+        self._versions = dict(state.versions)
+        self._config = self._config_version(state)
+        return told
+
+    def all(self) -> pb.StoreNews:
+        """Return all that was told so far, for a gateway that was told nothing yet."""
+        # What it has not seen of the rest cannot be known.
+        told = pb.StoreNews(age_ms=self._age_ms(), look=True)
+        told.replicas.extend(map(self._encode, self._replicas.values()))
+        told.versions.extend(_encode_version(*item) for item in self._versions.items())
+        return told
+
+    def _age_ms(self) -> int:
+        return round((self._clock() - self._mirror.looked_at) * 1000)
+
+    def _config_version(self, state: FleetState) -> int:
+        return state.snapshot.version if state.snapshot is not None else 0
+
+    def _encode(self, rep: Replica) -> pb.ReplicaFact:
+        return pb.ReplicaFact(
+            replica=rep.name,
+            revision=self._feed.revision(rep.name),
+            service=rep.service,
+            address=rep.address,
+            hall=rep.hall,
+            leaving=rep.leaving,
+            slots=rep.slots,
+        )
+
+
+class StoreListener:
+    """Takes what a planner has seen in the store, so that this instance need not look itself.
+
+    Parameters
+    ----------
+    feed : Feed
+        Kept up to date.
+    mirror : Mirror
+        Rests as long as the planner tells.
+    clock : callable
+        The runtime's clock.
+    spacing_s : float
+        What is known of the store may be so old, in seconds.
+    may_rest : callable
+        Tells whether this instance needs nothing else of the store.
+    """
+
+    __slots__ = ("_clock", "_feed", "_may_rest", "_mirror", "_spacing_s")
+
+    def __init__(
+        self,
+        feed: Feed,
+        mirror: Mirror,
+        clock: t.Callable[[], float],
+        spacing_s: float,
+        may_rest: t.Callable[[], bool],
+    ) -> None:
+        self._feed = feed
+        self._mirror = mirror
+        self._clock = clock
+        self._spacing_s = spacing_s
+        self._may_rest = may_rest
+
+    def take(self, news: pb.StoreNews) -> None:
+        """Apply a planner's news."""
+        state = self._feed.state
+        for fact in news.replicas:
+            self._feed.take_told(fact.replica, fact.revision, _decode(fact, state))
+        for version in news.versions:
+            key = AdapterKey(version.model, version.adapter)
+            self._feed.take_told_version(key, version.version)
+        self._feed.notify_told()
+        if self._may_rest():
+            self._mirror.rest_until(self._clock() - news.age_ms / 1000 + self._spacing_s)
+        if news.look:
+            self._mirror.hurry()
+
+
+def _essence(rep: Replica) -> tuple[str, str, str, bool, int]:
+    return rep.service, rep.address, rep.hall, rep.leaving, rep.slots
+
+
+def _encode_version(key: AdapterKey, version: int) -> pb.VersionFact:
+    return pb.VersionFact(model=key.model, adapter=key.adapter, version=version)
+
+
+def _decode(fact: pb.ReplicaFact, state: FleetState) -> Replica | None:
+    if fact.gone:
+        return None
+    known = state.replicas.get(fact.replica) or Replica(fact.replica, "", "", "")
+    return replace(
+        known,
+        service=fact.service,
+        address=fact.address,
+        hall=fact.hall,
+        leaving=fact.leaving,
+        slots=fact.slots,
+    )
--- /dev/null
+++ b/tests/test_storenews.py
@@ -0,0 +1,219 @@
+"""What a planner sees in the store, told to gateways that rest meanwhile."""
+
+import asyncio
+import json
+import random
+
+import pytest
+from gradelug_coordination import KvEntry, Mirror
+from gradelug_coordination.mirror import MOST_REST_S
+from gradelug_gateway.feed import Feed, NewestVersion
+from gradelug_gateway.followers import Followers
+from gradelug_gateway.model import AdapterKey, FleetState, Replica, Snapshot
+from gradelug_gateway.storenews import (
+    LEAST_FOLLOWERS,
+    TELL_SPACING_S,
+    StoreListener,
+    StoreTeller,
+)
+from gradelug_http import ServerLimits
+from gradelug_standins.kv import MemoryKv
+from world import new_loop
+
+SPACING_S = 3.0
+NEWS_S = 0.5
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+class Reader:
+    def read(self, entry):
+        data = json.loads(entry.value)
+        if entry.key.startswith("v/"):
+            return NewestVersion(AdapterKey("m", entry.key[2:]), data)
+        if entry.key == "config":
+            return Snapshot(data, (), {}, ServerLimits())
+        return Replica(entry.key[2:], "llm", data["address"], "hall", data.get("leaving", False))
+
+
+class CountedKv:
+    """One instance's way to the service; its looks are counted."""
+
+    def __init__(self, kv):
+        self.kv = kv
+        self.looks = 0
+
+    async def list(self, prefix):
+        self.looks += 1
+        return await self.kv.list(prefix)
+
+    async def watch(self, prefix, after):
+        # As on a platform where each look is a call that is answered at the first change.
+        while True:
+            self.looks += 1
+            async for events in self.kv.watch(prefix, after):
+                after = max(event.revision for event in events)
+                yield events
+                break
+
+
+class Site:
+    """An instance's copy of the store."""
+
+    def __init__(self, kv, spacing_s):
+        self.clock = asyncio.get_running_loop().time
+        self.kv = CountedKv(kv)
+        self.state = FleetState()
+        self.mirror = Mirror(self.kv, "", random.Random(1), 0.5, spacing_s)
+        self.feed = Feed(self.mirror, Reader(), self.state, self.clock)
+        self.task = asyncio.create_task(self.mirror.run())
+
+
+class Pair:
+    """A planner and a gateway, and messages between them."""
+
+    def __init__(self, gateways=LEAST_FOLLOWERS):
+        self.kv = MemoryKv()
+        self.revisions = {}
+        self.planner = Site(self.kv, TELL_SPACING_S)
+        self.gateway = Site(self.kv, SPACING_S)
+        site = self.gateway
+        self.listener = StoreListener(
+            site.feed, site.mirror, site.clock, SPACING_S, lambda: self.may_rest
+        )
+        self.may_rest = True
+        teller = StoreTeller(self.planner.feed, self.planner.mirror, site.clock)
+        self.followers = Followers({}, site.clock, teller)
+        self.follower = self.followers.join("g", "g:1")
+        for number in range(gateways - 1):
+            self.followers.join(f"g{number}", "h:1")
+        self.tells = True
+        self.task = asyncio.create_task(self._tell())
+
+    async def _tell(self):
+        while True:
+            await asyncio.sleep(NEWS_S)
+            self.followers.tell_news(True)
+            for message in self.follower.take_messages():
+                if self.tells and message.HasField("store"):
+                    self.listener.take(message.store)
+
+    async def put(self, key, value):
+        expected = self.revisions.get(key, 0)
+        swap = await self.kv.swap(key, json.dumps(value).encode(), expected)
+        self.revisions[key] = swap.revision
+
+    async def remove(self, key):
+        assert await self.kv.delete(key, self.revisions.pop(key))
+
+    async def beat(self, seconds):
+        """Let another replica write all the time, as replicas do."""
+        for number in range(round(seconds / 0.25)):
+            await self.put("s/other", {"address": "o:1", "n": number})
+            await asyncio.sleep(0.25)
+
+    async def stop(self):
+        for task in (self.task, self.planner.task, self.gateway.task):
+            task.cancel()
+
+
+class TestStoreNews:
+    def test_a_gateway_learns_of_changes_without_looking(self):
+        async def scenario():
+            pair = Pair()
+            await pair.put("s/e0", {"address": "e0:1"})
+            await pair.beat(4.0)
+            looks = pair.gateway.kv.looks
+            replicas = pair.gateway.state.replicas
+            await pair.put("s/e1", {"address": "e1:1"})
+            await pair.put("s/e0", {"address": "e0:1", "leaving": True})
+            await pair.put("v/a1", 7)
+            await pair.beat(1.0)
+            assert replicas["e1"].address == "e1:1"
+            assert replicas["e0"].leaving
+            assert pair.gateway.state.versions == {AdapterKey("m", "a1"): 7}
+            await pair.remove("s/e0")
+            await pair.beat(1.0)
+            assert "e0" not in replicas
+            assert pair.gateway.kv.looks == looks
+            await pair.beat(MOST_REST_S * 2)
+            assert set(replicas) == {"e1", "other"}
+            assert pair.gateway.kv.looks <= looks + 3
+            await pair.stop()
+
+        run(scenario)
+
+    def test_a_configuration_is_looked_at_at_once(self):
+        async def scenario():
+            pair = Pair()
+            await pair.beat(4.0)
+            await pair.put("config", 5)
+            await pair.beat(1.0)
+            assert pair.gateway.state.snapshot.version == 5
+            await pair.stop()
+
+        run(scenario)
+
+    @pytest.mark.parametrize("why", ["not told", "planner lost the store", "owns engines", "few"])
+    def test_without_news_a_gateway_looks_as_often_as_before(self, why):
+        async def scenario():
+            pair = Pair(LEAST_FOLLOWERS - 1 if why == "few" else LEAST_FOLLOWERS)
+            await pair.beat(4.0)
+            if why == "not told":
+                pair.tells = False
+            elif why == "planner lost the store":
+                pair.planner.task.cancel()
+                pair.planner.mirror.synced = False
+            elif why == "owns engines":
+                pair.may_rest = False
+            await pair.put("config", 5)
+            await pair.beat(SPACING_S + 0.6)
+            assert pair.gateway.state.snapshot.version == 5
+            looks = pair.gateway.kv.looks
+            await pair.beat(4 * SPACING_S)
+            assert 3 <= pair.gateway.kv.looks - looks <= 5
+            await pair.stop()
+
+        run(scenario)
+
+    def test_a_replica_that_came_and_went_unseen_does_not_stay(self):
+        """It was told of by a planner that was lost before it could tell that it had gone."""
+
+        async def scenario():
+            pair = Pair()
+            await pair.beat(4.0)
+            await pair.put("s/e1", {"address": "e1:1"})
+            await pair.beat(1.0)
+            assert "e1" in pair.gateway.state.replicas
+            pair.tells = False
+            await pair.remove("s/e1")
+            await pair.beat(SPACING_S + 1.0)
+            assert "e1" not in pair.gateway.state.replicas
+            await pair.stop()
+
+        run(scenario)
+
+    def test_what_a_gateway_sees_itself_does_not_undo_newer_news(self):
+        async def scenario():
+            site = Site(MemoryKv(), SPACING_S)
+            gone = Replica("e1", "llm", "e1:1", "hall", leaving=True)
+            site.feed.take_told("e1", 9, gone)
+            site.mirror.entries = {}
+            for revision, leaving in ((8, True), (10, False)):
+                value = json.dumps({"address": "e1:1"}).encode()
+                site.mirror.entries["s/e1"] = KvEntry("s/e1", value, revision)
+                site.feed.refresh()
+                assert site.state.replicas["e1"].leaving is leaving
+            site.feed.take_told("e1", 9, None)
+            assert "e1" in site.state.replicas
+            site.feed.take_told("e1", 11, None)
+            assert "e1" not in site.state.replicas
+            site.task.cancel()
+
+        run(scenario)
