--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -19,7 +19,7 @@
 """Whoever is told of changes by others looks itself after this."""
 LEAST_REST_S = 1.0
 LIST_AFTER = 2.0
-"""After a rest of more than so many usual pauses, or of so many seconds, the keys are listed anew: a
+"""After a rest of more than so many usual pauses, or so many seconds, the keys are listed anew: a
 watch brings each state in between as well, 400 KB after 8 s with 45 replicas, which fills a link of
 5 Mbit/s for 0.6 s."""
 
