Share the budget of repeated sendings among many until it is known how many there are

Cause: a process took itself for one of nine instances until a planner told. Change: the guess is 200, the size of the largest deployment; upkeep tells the true number within 0.5 s of the planner's first message.

--- a/packages/gateway/src/gradelug_gateway/budgets.py
+++ b/packages/gateway/src/gradelug_gateway/budgets.py
@@ -8,8 +8,10 @@
 
 BUDGET_SHARE = 0.8
 """Part of the repeated sendings that is given out; the rest covers instances that come and go."""
-GATEWAYS_GUESS = 9
-"""Instances among which the budget is shared until a planner tells how many there are."""
+GATEWAYS_GUESS = 200
+"""Instances among which the budget is shared until a planner tells how many there are: as many as
+the largest deployment has, since all of them may start at once and repeat what the loss of all of
+them broke off. With nine in its place 195 of them could spend 20 times what they share."""
 
 
 class RetryBudgets:
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -22,7 +22,7 @@
 from gradelug_runtime.process import Tasks
 from grpclib.server import Server
 
-from .budgets import GATEWAYS_GUESS, RetryBudgets
+from .budgets import RetryBudgets
 from .directory import Directory
 from .executing import Executor
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
@@ -334,7 +334,8 @@
             self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
-            self._budgets.share_among(self._directory.gateways or GATEWAYS_GUESS)
+            if self._directory.gateways:
+                self._budgets.share_among(self._directory.gateways)
 
     def _tells_store(self) -> bool:
         planners = [duty.planner for duty in self._duties.values() if duty.planner is not None]
