--- a/tools/gateway_capacity.py
+++ b/tools/gateway_capacity.py
@@ -106,6 +106,11 @@
     fleet.choose(fleet.holders("s", AdapterKey("m")))
 
 
+def held_ask() -> pb.Ask:
+    """Return a question for the base model, which all hold."""
+    return pb.Ask(ticket=1, model="m", wait_ms=60_000, target_ms=60_000, prompt_tokens=1)
+
+
 async def measure() -> None:
     """Print all lines."""
     for engines in (5, 30, 100, 600):
@@ -121,6 +126,12 @@
             for number in range(waiting):
                 planner.take(follower, ask(number))
             show(what="decision", engines=engines, waiting=waiting, us=timed(planner.decide))
+        planner._line.waiters.clear()
+        show(
+            what="a question that is answered at once",
+            engines=engines,
+            us=timed(planner.take, follower, pb.FromGateway(asks=[held_ask()])),
+        )
         show(what="memory", engines=engines, kb=memory_kb)
     for gateways in (9, 86, 370):
         planner = make(30)
@@ -139,7 +150,7 @@
             what="news to all",
             gateways=gateways,
             us=timed(tell, planner),
-            every_s=planner.followers.news_s,
+            every_s=planner.followers.pacing.news_s,
         )
     for replicas in (5, 30, 600):
         planner = make(replicas)
