Look for a lost planner less and less often where many look; strong peers are named first

Change: pauses grow by a quarter up to what makes 20 gateways look as often as one (0.98 s at 195), from 0.1 s as before; strong instances, who may stand, look as before, and are the peers that planners name first; two peers are asked at a time and not six. Small fleets look as before.

--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as t
 from dataclasses import dataclass
 
@@ -21,6 +22,14 @@
 RECONNECT_S = 0.1
 LOOK_S = 0.1
 """How often it is looked whether there is a newer planner than the one that is followed."""
+GATEWAYS_PER_LOOK = 20
+"""While a planner is missed, so many gateways look at the store as often as one would: each 0.1 s,
+195 of them are 1,950 calls a second."""
+LOOK_GROWTH = 1.25
+UNKNOWN_MOST_S = 0.5
+"""While it is not known how many gateways there are, looks are at most this far apart."""
+PEERS_ASKED = 2
+"""So many peers are asked at a time where the planner is."""
 REFUSED_RETRY_S = 0.5
 LATE_RETRY_S = 0.5
 
@@ -54,6 +63,44 @@
     begun: bool = False
 
 
+class Search:
+    """Paces the looks for a planner that is missed: each pause is longer than the one before.
+
+    Parameters
+    ----------
+    clock : callable
+        The runtime's clock.
+    """
+
+    __slots__ = ("_clock", "_due_at", "_pause_s")
+
+    def __init__(self, clock: t.Callable[[], float]) -> None:
+        self._clock = clock
+        self.found()
+
+    def found(self) -> None:
+        """Begin anew with the next search."""
+        self._due_at = -math.inf
+        self._pause_s = LOOK_S
+
+    def is_due(self, gateways: int) -> bool:
+        """Tell whether to look now; the next look is due after a pause.
+
+        Parameters
+        ----------
+        gateways : int
+            Instances that search, 0 if unknown.
+        """
+        now = self._clock()
+        if now < self._due_at:
+            return False
+        most_s = LOOK_S * gateways / GATEWAYS_PER_LOOK if gateways else UNKNOWN_MOST_S
+        # The loops that look are a little early or late.
+        self._due_at = now + 0.9 * self._pause_s
+        self._pause_s = max(LOOK_S, min(most_s, self._pause_s * LOOK_GROWTH))
+        return True
+
+
 class Directory:
     """Asks planners for weights and tells them what is in use.
 
@@ -88,6 +135,7 @@
         "_links",
         "_listener",
         "_locate",
+        "_searches",
         "_strength",
         "_tasks",
         "_ticket",
@@ -118,6 +166,7 @@
         """Planners that peers told of."""
         self._links: dict[str, PlannerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._searches: dict[str, Search] = {}
         self._ticket = 0
 
     @property
@@ -269,7 +318,7 @@
             planner = self.known(link.service)
             if planner is not None:
                 await self._follow(link, planner)
-            self._hurry()
+            self._look(link)
             await asyncio.sleep(RECONNECT_S)
             if planner is not None and self._is_newest(link.service, planner):
                 # Lost, and the platform tells of no other.
@@ -284,16 +333,31 @@
                 if not self._is_newest(link.service, planner):
                     log.info("newer planner", service=link.service, old=planner.owner)
                     return
-                if not link.is_followed or link.has_resigned:
+                if link.is_followed and not link.has_resigned:
+                    self._search(link).found()
+                else:
                     # A successor may be entered at any moment, and this one may never answer.
-                    self._hurry()
+                    self._look(link)
             following.result()
         finally:
             following.cancel()
             await asyncio.gather(following, return_exceptions=True)
 
+    def _search(self, link: PlannerLink) -> Search:
+        return self._searches.setdefault(link.service, Search(self._clock))
+
+    def _look(self, link: PlannerLink) -> None:
+        """Look for a planner in the store, those that could plan themselves as often as may be."""
+        gateways = 1 if self._strength >= 1 else link.gateways
+        if self._search(link).is_due(gateways):
+            self._hurry()
+
     async def _ask_peers(self, link: PlannerLink) -> None:
-        for address in link.peers:
+        asked, link.peers = link.peers[:PEERS_ASKED], [
+            *link.peers[PEERS_ASKED:],
+            *link.peers[:PEERS_ASKED],
+        ]
+        for address in asked:
             found = await ask_where(address, link.service)
             known = self.known(link.service)
             if found is not None and (known is None or found.fence > known.fence):
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -241,13 +241,11 @@
         if now - follower.peers_told_at < PEERS_S:
             return []
         follower.peers_told_at = now
-        others = [
-            other.address
-            for other in self._by_number.values()
-            if other is not follower and other.address
-        ]
+        others = [other for other in self._by_number.values() if other is not follower]
         start = follower.number % len(others) if others else 0
-        return (others[start:] + others[:start])[:PEERS_TOLD]
+        # Those that could plan look for a successor most often.
+        others = sorted(others[start:] + others[:start], key=lambda other: other.strength < 1)
+        return [other.address for other in others if other.address][:PEERS_TOLD]
 
     def _holdings(self, name: str) -> pb.Holdings:
         holdings = pb.Holdings(replica=name)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from gradelug_gateway.directory import Directory
+from gradelug_gateway.directory import Directory, Search
 from gradelug_gateway.fleet import Fleet
 from gradelug_gateway.link import QUIET_S, REPLACED_S, PlannerAddress, PlannerLink
 from gradelug_gateway.model import AdapterKey, FleetState, ToldLoad
@@ -147,6 +147,36 @@
         run(scenario)
 
 
+class TestSearch:
+    def looks(self, gateways, seconds):
+        now = [0.0]
+        search, count = Search(lambda: now[0]), 0
+        while now[0] < seconds:
+            count += search.is_due(gateways)
+            now[0] += 0.02
+        return count
+
+    def test_a_small_fleet_looks_all_the_time(self):
+        assert 18 <= self.looks(9, 2.0) <= 24
+
+    def test_a_large_fleet_does_not_look_more_often_together(self):
+        """195 gateways together made 1,950 calls a second while they missed a planner."""
+        assert self.looks(195, 4.0) <= 13
+        assert self.looks(195, 1.0) >= 4
+
+    def test_who_does_not_know_the_fleet_looks_less_and_less_often(self):
+        assert 5 <= self.looks(0, 1.0) <= 8
+        assert self.looks(0, 10.0) <= 28
+
+    def test_each_search_begins_anew(self):
+        now = [0.0]
+        search = Search(lambda: now[0])
+        assert search.is_due(195)
+        assert not search.is_due(195)
+        search.found()
+        assert search.is_due(195)
+
+
 class TestDirectory:
     def test_a_newer_planner_is_followed_while_the_old_one_does_not_answer(self, monkeypatch):
         """On Tenger's trouble-3 gateways hung on a planner that was gone for 1.3 s after its
