--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -27,13 +27,13 @@
 from .executing import Executor
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
-from .link import PlannerAddress
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .placement import Duty, PlacementService
 from .planner import Planner
 from .ports import Dialect, OrderTransport
 from .relay import OrderRelay
+from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
 from .settings import GatewaySettings
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import typing as t
 from dataclasses import dataclass
 
@@ -14,20 +13,13 @@
 from .exceptions import Refused
 from .executing import Executor
 from .fleet import Fleet
-from .link import PlannerAddress, PlannerLink, ask_where
+from .link import PlannerLink
 from .model import AdapterKey, Replica
+from .search import LOOK_S, PlannerAddress, Search, ask_where
 from .storenews import StoreListener
 
 log = logbook.Logger("directory")
 RECONNECT_S = 0.1
-LOOK_S = 0.1
-"""How often it is looked whether there is a newer planner than the one that is followed."""
-GATEWAYS_PER_LOOK = 20
-"""While a planner is missed, so many gateways look at the store as often as one would: each 0.1 s,
-195 of them are 1,950 calls a second."""
-LOOK_GROWTH = 1.25
-UNKNOWN_MOST_S = 0.5
-"""While it is not known how many gateways there are, looks are at most this far apart."""
 PEERS_ASKED = 2
 """So many peers are asked at a time where the planner is."""
 REFUSED_RETRY_S = 0.5
@@ -63,44 +55,6 @@
     begun: bool = False
 
 
-class Search:
-    """Paces the looks for a planner that is missed: each pause is longer than the one before.
-
-    Parameters
-    ----------
-    clock : callable
-        The runtime's clock.
-    """
-
-    __slots__ = ("_clock", "_due_at", "_pause_s")
-
-    def __init__(self, clock: t.Callable[[], float]) -> None:
-        self._clock = clock
-        self.found()
-
-    def found(self) -> None:
-        """Begin anew with the next search."""
-        self._due_at = -math.inf
-        self._pause_s = LOOK_S
-
-    def is_due(self, gateways: int) -> bool:
-        """Tell whether to look now; the next look is due after a pause.
-
-        Parameters
-        ----------
-        gateways : int
-            Instances that search, 0 if unknown.
-        """
-        now = self._clock()
-        if now < self._due_at:
-            return False
-        most_s = LOOK_S * gateways / GATEWAYS_PER_LOOK if gateways else UNKNOWN_MOST_S
-        # The loops that look are a little early or late.
-        self._due_at = now + 0.9 * self._pause_s
-        self._pause_s = max(LOOK_S, min(most_s, self._pause_s * LOOK_GROWTH))
-        return True
-
-
 class Directory:
     """Asks planners for weights and tells them what is in use.
 
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -6,7 +6,6 @@
 import math
 import typing as t
 from collections import Counter
-from dataclasses import dataclass
 
 import logbook
 from gradelug_policy.reading import less_queue
@@ -19,6 +18,7 @@
 from .fleet import Fleet
 from .model import AdapterKey, ToldLoad
 from .pacing import FLUSH_S, NEWS_S
+from .search import PlannerAddress
 from .storenews import StoreListener
 
 log = logbook.Logger("link")
@@ -40,27 +40,6 @@
 away as well (Tenger's trouble-3). Without one for longer nobody knows when there will be one."""
 LOOK_S = 0.1
 """How often those who wait look whether a planner is followed."""
-ASK_PEER_S = 0.3
-"""A peer that knows answers in a round trip."""
-
-
-@dataclass(slots=True, frozen=True)
-class PlannerAddress:
-    """Where a service's planner is.
-
-    Parameters
-    ----------
-    owner : str
-        Name of its instance.
-    address : str
-        ``IP:port``.
-    fence : int
-        Its fencing token.
-    """
-
-    owner: str
-    address: str
-    fence: int
 
 
 class _Question:
@@ -420,20 +399,3 @@
             return
         queued = (0,) * question.ask.rank + (question.ask.prompt_tokens,)
         self._take_load(answer.load, ToldLoad(1, 0, queued))
-
-
-async def ask_where(address: str, service: str) -> PlannerAddress | None:
-    """Return the planner that a peer knows of, None if it cannot tell."""
-    host, _, port = address.rpartition(":")
-    channel = Channel(host, int(port))
-    try:
-        async with asyncio.timeout(ASK_PEER_S):
-            reply = await PlacementStub(channel).Locate(pb.Where(service=service))
-    except (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError) as exc:
-        log.info("a peer does not answer", address=address, why=repr(exc))
-        return None
-    finally:
-        channel.close()
-    if not reply.address:
-        return None
-    return PlannerAddress(reply.owner, reply.address, reply.fence)
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -13,8 +13,8 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from .followers import Follower
-from .link import PlannerAddress
 from .planner import Planner
+from .search import PlannerAddress
 
 log = logbook.Logger("placement")
 SPACING_S = 0.005
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 on the asyncio loop, parsed and framed by h11, with every byte accounted for."""
 
 from .client import Connection as Connection
-from .client import HttpPool as HttpPool
 from .client import OutgoingRequest as OutgoingRequest
 from .client import ResponseHead as ResponseHead
 from .client import Wire as Wire
@@ -12,6 +11,7 @@
 from .headers import Headers as Headers
 from .headers import end_to_end as end_to_end
 from .headers import find as find
+from .pool import HttpPool as HttpPool
 from .server import ClientGone as ClientGone
 from .server import HttpServer as HttpServer
 from .server import Incoming as Incoming
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -1,11 +1,10 @@
-"""Connections to upstreams that are kept and used again, each answer tied to its request."""
+"""One connection to an upstream, each answer tied to its request."""
 
 from __future__ import annotations
 
 import asyncio
 import re
 import typing as t
-from collections import defaultdict
 from dataclasses import dataclass
 
 import h11
@@ -102,16 +101,6 @@
             self._waiter.set_result(None)
 
 
-Dial = t.Callable[[str], t.Awaitable[Wire]]
-
-
-async def dial_tcp(address: str) -> Wire:
-    """Connect to ``IP:port``; raises `OSError`."""
-    host, _, port = address.rpartition(":")
-    _, wire = await asyncio.get_running_loop().create_connection(Wire, host, int(port))
-    return wire
-
-
 class Connection:
     """One connection to an upstream, carrying one request at a time.
 
@@ -260,159 +249,6 @@
         self._h11 = again
 
 
-class HttpPool:
-    """Opens connections and keeps idle ones by address.
-
-    Parameters
-    ----------
-    clock : callable
-        The runtime's clock.
-    dial : callable
-        Coroutine function that connects to an address.
-    """
-
-    __slots__ = ("_clock", "_dial", "_idle", "doubted", "opened")
-
-    def __init__(self, clock: t.Callable[[], float], dial: Dial | None = None) -> None:
-        self._clock = clock
-        self._dial = dial or dial_tcp
-        self._idle: dict[str, list[Connection]] = defaultdict(list)
-        self.opened = 0
-        """Connections opened since the start."""
-        self.doubted = 0
-        """Idle connections closed since the start because another one had fallen silent."""
-
-    async def acquire(
-        self, address: str, limit_s: float, rested_s: float = float("inf")
-    ) -> Connection:
-        """Return a connection that is free, opening one if there is none.
-
-        Parameters
-        ----------
-        address : str
-            ``IP:port``.
-        limit_s : float
-            How long opening may take, in seconds.
-        rested_s : float
-            Longest time that a connection used again may have been idle, in seconds.
-
-        Raises
-        ------
-        ConnectFailed
-            If none comes up in time.
-        """
-        now = self._clock()
-        idle = self._idle[address]
-        while idle:
-            conn = idle.pop()
-            if conn.is_fit(now) and now - conn.used_at <= rested_s:
-                return conn
-            conn.close()
-        return await self._open(address, limit_s)
-
-    def release(self, conn: Connection, head: ResponseHead) -> None:
-        """Take a connection back after a whole answer."""
-        if conn.settle(head):
-            self._idle[conn.address].append(conn)
-        else:
-            conn.close()
-
-    async def exchange(
-        self, address: str, req: OutgoingRequest, limit_s: float, most_bytes: int
-    ) -> tuple[ResponseHead, bytes]:
-        """Send a request and return the head and the whole body of its answer.
-
-        A connection on which the answer did not come whole in time is closed: an answer that
-        comes later belongs to nobody.
-
-        Parameters
-        ----------
-        address : str
-            ``IP:port``.
-        req : OutgoingRequest
-            The request.
-        limit_s : float
-            How long all of it may take, in seconds.
-        most_bytes : int
-            Largest body that is taken.
-
-        Raises
-        ------
-        ConnectFailed
-            If no connection comes up.
-        ResponseBroken
-            If the answer is no whole answer.
-        TimeoutError
-            If time runs out after the request was sent.
-        """
-        async with asyncio.timeout(limit_s):
-            conn = await self.acquire(address, limit_s)
-            sent_at = self._clock()
-            is_whole = False
-            try:
-                conn.send(req)
-                head = await conn.head(lambda head: True)
-                body = await conn.body(most_bytes)
-                self.release(conn, head)
-                is_whole = True
-                return head, body
-            finally:
-                if not is_whole:
-                    conn.abort()
-                    self.doubt(address, sent_at)
-
-    def doubt(self, address: str, sent_at: float) -> None:
-        """Close the idle connections over which nothing has come since a request got no answer.
-
-        Links silence all connections of one age: what is sent over another one of them would be
-        lost as well, and takes a new connection instead.
-
-        Parameters
-        ----------
-        address : str
-            ``IP:port`` of the upstream.
-        sent_at : float
-            When the request was sent, by the runtime's clock.
-        """
-        proven = []
-        for conn in self._idle.pop(address, ()):
-            if conn.used_at > sent_at:
-                proven.append(conn)
-            else:
-                conn.close()
-                self.doubted += 1
-        if proven:
-            self._idle[address] = proven
-
-    def prune(self, addresses: t.Container[str]) -> None:
-        """Close what is unfit, and every idle connection to other addresses than these."""
-        now = self._clock()
-        for address in list(self._idle):
-            kept = []
-            for conn in self._idle[address]:
-                if address in addresses and conn.is_fit(now):
-                    kept.append(conn)
-                else:
-                    conn.close()
-            if kept:
-                self._idle[address] = kept
-            else:
-                del self._idle[address]
-
-    def close(self) -> None:
-        """Close every idle connection."""
-        self.prune(())
-
-    async def _open(self, address: str, limit_s: float) -> Connection:
-        self.opened += 1
-        try:
-            async with asyncio.timeout(limit_s):
-                wire = await self._dial(address)
-        except (OSError, TimeoutError, ValueError) as exc:
-            raise ConnectFailed(f"{address} cannot be reached: {exc!r}") from exc
-        return Connection(wire, address, self._clock)
-
-
 def _idle_s(head: ResponseHead) -> float:
     stated = _timeout_re.search(head.get(b"keep-alive") or b"")
     if stated is None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,8 +13,8 @@
     ServerLimits,
     end_to_end,
 )
-from gradelug_http.client import dial_tcp
 from gradelug_http.liveness import UNACKED_S
+from gradelug_http.pool import dial_tcp
 from world import new_loop
 
 GET = OutgoingRequest(b"GET", b"/a", [(b"Host", b"h")])
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,10 +3,11 @@
 import asyncio
 
 import pytest
-from gradelug_gateway.directory import Directory, Search
+from gradelug_gateway.directory import Directory
 from gradelug_gateway.fleet import Fleet
-from gradelug_gateway.link import QUIET_S, REPLACED_S, PlannerAddress, PlannerLink
+from gradelug_gateway.link import QUIET_S, REPLACED_S, PlannerLink
 from gradelug_gateway.model import AdapterKey, FleetState, ToldLoad
+from gradelug_gateway.search import PlannerAddress, Search
 from gradelug_wire import placement_pb2 as pb
 from world import new_loop
 
