Follow a planner of an earlier version at the usual spacings

In a rolling restart to this version a planner of the last one tells no spacings: gateways would have taken it for quiet and told it everything without a pause.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,6 +7,7 @@
 from gradelug_gateway.fleet import Fleet
 from gradelug_gateway.link import QUIET_S, REPLACED_S, PlannerLink
 from gradelug_gateway.model import AdapterKey, FleetState, ToldLoad
+from gradelug_gateway.pacing import FLUSH_S, NEWS_S
 from gradelug_gateway.search import PlannerAddress, Search
 from gradelug_wire import placement_pb2 as pb
 from world import new_loop
@@ -117,6 +118,14 @@
 
         run(scenario)
 
+    def test_a_planner_of_an_earlier_version_is_followed_at_the_usual_spacings(self):
+        async def scenario():
+            _, link = new_link()
+            link._take(pb.FromPlanner(gateways=9))
+            assert (link.news_s, link._flush_s, link.ask_first) == (NEWS_S, FLUSH_S, False)
+
+        run(scenario)
+
     def test_who_knows_a_choice_does_not_wait_for_a_planner_that_is_quiet(self):
         async def scenario():
             clock, link = new_link()
