--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -26,9 +26,9 @@
 NOT_READY_S = 0.03
 """Pause before a request is sent again to a replica whose weights are about to be ready."""
 FIRST_CONFIG_S = 0.8
-"""How long a request waits for the first configuration after a start: 1,640 routes are
-reckoned at half a megabyte, 0.4 s of a link of 10 Mbit/s; 195 instances that start at once share the
-store's link as well, and have it 0.3 to 0.8 s after they are up."""
+"""How long a request waits for the first configuration after a start. 1,640 routes are reckoned at
+half a megabyte, 0.4 s of a link of 10 Mbit/s; 195 instances that start at once share the store's
+link as well, and have it 0.3 to 0.8 s after they are up."""
 NO_REPLICA_S = 0.25
 """How long a request waits for a replica to turn up before it is refused."""
 POLL_S = 0.05
