--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -18,6 +18,8 @@
 MOST_REST_S = 12.0
 """Whoever is told of changes by others looks itself after this."""
 LEAST_REST_S = 1.0
+LEAST_WAIT_S = 0.001
+"""What a clock may be unable to tell apart is not waited for."""
 LIST_AFTER = 2.0
 """After a rest of more than so many usual pauses, or so many seconds, the keys are listed anew: a
 watch brings each state in between as well, reckoned at 400 KB after 8 s with 45 replicas, or 0.6 s
@@ -45,11 +47,15 @@
     lapse_s : float
         Keys that are deleted within this time after an outage, in seconds, count as missing: their
         writers may have been kept from renewing them, and write them again.
+    is_polled : bool
+        Whether each step of the service's watch is a call that is begun when it is asked for, so
+        that its answer shows all that was changed before.
     """
 
     __slots__ = (
         "_backoff",
         "_interrupted",
+        "_is_polled",
         "_hurry",
         "_kv",
         "_lapse_s",
@@ -61,6 +67,7 @@
         "entries",
         "looked_at",
         "missing",
+        "proven_at",
         "revision",
         "spacing_s",
         "synced",
@@ -74,6 +81,7 @@
         most_delay_s: float = MOST_DELAY_S,
         spacing_s: float = 0.0,
         lapse_s: float = 0.0,
+        is_polled: bool = False,
     ) -> None:
         self._kv = kv
         self._prefix = prefix
@@ -82,6 +90,9 @@
         self._rest_until = float("-inf")
         self.looked_at = float("-inf")
         """When the service answered last."""
+        self.proven_at = float("-inf")
+        """All that was changed before this moment shows here."""
+        self._is_polled = is_polled
         self._lapse_s = lapse_s
         self._regained_at = float("-inf")
         self._hurry = asyncio.Event()
@@ -157,6 +168,7 @@
         )
 
     async def _list(self) -> None:
+        asked_at = asyncio.get_running_loop().time()
         listing = await self._kv.list(self._prefix)
         if listing.revision < self.revision:
             raise CoordinationError("the service answered from before what was already seen")
@@ -167,12 +179,14 @@
         self.entries = entries
         self.revision = listing.revision
         self.looked_at = asyncio.get_running_loop().time()
+        self.proven_at = asked_at
         self._note_regained()
         self._notify()
 
     async def _watch(self) -> None:
         """Follow changes until so much time has passed that a listing is less to read."""
         loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         async for events in self._kv.watch(self._prefix, self.revision):
             for event in events:
                 if event.revision <= self.revision and event.entry is None:
@@ -180,9 +194,12 @@
                 self._take(event)
             self.revision = max([self.revision, *(event.revision for event in events)])
             self.looked_at = loop.time()
+            if self._is_polled:
+                self.proven_at = asked_at
             self._notify()
             if await self._pause():
                 return
+            asked_at = loop.time()
 
     def _take(self, event: KvEvent) -> None:
         self.missing.discard(event.key)
@@ -200,7 +217,7 @@
         loop = asyncio.get_running_loop()
         while not self._hurry.is_set():
             rest_s = max(self.looked_at + self.spacing_s, self._rest_until) - loop.time()
-            if rest_s <= 0:
+            if rest_s < LEAST_WAIT_S:
                 break
             try:
                 async with asyncio.timeout(rest_s):
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/authentication.py
@@ -0,0 +1,52 @@
+"""Who sent a request: the organisation whose key it carries."""
+
+from __future__ import annotations
+
+import re
+import typing as t
+
+from .exceptions import Unauthenticated
+from .organisations import Organisations, Principal, digest
+
+_bearer_re = re.compile(rb"bearer +([A-Za-z0-9._~+/-]+=*)", re.IGNORECASE)
+"""The header as RFC 6750 writes it; the name of the scheme has no case (RFC 9110)."""
+MOST_BYTES = 4_096
+"""Longer headers are not looked into: keys have some tens of bytes."""
+
+
+def authenticate(credentials: t.Sequence[bytes], organisations: Organisations) -> Principal:
+    """Return who sent a request.
+
+    Parameters
+    ----------
+    credentials : sequence of bytes
+        Values of its ``Authorization`` headers.
+    organisations : Organisations
+        Of the configuration in force.
+
+    Raises
+    ------
+    Unauthenticated
+        If there is not exactly one, it cannot be read, or nobody has the key.
+    """
+    if not credentials:
+        raise Unauthenticated("no key was sent")
+    if len(credentials) > 1:
+        raise Unauthenticated("several keys were sent")
+    value = credentials[0].strip(b" \t")
+    matched = _bearer_re.fullmatch(value) if len(value) <= MOST_BYTES else None
+    if matched is None:
+        raise Unauthenticated("the key cannot be read")
+    key_digest = digest(matched.group(1))
+    holder = organisations.holder(key_digest)
+    if holder is None:
+        raise Unauthenticated("nobody has the key")
+    return Principal(holder, key_digest)
+
+
+def renew(principal: Principal, organisations: Organisations) -> Principal:
+    """Return who has a key in a later configuration; raises `Unauthenticated` if nobody has it."""
+    holder = organisations.holder(principal.digest)
+    if holder is None:
+        raise Unauthenticated("the key was taken away")
+    return Principal(holder, principal.digest)
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -18,25 +18,29 @@
     Mirror,
 )
 from gradelug_http import HttpPool, HttpServer, Incoming, ServerLimits
+from gradelug_policy.quotas import LocalShares
 from gradelug_policy.residency import LoadWindow
 from gradelug_runtime.process import Tasks
 from grpclib.server import Server
 
+from .admitting import Admitter
 from .budgets import RetryBudgets
 from .directory import Directory
 from .executing import Executor
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
+from .freshness import RENEW_PART, Freshness
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .placement import Duty, PlacementService
 from .planner import Planner
 from .ports import Dialect, OrderTransport
+from .quotas import Quotas
 from .relay import OrderRelay
 from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
-from .settings import GatewaySettings
+from .settings import Bounds, GatewaySettings
 from .storenews import TELL_SPACING_S, StoreListener, StoreTeller
 
 log = logbook.Logger("daemon")
@@ -108,16 +112,20 @@
         self._tasks = Tasks()
         self._stopping_at: float | None = None
         self._state = FleetState()
-        self._spacing_s = max(LEAST_SPACING_S, settings.bounds.notice_s - NOTICE_MARGIN_S)
-        self._mirror = Mirror(kv, "", self._rng, MOST_DELAY_S, self._spacing_s, LAPSED_GRACE_S)
+        self._spacing_s = _spacing_s(settings.bounds)
+        self._mirror = Mirror(
+            kv, "", self._rng, MOST_DELAY_S, self._spacing_s, LAPSED_GRACE_S, is_polled=True
+        )
         self._feed = Feed(self._mirror, reader, self._state, self._clock)
         self._feed.subscribe(self._on_change)
+        self._freshness = Freshness(self._mirror, self._feed, self._clock, settings.bounds.revoke_s)
         self._fleet = Fleet(self._state, settings.hall, self._clock)
         self._duties: dict[str, Duty] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
         executor = None
         if self._ownership is not None:
             executor = Executor(settings.name, self._ownership, self._state, transport)
+        shares = LocalShares()
         self._directory = Directory(
             settings.name,
             settings.addresses.peers,
@@ -127,7 +135,15 @@
             self._mirror.hurry,
             executor,
             settings.strength,
-            StoreListener(self._feed, self._mirror, self._clock, self._spacing_s, self._may_rest),
+            StoreListener(
+                self._feed,
+                self._mirror,
+                self._clock,
+                self._spacing_s,
+                self._may_rest,
+                self._freshness,
+            ),
+            shares,
         )
         bounds = settings.bounds
         self._budgets = RetryBudgets(
@@ -152,6 +168,8 @@
             self._meters,
             self._clock,
             self._rng,
+            Admitter(self._freshness),
+            Quotas(self._directory.quota_home, self._clock, self._rng, shares),
             lambda: not self._mirror.is_lost,
         )
         self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
@@ -304,7 +322,8 @@
             window,
             self._clock,
             self._fleet.speeds,
-            StoreTeller(self._feed, self._mirror, self._clock),
+            StoreTeller(self._feed, self._mirror, self._clock, self._freshness),
+            self._directory.gateways,
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
@@ -365,12 +384,23 @@
         )
         gauge("replicas", "Replicas known", lambda: len(self._state.replicas))
         gauge("mirror_synced", "1 while the platform's watch runs", lambda: self._mirror.synced)
+        gauge(
+            "config_proof_age_seconds",
+            "Since the configuration in force was known to be the newest",
+            lambda: self._freshness.age_s,
+        )
         gauge("plans", "Services planned for", lambda: self._count_planned())
 
     def _count_planned(self) -> int:
         return sum(duty.planner is not None for duty in self._duties.values())
 
 
+def _spacing_s(bounds: Bounds) -> float:
+    """Return how far apart looks at the platform's store may be, in seconds."""
+    most_s = min(bounds.notice_s - NOTICE_MARGIN_S, bounds.revoke_s * RENEW_PART)
+    return max(LEAST_SPACING_S, most_s)
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import logbook
+from gradelug_policy.quotas import LocalShares
 from gradelug_policy.reading import Work
 from gradelug_wire import placement_pb2 as pb
 
@@ -76,6 +77,8 @@
         How well this instance could plan itself.
     listener : StoreListener or None
         Takes what planners tell of the platform's store.
+    shares : LocalShares or None
+        What this instance may use of quotas without asking.
     """
 
     __slots__ = (
@@ -90,6 +93,7 @@
         "_listener",
         "_locate",
         "_searches",
+        "_shares",
         "_strength",
         "_tasks",
         "_ticket",
@@ -106,7 +110,9 @@
         executor: Executor | None = None,
         strength: float = 1.0,
         listener: StoreListener | None = None,
+        shares: LocalShares | None = None,
     ) -> None:
+        self._shares = shares
         self._strength = strength
         self._listener = listener
         self._instance = instance
@@ -207,6 +213,10 @@
         known = self.known(service)
         return known is None or known.fence <= planner.fence
 
+    def quota_home(self) -> PlannerLink | None:
+        """Return the way to the instance that keeps all quotas: one service's planner."""
+        return self._links[min(self._links)] if self._links else None
+
     def is_followed(self, service: str) -> bool:
         """Tell whether a planner of a service answers."""
         link = self._links.get(service)
@@ -262,6 +272,7 @@
                 self._executor,
                 self._strength,
                 self._listener,
+                self._shares,
             )
             self._links[service] = link
             self._tasks[service] = asyncio.create_task(self._keep(link))
--- a/packages/gateway/src/gradelug_gateway/exceptions.py
+++ b/packages/gateway/src/gradelug_gateway/exceptions.py
@@ -36,3 +36,23 @@
     def __init__(self, why: str, status: int = BAD_GATEWAY) -> None:
         super().__init__(why)
         self.status = status
+
+
+class Unauthenticated(Exception):
+    """A request carries no key, or none that is good; the message says why, without the key."""
+
+
+class Limited(Exception):
+    """An organisation has used up its quota: the request was not run and will not be.
+
+    Parameters
+    ----------
+    organisation : str
+        Which.
+    retry_after_s : float
+        When there will be enough for such a request, in seconds.
+    """
+
+    def __init__(self, organisation: str, retry_after_s: float) -> None:
+        super().__init__(f"the quota of {organisation} is used up")
+        self.retry_after_s = retry_after_s
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -27,7 +27,19 @@
 
 
 class MalformedEntry(Exception):
-    """An entry of the platform cannot be read; the message says why."""
+    """An entry of the platform cannot be read.
+
+    Parameters
+    ----------
+    why : str
+        For the log.
+    is_config : bool
+        Whether it is the configuration.
+    """
+
+    def __init__(self, why: str, is_config: bool = False) -> None:
+        super().__init__(why)
+        self.is_config = is_config
 
 
 class EntryReader(t.Protocol):
@@ -64,6 +76,7 @@
         "_revisions",
         "_told",
         "_told_changed",
+        "is_readable",
         "state",
     )
 
@@ -82,6 +95,8 @@
         self._told: set[str] = set()
         """Replicas that another instance has told of and the mirror does not show yet."""
         self._told_changed = False
+        self.is_readable = True
+        """Whether the newest configuration that the mirror shows is the one in force."""
         self.state = state
         mirror.subscribe(self.refresh)
 
@@ -149,6 +164,7 @@
         try:
             fact = self._reader.read(entry)
         except MalformedEntry as exc:
+            self.is_readable &= not exc.is_config
             log.error(
                 "entry ignored, the last good one stays in force", key=entry.key, why=str(exc)
             )
@@ -162,6 +178,7 @@
         return False
 
     def _take_snapshot(self, fact: Snapshot) -> bool:
+        self.is_readable = True
         known = self.state.snapshot
         if known is not None and fact.version <= known.version:
             return False
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -29,6 +29,7 @@
     __slots__ = (
         "address",
         "answers",
+        "echo",
         "hall",
         "has_store",
         "heard_at",
@@ -38,6 +39,7 @@
         "number",
         "outbox",
         "peers_told_at",
+        "quota_answers",
         "store_away",
         "strength",
         "wake",
@@ -50,6 +52,9 @@
         self.hall = ""
         """Where it stands, as it told first."""
         self.answers: list[pb.Answer] = []
+        self.quota_answers: list[pb.QuotaAnswer] = []
+        self.echo = pb.Echo()
+        """When its newest message was sent, by its clock, and arrived, by the clock here."""
         self.outbox: list[pb.FromPlanner] = []
         self.peers_told_at = -math.inf
         self.has_store = False
@@ -65,11 +70,21 @@
         """How well it could plan, as it told first."""
         self.wake = asyncio.Event()
 
+    @property
+    def process(self) -> str:
+        """Name of the process, whatever stream it is on."""
+        return f"{self.instance}@{self.address}"
+
     def answer(self, answer: pb.Answer) -> None:
         """Answer a question soon."""
         self.answers.append(answer)
         self.wake.set()
 
+    def answer_quota(self, answer: pb.QuotaAnswer) -> None:
+        """Answer a question for a quota soon."""
+        self.quota_answers.append(answer)
+        self.wake.set()
+
     def send(self, message: pb.FromPlanner) -> None:
         """Send a message soon."""
         self.outbox.append(message)
@@ -78,9 +93,12 @@
     def take_messages(self) -> list[pb.FromPlanner]:
         """Return what is to be sent, answers first."""
         messages, self.outbox = self.outbox, []
-        if self.answers:
-            messages.insert(0, pb.FromPlanner(answers=self.answers, active=True))
-            self.answers = []
+        if self.answers or self.quota_answers:
+            first = pb.FromPlanner(
+                answers=self.answers, quota_answers=self.quota_answers, active=True
+            )
+            messages.insert(0, first)
+            self.answers, self.quota_answers = [], []
         return messages
 
 
@@ -231,6 +249,7 @@
         message = pb.FromPlanner()
         message.CopyFrom(news)
         message.peers.extend(peers)
+        message.echo.CopyFrom(follower.echo)
         if is_first and self._store is not None:
             follower.has_store = True
             message.store.CopyFrom(self._store.all())
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import typing as t
+from dataclasses import dataclass
 from enum import Enum
 
 from gradelug_http import Incoming, ResponseHead
 from gradelug_policy.reading import Work
 
 from .model import Repeat, Request, Route, Service
+from .organisations import Principal
+from .quotas import Charge
 from .streams import EventAssembler
 
 DEADLINE_MARGIN_S = 0.012
@@ -26,12 +29,39 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(slots=True, frozen=True)
+class Admission:
+    """Under which configuration and for whom a request was let in.
+
+    Parameters
+    ----------
+    config : int
+        Version of the configuration.
+    principal : Principal or None
+        Who sent it, if a key told.
+    shows_credentials : bool
+        Whether replicas are shown what the caller sent to prove itself.
+    """
+
+    config: int = 0
+    principal: Principal | None = None
+    shows_credentials: bool = False
+
+    def rank(self, route: Route) -> int:
+        """Return the urgency of a request on a route; its organisation's goes first."""
+        if self.principal is None or self.principal.organisation.rank is None:
+            return route.rank
+        return self.principal.organisation.rank
+
+
 class Job:
     """A request on its way through the daemon."""
 
     __slots__ = (
         "absent",
         "asked",
+        "charge",
+        "config",
         "deadline_at",
         "events",
         "excluded",
@@ -39,18 +69,34 @@
         "inc",
         "in_doubt",
         "placed_s",
+        "principal",
+        "rank",
         "req",
         "route",
         "sends",
         "service",
+        "shows_credentials",
         "tried",
         "work",
     )
 
     def __init__(
-        self, inc: Incoming, req: Request, route: Route, service: Service, work: Work
+        self,
+        inc: Incoming,
+        req: Request,
+        route: Route,
+        service: Service,
+        work: Work,
+        admission: Admission = Admission(),  # noqa: B008
     ) -> None:
         self.inc = inc
+        self.config = admission.config
+        self.principal = admission.principal
+        self.shows_credentials = admission.shows_credentials
+        self.rank = admission.rank(route)
+        """Urgency, 0 first."""
+        self.charge: Charge | None = None
+        """What it counts to its organisation's quota."""
         self.req = req
         self.route = route
         self.service = service
@@ -74,6 +120,16 @@
         self.work = work
         """What it asks of an engine."""
 
+    @property
+    def is_unrun(self) -> bool:
+        """Whether it has not run, nor can it any more unless it is sent."""
+        return not (self.in_doubt or self.failure is not None or self.inc.started)
+
+    def give_back(self) -> None:
+        """Return what it was granted, if it has not run."""
+        if self.charge is not None and self.is_unrun:
+            self.charge.give_back()
+
     def may_repeat(self) -> bool:
         """Tell whether it may be sent again after it may have run."""
         return self.route.repeat is not Repeat.NEVER
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 import logbook
+from gradelug_policy.quotas import LocalShares
 from gradelug_policy.reading import less_queue
 from gradelug_wire import placement_pb2 as pb
 from gradelug_wire.placement_grpc import PlacementStub
@@ -18,6 +19,7 @@
 from .fleet import Fleet
 from .model import AdapterKey, ToldLoad
 from .pacing import FLUSH_S, NEWS_S
+from .quotas import Asked
 from .search import PlannerAddress
 from .storenews import StoreListener
 
@@ -56,6 +58,7 @@
 
     __slots__ = (
         "_address",
+        "_ahead_s",
         "_asked",
         "_cancelled",
         "_changed",
@@ -68,9 +71,11 @@
         "_listener",
         "_missed_at",
         "_questions",
+        "_quotas",
         "_results",
         "_retold",
         "_sent_at",
+        "_shares",
         "_started",
         "_started_tokens",
         "_stream",
@@ -98,7 +103,9 @@
         executor: Executor | None = None,
         strength: float = 1.0,
         listener: StoreListener | None = None,
+        shares: LocalShares | None = None,
     ) -> None:
+        self._shares = shares or LocalShares()
         self._strength = strength
         self._listener = listener
         self.service = service
@@ -129,6 +136,8 @@
         self._told_owned: frozenset[str] | None = None
         self._stream = 0
         """Number of the present stream: what belongs to an earlier one is not told on it."""
+        self._ahead_s = math.inf
+        """The planner's clock is at most so much ahead of the clock here."""
         self._questions: dict[int, _Question] = {}
         self._sent_at = -math.inf
         self._missed_at = clock()
@@ -140,6 +149,15 @@
         self._told_loads: dict[str, ToldLoad] = {}
         self._wake = asyncio.Event()
         self._asked = asyncio.Event()
+        self._quotas = Asked(clock, self.hurry)
+
+    async def ask_quota(self, organisation: str, tokens: int, until: float) -> pb.QuotaAnswer:
+        """Return the planner's answer for a quota; raises `TimeoutError`."""
+        return await self._quotas.ask(organisation, tokens, until)
+
+    def return_quota(self, organisation: str, tokens: int, granted_at: float) -> None:
+        """Give back what was granted at a moment to a request that has not run."""
+        self._quotas.give_back(organisation, tokens, granted_at)
 
     @property
     def is_quiet(self) -> bool:
@@ -217,6 +235,8 @@
         self._told_owned = None
         self._results.clear()
         self._stream += 1
+        self._quotas.begin_stream()
+        self._ahead_s = math.inf
         try:
             async with asyncio.timeout(SILENT_S) as limit:
                 async with PlacementStub(channel).Follow.open() as stream:
@@ -264,13 +284,15 @@
 
     def _message(self, first: bool) -> pb.FromGateway:
         self._sent_at = self._clock()
-        message = pb.FromGateway()
+        # Rounded down: the planner's clock seems further ahead by that.
+        message = pb.FromGateway(sent_ms=math.floor(self._sent_at * 1000))
         if first:
             message.instance = self._instance
             message.service = self.service
             message.address = self._address
             message.hall = self._fleet.hall
             message.strength = self._strength
+            message.shares.update(self._shares.holding(self._sent_at))
         for question in self._questions.values():
             if not question.sent:
                 question.sent = True
@@ -289,6 +311,7 @@
             )
             if not self.active[use]:
                 del self.active[use]
+        self._quotas.fill(message)
         self._changed.clear()
         self._started.clear()
         self._started_tokens.clear()
@@ -338,8 +361,11 @@
         self._heard_at = self._clock()
         if message.gateways:
             self._take_pacing(message)
+        if message.HasField("echo") and message.echo.sent_ms:
+            ahead_s = (message.echo.received_ms - message.echo.sent_ms) / 1000
+            self._ahead_s = min(self._ahead_s, ahead_s)
         if message.HasField("store") and self._listener is not None:
-            self._listener.take(message.store)
+            self._listener.take(message.store, self._ahead_s)
         if message.peers:
             self.peers = list(message.peers)
         for holdings in message.holdings:
@@ -353,6 +379,8 @@
             self._executor.note_outage(message.cut_off)
         for order in message.orders:
             self._carry_out(order)
+        for quota_answer in message.quota_answers:
+            self._quotas.take(quota_answer)
         for answer in message.answers:
             self._take_booking(answer)
             question = self._questions.get(answer.ticket)
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -9,6 +9,8 @@
 
 from gradelug_http import Header, ServerLimits
 
+from .organisations import Organisations, Principal
+
 PATIENCE_S = 2.0
 PATIENCE_TARGETS = 4.0
 PATIENCE_GAPS = 8.0
@@ -57,6 +59,8 @@
         To how many replicas one request may be sent.
     rank : int
         Urgency, 0 first.
+    public : bool
+        Whether its requests need no key.
     """
 
     name: str
@@ -70,6 +74,7 @@
     gap_s: float
     max_replicas: int
     rank: int
+    public: bool = False
 
     @property
     def patience_s(self) -> float:
@@ -150,12 +155,27 @@
 
 @dataclass(slots=True, frozen=True)
 class Snapshot:
-    """A configuration, whole."""
+    """A configuration, whole.
+
+    Parameters
+    ----------
+    version : int
+        Grows with each.
+    routes : tuple of Route
+        All routes.
+    services : mapping of str to Service
+        Services by name.
+    limits : ServerLimits
+        What callers may send.
+    organisations : Organisations
+        Those whose keys are accepted; where there is none, no key is asked for.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: t.Mapping[str, Service]
     limits: ServerLimits
+    organisations: Organisations = Organisations()  # noqa: RUF009
 
 
 @dataclass(slots=True, frozen=True, order=True)
@@ -234,7 +254,9 @@
     host, path : str
         What the route is chosen by.
     headers : tuple
-        What is passed on, without headers that this system sets itself.
+        What is passed on, without headers that this system sets itself and without credentials.
+    credentials : tuple of bytes
+        What the caller proves itself with; never shown in logs.
     key : AdapterKey or None
         Weights that it needs.
     wait_s : float
@@ -260,6 +282,7 @@
     prompt_tokens: int = 0
     most_tokens: int = 0
     last_event: int = 0
+    credentials: tuple[bytes, ...] = field(default=(), repr=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -278,6 +301,11 @@
         Urgency, 0 first.
     after_event : int
         The stream goes on after this event; 0 for its beginning.
+    principal : Principal or None
+        Who sent the request, if a key told.
+    shows_credentials : bool
+        Whether replicas are shown what the caller sent to prove itself: where there are no
+        organisations, it is theirs to judge.
     """
 
     replica: Replica
@@ -285,6 +313,8 @@
     version: int
     rank: int
     after_event: int
+    principal: Principal | None = None
+    shows_credentials: bool = False
 
 
 class Verdict(Enum):
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -9,6 +9,7 @@
 
 import logbook
 from gradelug_policy import Popularity
+from gradelug_policy.quotas import QuotaHome, QuotaTerms
 from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
 from gradelug_policy.residency import EnginePlaces, LoadWindow, choose_home
 from gradelug_wire import placement_pb2 as pb
@@ -72,6 +73,8 @@
         How fast engines read; None to know nothing of it.
     store : StoreTeller or None
         Tells gateways what this instance sees in the platform's store.
+    expected : int
+        Gateways that its predecessor knew, 0 if none is known.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         clock: t.Callable[[], float],
         speeds: ReadingSpeeds | None = None,
         store: StoreTeller | None = None,
+        expected: int = 0,
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -93,6 +97,7 @@
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
         self.followers = Followers(self.engines, clock, store)
+        self.quotas = QuotaHome(clock(), expected)
         self.popularity = Popularity(HALF_LIFE_S)
         self.tokens = Popularity(HALF_LIFE_S)
         """Tokens of prompts a second, by adapter."""
@@ -185,6 +190,7 @@
             return
         if self._relay is not None:
             self._relay.forget(follower)
+        self.quotas.leave(follower.process, self._clock())
         self._line.forget(follower)
         for engine in self.engines.values():
             engine.forget(follower.number)
@@ -193,10 +199,14 @@
         """Take a gateway's message."""
         now = self._clock()
         follower.heard_at = now
+        follower.echo = pb.Echo(sent_ms=message.sent_ms, received_ms=math.ceil(now * 1000))
         follower.knows_store = message.knows_store
         follower.store_away = message.store_away
         follower.hall = message.hall or follower.hall
         follower.strength = message.strength or follower.strength
+        if message.instance:
+            # The first message on the stream.
+            self.quotas.join(follower.process, dict(message.shares), now)
         self.followers.pacing.note_message(sum(use.started for use in message.uses))
         if self._relay is not None:
             self._relay.take(follower, message)
@@ -207,12 +217,33 @@
             if engine is not None:
                 told = ToldLoad(load.starting, load.running, tuple(load.queued))
                 engine.take_load(follower.number, told)
+        for quota_ask in message.quota_asks:
+            follower.answer_quota(self._answer_quota(follower, quota_ask, now))
+        for returned in message.quota_returns:
+            self.quotas.give_back(returned.organisation, returned.tokens, now)
         if message.cancelled:
             self._line.cancel(follower, set(message.cancelled))
         for ask in message.asks:
             self._take_ask(Waiter(follower, ask, now), now)
         self.decide_soon()
 
+    def _answer_quota(self, follower: Follower, ask: pb.QuotaAsk, now: float) -> pb.QuotaAnswer:
+        snapshot = self.state.snapshot
+        organisation = snapshot.organisations.named(ask.organisation) if snapshot else None
+        if self.term is None or organisation is None:
+            # Another planner may grant, or a configuration that is not known here yet.
+            return pb.QuotaAnswer(ticket=ask.ticket)
+        if organisation.quota is None:
+            return pb.QuotaAnswer(ticket=ask.ticket, granted=True)
+        terms = QuotaTerms(organisation.quota.rate, organisation.quota.burst)
+        verdict = self.quotas.ask(follower.process, organisation.name, terms, ask.tokens, now)
+        return pb.QuotaAnswer(
+            ticket=ask.ticket,
+            granted=verdict.granted,
+            retry_after_ms=math.ceil(verdict.retry_s * 1000),
+            share=verdict.share,
+        )
+
     def _take_ask(self, waiter: Waiter, now: float) -> None:
         self._note_absent(waiter, now)
         if not self._try_answer(waiter, now):
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -48,6 +48,8 @@
         """Return what an answer's head says."""
         ...
 
-    def refusal(self, request_id: str, retry_after_s: float | None) -> list[Header]:
-        """Return the headers of an answer of our own."""
+    def refusal(
+        self, request_id: str, retry_after_s: float | None, wants_key: bool = False
+    ) -> list[Header]:
+        """Return the headers of an answer of our own, one that asks for a key if so said."""
         ...
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/quotas.py
@@ -0,0 +1,235 @@
+"""Quotas of organisations at an instance: asked of their home, or drawn from a share of its own.
+
+One instance, the planner of a service, is the home of all quotas: it sees every request that
+counts, so that a window holds no more than the quota wherever the requests come in. A question
+takes one round trip between instances.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing as t
+from dataclasses import dataclass
+
+import logbook
+from gradelug_policy.quotas import LocalShares
+from gradelug_wire import placement_pb2 as pb
+
+from .exceptions import Limited, Refused
+from .organisations import Organisation
+
+log = logbook.Logger("quotas")
+ANSWER_S = 0.25
+"""An answer takes a round trip of milliseconds; a home that rests after a decision takes some
+tens. Later than this it may be lost."""
+ELSEWHERE_S = 0.05
+"""Another instance may reach the home."""
+JITTER = 0.5
+"""Callers that were refused together come back spread over so much more of the time."""
+
+
+class QuotaLink(t.Protocol):
+    """The way to the home of the quotas."""
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the home may be lost."""
+        ...
+
+    async def ask_quota(self, organisation: str, tokens: int, until: float) -> pb.QuotaAnswer:
+        """Return the home's answer; raises `TimeoutError`."""
+        ...
+
+    def return_quota(self, organisation: str, tokens: int, granted_at: float) -> None:
+        """Give back what was granted at a moment to a request that has not run."""
+        ...
+
+
+@dataclass(slots=True, frozen=True)
+class Charge:
+    """What a request was granted.
+
+    Parameters
+    ----------
+    organisation : str
+        From whose quota.
+    tokens : int
+        How much.
+    link : QuotaLink or None
+        Who granted it; None for this instance's own share.
+    granted_at : float
+        When, by the runtime's clock.
+    """
+
+    organisation: str
+    tokens: int
+    link: QuotaLink | None
+    granted_at: float
+
+    def give_back(self) -> None:
+        """Return it: the request has not run and will not."""
+        if self.link is not None:
+            self.link.return_quota(self.organisation, self.tokens, self.granted_at)
+
+
+class Quotas:
+    """Lets requests run within the quotas of their organisations.
+
+    Parameters
+    ----------
+    locate : callable
+        Returns the way to the home, None if there is none.
+    clock, rng
+        The runtime's clock and source of chance.
+    shares : LocalShares
+        What this instance may use without asking.
+    """
+
+    __slots__ = ("_clock", "_locate", "_rng", "_shares")
+
+    def __init__(
+        self,
+        locate: t.Callable[[], QuotaLink | None],
+        clock: t.Callable[[], float],
+        rng: random.Random,
+        shares: LocalShares,
+    ) -> None:
+        self._locate = locate
+        self._clock = clock
+        self._rng = rng
+        self._shares = shares
+
+    async def take(self, organisation: Organisation, prompt: int, most: int) -> Charge | None:
+        """Let a request run, or raise.
+
+        Parameters
+        ----------
+        organisation : Organisation
+            Whose request it is.
+        prompt, most : int
+            Tokens that the request states; 0 for none.
+
+        Returns
+        -------
+        Charge or None
+            What it counts, None without a limit.
+
+        Raises
+        ------
+        Limited
+            If the quota is used up.
+        Refused
+            If the home cannot be asked and this instance has no share left.
+        """
+        if organisation.quota is None:
+            return None
+        name = organisation.name
+        tokens = round(organisation.quota.charge(prompt, most))
+        link = self._locate()
+        if link is not None and not link.is_quiet:
+            try:
+                answer = await link.ask_quota(name, tokens, self._clock() + ANSWER_S)
+            except TimeoutError:
+                log.info("no answer on a quota", organisation=name)
+            else:
+                if answer.granted or answer.retry_after_ms:
+                    return self._conclude(link, name, tokens, answer)
+        return self._draw(name, tokens)
+
+    def _conclude(self, link: QuotaLink, name: str, tokens: int, answer: pb.QuotaAnswer) -> Charge:
+        now = self._clock()
+        self._shares.note_told(name, answer.share, answer.granted, now)
+        if answer.granted:
+            return Charge(name, tokens, link, now)
+        retry_s = answer.retry_after_ms / 1000
+        raise Limited(name, retry_s * (1 + JITTER * self._rng.random()))
+
+    def _draw(self, name: str, tokens: int) -> Charge:
+        """Draw on this instance's share while the home is being replaced."""
+        now = self._clock()
+        if self._shares.try_take(name, tokens, now):
+            return Charge(name, tokens, None, now)
+        raise Refused(f"the quota of {name} cannot be asked for", ELSEWHERE_S)
+
+
+class Asked:
+    """Questions for quotas that wait for the home's answer.
+
+    Parameters
+    ----------
+    clock : callable
+        The runtime's clock.
+    wake : callable
+        Called when there is something to send.
+    """
+
+    __slots__ = ("_began_at", "_clock", "_futures", "_returns", "_ticket", "_unsent", "_wake")
+
+    def __init__(self, clock: t.Callable[[], float], wake: t.Callable[[], None]) -> None:
+        self._clock = clock
+        self._wake = wake
+        self._began_at = clock()
+        self._futures: dict[int, asyncio.Future[pb.QuotaAnswer]] = {}
+        self._unsent: list[pb.QuotaAsk] = []
+        self._returns: list[pb.QuotaReturn] = []
+        self._ticket = 0
+
+    async def ask(self, organisation: str, tokens: int, until: float) -> pb.QuotaAnswer:
+        """Return the home's answer; raises `TimeoutError`."""
+        self._ticket += 1
+        ask = pb.QuotaAsk(ticket=self._ticket, organisation=organisation, tokens=tokens)
+        fut = self._futures[ask.ticket] = asyncio.get_running_loop().create_future()
+        self._unsent.append(ask)
+        self._wake()
+        try:
+            async with asyncio.timeout_at(until):
+                return await fut
+        finally:
+            if not fut.done() or fut.cancelled():
+                self._give_up(ask)
+
+    def give_back(self, organisation: str, tokens: int, granted_at: float) -> None:
+        """Return what was granted to a request that has not run, unless by an earlier home."""
+        if granted_at < self._began_at:
+            return
+        self._returns.append(pb.QuotaReturn(organisation=organisation, tokens=tokens))
+        self._wake()
+
+    def begin_stream(self) -> None:
+        """Ask another home: what the last one was asked is not answered any more."""
+        self._began_at = self._clock()
+        for fut in self._futures.values():
+            if not fut.done():
+                fut.set_exception(TimeoutError("the home is lost"))
+        self._futures.clear()
+        self._unsent.clear()
+        self._returns.clear()
+
+    def fill(self, message: pb.FromGateway) -> None:
+        """Put what is to be sent into a message."""
+        message.quota_asks.extend(self._unsent)
+        message.quota_returns.extend(self._returns)
+        self._unsent.clear()
+        self._returns.clear()
+
+    def take(self, answer: pb.QuotaAnswer) -> None:
+        """Hand an answer to whoever waits for it."""
+        fut = self._futures.pop(answer.ticket, None)
+        if fut is not None and not fut.done():
+            fut.set_result(answer)
+
+    def _give_up(self, ask: pb.QuotaAsk) -> None:
+        """Stop waiting; what is granted all the same is returned."""
+        if ask in self._unsent:
+            self._unsent.remove(ask)
+            self._futures.pop(ask.ticket, None)
+            return
+        fut: asyncio.Future[pb.QuotaAnswer] = asyncio.get_running_loop().create_future()
+        fut.add_done_callback(lambda done: self._return_late(ask, done))
+        self._futures[ask.ticket] = fut
+
+    def _return_late(self, ask: pb.QuotaAsk, done: asyncio.Future[pb.QuotaAnswer]) -> None:
+        if done.cancelled() or done.exception() is not None or not done.result().granted:
+            return
+        self.give_back(ask.organisation, ask.tokens, self._clock())
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -180,7 +180,15 @@
         if job.req.key is not None:
             version = self._fleet.state.versions.get(job.req.key, 0)
         left_s = job.deadline_at - self._clock()
-        return Attempt(replica, left_s, version, work.urgency, job.events.last_event)
+        return Attempt(
+            replica,
+            left_s,
+            version,
+            work.urgency,
+            job.events.last_event,
+            job.principal,
+            job.shows_credentials,
+        )
 
     async def _listen(self, sending: _Exchange, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
         """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -10,14 +10,17 @@
 import logbook
 from gradelug_http import ClientGone, Incoming
 
+from .admitting import Admitter
+from .authentication import renew
 from .budgets import RetryBudgets
 from .directory import Directory, Wish
-from .exceptions import GATEWAY_TIMEOUT, Failed, Refused
+from .exceptions import GATEWAY_TIMEOUT, Failed, Limited, Refused, Unauthenticated
 from .fleet import Fleet
 from .job import Job, Outcome
 from .metrics import Meters
 from .model import AdapterKey, Repeat, Replica, Request, Service
 from .ports import BadRequest, Dialect
+from .quotas import Quotas
 from .routing import RouteTable, choose_service
 from .sending import Sender
 from .values import RequestValues
@@ -62,11 +65,16 @@
         Repeated sendings that this instance may make.
     clock, rng
         The runtime's clock and source of chance.
+    admitter : Admitter
+        Tells for whom a request is.
+    quotas : Quotas
+        Lets requests run within the quotas of their organisations.
     expects_config : callable
         Tells whether a first configuration is on its way.
     """
 
     __slots__ = (
+        "_admitter",
         "_budgets",
         "_clock",
         "_dialect",
@@ -74,6 +82,7 @@
         "_expects_config",
         "_fleet",
         "_meters",
+        "_quotas",
         "_refuses_from",
         "_rng",
         "_sender",
@@ -92,6 +101,8 @@
         meters: Meters,
         clock: t.Callable[[], float],
         rng: random.Random,
+        admitter: Admitter,
+        quotas: Quotas,
         expects_config: t.Callable[[], bool] = lambda: False,
     ) -> None:
         self._dialect = dialect
@@ -102,6 +113,8 @@
         self._meters = meters
         self._clock = clock
         self._rng = rng
+        self._admitter = admitter
+        self._quotas = quotas
         self._expects_config = expects_config
         self._table = RouteTable(())
         self._table_version = -1
@@ -128,6 +141,7 @@
         started = self._clock()
         try:
             async with asyncio.timeout_at(job.deadline_at):
+                await self._charge(job)
                 await self._run(job)
         except TimeoutError:
             self._expire(job)
@@ -135,7 +149,13 @@
             self._refuse(job, exc)
         except Failed as exc:
             self._fail(job, exc)
+        except Limited as exc:
+            self._limit(job, exc)
+        except Unauthenticated as exc:
+            job.give_back()
+            self._deny(job.inc, job.req, str(exc))
         except (asyncio.CancelledError, ClientGone):
+            job.give_back()
             self._meters.outcome(job.route.name, "left")
             log.info("caller left", id=req.id, sends=job.sends)
             raise
@@ -168,21 +188,55 @@
             log.info("no route", id=req.id, host=req.host, path=req.path, config=snapshot.version)
             self._answer_self(inc, req.id, 404, None)
             return None
+        try:
+            admission = self._admitter.admit(req, route, snapshot)
+        except Unauthenticated as exc:
+            self._deny(inc, req, str(exc))
+            return None
+        except Refused as exc:
+            log.info("refused", id=req.id, why=str(exc), config=snapshot.version)
+            self._meters.outcome(route.name, "refused")
+            self._answer_self(inc, req.id, 503, exc.retry_after_s)
+            return None
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
         self._budgets.note_request(name)
-        return Job(inc, req, route, service, self._values.work(route, req))
+        work = self._values.work(admission.rank(route), req)
+        return Job(inc, req, route, service, work, admission)
+
+    async def _charge(self, job: Job) -> None:
+        """Count a request to its organisation's quota."""
+        if job.principal is None:
+            return
+        req = job.req
+        job.charge = await self._quotas.take(
+            job.principal.organisation, req.prompt_tokens, req.most_tokens
+        )
 
     async def _run(self, job: Job) -> None:
         while True:
             began = self._clock()
             replica = await self._place(job)
             job.placed_s += self._clock() - began
+            self._check_key(job)
             outcome = await self._sender.send(job, replica)
             if outcome is Outcome.DONE:
                 return
             await self._consider_again(job, replica, outcome)
 
+    def _check_key(self, job: Job) -> None:
+        """See to it that a key is still good after a change of the configuration."""
+        snapshot = self._fleet.state.snapshot
+        if job.principal is None or snapshot is None or snapshot.version == job.config:
+            return
+        job.config = snapshot.version
+        try:
+            job.principal = renew(job.principal, snapshot.organisations)
+        except Unauthenticated as exc:
+            if not job.is_unrun:
+                raise Failed(str(exc)) from exc
+            raise
+
     # Placing.
 
     async def _place(self, job: Job) -> Replica:
@@ -233,12 +287,12 @@
             # A stream that was begun must not be refused; its caller waits for the next event.
             now = self._clock()
             until = min(job.deadline_at, now + route.patience_s) - PATIENCE_MARGIN_S
-            return Wish(route.rank, BEGUN_VALUE, True, now + route.target_s, until, job.work, True)
+            return Wish(job.rank, BEGUN_VALUE, True, now + route.target_s, until, job.work, True)
         # Another try of the same caller has less than the whole time left.
         returning = req.wait_s < RETURNING_PART * self._values.longest_wait(route.name, req.wait_s)
         return Wish(
-            rank=route.rank,
-            value=self._values.value(route, req),
+            rank=job.rank,
+            value=self._values.value(route, job.rank, req),
             returning=returning,
             target_at=req.arrived_at + route.target_s,
             until=min(job.deadline_at, req.arrived_at + route.patience_s) - PATIENCE_MARGIN_S,
@@ -291,9 +345,10 @@
             self._refuse(job, Refused("out of time before it was sent", RETRY_AFTER_S))
 
     def _refuse(self, job: Job, exc: Refused) -> None:
-        if job.in_doubt or job.failure is not None or job.inc.started:
+        if not job.is_unrun:
             self._fail(job, Failed(str(exc)))
             return
+        job.give_back()
         waited_s = self._clock() - job.req.arrived_at
         log.info(
             "refused",
@@ -306,6 +361,29 @@
         self._meters.outcome(job.route.name, "refused")
         self._answer_self(job.inc, job.req.id, 503, exc.retry_after_s)
 
+    def _limit(self, job: Job, exc: Limited) -> None:
+        log.info(
+            "limited",
+            id=job.req.id,
+            why=str(exc),
+            tokens=job.req.prompt_tokens + job.req.most_tokens,
+            retry_s=round(exc.retry_after_s, 3),
+            config=job.config,
+        )
+        self._meters.outcome(job.route.name, "limited")
+        self._answer_self(job.inc, job.req.id, 429, exc.retry_after_s)
+
+    def _deny(self, inc: Incoming, req: Request, why: str) -> None:
+        log.info(
+            "denied",
+            id=req.id,
+            why=why,
+            config=self._admitter.config,
+            proof_age_s=round(self._admitter.proof_age_s, 2),
+        )
+        self._meters.outcome("", "denied")
+        inc.respond(401, self._dialect.refusal(req.id, None, wants_key=True), b"")
+
     def _fail(self, job: Job, exc: Failed) -> None:
         log.info(
             "failed",
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 STRONG_CORES = 1.0
@@ -53,6 +54,11 @@
         Whether replicas forget idle connections without closing them.
     notice_s : float
         A change on the platform must be acted on within this time, in seconds.
+    revoke_s : float
+        No instance runs a request that was sent so long after its key was taken away, in seconds;
+        infinite where the time for changes is all that binds.
+    quota_window_s : float
+        Length of the windows in which quotas of organisations are counted, in seconds.
     """
 
     grace_s: float = 8.0
@@ -65,6 +71,8 @@
     load_overage: float = 1.0
     forgets_idle: bool = False
     notice_s: float = 2.0
+    revoke_s: float = math.inf
+    quota_window_s: float = 8.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/gateway/src/gradelug_gateway/storenews.py
+++ b/packages/gateway/src/gradelug_gateway/storenews.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import typing as t
 from dataclasses import replace
 
@@ -15,6 +16,7 @@
 from gradelug_wire import placement_pb2 as pb
 
 from .feed import Feed
+from .freshness import Freshness
 from .model import AdapterKey, FleetState, Replica
 
 log = logbook.Logger("storenews")
@@ -35,12 +37,17 @@
         The copy of the store that it reads.
     clock : callable
         The runtime's clock.
+    freshness : Freshness
+        When the configuration in force here was the newest.
     """
 
-    __slots__ = ("_clock", "_config", "_feed", "_mirror", "_replicas", "_versions")
+    __slots__ = ("_clock", "_config", "_feed", "_freshness", "_mirror", "_replicas", "_versions")
 
-    def __init__(self, feed: Feed, mirror: Mirror, clock: t.Callable[[], float]) -> None:
+    def __init__(
+        self, feed: Feed, mirror: Mirror, clock: t.Callable[[], float], freshness: Freshness
+    ) -> None:
         self._feed = feed
+        self._freshness = freshness
         self._mirror = mirror
         self._clock = clock
         self._replicas: dict[str, Replica] = {}
@@ -52,7 +59,7 @@
         if not self._mirror.synced:
             return None
         state = self._feed.state
-        told = pb.StoreNews(age_ms=self._age_ms(), look=self._config_version(state) != self._config)
+        told = self._first(self._config_version(state) != self._config)
         for name, rep in state.replicas.items():
             known = self._replicas.get(name)
             if known is None or _essence(known) != _essence(rep):
@@ -74,13 +81,19 @@
     def all(self) -> pb.StoreNews:
         """Return all that was told so far, for a gateway that was told nothing yet."""
         # What it has not seen of the rest cannot be known.
-        told = pb.StoreNews(age_ms=self._age_ms(), look=True)
+        told = self._first(True)
         told.replicas.extend(map(self._encode, self._replicas.values()))
         told.versions.extend(_encode_version(*item) for item in self._versions.items())
         return told
 
-    def _age_ms(self) -> int:
-        return round((self._clock() - self._mirror.looked_at) * 1000)
+    def _first(self, look: bool) -> pb.StoreNews:
+        return pb.StoreNews(
+            age_ms=round((self._clock() - self._mirror.looked_at) * 1000),
+            look=look,
+            # Rounded down: an earlier moment is as true.
+            proven_ms=math.floor(max(0.0, self._freshness.proven_at) * 1000),
+            config=self._freshness.config,
+        )
 
     def _config_version(self, state: FleetState) -> int:
         return state.snapshot.version if state.snapshot is not None else 0
@@ -112,9 +125,11 @@
         What is known of the store may be so old, in seconds.
     may_rest : callable
         Tells whether this instance needs nothing else of the store.
+    freshness : Freshness
+        Is told what the planner has proven.
     """
 
-    __slots__ = ("_clock", "_feed", "_may_rest", "_mirror", "_spacing_s")
+    __slots__ = ("_clock", "_feed", "_freshness", "_may_rest", "_mirror", "_spacing_s")
 
     def __init__(
         self,
@@ -123,15 +138,26 @@
         clock: t.Callable[[], float],
         spacing_s: float,
         may_rest: t.Callable[[], bool],
+        freshness: Freshness,
     ) -> None:
         self._feed = feed
+        self._freshness = freshness
         self._mirror = mirror
         self._clock = clock
         self._spacing_s = spacing_s
         self._may_rest = may_rest
 
-    def take(self, news: pb.StoreNews) -> None:
-        """Apply a planner's news."""
+    def take(self, news: pb.StoreNews, ahead_s: float = math.inf) -> None:
+        """Apply a planner's news.
+
+        Parameters
+        ----------
+        news : StoreNews
+            What it tells.
+        ahead_s : float
+            The planner's clock is at most so much ahead of this instance's, in seconds; infinite
+            while nothing is known of it.
+        """
         state = self._feed.state
         for fact in news.replicas:
             self._feed.take_told(fact.replica, fact.revision, _decode(fact, state))
@@ -139,8 +165,10 @@
             key = AdapterKey(version.model, version.adapter)
             self._feed.take_told_version(key, version.version)
         self._feed.notify_told()
+        self._freshness.note_told(news.config, news.proven_ms / 1000 - ahead_s)
         if self._may_rest():
-            self._mirror.rest_until(self._clock() - news.age_ms / 1000 + self._spacing_s)
+            until = self._clock() - news.age_ms / 1000 + self._spacing_s
+            self._mirror.rest_until(min(until, self._freshness.renew_at))
         if news.look:
             self._mirror.hurry()
 
--- a/packages/gateway/src/gradelug_gateway/values.py
+++ b/packages/gateway/src/gradelug_gateway/values.py
@@ -34,11 +34,11 @@
         self._mean_size: dict[str, float] = {}
         self._longest_wait: dict[str, float] = {}
 
-    def work(self, route: Route, req: Request) -> Work:
-        """Return what a request asks of an engine."""
-        return Work(req.prompt_tokens, min(route.rank, LATE - 1))
+    def work(self, rank: int, req: Request) -> Work:
+        """Return what a request of some urgency asks of an engine."""
+        return Work(req.prompt_tokens, min(rank, LATE - 1))
 
-    def value(self, route: Route, req: Request) -> float:
+    def value(self, route: Route, rank: int, req: Request) -> float:
         """Return what an answer in time is worth, 1 for an ordinary request of rank 0."""
         size = req.prompt_tokens + OUTPUT_WEIGHT * req.most_tokens
         mean = self._mean_size.get(route.name, size)
@@ -46,7 +46,7 @@
         part = 1 - SIZE_PART + SIZE_PART * (size / mean if mean else 1.0)
         # Places are what is scarce, and a long request holds one for long.
         place_s = PLACE_S + PLACE_S_PER_TOKEN * req.most_tokens
-        return RANK_FACTOR**route.rank * min(MAX_SIZE_FACTOR, part) / place_s**PLACE_WEIGHT
+        return RANK_FACTOR**rank * min(MAX_SIZE_FACTOR, part) / place_s**PLACE_WEIGHT
 
     def longest_wait(self, route: str, wait_s: float) -> float:
         """Return the longest time that callers of a route gave a request, this one included."""
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/quotas.py
@@ -0,0 +1,325 @@
+"""How much organisations may still use, over all instances: one home grants, shares bridge a loss.
+
+Load pattern: an organisation sends several times its usual, over many instances that each see a
+few of its requests, while instances and the home itself are lost. What is granted must stay within
+the quota in every window, and an organisation within its quota must not be refused.
+"""
+
+from __future__ import annotations
+
+import typing as t
+from dataclasses import dataclass
+
+from .popularity import Popularity
+
+LEAST_BURST_S = 0.5
+"""A bucket holds at least what its rate brings in this time, in seconds: requests come in clumps,
+and a quota without a burst would refuse one of two that come together."""
+SHARE_HALF_LIFE_S = 4.0
+"""Shares follow what an instance has used lately; clients stay with an instance for seconds."""
+BASE_PART = 0.1
+"""Part of the rate that is shared out evenly: an instance that has used little may use some."""
+LENT_S = 6.0
+"""How long a share holds that an instance was told, in seconds: a planner is replaced within 2 to
+4 s, and where the platform's service was away as well."""
+TOLD_S = 0.5
+"""An instance counts its share from its answer's arrival, which was this much earlier at most."""
+
+
+@dataclass(slots=True, frozen=True)
+class QuotaTerms:
+    """The limit of an organisation: so much a second, and so much at once."""
+
+    rate: float
+    burst: float
+
+
+class ToldShare(t.NamedTuple):
+    """What an instance may use while nobody answers it: tokens a second, and until when."""
+
+    rate: float
+    until: float
+
+
+class QuotaBucket:
+    """A token bucket that may go into debt for a request larger than all that it holds.
+
+    Without that the largest requests of an organisation with a small burst would never run.
+
+    Parameters
+    ----------
+    terms : QuotaTerms
+        Rate in tokens a second, and the most that is saved up.
+    now : float
+        By the runtime's clock. The bucket starts empty: what was granted before is not known.
+    """
+
+    __slots__ = ("_at", "_level", "_lent", "_promised", "scale", "terms")
+
+    def __init__(self, terms: QuotaTerms, now: float) -> None:
+        self.terms = terms
+        self.scale = 1.0
+        """Part of the rate that is granted here."""
+        self._at = now
+        self._level = 0.0
+        self._promised = 0.0
+        """Tokens of refused requests that were told to come back and have not had time to."""
+        self._lent: dict[str, ToldShare] = {}
+        """What instances use without asking."""
+
+    @property
+    def capacity(self) -> float:
+        """The most tokens that are saved up."""
+        return max(self.terms.burst, self.terms.rate * LEAST_BURST_S)
+
+    def settle(self, now: float) -> None:
+        """Take the time that has passed into account."""
+        passed_s = now - self._at
+        self._at = now
+        lent = sum(share.rate for share in self._lent.values())
+        self._lent = {name: share for name, share in self._lent.items() if share.until > now}
+        earned = max(0.0, self.terms.rate * self.scale - lent) * passed_s
+        self._level = min(self.capacity, self._level + earned)
+        self._promised = max(0.0, self._promised - earned)
+
+    def try_take(self, amount: float, now: float) -> bool:
+        """Take tokens if they are there."""
+        self.settle(now)
+        if self._level < min(amount, self.capacity):
+            return False
+        self._level -= amount
+        return True
+
+    def give_back(self, amount: float, now: float) -> None:
+        """Return tokens that were taken and not used."""
+        self.settle(now)
+        self._level = min(self.capacity, self._level + amount)
+
+    def promise_s(self, amount: float, now: float) -> float:
+        """Return when a refused request may come back, in seconds, behind those refused before."""
+        self.settle(now)
+        self._promised += amount
+        return max(0.0, self._promised - self._level) / self.terms.rate
+
+    def lend(self, instance: str, share: ToldShare, now: float) -> None:
+        """Grant so much less while an instance that is not heard of may use its share."""
+        self.settle(now)
+        self._lent[instance] = share
+
+    def reclaim(self, instance: str, now: float) -> None:
+        """Note that an instance asks again."""
+        self.settle(now)
+        self._lent.pop(instance, None)
+
+
+@dataclass(slots=True, frozen=True)
+class QuotaVerdict:
+    """What an instance is told of a request.
+
+    Parameters
+    ----------
+    granted : bool
+        Whether the request may run.
+    retry_s : float
+        When it may come back if not, in seconds.
+    share : float
+        What the instance may use while nobody answers it, in tokens a second.
+    """
+
+    granted: bool
+    retry_s: float
+    share: float
+
+
+class _Account:
+    """Grants and shares of one organisation."""
+
+    __slots__ = ("_reported", "_told", "_uses", "bucket")
+
+    def __init__(self, terms: QuotaTerms, now: float) -> None:
+        self.bucket = QuotaBucket(terms, now)
+        self._uses = Popularity(SHARE_HALF_LIFE_S)
+        self._told: dict[str, ToldShare] = {}
+        self._reported: dict[str, float] = {}
+
+    def ask(self, instance: str, amount: float, now: float) -> bool:
+        granted = self.bucket.try_take(amount, now)
+        if granted:
+            self._uses.note(instance, now, amount)
+        return granted
+
+    def report(self, instance: str, share: ToldShare) -> None:
+        self._reported[instance] = share.rate
+        self._told[instance] = share
+
+    def leave(self, instance: str, now: float) -> None:
+        share = self._told.get(instance)
+        if share is not None:
+            self.bucket.lend(instance, share, now)
+
+    def share(self, instance: str, instances: int, now: float) -> float:
+        """Return a share; those that hold at a moment never add up to more than the rate.
+
+        Where instances are missing that another home may have told shares, not to more than the
+        part of the rate that is granted here.
+        """
+        self._told = {name: told for name, told in self._told.items() if told.until > now}
+        names = {instance, *self._told}
+        total = sum(self._uses.rate(name, now) for name in names)
+        used = self._uses.rate(instance, now) / total if total else 0.0
+        wanted = BASE_PART / max(1, instances) + (1 - BASE_PART) * used
+        others = sum(told.rate for name, told in self._told.items() if name != instance)
+        rate = self.bucket.terms.rate
+        share = max(0.0, min(wanted * rate, self.bucket.scale * rate - others))
+        self._told[instance] = ToldShare(share, now + LENT_S)
+        return share
+
+    def known_part(self, joined: float) -> float:
+        """Return which part of the rate nobody else uses, as far as can be known.
+
+        Parameters
+        ----------
+        joined : float
+            Part of all instances that ask here.
+        """
+        if not self._reported:
+            return joined
+        return min(1.0, sum(self._reported.values()) / self.bucket.terms.rate)
+
+
+class QuotaHome:
+    """Grants what organisations use, all of it.
+
+    Parameters
+    ----------
+    now : float
+        By the runtime's clock.
+    expected : int
+        Instances that its predecessor knew, 0 if none is known. Until an instance asks here it
+        may use its share, so that as much of the rate is kept back for a while: what is left of
+        the rate when the shares of those that ask are counted.
+    """
+
+    __slots__ = ("_accounts", "_began_at", "_expected", "_instances", "_reports")
+
+    def __init__(self, now: float, expected: int = 0) -> None:
+        self._began_at = now
+        self._expected = expected
+        self._instances: set[str] = set()
+        self._reports: dict[str, dict[str, ToldShare]] = {}
+        self._accounts: dict[str, _Account] = {}
+
+    def join(self, instance: str, shares: t.Mapping[str, float], now: float) -> None:
+        """Note that an instance asks here from now on, and the shares that it has."""
+        self._instances.add(instance)
+        for account in self._accounts.values():
+            account.bucket.reclaim(instance, now)
+        for organisation, rate in shares.items():
+            share = ToldShare(rate, now + LENT_S)
+            self._reports.setdefault(organisation, {})[instance] = share
+            if organisation in self._accounts:
+                self._accounts[organisation].report(instance, share)
+
+    def leave(self, instance: str, now: float) -> None:
+        """Note that an instance is not heard of: it may use its shares for a while."""
+        self._instances.discard(instance)
+        for account in self._accounts.values():
+            account.leave(instance, now)
+
+    def ask(
+        self, instance: str, organisation: str, terms: QuotaTerms, amount: float, now: float
+    ) -> QuotaVerdict:
+        """Return whether a request of an organisation may run.
+
+        Parameters
+        ----------
+        instance : str
+            Where the request waits.
+        organisation : str
+            Whose quota it counts to.
+        terms : QuotaTerms
+            The limit in force.
+        amount : float
+            What it counts.
+        now : float
+            By the runtime's clock.
+        """
+        account = self._account(organisation, terms, now)
+        account.bucket.scale = self._scale(account, now)
+        granted = account.ask(instance, amount, now)
+        retry_s = 0.0 if granted else account.bucket.promise_s(amount, now)
+        instances = max(len(self._instances), self._expected)
+        return QuotaVerdict(granted, retry_s, account.share(instance, instances, now))
+
+    def give_back(self, organisation: str, amount: float, now: float) -> None:
+        """Take back what was granted to a request that was not run."""
+        account = self._accounts.get(organisation)
+        if account is not None:
+            account.bucket.give_back(amount, now)
+
+    def _account(self, organisation: str, terms: QuotaTerms, now: float) -> _Account:
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = self._accounts[organisation] = _Account(terms, now)
+            for instance, share in self._reports.get(organisation, {}).items():
+                account.report(instance, share)
+        if account.bucket.terms != terms:
+            account.bucket.settle(now)
+            account.bucket.terms = terms
+            account.bucket.settle(now)
+        return account
+
+    def _scale(self, account: _Account, now: float) -> float:
+        joined = len(self._instances)
+        if now - self._began_at >= LENT_S or joined >= self._expected:
+            return 1.0
+        return account.known_part(joined / self._expected)
+
+
+class LocalShares:
+    """What this instance may use while no home answers it.
+
+    Each share fills a bucket that a grant of the home empties, so that what was granted is not
+    used a second time.
+    """
+
+    __slots__ = ("_shares",)
+
+    def __init__(self) -> None:
+        self._shares: dict[str, _LocalShare] = {}
+
+    def note_told(self, organisation: str, rate: float, granted: bool, now: float) -> None:
+        """Take a share over, and whether the home has granted a request with it."""
+        saved = 0.0 if granted else self._saved(organisation, now)
+        until = now + LENT_S - TOLD_S
+        self._shares[organisation] = _LocalShare(ToldShare(rate, until), saved, now)
+
+    def try_take(self, organisation: str, amount: float, now: float) -> bool:
+        """Take tokens if they are there and the share still holds."""
+        saved = self._saved(organisation, now)
+        known = self._shares.get(organisation)
+        if known is None or now > known.share.until or saved < amount:
+            return False
+        self._shares[organisation] = _LocalShare(known.share, saved - amount, now)
+        return True
+
+    def holding(self, now: float) -> dict[str, float]:
+        """Return the shares that hold, by organisation."""
+        return {
+            name: known.share.rate
+            for name, known in self._shares.items()
+            if now <= known.share.until
+        }
+
+    def _saved(self, organisation: str, now: float) -> float:
+        known = self._shares.get(organisation)
+        if known is None:
+            return 0.0
+        earned = known.share.rate * max(0.0, min(now, known.share.until) - known.at)
+        return min(known.share.rate * LENT_S, known.saved + earned)
+
+
+class _LocalShare(t.NamedTuple):
+    share: ToldShare
+    saved: float
+    at: float
--- a/tests/pipes.py
+++ b/tests/pipes.py
@@ -93,7 +93,10 @@
 
 
 class RawServer(asyncio.Protocol):
-    """A server that answers by a script: one reply for each piece of a request it receives."""
+    """A server that answers by a script: one reply for each piece of a request it receives.
+
+    A reply is a list of bytes, "close", "reset", and numbers: pauses in seconds.
+    """
 
     def __init__(self, script):
         self.script = list(script)
@@ -106,13 +109,19 @@
     def data_received(self, data):
         self.received += data
         if self.script:
-            for action in self.script.pop(0):
-                if action == "close":
-                    self.transport.close()
-                elif action == "reset":
-                    self.transport.abort()
-                else:
-                    self.transport.write(action)
+            self._act(self.script.pop(0))
+
+    def _act(self, actions):
+        for at, action in enumerate(actions):
+            if isinstance(action, float):
+                asyncio.get_running_loop().call_later(action, self._act, actions[at + 1 :])
+                return
+            if action == "close":
+                self.transport.close()
+            elif action == "reset":
+                self.transport.abort()
+            else:
+                self.transport.write(action)
 
     def eof_received(self):
         return False
--- /dev/null
+++ b/tests/test_authentication.py
@@ -0,0 +1,392 @@
+"""Keys of organisations: who sent a request, what replicas see, what is refused."""
+
+import asyncio
+import json
+
+import pytest
+from gradelug_coordination import KvEntry
+from gradelug_gateway.authentication import MOST_BYTES, authenticate, renew
+from gradelug_gateway.exceptions import Unauthenticated
+from gradelug_gateway.feed import MalformedEntry
+from gradelug_gateway.model import Repeat, Snapshot
+from gradelug_gateway.organisations import DuplicateKey, Organisation, Organisations, Quota
+from gradelug_http import ServerLimits
+from gradelug_platform.entries import PlatformEntries
+from gradelug_wire import placement_pb2 as pb
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_serving import ABSENT, FULL, OK, Bench, route, run, status
+
+ALPHA = Organisation("alpha", rank=0)
+BETA = Organisation("beta")
+BOTH = Organisations([(ALPHA, ["key-a", "key-a2"]), (BETA, ["key-b=="])])
+
+
+class TestAuthenticate:
+    @pytest.mark.parametrize(
+        ("value", "name"),
+        [
+            (b"Bearer key-a", "alpha"),
+            (b"bearer key-a2", "alpha"),
+            (b"BEARER   key-b==", "beta"),
+            (b" Bearer key-a\t", "alpha"),
+        ],
+    )
+    def test_a_key_tells_the_organisation(self, value, name):
+        assert authenticate([value], BOTH).organisation.name == name
+
+    @pytest.mark.parametrize(
+        ("values", "why"),
+        [
+            ([], "no key"),
+            ([b""], "cannot be read"),
+            ([b"Bearer"], "cannot be read"),
+            ([b"Bearer "], "cannot be read"),
+            ([b"Bearerkey-a"], "cannot be read"),
+            ([b"Basic key-a"], "cannot be read"),
+            ([b"Bearer key-a key-b=="], "cannot be read"),
+            ([b"Bearer key-a,Bearer key-b=="], "cannot be read"),
+            ([b"Bearer key\xff"], "cannot be read"),
+            ([b"Bearer key-a\x00"], "cannot be read"),
+            ([b"Bearer " + b"k" * MOST_BYTES], "cannot be read"),
+            ([b"Bearer Key-A"], "nobody"),
+            ([b"Bearer key-a", b"Bearer key-a"], "several"),
+        ],
+    )
+    def test_anything_else_is_refused_with_its_reason(self, values, why):
+        with pytest.raises(Unauthenticated, match=why):
+            authenticate(values, BOTH)
+
+    @settings(derandomize=True, database=None, deadline=None)
+    @given(st.lists(st.binary(max_size=60), max_size=3))
+    def test_no_bytes_let_anybody_in_without_a_key(self, values):
+        with pytest.raises(Unauthenticated):
+            authenticate([value.replace(b"key", b"") for value in values], BOTH)
+
+    def test_a_refusal_does_not_show_the_key(self):
+        with pytest.raises(Unauthenticated) as excinfo:
+            authenticate([b"Bearer secret-1"], BOTH)
+        assert "secret-1" not in str(excinfo.value)
+        assert "key-a" not in repr(authenticate([b"Bearer key-a"], BOTH))
+
+    def test_a_later_configuration_tells_who_has_a_key_now(self):
+        principal = authenticate([b"Bearer key-a"], BOTH)
+        moved = Organisations([(BETA, ["key-a"])])
+        assert renew(principal, moved).organisation is BETA
+        with pytest.raises(Unauthenticated):
+            renew(principal, Organisations([(ALPHA, ["key-a2"])]))
+
+    def test_two_organisations_cannot_have_one_key(self):
+        with pytest.raises(DuplicateKey, match="alpha and beta"):
+            Organisations([(ALPHA, ["k"]), (BETA, ["k"])])
+
+
+class Keyed(Bench):
+    """A gateway with organisations."""
+
+    def __init__(self, the_route, scripts, organisations=BOTH, **kinds):
+        super().__init__(the_route, scripts, **kinds)
+        self.configure(organisations, 2, the_route)
+
+    def configure(self, organisations, version, the_route=None):
+        known = self.state.snapshot
+        routes = known.routes if the_route is None else (the_route,)
+        self.state.snapshot = Snapshot(
+            version, routes, known.services, ServerLimits(), organisations
+        )
+
+
+def public(the_route):
+    return type(the_route)(
+        *(getattr(the_route, name) for name in the_route.__slots__ if name != "public"), True
+    )
+
+
+PLAIN = route(Repeat.NEVER)
+
+
+class TestServingWithKeys:
+    def test_replicas_see_the_organisation_and_never_the_key(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[FULL]], [[OK]]])
+            client = bench.client(
+                headers=b"Authorization: Bearer key-a\r\nX-GRADELUG-TENANT: beta\r\n"
+                b"X-Gradelug-Tenant: gamma\r\n"
+            )
+            await asyncio.sleep(0.2)
+            assert status(client) == 200
+            for replica in ("s0", "s1"):
+                sent = bench.received(replica)
+                assert sent.lower().count(b"x-gradelug-tenant:") == 1
+                assert b"X-Gradelug-Tenant: alpha\r\n" in sent
+                assert b"key-a" not in sent
+                assert b"uthorization" not in sent
+
+        run(scenario)
+
+    def test_a_connection_header_that_names_it_does_not_hide_the_key(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK]]])
+            client = bench.client(
+                headers=b"Authorization: Bearer key-a\r\nConnection: authorization\r\n"
+            )
+            await asyncio.sleep(0.1)
+            assert status(client) == 200
+            assert b"X-Gradelug-Tenant: alpha\r\n" in bench.received("s0")
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            b"",
+            b"Authorization: Bearer other\r\n",
+            b"Authorization: Bearer key-a\r\nAuthorization: Bearer key-a\r\n",
+        ],
+    )
+    def test_without_a_good_key_nothing_is_sent(self, headers):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK]]])
+            client = bench.client(headers=headers)
+            await asyncio.sleep(0.05)
+            assert status(client) == 401
+            assert b"WWW-Authenticate: Bearer\r\n" in client.received
+            assert not bench.received("s0")
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("headers", "told"),
+        [
+            (b"", None),
+            (b"Authorization: Bearer key-a\r\n", b"alpha"),
+            (b"Authorization: x\r\n", None),
+        ],
+    )
+    def test_a_public_route_needs_no_key(self, headers, told):
+        async def scenario():
+            bench = Keyed(public(PLAIN), [[[OK]]])
+            client = bench.client(headers=headers + b"X-Gradelug-Tenant: forged\r\n")
+            await asyncio.sleep(0.1)
+            assert status(client) == 200
+            sent = bench.received("s0")
+            assert b"uthorization" not in sent
+            assert (b"X-Gradelug-Tenant: " in sent) == (told is not None)
+            assert told is None or b"X-Gradelug-Tenant: %b\r\n" % told in sent
+
+        run(scenario)
+
+    def test_where_there_are_no_organisations_credentials_are_the_replicas_to_judge(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK]]], Organisations())
+            client = bench.client(headers=b"Authorization: Basic abc\r\n")
+            await asyncio.sleep(0.1)
+            assert status(client) == 200
+            assert b"uthorization: Basic abc\r\n" in bench.received("s0")
+
+        run(scenario)
+
+    def test_a_key_is_looked_at_again_before_each_sending(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[0.1, FULL]], [[OK]]])
+            client = bench.client(headers=b"Authorization: Bearer key-a\r\n")
+            await asyncio.sleep(0.05)
+            bench.configure(Organisations([(ALPHA, ["key-a2"])]), 3)
+            await asyncio.sleep(0.3)
+            assert status(client) == 401
+            assert not bench.received("s1")
+
+        run(scenario)
+
+    def test_a_key_that_moves_is_told_as_its_new_organisations(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[0.1, FULL]], [[OK]]])
+            client = bench.client(headers=b"Authorization: Bearer key-a\r\n")
+            await asyncio.sleep(0.05)
+            bench.configure(Organisations([(BETA, ["key-a"])]), 3)
+            await asyncio.sleep(0.3)
+            assert status(client) == 200
+            assert b"X-Gradelug-Tenant: beta\r\n" in bench.received("s1")
+
+        run(scenario)
+
+    def test_an_organisations_urgency_goes_before_its_routes(self):
+        async def scenario():
+            the_route = route(Repeat.RESUME, streaming=True, service="llm")
+            bench = Keyed(the_route, [[[ABSENT]]], engine=True)
+            for key in (b"key-a", b"key-b=="):
+                bench.client(
+                    headers=b"X-Gradelug-Model: m/a1\r\nAuthorization: Bearer " + key + b"\r\n"
+                )
+            await asyncio.sleep(0.05)
+            ranks = {asked["wish"].rank for asked in bench.directory.asked}
+            assert ranks == {the_route.rank, ALPHA.rank} == {0}
+            bench.configure(Organisations([(Organisation("alpha", rank=3), ["key-a"])]), 3)
+            bench.client(headers=b"X-Gradelug-Model: m/a1\r\nAuthorization: Bearer key-a\r\n")
+            await asyncio.sleep(0.05)
+            assert bench.directory.asked[-1]["wish"].rank == 3
+
+        run(scenario)
+
+    def test_without_a_proof_keyed_requests_are_refused_and_public_ones_are_not(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK]]])
+            bench.freshness.proven = False
+            client = bench.client(headers=b"Authorization: Bearer key-a\r\n")
+            await asyncio.sleep(0.05)
+            assert status(client) == 503
+            assert b"Retry-After: 0.05\r\n" in client.received
+            assert not bench.received("s0")
+            bench.configure(BOTH, 3, public(PLAIN))
+            client = bench.client(headers=b"Authorization: Bearer key-a\r\n")
+            await asyncio.sleep(0.05)
+            assert status(client) == 200
+            # Whose key it is cannot be told for certain.
+            assert b"X-Gradelug-Tenant" not in bench.received("s0")
+
+        run(scenario)
+
+
+class Home:
+    """Answers questions for quotas by a script."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+        self.returned = []
+        self.is_quiet = False
+        self.heard_at = float("inf")
+
+    async def ask_quota(self, organisation, tokens, until):
+        self.asked.append((organisation, tokens))
+        if not self.answers:
+            await asyncio.sleep(until - asyncio.get_running_loop().time())
+            raise TimeoutError
+        return self.answers.pop(0)
+
+    def return_quota(self, organisation, tokens, granted_at):
+        self.returned.append((organisation, tokens))
+
+
+LIMITED = Organisations([(Organisation("alpha", quota=Quota(100.0, 50.0, True, 20.0)), ["key-a"])])
+KEY_A = b"Authorization: Bearer key-a\r\n"
+
+
+class TestServingWithQuotas:
+    def test_a_request_counts_its_tokens_or_what_plain_ones_count(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK], [OK]]], LIMITED)
+            bench.home = Home(*[pb.QuotaAnswer(granted=True)] * 2)
+            first = bench.client(headers=KEY_A + b"X-Gradelug-Token-Usage: 30,12\r\n")
+            await asyncio.sleep(0.05)
+            second = bench.client(headers=KEY_A)
+            await asyncio.sleep(0.05)
+            assert [status(first), status(second)] == [200, 200]
+            assert bench.home.asked == [("alpha", 42), ("alpha", 20)]
+            assert not bench.home.returned
+
+        run(scenario)
+
+    def test_beyond_the_quota_a_request_is_refused_before_anything_is_asked_for_it(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK]]], LIMITED)
+            bench.home = Home(pb.QuotaAnswer(retry_after_ms=800))
+            client = bench.client(headers=KEY_A)
+            await asyncio.sleep(0.05)
+            assert status(client) == 429
+            retry_s = float(client.received.split(b"Retry-After: ")[1].split(b"\r\n")[0])
+            assert 0.8 <= retry_s <= 1.2
+            assert not bench.received("s0")
+
+        run(scenario)
+
+    def test_what_was_not_run_is_given_back_and_what_may_have_run_is_not(self):
+        async def scenario():
+            for script, returned in (([FULL], True), (["reset"], False), ([OK], False)):
+                bench = Keyed(route(Repeat.NEVER, replicas=1), [[script]], LIMITED)
+                bench.home = Home(pb.QuotaAnswer(granted=True))
+                bench.client(headers=KEY_A)
+                await asyncio.sleep(0.2)
+                assert bench.home.returned == ([("alpha", 20)] if returned else [])
+
+        run(scenario)
+
+    def test_without_a_home_a_share_told_before_is_drawn_on(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK], [OK], [OK]]], LIMITED)
+            bench.home = Home(pb.QuotaAnswer(granted=True, share=40.0))
+            assert await finished(bench) == 200
+            bench.home.is_quiet = True
+            bench.home.heard_at = bench.clock()
+            assert await finished(bench) == 503
+            await asyncio.sleep(0.5)
+            assert await finished(bench) == 200
+            assert await finished(bench) == 503
+            await asyncio.sleep(10.0)
+            # Nobody knows any more what the others may use.
+            assert await finished(bench) == 503
+
+        run(scenario)
+
+    def test_a_home_that_does_not_answer_holds_a_request_up_for_a_moment_only(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK]]], LIMITED)
+            bench.home = Home()
+            began = bench.clock()
+            assert await finished(bench) == 503
+            assert bench.clock() - began < 0.4
+
+        run(scenario)
+
+    def test_an_organisation_without_a_limit_is_not_asked_for(self):
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK]]])
+            assert await finished(bench) == 200
+
+        run(scenario)
+
+
+async def finished(bench):
+    client = bench.client(headers=KEY_A)
+    while not client.received:
+        await asyncio.sleep(0.01)
+    return status(client)
+
+
+TENANT = {"Name": "t1", "ApiKeys": ["k1"], "Priority": 2, "RatePerS": 500, "Burst": 300}
+
+
+def read(*tenants):
+    config = {"Version": 1, "Routes": [], "Services": [], "Tenants": list(tenants)}
+    return PlatformEntries().read(KvEntry("op/config", json.dumps(config).encode(), 1))
+
+
+class TestEntries:
+    def test_organisations_are_read_with_their_limits(self):
+        tokens = TENANT | {"Unit": "token_stream", "PlainTokens": 200}
+        free = {"Name": "t2", "ApiKeys": ["k2"], "RatePerS": 0, "Burst": 5}
+        found = read(tokens, free).organisations
+        assert found.named("t1") == Organisation("t1", 2, Quota(500.0, 300.0, True, 200.0))
+        assert found.named("t2") == Organisation("t2")
+        assert found.named("t1").quota.charge(0, 0) == 200.0
+        assert found.named("t1").quota.charge(10, 5) == 15.0
+        assert authenticate([b"Bearer k2"], found).organisation.name == "t2"
+
+    def test_another_unit_counts_requests(self):
+        found = read(TENANT).organisations
+        assert found.named("t1").quota.charge(1_000, 10) == 1.0
+
+    @pytest.mark.parametrize(
+        "tenants",
+        [
+            [TENANT, TENANT | {"Name": "t2"}],
+            [TENANT | {"ApiKeys": [3]}],
+            [TENANT | {"RatePerS": "many"}],
+            [{"ApiKeys": ["k"]}],
+        ],
+    )
+    def test_what_cannot_be_meant_is_a_finding_without_the_key(self, tenants):
+        with pytest.raises(MalformedEntry) as excinfo:
+            read(*tenants)
+        assert excinfo.value.is_config
+        assert "k1" not in str(excinfo.value)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,6 +1,7 @@
 """Questions of an instance to a planner, and what becomes of them without one."""
 
 import asyncio
+import math
 
 import pytest
 from gradelug_gateway.directory import Directory
@@ -144,13 +145,18 @@
             taken = []
 
             class Listener:
-                def take(self, news):
-                    taken.append(news.age_ms)
+                def take(self, news, ahead_s):
+                    taken.append((news.age_ms, ahead_s))
 
             link._listener = Listener()
             link._take(pb.FromPlanner(gateways=20, news_ms=60))
             link._take(pb.FromPlanner(gateways=20, news_ms=60, store=pb.StoreNews(age_ms=7)))
-            assert taken == [7]
+            assert taken == [(7, math.inf)]
+            for received_ms in (5_400, 5_900):
+                echo = pb.Echo(sent_ms=5_000, received_ms=received_ms)
+                link._take(pb.FromPlanner(echo=echo, store=pb.StoreNews(age_ms=8)))
+            # The message that was on its way for the shortest time tells most of the clocks.
+            assert taken[1:] == [(8, 0.4), (8, 0.4)]
 
         run(scenario)
 
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,328 @@
+"""Quotas over many instances, homes that are replaced, instances that are cut off."""
+
+import asyncio
+import random
+
+import pytest
+from gradelug_gateway.exceptions import Limited, Refused
+from gradelug_gateway.organisations import Organisation, Quota
+from gradelug_gateway.quotas import ANSWER_S, Asked, Quotas
+from gradelug_policy.quotas import (
+    LEAST_BURST_S,
+    LENT_S,
+    LocalShares,
+    QuotaBucket,
+    QuotaHome,
+    QuotaTerms,
+)
+from gradelug_wire import placement_pb2 as pb
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from world import new_loop
+
+TERMS = QuotaTerms(1_000.0, 1_000.0)
+WINDOW_S = 8.0
+OVERAGE = 0.1
+SLACK = 17_000.0
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+class TestQuotaBucket:
+    def test_it_grants_its_rate_and_a_burst(self):
+        bucket = QuotaBucket(TERMS, 0.0)
+        granted = sum(100.0 for tenth in range(1, 1001) if bucket.try_take(100.0, tenth / 20))
+        assert granted == pytest.approx(TERMS.rate * 50, rel=0.01)
+        bucket.settle(100.0)
+        assert sum(bucket.try_take(100.0, 100.0) for _ in range(50)) == 10
+
+    def test_a_request_larger_than_the_bucket_runs_and_the_next_ones_wait(self):
+        bucket = QuotaBucket(TERMS, 0.0)
+        assert bucket.try_take(4_000.0, 5.0)
+        assert not bucket.try_take(100.0, 8.0)
+        assert bucket.try_take(100.0, 8.2)
+
+    def test_without_a_burst_it_bears_two_requests_that_come_together(self):
+        bucket = QuotaBucket(QuotaTerms(1_000.0, 0.0), 0.0)
+        bucket.settle(10.0)
+        assert bucket.capacity == 1_000.0 * LEAST_BURST_S
+        assert bucket.try_take(250.0, 10.0)
+        assert bucket.try_take(250.0, 10.0)
+
+    def test_those_that_are_refused_are_told_to_come_back_one_after_the_other(self):
+        bucket = QuotaBucket(TERMS, 0.0)
+        waits = [bucket.promise_s(500.0, 0.0) for _ in range(4)]
+        assert waits == [0.5, 1.0, 1.5, 2.0]
+        # Half of a second has passed: the first has had its turn.
+        assert bucket.promise_s(500.0, 0.5) == pytest.approx(1.5)
+
+    def test_what_is_given_back_can_be_granted_again_and_no_more_than_it_holds(self):
+        bucket = QuotaBucket(TERMS, 0.0)
+        assert bucket.try_take(1_000.0, 1.0)
+        bucket.give_back(5_000.0, 1.0)
+        assert bucket.try_take(1_000.0, 1.0)
+        assert not bucket.try_take(1.0, 1.0)
+
+    def test_a_lower_limit_holds_at_once(self):
+        home = QuotaHome(0.0)
+        home.join("g", {}, 0.0)
+        assert home.ask("g", "o", TERMS, 100.0, 10.0).granted is False
+        assert home.ask("g", "o", TERMS, 100.0, 11.0).granted
+        lower = QuotaTerms(100.0, 50.0)
+        assert home.ask("g", "o", lower, 50.0, 11.0).granted
+        assert not home.ask("g", "o", lower, 50.0, 11.4).granted
+        assert home.ask("g", "o", lower, 50.0, 11.5).granted
+
+
+class TestQuotaHome:
+    def test_shares_follow_what_instances_use_and_add_up_to_the_rate(self):
+        home = QuotaHome(0.0)
+        names = [f"g{number}" for number in range(10)]
+        for name in names:
+            home.join(name, {}, 0.0)
+        shares = {}
+        for step in range(1, 101):
+            name = "g0" if step % 2 else names[step // 2 % 10]
+            shares[name] = home.ask(name, "o", TERMS, 30.0, step / 20).share
+        assert shares["g0"] > 0.4 * TERMS.rate
+        assert sum(shares.values()) <= TERMS.rate * 1.000001
+
+    def test_a_successor_keeps_back_what_instances_that_are_missing_may_use(self):
+        home = QuotaHome(0.0, expected=10)
+        for number in range(5):
+            home.join(f"g{number}", {}, 0.0)
+        home.ask("g0", "o", TERMS, 1.0, 0.0)
+        granted = sum(
+            100.0 for step in range(1, 60) if home.ask("g0", "o", TERMS, 100.0, step / 20).granted
+        )
+        assert granted <= 0.5 * TERMS.rate * 3.0
+        later = sum(
+            100.0
+            for step in range(1, 201)
+            if home.ask("g0", "o", TERMS, 100.0, LENT_S + step / 20).granted
+        )
+        assert later >= 0.95 * TERMS.rate * 10.0
+
+    def test_an_instance_that_leaves_keeps_its_share_for_a_while(self):
+        home = QuotaHome(0.0)
+        for name in ("g0", "g1"):
+            home.join(name, {}, 0.0)
+        for step in range(1, 100):
+            home.ask(f"g{step % 2}", "o", TERMS, 40.0, step / 20)
+        home.leave("g1", 5.0)
+        granted = sum(
+            50.0 for step in range(1, 81) if home.ask("g0", "o", TERMS, 50.0, 5 + step / 20).granted
+        )
+        assert granted <= 0.6 * TERMS.rate * 4.0 + TERMS.burst
+        home.join("g1", {}, 9.0)
+        back = sum(
+            50.0 for step in range(1, 81) if home.ask("g0", "o", TERMS, 50.0, 9 + step / 20).granted
+        )
+        assert back >= 0.9 * TERMS.rate * 4.0
+
+
+class TestLocalShares:
+    def test_a_share_fills_from_the_last_grant_on(self):
+        shares = LocalShares()
+        assert not shares.try_take("o", 1.0, 5.0)
+        shares.note_told("o", 100.0, True, 5.0)
+        assert not shares.try_take("o", 50.0, 5.4)
+        assert shares.try_take("o", 50.0, 5.5)
+        assert not shares.try_take("o", 1.0, 5.5)
+        shares.note_told("o", 100.0, True, 6.0)
+        assert not shares.try_take("o", 10.0, 6.0)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Instances that send for one organisation as fast as they may; homes come and go.
+
+    Granted within every window must stay within the quota, its overage and its slack, whichever
+    instances are cut off, for however long, and however often the home is lost.
+    """
+
+    INSTANCES = 6
+    SIZE = 10_000.0
+    TERMS = QuotaTerms(100_000.0, 100_000.0)
+    """So much that the slack of the rule does not matter."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.spent = []
+        self.shares = {name: LocalShares() for name in self.names()}
+        self.cut = set()
+        self.known = set()
+        self.home = None
+        self.begin(0)
+
+    def names(self):
+        return [f"g{number}" for number in range(self.INSTANCES)]
+
+    def begin(self, expected):
+        self.home = QuotaHome(self.now, expected)
+        self.known = set()
+        self.meet()
+
+    def meet(self):
+        for name in self.names():
+            if name not in self.cut and name not in self.known:
+                self.known.add(name)
+                self.home.join(name, self.shares[name].holding(self.now), self.now)
+
+    def ask(self, name):
+        if self.home is not None and name not in self.cut:
+            verdict = self.home.ask(name, "o", self.TERMS, self.SIZE, self.now)
+            self.shares[name].note_told("o", verdict.share, verdict.granted, self.now)
+            granted = verdict.granted
+        else:
+            granted = self.shares[name].try_take("o", self.SIZE, self.now)
+        if granted:
+            self.spent.append(self.now)
+
+    @rule(steps=st.integers(1, 30), eager=st.sets(st.integers(0, 5), min_size=1))
+    def send(self, steps, eager):
+        for _ in range(steps):
+            self.now += 0.1
+            for number in sorted(eager):
+                self.ask(f"g{number}")
+
+    @rule(numbers=st.sets(st.integers(0, 5), min_size=1, max_size=2))
+    def cut_off(self, numbers):
+        for number in numbers:
+            name = f"g{number}"
+            if name in self.cut:
+                continue
+            self.cut.add(name)
+            if self.home is not None and name in self.known:
+                self.known.discard(name)
+                self.home.leave(name, self.now)
+
+    @rule()
+    def heal(self):
+        self.cut.clear()
+        if self.home is not None:
+            self.meet()
+
+    @precondition(lambda self: self.home is not None)
+    @rule()
+    def lose_home(self):
+        self.home = None
+
+    @precondition(lambda self: self.home is None)
+    @rule()
+    def replace_home(self):
+        self.begin(self.INSTANCES)
+
+    @invariant()
+    def every_window_is_within_the_quota(self):
+        allowed = (self.TERMS.rate * WINDOW_S + self.TERMS.burst) * (1 + OVERAGE) + SLACK
+        first = 0
+        for last, at in enumerate(self.spent):
+            while self.spent[first] < at - WINDOW_S:
+                first += 1
+            assert (last - first + 1) * self.SIZE <= allowed
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True, database=None
+)
+
+
+class TestAsked:
+    def test_questions_are_answered_by_their_tickets(self):
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            asked = Asked(clock, lambda: None)
+            waiting = [asyncio.create_task(asked.ask("o", n, clock() + 1.0)) for n in (1, 2)]
+            await asyncio.sleep(0)
+            message = pb.FromGateway()
+            asked.fill(message)
+            for ask in reversed(message.quota_asks):
+                asked.take(pb.QuotaAnswer(ticket=ask.ticket, granted=ask.tokens == 2))
+            answers = [await task for task in waiting]
+            assert [answer.granted for answer in answers] == [False, True]
+
+        run(scenario)
+
+    def test_what_is_granted_too_late_is_given_back(self):
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            asked = Asked(clock, lambda: None)
+            message = pb.FromGateway()
+            task = asyncio.create_task(asked.ask("o", 7, clock() + ANSWER_S))
+            await asyncio.sleep(0)
+            asked.fill(message)
+            with pytest.raises(TimeoutError):
+                await task
+            asked.take(pb.QuotaAnswer(ticket=message.quota_asks[0].ticket, granted=True))
+            await asyncio.sleep(0)
+            late = pb.FromGateway()
+            asked.fill(late)
+            assert [(item.organisation, item.tokens) for item in late.quota_returns] == [("o", 7)]
+
+        run(scenario)
+
+    def test_another_home_is_not_given_what_it_has_not_granted(self):
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            asked = Asked(clock, lambda: None)
+            granted_at = clock()
+            await asyncio.sleep(1.0)
+            asked.begin_stream()
+            asked.give_back("o", 5, granted_at)
+            message = pb.FromGateway()
+            asked.fill(message)
+            assert not message.quota_returns
+
+        run(scenario)
+
+    def test_a_lost_home_ends_the_questions_to_it(self):
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            asked = Asked(clock, lambda: None)
+            task = asyncio.create_task(asked.ask("o", 1, clock() + 1.0))
+            await asyncio.sleep(0)
+            began = clock()
+            asked.begin_stream()
+            with pytest.raises(TimeoutError):
+                await task
+            assert clock() == began
+
+        run(scenario)
+
+
+class TestQuotas:
+    def test_without_any_home_nothing_is_granted(self):
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            quotas = Quotas(lambda: None, clock, random.Random(1), LocalShares())
+            limited = Organisation("o", quota=Quota(10.0, 10.0))
+            with pytest.raises(Refused, match="cannot be asked"):
+                await quotas.take(limited, 5, 5)
+            assert await quotas.take(Organisation("free"), 5, 5) is None
+
+        run(scenario)
+
+    def test_a_refusal_names_the_organisation(self):
+        async def scenario():
+            class Home:
+                is_quiet = False
+                heard_at = 0.0
+
+                async def ask_quota(self, organisation, tokens, until):
+                    return pb.QuotaAnswer(retry_after_ms=400)
+
+            clock = asyncio.get_running_loop().time
+            quotas = Quotas(Home, clock, random.Random(1), LocalShares())
+            with pytest.raises(Limited, match="quota of o is used up"):
+                await quotas.take(Organisation("o", quota=Quota(10.0, 10.0)), 5, 5)
+
+        run(scenario)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -5,6 +5,7 @@
 from pipes import Network, RawClient, RawServer, join
 
 import pytest
+from gradelug_gateway.admitting import Admitter
 from gradelug_gateway.budgets import BUDGET_SHARE, RetryBudgets
 from gradelug_gateway.directory import Directory
 from gradelug_gateway.exceptions import Refused
@@ -22,10 +23,12 @@
     Share,
     Snapshot,
 )
+from gradelug_gateway.quotas import Quotas
 from gradelug_gateway.sending import Sender
 from gradelug_gateway.serving import FIRST_CONFIG_S, Serving
 from gradelug_http import HttpPool, ServerLimits
 from gradelug_platform.dialect import PlatformDialect
+from gradelug_policy.quotas import LocalShares
 from world import new_loop
 
 SPEC = EngineSpec((), 1000.0, 6, 96, 1000, 2.0)
@@ -98,6 +101,22 @@
         return self.answers.pop(0)
 
 
+class StubFreshness:
+    """Whether the configuration is known to be the newest; how is tested elsewhere."""
+
+    def __init__(self, state):
+        self.proven = True
+        self.age_s = 0.1
+        self.state = state
+
+    @property
+    def config(self):
+        return self.state.snapshot.version
+
+    def is_proven(self):
+        return self.proven
+
+
 class Bench:
     def __init__(self, the_route, scripts, holdings=(), engine=False, budget=10.0):
         clock = asyncio.get_running_loop().time
@@ -113,6 +132,8 @@
             self._add(state, name, at, script, holdings)
         self.state = state
         self.fleet = Fleet(state, "hall", clock)
+        self.freshness = StubFreshness(state)
+        self.home = None
         self.directory = StubDirectory(self.fleet)
         dialect, meters = PlatformDialect(), Meters()
         budgets = RetryBudgets(0.0, budget / BUDGET_SHARE, 1000.0, clock)
@@ -128,10 +149,15 @@
             meters,
             clock,
             random.Random(1),
+            Admitter(self.freshness),
+            Quotas(self._home, clock, random.Random(1), LocalShares()),
             lambda: self.expects_config,
         )
         self.server = self.net.serve("10.0.0.9:80", self.serving.serve, ServerLimits, clock)
 
+    def _home(self):
+        return self.home
+
     def _add(self, state, service, at, script, holdings):
         replica, address = f"s{at}", f"10.0.1.{at}:80"
         hall = "hall" if at == 0 else "other"
--- a/tests/test_storenews.py
+++ b/tests/test_storenews.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import json
+import math
 import random
 
 import pytest
 from gradelug_coordination import KvEntry, Mirror
 from gradelug_coordination.mirror import MOST_REST_S
-from gradelug_gateway.feed import Feed, NewestVersion
+from gradelug_gateway.feed import Feed, MalformedEntry, NewestVersion
 from gradelug_gateway.followers import Followers
+from gradelug_gateway.freshness import Freshness
 from gradelug_gateway.model import AdapterKey, FleetState, Replica, Snapshot
 from gradelug_gateway.storenews import (
     LEAST_FOLLOWERS,
@@ -37,6 +39,8 @@
         data = json.loads(entry.value)
         if entry.key.startswith("v/"):
             return NewestVersion(AdapterKey("m", entry.key[2:]), data)
+        if entry.key == "config" and data == "unreadable":
+            raise MalformedEntry("it cannot be read", is_config=True)
         if entry.key == "config":
             return Snapshot(data, (), {}, ServerLimits())
         return Replica(entry.key[2:], "llm", data["address"], "hall", data.get("leaving", False))
@@ -66,12 +70,13 @@
 class Site:
     """An instance's copy of the store."""
 
-    def __init__(self, kv, spacing_s):
+    def __init__(self, kv, spacing_s, bound_s=math.inf):
         self.clock = asyncio.get_running_loop().time
         self.kv = CountedKv(kv)
         self.state = FleetState()
-        self.mirror = Mirror(self.kv, "", random.Random(1), 0.5, spacing_s)
+        self.mirror = Mirror(self.kv, "", random.Random(1), 0.5, spacing_s, is_polled=True)
         self.feed = Feed(self.mirror, Reader(), self.state, self.clock)
+        self.freshness = Freshness(self.mirror, self.feed, self.clock, bound_s)
         self.task = asyncio.create_task(self.mirror.run())
 
 
@@ -85,10 +90,16 @@
         self.gateway = Site(self.kv, SPACING_S)
         site = self.gateway
         self.listener = StoreListener(
-            site.feed, site.mirror, site.clock, SPACING_S, lambda: self.may_rest
+            site.feed,
+            site.mirror,
+            site.clock,
+            SPACING_S,
+            lambda: self.may_rest,
+            site.freshness,
         )
         self.may_rest = True
-        teller = StoreTeller(self.planner.feed, self.planner.mirror, site.clock)
+        planner = self.planner
+        teller = StoreTeller(planner.feed, planner.mirror, site.clock, planner.freshness)
         self.followers = Followers({}, site.clock, teller)
         self.follower = self.followers.join("g", "g:1")
         for number in range(gateways - 1):
