Learn the weight store's time and capacity by a gradient, from any store

The first rate of loads, 12 a second, made refusals before any load was seen. Change: the number of loads at once follows the ratio of the time among few to the time now, doubles until loads take longer; loads late together count once; the rate to begin with is the pace's own.

--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -50,12 +50,23 @@
 class Place:
     """A place of an engine with weights in it."""
 
-    __slots__ = ("at_limit", "began_at", "phase", "ready_at", "under_way", "used_at", "version")
+    __slots__ = (
+        "at_limit",
+        "began_at",
+        "ordered_at",
+        "phase",
+        "ready_at",
+        "under_way",
+        "used_at",
+        "version",
+    )
 
     def __init__(self, version: int, phase: Phase, now: float) -> None:
         self.version = version
         self.phase = phase
         self.began_at = now
+        self.ordered_at = now
+        """When the engine answered the order to load it."""
         self.ready_at = now
         self.used_at = now
         self.at_limit = False
--- a/packages/gateway/src/gradelug_gateway/loading.py
+++ b/packages/gateway/src/gradelug_gateway/loading.py
@@ -18,8 +18,6 @@
     from .planner import Planner
 
 log = logbook.Logger("planner")
-CACHED_LOAD_S = 0.03
-"""Time to load an adapter from an engine's host memory, measured on the users' bench."""
 NOT_READY_S = 0.06
 """A load that was not through when expected is awaited so much longer at least."""
 RESYNC_S = 0.3
@@ -85,11 +83,11 @@
         self._transport = transport
         self._clock = clock
         self._store_loads = 0
-        self.pace = StorePace()
+        self.pace = StorePace(clock())
 
     def costs(self) -> LoadCosts:
         """Return the expected times of a load."""
-        return LoadCosts(CACHED_LOAD_S, self.pace.load_s)
+        return LoadCosts(self.pace.cached_s, self.pace.load_s)
 
     def may_use_store(self) -> bool:
         """Tell whether another load from the weight store may begin."""
@@ -106,11 +104,11 @@
 
     def take_back(self, engine: Engine, key: AdapterKey, place: Place) -> None:
         """Await a load longer: the engine says that the adapter is not there yet."""
+        now = self._clock()
         if place.under_way:
-            self.pace.note_late(place.under_way)
-            place.under_way = 0
+            self.pace.note_late(place.under_way, now - place.ordered_at, now)
         place.phase = Phase.LOADING
-        place.ready_at = max(self._clock() + NOT_READY_S, place.began_at + self.pace.load_s)
+        place.ready_at = max(now + NOT_READY_S, place.ordered_at + self.pace.load_s)
         self._planner.start(self._make_ready(engine, key, place))
 
     def keep_unloading(self, engine: Engine, key: AdapterKey, outcome: OrderOutcome) -> None:
@@ -192,10 +190,12 @@
             engine.undo(key, place)
             return
         # Counted from the answer: before it the order may have been given more than once.
-        place.ready_at = self._clock() + (CACHED_LOAD_S if swap.cached else self.pace.load_s)
+        place.ordered_at = self._clock()
+        load_s = self.pace.cached_s if swap.cached else self.pace.load_s
+        place.ready_at = place.ordered_at + load_s
         await self._make_ready(engine, key, place)
         if place.under_way:
-            self.pace.note_in_time(place.at_limit)
+            self.pace.note_in_time(place.under_way, place.at_limit, self._clock())
 
     async def _await_unload(self, engine: Engine, key: AdapterKey, place: Place) -> None:
         """Free a place when the engine reports that its adapter is gone."""
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -106,9 +106,9 @@
         self._transport = transport
         self._relay = transport if isinstance(transport, OrderRelay) else None
         self._clock = clock
-        self._line = WaitingLine(self.popularity, clock())
         self.loading = Loading(self, owner, transport, clock)
         """Carries out what is decided here."""
+        self._line = WaitingLine(self.popularity, clock(), self.loading.pace.rate)
         self._upkeep = Upkeep(self, spec, window, clock)
         self._spec = spec
         self._tasks: set[asyncio.Task[None]] = set()
--- a/packages/gateway/src/gradelug_gateway/waiting.py
+++ b/packages/gateway/src/gradelug_gateway/waiting.py
@@ -26,7 +26,6 @@
 COME_BACK_PART = 0.33
 """Callers come back after at most a third of their time."""
 COME_BACK_S = 0.3
-USUAL_LOADS_PER_S = 12.0
 LEAST_LOADS_PER_S = 0.5
 THROUGHPUT_S = 1.0
 """Span over which the rate of loads is taken."""
@@ -72,14 +71,22 @@
 
 
 class Throughput:
-    """How many loads a second begin while requests wait for some."""
+    """How many loads a second begin while requests wait for some.
+
+    Parameters
+    ----------
+    now : float
+        By the runtime's clock.
+    rate : float
+        Loads a second to reckon with as long as nothing was seen.
+    """
 
     __slots__ = ("_at", "_begun", "_busy_s", "_waiting")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, rate: float) -> None:
         self._at = now
         self._waiting = False
-        self._begun = USUAL_LOADS_PER_S * THROUGHPUT_S
+        self._begun = rate * THROUGHPUT_S
         self._busy_s = THROUGHPUT_S
 
     def note_load(self) -> None:
@@ -110,13 +117,15 @@
         How often weights are asked for.
     now : float
         By the runtime's clock.
+    rate : float
+        Loads a second to reckon with as long as nothing was seen.
     """
 
     __slots__ = ("_popularity", "throughput", "waiters")
 
-    def __init__(self, popularity: Popularity, now: float) -> None:
+    def __init__(self, popularity: Popularity, now: float, rate: float) -> None:
         self._popularity = popularity
-        self.throughput = Throughput(now)
+        self.throughput = Throughput(now, rate)
         self.waiters: list[Waiter] = []
 
     def cancel(self, follower: Follower, tickets: t.Collection[int]) -> None:
