Split the answers of our own from serving

Cause: serving.py had grown to 411 lines with keys and quotas. Change: answering.py ends what replicas did not answer; no behaviour changes.

--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -11,14 +11,15 @@
 from gradelug_http import ClientGone, Incoming
 
 from .admitting import Admitter
+from .answering import RETRY_AFTER_S, Answerer
 from .authentication import renew
 from .budgets import RetryBudgets
 from .directory import Directory, Wish
-from .exceptions import GATEWAY_TIMEOUT, Failed, Limited, Refused, Unauthenticated
+from .exceptions import Failed, Limited, Refused, Unauthenticated
 from .fleet import Fleet
 from .job import Job, Outcome
 from .metrics import Meters
-from .model import AdapterKey, Repeat, Replica, Request, Route, Service
+from .model import AdapterKey, Repeat, Replica, Request, Service
 from .ports import BadRequest, Dialect
 from .quotas import Quotas
 from .routing import RouteTable, choose_service
@@ -35,7 +36,6 @@
 NO_REPLICA_S = 0.25
 """How long a request waits for a replica to turn up before it is refused."""
 POLL_S = 0.05
-RETRY_AFTER_S = 0.3
 ELSEWHERE_S = 0.05
 """Another instance can take it at once."""
 RETURNING_PART = 0.97
@@ -75,6 +75,7 @@
 
     __slots__ = (
         "_admitter",
+        "_answer",
         "_budgets",
         "_clock",
         "_dialect",
@@ -116,6 +117,7 @@
         self._admitter = admitter
         self._quotas = quotas
         self._expects_config = expects_config
+        self._answer = Answerer(dialect, sender, admitter, meters, clock)
         self._table = RouteTable(())
         self._table_version = -1
         self._refuses_from = math.inf
@@ -131,7 +133,7 @@
             req = self._dialect.read_request(inc)
         except BadRequest as exc:
             log.info("rejected", why=str(exc))
-            self._answer_self(inc, "", 400, None)
+            self._answer.answer_self(inc, "", 400, None)
             return
         if self._fleet.state.snapshot is None:
             await self._await_config(req)
@@ -144,16 +146,16 @@
                 await self._charge(job)
                 await self._run(job)
         except TimeoutError:
-            self._expire(job)
+            self._answer.expire(job)
         except Refused as exc:
-            self._refuse(job, exc)
+            self._answer.refuse(job, exc)
         except Failed as exc:
-            self._fail(job, exc)
+            self._answer.fail(job, exc)
         except Limited as exc:
-            self._limit(job, exc)
+            self._answer.limit(job, exc)
         except Unauthenticated as exc:
             job.give_back()
-            self._deny(job.inc, job.req, job.route, str(exc))
+            self._answer.deny(job.inc, job.req, job.route, str(exc))
         except (asyncio.CancelledError, ClientGone):
             job.give_back()
             self._meters.outcome(job.route.name, "left")
@@ -174,11 +176,11 @@
         snapshot = self._fleet.state.snapshot
         if self._clock() >= self._refuses_from:
             log.info("refused", id=req.id, why="this instance is about to end")
-            self._answer_self(inc, req.id, 503, ELSEWHERE_S)
+            self._answer.answer_self(inc, req.id, 503, ELSEWHERE_S)
             return None
         if snapshot is None:
             log.info("refused", id=req.id, why="no configuration is known yet")
-            self._answer_self(inc, req.id, 503, RETRY_AFTER_S)
+            self._answer.answer_self(inc, req.id, 503, RETRY_AFTER_S)
             return None
         if snapshot.version != self._table_version:
             self._table = RouteTable(snapshot.routes)
@@ -186,17 +188,17 @@
         route = self._table.find(req.host, req.path)
         if route is None:
             log.info("no route", id=req.id, host=req.host, path=req.path, config=snapshot.version)
-            self._answer_self(inc, req.id, 404, None)
+            self._answer.answer_self(inc, req.id, 404, None)
             return None
         try:
             admission = self._admitter.admit(req, route, snapshot)
         except Unauthenticated as exc:
-            self._deny(inc, req, route, str(exc))
+            self._answer.deny(inc, req, route, str(exc))
             return None
         except Refused as exc:
             log.info("refused", id=req.id, why=str(exc), config=snapshot.version)
             self._meters.outcome(route.name, "refused")
-            self._answer_self(inc, req.id, 503, exc.retry_after_s)
+            self._answer.answer_self(inc, req.id, 503, exc.retry_after_s)
             return None
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
@@ -335,77 +337,3 @@
             sends=job.sends,
             last_event=job.events.last_event,
         )
-
-    # Answering.
-
-    def _expire(self, job: Job) -> None:
-        if job.in_doubt or job.inc.started:
-            self._fail(job, Failed("out of time", GATEWAY_TIMEOUT))
-        else:
-            self._refuse(job, Refused("out of time before it was sent", RETRY_AFTER_S))
-
-    def _refuse(self, job: Job, exc: Refused) -> None:
-        if not job.is_unrun:
-            self._fail(job, Failed(str(exc)))
-            return
-        job.give_back()
-        waited_s = self._clock() - job.req.arrived_at
-        log.info(
-            "refused",
-            id=job.req.id,
-            weights=job.req.key.text if job.req.key is not None else "",
-            why=str(exc),
-            waited_s=round(waited_s, 3),
-            sends=job.sends,
-        )
-        self._meters.outcome(job.route.name, "refused")
-        self._answer_self(job.inc, job.req.id, 503, exc.retry_after_s)
-
-    def _limit(self, job: Job, exc: Limited) -> None:
-        log.info(
-            "limited",
-            id=job.req.id,
-            why=str(exc),
-            tokens=job.req.prompt_tokens + job.req.most_tokens,
-            retry_s=round(exc.retry_after_s, 3),
-            config=job.config,
-        )
-        self._meters.outcome(job.route.name, "limited")
-        self._meters.limited(exc.organisation)
-        self._answer_self(job.inc, job.req.id, 429, exc.retry_after_s)
-
-    def _deny(self, inc: Incoming, req: Request, route: Route, why: str) -> None:
-        log.info(
-            "denied",
-            id=req.id,
-            route=route.name,
-            why=why,
-            config=self._admitter.config,
-            proof_age_s=round(self._admitter.proof_age_s, 2),
-        )
-        self._meters.outcome(route.name, "denied")
-        inc.respond(401, self._dialect.refusal(req.id, None, wants_key=True), b"")
-
-    def _fail(self, job: Job, exc: Failed) -> None:
-        log.info(
-            "failed",
-            id=job.req.id,
-            why=str(exc),
-            sends=job.sends,
-            last_event=job.events.last_event,
-            started=job.inc.started,
-        )
-        self._meters.outcome(job.route.name, "failed")
-        if job.inc.started:
-            # Left without its end, the answer cannot be taken for whole.
-            return
-        if job.failure is not None:
-            self._sender.pass_on(job, *job.failure)
-            return
-        self._answer_self(job.inc, job.req.id, exc.status, None)
-
-    def _answer_self(
-        self, inc: Incoming, request_id: str, status: int, retry_after_s: float | None
-    ) -> None:
-        headers = self._dialect.refusal(request_id, retry_after_s)
-        inc.respond(status, headers, b"")
