Wait for the home of the quotas and the first configuration after a loss of all instances

Ruled out: a first share for everybody (it could be in use twice). Change: a request waits for a home as long as it is in time, for the first configuration up to 2 s while the store answers. The pace begins with what the store is known to bear at once (its rate of base models times their time) and a time that is rather too long; the first load that is late tells the store's own time.

--- a/packages/gateway/src/gradelug_gateway/loading.py
+++ b/packages/gateway/src/gradelug_gateway/loading.py
@@ -67,6 +67,8 @@
         Gives orders.
     clock : callable
         The runtime's clock.
+    first_at_once : float
+        Loads at once that the weight store is known to bear; 0 if nothing is known.
     """
 
     __slots__ = ("_clock", "_owner", "_planner", "_store_loads", "_transport", "pace")
@@ -77,13 +79,14 @@
         owner: str,
         transport: OrderTransport,
         clock: t.Callable[[], float],
+        first_at_once: float = 0.0,
     ) -> None:
         self._planner = planner
         self._owner = owner
         self._transport = transport
         self._clock = clock
         self._store_loads = 0
-        self.pace = StorePace(clock())
+        self.pace = StorePace(clock(), first_at_once)
 
     def costs(self) -> LoadCosts:
         """Return the expected times of a load."""
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -133,6 +133,14 @@
     kv_tokens: int
     loads_per_s: float
 
+    @property
+    def loads_at_once(self) -> float:
+        """Loads of base models that the weight store is meant to bear at once.
+
+        It bears at least about as many adapters, which are smaller.
+        """
+        return self.loads_per_s * min((model.load_s for model in self.models), default=0.0)
+
 
 @dataclass(slots=True, frozen=True)
 class Service:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -106,7 +106,7 @@
         self._transport = transport
         self._relay = transport if isinstance(transport, OrderRelay) else None
         self._clock = clock
-        self.loading = Loading(self, owner, transport, clock)
+        self.loading = Loading(self, owner, transport, clock, spec.loads_at_once)
         """Carries out what is decided here."""
         self._line = WaitingLine(self.popularity, clock(), self.loading.pace.rate)
         self._upkeep = Upkeep(self, spec, window, clock)
--- a/packages/gateway/src/gradelug_gateway/quotas.py
+++ b/packages/gateway/src/gradelug_gateway/quotas.py
@@ -25,6 +25,8 @@
 tens. Later than this it may be lost."""
 ELSEWHERE_S = 0.05
 """Another instance may reach the home."""
+POLL_S = 0.03
+"""How often a request that waits for a home looks whether there is one."""
 JITTER = 0.5
 """Callers that were refused together come back spread over so much more of the time."""
 
@@ -100,15 +102,22 @@
         self._rng = rng
         self._shares = shares
 
-    async def take(self, organisation: Organisation, prompt: int, most: int) -> Charge | None:
+    async def take(
+        self, organisation: Organisation, prompt: int, most: int, until: float
+    ) -> Charge | None:
         """Let a request run, or raise.
 
+        While the home is being replaced, a request that no share covers waits for it: after all
+        instances were lost at once nobody has a share, and a home is there within a second.
+
         Parameters
         ----------
         organisation : Organisation
             Whose request it is.
         prompt, most : int
             Tokens that the request states; 0 for none.
+        until : float
+            How long it may wait for a home, by the runtime's clock.
 
         Returns
         -------
@@ -126,16 +135,27 @@
             return None
         name = organisation.name
         tokens = round(organisation.quota.charge(prompt, most))
+        while True:
+            charge = await self._ask(name, tokens) or self._draw(name, tokens)
+            if charge is not None:
+                return charge
+            if self._clock() >= until:
+                raise Refused(f"the quota of {name} cannot be asked for", ELSEWHERE_S)
+            await asyncio.sleep(POLL_S)
+
+    async def _ask(self, name: str, tokens: int) -> Charge | None:
+        """Ask the home; None if it cannot be asked or grants nothing now."""
         link = self._locate()
-        if link is not None and not link.is_quiet:
-            try:
-                answer = await link.ask_quota(name, tokens, self._clock() + ANSWER_S)
-            except TimeoutError:
-                log.info("no answer on a quota", organisation=name)
-            else:
-                if answer.granted or answer.retry_after_ms:
-                    return self._conclude(link, name, tokens, answer)
-        return self._draw(name, tokens)
+        if link is None or link.is_quiet:
+            return None
+        try:
+            answer = await link.ask_quota(name, tokens, self._clock() + ANSWER_S)
+        except TimeoutError:
+            log.info("no answer on a quota", organisation=name)
+            return None
+        if not answer.granted and not answer.retry_after_ms:
+            return None
+        return self._conclude(link, name, tokens, answer)
 
     def _conclude(self, link: QuotaLink, name: str, tokens: int, answer: pb.QuotaAnswer) -> Charge:
         now = self._clock()
@@ -145,12 +165,12 @@
         retry_s = answer.retry_after_ms / 1000
         raise Limited(name, retry_s * (1 + JITTER * self._rng.random()))
 
-    def _draw(self, name: str, tokens: int) -> Charge:
+    def _draw(self, name: str, tokens: int) -> Charge | None:
         """Draw on this instance's share while the home is being replaced."""
         now = self._clock()
         if self._shares.try_take(name, tokens, now):
             return Charge(name, tokens, None, now)
-        raise Refused(f"the quota of {name} cannot be asked for", ELSEWHERE_S)
+        return None
 
 
 class Asked:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -29,10 +29,10 @@
 log = logbook.Logger("serving")
 NOT_READY_S = 0.03
 """Pause before a request is sent again to a replica whose weights are about to be ready."""
-FIRST_CONFIG_S = 0.8
-"""How long a request waits for the first configuration after a start. 1,640 routes are reckoned at
-half a megabyte, 0.4 s of a link of 10 Mbit/s; 195 instances that start at once share the store's
-link as well, and have it 0.3 to 0.8 s after they are up."""
+FIRST_CONFIG_S = 2.0
+"""How long a request waits for the first configuration after a start, while the store answers.
+1,700 routes and 145 replicas are reckoned at 1.2 MB, 0.9 s of a link of 10 Mbit/s; instances that
+start at once share the store's link as well."""
 NO_REPLICA_S = 0.25
 """How long a request waits for a replica to turn up before it is refused."""
 POLL_S = 0.05
@@ -212,7 +212,10 @@
             return
         req = job.req
         job.charge = await self._quotas.take(
-            job.principal.organisation, req.prompt_tokens, req.most_tokens
+            job.principal.organisation,
+            req.prompt_tokens,
+            req.most_tokens,
+            min(job.deadline_at, req.arrived_at + job.route.target_s),
         )
 
     async def _run(self, job: Job) -> None:
--- a/packages/policy/src/gradelug_policy/pace.py
+++ b/packages/policy/src/gradelug_policy/pace.py
@@ -12,10 +12,12 @@
 
 import math
 
-FIRST_LOAD_S = 0.255
+FIRST_LOAD_S = 0.3
+"""Where the search for the time begins: rather too long, since a load that is late costs its
+requests a repetition, and one that is in time brings the expected time down fast."""
 FIRST_AT_ONCE = 8.0
-"""Where the search begins; a time three times as long and a number 75 times as large are found
-within seconds (see the tests' simulated stores)."""
+"""Where the search for the number begins unless more is known; 75 times as many are found within
+seconds (see the tests' simulated stores)."""
 LEAST_AT_ONCE = 4.0
 FEW = 8
 """With so few under way the time that a load takes is taken for the store's own. Of a store that
@@ -59,6 +61,8 @@
     ----------
     now : float
         By the runtime's clock.
+    first_at_once : float
+        What the store is known to bear at once, in loads; 0 if nothing is known.
     """
 
     __slots__ = (
@@ -71,9 +75,9 @@
         "load_s",
     )
 
-    def __init__(self, now: float = 0.0) -> None:
+    def __init__(self, now: float = 0.0, first_at_once: float = 0.0) -> None:
         self._at = now
-        self._at_once = FIRST_AT_ONCE
+        self._at_once = max(FIRST_AT_ONCE, first_at_once)
         self._alone_s = FIRST_LOAD_S
         """Time of a load when few are under way, in seconds."""
         self._is_searching = True
@@ -130,15 +134,15 @@
             By the runtime's clock.
         """
         self._decay(now)
-        self._was_late = True
         # Of loads that were begun together all are late: they tell one thing, not many.
         if now - self._raised_at >= self.load_s:
             wanted = min(elapsed_s * MARGIN, self.load_s * MOST_RAISE, MOST_LOAD_S)
             if wanted > self.load_s:
                 self.load_s = wanted
                 self._raised_at = now
-        if under_way <= FEW:
+        if under_way <= FEW or not self._was_late:
             self._alone_s = max(self._alone_s, self.load_s)
+        self._was_late = True
 
     def _decay(self, now: float) -> None:
         passed_s = max(0.0, now - self._at)
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -328,6 +328,18 @@
 
         run(scenario)
 
+    def test_a_request_waits_for_a_home_that_is_about_to_be_there(self):
+        """After all instances lost power at once nobody has a share."""
+
+        async def scenario():
+            bench = Keyed(PLAIN, [[[OK]]], LIMITED)
+            waiting = asyncio.create_task(finished(bench))
+            await asyncio.sleep(0.1)
+            bench.home = Home(pb.QuotaAnswer(granted=True))
+            assert await waiting == 200
+
+        run(scenario)
+
     def test_a_home_that_does_not_answer_holds_a_request_up_for_a_moment_only(self):
         async def scenario():
             bench = Keyed(PLAIN, [[[OK]]], LIMITED)
