--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -555,7 +555,7 @@
             bench = self.bench([script, [[STREAM + event(1) + END]]], budget=0.0)
             client = bench.client(8000, ADAPTER)
             await asyncio.sleep(pause_s + 0.3)
-            assert client.received.endswith(END)
+            assert client.received.endswith(event(1) + END)
             assert not bench.received("s1")
 
         run(scenario)
