--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -45,7 +45,17 @@
     "replace",
     "version",
 )
-NOT_RUN = frozenset({408, 421, 429, 503})
+NOT_RUN = frozenset({401, 408, 421, 429, 503})
+REVOKE_S = 5.0
+"""No request runs that was sent so long after its key was taken away."""
+REVOKED_PART = 0.1
+"""Part of the requests that carry a key which was taken away."""
+QUOTA_WINDOW_S = 8.0
+PLAIN_TOKENS = 10
+LIMITED = {"Name": "limited", "RatePerS": 40, "Burst": 40}
+"""Four requests a second, which is less than half of what its callers send."""
+QUOTA_SLACK = 100
+"""In tokens; ten requests over three instances that come and go."""
 CONFIG = {
     "Version": 1,
     "Routes": [
@@ -98,6 +108,51 @@
 }
 
 
+class Keys:
+    """Keys of two organisations, taken away and given out in turn."""
+
+    def __init__(self, store, clock, rng):
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.numbers = iter(range(1, 1_000_000))
+        self.held = {"free": [], "limited": []}
+        self.holder = {}
+        self.taken_at = {}
+        """When the configuration without a key was acknowledged."""
+        for name in self.held:
+            for _ in range(3):
+                self._give(name)
+
+    def _give(self, name):
+        key = f"key-{next(self.numbers)}"
+        self.held[name].append(key)
+        self.holder[key] = name
+
+    def config(self, version):
+        common = {"Unit": "token_stream", "PlainTokens": PLAIN_TOKENS}
+        tenants = [{"Name": "free"}, LIMITED]
+        tenants = [{**item, **common, "ApiKeys": self.held[item["Name"]]} for item in tenants]
+        return json.dumps({**CONFIG, "Version": version, "Tenants": tenants}).encode()
+
+    async def change(self):
+        """Take a key away and give another out."""
+        name = self.rng.choice(list(self.held))
+        gone = self.held[name].pop(self.rng.randrange(len(self.held[name])))
+        self._give(name)
+        found = await self.store.kv.get("op/config")
+        version = json.loads(found.value)["Version"] + 1
+        swap = await self.store.kv.swap("op/config", self.config(version), found.revision)
+        assert swap.swapped
+        self.taken_at[gone] = self.clock()
+
+    def choose(self, name):
+        """Return a key of an organisation, now and then one that was taken away."""
+        if self.taken_at and self.rng.random() < REVOKED_PART:
+            return self.rng.choice(list(self.taken_at))
+        return self.rng.choice(self.held[name])
+
+
 class Gateway:
     """One gateway process, restarted when it ends."""
 
@@ -112,6 +167,7 @@
             f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
             f"[Bounds]\nGraceS = 4\nBudgetExtra = 400\n"
             f"RequireFence = {str(checks_tokens).lower()}\n"
+            f"StrictRevoke = true\nRevokeMs = {REVOKE_S * 1000:.0f}\n"
             f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
         )
         self.process = None
@@ -158,6 +214,10 @@
         self.ledger = Ledger()
         self.versions = {}
         self.store = StoreStandIn()
+        # With a source of chance of its own: what a seed does otherwise stays the same.
+        self.keys = Keys(self.store, self.clock, random.Random(seed))
+        self.sent = {}
+        """When each request was sent, and its key."""
         self.replicas = {}
         self.proxies = {}
         self.answers = {}
@@ -172,6 +232,7 @@
             await self._start(Path(name))
             clients = [asyncio.create_task(self._client()) for _ in range(6)]
             clients.append(asyncio.create_task(self._supervise()))
+            clients.append(asyncio.create_task(self._change_keys()))
             try:
                 await self._faults()
                 await self._heal()
@@ -196,7 +257,7 @@
         (kept / "answers").write_text("\n".join(answers))
 
     async def _start(self, folder):
-        await self.store.kv.swap("op/config", json.dumps(CONFIG).encode(), 0)
+        await self.store.kv.swap("op/config", self.keys.config(1), 0)
         server = HttpServer(self.store.serve, ServerLimits, self.clock)
         self.store_proxy = Proxy(await server.start(HOST, 0))
         await self.store_proxy.start()
@@ -227,7 +288,12 @@
             await self._request()
             await asyncio.sleep(self.rng.uniform(0.0, 0.1))
 
-    async def _request(self):
+    async def _change_keys(self):
+        while True:
+            await asyncio.sleep(self.keys.rng.uniform(0.5, 2.5))
+            await self.keys.change()
+
+    async def _request(self, organisation=None):
         request_id = f"q{next(self.numbers)}"
         kind = self.rng.choice("ssui")
         body = f"body of {request_id}".encode()
@@ -236,6 +302,13 @@
         headers.append((b"X-Gradelug-Deadline-Ms", b"3000"))
         if kind == "s":
             headers.append((b"X-Gradelug-Model", b"m/a%d" % self.rng.randint(1, 12)))
+        if organisation is None:
+            key = self.keys.choose(self.keys.rng.choice(("free", "limited")))
+        else:
+            key = self.keys.held[organisation][0]
+        headers.append((b"Authorization", f"Bearer {key}".encode()))
+        self.ledger.organisations[request_id] = self.keys.holder[key]
+        self.sent[request_id] = (self.clock(), key)
         out = OutgoingRequest(b"POST", f"/{kind}/x".encode(), headers, body)
         gateway = self.rng.choice(self.gateways)
         self.answers[request_id] = (kind, *await self._ask(gateway, out))
@@ -346,7 +419,7 @@
         served = 0
         for _ in range(PROBES):
             for _ in range(2):
-                _, status, _, _ = await self._request()
+                _, status, _, _ = await self._request("free")
                 if status == 200:
                     served += 1
                     break
@@ -374,10 +447,35 @@
                 faults.append(f"{request_id}: ran {len(runs)} times: {runs}")
             if status == 200:
                 faults += self._wrong_answer(request_id, kind, head, body, runs)
+        faults += self._keys_used_too_late()
+        faults += self._beyond_the_quota()
         if self.late_served < PROBES:
             faults.append(f"only {self.late_served} of {PROBES} were served after all had healed")
         return faults
 
+    def _keys_used_too_late(self):
+        faults = []
+        for request_id in self.ledger.runs:
+            sent_at, key = self.sent[request_id]
+            taken_at = self.keys.taken_at.get(key, sent_at)
+            if sent_at - taken_at > REVOKE_S:
+                late_s = sent_at - taken_at
+                faults.append(f"{request_id}: ran {late_s:.2f} s after its key was taken away")
+        return faults
+
+    def _beyond_the_quota(self):
+        runs = sorted(
+            at
+            for request_id, at in self.ledger.ran_at.items()
+            if self.ledger.organisations[request_id] == "limited"
+        )
+        most = (LIMITED["RatePerS"] * QUOTA_WINDOW_S + LIMITED["Burst"]) * 1.1 + QUOTA_SLACK
+        for first, at in enumerate(runs):
+            tokens = PLAIN_TOKENS * sum(at <= other <= at + QUOTA_WINDOW_S for other in runs)
+            if tokens > most:
+                return [f"{tokens} tokens of {most:.0f} ran from the {first}th limited run on"]
+        return []
+
     def _wrong_answer(self, request_id, kind, head, body, runs):
         signature = (head.get(b"x-gradelug-server-signature") or b"").decode()
         if signature not in [f"{name}.{request_id}" for name, _ in runs]:
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -32,6 +32,9 @@
     def __init__(self):
         self.runs = defaultdict(list)
         self.bodies = {}
+        self.organisations = {}
+        """Whose key each request carries."""
+        self.ran_at = {}
         self.faults = []
         self.slack_until = 0.0
         """Orders until then may have been held up by a link or a frozen instance."""
@@ -166,6 +169,7 @@
         self.ledger.runs[request_id].append((self.name, first))
         if self.ledger.bodies.get(request_id) != inc.body:
             self.ledger.faults.append(f"{request_id} ran with another body")
+        self._look_at_keys(inc, request_id)
         headers = [
             (b"X-Gradelug-Request-Id", request_id.encode()),
             (b"X-Gradelug-Server-Signature", f"{self.name}.{request_id}".encode()),
@@ -185,6 +189,14 @@
         finally:
             users[key] -= 1
 
+    def _look_at_keys(self, inc, request_id):
+        self.ledger.ran_at.setdefault(request_id, self.clock())
+        told = find(inc.headers, b"x-gradelug-tenant")
+        if told != self.ledger.organisations[request_id].encode():
+            self.ledger.faults.append(f"{request_id} ran for {told}")
+        if find(inc.headers, b"authorization") is not None:
+            self.ledger.faults.append(f"{request_id} ran with its key")
+
 
 class Proxy:
     """A loopback proxy whose connections can be delayed, reset, silenced for a time or for good."""
