Look at the store for a proof at most five times a second

Found by reading. Change: a bound between looks. Test: an unreadable configuration beside 50 writes a second; taken out, it fails.

--- a/packages/gateway/src/gradelug_gateway/freshness.py
+++ b/packages/gateway/src/gradelug_gateway/freshness.py
@@ -13,6 +13,9 @@
 log = logbook.Logger("freshness")
 RENEW_PART = 0.5
 """An own look is begun when so much of the bound has passed: what is left bears two that fail."""
+LOOK_S = 0.2
+"""Requests that need a proof have the store looked at this often at most: looks that bring none, as
+where a configuration cannot be read, would follow each other without a pause."""
 MARGIN_S = 0.1
 """Timers and the platform's clock may differ by so much within the bound."""
 
@@ -96,6 +99,6 @@
             log.warning(
                 "proof of the configuration", good=proven, config=self.config, age_s=round(age_s, 2)
             )
-        if not proven:
+        if not proven and self._clock() - self._mirror.looked_at >= LOOK_S:
             self._mirror.hurry()
         return proven
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -7,7 +7,7 @@
 from gradelug_coordination import KvUnavailable
 from gradelug_coordination.mirror import MOST_REST_S
 from gradelug_gateway.followers import Followers
-from gradelug_gateway.freshness import MARGIN_S, RENEW_PART
+from gradelug_gateway.freshness import LOOK_S, MARGIN_S, RENEW_PART
 from gradelug_gateway.storenews import LEAST_FOLLOWERS, TELL_SPACING_S, StoreListener, StoreTeller
 from gradelug_standins.kv import MemoryKv
 from gradelug_wire import placement_pb2 as pb
@@ -140,14 +140,14 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
-async def beat(world, seconds):
+async def beat(world, seconds, each_s=0.25):
     """Let time pass; replicas write something all the time."""
-    for step in range(round(seconds / 0.25)):
+    for step in range(round(seconds / each_s)):
         key = f"s/other{step % 2}"
         known = await world.kv.get(key)
         value = json.dumps({"address": "o:1", "n": step}).encode()
         await world.kv.swap(key, value, known.revision if known else 0)
-        await asyncio.sleep(0.25)
+        await asyncio.sleep(each_s)
 
 
 class TestFreshness:
@@ -251,6 +251,10 @@
             await beat(world, BOUND_S + 1.0)
             assert not world.gateway.freshness.is_proven()
             assert not world.planner.freshness.is_proven()
+            looks = world.gateway.kv.looks
+            await beat(world, 4.0, 0.02)
+            # Requests that ask for a proof all the time do not make it look without a pause.
+            assert world.gateway.kv.looks - looks <= 2 * 4.0 / LOOK_S
             await world.stop()
 
         run(scenario)
