--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -19,7 +19,7 @@
 from .fleet import Fleet
 from .model import AdapterKey, ToldLoad
 from .pacing import FLUSH_S, NEWS_S
-from .quotas import Asked
+from .quotas import QuotaQuestions
 from .search import PlannerAddress
 from .storenews import StoreListener
 
@@ -149,7 +149,7 @@
         self._told_loads: dict[str, ToldLoad] = {}
         self._wake = asyncio.Event()
         self._asked = asyncio.Event()
-        self._quotas = Asked(clock, self.hurry)
+        self._quotas = QuotaQuestions(clock, self.hurry)
 
     async def ask_quota(self, organisation: str, tokens: int, until: float) -> pb.QuotaAnswer:
         """Return the planner's answer for a quota; raises `TimeoutError`."""
--- a/packages/gateway/src/gradelug_gateway/quotas.py
+++ b/packages/gateway/src/gradelug_gateway/quotas.py
@@ -174,7 +174,7 @@
         return None
 
 
-class Asked:
+class QuotaQuestions:
     """Questions for quotas that wait for the home's answer.
 
     Parameters
--- a/packages/policy/src/gradelug_policy/pace.py
+++ b/packages/policy/src/gradelug_policy/pace.py
@@ -119,7 +119,7 @@
         if under_way <= FEW:
             self._alone_s += ALONE_PART * (self.load_s - self._alone_s)
         if at_limit:
-            self._follow()
+            self._adjust()
 
     def note_late(self, under_way: int, elapsed_s: float, now: float) -> None:
         """Note that a load was not through yet.
@@ -151,7 +151,8 @@
         self.load_s = max(LEAST_LOAD_S, self.load_s * math.exp(-decay * passed_s / self.load_s))
         self._alone_s = min(self.load_s, self._alone_s * math.exp(-ALONE_DECAY_PER_S * passed_s))
 
-    def _follow(self) -> None:
+    def _adjust(self) -> None:
+        """Move the number of loads at once by how much longer loads take than among few."""
         gradient = max(LEAST_GRADIENT, TOLERANCE * self._alone_s / self.load_s)
         if gradient >= 1:
             growth = FAST_GROWTH if self._is_searching else QUEUE / math.sqrt(self._at_once)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,7 +6,7 @@
 import pytest
 from gradelug_gateway.exceptions import Limited, Refused
 from gradelug_gateway.organisations import Organisation, Quota
-from gradelug_gateway.quotas import ANSWER_S, Asked, Quotas
+from gradelug_gateway.quotas import ANSWER_S, QuotaQuestions, Quotas
 from gradelug_policy.quotas import (
     LEAST_BURST_S,
     LENT_S,
@@ -297,17 +297,17 @@
         fleet.every_window_is_within_the_quota()
 
 
-class TestAsked:
+class TestQuotaQuestions:
     def test_questions_are_answered_by_their_tickets(self):
         async def scenario():
             clock = asyncio.get_running_loop().time
-            asked = Asked(clock, lambda: None)
-            waiting = [asyncio.create_task(asked.ask("o", n, clock() + 1.0)) for n in (1, 2)]
+            questions = QuotaQuestions(clock, lambda: None)
+            waiting = [asyncio.create_task(questions.ask("o", n, clock() + 1.0)) for n in (1, 2)]
             await asyncio.sleep(0)
             message = pb.FromGateway()
-            asked.fill(message)
+            questions.fill(message)
             for ask in reversed(message.quota_asks):
-                asked.take(pb.QuotaAnswer(ticket=ask.ticket, granted=ask.tokens == 2))
+                questions.take(pb.QuotaAnswer(ticket=ask.ticket, granted=ask.tokens == 2))
             answers = [await task for task in waiting]
             assert [answer.granted for answer in answers] == [False, True]
 
@@ -316,17 +316,17 @@
     def test_what_is_granted_too_late_is_given_back(self):
         async def scenario():
             clock = asyncio.get_running_loop().time
-            asked = Asked(clock, lambda: None)
+            questions = QuotaQuestions(clock, lambda: None)
             message = pb.FromGateway()
-            task = asyncio.create_task(asked.ask("o", 7, clock() + ANSWER_S))
+            task = asyncio.create_task(questions.ask("o", 7, clock() + ANSWER_S))
             await asyncio.sleep(0)
-            asked.fill(message)
+            questions.fill(message)
             with pytest.raises(TimeoutError):
                 await task
-            asked.take(pb.QuotaAnswer(ticket=message.quota_asks[0].ticket, granted=True))
+            questions.take(pb.QuotaAnswer(ticket=message.quota_asks[0].ticket, granted=True))
             await asyncio.sleep(0)
             late = pb.FromGateway()
-            asked.fill(late)
+            questions.fill(late)
             assert [(item.organisation, item.tokens) for item in late.quota_returns] == [("o", 7)]
 
         run(scenario)
@@ -334,13 +334,13 @@
     def test_another_home_is_not_given_what_it_has_not_granted(self):
         async def scenario():
             clock = asyncio.get_running_loop().time
-            asked = Asked(clock, lambda: None)
+            questions = QuotaQuestions(clock, lambda: None)
             granted_at = clock()
             await asyncio.sleep(1.0)
-            asked.begin_stream()
-            asked.give_back("o", 5, granted_at)
+            questions.begin_stream()
+            questions.give_back("o", 5, granted_at)
             message = pb.FromGateway()
-            asked.fill(message)
+            questions.fill(message)
             assert not message.quota_returns
 
         run(scenario)
@@ -348,11 +348,11 @@
     def test_a_lost_home_ends_the_questions_to_it(self):
         async def scenario():
             clock = asyncio.get_running_loop().time
-            asked = Asked(clock, lambda: None)
-            task = asyncio.create_task(asked.ask("o", 1, clock() + 1.0))
+            questions = QuotaQuestions(clock, lambda: None)
+            task = asyncio.create_task(questions.ask("o", 1, clock() + 1.0))
             await asyncio.sleep(0)
             began = clock()
-            asked.begin_stream()
+            questions.begin_stream()
             with pytest.raises(TimeoutError):
                 await task
             assert clock() == began
