Interfaces first: parts of what gateways and planners tell, a module each; features that can be switched off

Cause: five parts are to be built side by side (fair shares, engine room, shared health, lasting runs, scoped news), and each would have edited `link.py`, `planner.py` and the wire in the same places. Ruled out: a further stream for each part (a connection more for each of 85 gateways). Change: `GatewayPart` and `PlannerPart` are registered with the link and the planner; the quotas are the first of them (`quota_desk`). Two tests of quotas hand the answer over in the message that carries it, since that is what a part takes.

--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -16,6 +16,7 @@
 from .fleet import Fleet
 from .link import PlannerLink
 from .model import AdapterKey, Replica
+from .parts import GatewayPart
 from .search import LOOK_S, PlannerAddress, Search, ask_where
 from .storenews import StoreListener
 
@@ -79,6 +80,8 @@
         Takes what planners tell of the platform's store.
     shares : LocalShares or None
         What this instance may use of quotas without asking.
+    make_parts : callable
+        Makes what else is told to the planner of a service, given the service's name.
     """
 
     __slots__ = (
@@ -92,6 +95,7 @@
         "_links",
         "_listener",
         "_locate",
+        "_make_parts",
         "_searches",
         "_shares",
         "_strength",
@@ -111,7 +115,9 @@
         strength: float = 1.0,
         listener: StoreListener | None = None,
         shares: LocalShares | None = None,
+        make_parts: t.Callable[[str], t.Iterable[GatewayPart]] = lambda service: (),
     ) -> None:
+        self._make_parts = make_parts
         self._shares = shares
         self._strength = strength
         self._listener = listener
@@ -273,6 +279,7 @@
                 self._strength,
                 self._listener,
                 self._shares,
+                self._make_parts(service),
             )
             self._links[service] = link
             self._tasks[service] = asyncio.create_task(self._keep(link))
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -14,6 +14,9 @@
 from .pacing import Pacing
 from .storenews import LEAST_FOLLOWERS, StoreTeller
 
+if t.TYPE_CHECKING:
+    from .parts import PlannerPart
+
 NEWS_SLACK_S = 0.01
 """Timers fire a little late or early."""
 HEARD_S = 0.8
@@ -113,6 +116,8 @@
         The runtime's clock.
     store : StoreTeller or None
         Tells what the planner has seen in the platform's store; None to tell nothing of it.
+    parts : sequence of PlannerPart
+        What else there is to tell everybody.
     """
 
     __slots__ = (
@@ -122,6 +127,7 @@
         "_engines",
         "_holdings_at",
         "_numbers",
+        "_parts",
         "_store",
         "_told_loads",
         "has_resigned",
@@ -133,8 +139,10 @@
         engines: t.Mapping[str, Engine],
         clock: t.Callable[[], float],
         store: StoreTeller | None = None,
+        parts: t.Sequence[PlannerPart] = (),
     ) -> None:
         self._engines = engines
+        self._parts = parts
         self._store = store
         self._clock = clock
         self._by_number: dict[int, Follower] = {}
@@ -223,6 +231,8 @@
             store = self._store.news()
             if store is not None:
                 news.store.CopyFrom(store)
+        for part in self._parts:
+            part.fill(news, self._clock())
         for follower in self._by_number.values():
             follower.send(self._for_one(news, follower))
 
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -19,6 +19,7 @@
 from .fleet import Fleet
 from .model import AdapterKey, ToldLoad
 from .pacing import FLUSH_S, NEWS_S
+from .parts import GatewayPart
 from .quotas import QuotaQuestions
 from .search import PlannerAddress
 from .storenews import StoreListener
@@ -70,6 +71,7 @@
         "_instance",
         "_listener",
         "_missed_at",
+        "_parts",
         "_questions",
         "_quotas",
         "_results",
@@ -104,6 +106,7 @@
         strength: float = 1.0,
         listener: StoreListener | None = None,
         shares: LocalShares | None = None,
+        parts: t.Iterable[GatewayPart] = (),
     ) -> None:
         self._shares = shares or LocalShares()
         self._strength = strength
@@ -150,6 +153,8 @@
         self._wake = asyncio.Event()
         self._asked = asyncio.Event()
         self._quotas = QuotaQuestions(clock, self.hurry)
+        self._parts: tuple[GatewayPart, ...] = (self._quotas, *parts)
+        """What else is told on the stream."""
 
     async def ask_quota(self, organisation: str, tokens: int, until: float) -> pb.QuotaAnswer:
         """Return the planner's answer for a quota; raises `TimeoutError`."""
@@ -235,7 +240,8 @@
         self._told_owned = None
         self._results.clear()
         self._stream += 1
-        self._quotas.begin_stream()
+        for part in self._parts:
+            part.begin_stream()
         self._ahead_s = math.inf
         try:
             async with asyncio.timeout(SILENT_S) as limit:
@@ -311,7 +317,8 @@
             )
             if not self.active[use]:
                 del self.active[use]
-        self._quotas.fill(message)
+        for part in self._parts:
+            part.fill(message)
         self._changed.clear()
         self._started.clear()
         self._started_tokens.clear()
@@ -379,8 +386,8 @@
             self._executor.note_outage(message.cut_off)
         for order in message.orders:
             self._carry_out(order)
-        for quota_answer in message.quota_answers:
-            self._quotas.take(quota_answer)
+        for part in self._parts:
+            part.take(message)
         for answer in message.answers:
             self._take_booking(answer)
             question = self._questions.get(answer.ticket)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -9,7 +9,7 @@
 
 import logbook
 from gradelug_policy import Popularity
-from gradelug_policy.quotas import QuotaHome, QuotaTerms
+from gradelug_policy.quotas import QuotaHome
 from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
 from gradelug_policy.residency import EnginePlaces, LoadWindow, choose_home
 from gradelug_wire import placement_pb2 as pb
@@ -19,7 +19,9 @@
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .openings import Openings
+from .parts import PlannerPart
 from .ports import OrderTransport
+from .quota_desk import QuotaDesk
 from .relay import OrderRelay
 from .storenews import StoreTeller
 from .upkeep import Upkeep
@@ -96,8 +98,11 @@
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
-        self.followers = Followers(self.engines, clock, store)
-        self.quotas = QuotaHome(clock(), expected)
+        self.parts: tuple[PlannerPart, ...] = (
+            QuotaDesk(QuotaHome(clock(), expected), state, lambda: self.term is not None),
+        )
+        """What else gateways tell this instance, and are told."""
+        self.followers = Followers(self.engines, clock, store, self.parts)
         self.popularity = Popularity(HALF_LIFE_S)
         self.tokens = Popularity(HALF_LIFE_S)
         """Tokens of prompts a second, by adapter."""
@@ -155,6 +160,8 @@
         for name in [name for name in self.engines if name not in told]:
             del self.engines[name]
             self.followers.mark(name)
+            for part in self.parts:
+                part.forget(name)
         for name, rep in told.items():
             engine = self.engines.get(name)
             if engine is None:
@@ -190,7 +197,8 @@
             return
         if self._relay is not None:
             self._relay.forget(follower)
-        self.quotas.leave(follower.process, self._clock())
+        for part in self.parts:
+            part.leave(follower, self._clock())
         self._line.forget(follower)
         for engine in self.engines.values():
             engine.forget(follower.number)
@@ -204,9 +212,6 @@
         follower.store_away = message.store_away
         follower.hall = message.hall or follower.hall
         follower.strength = message.strength or follower.strength
-        if message.instance:
-            # The first message on the stream.
-            self.quotas.join(follower.process, dict(message.shares), now)
         self.followers.pacing.note_message(sum(use.started for use in message.uses))
         if self._relay is not None:
             self._relay.take(follower, message)
@@ -217,33 +222,14 @@
             if engine is not None:
                 told = ToldLoad(load.starting, load.running, tuple(load.queued))
                 engine.take_load(follower.number, told)
-        for quota_ask in message.quota_asks:
-            follower.answer_quota(self._answer_quota(follower, quota_ask, now))
-        for returned in message.quota_returns:
-            self.quotas.give_back(returned.organisation, returned.tokens, now)
+        for part in self.parts:
+            part.take(follower, message, now)
         if message.cancelled:
             self._line.cancel(follower, set(message.cancelled))
         for ask in message.asks:
             self._take_ask(Waiter(follower, ask, now), now)
         self.decide_soon()
 
-    def _answer_quota(self, follower: Follower, ask: pb.QuotaAsk, now: float) -> pb.QuotaAnswer:
-        snapshot = self.state.snapshot
-        organisation = snapshot.organisations.named(ask.organisation) if snapshot else None
-        if self.term is None or organisation is None:
-            # Another planner may grant, or a configuration that is not known here yet.
-            return pb.QuotaAnswer(ticket=ask.ticket)
-        if organisation.quota is None:
-            return pb.QuotaAnswer(ticket=ask.ticket, granted=True)
-        terms = QuotaTerms(organisation.quota.rate, organisation.quota.burst)
-        verdict = self.quotas.ask(follower.process, organisation.name, terms, ask.tokens, now)
-        return pb.QuotaAnswer(
-            ticket=ask.ticket,
-            granted=verdict.granted,
-            retry_after_ms=math.ceil(verdict.retry_s * 1000),
-            share=verdict.share,
-        )
-
     def _take_ask(self, waiter: Waiter, now: float) -> None:
         self._note_absent(waiter, now)
         if not self._try_answer(waiter, now):
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/quota_desk.py
@@ -0,0 +1,70 @@
+"""The home of the quotas at a planner: takes gateways' questions and answers them."""
+
+from __future__ import annotations
+
+import math
+import typing as t
+
+from gradelug_policy.quotas import QuotaHome, QuotaTerms
+from gradelug_wire import placement_pb2 as pb
+
+from .followers import Follower
+from .model import FleetState
+
+
+class QuotaDesk:
+    """Implements `parts.PlannerPart` for the quotas of organisations.
+
+    Parameters
+    ----------
+    home : QuotaHome
+        Decides.
+    state : FleetState
+        What the platform has told.
+    may_grant : callable
+        Whether this planner's term holds: without one another planner may grant.
+    """
+
+    __slots__ = ("_home", "_may_grant", "_state")
+
+    def __init__(self, home: QuotaHome, state: FleetState, may_grant: t.Callable[[], bool]) -> None:
+        self._home = home
+        self._state = state
+        self._may_grant = may_grant
+
+    def take(self, follower: Follower, message: pb.FromGateway, now: float) -> None:
+        """Answer the questions of a gateway, take back what it did not use."""
+        if message.instance:
+            # The first message on the stream.
+            self._home.join(follower.process, dict(message.shares), now)
+        for ask in message.quota_asks:
+            follower.answer_quota(self._answer(follower, ask, now))
+        for returned in message.quota_returns:
+            self._home.give_back(returned.organisation, returned.tokens, now)
+
+    def leave(self, follower: Follower, now: float) -> None:
+        """Keep back what a gateway may use without asking."""
+        self._home.leave(follower.process, now)
+
+    def fill(self, news: pb.FromPlanner, now: float) -> None:
+        """Tell nothing: shares go with the answers."""
+
+    def forget(self, replica: str) -> None:
+        """Quotas know no replicas."""
+
+    def _answer(self, follower: Follower, ask: pb.QuotaAsk, now: float) -> pb.QuotaAnswer:
+        snapshot = self._state.snapshot
+        organisation = snapshot.organisations.named(ask.organisation) if snapshot else None
+        if not self._may_grant() or organisation is None:
+            # Another planner may grant, or a configuration that is not known here yet.
+            return pb.QuotaAnswer(ticket=ask.ticket)
+        if organisation.quota is None:
+            return pb.QuotaAnswer(ticket=ask.ticket, granted=True)
+        terms = QuotaTerms(organisation.quota.rate, organisation.quota.burst)
+        verdict = self._home.ask(follower.process, organisation.name, terms, ask.tokens, now)
+        return pb.QuotaAnswer(
+            ticket=ask.ticket,
+            granted=verdict.granted,
+            retry_after_ms=math.ceil(verdict.retry_s * 1000),
+            share=verdict.share,
+        )
--- a/packages/gateway/src/gradelug_gateway/quotas.py
+++ b/packages/gateway/src/gradelug_gateway/quotas.py
@@ -175,7 +175,7 @@
 
 
 class QuotaQuestions:
-    """Questions for quotas that wait for the home's answer.
+    """Questions for quotas that wait for the home's answer; implements `parts.GatewayPart`.
 
     Parameters
     ----------
@@ -234,8 +234,12 @@
         self._unsent.clear()
         self._returns.clear()
 
-    def take(self, answer: pb.QuotaAnswer) -> None:
-        """Hand an answer to whoever waits for it."""
+    def take(self, message: pb.FromPlanner) -> None:
+        """Hand each answer to whoever waits for it."""
+        for answer in message.quota_answers:
+            self._take_answer(answer)
+
+    def _take_answer(self, answer: pb.QuotaAnswer) -> None:
         fut = self._futures.pop(answer.ticket, None)
         if fut is not None and not fut.done():
             fut.set_result(answer)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -4,12 +4,28 @@
 
 import math
 from dataclasses import dataclass
+from enum import Enum
 
 STRONG_CORES = 1.0
 STRONG_LINK_MBPS = 50.0
 """Reckoned, not measured: a planner that tells 75 gateways all holdings sends some 26 Mbit/s."""
 
 
+class Feature(Enum):
+    """Parts that can be switched off; without one the daemon does without its decisions."""
+
+    URGENT_QUOTAS = "urgent-quotas"
+    """What is left of a quota goes to the urgent first."""
+    ENGINE_ROOM = "engine-room"
+    """Engines are chosen by their slots, their memory and their own speed."""
+    SHARED_HEALTH = "shared-health"
+    """What gateways find of replicas is told to all of them."""
+    LASTING_RUNS = "lasting-runs"
+    """Runs go on when their connection or their engine is lost."""
+    SCOPED_NEWS = "scoped-news"
+    """Gateways are told of what they use alone."""
+
+
 @dataclass(slots=True, frozen=True)
 class Addresses:
     """Where the daemon listens, as ``IP:port``.
@@ -89,6 +105,8 @@
         Processor time that it has, in cores.
     link_mbps : float
         Bandwidth of its link, in megabits a second.
+    features : frozenset of Feature
+        Those that are switched on.
     """
 
     name: str
@@ -98,6 +116,7 @@
     first_start: bool = False
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    features: frozenset[Feature] = frozenset(Feature)
 
     @property
     def strength(self) -> float:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -307,7 +307,8 @@
             message = pb.FromGateway()
             questions.fill(message)
             for ask in reversed(message.quota_asks):
-                questions.take(pb.QuotaAnswer(ticket=ask.ticket, granted=ask.tokens == 2))
+                answer = pb.QuotaAnswer(ticket=ask.ticket, granted=ask.tokens == 2)
+                questions.take(pb.FromPlanner(quota_answers=[answer]))
             answers = [await task for task in waiting]
             assert [answer.granted for answer in answers] == [False, True]
 
@@ -323,7 +324,8 @@
             questions.fill(message)
             with pytest.raises(TimeoutError):
                 await task
-            questions.take(pb.QuotaAnswer(ticket=message.quota_asks[0].ticket, granted=True))
+            answer = pb.QuotaAnswer(ticket=message.quota_asks[0].ticket, granted=True)
+            questions.take(pb.FromPlanner(quota_answers=[answer]))
             await asyncio.sleep(0)
             late = pb.FromGateway()
             questions.fill(late)
