Tell the lives of a replica apart; entries of other writers name no replica

Cause: a replica may start again under its name, with nothing loaded and its count of orders anew; `born` was read nowhere. The planner kept its places, host memory and loads, gateways their holdings and verdicts. Ruled out: ordering lives by `born` (clocks step back); waiting 15 s for orders of the earlier life (a place is kept free instead).

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -237,6 +237,9 @@
         log.info("reload asked for: nothing in the settings can change while this process runs")
 
     def _on_change(self) -> None:
+        for rep in self._fleet.note_lives():
+            # Its connections ended with the earlier process.
+            self._pool.doubt(rep.address, self._clock())
         snapshot = self._state.snapshot
         if snapshot is None:
             return
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -5,6 +5,7 @@
 import asyncio
 import typing as t
 from collections import Counter, OrderedDict
+from dataclasses import dataclass
 from enum import Enum
 
 import logbook
@@ -29,6 +30,9 @@
 with 9 on the users' engines. A load that was wrongly expected from there is awaited longer."""
 REPORT_LAG_S = 0.35
 """A report shows the state of some hundred ms ago."""
+STRAY_S = 15.0
+"""An order without an answer may be carried out seconds later, 12 s at the most, and then reach a
+process that has started again under the engine's name."""
 LOADS_AT_ONCE = 4
 """Adapters that may be on their way to an engine."""
 MAX_TRIES = 3
@@ -47,6 +51,22 @@
     """Ordered to go; the engine still runs requests that use it."""
 
 
+@dataclass(slots=True, frozen=True)
+class StrayLoad:
+    """A load that was ordered in an earlier life of an engine and may still be carried out.
+
+    Parameters
+    ----------
+    expected : int
+        How many orders the engine must have taken then.
+    until : float
+        Until when it may be carried out, by the runtime's clock.
+    """
+
+    expected: int
+    until: float
+
+
 class Place:
     """A place of an engine with weights in it."""
 
@@ -84,14 +104,24 @@
         As it says of itself.
     spec : EngineSpec
         What replicas of its service are like.
+    strays : iterable of StrayLoad
+        Loads ordered in its earlier lives: a place is kept free for each as long as the engine
+        may take it, since one place too many ends the engine.
+    born : int
+        The life that it is in, if its report tells of another one than its entry; 0 if not.
     """
 
     __slots__ = (
         "active",
+        "born",
         "cached",
         "_loads",
+        "_lost_loads",
+        "_strays",
+        "_told_born",
         "_total",
         "lock",
+        "has_ended",
         "orders",
         "places",
         "replica",
@@ -100,8 +130,22 @@
         "syncing",
     )
 
-    def __init__(self, replica: Replica, spec: EngineSpec) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        spec: EngineSpec,
+        strays: t.Iterable[StrayLoad] = (),
+        born: int = 0,
+    ) -> None:
         self.replica = replica
+        self.born = born or replica.born
+        """Names the life of which all the rest is known."""
+        self._told_born = replica.born
+        """The life that the platform's entry told last: a report may be ahead of it."""
+        self.has_ended = False
+        """Whether that life is over: no order that was decided for it is given."""
+        self._strays = tuple(strays)
+        self._lost_loads: list[StrayLoad] = []
         self.spec = spec
         self.orders = 0
         self.places: dict[AdapterKey, Place] = {}
@@ -180,7 +224,41 @@
 
     def free(self) -> int:
         """Return the number of empty places for adapters."""
-        return self.spec.adapter_slots - sum(1 for _ in self.adapters())
+        strays = sum(stray.expected >= self.orders for stray in self._strays)
+        return self.spec.adapter_slots - strays - sum(1 for _ in self.adapters())
+
+    def begins_again(self, rep: Replica) -> bool:
+        """Take over what the replica says of itself; tell whether it began another life."""
+        self.replica = rep
+        if not rep.born or rep.born == self._told_born:
+            return False
+        self._told_born = rep.born
+        return self.begins_life(rep.born)
+
+    def begins_life(self, born: int) -> bool:
+        """Take over which life an engine is in; tell whether it is another one than was known."""
+        if not born or born == self.born:
+            return False
+        if not self.born:
+            self.born = born
+            return False
+        return True
+
+    def note_lost_load(self, expected: int, now: float) -> None:
+        """Note a load without an answer, ordered after so many others."""
+        self._lost_loads.append(StrayLoad(expected, now + STRAY_S))
+
+    def strays(self, now: float) -> tuple[StrayLoad, ...]:
+        """Return the loads of this life and of earlier ones that may reach the next one."""
+        self.drop_strays(now)
+        return (*self._strays, *(lost for lost in self._lost_loads if lost.until > now))
+
+    def drop_strays(self, now: float) -> None:
+        """Forget what cannot be carried out any more."""
+        if self._strays:
+            self._strays = tuple(stray for stray in self._strays if stray.until > now)
+        if self._lost_loads and self._lost_loads[0].until <= now:
+            self._lost_loads = [lost for lost in self._lost_loads if lost.until > now]
 
     def loading(self) -> int:
         """Return how many adapters are on their way."""
@@ -271,7 +349,7 @@
         order = Order(load, key, version, self.orders, owner, term.fence)
         outcome = OrderOutcome.NOT_GIVEN
         for _ in range(MAX_TRIES):
-            if term.is_over:
+            if term.is_over or self.has_ended:
                 break
             outcome = await transport.order(self.replica, order)
             if outcome is not OrderOutcome.LOST:
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -35,11 +35,14 @@
         For the log.
     is_config : bool
         Whether it is the configuration.
+    replica : str
+        Name of the replica under whose key it stands; empty if under no replica's.
     """
 
-    def __init__(self, why: str, is_config: bool = False) -> None:
+    def __init__(self, why: str, is_config: bool = False, replica: str = "") -> None:
         super().__init__(why)
         self.is_config = is_config
+        self.replica = replica
 
 
 class EntryReader(t.Protocol):
@@ -174,6 +177,8 @@
         try:
             fact = self._reader.read(entry)
         except MalformedEntry as exc:
+            if exc.replica:
+                return self._drop_unreadable(entry, exc)
             self.is_readable &= not exc.is_config
             log.error(
                 "entry ignored, the last good one stays in force", key=entry.key, why=str(exc)
@@ -202,15 +207,32 @@
         if entry.revision < self.revision(fact.name):
             # Another instance has seen something newer.
             return False
+        known = self.state.replicas.get(fact.name)
+        if known is not None and known.born and not fact.born:
+            why = MalformedEntry("it does not tell the start that it told before", False, fact.name)
+            return self._drop_unreadable(entry, why)
         self._revisions[fact.name] = entry.revision
         self._put_replica(fact)
         return True
 
+    def _drop_unreadable(self, entry: KvEntry, exc: MalformedEntry) -> bool:
+        """Take an entry of another writer for what it is: it names no replica to use."""
+        self._names[entry.key] = exc.replica
+        if entry.revision < self.revision(exc.replica):
+            return False
+        self._revisions[exc.replica] = entry.revision
+        was_known = self.state.replicas.pop(exc.replica, None) is not None
+        self.state.change += was_known
+        log.error("entry names no replica to use", key=entry.key, known=was_known, why=str(exc))
+        return was_known
+
     def _put_replica(self, rep: Replica) -> None:
         known = self.state.replicas.get(rep.name)
         self.state.replicas[rep.name] = rep
         self.state.change += 1
-        if known is None or known.leaving != rep.leaving:
+        if known is not None and known.born and known.born != rep.born:
+            log.info("replica began again", replica=rep.name, born=rep.born, before=known.born)
+        elif known is None or known.leaving != rep.leaving:
             log.info("replica", replica=rep.name, service=rep.service, leaving=rep.leaving)
 
     def _take_version(self, fact: NewestVersion) -> bool:
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -116,6 +116,7 @@
         "_clock",
         "_directory",
         "_health",
+        "_lives",
         "_loads",
         "_rng",
         "_seen_change",
@@ -136,6 +137,7 @@
         self._clock = clock
         self._rng = rng or random.Random(0)
         self._health: dict[str, Health] = {}
+        self._lives: dict[str, int] = {}
         self._loads: dict[str, ReplicaLoad] = {}
         # Weights usable on each replica as planners tell, and the other way round.
         self._directory: dict[str, dict[AdapterKey, int]] = {}
@@ -158,6 +160,26 @@
         self._directory.setdefault(replica, {})[key] = version
         self._by_key.setdefault(key, {})[replica] = version
 
+    def note_lives(self) -> list[Replica]:
+        """Forget what is known of earlier lives of replicas; return those that began another."""
+        begun = []
+        for name, rep in self.state.replicas.items():
+            before = self._lives.get(name, 0)
+            self._lives[name] = rep.born
+            if before and before != rep.born:
+                begun.append(rep)
+                self._forget_life(name)
+        return begun
+
+    def _forget_life(self, replica: str) -> None:
+        self.set_holdings(replica, {})
+        self._health.pop(replica, None)
+        load = self._loads.get(replica)
+        if load is not None:
+            # Its own requests there end as their connections break.
+            load.others = ToldLoad()
+            load.told_running = 0
+
     def health(self, replica: str) -> Health:
         """Return a replica's record."""
         return self._health.setdefault(replica, Health())
@@ -259,6 +281,8 @@
         known = self.state.replicas
         for name in [name for name in self._health if name not in known]:
             del self._health[name]
+        for name in [name for name in self._lives if name not in known]:
+            del self._lives[name]
         for name, load in list(self._loads.items()):
             if name not in known and not load.starting and not load.running:
                 del self._loads[name]
--- a/packages/gateway/src/gradelug_gateway/loading.py
+++ b/packages/gateway/src/gradelug_gateway/loading.py
@@ -129,7 +129,10 @@
     ) -> OrderOutcome:
         """Give an order decided in a term; the engine's lock must be held."""
         planner = self._planner
+        expected = engine.orders
         outcome = await engine.give(self._transport, load, key, version, self._owner, term)
+        if outcome is OrderOutcome.LOST and load and key.adapter:
+            engine.note_lost_load(expected, self._clock())
         if outcome is OrderOutcome.OUTRANKED and not planner.is_outranked:
             planner.outranked()
         return outcome
@@ -147,6 +150,9 @@
                 if report is None:
                     await asyncio.sleep(RESYNC_S)
                     return
+                if engine.begins_life(report.born):
+                    self._planner.begin_life(engine, report.born)
+                    return
                 engine.take_report(report, self._clock())
             log.info(
                 "engine in step",
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -227,6 +227,10 @@
         Weights in its places.
     cached : frozenset of Holding
         Weights that its host memory keeps, which load fast.
+    born : int
+        When its process started, in Unix milliseconds by its own clock; 0 if not told. It names a
+        life of the replica: one that started again under the name that it had knows nothing of
+        before. Clocks may step, so lives are told apart by this and not put in order.
     """
 
     name: str
@@ -238,17 +242,19 @@
     orders: int = 0
     holdings: tuple[Holding, ...] = ()
     cached: frozenset[Holding] = frozenset()
+    born: int = 0
 
 
 @dataclass(slots=True, frozen=True)
 class EngineReport:
-    """State of an engine, as it stood a moment ago."""
+    """State of an engine, as it stood a moment ago; `born` names its life, 0 if not told."""
 
     orders: int
     holdings: tuple[Holding, ...]
     loading: tuple[Holding, ...]
     cached: frozenset[Holding]
     busy: bool
+    born: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -166,7 +166,9 @@
             engine = self.engines.get(name)
             if engine is None:
                 engine = self.engines[name] = Engine(rep, self._spec)
-            engine.replica = rep
+            if engine.begins_again(rep):
+                engine = self.begin_life(engine, rep.born)
+            engine.drop_strays(self._clock())
             for holding in rep.cached:
                 if holding.key.adapter and holding not in engine.cached:
                     engine.remember(holding)
@@ -175,6 +177,18 @@
         if self.term is not None:
             self._upkeep.do(self.term)
 
+    def begin_life(self, engine: Engine, born: int) -> Engine:
+        """Forget all that is known of an engine that has started again under its name."""
+        name, now = engine.replica.name, self._clock()
+        engine.has_ended = True
+        strays = engine.strays(now)
+        log.info("engine began again", replica=name, born=born, strays=len(strays))
+        fresh = self.engines[name] = Engine(engine.replica, self._spec, strays, born)
+        self.followers.mark(name)
+        for part in self.parts:
+            part.forget(name)
+        return fresh
+
     def outranked(self) -> None:
         """Give no further orders: another planner has a greater token."""
         log.info("outranked", service=self.service, fence=self.term.fence if self.term else 0)
--- a/packages/gateway/src/gradelug_gateway/storenews.py
+++ b/packages/gateway/src/gradelug_gateway/storenews.py
@@ -140,6 +140,7 @@
             hall=rep.hall,
             leaving=rep.leaving,
             slots=rep.slots,
+            born=rep.born,
         )
 
 
@@ -222,8 +223,8 @@
         self._feed.take_told_config(KvEntry(told.key, value, told.revision))
 
 
-def _essence(rep: Replica) -> tuple[str, str, str, bool, int]:
-    return rep.service, rep.address, rep.hall, rep.leaving, rep.slots
+def _essence(rep: Replica) -> tuple[str, str, str, bool, int, int]:
+    return rep.service, rep.address, rep.hall, rep.leaving, rep.slots, rep.born
 
 
 def _encode_version(key: AdapterKey, version: int) -> pb.VersionFact:
@@ -233,7 +234,10 @@
 def _decode(fact: pb.ReplicaFact, state: FleetState) -> Replica | None:
     if fact.gone:
         return None
-    known = state.replicas.get(fact.replica) or Replica(fact.replica, "", "", "")
+    known = state.replicas.get(fact.replica)
+    if known is None or known.born != fact.born:
+        # What was known of an earlier life does not hold.
+        known = Replica(fact.replica, "", "", "")
     return replace(
         known,
         service=fact.service,
@@ -241,4 +245,5 @@
         hall=fact.hall,
         leaving=fact.leaving,
         slots=fact.slots,
+        born=fact.born,
     )
