Keep what is held for callers that do not read within one bound for the instance

Cause: an answer may be 262 KB ahead of its caller and 64 KB more wait to be sent; 500 callers that stop reading hold over 100 MB of an instance that has 160, and it ends with all that it serves. A replica that cuts an answer which sat unread was counted as failing. Ruled out: a small fixed bound for each connection (holds callers up that read, and still grows with their number); shedding the largest (a caller that just began to read a long answer). The longest unread go first, and none that reads.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -173,7 +173,9 @@
             Quotas(self._directory.quota_home, self._clock, self._rng, shares),
             lambda: not self._mirror.is_lost,
         )
-        self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
+        self._callers = HttpServer(
+            self._serving.serve, self._limits, self._clock, settings.unread_bytes, pool
+        )
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
         self._peers = Server([PlacementService(self._duties, self._directory.known)])
         self._add_gauges()
@@ -380,6 +382,12 @@
     def _add_gauges(self) -> None:
         gauge = self._meters.gauge
         gauge("requests_in_progress", "Requests now", lambda: self._callers.in_progress)
+        gauge("unread_bytes", "Kept for callers that read slowly", lambda: self._callers.held)
+        gauge(
+            "callers_given_up",
+            "Callers cut since the start because they did not read",
+            lambda: self._callers.shed,
+        )
         gauge("connections_opened", "Connections opened to replicas", lambda: self._pool.opened)
         gauge(
             "connections_doubted",
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -38,6 +38,9 @@
 elsewhere; callers give up after 2 s or more."""
 BUSY_STREAM_S = 2.4
 """The same at a replica that answers others: there it waits its turn, and would elsewhere."""
+SLOW_CALLER_S = 1.0
+"""Replicas cut answers that sit unread for some seconds: after a caller has not read for so long a
+broken answer is no failure of its replica."""
 LOOK_S = 0.1
 """How often it is looked whether a request that nobody answers may be sent elsewhere."""
 HEARD_S = 0.8
@@ -138,9 +141,17 @@
         try:
             outcome = await self._exchange(sending)
         except ResponseBroken as exc:
-            health.note(True, self._clock())
-            log.info("broken", id=job.req.id, replica=replica.name, why=str(exc))
-            if conn.is_silenced or health.heard_at < now:
+            is_callers = job.inc.held_up_s >= SLOW_CALLER_S
+            if not is_callers:
+                health.note(True, self._clock())
+            log.info(
+                "broken",
+                id=job.req.id,
+                replica=replica.name,
+                why=str(exc),
+                held_up_s=round(job.inc.held_up_s, 3),
+            )
+            if not is_callers and (conn.is_silenced or health.heard_at < now):
                 self._pool.doubt(replica.address, now)
             return Outcome.UNKNOWN
         finally:
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -6,6 +6,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
+OWN_MB = 64.0
+"""A process with its libraries and what it knows of a fleet: 26 to 50 MB at 9 to 195 instances."""
+UNREAD_PART = 0.3
+"""Part of the rest that is kept for callers that read slowly: what has arrived and waits for this
+process to read it counts as its memory too, and cannot be bounded from here."""
+LEAST_UNREAD_MB = 4.0
 STRONG_CORES = 1.0
 STRONG_LINK_MBPS = 50.0
 """Reckoned, not measured: a planner that tells 75 gateways all holdings sends some 26 Mbit/s."""
@@ -105,6 +111,8 @@
         Processor time that it has, in cores.
     link_mbps : float
         Bandwidth of its link, in megabits a second.
+    memory_mb : float
+        Memory that the process may take, in megabytes.
     features : frozenset of Feature
         Those that are switched on.
     """
@@ -116,8 +124,14 @@
     first_start: bool = False
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float = 1_000.0
     features: frozenset[Feature] = frozenset(Feature)
 
+    @property
+    def unread_bytes(self) -> int:
+        """How much may be kept for callers that read slowly, in bytes."""
+        return round(max(LEAST_UNREAD_MB, UNREAD_PART * (self.memory_mb - OWN_MB)) * 1_000_000)
+
     @property
     def strength(self) -> float:
         """How well the instance can carry more than its own requests; from 1 on, well."""
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -9,12 +9,11 @@
 
 import h11
 
+from .budget import MOST_READ_AHEAD
 from .exceptions import ConnectFailed, ResponseBroken
 from .headers import Header, Headers, find
 from .liveness import is_silenced, keep_alive
 
-READ_AHEAD_BYTES = 262_144
-"""Reading pauses above this, so that a slow client holds up its upstream, not our memory."""
 MAX_HEAD_BYTES = 65_536
 """Longest head of an answer; upstreams' heads are a few hundred bytes."""
 IDLE_MARGIN_S = 0.5
@@ -53,6 +52,9 @@
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
+        self.read_ahead = MOST_READ_AHEAD
+        """Reading pauses above so many bytes: a slow client holds up its upstream, not our
+        memory."""
         self.received = bytearray()
         self.ended = False
         self.reset: Exception | None = None
@@ -66,7 +68,7 @@
     def data_received(self, data: bytes) -> None:
         """Keep what came and wake up whoever waits."""
         self.received += data
-        if len(self.received) > READ_AHEAD_BYTES and self.transport is not None:
+        if len(self.received) > self.read_ahead and self.transport is not None:
             self.transport.pause_reading()
         self._wake()
 
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import typing as t
+import weakref
 from collections import defaultdict
 
+from .budget import MOST_READ_AHEAD
 from .client import Connection, OutgoingRequest, ResponseHead, Wire
 from .exceptions import ConnectFailed
 
@@ -30,12 +32,14 @@
         Coroutine function that connects to an address.
     """
 
-    __slots__ = ("_clock", "_dial", "_idle", "doubted", "opened")
+    __slots__ = ("_clock", "_dial", "_idle", "_read_ahead", "_wires", "doubted", "opened")
 
     def __init__(self, clock: t.Callable[[], float], dial: Dial | None = None) -> None:
         self._clock = clock
         self._dial = dial or dial_tcp
         self._idle: dict[str, list[Connection]] = defaultdict(list)
+        self._wires: weakref.WeakSet[Wire] = weakref.WeakSet()
+        self._read_ahead = MOST_READ_AHEAD
         self.opened = 0
         """Connections opened since the start."""
         self.doubted = 0
@@ -69,6 +73,21 @@
             conn.close()
         return await self._open(address, limit_s)
 
+    @property
+    def connections(self) -> int:
+        """Connections that are open, idle ones included."""
+        return len(self._wires)
+
+    def held(self) -> int:
+        """Return the bytes of answers that came and were not read yet."""
+        return sum(len(wire.received) for wire in self._wires)
+
+    def bound_read_ahead(self, size: int) -> None:
+        """Let each answer be so many bytes ahead of its reader."""
+        self._read_ahead = size
+        for wire in self._wires:
+            wire.read_ahead = size
+
     def release(self, conn: Connection, head: ResponseHead) -> None:
         """Take a connection back after a whole answer."""
         if conn.settle(head):
@@ -198,6 +217,8 @@
         try:
             async with asyncio.timeout(limit_s):
                 wire = await self._dial(address)
+                wire.read_ahead = self._read_ahead
+                self._wires.add(wire)
         except (OSError, TimeoutError, ValueError) as exc:
             raise ConnectFailed(f"{address} cannot be reached: {exc!r}") from exc
         return Connection(wire, address, self._clock)
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -7,10 +7,13 @@
 from dataclasses import dataclass
 
 import h11
+import logbook
 
+from .budget import SlowReader, read_ahead, to_shed
 from .exceptions import ClientGone
 from .headers import Header, Headers, find
 
+log = logbook.Logger("server")
 IDLE_SLACK = 1.25
 """Idle connections are closed this much later than stated, for clients that are slow to know."""
 SWEEP_S = 0.25
@@ -40,6 +43,23 @@
     idle_s: float = 15.0
 
 
+class Upstreams(t.Protocol):
+    """Answers on their way to callers, as a pool of connections keeps them."""
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        ...
+
+    def held(self) -> int:
+        """Return the bytes that came and were not read yet."""
+        ...
+
+    def bound_read_ahead(self, size: int) -> None:
+        """Let each answer be so many bytes ahead of its reader."""
+        ...
+
+
 Serve = t.Callable[["Incoming"], t.Awaitable[None]]
 
 
@@ -54,11 +74,26 @@
         Returns the limits in force.
     clock : callable
         The runtime's clock.
+    most_bytes : int
+        Bytes that may be kept for all callers together; 0 for no bound.
+    upstreams : Upstreams or None
+        Where answers come from, if what they are ahead counts.
     """
 
     def __init__(
-        self, serve: Serve, limits: t.Callable[[], ServerLimits], clock: t.Callable[[], float]
+        self,
+        serve: Serve,
+        limits: t.Callable[[], ServerLimits],
+        clock: t.Callable[[], float],
+        most_bytes: int = 0,
+        upstreams: Upstreams | None = None,
     ) -> None:
+        self._most_bytes = most_bytes
+        self._upstreams = upstreams
+        self.held = 0
+        """Bytes kept for all callers, as last counted."""
+        self.shed = 0
+        """Callers given up since the start because they did not read."""
         self.serve = serve
         self.limits = limits
         self.clock = clock
@@ -112,8 +147,37 @@
         limits = self.limits()
         for conn in list(self.connections):
             conn.check_time(now, limits)
+        if self._most_bytes:
+            self._keep_within(self._most_bytes)
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further body can be kept."""
+        return 0 < self._most_bytes < self.held
+
+    def _keep_within(self, most_bytes: int) -> None:
+        """Count what is kept for callers and give up those that do not read if it is too much."""
+        conns = list(self.connections)
+        self.held = sum(conn.held for conn in conns)
+        if self._upstreams is not None:
+            self.held += self._upstreams.held()
+            self._upstreams.bound_read_ahead(read_ahead(most_bytes, self._upstreams.connections))
+        readers = [
+            SlowReader(number, conn.paused_since, conn.held)
+            for number, conn in enumerate(conns)
+            if conn.paused_since is not None
+        ]
+        for reader in to_shed(most_bytes, self.held, readers):
+            self.shed += 1
+            log.warning(
+                "caller given up, it does not read",
+                unread_s=round(self.clock() - reader.since, 3),
+                size=reader.size,
+                held=self.held,
+            )
+            conns[reader.number].abort()
+
 
 class ServerConnection(asyncio.Protocol):
     """One client's connection."""
@@ -131,7 +195,9 @@
         self._rested_at = server.clock()
         self._refused_at: float | None = None
         self._drained: asyncio.Future[None] | None = None
-        self._paused = False
+        self.paused_since: float | None = None
+        """Since when the client does not read, None if it does."""
+        self._held_up_s = 0.0
         self._gone = False
 
     # Called by the transport.
@@ -157,11 +223,12 @@
 
     def pause_writing(self) -> None:
         """Note that the client reads slowly."""
-        self._paused = True
+        self.paused_since = self.server.clock()
 
     def resume_writing(self) -> None:
         """Note that the client has read enough."""
-        self._paused = False
+        self._held_up_s = self.held_up_s
+        self.paused_since = None
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
 
@@ -180,6 +247,19 @@
 
     # Used by the server and by requests.
 
+    @property
+    def held(self) -> int:
+        """Bytes of the request's body, and of the answer that was not sent yet."""
+        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        return self._size + unsent
+
+    @property
+    def held_up_s(self) -> float:
+        """How long the client has let what was sent lie unread, in seconds."""
+        if self.paused_since is None:
+            return self._held_up_s
+        return self._held_up_s + self.server.clock() - self.paused_since
+
     def is_idle(self) -> bool:
         """Tell whether nothing is being received or served."""
         return self.task is None and self._began_at is None
@@ -220,7 +300,7 @@
 
     async def wait_sent(self) -> None:
         """Wait until the client has read enough."""
-        if not self._paused or self._gone:
+        if self.paused_since is None or self._gone:
             return
         self._drained = asyncio.get_running_loop().create_future()
         await self._drained
@@ -238,6 +318,7 @@
         self._req = None
         self._body = []
         self._size = 0
+        self._held_up_s = 0.0
         self._rested_at = self.server.clock()
         waiting = bool(self._h11.trailing_data[0])
         self._began_at = self._rested_at if waiting else None
@@ -275,7 +356,9 @@
         elif isinstance(event, h11.Data):
             self._body.append(bytes(event.data))
             self._size += len(event.data)
-            if self._size > self._limits.body_bytes:
+            if self.server.is_full:
+                self._refuse(503)
+            elif self._size > self._limits.body_bytes:
                 self._refuse(413)
         elif isinstance(event, h11.EndOfMessage):
             self._start()
@@ -368,6 +451,11 @@
         """Return a header's first value, `name` in lower case."""
         return find(self.headers, name)
 
+    @property
+    def held_up_s(self) -> float:
+        """How long the client has let the answer lie unread, in seconds."""
+        return self._conn.held_up_s
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Answer whole; raises `ClientGone`."""
         self._head(status, [*headers, (b"Content-Length", b"%d" % len(body))])
