--- a/packages/cli/src/gradelug_cli/main.py
+++ b/packages/cli/src/gradelug_cli/main.py
@@ -39,12 +39,14 @@
     CommandError,
 )
 from .explanation import explain
+from .lost import find_losses
 from .repository import Repository
 from .status import gather_status
 from .trace import trace
 
 KV_VARIABLE = "GRADELUG_KV"
 LABELLED = ("adapters", "callers", "pools", "services")
+LOST_BY = ("kind", "hall", "second")
 KINDS = (*LABELLED, "access", "weights", "routes", "objectives")
 Labelled = Adapter | Caller | Pool | Service
 
@@ -190,14 +192,7 @@
 
     def trace(self, request_id: str, *files: str) -> None:
         """Tell one request's story from the logs of several instances; 5 if they lack it."""
-        if not files:
-            raise CommandError(EXIT_INVALID, "name at least one log file")
-        rows: list[str] = []
-        for name in files:
-            try:
-                rows += Path(name).read_text(encoding="utf-8", errors="replace").splitlines()
-            except OSError as exc:
-                raise CommandError(EXIT_INVALID, str(exc)) from exc
+        rows = _read_logs(files)
         # Identifiers of digits reach a command as numbers.
         story = trace(str(request_id), rows)
         for line in story.lines:
@@ -207,6 +202,18 @@
         if not story.lines:
             raise CommandError(EXIT_NOT_FOUND, f"no line tells of request {request_id}")
 
+    def lost(self, *files: str, by: str = "kind") -> None:
+        """Count lost and late requests by cause from logs; --by kind, hall or second."""
+        if by not in LOST_BY:
+            raise CommandError(EXIT_INVALID, f"--by takes one of {', '.join(LOST_BY)}, not {by!r}")
+        found = find_losses(_read_logs(files))
+        print(f"{found.answered} answered whole")
+        for cause, counts in found.table(by):
+            parts = "  ".join(f"{name or '-'} {count}" for name, count in counts.most_common())
+            print(f"{counts.total():6}  {cause}:  {parts}")
+        if found.unreadable:
+            print(f"{found.unreadable} lines could not be read", file=sys.stderr)
+
     def _set_draining(self, names: t.Sequence[str], drained: bool) -> None:
         if not names:
             raise CommandError(EXIT_INVALID, "name at least one upstream")
@@ -253,6 +260,18 @@
     return load([Path(path) for path in paths])
 
 
+def _read_logs(files: t.Sequence[str]) -> list[str]:
+    if not files:
+        raise CommandError(EXIT_INVALID, "name at least one log file")
+    rows: list[str] = []
+    for name in files:
+        try:
+            rows += Path(name).read_text(encoding="utf-8", errors="replace").splitlines()
+        except OSError as exc:
+            raise CommandError(EXIT_INVALID, str(exc)) from exc
+    return rows
+
+
 def _checked(document: Document) -> Document:
     findings = check(document)
     if findings:
--- a/packages/cli/src/gradelug_cli/trace.py
+++ b/packages/cli/src/gradelug_cli/trace.py
@@ -2,39 +2,17 @@
 
 from __future__ import annotations
 
-import json
 import typing as t
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
-COMMON = frozenset({"time", "level", "process", "logger", "message"})
+from .loglines import LogLine, read_line
+
 WAITED = ("waited_s", "held_s")
 PLANNING = frozenset({"order", "planner", "duty taken", "duty lost", "engine in step", "outranked"})
 """Lines without a request's identifier that tell why its weights came when they did."""
 
 
-@dataclass(slots=True, frozen=True)
-class LogLine:
-    """A line that a process wrote.
-
-    Parameters
-    ----------
-    time, process, message : str
-        When, who, what; times sort as text.
-    fields : dict
-        What decided it and the outcome.
-    """
-
-    time: str
-    process: str
-    message: str
-    fields: dict[str, t.Any]
-
-    def __str__(self) -> str:
-        rest = " ".join(f"{name}={value}" for name, value in self.fields.items())
-        return f"{self.time}  {self.process}  {self.message}  {rest}".rstrip()
-
-
 @dataclass(slots=True, frozen=True)
 class Story:
     """What the logs tell of a request.
@@ -65,7 +43,7 @@
     planning: list[LogLine] = []
     unreadable = 0
     for row in rows:
-        line = _read(row)
+        line = read_line(row)
         if line is None:
             unreadable += bool(row.strip())
         elif line.fields.get("id") == request_id:
@@ -99,17 +77,3 @@
         return (datetime.fromisoformat(line.time) - timedelta(seconds=waited_s)).isoformat()
     except ValueError:
         return line.time
-
-
-def _read(row: str) -> LogLine | None:
-    start = row.find("{")
-    if start < 0:
-        return None
-    try:
-        data = json.loads(row[start:])
-    except ValueError:
-        return None
-    if not isinstance(data, dict) or not {"time", "process", "message"} <= data.keys():
-        return None
-    fields = {name: value for name, value in data.items() if name not in COMMON}
-    return LogLine(str(data["time"]), str(data["process"]), str(data["message"]), fields)
