Split the questions that wait at an engine, and what a keeper works with, from the keeper

Cause: keeper.py was the largest file of the product (527 lines) and did the queue's bookkeeping, decisions, orders and reports in one class. Ruled out: splitting orders off as well (they change slots, book and failed loads in one step). Change: `waiters.Waiters`, `keeperparts.KeeperParts`; keeper.py 444 lines. No behaviour changes. Measured: tests of the keeper, failures, system and coordination pass; lint and types clean.

--- a/packages/scheduler/src/gradelug_scheduler/keeper.py
+++ b/packages/scheduler/src/gradelug_scheduler/keeper.py
@@ -5,11 +5,9 @@
 import asyncio
 import typing as t
 from collections import deque
-from dataclasses import dataclass, field
 
 import logbook
 from gradelug_backends import (
-    EngineControl,
     EngineReport,
     FencedOff,
     OrderRefused,
@@ -23,21 +21,20 @@
     Demand,
     Popularity,
     Resident,
-    SlotSettings,
     choose_demand,
     choose_victim,
     offer_credits,
     priority,
 )
-from gradelug_runtime import Metrics
 from gradelug_wire import control_pb2 as pb
 from gradelug_wire.facts import EngineFact
 from returns.result import Failure, Success
 
 from .authority import Authority
+from .keeperparts import KeeperParts
 from .questions import Answer, Decline, Offer, Question
-from .settings import Limits
 from .slots import FailedLoad, FailedLoads, Slot, SlotTable
+from .waiters import Waiter, Waiters
 
 log = logbook.Logger("keeper")
 DELAYED_ORDER_S = 10.0
@@ -50,59 +47,6 @@
 ALREADY_LOADED = "already_loaded"
 
 
-@dataclass(slots=True)
-class _Waiter:
-    question: Question
-    asked_at: float
-    fut: asyncio.Future[Answer]
-    needed_load: bool = False
-
-    @property
-    def since(self) -> float:
-        """Since when the first of the requests has waited."""
-        return self.asked_at - self.question.waited_s
-
-
-class Store(t.Protocol):
-    """Permits to use the weight store, whose limit is shared by all schedulers."""
-
-    async def acquire(self, engine: str, key: str, urgency: float) -> t.Any:
-        """Return a permit once there is one."""
-        ...
-
-    async def end(self, permit: t.Any) -> None:
-        """Give a permit back."""
-        ...
-
-
-@dataclass(slots=True, frozen=True)
-class KeeperParts:
-    """What a keeper works with.
-
-    Parameters
-    ----------
-    control : EngineControl
-        Orders to the engine.
-    store : Store
-        Permits for loads.
-    clock : callable
-        The runtime's clock.
-    carries : callable
-        Whether the configuration lets this pool carry an adapter version.
-    path_of : callable
-        An adapter version's path in the weight store.
-    """
-
-    control: EngineControl
-    store: Store
-    clock: t.Callable[[], float]
-    carries: t.Callable[[str], bool]
-    path_of: t.Callable[[str], str]
-    metrics: Metrics
-    slots: SlotSettings = field(default_factory=SlotSettings)
-    limits: Limits = field(default_factory=Limits)
-
-
 def _rounded(load: int) -> int:
     """Round a load up, so that small changes of a large one are not worth telling."""
     step = 1 if load < 8 else 4
@@ -162,7 +106,7 @@
         self._recent = Popularity(CREDIT_HALF_LIFE_S)
         self._slots = SlotTable()
         self._failed = FailedLoads()
-        self._waiters: list[_Waiter] = []
+        self._waiters = Waiters()
         self._tasks: set[asyncio.Task[None]] = set()
         self._peaks: deque[int] = deque(maxlen=PEAK_SAMPLES)
         self._foreign = 0
@@ -185,8 +129,8 @@
             self._popularity.note(question.key, now, question.fresh * question.weight)
             self._recent.note(question.key, now, question.fresh)
         fut: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(question, now, fut, question.key not in self._slots.residents)
-        self._waiters.append(waiter)
+        waiter = Waiter(question, now, fut, question.key not in self._slots.residents)
+        self._waiters.add(waiter)
         self.decide()
         try:
             async with asyncio.timeout(question.wait_s):
@@ -194,8 +138,7 @@
         except TimeoutError:
             return Failure(Decline(pb.VERDICT_BUSY, "no room yet", self._expected_wait_s()))
         finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+            self._waiters.drop(waiter)
 
     def account(self, account: Account) -> bool:
         """Take in a holder's account; tell whether it should drop its credits."""
@@ -235,7 +178,7 @@
             evictable=len(idle),
             coldest=round(min((self._popularity.rate(key, now) for key in idle), default=0.0), 2),
             load=_rounded(self._load(now)),
-            waiting=sum(waiter.question.want for waiter in self._waiters),
+            waiting=self._waiters.wanted(),
             leaving=self.is_leaving,
         )
 
@@ -244,7 +187,7 @@
     def decide(self) -> None:
         """Grant, load and drop what can be now."""
         if self.is_leaving:
-            self._decline_all(Decline(pb.VERDICT_LEAVING, "the engine is leaving"))
+            self._waiters.decline_all(Decline(pb.VERDICT_LEAVING, "the engine is leaving"))
             return
         if not self.authority.may_grant():
             return
@@ -254,10 +197,10 @@
 
     def _grant_waiting(self) -> None:
         now = self._parts.clock()
-        self._waiters.sort(key=lambda waiter: -self._priority(waiter, now))
+        waiters = self._waiters.by_priority(now)
         free = self.pool.batch - self._load(now)
-        contended = len(self._waiters) > 1
-        for waiter in list(self._waiters):
+        contended = len(waiters) > 1
+        for waiter in waiters:
             if free <= 0:
                 return
             slot = self._slots.residents.get(waiter.question.key)
@@ -265,7 +208,7 @@
                 continue
             free -= self._grant(waiter, slot, free, contended, now)
 
-    def _grant(self, waiter: _Waiter, slot: Slot, free: int, contended: bool, now: float) -> int:
+    def _grant(self, waiter: Waiter, slot: Slot, free: int, contended: bool, now: float) -> int:
         question = waiter.question
         rate = self._recent.rate(question.key, now)
         holders = len(set(self.book.holders(question.key)) | {question.holder})
@@ -275,20 +218,22 @@
             return 0
         number = self.book.issue(question.holder, question.key, offer.credits, now + valid_s)
         slot.used_at = now
-        self._waiters.remove(waiter)
         # The asker counts validity from when it sent the question, which is earlier than the
         # moment counted from here: the time the answer was held back goes on top for it.
         held_back_s = now - waiter.asked_at
         stall_s = now - waiter.since if waiter.needed_load else 0.0
         granted = Offer(number, offer.credits, valid_s + held_back_s, stall_s)
-        waiter.fut.set_result(Success(granted))
+        self._waiters.answer(waiter, Success(granted))
         self._parts.metrics.count("grants")
         return offer.credits
 
     def _load_waiting(self) -> None:
         now = self._parts.clock()
         while len(self._slots.loading) < self._parts.limits.loads and self._is_known:
-            demand = choose_demand(self._demands(now), now)
+            demands = self._waiters.demands(
+                now, self._popularity, lambda key: self._lacks(key, now)
+            )
+            demand = choose_demand(demands, now)
             if demand is None or not self.authority.may_load():
                 return
             if self._slots.taken >= self.pool.slots:
@@ -297,24 +242,9 @@
             self._slots.loading[demand.key] = now
             self._spawn(self._load_adapter(demand), LOAD_TASK)
 
-    def _demands(self, now: float) -> list[Demand]:
-        by_key: dict[str, list[_Waiter]] = {}
-        for waiter in self._waiters:
-            key = waiter.question.key
-            there = key in self._slots.residents or key in self._slots.loading
-            if there or self._failed.blocking(key, now):
-                continue
-            by_key.setdefault(key, []).append(waiter)
-        return [
-            Demand(
-                key=key,
-                waiters=sum(waiter.question.want for waiter in waiters),
-                weight=sum(waiter.question.weight * waiter.question.want for waiter in waiters),
-                since=min(waiter.since for waiter in waiters),
-                rate=self._popularity.rate(key, now),
-            )
-            for key, waiters in by_key.items()
-        ]
+    def _lacks(self, key: str, now: float) -> bool:
+        there = key in self._slots.residents or key in self._slots.loading
+        return not there and not self._failed.blocking(key, now)
 
     def _begin_drop(self, demand: Demand, now: float) -> None:
         if self._slots.is_draining:
@@ -394,7 +324,7 @@
 
     def _note_loaded(self, key: str) -> None:
         now = self._parts.clock()
-        waiting = [item for item in self._waiters if item.question.key == key]
+        waiting = self._waiters.of(key)
         first = waiting[0].question.request_id if waiting else "nobody any more"
         log.info("{}: loaded {} for {}", self.engine.name, key, first)
         self._failed.clear(key)
@@ -411,8 +341,8 @@
         self._parts.metrics.count("loads_failed")
         log.warning("{}: loading {} failed: {}", self.engine.name, key, exc)
         declined = self._failed_decline(failed, now)
-        for waiter in [item for item in self._waiters if item.question.key == key]:
-            self._answer(waiter, Failure(declined))
+        for waiter in self._waiters.of(key):
+            self._waiters.answer(waiter, Failure(declined))
 
     # The engine's own word
 
@@ -475,7 +405,7 @@
     def close(self) -> None:
         """Stop keeping: answer everyone, cancel loads; an order to unload runs to its end."""
         self.authority.deposed = True
-        self._decline_all(Decline(pb.VERDICT_NOT_OWNER, "the engine has another owner"))
+        self._waiters.decline_all(Decline(pb.VERDICT_NOT_OWNER, "the engine has another owner"))
         for task in self._tasks:
             if task.get_name() == LOAD_TASK:
                 task.cancel()
@@ -502,24 +432,11 @@
     def _failed_decline(self, failed: FailedLoad, now: float) -> Decline:
         return Decline(pb.VERDICT_LOAD_FAILED, failed.reason, failed.until - now)
 
-    def _decline_all(self, decline: Decline) -> None:
-        for waiter in list(self._waiters):
-            self._answer(waiter, Failure(decline))
-
-    def _answer(self, waiter: _Waiter, answer: Answer) -> None:
-        self._waiters.remove(waiter)
-        if not waiter.fut.done():
-            waiter.fut.set_result(answer)
-
-    def _priority(self, waiter: _Waiter, now: float) -> float:
-        return priority(waiter.question.weight, now - waiter.since)
-
     def _load(self, now: float) -> int:
         return self.book.load(now) + self._foreign
 
     def _expected_wait_s(self) -> float:
-        waiting = sum(waiter.question.want for waiter in self._waiters)
-        return max(0.25, waiting / self.pool.batch)
+        return max(0.25, self._waiters.wanted() / self.pool.batch)
 
     def _spawn(self, coro: t.Coroutine[t.Any, t.Any, None], name: str) -> None:
         task = asyncio.get_running_loop().create_task(coro, name=name)
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -43,7 +43,8 @@
 from gradelug_wire.facts import ENGINE, MEMBER, MemberFact
 
 from .authority import Authority
-from .keeper import EngineKeeper, KeeperParts
+from .keeper import EngineKeeper
+from .keeperparts import KeeperParts
 from .peerbuckets import PeerBuckets
 from .permits import StoreAccess
 from .settings import SchedulerSettings
