Placement grows: news of what a gateway uses, engines found by an index, rooms looked for in cells

Ruled out: the memory of the planner's own records (6.7 MB at 300x3000), the decisions alone. Change: a gateway of a large fleet is told where the weights are that it used in the last 10 s and what runs where it runs something, put together when it reads (a slow reader's news are replaced); holders and copies in host memory are found by an index; candidates for a load are the keepers and the engines of the adapter's cells; engines are asked for their state 64 at a time, those in use first. Small fleets (to 256 engines and 4,096 pairs) are told all as before.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -40,7 +40,7 @@
 from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
-from .settings import Bounds, GatewaySettings
+from .settings import Bounds, Feature, GatewaySettings
 from .storenews import TELL_SPACING_S, StoreListener, StoreTeller
 
 log = logbook.Logger("daemon")
@@ -325,6 +325,7 @@
             self._fleet.speeds,
             StoreTeller(self._feed, self._mirror, self._clock, self._freshness, self._is_strong),
             self._directory.gateways,
+            Feature.SCOPED_NEWS in self.settings.features,
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -173,6 +173,10 @@
             If the planner says that it cannot be placed, or time runs out.
         """
         link = self._link(service)
+        if known is None and not absent and self._fleet.is_scoped and not link.is_followed:
+            # Nobody tells where weights are that were not in use here; replicas do, later.
+            reported = self._fleet.reported(service, key)
+            known = self._fleet.choose(reported, excluded, only, wish.work)
         while True:
             self._ticket += 1
             ask = pb.Ask(
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as t
-from collections import Counter, OrderedDict
+from collections import Counter
 from enum import Enum
 
 import logbook
 from gradelug_policy.reading import Busyness, Work, add_queues, less_queue
 
+from .holders import EngineIndex, Places
 from .model import (
     AdapterKey,
     EngineReport,
@@ -32,6 +34,7 @@
 LOADS_AT_ONCE = 4
 """Adapters that may be on their way to an engine."""
 MAX_TRIES = 3
+NO_LOAD = ToldLoad()
 IDLE_S = 0.06
 """An adapter makes way when it was unused this long: uses are told with a delay."""
 
@@ -84,11 +87,15 @@
         As it says of itself.
     spec : EngineSpec
         What replicas of its service are like.
+    index : EngineIndex or None
+        Told of what is in its places and its host memory, and when what runs there has changed.
     """
 
     __slots__ = (
         "active",
+        "asked_at",
         "cached",
+        "_index",
         "_loads",
         "_total",
         "lock",
@@ -100,22 +107,28 @@
         "syncing",
     )
 
-    def __init__(self, replica: Replica, spec: EngineSpec) -> None:
+    def __init__(
+        self, replica: Replica, spec: EngineSpec, index: EngineIndex | None = None
+    ) -> None:
         self.replica = replica
         self.spec = spec
+        self._index = index or EngineIndex()
         self.orders = 0
-        self.places: dict[AdapterKey, Place] = {}
-        self.cached: OrderedDict[Holding, None] = OrderedDict()
+        self.places = Places(self, self._index)
+        self.cached: dict[Holding, None] = {}
+        """Adapters that host memory keeps, those of the longest ago first."""
         self.active: dict[AdapterKey, Counter[int]] = {}
-        """Requests by weights and gateway."""
+        """Requests by weights and gateway, of those that have any."""
         self._loads: dict[int, ToldLoad] = {}
-        """What runs there, by gateway."""
+        """What runs there, by gateway, of those that have anything there."""
         self._total = ToldLoad()
         self.lock = asyncio.Lock()
         """Held while an order is on its way: each names how many came before it."""
         self.synced = False
         """Whether places and number of orders are known."""
         self.syncing = False
+        self.asked_at = -math.inf
+        """When it was asked for its state last."""
 
     @property
     def starting(self) -> int:
@@ -136,8 +149,12 @@
 
         The sum is kept and not made anew: it is asked for with each decision about each engine.
         """
-        before = self._loads.get(gateway, ToldLoad())
-        self._loads[gateway] = load
+        before = self._loads.get(gateway, NO_LOAD)
+        if load.starting or load.running or any(load.queued):
+            self._loads[gateway] = load
+        else:
+            self._loads.pop(gateway, None)
+        self._index.changed_loads.add(self.replica.name)
         total = self._total
         self._total = ToldLoad(
             total.starting + load.starting - before.starting,
@@ -156,6 +173,21 @@
         """Return what the engine does."""
         return Busyness(self._total.queued, self._total.running)
 
+    @property
+    def gateways(self) -> t.KeysView[int]:
+        """Gateways that have requests there."""
+        return self._loads.keys()
+
+    def take_use(self, gateway: int, key: AdapterKey, active: int) -> None:
+        """Take over how many requests of a gateway use weights."""
+        counts = self.active.setdefault(key, Counter())
+        if active:
+            counts[gateway] = active
+            return
+        counts.pop(gateway, None)
+        if not counts:
+            del self.active[key]
+
     def users(self, key: AdapterKey) -> int:
         """Return how many requests use weights."""
         counts = self.active.get(key)
@@ -163,7 +195,7 @@
 
     def is_in_use(self) -> bool:
         """Tell whether any request runs there."""
-        return bool(self.starting or self.running) or any(map(self.users, self.active))
+        return bool(self.starting or self.running or self.active)
 
     def holds(self, key: AdapterKey) -> bool:
         """Tell whether weights can be used now."""
@@ -180,7 +212,7 @@
 
     def free(self) -> int:
         """Return the number of empty places for adapters."""
-        return self.spec.adapter_slots - sum(1 for _ in self.adapters())
+        return self.spec.adapter_slots - (len(self.places) - self.places.bases)
 
     def loading(self) -> int:
         """Return how many adapters are on their way."""
@@ -202,10 +234,13 @@
 
     def remember(self, holding: Holding) -> None:
         """Note that host memory has a copy now."""
+        self.cached.pop(holding, None)
         self.cached[holding] = None
-        self.cached.move_to_end(holding)
+        self._index.note_cached(self, holding, True)
         while len(self.cached) > HOST_PER_PLACE * self.spec.adapter_slots:
-            self.cached.popitem(last=False)
+            oldest = next(iter(self.cached))
+            del self.cached[oldest]
+            self._index.note_cached(self, oldest, False)
 
     def can_load(self) -> bool:
         """Tell whether an order to load an adapter may be given now."""
@@ -228,27 +263,27 @@
 
     def forget(self, gateway: int) -> None:
         """Forget what a gateway ran."""
-        self.take_load(gateway, ToldLoad())
-        del self._loads[gateway]
-        for counts in self.active.values():
-            counts.pop(gateway, None)
+        if gateway in self._loads:
+            self.take_load(gateway, NO_LOAD)
+        for key in [key for key, counts in self.active.items() if gateway in counts]:
+            self.take_use(gateway, key, 0)
 
     def take_report(self, report: EngineReport, now: float) -> None:
         """Take over what the engine reports."""
         self.orders = report.orders
-        known = self.places
-        self.places = {}
+        places: dict[AdapterKey, Place] = {}
         for holding in report.holdings:
-            old = known.get(holding.key)
+            old = self.places.get(holding.key)
             if old is not None and old.phase is Phase.UNLOADING:
-                self.places[holding.key] = old
+                places[holding.key] = old
                 continue
             place = Place(holding.version, Phase.READY, now)
             if old is not None:
                 place.used_at = old.used_at
-            self.places[holding.key] = place
+            places[holding.key] = place
         for holding in report.loading:
-            self.places[holding.key] = Place(holding.version, Phase.LOADING, now)
+            places[holding.key] = Place(holding.version, Phase.LOADING, now)
+        self.places.replace(places)
         for holding in report.cached:
             self.remember(holding)
         self.synced = not report.busy and not report.loading
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -119,7 +119,10 @@
         "_loads",
         "_rng",
         "_seen_change",
+        "_reported",
+        "_reported_change",
         "hall",
+        "is_scoped",
         "speeds",
         "state",
     )
@@ -142,6 +145,11 @@
         self._by_key: dict[AdapterKey, dict[str, int]] = {}
         self._by_service: dict[str, list[Replica]] = {}
         self._seen_change = -1
+        self._reported: dict[AdapterKey, list[str]] = {}
+        """Replicas that hold weights as they say themselves, as of a change of the state."""
+        self._reported_change = -1
+        self.is_scoped = False
+        """Whether planners tell of the weights alone that this instance uses."""
         self.speeds = ReadingSpeeds()
         """How fast engines read, as seen by this instance."""
 
@@ -158,6 +166,51 @@
         self._directory.setdefault(replica, {})[key] = version
         self._by_key.setdefault(key, {})[replica] = version
 
+    def set_homes(self, service: str, key: AdapterKey, homes: dict[str, int]) -> None:
+        """Take over on which replicas of a service weights can be used, by version."""
+        for name in [name for name in self._by_key.get(key, ()) if self._serves(name, service)]:
+            self._drop_holding(name, key)
+        for name, version in homes.items():
+            self.add_holding(name, key, version)
+
+    def forget_homes(self, service: str) -> None:
+        """Forget what planners told of a service's replicas."""
+        for name in [name for name in self._directory if self._serves(name, service)]:
+            for key in list(self._directory[name]):
+                self._drop_holding(name, key)
+
+    def _serves(self, name: str, service: str) -> bool:
+        rep = self.state.replicas.get(name)
+        return rep is None or rep.service == service
+
+    def _drop_holding(self, name: str, key: AdapterKey) -> None:
+        held = self._directory[name]
+        held.pop(key, None)
+        if not held:
+            del self._directory[name]
+        names = self._by_key[key]
+        names.pop(name, None)
+        if not names:
+            del self._by_key[key]
+
+    def reported(self, service: str, key: AdapterKey) -> list[Replica]:
+        """Return the replicas of a service that say themselves that weights can be used there."""
+        newest, known = self.state.versions.get(key, 0), self.state.replicas
+        if self._reported_change != self.state.change:
+            self._reported_change = self.state.change
+            self._reported = {}
+            for rep in known.values():
+                for holding in rep.holdings:
+                    self._reported.setdefault(holding.key, []).append(rep.name)
+        return [
+            known[name]
+            for name in self._reported.get(key, ())
+            if name in known
+            and known[name].service == service
+            and not known[name].leaving
+            and _told_version(known[name].holdings, key) >= newest
+        ]
+
     def health(self, replica: str) -> Health:
         """Return a replica's record."""
         return self._health.setdefault(replica, Health())
@@ -183,11 +236,9 @@
     def holders(self, service: str, key: AdapterKey) -> list[Replica]:
         """Return the replicas of a service on which weights can be used now."""
         newest = self.state.versions.get(key, 0)
-        if not self._directory:
+        if not self._directory and not self.is_scoped:
             # No planner has told anything yet; replicas tell the same, later.
-            return [
-                rep for rep in self.usable(service) if _told_version(rep.holdings, key) >= newest
-            ]
+            return self.reported(service, key)
         known = self.state.replicas
         found = []
         for name, version in self._by_key.get(key, {}).items():
@@ -260,7 +311,9 @@
         for name in [name for name in self._health if name not in known]:
             del self._health[name]
         for name, load in list(self._loads.items()):
-            if name not in known and not load.starting and not load.running:
+            idle = not load.starting and not load.running and not any(load.queued)
+            if idle and (name not in known or (self.is_scoped and name not in self._directory)):
+                # What runs there is not told any more.
                 del self._loads[name]
         for name in [name for name in self._directory if name not in known]:
             self.set_holdings(name, {})
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -7,16 +7,21 @@
 import math
 import typing as t
 
+import logbook
 from gradelug_wire import placement_pb2 as pb
 
 from .engines import Engine, Phase
-from .model import ToldLoad
+from .holders import EngineIndex
+from .model import AdapterKey, ToldLoad
 from .pacing import Pacing
+from .pending import Pending
+from .scope import MOST_KEYS, Scopes
 from .storenews import LEAST_FOLLOWERS, StoreTeller
 
 if t.TYPE_CHECKING:
     from .parts import PlannerPart
 
+log = logbook.Logger("followers")
 NEWS_SLACK_S = 0.01
 """Timers fire a little late or early."""
 HEARD_S = 0.8
@@ -24,10 +29,32 @@
 PEERS_TOLD = 6
 PEERS_S = 2.0
 """So many other gateways are named so often to each."""
+ALL_TOLD_ENGINES = 256
+ALL_TOLD_PAIRS = 4096
+"""Up to so many engines, and engines times gateways, each gateway is told of all engines: some
+1.2 MB when all join at once. 300 gateways of 3,000 engines took 300 MB."""
+KEPT_PART = 0.5
+"""All are told of all again below this part of those bounds."""
+MOST_HOMES = 32
+"""Of more engines with the same weights a gateway is told of so many, others than its peers."""
+MOST_ANSWERS = 4096
+MOST_ORDERS = 256
+"""So many wait for a gateway that reads slowly; it has given up the oldest by then: orders are
+awaited 0.25 s."""
 
 
 class Follower:
-    """A gateway that follows this planner."""
+    """A gateway that follows this planner.
+
+    Parameters
+    ----------
+    number : int
+        Its number among those that ever followed.
+    instance, address : str
+        The process.
+    pending : Pending or None
+        The news that it is to be told when it reads.
+    """
 
     __slots__ = (
         "address",
@@ -42,13 +69,17 @@
         "number",
         "outbox",
         "peers_told_at",
+        "pending",
         "quota_answers",
         "store_away",
+        "store_revision",
         "strength",
         "wake",
     )
 
-    def __init__(self, number: int, instance: str, address: str) -> None:
+    def __init__(
+        self, number: int, instance: str, address: str, pending: Pending | None = None
+    ) -> None:
         self.number = number
         self.instance = instance
         self.address = address
@@ -59,6 +90,8 @@
         self.echo = pb.Echo()
         """When its newest message was sent, by its clock, and arrived, by the clock here."""
         self.outbox: list[pb.FromPlanner] = []
+        """Orders; news are in `pending`."""
+        self.pending = pending or Pending()
         self.peers_told_at = -math.inf
         self.has_store = False
         """Whether it was told all that is in the store, and since then what has changed."""
@@ -69,6 +102,8 @@
         """Whether it calls the platform's store all the time."""
         self.store_away = False
         """Whether it said last that it cannot reach the platform's store."""
+        self.store_revision = 0
+        """Revision of the store up to which it knew all when it joined, as it told first."""
         self.strength = 0.0
         """How well it could plan, as it told first."""
         self.wake = asyncio.Event()
@@ -81,16 +116,24 @@
     def answer(self, answer: pb.Answer) -> None:
         """Answer a question soon."""
         self.answers.append(answer)
+        del self.answers[:-MOST_ANSWERS]
         self.wake.set()
 
     def answer_quota(self, answer: pb.QuotaAnswer) -> None:
         """Answer a question for a quota soon."""
         self.quota_answers.append(answer)
+        del self.quota_answers[:-MOST_ANSWERS]
         self.wake.set()
 
     def send(self, message: pb.FromPlanner) -> None:
         """Send a message soon."""
         self.outbox.append(message)
+        del self.outbox[:-MOST_ORDERS]
+        self.wake.set()
+
+    def tell(self, news: pb.FromPlanner, store: pb.StoreNews | None = None) -> None:
+        """Tell news soon, with those that it has not read yet."""
+        self.pending.add(news, store)
         self.wake.set()
 
     def take_messages(self) -> list[pb.FromPlanner]:
@@ -102,12 +145,20 @@
             )
             messages.insert(0, first)
             self.answers, self.quota_answers = [], []
+        news = self.pending.take(self)
+        if news is not None:
+            messages.append(news)
         return messages
 
 
 class Followers:
     """All gateways that follow a planner.
 
+    With few engines and gateways each is told of all engines. With more it is told of what it uses:
+    where the weights are that it asked for or used in the last seconds, and what runs on engines at
+    which it has requests. What it is to be told is put together when it reads, so that what waits
+    for a slow reader is never more than what it uses.
+
     Parameters
     ----------
     engines : mapping of str to Engine
@@ -118,6 +169,10 @@
         Tells what the planner has seen in the platform's store; None to tell nothing of it.
     parts : sequence of PlannerPart
         What else there is to tell everybody.
+    index : EngineIndex or None
+        Finds the engines that hold weights; it knows which have changed.
+    may_scope : bool
+        Whether gateways of a large fleet are told of what they use alone.
     """
 
     __slots__ = (
@@ -126,11 +181,16 @@
         "_clock",
         "_engines",
         "_holdings_at",
+        "_index",
+        "_may_scope",
         "_numbers",
         "_parts",
+        "_scopes",
         "_store",
+        "_told_homes",
         "_told_loads",
         "has_resigned",
+        "is_scoped",
         "pacing",
     )
 
@@ -140,8 +200,12 @@
         clock: t.Callable[[], float],
         store: StoreTeller | None = None,
         parts: t.Sequence[PlannerPart] = (),
+        index: EngineIndex | None = None,
+        may_scope: bool = True,
     ) -> None:
         self._engines = engines
+        self._index = index or EngineIndex()
+        self._may_scope = may_scope
         self._parts = parts
         self._store = store
         self._clock = clock
@@ -152,21 +216,24 @@
         """When it was told last what is held."""
         self.has_resigned = False
         self.pacing = Pacing(clock())
+        self._scopes = Scopes()
+        self.is_scoped = False
+        """Whether gateways are told of what they use alone."""
         self._told_loads: dict[str, ToldLoad] = {}
+        self._told_homes: dict[AdapterKey, dict[str, int]] = {}
+        """Where weights that any gateway uses were when it was told last."""
 
     def __len__(self) -> int:
         return len(self._by_number)
 
     def join(self, instance: str, address: str) -> Follower:
-        """Take a gateway on and tell it all that is held."""
+        """Take a gateway on; in a small fleet it is told all that is held."""
         number = next(self._numbers)
-        follower = self._by_number[number] = Follower(number, instance, address)
+        follower = Follower(number, instance, address, Pending(self._complete))
+        self._by_number[number] = follower
         self.pacing.note_gateways(len(self))
-        message = self._news()
-        for name, engine in self._engines.items():
-            message.holdings.append(self._holdings(name))
-            message.loads.append(encode_load(name, engine))
-        follower.send(message)
+        self._choose_scope()
+        follower.tell(self._news() if self.is_scoped else self._all_news())
         return follower
 
     def find(self, instance: str, address: str) -> Follower | None:
@@ -180,6 +247,7 @@
         """Forget a gateway; False if that was done before."""
         follower.is_gone = True
         left = self._by_number.pop(follower.number, None) is not None
+        self._scopes.leave(follower.number)
         self.pacing.note_gateways(len(self))
         return left
 
@@ -206,41 +274,59 @@
         news = self._news()
         news.active = True
         for follower in self._by_number.values():
-            follower.send(news)
+            follower.tell(news)
 
     def mark(self, replica: str) -> None:
         """Note that what a replica holds has changed."""
         self._changed.add(replica)
 
+    def note_use(
+        self, follower: Follower, key: AdapterKey, replica: str = "", active: int = 0
+    ) -> None:
+        """Note that a gateway asks for weights, or how many of its requests use them somewhere."""
+        if follower.number not in self._by_number:
+            return
+        now = self._clock()
+        if replica:
+            is_new = self._scopes.note_run(follower.number, key, replica, active, now)
+        else:
+            is_new = self._scopes.note(follower.number, key, now)
+        if is_new:
+            follower.pending.keys.add(key)
+
     def tell_news(self, active: bool) -> None:
-        """Tell everybody what has changed since the last time."""
-        self.pacing.step(self._clock())
+        """Tell everybody what has changed since the last time, as far as it is of use there."""
+        now = self._clock()
+        self.pacing.step(now)
+        self._choose_scope()
         news = self._news()
         news.active = active
         news.cut_off = self.cut_off()
-        if self._clock() - self._holdings_at >= self.pacing.holdings_s - NEWS_SLACK_S:
-            self._holdings_at = self._clock()
-            news.holdings.extend(self._holdings(name) for name in self._changed)
-            self._changed.clear()
-        for name, engine in self._engines.items():
-            load = engine.load()
-            if self._told_loads.get(name) != load:
-                self._told_loads[name] = load
-                news.loads.append(encode_load(name, engine))
+        holdings_due = now - self._holdings_at >= self.pacing.holdings_s - NEWS_SLACK_S
+        if holdings_due:
+            self._holdings_at = now
+        if self.is_scoped:
+            self._expire(now)
+            self._note_loads()
+            if holdings_due:
+                self._note_homes()
+        else:
+            self._add_all(news, holdings_due)
+        store = None
         if self.tells_store and self._store is not None:
             store = self._store.news()
-            if store is not None:
-                news.store.CopyFrom(store)
         for part in self._parts:
-            part.fill(news, self._clock())
+            part.fill(news, now)
         for follower in self._by_number.values():
-            follower.send(self._for_one(news, follower))
+            follower.tell(news, store)
 
     @property
     def tells_store(self) -> bool:
         """Whether there are enough gateways for the planner to look at the store for them."""
         return self._store is not None and len(self) >= LEAST_FOLLOWERS
 
+    # What all are told.
+
     def _news(self) -> pb.FromPlanner:
         return pb.FromPlanner(
             gateways=len(self),
@@ -248,22 +334,121 @@
             flush_ms=round(self.pacing.flush_s * 1000),
             ask_first=self.pacing.ask_first,
             resigned=self.has_resigned,
+            scoped=self.is_scoped,
         )
 
-    def _for_one(self, news: pb.FromPlanner, follower: Follower) -> pb.FromPlanner:
-        """Return news with what this gateway alone is told."""
+    def _all_news(self) -> pb.FromPlanner:
+        message = self._news()
+        for name, engine in self._engines.items():
+            message.holdings.append(self._holdings(name))
+            message.loads.append(encode_load(name, engine))
+        return message
+
+    def _add_all(self, news: pb.FromPlanner, holdings_due: bool) -> None:
+        """Add what has changed of all engines."""
+        if holdings_due:
+            news.holdings.extend(self._holdings(name) for name in self._changed)
+            self._changed.clear()
+            self._index.changed_keys.clear()
+        for name in self._index.changed_loads:
+            engine = self._engines.get(name)
+            if engine is not None and self._told_loads.get(name) != engine.load():
+                self._told_loads[name] = engine.load()
+                news.loads.append(encode_load(name, engine))
+        self._index.changed_loads.clear()
+
+    def _choose_scope(self) -> None:
+        """Begin or end to tell gateways of what they use alone."""
+        part = KEPT_PART if self.is_scoped else 1.0
+        engines, pairs = len(self._engines), len(self._engines) * len(self)
+        large = engines > part * ALL_TOLD_ENGINES or pairs > part * ALL_TOLD_PAIRS
+        if self.is_scoped == (large and self._may_scope):
+            return
+        self.is_scoped = not self.is_scoped
+        log.info("scope of news", scoped=self.is_scoped, engines=engines, gateways=len(self))
+        self._told_loads.clear()
+        self._told_homes.clear()
+        for follower in self._by_number.values():
+            if self.is_scoped:
+                follower.pending.is_whole = True
+            else:
+                follower.tell(self._all_news())
+
+    # What one is told.
+
+    def _expire(self, now: float) -> None:
+        for number, follower in self._by_number.items():
+            pending = follower.pending
+            pending.keys.update(self._scopes.expire(number, now))
+            if len(pending.keys) > 2 * MOST_KEYS:
+                pending.is_whole = True
+                pending.keys.clear()
+
+    def _note_loads(self) -> None:
+        """Note to whom it matters what runs on the engines where that has changed."""
+        for name in self._index.changed_loads:
+            engine = self._engines.get(name)
+            if engine is None:
+                continue
+            numbers = set(engine.gateways)
+            if not self.pacing.ask_first:
+                # They choose by it themselves.
+                for key in engine.places:
+                    numbers.update(self._scopes.watchers(key))
+            for number in numbers:
+                follower = self._by_number.get(number)
+                if follower is not None:
+                    follower.pending.replicas.add(name)
+        self._index.changed_loads.clear()
+
+    def _note_homes(self) -> None:
+        """Note to whom it matters where weights are, if that has changed."""
+        changed, self._index.changed_keys = self._index.changed_keys, set()
+        for name in self._changed:
+            engine = self._engines.get(name)
+            if engine is not None:
+                changed.update(engine.places)
+        self._changed.clear()
+        for key in changed:
+            watchers = self._scopes.watchers(key)
+            if not watchers:
+                self._told_homes.pop(key, None)
+                continue
+            homes = self._homes(key)
+            if self._told_homes.get(key) == homes:
+                continue
+            self._told_homes[key] = homes
+            for number in watchers:
+                self._by_number[number].pending.keys.add(key)
+
+    def _complete(self, follower: Follower, message: pb.FromPlanner) -> None:
+        """Add what this gateway alone is told, as it is now."""
+        pending = follower.pending
         peers = self._peers(follower)
-        is_first = news.HasField("store") and not follower.has_store
-        if not peers and not is_first:
-            return news
-        message = pb.FromPlanner()
-        message.CopyFrom(news)
-        message.peers.extend(peers)
-        message.echo.CopyFrom(follower.echo)
-        if is_first and self._store is not None:
+        if peers:
+            message.peers.extend(peers)
+            message.echo.CopyFrom(follower.echo)
+        if message.HasField("store") and not follower.has_store and self._store is not None:
             follower.has_store = True
-            message.store.CopyFrom(self._store.all())
-        return message
+            message.store.CopyFrom(self._store.all(follower.store_revision))
+        if self.is_scoped:
+            self._add_used(follower, message)
+        pending.keys.clear()
+        pending.replicas.clear()
+
+    def _add_used(self, follower: Follower, message: pb.FromPlanner) -> None:
+        """Add what has changed of what a gateway uses, or all of it."""
+        pending, used = follower.pending, self._scopes.used(follower.number)
+        if pending.is_whole:
+            pending.is_whole = False
+            message.whole = True
+            pending.keys = set(used)
+        for key in pending.keys:
+            message.homes.append(self._encode_homes(follower, key, key in used))
+        for name in pending.replicas:
+            engine = self._engines.get(name)
+            if engine is not None:
+                message.loads.append(encode_load(name, engine))
 
     def _peers(self, follower: Follower) -> list[str]:
         now = self._clock()
@@ -276,6 +461,27 @@
         others = sorted(others[start:] + others[:start], key=lambda other: other.strength < 1)
         return [other.address for other in others if other.address][:PEERS_TOLD]
 
+    def _homes(self, key: AdapterKey) -> dict[str, int]:
+        """Return the versions of weights that can be used, by engine."""
+        return {
+            name: engine.places[key].version
+            for name, engine in self._index.with_key(key).items()
+            if engine.places[key].phase is Phase.READY
+        }
+
+    def _encode_homes(self, follower: Follower, key: AdapterKey, is_used: bool) -> pb.Homes:
+        """Return where weights are; nowhere if the gateway is not told of them any more."""
+        encoded = pb.Homes(model=key.model, adapter=key.adapter)
+        if not is_used:
+            return encoded
+        homes = list(self._homes(key).items())
+        if len(homes) > MOST_HOMES:
+            start = follower.number * MOST_HOMES % len(homes)
+            homes = (homes[start:] + homes[:start])[:MOST_HOMES]
+        for name, version in homes:
+            encoded.homes.add(replica=name, version=version)
+        return encoded
+
     def _holdings(self, name: str) -> pb.Holdings:
         holdings = pb.Holdings(replica=name)
         engine = self._engines.get(name)
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -298,6 +298,8 @@
             message.address = self._address
             message.hall = self._fleet.hall
             message.strength = self._strength
+            if self._listener is not None:
+                message.store_revision = self._listener.revision
             message.shares.update(self._shares.holding(self._sent_at))
         for question in self._questions.values():
             if not question.sent:
@@ -380,6 +382,14 @@
                 holdings.replica,
                 {AdapterKey(held.model, held.adapter): held.version for held in holdings.held},
             )
+        if message.whole:
+            self._fleet.forget_homes(self.service)
+        for homes in message.homes:
+            self._fleet.set_homes(
+                self.service,
+                AdapterKey(homes.model, homes.adapter),
+                {home.replica: home.version for home in homes.homes},
+            )
         for told in message.loads:
             self._take_load(told, ToldLoad())
         if message.cut_off and self._executor is not None:
@@ -400,6 +410,7 @@
         self.news_s = message.news_ms / 1000 or NEWS_S
         self._flush_s = message.flush_ms / 1000 or FLUSH_S
         self.ask_first = message.ask_first
+        self._fleet.is_scoped = message.scoped
         self.has_resigned = message.resigned
 
     def _take_load(self, told: pb.Load, booked: ToldLoad) -> None:
--- a/packages/gateway/src/gradelug_gateway/openings.py
+++ b/packages/gateway/src/gradelug_gateway/openings.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
+import itertools
 import typing as t
-from collections import Counter
 from dataclasses import dataclass
 
 from gradelug_policy import Popularity
+from gradelug_policy.cells import Cells
 from gradelug_policy.residency import Victim
 
 from .engines import Engine, Phase
-from .model import AdapterKey, Replica
+from .holders import EngineIndex
+from .model import AdapterKey, Holding, Replica
+
+ALL_LOOKED_AT = 64
+"""Up to so many engines all are looked at for each load: it takes half a millisecond."""
+CANDIDATES = 32
+"""Of more engines so many with room are looked for: what is best among them is nearly the best."""
+KEEPERS = 16
+"""And so many of those that keep the adapter in host memory."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,23 +41,25 @@
     victims: tuple[Victim, ...]
 
 
-def count_copies(engines: t.Iterable[Engine]) -> Counter[AdapterKey]:
-    """Return on how many engines each adapter is or will be."""
-    found: Counter[AdapterKey] = Counter()
-    for engine in engines:
-        found.update(
-            key for key, place in engine.adapters() if place.phase in (Phase.LOADING, Phase.READY)
-        )
-    return found
+def count_copies(index: EngineIndex, key: AdapterKey) -> int:
+    """Return on how many engines an adapter is or will be."""
+    return sum(
+        engine.places[key].phase in (Phase.LOADING, Phase.READY)
+        for engine in index.with_key(key).values()
+    )
 
 
 class Openings:
-    """The engines with room at one moment.
+    """The engines with room at one moment; each is looked at when it is asked for first.
 
     Parameters
     ----------
     engines : mapping of str to Engine
         By name.
+    index : EngineIndex
+        Finds them by what they hold and keep.
+    cells : Cells
+        In which order they are looked at for an adapter.
     popularity : Popularity
         How often adapters are asked for.
     may_order : callable
@@ -57,40 +68,76 @@
         By the runtime's clock.
     """
 
-    __slots__ = ("_engines", "_may_order", "_now", "_popularity", "by_engine")
+    __slots__ = ("_cells", "_engines", "_found", "_index", "_may_order", "_now", "_popularity")
 
     def __init__(
         self,
         engines: t.Mapping[str, Engine],
+        index: EngineIndex,
+        cells: Cells,
         popularity: Popularity,
         may_order: t.Callable[[Replica], bool],
         now: float,
     ) -> None:
         self._engines = engines
+        self._index = index
+        self._cells = cells
         self._popularity = popularity
         self._may_order = may_order
         self._now = now
-        self.by_engine: dict[str, Opening] = {}
-        copies = count_copies(engines.values())
-        for engine in engines.values():
-            self._find(engine, copies)
+        self._found: dict[str, Opening | None] = {}
+
+    def candidates(
+        self, key: AdapterKey, version: int, may_use: t.Callable[[str], bool]
+    ) -> list[tuple[str, Opening]]:
+        """Return engines that lack an adapter and have room for it.
+
+        Parameters
+        ----------
+        key : AdapterKey
+            What is to be loaded.
+        version : int
+            Which one of it host memory may keep.
+        may_use : callable
+            Tells whether an engine may be chosen, by its name.
+        """
+        if len(self._engines) <= ALL_LOOKED_AT:
+            return list(self._open(self._engines, key, may_use))
+        keepers = self._index.keeping(Holding(key, version))
+        found = dict(itertools.islice(self._open(keepers, key, may_use), KEEPERS))
+        others = self._open(self._cells.homes(key.text), key, may_use)
+        found.update(itertools.islice(others, CANDIDATES))
+        return list(found.items())
 
     def renew(self, engine: Engine) -> None:
         """Look again at an engine whose places have changed."""
-        self.by_engine.pop(engine.replica.name, None)
-        self._find(engine, count_copies(self._engines.values()))
-
-    def _find(self, engine: Engine, copies: Counter[AdapterKey]) -> None:
+        self._found.pop(engine.replica.name, None)
+
+    def _open(
+        self, names: t.Iterable[str], key: AdapterKey, may_use: t.Callable[[str], bool]
+    ) -> t.Iterator[tuple[str, Opening]]:
+        for name in names:
+            opening = self._at(name)
+            if opening is not None and may_use(name) and opening.engine.lacks(key):
+                yield name, opening
+
+    def _at(self, name: str) -> Opening | None:
+        if name not in self._found:
+            self._found[name] = self._find(self._engines[name])
+        return self._found[name]
+
+    def _find(self, engine: Engine) -> Opening | None:
         if not engine.can_load() or not self._may_order(engine.replica):
-            return
-        name, free = engine.replica.name, engine.free()
+            return None
+        free = engine.free()
         if free > 0:
-            self.by_engine[name] = Opening(engine, free, ())
-            return
+            return Opening(engine, free, ())
+        # Each copy of an adapter is missed for its share of the requests.
         victims = tuple(
-            # Each copy of an adapter is missed for its share of the requests.
-            Victim(key.text, self._popularity.rate(key.text, self._now) / max(1, copies[key]))
+            Victim(
+                key.text,
+                self._popularity.rate(key.text, self._now) / max(1, count_copies(self._index, key)),
+            )
             for key in engine.idle(self._now)
         )
-        if victims:
-            self.by_engine[name] = Opening(engine, 0, victims)
+        return Opening(engine, 0, victims) if victims else None
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import math
+import random
 import typing as t
-from collections import Counter
 
 import logbook
 from gradelug_policy import Popularity
+from gradelug_policy.cells import Cells
 from gradelug_policy.quotas import QuotaHome
 from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
 from gradelug_policy.residency import EnginePlaces, LoadWindow, choose_home
@@ -16,6 +17,7 @@
 
 from .engines import Engine, Phase, Place
 from .followers import Follower, Followers, encode_load
+from .holders import EngineIndex
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .openings import Openings
@@ -24,7 +26,7 @@
 from .quota_desk import QuotaDesk
 from .relay import OrderRelay
 from .storenews import StoreTeller
-from .upkeep import Upkeep
+from .upkeep import PART_PER_COPY, Upkeep
 from .waiting import Waiter, WaitingLine
 
 log = logbook.Logger("planner")
@@ -48,6 +50,15 @@
 """An engine that fails an asker's requests is taken for one with so much more to read."""
 OTHER_HALL_S = 0.03
 """A nearer engine wins among equals only: bytes between halls have a price."""
+ALL_HOLDERS = 64
+HOLDERS = 32
+"""Of more engines that hold the same weights, as of a base model, so many are drawn for a request:
+the best of them is nearly the best of all."""
+SYNCS_AT_ONCE = 64
+SYNCS_WAITING = 256
+"""Engines are asked for their state so many at a time, those in use first, and so many are chosen
+for it: a new planner would open connections to all at once, and requests would wait behind the
+reports of engines that none uses."""
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
@@ -77,6 +88,8 @@
         Tells gateways what this instance sees in the platform's store.
     expected : int
         Gateways that its predecessor knew, 0 if none is known.
+    may_scope_news : bool
+        Whether gateways of a large fleet are told of what they use alone.
     """
 
     def __init__(
@@ -91,6 +104,7 @@
         speeds: ReadingSpeeds | None = None,
         store: StoreTeller | None = None,
         expected: int = 0,
+        may_scope_news: bool = True,
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -98,14 +112,22 @@
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
+        self.index = EngineIndex()
+        """Finds engines by what they hold."""
+        self._cells = Cells()
+        self._rng = random.Random(0)
         self.parts: tuple[PlannerPart, ...] = (
             QuotaDesk(QuotaHome(clock(), expected), state, lambda: self.term is not None),
         )
         """What else gateways tell this instance, and are told."""
-        self.followers = Followers(self.engines, clock, store, self.parts)
+        self.followers = Followers(
+            self.engines, clock, store, self.parts, self.index, may_scope_news
+        )
         self.popularity = Popularity(HALF_LIFE_S)
         self.tokens = Popularity(HALF_LIFE_S)
         """Tokens of prompts a second, by adapter."""
+        self.hot: set[AdapterKey] = set()
+        """Adapters of which a single copy may not be enough."""
         self._speeds = speeds or ReadingSpeeds()
         self.state = state
         self._transport = transport
@@ -116,6 +138,9 @@
         self._line = WaitingLine(self.popularity, clock(), self.loading.pace.rate)
         self._upkeep = Upkeep(self, spec, window, clock)
         self._spec = spec
+        self._syncs = asyncio.Semaphore(SYNCS_AT_ONCE)
+        self._syncing: set[str] = set()
+        """Engines that are being asked for their state, or are about to be."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._deciding: asyncio.TimerHandle | None = None
         self._decision_s = 0.0
@@ -158,23 +183,59 @@
             if rep.service == self.service and not rep.leaving
         }
         for name in [name for name in self.engines if name not in told]:
-            del self.engines[name]
+            self.index.drop(self.engines.pop(name))
+            self._cells.remove(name)
             self.followers.mark(name)
             for part in self.parts:
                 part.forget(name)
         for name, rep in told.items():
             engine = self.engines.get(name)
             if engine is None:
-                engine = self.engines[name] = Engine(rep, self._spec)
-            engine.replica = rep
-            for holding in rep.cached:
-                if holding.key.adapter and holding not in engine.cached:
-                    engine.remember(holding)
-            if not engine.synced and self.term is not None:
-                self.start(self.loading.sync(engine))
+                engine = self.engines[name] = Engine(rep, self._spec, self.index)
+                self._cells.add(name)
+                self._take_cached(engine)
+            elif engine.replica is not rep:
+                engine.replica = rep
+                self._take_cached(engine)
         if self.term is not None:
+            self._sync_engines()
             self._upkeep.do(self.term)
 
+    def _take_cached(self, engine: Engine) -> None:
+        for holding in engine.replica.cached:
+            if holding.key.adapter and holding not in engine.cached:
+                engine.remember(holding)
+
+    def _sync_engines(self) -> None:
+        """Ask engines for their state, those in use first."""
+        unknown = [
+            engine
+            for name, engine in self.engines.items()
+            if not engine.synced and name not in self._syncing
+        ]
+        room = SYNCS_WAITING - len(self._syncing)
+        if len(unknown) > room:
+            waited = {waiter.key for waiter in self._line.waiters}
+            unknown.sort(
+                key=lambda engine: (
+                    # One that gives no report keeps no other one waiting.
+                    engine.asked_at,
+                    not engine.is_in_use(),
+                    not _tells(engine, waited),
+                )
+            )
+        for engine in unknown[: max(0, room)]:
+            self._syncing.add(engine.replica.name)
+            self.start(self._sync(engine))
+
+    async def _sync(self, engine: Engine) -> None:
+        try:
+            async with self._syncs:
+                engine.asked_at = self._clock()
+                await self.loading.sync(engine)
+        finally:
+            self._syncing.discard(engine.replica.name)
+
     def outranked(self) -> None:
         """Give no further orders: another planner has a greater token."""
         log.info("outranked", service=self.service, fence=self.term.fence if self.term else 0)
@@ -211,6 +272,7 @@
         follower.knows_store = message.knows_store
         follower.store_away = message.store_away
         follower.hall = message.hall or follower.hall
+        follower.store_revision = message.store_revision or follower.store_revision
         follower.strength = message.strength or follower.strength
         self.followers.pacing.note_message(sum(use.started for use in message.uses))
         if self._relay is not None:
@@ -232,6 +294,7 @@
 
     def _take_ask(self, waiter: Waiter, now: float) -> None:
         self._note_absent(waiter, now)
+        self.followers.note_use(waiter.follower, waiter.key)
         if not self._try_answer(waiter, now):
             self.popularity.note(waiter.key.text, now)
             self._line.waiters.append(waiter)
@@ -240,12 +303,14 @@
         key = AdapterKey(use.model, use.adapter)
         if use.started:
             self.popularity.note(key.text, now, use.started)
+        self.followers.note_use(follower, key, use.replica, use.active)
         engine = self.engines.get(use.replica)
         if engine is None:
             return
         self.tokens.note(key.text, now, use.started_tokens)
-        counts = engine.active.setdefault(key, Counter())
-        counts[follower.number] = use.active
+        if self.tokens.rate(key.text, now) > PART_PER_COPY * self.speed:
+            self.hot.add(key)
+        engine.take_use(follower.number, key, use.active)
         place = engine.places.get(key)
         if place is not None:
             place.used_at = now
@@ -314,7 +379,7 @@
         best: Engine | None = None
         least = math.inf
         newest = self.state.versions.get(waiter.key, 0)
-        for name, engine in self.engines.items():
+        for name, engine in self._holders(waiter):
             place = engine.places.get(waiter.key)
             if place is None or place.phase is not Phase.READY or not waiter.may_use(name):
                 continue
@@ -330,6 +395,15 @@
         waiter.answer(best.replica.name, place.version, encode_load(best.replica.name, best))
         return True
 
+    def _holders(self, waiter: Waiter) -> t.Collection[tuple[str, Engine]]:
+        """Return engines that have a request's weights in a place, a few of very many."""
+        holders = self.index.with_key(waiter.key)
+        if len(holders) <= ALL_HOLDERS:
+            return holders.items()
+        if waiter.ask.only in holders:
+            return [(waiter.ask.only, holders[waiter.ask.only])]
+        return self._rng.sample(list(holders.items()), HOLDERS)
+
     def cost_s(self, engine: Engine, waiter: Waiter) -> float:
         """Return what a request costs on an engine that has the adapter, in seconds."""
         cost = self.wait_s(engine, waiter.work)
@@ -366,7 +440,7 @@
         return first_event_s(engine.busyness(), work, self.speed)
 
     def _is_coming(self, waiter: Waiter) -> bool:
-        for name, engine in self.engines.items():
+        for name, engine in self._holders(waiter):
             place = engine.places.get(waiter.key)
             if place is not None and place.phase is Phase.LOADING and waiter.may_use(name):
                 return True
@@ -378,7 +452,14 @@
 
     def openings(self) -> Openings:
         """Return the engines that can take an adapter in now."""
-        return Openings(self.engines, self.popularity, self._transport.may_order, self._clock())
+        return Openings(
+            self.engines,
+            self.index,
+            self._cells,
+            self.popularity,
+            self._transport.may_order,
+            self._clock(),
+        )
 
     def load(
         self,
@@ -406,7 +487,7 @@
         work : Work
             What its requests ask of an engine.
         """
-        if not key.adapter or not openings.by_engine or self.term is None:
+        if not key.adapter or self.term is None:
             return False
         version = self.state.versions.get(key, 0) or FIRST_VERSION
         views = [
@@ -417,8 +498,7 @@
                 opening.engine.is_cached(key, version),
                 self.wait_s(opening.engine, work),
             )
-            for name, opening in openings.by_engine.items()
-            if may_use(name) and opening.engine.lacks(key)
+            for name, opening in openings.candidates(key, version, may_use)
         ]
         choice = choose_home(
             views,
@@ -450,3 +530,8 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.error("a planner's task failed", why=repr(task.exception()))
+
+
+def _tells(engine: Engine, keys: t.Collection[AdapterKey]) -> bool:
+    """Tell whether an engine says of itself that it holds any of some weights."""
+    return any(holding.key in keys for holding in engine.replica.holdings)
--- a/packages/gateway/src/gradelug_gateway/storenews.py
+++ b/packages/gateway/src/gradelug_gateway/storenews.py
@@ -101,11 +101,21 @@
         self._config = self._config_version(state)
         return told
 
-    def all(self) -> pb.StoreNews:
-        """Return all that was told so far, for a gateway that was told nothing yet."""
+    def all(self, since: int = 0) -> pb.StoreNews:
+        """Return all that was told so far, for a gateway that was told nothing yet.
+
+        Parameters
+        ----------
+        since : int
+            Revision of the store up to which it knows of all replicas.
+        """
         # What it has not seen of the rest cannot be known.
         told = self._first(True)
-        told.replicas.extend(map(self._encode, self._replicas.values()))
+        told.replicas.extend(
+            self._encode(rep)
+            for rep in self._replicas.values()
+            if self._feed.revision(rep.name) > since
+        )
         told.versions.extend(_encode_version(*item) for item in self._versions.items())
         return told
 
@@ -180,6 +190,11 @@
         self._spacing_s = spacing_s
         self._may_rest = may_rest
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which this instance knows of all replicas, 0 for none."""
+        return self._mirror.revision if self._mirror.synced else 0
+
     def take(self, news: pb.StoreNews, ahead_s: float = math.inf) -> None:
         """Apply a planner's news.
 
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -39,7 +39,15 @@
         The runtime's clock.
     """
 
-    __slots__ = ("_clock", "_coming", "_planner", "_spec", "_window")
+    __slots__ = (
+        "_clock",
+        "_coming",
+        "_outdated",
+        "_planner",
+        "_seen_versions",
+        "_spec",
+        "_window",
+    )
 
     def __init__(
         self,
@@ -54,6 +62,9 @@
         self._clock = clock
         self._coming: dict[str, float] = {}
         """Until when a base model is on its way, by its name."""
+        self._seen_versions: dict[AdapterKey, int] = {}
+        self._outdated: set[AdapterKey] = set()
+        """Weights of which some engine may hold a version that is not the newest."""
 
     def do(self, term: Term) -> None:
         """Do what is due in the planner's term."""
@@ -63,19 +74,39 @@
         self._add_copies()
 
     def _renew_versions(self, term: Term) -> None:
-        planner = self._planner
-        for key, version in planner.state.versions.items():
-            for name, engine in planner.engines.items():
-                place = engine.places.get(key)
-                if place is None or place.version >= version:
-                    continue
-                if place.phase in (Phase.LOADING, Phase.UNLOADING):
-                    continue
-                if place.phase is Phase.READY:
-                    place.phase = Phase.LEAVING
-                    planner.followers.mark(name)
-                if engine.synced and not engine.users(key):
-                    planner.start(self._drop(term, engine, key, place))
+        self._find_outdated()
+        versions, index = self._planner.state.versions, self._planner.index
+        for key in list(self._outdated):
+            held = {
+                name: engine
+                for name, engine in index.with_key(key).items()
+                if engine.places[key].version < versions[key]
+            }
+            if not held:
+                self._outdated.discard(key)
+            for name, engine in held.items():
+                self._renew(term, name, engine, key)
+
+    def _find_outdated(self) -> None:
+        """Find weights of which a version was named, or that came into a place, since last time."""
+        versions, index = self._planner.state.versions, self._planner.index
+        inserted, index.inserted = index.inserted, set()
+        self._outdated.update(key for key in inserted if key in versions)
+        if versions != self._seen_versions:
+            self._outdated.update(
+                key for key, version in versions.items() if self._seen_versions.get(key) != version
+            )
+            self._seen_versions = dict(versions)
+
+    def _renew(self, term: Term, name: str, engine: Engine, key: AdapterKey) -> None:
+        place = engine.places[key]
+        if place.phase in (Phase.LOADING, Phase.UNLOADING):
+            return
+        if place.phase is Phase.READY:
+            place.phase = Phase.LEAVING
+            self._planner.followers.mark(name)
+        if engine.synced and not engine.users(key):
+            self._planner.start(self._drop(term, engine, key, place))
 
     async def _drop(self, term: Term, engine: Engine, key: AdapterKey, place: Place) -> None:
         async with engine.lock:
@@ -89,30 +120,27 @@
 
     def _ensure_models(self, term: Term) -> None:
         for engine in self._planner.engines.values():
-            held = [key for key in engine.places if not key.adapter]
-            if engine.synced and not held and self._spec.models:
+            if engine.synced and not engine.places.bases and self._spec.models:
                 model = self._least_held_model()
                 key = AdapterKey(model.name)
                 place = engine.places[key] = Place(0, Phase.LOADING, self._clock())
                 self._planner.start(self._load_model(term, engine, key, place, model.load_s))
 
     def _least_held_model(self) -> BaseModel:
-        holders: Counter[str] = Counter()
-        for engine in self._planner.engines.values():
-            holders.update(key.model for key in engine.places if not key.adapter)
-        return min(self._spec.models, key=lambda model: holders[model.name])
+        index = self._planner.index
+        return min(self._spec.models, key=lambda model: len(index.with_key(AdapterKey(model.name))))
 
     def _place_wanted_models(self, term: Term) -> None:
         """Bring in models that requests wait for and no engine holds."""
-        held = Counter(
-            key.model
-            for engine in self._planner.engines.values()
-            for key in engine.places
-            if not key.adapter
-        )
-        now = self._clock()
+        now, index = self._clock(), self._planner.index
         self._coming = {name: until for name, until in self._coming.items() if until > now}
-        for name in self._planner.wanted_models() - held.keys() - self._coming.keys():
+        missing = {
+            name
+            for name in self._planner.wanted_models() - self._coming.keys()
+            if not index.with_key(AdapterKey(name))
+        }
+        held = self._count_models() if missing else Counter()
+        for name in missing:
             model = next((model for model in self._spec.models if model.name == name), None)
             engine = self._engine_for(model, held) if model is not None else None
             if model is None or engine is None:
@@ -123,6 +151,13 @@
             place = engine.places[key] = Place(0, Phase.LOADING, self._clock())
             self._planner.start(self._load_model(term, engine, key, place, model.load_s, victim))
 
+    def _count_models(self) -> Counter[str]:
+        """Return on how many engines each base model is or will be."""
+        index = self._planner.index
+        return Counter(
+            {key.model: len(index.with_key(key)) for key in index.keys if not key.adapter}
+        )
+
     def _engine_for(self, model: BaseModel, held: Counter[str]) -> Engine | None:
         """Return an engine with room, else the unused one whose models are held most elsewhere."""
         found = [
@@ -180,10 +215,13 @@
 
     def _add_copies(self) -> None:
         planner, now = self._planner, self._clock()
+        least = PART_PER_COPY * planner.speed
+        planner.hot = {key for key in planner.hot if planner.tokens.rate(key.text, now) > least}
         wanted = [
             key
-            for key, count in count_copies(planner.engines.values()).items()
-            if planner.tokens.rate(key.text, now) > PART_PER_COPY * planner.speed * count
+            for key in planner.hot
+            if (count := count_copies(planner.index, key)) > 0
+            and planner.tokens.rate(key.text, now) > least * count
         ]
         if not wanted:
             return
