--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -219,6 +219,10 @@
         """Return what runs at a replica."""
         return self._loads.setdefault(replica, ReplicaLoad())
 
+    def has_load(self, replica: str) -> bool:
+        """Tell whether anything is known of what runs at a replica."""
+        return replica in self._loads
+
     def loads(self) -> t.Iterator[tuple[str, ReplicaLoad]]:
         """Yield what runs at each replica."""
         return iter(self._loads.items())
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -14,7 +14,7 @@
 from .holders import EngineIndex
 from .model import AdapterKey, ToldLoad
 from .pacing import Pacing
-from .pending import Pending
+from .pending import Pending, merge_store
 from .scope import MOST_KEYS, Scopes
 from .storenews import LEAST_FOLLOWERS, StoreTeller
 
@@ -66,6 +66,7 @@
         "instance",
         "is_gone",
         "knows_store",
+        "listed_revision",
         "number",
         "outbox",
         "peers_told_at",
@@ -94,7 +95,9 @@
         self.pending = pending or Pending()
         self.peers_told_at = -math.inf
         self.has_store = False
-        """Whether it was told all that is in the store, and since then what has changed."""
+        """Whether it was told all that was in the store before, beside what has changed since."""
+        self.listed_revision: int | None = None
+        """Up to which revision of the store it was told all, None before the first piece."""
         self.heard_at = -math.inf
         self.is_gone = False
         """Whether it was taken for lost: nothing that comes from it counts any more."""
@@ -429,13 +432,23 @@
             message.peers.extend(peers)
             message.echo.CopyFrom(follower.echo)
         if message.HasField("store") and not follower.has_store and self._store is not None:
-            follower.has_store = True
-            message.store.CopyFrom(self._store.all(follower.store_revision))
+            self._add_listing(follower, message, self._store)
         if self.is_scoped:
             self._add_used(follower, message)
         pending.keys.clear()
         pending.replicas.clear()
 
+    def _add_listing(
+        self, follower: Follower, message: pb.FromPlanner, store: StoreTeller
+    ) -> None:
+        """Add the next piece of what was told of the store before this gateway joined."""
+        known = follower.listed_revision
+        since = follower.store_revision if known is None else known
+        piece, reached = store.listing(since, known is None)
+        message.store.CopyFrom(merge_store(piece, message.store))
+        follower.listed_revision = reached
+        follower.has_store = not reached
+
     def _add_used(self, follower: Follower, message: pb.FromPlanner) -> None:
         """Add what has changed of what a gateway uses, or all of it."""
         pending, used = follower.pending, self._scopes.used(follower.number)
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -341,6 +341,9 @@
                     running=own.running,
                     queued=own.queued,
                 )
+        for name in [name for name in self._told_loads if not self._fleet.has_load(name)]:
+            if self._told_loads.pop(name) != ToldLoad():
+                message.loads.add(replica=name)
         self._retold.clear()
 
     def _add_owned(self, message: pb.FromGateway) -> None:
--- a/packages/gateway/src/gradelug_gateway/storenews.py
+++ b/packages/gateway/src/gradelug_gateway/storenews.py
@@ -23,6 +23,9 @@
 log = logbook.Logger("storenews")
 TELL_SPACING_S = 0.3
 """A planner's own looks at the store are so far apart."""
+LISTED_AT_ONCE = 256
+"""Replicas that a gateway which joins without the store is told of in one message, some 25 KB: what
+is under way to 300 gateways at once fits in a few MB."""
 MOST_CONFIG_BYTES = 8_388_608
 """The store's entries hold 1 MB."""
 LEAST_FOLLOWERS = 16
@@ -52,6 +55,7 @@
         "_config",
         "_feed",
         "_freshness",
+        "_has_begun",
         "_mirror",
         "_passes_config",
         "_replicas",
@@ -74,13 +78,24 @@
         self._replicas: dict[str, Replica] = {}
         self._versions: dict[AdapterKey, int] = {}
         self._config = 0
+        self._has_begun = False
 
     def news(self) -> pb.StoreNews | None:
-        """Return what is new since the last call, None while the store does not answer."""
+        """Return what is new since the last call, None while the store does not answer.
+
+        The first call returns nothing of what was there before: nobody was told of that, and
+        everybody is told of it by `listing`.
+        """
         if not self._mirror.synced:
             return None
         state = self._feed.state
         told = self._first(False)
+        if not self._has_begun:
+            self._has_begun = True
+            self._replicas = dict(state.replicas)
+            self._versions = dict(state.versions)
+            self._config = self._config_version(state)
+            return told
         if self._config_version(state) != self._config:
             self._add_config(told)
         for name, rep in state.replicas.items():
@@ -101,23 +116,39 @@
         self._config = self._config_version(state)
         return told
 
-    def all(self, since: int = 0) -> pb.StoreNews:
-        """Return all that was told so far, for a gateway that was told nothing yet.
+    def listing(self, since: int, is_first: bool) -> tuple[pb.StoreNews, int]:
+        """Return the next piece of all that was told so far, for a gateway that does not know it.
 
         Parameters
         ----------
         since : int
-            Revision of the store up to which it knows of all replicas.
+            Revision of the store up to which the gateway knows of all replicas.
+        is_first : bool
+            Whether it is its first piece; versions are told with that.
+
+        Returns
+        -------
+        StoreNews
+            The piece.
+        int
+            The revision up to which it knows all then; 0 if there is no further piece.
         """
         # What it has not seen of the rest cannot be known.
-        told = self._first(True)
+        told = self._first(is_first)
+        if is_first:
+            told.versions.extend(_encode_version(*item) for item in self._versions.items())
+        later = sorted(
+            (revision, name)
+            for name in self._replicas
+            if (revision := self._feed.revision(name)) > since
+        )
+        reached = later[LISTED_AT_ONCE - 1][0] if len(later) > LISTED_AT_ONCE else 0
         told.replicas.extend(
-            self._encode(rep)
-            for rep in self._replicas.values()
-            if self._feed.revision(rep.name) > since
+            self._encode(self._replicas[name])
+            for revision, name in later
+            if not reached or revision <= reached
         )
-        told.versions.extend(_encode_version(*item) for item in self._versions.items())
-        return told
+        return told, reached
 
     def _add_config(self, told: pb.StoreNews) -> None:
         """Pass a new configuration on, or have everybody look for it."""
@@ -193,7 +224,7 @@
     @property
     def revision(self) -> int:
         """Revision of the store up to which this instance knows of all replicas, 0 for none."""
-        return self._mirror.revision if self._mirror.synced else 0
+        return self._mirror.revision
 
     def take(self, news: pb.StoreNews, ahead_s: float = math.inf) -> None:
         """Apply a planner's news.
--- a/tests/grown_fleet.py
+++ b/tests/grown_fleet.py
@@ -148,7 +148,9 @@
         Requests that begin at each gateway a second.
     """
 
-    def __init__(self, gateways, engines, starts_per_s=2.0, seed=1, gateway=Gateway):
+    def __init__(
+        self, gateways, engines, starts_per_s=2.0, seed=1, gateway=Gateway, may_scope=True
+    ):
         self.clock = asyncio.get_running_loop().time
         self.rng = random.Random(seed)
         self.adapters = ADAPTERS_PER_ENGINE * engines
@@ -163,7 +165,16 @@
             )
             self.state.replicas[name] = Replica(name, "llm", f"10.1.0.1:{at}", f"hall-{at % 3}")
         window = LoadWindow(8.0, 5.0, 1.1, 3)
-        self.planner = Planner("llm", "me", SPEC, self.state, self.orders, window, self.clock)
+        self.planner = Planner(
+            "llm",
+            "me",
+            SPEC,
+            self.state,
+            self.orders,
+            window,
+            self.clock,
+            may_scope_news=may_scope,
+        )
         self.planner.begin_term(7)
         self.task = asyncio.create_task(self.planner.run())
         self.gateways = [gateway(self, number) for number in range(gateways)]
