--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -396,7 +396,10 @@
         return True
 
     def _holders(self, waiter: Waiter) -> t.Collection[tuple[str, Engine]]:
-        """Return engines that have a request's weights in a place, a few of very many."""
+        """Return engines that may have a request's weights in a place, a few of very many."""
+        if len(self.engines) <= ALL_HOLDERS:
+            # In their own order: of equals the first one runs most, and others stay free.
+            return self.engines.items()
         holders = self.index.with_key(waiter.key)
         if len(holders) <= ALL_HOLDERS:
             return holders.items()
