--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -268,6 +268,16 @@
         for key in [key for key, counts in self.active.items() if gateway in counts]:
             self.take_use(gateway, key, 0)
 
+    def take_told(self, now: float) -> None:
+        """Take what it tells of itself in the platform's store for what it holds.
+
+        That may be late: it counts until the engine's own report, and an engine that lacks what it
+        told of is taken at its word.
+        """
+        for holding in self.replica.holdings:
+            place = self.places[holding.key] = Place(holding.version, Phase.READY, now)
+            place.ready_at = -math.inf
+
     def take_report(self, report: EngineReport, now: float) -> None:
         """Take over what the engine reports."""
         self.orders = report.orders
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -438,9 +438,7 @@
         pending.keys.clear()
         pending.replicas.clear()
 
-    def _add_listing(
-        self, follower: Follower, message: pb.FromPlanner, store: StoreTeller
-    ) -> None:
+    def _add_listing(self, follower: Follower, message: pb.FromPlanner, store: StoreTeller) -> None:
         """Add the next piece of what was told of the store before this gateway joined."""
         known = follower.listed_revision
         since = follower.store_revision if known is None else known
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -55,10 +55,11 @@
 """Of more engines that hold the same weights, as of a base model, so many are drawn for a request:
 the best of them is nearly the best of all."""
 SYNCS_AT_ONCE = 64
-SYNCS_WAITING = 256
+SYNCS_WAITING = 128
 """Engines are asked for their state so many at a time, those in use first, and so many are chosen
 for it: a new planner would open connections to all at once, and requests would wait behind the
-reports of engines that none uses."""
+reports of engines that none uses. Until then more engines than are asked at once are taken to hold
+what they tell in the platform's store: their reports take seconds."""
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
@@ -194,6 +195,9 @@
                 engine = self.engines[name] = Engine(rep, self._spec, self.index)
                 self._cells.add(name)
                 self._take_cached(engine)
+                if len(told) > SYNCS_AT_ONCE:
+                    engine.take_told(self._clock())
+                    self.followers.mark(name)
             elif engine.replica is not rep:
                 engine.replica = rep
                 self._take_cached(engine)
--- a/packages/gateway/src/gradelug_gateway/storenews.py
+++ b/packages/gateway/src/gradelug_gateway/storenews.py
@@ -100,6 +100,8 @@
             self._add_config(told)
         for name, rep in state.replicas.items():
             known = self._replicas.get(name)
+            if known is rep:
+                continue
             if known is None or _essence(known) != _essence(rep):
                 told.replicas.append(self._encode(rep))
         gone = self._replicas.keys() - state.replicas.keys()
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -9,6 +9,9 @@
 from .client import Connection, OutgoingRequest, ResponseHead, Wire
 from .exceptions import ConnectFailed
 
+MOST_IDLE = 512
+"""Idle connections that are kept, 6.4 KB each: of one to each of 3,000 engines hardly any is used
+again."""
 Dial = t.Callable[[str], t.Awaitable[Wire]]
 
 
@@ -175,8 +178,9 @@
             self._idle[address] = proven
 
     def prune(self, addresses: t.Container[str]) -> None:
-        """Close what is unfit, and every idle connection to other addresses than these."""
+        """Close what is unfit, every idle connection to other addresses, and the least used."""
         now = self._clock()
+        self._close_least_used()
         for address in list(self._idle):
             kept = []
             for conn in self._idle[address]:
@@ -189,6 +193,16 @@
             else:
                 del self._idle[address]
 
+    def _close_least_used(self) -> None:
+        """Close the connections that were idle for longest, if there are too many."""
+        idle = [conn for conns in self._idle.values() for conn in conns]
+        if len(idle) <= MOST_IDLE:
+            return
+        idle.sort(key=lambda conn: conn.used_at)
+        for conn in idle[:-MOST_IDLE]:
+            self._idle[conn.address].remove(conn)
+            conn.close()
+
     def close(self) -> None:
         """Close every idle connection."""
         self.prune(())
--- a/tests/grown_fleet.py
+++ b/tests/grown_fleet.py
@@ -149,7 +149,14 @@
     """
 
     def __init__(
-        self, gateways, engines, starts_per_s=2.0, seed=1, gateway=Gateway, may_scope=True
+        self,
+        gateways,
+        engines,
+        starts_per_s=2.0,
+        seed=1,
+        gateway=Gateway,
+        may_scope=True,
+        tells=False,
     ):
         self.clock = asyncio.get_running_loop().time
         self.rng = random.Random(seed)
@@ -163,7 +170,13 @@
             self.orders.holdings[name] = tuple(
                 Holding(AdapterKey("base-model", f"adapter-{number:05}"), 1) for number in held
             )
-            self.state.replicas[name] = Replica(name, "llm", f"10.1.0.1:{at}", f"hall-{at % 3}")
+            self.state.replicas[name] = Replica(
+                name,
+                "llm",
+                f"10.1.0.1:{at}",
+                f"hall-{at % 3}",
+                holdings=self.orders.holdings[name] if tells else (),
+            )
         window = LoadWindow(8.0, 5.0, 1.1, 3)
         self.planner = Planner(
             "llm",
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -40,7 +40,7 @@
 
 class TestGrowth:
     def test_what_a_gateway_is_told_does_not_grow_with_the_gateways(self):
-        """At 370 gateways of 600 engines each was told 40 KB a second, and 196 KB when it joined."""
+        """With 370 of them each was told 40 KB a second, and 196 KB when it joined."""
         first, *others = [measured(gateways, 600) for gateways in GATEWAYS]
         for found in others:
             for few, many in zip(first, found, strict=True):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,6 +13,7 @@
     ServerLimits,
     end_to_end,
 )
+from gradelug_http import pool as pool_module
 from gradelug_http.liveness import UNACKED_S
 from gradelug_http.pool import dial_tcp
 from world import new_loop
@@ -165,6 +166,31 @@
 
         run(scenario)
 
+    def test_of_too_many_idle_connections_the_least_used_are_closed(self, monkeypatch):
+        """A planner kept one to each of 3,000 engines."""
+        monkeypatch.setattr(pool_module, "MOST_IDLE", 2)
+
+        async def scenario():
+            net, now = Network(), [1.0]
+            pool = HttpPool(lambda: now[0], net.dial)
+            conns = {}
+            for at in range(4):
+                now[0] += 1.0
+                address = f"10.0.0.{at}:80"
+                net.servers[address] = lambda: RawServer([[answer()], [answer()]])
+                conn = conns[address] = await pool.acquire(address, 1.0)
+                conn.send(GET)
+                head = await conn.head(own(b"1"))
+                await conn.body(100)
+                pool.release(conn, head)
+            pool.prune(set(conns))
+            kept = [
+                address for address in conns if await pool.acquire(address, 1.0) is conns[address]
+            ]
+            assert kept == ["10.0.0.2:80", "10.0.0.3:80"]
+
+        run(scenario)
+
     def test_an_answer_without_length_is_whole_when_closed_and_broken_when_reset(self):
         async def scenario(ending):
             net = Network()
--- a/tests/test_scoped_news.py
+++ b/tests/test_scoped_news.py
@@ -18,7 +18,7 @@
 from gradelug_gateway.model import AdapterKey, FleetState, Holding, Replica, ToldLoad
 from gradelug_gateway.openings import CANDIDATES, KEEPERS, Openings
 from gradelug_gateway.pending import merge_news, merge_store
-from gradelug_gateway.planner import SYNCS_AT_ONCE
+from gradelug_gateway.planner import SYNCS_AT_ONCE, SYNCS_WAITING
 from gradelug_gateway.scope import MOST_KEYS, SCOPE_S
 from gradelug_wire import placement_pb2 as pb
 from grown_fleet import SPEC, GrownFleet
@@ -482,12 +482,39 @@
             fleet.planner.engines[late].take_load(1, ToldLoad(0, 1))
             await asyncio.sleep(2.0)
             assert fleet.orders.most_reports <= SYNCS_AT_ONCE
-            assert asked.index(late) <= 2 * 256
+            assert asked.index(late) <= 2 * SYNCS_WAITING
             assert all(engine.synced for engine in fleet.planner.engines.values())
             await fleet.stop()
 
         run(scenario)
 
+    def test_what_engines_tell_in_the_store_counts_until_their_reports(self):
+        """After the loss of all instances requests waited for the reports of 3,000 engines."""
+
+        async def scenario():
+            fleet = GrownFleet(1, 300, 0.0, tells=True)
+            (gateway,) = fleet.gateways
+            never = asyncio.Event()
+
+            async def report(replica):
+                await never.wait()
+
+            fleet.orders.report = report
+            await asyncio.sleep(0.05)
+            ask = gateway.ask()
+            fleet.planner.take(gateway.follower, pb.FromGateway(asks=[ask]))
+            (answer,) = gateway.follower.take_messages()[0].answers
+            key = AdapterKey(ask.model, ask.adapter)
+            assert key in {held.key for held in fleet.orders.holdings[answer.replica]}
+            again = gateway.ask()
+            again.adapter, again.absent = ask.adapter, answer.replica
+            fleet.planner.take(gateway.follower, pb.FromGateway(asks=[again]))
+            assert not fleet.planner.engines[answer.replica].holds(key)
+            assert not any(message.answers for message in gateway.follower.take_messages())
+            await fleet.stop()
+
+        run(scenario)
+
     def test_engines_that_give_no_report_keep_no_other_waiting(self):
         async def scenario():
             fleet = GrownFleet(1, 900, 0.0)
