--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -360,8 +360,7 @@
                 self._budgets.share_among(self._directory.gateways)
 
     def _tells_store(self) -> bool:
-        planners = [duty.planner for duty in self._duties.values() if duty.planner is not None]
-        return any(planner.followers.tells_store for planner in planners)
+        return any(planner.followers.tells_store for planner in self._planners())
 
     # Status.
 
@@ -392,9 +391,37 @@
             lambda: self._freshness.age_s,
         )
         gauge("plans", "Services planned for", lambda: self._count_planned())
+        gauge(
+            "news_age_seconds",
+            "Since a planner that is followed told something, the longest of all",
+            lambda: self._directory.news_age_s,
+        )
+        gauge(
+            "news_scoped",
+            "1 while planners tell of the weights alone that are used here",
+            lambda: self._fleet.is_scoped,
+        )
+        gauge(
+            "weights_located",
+            "Weights of which it is known where they are",
+            lambda: self._fleet.located,
+        )
+        gauge(
+            "engines_unknown",
+            "Engines planned for that have not given their state",
+            lambda: sum(planner.unknown_engines for planner in self._planners()),
+        )
+        gauge(
+            "gateways_behind",
+            "Gateways that have not read the news that the planner here has for them",
+            lambda: sum(planner.followers.behind for planner in self._planners()),
+        )
+
+    def _planners(self) -> list[Planner]:
+        return [duty.planner for duty in self._duties.values() if duty.planner is not None]
 
     def _count_planned(self) -> int:
-        return sum(duty.planner is not None for duty in self._duties.values())
+        return len(self._planners())
 
 
 def _spacing_s(bounds: Bounds) -> float:
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -140,6 +140,12 @@
         """Instances that share the work, 0 if unknown."""
         return max((link.gateways for link in self._links.values()), default=0)
 
+    @property
+    def news_age_s(self) -> float:
+        """Time since a planner that is followed told something, the longest of all, in seconds."""
+        followed = [link for link in self._links.values() if link.is_followed]
+        return max((link.news_age_s for link in followed), default=0.0)
+
     async def place(
         self,
         service: str,
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -193,6 +193,11 @@
         if not names:
             del self._by_key[key]
 
+    @property
+    def located(self) -> int:
+        """Weights of which planners have told where they are."""
+        return len(self._by_key)
+
     def reported(self, service: str, key: AdapterKey) -> list[Replica]:
         """Return the replicas of a service that say themselves that weights can be used there."""
         newest, known = self.state.versions.get(key, 0), self.state.replicas
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -323,6 +323,11 @@
         for follower in self._by_number.values():
             follower.tell(news, store)
 
+    @property
+    def behind(self) -> int:
+        """Gateways that have not read what they were told last."""
+        return sum(follower.pending.is_waiting for follower in self._by_number.values())
+
     @property
     def tells_store(self) -> bool:
         """Whether there are enough gateways for the planner to look at the store for them."""
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -164,11 +164,15 @@
         """Give back what was granted at a moment to a request that has not run."""
         self._quotas.give_back(organisation, tokens, granted_at)
 
+    @property
+    def news_age_s(self) -> float:
+        """Time since the planner told something, in seconds."""
+        return self._clock() - self._heard_at
+
     @property
     def is_quiet(self) -> bool:
         """Whether the planner may be lost: none is followed, or nothing has come when it should."""
-        quiet_s = self._clock() - self._heard_at
-        return not self.is_followed or quiet_s > self.news_s + QUIET_S
+        return not self.is_followed or self.news_age_s > self.news_s + QUIET_S
 
     async def ask(
         self, ticket: int, ask: pb.Ask, until: float, has_choice: bool = False
--- a/packages/gateway/src/gradelug_gateway/pending.py
+++ b/packages/gateway/src/gradelug_gateway/pending.py
@@ -46,6 +46,11 @@
         self.replicas: set[str] = set()
         """Replicas of which it is to be told what runs there."""
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether there are news that were not read."""
+        return self._news is not None
+
     def add(self, news: pb.FromPlanner, store: pb.StoreNews | None) -> None:
         """Have news told, which others are told as well."""
         self._news = news if self._news is None else merge_news(self._news, news)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -210,6 +210,11 @@
             if holding.key.adapter and holding not in engine.cached:
                 engine.remember(holding)
 
+    @property
+    def unknown_engines(self) -> int:
+        """Engines that have not given their state."""
+        return sum(not engine.synced for engine in self.engines.values())
+
     def _sync_engines(self) -> None:
         """Ask engines for their state, those in use first."""
         unknown = [
