--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -112,7 +112,7 @@
     ) -> None:
         self.replica = replica
         self.spec = spec
-        self._index = index or EngineIndex()
+        self._index = index if index is not None else EngineIndex()
         self.orders = 0
         self.places = Places(self, self._index)
         self.cached: dict[Holding, None] = {}
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -8,6 +8,7 @@
 import typing as t
 
 import logbook
+from gradelug_policy.cells import Cells
 from gradelug_wire import placement_pb2 as pb
 
 from .engines import Engine, Phase
@@ -176,10 +177,13 @@
         Finds the engines that hold weights; it knows which have changed.
     may_scope : bool
         Whether gateways of a large fleet are told of what they use alone.
+    cells : Cells or None
+        The engines in cells: of very many with the same weights each gateway is told of others.
     """
 
     __slots__ = (
         "_by_number",
+        "_cells",
         "_changed",
         "_clock",
         "_engines",
@@ -205,9 +209,11 @@
         parts: t.Sequence[PlannerPart] = (),
         index: EngineIndex | None = None,
         may_scope: bool = True,
+        cells: Cells | None = None,
     ) -> None:
+        self._cells = cells if cells is not None else Cells()
         self._engines = engines
-        self._index = index or EngineIndex()
+        self._index = index if index is not None else EngineIndex()
         self._may_scope = may_scope
         self._parts = parts
         self._store = store
@@ -394,20 +400,29 @@
 
     def _note_loads(self) -> None:
         """Note to whom it matters what runs on the engines where that has changed."""
-        for name in self._index.changed_loads:
+        changed = self._index.changed_loads
+        chooses = not self.pacing.ask_first
+        for name in changed:
             engine = self._engines.get(name)
             if engine is None:
                 continue
             numbers = set(engine.gateways)
-            if not self.pacing.ask_first:
-                # They choose by it themselves.
-                for key in engine.places:
-                    numbers.update(self._scopes.watchers(key))
+            if chooses:
+                numbers.update(self._choosers(engine))
             for number in numbers:
                 follower = self._by_number.get(number)
                 if follower is not None:
                     follower.pending.replicas.add(name)
-        self._index.changed_loads.clear()
+        for follower in self._by_number.values() if chooses else ():
+            for homes in follower.pending.some.values():
+                follower.pending.replicas.update(changed & homes.keys())
+        changed.clear()
+
+    def _choosers(self, engine: Engine) -> t.Iterator[int]:
+        """Yield the gateways that may send requests there without a question."""
+        for key in engine.places:
+            if len(self._index.with_key(key)) <= MOST_HOMES:
+                yield from self._scopes.watchers(key)
 
     def _note_homes(self) -> None:
         """Note to whom it matters where weights are, if that has changed."""
@@ -459,8 +474,17 @@
             pending.is_whole = False
             message.whole = True
             pending.keys = set(used)
+            pending.some.clear()
         for key in pending.keys:
-            message.homes.append(self._encode_homes(follower, key, key in used))
+            homes = self._homes(key) if key in used else {}
+            if len(homes) > MOST_HOMES:
+                homes = self._some(follower, homes)
+                if pending.some.get(key) == homes:
+                    continue
+                pending.some[key] = homes
+            else:
+                pending.some.pop(key, None)
+            message.homes.append(_encode_homes(key, homes))
         for name in pending.replicas:
             engine = self._engines.get(name)
             if engine is not None:
@@ -485,18 +509,10 @@
             if engine.places[key].phase is Phase.READY
         }
 
-    def _encode_homes(self, follower: Follower, key: AdapterKey, is_used: bool) -> pb.Homes:
-        """Return where weights are; nowhere if the gateway is not told of them any more."""
-        encoded = pb.Homes(model=key.model, adapter=key.adapter)
-        if not is_used:
-            return encoded
-        homes = list(self._homes(key).items())
-        if len(homes) > MOST_HOMES:
-            start = follower.number * MOST_HOMES % len(homes)
-            homes = (homes[start:] + homes[:start])[:MOST_HOMES]
-        for name, version in homes:
-            encoded.homes.add(replica=name, version=version)
-        return encoded
+    def _some(self, follower: Follower, homes: t.Mapping[str, int]) -> dict[str, int]:
+        """Return a few of very many engines, which stay the same for a gateway while they can."""
+        names = (name for name in self._cells.homes(follower.process) if name in homes)
+        return {name: homes[name] for name in itertools.islice(names, MOST_HOMES)}
 
     def _holdings(self, name: str) -> pb.Holdings:
         holdings = pb.Holdings(replica=name)
@@ -509,6 +525,14 @@
         return holdings
 
 
+def _encode_homes(key: AdapterKey, homes: t.Mapping[str, int]) -> pb.Homes:
+    """Return where weights are; nowhere as well if a gateway is not told of them any more."""
+    encoded = pb.Homes(model=key.model, adapter=key.adapter)
+    for name, version in homes.items():
+        encoded.homes.add(replica=name, version=version)
+    return encoded
+
+
 def encode_load(replica: str, engine: Engine) -> pb.Load:
     """Return what runs on an engine, of all gateways."""
     load = engine.load()
--- a/packages/gateway/src/gradelug_gateway/pending.py
+++ b/packages/gateway/src/gradelug_gateway/pending.py
@@ -30,7 +30,7 @@
         Adds to a message what this gateway alone is told.
     """
 
-    __slots__ = ("_complete", "_news", "_store", "is_whole", "keys", "replicas")
+    __slots__ = ("_complete", "_news", "_store", "is_whole", "keys", "replicas", "some")
 
     def __init__(
         self,
@@ -43,6 +43,8 @@
         """Weights of which it is to be told where they are, or that it is not told of any more."""
         self.is_whole = True
         """Whether it is to be told of all weights that it uses, and to forget of others."""
+        self.some: dict[AdapterKey, dict[str, int]] = {}
+        """What it was told of weights that very many replicas have."""
         self.replicas: set[str] = set()
         """Replicas of which it is to be told what runs there."""
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -122,7 +122,7 @@
         )
         """What else gateways tell this instance, and are told."""
         self.followers = Followers(
-            self.engines, clock, store, self.parts, self.index, may_scope_news
+            self.engines, clock, store, self.parts, self.index, may_scope_news, self._cells
         )
         self.popularity = Popularity(HALF_LIFE_S)
         self.tokens = Popularity(HALF_LIFE_S)
--- a/tests/test_scoped_news.py
+++ b/tests/test_scoped_news.py
@@ -20,6 +20,7 @@
 from gradelug_gateway.pending import merge_news, merge_store
 from gradelug_gateway.planner import SYNCS_AT_ONCE, SYNCS_WAITING
 from gradelug_gateway.scope import MOST_KEYS, SCOPE_S
+from gradelug_policy.cells import Cells
 from gradelug_wire import placement_pb2 as pb
 from grown_fleet import SPEC, GrownFleet
 from hypothesis import settings
@@ -49,12 +50,18 @@
         self.state = FleetState()
         self.index = EngineIndex()
         self.engines = {}
+        self.cells = Cells()
         for number in range(ENGINES):
             rep = Replica(f"e{number}", "llm", f"e:{number}", "hall")
             self.state.replicas[rep.name] = rep
             self.engines[rep.name] = Engine(rep, SPEC, self.index)
+            self.cells.add(rep.name)
         self.followers = Followers(
-            self.engines, lambda: self.now, index=self.index, may_scope=may_scope
+            self.engines,
+            lambda: self.now,
+            index=self.index,
+            may_scope=may_scope,
+            cells=self.cells,
         )
         self.loop = new_loop()
         self.loop.run_until_complete(self._join(gateways))
@@ -298,7 +305,21 @@
         model.followers.note_use(model.follower, key)
         model.tell(2.0)
         model.read()
+        told = model.view(key)
+        assert len(told) == MOST_HOMES
+        near, far = next(iter(told)), next(name for name in model.engines if name not in told)
+        for name in (near, far):
+            model.engines[name].take_load(77, ToldLoad(0, 5))
+        model.remove(far, key)
+        model.tell(2.0)
+        (message,) = model.read()
+        assert not message.homes
+        assert [load.replica for load in message.loads] == [near]
+        model.remove(near, key)
+        model.tell(2.0)
+        model.read()
         assert len(model.view(key)) == MOST_HOMES
+        assert len(model.view(key).keys() & told.keys()) == MOST_HOMES - 1
 
     def test_a_gateway_is_told_what_runs_where_it_runs_something(self):
         model = Model(gateways=60)
@@ -324,6 +345,25 @@
         assert len(message.holdings) >= 8
         assert model.view(KEYS[0]) == {"e0": 1}
 
+    def test_a_base_model_that_all_engines_hold_is_told_in_part(self):
+        async def scenario():
+            fleet = GrownFleet(3, 400, 0.0)
+            await fleet.play(3.0)
+            told = []
+            for gateway in fleet.gateways:
+                gateway.follower.take_messages()
+                use = pb.Use(replica="x", model="base-model", active=1, started=1)
+                fleet.planner.take(gateway.follower, pb.FromGateway(uses=[use]))
+            await asyncio.sleep(1.0)
+            for gateway in fleet.gateways:
+                (homes,) = gateway.follower.take_messages()[-1].homes
+                told.append({home.replica for home in homes.homes})
+            assert [len(names) for names in told] == [MOST_HOMES] * 3
+            assert told[0] != told[1]
+            await fleet.stop()
+
+        run(scenario)
+
 
 class TestMergedNews:
     def test_the_newest_of_each_replica_is_kept(self):
