--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -314,8 +314,8 @@
         holdings_due = now - self._holdings_at >= self.pacing.holdings_s - NEWS_SLACK_S
         if holdings_due:
             self._holdings_at = now
+        self._expire(now)
         if self.is_scoped:
-            self._expire(now)
             self._note_loads()
             if holdings_due:
                 self._note_homes()
--- a/tests/test_scoped_news.py
+++ b/tests/test_scoped_news.py
@@ -244,6 +244,16 @@
         for key in used:
             assert model.view(key) == model.truth(key)
 
+    @pytest.mark.parametrize("may_scope", [True, False])
+    def test_what_was_used_long_ago_is_not_kept(self, may_scope):
+        model = Model(may_scope=may_scope)
+        for step in range(400):
+            model.followers.note_use(model.follower, AdapterKey("m", f"b{step}"))
+            model.tell(0.2)
+            model.read()
+        used = model.followers._scopes.used(model.follower.number)
+        assert len(used) <= SCOPE_S / 0.2 + 1
+
     def test_answers_that_are_not_read_are_bounded(self):
         model = Model()
         for ticket in range(MOST_ANSWERS + 50):
