--- a/tests/test_storenews.py
+++ b/tests/test_storenews.py
@@ -15,6 +15,7 @@
 from gradelug_gateway.model import AdapterKey, FleetState, Replica, Snapshot
 from gradelug_gateway.storenews import (
     LEAST_FOLLOWERS,
+    LISTED_AT_ONCE,
     TELL_SPACING_S,
     StoreListener,
     StoreTeller,
@@ -253,3 +254,56 @@
             site.task.cancel()
 
         run(scenario)
+
+
+class TestListing:
+    def test_a_gateway_is_told_what_it_does_not_know_in_pieces(self):
+        """300 gateways that joined at once were told of 3,000 replicas each in one message."""
+
+        async def scenario():
+            pair = Pair()
+            for number in range(2 * LISTED_AT_ONCE + 10):
+                await pair.put(f"s/r{number}", {"address": "r:1"})
+            await asyncio.sleep(2.0)
+            told, since, pieces = set(), 0, []
+            while not pieces or since:
+                piece, since = pair.teller.listing(since, not pieces)
+                pieces.append(piece)
+                told.update(fact.replica for fact in piece.replicas)
+            assert len(pieces) == 3
+            assert all(len(piece.replicas) <= LISTED_AT_ONCE for piece in pieces)
+            assert told == pair.planner.state.replicas.keys()
+            assert [piece.look for piece in pieces] == [True, False, False]
+            known = pair.planner.mirror.revision
+            await pair.put("s/late", {"address": "l:1"})
+            await asyncio.sleep(2.0)
+            piece, since = pair.teller.listing(known, True)
+            assert [fact.replica for fact in piece.replicas] == ["late"]
+            assert not since
+            await pair.stop()
+
+        run(scenario)
+
+    def test_changes_are_told_beside_the_pieces(self):
+        async def scenario():
+            pair = Pair()
+            pair.task.cancel()
+            for number in range(2 * LISTED_AT_ONCE + 10):
+                await pair.put(f"s/r{number}", {"address": "r:1"})
+            await asyncio.sleep(2.0)
+            pair.followers.tell_news(True)
+            told = [message.store for message in pair.follower.take_messages()]
+            await pair.remove("s/r0")
+            await pair.put("v/a1", 2)
+            await asyncio.sleep(2.0)
+            for _ in range(3):
+                pair.followers.tell_news(True)
+                told += [message.store for message in pair.follower.take_messages()]
+            facts = [(fact.replica, fact.gone) for news in told for fact in news.replicas]
+            assert ("r0", True) in facts
+            assert len({name for name, _ in facts}) == 2 * LISTED_AT_ONCE + 10
+            assert [fact.version for news in told for fact in news.versions] == [2]
+            assert pair.follower.has_store
+            await pair.stop()
+
+        run(scenario)
