--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -198,7 +198,8 @@
                 if len(told) > SYNCS_AT_ONCE:
                     engine.take_told(self._clock())
                     self.followers.mark(name)
-            elif engine.replica is not rep:
+            elif engine.replica is not rep or len(told) <= SYNCS_AT_ONCE:
+                # Of few engines what they tell counts again each time, also if it was forgotten.
                 engine.replica = rep
                 self._take_cached(engine)
         if self.term is not None:
