Join the placement layer that grows with the lives of replicas

Change: a fresh engine of the same name enters the index as the earlier one leaves it; an engine whose life is over tells the index nothing more, or its late ends would hide what the later one holds. `Engine(replica, spec, index, strays, born)`.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -40,7 +40,7 @@
 from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
-from .settings import Bounds, GatewaySettings
+from .settings import Bounds, Feature, GatewaySettings
 from .storenews import TELL_SPACING_S, StoreListener, StoreTeller
 
 log = logbook.Logger("daemon")
@@ -330,6 +330,7 @@
             self._fleet.speeds,
             StoreTeller(self._feed, self._mirror, self._clock, self._freshness, self._is_strong),
             self._directory.gateways,
+            Feature.SCOPED_NEWS in self.settings.features,
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
@@ -364,8 +365,7 @@
                 self._budgets.share_among(self._directory.gateways)
 
     def _tells_store(self) -> bool:
-        planners = [duty.planner for duty in self._duties.values() if duty.planner is not None]
-        return any(planner.followers.tells_store for planner in planners)
+        return any(planner.followers.tells_store for planner in self._planners())
 
     # Status.
 
@@ -402,9 +402,37 @@
             lambda: self._freshness.age_s,
         )
         gauge("plans", "Services planned for", lambda: self._count_planned())
+        gauge(
+            "news_age_seconds",
+            "Since a planner that is followed told something, the longest of all",
+            lambda: self._directory.news_age_s,
+        )
+        gauge(
+            "news_scoped",
+            "1 while planners tell of the weights alone that are used here",
+            lambda: self._fleet.is_scoped,
+        )
+        gauge(
+            "weights_located",
+            "Weights of which it is known where they are",
+            lambda: self._fleet.located,
+        )
+        gauge(
+            "engines_unknown",
+            "Engines planned for that have not given their state",
+            lambda: sum(planner.unknown_engines for planner in self._planners()),
+        )
+        gauge(
+            "gateways_behind",
+            "Gateways that have not read the news that the planner here has for them",
+            lambda: sum(planner.followers.behind for planner in self._planners()),
+        )
+
+    def _planners(self) -> list[Planner]:
+        return [duty.planner for duty in self._duties.values() if duty.planner is not None]
 
     def _count_planned(self) -> int:
-        return sum(duty.planner is not None for duty in self._duties.values())
+        return len(self._planners())
 
 
 def _spacing_s(bounds: Bounds) -> float:
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -140,6 +140,12 @@
         """Instances that share the work, 0 if unknown."""
         return max((link.gateways for link in self._links.values()), default=0)
 
+    @property
+    def news_age_s(self) -> float:
+        """Time since a planner that is followed told something, the longest of all, in seconds."""
+        followed = [link for link in self._links.values() if link.is_followed]
+        return max((link.news_age_s for link in followed), default=0.0)
+
     async def place(
         self,
         service: str,
@@ -173,6 +179,10 @@
             If the planner says that it cannot be placed, or time runs out.
         """
         link = self._link(service)
+        if known is None and not absent and self._fleet.is_scoped and not link.is_followed:
+            # Nobody tells where weights are that were not in use here; replicas do, later.
+            reported = self._fleet.reported(service, key)
+            known = self._fleet.choose(reported, excluded, only, wish.work)
         while True:
             self._ticket += 1
             ask = pb.Ask(
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -164,11 +164,15 @@
         """Give back what was granted at a moment to a request that has not run."""
         self._quotas.give_back(organisation, tokens, granted_at)
 
+    @property
+    def news_age_s(self) -> float:
+        """Time since the planner told something, in seconds."""
+        return self._clock() - self._heard_at
+
     @property
     def is_quiet(self) -> bool:
         """Whether the planner may be lost: none is followed, or nothing has come when it should."""
-        quiet_s = self._clock() - self._heard_at
-        return not self.is_followed or quiet_s > self.news_s + QUIET_S
+        return not self.is_followed or self.news_age_s > self.news_s + QUIET_S
 
     async def ask(
         self, ticket: int, ask: pb.Ask, until: float, has_choice: bool = False
@@ -298,6 +302,8 @@
             message.address = self._address
             message.hall = self._fleet.hall
             message.strength = self._strength
+            if self._listener is not None:
+                message.store_revision = self._listener.revision
             message.shares.update(self._shares.holding(self._sent_at))
         for question in self._questions.values():
             if not question.sent:
@@ -339,6 +345,9 @@
                     running=own.running,
                     queued=own.queued,
                 )
+        for name in [name for name in self._told_loads if not self._fleet.has_load(name)]:
+            if self._told_loads.pop(name) != ToldLoad():
+                message.loads.add(replica=name)
         self._retold.clear()
 
     def _add_owned(self, message: pb.FromGateway) -> None:
@@ -380,6 +389,14 @@
                 holdings.replica,
                 {AdapterKey(held.model, held.adapter): held.version for held in holdings.held},
             )
+        if message.whole:
+            self._fleet.forget_homes(self.service)
+        for homes in message.homes:
+            self._fleet.set_homes(
+                self.service,
+                AdapterKey(homes.model, homes.adapter),
+                {home.replica: home.version for home in homes.homes},
+            )
         for told in message.loads:
             self._take_load(told, ToldLoad())
         if message.cut_off and self._executor is not None:
@@ -400,6 +417,7 @@
         self.news_s = message.news_ms / 1000 or NEWS_S
         self._flush_s = message.flush_ms / 1000 or FLUSH_S
         self.ask_first = message.ask_first
+        self._fleet.is_scoped = message.scoped
         self.has_resigned = message.resigned
 
     def _take_load(self, told: pb.Load, booked: ToldLoad) -> None:
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -10,6 +10,7 @@
 from gradelug_gateway.engines import STRAY_S, Engine, Phase, Place
 from gradelug_gateway.feed import Feed
 from gradelug_gateway.fleet import Fleet
+from gradelug_gateway.holders import EngineIndex
 from gradelug_gateway.model import AdapterKey, EngineReport, FleetState, Holding, Replica, ToldLoad
 from gradelug_gateway.storenews import _decode, _essence
 from gradelug_platform.entries import PlatformEntries
@@ -250,16 +251,28 @@
     def test_a_place_is_kept_for_a_load_that_may_still_reach_it(self):
         engine = Engine(Replica("e0", "llm", "10.0.0.1:80", "z", born=1), SPEC)
         engine.note_lost_load(2, 10.0)
-        fresh = Engine(engine.replica, SPEC, engine.strays(11.0))
+        fresh = Engine(engine.replica, SPEC, strays=engine.strays(11.0))
         assert fresh.free() == SLOTS - 1
         fresh.take_report(EngineReport(3, (), (), frozenset(), False), 12.0)
         # It has taken more orders than that one expects.
         assert fresh.free() == SLOTS
-        late = Engine(engine.replica, SPEC, engine.strays(10.0 + STRAY_S))
+        late = Engine(engine.replica, SPEC, strays=engine.strays(10.0 + STRAY_S))
         assert late.free() == SLOTS
         late.places[A1] = Place(1, Phase.READY, 0.0)
         assert late.free() == SLOTS - 1
 
+    def test_what_ends_late_of_the_earlier_one_hides_nothing_of_the_later_one(self):
+        index = EngineIndex()
+        rep = Replica("e0", "llm", "10.0.0.1:80", "z", born=1)
+        old = Engine(rep, SPEC, index)
+        old.places[A1] = Place(1, Phase.READY, 0.0)
+        index.drop(old)
+        old.has_ended = True
+        fresh = Engine(rep, SPEC, index, (), 2)
+        fresh.places[A1] = Place(1, Phase.READY, 0.0)
+        old.undo(A1, old.places[A1])
+        assert index.with_key(A1) == {"e0": fresh}
+
 
 def born(name, number):
     return Replica(name, "llm", f"{name}:1", "hall", born=number)
