Quotas: within an organisation's used-up quota the urgent go first, by levels of its bucket

Cause: one organisation at 6.6 to 7.5 times its usual; the home granted to whoever came first, so each kind got the same part, the largest tenth next to nothing (a small request takes what has come in before there is enough for a large one), and who repeats at once most. Change: policy.contention (levels learned from the mix, least parts, promises only to who waits so long, who comes too early is last), policy.attempts (whose first try it is, from the waiting times of a route), fields of QuotaAsk filled, QuotaAnswer tells level, what was needed and how the caller came. Feature URGENT_QUOTAS; off, first come, first served as before. Tests: state machine of the QUOTA rule with urgencies, sizes, callers that come back, limits that change. The stubs of two tests take the further argument of ask_quota.

--- a/packages/gateway/src/gradelug_gateway/answering.py
+++ b/packages/gateway/src/gradelug_gateway/answering.py
@@ -84,12 +84,18 @@
             "limited",
             id=job.req.id,
             why=str(exc),
-            tokens=job.req.prompt_tokens + job.req.most_tokens,
+            route=job.route.name,
+            rank=job.route.rank,
+            standing=exc.inputs.standing,
+            tokens=exc.inputs.tokens,
+            level=exc.inputs.level,
+            needed=exc.inputs.needed,
+            wait_s=round(job.deadline_at - self._clock(), 3),
             retry_s=round(exc.retry_after_s, 3),
             config=job.config,
         )
         self._meters.outcome(job.route.name, "limited")
-        self._meters.limited(exc.organisation)
+        self._meters.limited(exc.organisation, job.route.rank, exc.inputs.standing)
         self.answer_self(job.inc, job.req.id, 429, exc.retry_after_s)
 
     def deny(self, inc: Incoming, req: Request, route: Route, why: str) -> None:
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -325,6 +325,7 @@
             self._fleet.speeds,
             StoreTeller(self._feed, self._mirror, self._clock, self._freshness, self._is_strong),
             self._directory.gateways,
+            self.settings.features,
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -20,7 +20,7 @@
 from .model import AdapterKey, ToldLoad
 from .pacing import FLUSH_S, NEWS_S
 from .parts import GatewayPart
-from .quotas import QuotaQuestions
+from .quotas import Applicant, QuotaQuestions
 from .search import PlannerAddress
 from .storenews import StoreListener
 
@@ -156,9 +156,11 @@
         self._parts: tuple[GatewayPart, ...] = (self._quotas, *parts)
         """What else is told on the stream."""
 
-    async def ask_quota(self, organisation: str, tokens: int, until: float) -> pb.QuotaAnswer:
+    async def ask_quota(
+        self, organisation: str, tokens: int, until: float, applicant: Applicant
+    ) -> pb.QuotaAnswer:
         """Return the planner's answer for a quota; raises `TimeoutError`."""
-        return await self._quotas.ask(organisation, tokens, until)
+        return await self._quotas.ask(organisation, tokens, until, applicant)
 
     def return_quota(self, organisation: str, tokens: int, granted_at: float) -> None:
         """Give back what was granted at a moment to a request that has not run."""
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -4,6 +4,7 @@
 
 import typing as t
 
+from gradelug_policy.contention import URGENCIES
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0)
@@ -12,7 +13,7 @@
 class Meters:
     """What the daemon counts."""
 
-    __slots__ = ("_error", "_first", "_latency", "_limited", "_outcomes", "_registry")
+    __slots__ = ("_error", "_first", "_granted", "_latency", "_limited", "_outcomes", "_registry")
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
@@ -25,7 +26,13 @@
         self._limited = Counter(
             "gradelug_limited",
             "Requests beyond the quota of their organisation",
-            ["organisation"],
+            ["organisation", "urgency", "standing"],
+            registry=self._registry,
+        )
+        self._granted = Counter(
+            "gradelug_granted_tokens",
+            "Tokens granted from the quota of an organisation",
+            ["organisation", "urgency"],
             registry=self._registry,
         )
         self._latency = Histogram(
@@ -57,9 +64,16 @@
         """Count a request's end."""
         self._outcomes.labels(route, end).inc()
 
-    def limited(self, organisation: str) -> None:
-        """Count a request beyond its organisation's quota."""
-        self._limited.labels(organisation).inc()
+    def limited(self, organisation: str, rank: int, standing: str) -> None:
+        """Count a request beyond its organisation's quota.
+
+        Labels are bounded: organisations by the configuration, urgencies by `URGENCIES`.
+        """
+        self._limited.labels(organisation, min(rank, URGENCIES - 1), standing).inc()
+
+    def granted(self, organisation: str, rank: int, tokens: int) -> None:
+        """Count tokens that an organisation's quota granted."""
+        self._granted.labels(organisation, min(rank, URGENCIES - 1)).inc(tokens)
 
     def latency(self, streaming: bool, seconds: float) -> None:
         """Take a served request's time."""
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -23,6 +23,7 @@
 from .ports import OrderTransport
 from .quota_desk import QuotaDesk
 from .relay import OrderRelay
+from .settings import Feature
 from .storenews import StoreTeller
 from .upkeep import Upkeep
 from .waiting import Waiter, WaitingLine
@@ -77,6 +78,8 @@
         Tells gateways what this instance sees in the platform's store.
     expected : int
         Gateways that its predecessor knew, 0 if none is known.
+    features : frozenset of Feature
+        Those that are switched on.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         speeds: ReadingSpeeds | None = None,
         store: StoreTeller | None = None,
         expected: int = 0,
+        features: frozenset[Feature] = frozenset(Feature),
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -99,7 +103,11 @@
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
         self.parts: tuple[PlannerPart, ...] = (
-            QuotaDesk(QuotaHome(clock(), expected), state, lambda: self.term is not None),
+            QuotaDesk(
+                QuotaHome(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features),
+                state,
+                lambda: self.term is not None,
+            ),
         )
         """What else gateways tell this instance, and are told."""
         self.followers = Followers(self.engines, clock, store, self.parts)
--- a/packages/gateway/src/gradelug_gateway/quota_desk.py
+++ b/packages/gateway/src/gradelug_gateway/quota_desk.py
@@ -5,11 +5,13 @@
 import math
 import typing as t
 
+from gradelug_policy.contention import Caller
 from gradelug_policy.quotas import QuotaHome, QuotaTerms
 from gradelug_wire import placement_pb2 as pb
 
 from .followers import Follower
 from .model import FleetState
+from .quotas import LONGEST_WAIT_S
 
 
 class QuotaDesk:
@@ -61,10 +63,14 @@
         if organisation.quota is None:
             return pb.QuotaAnswer(ticket=ask.ticket, granted=True)
         terms = QuotaTerms(organisation.quota.rate, organisation.quota.burst)
-        verdict = self._home.ask(follower.process, organisation.name, terms, ask.tokens, now)
-        return pb.QuotaAnswer(
-            ticket=ask.ticket,
-            granted=verdict.granted,
-            retry_after_ms=math.ceil(verdict.retry_s * 1000),
-            share=verdict.share,
+        caller = Caller(ask.rank, ask.wait_ms / 1000, ask.since_ms / 1000)
+        verdict = self._home.ask(
+            follower.process, organisation.name, terms, ask.tokens, now, caller
         )
+        answer = pb.QuotaAnswer(ticket=ask.ticket, granted=verdict.granted, share=verdict.share)
+        if not verdict.granted:
+            answer.retry_after_ms = math.ceil(min(verdict.retry_s, LONGEST_WAIT_S) * 1000)
+            answer.level = math.floor(verdict.level)
+            answer.needed = math.ceil(verdict.needed)
+            answer.standing = verdict.standing.value
+        return answer
--- a/packages/gateway/src/gradelug_gateway/quotas.py
+++ b/packages/gateway/src/gradelug_gateway/quotas.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import typing as t
 from dataclasses import dataclass
@@ -16,7 +17,7 @@
 from gradelug_policy.quotas import LocalShares
 from gradelug_wire import placement_pb2 as pb
 
-from .exceptions import Limited, Refused
+from .exceptions import Limited, QuotaInputs, Refused
 from .organisations import Organisation
 
 log = logbook.Logger("quotas")
@@ -27,10 +28,37 @@
 """Another instance may reach the home."""
 POLL_S = 0.03
 """How often a request that waits for a home looks whether there is one."""
+LONGEST_WAIT_S = 3_600.0
+"""Nobody is told to come back later than this: a caller that waits for ever is told the same."""
 JITTER = 0.5
 """Callers that were refused together come back spread over so much more of the time."""
 
 
+@dataclass(slots=True, frozen=True)
+class Applicant:
+    """Who asks for a part of a quota, as the home is told.
+
+    Parameters
+    ----------
+    rank : int
+        Urgency within the organisation, 0 first.
+    value : float
+        What an answer in time is worth, 1 for an ordinary urgent request.
+    until : float
+        Until when an answer is of use, by the runtime's clock.
+    since_s : float
+        Time since the caller's first try, in seconds; 0 if this is it.
+    """
+
+    rank: int = 0
+    value: float = 1.0
+    until: float = math.inf
+    since_s: float = 0.0
+
+
+ANYBODY = Applicant()
+
+
 class QuotaLink(t.Protocol):
     """The way to the home of the quotas."""
 
@@ -39,7 +67,9 @@
         """Whether the home may be lost."""
         ...
 
-    async def ask_quota(self, organisation: str, tokens: int, until: float) -> pb.QuotaAnswer:
+    async def ask_quota(
+        self, organisation: str, tokens: int, until: float, applicant: Applicant
+    ) -> pb.QuotaAnswer:
         """Return the home's answer; raises `TimeoutError`."""
         ...
 
@@ -103,7 +133,12 @@
         self._shares = shares
 
     async def take(
-        self, organisation: Organisation, prompt: int, most: int, until: float
+        self,
+        organisation: Organisation,
+        prompt: int,
+        most: int,
+        until: float,
+        applicant: Applicant = ANYBODY,
     ) -> Charge | None:
         """Let a request run, or raise.
 
@@ -118,6 +153,8 @@
             Tokens that the request states; 0 for none.
         until : float
             How long it may wait for a home, by the runtime's clock.
+        applicant : Applicant
+            Who asks.
 
         Returns
         -------
@@ -136,20 +173,20 @@
         name = organisation.name
         tokens = round(organisation.quota.charge(prompt, most))
         while True:
-            charge = await self._ask(name, tokens) or self._draw(name, tokens)
+            charge = await self._ask(name, tokens, applicant) or self._draw(name, tokens)
             if charge is not None:
                 return charge
             if self._clock() >= until:
                 raise Refused(f"the quota of {name} cannot be asked for", ELSEWHERE_S)
             await asyncio.sleep(POLL_S)
 
-    async def _ask(self, name: str, tokens: int) -> Charge | None:
+    async def _ask(self, name: str, tokens: int, applicant: Applicant) -> Charge | None:
         """Ask the home; None if it cannot be asked or grants nothing now."""
         link = self._locate()
         if link is None or link.is_quiet:
             return None
         try:
-            answer = await link.ask_quota(name, tokens, self._clock() + ANSWER_S)
+            answer = await link.ask_quota(name, tokens, self._clock() + ANSWER_S, applicant)
         except TimeoutError:
             log.info("no answer on a quota", organisation=name)
             return None
@@ -163,7 +200,8 @@
         if answer.granted:
             return Charge(name, tokens, link, now)
         retry_s = answer.retry_after_ms / 1000
-        raise Limited(name, retry_s * (1 + JITTER * self._rng.random()))
+        inputs = QuotaInputs(tokens, answer.level, answer.needed, answer.standing)
+        raise Limited(name, retry_s * (1 + JITTER * self._rng.random()), inputs)
 
     def _draw(self, name: str, tokens: int) -> Charge | None:
         """Draw on this instance's share while the home is being replaced."""
@@ -196,10 +234,21 @@
         self._returns: list[pb.QuotaReturn] = []
         self._ticket = 0
 
-    async def ask(self, organisation: str, tokens: int, until: float) -> pb.QuotaAnswer:
+    async def ask(
+        self, organisation: str, tokens: int, until: float, applicant: Applicant = ANYBODY
+    ) -> pb.QuotaAnswer:
         """Return the home's answer; raises `TimeoutError`."""
         self._ticket += 1
-        ask = pb.QuotaAsk(ticket=self._ticket, organisation=organisation, tokens=tokens)
+        ask = pb.QuotaAsk(
+            ticket=self._ticket,
+            organisation=organisation,
+            tokens=tokens,
+            rank=applicant.rank,
+            value=applicant.value,
+            returning=applicant.since_s > 0,
+            wait_ms=self._wait_ms(applicant.until),
+            since_ms=round(applicant.since_s * 1000),
+        )
         fut = self._futures[ask.ticket] = asyncio.get_running_loop().create_future()
         self._unsent.append(ask)
         self._wake()
@@ -239,6 +288,9 @@
         for answer in message.quota_answers:
             self._take_answer(answer)
 
+    def _wait_ms(self, until: float) -> int:
+        return round(1000 * min(LONGEST_WAIT_S, max(0.0, until - self._clock())))
+
     def _take_answer(self, answer: pb.QuotaAnswer) -> None:
         fut = self._futures.pop(answer.ticket, None)
         if fut is not None and not fut.done():
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -9,6 +9,7 @@
 
 import logbook
 from gradelug_http import ClientGone, Incoming
+from gradelug_policy.attempts import FirstTries
 
 from .admitting import Admitter
 from .answering import RETRY_AFTER_S, Answerer
@@ -21,7 +22,7 @@
 from .metrics import Meters
 from .model import AdapterKey, Repeat, Replica, Request, Service
 from .ports import BadRequest, Dialect
-from .quotas import Quotas
+from .quotas import Applicant, Quotas
 from .routing import RouteTable, choose_service
 from .sending import Sender
 from .values import RequestValues
@@ -81,6 +82,7 @@
         "_dialect",
         "_directory",
         "_expects_config",
+        "_first_tries",
         "_fleet",
         "_meters",
         "_quotas",
@@ -122,6 +124,7 @@
         self._table_version = -1
         self._refuses_from = math.inf
         self._values = RequestValues()
+        self._first_tries = FirstTries()
 
     def refuse_from(self, at: float) -> None:
         """Refuse requests that arrive from a moment on: the process is about to end."""
@@ -210,13 +213,23 @@
         """Count a request to its organisation's quota."""
         if job.principal is None:
             return
-        req = job.req
+        req, route = job.req, job.route
+        # Within an organisation the route's urgency tells, whatever that of the organisation.
+        applicant = Applicant(
+            route.rank,
+            self._values.value(route, route.rank, req),
+            min(job.deadline_at, req.arrived_at + route.patience_s),
+            self._first_tries.since_s(route.name, req.wait_s),
+        )
         job.charge = await self._quotas.take(
             job.principal.organisation,
             req.prompt_tokens,
             req.most_tokens,
-            min(job.deadline_at, req.arrived_at + job.route.target_s),
+            min(job.deadline_at, req.arrived_at + route.target_s),
+            applicant,
         )
+        if job.charge is not None:
+            self._meters.granted(job.charge.organisation, route.rank, job.charge.tokens)
 
     async def _run(self, job: Job) -> None:
         while True:
--- a/packages/policy/src/gradelug_policy/quotas.py
+++ b/packages/policy/src/gradelug_policy/quotas.py
@@ -9,8 +9,9 @@
 
 import math
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from .contention import ANYBODY, Caller, Contest, Standing
 from .popularity import Popularity
 
 LEAST_BURST_S = 0.5
@@ -73,20 +74,30 @@
         """The most tokens that are saved up."""
         return max(self.terms.burst, self.terms.rate * LEAST_BURST_S)
 
+    @property
+    def level(self) -> float:
+        """Tokens that are there, less than none in debt."""
+        return self._level
+
+    @property
+    def earning(self) -> float:
+        """Tokens that come in a second, without what instances use that do not ask."""
+        lent = sum(share.rate for share in self._lent.values())
+        return max(0.0, self.terms.rate * self.scale - lent)
+
     def settle(self, now: float) -> None:
         """Take the time that has passed into account."""
         passed_s = now - self._at
         self._at = now
-        lent = sum(share.rate for share in self._lent.values())
+        earned = self.earning * passed_s
         self._lent = {name: share for name, share in self._lent.items() if share.until > now}
-        earned = max(0.0, self.terms.rate * self.scale - lent) * passed_s
         self._level = min(self.capacity, self._level + earned)
         self._promised = max(0.0, self._promised - earned)
 
-    def try_take(self, amount: float, now: float) -> bool:
-        """Take tokens if they are there."""
+    def try_take(self, amount: float, now: float, needed: float | None = None) -> bool:
+        """Take tokens if they are there, or as many as are `needed` for it."""
         self.settle(now)
-        if self._level < min(amount, self.capacity):
+        if self._level < (min(amount, self.capacity) if needed is None else needed):
             return False
         self._level -= amount
         return True
@@ -125,29 +136,53 @@
         When it may come back if not, in seconds.
     share : float
         What the instance may use while nobody answers it, in tokens a second.
+    level, needed : float
+        Tokens that were there, and that would have had to be.
+    standing : Standing
+        How the caller came.
     """
 
     granted: bool
     retry_s: float
     share: float
+    level: float = 0.0
+    needed: float = 0.0
+    standing: Standing = Standing.FIRST
 
 
 class _Account:
     """Grants and shares of one organisation."""
 
-    __slots__ = ("_reported", "_told", "_uses", "bucket")
+    __slots__ = ("_contest", "_reported", "_told", "_uses", "bucket")
 
-    def __init__(self, terms: QuotaTerms, now: float) -> None:
+    def __init__(self, terms: QuotaTerms, now: float, urgent_first: bool) -> None:
         self.bucket = QuotaBucket(terms, now)
+        self._contest = Contest() if urgent_first else None
         self._uses = Popularity(SHARE_HALF_LIFE_S)
         self._told: dict[str, ToldShare] = {}
         self._reported: dict[str, float] = {}
 
-    def ask(self, instance: str, amount: float, now: float) -> bool:
-        granted = self.bucket.try_take(amount, now)
-        if granted:
+    def ask(self, instance: str, amount: float, caller: Caller, now: float) -> QuotaVerdict:
+        """Return a verdict without a share."""
+        if self._contest is None:
+            return self._first_come(instance, amount, now)
+        bucket = self.bucket
+        bucket.settle(now)
+        claim = self._contest.enter(amount, caller, bucket.earning, bucket.capacity, now)
+        level = bucket.level
+        if bucket.try_take(amount, now, claim.needed):
             self._uses.note(instance, now, amount)
-        return granted
+            self._contest.note_granted(claim, now)
+            return QuotaVerdict(True, 0.0, 0.0, level, claim.needed, claim.standing)
+        rate = max(bucket.earning, BASE_PART * bucket.terms.rate)
+        retry_s = self._contest.refuse(claim, caller, rate, level, now)
+        return QuotaVerdict(False, retry_s, 0.0, level, claim.needed, claim.standing)
+
+    def _first_come(self, instance: str, amount: float, now: float) -> QuotaVerdict:
+        if self.bucket.try_take(amount, now):
+            self._uses.note(instance, now, amount)
+            return QuotaVerdict(True, 0.0, 0.0)
+        return QuotaVerdict(False, self.bucket.promise_s(amount, now), 0.0)
 
     def report(self, instance: str, share: ToldShare) -> None:
         self._reported[instance] = share.rate
@@ -199,11 +234,21 @@
         Instances that its predecessor knew, 0 if none is known. Until an instance asks here it
         may use its share, so that as much of the rate is kept back for a while: what is left of
         the rate when the shares of those that ask are counted.
+    urgent_first : bool
+        Whether the urgent go first where more is asked for than there is; else who comes first.
     """
 
-    __slots__ = ("_accounts", "_began_at", "_expected", "_instances", "_reports")
-
-    def __init__(self, now: float, expected: int = 0) -> None:
+    __slots__ = (
+        "_accounts",
+        "_began_at",
+        "_expected",
+        "_instances",
+        "_reports",
+        "_urgent_first",
+    )
+
+    def __init__(self, now: float, expected: int = 0, urgent_first: bool = True) -> None:
+        self._urgent_first = urgent_first
         self._began_at = now
         self._expected = expected
         self._instances: set[str] = set()
@@ -228,7 +273,13 @@
             account.leave(instance, now)
 
     def ask(
-        self, instance: str, organisation: str, terms: QuotaTerms, amount: float, now: float
+        self,
+        instance: str,
+        organisation: str,
+        terms: QuotaTerms,
+        amount: float,
+        now: float,
+        caller: Caller = ANYBODY,
     ) -> QuotaVerdict:
         """Return whether a request of an organisation may run.
 
@@ -244,13 +295,14 @@
             What it counts.
         now : float
             By the runtime's clock.
+        caller : Caller
+            Who asks.
         """
         account = self._account(organisation, terms, now)
         account.bucket.scale = self._scale(account, now)
-        granted = account.ask(instance, amount, now)
-        retry_s = 0.0 if granted else account.bucket.promise_s(amount, now)
+        verdict = account.ask(instance, amount, caller, now)
         instances = max(len(self._instances), self._expected)
-        return QuotaVerdict(granted, retry_s, account.share(instance, instances, now))
+        return replace(verdict, share=account.share(instance, instances, now))
 
     def give_back(self, organisation: str, amount: float, now: float) -> None:
         """Take back what was granted to a request that was not run."""
@@ -262,7 +314,9 @@
         account = self._accounts.get(organisation)
         if account is None:
             # An organisation that has sent nothing so far has saved up since the home began.
-            account = self._accounts[organisation] = _Account(terms, self._began_at)
+            account = self._accounts[organisation] = _Account(
+                terms, self._began_at, self._urgent_first
+            )
             for instance, share in self._reports.get(organisation, {}).items():
                 account.report(instance, share)
         if account.bucket.terms != terms:
--- /dev/null
+++ b/tests/quota_load.py
@@ -0,0 +1,201 @@
+"""A load of one organisation beyond its quota, and ways to grant, without a network.
+
+Kinds, sizes and rates are those of a sheet with five kinds; the organisation's quota is a third of
+what it asks for. A third of its callers repeat three times at once whatever they are told.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from dataclasses import dataclass, field
+
+from gradelug_policy.contention import Caller
+from gradelug_policy.quotas import QuotaBucket, QuotaHome
+
+INSTANCES = 85
+QUEUE_S = 0.063
+"""An eighth of the shortest target, in seconds."""
+STEP_S = 0.005
+JITTER = 0.5
+
+
+@dataclass(frozen=True)
+class Kind:
+    name: str
+    rank: int
+    per_s: float
+    tokens: float
+    worth: float
+    late: float
+    target_s: float
+    patience_s: float
+
+
+KINDS = (
+    Kind("question", 0, 65.0, 714.0, 2.1, 0.26, 0.5, 8.0),
+    Kind("draft", 1, 104.0, 1_632.0, 1.6, 0.5, 0.6, 15.0),
+    Kind("summary", 2, 25.0, 1_632.0, 0.82, 0.38, 2.0, 25.0),
+)
+
+
+@dataclass
+class Request:
+    kind: Kind
+    tokens: float
+    first_at: float
+    abuses: bool
+    tries: int = 0
+    served_at: float = math.inf
+    refused: int = 0
+
+    @property
+    def worth(self):
+        size = min(4.0, 0.3 + 0.7 * self.tokens / self.kind.tokens)
+        if self.served_at - self.first_at <= self.kind.target_s:
+            return size * self.kind.worth
+        return size * self.kind.late if self.served_at < math.inf else 0.0
+
+
+@dataclass
+class Result:
+    requests: list = field(default_factory=list)
+    granted: float = 0.0
+    waits: list = field(default_factory=list)
+
+    def of(self, **want):
+        return [
+            req
+            for req in self.requests
+            if all(
+                getattr(req, name, getattr(req.kind, name, None)) == is_
+                for name, is_ in want.items()
+            )
+        ]
+
+    def part(self, requests):
+        return sum(req.served_at < math.inf for req in requests) / max(1, len(requests))
+
+    def kind(self, name):
+        return [req for req in self.requests if req.kind.name == name]
+
+    def largest(self, name):
+        requests = sorted(self.kind(name), key=lambda req: req.tokens)
+        return requests[-len(requests) // 10 :]
+
+    @property
+    def worth(self):
+        return sum(req.worth for req in self.requests)
+
+
+class Home:
+    """Asks a `QuotaHome`."""
+
+    def __init__(self, urgent_first):
+        self.home = QuotaHome(0.0, urgent_first=urgent_first)
+        for number in range(INSTANCES):
+            self.home.join(f"g{number}", {}, 0.0)
+
+    def ask(self, req, terms, now, caller, instance):
+        verdict = self.home.ask(instance, "o", terms, req.tokens, now, caller)
+        return verdict.granted, verdict.retry_s
+
+
+class Queue:
+    """The other way that was weighed: wait at the home for a moment, grants by worth a token.
+
+    `even`: worth a token of the kind, and all sizes need the same level; else each request by its
+    own worth and size.
+    """
+
+    def __init__(self, terms, even):
+        self.bucket = QuotaBucket(terms, 0.0)
+        self.waiting = []
+        self.order = itertools.count()
+        self.even = even
+
+    def enter(self, req, now):
+        kind = req.kind
+        part = 1.0 if self.even else 0.3 * kind.tokens / req.tokens + 0.7
+        heapq.heappush(self.waiting, (-kind.worth * part / kind.tokens, next(self.order), now, req))
+
+    def step(self, now):
+        """Return who is granted and who is refused."""
+        granted, refused = [], []
+        needed = 6_000.0 if self.even else None
+        while self.waiting and self.bucket.try_take(self.waiting[0][3].tokens, now, needed):
+            granted.append(heapq.heappop(self.waiting)[3])
+        kept = []
+        for item in self.waiting:
+            if now - item[2] >= QUEUE_S:
+                refused.append((item[3], self.bucket.promise_s(item[3].tokens, now)))
+            else:
+                kept.append(item)
+        heapq.heapify(kept)
+        self.waiting = kept
+        return granted, refused
+
+
+def arrivals(rng, times, until, abuse, kinds=KINDS):
+    """Return first tries; `times` what each kind usually sends of one organisation's part."""
+    requests = []
+    for kind in kinds:
+        at = 0.0
+        while at < until:
+            load = times(at)
+            at += rng.expovariate(kind.per_s * load)
+            tokens = min(6_000.0, max(300.0, rng.lognormvariate(0.0, 0.7) * kind.tokens / 1.28))
+            requests.append(Request(kind, tokens, at, rng.random() < abuse))
+    return sorted(requests, key=lambda req: req.first_at)
+
+
+def play(
+    way, terms, times, until=30.0, abuse=0.33, seed=5, limits=lambda at, terms: terms, kinds=KINDS
+):
+    """Return what became of the requests."""
+    rng = random.Random(seed)
+    result = Result(arrivals(rng, times, until, abuse, kinds))
+    order = itertools.count()
+    events = [(req.first_at, next(order), req) for req in result.requests]
+    heapq.heapify(events)
+    queue = Queue(terms, way == "even queue") if way.endswith("queue") else None
+    home = None if queue else Home(way == "levels")
+    now = 0.0
+
+    def conclude(req, granted, retry_s):
+        if granted:
+            req.served_at = min(req.served_at, now)
+            result.granted += req.tokens if now <= until else 0.0
+            return
+        req.refused += 1
+        left = req.first_at + req.kind.patience_s - now
+        if req.abuses and req.tries <= 3:
+            heapq.heappush(events, (now + 0.03, next(order), req))
+            return
+        wait_s = retry_s * (1 + JITTER * rng.random())
+        if req.tries <= (4 if req.abuses else 1) and wait_s < left:
+            heapq.heappush(events, (now + wait_s, next(order), req))
+
+    tick = STEP_S
+    while events or (queue and queue.waiting):
+        if queue and (not events or tick <= events[0][0]):
+            now, tick = tick, tick + STEP_S
+            granted, refused = queue.step(now)
+            for req in granted:
+                conclude(req, True, 0.0)
+            for req, retry_s in refused:
+                conclude(req, False, retry_s)
+            continue
+        now, _, req = heapq.heappop(events)
+        req.tries += 1
+        in_force = limits(now, terms)
+        if queue:
+            queue.enter(req, now)
+            continue
+        since_s = now - req.first_at
+        caller = Caller(req.kind.rank, req.kind.patience_s - since_s, since_s)
+        instance = f"g{rng.randrange(INSTANCES)}"
+        conclude(req, *home.ask(req, in_force, now, caller, instance))
+    return result
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -253,12 +253,14 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.asked = []
+        self.applicants = []
         self.returned = []
         self.is_quiet = False
         self.heard_at = float("inf")
 
-    async def ask_quota(self, organisation, tokens, until):
+    async def ask_quota(self, organisation, tokens, until, applicant):
         self.asked.append((organisation, tokens))
+        self.applicants.append(applicant)
         if not self.answers:
             await asyncio.sleep(until - asyncio.get_running_loop().time())
             raise TimeoutError
@@ -300,6 +302,22 @@
 
         run(scenario)
 
+    def test_a_home_is_told_the_routes_urgency_and_who_comes_back(self):
+        """An organisation's own urgency is the same for all of its kinds."""
+
+        async def scenario():
+            urgent = Organisation("alpha", 5, Quota(100.0, 50.0, True, 20.0))
+            bench = Keyed(PLAIN, [[[OK] * 6]], Organisations([(urgent, ["key-a"])]))
+            bench.home = Home(*[pb.QuotaAnswer(granted=True)] * 5)
+            for deadline_ms in (1000, 1000, 1000, 1000, 900):
+                bench.client(headers=KEY_A, deadline_ms=deadline_ms)
+                await asyncio.sleep(0.05)
+            assert {found.rank for found in bench.home.applicants} == {PLAIN.rank}
+            assert [round(found.since_s, 3) for found in bench.home.applicants] == [0] * 4 + [0.1]
+            assert all(found.value > 0 for found in bench.home.applicants)
+
+        run(scenario)
+
     def test_what_was_not_run_is_given_back_and_what_may_have_run_is_not(self):
         async def scenario():
             for script, returned in (([FULL], True), (["reset"], False), ([OK], False)):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -7,6 +7,7 @@
 from gradelug_gateway.exceptions import Limited, Refused
 from gradelug_gateway.organisations import Organisation, Quota
 from gradelug_gateway.quotas import ANSWER_S, QuotaQuestions, Quotas
+from gradelug_policy.contention import ANYBODY, Caller
 from gradelug_policy.quotas import (
     LEAST_BURST_S,
     LENT_S,
@@ -162,17 +163,25 @@
     """Instances that send for one organisation as fast as they may; homes come and go.
 
     Granted within every window must stay within the quota, its overage and its slack, whichever
-    instances are cut off, for however long, and however often the home is lost.
+    instances are cut off, for however long, and however often the home is lost; whatever the
+    urgency and the size of what is asked for, whoever comes back, and also when the limit changes:
+    a lower one counts a window after it is told.
     """
 
     INSTANCES = 6
     SIZE = 10_000.0
     TERMS = QuotaTerms(100_000.0, 100_000.0)
     """So much that the slack of the rule does not matter."""
+    LOWER = QuotaTerms(30_000.0, 30_000.0)
+    HIGHER = QuotaTerms(200_000.0, 100_000.0)
 
     def __init__(self):
         super().__init__()
         self.now = 0.0
+        self.terms = self.TERMS
+        self.limits = [(0.0, self.TERMS)]
+        self.mix = ((ANYBODY, self.SIZE),)
+        self.asked = 0
         self.spent = []
         self.shares = {name: LocalShares() for name in self.names()}
         self.cut = set()
@@ -195,15 +204,17 @@
                 self.home.join(name, self.shares[name].holding(self.now), self.now)
 
     def ask(self, name):
+        caller, size = self.mix[self.asked % len(self.mix)]
+        self.asked += 1
         if self.home is not None and name not in self.cut:
-            verdict = self.home.ask(name, "o", self.TERMS, self.SIZE, self.now)
+            verdict = self.home.ask(name, "o", self.terms, size, self.now, caller)
             self.shares[name].note_told("o", verdict.share, self.now)
             granted = verdict.granted
         else:
             self.shares[name].note_lost(self.now)
-            granted = self.shares[name].try_take("o", self.SIZE, self.now)
+            granted = self.shares[name].try_take("o", size, self.now)
         if granted:
-            self.spent.append(self.now)
+            self.spent.append((self.now, size))
 
     @rule(steps=st.integers(1, 30), eager=st.sets(st.integers(0, 5), min_size=1))
     def send(self, steps, eager):
@@ -212,6 +223,29 @@
             for number in sorted(eager):
                 self.ask(f"g{number}")
 
+    @rule(
+        mix=st.lists(
+            st.tuples(
+                st.builds(
+                    Caller,
+                    st.integers(0, 3),
+                    st.sampled_from([0.5, 8.0, 25.0]),
+                    st.sampled_from([0.0, 0.0, 0.05, 2.0]),
+                ),
+                st.sampled_from([500.0, 2_000.0, 6_000.0, 10_000.0]),
+            ),
+            min_size=1,
+            max_size=5,
+        )
+    )
+    def change_mix(self, mix):
+        self.mix = tuple(mix)
+
+    @rule(terms=st.sampled_from([TERMS, LOWER, HIGHER]))
+    def change_limit(self, terms):
+        self.terms = terms
+        self.limits.append((self.now, terms))
+
     @rule(numbers=st.sets(st.integers(0, 5), min_size=1, max_size=2))
     def cut_off(self, numbers):
         for number in numbers:
@@ -239,14 +273,24 @@
     def replace_home(self):
         self.begin(self.INSTANCES)
 
+    def allowed(self, at):
+        """Return what a window that ends at a moment may hold, by the limits that counted in it."""
+        began = max((since for since, _ in self.limits if since <= at - 2 * WINDOW_S), default=0.0)
+        terms = [terms for since, terms in self.limits if began <= since <= at]
+        # Limits told at the same moment: the last is in force, the others count all the same.
+        most = max(limit.rate * WINDOW_S + limit.burst for limit in terms)
+        return most * (1 + OVERAGE) + SLACK
+
     @invariant()
     def every_window_is_within_the_quota(self):
-        allowed = (self.TERMS.rate * WINDOW_S + self.TERMS.burst) * (1 + OVERAGE) + SLACK
         first = 0
-        for last, at in enumerate(self.spent):
-            while self.spent[first] < at - WINDOW_S:
+        granted = 0.0
+        for at, size in self.spent:
+            granted += size
+            while self.spent[first][0] < at - WINDOW_S:
+                granted -= self.spent[first][1]
                 first += 1
-            assert (last - first + 1) * self.SIZE <= allowed
+            assert granted <= self.allowed(at)
 
 
 TestFleet = Fleet.TestCase
@@ -380,7 +424,7 @@
                 is_quiet = False
                 heard_at = 0.0
 
-                async def ask_quota(self, organisation, tokens, until):
+                async def ask_quota(self, organisation, tokens, until, applicant):
                     return pb.QuotaAnswer(retry_after_ms=400)
 
             clock = asyncio.get_running_loop().time
@@ -405,7 +449,16 @@
         for tick in range(10 * instances):
             now = 2.0 + tick / (instances * per_s)
             name = f"organisation-{rng.randrange(organisations)}"
-            ask = pb.QuotaAsk(ticket=100_000 + tick, organisation=name, tokens=2_400)
+            ask = pb.QuotaAsk(
+                ticket=100_000 + tick,
+                organisation=name,
+                tokens=2_400,
+                rank=1,
+                value=0.72,
+                returning=True,
+                wait_ms=15_000,
+                since_ms=1_000,
+            )
             instance = f"edge-hall-{rng.randrange(instances)}"
             verdict = home.ask(instance, name, terms, ask.tokens, now)
             answer = pb.QuotaAnswer(ticket=ask.ticket, granted=verdict.granted, share=verdict.share)
