--- a/packages/gateway/src/gradelug_gateway/budgets.py
+++ b/packages/gateway/src/gradelug_gateway/budgets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing as t
 
 from gradelug_policy import RetryWindow
@@ -14,6 +15,56 @@
 them broke off. With nine in its place 195 of them could spend 20 times what they share."""
 
 
+SETTLED_S = 3.0
+"""Instances that were lost together are counted again one by one, within a second or two of a
+planner: a first count is believed after this time, in seconds."""
+MISSED_S = 3.0
+"""An instance that has followed no planner for so long, in seconds, may be counted no more."""
+
+
+class GatewayCount:
+    """How many instances share a budget, from what a planner tells.
+
+    Those that a planner does not count any more may go on with their shares. They notice that they
+    follow none, take the least share, and what they have repeated counts for a window more: until
+    then nobody's share grows. Load patterns: all instances lose power and the first to be counted
+    again would take all of the budget for its own; half of them are cut off.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the windows of the budget, in seconds.
+    """
+
+    __slots__ = ("_counts", "_followed_at", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._counts: list[tuple[int, float]] = []
+        """Counts that hold until a moment, the greatest first."""
+        self._followed_at = -math.inf
+
+    def note(self, told: int, now: float) -> int:
+        """Take over a count and return among how many instances to share.
+
+        Parameters
+        ----------
+        told : int
+            How many a planner that is followed tells of; 0 if none is followed.
+        now : float
+            By the runtime's clock.
+        """
+        if told:
+            if now - self._followed_at > MISSED_S:
+                self._counts = [(GATEWAYS_GUESS, now + SETTLED_S)]
+            self._followed_at = now
+            kept = [(count, until) for count, until in self._counts if count > told and until > now]
+            self._counts = [*kept, (told, now + self._window_s + MISSED_S + SETTLED_S)]
+        if now - self._followed_at > MISSED_S or not self._counts:
+            return GATEWAYS_GUESS
+        return self._counts[0][0]
+
+
 class RetryBudgets:
     """This instance's share of what all instances may send again.
 
@@ -56,9 +107,21 @@
         """Tell whether a request may be sent again now."""
         return self._window(service).has_retry(self._clock())
 
-    def try_retry(self, service: str) -> bool:
-        """Take a repeated sending from the budget if there is one."""
-        return self._window(service).try_retry(self._clock())
+    def try_retry(self, service: str, unrun: bool = False) -> bool:
+        """Take a repeated sending from the budget if there is one.
+
+        Parameters
+        ----------
+        service : str
+            Where the request goes.
+        unrun : bool
+            Whether it has not run: it leaves some to those that end failed without.
+        """
+        return self._window(service).try_retry(self._clock(), unrun)
+
+    def next_s(self, service: str) -> float:
+        """Return when there may be a repeated sending again, in seconds."""
+        return self._window(service).next_s(self._clock())
 
     def _window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -24,7 +24,7 @@
 from grpclib.server import Server
 
 from .admitting import Admitter
-from .budgets import RetryBudgets
+from .budgets import GatewayCount, RetryBudgets
 from .directory import Directory
 from .executing import Executor
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
@@ -149,6 +149,7 @@
         self._budgets = RetryBudgets(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s, self._clock
         )
+        self._gateways = GatewayCount(bounds.retry_window_s)
         self._meters = Meters()
         sender = Sender(
             dialect,
@@ -356,8 +357,11 @@
             self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
-            if self._directory.gateways:
-                self._budgets.share_among(self._directory.gateways)
+            told = self._directory.gateways if self._follows() else 0
+            self._budgets.share_among(self._gateways.note(told, self._clock()))
+
+    def _follows(self) -> bool:
+        return any(self._directory.is_followed(service) for service in self._duties)
 
     def _tells_store(self) -> bool:
         planners = [duty.planner for duty in self._duties.values() if duty.planner is not None]
--- a/packages/policy/src/gradelug_policy/retries.py
+++ b/packages/policy/src/gradelug_policy/retries.py
@@ -5,10 +5,31 @@
 from collections import deque
 from enum import Enum
 
+NOT_READY_S = 0.03
+"""First pause before a request goes again to a replica whose weights are about to be ready, in
+seconds."""
+NOT_READY_FACTOR = 3.0
+"""Each further pause is so many times as long: weights that many wait for at once come seconds
+late, and each sending in vain takes a repetition from those that nothing else can save."""
+NOT_READY_MOST_S = 0.8
+"""Longest of these pauses, in seconds."""
+KEPT_PART = 0.5
+"""At most this part of what a window allows is kept for those that end failed without."""
 RETRY_RATIO = 0.1
 RETRY_BURST = 10.0
 
 
+def not_ready_pause_s(times: int) -> float:
+    """Return how long a request waits that found its weights not ready, in seconds.
+
+    Parameters
+    ----------
+    times : int
+        How often it has found them so, from 1 on.
+    """
+    return min(NOT_READY_MOST_S, NOT_READY_S * NOT_READY_FACTOR ** (times - 1))
+
+
 class RetryBudget:
     """Allows retries as a share of first attempts.
 
@@ -51,6 +72,12 @@
     instances with few requests each, one whose upstream breaks off a handful of them at once may
     repeat two. Here all of the share of the last window may be spent at any moment of it.
 
+    Who has a repetition is decided: a request that may have run ends failed without one, and may
+    use the last; one that has not run can wait or come back, and leaves as many as the others
+    have used in the window. Load pattern: all instances start at once, weights come late, and
+    requests that find them not ready spent in the first second what streams that were broken off
+    in the next would have needed.
+
     Parameters
     ----------
     ratio : float
@@ -61,13 +88,15 @@
         Length of the window, in seconds.
     """
 
-    __slots__ = ("_ratio", "_requests", "_retries", "_window_s", "extra")
+    __slots__ = ("_ratio", "_requests", "_rescues", "_retries", "_window_s", "extra")
 
     def __init__(self, ratio: float, extra: float, window_s: float) -> None:
         self._ratio = ratio
         self._window_s = window_s
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        self._rescues: deque[float] = deque()
+        """Those of requests that may have run."""
         self.extra = extra
 
     def note_request(self, now: float) -> None:
@@ -75,21 +104,45 @@
         self._requests.append(now)
         self._forget(now)
 
-    def has_retry(self, now: float) -> bool:
-        """Tell whether there is a retry in the window."""
+    def has_retry(self, now: float, unrun: bool = False) -> bool:
+        """Tell whether there is a retry in the window.
+
+        Parameters
+        ----------
+        now : float
+            By the runtime's clock.
+        unrun : bool
+            Whether the request has not run.
+        """
         self._forget(now)
-        return len(self._retries) + 1 <= self._ratio * len(self._requests) + self.extra
+        kept = min(len(self._rescues), KEPT_PART * self._allowed) if unrun else 0
+        return len(self._retries) + 1 + kept <= self._allowed
 
-    def try_retry(self, now: float) -> bool:
+    def try_retry(self, now: float, unrun: bool = False) -> bool:
         """Take a retry from the window if there is one."""
-        if not self.has_retry(now):
+        if not self.has_retry(now, unrun):
             return False
         self._retries.append(now)
+        if not unrun:
+            self._rescues.append(now)
         return True
 
+    def next_s(self, now: float) -> float:
+        """Return when there may be a retry again, in seconds, if nobody else asks."""
+        self._forget(now)
+        lacking = len(self._retries) + 1 - self._allowed
+        earned_per_s = self._ratio * len(self._requests) / self._window_s
+        earned_s = lacking / earned_per_s if earned_per_s else self._window_s
+        oldest_s = self._retries[0] + self._window_s - now if self._retries else self._window_s
+        return max(0.0, min(earned_s, oldest_s))
+
+    @property
+    def _allowed(self) -> float:
+        return self._ratio * len(self._requests) + self.extra
+
     def _forget(self, now: float) -> None:
         since = now - self._window_s
-        for times in (self._requests, self._retries):
+        for times in (self._requests, self._retries, self._rescues):
             while times and times[0] <= since:
                 times.popleft()
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,6 +1,17 @@
 """How often instances may send requests again, all together."""
 
-from gradelug_gateway.budgets import RetryBudgets
+import pytest
+from gradelug_gateway.budgets import (
+    GATEWAYS_GUESS,
+    MISSED_S,
+    SETTLED_S,
+    GatewayCount,
+    RetryBudgets,
+)
+from gradelug_policy.retries import NOT_READY_MOST_S, RetryWindow, not_ready_pause_s
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 RATIO, EXTRA, WINDOW_S = 0.2, 430.0, 10.0
 
@@ -35,3 +46,123 @@
         for _ in range(20):
             budgets.note_request("llm")
         assert (spend(budgets, "llm"), spend(budgets, "plain")) == (3, 0)
+
+
+class TestGatewayCount:
+    def test_a_first_count_is_believed_after_a_while(self):
+        """All instances lost power; the first that was counted again took the whole budget."""
+        count = GatewayCount(WINDOW_S)
+        told = {0.0: 1, 0.5: 40, 1.0: 85, 2.9: 85}
+        assert [count.note(told[at], at) for at in told] == [GATEWAYS_GUESS] * 4
+        assert count.note(85, SETTLED_S + 0.1) == 85
+
+    def test_more_instances_count_at_once_and_fewer_after_a_window(self):
+        count = GatewayCount(WINDOW_S)
+        for step in range(10):
+            count.note(85, step / 2)
+        assert count.note(90, 5.0) == 90
+        later = [count.note(40, 5.0 + step / 2) for step in range(1, 60)]
+        held_s = later.count(90) / 2
+        assert held_s >= WINDOW_S + MISSED_S
+        assert later[-1] == 40
+
+    def test_who_follows_no_planner_takes_the_least_share(self):
+        count = GatewayCount(WINDOW_S)
+        for step in range(10):
+            count.note(9, step / 2)
+        assert count.note(0, 5.0) == 9
+        assert count.note(0, 4.5 + MISSED_S + 0.1) == GATEWAYS_GUESS
+        again = [count.note(9, 9.0 + step / 2) for step in range(8)]
+        assert again.count(GATEWAYS_GUESS) / 2 == SETTLED_S
+        assert again[-1] == 9
+
+
+class TestWhoHasARepetition:
+    def test_what_may_have_run_goes_first(self):
+        window = RetryWindow(0.0, 6.0, WINDOW_S)
+        assert all(window.try_retry(0.0) for _ in range(2))
+        # Two are left to those that end failed without.
+        assert [window.try_retry(0.1, unrun=True) for _ in range(3)] == [True, True, False]
+        assert [window.try_retry(0.2) for _ in range(3)] == [True, True, False]
+
+    def test_nothing_is_kept_for_who_does_not_ask(self):
+        window = RetryWindow(0.0, 6.0, WINDOW_S)
+        assert sum(window.try_retry(0.0, unrun=True) for _ in range(9)) == 6
+        assert window.next_s(4.0) == pytest.approx(6.0)
+
+    def test_when_there_is_one_again_is_told_from_what_requests_earn(self):
+        window = RetryWindow(0.2, 1.0, WINDOW_S)
+        assert window.try_retry(0.0)
+        for step in range(4):
+            window.note_request(step / 10)
+        # A fifth of a repetition is lacking, and 0.08 are earned a second.
+        assert window.next_s(0.4) == pytest.approx(2.5)
+
+    def test_weights_that_are_not_ready_are_asked_for_ever_more_rarely(self):
+        pauses = [not_ready_pause_s(times) for times in range(1, 8)]
+        assert pauses[:3] == pytest.approx([0.03, 0.09, 0.27])
+        assert pauses[-1] == NOT_READY_MOST_S
+
+
+class Repeats(RuleBasedStateMachine):
+    """Instances that repeat as often as they may; planners count them, lose them, are lost."""
+
+    INSTANCES = 6
+    EXTRA = 60.0
+    STEP_S = 0.5
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.requests = []
+        self.repeats = []
+        self.budgets = [
+            RetryBudgets(RATIO, self.EXTRA, WINDOW_S, lambda: self.now)
+            for _ in range(self.INSTANCES)
+        ]
+        self.counts = [GatewayCount(WINDOW_S) for _ in self.budgets]
+        self.followers = set()
+        self.joining = list(range(self.INSTANCES))
+
+    @rule(steps=st.integers(1, 40), eager=st.sets(st.integers(0, 5)), busy=st.integers(0, 4))
+    def pass_time(self, steps, eager, busy):
+        for _ in range(steps):
+            self.now += self.STEP_S
+            if self.joining:
+                self.followers.add(self.joining.pop(0))
+            for number, budgets in enumerate(self.budgets):
+                told = len(self.followers) if number in self.followers else 0
+                budgets.share_among(self.counts[number].note(told, self.now))
+                if number < busy:
+                    budgets.note_request("s")
+                    self.requests.append(self.now)
+                while number in eager and budgets.try_retry("s", unrun=number % 2 == 0):
+                    self.repeats.append(self.now)
+
+    @rule(numbers=st.sets(st.integers(0, 5), min_size=1))
+    def cut_off(self, numbers):
+        self.followers -= numbers
+        self.joining = [number for number in self.joining if number not in numbers]
+
+    @rule()
+    def lose_planner(self):
+        self.joining = sorted(self.followers)
+        self.followers = set()
+
+    @rule()
+    def heal(self):
+        missing = set(range(self.INSTANCES)) - self.followers - set(self.joining)
+        self.joining += sorted(missing)
+
+    @invariant()
+    def every_window_is_within_the_budget(self):
+        for end in self.repeats:
+            inside = sum(end - WINDOW_S < at <= end for at in self.repeats)
+            asked = sum(end - WINDOW_S < at <= end for at in self.requests)
+            assert inside <= RATIO * asked + self.EXTRA
+
+
+TestRepeats = Repeats.TestCase
+TestRepeats.settings = settings(
+    max_examples=60, stateful_step_count=20, deadline=None, derandomize=True, database=None
+)
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,44 @@
+"""A request that needs a repeated sending while the budget is spent."""
+
+import asyncio
+
+from gradelug_gateway.budgets import BUDGET_SHARE
+from gradelug_gateway.model import Repeat
+from test_serving import FULL, OK, Bench, route, run, status
+
+
+class TestBudgetSpent:
+    def test_what_has_not_run_waits_for_a_repetition_while_it_would_be_in_time(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[FULL]], [[OK]]], budget=0.0)
+            budgets = bench.serving._budgets
+            budgets._ratio = 1.1 * BUDGET_SHARE
+            budgets._window_s = 0.5
+            client = bench.client()
+            await asyncio.sleep(0.07)
+            assert not client.received
+            budgets.note_request("plain")
+            await asyncio.sleep(0.1)
+            assert status(client) == 200
+
+        run(scenario)
+
+    def test_what_has_not_run_is_refused_at_once_if_there_will_be_none_in_time(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER), [[[FULL]], [[OK]]], budget=0.0)
+            client = bench.client()
+            await asyncio.sleep(0.02)
+            assert status(client) == 503
+            # A window long: nothing is earned here.
+            assert b"Retry-After: 1000" in client.received
+
+        run(scenario)
+
+    def test_what_may_have_run_fails_at_once(self):
+        async def scenario():
+            bench = Bench(route(Repeat.FREELY), [[["reset"]], [[OK]]], budget=0.0)
+            client = bench.client()
+            await asyncio.sleep(0.02)
+            assert status(client) == 502
+
+        run(scenario)
