--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -58,7 +58,6 @@
     """A request on its way through the daemon."""
 
     __slots__ = (
-        "absences",
         "absent",
         "asked",
         "charge",
@@ -108,8 +107,6 @@
         """Replicas to which it was sent."""
         self.excluded: set[str] = set()
         """Replicas that failed it."""
-        self.absences = 0
-        """How often a replica said that it lacks the weights."""
         self.absent = ""
         """The replica that last said it lacks the weights."""
         self.asked = False
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -10,7 +10,6 @@
 import logbook
 from gradelug_http import ClientGone, Incoming
 from gradelug_policy.attempts import FirstTries
-from gradelug_policy.retries import not_ready_pause_s
 
 from .admitting import Admitter
 from .answering import RETRY_AFTER_S, Answerer
@@ -29,6 +28,8 @@
 from .values import RequestValues
 
 log = logbook.Logger("serving")
+NOT_READY_S = 0.03
+"""Pause before a request is sent again to a replica whose weights are about to be ready."""
 FIRST_CONFIG_S = 2.0
 """How long a request waits for the first configuration after a start, while the store answers.
 1,700 routes and 145 replicas are reckoned at 1.2 MB, 0.9 s of a link of 10 Mbit/s; instances that
@@ -327,11 +328,9 @@
         service, unrun = job.service.name, job.is_unrun
         until = job.req.arrived_at + job.route.target_s if unrun else -math.inf
         while not self._budgets.try_retry(service, unrun):
-            next_s = self._budgets.next_s(service)
-            if self._clock() + next_s >= until:
-                raise Refused(
-                    "the budget of repeated sendings is spent", max(next_s, RETRY_AFTER_S)
-                )
+            if self._clock() + self._budgets.next_s(service) >= until:
+                # Whoever comes back is a new request, and needs no repetition.
+                raise Refused("the budget of repeated sendings is spent", RETRY_AFTER_S)
             await asyncio.sleep(POLL_S)
 
     async def _consider_again(self, job: Job, replica: Replica, outcome: Outcome) -> None:
@@ -339,8 +338,7 @@
             job.excluded.add(replica.name)
             job.sends += 1
         elif outcome is Outcome.ABSENT:
-            job.absences += 1
-            await asyncio.sleep(not_ready_pause_s(job.absences))
+            await asyncio.sleep(NOT_READY_S)
         else:
             job.excluded.add(replica.name)
         maybe_ran = outcome in (Outcome.UNKNOWN, Outcome.RAN)
--- a/packages/policy/src/gradelug_policy/retries.py
+++ b/packages/policy/src/gradelug_policy/retries.py
@@ -5,31 +5,12 @@
 from collections import deque
 from enum import Enum
 
-NOT_READY_S = 0.03
-"""First pause before a request goes again to a replica whose weights are about to be ready, in
-seconds."""
-NOT_READY_FACTOR = 3.0
-"""Each further pause is so many times as long: weights that many wait for at once come seconds
-late, and each sending in vain takes a repetition from those that nothing else can save."""
-NOT_READY_MOST_S = 0.8
-"""Longest of these pauses, in seconds."""
 KEPT_PART = 0.5
 """At most this part of what a window allows is kept for those that end failed without."""
 RETRY_RATIO = 0.1
 RETRY_BURST = 10.0
 
 
-def not_ready_pause_s(times: int) -> float:
-    """Return how long a request waits that found its weights not ready, in seconds.
-
-    Parameters
-    ----------
-    times : int
-        How often it has found them so, from 1 on.
-    """
-    return min(NOT_READY_MOST_S, NOT_READY_S * NOT_READY_FACTOR ** (times - 1))
-
-
 class RetryBudget:
     """Allows retries as a share of first attempts.
 
