Quotas: kinds by service and urgency, tries known by what they ask and until when they wait

Plain requests of 200 tokens share the number of the least urgent generations and were refused after them (commande-palette 1.000 to 0.831). Callers of a route state waiting times that differ by up to 14% (13 to 15 s at first tries), so no repetition was known by a shorter time: all 6,100 refusals were 'first try'. 'level' in the log line hid the line's own level. Replay (tests/quota_load.py) with plain requests, waiting times that differ, and callers that come back after a third of their time.

--- a/packages/gateway/src/gradelug_gateway/answering.py
+++ b/packages/gateway/src/gradelug_gateway/answering.py
@@ -88,7 +88,7 @@
             rank=job.route.rank,
             standing=exc.inputs.standing,
             tokens=exc.inputs.tokens,
-            level=exc.inputs.level,
+            there=exc.inputs.level,
             needed=exc.inputs.needed,
             wait_s=round(job.deadline_at - self._clock(), 3),
             retry_s=round(exc.retry_after_s, 3),
--- a/packages/gateway/src/gradelug_gateway/quota_desk.py
+++ b/packages/gateway/src/gradelug_gateway/quota_desk.py
@@ -5,8 +5,8 @@
 import math
 import typing as t
 
-from gradelug_policy.contention import Caller
 from gradelug_policy.quotas import QuotaHome, QuotaTerms
+from gradelug_policy.refusals import Caller
 from gradelug_wire import placement_pb2 as pb
 
 from .followers import Follower
@@ -63,7 +63,7 @@
         if organisation.quota is None:
             return pb.QuotaAnswer(ticket=ask.ticket, granted=True)
         terms = QuotaTerms(organisation.quota.rate, organisation.quota.burst)
-        caller = Caller(ask.rank, ask.wait_ms / 1000, ask.since_ms / 1000)
+        caller = Caller(ask.rank, ask.wait_ms / 1000, ask.service, ask.value, ask.mark)
         verdict = self._home.ask(
             follower.process, organisation.name, terms, ask.tokens, now, caller
         )
--- a/packages/gateway/src/gradelug_gateway/quotas.py
+++ b/packages/gateway/src/gradelug_gateway/quotas.py
@@ -45,15 +45,18 @@
     value : float
         What an answer in time is worth, 1 for an ordinary urgent request.
     until : float
-        Until when an answer is of use, by the runtime's clock.
-    since_s : float
-        Time since the caller's first try, in seconds; 0 if this is it.
+        Until when its caller waits, by the runtime's clock.
+    service : str
+        Where it goes: urgencies compare within a service.
+    mark : int
+        The same for all tries of one request, 32 bits; 0 if nothing tells.
     """
 
     rank: int = 0
     value: float = 1.0
     until: float = math.inf
-    since_s: float = 0.0
+    service: str = ""
+    mark: int = 0
 
 
 ANYBODY = Applicant()
@@ -245,9 +248,9 @@
             tokens=tokens,
             rank=applicant.rank,
             value=applicant.value,
-            returning=applicant.since_s > 0,
             wait_ms=self._wait_ms(applicant.until),
-            since_ms=round(applicant.since_s * 1000),
+            service=applicant.service,
+            mark=applicant.mark,
         )
         fut = self._futures[ask.ticket] = asyncio.get_running_loop().create_future()
         self._unsent.append(ask)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -6,10 +6,10 @@
 import math
 import random
 import typing as t
+import zlib
 
 import logbook
 from gradelug_http import ClientGone, Incoming
-from gradelug_policy.attempts import FirstTries
 
 from .admitting import Admitter
 from .answering import RETRY_AFTER_S, Answerer
@@ -82,7 +82,6 @@
         "_dialect",
         "_directory",
         "_expects_config",
-        "_first_tries",
         "_fleet",
         "_meters",
         "_quotas",
@@ -124,7 +123,6 @@
         self._table_version = -1
         self._refuses_from = math.inf
         self._values = RequestValues()
-        self._first_tries = FirstTries()
 
     def refuse_from(self, at: float) -> None:
         """Refuse requests that arrive from a moment on: the process is about to end."""
@@ -218,8 +216,9 @@
         applicant = Applicant(
             route.rank,
             self._values.value(route, route.rank, req),
-            min(job.deadline_at, req.arrived_at + route.patience_s),
-            self._first_tries.since_s(route.name, req.wait_s),
+            req.arrived_at + req.wait_s,
+            job.service.name,
+            _mark(req),
         )
         job.charge = await self._quotas.take(
             job.principal.organisation,
@@ -367,3 +366,10 @@
             sends=job.sends,
             last_event=job.events.last_event,
         )
+
+
+def _mark(req: Request) -> int:
+    """Return a number that all tries of a request have in common, and few others."""
+    weights = req.key.text if req.key is not None else ""
+    sizes = f"{weights} {req.prompt_tokens} {req.most_tokens} {len(req.body)}"
+    return zlib.crc32(sizes.encode(), zlib.crc32(req.target)) or 1
--- a/packages/policy/src/gradelug_policy/contention.py
+++ b/packages/policy/src/gradelug_policy/contention.py
@@ -8,18 +8,23 @@
 The levels of a bucket are reserved: the urgent may use all of it, the others leave as much as the
 urgent ask for within a moment. How much that is, is learned from what was asked lately, so that
 nothing is kept for who does not ask. All requests of a kind need the same level, whatever their
-size.
+size. Kinds of one service go by their urgency; those of different services by what a token is
+worth, since urgencies of different services say nothing of each other (a plain request counts 200
+tokens where a generation counts 1,600).
 """
 
 from __future__ import annotations
 
 import math
-import typing as t
 from dataclasses import dataclass
 from enum import Enum
 
+from .refusals import Caller, Refusals
+
 URGENCIES = 8
 """Urgencies that are told apart; those of still less urgency count as the last of these."""
+MOST_KINDS = 16
+"""Kinds of an organisation that are told apart; further ones count as the last of these."""
 MIX_HALF_LIFE_S = 1.0
 """What is asked is learned within about this, in seconds: an organisation's load jumps at once, and
 what was kept for the urgent is free again as soon after they fall silent."""
@@ -44,46 +49,28 @@
 needs as much as it counts, since otherwise small buckets would be in debt for long."""
 LARGE_HALF_LIFE_S = 10.0
 """The largest request of late counts half after this time, in seconds."""
-LEAST_PART = 0.4
-"""Requests of an urgency are granted at least this part as often as all: under a quarter as often
-their callers are as good as shut out."""
+LEAST_PART = 0.23
+"""Requests of a kind are granted at least this part as often as all, besides those that come back:
+a quarter as often in all, below which callers are as good as shut out. Where the urgent alone ask
+for nearly all of a quota each hundredth more costs them two, and beyond four times the quota worth
+is less than with 0.1 by a sixth (`tests/quota_load.py`)."""
 PROMISED_PART = 0.1
 """Part of the rate that is promised to those who come back while more is asked than there is: what
 they get is late, and what new requests get is in time. At 0.25 a load of half as much again earned
 4% less, at 0.5 12% less (`tests/quota_load.py`, worth of what was served)."""
 LEAST_RATE_PART = 0.02
 """Part of the rate by which is reckoned when the least urgent may come back."""
-TOLD_S = 32.0
-"""How long it is known what callers were told, in seconds; few wait longer."""
-TOLD_STEP_S = 0.25
-"""How exactly is known when callers were told, in seconds."""
-EARLY_PART = 0.95
-"""A caller has waited as told if it has waited this part of the time: clocks and links differ."""
+ORDER_S = 0.2
+"""What a token of a kind is worth is learned over seconds: kinds are ordered anew so often."""
+IDLE = 0.001
+"""A kind that asks more rarely than this a second may be forgotten for another one."""
+PATIENCE_PART = 1 / 3
+"""Callers wait as told for a third of the time that they have left: who is told a longer time comes
+back before it, and is promised nothing."""
 EARLY_S = 0.05
 """Shortest time to tell a caller that comes back too early, in seconds."""
 
 
-class Caller(t.NamedTuple):
-    """Who asks for a part of a quota.
-
-    Parameters
-    ----------
-    rank : int
-        Urgency, 0 first.
-    waits_s : float
-        How long an answer is of use, in seconds.
-    since_s : float
-        Time since it was first refused, in seconds; 0 if this is the first try.
-    """
-
-    rank: int = 0
-    waits_s: float = math.inf
-    since_s: float = 0.0
-
-
-ANYBODY = Caller()
-
-
 class Standing(Enum):
     """How a caller comes, those first that go first among equally urgent ones."""
 
@@ -98,8 +85,8 @@
 
     Parameters
     ----------
-    rank : int
-        Urgency, 0 first.
+    kind : int
+        Number of its kind.
     standing : Standing
         How its caller comes.
     amount : float
@@ -110,7 +97,7 @@
         Whether more is asked for than there is.
     """
 
-    rank: int
+    kind: int
     standing: Standing
     amount: float
     needed: float
@@ -118,14 +105,14 @@
 
 
 class _Rates:
-    """Decayed rates by urgency."""
+    """Decayed rates by kind."""
 
     __slots__ = ("_at", "_decay", "rates")
 
     def __init__(self, half_life_s: float) -> None:
         self._decay = math.log(2) / half_life_s
         self._at = -math.inf
-        self.rates = [0.0] * URGENCIES
+        self.rates = [0.0] * MOST_KINDS
 
     def settle(self, now: float) -> None:
         if now > self._at:
@@ -133,13 +120,21 @@
             self.rates = [rate * kept for rate in self.rates]
             self._at = now
 
-    def note(self, rank: int, amount: float, now: float) -> None:
+    def note(self, kind: int, amount: float, now: float) -> None:
         self.settle(now)
-        self.rates[rank] += amount * self._decay
+        self.rates[kind] += amount * self._decay
 
 
 class Contest:
-    """Those who compete for one organisation's quota."""
+    """Those who compete for one organisation's quota.
+
+    Parameters
+    ----------
+    organisation : str
+        Whose quota.
+    refusals : Refusals
+        Who was refused lately, of all organisations.
+    """
 
     __slots__ = (
         "_all",
@@ -148,26 +143,47 @@
         "_back",
         "_first",
         "_granted",
+        "_kinds",
         "_large",
+        "_order",
+        "_ordered_at",
+        "_organisation",
         "_promised",
-        "_told",
+        "_refusals",
+        "_tries",
+        "_value",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, organisation: str = "", refusals: Refusals | None = None) -> None:
+        self._organisation = organisation
+        self._refusals = refusals or Refusals()
+        self._kinds: dict[tuple[str, int], int] = {}
         self._first = _Rates(MIX_HALF_LIFE_S)
         """Tokens that first tries ask for."""
         self._back = _Rates(MIX_HALF_LIFE_S)
         """Tokens that those ask for who come back as told."""
         self._asked = _Rates(SERVED_HALF_LIFE_S)
+        """The same over a longer time."""
+        self._tries = _Rates(SERVED_HALF_LIFE_S)
         """Requests, first tries alone."""
         self._granted = _Rates(SERVED_HALF_LIFE_S)
-        self._all = (self._first, self._back, self._asked, self._granted)
+        self._value = _Rates(SERVED_HALF_LIFE_S)
+        """Value of first tries: with their tokens, what a token is worth."""
+        self._all = (
+            self._first,
+            self._back,
+            self._asked,
+            self._granted,
+            self._tries,
+            self._value,
+        )
         self._large = 0.0
         self._at = -math.inf
-        self._promised = [0.0] * URGENCIES
+        self._order: dict[int, list[int]] = {}
+        """The kinds that go before each."""
+        self._ordered_at = -math.inf
+        self._promised = [0.0] * MOST_KINDS
         """Tokens of refused requests that were told when to come back and are not due yet."""
-        self._told: dict[tuple[int, int], float] = {}
-        """The shortest time told in each `TOLD_STEP_S`, by urgency."""
 
     def enter(
         self, amount: float, caller: Caller, rate: float, capacity: float, now: float
@@ -185,57 +201,73 @@
         now : float
             By the runtime's clock.
         """
-        rank = min(caller.rank, URGENCIES - 1)
-        standing = self._standing(rank, caller, now)
+        kind = self._kind(caller)
+        standing = self._standing(caller, now)
         self._settle(rate, now)
-        self._note_asked(rank, standing, amount, now)
+        self._note_asked(kind, standing, amount, caller.value, now)
         contended = sum(self._first.rates) + sum(self._back.rates) > CONTENDED_PART * rate
         own = min(amount, capacity)
         if not contended:
-            return Claim(rank, standing, amount, own, False)
+            return Claim(kind, standing, amount, own, False)
         base = max(own, min(self._large, LARGE_PART * capacity))
         most = max(0.0, RESERVE_PART * capacity - base)
-        needed = base + min(most, self._reserve(rank, standing, rate))
-        return Claim(rank, standing, amount, needed, True)
+        needed = base + min(most, self._reserve(kind, standing, rate))
+        return Claim(kind, standing, amount, needed, True)
 
-    def note_granted(self, claim: Claim, now: float) -> None:
+    def note_granted(self, claim: Claim, caller: Caller, now: float) -> None:
         """Note that a request may run."""
-        self._granted.note(claim.rank, 1.0, now)
+        self._granted.note(claim.kind, 1.0, now)
+        self._refusals.forget(self._organisation, caller)
 
     def refuse(self, claim: Claim, caller: Caller, rate: float, level: float, now: float) -> float:
         """Return when a refused request may come back, in seconds.
 
-        It is promised its part only if it waits that long.
+        It is promised its part only if its caller waits that long.
         """
-        if claim.standing is Standing.EARLY:
-            told_s = self._told.get(_moment(claim.rank, now - caller.since_s), 0.0)
-            return max(EARLY_S, told_s - caller.since_s)
-        ahead = self._promised[claim.rank]
+        known = self._refusals.find(self._organisation, caller, now)
+        if known is not None and claim.standing is Standing.EARLY:
+            return max(EARLY_S, known.told_until - now)
+        ahead = self._promised[claim.kind]
         lacking = ahead + max(claim.amount, claim.needed - level)
         if not claim.contended:
             lacking = ahead + claim.amount - level
-        retry_s = max(0.0, lacking) / self._promise_rate(claim.rank, rate)
-        if retry_s <= caller.waits_s:
-            self._promised[claim.rank] += claim.amount
-        self._note_told(claim.rank, retry_s, now)
+        retry_s = max(0.0, lacking) / self._promise_rate(claim.kind, rate)
+        if retry_s <= PATIENCE_PART * caller.waits_s:
+            self._promised[claim.kind] += claim.amount
+        self._refusals.note(self._organisation, caller, now + retry_s, now)
         return retry_s
 
-    def _standing(self, rank: int, caller: Caller, now: float) -> Standing:
-        if not caller.since_s:
-            return Standing.FIRST
-        told_s = self._told.get(_moment(rank, now - caller.since_s))
-        if told_s is None:
-            # It was refused for another reason, or by an earlier home.
+    def _kind(self, caller: Caller) -> int:
+        name = caller.service, min(caller.rank, URGENCIES - 1)
+        known = self._kinds.get(name)
+        if known is not None:
+            return known
+        number = len(self._kinds)
+        if number >= MOST_KINDS:
+            idle = [other for other, kind in self._kinds.items() if self._asked.rates[kind] < IDLE]
+            if not idle:
+                return MOST_KINDS - 1
+            number = self._kinds.pop(idle[0])
+        self._kinds[name] = number
+        return number
+
+    def _standing(self, caller: Caller, now: float) -> Standing:
+        known = self._refusals.find(self._organisation, caller, now)
+        if known is None:
             return Standing.FIRST
-        return Standing.BACK if caller.since_s >= EARLY_PART * told_s else Standing.EARLY
+        return Standing.BACK if now >= known.told_until else Standing.EARLY
 
-    def _note_asked(self, rank: int, standing: Standing, amount: float, now: float) -> None:
+    def _note_asked(
+        self, kind: int, standing: Standing, amount: float, value: float, now: float
+    ) -> None:
         self._large = max(self._large, amount)
         if standing is Standing.BACK:
-            self._back.note(rank, amount, now)
+            self._back.note(kind, amount, now)
         if standing is Standing.FIRST:
-            self._first.note(rank, amount, now)
-            self._asked.note(rank, 1.0, now)
+            self._first.note(kind, amount, now)
+            self._value.note(kind, value, now)
+            self._asked.note(kind, amount, now)
+            self._tries.note(kind, 1.0, now)
 
     def _settle(self, rate: float, now: float) -> None:
         passed_s = max(0.0, now - self._at)
@@ -245,41 +277,64 @@
         if not self._large:
             return
         self._large *= 0.5 ** (passed_s / LARGE_HALF_LIFE_S)
-        for rank, promised in enumerate(self._promised):
+        for kind, promised in enumerate(self._promised):
             if promised:
-                due = self._promise_rate(rank, rate) * passed_s
-                self._promised[rank] = max(0.0, promised - due)
-
-    def _reserve(self, rank: int, standing: Standing, rate: float) -> float:
+                due = self._promise_rate(kind, rate) * passed_s
+                self._promised[kind] = max(0.0, promised - due)
+
+    def _before(self, kind: int) -> list[int]:
+        """Return the kinds that go before one: the more urgent of its service, the worthier."""
+        if kind not in self._order or self._at >= self._ordered_at + ORDER_S:
+            places = self._places()
+            self._order = {
+                kind: [other for other in places if places[other] < place]
+                for kind, place in places.items()
+            }
+            self._ordered_at = self._at
+        return self._order.get(kind, [])
+
+    def _places(self) -> dict[int, tuple[float, int]]:
+        """Return what kinds are ordered by; no kind goes before a more urgent of its service."""
+        least: dict[str, float] = {}
+        places: dict[int, tuple[float, int]] = {}
+        for (service, rank), kind in sorted(self._kinds.items(), key=lambda item: item[0][1]):
+            tokens = self._asked.rates[kind]
+            worth = self._value.rates[kind] / tokens if tokens else 0.0
+            if tokens:
+                least[service] = min(worth, least.get(service, math.inf))
+            places[kind] = (-least.get(service, 0.0), rank)
+        return places
+
+    def _reserve(self, kind: int, standing: Standing, rate: float) -> float:
         """Return what a request leaves to those that go before it."""
         if standing is Standing.EARLY:
             return math.inf
-        if self._is_short(rank):
+        if self._is_short(kind):
             return 0.0
-        ahead = sum(self._first.rates[:rank]) + sum(self._back.rates[:rank])
+        before = self._before(kind)
+        ahead = sum(self._first.rates[other] + self._back.rates[other] for other in before)
         if standing is Standing.FIRST:
-            ahead += self._back.rates[rank]
+            ahead += self._back.rates[kind]
         part = min(1.0, ahead / rate) if rate else 1.0
         return HOLD_S * ahead + CLUMP * part * self._large
 
-    def _is_short(self, rank: int) -> bool:
-        """Tell whether an urgency has had less than its least part."""
-        asked, granted = sum(self._asked.rates), sum(self._granted.rates)
-        usual = LEAST_PART * granted * self._asked.rates[rank]
-        return self._granted.rates[rank] * asked < usual
-
-    def _promise_rate(self, rank: int, rate: float) -> float:
-        """Return how much of the rate those get who come back, in tokens a second."""
-        left = max(LEAST_RATE_PART * rate, rate - sum(self._first.rates[:rank]))
-        return max(PROMISED_PART * left, left - self._first.rates[rank])
+    def _least_part(self) -> float:
+        """Return which part of the requests of each kind is granted at least."""
+        tries = sum(self._tries.rates)
+        return LEAST_PART * sum(self._granted.rates) / tries if tries else 0.0
 
-    def _note_told(self, rank: int, retry_s: float, now: float) -> None:
-        moment = _moment(rank, now)
-        if moment not in self._told:
-            _, oldest = _moment(rank, now - TOLD_S)
-            self._told = {key: told for key, told in self._told.items() if key[1] > oldest}
-        self._told[moment] = min(self._told.get(moment, math.inf), retry_s)
+    def _is_short(self, kind: int) -> bool:
+        """Tell whether a kind has had less than its least part."""
+        return self._granted.rates[kind] < self._least_part() * self._tries.rates[kind]
 
-
-def _moment(rank: int, at: float) -> tuple[int, int]:
-    return rank, int(at / TOLD_STEP_S)
+    def _promise_rate(self, kind: int, rate: float) -> float:
+        """Return how much of the rate those get who come back, in tokens a second."""
+        before = self._before(kind)
+        least = self._least_part()
+        others = sum(
+            self._first.rates[other] if other in before else least * self._first.rates[other]
+            for other in self._kinds.values()
+            if other != kind
+        )
+        left = max(LEAST_RATE_PART * rate, least * self._first.rates[kind], rate - others)
+        return max(PROMISED_PART * left, left - self._first.rates[kind])
--- a/packages/policy/src/gradelug_policy/quotas.py
+++ b/packages/policy/src/gradelug_policy/quotas.py
@@ -11,8 +11,9 @@
 import typing as t
 from dataclasses import dataclass, replace
 
-from .contention import ANYBODY, Caller, Contest, Standing
+from .contention import Contest, Standing
 from .popularity import Popularity
+from .refusals import ANYBODY, Caller, Refusals
 
 LEAST_BURST_S = 0.5
 """A bucket holds at least what its rate brings in this time, in seconds: requests come in clumps,
@@ -155,9 +156,9 @@
 
     __slots__ = ("_contest", "_reported", "_told", "_uses", "bucket")
 
-    def __init__(self, terms: QuotaTerms, now: float, urgent_first: bool) -> None:
+    def __init__(self, terms: QuotaTerms, now: float, contest: Contest | None) -> None:
         self.bucket = QuotaBucket(terms, now)
-        self._contest = Contest() if urgent_first else None
+        self._contest = contest
         self._uses = Popularity(SHARE_HALF_LIFE_S)
         self._told: dict[str, ToldShare] = {}
         self._reported: dict[str, float] = {}
@@ -172,7 +173,7 @@
         level = bucket.level
         if bucket.try_take(amount, now, claim.needed):
             self._uses.note(instance, now, amount)
-            self._contest.note_granted(claim, now)
+            self._contest.note_granted(claim, caller, now)
             return QuotaVerdict(True, 0.0, 0.0, level, claim.needed, claim.standing)
         rate = max(bucket.earning, BASE_PART * bucket.terms.rate)
         retry_s = self._contest.refuse(claim, caller, rate, level, now)
@@ -243,12 +244,14 @@
         "_began_at",
         "_expected",
         "_instances",
+        "_refusals",
         "_reports",
         "_urgent_first",
     )
 
     def __init__(self, now: float, expected: int = 0, urgent_first: bool = True) -> None:
         self._urgent_first = urgent_first
+        self._refusals = Refusals()
         self._began_at = now
         self._expected = expected
         self._instances: set[str] = set()
@@ -314,9 +317,8 @@
         account = self._accounts.get(organisation)
         if account is None:
             # An organisation that has sent nothing so far has saved up since the home began.
-            account = self._accounts[organisation] = _Account(
-                terms, self._began_at, self._urgent_first
-            )
+            contest = Contest(organisation, self._refusals) if self._urgent_first else None
+            account = self._accounts[organisation] = _Account(terms, self._began_at, contest)
             for instance, share in self._reports.get(organisation, {}).items():
                 account.report(instance, share)
         if account.bucket.terms != terms:
