Join fair shares of quotas and repeats by decision

Change: the planner takes the features that are switched on in place of one flag for each part; the growth tests name the one that they switch off. Measured: tests of growth, scoped news, quotas, contention, budgets, repeats, authentication, serving, planner, lives pass.

--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -25,6 +25,7 @@
 from .ports import OrderTransport
 from .quota_desk import QuotaDesk
 from .relay import OrderRelay
+from .settings import Feature
 from .storenews import StoreTeller
 from .upkeep import PART_PER_COPY, Upkeep
 from .waiting import Waiter, WaitingLine
@@ -89,8 +90,8 @@
         Tells gateways what this instance sees in the platform's store.
     expected : int
         Gateways that its predecessor knew, 0 if none is known.
-    may_scope_news : bool
-        Whether gateways of a large fleet are told of what they use alone.
+    features : frozenset of Feature
+        Those that are switched on.
     """
 
     def __init__(
@@ -105,7 +106,7 @@
         speeds: ReadingSpeeds | None = None,
         store: StoreTeller | None = None,
         expected: int = 0,
-        may_scope_news: bool = True,
+        features: frozenset[Feature] = frozenset(Feature),
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -118,11 +119,21 @@
         self._cells = Cells()
         self._rng = random.Random(0)
         self.parts: tuple[PlannerPart, ...] = (
-            QuotaDesk(QuotaHome(clock(), expected), state, lambda: self.term is not None),
+            QuotaDesk(
+                QuotaHome(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features),
+                state,
+                lambda: self.term is not None,
+            ),
         )
         """What else gateways tell this instance, and are told."""
         self.followers = Followers(
-            self.engines, clock, store, self.parts, self.index, may_scope_news, self._cells
+            self.engines,
+            clock,
+            store,
+            self.parts,
+            self.index,
+            Feature.SCOPED_NEWS in features,
+            self._cells,
         )
         self.popularity = Popularity(HALF_LIFE_S)
         self.tokens = Popularity(HALF_LIFE_S)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -6,6 +6,7 @@
 import math
 import random
 import typing as t
+import zlib
 
 import logbook
 from gradelug_http import ClientGone, Incoming
@@ -21,7 +22,7 @@
 from .metrics import Meters
 from .model import AdapterKey, Repeat, Replica, Request, Service
 from .ports import BadRequest, Dialect
-from .quotas import Quotas
+from .quotas import Applicant, Quotas
 from .routing import RouteTable, choose_service
 from .sending import Sender
 from .values import RequestValues
@@ -210,13 +211,24 @@
         """Count a request to its organisation's quota."""
         if job.principal is None:
             return
-        req = job.req
+        req, route = job.req, job.route
+        # Within an organisation the route's urgency tells, whatever that of the organisation.
+        applicant = Applicant(
+            route.rank,
+            self._values.value(route, route.rank, req),
+            req.arrived_at + req.wait_s,
+            job.service.name,
+            _mark(req),
+        )
         job.charge = await self._quotas.take(
             job.principal.organisation,
             req.prompt_tokens,
             req.most_tokens,
-            min(job.deadline_at, req.arrived_at + job.route.target_s),
+            min(job.deadline_at, req.arrived_at + route.target_s),
+            applicant,
         )
+        if job.charge is not None:
+            self._meters.granted(job.charge.organisation, route.rank, job.charge.tokens)
 
     async def _run(self, job: Job) -> None:
         while True:
@@ -306,6 +318,20 @@
 
     # Sending again.
 
+    async def _take_retry(self, job: Job) -> None:
+        """Take a repeated sending from the budget, or raise.
+
+        A request that has not run waits for one as long as its answer would be in time: it is
+        refused at once only if there will be none by then.
+        """
+        service, unrun = job.service.name, job.is_unrun
+        until = job.req.arrived_at + job.route.target_s if unrun else -math.inf
+        while not self._budgets.try_retry(service, unrun):
+            if self._clock() + self._budgets.next_s(service) >= until:
+                # Whoever comes back is a new request, and needs no repetition.
+                raise Refused("the budget of repeated sendings is spent", RETRY_AFTER_S)
+            await asyncio.sleep(POLL_S)
+
     async def _consider_again(self, job: Job, replica: Replica, outcome: Outcome) -> None:
         if outcome is Outcome.NOT_SENT:
             job.excluded.add(replica.name)
@@ -330,8 +356,8 @@
             if job.route.repeat is not Repeat.RESUME:
                 raise Failed("no further replica may be tried")
             job.excluded.clear()
-        if outcome is not Outcome.NOT_SENT and not self._budgets.try_retry(job.service.name):
-            raise Refused("the budget of repeated sendings is spent", RETRY_AFTER_S)
+        if outcome is not Outcome.NOT_SENT:
+            await self._take_retry(job)
         log.info(
             "send again",
             id=job.req.id,
@@ -340,3 +366,10 @@
             sends=job.sends,
             last_event=job.events.last_event,
         )
+
+
+def _mark(req: Request) -> int:
+    """Return a number that all tries of a request have in common, and few others."""
+    weights = req.key.text if req.key is not None else ""
+    sizes = f"{weights} {req.prompt_tokens} {req.most_tokens} {len(req.body)}"
+    return zlib.crc32(sizes.encode(), zlib.crc32(req.target)) or 1
--- a/tests/grown_fleet.py
+++ b/tests/grown_fleet.py
@@ -21,6 +21,7 @@
     Replica,
 )
 from gradelug_gateway.planner import Planner
+from gradelug_gateway.settings import Feature
 from gradelug_policy.residency import LoadWindow
 from gradelug_wire import placement_pb2 as pb
 
@@ -30,6 +31,7 @@
 STEP_S = 0.05
 SAY_S = 0.5
 ADAPTERS_PER_ENGINE = 20
+FEATURES = frozenset(Feature)
 
 
 class Orders:
@@ -186,7 +188,7 @@
             self.orders,
             window,
             self.clock,
-            may_scope_news=may_scope,
+            features=FEATURES if may_scope else FEATURES - {Feature.SCOPED_NEWS},
         )
         self.planner.begin_term(7)
         self.task = asyncio.create_task(self.planner.run())
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -253,12 +253,14 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.asked = []
+        self.applicants = []
         self.returned = []
         self.is_quiet = False
         self.heard_at = float("inf")
 
-    async def ask_quota(self, organisation, tokens, until):
+    async def ask_quota(self, organisation, tokens, until, applicant):
         self.asked.append((organisation, tokens))
+        self.applicants.append(applicant)
         if not self.answers:
             await asyncio.sleep(until - asyncio.get_running_loop().time())
             raise TimeoutError
@@ -300,6 +302,25 @@
 
         run(scenario)
 
+    def test_a_home_is_told_the_routes_urgency_and_what_tries_have_in_common(self):
+        """An organisation's own urgency is the same for all of its kinds."""
+
+        async def scenario():
+            urgent = Organisation("alpha", 5, Quota(100.0, 50.0, True, 20.0))
+            bench = Keyed(PLAIN, [[[OK] * 6]], Organisations([(urgent, ["key-a"])]))
+            bench.home = Home(*[pb.QuotaAnswer(granted=True)] * 3)
+            for deadline_ms, body in ((1000, b"body"), (900, b"body"), (900, b"longer")):
+                bench.client(headers=KEY_A, deadline_ms=deadline_ms, body=body)
+                await asyncio.sleep(0.1)
+            first, again, other = bench.home.applicants
+            assert first.rank == PLAIN.rank
+            assert first.service == "plain"
+            assert first.value > 0
+            assert first.mark == again.mark != other.mark
+            assert again.until == pytest.approx(first.until, abs=0.01)
+
+        run(scenario)
+
     def test_what_was_not_run_is_given_back_and_what_may_have_run_is_not(self):
         async def scenario():
             for script, returned in (([FULL], True), (["reset"], False), ([OK], False)):
