Health of replicas over all instances; plain services by pooled shares

Cause: each of 85 gateways learnt by its own failures that a replica fails while its health check is good; a gateway sent nearly all requests of a plain service to its own hall, and a request whose only replica was full was refused at once. Ruled out by pure tests over 85 simulated gateways: own records alone, one pooled rate with a threshold (ejects good replicas for one bad gateway, for a hall, and all of them when all fail); for plain services the least of shared counts of requests under way and two choices by them: with news 0.44 s old all gateways go the same way. Change: gateways tell how requests ended (Ends), the planner judges (policy.outcomes, policy.verdicts: log-likelihood against what is usual in the service, without the worst source, agreed by another hall) and tells verdicts; ejection, probes by one gateway, return by steps, longer after each time; half of a service stays usable. Plain services (policy.plain, gateway.plain): turns by shares from the pooled time of answers; a full replica is asked again within half of the target, in order of urgency and target. A request that hangs at a plain replica until its caller gives up counts as broken there; it counted as nothing.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -32,6 +32,7 @@
 from .freshness import RENEW_PART, Freshness
 from .metrics import Meters
 from .model import EngineSpec, FleetState
+from .parts import GatewayPart
 from .placement import Duty, PlacementService
 from .planner import Planner
 from .ports import Dialect, OrderTransport
@@ -40,7 +41,8 @@
 from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
-from .settings import Bounds, GatewaySettings
+from .settings import Bounds, Feature, GatewaySettings
+from .sharedhealth import EndsTeller
 from .storenews import TELL_SPACING_S, StoreListener, StoreTeller
 
 log = logbook.Logger("daemon")
@@ -144,6 +146,7 @@
                 self._freshness,
             ),
             shares,
+            self._link_parts,
         )
         bounds = settings.bounds
         self._budgets = RetryBudgets(
@@ -172,6 +175,7 @@
             Admitter(self._freshness),
             Quotas(self._directory.quota_home, self._clock, self._rng, shares),
             lambda: not self._mirror.is_lost,
+            Feature.SHARED_HEALTH in settings.features,
         )
         self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
@@ -249,6 +253,17 @@
             if duty.planner is not None:
                 duty.planner.refresh()
 
+    def _link_parts(self, service: str) -> t.Iterator[GatewayPart]:
+        """Yield what else is told to the planner of a service."""
+        if Feature.SHARED_HEALTH in self.settings.features:
+            yield EndsTeller(
+                service,
+                self.settings.name,
+                self._fleet,
+                self._clock,
+                lambda: self._directory.home_service == service,
+            )
+
     def _new_ownership(self) -> LastingOwnership:
         host, _ = _split(self.settings.addresses.peers)
         return LastingOwnership(
@@ -325,6 +340,7 @@
             self._fleet.speeds,
             StoreTeller(self._feed, self._mirror, self._clock, self._freshness, self._is_strong),
             self._directory.gateways,
+            self.settings.features,
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
@@ -354,6 +370,7 @@
             self._feed.refresh()
             self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
+            self._serving.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
             if self._directory.gateways:
                 self._budgets.share_among(self._directory.gateways)
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -223,6 +223,11 @@
         """Return the way to the instance that keeps all quotas: one service's planner."""
         return self._links[min(self._links)] if self._links else None
 
+    @property
+    def home_service(self) -> str:
+        """The service whose planner is that home, empty if there is none."""
+        return min(self._links, default="")
+
     def is_followed(self, service: str) -> bool:
         """Tell whether a planner of a service answers."""
         link = self._links.get(service)
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -24,6 +24,8 @@
     DONE = "done"
     NOT_SENT = "not sent"
     NOT_RUN = "not run"
+    FULL = "full"
+    """Not run for want of room."""
     ABSENT = "absent"
     RAN = "ran"
     UNKNOWN = "unknown"
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -12,7 +12,15 @@
 class Meters:
     """What the daemon counts."""
 
-    __slots__ = ("_error", "_first", "_latency", "_limited", "_outcomes", "_registry")
+    __slots__ = (
+        "_error",
+        "_first",
+        "_latency",
+        "_limited",
+        "_outcomes",
+        "_plain_waits",
+        "_registry",
+    )
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
@@ -28,6 +36,11 @@
             ["organisation"],
             registry=self._registry,
         )
+        self._plain_waits = Counter(
+            "gradelug_plain_waits",
+            "Requests that waited for room at a service without engines",
+            registry=self._registry,
+        )
         self._latency = Histogram(
             "gradelug_request_seconds",
             "From arrival to the last byte",
@@ -61,6 +74,10 @@
         """Count a request beyond its organisation's quota."""
         self._limited.labels(organisation).inc()
 
+    def waited_plain(self) -> None:
+        """Count a request that waits for room at a service without engines."""
+        self._plain_waits.inc()
+
     def latency(self, streaming: bool, seconds: float) -> None:
         """Take a served request's time."""
         self._latency.labels("stream" if streaming else "whole").observe(seconds)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -23,6 +23,8 @@
 from .ports import OrderTransport
 from .quota_desk import QuotaDesk
 from .relay import OrderRelay
+from .settings import Feature
+from .sharedhealth import DOUBTED_S, HealthDesk
 from .storenews import StoreTeller
 from .upkeep import Upkeep
 from .waiting import Waiter, WaitingLine
@@ -44,8 +46,6 @@
 takes 0.25 s from the weight store."""
 MOVE_MARGIN_S = 0.1
 """The other engine must be better by this: that it takes a place there costs others."""
-DOUBTED_S = 1.0
-"""An engine that fails an asker's requests is taken for one with so much more to read."""
 OTHER_HALL_S = 0.03
 """A nearer engine wins among equals only: bytes between halls have a price."""
 JUST_LOADED_S = 1.5
@@ -77,6 +77,8 @@
         Tells gateways what this instance sees in the platform's store.
     expected : int
         Gateways that its predecessor knew, 0 if none is known.
+    features : frozenset of Feature
+        Those that are switched on.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         speeds: ReadingSpeeds | None = None,
         store: StoreTeller | None = None,
         expected: int = 0,
+        features: frozenset[Feature] = frozenset(Feature),
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -98,8 +101,13 @@
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
+        self._health: HealthDesk | None = None
+        if Feature.SHARED_HEALTH in features:
+            self._health = HealthDesk(service, state, lambda: self.followers.pacing.flush_s)
+        quotas = QuotaDesk(QuotaHome(clock(), expected), state, lambda: self.term is not None)
         self.parts: tuple[PlannerPart, ...] = (
-            QuotaDesk(QuotaHome(clock(), expected), state, lambda: self.term is not None),
+            quotas,
+            *((self._health,) if self._health is not None else ()),
         )
         """What else gateways tell this instance, and are told."""
         self.followers = Followers(self.engines, clock, store, self.parts)
@@ -332,13 +340,16 @@
 
     def cost_s(self, engine: Engine, waiter: Waiter) -> float:
         """Return what a request costs on an engine that has the adapter, in seconds."""
-        cost = self.wait_s(engine, waiter.work)
-        if engine.replica.name in waiter.ask.doubted:
-            cost += DOUBTED_S
+        cost = self.wait_s(engine, waiter.work) + self._doubt_s(engine.replica.name, waiter)
         if engine.replica.hall != waiter.follower.hall:
             cost += OTHER_HALL_S
         return cost
 
+    def _doubt_s(self, replica: str, waiter: Waiter) -> float:
+        if self._health is not None:
+            return self._health.doubt_s(replica, waiter.follower, waiter.ask.doubted)
+        return DOUBTED_S if replica in waiter.ask.doubted else 0.0
+
     def _goes_elsewhere(self, waiter: Waiter, least_s: float, now: float) -> bool:
         """Tell whether a request that would be late on the best holder waits for another one."""
         if now > waiter.asked_at + MOVE_S:
@@ -365,6 +376,9 @@
         """Return the time to a first event on an engine that has the adapter, in seconds."""
         return first_event_s(engine.busyness(), work, self.speed)
 
+    def _ejected_s(self, replica: str) -> float:
+        return self._health.ejected_s(replica) if self._health is not None else 0.0
+
     def _is_coming(self, waiter: Waiter) -> bool:
         for name, engine in self.engines.items():
             place = engine.places.get(waiter.key)
@@ -415,7 +429,7 @@
                 opening.free,
                 opening.victims,
                 opening.engine.is_cached(key, version),
-                self.wait_s(opening.engine, work),
+                self.wait_s(opening.engine, work) + self._ejected_s(name),
             )
             for name, opening in openings.by_engine.items()
             if may_use(name) and opening.engine.lacks(key)
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -110,7 +110,7 @@
             rested_s = math.inf if repeatable else self._rested_s
             conn = await self._pool.acquire(replica.address, CONNECT_S, rested_s)
         except ConnectFailed as exc:
-            health.note(True, self._clock())
+            health.note_broken(self._clock())
             log.info("not sent", id=job.req.id, replica=replica.name, why=str(exc))
             return Outcome.NOT_SENT
         if self._fleet.state.replicas.get(replica.name, replica).leaving:
@@ -137,8 +137,12 @@
             self._directory.note_begin(replica.name, key, job.work.prompt_tokens)
         try:
             outcome = await self._exchange(sending)
+        except asyncio.CancelledError:
+            if self._is_unheard(sending):
+                health.note_broken(self._clock())
+            raise
         except ResponseBroken as exc:
-            health.note(True, self._clock())
+            health.note_broken(self._clock())
             log.info("broken", id=job.req.id, replica=replica.name, why=str(exc))
             if conn.is_silenced or health.heard_at < now:
                 self._pool.doubt(replica.address, now)
@@ -154,9 +158,31 @@
                 load.queued[work.urgency] -= work.prompt_tokens
             if key is not None:
                 self._directory.note_end(replica.name, key)
-        health.note(outcome is Outcome.RAN, self._clock())
+        self._note_health(sending, outcome)
         return outcome
 
+    def _is_unheard(self, sending: _Exchange) -> bool:
+        """Tell whether a request was not answered for longer than anybody waits.
+
+        At an engine it may wait its turn while others are read, unless nothing at all came.
+        """
+        if sending.running or sending.sent_at > self._clock() - self._patience_s(sending.job):
+            return False
+        heard_at = self._fleet.health(sending.replica.name).heard_at
+        return sending.job.service.engine is None or heard_at < sending.sent_at
+
+    @staticmethod
+    def _patience_s(job: Job) -> float:
+        return SILENT_TARGETS * job.route.target_s
+
+    def _note_health(self, sending: _Exchange, outcome: Outcome) -> None:
+        health, now = self._fleet.health(sending.replica.name), self._clock()
+        if outcome is Outcome.FULL:
+            health.note_full(now)
+            return
+        is_whole = outcome is Outcome.DONE and not sending.job.route.streaming
+        health.note(outcome is Outcome.RAN, now, now - sending.sent_at if is_whole else 0.0)
+
     def _with_urgency(self, job: Job, replica: Replica) -> Work:
         """Return a request's work; one that would be late anyway waits for those that would not."""
         if job.inc.started or not job.work.prompt_tokens:
@@ -259,7 +285,7 @@
         if verdict is Verdict.ABSENT:
             job.absent = replica.name
             return Outcome.ABSENT
-        return Outcome.NOT_RUN
+        return Outcome.FULL if verdict is Verdict.FULL else Outcome.NOT_RUN
 
     async def _stream(self, sending: _Exchange, head: ResponseHead) -> Outcome:
         job = sending.job
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -20,6 +20,7 @@
 from .job import Job, Outcome
 from .metrics import Meters
 from .model import AdapterKey, Repeat, Replica, Request, Service
+from .plain import PlainPlacer
 from .ports import BadRequest, Dialect
 from .quotas import Quotas
 from .routing import RouteTable, choose_service
@@ -33,8 +34,6 @@
 """How long a request waits for the first configuration after a start, while the store answers.
 1,700 routes and 145 replicas are reckoned at 1.2 MB, 0.9 s of a link of 10 Mbit/s; instances that
 start at once share the store's link as well."""
-NO_REPLICA_S = 0.25
-"""How long a request waits for a replica to turn up before it is refused."""
 POLL_S = 0.05
 ELSEWHERE_S = 0.05
 """Another instance can take it at once."""
@@ -71,6 +70,8 @@
         Lets requests run within the quotas of their organisations.
     expects_config : callable
         Tells whether a first configuration is on its way.
+    shares_health : bool
+        Whether what all instances found of replicas decides where requests go.
     """
 
     __slots__ = (
@@ -83,6 +84,7 @@
         "_expects_config",
         "_fleet",
         "_meters",
+        "_plain",
         "_quotas",
         "_refuses_from",
         "_rng",
@@ -105,6 +107,7 @@
         admitter: Admitter,
         quotas: Quotas,
         expects_config: t.Callable[[], bool] = lambda: False,
+        shares_health: bool = True,
     ) -> None:
         self._dialect = dialect
         self._fleet = fleet
@@ -117,12 +120,17 @@
         self._admitter = admitter
         self._quotas = quotas
         self._expects_config = expects_config
+        self._plain = PlainPlacer(fleet, clock, rng, meters, shares_health)
         self._answer = Answerer(dialect, sender, admitter, meters, clock)
         self._table = RouteTable(())
         self._table_version = -1
         self._refuses_from = math.inf
         self._values = RequestValues()
 
+    def forget_gone(self) -> None:
+        """Drop what is known of replicas that are gone."""
+        self._plain.forget_gone()
+
     def refuse_from(self, at: float) -> None:
         """Refuse requests that arrive from a moment on: the process is about to end."""
         self._refuses_from = at
@@ -224,7 +232,10 @@
             replica = await self._place(job)
             job.placed_s += self._clock() - began
             self._check_key(job)
-            outcome = await self._sender.send(job, replica)
+            try:
+                outcome = await self._sender.send(job, replica)
+            finally:
+                self._plain.note_end(job.service.name)
             if outcome is Outcome.DONE:
                 return
             await self._consider_again(job, replica, outcome)
@@ -248,23 +259,15 @@
         key = job.req.key
         if job.service.engine is not None and key is not None:
             return await self._place_weights(job, key)
-        give_up_at = self._clock() + NO_REPLICA_S
-        while True:
-            usable = self._fleet.usable(job.service.name)
-            replica = self._fleet.choose(usable, job.excluded, job.candidates())
-            if replica is None and job.candidates() is None:
-                replica = self._fleet.choose(usable)
-            if replica is not None:
-                return replica
-            if self._clock() >= give_up_at:
-                raise Refused("no replica is usable", RETRY_AFTER_S)
-            await asyncio.sleep(POLL_S)
+        return await self._plain.place(job)
 
     async def _place_weights(self, job: Job, key: AdapterKey) -> Replica:
         known = None
         if not job.absent:
             holders = self._fleet.holders(job.service.name, key)
-            known = self._fleet.choose(holders, job.excluded, job.candidates(), job.work)
+            known = self._fleet.choose(
+                holders, job.excluded, job.candidates(), job.work, job.may_repeat()
+            )
             if known is not None and not self._had_better_ask(job, known):
                 return known
         return await self._directory.place(
@@ -282,7 +285,7 @@
         if job.asked or job.inc.started or not self._directory.is_followed(job.service.name):
             return False
         job.asked = True
-        if self._directory.asks_first(job.service.name):
+        if self._directory.asks_first(job.service.name) or self._fleet.is_ejected(replica.name):
             return True
         return self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s)
 
@@ -306,6 +309,12 @@
 
     # Sending again.
 
+    def _may_wait(self, job: Job) -> bool:
+        """Tell whether a request for which there was no room may be sent to a replica again."""
+        if not self._plain.is_on or job.service.engine is not None:
+            return False
+        return not self._plain.has_other(job) and self._budgets.has_retry(job.service.name)
+
     async def _consider_again(self, job: Job, replica: Replica, outcome: Outcome) -> None:
         if outcome is Outcome.NOT_SENT:
             job.excluded.add(replica.name)
@@ -314,6 +323,8 @@
             await asyncio.sleep(NOT_READY_S)
         else:
             job.excluded.add(replica.name)
+        if outcome is Outcome.FULL:
+            self._plain.note_full(replica)
         maybe_ran = outcome in (Outcome.UNKNOWN, Outcome.RAN)
         if outcome is Outcome.UNKNOWN:
             job.events.restart()
@@ -323,6 +334,9 @@
             raise Failed("the replica failed it")
         if job.sends >= MAX_SENDS:
             raise Refused("sent too often", RETRY_AFTER_S)
+        if outcome is Outcome.FULL and self._may_wait(job):
+            await self._plain.wait(job, replica)
+            job.excluded.discard(replica.name)
         candidates = job.candidates()
         if candidates is not None and not maybe_ran and job.excluded >= job.tried:
             raise Refused("no further replica may be tried", RETRY_AFTER_S)
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/sharedhealth.py
@@ -0,0 +1,305 @@
+"""Health of replicas known over all instances: what gateways tell, what a planner finds.
+
+A gateway tells how its requests ended, by replica, with the messages that it sends anyway; the
+planner pools them (`gradelug_policy.verdicts`) and puts what it finds into its news. Replicas of
+services without engines have no planner: the one that is the home of the quotas speaks for them.
+"""
+
+from __future__ import annotations
+
+import math
+import typing as t
+from dataclasses import dataclass
+
+import logbook
+from gradelug_policy.outcomes import Ended, Source
+from gradelug_policy.verdicts import Change, Finding, VerdictPool
+from gradelug_wire import placement_pb2 as pb
+
+from .fleet import Fleet, Health, ToldFinding
+from .followers import Follower
+from .model import FleetState
+
+log = logbook.Logger("sharedhealth")
+HOLDS_S = 3.0
+"""What a planner found holds for so long after it was told last, in seconds: a lost planner is
+replaced within 2 to 4 s, and its successor finds for itself what gateways would meet until then."""
+REPEAT_S = 0.5
+"""It is told this often at least, in seconds, for gateways that have come and news that were lost;
+with 370 gateways news go out once in 0.9 s, three times within the time that a finding holds."""
+FAILING_STEP = 0.05
+TIME_STEP = 1.1
+"""Changes smaller than this are not told: what is reckoned from them does not change by more."""
+DOUBTED_S = 1.0
+"""An engine that fails an asker's requests is taken for one with so much more to read."""
+EJECTED_S = 3.0
+"""One that is left alone by all is taken for one with so much more: longer than most requests wait
+for another engine to take their weights in."""
+
+
+class EndsTeller:
+    """Tells one planner how this instance's requests ended; implements `parts.GatewayPart`.
+
+    Parameters
+    ----------
+    service : str
+        Whose planner.
+    instance : str
+        This instance.
+    fleet : Fleet
+        Keeps the records of replicas, and takes what is found of them.
+    clock : callable
+        The runtime's clock.
+    is_home : callable
+        Whether the planner speaks for services without engines as well.
+    """
+
+    __slots__ = ("_clock", "_fleet", "_instance", "_is_home", "_service")
+
+    def __init__(
+        self,
+        service: str,
+        instance: str,
+        fleet: Fleet,
+        clock: t.Callable[[], float],
+        is_home: t.Callable[[], bool],
+    ) -> None:
+        self._service = service
+        self._instance = instance
+        self._fleet = fleet
+        self._clock = clock
+        self._is_home = is_home
+
+    def begin_stream(self) -> None:
+        """Forget what could not be told: it is older than what it would be taken for."""
+        for health in self._replicas().values():
+            health.take_tally()
+
+    def fill(self, message: pb.FromGateway) -> None:
+        """Put the ends since the last message into this one."""
+        for name, health in self._replicas().items():
+            tally = health.take_tally()
+            message.ends.add(
+                replica=name,
+                served=tally.served,
+                failed=tally.failed,
+                broken=tally.broken,
+                full=tally.full,
+                took_ms=round(tally.took_s * 1000),
+            )
+
+    def take(self, message: pb.FromPlanner) -> None:
+        """Take over what is found of replicas."""
+        until = self._clock() + HOLDS_S
+        for told in message.verdicts:
+            if told.hall not in ("", self._fleet.hall):
+                continue
+            self._fleet.health(told.replica).told[told.hall] = ToldFinding(
+                told.failing,
+                told.held_back,
+                told.took_ms / 1000,
+                bool(told.prober) and told.prober == self._instance,
+                until,
+            )
+
+    def _replicas(self) -> dict[str, Health]:
+        """Return the records with something to tell."""
+        is_home = self._is_home()
+        return {
+            name: health
+            for name, health in self._fleet.healths()
+            if health.has_tally and self._speaks_for(name, is_home)
+        }
+
+    def _speaks_for(self, replica: str, is_home: bool) -> bool:
+        known = self._fleet.state.replicas.get(replica)
+        if known is None or known.service == self._service:
+            return known is not None
+        return is_home and not _has_engines(self._fleet.state, known.service)
+
+
+@dataclass(slots=True, frozen=True)
+class _Told:
+    failing: int
+    held_back: float
+    prober: str
+    took: int
+    at: float
+
+    def is_like(self, other: _Told) -> bool:
+        return (self.failing, self.held_back, self.prober, self.took) == (
+            other.failing,
+            other.held_back,
+            other.prober,
+            other.took,
+        )
+
+    @property
+    def is_nothing(self) -> bool:
+        return not (self.failing or self.held_back or self.took)
+
+
+class HealthDesk:
+    """Pools what gateways tell of replicas at a planner; implements `parts.PlannerPart`.
+
+    Parameters
+    ----------
+    service : str
+        The planner's.
+    state : FleetState
+        What the platform has told.
+    gather_s : callable
+        Returns how long gateways gather what they tell, in seconds.
+    """
+
+    __slots__ = (
+        "_findings",
+        "_gather_s",
+        "_members",
+        "_members_of",
+        "_pool",
+        "_service",
+        "_sources",
+        "_state",
+        "_told",
+    )
+
+    def __init__(self, service: str, state: FleetState, gather_s: t.Callable[[], float]) -> None:
+        self._service = service
+        self._state = state
+        self._gather_s = gather_s
+        self._pool = VerdictPool()
+        self._sources: dict[int, Source] = {}
+        self._members: dict[str, list[str]] = {}
+        self._members_of = (-1, -1)
+        """The state's change and configuration for which the members were looked up."""
+        self._findings: dict[tuple[str, str], Finding] = {}
+        self._told: dict[tuple[str, str], _Told] = {}
+
+    def take(self, follower: Follower, message: pb.FromGateway, now: float) -> None:
+        """Take over how a gateway's requests ended."""
+        if not message.ends:
+            return
+        source = self._sources.get(follower.number)
+        if source is None:
+            source = self._sources[follower.number] = Source(follower.instance, follower.hall)
+        for told in message.ends:
+            ended = Ended(told.served, told.failed + told.broken, told.took_ms / 1000, told.full)
+            self._pool.note(told.replica, source, ended, now)
+
+    def leave(self, follower: Follower, now: float) -> None:
+        """Forget a gateway as a source."""
+        self._sources.pop(follower.number, None)
+        self._pool.leave(follower.instance)
+
+    def fill(self, news: pb.FromPlanner, now: float) -> None:
+        """Judge the replicas anew and tell what has changed."""
+        members = self._look_up()
+        for change in self._pool.step(members, self._gather_s(), now):
+            self._log(change)
+        self._findings = {
+            (finding.replica, finding.hall): finding
+            for finding in self._pool.findings(members, now)
+        }
+        for key in [key for key in self._told if key not in self._findings]:
+            del self._told[key]
+            news.verdicts.add(replica=key[0], hall=key[1])
+        for key, finding in self._findings.items():
+            if self._is_due(key, finding, now):
+                news.verdicts.append(_encode(finding))
+
+    def forget(self, replica: str) -> None:
+        """Forget a replica."""
+        self._pool.forget(replica)
+
+    def doubt_s(self, replica: str, follower: Follower, doubted: t.Container[str]) -> float:
+        """Return what a request costs more on an engine that fails requests, in seconds.
+
+        Parameters
+        ----------
+        follower : Follower
+            Whose request it is.
+        doubted : container of str
+            Replicas that fail this gateway's requests.
+        """
+        cost_s = DOUBTED_S if replica in doubted else 0.0
+        for hall in {"", follower.hall}:
+            finding = self._findings.get((replica, hall))
+            if finding is not None and finding.prober != follower.instance:
+                shared_s = EJECTED_S * finding.held_back + DOUBTED_S * finding.failing
+                cost_s = max(cost_s, shared_s)
+        return cost_s
+
+    def ejected_s(self, replica: str) -> float:
+        """Return what weights cost more on an engine that is left alone by all, in seconds."""
+        finding = self._findings.get((replica, ""))
+        return EJECTED_S * finding.held_back if finding is not None else 0.0
+
+    def _is_due(self, key: tuple[str, str], finding: Finding, now: float) -> bool:
+        told = _Told(
+            round(finding.failing / FAILING_STEP),
+            finding.held_back,
+            finding.prober,
+            round(math.log(finding.took_s * 1000, TIME_STEP)) if finding.took_s else 0,
+            now,
+        )
+        earlier = self._told.get(key)
+        if earlier is None and told.is_nothing:
+            return False
+        if earlier is not None and earlier.is_like(told) and now - earlier.at < REPEAT_S:
+            return False
+        if told.is_nothing:
+            # Told once more; then it is as good as unknown.
+            del self._told[key]
+        else:
+            self._told[key] = told
+        return True
+
+    def _look_up(self) -> dict[str, list[str]]:
+        snapshot = self._state.snapshot
+        seen = (self._state.change, snapshot.version if snapshot is not None else -1)
+        if seen == self._members_of:
+            return self._members
+        self._members_of = seen
+        self._members = {}
+        is_home = _home(self._state) == self._service
+        for rep in self._state.replicas.values():
+            is_plain = is_home and not _has_engines(self._state, rep.service)
+            if not rep.leaving and (rep.service == self._service or is_plain):
+                self._members.setdefault(rep.service, []).append(rep.name)
+        return self._members
+
+    def _log(self, change: Change) -> None:
+        log.info(
+            "ejected" if change.ejected else "returned",
+            replica=change.replica,
+            hall=change.hall,
+            sources=change.sources,
+            failed=change.bad,
+            served=change.good,
+            strikes=round(change.strikes, 2),
+        )
+
+
+def _has_engines(state: FleetState, service: str) -> bool:
+    found = state.snapshot.services.get(service) if state.snapshot is not None else None
+    return found is not None and found.engine is not None
+
+
+def _home(state: FleetState) -> str:
+    """Return the service whose planner speaks for those without engines; see `quota_home`."""
+    services = state.snapshot.services if state.snapshot is not None else {}
+    return min((name for name, found in services.items() if found.engine is not None), default="")
+
+
+def _encode(finding: Finding) -> pb.Verdict:
+    return pb.Verdict(
+        replica=finding.replica,
+        hall=finding.hall,
+        failing=finding.failing,
+        ejected=finding.held_back >= 1,
+        held_back=finding.held_back,
+        sources=finding.sources,
+        prober=finding.prober,
+        took_ms=finding.took_s * 1000,
+    )
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/outcomes.py
@@ -0,0 +1,259 @@
+"""What many gateways saw of one replica's requests, and whether that says that it fails.
+
+Load pattern: a replica fails 40% of its requests while its health check is good; beside it stand a
+gateway, a link and a hall that are at fault themselves, and resets of many connections at one
+moment, which say nothing of a replica.
+"""
+
+from __future__ import annotations
+
+import math
+import typing as t
+from collections import deque
+from dataclasses import dataclass
+
+USUAL = 0.1
+"""Part of the requests that may fail at a replica of which nothing is to be said: services under
+load and networks that lose packets come to that."""
+USUAL_PART = 1.3
+USUAL_MARGIN = 0.05
+"""Where the others of the service fail, so many times as many and this part more may: where all
+fail alike, some of many estimates are that much above the others."""
+WORSE = 0.3
+"""A failing replica fails this part of its requests more than that."""
+MOST_FAILING = 0.95
+"""Nor more than this part: otherwise one answer would outweigh any number of failures."""
+EJECT_SCORE = 5.0
+"""Logarithm of how much likelier the evidence must be from a failing replica (150 times): four
+failures with no answer between them, which 3 failures in 100 bring once in a million requests."""
+HALL_SCORE = 2.0
+"""The same of what remains without the hall that says most, where there are several (seven times):
+two failures with no answer between them."""
+FEWEST_SOURCES = 3
+"""Sources that must have seen failures: of two, one may be at fault and the other unlucky."""
+WINDOW = 96
+"""Outcomes by which a replica is judged: at 40% an estimate is right within 5 in 100."""
+WINDOW_S = 10.0
+"""How old they may be, in seconds: a replica with one request a second is judged as well."""
+PRIOR = 4.0
+"""Answers that are taken as seen before the first one, for a rate from little evidence."""
+TIME_HALF_LIFE_S = 2.0
+"""Answers' times count half after this, in seconds."""
+TIME_PRIOR = 4.0
+"""Answers of the usual time that are taken as seen at each replica."""
+FULL_TIMES = 4.0
+"""A request that was not run for want of room counts like an answer that took so many times as long
+as usual: the caller's next try costs about that."""
+EVERYWHERE = ""
+"""Stands for a hall's name where all halls are meant."""
+
+
+@dataclass(slots=True, frozen=True)
+class Source:
+    """A gateway that tells how its requests ended, and where it stands."""
+
+    name: str
+    hall: str
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """How requests ended: answered, or failed by the replica or on the way.
+
+    Parameters
+    ----------
+    good, bad : int
+        How many were answered and how many failed.
+    took_s : float
+        Time that the answered ones took together, in seconds; 0 if it is not told.
+    full : int
+        How many were not run for want of room.
+    """
+
+    good: int
+    bad: int
+    took_s: float = 0.0
+    full: int = 0
+
+
+class Batch(t.NamedTuple):
+    """What a source told at a moment."""
+
+    at: float
+    source: Source
+    good: int
+    bad: int
+
+
+@dataclass(slots=True, frozen=True)
+class Evidence:
+    """That a replica fails: seen by how many sources, since when, and in how many requests."""
+
+    sources: int
+    since: float
+    good: int
+    bad: int
+
+
+def rate(good: int, bad: int) -> float:
+    """Return the part of requests that fail, cautiously from few of them."""
+    return bad / (good + bad + PRIOR)
+
+
+class Times:
+    """How long answers of a replica took lately, and how many requests it had no room for."""
+
+    __slots__ = ("_at", "full", "number", "total_s")
+
+    def __init__(self) -> None:
+        self.total_s = 0.0
+        self.number = 0.0
+        self.full = 0.0
+        self._at = 0.0
+
+    def note(self, ended: Ended, now: float) -> None:
+        """Take answers into account whose time is known."""
+        self.settle(now)
+        self.full += ended.full
+        if ended.took_s:
+            self.total_s += ended.took_s
+            self.number += ended.good
+
+    def settle(self, now: float) -> None:
+        """Let what is older count less."""
+        part = math.exp2(-(now - self._at) / TIME_HALF_LIFE_S)
+        self.total_s *= part
+        self.number *= part
+        self.full *= part
+        self._at = now
+
+    def mean_s(self, usual_s: float) -> float:
+        """Return the mean time of an answer beside what is usual in its service, in seconds.
+
+        That there was no room counts like an answer that took very long.
+        """
+        total_s = self.total_s + (TIME_PRIOR + FULL_TIMES * self.full) * usual_s
+        return total_s / (self.number + TIME_PRIOR + self.full)
+
+
+class Outcomes:
+    """What sources told of one replica lately."""
+
+    __slots__ = ("_batches", "times")
+
+    def __init__(self) -> None:
+        self._batches: deque[Batch] = deque()
+        self.times = Times()
+
+    def note(self, batch: Batch) -> None:
+        """Take outcomes into account."""
+        self._batches.append(batch)
+
+    def trim(self, now: float) -> None:
+        """Forget outcomes that are too old or too many."""
+        count = sum(batch.good + batch.bad for batch in self._batches)
+        while self._batches:
+            oldest = self._batches[0]
+            number = oldest.good + oldest.bad
+            if now - oldest.at <= WINDOW_S and count - number < WINDOW:
+                return
+            count -= number
+            self._batches.popleft()
+
+    def drop(self, hall: str) -> None:
+        """Forget what sources of a hall, or all, told."""
+        kept = (batch for batch in self._batches if hall not in (EVERYWHERE, batch.source.hall))
+        self._batches = deque(kept)
+
+    def counts(self, hall: str = EVERYWHERE, since: float = -math.inf) -> tuple[int, int]:
+        """Return how many requests were answered and failed, in a hall's view or in all."""
+        good = bad = 0
+        for batch in self._batches:
+            if batch.at >= since and hall in (EVERYWHERE, batch.source.hall):
+                good += batch.good
+                bad += batch.bad
+        return good, bad
+
+    def sources(self) -> int:
+        """Return how many sources told something."""
+        return len({batch.source for batch in self._batches})
+
+    def failing_sources(self) -> int:
+        """Return how many sources saw failures."""
+        return len({batch.source for batch in self._batches if batch.bad})
+
+    def evidence(
+        self, hall: str, span_s: float, has_halls: bool, usual: float = 0.0
+    ) -> Evidence | None:
+        """Return evidence that the replica fails, None if there is not enough.
+
+        The newest outcomes are looked at, as many of them as say most. They must do without the
+        worst source, and where gateways of several halls tell something those of the others must
+        agree with the worst hall: one gateway, link or hall that is at fault itself convinces
+        nobody.
+
+        Parameters
+        ----------
+        hall : str
+            In whose view.
+        span_s : float
+            Failures must be spread over this, in seconds.
+        has_halls : bool
+            Whether gateways of several halls tell something.
+        usual : float
+            Part of the requests that fail at the others of its service, 0 to 1.
+        """
+        tally = _Tally(max(USUAL, USUAL_PART * usual + USUAL_MARGIN))
+        newest_bad = None
+        for batch in reversed(self._batches):
+            if hall not in (EVERYWHERE, batch.source.hall):
+                continue
+            tally.add(batch)
+            if not batch.bad:
+                continue
+            newest_bad = batch.at if newest_bad is None else newest_bad
+            if tally.total < EJECT_SCORE or newest_bad - batch.at < span_s:
+                continue
+            if tally.holds(has_halls and hall == EVERYWHERE):
+                return Evidence(len(tally.failing), batch.at, tally.good, tally.bad)
+        return None
+
+
+class _Tally:
+    """Scores by source, beside a replica that fails a part of its requests as is usual."""
+
+    __slots__ = ("_bad_score", "_good_score", "_scores", "bad", "failing", "good", "total")
+
+    def __init__(self, usual: float) -> None:
+        usual = min(usual, MOST_FAILING - USUAL_MARGIN)
+        failing = min(usual + WORSE, MOST_FAILING)
+        self._bad_score = math.log(failing / usual)
+        self._good_score = math.log((1 - failing) / (1 - usual))
+        self._scores: dict[Source, float] = {}
+        self.failing: set[Source] = set()
+        self.total = 0.0
+        self.good = 0
+        self.bad = 0
+
+    def add(self, batch: Batch) -> None:
+        score = self._good_score * batch.good + self._bad_score * batch.bad
+        self.total += score
+        self._scores[batch.source] = self._scores.get(batch.source, 0.0) + score
+        self.good += batch.good
+        self.bad += batch.bad
+        if batch.bad:
+            self.failing.add(batch.source)
+
+    def holds(self, has_halls: bool) -> bool:
+        """Tell whether the score holds without the worst source, and without the worst hall."""
+        if len(self.failing) < FEWEST_SOURCES:
+            return False
+        if self.total - max(self._scores.values()) < EJECT_SCORE:
+            return False
+        return not has_halls or self._without_worst_hall() >= HALL_SCORE
+
+    def _without_worst_hall(self) -> float:
+        halls: dict[str, float] = {}
+        for source, score in self._scores.items():
+            halls[source.hall] = halls.get(source.hall, 0.0) + score
+        return self.total - max(halls.values())
--- /dev/null
+++ b/tests/test_verdicts.py
@@ -0,0 +1,299 @@
+"""Many gateways' findings of replicas that fail, lie, flap, or are wrongly suspected."""
+
+import random
+from collections import Counter
+
+import pytest
+from gradelug_gateway.fleet import FAILURE_COST, Health
+from gradelug_policy.outcomes import Ended, Source, rate
+from gradelug_policy.verdicts import MOST_EJECTED, VerdictPool
+from hypothesis import given
+from hypothesis import strategies as st
+
+GATHER_S = 0.2
+NEWS_S = 0.24
+GATEWAYS = 85
+HALLS = ("a", "b", "c")
+SOURCES = [Source(f"g{number}", HALLS[number % 3]) for number in range(GATEWAYS)]
+REPLICAS = [f"e{number}" for number in range(10)]
+
+
+class Own:
+    """Each gateway learns by itself, as without shared health."""
+
+    def __init__(self):
+        self.records = {}
+
+    def _health(self, source, replica):
+        return self.records.setdefault((source, replica), Health())
+
+    def choose(self, source, rng, now):
+        def cost(replica):
+            return FAILURE_COST * self._health(source, replica).rate(now) + rng.random()
+
+        allowed = [r for r in REPLICAS if self._health(source, r).circuit.allows(now)]
+        chosen = min(allowed or REPLICAS, key=cost)
+        self._health(source, chosen).circuit.note_start(now)
+        return chosen
+
+    def note(self, source, replica, failed, now):
+        self._health(source, replica).note(failed, now)
+
+    def tell(self, now):
+        pass
+
+    def ejected(self):
+        return set()
+
+
+class PooledRate(Own):
+    """All gateways' outcomes in one rate; beyond 0.3 of five and more the replica is left alone."""
+
+    def __init__(self):
+        super().__init__()
+        self.seen = {}
+        self.out = {}
+
+    def choose(self, source, rng, now):
+        allowed = [r for r in REPLICAS if self.out.get(r, -1.0) < now]
+        return rng.choice(allowed or REPLICAS)
+
+    def note(self, source, replica, failed, now):
+        self.seen.setdefault(replica, []).append((now, failed))
+
+    def tell(self, now):
+        for replica, seen in self.seen.items():
+            seen[:] = [(at, failed) for at, failed in seen if now - at < 3.0]
+            told = [failed for at, failed in seen if at < now - GATHER_S]
+            if len(told) >= 5 and sum(told) > 0.3 * len(told):
+                self.out[replica] = now + 2.0
+                seen.clear()
+
+    def ejected(self):
+        return set(self.out)
+
+
+class Pooled(Own):
+    """The pool as gateways and planner use it, on top of a gateway's own records."""
+
+    def __init__(self):
+        super().__init__()
+        self.pool = VerdictPool()
+        self.found = {}
+        self.told = Counter()
+        self.changes = []
+
+    def choose(self, source, rng, now):
+        for replica in REPLICAS:
+            if self._found(source, replica)[1] == source.name:
+                return replica
+        held = {replica: self._found(source, replica)[0] for replica in REPLICAS}
+
+        def cost(replica):
+            own = self._health(source, replica).rate(now)
+            return FAILURE_COST * own + rng.random()
+
+        allowed = [
+            replica
+            for replica in REPLICAS
+            if self._health(source, replica).circuit.allows(now) and rng.random() >= held[replica]
+        ]
+        chosen = min(allowed or REPLICAS, key=cost)
+        self._health(source, chosen).circuit.note_start(now)
+        return chosen
+
+    def _found(self, source, replica):
+        held, prober = 0.0, ""
+        for hall in ("", source.hall):
+            finding = self.found.get((replica, hall))
+            if finding is not None:
+                held = max(held, finding.held_back)
+                prober = prober or finding.prober
+        return held, prober
+
+    def note(self, source, replica, failed, now):
+        super().note(source, replica, failed, now)
+        self.told[(source, replica, failed)] += 1
+
+    def tell(self, now):
+        for (source, replica, failed), count in self.told.items():
+            ended = Ended(0, count) if failed else Ended(count, 0)
+            self.pool.note(replica, source, ended, now)
+        self.told.clear()
+        members = {"llm": REPLICAS}
+        self.changes += [(now, change) for change in self.pool.step(members, GATHER_S, now)]
+        found = self.pool.findings(members, now)
+        self.found = {(finding.replica, finding.hall): finding for finding in found}
+
+    def ejected(self):
+        return {(change.replica, change.hall) for _, change in self.changes if change.ejected}
+
+
+def play(way, fails, until=12.0, per_s=140.0, seed=1):
+    """Return failed requests by replica, and those sent there, by second.
+
+    `fails(rng, source, replica, now)` tells whether a request fails.
+    """
+    rng = random.Random(seed)
+    sent, failed = Counter(), Counter()
+    now, told_at = 0.0, 0.0
+    while now < until:
+        now += rng.expovariate(per_s)
+        if now - told_at >= NEWS_S:
+            told_at = now
+            way.tell(now)
+        source = rng.choice(SOURCES)
+        replica = way.choose(source, rng, now)
+        bad = fails(rng, source, replica, now)
+        sent[replica, int(now)] += 1
+        failed[replica] += bad
+        way.note(source, replica, bad, now)
+    return failed, sent
+
+
+def grey(rng, source, replica, now):
+    """Fail 45% at one replica from the second second on, and 2% everywhere."""
+    return rng.random() < (0.45 if replica == "e3" and now > 2.0 else 0.02)
+
+
+class TestPooledVerdicts:
+    def test_a_replica_that_fails_nearly_half_is_left_alone_soon(self):
+        """With 45 of 100 failing, 85 gateways that learn alone go on sending."""
+        counts = {}
+        for make in (Own, PooledRate, Pooled):
+            seen = [play(make(), grey, seed=seed) for seed in range(5)]
+            counts[make] = sum(failed["e3"] for failed, _ in seen) / len(seen)
+        assert counts[Pooled] < 0.4 * counts[Own]
+        assert counts[Pooled] < 25
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_it_is_ejected_within_three_seconds_and_stays_so_while_it_fails(self, seed):
+        way = Pooled()
+        _, sent = play(way, grey, seed=seed)
+        first = min(at for at, change in way.changes if change.ejected)
+        assert first < 5.0
+        assert sum(sent["e3", second] for second in range(6, 12)) < 0.3 * 6 * 14
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_what_fails_three_in_a_hundred_is_not_ejected(self, seed):
+        way = Pooled()
+        play(way, lambda rng, *_: rng.random() < 0.03, until=30.0, seed=seed)
+        assert not way.ejected()
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_one_bad_gateway_ejects_nothing(self, seed):
+        def fails(rng, source, replica, now):
+            return source.name == "g7" or rng.random() < 0.02
+
+        way = Pooled()
+        play(way, fails, until=30.0, seed=seed)
+        assert not way.ejected()
+
+    def test_a_gateway_with_a_third_of_the_requests_ejects_nothing(self):
+        pool = VerdictPool()
+        rng = random.Random(2)
+        changes = []
+        for step in range(100):
+            now = step * NEWS_S
+            pool.note("e0", SOURCES[0], Ended(0, 4), now)
+            for source in rng.sample(SOURCES[1:], 8):
+                pool.note("e0", source, Ended(1, 0), now)
+            changes += pool.step({"llm": REPLICAS}, GATHER_S, now)
+        assert not changes
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_a_hall_that_cannot_reach_a_replica_ejects_it_for_itself_alone(self, seed):
+        def fails(rng, source, replica, now):
+            return source.hall == "b" and replica == "e4" or rng.random() < 0.02
+
+        way = Pooled()
+        play(way, fails, until=15.0, seed=seed)
+        assert way.ejected() == {("e4", "b")}
+
+    def test_resets_at_one_moment_are_no_evidence(self):
+        pool = VerdictPool()
+        for source in SOURCES:
+            pool.note("e0", source, Ended(0, 1), 1.0 + 0.2 * random.Random(source.name).random())
+        for step in range(20):
+            assert not pool.step({"llm": REPLICAS}, GATHER_S, 1.0 + step * NEWS_S)
+
+    @pytest.mark.parametrize("seed", range(5))
+    @pytest.mark.parametrize("part", [0.45, 0.9])
+    def test_where_all_fail_nobody_is_ejected(self, part, seed):
+        way = Pooled()
+        play(way, lambda rng, *_: rng.random() < part, until=30.0, seed=seed)
+        assert not way.ejected()
+
+    def test_a_replica_that_is_well_again_comes_back_by_steps(self):
+        def fails(rng, source, replica, now):
+            return replica == "e3" and 2.0 < now < 6.0 and rng.random() < 0.45
+
+        way = Pooled()
+        _, sent = play(way, fails, until=25.0)
+        ejected = [at for at, change in way.changes if change.ejected]
+        returned = [at for at, change in way.changes if not change.ejected]
+        assert ejected
+        assert ejected[-1] < 6.5
+        assert returned
+        assert returned[-1] < 15.0
+        assert sum(sent["e3", second] for second in range(20, 25)) > 0.7 * 5 * 14
+
+    def test_one_that_flaps_is_left_alone_for_longer_each_time(self):
+        def fails(rng, source, replica, now):
+            return replica == "e3" and int(now / 6.0) % 2 == 0
+
+        way = Pooled()
+        play(way, fails, until=60.0)
+        strikes = [change.strikes for _, change in way.changes if change.ejected]
+        assert len(strikes) >= 3
+        assert strikes == sorted(strikes)
+
+    def test_a_replica_that_nobody_probes_comes_back(self):
+        pool = VerdictPool()
+        now = 0.0
+        for step in range(20):
+            now = step * NEWS_S
+            for source in SOURCES[step * 4 : step * 4 + 4]:
+                pool.note("e0", source, Ended(0, 1), now)
+            pool.step({"llm": REPLICAS}, GATHER_S, now)
+        assert _held_back(pool, now) == 1.0
+        for step in range(200):
+            pool.step({"llm": REPLICAS}, GATHER_S, now + step * NEWS_S)
+        assert _held_back(pool, now + 48.0) == 0.0
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 9),
+                st.integers(0, 11),
+                st.integers(0, 3),
+                st.integers(0, 3),
+                st.floats(0.0, 0.5),
+            ),
+            max_size=150,
+        ),
+        st.integers(1, 10),
+    )
+    def test_whatever_is_told_half_of_a_service_stays_usable(self, told, size):
+        pool = VerdictPool()
+        members = {"llm": REPLICAS[:size]}
+        now = 0.0
+        for replica, number, good, bad, passed_s in told:
+            now += passed_s
+            pool.note(f"e{replica}", SOURCES[number], Ended(good, bad), now)
+            pool.step(members, GATHER_S, now)
+            findings = list(pool.findings(members, now))
+            for hall in HALLS:
+                out = {f.replica for f in findings if f.hall in ("", hall) and f.held_back == 1.0}
+                assert len(out) <= MOST_EJECTED * size
+            assert all(0.0 <= finding.failing <= 1.0 for finding in findings)
+
+
+def _held_back(pool, now):
+    found = {f.replica: f.held_back for f in pool.findings({"llm": REPLICAS}, now) if not f.hall}
+    return found["e0"]
+
+
+def test_a_rate_from_few_outcomes_is_cautious():
+    assert rate(0, 1) == 0.2
+    assert rate(60, 40) > 0.38
