Judge a replica beside the others in the same moments; lateness is no evidence

Ruled out: a higher threshold (four failures in a row are as telling as before where the others answer). Change: silence counts against a replica only if the request must have had its turn (1.2 targets and three times what was expected when it was sent); a 504 counts for this instance alone. What is usual is also taken since the evidence begins.

--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -157,6 +157,14 @@
         self.tally.broken += 1
         self._take(True, now)
 
+    def note_late(self, now: float) -> None:
+        """Take into account that an answer did not come in time, as from a replica with a queue.
+
+        It is told to nobody: where much is asked for, all replicas are late now and then, and one
+        that is left alone makes the others later.
+        """
+        self._take(True, now)
+
     def note_full(self, now: float) -> None:
         """Take into account that a request was not run for want of room."""
         self.tally.full += 1
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -19,6 +19,7 @@
 from gradelug_policy.reading import LATE, Busyness, Work, first_event_s
 
 from .directory import Directory
+from .exceptions import GATEWAY_TIMEOUT
 from .fleet import Fleet
 from .job import Job, Outcome
 from .metrics import Meters
@@ -40,11 +41,19 @@
 """The same at a replica that answers others: there it waits its turn, and would elsewhere."""
 LOOK_S = 0.1
 """How often it is looked whether a request that nobody answers may be sent elsewhere."""
+LATE_TARGETS = 1.2
+LATE_TIMES = 3.0
+"""A request must have had its turn after so many targets, and so many times as long as the replica
+was expected to take when it was sent: what it has before it is known half a second late."""
 HEARD_S = 0.8
 """A replica from which something came this lately answers others: a gap between events, and half a
 second until what another instance heard is told here where 170 instances follow a planner."""
 
 
+class ReplicaSilent(ResponseBroken):
+    """Nothing comes from a replica for longer than it is waited for."""
+
+
 class Sender:
     """Sends requests to replicas and passes their answers on.
 
@@ -142,7 +151,10 @@
                 health.note_broken(self._clock())
             raise
         except ResponseBroken as exc:
-            health.note_broken(self._clock())
+            if isinstance(exc, ReplicaSilent) and not self._is_unheard(sending):
+                health.note_late(self._clock())
+            else:
+                health.note_broken(self._clock())
             log.info("broken", id=job.req.id, replica=replica.name, why=str(exc))
             if conn.is_silenced or health.heard_at < now:
                 self._pool.doubt(replica.address, now)
@@ -162,24 +174,26 @@
         return outcome
 
     def _is_unheard(self, sending: _Exchange) -> bool:
-        """Tell whether a request was not answered for longer than anybody waits.
-
-        At an engine it may wait its turn while others are read, unless nothing at all came.
-        """
-        if sending.running or sending.sent_at > self._clock() - self._patience_s(sending.job):
+        """Tell whether a request was not answered though it must have had its turn."""
+        if sending.running:
             return False
-        heard_at = self._fleet.health(sending.replica.name).heard_at
-        return sending.job.service.engine is None or heard_at < sending.sent_at
-
-    @staticmethod
-    def _patience_s(job: Job) -> float:
-        return SILENT_TARGETS * job.route.target_s
+        job, replica = sending.job, sending.replica
+        if job.service.engine is not None:
+            speed = self._fleet.speeds.speed(replica.service)
+            usual_s = first_event_s(sending.busy, sending.work, speed)
+        else:
+            usual_s = self._fleet.health(replica.name).took_s(self._clock())
+        turn_s = max(LATE_TARGETS * job.route.target_s, LATE_TIMES * usual_s)
+        return self._clock() - sending.sent_at >= turn_s
 
     def _note_health(self, sending: _Exchange, outcome: Outcome) -> None:
         health, now = self._fleet.health(sending.replica.name), self._clock()
         if outcome is Outcome.FULL:
             health.note_full(now)
             return
+        if outcome is Outcome.RAN and sending.status == GATEWAY_TIMEOUT:
+            health.note_late(now)
+            return
         is_whole = outcome is Outcome.DONE and not sending.job.route.streaming
         health.note(outcome is Outcome.RAN, now, now - sending.sent_at if is_whole else 0.0)
 
@@ -205,6 +219,7 @@
         head = await self._listen(
             sending, sending.conn.head(lambda head: self._dialect.is_own(head, job.req))
         )
+        sending.status = head.status
         verdict = self._dialect.judge(head, replica)
         if verdict is Verdict.SPOILED:
             raise ResponseBroken("the answer does not come from the replica")
@@ -247,7 +262,7 @@
                 # burst had been left by their gateway with no repetition to spend.
                 done, _ = await asyncio.wait([task], timeout=LOOK_S)
             if not done:
-                raise ResponseBroken("the replica is silent")
+                raise ReplicaSilent("the replica is silent")
         finally:
             if not task.done():
                 task.cancel()
@@ -362,7 +377,17 @@
 class _Exchange:
     """One sending of a request over one connection."""
 
-    __slots__ = ("busy", "conn", "job", "released", "replica", "running", "sent_at", "work")
+    __slots__ = (
+        "busy",
+        "conn",
+        "job",
+        "released",
+        "replica",
+        "running",
+        "sent_at",
+        "status",
+        "work",
+    )
 
     def __init__(
         self,
@@ -382,6 +407,8 @@
         self.conn = conn
         self.running = False
         self.released = False
+        self.status = 0
+        """Of the answer; 0 until there is one."""
 
     def release(self, pool: HttpPool, head: ResponseHead) -> None:
         """Give the connection back after a whole answer."""
--- a/packages/policy/src/gradelug_policy/verdicts.py
+++ b/packages/policy/src/gradelug_policy/verdicts.py
@@ -336,8 +336,7 @@
             record = self._records[name]
             if record.is_ejected(hall):
                 continue
-            usual = self._usual(name, hall, known)
-            evidence = record.outcomes.evidence(hall, span_s, has_halls, usual)
+            evidence = self._evidence(name, hall, known, span_s, has_halls)
             if evidence is None:
                 continue
             ejected += 1
@@ -347,14 +346,33 @@
             record.outcomes.drop(hall)
             yield _change(name, hall, standing, True, now)
 
-    def _usual(self, name: str, hall: str, known: t.Iterable[str]) -> float:
+    def _evidence(
+        self, name: str, hall: str, known: t.Collection[str], span_s: float, has_halls: bool
+    ) -> Evidence | None:
+        """Return evidence that a replica fails, beside the others then and in the same moments.
+
+        Callers whose requests fail wherever they are sent come in waves: what was usual some
+        seconds ago is not by what a replica can be judged in one.
+        """
+        outcomes = self._records[name].outcomes
+        usual = self._usual(name, hall, known, -math.inf)
+        evidence = outcomes.evidence(hall, span_s, has_halls, usual)
+        if evidence is None:
+            return None
+        lately = self._usual(name, hall, known, evidence.since)
+        if lately <= usual:
+            return evidence
+        return outcomes.evidence(hall, span_s, has_halls, lately)
+
+    def _usual(self, name: str, hall: str, known: t.Iterable[str], since: float) -> float:
         """Return which part of the requests fails at the others of a service.
 
         The lower median: where half of them fail that is not usual. What all of them do is not
         mended by leaving one alone.
         """
-        outcomes = [self._records[other].outcomes for other in known if other != name]
-        return max(_median(each.counts(view) for each in outcomes) for view in (hall, EVERYWHERE))
+        others = [self._records[other].outcomes for other in known if other != name]
+        views = (hall, EVERYWHERE)
+        return max(_median(each.counts(view, since) for each in others) for view in views)
 
     def _mean_time(self, known: t.Iterable[str], now: float) -> float:
         times = [self._records[name].outcomes.times for name in known]
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -224,6 +224,17 @@
         play(way, lambda rng, *_: rng.random() < part, until=30.0, seed=seed)
         assert not way.ejected()
 
+    @pytest.mark.parametrize("seed", range(10))
+    def test_a_wave_of_requests_that_fail_wherever_they_are_sent_ejects_nobody(self, seed):
+        """Of three plain replicas one had 8 of 11 requests failed while all failed a third."""
+
+        def fails(rng, source, replica, now):
+            return rng.random() < (0.4 if 8.0 < now < 14.0 else 0.05)
+
+        way = Pooled()
+        play(way, fails, until=20.0, seed=seed)
+        assert not way.ejected()
+
     def test_a_replica_that_is_well_again_comes_back_by_steps(self):
         def fails(rng, source, replica, now):
             return replica == "e3" and 2.0 < now < 6.0 and rng.random() < 0.45
