--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -32,6 +32,7 @@
 from .freshness import RENEW_PART, Freshness
 from .metrics import Meters
 from .model import EngineSpec, FleetState
+from .parts import GatewayPart
 from .placement import Duty, PlacementService
 from .planner import Planner
 from .ports import Dialect, OrderTransport
@@ -40,7 +41,8 @@
 from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
-from .settings import Bounds, GatewaySettings
+from .settings import Bounds, Feature, GatewaySettings
+from .sharedhealth import EndsTeller
 from .storenews import TELL_SPACING_S, StoreListener, StoreTeller
 
 log = logbook.Logger("daemon")
@@ -144,6 +146,7 @@
                 self._freshness,
             ),
             shares,
+            self._link_parts,
         )
         bounds = settings.bounds
         self._budgets = RetryBudgets(
@@ -173,6 +176,7 @@
             Admitter(self._freshness),
             Quotas(self._directory.quota_home, self._clock, self._rng, shares),
             lambda: not self._mirror.is_lost,
+            Feature.SHARED_HEALTH in settings.features,
         )
         self._callers = HttpServer(
             self._serving.serve, self._limits, self._clock, settings.unread_bytes, pool
@@ -255,6 +259,17 @@
             if duty.planner is not None:
                 duty.planner.refresh()
 
+    def _link_parts(self, service: str) -> t.Iterator[GatewayPart]:
+        """Yield what else is told to the planner of a service."""
+        if Feature.SHARED_HEALTH in self.settings.features:
+            yield EndsTeller(
+                service,
+                self.settings.name,
+                self._fleet,
+                self._clock,
+                lambda: self._directory.home_service == service,
+            )
+
     def _new_ownership(self) -> LastingOwnership:
         host, _ = _split(self.settings.addresses.peers)
         return LastingOwnership(
@@ -361,6 +376,7 @@
             self._feed.refresh()
             self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
+            self._serving.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
             told = self._directory.gateways if self._follows() else 0
             self._budgets.share_among(self._gateways.note(told, self._clock()))
@@ -399,6 +415,11 @@
             lambda: self._pool.doubted,
         )
         gauge("replicas", "Replicas known", lambda: len(self._state.replicas))
+        gauge(
+            "replicas_ejected",
+            "Replicas that a planner has told to leave alone",
+            self._fleet.count_ejected,
+        )
         gauge("mirror_synced", "1 while the platform's watch runs", lambda: self._mirror.synced)
         gauge(
             "config_proof_age_seconds",
--- a/packages/gateway/src/gradelug_gateway/pending.py
+++ b/packages/gateway/src/gradelug_gateway/pending.py
@@ -79,7 +79,10 @@
     merged.CopyFrom(new)
     _keep_newest(old.holdings, merged.holdings)
     _keep_newest(old.loads, merged.loads)
-    _keep_newest(old.verdicts, merged.verdicts)
+    found = {(verdict.replica, verdict.hall) for verdict in new.verdicts}
+    merged.verdicts.extend(
+        verdict for verdict in old.verdicts if (verdict.replica, verdict.hall) not in found
+    )
     _keep_newest(old.speeds, merged.speeds)
     return merged
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -26,6 +26,7 @@
 from .quota_desk import QuotaDesk
 from .relay import OrderRelay
 from .settings import Feature
+from .sharedhealth import DOUBTED_S, HealthDesk
 from .storenews import StoreTeller
 from .upkeep import PART_PER_COPY, Upkeep
 from .waiting import Waiter, WaitingLine
@@ -47,8 +48,6 @@
 takes 0.25 s from the weight store."""
 MOVE_MARGIN_S = 0.1
 """The other engine must be better by this: that it takes a place there costs others."""
-DOUBTED_S = 1.0
-"""An engine that fails an asker's requests is taken for one with so much more to read."""
 OTHER_HALL_S = 0.03
 """A nearer engine wins among equals only: bytes between halls have a price."""
 ALL_HOLDERS = 64
@@ -118,12 +117,13 @@
         """Finds engines by what they hold."""
         self._cells = Cells()
         self._rng = random.Random(0)
+        self._health: HealthDesk | None = None
+        if Feature.SHARED_HEALTH in features:
+            self._health = HealthDesk(service, state, lambda: self.followers.pacing.flush_s)
+        quotas = QuotaHome(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features)
         self.parts: tuple[PlannerPart, ...] = (
-            QuotaDesk(
-                QuotaHome(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features),
-                state,
-                lambda: self.term is not None,
-            ),
+            QuotaDesk(quotas, state, lambda: self.term is not None),
+            *((self._health,) if self._health is not None else ()),
         )
         """What else gateways tell this instance, and are told."""
         self.followers = Followers(
@@ -445,13 +445,16 @@
 
     def cost_s(self, engine: Engine, waiter: Waiter) -> float:
         """Return what a request costs on an engine that has the adapter, in seconds."""
-        cost = self.wait_s(engine, waiter.work)
-        if engine.replica.name in waiter.ask.doubted:
-            cost += DOUBTED_S
+        cost = self.wait_s(engine, waiter.work) + self._doubt_s(engine.replica.name, waiter)
         if engine.replica.hall != waiter.follower.hall:
             cost += OTHER_HALL_S
         return cost
 
+    def _doubt_s(self, replica: str, waiter: Waiter) -> float:
+        if self._health is not None:
+            return self._health.doubt_s(replica, waiter.follower, waiter.ask.doubted)
+        return DOUBTED_S if replica in waiter.ask.doubted else 0.0
+
     def _goes_elsewhere(self, waiter: Waiter, least_s: float, now: float) -> bool:
         """Tell whether a request that would be late on the best holder waits for another one."""
         if now > waiter.asked_at + MOVE_S:
@@ -478,6 +481,9 @@
         """Return the time to a first event on an engine that has the adapter, in seconds."""
         return first_event_s(engine.busyness(), work, self.speed)
 
+    def _ejected_s(self, replica: str) -> float:
+        return self._health.ejected_s(replica) if self._health is not None else 0.0
+
     def _is_coming(self, waiter: Waiter) -> bool:
         for name, engine in self._holders(waiter):
             place = engine.places.get(waiter.key)
@@ -535,7 +541,7 @@
                 opening.free,
                 opening.victims,
                 opening.engine.is_cached(key, version),
-                self.wait_s(opening.engine, work),
+                self.wait_s(opening.engine, work) + self._ejected_s(name),
             )
             for name, opening in openings.candidates(key, version, may_use)
         ]
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -19,6 +19,7 @@
 from gradelug_policy.reading import LATE, Busyness, Work, first_event_s
 
 from .directory import Directory
+from .exceptions import GATEWAY_TIMEOUT
 from .fleet import Fleet
 from .job import Job, Outcome
 from .metrics import Meters
@@ -43,11 +44,19 @@
 broken answer is no failure of its replica."""
 LOOK_S = 0.1
 """How often it is looked whether a request that nobody answers may be sent elsewhere."""
+LATE_TARGETS = 1.2
+LATE_TIMES = 3.0
+"""A request must have had its turn after so many targets, and so many times as long as the replica
+was expected to take when it was sent: what it has before it is known half a second late."""
 HEARD_S = 0.8
 """A replica from which something came this lately answers others: a gap between events, and half a
 second until what another instance heard is told here where 170 instances follow a planner."""
 
 
+class ReplicaSilent(ResponseBroken):
+    """Nothing comes from a replica for longer than it is waited for."""
+
+
 class Sender:
     """Sends requests to replicas and passes their answers on.
 
@@ -113,7 +122,7 @@
             rested_s = math.inf if repeatable else self._rested_s
             conn = await self._pool.acquire(replica.address, CONNECT_S, rested_s)
         except ConnectFailed as exc:
-            health.note(True, self._clock())
+            health.note_broken(self._clock())
             log.info("not sent", id=job.req.id, replica=replica.name, why=str(exc))
             return Outcome.NOT_SENT
         if self._fleet.state.replicas.get(replica.name, replica).leaving:
@@ -140,10 +149,14 @@
             self._directory.note_begin(replica.name, key, job.work.prompt_tokens)
         try:
             outcome = await self._exchange(sending)
+        except asyncio.CancelledError:
+            if self._is_unheard(sending):
+                health.note_broken(self._clock())
+            raise
         except ResponseBroken as exc:
             is_callers = job.inc.held_up_s >= SLOW_CALLER_S
             if not is_callers:
-                health.note(True, self._clock())
+                self._note_broken(sending, exc)
             log.info(
                 "broken",
                 id=job.req.id,
@@ -165,9 +178,40 @@
                 load.queued[work.urgency] -= work.prompt_tokens
             if key is not None:
                 self._directory.note_end(replica.name, key)
-        health.note(outcome is Outcome.RAN, self._clock())
+        self._note_health(sending, outcome)
         return outcome
 
+    def _is_unheard(self, sending: _Exchange) -> bool:
+        """Tell whether a request was not answered though it must have had its turn."""
+        if sending.running:
+            return False
+        job, replica = sending.job, sending.replica
+        if job.service.engine is not None:
+            speed = self._fleet.speeds.speed(replica.service)
+            usual_s = first_event_s(sending.busy, sending.work, speed)
+        else:
+            usual_s = self._fleet.health(replica.name).took_s(self._clock())
+        turn_s = max(LATE_TARGETS * job.route.target_s, LATE_TIMES * usual_s)
+        return self._clock() - sending.sent_at >= turn_s
+
+    def _note_broken(self, sending: _Exchange, exc: ResponseBroken) -> None:
+        health, now = self._fleet.health(sending.replica.name), self._clock()
+        if isinstance(exc, ReplicaSilent) and not self._is_unheard(sending):
+            health.note_late(now)
+        else:
+            health.note_broken(now)
+
+    def _note_health(self, sending: _Exchange, outcome: Outcome) -> None:
+        health, now = self._fleet.health(sending.replica.name), self._clock()
+        if outcome is Outcome.FULL:
+            health.note_full(now)
+            return
+        if outcome is Outcome.RAN and sending.status == GATEWAY_TIMEOUT:
+            health.note_late(now)
+            return
+        is_whole = outcome is Outcome.DONE and not sending.job.route.streaming
+        health.note(outcome is Outcome.RAN, now, now - sending.sent_at if is_whole else 0.0)
+
     def _with_urgency(self, job: Job, replica: Replica) -> Work:
         """Return a request's work; one that would be late anyway waits for those that would not."""
         if job.inc.started or not job.work.prompt_tokens:
@@ -190,6 +234,7 @@
         head = await self._listen(
             sending, sending.conn.head(lambda head: self._dialect.is_own(head, job.req))
         )
+        sending.status = head.status
         verdict = self._dialect.judge(head, replica)
         if verdict is Verdict.SPOILED:
             raise ResponseBroken("the answer does not come from the replica")
@@ -232,7 +277,7 @@
                 # burst had been left by their gateway with no repetition to spend.
                 done, _ = await asyncio.wait([task], timeout=LOOK_S)
             if not done:
-                raise ResponseBroken("the replica is silent")
+                raise ReplicaSilent("the replica is silent")
         finally:
             if not task.done():
                 task.cancel()
@@ -270,7 +315,7 @@
         if verdict is Verdict.ABSENT:
             job.absent = replica.name
             return Outcome.ABSENT
-        return Outcome.NOT_RUN
+        return Outcome.FULL if verdict is Verdict.FULL else Outcome.NOT_RUN
 
     async def _stream(self, sending: _Exchange, head: ResponseHead) -> Outcome:
         job = sending.job
@@ -347,7 +392,17 @@
 class _Exchange:
     """One sending of a request over one connection."""
 
-    __slots__ = ("busy", "conn", "job", "released", "replica", "running", "sent_at", "work")
+    __slots__ = (
+        "busy",
+        "conn",
+        "job",
+        "released",
+        "replica",
+        "running",
+        "sent_at",
+        "status",
+        "work",
+    )
 
     def __init__(
         self,
@@ -367,6 +422,8 @@
         self.conn = conn
         self.running = False
         self.released = False
+        self.status = 0
+        """Of the answer; 0 until there is one."""
 
     def release(self, pool: HttpPool, head: ResponseHead) -> None:
         """Give the connection back after a whole answer."""
--- a/tests/test_scoped_news.py
+++ b/tests/test_scoped_news.py
@@ -583,3 +583,13 @@
             await fleet.stop()
 
         run(scenario)
+
+
+def test_a_verdict_for_a_hall_waits_beside_the_one_for_all():
+    of_all = pb.Verdict(replica="r", failing=0.2)
+    of_hall = pb.Verdict(replica="r", hall="east", failing=0.9)
+    newer = pb.Verdict(replica="r", failing=0.3)
+    merged = merge_news(
+        pb.FromPlanner(verdicts=[of_all, of_hall]), pb.FromPlanner(verdicts=[newer])
+    )
+    assert list(merged.verdicts) == [newer, of_hall]
