--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -30,17 +30,19 @@
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
 from .freshness import RENEW_PART, Freshness
+from .handover import Handover
+from .lasting import LastingRuns
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .placement import Duty, PlacementService
 from .planner import Planner
-from .ports import Dialect, OrderTransport
+from .ports import Dialect, OrderTransport, RunTransport
 from .quotas import Quotas
 from .relay import OrderRelay
 from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
-from .settings import Bounds, GatewaySettings
+from .settings import Bounds, Feature, GatewaySettings
 from .storenews import TELL_SPACING_S, StoreListener, StoreTeller
 
 log = logbook.Logger("daemon")
@@ -92,6 +94,8 @@
         Gives orders to engines.
     pool : HttpPool
         Connections to replicas.
+    runs : RunTransport or None
+        Moves runs from engine to engine, where that can be done.
     """
 
     def __init__(
@@ -102,6 +106,7 @@
         dialect: Dialect,
         transport: OrderTransport,
         pool: HttpPool,
+        runs: RunTransport | None = None,
     ) -> None:
         self.settings = settings
         self._kv = kv
@@ -150,6 +155,21 @@
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s, self._clock
         )
         self._meters = Meters()
+        lasting = self._handover = None
+        if runs is not None and Feature.LASTING_RUNS in settings.features:
+            lasting = LastingRuns(
+                self._fleet, runs, self._meters, self._clock, self._budgets.has_retry
+            )
+            self._handover = Handover(
+                self._fleet,
+                self._directory,
+                lasting,
+                runs,
+                self._budgets.try_retry,
+                self._clock,
+                bounds.drain_s,
+            )
+        self._lasting = lasting
         sender = Sender(
             dialect,
             self._fleet,
@@ -159,6 +179,7 @@
             self._clock,
             self._budgets.has_retry,
             RESTED_S if settings.bounds.forgets_idle else math.inf,
+            lasting,
         )
         self._serving = Serving(
             dialect,
@@ -172,6 +193,7 @@
             Admitter(self._freshness),
             Quotas(self._directory.quota_home, self._clock, self._rng, shares),
             lambda: not self._mirror.is_lost,
+            lasting,
         )
         self._callers = HttpServer(self._serving.serve, self._limits, self._clock)
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
@@ -202,6 +224,8 @@
         await self._callers.start(*_split(addresses.callers))
         self._tasks.start(self._mirror.run(), "mirror")
         self._tasks.start(self._upkeep(), "upkeep")
+        if self._handover is not None:
+            self._tasks.start(self._handover.run(), "handover")
         if self._ownership is not None:
             self._tasks.start(self._ownership.run(), "ownership")
         log.info("started", instance=self.settings.name, hall=self.settings.hall)
@@ -354,6 +378,8 @@
             self._feed.refresh()
             self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
+            if self._lasting is not None:
+                self._lasting.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
             if self._directory.gateways:
                 self._budgets.share_among(self._directory.gateways)
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -9,7 +9,7 @@
 from gradelug_http import Incoming, ResponseHead
 from gradelug_policy.reading import Work
 
-from .model import Repeat, Request, Route, Service
+from .model import Copy, Repeat, Request, Route, Service
 from .organisations import Principal
 from .quotas import Charge
 from .streams import EventAssembler
@@ -60,14 +60,18 @@
     __slots__ = (
         "absent",
         "asked",
+        "backup",
         "charge",
         "config",
+        "copy",
         "deadline_at",
+        "event_at",
         "events",
         "excluded",
         "failure",
         "inc",
         "in_doubt",
+        "is_paid",
         "placed_s",
         "principal",
         "rank",
@@ -77,6 +81,7 @@
         "service",
         "shows_credentials",
         "tried",
+        "used",
         "work",
     )
 
@@ -119,6 +124,16 @@
         self.placed_s = 0.0
         self.work = work
         """What it asks of an engine."""
+        self.backup: Copy | None = None
+        """Where a copy of its run is kept as it grows."""
+        self.copy: Copy | None = None
+        """From what its run is to go on."""
+        self.is_paid = False
+        """Whether its next sending was taken from the budget already."""
+        self.used: Copy | None = None
+        """From what its last sending went on."""
+        self.event_at = req.arrived_at
+        """When its last event came, by the runtime's clock."""
 
     @property
     def is_unrun(self) -> bool:
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/lasting.py
@@ -0,0 +1,281 @@
+"""Runs that go on when their connection or their engine is lost: what is known of them, and how."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import typing as t
+
+import logbook
+from gradelug_policy.lasting_runs import (
+    ANY_ROOM,
+    ROOM_PART,
+    BreakRecord,
+    Broken,
+    CopyTarget,
+    Pace,
+    Way,
+    choose_target,
+    choose_way,
+    wants_copy,
+)
+
+from .fleet import Fleet
+from .job import Job
+from .metrics import Meters
+from .model import Copy, CopyKind, EngineSpec, MoveOutcome, Repeat, Replica
+from .ports import RunTransport
+
+log = logbook.Logger("lasting")
+
+
+class Run:
+    """A request's run on an engine, as far as its events have come.
+
+    Parameters
+    ----------
+    job : Job
+        The request.
+    replica : Replica
+        Where it runs.
+    began_at : float
+        When it was sent, by the runtime's clock.
+    """
+
+    __slots__ = ("began_at", "first_at", "handover", "job", "replica", "since_event", "taken")
+
+    def __init__(self, job: Job, replica: Replica, began_at: float) -> None:
+        self.job = job
+        self.replica = replica
+        self.began_at = began_at
+        self.first_at: float | None = None
+        """When its first event came."""
+        self.since_event = job.events.last_event
+        self.handover: asyncio.Future[Copy | None] | None = None
+        """Its memory at another engine, while its engine is asked to stop it."""
+        self.taken: Copy | None = None
+        """The memory from which it goes on."""
+
+    @property
+    def events(self) -> int:
+        """Return how many events of this run have come."""
+        return self.job.events.last_event - self.since_event
+
+
+class LastingRuns:
+    """Knows the runs of this instance, and lets them go on.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Engines.
+    transport : RunTransport
+        Moves runs.
+    meters : Meters
+        Counts.
+    clock : callable
+        The runtime's clock.
+    has_retry : callable
+        Tells whether a request to a service may be sent again now.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_fleet",
+        "_has_retry",
+        "_meters",
+        "_paces",
+        "_records",
+        "_transport",
+        "runs",
+    )
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        transport: RunTransport,
+        meters: Meters,
+        clock: t.Callable[[], float],
+        has_retry: t.Callable[[str], bool],
+    ) -> None:
+        self._fleet = fleet
+        self._transport = transport
+        self._meters = meters
+        self._clock = clock
+        self._has_retry = has_retry
+        self._records: dict[str, BreakRecord] = {}
+        self._paces: dict[str, Pace] = {}
+        self.runs: dict[str, set[Run]] = {}
+        """Those with events, by replica."""
+
+    def is_lasting(self, job: Job) -> bool:
+        """Tell whether a request's run can go on."""
+        spec = job.service.engine
+        return job.route.streaming and spec is not None and (spec.moves or spec.backups)
+
+    def begin(self, job: Job, replica: Replica) -> Run:
+        """Note that a request is being sent, and choose where a copy of its run is to be kept."""
+        job.backup = self._choose_backup(job, replica) if job.copy is None else None
+        return Run(job, replica, self._clock())
+
+    def note_event(self, run: Run) -> None:
+        """Note that events of a run have come."""
+        now = self._clock()
+        job = run.job
+        if run.first_at is None:
+            run.first_at = now
+            self.runs.setdefault(run.replica.name, set()).add(run)
+            if job.used is not None:
+                self._note_gone_on(job, job.used, now)
+        job.event_at = now
+
+    def end(self, run: Run) -> None:
+        """Note that a run's stream ended whole."""
+        self._record(run, broken=False)
+        spec = run.job.service.engine
+        if run.first_at is None or spec is None:
+            return
+        made = run.events * spec.copy_terms.event_tokens
+        tokens = run.job.work.prompt_tokens + made
+        self.pace(run.replica.service).note(tokens, made, self._clock() - run.first_at)
+
+    def leave(self, run: Run) -> None:
+        """Note that nothing is read of a run any more."""
+        runs = self.runs.get(run.replica.name)
+        if runs is None:
+            return
+        runs.discard(run)
+        if not runs:
+            del self.runs[run.replica.name]
+
+    def pace(self, service: str) -> Pace:
+        """Return what is known of the length of a service's runs."""
+        return self._paces.setdefault(service, Pace())
+
+    def left_s(self, run: Run) -> float:
+        """Return how long a run is expected to last, in seconds."""
+        spec = run.job.service.engine
+        made = run.events * spec.copy_terms.event_tokens if spec is not None else 0
+        left = max(0, run.job.req.most_tokens - made)
+        return left * self.pace(run.replica.service).token_s
+
+    async def recover(self, run: Run) -> None:
+        """Find the memory from which a run whose stream broke can go on."""
+        job = run.job
+        if run.handover is not None:
+            # Its engine was asked to stop it.
+            job.copy = await asyncio.shield(run.handover)
+            run.taken = job.copy
+            return
+        self._record(run, broken=True)
+        if run.first_at is None:
+            # No event has come, so nothing shows that there is any memory of the run: a request
+            # that asks for it is turned away (145 of 145 in trials), or run anew by an
+            # engine that loses answers.
+            job.backup = None
+        if self._choose_way(job, self._can_stop(run)) is Way.STOP:
+            job.copy = await self._stop(run)
+
+    def forget_gone(self) -> None:
+        """Forget the records of engines that are gone."""
+        for record in self._records.values():
+            record.keep_only(self._fleet.state.replicas)
+
+    def _choose_way(self, job: Job, can_stop: bool) -> Way:
+        has_retry = self._has_retry(job.service.name)
+        return choose_way(Broken(can_stop, job.backup is not None, job.may_repeat(), has_retry))
+
+    def _can_stop(self, run: Run) -> bool:
+        spec = run.job.service.engine
+        known = run.replica.name in self._fleet.state.replicas
+        started = run.first_at is not None
+        return spec is not None and spec.moves and known and started and not run.job.may_repeat()
+
+    async def _stop(self, run: Run) -> Copy | None:
+        """Stop a run where its engine is still at work, and return the memory that it keeps."""
+        job, source = run.job, run.replica
+        target = self.target(job, source, ANY_ROOM)
+        if target is None:
+            return None
+        began = self._clock()
+        reply = await self._transport.move(source, job.req.id, target, True)
+        log.info(
+            "run stopped",
+            id=job.req.id,
+            replica=source.name,
+            outcome=reply.outcome.value,
+            events=reply.events,
+            last_event=job.events.last_event,
+            took_s=round(self._clock() - began, 3),
+        )
+        if not reply.handle:
+            return None
+        known = self._fleet.state.replicas.get(source.name)
+        if reply.outcome is MoveOutcome.COPIED and (known is None or known.leaving):
+            return Copy(CopyKind.MOVED, source.address, reply.handle, target)
+        # It answers, and has the weights.
+        return Copy(CopyKind.STOPPED, source.address, reply.handle, source)
+
+    def _record(self, run: Run, broken: bool) -> None:
+        now = self._clock()
+        lasted_s = now - (run.began_at if run.first_at is None else run.first_at)
+        # A break before the first event cannot be helped by a copy.
+        counts = broken and run.first_at is not None
+        self._record_of(run.replica.service).note(run.replica.name, counts, lasted_s, now)
+
+    def _record_of(self, service: str) -> BreakRecord:
+        return self._records.setdefault(service, BreakRecord())
+
+    def _note_gone_on(self, job: Job, copy: Copy, now: float) -> None:
+        pause_s = now - job.event_at
+        self._meters.went_on(copy.kind.value, pause_s)
+        log.info(
+            "run went on",
+            id=job.req.id,
+            how=copy.kind.value,
+            replica=copy.holder.name,
+            event=job.events.last_event,
+            pause_s=round(pause_s, 3),
+        )
+
+    def _choose_backup(self, job: Job, replica: Replica) -> Copy | None:
+        spec = job.service.engine
+        if spec is None or not spec.backups or job.route.repeat is not Repeat.NEVER:
+            return None
+        now = self._clock()
+        left_s = job.req.most_tokens * self.pace(replica.service).token_s
+        if not wants_copy(self._record_of(replica.service).risk(replica.name, left_s, now), left_s):
+            return None
+        target = self.target(job, replica, ROOM_PART)
+        if target is None:
+            return None
+        return Copy(CopyKind.BACKUP, replica.address, job.req.id, target)
+
+    def target(self, job: Job, source: Replica, most_used: float) -> Replica | None:
+        """Return an engine to which a run's memory can be sent; None if none has room."""
+        spec = job.service.engine
+        if spec is None:
+            return None
+        now = self._clock()
+        key = job.req.key
+        holders: set[str] = set()
+        if key is not None:
+            holders = {rep.name for rep in self._fleet.holders(source.service, key)}
+        targets = [
+            CopyTarget(
+                rep.name, self._used(rep, job, spec), rep.name in holders, rep.hall == source.hall
+            )
+            for rep in self._fleet.usable(source.service)
+            if rep.name != source.name and self._fleet.health(rep.name).circuit.allows(now)
+        ]
+        name = choose_target(targets, most_used)
+        return self._fleet.state.replicas[name] if name is not None else None
+
+    def _used(self, rep: Replica, job: Job, spec: EngineSpec) -> float:
+        """Return the part of an engine's memory in use with a copy of a run in it."""
+        if not spec.kv_tokens:
+            return math.inf
+        load = self._fleet.load(rep.name)
+        runs = load.starting + load.running + load.others.starting + load.others.running
+        copy = job.work.prompt_tokens + job.req.most_tokens
+        return (runs * self.pace(rep.service).mean_tokens + copy) / spec.kv_tokens
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -12,7 +12,7 @@
 class Meters:
     """What the daemon counts."""
 
-    __slots__ = ("_error", "_first", "_latency", "_limited", "_outcomes", "_registry")
+    __slots__ = ("_error", "_first", "_latency", "_limited", "_pauses", "_outcomes", "_registry")
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
@@ -49,6 +49,14 @@
             registry=self._registry,
         )
 
+        self._pauses = Histogram(
+            "gradelug_run_pause_seconds",
+            "Runs that went on elsewhere or after a break: from their last event to the next",
+            ["how"],
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+
     def gauge(self, name: str, text: str, read: t.Callable[[], float]) -> None:
         """Add a figure that is read whenever somebody asks."""
         Gauge(f"gradelug_{name}", text, registry=self._registry).set_function(read)
@@ -69,6 +77,10 @@
         """Take the time of a stream's first event."""
         self._first.observe(seconds)
 
+    def went_on(self, how: str, pause_s: float) -> None:
+        """Take the pause of a run that went on."""
+        self._pauses.labels(how).observe(pause_s)
+
     def estimate(self, error_s: float) -> None:
         """Take how far an expected first event was off."""
         self._error.observe(error_s)
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from gradelug_http import Header, ServerLimits
+from gradelug_policy.lasting_runs import CopyTerms
 
 from .organisations import Organisations, Principal
 
@@ -124,6 +125,12 @@
         Tokens that the memory of prompts holds.
     loads_per_s : float
         Loads from the weight store that all replicas together may begin.
+    moves : bool
+        Whether runs can be moved from one engine to another.
+    backups : bool
+        Whether engines send the memory of a run to another one as it grows.
+    copy_terms : CopyTerms
+        What a copy of a run's memory takes.
     """
 
     models: tuple[BaseModel, ...]
@@ -132,6 +139,9 @@
     batch: int
     kv_tokens: int
     loads_per_s: float
+    moves: bool = False
+    backups: bool = False
+    copy_terms: CopyTerms = CopyTerms()  # noqa: RUF009
 
     @property
     def loads_at_once(self) -> float:
@@ -227,6 +237,8 @@
         Weights in its places.
     cached : frozenset of Holding
         Weights that its host memory keeps, which load fast.
+    ends_in_s : float
+        Time from its notice until it is gone whatever it runs, in seconds; infinite if not told.
     """
 
     name: str
@@ -238,6 +250,7 @@
     orders: int = 0
     holdings: tuple[Holding, ...] = ()
     cached: frozenset[Holding] = frozenset()
+    ends_in_s: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
@@ -314,6 +327,10 @@
     shows_credentials : bool
         Whether replicas are shown what the caller sent to prove itself: where there are no
         organisations, it is theirs to judge.
+    backup : str
+        ``IP:port`` of the replica that is to receive a copy of the run's memory; empty for none.
+    copy : Copy or None
+        The run's memory from which it goes on.
     """
 
     replica: Replica
@@ -323,6 +340,77 @@
     after_event: int
     principal: Principal | None = None
     shows_credentials: bool = False
+    backup: str = ""
+    copy: Copy | None = None
+
+
+class CopyKind(Enum):
+    """How the memory of a run came to be kept."""
+
+    STOPPED = "stopped"
+    """Its engine stopped it and keeps its memory."""
+    MOVED = "moved"
+    """Its engine stopped it; its memory was sent to another one."""
+    BACKUP = "backup"
+    """Its memory was sent to another engine as it grew."""
+
+
+@dataclass(slots=True, frozen=True)
+class Copy:
+    """The memory of a run, from which the same request goes on; it serves once.
+
+    Parameters
+    ----------
+    kind : CopyKind
+        How it came to be.
+    source : str
+        ``IP:port`` of the engine that ran it.
+    ident : str
+        Under what it is kept: a handle, or the request's identifier.
+    holder : Replica
+        Where it is.
+    """
+
+    kind: CopyKind
+    source: str
+    ident: str
+    holder: Replica
+
+
+class MoveOutcome(Enum):
+    """What an engine said when it was asked to move a run."""
+
+    COPIED = "copied"
+    """The memory is at the other engine."""
+    NO_ROOM = "no room"
+    """It is not at the other engine; the engine that stopped the run keeps it."""
+    NO_RUN = "no run"
+    """The engine runs no such request."""
+    BUSY = "busy"
+    """Another move of the run is under way."""
+    UNREACHED = "unreached"
+    """Nothing was asked: the engine cannot be reached."""
+    LOST = "lost"
+    """No answer: done, not done, or done later."""
+
+
+@dataclass(slots=True, frozen=True)
+class MoveReply:
+    """An engine's answer to a move.
+
+    Parameters
+    ----------
+    outcome : MoveOutcome
+        What it did.
+    handle : str
+        Under what the memory is kept; empty if it is not.
+    events : int
+        Events that the run had made.
+    """
+
+    outcome: MoveOutcome
+    handle: str = ""
+    events: int = 0
 
 
 class Verdict(Enum):
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -6,7 +6,16 @@
 
 from gradelug_http import Header, Incoming, OutgoingRequest, ResponseHead
 
-from .model import Attempt, EngineReport, Order, OrderOutcome, Replica, Request, Verdict
+from .model import (
+    Attempt,
+    EngineReport,
+    MoveReply,
+    Order,
+    OrderOutcome,
+    Replica,
+    Request,
+    Verdict,
+)
 
 
 class BadRequest(Exception):
@@ -29,6 +38,24 @@
         ...
 
 
+class RunTransport(t.Protocol):
+    """Moves runs from engine to engine."""
+
+    async def move(
+        self, source: Replica, request_id: str, target: Replica, last: bool
+    ) -> MoveReply:
+        """Have a run's memory copied to another engine, and stop the run if it is the last time."""
+        ...
+
+    async def ends_in_s(self, replica: Replica) -> float | None:
+        """Return how long an engine has until it is gone, in seconds; None if that is not told."""
+        ...
+
+    async def free(self, replica: Replica, handle: str) -> None:
+        """Have memory that is kept under a handle given up."""
+        ...
+
+
 class Dialect(t.Protocol):
     """How callers and replicas speak HTTP on a platform."""
 
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -21,6 +21,7 @@
 from .directory import Directory
 from .fleet import Fleet
 from .job import Job, Outcome
+from .lasting import LastingRuns, Run
 from .metrics import Meters
 from .model import Attempt, Repeat, Replica, Verdict
 from .ports import Dialect
@@ -36,6 +37,9 @@
 SILENT_STREAM_S = 1.2
 """A resumable stream without a first event, or without the next one, for this long goes on
 elsewhere; callers give up after 2 s or more."""
+SILENT_GAPS = 2.0
+"""A begun stream that cannot be repeated, whose engine keeps its memory, goes on from there after a
+silence of this many of the longest pauses that are in time."""
 BUSY_STREAM_S = 2.4
 """The same at a replica that answers others: there it waits its turn, and would elsewhere."""
 LOOK_S = 0.1
@@ -67,6 +71,8 @@
     rested_s : float
         Longest time, in seconds, that a connection may have been idle for a request that may
         run once only.
+    lasting : LastingRuns or None
+        Lets runs go on after their connection is lost, if given.
     """
 
     __slots__ = (
@@ -75,6 +81,7 @@
         "_directory",
         "_fleet",
         "_has_retry",
+        "_lasting",
         "_meters",
         "_pool",
         "_rested_s",
@@ -90,8 +97,10 @@
         clock: t.Callable[[], float],
         has_retry: t.Callable[[str], bool] = lambda service: True,
         rested_s: float = math.inf,
+        lasting: LastingRuns | None = None,
     ) -> None:
         self._has_retry = has_retry
+        self._lasting = lasting
         self._dialect = dialect
         self._fleet = fleet
         self._directory = directory
@@ -103,6 +112,7 @@
     async def send(self, job: Job, replica: Replica) -> Outcome:
         """Send a request to a replica, pass its answer on, and tell how that ended."""
         now = self._clock()
+        job.used = job.copy
         health = self._fleet.health(replica.name)
         health.circuit.note_start(now)
         repeatable = job.may_repeat()
@@ -131,6 +141,8 @@
         )
         work = self._with_urgency(job, replica)
         sending = _Exchange(job, replica, conn, work, load.busyness(), now)
+        if self._lasting is not None and self._lasting.is_lasting(job):
+            sending.run = self._lasting.begin(job, replica)
         load.starting += 1
         load.queued[work.urgency] += work.prompt_tokens
         if key is not None:
@@ -142,11 +154,17 @@
             log.info("broken", id=job.req.id, replica=replica.name, why=str(exc))
             if conn.is_silenced or health.heard_at < now:
                 self._pool.doubt(replica.address, now)
+            if sending.run is not None and self._lasting is not None:
+                # Before the connection is closed: most engines drop a request whose connection
+                # closes, and one that fell silent may still run it.
+                await self._lasting.recover(sending.run)
             return Outcome.UNKNOWN
         finally:
             # Also when the caller leaves: the replica stops when its connection closes.
             if not sending.released:
                 conn.abort()
+            if sending.run is not None and self._lasting is not None:
+                self._lasting.leave(sending.run)
             if sending.running:
                 load.running -= 1
             else:
@@ -203,12 +221,14 @@
             job.events.last_event,
             job.principal,
             job.shows_credentials,
+            job.backup.holder.address if job.backup is not None else "",
+            job.copy,
         )
 
     async def _listen(self, sending: _Exchange, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
         """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
         health = self._fleet.health(sending.replica.name)
-        usual_s, most_s = self._silence_s(sending.job)
+        usual_s, most_s = self._silence_s(sending)
         task = asyncio.ensure_future(coming)
         try:
             done, _ = await asyncio.wait([task], timeout=usual_s)
@@ -228,11 +248,14 @@
         health.heard_at = self._clock()
         return task.result()
 
-    def _silence_s(self, job: Job) -> tuple[float | None, float | None]:
+    def _silence_s(self, sending: _Exchange) -> tuple[float | None, float | None]:
+        job = sending.job
         if job.route.repeat is Repeat.FREELY and job.route.max_replicas > 1:
             return SILENT_TARGETS * job.route.target_s, None
         if job.route.repeat is Repeat.RESUME:
             return SILENT_STREAM_S, BUSY_STREAM_S
+        if sending.run is not None and sending.run.first_at is not None:
+            return SILENT_GAPS * job.route.gap_s, SILENT_STREAM_S
         return None, None
 
     def _conclude(
@@ -272,6 +295,8 @@
                 continue
             if not sending.running:
                 self._note_running(sending)
+            if sending.run is not None and self._lasting is not None:
+                self._lasting.note_event(sending.run)
             if not job.inc.started:
                 job.inc.begin(head.status, end_to_end(head.headers))
             await job.inc.send(events)
@@ -281,6 +306,8 @@
         if not job.inc.started:
             job.inc.begin(head.status, end_to_end(head.headers))
         job.inc.finish()
+        if sending.run is not None and self._lasting is not None:
+            self._lasting.end(sending.run)
         self._note_served(job, head.status)
         return Outcome.DONE
 
@@ -291,6 +318,8 @@
         load.running += 1
         sending.running = True
         self._learn_speed(sending)
+        if sending.job.inc.started:
+            return
         first_s = self._clock() - sending.job.req.arrived_at
         self._meters.first_event(first_s)
         if first_s > sending.job.route.target_s:
@@ -309,7 +338,7 @@
 
     def _learn_speed(self, sending: _Exchange) -> None:
         service, work = sending.replica.service, sending.work
-        if not work.prompt_tokens:
+        if not work.prompt_tokens or sending.job.used is not None:
             return
         took_s = self._clock() - sending.sent_at
         expected_s = first_event_s(sending.busy, work, self._fleet.speeds.speed(service))
@@ -336,7 +365,7 @@
 class _Exchange:
     """One sending of a request over one connection."""
 
-    __slots__ = ("busy", "conn", "job", "released", "replica", "running", "sent_at", "work")
+    __slots__ = ("busy", "conn", "job", "released", "replica", "run", "running", "sent_at", "work")
 
     def __init__(
         self,
@@ -355,6 +384,8 @@
         self.replica = replica
         self.conn = conn
         self.running = False
+        self.run: Run | None = None
+        """Its run, where runs can go on."""
         self.released = False
 
     def release(self, pool: HttpPool, head: ResponseHead) -> None:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -18,13 +18,15 @@
 from .exceptions import Failed, Limited, Refused, Unauthenticated
 from .fleet import Fleet
 from .job import Job, Outcome
+from .lasting import LastingRuns
 from .metrics import Meters
-from .model import AdapterKey, Repeat, Replica, Request, Service
+from .model import AdapterKey, Copy, CopyKind, Repeat, Replica, Request, Service
 from .ports import BadRequest, Dialect
 from .quotas import Quotas
 from .routing import RouteTable, choose_service
 from .sending import Sender
 from .values import RequestValues
+from .wishes import PATIENCE_MARGIN_S, begun_wish
 
 log = logbook.Logger("serving")
 NOT_READY_S = 0.03
@@ -40,10 +42,6 @@
 """Another instance can take it at once."""
 RETURNING_PART = 0.97
 """A caller that has less than this part of the usual time was refused before."""
-BEGUN_VALUE = 3.0
-"""A stream cut midway costs its caller more than one that was refused."""
-PATIENCE_MARGIN_S = 0.25
-"""A request that gets its weights later than this before its caller leaves is not worth a run."""
 MAX_SENDS = 6
 """Bound on sendings of one request, whatever their outcomes."""
 
@@ -71,6 +69,8 @@
         Lets requests run within the quotas of their organisations.
     expects_config : callable
         Tells whether a first configuration is on its way.
+    lasting : LastingRuns or None
+        Lets runs go on from their memory, if given.
     """
 
     __slots__ = (
@@ -82,6 +82,7 @@
         "_directory",
         "_expects_config",
         "_fleet",
+        "_lasting",
         "_meters",
         "_quotas",
         "_refuses_from",
@@ -105,7 +106,9 @@
         admitter: Admitter,
         quotas: Quotas,
         expects_config: t.Callable[[], bool] = lambda: False,
+        lasting: LastingRuns | None = None,
     ) -> None:
+        self._lasting = lasting
         self._dialect = dialect
         self._fleet = fleet
         self._directory = directory
@@ -221,7 +224,7 @@
     async def _run(self, job: Job) -> None:
         while True:
             began = self._clock()
-            replica = await self._place(job)
+            replica = await self._place_again(job)
             job.placed_s += self._clock() - began
             self._check_key(job)
             outcome = await self._sender.send(job, replica)
@@ -246,6 +249,8 @@
 
     async def _place(self, job: Job) -> Replica:
         key = job.req.key
+        if job.copy is not None and key is not None:
+            return await self._place_copy(job, job.copy, key)
         if job.service.engine is not None and key is not None:
             return await self._place_weights(job, key)
         give_up_at = self._clock() + NO_REPLICA_S
@@ -277,6 +282,36 @@
             known=known,
         )
 
+    async def _place_again(self, job: Job) -> Replica:
+        """Return where a request is sent next: where its memory is, as long as it has any."""
+        while True:
+            try:
+                return await self._place(job)
+            except Refused as exc:
+                if job.copy is None:
+                    raise
+                log.info("run cannot go on", id=job.req.id, why=str(exc))
+                job.copy, job.backup = job.backup, None
+                if job.copy is None and not job.may_repeat():
+                    raise
+
+    async def _place_copy(self, job: Job, copy: Copy, key: AdapterKey) -> Replica:
+        """Return the engine that keeps the memory of a run, with the weights on it."""
+        holder = copy.holder
+        holds = copy.kind is CopyKind.STOPPED or any(
+            rep.name == holder.name for rep in self._fleet.holders(job.service.name, key)
+        )
+        if holds and job.absent != holder.name:
+            return holder
+        return await self._directory.place(
+            job.service.name,
+            key,
+            wish=self._wish(job),
+            excluded=(),
+            only=(holder.name,),
+            absent=job.absent,
+        )
+
     def _had_better_ask(self, job: Job, replica: Replica) -> bool:
         """Tell whether the planner may know of a better replica than the one that is known here."""
         if job.asked or job.inc.started or not self._directory.is_followed(job.service.name):
@@ -289,10 +324,7 @@
     def _wish(self, job: Job) -> Wish:
         route, req = job.route, job.req
         if job.inc.started:
-            # A stream that was begun must not be refused; its caller waits for the next event.
-            now = self._clock()
-            until = min(job.deadline_at, now + route.patience_s) - PATIENCE_MARGIN_S
-            return Wish(job.rank, BEGUN_VALUE, True, now + route.target_s, until, job.work, True)
+            return begun_wish(job, self._clock())
         # Another try of the same caller has less than the whole time left.
         returning = req.wait_s < RETURNING_PART * self._values.longest_wait(route.name, req.wait_s)
         return Wish(
@@ -306,6 +338,33 @@
 
     # Sending again.
 
+    def _goes_on(self, job: Job, outcome: Outcome) -> bool:
+        """Tell whether the run of a request goes on from its memory, if it is kept somewhere."""
+        if self._lasting is None or not self._lasting.is_lasting(job) or outcome is Outcome.RAN:
+            return False
+        is_tried = job.copy is not None and job.copy is job.used
+        if is_tried and outcome is not Outcome.ABSENT:
+            # It serves once; where it is not, or nobody answers, there is no other way to it.
+            job.copy = None
+        if job.copy is None and (outcome is Outcome.UNKNOWN or is_tried):
+            job.copy, job.backup = job.backup, None
+        if job.copy is None or job.sends >= MAX_SENDS:
+            return False
+        if not job.is_paid and not self._budgets.try_retry(job.service.name):
+            return False
+        job.is_paid = False
+        job.events.restart()
+        log.info(
+            "run goes on",
+            id=job.req.id,
+            how=job.copy.kind.value,
+            replica=job.copy.holder.name,
+            after=outcome.value,
+            last_event=job.events.last_event,
+            pause_s=round(self._clock() - job.event_at, 3),
+        )
+        return True
+
     async def _consider_again(self, job: Job, replica: Replica, outcome: Outcome) -> None:
         if outcome is Outcome.NOT_SENT:
             job.excluded.add(replica.name)
@@ -314,6 +373,11 @@
             await asyncio.sleep(NOT_READY_S)
         else:
             job.excluded.add(replica.name)
+        if self._goes_on(job, outcome):
+            return
+        if job.used is not None and outcome is not Outcome.RAN:
+            # What its memory was to go on from has run, and nothing has been heard of its end.
+            outcome = Outcome.UNKNOWN
         maybe_ran = outcome in (Outcome.UNKNOWN, Outcome.RAN)
         if outcome is Outcome.UNKNOWN:
             job.events.restart()
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -75,6 +75,8 @@
         infinite where the time for changes is all that binds.
     quota_window_s : float
         Length of the windows in which quotas of organisations are counted, in seconds.
+    drain_s : float
+        How long a replica goes on after it was said to be leaving, in seconds.
     """
 
     grace_s: float = 8.0
@@ -89,6 +91,7 @@
     notice_s: float = 2.0
     revoke_s: float = math.inf
     quota_window_s: float = 8.0
+    drain_s: float = 2.0
 
 
 @dataclass(slots=True, frozen=True)
