--- a/packages/gateway/src/gradelug_gateway/lasting.py
+++ b/packages/gateway/src/gradelug_gateway/lasting.py
@@ -188,8 +188,7 @@
     def _can_stop(self, run: Run) -> bool:
         spec = run.job.service.engine
         known = run.replica.name in self._fleet.state.replicas
-        started = run.first_at is not None
-        return spec is not None and spec.moves and known and started and not run.job.may_repeat()
+        return spec is not None and spec.moves and known and run.first_at is not None
 
     async def _stop(self, run: Run) -> Copy | None:
         """Stop a run where its engine is still at work, and return the memory that it keeps."""
@@ -199,6 +198,9 @@
             return None
         began = self._clock()
         reply = await self._transport.move(source, job.req.id, target, True)
+        if reply.outcome is MoveOutcome.LOST:
+            # Links silence kept connections; the second call takes a new one.
+            reply = await self._transport.move(source, job.req.id, target, True)
         log.info(
             "run stopped",
             id=job.req.id,
--- /dev/null
+++ b/tests/test_platform_runs.py
@@ -0,0 +1,161 @@
+"""Moves of runs between engines as they stand on the platform's wire."""
+
+import asyncio
+import json
+from dataclasses import replace
+
+import pytest
+from gradelug_coordination import KvEntry
+from gradelug_gateway.model import Attempt, Copy, CopyKind, MoveOutcome, Replica, Request
+from gradelug_http import HttpPool
+from gradelug_platform.dialect import PlatformDialect
+from gradelug_platform.entries import PlatformEntries
+from gradelug_platform.names import SET_BY_US
+from gradelug_platform.runs import PlatformRuns
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pipes import Network, RawServer
+from run_engines import close
+from world import new_loop
+
+SOURCE = Replica("s0", "llm", "10.0.0.1:80", "hall")
+TARGET = Replica("s1", "llm", "10.0.0.2:80", "hall")
+REQUEST = Request("q1", "h", "/p", b"POST", b"/p", ((b"X-Own", b"1"),), b"body", 0.0)
+
+
+def answer(status, body):
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+def call(script, work):
+    """Return what a call gives, and what was sent."""
+    loop = new_loop()
+
+    async def scenario():
+        net = Network()
+        server = RawServer(script)
+        net.servers[SOURCE.address] = lambda: server
+        runs = PlatformRuns(HttpPool(asyncio.get_running_loop().time, net.dial))
+        return await work(runs), bytes(server.received)
+
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        close(loop)
+
+
+def move(script, last=True):
+    return call(script, lambda runs: runs.move(SOURCE, "q1", TARGET, last))
+
+
+class TestMove:
+    def test_it_names_the_run_the_target_and_whether_it_stops(self):
+        body = b'{"handle":"h1","CreateRevision":12}'
+        reply, sent = move([[answer(200, body)]])
+        assert (reply.outcome, reply.handle, reply.events) == (MoveOutcome.COPIED, "h1", 12)
+        assert sent.startswith(b"POST /gradelug/kv-move HTTP/1.1\r\n")
+        assert b"X-Gradelug-Expect-Instance: s0\r\n" in sent
+        told = json.loads(sent.partition(b"\r\n\r\n")[2])
+        assert told == {"Id": "q1", "TargetVersion": "10.0.0.2:80", "Last": True}
+
+    @pytest.mark.parametrize(
+        ("status", "outcome"),
+        [
+            (404, MoveOutcome.NO_RUN),
+            (409, MoveOutcome.BUSY),
+            (421, MoveOutcome.NO_RUN),
+            (503, MoveOutcome.NO_ROOM),
+            (500, MoveOutcome.LOST),
+        ],
+    )
+    def test_every_status_says_what_became_of_it(self, status, outcome):
+        reply, _ = move([[answer(status, b"")]])
+        assert reply.outcome is outcome
+        assert not reply.handle
+
+    def test_a_run_that_was_stopped_without_room_elsewhere_has_its_handle(self):
+        reply, _ = move([[answer(503, b'{"handle":"h2","CreateRevision":3}')]])
+        assert (reply.outcome, reply.handle) == (MoveOutcome.NO_ROOM, "h2")
+
+    @pytest.mark.parametrize("script", [[["reset"]], [[]]])
+    def test_silence_leaves_it_in_doubt(self, script):
+        assert move(script)[0].outcome is MoveOutcome.LOST
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=60))
+    def test_whatever_is_answered_gives_no_handle_that_is_none(self, raw):
+        reply, _ = move([[answer(200, raw)]])
+        assert reply.outcome is MoveOutcome.LOST or reply.handle.isascii()
+
+    @pytest.mark.parametrize("handle", ["a\\r\\nX: 1", "a/b", "a b", ""])
+    def test_a_handle_that_cannot_stand_in_a_header_is_none(self, handle):
+        reply, _ = move([[answer(200, b'{"handle":"%b"}' % handle.encode())]])
+        assert not reply.handle
+
+
+class TestOtherCalls:
+    def test_memory_is_given_up(self):
+        _, sent = call([[answer(200, b"")]], lambda runs: runs.free(SOURCE, "h1"))
+        assert sent.startswith(b"DELETE /gradelug/kv-handle/h1 HTTP/1.1\r\n")
+
+    def test_memory_that_cannot_be_given_up_is_no_harm(self):
+        call([["reset"]], lambda runs: runs.free(SOURCE, "h1"))
+
+    @pytest.mark.parametrize(
+        ("body", "left_s"),
+        [
+            (b'{"State":"draining","RemainingMs":1320}', 1.32),
+            (b'{"State":"ready"}', None),
+            (b'{"RemainingMs":"soon"}', None),
+            (b"[]", None),
+            (b"{", None),
+        ],
+    )
+    def test_an_engine_tells_how_long_it_has(self, body, left_s):
+        found, sent = call([[answer(200, body)]], lambda runs: runs.ends_in_s(SOURCE))
+        assert found == left_s
+        assert sent.startswith(b"GET /gradelug/report HTTP/1.1\r\n")
+
+
+class TestRequests:
+    ATTEMPT = Attempt(SOURCE, 1.0, 0, 0, 0)
+
+    def headers(self, **more):
+        return dict(PlatformDialect().outgoing(REQUEST, replace(self.ATTEMPT, **more)).headers)
+
+    def test_a_copy_is_asked_for(self):
+        assert self.headers(backup="10.0.0.2:80")[b"X-Gradelug-Kv-Backup"] == b"10.0.0.2:80"
+        assert b"X-Gradelug-Kv-Backup" not in self.headers()
+
+    @pytest.mark.parametrize("after", [0, 7])
+    def test_a_run_goes_on_from_its_memory_after_its_last_event(self, after):
+        copy = Copy(CopyKind.MOVED, SOURCE.address, "h1", TARGET)
+        sent = self.headers(copy=copy, after_event=after)
+        assert sent[b"Kv-From"] == b"10.0.0.1:80/h1"
+        assert sent[b"Last-Event-Id"] == b"%d" % after
+
+    def test_callers_cannot_ask_for_either(self):
+        assert {b"kv-from", b"x-gradelug-kv-backup"} <= SET_BY_US
+
+
+class TestConfiguration:
+    def read(self, **engine):
+        services = [{"Name": "llm", "Engine": {"Slots": 8, **engine}}]
+        config = {"Version": 1, "Routes": [], "Services": services}
+        entry = KvEntry("op/config", json.dumps(config).encode(), 1)
+        return PlatformEntries().read(entry).services["llm"].engine
+
+    def test_it_tells_whether_runs_can_be_moved_and_copied(self):
+        spec = self.read(
+            Moves=True, Backups=True, KvTokenBytes=131072, LinkMbps=5e5, Stride=2, handle_s=5.0
+        )
+        assert spec.moves
+        assert spec.backups
+        terms = spec.copy_terms
+        assert (terms.token_bytes, terms.link_mbps, terms.event_tokens) == (131072, 5e5, 2)
+        assert terms.kept_s == 5.0
+
+    def test_where_it_does_not_say_so_they_cannot(self):
+        spec = self.read()
+        assert not spec.moves
+        assert not spec.backups
