--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -158,7 +158,12 @@
         lasting = self._handover = None
         if runs is not None and Feature.LASTING_RUNS in settings.features:
             lasting = LastingRuns(
-                self._fleet, runs, self._meters, self._clock, self._budgets.has_retry
+                self._fleet,
+                runs,
+                self._meters,
+                self._clock,
+                self._budgets.has_retry,
+                self._rng,
             )
             self._handover = Handover(
                 self._fleet,
--- a/packages/gateway/src/gradelug_gateway/lasting.py
+++ b/packages/gateway/src/gradelug_gateway/lasting.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import random
 import typing as t
 
 import logbook
@@ -20,7 +21,7 @@
     wants_copy,
 )
 
-from .fleet import Fleet
+from .fleet import CHOICES, Fleet
 from .job import Job
 from .metrics import Meters
 from .model import Copy, CopyKind, EngineSpec, MoveOutcome, Repeat, Replica
@@ -77,6 +78,8 @@
         The runtime's clock.
     has_retry : callable
         Tells whether a request to a service may be sent again now.
+    rng : random.Random
+        Of many engines without the weights of a run, some are drawn to choose from.
     """
 
     __slots__ = (
@@ -86,6 +89,7 @@
         "_meters",
         "_paces",
         "_records",
+        "_rng",
         "_transport",
         "runs",
     )
@@ -97,7 +101,9 @@
         meters: Meters,
         clock: t.Callable[[], float],
         has_retry: t.Callable[[str], bool],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._fleet = fleet
         self._transport = transport
         self._meters = meters
@@ -258,16 +264,18 @@
         spec = job.service.engine
         if spec is None:
             return None
+        service, key = source.service, job.req.key
+        holders = self._fleet.holders(service, key) if key is not None else []
+        usable = self._fleet.usable(service)
+        if len(usable) > CHOICES:
+            usable = self._rng.sample(usable, CHOICES)
+        held = {rep.name for rep in holders}
         now = self._clock()
-        key = job.req.key
-        holders: set[str] = set()
-        if key is not None:
-            holders = {rep.name for rep in self._fleet.holders(source.service, key)}
         targets = [
             CopyTarget(
-                rep.name, self._used(rep, job, spec), rep.name in holders, rep.hall == source.hall
+                rep.name, self._used(rep, job, spec), rep.name in held, rep.hall == source.hall
             )
-            for rep in self._fleet.usable(source.service)
+            for rep in (*holders, *usable)
             if rep.name != source.name and self._fleet.health(rep.name).circuit.allows(now)
         ]
         name = choose_target(targets, most_used)
--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -7,6 +7,7 @@
 import re
 from collections import deque
 from dataclasses import dataclass, field
+from pipes import Network, RawClient, join
 
 from gradelug_gateway.admitting import Admitter
 from gradelug_gateway.budgets import BUDGET_SHARE, RetryBudgets
@@ -36,7 +37,6 @@
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.lasting_runs import CopyTerms
 from gradelug_policy.quotas import LocalShares
-from pipes import Network, RawClient, join
 
 KEY = AdapterKey("m", "a1")
 EVENTS = 40
@@ -330,7 +330,9 @@
         runs = PlatformRuns(HttpPool(clock, self.net.dial))
         self.lasting = self.handover = None
         if lasting:
-            self.lasting = LastingRuns(self.fleet, runs, meters, clock, budgets.has_retry)
+            self.lasting = LastingRuns(
+                self.fleet, runs, meters, clock, budgets.has_retry, random.Random(1)
+            )
             self.handover = Handover(
                 self.fleet, directory, self.lasting, runs, budgets.try_retry, clock, DRAIN_S
             )
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -8,7 +8,7 @@
 from gradelug_gateway.model import MoveOutcome, MoveReply, Repeat
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.lasting_runs import LEAST_RISK
-from hypothesis import Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from run_engines import EVENTS, RunWorld, close, events, is_whole, runner, status
@@ -28,7 +28,7 @@
 @pytest.fixture
 def copied():
     """Every stream is copied, whatever the risk."""
-    with mock.patch.object(lasting_module, "wants_copy", lambda risk, left_s: True):
+    with mock.patch.object(lasting_module, "wants_copy", return_value=True):
         yield
 
 
@@ -405,7 +405,7 @@
 
     def __init__(self):
         super().__init__()
-        self._patch = mock.patch.object(lasting_module, "wants_copy", lambda risk, left_s: True)
+        self._patch = mock.patch.object(lasting_module, "wants_copy", return_value=True)
         self._patch.start()
         self.loop = new_loop()
         self.clients = {}
@@ -523,8 +523,7 @@
 TestBreaks = Breaks.TestCase
 TestBreaks.settings = settings(
     derandomize=True,
-    max_examples=int(__import__("os").environ.get("EX", "150")),
+    max_examples=150,
     stateful_step_count=25,
     deadline=None,
-    phases=[Phase.generate],
 )
--- a/tests/test_platform_runs.py
+++ b/tests/test_platform_runs.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from dataclasses import replace
+from pipes import Network, RawServer
 
 import pytest
 from gradelug_coordination import KvEntry
@@ -14,7 +15,6 @@
 from gradelug_platform.runs import PlatformRuns
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from pipes import Network, RawServer
 from run_engines import close
 from world import new_loop
 
