--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -163,7 +163,7 @@
 
     def test_a_copy_that_is_not_there_ends_it_as_one_that_may_have_run(self, copied):
         async def scenario():
-            world = RunWorld()
+            world = RunWorld(replicas=3)
             client = await begin(world)
             first = runner(world, "q1")
             for engine in world.engines.values():
