--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -5,7 +5,11 @@
 
 import pytest
 from gradelug_gateway import runs as runs_module
+from gradelug_gateway.daemon import Daemon
 from gradelug_gateway.model import MoveOutcome, MoveReply, Repeat
+from gradelug_gateway.settings import Addresses, Bounds, Feature, GatewaySettings
+from gradelug_http import HttpPool
+from gradelug_platform.dialect import PlatformDialect
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.lasting_runs import LEAST_RISK
 from hypothesis import settings
@@ -527,3 +531,26 @@
     stateful_step_count=25,
     deadline=None,
 )
+
+
+class TestSwitch:
+    @pytest.mark.parametrize("is_on", [True, False])
+    def test_the_feature_decides_whether_runs_go_on(self, is_on):
+        async def scenario():
+            features = frozenset({Feature.LASTING_RUNS} if is_on else ())
+            addresses = Addresses("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+            settings_ = GatewaySettings("i", "hall", addresses, Bounds(), features=features)
+            clock = asyncio.get_running_loop().time
+            daemon = Daemon(
+                settings_,
+                mock.Mock(),
+                mock.Mock(),
+                PlatformDialect(),
+                mock.Mock(),
+                HttpPool(clock),
+                PlatformRuns(HttpPool(clock)),
+            )
+            assert (daemon._handover is not None) is is_on
+            assert (daemon._lasting is not None) is is_on
+
+        run(scenario)
