--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -43,7 +43,16 @@
         When it was sent, by the runtime's clock.
     """
 
-    __slots__ = ("began_at", "first_at", "handover", "job", "replica", "since_event", "taken")
+    __slots__ = (
+        "began_at",
+        "first_at",
+        "handover",
+        "job",
+        "replica",
+        "since_event",
+        "stopped",
+        "taken",
+    )
 
     def __init__(self, job: Job, replica: Replica, began_at: float) -> None:
         self.job = job
@@ -54,6 +63,8 @@
         self.since_event = job.events.last_event
         self.handover: asyncio.Future[Copy | None] | None = None
         """Its memory at another engine, while its engine is asked to stop it."""
+        self.stopped: Copy | None = None
+        """Its memory where it was stopped because nothing came from it any more."""
         self.taken: Copy | None = None
         """The memory from which it goes on."""
 
@@ -174,6 +185,9 @@
             run.taken = job.copy
             return
         self._record(run, broken=True)
+        if run.stopped is not None:
+            job.copy = run.stopped
+            return
         if run.first_at is None:
             # No event has come, so nothing shows that there is any memory of the run: a request
             # that asks for it is turned away (145 of 145 in trials), or run anew by an
@@ -182,6 +196,16 @@
         if self._choose_way(job, self._can_stop(run)) is Way.STOP:
             job.copy = await self._stop(run)
 
+    async def stop_silent(self, run: Run) -> bool:
+        """Stop a run from which nothing comes; tell whether there is memory to go on from."""
+        if run.handover is not None:
+            return (await asyncio.shield(run.handover)) is not None
+        if not self._has_retry(run.job.service.name):
+            return False
+        if self._can_stop(run):
+            run.stopped = await self._stop(run)
+        return run.stopped is not None or run.job.backup is not None
+
     def forget_gone(self) -> None:
         """Forget the records of engines that are gone."""
         for record in self._records.values():
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -240,6 +240,8 @@
                 # Leaving it would end the request: 291 of 798 that failed in nine seconds of a
                 # burst had been left by their gateway with no repetition to spend.
                 done, _ = await asyncio.wait([task], timeout=LOOK_S)
+            while not done and self._must_wait(sending) and not await self._can_leave(sending):
+                done, _ = await asyncio.wait([task], timeout=SILENT_STREAM_S)
             if not done:
                 raise ResponseBroken("the replica is silent")
         finally:
@@ -248,6 +250,20 @@
         health.heard_at = self._clock()
         return task.result()
 
+    def _must_wait(self, sending: _Exchange) -> bool:
+        """Tell whether leaving a silent replica would end a request, unless its run goes on."""
+        return sending.run is not None and not sending.job.may_repeat()
+
+    async def _can_leave(self, sending: _Exchange) -> bool:
+        """Tell whether a silent run can go on, and stop it if so.
+
+        An engine whose memory ran out reads a run anew later, and knows no run until then: five
+        begun streams of one day that were left for it would have gone on by themselves.
+        """
+        if self._lasting is None or sending.run is None:
+            return False
+        return await self._lasting.stop_silent(sending.run)
+
     def _silence_s(self, sending: _Exchange) -> tuple[float | None, float | None]:
         job = sending.job
         if job.route.repeat is Repeat.FREELY and job.route.max_replicas > 1:
--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -58,6 +58,8 @@
     ident: str
     line: str
     made: int
+    pause_s: float = 0.0
+    """It is preempted for so long."""
     stop: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -254,6 +256,7 @@
         try:
             while work.made < EVENTS:
                 await asyncio.sleep(EVENT_S)
+                await self._preempt(work)
                 if work.stop.is_set() or self.dead:
                     return
                 work.made += 1
@@ -269,6 +272,14 @@
             if self.runs.get(work.ident) is work:
                 del self.runs[work.ident]
 
+    async def _preempt(self, work):
+        """Let a run wait for memory; until then it is not known as one."""
+        pause_s, work.pause_s = work.pause_s, 0.0
+        if pause_s:
+            del self.runs[work.ident]
+            await asyncio.sleep(pause_s)
+            self.runs[work.ident] = work
+
     def _copy(self, work, backup):
         target = self.world.by_address(backup)
         if target is not None and not target.dead and target.room:
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -152,6 +152,19 @@
 
         run(scenario)
 
+    def test_a_run_that_waits_for_memory_is_waited_for(self):
+        """Its engine knows no run until it is read anew; five streams of a day were left for it."""
+
+        async def scenario():
+            world = RunWorld()
+            client = await begin(world)
+            runner(world, "q1").runs["q1"].pause_s = 1.8
+            await asyncio.sleep(6.0)
+            assert_went_on(client)
+            assert world.ledger.asked[1][1:] == ("move", 404)
+
+        run(scenario)
+
     def test_where_no_other_engine_has_room_it_goes_on_where_it_was_stopped(self):
         async def scenario():
             world = RunWorld()
@@ -482,6 +495,11 @@
         self.act(lambda: engine.notice(left_s, tells))
         self.act(self.world.add)
 
+    @rule(at=st.integers(0, 3), pause_s=st.sampled_from([0.3, 1.8]))
+    def preempt(self, at, pause_s):
+        for work in self.engine(at).runs.values():
+            work.pause_s = pause_s
+
     @rule(at=st.integers(0, 3), room=st.booleans())
     def fill(self, at, room):
         self.engine(at).room = room
