--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as t
 
 import logbook
@@ -19,6 +20,8 @@
 log = logbook.Logger("handover")
 TICK_S = 0.1
 """How often the runs on ending engines are looked at; notices are some hundred ms old anyway."""
+HURRY_S = 0.15
+"""With less time left a run is stopped at once: two calls may not fit."""
 AGAIN_S = 0.05
 """Pause before a move is asked for again while another of the same run is under way."""
 TRIES = 3
@@ -105,9 +108,10 @@
             self._note_ends(now)
         for name, runs in self._lasting.runs.items():
             known = state.replicas.get(name)
-            if known is None:
+            if known is None and name not in self._ends_at:
                 # Some engines give no notice: their entry goes, and they go on for as long.
-                self._ends_at.setdefault(name, now + self._drain_s)
+                self._ends_at[name] = now + self._drain_s
+                self._start(self._ask_end(next(iter(runs)).replica))
             if name in self._ends_at:
                 self._begin_moves(name, runs, self._ends_at[name] - now)
 
@@ -173,16 +177,20 @@
             target = await self._find(run)
             if target is None:
                 return
-            reply = await self._ask(run, target, last=False)
-            if reply.outcome is not MoveOutcome.COPIED or not self._is_on(run):
-                if reply.handle:
-                    await self._transport.free(target, reply.handle)
-                return
-            if not self._try_retry(run.job.service.name):
-                await self._transport.free(target, reply.handle)
-                return
-            run.job.is_paid = True
-            await self._stop(run, target, reply.handle)
+            copied = ""
+            left_s = self._ends_at.get(run.replica.name, math.inf) - self._clock()
+            if left_s > HURRY_S or run.was_refused:
+                reply = await self._ask(run, target, last=False)
+                copied = reply.handle
+                if reply.outcome is not MoveOutcome.COPIED:
+                    # A run for which there is no room goes on as long as its engine does.
+                    run.was_refused = True
+                    return
+            if self._is_on(run) and self._try_retry(run.job.service.name):
+                run.job.is_paid = True
+                await self._stop(run, target, copied)
+            elif copied:
+                await self._transport.free(target, copied)
         finally:
             self._moving.discard(run)
 
@@ -198,7 +206,7 @@
             run.handover.set_result(found)
         if found is not None and not self._is_on(run) and run.taken is not found:
             await self._transport.free(run.replica, found.ident)
-        if reply.outcome is MoveOutcome.NO_RUN:
+        if reply.outcome is MoveOutcome.NO_RUN and copied:
             # It ended by itself meanwhile.
             await self._transport.free(target, copied)
 
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -52,6 +52,7 @@
         "since_event",
         "stopped",
         "taken",
+        "was_refused",
     )
 
     def __init__(self, job: Job, replica: Replica, began_at: float) -> None:
@@ -65,6 +66,8 @@
         """Its memory at another engine, while its engine is asked to stop it."""
         self.stopped: Copy | None = None
         """Its memory where it was stopped because nothing came from it any more."""
+        self.was_refused = False
+        """Whether its engine could not send its memory elsewhere."""
         self.taken: Copy | None = None
         """The memory from which it goes on."""
 
