--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -174,6 +174,8 @@
                 self._clock,
                 bounds.drain_s,
             )
+            # Of a second's notice 0.1 s is left when it is known here.
+            self._feed.subscribe(self._handover.look)
         self._lasting = lasting
         sender = Sender(
             dialect,
--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -135,6 +135,7 @@
         ends_at = self._clock() + left_s - REPORT_LAG_S
         log.info("engine ends", replica=rep.name, in_s=round(left_s, 2), told_s=rep.ends_in_s)
         self._ends_at[rep.name] = min(self._ends_at[rep.name], ends_at)
+        self.look()
 
     def _start(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
         task = asyncio.create_task(work)
