--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -30,14 +30,16 @@
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
 from .freshness import RENEW_PART, Freshness
+from .handover import Handover
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .parts import GatewayPart
 from .placement import Duty, PlacementService
 from .planner import Planner
-from .ports import Dialect, OrderTransport
+from .ports import Dialect, OrderTransport, RunTransport
 from .quotas import Quotas
 from .relay import OrderRelay
+from .runs import LastingRuns
 from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
@@ -94,6 +96,8 @@
         Gives orders to engines.
     pool : HttpPool
         Connections to replicas.
+    runs : RunTransport or None
+        Moves runs from engine to engine, where that can be done.
     """
 
     def __init__(
@@ -104,6 +108,7 @@
         dialect: Dialect,
         transport: OrderTransport,
         pool: HttpPool,
+        runs: RunTransport | None = None,
     ) -> None:
         self.settings = settings
         self._kv = kv
@@ -154,6 +159,28 @@
         )
         self._gateways = GatewayCount(bounds.retry_window_s)
         self._meters = Meters()
+        lasting = self._handover = None
+        if runs is not None and Feature.LASTING_RUNS in settings.features:
+            lasting = LastingRuns(
+                self._fleet,
+                runs,
+                self._meters,
+                self._clock,
+                self._budgets.has_retry,
+                self._rng,
+            )
+            self._handover = Handover(
+                self._fleet,
+                self._directory,
+                lasting,
+                runs,
+                self._budgets.try_retry,
+                self._clock,
+                bounds.drain_s,
+            )
+            # Of a second's notice 0.1 s is left when it is known here.
+            self._feed.subscribe(self._handover.look)
+        self._lasting = lasting
         sender = Sender(
             dialect,
             self._fleet,
@@ -163,6 +190,7 @@
             self._clock,
             self._budgets.has_retry,
             RESTED_S if settings.bounds.forgets_idle else math.inf,
+            lasting,
         )
         self._serving = Serving(
             dialect,
@@ -177,6 +205,7 @@
             Quotas(self._directory.quota_home, self._clock, self._rng, shares),
             lambda: not self._mirror.is_lost,
             Feature.SHARED_HEALTH in settings.features,
+            lasting,
         )
         self._callers = HttpServer(
             self._serving.serve, self._limits, self._clock, settings.unread_bytes, pool
@@ -209,6 +238,8 @@
         await self._callers.start(*_split(addresses.callers))
         self._tasks.start(self._mirror.run(), "mirror")
         self._tasks.start(self._upkeep(), "upkeep")
+        if self._handover is not None:
+            self._tasks.start(self._handover.run(), "handover")
         if self._ownership is not None:
             self._tasks.start(self._ownership.run(), "ownership")
         log.info("started", instance=self.settings.name, hall=self.settings.hall)
@@ -377,6 +408,8 @@
             self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
             self._serving.forget_gone()
+            if self._lasting is not None:
+                self._lasting.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
             told = self._directory.gateways if self._follows() else 0
             self._budgets.share_among(self._gateways.note(told, self._clock()))
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -20,6 +20,7 @@
         "_latency",
         "_limited",
         "_outcomes",
+        "_pauses",
         "_plain_waits",
         "_registry",
     )
@@ -70,6 +71,14 @@
             registry=self._registry,
         )
 
+        self._pauses = Histogram(
+            "gradelug_run_pause_seconds",
+            "Runs that went on elsewhere or after a break: from their last event to the next",
+            ["how"],
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+
     def gauge(self, name: str, text: str, read: t.Callable[[], float]) -> None:
         """Add a figure that is read whenever somebody asks."""
         Gauge(f"gradelug_{name}", text, registry=self._registry).set_function(read)
@@ -101,6 +110,10 @@
         """Take the time of a stream's first event."""
         self._first.observe(seconds)
 
+    def went_on(self, how: str, pause_s: float) -> None:
+        """Take the pause of a run that went on."""
+        self._pauses.labels(how).observe(pause_s)
+
     def estimate(self, error_s: float) -> None:
         """Take how far an expected first event was off."""
         self._error.observe(error_s)
--- /dev/null
+++ b/tests/test_runs_go_on.py
@@ -0,0 +1,426 @@
+"""Owners of engines that check no tokens: never two within the hold-off, one that comes back."""
+
+import asyncio
+import random
+
+from gradelug_coordination import Candidacy, KvUnavailable, LastingOwnership, LeaseKeeper, Mirror
+from gradelug_standins.kv import MemoryKv
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import new_loop
+
+HOLD_OFF_S = 3.0
+TTL_S = 1.2
+RESOURCES = ("r0", "r1", "r2", "r3")
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+class PathToKv:
+    """One instance's way to the service: it can be cut, or lose answers."""
+
+    def __init__(self, kv):
+        self.kv = kv
+        self.cut = False
+        self.lose = 0
+        self.swaps = 0
+
+    def __getattr__(self, name):
+        call = getattr(self.kv, name)
+
+        async def through(*args):
+            if self.cut:
+                await asyncio.sleep(0.05)
+                raise KvUnavailable("cut off")
+            self.swaps += name == "swap"
+            found = await call(*args)
+            if self.lose and name == "swap":
+                self.lose -= 1
+                raise KvUnavailable("the answer was lost")
+            return found
+
+        return through
+
+    async def watch(self, prefix, after):
+        async for events in self.kv.watch(prefix, after):
+            if self.cut:
+                raise KvUnavailable("cut off")
+            yield events
+
+
+class Instance:
+    """An instance whose process can be killed and started again."""
+
+    def __init__(self, kv, name, spacing_s, handicap_s=None, most=4):
+        self.handicap_s = handicap_s
+        self.most = most
+        self.kv = kv
+        self.name = name
+        self.spacing_s = spacing_s
+        self.path = PathToKv(kv)
+        self.ownership = None
+        self.tasks = []
+        self.start()
+
+    def start(self):
+        clock = asyncio.get_running_loop().time
+        rng = random.Random(self.name)
+        mirror = Mirror(self.path, "", rng, 0.5, self.spacing_s)
+        self.lease = LeaseKeeper(self.path, TTL_S, clock, rng)
+        self.ownership = LastingOwnership(
+            self.path,
+            "e/",
+            mirror,
+            self.lease,
+            self.name,
+            clock,
+            HOLD_OFF_S,
+            lambda: RESOURCES,
+            spacing_s=self.spacing_s,
+            candidacy=self._new_candidacy(clock, rng),
+        )
+        self.tasks = [
+            asyncio.create_task(mirror.run()),
+            asyncio.create_task(self.ownership.run()),
+        ]
+
+    def _new_candidacy(self, clock, rng):
+        if self.handicap_s is None:
+            return None
+        return Candidacy(clock, rng, self.handicap_s, self.most)
+
+    async def kill(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks = []
+
+    @property
+    def is_up(self):
+        return bool(self.tasks)
+
+    def token(self, resource):
+        return self.ownership.token(resource) if self.is_up else None
+
+
+class Fleet:
+    """Instances, and a watch over who may act when."""
+
+    def __init__(self, count, told_after_s=0.15, spacing_s=0.0, handicaps_s=()):
+        self.told_after_s = told_after_s
+        self.kv = MemoryKv()
+        self.clock = asyncio.get_running_loop().time
+        self.instances = [
+            Instance(self.kv, f"n{at}", spacing_s, handicap_s)
+            for at, handicap_s in zip(range(count), handicaps_s or [None] * count, strict=True)
+        ]
+        self.last = {}
+        self.told = True
+        """Whether instances hear of each other, as they do through a planner."""
+        self.watching = asyncio.create_task(self._watch())
+        self.telling = asyncio.create_task(self._tell())
+
+    async def _tell(self):
+        while True:
+            up = [found for found in self.instances if found.is_up and found.ownership.has_joined]
+            count = len(up) if all(found.ownership.is_cut_off for found in up) else 0
+            await asyncio.sleep(self.told_after_s)
+            for instance in self.instances:
+                if count and self.told and instance.is_up:
+                    instance.ownership.note_outage(count)
+
+    async def _watch(self):
+        while True:
+            await asyncio.sleep(0.02)
+            self.check()
+
+    def check(self):
+        now = self.clock()
+        for resource in RESOURCES:
+            for instance in self.instances:
+                fence = instance.token(resource)
+                if fence is None:
+                    continue
+                name, at, before = self.last.get(resource, (instance.name, now, 0))
+                if name != instance.name:
+                    assert now - at >= HOLD_OFF_S, (resource, name, instance.name, now - at)
+                assert fence >= before
+                self.last[resource] = (instance.name, now, fence)
+
+    def owners(self):
+        return {
+            resource: [found.name for found in self.instances if found.token(resource)]
+            for resource in RESOURCES
+        }
+
+    async def stop(self):
+        for instance in self.instances:
+            await instance.kill()
+        self.telling.cancel()
+        self.watching.cancel()
+        done = await asyncio.gather(self.watching, return_exceptions=True)
+        assert isinstance(done[0], asyncio.CancelledError), done
+
+
+class TestLastingOwnership:
+    def test_resources_are_shared_evenly(self):
+        async def scenario():
+            fleet = Fleet(4)
+            await asyncio.sleep(3.0)
+            owners = fleet.owners()
+            assert sorted(names for [names] in owners.values()) == ["n0", "n1", "n2", "n3"]
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_what_another_took_is_not_tried_again_and_again(self):
+        """On the grown site 5,000 calls to the store were made for records that others had
+        taken."""
+
+        async def scenario():
+            fleet = Fleet(6, spacing_s=2.0)
+            await asyncio.sleep(4.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            for instance in fleet.instances[:3]:
+                await instance.kill()
+            await asyncio.sleep(12.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            swaps = sum(instance.path.swaps for instance in fleet.instances)
+            # One for each presence, each resource, and each that was taken over.
+            assert swaps <= 6 + 2 * len(RESOURCES)
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_the_loss_of_one_holds_up_its_own_resources_alone(self):
+        async def scenario():
+            fleet = Fleet(4)
+            await asyncio.sleep(3.0)
+            before = fleet.owners()
+            await fleet.instances[0].kill()
+            for _ in range(30):
+                await asyncio.sleep(0.1)
+                kept = {name: who for name, who in fleet.owners().items() if before[name] != ["n0"]}
+                assert all(kept[name] == before[name] for name in kept)
+            await asyncio.sleep(4.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_who_comes_back_goes_on_at_once(self):
+        """After power was lost everywhere loads stood still for 3 s: nobody was remembered."""
+
+        async def scenario():
+            fleet = Fleet(3)
+            await asyncio.sleep(3.0)
+            before = fleet.owners()
+            for instance in fleet.instances:
+                await instance.kill()
+            await asyncio.sleep(1.5)
+            for instance in fleet.instances:
+                instance.start()
+            await asyncio.sleep(0.5)
+            assert fleet.owners() == before
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_a_lease_that_was_taken_away_untold_is_outlived_by_the_wait(self):
+        async def scenario():
+            fleet = Fleet(3)
+            await asyncio.sleep(3.0)
+            victim = fleet.instances[0]
+            victim.path.cut = True
+            fleet.kv.lapse(victim.lease.lease)
+            await asyncio.sleep(8.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            victim.path.cut = False
+            await asyncio.sleep(3.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_a_token_ends_with_the_lease_under_which_it_was_taken(self):
+        async def scenario():
+            fleet = Fleet(1)
+            await asyncio.sleep(3.0)
+            (one,) = fleet.instances
+            first = one.token("r0")
+            fleet.kv.lapse(one.lease.lease)
+            tokens = set()
+            for _ in range(60):
+                await asyncio.sleep(0.02)
+                if one.lease.lease and one.ownership._claims["r0"].lease != one.lease.lease:
+                    assert one.token("r0") is None
+                tokens.add(one.token("r0"))
+            assert one.token("r0") > first
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_owners_go_on_while_the_service_is_away_for_everybody(self):
+        """On the new customer's trouble-3 nothing was loaded for 8 s without the store."""
+
+        async def scenario():
+            for told in (True, False):
+                fleet = Fleet(3)
+                fleet.told = told
+                await asyncio.sleep(3.0)
+                before = fleet.owners()
+                fleet.kv.set_down(True)
+                await asyncio.sleep(8.0)
+                assert (fleet.owners() == before) is told
+                fleet.kv.set_down(False)
+                await asyncio.sleep(3.0)
+                assert fleet.owners() == before
+                await fleet.stop()
+
+        run(scenario)
+
+    def test_who_is_cut_off_alone_does_not_go_on(self):
+        async def scenario():
+            fleet = Fleet(3)
+            await asyncio.sleep(3.0)
+            fleet.instances[0].path.cut = True
+            await asyncio.sleep(2.0)
+            assert not fleet.instances[0].ownership.held()
+            await fleet.stop()
+
+        run(scenario)
+
+    @settings(derandomize=True, max_examples=25, deadline=None)
+    @given(
+        steps=st.lists(
+            st.tuples(st.integers(0, 2), st.floats(0.0, 2.5), st.sampled_from("kkscchlrod")),
+            min_size=8,
+            max_size=25,
+        )
+    )
+    def test_never_two_within_the_hold_off(self, steps):
+        async def scenario():
+            fleet = Fleet(3, told_after_s=0.7)
+            await asyncio.sleep(2.5)
+            for number, pause_s, what in steps:
+                await disturb(fleet, fleet.instances[number], what)
+                await asyncio.sleep(pause_s)
+                assert not fleet.watching.done()
+            fleet.kv.set_down(False)
+            for instance in fleet.instances:
+                instance.path.cut = False
+                if not instance.is_up:
+                    instance.start()
+            await asyncio.sleep(10.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+    @settings(derandomize=True, max_examples=25, deadline=None)
+    @given(
+        steps=st.lists(
+            st.tuples(st.integers(0, 7), st.floats(0.0, 2.5), st.sampled_from("kkscchlrod")),
+            min_size=8,
+            max_size=25,
+        )
+    )
+    def test_never_two_where_a_few_of_many_take_part(self, steps):
+        async def scenario():
+            fleet = Fleet(8, 0.7, 0.3, [0.0, 0.0, *[0.35] * 6])
+            await asyncio.sleep(6.0)
+            for number, pause_s, what in steps:
+                await disturb(fleet, fleet.instances[number], what)
+                await asyncio.sleep(pause_s)
+                assert not fleet.watching.done()
+            fleet.kv.set_down(False)
+            for instance in fleet.instances:
+                instance.path.cut = False
+                if not instance.is_up:
+                    instance.start()
+            await asyncio.sleep(12.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+
+async def disturb(fleet, instance, what):
+    if what == "k":
+        await instance.kill()
+    elif what == "s" and not instance.is_up:
+        instance.start()
+    elif what == "c":
+        instance.path.cut = True
+    elif what == "h":
+        instance.path.cut = False
+    elif what == "l":
+        instance.path.lose = 2
+    elif what == "r":
+        fleet.kv.lapse(instance.lease.lease)
+    elif what == "o":
+        fleet.kv.set_down(True)
+    elif what == "d":
+        fleet.kv.set_down(False)
+
+
+class TestFewOfMany:
+    """With 75 instances the leases of all of them were half of the calls to the store."""
+
+    HANDICAPS_S = (0.0, 0.0, *[0.35] * 18)
+
+    def fleet(self):
+        return Fleet(20, spacing_s=0.5, handicaps_s=self.HANDICAPS_S)
+
+    def members(self, fleet):
+        return [found for found in fleet.instances if found.is_up and found.ownership.has_joined]
+
+    def test_only_a_few_keep_leases_the_strong_ones_among_them(self):
+        async def scenario():
+            fleet = self.fleet()
+            await asyncio.sleep(8.0)
+            members = {found.name for found in self.members(fleet)}
+            assert {"n0", "n1"} <= members
+            assert 4 <= len(members) <= 6
+            owners = [name for [name] in fleet.owners().values()]
+            assert set(owners) <= members
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_others_join_when_members_are_gone_for_good(self):
+        async def scenario():
+            fleet = self.fleet()
+            await asyncio.sleep(8.0)
+            gone = self.members(fleet)
+            for instance in gone:
+                await instance.kill()
+            await asyncio.sleep(HOLD_OFF_S + 2 * TTL_S + 8.0)
+            assert 4 <= len(self.members(fleet)) <= 7
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
+    def test_a_member_that_is_started_again_goes_on_at_once(self):
+        async def scenario():
+            fleet = self.fleet()
+            await asyncio.sleep(8.0)
+            owners = fleet.owners()
+            members = self.members(fleet)
+            for instance in members:
+                await instance.kill()
+            await asyncio.sleep(4.0)
+            for instance in members:
+                instance.start()
+            await asyncio.sleep(0.6)
+            assert fleet.owners() == owners
+            await fleet.stop()
+
+        run(scenario)
