--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -26,12 +26,14 @@
 from .admitting import Admitter
 from .budgets import RetryBudgets
 from .directory import Directory
+from .engine_speeds import PauseTally, SpeedTeller
 from .executing import Executor
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
 from .freshness import RENEW_PART, Freshness
 from .metrics import Meters
 from .model import EngineSpec, FleetState
+from .parts import GatewayPart
 from .placement import Duty, PlacementService
 from .planner import Planner
 from .ports import Dialect, OrderTransport
@@ -40,7 +42,7 @@
 from .search import PlannerAddress
 from .sending import Sender
 from .serving import Serving
-from .settings import Bounds, GatewaySettings
+from .settings import Bounds, Feature, GatewaySettings
 from .storenews import TELL_SPACING_S, StoreListener, StoreTeller
 
 log = logbook.Logger("daemon")
@@ -119,7 +121,8 @@
         self._feed = Feed(self._mirror, reader, self._state, self._clock)
         self._feed.subscribe(self._on_change)
         self._freshness = Freshness(self._mirror, self._feed, self._clock, settings.bounds.revoke_s)
-        self._fleet = Fleet(self._state, settings.hall, self._clock)
+        has_room = Feature.ENGINE_ROOM in settings.features
+        self._fleet = Fleet(self._state, settings.hall, self._clock, has_room=has_room)
         self._duties: dict[str, Duty] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
         executor = None
@@ -144,6 +147,7 @@
                 self._freshness,
             ),
             shares,
+            self._make_parts,
         )
         bounds = settings.bounds
         self._budgets = RetryBudgets(
@@ -303,6 +307,14 @@
         )
         return Duty(election, lambda: self._new_planner(service), self.settings.strength)
 
+    def _make_parts(self, service: str) -> tuple[GatewayPart, ...]:
+        """Return what else is told to the planner of a service."""
+        fleet = self._fleet
+        if fleet.room is None:
+            return ()
+        tally = fleet.pauses.setdefault(service, PauseTally())
+        return (SpeedTeller(service, tally, fleet.room.paces, fleet.speeds, self._clock),)
+
     def _new_planner(self, service: str) -> Planner:
         bounds = self.settings.bounds
         spec = self._engine_spec(service)
@@ -325,6 +337,7 @@
             self._fleet.speeds,
             StoreTeller(self._feed, self._mirror, self._clock, self._freshness, self._is_strong),
             self._directory.gateways,
+            self._fleet.room.with_own_paces() if self._fleet.room is not None else None,
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -143,6 +143,7 @@
             total.starting + load.starting - before.starting,
             total.running + load.running - before.running,
             less_queue(add_queues((total.queued, load.queued)), before.queued),
+            total.memory + load.memory - before.memory,
         )
 
     def book(self, gateway: int, work: Work) -> None:
@@ -150,11 +151,13 @@
         load = self._loads.get(gateway, ToldLoad())
         prompt = (0,) * work.urgency + (work.prompt_tokens,)
         queued = add_queues((load.queued, prompt))
-        self.take_load(gateway, ToldLoad(load.starting + 1, load.running, queued))
+        memory = load.memory + work.memory_tokens
+        self.take_load(gateway, ToldLoad(load.starting + 1, load.running, queued, memory))
 
     def busyness(self) -> Busyness:
         """Return what the engine does."""
-        return Busyness(self._total.queued, self._total.running)
+        total = self._total
+        return Busyness(total.queued, total.running, total.starting, total.memory)
 
     def users(self, key: AdapterKey) -> int:
         """Return how many requests use weights."""
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from gradelug_policy import Circuit
+from gradelug_policy.engine_room import EngineRoom, Terms, expected_s, has_room
 from gradelug_policy.reading import (
     URGENCIES,
     Busyness,
@@ -16,7 +17,8 @@
     first_event_s,
 )
 
-from .model import AdapterKey, FleetState, Holding, Replica, ToldLoad
+from .engine_speeds import PauseTally
+from .model import AdapterKey, EngineSpec, FleetState, Holding, Replica, ToldLoad
 
 FAILURE_WEIGHT = 0.25
 """Share of the newest outcome in a replica's failure rate."""
@@ -68,9 +70,11 @@
 class ReplicaLoad:
     """Requests at a replica."""
 
-    __slots__ = ("others", "running", "starting", "queued", "told_running")
+    __slots__ = ("memory", "others", "running", "starting", "queued", "told_running")
 
     def __init__(self) -> None:
+        self.memory = 0
+        """What those of this instance hold of its memory when they have ended, in tokens."""
         self.starting = 0
         """Sent by this instance, no answer yet."""
         self.running = 0
@@ -90,11 +94,13 @@
     def busyness(self) -> Busyness:
         """Return what the replica does, if it is an engine."""
         running = self.running + self.others.running
-        return Busyness(add_queues([self.queued, self.others.queued]), running)
+        starting = self.starting + self.others.starting
+        queued = add_queues([self.queued, self.others.queued])
+        return Busyness(queued, running, starting, self.memory + self.others.memory)
 
     def own(self) -> ToldLoad:
         """Return what this instance has there."""
-        return ToldLoad(self.starting, self.running, tuple(self.queued))
+        return ToldLoad(self.starting, self.running, tuple(self.queued), self.memory)
 
 
 class Fleet:
@@ -108,6 +114,8 @@
         Where this instance stands.
     clock : callable
         The runtime's clock.
+    has_room : bool
+        Whether slots, memory and the own speed of each engine are reckoned with.
     """
 
     __slots__ = (
@@ -120,6 +128,8 @@
         "_rng",
         "_seen_change",
         "hall",
+        "pauses",
+        "room",
         "speeds",
         "state",
     )
@@ -130,6 +140,7 @@
         hall: str,
         clock: t.Callable[[], float],
         rng: random.Random | None = None,
+        has_room: bool = False,
     ) -> None:
         self.state = state
         self.hall = hall
@@ -144,6 +155,10 @@
         self._seen_change = -1
         self.speeds = ReadingSpeeds()
         """How fast engines read, as seen by this instance."""
+        self.room = EngineRoom(self.speeds) if has_room else None
+        """What else is known of engines at work; None to do without."""
+        self.pauses: dict[str, PauseTally] = {}
+        """Pauses between events that are to be told, by service."""
 
     def set_holdings(self, replica: str, held: dict[AdapterKey, int]) -> None:
         """Take over what a planner tells of a replica."""
@@ -234,16 +249,35 @@
         if work is None:
             cost = load.cost()
         else:
-            cost = (
-                first_event_s(load.busyness(), work, self.speeds.speed(replica.service)) / REQUEST_S
-            )
+            cost = self.expected_s(replica, load.busyness(), work) / REQUEST_S
         cost += FAILURE_COST * self.health(replica.name).rate(now)
         return cost + (OTHER_HALL_COST if replica.hall != self.hall else 0.0)
 
     def is_late(self, replica: Replica, work: Work, target_at: float) -> bool:
-        """Tell whether a request's first event would come too late if it was sent now."""
-        busy, speed = self.load(replica.name).busyness(), self.speeds.speed(replica.service)
-        return self._clock() + first_event_s(busy, work, speed) > target_at
+        """Tell whether a request's first event would come too late if it was sent now.
+
+        Where slots are reckoned with, also whether it would wait for one or displace another: the
+        planner may know of an engine with room.
+        """
+        now, busy = self._clock(), self.load(replica.name).busyness()
+        if now + self.expected_s(replica, busy, work) > target_at:
+            return True
+        if self.room is None:
+            return False
+        pace = self.room.pace(replica.service, replica.name, now)
+        return not has_room(busy, work, self._terms(replica.service), pace)
+
+    def expected_s(self, replica: Replica, busy: Busyness, work: Work) -> float:
+        """Return the time to a request's first event on a busy engine, in seconds."""
+        if self.room is None:
+            return first_event_s(busy, work, self.speeds.speed(replica.service))
+        pace = self.room.pace(replica.service, replica.name, self._clock())
+        return expected_s(busy, work, self._terms(replica.service), pace)
+
+    def _terms(self, service: str) -> Terms:
+        snapshot = self.state.snapshot
+        known = snapshot.services.get(service) if snapshot is not None else None
+        return terms(known.engine) if known is not None and known.engine is not None else Terms()
 
     def doubted(self) -> list[str]:
         """Return the replicas that fail this instance's requests."""
@@ -268,5 +302,10 @@
         self._by_key = {key: names for key, names in self._by_key.items() if names}
 
 
+def terms(spec: EngineSpec) -> Terms:
+    """Return what engines can run at once."""
+    return Terms(spec.batch, spec.kv_tokens)
+
+
 def _told_version(holdings: t.Iterable[Holding], key: AdapterKey) -> int:
     return next((held.version for held in holdings if held.key == key), NOT_HELD)
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -291,5 +291,9 @@
     """Return what runs on an engine, of all gateways."""
     load = engine.load()
     return pb.Load(
-        replica=replica, starting=load.starting, running=load.running, queued=load.queued
+        replica=replica,
+        starting=load.starting,
+        running=load.running,
+        queued=load.queued,
+        memory_tokens=load.memory,
     )
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -338,6 +338,7 @@
                     starting=own.starting,
                     running=own.running,
                     queued=own.queued,
+                    memory_tokens=own.memory,
                 )
         self._retold.clear()
 
@@ -418,6 +419,7 @@
             max(0, told.starting - own.starting - booked.starting),
             max(0, told.running - own.running),
             less_queue(less_queue(told.queued, own.queued), booked.queued),
+            max(0, told.memory_tokens - own.memory - booked.memory),
         )
         if told.running > load.told_running:
             # Some instance had a first event from it.
@@ -434,4 +436,5 @@
         if question is None or not answer.HasField("load"):
             return
         queued = (0,) * question.ask.rank + (question.ask.prompt_tokens,)
-        self._take_load(answer.load, ToldLoad(1, 0, queued))
+        memory = question.ask.prompt_tokens + question.ask.answer_tokens
+        self._take_load(answer.load, ToldLoad(1, 0, queued, memory))
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -372,11 +372,14 @@
         Requests before and after their first event.
     queued : tuple of int
         Tokens of the prompts of those before it, by urgency.
+    memory : int
+        What all of them hold of the replica's memory when they have ended, in tokens.
     """
 
     starting: int = 0
     running: int = 0
     queued: tuple[int, ...] = ()
+    memory: int = 0
 
 
 class Term:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -9,12 +9,28 @@
 
 import logbook
 from gradelug_policy import Popularity
+from gradelug_policy.engine_room import (
+    COPY_USE_S,
+    HOLD_S,
+    EngineRoom,
+    copy_gain_s,
+    expected_s,
+    has_room,
+)
 from gradelug_policy.quotas import QuotaHome
-from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
-from gradelug_policy.residency import EnginePlaces, LoadWindow, choose_home
+from gradelug_policy.reading import Busyness, ReadingSpeeds, Work, first_event_s
+from gradelug_policy.residency import (
+    STORE_COST_S,
+    EnginePlaces,
+    LoadCosts,
+    LoadWindow,
+    choose_home,
+)
 from gradelug_wire import placement_pb2 as pb
 
+from .engine_speeds import SpeedDesk
 from .engines import Engine, Phase, Place
+from .fleet import terms
 from .followers import Follower, Followers, encode_load
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
@@ -48,6 +64,9 @@
 """An engine that fails an asker's requests is taken for one with so much more to read."""
 OTHER_HALL_S = 0.03
 """A nearer engine wins among equals only: bytes between halls have a price."""
+LOOK_S = 0.05
+"""Another engine for requests that are held for room is looked for this often: each look takes
+0.7 ms with 45 engines, and they are looked at with each message."""
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
@@ -77,6 +96,9 @@
         Tells gateways what this instance sees in the platform's store.
     expected : int
         Gateways that its predecessor knew, 0 if none is known.
+    room : EngineRoom or None
+        What is known of engines at work; None not to reckon with their slots, their memory and
+        their own speed.
     """
 
     def __init__(
@@ -91,6 +113,7 @@
         speeds: ReadingSpeeds | None = None,
         store: StoreTeller | None = None,
         expected: int = 0,
+        room: EngineRoom | None = None,
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -98,15 +121,18 @@
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
+        speeds = speeds or ReadingSpeeds()
         self.parts: tuple[PlannerPart, ...] = (
             QuotaDesk(QuotaHome(clock(), expected), state, lambda: self.term is not None),
         )
         """What else gateways tell this instance, and are told."""
+        if room is not None:
+            self.parts += (SpeedDesk(service, room.paces, speeds),)
         self.followers = Followers(self.engines, clock, store, self.parts)
         self.popularity = Popularity(HALF_LIFE_S)
         self.tokens = Popularity(HALF_LIFE_S)
         """Tokens of prompts a second, by adapter."""
-        self._speeds = speeds or ReadingSpeeds()
+        self._speeds = speeds
         self.state = state
         self._transport = transport
         self._relay = transport if isinstance(transport, OrderRelay) else None
@@ -116,6 +142,10 @@
         self._line = WaitingLine(self.popularity, clock(), self.loading.pace.rate)
         self._upkeep = Upkeep(self, spec, window, clock)
         self._spec = spec
+        self._room = room
+        self._terms = terms(spec)
+        self._looked_at: dict[AdapterKey, float] = {}
+        """When it was looked for another engine for requests that have a holder."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._deciding: asyncio.TimerHandle | None = None
         self._decision_s = 0.0
@@ -172,6 +202,8 @@
                     engine.remember(holding)
             if not engine.synced and self.term is not None:
                 self.start(self.loading.sync(engine))
+        now = self._clock()
+        self._looked_at = {key: at for key, at in self._looked_at.items() if at + LOOK_S > now}
         if self.term is not None:
             self._upkeep.do(self.term)
 
@@ -220,7 +252,8 @@
         for load in message.loads:
             engine = self.engines.get(load.replica)
             if engine is not None:
-                told = ToldLoad(load.starting, load.running, tuple(load.queued))
+                queued = tuple(load.queued)
+                told = ToldLoad(load.starting, load.running, queued, load.memory_tokens)
                 engine.take_load(follower.number, told)
         for part in self.parts:
             part.take(follower, message, now)
@@ -233,7 +266,8 @@
     def _take_ask(self, waiter: Waiter, now: float) -> None:
         self._note_absent(waiter, now)
         if not self._try_answer(waiter, now):
-            self.popularity.note(waiter.key.text, now)
+            if not waiter.is_held:
+                self.popularity.note(waiter.key.text, now)
             self._line.waiters.append(waiter)
 
     def _take_use(self, follower: Follower, use: pb.Use, now: float) -> None:
@@ -313,6 +347,7 @@
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
         best: Engine | None = None
         least = math.inf
+        waiter.is_held = False
         newest = self.state.versions.get(waiter.key, 0)
         for name, engine in self.engines.items():
             place = engine.places.get(waiter.key)
@@ -321,7 +356,7 @@
             cost = self.cost_s(engine, waiter)
             if place.version >= newest and cost < least:
                 best, least = engine, cost
-        if best is None or self._goes_elsewhere(waiter, least, now):
+        if best is None or self._goes_elsewhere(waiter, best, least, now):
             return False
         place = best.places[waiter.key]
         # Until its gateway tells that it is there.
@@ -339,22 +374,26 @@
             cost += OTHER_HALL_S
         return cost
 
-    def _goes_elsewhere(self, waiter: Waiter, least_s: float, now: float) -> bool:
-        """Tell whether a request that would be late on the best holder waits for another one."""
-        if now > waiter.asked_at + MOVE_S:
+    def _goes_elsewhere(self, waiter: Waiter, best: Engine, least_s: float, now: float) -> bool:
+        """Tell whether a request waits for another engine, or for room on the best holder.
+
+        So does one that would be late there, that would wait for a slot or displace another.
+        """
+        # A stream that was begun waits for its next event.
+        is_full = not waiter.ask.begun and not self._has_room(best, waiter.work)
+        if now > waiter.asked_at + (HOLD_S if is_full else MOVE_S):
             return False
-        if now + least_s <= waiter.target_at:
+        if now + least_s <= waiter.target_at and not is_full:
             return False
+        waiter.is_held = is_full
         if self._is_coming(waiter):
             return True
-        return self.load(
-            waiter.key,
-            now,
-            self.openings(),
-            waiter.may_use,
-            least_s - MOVE_MARGIN_S,
-            waiter.work,
-        )
+        if self._room is not None and now < self._looked_at.get(waiter.key, -math.inf) + LOOK_S:
+            return is_full
+        self._looked_at[waiter.key] = now
+        most_s = least_s - MOVE_MARGIN_S
+        begun = self.load(waiter.key, now, self.openings(), waiter.may_use, most_s, waiter.work)
+        return begun or is_full
 
     @property
     def speed(self) -> float:
@@ -363,7 +402,55 @@
 
     def wait_s(self, engine: Engine, work: Work) -> float:
         """Return the time to a first event on an engine that has the adapter, in seconds."""
-        return first_event_s(engine.busyness(), work, self.speed)
+        if self._room is None:
+            return first_event_s(engine.busyness(), work, self.speed)
+        pace = self._room.pace(self.service, engine.replica.name, self._clock())
+        return expected_s(engine.busyness(), work, self._terms, pace)
+
+    def _has_room(self, engine: Engine, work: Work) -> bool:
+        """Tell whether a request neither waits for a slot or memory there nor displaces another."""
+        if self._room is None:
+            return True
+        pace = self._room.pace(self.service, engine.replica.name, self._clock())
+        return has_room(engine.busyness(), work, self._terms, pace)
+
+    def _load_costs(self, key: AdapterKey, now: float) -> LoadCosts:
+        """Return what a load of an adapter costs the request that it is for.
+
+        Its price is shared by those that will use the copy.
+        """
+        costs = self.loading.costs()
+        if self._room is None:
+            return costs
+        uses = max(1.0, COPY_USE_S * self.popularity.rate(key.text, now))
+        return LoadCosts(costs.cached_s, costs.store_s, STORE_COST_S / uses)
+
+    def bring_copies(self, now: float) -> None:
+        """Bring further copies of adapters before the slots of their holders are used up."""
+        if self._room is None or self.term is None:
+            return
+        holders: dict[AdapterKey, list[Engine]] = {}
+        for engine in self.engines.values():
+            for key, place in engine.adapters():
+                if place.phase in (Phase.LOADING, Phase.READY):
+                    holders.setdefault(key, []).append(engine)
+        gains = {key: self._copy_gain_s(key, found, now) for key, found in holders.items()}
+        wanted = [key for key, gain_s in gains.items() if gain_s > STORE_COST_S]
+        if not wanted:
+            return
+        openings = self.openings()
+        for key in sorted(wanted, key=lambda key: -gains[key]):
+            uses = max(1.0, COPY_USE_S * self.popularity.rate(key.text, now))
+            least_s = min(self.wait_s(engine, Work()) for engine in holders[key])
+            if self.load(key, now, openings, lambda name: True, least_s + gains[key] / uses):
+                log.info("further copy", weights=key.text, gain_s=round(gains[key], 2))
+
+    def _copy_gain_s(self, key: AdapterKey, holders: t.Sequence[Engine], now: float) -> float:
+        if self._room is None or len(holders) == len(self.engines):
+            return 0.0
+        busy: list[Busyness] = [engine.busyness() for engine in holders]
+        rate, load_s = self.popularity.rate(key.text, now), self.loading.pace.load_s
+        return copy_gain_s(busy, rate, load_s, self._terms, self._room.hold_s(self.service))
 
     def _is_coming(self, waiter: Waiter) -> bool:
         for name, engine in self.engines.items():
@@ -423,7 +510,7 @@
         choice = choose_home(
             views,
             key.text,
-            self.loading.costs(),
+            self._load_costs(key, now),
             self.loading.may_use_store(),
             most_s,
         )
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -16,7 +16,7 @@
     ResponseHead,
     end_to_end,
 )
-from gradelug_policy.reading import LATE, Busyness, Work, first_event_s
+from gradelug_policy.reading import LATE, Busyness, Work
 
 from .directory import Directory
 from .fleet import Fleet
@@ -133,6 +133,7 @@
         sending = _Exchange(job, replica, conn, work, load.busyness(), now)
         load.starting += 1
         load.queued[work.urgency] += work.prompt_tokens
+        load.memory += work.memory_tokens
         if key is not None:
             self._directory.note_begin(replica.name, key, job.work.prompt_tokens)
         try:
@@ -147,6 +148,8 @@
             # Also when the caller leaves: the replica stops when its connection closes.
             if not sending.released:
                 conn.abort()
+            load.memory -= work.memory_tokens
+            self._note_pauses(sending)
             if sending.running:
                 load.running -= 1
             else:
@@ -158,8 +161,11 @@
         return outcome
 
     def _with_urgency(self, job: Job, replica: Replica) -> Work:
-        """Return a request's work; one that would be late anyway waits for those that would not."""
-        if job.inc.started or not job.work.prompt_tokens:
+        """Return a request's work; one that would be late anyway waits for those that would not.
+
+        Not so where engines' slots are reckoned with: all are equal there (`engine_room.EQUAL`).
+        """
+        if job.inc.started or not job.work.prompt_tokens or self._fleet.room is not None:
             return job.work
         if self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s):
             return replace(job.work, urgency=LATE)
@@ -267,17 +273,24 @@
             data = await self._listen(sending, sending.conn.chunk())
             if data is None:
                 break
+            before = job.events.last_event
             events = job.events.feed(data)
             if not events:
                 continue
-            if not sending.running:
+            if sending.running:
+                self._note_pause(sending, max(1, job.events.last_event - before))
+            else:
                 self._note_running(sending)
+            sending.event_at = self._clock()
             if not job.inc.started:
                 job.inc.begin(head.status, end_to_end(head.headers))
             await job.inc.send(events)
         if not job.events.is_between_events:
             raise ResponseBroken("the stream ended within an event")
         sending.release(self._pool, head)
+        if self._fleet.room is not None and job.work.prompt_tokens and not job.req.last_event:
+            held_s = self._clock() - sending.sent_at
+            self._fleet.room.note_run(sending.replica.service, held_s)
         if not job.inc.started:
             job.inc.begin(head.status, end_to_end(head.headers))
         job.inc.finish()
@@ -307,12 +320,37 @@
                 speed=round(self._fleet.speeds.speed(sending.replica.service)),
             )
 
+    def _note_pause(self, sending: _Exchange, events: int) -> None:
+        """Take the pause before an event, or the mean of some that came at once."""
+        pause_s = self._clock() - sending.event_at
+        gap_s = sending.job.route.gap_s
+        if gap_s and pause_s > gap_s:
+            sending.pauses += 1
+            sending.longest_s = max(sending.longest_s, pause_s)
+        tally = self._fleet.pauses.get(sending.replica.service)
+        if tally is not None:
+            tally.note(sending.replica.name, pause_s, events)
+
+    def _note_pauses(self, sending: _Exchange) -> None:
+        if not sending.pauses:
+            return
+        log.info(
+            "long pause",
+            id=sending.job.req.id,
+            replica=sending.replica.name,
+            pauses=sending.pauses,
+            longest_s=round(sending.longest_s, 3),
+            bound_s=sending.job.route.gap_s,
+            last_event=sending.job.events.last_event,
+            running=self._fleet.load(sending.replica.name).busyness().running,
+        )
+
     def _learn_speed(self, sending: _Exchange) -> None:
         service, work = sending.replica.service, sending.work
         if not work.prompt_tokens:
             return
         took_s = self._clock() - sending.sent_at
-        expected_s = first_event_s(sending.busy, work, self._fleet.speeds.speed(service))
+        expected_s = self._fleet.expected_s(sending.replica, sending.busy, work)
         self._meters.estimate(abs(took_s - expected_s))
         self._fleet.speeds.note(service, sending.busy, work, took_s)
 
@@ -336,7 +374,19 @@
 class _Exchange:
     """One sending of a request over one connection."""
 
-    __slots__ = ("busy", "conn", "job", "released", "replica", "running", "sent_at", "work")
+    __slots__ = (
+        "busy",
+        "conn",
+        "event_at",
+        "job",
+        "longest_s",
+        "pauses",
+        "released",
+        "replica",
+        "running",
+        "sent_at",
+        "work",
+    )
 
     def __init__(
         self,
@@ -356,6 +406,11 @@
         self.conn = conn
         self.running = False
         self.released = False
+        self.event_at = sent_at
+        """When its newest event came."""
+        self.pauses = 0
+        """Pauses between events that were longer than the route's bound."""
+        self.longest_s = 0.0
 
     def release(self, pool: HttpPool, head: ResponseHead) -> None:
         """Give the connection back after a whole answer."""
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -121,7 +121,7 @@
         self._table = RouteTable(())
         self._table_version = -1
         self._refuses_from = math.inf
-        self._values = RequestValues()
+        self._values = RequestValues(fleet.room is not None)
 
     def refuse_from(self, at: float) -> None:
         """Refuse requests that arrive from a moment on: the process is about to end."""
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -180,6 +180,7 @@
 
     def _add_copies(self) -> None:
         planner, now = self._planner, self._clock()
+        planner.bring_copies(now)
         wanted = [
             key
             for key, count in count_copies(planner.engines.values()).items()
--- a/packages/gateway/src/gradelug_gateway/waiting.py
+++ b/packages/gateway/src/gradelug_gateway/waiting.py
@@ -40,16 +40,18 @@
 class Waiter:
     """A question that is not answered yet."""
 
-    __slots__ = ("ask", "asked_at", "follower", "key", "target_at", "until", "work")
+    __slots__ = ("ask", "asked_at", "follower", "is_held", "key", "target_at", "until", "work")
 
     def __init__(self, follower: Follower, ask: pb.Ask, now: float) -> None:
         self.follower = follower
+        self.is_held = False
+        """Whether its weights can be used and it waits for room there: it needs no load."""
         self.ask = ask
         self.key = AdapterKey(ask.model, ask.adapter)
         self.asked_at = now
         self.until = now + ask.wait_ms / 1000
         self.target_at = now + ask.target_ms / 1000
-        self.work = Work(ask.prompt_tokens, ask.rank)
+        self.work = Work(ask.prompt_tokens, ask.rank, ask.answer_tokens)
 
     def may_use(self, replica: str) -> bool:
         """Tell whether the request may run on a replica."""
@@ -159,6 +161,8 @@
         wanted: dict[AdapterKey, Waiter] = {}
         urgency: dict[AdapterKey, float] = Counter()  # type: ignore[assignment]
         for waiter in self.waiters:
+            if waiter.is_held:
+                continue
             wanted.setdefault(waiter.key, waiter)
             urgency[waiter.key] += _gain(waiter, now, load_s)
         for key in wanted:
@@ -183,7 +187,7 @@
         for waiter in self.waiters:
             ready_at = ready.get(waiter.key)
             served = ready_at is None or ready_at + FIRST_EVENT_S < waiter.until
-            if ready_at is None or served or waiter.ask.begun:
+            if ready_at is None or served or waiter.ask.begun or waiter.is_held:
                 kept.append(waiter)
             else:
                 waiter.refuse(ready_at - now, now)
--- a/packages/policy/src/gradelug_policy/reading.py
+++ b/packages/policy/src/gradelug_policy/reading.py
@@ -39,10 +39,18 @@
         To be read.
     urgency : int
         Engines begin with the prompts of the least.
+    answer_tokens : int
+        Expected to be made.
     """
 
     prompt_tokens: int = 0
     urgency: int = 0
+    answer_tokens: int = 0
+
+    @property
+    def memory_tokens(self) -> int:
+        """Memory that it holds in the end, in tokens."""
+        return self.prompt_tokens + self.answer_tokens
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,10 +63,21 @@
         Tokens of prompts whose requests have no first event yet, by urgency.
     running : int
         Streams after their first event.
+    starting : int
+        Requests that have no first event yet.
+    memory_tokens : int
+        What all of them hold when they have ended, in tokens.
     """
 
     queued: tuple[int, ...] = ()
     running: int = 0
+    starting: int = 0
+    memory_tokens: int = 0
+
+    @property
+    def held(self) -> int:
+        """Requests that hold a slot or wait for one."""
+        return self.starting + self.running
 
     def ahead(self, urgency: int) -> int:
         """Return the tokens that are read before the prompt of a new request."""
--- a/packages/policy/src/gradelug_policy/residency.py
+++ b/packages/policy/src/gradelug_policy/residency.py
@@ -66,10 +66,11 @@
 
 @dataclass(slots=True, frozen=True)
 class LoadCosts:
-    """Expected times of a load, in seconds."""
+    """Expected times of a load, in seconds, and what one from the weight store costs beside."""
 
     cached_s: float
     store_s: float
+    price_s: float = STORE_COST_S
 
 
 @dataclass(slots=True, frozen=True)
@@ -126,7 +127,7 @@
 
 def expected_cost_s(engine: EnginePlaces, costs: LoadCosts) -> float:
     """Return the time until a first event there and what a load costs, in seconds."""
-    load_s = costs.cached_s if engine.cached else costs.store_s + STORE_COST_S
+    load_s = costs.cached_s if engine.cached else costs.store_s + costs.price_s
     return load_s + engine.wait_s
 
 
