--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -5,9 +5,10 @@
 import math
 import random
 import typing as t
+from dataclasses import replace
 
 from gradelug_policy import Circuit
-from gradelug_policy.engine_room import EngineRoom, Terms, expected_s, has_room
+from gradelug_policy.engine_room import EQUAL, EngineRoom, Terms, expected_s, has_room
 from gradelug_policy.reading import (
     URGENCIES,
     Busyness,
@@ -260,11 +261,21 @@
         planner may know of an engine with room.
         """
         now, busy = self._clock(), self.load(replica.name).busyness()
-        if now + self.expected_s(replica, busy, work) > target_at:
-            return True
+        is_late = now + self.expected_s(replica, busy, work) > target_at
+        return is_late or self.is_full(replica, work)
+
+    def equalled(self, service: str, work: Work) -> Work:
+        """Return what a request asks of an engine, with equal urgency where slots are short."""
+        if self.room is None or not self.room.is_slot_bound(service, self._terms(service)):
+            return work
+        return replace(work, urgency=EQUAL)
+
+    def is_full(self, replica: Replica, work: Work) -> bool:
+        """Tell whether a request would displace another or wait for room; False if not known."""
         if self.room is None:
             return False
-        pace = self.room.pace(replica.service, replica.name, now)
+        pace = self.room.pace(replica.service, replica.name, self._clock())
+        busy = self.load(replica.name).busyness()
         return not has_room(busy, work, self._terms(replica.service), pace)
 
     def expected_s(self, replica: Replica, busy: Busyness, work: Work) -> float:
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -16,6 +16,7 @@
     ResponseHead,
     end_to_end,
 )
+from gradelug_policy.engine_room import EQUAL
 from gradelug_policy.reading import LATE, Busyness, Work
 
 from .directory import Directory
@@ -163,9 +164,9 @@
     def _with_urgency(self, job: Job, replica: Replica) -> Work:
         """Return a request's work; one that would be late anyway waits for those that would not.
 
-        Not so where engines' slots are reckoned with: all are equal there (`engine_room.EQUAL`).
+        So does one that would take the slot of a run. Where slots are short, all are equal.
         """
-        if job.inc.started or not job.work.prompt_tokens or self._fleet.room is not None:
+        if job.inc.started or not job.work.prompt_tokens or job.work.urgency == EQUAL:
             return job.work
         if self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s):
             return replace(job.work, urgency=LATE)
@@ -281,6 +282,7 @@
                 self._note_pause(sending, max(1, job.events.last_event - before))
             else:
                 self._note_running(sending)
+                sending.first_at = self._clock()
             sending.event_at = self._clock()
             if not job.inc.started:
                 job.inc.begin(head.status, end_to_end(head.headers))
@@ -289,8 +291,9 @@
             raise ResponseBroken("the stream ended within an event")
         sending.release(self._pool, head)
         if self._fleet.room is not None and job.work.prompt_tokens and not job.req.last_event:
-            held_s = self._clock() - sending.sent_at
-            self._fleet.room.note_run(sending.replica.service, held_s)
+            service = sending.replica.service
+            read_s = job.work.prompt_tokens / self._fleet.speeds.speed(service)
+            self._fleet.room.note_run(service, read_s + self._clock() - sending.first_at)
         if not job.inc.started:
             job.inc.begin(head.status, end_to_end(head.headers))
         job.inc.finish()
@@ -378,6 +381,7 @@
         "busy",
         "conn",
         "event_at",
+        "first_at",
         "job",
         "longest_s",
         "pauses",
@@ -408,6 +412,7 @@
         self.released = False
         self.event_at = sent_at
         """When its newest event came."""
+        self.first_at = sent_at
         self.pauses = 0
         """Pauses between events that were longer than the route's bound."""
         self.longest_s = 0.0
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -121,7 +121,7 @@
         self._table = RouteTable(())
         self._table_version = -1
         self._refuses_from = math.inf
-        self._values = RequestValues(fleet.room is not None)
+        self._values = RequestValues()
 
     def refuse_from(self, at: float) -> None:
         """Refuse requests that arrive from a moment on: the process is about to end."""
@@ -203,7 +203,7 @@
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
         self._budgets.note_request(name)
-        work = self._values.work(admission.rank(route), req)
+        work = self._fleet.equalled(name, self._values.work(admission.rank(route), req))
         return Job(inc, req, route, service, work, admission)
 
     async def _charge(self, job: Job) -> None:
--- a/packages/gateway/src/gradelug_gateway/values.py
+++ b/packages/gateway/src/gradelug_gateway/values.py
@@ -4,7 +4,6 @@
 
 import math
 
-from gradelug_policy.engine_room import EQUAL
 from gradelug_policy.reading import LATE, Work
 
 from .model import Request, Route
@@ -27,25 +26,16 @@
 
 
 class RequestValues:
-    """Learns the usual size and waiting time of each route's requests.
+    """Learns the usual size and waiting time of each route's requests."""
 
-    Parameters
-    ----------
-    has_room : bool
-        Whether engines' slots are reckoned with: there all requests are equally urgent to engines.
-    """
+    __slots__ = ("_longest_wait", "_mean_size")
 
-    __slots__ = ("_has_room", "_longest_wait", "_mean_size")
-
-    def __init__(self, has_room: bool = False) -> None:
-        self._has_room = has_room
+    def __init__(self) -> None:
         self._mean_size: dict[str, float] = {}
         self._longest_wait: dict[str, float] = {}
 
     def work(self, rank: int, req: Request) -> Work:
         """Return what a request of some urgency asks of an engine."""
-        if self._has_room and req.prompt_tokens:
-            return Work(req.prompt_tokens, EQUAL, req.most_tokens)
         return Work(req.prompt_tokens, min(rank, LATE - 1), req.most_tokens)
 
     def value(self, route: Route, rank: int, req: Request) -> float:
--- a/packages/policy/src/gradelug_policy/engine_room.py
+++ b/packages/policy/src/gradelug_policy/engine_room.py
@@ -38,7 +38,7 @@
 MOVE_MARGIN_S = 0.1
 """An engine that is to load the adapter first must be better by this: the place costs others."""
 EQUAL = URGENCIES // 2
-"""Urgency of all requests at engines whose slots are reckoned with. By rank, an urgent request at a
+"""Urgency of all requests at engines whose slots are what is short. By rank, an urgent request at a
 full batch stops another in the middle of its stream, which then pauses beyond its bound and is read
 anew; and those of less rank see queues that others do not, so that engines fill unevenly."""
 ONE_HELD = 1.0
@@ -78,7 +78,7 @@
 
 
 class HoldTime:
-    """Learns how long a run of a service holds its slot, from sending to its end."""
+    """Learns how long a run of a service holds its slot: while it is read and makes its answer."""
 
     __slots__ = ("seconds", "_seen")
 
@@ -199,6 +199,18 @@
         """Learn how long a run that ended well held its slot, in seconds."""
         self._holds.setdefault(service, HoldTime()).note(held_s)
 
+    def is_slot_bound(self, service: str, terms: Terms) -> bool:
+        """Tell whether engines run out of slots before they run out of time to read.
+
+        With all slots taken, an engine reads so many mean prompts in the time that a run holds its
+        slot. If it could read more, slots are what is short, and who is urgent must not take the
+        slot of a run; if not, prompts queue while slots are free, and the urgent are read first.
+        """
+        if not terms.slots:
+            return False
+        asked = terms.slots * self._speeds.mean_prompt(service)
+        return asked < self._speeds.speed(service) * self.hold_s(service)
+
     def hold_s(self, service: str) -> float:
         """Return how long a run of a service holds its slot, in seconds."""
         known = self._holds.get(service)
--- a/packages/policy/src/gradelug_policy/reading.py
+++ b/packages/policy/src/gradelug_policy/reading.py
@@ -112,6 +112,11 @@
         known = self._speeds.get(service)
         return known.tokens_per_s if known is not None else FIRST_TOKENS_PER_S
 
+    def mean_prompt(self, service: str) -> float:
+        """Return the mean length of a service's prompts, in tokens; 0 if none was seen."""
+        known = self._speeds.get(service)
+        return known.mean_prompt if known is not None else 0.0
+
     def note(self, service: str, busy: Busyness, work: Work, took_s: float) -> None:
         """Learn from a first event.
 
