--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -264,6 +264,14 @@
         is_late = now + self.expected_s(replica, busy, work) > target_at
         return is_late or self.is_full(replica, work)
 
+    def fits(self, service: str, work: Work) -> bool:
+        """Tell whether engines of a service have memory for a request at all.
+
+        An answer may end before its longest: the prompt alone must be too large.
+        """
+        most = self._terms(service).memory_tokens
+        return self.room is None or not most or work.prompt_tokens <= most
+
     def equalled(self, service: str, work: Work) -> Work:
         """Return what a request asks of an engine, with equal urgency where slots are short."""
         if self.room is None or not self.room.is_slot_bound(service, self._terms(service)):
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -6,13 +6,14 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+RATIOS = (0.25, 0.5, 0.7, 0.8, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
 BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0)
 
 
 class Meters:
     """What the daemon counts."""
 
-    __slots__ = ("_error", "_first", "_latency", "_limited", "_outcomes", "_registry")
+    __slots__ = ("_error", "_first", "_latency", "_limited", "_outcomes", "_ratio", "_registry")
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
@@ -49,6 +50,14 @@
             registry=self._registry,
         )
 
+        self._ratio = Histogram(
+            "gradelug_first_event_ratio",
+            "Time to a stream's first event to the time that was expected",
+            ["route"],
+            buckets=RATIOS,
+            registry=self._registry,
+        )
+
     def gauge(self, name: str, text: str, read: t.Callable[[], float]) -> None:
         """Add a figure that is read whenever somebody asks."""
         Gauge(f"gradelug_{name}", text, registry=self._registry).set_function(read)
@@ -69,9 +78,11 @@
         """Take the time of a stream's first event."""
         self._first.observe(seconds)
 
-    def estimate(self, error_s: float) -> None:
-        """Take how far an expected first event was off."""
-        self._error.observe(error_s)
+    def estimate(self, route: str, seen_s: float, expected_s: float) -> None:
+        """Take when a first event came and when it was expected, in seconds from its sending."""
+        self._error.observe(abs(seen_s - expected_s))
+        if expected_s > 0:
+            self._ratio.labels(route).observe(seen_s / expected_s)
 
     def text(self) -> bytes:
         """Return all figures in the text format of Prometheus."""
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -131,7 +131,8 @@
             prompt=job.work.prompt_tokens,
         )
         work = self._with_urgency(job, replica)
-        sending = _Exchange(job, replica, conn, work, load.busyness(), now)
+        expected_s = self._fleet.expected_s(replica, load.busyness(), work)
+        sending = _Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
         load.starting += 1
         load.queued[work.urgency] += work.prompt_tokens
         load.memory += work.memory_tokens
@@ -319,6 +320,8 @@
                 sends=sending.job.sends,
                 prompt=sending.work.prompt_tokens,
                 urgency=sending.work.urgency,
+                expected_s=round(sending.expected_s, 3),
+                held=sending.busy.held,
                 queued=[tokens for tokens in sending.busy.queued if tokens],
                 speed=round(self._fleet.speeds.speed(sending.replica.service)),
             )
@@ -353,8 +356,7 @@
         if not work.prompt_tokens:
             return
         took_s = self._clock() - sending.sent_at
-        expected_s = self._fleet.expected_s(sending.replica, sending.busy, work)
-        self._meters.estimate(abs(took_s - expected_s))
+        self._meters.estimate(sending.job.route.name, took_s, sending.expected_s)
         self._fleet.speeds.note(service, sending.busy, work, took_s)
 
     def pass_on(self, job: Job, head: ResponseHead, body: bytes) -> None:
@@ -381,6 +383,7 @@
         "busy",
         "conn",
         "event_at",
+        "expected_s",
         "first_at",
         "job",
         "longest_s",
@@ -400,11 +403,14 @@
         work: Work,
         busy: Busyness,
         sent_at: float,
+        expected_s: float,
     ) -> None:
         self.work = work
         self.busy = busy
         """What the replica did when the request was sent."""
         self.sent_at = sent_at
+        self.expected_s = expected_s
+        """Expected time to the first event when it was sent, in seconds."""
         self.job = job
         self.replica = replica
         self.conn = conn
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -36,6 +36,8 @@
 NO_REPLICA_S = 0.25
 """How long a request waits for a replica to turn up before it is refused."""
 POLL_S = 0.05
+NEVER_S = 60.0
+"""A request that no engine can run had better not come back before the engines are others."""
 ELSEWHERE_S = 0.05
 """Another instance can take it at once."""
 RETURNING_PART = 0.97
@@ -261,6 +263,8 @@
             await asyncio.sleep(POLL_S)
 
     async def _place_weights(self, job: Job, key: AdapterKey) -> Replica:
+        if not self._fleet.fits(job.service.name, job.work):
+            raise Refused("its prompt is larger than an engine's memory", NEVER_S)
         known = None
         if not job.absent:
             holders = self._fleet.holders(job.service.name, key)
--- a/packages/policy/src/gradelug_policy/engine_room.py
+++ b/packages/policy/src/gradelug_policy/engine_room.py
@@ -130,11 +130,6 @@
     return room_wait_s(busy, work, terms, pace) <= news_s
 
 
-def fits(work: Work, terms: Terms) -> bool:
-    """Tell whether a request can run on an engine at all."""
-    return not terms.memory_tokens or work.memory_tokens <= terms.memory_tokens
-
-
 def free_slots(busy: Busyness, terms: Terms) -> int:
     """Return how many more requests an engine could run now."""
     return max(0, terms.slots - busy.held)
