--- a/packages/policy/src/gradelug_policy/engine_room.py
+++ b/packages/policy/src/gradelug_policy/engine_room.py
@@ -21,7 +21,8 @@
 FIRST_HOLD_S = 1.5
 """How long a run holds its slot as long as nothing was seen: some 100 tokens at 15 ms."""
 HOLD_WEIGHT = 0.05
-"""Share of the newest run in the mean time that a slot is held."""
+"""Share of the newest run in the mean time that a slot is held. The first count no more: those
+that end first are the short ones."""
 LEAST_HOLD_S = 0.05
 """A shorter mean would say that a full engine is as good as a free one."""
 COPY_USE_S = 4.0
@@ -41,6 +42,11 @@
 """Urgency of all requests at engines whose slots are what is short. By rank, an urgent request at a
 full batch stops another in the middle of its stream, which then pauses beyond its bound and is read
 anew; and those of less rank see queues that others do not, so that engines fill unevenly."""
+READS_LEAST = 1.5
+READS_MOST = 2.0
+"""Slots are what is short if reading for a full batch takes at most so many times as long as a run
+holds its slot, and reading is if it takes more than the second; a full batch steps slower than the
+mean from which the time of a run was learned, so that it is more than 1."""
 ONE_HELD = 1.0
 """Of runs that hold nothing that is known each is taken for one token: no division by zero."""
 
@@ -80,18 +86,15 @@
 class HoldTime:
     """Learns how long a run of a service holds its slot: while it is read and makes its answer."""
 
-    __slots__ = ("seconds", "_seen")
+    __slots__ = ("seconds",)
 
     def __init__(self) -> None:
         self.seconds = FIRST_HOLD_S
         """The mean, in seconds."""
-        self._seen = 0
 
     def note(self, held_s: float) -> None:
         """Learn from a run that ended well."""
-        self._seen += 1
-        weight = max(HOLD_WEIGHT, 1 / (1 + self._seen))
-        self.seconds = max(LEAST_HOLD_S, self.seconds + weight * (held_s - self.seconds))
+        self.seconds = max(LEAST_HOLD_S, self.seconds + HOLD_WEIGHT * (held_s - self.seconds))
 
 
 def room_wait_s(busy: Busyness, work: Work, terms: Terms, pace: Pace) -> float:
@@ -177,11 +180,13 @@
         Which engines are slower than the others of their service.
     """
 
-    __slots__ = ("_holds", "_speeds", "paces")
+    __slots__ = ("_holds", "_read_bound", "_speeds", "paces")
 
     def __init__(self, speeds: ReadingSpeeds, paces: EnginePaces | None = None) -> None:
         self._speeds = speeds
         self._holds: dict[str, HoldTime] = {}
+        self._read_bound: set[str] = set()
+        """Services whose engines run out of time to read first."""
         self.paces = paces or EnginePaces()
 
     def with_own_paces(self) -> EngineRoom:
@@ -198,13 +203,18 @@
         """Tell whether engines run out of slots before they run out of time to read.
 
         With all slots taken, an engine reads so many mean prompts in the time that a run holds its
-        slot. If it could read more, slots are what is short, and who is urgent must not take the
-        slot of a run; if not, prompts queue while slots are free, and the urgent are read first.
+        slot. If it could read about as many, slots are what is short, and who is urgent must not
+        take the slot of a run; if not, prompts queue while slots are free, and the urgent are read
+        first. Where it is near, it stays as it was: urgent and equal requests beside each other
+        would displace the equal ones.
         """
         if not terms.slots:
             return False
         asked = terms.slots * self._speeds.mean_prompt(service)
-        return asked < self._speeds.speed(service) * self.hold_s(service)
+        read = self._speeds.speed(service) * self.hold_s(service)
+        is_bound = asked < (READS_LEAST if service in self._read_bound else READS_MOST) * read
+        (self._read_bound.discard if is_bound else self._read_bound.add)(service)
+        return is_bound
 
     def hold_s(self, service: str) -> float:
         """Return how long a run of a service holds its slot, in seconds."""
--- a/tests/engine_fleet_model.py
+++ b/tests/engine_fleet_model.py
@@ -6,15 +6,17 @@
 from dataclasses import dataclass, field
 
 from gradelug_policy.engine_room import (
-    HoldTime,
-    Pace,
+    COPY_USE_S,
+    EQUAL,
+    HOLD_S,
+    EngineRoom,
     Terms,
     copy_gain_s,
     expected_s,
     has_room,
-    room_wait_s,
 )
-from gradelug_policy.reading import Busyness, Work, first_event_s
+from gradelug_policy.reading import LATE, Busyness, ReadingSpeeds, Work
+from gradelug_policy.residency import STORE_COST_S
 
 STEP_S = 0.01
 BASE_STEP_S = 0.0095
@@ -22,7 +24,6 @@
 STEP_S_PER_RUN = 0.0003
 TOKENS_PER_EVENT = 4
 PAUSE_S = 0.3
-STORE_COST_S = 0.8
 MOVE_S = 0.5
 LOOK_S = 0.04
 """How often those that wait are looked at again."""
@@ -49,7 +50,10 @@
     burst: float = 2.6
     length_s: float = 20.0
     slow: dict = field(default_factory=dict)
-    """Engines that are so many times slower, from and until a moment."""
+    """By engine: so many times slower, from and until a moment."""
+    kinds: tuple = ((1, 0.808, 1_460, 172), (0, 1.008, 1_460, 172), (2, 0.806, 646, 68))
+    """Rank, target, mean prompt and mean answer in tokens."""
+    mix: tuple = (122, 16.9, 75.8)
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,15 +61,18 @@
     """How requests are placed."""
 
     slots: bool = True
-    hold: bool = True
-    hold_s: float = 1.0
-    queue_s: float = 0.0
-    move_s: float = MOVE_S
+    """Whether slots are reckoned with, requests held for them, and copies brought ahead."""
     copies: bool = True
-    urgency: str = "rank"
+    urgency: str = "learned"
+    """At engines: by "rank", "equal", or the one or the other by what is short."""
+    speeds: bool = True
+    """Whether each engine's own speed is learned."""
     news_s: float = 0.12
 
 
+OLD = Rules(slots=False, copies=False, urgency="rank", speeds=False)
+
+
 @dataclass(slots=True)
 class Req:
     number: int
@@ -87,6 +94,7 @@
     preempted: int = 0
     sent_at: float = math.inf
     look_at: float = 0.0
+    busy: Busyness = Busyness()
     excluded: set = field(default_factory=set)
 
 
@@ -99,6 +107,8 @@
         self.slow = 1.0
         self.batch = []
         self.waiting = []
+        self.pauses_s = 0.0
+        self.events = 0
 
     def arrive(self, req):
         full = len(self.batch) >= self.shape.slots and len(self.waiting) >= self.shape.queue
@@ -141,6 +151,8 @@
                 firsts.append(req)
             elif int(req.made // TOKENS_PER_EVENT) > events:
                 req.worst_pause_s = max(req.worst_pause_s, now - req.last_at)
+                self.pauses_s += now - req.last_at
+                self.events += 1
                 req.last_at = now
             if req.made >= req.answer:
                 req.done_at = now
@@ -157,7 +169,9 @@
         self.rng = random.Random(seed)
         self.engines = [SimEngine(shape, shape.speed) for _ in range(shape.engines)]
         self.terms = Terms(shape.slots if rules.slots else 0)
-        self.hold = HoldTime()
+        self.speeds = ReadingSpeeds()
+        self.room = EngineRoom(self.speeds)
+        self.now = 0.0
         self.weights = [1 / (rank + 1) ** 1.2 for rank in range(shape.adapters)]
         self.held = [{} for _ in self.engines]
         """By engine: adapters and when each was used."""
@@ -171,6 +185,8 @@
         self.line = []
         self.by_key = defaultdict(set)
         self.loads = 0
+        self.sent = Counter()
+        """Requests that each engine took."""
         self.requests = []
         order = sorted(range(shape.adapters), key=lambda key: key)
         for key in order[: shape.engines * shape.places]:
@@ -183,6 +199,7 @@
         shape = self.shape
         due = 0.0
         while now < shape.length_s + 8.0:
+            self.now = now
             self._take_news(now)
             if now < shape.length_s:
                 rate = shape.rate * (1 + shape.wave * math.sin(2 * math.pi * now / 10.0))
@@ -200,6 +217,8 @@
                     self.rates[key] *= 1 - 10 * STEP_S / 4.0
                 if self.rules.copies:
                     self._add_copies(now)
+                if self.rules.speeds:
+                    self._learn_paces(now)
             due_now = [req for req in self.line if req.look_at <= now]
             self.line = [req for req in self.line if req.look_at > now]
             for req in sorted(due_now, key=lambda req: (req.rank, req.number)):
@@ -219,11 +238,10 @@
 
     def _request(self, number, now):
         rng = self.rng
-        kind = rng.choices(range(3), (122, 16.9, 75.8))[0]
-        rank, target_s = ((1, 0.808), (0, 1.008), (2, 0.806))[kind]
-        long = kind != 2
-        prompt = int((1_460 if long else 646) * rng.lognormvariate(-0.18, 0.6))
-        answer = int((172 if long else 68) * rng.lognormvariate(-0.12, 0.5)) + 4
+        kind = rng.choices(self.shape.kinds, self.shape.mix)[0]
+        rank, target_s, mean_prompt, mean_answer = kind
+        prompt = int(mean_prompt * rng.lognormvariate(-0.18, 0.6))
+        answer = int(mean_answer * rng.lognormvariate(-0.12, 0.5)) + TOKENS_PER_EVENT
         adapter = rng.choices(range(self.shape.adapters), self.weights)[0]
         return Req(number, now, adapter, rank, target_s, prompt, answer)
 
@@ -237,9 +255,18 @@
         tokens = tuple(queued[urgency] for urgency in range(10))
         return Busyness(tokens, running, starting)
 
+    def _pace(self, index):
+        return self.room.pace("llm", str(index), self.now)
+
     def _cost(self, index, work):
-        pace = Pace(self.shape.speed, self.hold.seconds)
-        return expected_s(self._busy(index), work, self.terms, pace)
+        return expected_s(self._busy(index), work, self.terms, self._pace(index))
+
+    def _learn_paces(self, now):
+        for index, engine in enumerate(self.engines):
+            if engine.events:
+                pause_s = engine.pauses_s / engine.events
+                self.room.paces.note("llm", str(index), pause_s, engine.events, now)
+            engine.pauses_s, engine.events = 0.0, 0
 
     def _place(self, req, now):
         if now - req.at > AWAY_S:
@@ -248,7 +275,6 @@
         holders = [index for index in self.by_key[req.adapter] if index not in req.excluded]
         best = min(holders, key=lambda index: self._cost(index, work), default=None)
         least = self._cost(best, work) if best is not None else math.inf
-        pace = Pace(self.shape.speed, self.hold.seconds)
         coming = any(key == req.adapter for key, _ in self.coming)
         if best is None:
             if not coming:
@@ -256,44 +282,28 @@
             self.line.append(req)
             return
         late = now + least > req.at + req.target_s
-        full = self.rules.slots and not has_room(
-            self._busy(best), work, self.terms, pace, self.rules.queue_s
-        )
-        moves = now <= req.at + self.rules.move_s and (late or full)
-        if moves and (coming or self._load(req.adapter, now, least - 0.1)):
-            self.line.append(req)
-            return
-        if full and self.rules.hold and now < req.at + min(self.rules.hold_s, req.target_s - 0.15):
+        full = not has_room(self._busy(best), work, self.terms, self._pace(best))
+        waits = now <= req.at + (HOLD_S if full else MOVE_S) and (late or full)
+        if waits and (coming or self._load(req.adapter, now, least - 0.1) or full):
             self.line.append(req)
             return
-        self._send(req, best, work, late, now)
+        self._send(req, best, work, late or full, now)
 
     def _urgency(self, rank):
-        if self.rules.urgency == "one":
-            return 5
-        if self.rules.urgency == "two":
-            return 0 if rank == 0 else 5
-        if self.rules.urgency == "need":
-            return 5
-        return rank
-
-    def _send(self, req, index, work, late, now):
-        req.urgency = work.urgency
-        if late and self.rules.urgency == "late":
-            req.urgency = 9
-        if late and self.rules.urgency == "need":
-            req.urgency = req.rank
-        if self.rules.urgency.startswith("room"):
-            free = self.shape.slots - self._busy(index).held
-            if free <= int(self.rules.urgency[4:] or 0):
-                req.urgency = 9
+        learned = self.rules.urgency == "learned" and self.room.is_slot_bound("llm", self.terms)
+        return EQUAL if learned or self.rules.urgency == "equal" else rank
+
+    def _send(self, req, index, work, last, now):
+        req.urgency = LATE if last and work.urgency != EQUAL else work.urgency
         req.sent_at, req.engine = now, index
+        req.busy = self._busy(index)
         if not self.engines[index].arrive(req):
             req.rejected += 1
             req.excluded.add(index)
             if req.rejected < MOST_SENDS:
                 self.line.append(req)
             return
+        self.sent[index] += 1
         self.held[index][req.adapter] = now
         self.users[index][req.adapter] += 1
         seen = self.seen[index]
@@ -308,14 +318,18 @@
                 seen[0] -= 1
                 seen[1] += 1
                 seen[2][req.urgency] -= req.prompt
+                self.speeds.note(
+                    "llm", req.busy, Work(req.prompt, req.urgency), req.first_at - req.sent_at
+                )
             else:
                 seen[1] -= 1
-                self.hold.note(req.done_at - req.sent_at)
+                read_s = req.prompt / self.speeds.speed("llm")
+                self.room.note_run("llm", read_s + req.done_at - req.first_at)
 
     def _price(self, key):
         if not self.rules.copies:
             return STORE_COST_S
-        return STORE_COST_S / max(1.0, self.rates[key] * 4.0)
+        return STORE_COST_S / max(1.0, self.rates[key] * COPY_USE_S)
 
     def _load(self, key, now, most_s):
         if len(self.coming) >= self.shape.loads_at_once:
@@ -361,10 +375,10 @@
             holders = list(self.by_key[key])
             holders += [index for other, index in self.coming if other == key]
             busy = [self._busy(index) for index in holders]
-            gain = copy_gain_s(busy, rate, self.shape.load_s, self.terms, self.hold.seconds)
+            gain = copy_gain_s(busy, rate, self.shape.load_s, self.terms, self.room.hold_s("llm"))
             if gain > STORE_COST_S:
                 best = min(self._cost(index, Work(1_000, 1)) for index in holders)
-                self._load(key, now, best + gain / max(1.0, rate * 4.0))
+                self._load(key, now, best + gain / max(1.0, rate * COPY_USE_S))
 
     def figures(self):
         reqs = self.requests
@@ -393,15 +407,5 @@
             "loads": self.loads,
             "p50": round(lag[len(lag) // 2], 3),
             "p95": round(lag[len(lag) * 95 // 100], 3),
-            "hold_s": round(self.hold.seconds, 2),
         }
 
-
-def reading_only(busy, work, speed):
-    """Return what was expected before slots were reckoned with."""
-    return first_event_s(busy, work, speed)
-
-
-def slot_wait(busy, work, terms, pace):
-    """Return the wait for room alone."""
-    return room_wait_s(busy, work, terms, pace)
