--- a/packages/policy/src/gradelug_policy/engine_pace.py
+++ b/packages/policy/src/gradelug_policy/engine_pace.py
@@ -10,12 +10,13 @@
 import math
 import statistics
 
-HALF_LIFE_S = 0.5
-"""Events of the last seconds tell, the newest most: a slow engine is to be seen within a second."""
+HALF_LIFE_S = 0.25
+"""Events count half after this: a slow engine is to be seen within a second, and those that it made
+while it was well were many more."""
 FORGET_S = 1.5
 """An engine without events is taken for well again: what was known of it counts half after this.
 It gets few requests while it is slow, so it must be tried again."""
-LEAST_EVENTS = 6.0
+LEAST_EVENTS = 3.0
 """Fewer events, newer ones counting more, say nothing: one run may pause for another's prompt."""
 NOT_SLOW = 1.6
 """Engines differ by this with what runs on them: a full batch steps that much slower."""
--- a/tests/engine_fleet_model.py
+++ b/tests/engine_fleet_model.py
@@ -408,4 +408,3 @@
             "p50": round(lag[len(lag) // 2], 3),
             "p95": round(lag[len(lag) * 95 // 100], 3),
         }
-
--- /dev/null
+++ b/tests/test_engine_pace.py
@@ -0,0 +1,90 @@
+"""Engines that are slower than others, seen by the pauses between their events."""
+
+import random
+
+import pytest
+from gradelug_policy.engine_pace import FORGET_S, LEAST_ENGINES, MOST_SLOW, EnginePaces
+
+EVENT_S = 0.045
+
+
+class Service:
+    """Ten engines with some runs each, whose events are told every 0.2 s."""
+
+    def __init__(self, engines=10, runs=4, seed=1):
+        self.paces = EnginePaces()
+        self.rng = random.Random(seed)
+        self.engines = [f"e{number}" for number in range(engines)]
+        self.runs = runs
+        self.now = 0.0
+
+    def step(self, slow=None, idle=()):
+        self.now += 0.2
+        for name in self.engines:
+            if name in idle:
+                continue
+            factor = (slow or {}).get(name, 1.0) * self.rng.uniform(0.8, 1.25)
+            pause_s = EVENT_S * factor
+            events = max(1, round(self.runs * 0.2 / pause_s))
+            self.paces.note("llm", name, pause_s, events, self.now)
+
+    def slowness(self, name):
+        return self.paces.slowness("llm", name, self.now)
+
+
+@pytest.mark.parametrize("times", [2.2, 4.0, 7.5])
+def test_a_slow_engine_is_seen_within_a_second_and_well_again(times):
+    service = Service()
+    for _ in range(10):
+        service.step()
+    assert service.paces.slow(service.now) == {}
+    for _ in range(5):
+        service.step({"e3": times})
+    assert service.slowness("e3") > 0.6 * times
+    assert set(service.paces.slow(service.now)) == {"e3"}
+    for _ in range(15):
+        service.step()
+    assert service.slowness("e3") == 1.0
+
+
+def test_an_engine_without_events_is_tried_again():
+    service = Service()
+    for _ in range(10):
+        service.step({"e3": 6.0})
+    assert service.slowness("e3") > 4
+    for _ in range(round(6 * FORGET_S / 0.2)):
+        service.step(idle={"e3"})
+    assert service.slowness("e3") == 1.0
+
+
+def test_full_and_empty_batches_are_not_taken_for_slow_and_well():
+    service = Service()
+    for _ in range(20):
+        service.step({"e1": 1.25, "e2": 0.8})
+        assert service.paces.slow(service.now) == {}
+
+
+def test_one_run_that_was_stopped_does_not_make_its_engine_slow():
+    service = Service()
+    for _ in range(10):
+        service.step()
+    service.paces.note("llm", "e4", 2.0, 1, service.now)
+    service.step()
+    service.step()
+    assert service.slowness("e4") < 1.7
+
+
+def test_too_few_engines_tell_nothing():
+    service = Service(engines=LEAST_ENGINES - 1)
+    for _ in range(10):
+        service.step({"e0": 7.5})
+    assert service.paces.slow(service.now) == {}
+
+
+def test_what_is_told_is_bounded_and_forgotten():
+    paces = EnginePaces()
+    paces.take("e0", 50.0, 1.0)
+    assert paces.slowness("llm", "e0", 1.0) == MOST_SLOW
+    assert 1.0 < paces.slowness("llm", "e0", 1.0 + FORGET_S) < MOST_SLOW
+    paces.forget("e0")
+    assert paces.slowness("llm", "e0", 1.0) == 1.0
--- /dev/null
+++ b/tests/test_engine_speeds.py
@@ -0,0 +1,85 @@
+"""What gateways and planners tell each other of slow engines."""
+
+from gradelug_gateway.engine_speeds import PauseTally, SpeedDesk, SpeedTeller
+from gradelug_gateway.followers import Follower
+from gradelug_policy.engine_pace import EnginePaces
+from gradelug_policy.reading import ReadingSpeeds
+from gradelug_wire import placement_pb2 as pb
+
+
+class Clock:
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+class Pair:
+    """A planner and some gateways, each with the runs of some engines."""
+
+    def __init__(self, gateways=8, engines=6):
+        self.clock = Clock()
+        self.speeds = ReadingSpeeds()
+        self.desk = SpeedDesk("llm", EnginePaces(), self.speeds)
+        self.tallies = [PauseTally() for _ in range(gateways)]
+        self.paces = [EnginePaces() for _ in range(gateways)]
+        self.tellers = [
+            SpeedTeller("llm", tally, paces, self.speeds, self.clock)
+            for tally, paces in zip(self.tallies, self.paces, strict=True)
+        ]
+        self.follower = Follower(1, "g", "")
+        self.engines = [f"e{number}" for number in range(engines)]
+
+    def step(self, slow=()):
+        self.clock.now += 0.2
+        for number, (tally, teller) in enumerate(zip(self.tallies, self.tellers, strict=True)):
+            # Each gateway has runs on some engines only.
+            for name in self.engines[number % 2 :: 2]:
+                tally.note(name, 0.2, 1 if name in slow else 4)
+            message = pb.FromGateway()
+            teller.fill(message)
+            self.desk.take(self.follower, message, self.clock.now)
+        news = pb.FromPlanner()
+        self.desk.fill(news, self.clock.now)
+        for teller in self.tellers:
+            teller.take(news)
+        return news
+
+
+def test_a_slow_engine_is_told_to_gateways_that_run_nothing_there():
+    pair = Pair()
+    for _ in range(5):
+        assert not pair.step().speeds
+    for _ in range(5):
+        news = pair.step({"e0"})
+    assert [told.replica for told in news.speeds] == ["e0"]
+    now = pair.clock.now
+    assert all(paces.slowness("llm", "e0", now) > 2.5 for paces in pair.paces)
+    assert all(paces.slowness("llm", "e1", now) == 1.0 for paces in pair.paces)
+    for _ in range(20):
+        pair.step()
+    assert all(paces.slowness("llm", "e0", pair.clock.now) == 1.0 for paces in pair.paces)
+
+
+def test_what_was_seen_is_told_once_and_not_on_the_next_stream():
+    pair = Pair(gateways=1)
+    pair.tallies[0].note("e0", 0.1, 2)
+    first, second = pb.FromGateway(), pb.FromGateway()
+    pair.tellers[0].fill(first)
+    pair.tellers[0].fill(second)
+    assert [(seen.replica, seen.step_ms, seen.samples) for seen in first.speeds] == [("e0", 50, 2)]
+    assert not second.speeds
+    pair.tallies[0].note("e0", 0.1, 2)
+    pair.tellers[0].begin_stream()
+    pair.tellers[0].fill(second)
+    assert not second.speeds
+
+
+def test_an_engine_that_begins_another_life_is_not_slow():
+    pair = Pair()
+    for _ in range(8):
+        pair.step({"e0"})
+    pair.desk.forget("e0")
+    news = pb.FromPlanner()
+    pair.desk.fill(news, pair.clock.now)
+    assert not news.speeds
