--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -83,14 +83,16 @@
 
 
 class Bench:
-    def __init__(self, engines=2, seed=1, lost=0.0, late=0.0, spec=SPEC):
+    def __init__(self, engines=2, seed=1, lost=0.0, late=0.0, spec=SPEC, room=None):
         self.clock = asyncio.get_running_loop().time
         self.state = FleetState()
         self.transport = ModelTransport(random.Random(seed), lost, late)
         for at in range(engines):
             self.add(f"e{at}")
         window = LoadWindow(2.0, 5.0, 1.1, 3)
-        self.planner = Planner("llm", "me", spec, self.state, self.transport, window, self.clock)
+        self.planner = Planner(
+            "llm", "me", spec, self.state, self.transport, window, self.clock, room=room
+        )
         self.planner.begin_term(7)
         self.gateway = self.planner.followers.join("g", "")
         self.task = asyncio.create_task(self.planner.run())
--- /dev/null
+++ b/tests/test_serving_room.py
@@ -0,0 +1,167 @@
+"""A gateway that reckons with the slots, the memory and the own speed of engines."""
+
+import asyncio
+
+import logbook
+import pytest
+from gradelug_gateway.engine_speeds import PauseTally
+from gradelug_gateway.fleet import Fleet
+from gradelug_gateway.link import PlannerLink
+from gradelug_gateway.model import FleetState, Repeat, Replica, Service, Snapshot, ToldLoad
+from gradelug_http import ServerLimits
+from gradelug_policy.engine_room import EQUAL, EngineRoom
+from gradelug_policy.reading import LATE, ReadingSpeeds, Work
+from gradelug_wire import placement_pb2 as pb
+from test_planner_room import BATCH, MEMORY
+from test_planner_room import SPEC as FEW_SLOTS
+from test_serving import ADAPTER, END, HELD, SPEC, STREAM, Bench, event, route, run, status
+
+ASKED = Work(1_000, 1, 200)
+PROMPT = b"X-Gradelug-Token-Usage: %d,50\r\n"
+
+
+def new_fleet(has_room=True, clock=lambda: 5.0):
+    state = FleetState()
+    state.snapshot = Snapshot(1, (), {"llm": Service("llm", 10, FEW_SLOTS)}, ServerLimits())
+    for name in ("e0", "e1"):
+        state.replicas[name] = Replica(name, "llm", f"{name}:1", "hall")
+    return Fleet(state, "hall", clock, has_room=has_room)
+
+
+def new_bench(scripts, has_room=True):
+    bench = Bench(route(Repeat.RESUME, True, 2, "llm", 10.0), scripts, HELD, engine=True)
+    if has_room:
+        bench.fleet.room = EngineRoom(bench.fleet.speeds)
+        bench.fleet.pauses["llm"] = PauseTally()
+    return bench
+
+
+class TestFleet:
+    @pytest.mark.parametrize(("has_room", "chosen"), [(True, "e1"), (False, "e0")])
+    def test_an_engine_with_a_free_slot_is_chosen_although_it_has_more_to_read(
+        self, has_room, chosen
+    ):
+        fleet = new_fleet(has_room)
+        fleet.load("e0").others = ToldLoad(0, BATCH + 2, ())
+        fleet.load("e1").others = ToldLoad(2, 0, (0, 2_000))
+        found = fleet.choose(fleet.usable("llm"), work=ASKED)
+        assert found.name == chosen
+
+    @pytest.mark.parametrize("load", [ToldLoad(0, BATCH), ToldLoad(0, 1, (), MEMORY - 1_000)])
+    def test_where_there_is_no_room_the_planner_had_better_be_asked(self, load):
+        for has_room in (True, False):
+            fleet = new_fleet(has_room)
+            replica = fleet.state.replicas["e0"]
+            fleet.load("e0").others = load
+            assert fleet.is_late(replica, ASKED, 100.0) is has_room
+            assert fleet.is_full(replica, ASKED) is has_room
+
+    def test_a_slow_engine_is_left_for_another(self):
+        fleet = new_fleet()
+        replicas = fleet.usable("llm")
+        fleet.load("e1").others = ToldLoad(0, 2, ())
+        assert fleet.choose(replicas, work=ASKED).name == "e0"
+        fleet.room.paces.take("e0", 5.0, 5.0)
+        assert fleet.choose(replicas, work=ASKED).name == "e1"
+
+    def test_all_are_equally_urgent_where_slots_are_short(self):
+        assert new_fleet().equalled("llm", ASKED).urgency == EQUAL
+        assert new_fleet(False).equalled("llm", ASKED) == ASKED
+        assert new_fleet().equalled("plain", ASKED) == ASKED
+
+    def test_the_planner_and_its_own_gateway_learn_the_same_times_and_not_the_paces(self):
+        room = EngineRoom(ReadingSpeeds())
+        own = room.with_own_paces()
+        own.note_run("llm", 9.0)
+        own.paces.take("e0", 5.0, 1.0)
+        assert room.hold_s("llm") == own.hold_s("llm")
+        assert room.pace("llm", "e0", 1.0).hold_s < own.pace("llm", "e0", 1.0).hold_s
+
+
+class TestLink:
+    def test_memory_is_told_and_what_is_its_own_is_not_counted_twice(self):
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            fleet = new_fleet(clock=clock)
+            link = PlannerLink("llm", "me", "", fleet, clock)
+            load = fleet.load("e0")
+            load.running, load.memory = 2, 2_400
+            (told,) = link._message(False).loads
+            assert told.memory_tokens == 2_400
+            everyone = pb.Load(replica="e0", running=5, memory_tokens=6_400)
+            link._take(pb.FromPlanner(loads=[everyone]))
+            assert load.others.memory == 4_000
+            assert load.busyness().memory_tokens == 6_400
+
+        run(scenario)
+
+
+class TestStreams:
+    def test_a_prompt_that_no_engine_has_memory_for_is_refused_and_not_run(self):
+        async def scenario():
+            for tokens, has_room, sent in (
+                (SPEC.kv_tokens, True, True),
+                (SPEC.kv_tokens + 1, True, False),
+                (SPEC.kv_tokens + 1, False, True),
+            ):
+                bench = new_bench([[[STREAM + event(1) + END]]], has_room)
+                client = bench.client(8000, ADAPTER + PROMPT % tokens)
+                await asyncio.sleep(0.05)
+                assert bool(bench.received("s0")) is sent
+                assert status(client) == (200 if sent else 503)
+
+        run(scenario)
+
+    def test_one_that_would_take_the_slot_of_a_run_waits_for_those_that_would_not(self):
+        async def scenario():
+            for running, urgency in ((3, 0), (SPEC.batch, LATE)):
+                bench = new_bench([[[STREAM + event(1) + END]]])
+                # Reading is what is short: 96 prompts of such a length take 3.8 s.
+                room = bench.fleet.room
+                for _ in range(200):
+                    bench.fleet.speeds.note("llm", bench.fleet.load("x").busyness(), ASKED, 1.0)
+                bench.fleet.speeds._speeds["llm"].tokens_per_s = 20_000.0
+                for _ in range(100):
+                    room.note_run("llm", 1.0)
+                bench.fleet.load("s0").others = ToldLoad(0, running, ())
+                bench.client(8000, ADAPTER + PROMPT % 400)
+                await asyncio.sleep(0.05)
+                header = b"X-Gradelug-Request-Priority: %d\r\n" % urgency
+                assert header in bench.received("s0")
+
+        run(scenario)
+
+    def test_pauses_beyond_the_bound_are_logged_and_pauses_are_told(self):
+        async def scenario():
+            bench = new_bench([[[STREAM + event(1)]]])
+            bench.client(8000, ADAPTER + PROMPT % 400)
+            await asyncio.sleep(0.05)
+            server = bench.servers["s0"][0].transport
+            server.write(event(2) + event(3))
+            await asyncio.sleep(0.6)
+            server.write(event(4))
+            await asyncio.sleep(0.1)
+            server.write(event(5) + END)
+            await asyncio.sleep(0.05)
+            pauses_s, events = bench.fleet.pauses["llm"].take()["s0"]
+            assert events == 4
+            assert pauses_s == pytest.approx(0.75, abs=0.02)
+
+        with logbook.TestHandler() as logs:
+            run(scenario)
+        (line,) = [record for record in logs.records if record.message == "long pause"]
+        assert line.kwargs["pauses"] == 1
+        assert line.kwargs["longest_s"] == pytest.approx(0.6, abs=0.01)
+
+    def test_memory_and_slots_are_free_again_when_it_has_ended(self):
+        async def scenario():
+            bench = new_bench([[[STREAM + event(1)]]])
+            bench.client(8000, ADAPTER + PROMPT % 400)
+            await asyncio.sleep(0.05)
+            load = bench.fleet.load("s0")
+            assert (load.running, load.memory) == (1, 450)
+            bench.servers["s0"][0].transport.write(END)
+            await asyncio.sleep(0.05)
+            assert (load.running, load.memory) == (0, 0)
+
+        run(scenario)
