--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import typing as t
 from collections import Counter
@@ -67,6 +68,10 @@
 LOOK_S = 0.05
 """Another engine for requests that are held for room is looked for this often: each look takes
 0.7 ms with 45 engines, and they are looked at with each message."""
+MOST_LOOKED_AT = 200
+"""Adapters that are looked at each time whether they need another copy; the others come next."""
+LEAST_COPY_RATE = 0.5
+"""Requests a second below which no adapter needs one: its few would save less than a load costs."""
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
@@ -146,6 +151,10 @@
         self._terms = terms(spec)
         self._looked_at: dict[AdapterKey, float] = {}
         """When it was looked for another engine for requests that have a holder."""
+        self._look_from = -math.inf
+        """No such look begins before."""
+        self._asked_for: dict[AdapterKey, None] = {}
+        """Adapters whose requests began since it was looked whether they need another copy."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._deciding: asyncio.TimerHandle | None = None
         self._decision_s = 0.0
@@ -274,6 +283,8 @@
         key = AdapterKey(use.model, use.adapter)
         if use.started:
             self.popularity.note(key.text, now, use.started)
+            if key.adapter:
+                self._asked_for[key] = None
         engine = self.engines.get(use.replica)
         if engine is None:
             return
@@ -388,13 +399,20 @@
         waiter.is_held = is_full
         if self._is_coming(waiter):
             return True
-        if self._room is not None and now < self._looked_at.get(waiter.key, -math.inf) + LOOK_S:
+        if self._room is not None and not self._may_look(waiter.key, now):
             return is_full
-        self._looked_at[waiter.key] = now
         most_s = least_s - MOVE_MARGIN_S
         begun = self.load(waiter.key, now, self.openings(), waiter.may_use, most_s, waiter.work)
+        self._look_from = now + REST_PART * (self._clock() - now)
         return begun or is_full
 
+    def _may_look(self, key: AdapterKey, now: float) -> bool:
+        """Tell whether it is time to look for another engine for a request that has a holder."""
+        if now < self._look_from or now < self._looked_at.get(key, -math.inf) + LOOK_S:
+            return False
+        self._looked_at[key] = now
+        return True
+
     @property
     def speed(self) -> float:
         """Tokens of prompts that an engine reads a second."""
@@ -429,10 +447,16 @@
         """Bring further copies of adapters before the slots of their holders are used up."""
         if self._room is None or self.term is None:
             return
+        asked = list(itertools.islice(self._asked_for, MOST_LOOKED_AT))
+        for key in asked:
+            del self._asked_for[key]
+        often = {key for key in asked if self.popularity.rate(key.text, now) >= LEAST_COPY_RATE}
+        if not often:
+            return
         holders: dict[AdapterKey, list[Engine]] = {}
         for engine in self.engines.values():
-            for key, place in engine.adapters():
-                if place.phase in (Phase.LOADING, Phase.READY):
+            for key in often & engine.places.keys():
+                if engine.places[key].phase in (Phase.LOADING, Phase.READY):
                     holders.setdefault(key, []).append(engine)
         gains = {key: self._copy_gain_s(key, found, now) for key, found in holders.items()}
         wanted = [key for key, gain_s in gains.items() if gain_s > STORE_COST_S]
--- a/tests/test_planner_room.py
+++ b/tests/test_planner_room.py
@@ -38,6 +38,11 @@
         for name in self.planner.engines:
             self.tell(name, running)
 
+    def start(self, adapter, replica, count):
+        """Tell that some requests have begun."""
+        use = pb.Use(replica=replica, model="m", adapter=adapter, active=1, started=count)
+        self.planner.take(self.gateway, pb.FromGateway(uses=[use]))
+
     def holders(self, adapter):
         key = AdapterKey("m", adapter)
         return [name for name, engine in self.planner.engines.items() if engine.holds(key)]
@@ -144,7 +149,7 @@
             home = await bench.place("a")
             bench.tell(home, 2)
             for _ in range(10):
-                bench.planner.popularity.note("m/a", bench.clock(), 5.0)
+                bench.start("a", home, 5)
                 await asyncio.sleep(0.1)
             assert len(bench.holders("a")) == (2 if is_on else 1)
             await bench.stop()
@@ -156,6 +161,7 @@
             bench = RoomBench()
             home = await bench.place("a")
             bench.tell(home, 2)
+            bench.start("a", home, 1)
             await asyncio.sleep(1.0)
             assert bench.holders("a") == [home]
             assert all(
