--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -70,6 +70,8 @@
 0.7 ms with 45 engines, and they are looked at with each message."""
 MOST_LOOKED_AT = 200
 """Adapters that are looked at each time whether they need another copy; the others come next."""
+MOST_COPIES = 8
+"""Further copies that are begun each time, those of most gain."""
 LEAST_COPY_RATE = 0.5
 """Requests a second below which no adapter needs one: its few would save less than a load costs."""
 JUST_LOADED_S = 1.5
@@ -445,7 +447,9 @@
 
     def bring_copies(self, now: float) -> None:
         """Bring further copies of adapters before the slots of their holders are used up."""
-        if self._room is None or self.term is None:
+        if self._room is None or self.term is None or now < self._look_from:
+            return
+        if not self.loading.may_use_store():
             return
         asked = list(itertools.islice(self._asked_for, MOST_LOOKED_AT))
         for key in asked:
@@ -463,11 +467,12 @@
         if not wanted:
             return
         openings = self.openings()
-        for key in sorted(wanted, key=lambda key: -gains[key]):
+        for key in sorted(wanted, key=lambda key: -gains[key])[:MOST_COPIES]:
             uses = max(1.0, COPY_USE_S * self.popularity.rate(key.text, now))
             least_s = min(self.wait_s(engine, Work()) for engine in holders[key])
             if self.load(key, now, openings, lambda name: True, least_s + gains[key] / uses):
                 log.info("further copy", weights=key.text, gain_s=round(gains[key], 2))
+        self._look_from = now + REST_PART * (self._clock() - now)
 
     def _copy_gain_s(self, key: AdapterKey, holders: t.Sequence[Engine], now: float) -> float:
         if self._room is None or len(holders) == len(self.engines):
