--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -122,7 +122,9 @@
         self._feed.subscribe(self._on_change)
         self._freshness = Freshness(self._mirror, self._feed, self._clock, settings.bounds.revoke_s)
         has_room = Feature.ENGINE_ROOM in settings.features
-        self._fleet = Fleet(self._state, settings.hall, self._clock, has_room=has_room)
+        # Instances that draw alike would choose alike.
+        rng = random.Random(settings.name)
+        self._fleet = Fleet(self._state, settings.hall, self._clock, rng, has_room)
         self._duties: dict[str, Duty] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
         executor = None
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -17,9 +17,11 @@
     add_queues,
     first_event_s,
 )
+from gradelug_policy.spread import choose_spread
 
 from .engine_speeds import PauseTally
 from .model import AdapterKey, EngineSpec, FleetState, Holding, Replica, ToldLoad
+from .pacing import NEWS_S
 
 FAILURE_WEIGHT = 0.25
 """Share of the newest outcome in a replica's failure rate."""
@@ -129,6 +131,7 @@
         "_rng",
         "_seen_change",
         "hall",
+        "news_s",
         "pauses",
         "room",
         "speeds",
@@ -158,6 +161,8 @@
         """How fast engines read, as seen by this instance."""
         self.room = EngineRoom(self.speeds) if has_room else None
         """What else is known of engines at work; None to do without."""
+        self.news_s = NEWS_S
+        """How old news of engines may be, in seconds."""
         self.pauses: dict[str, PauseTally] = {}
         """Pauses between events that are to be told, by service."""
 
@@ -242,7 +247,11 @@
             found = self._rng.sample(found, CHOICES)
         closed = [rep for rep in found if self.health(rep.name).circuit.allows(now)]
         # When all of them fail, some requests still get through.
-        return min(closed or found, key=lambda rep: self.cost(rep, now, work), default=None)
+        usable = closed or found
+        if self.room is None or work is None:
+            return min(usable, key=lambda rep: self.cost(rep, now, work), default=None)
+        costs_s = [(rep, REQUEST_S * self.cost(rep, now, work)) for rep in usable]
+        return choose_spread(costs_s, self.news_s, self._rng)
 
     def cost(self, replica: Replica, now: float, work: Work | None = None) -> float:
         """Return how long a request would wait at a replica, in requests before it."""
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -398,7 +398,7 @@
     def _take_pacing(self, message: pb.FromPlanner) -> None:
         self.gateways = message.gateways
         # A planner of an earlier version, as in a rolling restart, tells neither.
-        self.news_s = message.news_ms / 1000 or NEWS_S
+        self.news_s = self._fleet.news_s = message.news_ms / 1000 or NEWS_S
         self._flush_s = message.flush_ms / 1000 or FLUSH_S
         self.ask_first = message.ask_first
         self.has_resigned = message.resigned
