--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -404,7 +404,11 @@
         if self._room is not None and not self._may_look(waiter.key, now):
             return is_full
         most_s = least_s - MOVE_MARGIN_S
-        begun = self.load(waiter.key, now, self.openings(), waiter.may_use, most_s, waiter.work)
+        # Where there is no room at its holders, a copy serves those who come as well.
+        uses = self._uses(waiter.key, now) if is_full else 1.0
+        begun = self.load(
+            waiter.key, now, self.openings(), waiter.may_use, most_s, waiter.work, uses
+        )
         self._look_from = now + REST_PART * (self._clock() - now)
         return begun or is_full
 
@@ -434,16 +438,9 @@
         pace = self._room.pace(self.service, engine.replica.name, self._clock())
         return has_room(engine.busyness(), work, self._terms, pace)
 
-    def _load_costs(self, key: AdapterKey, now: float) -> LoadCosts:
-        """Return what a load of an adapter costs the request that it is for.
-
-        Its price is shared by those that will use the copy.
-        """
-        costs = self.loading.costs()
-        if self._room is None:
-            return costs
-        uses = max(1.0, COPY_USE_S * self.popularity.rate(key.text, now))
-        return LoadCosts(costs.cached_s, costs.store_s, STORE_COST_S / uses)
+    def _uses(self, key: AdapterKey, now: float) -> float:
+        """Return how many requests will use a further copy of an adapter, 1 at least."""
+        return max(1.0, COPY_USE_S * self.popularity.rate(key.text, now))
 
     def bring_copies(self, now: float) -> None:
         """Bring further copies of adapters before the slots of their holders are used up."""
@@ -468,9 +465,10 @@
             return
         openings = self.openings()
         for key in sorted(wanted, key=lambda key: -gains[key])[:MOST_COPIES]:
-            uses = max(1.0, COPY_USE_S * self.popularity.rate(key.text, now))
+            uses = self._uses(key, now)
             least_s = min(self.wait_s(engine, Work()) for engine in holders[key])
-            if self.load(key, now, openings, lambda name: True, least_s + gains[key] / uses):
+            most_s = least_s + gains[key] / uses
+            if self.load(key, now, openings, lambda name: True, most_s, uses=uses):
                 log.info("further copy", weights=key.text, gain_s=round(gains[key], 2))
         self._look_from = now + REST_PART * (self._clock() - now)
 
@@ -504,6 +502,7 @@
         may_use: t.Callable[[str], bool],
         most_s: float = math.inf,
         work: Work = Work(),  # noqa: B008
+        uses: float = 1.0,
     ) -> bool:
         """Begin to load an adapter where it can be used soonest; False if nowhere.
 
@@ -521,6 +520,8 @@
             What the load may cost at most, in seconds (see `choose_home`).
         work : Work
             What its requests ask of an engine.
+        uses : float
+            Requests that share the price of a load from the weight store.
         """
         if not key.adapter or not openings.by_engine or self.term is None:
             return False
@@ -539,7 +540,7 @@
         choice = choose_home(
             views,
             key.text,
-            self._load_costs(key, now),
+            LoadCosts(self.loading.pace.cached_s, self.loading.pace.load_s, STORE_COST_S / uses),
             self.loading.may_use_store(),
             most_s,
         )
