--- a/packages/gateway/src/gradelug_gateway/loading.py
+++ b/packages/gateway/src/gradelug_gateway/loading.py
@@ -8,7 +8,7 @@
 
 import logbook
 from gradelug_policy.pace import StorePace
-from gradelug_policy.residency import LoadCosts
+from gradelug_policy.residency import STORE_COST_S, LoadCosts
 
 from .engines import REPORT_LAG_S, Engine, Phase, Place
 from .model import AdapterKey, Holding, OrderOutcome, Term
@@ -88,9 +88,9 @@
         self._store_loads = 0
         self.pace = StorePace(clock(), first_at_once)
 
-    def costs(self) -> LoadCosts:
-        """Return the expected times of a load."""
-        return LoadCosts(self.pace.cached_s, self.pace.load_s)
+    def costs(self, uses: float) -> LoadCosts:
+        """Return what a load costs each of the requests that it is for."""
+        return LoadCosts(self.pace.cached_s, self.pace.load_s, STORE_COST_S / uses)
 
     def may_use_store(self) -> bool:
         """Tell whether another load from the weight store may begin."""
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -23,7 +23,6 @@
 from gradelug_policy.residency import (
     STORE_COST_S,
     EnginePlaces,
-    LoadCosts,
     LoadWindow,
     choose_home,
 )
@@ -540,7 +539,7 @@
         choice = choose_home(
             views,
             key.text,
-            LoadCosts(self.loading.pace.cached_s, self.loading.pace.load_s, STORE_COST_S / uses),
+            self.loading.costs(uses),
             self.loading.may_use_store(),
             most_s,
         )
