--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -21,7 +21,7 @@
 
 from .engine_speeds import PauseTally
 from .model import AdapterKey, EngineSpec, FleetState, Holding, Replica, ToldLoad
-from .pacing import NEWS_S
+from .pacing import FRESH_S, NEWS_S
 
 FAILURE_WEIGHT = 0.25
 """Share of the newest outcome in a replica's failure rate."""
@@ -248,7 +248,8 @@
         closed = [rep for rep in found if self.health(rep.name).circuit.allows(now)]
         # When all of them fail, some requests still get through.
         usable = closed or found
-        if self.room is None or work is None:
+        if self.room is None or work is None or self.news_s <= FRESH_S:
+            # The same engine again and again keeps the parts of prompts that come again.
             return min(usable, key=lambda rep: self.cost(rep, now, work), default=None)
         costs_s = [(rep, REQUEST_S * self.cost(rep, now, work)) for rep in usable]
         return choose_spread(costs_s, self.news_s, self._rng)
--- a/tests/test_engine_room.py
+++ b/tests/test_engine_room.py
@@ -87,6 +87,10 @@
         few, many = (copy_gain_s(holders, rate, 0.3, SLOTS, 1.2) for rate in (8.0, 38.0))
         assert 0 < few < many
 
+    def test_those_who_come_are_reckoned_with_their_spread(self):
+        # Two are free and one comes during a load at the mean; three may well.
+        assert copy_gain_s([Busyness(running=10)], 2.0, 0.3, SLOTS, 1.2) > 0
+
     def test_a_rare_adapter_on_a_full_engine_gains_less_than_a_load_costs(self):
         assert copy_gain_s([Busyness(running=12)], 0.2, 0.3, SLOTS, 1.2) < 0.8
 
--- a/tests/test_serving_room.py
+++ b/tests/test_serving_room.py
@@ -64,6 +64,22 @@
         fleet.room.paces.take("e0", 5.0, 5.0)
         assert fleet.choose(replicas, work=ASKED).name == "e1"
 
+    @pytest.mark.parametrize(("news_s", "chosen"), [(0.05, {"e0"}), (0.5, {"e0", "e1"})])
+    def test_equal_engines_are_taken_by_turns_where_news_are_old(self, news_s, chosen):
+        fleet = new_fleet()
+        fleet.news_s = news_s
+        replicas = fleet.usable("llm")
+        assert {fleet.choose(replicas, work=ASKED).name for _ in range(20)} == chosen
+
+    def test_how_old_news_may_be_is_told(self):
+        async def scenario():
+            fleet = new_fleet()
+            link = PlannerLink("llm", "me", "", fleet, asyncio.get_running_loop().time)
+            link._take(pb.FromPlanner(gateways=85, news_ms=255))
+            assert fleet.news_s == 0.255
+
+        run(scenario)
+
     def test_all_are_equally_urgent_where_slots_are_short(self):
         assert new_fleet().equalled("llm", ASKED).urgency == EQUAL
         assert new_fleet(False).equalled("llm", ASKED) == ASKED
