--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -405,8 +405,18 @@
             "Since the configuration in force was known to be the newest",
             lambda: self._freshness.age_s,
         )
+        gauge("slow_engines", "Engines taken for slow", self._count_slow)
+        gauge("requests_held", "Requests held until an engine has room", self._count_held)
         gauge("plans", "Services planned for", lambda: self._count_planned())
 
+    def _count_slow(self) -> int:
+        room = self._fleet.room
+        return len(room.paces.slow(self._clock())) if room is not None else 0
+
+    def _count_held(self) -> int:
+        planners = [duty.planner for duty in self._duties.values()]
+        return sum(planner.held() for planner in planners if planner is not None)
+
     def _count_planned(self) -> int:
         return sum(duty.planner is not None for duty in self._duties.values())
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -489,6 +489,10 @@
         """Return the base models of all that is waited for."""
         return {waiter.key.model for waiter in self._line.waiters}
 
+    def held(self) -> int:
+        """Return how many requests are held until an engine has room."""
+        return sum(waiter.is_held for waiter in self._line.waiters)
+
     def openings(self) -> Openings:
         """Return the engines that can take an adapter in now."""
         return Openings(self.engines, self.popularity, self._transport.may_order, self._clock())
--- a/tests/test_planner_room.py
+++ b/tests/test_planner_room.py
@@ -61,8 +61,10 @@
             bench.tell_all(BATCH)
             ticket = bench.ask("a", **ASK)
             assert await bench.replica(ticket, 0.15) is None
+            assert bench.planner.held() == 1
             bench.tell(home, BATCH - 1)
             assert await bench.replica(ticket, 0.02) == home
+            assert bench.planner.held() == 0
             await bench.stop()
 
         run(scenario)
