--- a/packages/gateway/src/gradelug_gateway/engine_speeds.py
+++ b/packages/gateway/src/gradelug_gateway/engine_speeds.py
@@ -13,6 +13,10 @@
 
 log = logbook.Logger("engine speeds")
 MS = 1000.0
+SHORTER = 4
+"""The pause that is told is longer than one in so many."""
+MOST_TOGETHER = 8
+"""Events that come together count as so many at most."""
 
 
 class PauseTally:
@@ -21,17 +25,23 @@
     __slots__ = ("_seen",)
 
     def __init__(self) -> None:
-        self._seen: dict[str, tuple[float, int]] = {}
+        self._seen: dict[str, list[float]] = {}
 
     def note(self, replica: str, pause_s: float, events: int) -> None:
         """Count events that came together after a pause, in seconds."""
-        before_s, count = self._seen.get(replica, (0.0, 0))
-        self._seen[replica] = (before_s + pause_s, count + events)
+        self._seen.setdefault(replica, []).extend([pause_s / events] * min(events, MOST_TOGETHER))
 
     def take(self) -> dict[str, tuple[float, int]]:
-        """Return the sum of the pauses and the number of events by engine, and forget them."""
+        """Return a pause of each engine's shorter ones and the number of events; forget them.
+
+        While an engine reads prompts, its streams pause for each piece of them: the longer pauses
+        say how busy it is. The shortest may be of two events that were held up together.
+        """
         seen, self._seen = self._seen, {}
-        return seen
+        return {
+            replica: (sorted(pauses)[len(pauses) // SHORTER], len(pauses))
+            for replica, pauses in seen.items()
+        }
 
 
 class SpeedTeller:
@@ -73,8 +83,8 @@
 
     def fill(self, message: pb.FromGateway) -> None:
         """Tell the pauses since the last message."""
-        for replica, (pauses_s, events) in self._tally.take().items():
-            message.speeds.add(replica=replica, step_ms=MS * pauses_s / events, samples=events)
+        for replica, (pause_s, events) in self._tally.take().items():
+            message.speeds.add(replica=replica, step_ms=MS * pause_s, samples=events)
 
     def take(self, message: pb.FromPlanner) -> None:
         """Take over which engines are slow; those not named any more are forgotten with time."""
@@ -95,11 +105,21 @@
         Learns.
     speeds : ReadingSpeeds
         How fast engines usually read.
+    is_reading : callable
+        Tells whether an engine has prompts to read, by its name: its streams pause for them, and
+        what is before a new request there is reckoned with already.
     """
 
-    __slots__ = ("_paces", "_service", "_slow", "_speeds")
+    __slots__ = ("_is_reading", "_paces", "_service", "_slow", "_speeds")
 
-    def __init__(self, service: str, paces: EnginePaces, speeds: ReadingSpeeds) -> None:
+    def __init__(
+        self,
+        service: str,
+        paces: EnginePaces,
+        speeds: ReadingSpeeds,
+        is_reading: t.Callable[[str], bool] = lambda replica: False,
+    ) -> None:
+        self._is_reading = is_reading
         self._service = service
         self._paces = paces
         self._speeds = speeds
@@ -108,6 +128,8 @@
     def take(self, follower: Follower, message: pb.FromGateway, now: float) -> None:
         """Learn from what a gateway saw."""
         for seen in message.speeds:
+            if self._is_reading(seen.replica):
+                continue
             pause_s = seen.step_ms / MS
             self._paces.note(self._service, seen.replica, pause_s, seen.samples, now)
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -133,7 +133,7 @@
         )
         """What else gateways tell this instance, and are told."""
         if room is not None:
-            self.parts += (SpeedDesk(service, room.paces, speeds),)
+            self.parts += (SpeedDesk(service, room.paces, speeds, self._is_reading),)
         self.followers = Followers(self.engines, clock, store, self.parts)
         self.popularity = Popularity(HALF_LIFE_S)
         self.tokens = Popularity(HALF_LIFE_S)
@@ -430,6 +430,11 @@
         pace = self._room.pace(self.service, engine.replica.name, self._clock())
         return expected_s(engine.busyness(), work, self._terms, pace)
 
+    def _is_reading(self, replica: str) -> bool:
+        """Tell whether an engine has prompts to read."""
+        engine = self.engines.get(replica)
+        return engine is None or engine.starting > 0
+
     def _has_room(self, engine: Engine, work: Work) -> bool:
         """Tell whether a request neither waits for a slot or memory there nor displaces another."""
         if self._room is None:
