--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -26,6 +26,7 @@
 from .admitting import Admitter
 from .budgets import GatewayCount, RetryBudgets
 from .directory import Directory
+from .engine_speeds import PauseTally, SpeedTeller
 from .executing import Executor
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
@@ -126,7 +127,10 @@
         self._feed = Feed(self._mirror, reader, self._state, self._clock)
         self._feed.subscribe(self._on_change)
         self._freshness = Freshness(self._mirror, self._feed, self._clock, settings.bounds.revoke_s)
-        self._fleet = Fleet(self._state, settings.hall, self._clock)
+        has_room = Feature.ENGINE_ROOM in settings.features
+        # Instances that draw alike would choose alike.
+        rng = random.Random(settings.name)
+        self._fleet = Fleet(self._state, settings.hall, self._clock, rng, has_room)
         self._duties: dict[str, Duty] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
         executor = None
@@ -300,6 +304,10 @@
                 self._clock,
                 lambda: self._directory.home_service == service,
             )
+        fleet = self._fleet
+        if fleet.room is not None:
+            tally = fleet.pauses.setdefault(service, PauseTally())
+            yield SpeedTeller(service, tally, fleet.room.paces, fleet.speeds, self._clock)
 
     def _new_ownership(self) -> LastingOwnership:
         host, _ = _split(self.settings.addresses.peers)
@@ -378,6 +386,7 @@
             StoreTeller(self._feed, self._mirror, self._clock, self._freshness, self._is_strong),
             self._directory.gateways,
             self.settings.features,
+            self._fleet.room.with_own_paces() if self._fleet.room is not None else None,
         )
 
     def _engine_spec(self, service: str) -> EngineSpec:
@@ -459,6 +468,8 @@
             "Since the configuration in force was known to be the newest",
             lambda: self._freshness.age_s,
         )
+        gauge("slow_engines", "Engines taken for slow", self._count_slow)
+        gauge("requests_held", "Requests held until an engine has room", self._count_held)
         gauge("plans", "Services planned for", lambda: self._count_planned())
         gauge(
             "news_age_seconds",
@@ -489,6 +500,14 @@
     def _planners(self) -> list[Planner]:
         return [duty.planner for duty in self._duties.values() if duty.planner is not None]
 
+    def _count_slow(self) -> int:
+        room = self._fleet.room
+        return len(room.paces.slow(self._clock())) if room is not None else 0
+
+    def _count_held(self) -> int:
+        planners = [duty.planner for duty in self._duties.values()]
+        return sum(planner.held() for planner in planners if planner is not None)
+
     def _count_planned(self) -> int:
         return len(self._planners())
 
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -346,6 +346,7 @@
                     starting=own.starting,
                     running=own.running,
                     queued=own.queued,
+                    memory_tokens=own.memory,
                 )
         for name in [name for name in self._told_loads if not self._fleet.has_load(name)]:
             if self._told_loads.pop(name) != ToldLoad():
@@ -416,7 +417,7 @@
     def _take_pacing(self, message: pb.FromPlanner) -> None:
         self.gateways = message.gateways
         # A planner of an earlier version, as in a rolling restart, tells neither.
-        self.news_s = message.news_ms / 1000 or NEWS_S
+        self.news_s = self._fleet.news_s = message.news_ms / 1000 or NEWS_S
         self._flush_s = message.flush_ms / 1000 or FLUSH_S
         self.ask_first = message.ask_first
         self._fleet.is_scoped = message.scoped
@@ -438,6 +439,7 @@
             max(0, told.starting - own.starting - booked.starting),
             max(0, told.running - own.running),
             less_queue(less_queue(told.queued, own.queued), booked.queued),
+            max(0, told.memory_tokens - own.memory - booked.memory),
         )
         if told.running > load.told_running:
             # Some instance had a first event from it.
@@ -454,4 +456,5 @@
         if question is None or not answer.HasField("load"):
             return
         queued = (0,) * question.ask.rank + (question.ask.prompt_tokens,)
-        self._take_load(answer.load, ToldLoad(1, 0, queued))
+        memory = question.ask.prompt_tokens + question.ask.answer_tokens
+        self._take_load(answer.load, ToldLoad(1, 0, queued, memory))
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import random
 import typing as t
@@ -10,12 +11,27 @@
 import logbook
 from gradelug_policy import Popularity
 from gradelug_policy.cells import Cells
+from gradelug_policy.engine_room import (
+    COPY_USE_S,
+    HOLD_S,
+    EngineRoom,
+    copy_gain_s,
+    expected_s,
+    has_room,
+)
 from gradelug_policy.quotas import QuotaHome
-from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
-from gradelug_policy.residency import EnginePlaces, LoadWindow, choose_home
+from gradelug_policy.reading import Busyness, ReadingSpeeds, Work, first_event_s
+from gradelug_policy.residency import (
+    STORE_COST_S,
+    EnginePlaces,
+    LoadWindow,
+    choose_home,
+)
 from gradelug_wire import placement_pb2 as pb
 
+from .engine_speeds import SpeedDesk
 from .engines import Engine, Phase, Place
+from .fleet import terms
 from .followers import Follower, Followers, encode_load
 from .holders import EngineIndex
 from .loading import FIRST_VERSION, Loading, Swap
@@ -60,6 +76,15 @@
 for it: a new planner would open connections to all at once, and requests would wait behind the
 reports of engines that none uses. Until then more engines than are asked at once are taken to hold
 what they tell in the platform's store: their reports take seconds."""
+LOOK_S = 0.05
+"""Another engine for requests that are held for room is looked for this often: each look takes
+0.7 ms with 45 engines, and they are looked at with each message."""
+MOST_LOOKED_AT = 200
+"""Adapters that are looked at each time whether they need another copy; the others come next."""
+MOST_COPIES = 8
+"""Further copies that are begun each time, those of most gain."""
+LEAST_COPY_RATE = 0.5
+"""Requests a second below which no adapter needs one: its few would save less than a load costs."""
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
@@ -91,6 +116,9 @@
         Gateways that its predecessor knew, 0 if none is known.
     features : frozenset of Feature
         Those that are switched on.
+    room : EngineRoom or None
+        What is known of engines at work; None not to reckon with their slots, their memory and
+        their own speed.
     """
 
     def __init__(
@@ -106,6 +134,7 @@
         store: StoreTeller | None = None,
         expected: int = 0,
         features: frozenset[Feature] = frozenset(Feature),
+        room: EngineRoom | None = None,
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -121,11 +150,14 @@
         if Feature.SHARED_HEALTH in features:
             self._health = HealthDesk(service, state, lambda: self.followers.pacing.flush_s)
         quotas = QuotaHome(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features)
+        speeds = speeds or ReadingSpeeds()
         self.parts: tuple[PlannerPart, ...] = (
             QuotaDesk(quotas, state, lambda: self.term is not None),
             *((self._health,) if self._health is not None else ()),
         )
         """What else gateways tell this instance, and are told."""
+        if room is not None:
+            self.parts += (SpeedDesk(service, room.paces, speeds, self._is_reading),)
         self.followers = Followers(
             self.engines,
             clock,
@@ -140,7 +172,7 @@
         """Tokens of prompts a second, by adapter."""
         self.hot: set[AdapterKey] = set()
         """Adapters of which a single copy may not be enough."""
-        self._speeds = speeds or ReadingSpeeds()
+        self._speeds = speeds
         self.state = state
         self._transport = transport
         self._relay = transport if isinstance(transport, OrderRelay) else None
@@ -153,6 +185,14 @@
         self._syncs = asyncio.Semaphore(SYNCS_AT_ONCE)
         self._syncing: set[str] = set()
         """Engines that are being asked for their state, or are about to be."""
+        self._room = room
+        self._terms = terms(spec)
+        self._looked_at: dict[AdapterKey, float] = {}
+        """When it was looked for another engine for requests that have a holder."""
+        self._look_from = -math.inf
+        """No such look begins before."""
+        self._asked_for: dict[AdapterKey, None] = {}
+        """Adapters whose requests began since it was looked whether they need another copy."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._deciding: asyncio.TimerHandle | None = None
         self._decision_s = 0.0
@@ -215,6 +255,8 @@
                     engine = self.begin_life(engine, rep.born)
                 self._take_cached(engine)
             engine.drop_strays(self._clock())
+        now = self._clock()
+        self._looked_at = {key: at for key, at in self._looked_at.items() if at + LOOK_S > now}
         if self.term is not None:
             self._sync_engines()
             self._upkeep.do(self.term)
@@ -318,7 +360,8 @@
         for load in message.loads:
             engine = self.engines.get(load.replica)
             if engine is not None:
-                told = ToldLoad(load.starting, load.running, tuple(load.queued))
+                queued = tuple(load.queued)
+                told = ToldLoad(load.starting, load.running, queued, load.memory_tokens)
                 engine.take_load(follower.number, told)
         for part in self.parts:
             part.take(follower, message, now)
@@ -332,13 +375,16 @@
         self._note_absent(waiter, now)
         self.followers.note_use(waiter.follower, waiter.key)
         if not self._try_answer(waiter, now):
-            self.popularity.note(waiter.key.text, now)
+            if not waiter.is_held:
+                self.popularity.note(waiter.key.text, now)
             self._line.waiters.append(waiter)
 
     def _take_use(self, follower: Follower, use: pb.Use, now: float) -> None:
         key = AdapterKey(use.model, use.adapter)
         if use.started:
             self.popularity.note(key.text, now, use.started)
+            if key.adapter and self._room is not None:
+                self._asked_for[key] = None
         self.followers.note_use(follower, key, use.replica, use.active)
         engine = self.engines.get(use.replica)
         if engine is None:
@@ -414,6 +460,7 @@
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
         best: Engine | None = None
         least = math.inf
+        waiter.is_held = False
         newest = self.state.versions.get(waiter.key, 0)
         for name, engine in self._holders(waiter):
             place = engine.places.get(waiter.key)
@@ -422,7 +469,7 @@
             cost = self.cost_s(engine, waiter)
             if place.version >= newest and cost < least:
                 best, least = engine, cost
-        if best is None or self._goes_elsewhere(waiter, least, now):
+        if best is None or self._goes_elsewhere(waiter, best, least, now):
             return False
         place = best.places[waiter.key]
         # Until its gateway tells that it is there.
@@ -455,22 +502,37 @@
             return self._health.doubt_s(replica, waiter.follower, waiter.ask.doubted)
         return DOUBTED_S if replica in waiter.ask.doubted else 0.0
 
-    def _goes_elsewhere(self, waiter: Waiter, least_s: float, now: float) -> bool:
-        """Tell whether a request that would be late on the best holder waits for another one."""
-        if now > waiter.asked_at + MOVE_S:
+    def _goes_elsewhere(self, waiter: Waiter, best: Engine, least_s: float, now: float) -> bool:
+        """Tell whether a request waits for another engine, or for room on the best holder.
+
+        So does one that would be late there, that would wait for a slot or displace another.
+        """
+        # A stream that was begun waits for its next event.
+        is_full = not waiter.ask.begun and not self._has_room(best, waiter.work)
+        if now > waiter.asked_at + (HOLD_S if is_full else MOVE_S):
             return False
-        if now + least_s <= waiter.target_at:
+        if now + least_s <= waiter.target_at and not is_full:
             return False
+        waiter.is_held = is_full
         if self._is_coming(waiter):
             return True
-        return self.load(
-            waiter.key,
-            now,
-            self.openings(),
-            waiter.may_use,
-            least_s - MOVE_MARGIN_S,
-            waiter.work,
+        if self._room is not None and not self._may_look(waiter.key, now):
+            return is_full
+        most_s = least_s - MOVE_MARGIN_S
+        # Where there is no room at its holders, a copy serves those who come as well.
+        uses = self._uses(waiter.key, now) if is_full else 1.0
+        begun = self.load(
+            waiter.key, now, self.openings(), waiter.may_use, most_s, waiter.work, uses
         )
+        self._look_from = now + REST_PART * (self._clock() - now)
+        return begun or is_full
+
+    def _may_look(self, key: AdapterKey, now: float) -> bool:
+        """Tell whether it is time to look for another engine for a request that has a holder."""
+        if now < self._look_from or now < self._looked_at.get(key, -math.inf) + LOOK_S:
+            return False
+        self._looked_at[key] = now
+        return True
 
     @property
     def speed(self) -> float:
@@ -479,7 +541,67 @@
 
     def wait_s(self, engine: Engine, work: Work) -> float:
         """Return the time to a first event on an engine that has the adapter, in seconds."""
-        return first_event_s(engine.busyness(), work, self.speed)
+        if self._room is None:
+            return first_event_s(engine.busyness(), work, self.speed)
+        pace = self._room.pace(self.service, engine.replica.name, self._clock())
+        return expected_s(engine.busyness(), work, self._terms, pace)
+
+    def _is_reading(self, replica: str) -> bool:
+        """Tell whether an engine has prompts to read."""
+        engine = self.engines.get(replica)
+        return engine is None or engine.starting > 0
+
+    def _has_room(self, engine: Engine, work: Work) -> bool:
+        """Tell whether a request neither waits for a slot or memory there nor displaces another."""
+        if self._room is None:
+            return True
+        pace = self._room.pace(self.service, engine.replica.name, self._clock())
+        return has_room(engine.busyness(), work, self._terms, pace)
+
+    def _uses(self, key: AdapterKey, now: float) -> float:
+        """Return how many requests will use a further copy of an adapter, 1 at least."""
+        return max(1.0, COPY_USE_S * self.popularity.rate(key.text, now))
+
+    def bring_copies(self, now: float) -> None:
+        """Bring further copies of adapters before the slots of their holders are used up."""
+        if self._room is None or self.term is None or now < self._look_from:
+            return
+        if not self.loading.may_use_store():
+            return
+        asked = list(itertools.islice(self._asked_for, MOST_LOOKED_AT))
+        for key in asked:
+            del self._asked_for[key]
+        often = [key for key in asked if self.popularity.rate(key.text, now) >= LEAST_COPY_RATE]
+        if not often:
+            return
+        holders = {key: self._coming_holders(key) for key in often}
+        gains = {key: self._copy_gain_s(key, found, now) for key, found in holders.items()}
+        wanted = [key for key, gain_s in gains.items() if gain_s > STORE_COST_S]
+        if not wanted:
+            return
+        openings = self.openings()
+        for key in sorted(wanted, key=lambda key: -gains[key])[:MOST_COPIES]:
+            uses = self._uses(key, now)
+            least_s = min(self.wait_s(engine, Work()) for engine in holders[key])
+            most_s = least_s + gains[key] / uses
+            if self.load(key, now, openings, lambda name: True, most_s, uses=uses):
+                log.info("further copy", weights=key.text, gain_s=round(gains[key], 2))
+        self._look_from = now + REST_PART * (self._clock() - now)
+
+    def _coming_holders(self, key: AdapterKey) -> list[Engine]:
+        """Return the engines that have an adapter, or will have it soon."""
+        return [
+            engine
+            for engine in self.index.with_key(key).values()
+            if engine.places[key].phase in (Phase.LOADING, Phase.READY)
+        ]
+
+    def _copy_gain_s(self, key: AdapterKey, holders: t.Sequence[Engine], now: float) -> float:
+        if self._room is None or len(holders) == len(self.engines):
+            return 0.0
+        busy: list[Busyness] = [engine.busyness() for engine in holders]
+        rate, load_s = self.popularity.rate(key.text, now), self.loading.pace.load_s
+        return copy_gain_s(busy, rate, load_s, self._terms, self._room.hold_s(self.service))
 
     def _ejected_s(self, replica: str) -> float:
         return self._health.ejected_s(replica) if self._health is not None else 0.0
@@ -495,6 +617,10 @@
         """Return the base models of all that is waited for."""
         return {waiter.key.model for waiter in self._line.waiters}
 
+    def held(self) -> int:
+        """Return how many requests are held until an engine has room."""
+        return sum(waiter.is_held for waiter in self._line.waiters)
+
     def openings(self) -> Openings:
         """Return the engines that can take an adapter in now."""
         return Openings(
@@ -514,6 +640,7 @@
         may_use: t.Callable[[str], bool],
         most_s: float = math.inf,
         work: Work = Work(),  # noqa: B008
+        uses: float = 1.0,
     ) -> bool:
         """Begin to load an adapter where it can be used soonest; False if nowhere.
 
@@ -531,6 +658,8 @@
             What the load may cost at most, in seconds (see `choose_home`).
         work : Work
             What its requests ask of an engine.
+        uses : float
+            Requests that share the price of a load from the weight store.
         """
         if not key.adapter or self.term is None:
             return False
@@ -548,7 +677,7 @@
         choice = choose_home(
             views,
             key.text,
-            self.loading.costs(),
+            self.loading.costs(uses),
             self.loading.may_use_store(),
             most_s,
         )
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -16,7 +16,8 @@
     ResponseHead,
     end_to_end,
 )
-from gradelug_policy.reading import LATE, Busyness, Work, first_event_s
+from gradelug_policy.engine_room import EQUAL
+from gradelug_policy.reading import LATE, Busyness, Work
 
 from .directory import Directory
 from .exceptions import GATEWAY_TIMEOUT
@@ -152,11 +153,13 @@
             prompt=job.work.prompt_tokens,
         )
         work = self._with_urgency(job, replica)
-        sending = _Exchange(job, replica, conn, work, load.busyness(), now)
+        expected_s = self._fleet.expected_s(replica, load.busyness(), work)
+        sending = _Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
         if self._lasting is not None and self._lasting.is_lasting(job):
             sending.run = self._lasting.begin(job, replica)
         load.starting += 1
         load.queued[work.urgency] += work.prompt_tokens
+        load.memory += work.memory_tokens
         if key is not None:
             self._directory.note_begin(replica.name, key, job.work.prompt_tokens)
         try:
@@ -189,6 +192,8 @@
                 conn.abort()
             if sending.run is not None and self._lasting is not None:
                 self._lasting.leave(sending.run)
+            load.memory -= work.memory_tokens
+            self._note_pauses(sending)
             if sending.running:
                 load.running -= 1
             else:
@@ -205,8 +210,7 @@
             return False
         job, replica = sending.job, sending.replica
         if job.service.engine is not None:
-            speed = self._fleet.speeds.speed(replica.service)
-            usual_s = first_event_s(sending.busy, sending.work, speed)
+            usual_s = sending.expected_s
         else:
             usual_s = self._fleet.health(replica.name).took_s(self._clock())
         turn_s = max(LATE_TARGETS * job.route.target_s, LATE_TIMES * usual_s)
@@ -231,8 +235,11 @@
         health.note(outcome is Outcome.RAN, now, now - sending.sent_at if is_whole else 0.0)
 
     def _with_urgency(self, job: Job, replica: Replica) -> Work:
-        """Return a request's work; one that would be late anyway waits for those that would not."""
-        if job.inc.started or not job.work.prompt_tokens:
+        """Return a request's work; one that would be late anyway waits for those that would not.
+
+        So does one that would take the slot of a run. Where slots are short, all are equal.
+        """
+        if job.inc.started or not job.work.prompt_tokens or job.work.urgency == EQUAL:
             return job.work
         if self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s):
             return replace(job.work, urgency=LATE)
@@ -362,19 +369,28 @@
             data = await self._listen(sending, sending.conn.chunk())
             if data is None:
                 break
+            before = job.events.last_event
             events = job.events.feed(data)
             if not events:
                 continue
-            if not sending.running:
+            if sending.running:
+                self._note_pause(sending, max(1, job.events.last_event - before))
+            else:
                 self._note_running(sending)
             if sending.run is not None and self._lasting is not None:
                 self._lasting.note_event(sending.run)
+                sending.first_at = self._clock()
+            sending.event_at = self._clock()
             if not job.inc.started:
                 job.inc.begin(head.status, end_to_end(head.headers))
             await job.inc.send(events)
         if not job.events.is_between_events:
             raise ResponseBroken("the stream ended within an event")
         sending.release(self._pool, head)
+        if self._fleet.room is not None and job.work.prompt_tokens and not job.req.last_event:
+            service = sending.replica.service
+            read_s = job.work.prompt_tokens / self._fleet.speeds.speed(service)
+            self._fleet.room.note_run(service, read_s + self._clock() - sending.first_at)
         if not job.inc.started:
             job.inc.begin(head.status, end_to_end(head.headers))
         job.inc.finish()
@@ -404,17 +420,43 @@
                 sends=sending.job.sends,
                 prompt=sending.work.prompt_tokens,
                 urgency=sending.work.urgency,
+                expected_s=round(sending.expected_s, 3),
+                held=sending.busy.held,
                 queued=[tokens for tokens in sending.busy.queued if tokens],
                 speed=round(self._fleet.speeds.speed(sending.replica.service)),
             )
 
+    def _note_pause(self, sending: _Exchange, events: int) -> None:
+        """Take the pause before an event, or the mean of some that came at once."""
+        pause_s = self._clock() - sending.event_at
+        gap_s = sending.job.route.gap_s
+        if gap_s and pause_s > gap_s:
+            sending.pauses += 1
+            sending.longest_s = max(sending.longest_s, pause_s)
+        tally = self._fleet.pauses.get(sending.replica.service)
+        if tally is not None:
+            tally.note(sending.replica.name, pause_s, events)
+
+    def _note_pauses(self, sending: _Exchange) -> None:
+        if not sending.pauses:
+            return
+        log.info(
+            "long pause",
+            id=sending.job.req.id,
+            replica=sending.replica.name,
+            pauses=sending.pauses,
+            longest_s=round(sending.longest_s, 3),
+            bound_s=sending.job.route.gap_s,
+            last_event=sending.job.events.last_event,
+            running=self._fleet.load(sending.replica.name).busyness().running,
+        )
+
     def _learn_speed(self, sending: _Exchange) -> None:
         service, work = sending.replica.service, sending.work
         if not work.prompt_tokens or sending.job.used is not None:
             return
         took_s = self._clock() - sending.sent_at
-        expected_s = first_event_s(sending.busy, work, self._fleet.speeds.speed(service))
-        self._meters.estimate(abs(took_s - expected_s))
+        self._meters.estimate(sending.job.route.name, took_s, sending.expected_s)
         self._fleet.speeds.note(service, sending.busy, work, took_s)
 
     def pass_on(self, job: Job, head: ResponseHead, body: bytes) -> None:
@@ -440,7 +482,12 @@
     __slots__ = (
         "busy",
         "conn",
+        "event_at",
+        "expected_s",
+        "first_at",
         "job",
+        "longest_s",
+        "pauses",
         "released",
         "replica",
         "run",
@@ -458,11 +505,14 @@
         work: Work,
         busy: Busyness,
         sent_at: float,
+        expected_s: float,
     ) -> None:
         self.work = work
         self.busy = busy
         """What the replica did when the request was sent."""
         self.sent_at = sent_at
+        self.expected_s = expected_s
+        """Expected time to the first event when it was sent, in seconds."""
         self.job = job
         self.replica = replica
         self.conn = conn
@@ -472,6 +522,12 @@
         self.released = False
         self.status = 0
         """Of the answer; 0 until there is one."""
+        self.event_at = sent_at
+        """When its newest event came."""
+        self.first_at = sent_at
+        self.pauses = 0
+        """Pauses between events that were longer than the route's bound."""
+        self.longest_s = 0.0
 
     def release(self, pool: HttpPool, head: ResponseHead) -> None:
         """Give the connection back after a whole answer."""
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -38,6 +38,8 @@
 1,700 routes and 145 replicas are reckoned at 1.2 MB, 0.9 s of a link of 10 Mbit/s; instances that
 start at once share the store's link as well."""
 POLL_S = 0.05
+NEVER_S = 60.0
+"""A request that no engine can run had better not come back before the engines are others."""
 ELSEWHERE_S = 0.05
 """Another instance can take it at once."""
 RETURNING_PART = 0.97
@@ -215,7 +217,7 @@
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
         self._budgets.note_request(name)
-        work = self._values.work(admission.rank(route), req)
+        work = self._fleet.equalled(name, self._values.work(admission.rank(route), req))
         return Job(inc, req, route, service, work, admission)
 
     async def _charge(self, job: Job) -> None:
@@ -279,6 +281,8 @@
         return await self._plain.place(job)
 
     async def _place_weights(self, job: Job, key: AdapterKey) -> Replica:
+        if not self._fleet.fits(job.service.name, job.work):
+            raise Refused("its prompt is larger than an engine's memory", NEVER_S)
         known = None
         if not job.absent:
             holders = self._fleet.holders(job.service.name, key)
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -215,6 +215,7 @@
 
     def _add_copies(self) -> None:
         planner, now = self._planner, self._clock()
+        planner.bring_copies(now)
         least = PART_PER_COPY * planner.speed
         planner.hot = {key for key in planner.hot if planner.tokens.rate(key.text, now) > least}
         wanted = [
--- a/packages/gateway/src/gradelug_gateway/values.py
+++ b/packages/gateway/src/gradelug_gateway/values.py
@@ -36,7 +36,7 @@
 
     def work(self, rank: int, req: Request) -> Work:
         """Return what a request of some urgency asks of an engine."""
-        return Work(req.prompt_tokens, min(rank, LATE - 1))
+        return Work(req.prompt_tokens, min(rank, LATE - 1), req.most_tokens)
 
     def value(self, route: Route, rank: int, req: Request) -> float:
         """Return what an answer in time is worth, 1 for an ordinary request of rank 0."""
