--- a/packages/gateway/src/gradelug_gateway/engine_speeds.py
+++ b/packages/gateway/src/gradelug_gateway/engine_speeds.py
@@ -137,13 +137,14 @@
         """What a gateway saw ages by itself."""
 
     def fill(self, news: pb.FromPlanner, now: float) -> None:
-        """Tell which engines are slow."""
+        """Tell which engines are slow, and once which are not any more."""
         slow, usual = self._paces.slow(now), self._speeds.speed(self._service)
         for replica, slowness in slow.items():
             news.speeds.add(replica=replica, tokens_per_s=usual / slowness)
         for replica in sorted(slow.keys() - self._slow):
             log.info("engine is slow", replica=replica, times=round(slow[replica], 2))
         for replica in sorted(self._slow - slow.keys()):
+            news.speeds.add(replica=replica, tokens_per_s=usual)
             log.info("engine is well again", replica=replica)
         self._slow = frozenset(slow)
 
