--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -87,7 +87,12 @@
     pair = Pair()
     for _ in range(8):
         pair.step({"e0"})
+    assert all(paces.slowness("llm", "e0", pair.clock.now) > 2 for paces in pair.paces)
     pair.desk.forget("e0")
-    news = pb.FromPlanner()
+    news, later = pb.FromPlanner(), pb.FromPlanner()
     pair.desk.fill(news, pair.clock.now)
-    assert not news.speeds
+    for teller in pair.tellers:
+        teller.take(news)
+    assert all(paces.slowness("llm", "e0", pair.clock.now) == 1 for paces in pair.paces)
+    pair.desk.fill(later, pair.clock.now)
+    assert not later.speeds
