--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -158,6 +158,8 @@
         """Adapters whose requests began since it was looked whether they need another copy."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._deciding: asyncio.TimerHandle | None = None
+        self._has_queue = False
+        """Whether requests wait for loads that cannot begin yet."""
         self._decision_s = 0.0
         """How long the last decision took, in seconds."""
 
@@ -338,7 +340,8 @@
             return
         ordered = self._line.in_order(now, self.loading.pace.load_s)
         queued = self._load_for(ordered, now) if ordered else []
-        self._line.throughput.note_queue(bool(queued), now)
+        self._has_queue = bool(queued)
+        self._line.throughput.note_queue(self._has_queue, now)
         self._line.refuse_hopeless(queued, now, self.loading.pace.load_s)
         self._decision_s = self._clock() - now
 
@@ -404,7 +407,8 @@
             return is_full
         most_s = least_s - MOVE_MARGIN_S
         # Where there is no room at its holders, a copy serves those who come as well.
-        uses = self._uses(waiter.key, now) if is_full else 1.0
+        shares = is_full and not self._has_queue
+        uses = self._uses(waiter.key, now) if shares else 1.0
         begun = self.load(
             waiter.key, now, self.openings(), waiter.may_use, most_s, waiter.work, uses
         )
@@ -450,7 +454,8 @@
         """Bring further copies of adapters before the slots of their holders are used up."""
         if self._room is None or self.term is None or now < self._look_from:
             return
-        if not self.loading.may_use_store():
+        if self._has_queue or not self.loading.may_use_store():
+            # What is nowhere yet goes first.
             return
         asked = list(itertools.islice(self._asked_for, MOST_LOOKED_AT))
         for key in asked:
--- a/tests/test_planner_room.py
+++ b/tests/test_planner_room.py
@@ -158,6 +158,25 @@
 
         run(scenario)
 
+    def test_what_is_nowhere_yet_is_loaded_first(self):
+        async def scenario():
+            bench = RoomBench(engines=3)
+            home = await bench.place("a")
+            bench.tell(home, 2)
+            for number in range(40):
+                bench.ask(f"cold{number}", wait_s=9.0, **ASK)
+            copied_at = None
+            for _ in range(20):
+                bench.start("a", home, 5)
+                await asyncio.sleep(0.05)
+                if copied_at is None and len(bench.holders("a")) > 1:
+                    copied_at = bench.planner._has_queue
+            assert copied_at is None
+            assert bench.planner._has_queue
+            await bench.stop()
+
+        run(scenario)
+
     def test_a_rare_adapter_gets_none(self):
         async def scenario():
             bench = RoomBench()
