--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -33,12 +33,14 @@
         Coroutine function that connects to an address.
     """
 
-    __slots__ = ("_clock", "_dial", "_idle", "doubted", "opened")
+    __slots__ = ("_clock", "_dial", "_idle", "_resting", "doubted", "opened")
 
     def __init__(self, clock: t.Callable[[], float], dial: Dial | None = None) -> None:
         self._clock = clock
         self._dial = dial or dial_tcp
         self._idle: dict[str, list[Connection]] = defaultdict(list)
+        self._resting: dict[Connection, None] = {}
+        """All idle connections, the one that was used the longest ago first."""
         self.opened = 0
         """Connections opened since the start."""
         self.doubted = 0
@@ -67,6 +69,7 @@
         idle = self._idle[address]
         while idle:
             conn = idle.pop()
+            self._resting.pop(conn, None)
             if conn.is_fit(now) and now - conn.used_at <= rested_s:
                 return conn
             conn.close()
@@ -76,6 +79,8 @@
         """Take a connection back after a whole answer."""
         if conn.settle(head):
             self._idle[conn.address].append(conn)
+            self._resting[conn] = None
+            self._close_least_used()
         else:
             conn.close()
 
@@ -172,21 +177,22 @@
             if conn.used_at > sent_at:
                 proven.append(conn)
             else:
+                self._resting.pop(conn, None)
                 conn.close()
                 self.doubted += 1
         if proven:
             self._idle[address] = proven
 
     def prune(self, addresses: t.Container[str]) -> None:
-        """Close what is unfit, every idle connection to other addresses, and the least used."""
+        """Close what is unfit, and every idle connection to other addresses than these."""
         now = self._clock()
-        self._close_least_used()
         for address in list(self._idle):
             kept = []
             for conn in self._idle[address]:
                 if address in addresses and conn.is_fit(now):
                     kept.append(conn)
                 else:
+                    self._resting.pop(conn, None)
                     conn.close()
             if kept:
                 self._idle[address] = kept
@@ -195,11 +201,9 @@
 
     def _close_least_used(self) -> None:
         """Close the connections that were idle for longest, if there are too many."""
-        idle = [conn for conns in self._idle.values() for conn in conns]
-        if len(idle) <= MOST_IDLE:
-            return
-        idle.sort(key=lambda conn: conn.used_at)
-        for conn in idle[:-MOST_IDLE]:
+        while len(self._resting) > MOST_IDLE:
+            conn = next(iter(self._resting))
+            del self._resting[conn]
             self._idle[conn.address].remove(conn)
             conn.close()
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -183,7 +183,13 @@
                 head = await conn.head(own(b"1"))
                 await conn.body(100)
                 pool.release(conn, head)
-            pool.prune(set(conns))
+                assert len(pool._resting) <= 2
+            again = await pool.acquire("10.0.0.2:80", 1.0)
+            assert again is conns["10.0.0.2:80"]
+            again.send(GET)
+            head = await again.head(own(b"1"))
+            await again.body(100)
+            pool.release(again, head)
             kept = [
                 address for address in conns if await pool.acquire(address, 1.0) is conns[address]
             ]
