--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -297,7 +297,7 @@
 
 TestFleet = Fleet.TestCase
 TestFleet.settings = settings(
-    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True, database=None
+    max_examples=250, stateful_step_count=30, deadline=None, derandomize=True, database=None
 )
 
 
