Who finds no room leaves none behind; tests for what mutations left alive

Cause: found by a test for a mutation that had survived: twelve requests before a full replica were each sent six times in the same moment, as each full answer let the next one go; all were refused as "sent too often". Ruled out: a longer pause (the sendings did not come from pauses). Change: only a request that ran, or whose caller left, lets one that waits try. Tests: of many that wait those that would be late are refused at once; one bad gateway and two unlucky ones; each ejection longer than the last.

--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -232,10 +232,13 @@
             replica = await self._place(job)
             job.placed_s += self._clock() - began
             self._check_key(job)
+            outcome = Outcome.UNKNOWN
             try:
                 outcome = await self._sender.send(job, replica)
             finally:
-                self._plain.note_end(job.service.name)
+                # Who found no room leaves none behind: all that wait would be sent at once.
+                if outcome is not Outcome.FULL:
+                    self._plain.note_end(job.service.name)
             if outcome is Outcome.DONE:
                 return
             await self._consider_again(job, replica, outcome)
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -283,6 +283,19 @@
 
         run(scenario)
 
+    def test_who_would_come_too_late_behind_the_others_is_refused_at_once(self):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=1), [[[FULL]] * 20], budget=100.0)
+            clients = [bench.client() for _ in range(12)]
+            await asyncio.sleep(0.01)
+            refused = [client for client in clients if client.received]
+            assert 5 <= len(refused) < 12
+            assert {status(client) for client in refused} == {503}
+            await asyncio.sleep(0.1)
+            assert all(status(client) == 503 for client in clients)
+
+        run(scenario)
+
     def test_it_waits_only_where_it_may_be_sent_again(self):
         async def scenario():
             bench = Bench(route(Repeat.NEVER, replicas=1), [[[FULL], [OK]]], budget=0.0)
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -5,8 +5,15 @@
 
 import pytest
 from gradelug_gateway.fleet import FAILURE_COST, Health
-from gradelug_policy.outcomes import Ended, Source, rate
-from gradelug_policy.verdicts import MOST_EJECTED, VerdictPool
+from gradelug_policy.outcomes import Ended, Evidence, Source, rate
+from gradelug_policy.verdicts import (
+    MOST_EJECTED,
+    MOST_OPEN_S,
+    OPEN_S,
+    Phase,
+    Standing,
+    VerdictPool,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -189,6 +196,20 @@
         play(way, fails, until=30.0, seed=seed)
         assert not way.ejected()
 
+    @pytest.mark.parametrize("others_bad", [0, 1])
+    def test_a_bad_gateway_and_chance_at_two_others_eject_nothing(self, others_bad):
+        pool = VerdictPool()
+        sources = [Source(f"g{number}", "a") for number in range(3)]
+        changes = []
+        for step in range(10):
+            now = step * NEWS_S
+            pool.note("e0", sources[0], Ended(0, 1), now)
+            if step == 5:
+                for source in sources[1:]:
+                    pool.note("e0", source, Ended(1 - others_bad, others_bad), now)
+            changes += pool.step({"llm": REPLICAS}, GATHER_S, now)
+        assert not changes
+
     def test_a_gateway_with_a_third_of_the_requests_ejects_nothing(self):
         pool = VerdictPool()
         rng = random.Random(2)
@@ -259,6 +280,20 @@
         assert len(strikes) >= 3
         assert strikes == sorted(strikes)
 
+    def test_each_ejection_lasts_longer_until_long_after(self):
+        standing, evidence = Standing(), Evidence(3, 0.0, 0, 6)
+        rests = []
+        for at in (0.0, 20.0, 40.0, 400.0):
+            standing.eject(evidence, at)
+            rest_s = 0.0
+            while standing.phase is Phase.OPEN:
+                rest_s += 0.05
+                standing.step(at + rest_s)
+            rests.append(rest_s)
+        assert rests[0] == pytest.approx(OPEN_S, abs=0.1)
+        assert rests[0] * 1.3 < rests[1] < rests[2] <= MOST_OPEN_S
+        assert rests[3] < 1.1 * OPEN_S
+
     def test_a_replica_that_nobody_probes_comes_back(self):
         pool = VerdictPool()
         now = 0.0
