--- a/tests/test_planner_room.py
+++ b/tests/test_planner_room.py
@@ -160,18 +160,27 @@
 
     def test_what_is_nowhere_yet_is_loaded_first(self):
         async def scenario():
-            bench = RoomBench(engines=3)
+            bench = RoomBench()
             home = await bench.place("a")
             bench.tell(home, 2)
+            bench.start("a", home, 40)
+            planner, key = bench.planner, AdapterKey("m", "a")
+            for waits, copies in ((True, 1), (False, 2)):
+                planner._has_queue = waits
+                planner.bring_copies(bench.clock())
+                assert sum(key in engine.places for engine in planner.engines.values()) == copies
+            await bench.stop()
+
+        run(scenario)
+
+    def test_requests_that_wait_for_loads_are_noted(self):
+        async def scenario():
+            bench = RoomBench()
+            await asyncio.sleep(0.5)
+            assert not bench.planner._has_queue
             for number in range(40):
                 bench.ask(f"cold{number}", wait_s=9.0, **ASK)
-            copied_at = None
-            for _ in range(20):
-                bench.start("a", home, 5)
-                await asyncio.sleep(0.05)
-                if copied_at is None and len(bench.holders("a")) > 1:
-                    copied_at = bench.planner._has_queue
-            assert copied_at is None
+            await asyncio.sleep(0.05)
             assert bench.planner._has_queue
             await bench.stop()
 
