A few failures told send nobody elsewhere at engines

Change: the told part that fails below ejection counts for shares of plain services alone; engines as before, but for ejection. Test: a few failures cost an engine nothing at the planner.

--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -108,13 +108,13 @@
         self.told: dict[str, ToldFinding] = {}
         """Of all halls under an empty name, and of this instance's hall."""
 
-    def rate(self, now: float) -> float:
-        """Return the part of requests that failed lately, 0 to 1."""
+    def shared_rate(self, now: float) -> float:
+        """Return the part of requests that failed lately, here or over all instances, 0 to 1."""
         told = (found.failing for found in self._findings(now))
-        return max(self.own_rate(now), *told, 0.0)
+        return max(self.rate(now), *told, 0.0)
 
-    def own_rate(self, now: float) -> float:
-        """Return the same of this instance's own requests."""
+    def rate(self, now: float) -> float:
+        """Return the part of this instance's requests that failed lately, 0 to 1."""
         return self._rate * math.exp2(-(now - self._at) / FAILURE_HALF_LIFE_S)
 
     def held_back(self, now: float) -> float:
@@ -181,7 +181,7 @@
         return tally
 
     def _take(self, failed: bool, now: float) -> None:
-        rate = self.own_rate(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * failed
+        rate = self.rate(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * failed
         self._rate, self._at = rate, now
         if failed:
             self.circuit.note_failure(now)
@@ -414,7 +414,7 @@
         return [
             name
             for name, health in self._health.items()
-            if health.own_rate(now) > DOUBTED_RATE or not health.circuit.allows(now)
+            if health.rate(now) > DOUBTED_RATE or not health.circuit.allows(now)
         ]
 
     def forget_gone(self) -> None:
--- a/packages/gateway/src/gradelug_gateway/plain.py
+++ b/packages/gateway/src/gradelug_gateway/plain.py
@@ -180,7 +180,7 @@
         return PlainView(
             replica.name,
             health.took_s(now),
-            health.rate(now),
+            health.shared_rate(now),
             load.starting + load.running,
             replica.hall == self._fleet.hall,
         )
--- a/packages/gateway/src/gradelug_gateway/sharedhealth.py
+++ b/packages/gateway/src/gradelug_gateway/sharedhealth.py
@@ -226,8 +226,8 @@
         for hall in {"", follower.hall}:
             finding = self._findings.get((replica, hall))
             if finding is not None and finding.prober != follower.instance:
-                shared_s = EJECTED_S * finding.held_back + DOUBTED_S * finding.failing
-                cost_s = max(cost_s, shared_s)
+                # A few failures are no reason for all to go elsewhere: that makes others late.
+                cost_s = max(cost_s, EJECTED_S * finding.held_back)
         return cost_s
 
     def ejected_s(self, replica: str) -> float:
--- a/tests/test_sharedhealth.py
+++ b/tests/test_sharedhealth.py
@@ -225,6 +225,16 @@
         costs = [pair.desk.doubt_s("e1", follower, ()) for follower in pair.followers]
         assert costs.count(0.0) == 1
 
+    def test_a_few_failures_send_no_requests_to_other_engines(self):
+        pair = Pair()
+        for step in range(8):
+            for gateway in pair.gateways:
+                gateway.fleet.health("e1").note(step == 4, pair.now)
+            pair.step()
+        newcomer = pair.followers[0]
+        assert pair.desk._findings[("e1", "")].failing > 0.05
+        assert pair.desk.doubt_s("e1", newcomer, ()) == 0.0
+
     def test_a_gateway_that_has_left_is_no_source(self):
         pair = Pair()
         for follower in pair.followers:
