Split the records of how requests ended from the choice of replicas

Change: health.py; no behaviour changes. Measured: tests of plain shares, verdicts, shared health, serving pass.

--- a/packages/gateway/src/gradelug_gateway/sharedhealth.py
+++ b/packages/gateway/src/gradelug_gateway/sharedhealth.py
@@ -16,8 +16,9 @@
 from gradelug_policy.verdicts import Change, Finding, VerdictPool
 from gradelug_wire import placement_pb2 as pb
 
-from .fleet import Fleet, Health, ToldFinding
+from .fleet import Fleet
 from .followers import Follower
+from .health import Health, ToldFinding
 from .model import FleetState
 
 log = logbook.Logger("sharedhealth")
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 import pytest
-from gradelug_gateway.fleet import ToldFinding
+from gradelug_gateway.health import ToldFinding
 from gradelug_gateway.model import Repeat
 from gradelug_policy.outcomes import Ended, Source
 from gradelug_policy.plain import PlainShares, PlainView, weigh
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -4,7 +4,8 @@
 from collections import Counter
 
 import pytest
-from gradelug_gateway.fleet import FAILURE_COST, Health
+from gradelug_gateway.fleet import FAILURE_COST
+from gradelug_gateway.health import Health
 from gradelug_policy.outcomes import Ended, Evidence, Source, rate
 from gradelug_policy.verdicts import (
     MOST_EJECTED,
