Split the look for further copies from the planner

No behaviour changes; its tests call it by its new name. Measured: tests of the planner's room, planner, engine room, growth, lives pass.

--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import math
 import random
 import typing as t
@@ -15,20 +14,19 @@
     COPY_USE_S,
     HOLD_S,
     EngineRoom,
-    copy_gain_s,
     expected_s,
     has_room,
 )
 from gradelug_policy.quotas import QuotaHome
-from gradelug_policy.reading import Busyness, ReadingSpeeds, Work, first_event_s
+from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
 from gradelug_policy.residency import (
-    STORE_COST_S,
     EnginePlaces,
     LoadWindow,
     choose_home,
 )
 from gradelug_wire import placement_pb2 as pb
 
+from .copies import Copies
 from .engine_speeds import SpeedDesk
 from .engines import Engine, Phase, Place
 from .fleet import terms
@@ -79,12 +77,6 @@
 LOOK_S = 0.05
 """Another engine for requests that are held for room is looked for this often: each look takes
 0.7 ms with 45 engines, and they are looked at with each message."""
-MOST_LOOKED_AT = 200
-"""Adapters that are looked at each time whether they need another copy; the others come next."""
-MOST_COPIES = 8
-"""Further copies that are begun each time, those of most gain."""
-LEAST_COPY_RATE = 0.5
-"""Requests a second below which no adapter needs one: its few would save less than a load costs."""
 JUST_LOADED_S = 1.5
 """An engine that lacks an adapter this soon after its load has not finished it."""
 
@@ -189,13 +181,13 @@
         self._terms = terms(spec)
         self._looked_at: dict[AdapterKey, float] = {}
         """When it was looked for another engine for requests that have a holder."""
-        self._look_from = -math.inf
+        self.look_from = -math.inf
         """No such look begins before."""
-        self._asked_for: dict[AdapterKey, None] = {}
-        """Adapters whose requests began since it was looked whether they need another copy."""
+        self.copies = Copies(self, self._terms, room) if room is not None else None
+        """Looks whether adapters need another engine; None without knowledge of engines' room."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._deciding: asyncio.TimerHandle | None = None
-        self._has_queue = False
+        self.has_queue = False
         """Whether requests wait for loads that cannot begin yet."""
         self._decision_s = 0.0
         """How long the last decision took, in seconds."""
@@ -385,8 +377,8 @@
         key = AdapterKey(use.model, use.adapter)
         if use.started:
             self.popularity.note(key.text, now, use.started)
-            if key.adapter and self._room is not None:
-                self._asked_for[key] = None
+            if key.adapter and self.copies is not None:
+                self.copies.note(key)
         self.followers.note_use(follower, key, use.replica, use.active)
         engine = self.engines.get(use.replica)
         if engine is None:
@@ -441,8 +433,8 @@
             return
         ordered = self._line.in_order(now, self.loading.pace.load_s)
         queued = self._load_for(ordered, now) if ordered else []
-        self._has_queue = bool(queued)
-        self._line.throughput.note_queue(self._has_queue, now)
+        self.has_queue = bool(queued)
+        self._line.throughput.note_queue(self.has_queue, now)
         self._line.refuse_hopeless(queued, now, self.loading.pace.load_s)
         self._decision_s = self._clock() - now
 
@@ -523,17 +515,21 @@
             return is_full
         most_s = least_s - MOVE_MARGIN_S
         # Where there is no room at its holders, a copy serves those who come as well.
-        shares = is_full and not self._has_queue
-        uses = self._uses(waiter.key, now) if shares else 1.0
+        shares = is_full and not self.has_queue
+        uses = self.uses(waiter.key, now) if shares else 1.0
         begun = self.load(
             waiter.key, now, self.openings(), waiter.may_use, most_s, waiter.work, uses
         )
-        self._look_from = now + REST_PART * (self._clock() - now)
+        self.rest_from(now)
         return begun or is_full
 
+    def rest_from(self, began: float) -> None:
+        """Look for no further engine for a while after a look that began at a moment."""
+        self.look_from = began + REST_PART * (self._clock() - began)
+
     def _may_look(self, key: AdapterKey, now: float) -> bool:
         """Tell whether it is time to look for another engine for a request that has a holder."""
-        if now < self._look_from or now < self._looked_at.get(key, -math.inf) + LOOK_S:
+        if now < self.look_from or now < self._looked_at.get(key, -math.inf) + LOOK_S:
             return False
         self._looked_at[key] = now
         return True
@@ -562,52 +558,10 @@
         pace = self._room.pace(self.service, engine.replica.name, self._clock())
         return has_room(engine.busyness(), work, self._terms, pace)
 
-    def _uses(self, key: AdapterKey, now: float) -> float:
+    def uses(self, key: AdapterKey, now: float) -> float:
         """Return how many requests will use a further copy of an adapter, 1 at least."""
         return max(1.0, COPY_USE_S * self.popularity.rate(key.text, now))
 
-    def bring_copies(self, now: float) -> None:
-        """Bring further copies of adapters before the slots of their holders are used up."""
-        if self._room is None or self.term is None or now < self._look_from:
-            return
-        if self._has_queue or not self.loading.may_use_store():
-            # What is nowhere yet goes first.
-            return
-        asked = list(itertools.islice(self._asked_for, MOST_LOOKED_AT))
-        for key in asked:
-            del self._asked_for[key]
-        often = [key for key in asked if self.popularity.rate(key.text, now) >= LEAST_COPY_RATE]
-        if not often:
-            return
-        holders = {key: self._coming_holders(key) for key in often}
-        gains = {key: self._copy_gain_s(key, found, now) for key, found in holders.items()}
-        wanted = [key for key, gain_s in gains.items() if gain_s > STORE_COST_S]
-        if not wanted:
-            return
-        openings = self.openings()
-        for key in sorted(wanted, key=lambda key: -gains[key])[:MOST_COPIES]:
-            uses = self._uses(key, now)
-            least_s = min(self.wait_s(engine, Work()) for engine in holders[key])
-            most_s = least_s + gains[key] / uses
-            if self.load(key, now, openings, lambda name: True, most_s, uses=uses):
-                log.info("further copy", weights=key.text, gain_s=round(gains[key], 2))
-        self._look_from = now + REST_PART * (self._clock() - now)
-
-    def _coming_holders(self, key: AdapterKey) -> list[Engine]:
-        """Return the engines that have an adapter, or will have it soon."""
-        return [
-            engine
-            for engine in self.index.with_key(key).values()
-            if engine.places[key].phase in (Phase.LOADING, Phase.READY)
-        ]
-
-    def _copy_gain_s(self, key: AdapterKey, holders: t.Sequence[Engine], now: float) -> float:
-        if self._room is None or len(holders) == len(self.engines):
-            return 0.0
-        busy: list[Busyness] = [engine.busyness() for engine in holders]
-        rate, load_s = self.popularity.rate(key.text, now), self.loading.pace.load_s
-        return copy_gain_s(busy, rate, load_s, self._terms, self._room.hold_s(self.service))
-
     def _ejected_s(self, replica: str) -> float:
         return self._health.ejected_s(replica) if self._health is not None else 0.0
 
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -215,7 +215,8 @@
 
     def _add_copies(self) -> None:
         planner, now = self._planner, self._clock()
-        planner.bring_copies(now)
+        if planner.copies is not None:
+            planner.copies.bring(now)
         least = PART_PER_COPY * planner.speed
         planner.hot = {key for key in planner.hot if planner.tokens.rate(key.text, now) > least}
         wanted = [
--- a/tests/test_planner_room.py
+++ b/tests/test_planner_room.py
@@ -167,8 +167,8 @@
             bench.start("a", home, 40)
             planner, key = bench.planner, AdapterKey("m", "a")
             for waits, copies in ((True, 1), (False, 2)):
-                planner._has_queue = waits
-                planner.bring_copies(bench.clock())
+                planner.has_queue = waits
+                planner.copies.bring(bench.clock())
                 assert sum(key in engine.places for engine in planner.engines.values()) == copies
             await bench.stop()
 
@@ -178,11 +178,11 @@
         async def scenario():
             bench = RoomBench()
             await asyncio.sleep(0.5)
-            assert not bench.planner._has_queue
+            assert not bench.planner.has_queue
             for number in range(40):
                 bench.ask(f"cold{number}", wait_s=9.0, **ASK)
             await asyncio.sleep(0.05)
-            assert bench.planner._has_queue
+            assert bench.planner.has_queue
             await bench.stop()
 
         run(scenario)
