The known red is brought about by what does it: a silent run is left, and works on

Cause: the first form of the listed test passed. Trials over pauses, breaks and routes: a pause of 1.8 s and a route of three replicas are enough, with no break at all.

--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -15,7 +15,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from run_engines import EVENT_S, EVENTS, RunWorld, close, events, is_whole, runner, status
+from run_engines import EVENTS, RunWorld, close, events, is_whole, runner, status
 from world import new_loop
 
 ALL = list(range(1, EVENTS + 1))
@@ -127,14 +127,13 @@
         """Found by the state machine below; see KNOWN-RED.txt."""
 
         async def scenario():
-            world = RunWorld(repeat=Repeat.RESUME)
+            world = RunWorld(repeat=Repeat.RESUME, replicas=3)
             await begin(world)
             first = runner(world, "q1")
             first.keeps_dropped = first.keeps_waiting = True
-            first.runs["q1"].pause_s = 0.3
-            await asyncio.sleep(2 * EVENT_S)
-            first.reset()
-            await asyncio.sleep(4.0)
+            # Longer than a stream may be silent until it is resumed elsewhere.
+            first.runs["q1"].pause_s = 1.8
+            await asyncio.sleep(6.0)
             assert not world.ledger.wrong
 
         run(scenario)
