--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -377,10 +377,10 @@
                 self._note_pause(sending, max(1, job.events.last_event - before))
             else:
                 self._note_running(sending)
-            if sending.run is not None and self._lasting is not None:
-                self._lasting.note_event(sending.run)
                 sending.first_at = self._clock()
             sending.event_at = self._clock()
+            if sending.run is not None and self._lasting is not None:
+                self._lasting.note_event(sending.run)
             if not job.inc.started:
                 job.inc.begin(head.status, end_to_end(head.headers))
             await job.inc.send(events)
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -11,6 +11,7 @@
 from gradelug_http import HttpPool
 from gradelug_platform.dialect import PlatformDialect
 from gradelug_platform.runs import PlatformRuns
+from gradelug_policy.engine_room import FIRST_HOLD_S, EngineRoom
 from gradelug_policy.lasting_runs import LEAST_RISK
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -604,6 +605,19 @@
 )
 
 
+def test_how_long_a_run_holds_its_slot_is_learned_from_its_first_event():
+    async def scenario():
+        world = RunWorld()
+        room = world.fleet.room = EngineRoom(world.fleet.speeds)
+        client = await begin(world)
+        await asyncio.sleep(4.0)
+        assert is_whole(client)
+        # 40 events at 0.05 s hold it longer than is taken before any is seen.
+        assert room.hold_s("llm") > FIRST_HOLD_S
+
+    run(scenario)
+
+
 class TestSwitch:
     @pytest.mark.parametrize("is_on", [True, False])
     def test_the_feature_decides_whether_runs_go_on(self, is_on):
