--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -6,7 +6,7 @@
 import typing as t
 from dataclasses import replace
 
-from gradelug_policy.engine_room import EQUAL, EngineRoom, Terms, expected_s, has_room, pause_cost_s
+from gradelug_policy.engine_room import EQUAL, EngineRoom, Terms, expected_s, has_room
 from gradelug_policy.reading import (
     URGENCIES,
     Busyness,
@@ -18,7 +18,6 @@
 from gradelug_policy.spread import choose_spread
 
 from .engine_speeds import PauseTally
-from .gaps import ServiceGaps
 from .health import Health
 from .model import AdapterKey, EngineSpec, FleetState, Holding, Replica, ToldLoad
 from .pacing import FRESH_S, NEWS_S
@@ -94,7 +93,6 @@
         "_by_service",
         "_clock",
         "_directory",
-        "_gaps",
         "_health",
         "_lives",
         "_loads",
@@ -138,7 +136,6 @@
         """Whether planners tell of the weights alone that this instance uses."""
         self.speeds = ReadingSpeeds()
         """How fast engines read, as seen by this instance."""
-        self._gaps = ServiceGaps(state)
         self.room = EngineRoom(self.speeds) if has_room else None
         """What else is known of engines at work; None to do without."""
         self.news_s = NEWS_S
@@ -348,8 +345,7 @@
         if work is None:
             cost = load.cost()
         else:
-            cost_s = self.expected_s(replica, load.busyness(), work)
-            cost = (cost_s + self._pause_s(replica, work)) / REQUEST_S
+            cost = self.expected_s(replica, load.busyness(), work) / REQUEST_S
         cost += FAILURE_COST * self.health(replica.name).rate(now)
         return cost + (OTHER_HALL_COST if replica.hall != self.hall else 0.0)
 
@@ -392,14 +388,6 @@
         pace = self.room.pace(replica.service, replica.name, self._clock())
         return expected_s(busy, work, self._terms(replica.service), pace)
 
-    def _pause_s(self, replica: Replica, work: Work) -> float:
-        """Return what a request costs the streams that run on an engine, in seconds."""
-        if self.room is None:
-            return 0.0
-        pace = self.room.pace(replica.service, replica.name, self._clock())
-        busy = self.load(replica.name).busyness()
-        return pause_cost_s(busy, work, pace, self._gaps.of(replica.service))
-
     def _terms(self, service: str) -> Terms:
         snapshot = self.state.snapshot
         known = snapshot.services.get(service) if snapshot is not None else None
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -16,7 +16,6 @@
     EngineRoom,
     expected_s,
     has_room,
-    pause_cost_s,
 )
 from gradelug_policy.quotas import QuotaHome
 from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
@@ -32,7 +31,6 @@
 from .engines import Engine, Phase, Place
 from .fleet import terms
 from .followers import Follower, Followers, encode_load
-from .gaps import ServiceGaps
 from .holders import EngineIndex
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
@@ -181,7 +179,6 @@
         """Engines that are being asked for their state, or are about to be."""
         self._room = room
         self._terms = terms(spec)
-        self._gaps = ServiceGaps(state)
         self._looked_at: dict[AdapterKey, float] = {}
         """When it was looked for another engine for requests that have a holder."""
         self.look_from = -math.inf
@@ -457,18 +454,17 @@
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
         best: Engine | None = None
-        least = least_s = math.inf
+        least = math.inf
         waiter.is_held = False
         newest = self.state.versions.get(waiter.key, 0)
         for name, engine in self._holders(waiter):
             place = engine.places.get(waiter.key)
             if place is None or place.phase is not Phase.READY or not waiter.may_use(name):
                 continue
-            cost_s = self.cost_s(engine, waiter)
-            cost = cost_s + self._pause_s(engine, waiter.work)
+            cost = self.cost_s(engine, waiter)
             if place.version >= newest and cost < least:
-                best, least, least_s = engine, cost, cost_s
-        if best is None or self._goes_elsewhere(waiter, best, least_s, now):
+                best, least = engine, cost
+        if best is None or self._goes_elsewhere(waiter, best, least, now):
             return False
         place = best.places[waiter.key]
         # Until its gateway tells that it is there.
@@ -550,13 +546,6 @@
         pace = self._room.pace(self.service, engine.replica.name, self._clock())
         return expected_s(engine.busyness(), work, self._terms, pace)
 
-    def _pause_s(self, engine: Engine, work: Work) -> float:
-        """Return what a request costs the streams that run on an engine, in seconds."""
-        if self._room is None:
-            return 0.0
-        pace = self._room.pace(self.service, engine.replica.name, self._clock())
-        return pause_cost_s(engine.busyness(), work, pace, self._gaps.of(self.service))
-
     def _is_reading(self, replica: str) -> bool:
         """Tell whether an engine has prompts to read."""
         engine = self.engines.get(replica)
--- a/packages/policy/src/gradelug_policy/engine_room.py
+++ b/packages/policy/src/gradelug_policy/engine_room.py
@@ -47,10 +47,6 @@
 """Slots are what is short if reading for a full batch takes at most so many times as long as a run
 holds its slot, and reading is if it takes more than the second; a full batch steps slower than the
 mean from which the time of a run was learned, so that it is more than 1."""
-PAUSED_S = 0.05
-"""What each running stream that would pause beyond its bound counts, in seconds of a request's wait.
-Its caller has a late answer, as one whose first event is late: with a full engine it outweighs some
-tenths of a second, and never that a request would be late elsewhere."""
 ONE_HELD = 1.0
 """Of runs that hold nothing that is known each is taken for one token: no division by zero."""
 
@@ -125,23 +121,6 @@
     return reading_s + room_wait_s(busy, work, terms, pace)
 
 
-def pause_cost_s(busy: Busyness, work: Work, pace: Pace, gap_s: float) -> float:
-    """Return what reading a request's prompt costs the streams of an engine, in seconds.
-
-    An engine reads prompts in pieces between the tokens of its streams. As long as it has many to
-    read, each event of a stream comes after several pieces, and later than its bound.
-
-    Parameters
-    ----------
-    gap_s : float
-        Longest pause between events that is in time, in seconds; 0 for no bound.
-    """
-    read_s = (sum(busy.queued) + work.prompt_tokens) / pace.tokens_per_s
-    if not gap_s or read_s <= gap_s:
-        return 0.0
-    return PAUSED_S * busy.running
-
-
 def has_room(busy: Busyness, work: Work, terms: Terms, pace: Pace, news_s: float = 0.0) -> bool:
     """Tell whether a request can go to an engine without displacing another or queueing.
 
