A run that waits unseen at its engine is not resumed beside itself

Cause: an engine whose memory runs out answers 404 for a run that it put back to wait, and some engines keep requests whose connection closed. A resumable stream silent for 1.2 s was resumed elsewhere, and both engines worked on it 400 ms later.

Change: a silent begun stream is left only if it was stopped, its engine does not answer, or the engine's report shows nothing that it does not name. A broken one that had been silent is looked for; one at work until its break goes on at once, and its engine is asked until the run is found and stopped or certainly gone. The same for streams left before their first event, which the state machine found (q0 at s0, then s7).

The state machine now draws what becomes of waiting runs when connections close, has all runs wait at once, and preempts engines that have runs.

--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -19,6 +19,7 @@
         "_first",
         "_granted",
         "_latency",
+        "_left",
         "_limited",
         "_outcomes",
         "_pauses",
@@ -80,6 +81,12 @@
             buckets=BUCKETS_S,
             registry=self._registry,
         )
+        self._left = Counter(
+            "gradelug_left_runs",
+            "Runs that engines may have had after their request went on elsewhere, by their end",
+            ["end"],
+            registry=self._registry,
+        )
         self._ratio = Histogram(
             "gradelug_first_event_ratio",
             "Time to a stream's first event to the time that was expected",
@@ -123,6 +130,10 @@
         """Take the pause of a run that went on."""
         self._pauses.labels(how).observe(pause_s)
 
+    def left_run(self, end: str) -> None:
+        """Count the end of a run that may have gone on where it was left."""
+        self._left.labels(end).inc()
+
     def estimate(self, route: str, seen_s: float, expected_s: float) -> None:
         """Take when a first event came and when it was expected, in seconds from its sending."""
         self._error.observe(abs(seen_s - expected_s))
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from gradelug_http import Header, Incoming, OutgoingRequest, ResponseHead
+from gradelug_policy.left_runs import EngineWord
 
 from .model import (
     Attempt,
@@ -51,6 +52,10 @@
         """Return how long an engine has until it is gone, in seconds; None if that is not told."""
         ...
 
+    async def word(self, replica: Replica) -> EngineWord | None:
+        """Return what an engine says of the requests that it has; None if that is not told."""
+        ...
+
     async def free(self, replica: Replica, handle: str) -> None:
         """Have memory that is kept under a handle given up."""
         ...
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -20,9 +20,11 @@
     choose_way,
     wants_copy,
 )
+from gradelug_policy.left_runs import ASK_S, may_wait
 
 from .fleet import CHOICES, Fleet
 from .job import Job
+from .left_runs import LeftRun, LeftRuns
 from .metrics import Meters
 from .model import Copy, CopyKind, EngineSpec, MoveOutcome, Repeat, Replica
 from .ports import RunTransport
@@ -47,9 +49,12 @@
     """
 
     __slots__ = (
+        "answer",
         "began_at",
         "first_at",
         "handover",
+        "is_gone",
+        "is_left",
         "job",
         "replica",
         "since_event",
@@ -69,6 +74,12 @@
         """Its memory at another engine, while its engine is asked to stop it."""
         self.stopped: Copy | None = None
         """Its memory where it was stopped because nothing came from it any more."""
+        self.answer: MoveOutcome | None = None
+        """What its engine said when it was last asked to stop it."""
+        self.is_left = False
+        """Whether its engine was asked, and it can go on elsewhere."""
+        self.is_gone = False
+        """Whether its engine has it no more, for certain."""
         self.was_refused = False
         """Whether its engine could not send its memory elsewhere."""
         self.taken: Copy | None = None
@@ -79,6 +90,16 @@
         """Return how many events of this run have come."""
         return self.job.events.last_event - self.since_event
 
+    @property
+    def must_be_found(self) -> bool:
+        """Tell whether leaving it could end its request, or have two engines work on it."""
+        return self.has_begun or not self.job.may_repeat()
+
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether events of its request have come, from it or from what it goes on from."""
+        return self.job.events.last_event > 0
+
 
 class LastingRuns:
     """Knows the runs of this instance, and lets them go on.
@@ -103,6 +124,7 @@
         "_clock",
         "_fleet",
         "_has_retry",
+        "_left",
         "_meters",
         "_paces",
         "_records",
@@ -126,6 +148,7 @@
         self._meters = meters
         self._clock = clock
         self._has_retry = has_retry
+        self._left = LeftRuns(transport, meters, clock)
         self._records: dict[str, BreakRecord] = {}
         self._paces: dict[str, Pace] = {}
         self.runs: dict[str, set[Run]] = {}
@@ -138,6 +161,7 @@
 
     def begin(self, job: Job, replica: Replica) -> Run:
         """Note that a request is being sent, and choose where a copy of its run is to be kept."""
+        self._left.note_sending(job, replica)
         job.backup = self._choose_backup(job, replica) if job.copy is None else None
         return Run(job, replica, self._clock())
 
@@ -151,6 +175,7 @@
             if job.used is not None:
                 self._note_gone_on(job, job.used, now)
         job.event_at = now
+        run.is_left = False
 
     def end(self, run: Run) -> None:
         """Note that a run's stream ended whole."""
@@ -189,6 +214,7 @@
             # Its engine was asked to stop it.
             job.copy = await asyncio.shield(run.handover)
             run.taken = job.copy
+            self._watch(run)
             return
         self._record(run, broken=True)
         if run.stopped is not None:
@@ -198,18 +224,58 @@
             # Where no memory has arrived a request that asks for it is turned away (145 of 145
             # without an event in trials), or run anew by an engine that loses answers.
             job.backup = None
-        if self._choose_way(job, self._can_stop(run)) is Way.STOP:
+        if not run.is_left and self._choose_way(job, self._can_stop(run)) is Way.STOP:
+            waits = may_wait(self._clock() - job.event_at, job.route.gap_s)
             job.copy = await self._stop(run)
+            if waits and self._may_go_on(job):
+                await self._find(run)
+        self._watch(run)
 
     async def stop_silent(self, run: Run) -> bool:
-        """Stop a run from which nothing comes; tell whether there is memory to go on from."""
+        """Stop a run from which nothing comes; tell whether it can go on elsewhere, and alone."""
         if run.handover is not None:
             return (await asyncio.shield(run.handover)) is not None
-        if not self._has_retry(run.job.service.name):
+        job = run.job
+        if not self._has_retry(job.service.name):
             return False
+        run.answer = None
         if self._can_stop(run):
             run.stopped = await self._stop(run)
-        return run.stopped is not None or run.job.backup is not None
+        if run.stopped is not None:
+            return True
+        if not self._may_go_on(job):
+            return False
+        run.is_left = run.answer is not MoveOutcome.NO_RUN or await self._is_gone(run)
+        return run.is_left
+
+    async def _find(self, run: Run) -> None:
+        """Wait for a run that its engine may have put back to wait, as long as its caller does."""
+        job = run.job
+        until = min(job.deadline_at, job.event_at + job.route.patience_s)
+        while run.answer is MoveOutcome.NO_RUN and self._clock() < until:
+            if await self._is_gone(run):
+                return
+            await asyncio.sleep(ASK_S)
+            job.copy = await self._stop(run)
+
+    async def _is_gone(self, run: Run) -> bool:
+        run.is_gone = await self._left.is_gone(run.job, run.replica)
+        return run.is_gone
+
+    def _may_go_on(self, job: Job) -> bool:
+        """Tell whether there is a way on that does not take its engine."""
+        return self._choose_way(job, can_stop=False) is not Way.END
+
+    def _watch(self, run: Run) -> None:
+        """See to it that a run that goes on elsewhere does not go on where it was left."""
+        job = run.job
+        is_certain = run.is_gone or run.answer is MoveOutcome.UNREACHED
+        has_memory = job.copy is not None and job.copy is not job.used
+        if has_memory or is_certain or not self._may_go_on(job):
+            return
+        target = self._stop_target(job, run.replica)
+        if target is not None:
+            self._left.watch(LeftRun(job, run.replica, target, self._clock()))
 
     def forget_gone(self) -> None:
         """Forget the records of engines that are gone."""
@@ -223,12 +289,13 @@
     def _can_stop(self, run: Run) -> bool:
         spec = run.job.service.engine
         known = run.replica.name in self._fleet.state.replicas
-        return spec is not None and spec.moves and known and run.first_at is not None
+        has_events = run.first_at is not None or (run.has_begun and run.job.may_repeat())
+        return spec is not None and spec.moves and known and has_events
 
     async def _stop(self, run: Run) -> Copy | None:
         """Stop a run where its engine is still at work, and return the memory that it keeps."""
         job, source = run.job, run.replica
-        target = self.target(job, source, ANY_ROOM)
+        target = self._stop_target(job, source)
         if target is None:
             return None
         began = self._clock()
@@ -236,6 +303,7 @@
         if reply.outcome is MoveOutcome.LOST:
             # Links silence kept connections; the second call takes a new one.
             reply = await self._transport.move(source, job.req.id, target, True)
+        run.answer = reply.outcome
         log.info(
             "run stopped",
             id=job.req.id,
@@ -253,6 +321,10 @@
         # It answers, and has the weights.
         return Copy(CopyKind.STOPPED, source.address, reply.handle, source)
 
+    def _stop_target(self, job: Job, source: Replica) -> Replica | None:
+        """Return the engine to name where a run is stopped; without room there it stays."""
+        return self.target(job, source, ANY_ROOM) or self.target(job, source, math.inf)
+
     def _record(self, run: Run, broken: bool) -> None:
         now = self._clock()
         lasted_s = now - (run.began_at if run.first_at is None else run.first_at)
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -305,7 +305,7 @@
                 done, _ = await asyncio.wait([task], timeout=LOOK_S)
             while not done and self._must_wait(sending) and not await self._can_leave(sending):
                 done, _ = await asyncio.wait([task], timeout=SILENT_STREAM_S)
-            if not done:
+            if not task.done():
                 raise ReplicaSilent("the replica is silent")
         finally:
             if not task.done():
@@ -314,18 +314,18 @@
         return task.result()
 
     def _must_wait(self, sending: _Exchange) -> bool:
-        """Tell whether leaving a silent replica would end a request, unless its run goes on."""
-        return sending.run is not None and not sending.job.may_repeat()
+        """Tell whether leaving a silent replica could end a request, or run it twice at once."""
+        return sending.run is not None and sending.run.must_be_found
 
     async def _can_leave(self, sending: _Exchange) -> bool:
         """Tell whether a silent run can go on, and stop it if so.
 
         An engine whose memory ran out reads a run anew later, and knows no run until then: five
-        begun streams of one day that were left for it would have gone on by themselves.
+        begun streams of one day that were left for it would have gone on by themselves, and one
+        that is resumed elsewhere would go on at both engines.
         """
-        if self._lasting is None or sending.run is None:
-            return False
-        return await self._lasting.stop_silent(sending.run)
+        lasting, run = self._lasting, sending.run
+        return lasting is not None and run is not None and await lasting.stop_silent(run)
 
     def _silence_s(self, sending: _Exchange) -> tuple[float | None, float | None]:
         job = sending.job
--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -44,6 +44,9 @@
 BACKUP_S = 0.2
 COPY_S = 0.02
 LOAD_S = 0.3
+REPORT_AGE_S = 0.3
+"""A report shows what was so long ago."""
+TICK_S = 0.05
 AT_WORK_S = 0.4
 """Two engines must not be at work on a run this long after it went on elsewhere."""
 DRAIN_S = 3.0
@@ -61,6 +64,7 @@
     pause_s: float = 0.0
     """It is preempted for so long."""
     waits: bool = False
+    waits_until: float = 0.0
     stop: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -104,6 +108,12 @@
         """Whether a run goes on when its connection closes."""
         self.keeps_waiting = False
         """Whether one that waits for memory does so, too: no call tells of it."""
+        self.waits_out = False
+        """Whether such a run goes on only when there is memory again, and not at once."""
+        self.waiting = []
+        """Runs that wait for memory."""
+        self.past = deque(maxlen=round(REPORT_AGE_S / TICK_S))
+        """What it would have reported lately."""
         self.keeps_quiet = False
         """Whether calls get no answer."""
         self.quiet_calls = 0
@@ -156,6 +166,11 @@
             self.crash()
             self.world.leave(self)
 
+    def note(self):
+        """Keep what it would report now."""
+        runs = [[one.ident, 100, one.made, 5] for one in self.runs.values()]
+        self.past.append((len(self.waiting), runs))
+
     # What it serves.
 
     async def serve(self, inc):
@@ -175,7 +190,8 @@
                     del engine.kept[path]
             inc.respond(200, [], b"")
         else:
-            report = {}
+            queued, runs = self.past[0] if self.past else (0, [])
+            report = {"Queued": queued, "Active": len(runs), "Runs": runs}
             if self.ends_at is not None:
                 report["RemainingMs"] = round((self.ends_at - self.world.clock()) * 1000)
             inc.respond(200, [], json.dumps(report).encode())
@@ -247,7 +263,9 @@
             self._streaming.discard(inc._conn)
             keeps = self.keeps_dropped and (self.keeps_waiting or not work.waits)
             if keeps and not self.dead and not work.stop.is_set():
-                self.runs[ident] = work
+                if not work.waits or not self.waits_out:
+                    work.waits = False
+                    self.runs[ident] = work
                 task = asyncio.create_task(self._work(work, backup, _nowhere))
                 self._tasks.add(task)
             raise
@@ -258,6 +276,8 @@
     async def _work(self, work, backup, send):
         sent_at = self.world.clock()
         try:
+            if work.waits:
+                await self._wait_for_memory(work)
             while work.made < EVENTS:
                 await asyncio.sleep(EVENT_S)
                 await self._preempt(work)
@@ -280,11 +300,20 @@
         """Let a run wait for memory; until then it is not known as one."""
         pause_s, work.pause_s = work.pause_s, 0.0
         if pause_s:
-            del self.runs[work.ident]
+            if self.runs.get(work.ident) is work:
+                del self.runs[work.ident]
             work.waits = True
-            await asyncio.sleep(pause_s)
-            work.waits = False
-            self.runs[work.ident] = work
+            work.waits_until = self.world.clock() + pause_s
+            await self._wait_for_memory(work)
+
+    async def _wait_for_memory(self, work):
+        self.waiting.append(work)
+        try:
+            await asyncio.sleep(work.waits_until - self.world.clock())
+        finally:
+            self.waiting.remove(work)
+        work.waits = False
+        self.runs[work.ident] = work
 
     def _copy(self, work, backup):
         target = self.world.by_address(backup)
@@ -380,6 +409,13 @@
         self.server = self.net.serve("10.0.0.9:80", self.serving.serve, ServerLimits, clock)
         for _ in range(engines):
             self.add()
+        self._notes = asyncio.get_running_loop().create_task(self._note())
+
+    async def _note(self):
+        while True:
+            for engine in self.engines.values():
+                engine.note()
+            await asyncio.sleep(TICK_S)
 
     def add(self):
         at = len(self.engines)
--- /dev/null
+++ b/tests/test_left_runs.py
@@ -0,0 +1,229 @@
+"""Runs that were left at engines that may still have them."""
+
+import asyncio
+from unittest import mock
+
+import pytest
+from gradelug_gateway import runs as runs_module
+from gradelug_gateway.model import MoveOutcome, MoveReply, Repeat
+from gradelug_platform.runs import PlatformRuns
+from gradelug_policy.left_runs import (
+    ASK_S,
+    REPORT_AGE_S,
+    EngineWord,
+    is_gone,
+    may_wait,
+    next_ask_s,
+)
+from run_engines import RunWorld, close, events, is_whole, runner
+from world import new_loop
+
+CALM = EngineWord(0, 2, frozenset({"q1", "q2"}))
+
+
+def run(scenario):
+    loop = new_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        close(loop)
+
+
+async def begin(world, ident="q1"):
+    client = world.ask(ident)
+    await asyncio.sleep(0.67)
+    assert len(events(client)[0]) > 3
+    return client
+
+
+class TestDecision:
+    def test_where_nothing_waits_an_unknown_run_is_gone(self):
+        assert is_gone(CALM, "q9", 1.2)
+
+    @pytest.mark.parametrize(
+        "word",
+        [
+            EngineWord(1, 2, frozenset({"q1", "q2"})),
+            EngineWord(0, 3, frozenset({"q1", "q2"})),
+            EngineWord(0, 2, frozenset({"q1", "q9"})),
+            None,
+        ],
+        ids=["one waits", "one is being read", "it runs again", "nothing is told"],
+    )
+    def test_otherwise_it_may_be_there(self, word):
+        assert not is_gone(word, "q9", 1.2)
+
+    def test_a_report_is_older_than_the_newest_events(self):
+        assert not is_gone(CALM, "q9", REPORT_AGE_S - 0.1)
+
+    def test_a_run_at_work_until_its_break_goes_on_at_once(self):
+        assert not may_wait(0.05, 0.3)
+        assert may_wait(0.6, 0.3)
+
+    def test_a_burst_that_fills_engines_leaves_few_calls(self):
+        """300 streams are left within a second, and none is gone for certain until 15 s later."""
+        calls, urgent = 0, 0
+        for _ in range(300):
+            at = 0.0
+            while at < 15.0:
+                at += next_ask_s(at, at)
+                calls += 1
+                urgent += at < REPORT_AGE_S
+        assert calls <= 300 * 20
+        # Before two engines may not be at work any more the calls lie close together.
+        assert urgent >= 300 * 0.4 / ASK_S
+
+    def test_what_did_not_go_on_elsewhere_is_asked_for_seldom(self):
+        assert next_ask_s(0.0, 60.0) >= 0.2
+        assert next_ask_s(4.0, 60.0) >= 2.0
+
+
+class TestSilentRuns:
+    def test_where_nothing_waits_a_run_that_is_not_known_is_resumed_elsewhere(self):
+        """Its last events were lost on a link that fell silent; its engine ended it."""
+
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME, replicas=3)
+            client = world.ask("q1")
+            await asyncio.sleep(1.55)
+            first = runner(world, "q1")
+            first.hush()
+            await asyncio.sleep(3.0)
+            assert is_whole(client)
+            assert world.ledger.fresh == {"q1": 2}
+            assert not world.ledger.wrong
+
+        run(scenario)
+
+    def test_while_others_wait_there_it_is_waited_for(self):
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME, replicas=3)
+            client = await begin(world)
+            first = runner(world, "q1")
+            first.runs["q1"].pause_s = 1.8
+            await asyncio.sleep(6.0)
+            assert is_whole(client)
+            assert world.ledger.fresh == {"q1": 1}
+            assert ("s0", "move", 404) in world.ledger.asked
+
+        run(scenario)
+
+    def test_an_engine_that_is_lost_is_not_waited_for(self):
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME, replicas=3)
+            client = await begin(world)
+            first = runner(world, "q1")
+            first.hush()
+            first.keeps_quiet = True
+            await asyncio.sleep(5.0)
+            assert is_whole(client)
+
+        run(scenario)
+
+    def test_a_copy_does_not_go_on_beside_a_run_that_waits(self):
+        async def scenario():
+            world = RunWorld()
+            client = await begin(world)
+            first = runner(world, "q1")
+            first.keeps_dropped = first.keeps_waiting = True
+            first.runs["q1"].pause_s = 1.8
+            await asyncio.sleep(6.0)
+            assert is_whole(client)
+            assert not any(what == "from" for _, what, _ in world.ledger.asked)
+            assert not world.ledger.wrong
+
+        with mock.patch.object(runs_module, "wants_copy", return_value=True):
+            run(scenario)
+
+
+class TestBrokenRuns:
+    @pytest.mark.parametrize("waits_out", [True, False])
+    @pytest.mark.parametrize("silent_s", [0.1, 0.6])
+    def test_one_that_waits_at_its_engine_does_not_go_on_beside_itself(self, waits_out, silent_s):
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME, replicas=3)
+            client = await begin(world)
+            first = runner(world, "q1")
+            first.keeps_dropped = first.keeps_waiting = True
+            first.waits_out = waits_out
+            first.runs["q1"].pause_s = 1.0
+            await asyncio.sleep(silent_s)
+            first.reset()
+            await asyncio.sleep(5.0)
+            assert is_whole(client)
+            assert not world.ledger.wrong
+            if waits_out and silent_s < 0.3:
+                # It went on elsewhere at once, and was stopped when it came back.
+                assert world.ledger.fresh == {"q1": 2}
+                assert not any(engine.kept for engine in world.engines.values())
+                assert b'gradelug_left_runs_total{end="stopped"} 1.0' in world.meters.text()
+
+        run(scenario)
+
+    def test_a_run_left_before_its_first_event_does_not_go_on_beside_its_successor(self):
+        """Found by the state machine: the first sending met a silent link."""
+
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME, replicas=3)
+            for engine in world.engines.values():
+                engine.keeps_dropped = True
+            client = world.ask("q1")
+            await asyncio.sleep(0.02)
+            first = runner(world, "q1")
+            first.hush()
+            await asyncio.sleep(1.6)
+            second = next(one for one in world.at_work("q1") if one is not first)
+            second.reset()
+            await asyncio.sleep(4.0)
+            assert is_whole(client)
+            assert not world.ledger.wrong
+
+        run(scenario)
+
+    def test_an_engine_that_dropped_it_is_asked_until_it_says_that_nothing_waits(self):
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME, replicas=3)
+            client = await begin(world)
+            runner(world, "q1").reset()
+            await asyncio.sleep(5.0)
+            assert is_whole(client)
+            asked = [code for _, what, code in world.ledger.asked if what == "move"]
+            assert set(asked) == {404}
+            assert len(asked) <= 12
+
+        run(scenario)
+
+    def test_answers_that_are_lost_are_asked_for_again(self):
+        async def lost(self, source, request_id, target, last):
+            if source.name == "s0" and len(calls) < 4:
+                calls.append(request_id)
+                return MoveReply(MoveOutcome.LOST)
+            return await move(self, source, request_id, target, last)
+
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME, replicas=3)
+            client = await begin(world)
+            first = runner(world, "q1")
+            first.keeps_dropped = True
+            first.reset()
+            await asyncio.sleep(5.0)
+            assert is_whole(client)
+            assert len(calls) == 4
+            assert not world.ledger.wrong
+
+        calls, move = [], PlatformRuns.move
+        with mock.patch.object(PlatformRuns, "move", lost):
+            run(scenario)
+
+    def test_where_it_goes_on_it_is_left_alone(self):
+        """With one replica allowed the request is resumed where it was."""
+
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME, replicas=1)
+            client = await begin(world)
+            runner(world, "q1").reset()
+            await asyncio.sleep(4.0)
+            assert is_whole(client)
+            assert world.ledger.fresh == {"q1": 2}
+
+        run(scenario)
--- a/tests/test_platform_runs.py
+++ b/tests/test_platform_runs.py
@@ -13,6 +13,7 @@
 from gradelug_platform.entries import PlatformEntries
 from gradelug_platform.names import SET_BY_US
 from gradelug_platform.runs import PlatformRuns
+from gradelug_policy.left_runs import EngineWord
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from run_engines import close
@@ -116,6 +117,34 @@
         assert found == left_s
         assert sent.startswith(b"GET /gradelug/report HTTP/1.1\r\n")
 
+    @pytest.mark.parametrize(
+        ("status", "body", "word"),
+        [
+            (
+                200,
+                b'{"Queued":1,"Active":2,"Runs":[["q1",80,3,5],["q2",9,0,5]]}',
+                EngineWord(1, 2, frozenset({"q1", "q2"})),
+            ),
+            (200, b'{"Queued":0,"Active":0,"Runs":[]}', EngineWord(0, 0, frozenset())),
+            (200, b'{"Queued":0,"Active":0}', None),
+            (200, b'{"Active":0,"Runs":[]}', None),
+            (200, b'{"Queued":-1,"Active":0,"Runs":[]}', None),
+            (200, b'{"Queued":0,"Active":0,"Runs":[[7,1]]}', None),
+            (200, b'{"Queued":0,"Active":0,"Runs":["q1"]}', None),
+            (200, b"[]", None),
+            (421, b'{"Queued":0,"Active":0,"Runs":[]}', None),
+        ],
+    )
+    def test_an_engine_tells_of_what_it_has(self, status, body, word):
+        """Whatever is not whole says nothing: a run is given up only on a whole answer."""
+        found, _ = call([[answer(status, body)]], lambda runs: runs.word(SOURCE))
+        assert found == word
+
+    @pytest.mark.parametrize("script", [[["reset"]], [[]]])
+    def test_an_engine_that_does_not_answer_tells_nothing(self, script):
+        found, _ = call(script, lambda runs: runs.word(SOURCE))
+        assert found is None
+
 
 class TestRequests:
     ATTEMPT = Attempt(SOURCE, 1.0, 0, 0, 0)
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -1,6 +1,7 @@
 """Runs that go on: breaks, silences, lost engines, notices, moves that fail halfway."""
 
 import asyncio
+from enum import Enum
 from unittest import mock
 
 import pytest
@@ -125,7 +126,7 @@
         run(scenario)
 
     def test_a_run_that_waits_unseen_is_not_resumed_beside_itself(self):
-        """Found by the state machine below; see KNOWN-RED.txt."""
+        """Found by the state machine below."""
 
         async def scenario():
             world = RunWorld(repeat=Repeat.RESUME, replicas=3)
@@ -471,6 +472,16 @@
         run(scenario)
 
 
+class Waiting(Enum):
+    """What becomes of a run that waits for memory when its connection closes."""
+
+    DROPPED = "dropped"
+    AT_ONCE = "at once"
+    """It goes on at once."""
+    WAITS_OUT = "waits out"
+    """It goes on when there is memory for it."""
+
+
 class Breaks(RuleBasedStateMachine):
     """Breaks of all kinds over streams that must not be run twice, or may be resumed."""
 
@@ -485,16 +496,26 @@
     @initialize(
         repeat=st.sampled_from([Repeat.NEVER, Repeat.RESUME]),
         drops=st.booleans(),
+        waiting=st.sampled_from(Waiting),
         replicas=st.sampled_from([1, 3]),
     )
-    def start(self, repeat, drops, replicas):
+    def start(self, repeat, drops, waiting, replicas):
         async def make():
             return RunWorld(4, repeat, replicas=replicas)
 
         self.repeat = repeat
         self.world = self.loop.run_until_complete(make())
+        self.drops, self.waiting = drops, waiting
         for engine in self.world.engines.values():
-            engine.keeps_dropped = not drops
+            self.set_up(engine)
+
+    def set_up(self, engine):
+        engine.keeps_dropped = not self.drops
+        engine.keeps_waiting = self.waiting is not Waiting.DROPPED
+        engine.waits_out = self.waiting is Waiting.WAITS_OUT
+
+    def add(self):
+        self.set_up(self.world.add())
 
     def act(self, work):
         async def do():
@@ -540,19 +561,35 @@
         self.act(engine.crash)
         if told:
             self.world.leave(engine)
-        self.act(self.world.add)
+        self.act(self.add)
 
     @precondition(lambda self: sum(not one.dead for one in self.world.engines.values()) > 2)
     @rule(at=st.integers(0, 3), left_s=st.sampled_from([0.3, 1.0, 2.0]), tells=st.booleans())
     def notice(self, at, left_s, tells):
         engine = self.engine(at)
         self.act(lambda: engine.notice(left_s, tells))
-        self.act(self.world.add)
+        self.act(self.add)
 
     @rule(at=st.integers(0, 3), pause_s=st.sampled_from([0.3, 1.8]))
     def preempt(self, at, pause_s):
-        for work in self.engine(at).runs.values():
-            work.pause_s = pause_s
+        at_work = [one for one in self.world.engines.values() if one.runs and not one.dead]
+        if at_work:
+            for work in at_work[at % len(at_work)].runs.values():
+                work.pause_s = pause_s
+
+    @precondition(lambda self: self.clients)
+    @rule(then=st.sampled_from(["wait", "reset", "hush"]))
+    def run_out_of_memory(self, then):
+        """Have all runs wait for memory, for longer than a stream may be silent."""
+        engines = [one for one in self.world.engines.values() if not one.dead]
+        for engine in engines:
+            for work in engine.runs.values():
+                work.pause_s = 1.8
+        self.wait(0.1)
+        for engine in engines:
+            if then != "wait":
+                self.act(engine.reset if then == "reset" else engine.hush)
+        self.wait(1.5)
 
     @rule(at=st.integers(0, 3), room=st.booleans())
     def fill(self, at, room):
