What an engine held alone is brought elsewhere before it is asked for

Cause: an engine that leaves, crashes or starts again empty takes along what it alone held; each such adapter keeps its next requests waiting for a whole load. Ruled out: bringing all of it (a load that nobody uses costs 0.8 s of others' waiting).

--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -38,6 +38,7 @@
 from .parts import PlannerPart
 from .ports import OrderTransport
 from .quota_desk import QuotaDesk
+from .refill import Refill
 from .relay import OrderRelay
 from .settings import Feature
 from .sharedhealth import DOUBTED_S, HealthDesk
@@ -185,6 +186,7 @@
         """No such look begins before."""
         self.copies = Copies(self, self._terms, room) if room is not None else None
         """Looks whether adapters need another engine; None without knowledge of engines' room."""
+        self.refill = Refill(self, Feature.REFILL in features)
         self._tasks: set[asyncio.Task[None]] = set()
         self._deciding: asyncio.TimerHandle | None = None
         self.has_queue = False
@@ -229,7 +231,9 @@
             if rep.service == self.service and not rep.leaving
         }
         for name in [name for name in self.engines if name not in told]:
-            self.index.drop(self.engines.pop(name))
+            gone = self.engines.pop(name)
+            self.index.drop(gone)
+            self.refill.note_lost(gone, self._clock())
             self._cells.remove(name)
             self.followers.mark(name)
             for part in self.parts:
@@ -260,6 +264,7 @@
         name, now = engine.replica.name, self._clock()
         strays = engine.strays(now)
         self.index.drop(engine)
+        self.refill.note_lost(engine, now)
         engine.has_ended = True
         log.info("engine began again", replica=name, born=born, strays=len(strays))
         fresh = self.engines[name] = Engine(engine.replica, self._spec, self.index, strays, born)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -30,6 +30,8 @@
     """Runs go on when their connection or their engine is lost."""
     SCOPED_NEWS = "scoped-news"
     """Gateways are told of what they use alone."""
+    REFILL = "refill"
+    """What an engine held alone is brought elsewhere when the engine is lost."""
 
 
 @dataclass(slots=True, frozen=True)
