Gateways tell of doubted engines alone: a calm fleet tells nothing of its health

Cause: each gateway told how its requests ended at each replica with every message, 10,279 entries a second at 370 gateways, 600 engines and 10,000 requests a second, though nobody doubts an engine that answers.

Change: policy.doubts decides at the gateway. Answers are kept 2 s and told with the failures beside them; the planner judges one gathering after the first doubt, takes used engines that nobody doubts for well, and learns from uses who may probe.

Tests: the plays of test_verdicts run for both ways of telling with the same bounds; Phase, Standing and their constants are imported from their new module; the desk's new argument in test_sharedhealth.

--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -138,9 +138,8 @@
         """Finds engines by what they hold."""
         self._cells = Cells()
         self._rng = random.Random(0)
-        self._health: HealthDesk | None = None
-        if Feature.SHARED_HEALTH in features:
-            self._health = HealthDesk(service, state, lambda: self.followers.pacing.flush_s)
+        health = HealthDesk(service, state, self.engines, lambda: self.followers.pacing.flush_s)
+        self._health = health if Feature.SHARED_HEALTH in features else None
         quotas = QuotaHome(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features)
         speeds = speeds or ReadingSpeeds()
         self.parts: tuple[PlannerPart, ...] = (
--- a/packages/gateway/src/gradelug_gateway/sharedhealth.py
+++ b/packages/gateway/src/gradelug_gateway/sharedhealth.py
@@ -1,6 +1,7 @@
 """Health of replicas known over all instances: what gateways tell, what a planner finds.
 
-A gateway tells how its requests ended, by replica, with the messages that it sends anyway; the
+A gateway tells how its requests ended at replicas that anybody doubts, with the messages that it
+sends anyway; of replicas of services without engines always, for the times of their answers. The
 planner pools them (`gradelug_policy.verdicts`) and puts what it finds into its news. Replicas of
 services without engines have no planner: the one that is the home of the quotas speaks for them.
 """
@@ -12,10 +13,12 @@
 from dataclasses import dataclass
 
 import logbook
+from gradelug_policy.doubts import Doubts, Telling
 from gradelug_policy.outcomes import Ended, Source
 from gradelug_policy.verdicts import Change, Finding, VerdictPool
 from gradelug_wire import placement_pb2 as pb
 
+from .engines import Engine
 from .fleet import Fleet
 from .followers import Follower
 from .health import Health, ToldFinding
@@ -55,7 +58,7 @@
         Whether the planner speaks for services without engines as well.
     """
 
-    __slots__ = ("_clock", "_fleet", "_instance", "_is_home", "_service")
+    __slots__ = ("_clock", "_doubts", "_fleet", "_instance", "_is_home", "_service")
 
     def __init__(
         self,
@@ -70,16 +73,24 @@
         self._fleet = fleet
         self._clock = clock
         self._is_home = is_home
+        self._doubts = Doubts()
 
     def begin_stream(self) -> None:
         """Forget what could not be told: it is older than what it would be taken for."""
+        self._doubts.begin()
         for health in self._replicas().values():
             health.take_tally()
 
     def fill(self, message: pb.FromGateway) -> None:
-        """Put the ends since the last message into this one."""
+        """Put the ends since the last message into this one, where they are of use."""
+        now = self._clock()
         for name, health in self._replicas().items():
+            telling = self._decide(name, health, now)
+            if telling is Telling.KEEP:
+                continue
             tally = health.take_tally()
+            if telling is Telling.DROP:
+                continue
             message.ends.add(
                 replica=name,
                 served=tally.served,
@@ -102,6 +113,16 @@
                 bool(told.prober) and told.prober == self._instance,
                 until,
             )
+            if told.failing or told.held_back:
+                self._doubts.doubt(told.replica, self._clock())
+
+    def _decide(self, name: str, health: Health, now: float) -> Telling:
+        known = self._fleet.state.replicas.get(name)
+        if known is not None and not _has_engines(self._fleet.state, known.service):
+            return Telling.TELL
+        if health.tally.failed or health.tally.broken:
+            self._doubts.doubt(name, now)
+        return self._doubts.decide(name, now)
 
     def _replicas(self) -> dict[str, Health]:
         """Return the records with something to tell."""
@@ -149,11 +170,14 @@
         The planner's.
     state : FleetState
         What the platform has told.
+    engines : mapping of str to Engine
+        The planner's; of one that is used and of which nothing is told nobody has a doubt.
     gather_s : callable
         Returns how long gateways gather what they tell, in seconds.
     """
 
     __slots__ = (
+        "_engines",
         "_findings",
         "_gather_s",
         "_members",
@@ -165,11 +189,18 @@
         "_told",
     )
 
-    def __init__(self, service: str, state: FleetState, gather_s: t.Callable[[], float]) -> None:
+    def __init__(
+        self,
+        service: str,
+        state: FleetState,
+        engines: t.Mapping[str, Engine],
+        gather_s: t.Callable[[], float],
+    ) -> None:
         self._service = service
         self._state = state
+        self._engines = engines
         self._gather_s = gather_s
-        self._pool = VerdictPool()
+        self._pool = VerdictPool(self._is_used)
         self._sources: dict[int, Source] = {}
         self._members: dict[str, list[str]] = {}
         self._members_of = (-1, -1)
@@ -178,12 +209,14 @@
         self._told: dict[tuple[str, str], _Told] = {}
 
     def take(self, follower: Follower, message: pb.FromGateway, now: float) -> None:
-        """Take over how a gateway's requests ended."""
-        if not message.ends:
+        """Take over how a gateway's requests ended, and that it has any."""
+        if not message.ends and not message.uses:
             return
         source = self._sources.get(follower.number)
         if source is None:
             source = self._sources[follower.number] = Source(follower.instance, follower.hall)
+        if message.uses:
+            self._pool.hear(source, len(message.uses), now)
         for told in message.ends:
             ended = Ended(told.served, told.failed + told.broken, told.took_ms / 1000, told.full)
             self._pool.note(told.replica, source, ended, now)
@@ -236,6 +269,10 @@
         finding = self._findings.get((replica, ""))
         return EJECTED_S * finding.held_back if finding is not None else 0.0
 
+    def _is_used(self, replica: str) -> bool:
+        engine = self._engines.get(replica)
+        return engine is not None and engine.is_in_use()
+
     def _is_due(self, key: tuple[str, str], finding: Finding, now: float) -> bool:
         told = _Told(
             round(finding.failing / FAILING_STEP),
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/doubts.py
@@ -0,0 +1,62 @@
+"""Of which replicas a gateway tells how its requests ended there: those that anybody doubts.
+
+Load pattern: 370 gateways before 600 engines end 10,000 requests a second, of which nearly all are
+answered. That a replica does well is of no use to anybody, as long as nobody thinks otherwise.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from .outcomes import WINDOW_S
+
+DOUBTED_S = WINDOW_S
+"""A replica is doubted for so long after it failed a request, in seconds: as long as that counts
+at the planner, what was answered beside it has to count there too."""
+KEPT_S = 2.0
+"""What ended well is kept for so long before it is dropped untold, in seconds: until others have
+told of failures, which takes two messages of at most 0.9 s. Then it is told with them, and failures
+do not stand alone."""
+
+
+class Telling(Enum):
+    """What becomes of how requests ended at a replica."""
+
+    TELL = "tell"
+    KEEP = "keep"
+    """It is told with the next message, should the replica be doubted by then."""
+    DROP = "drop"
+
+
+class Doubts:
+    """Decides for one gateway of which replicas it tells.
+
+    A replica is doubted after a failure here, and while the planner says that several gateways saw
+    failures there, and until both are past.
+    """
+
+    __slots__ = ("_doubted_until", "_kept_since")
+
+    def __init__(self) -> None:
+        self._doubted_until: dict[str, float] = {}
+        self._kept_since: dict[str, float] = {}
+
+    def begin(self) -> None:
+        """Forget all: another planner is told."""
+        self._doubted_until.clear()
+        self._kept_since.clear()
+
+    def doubt(self, replica: str, now: float) -> None:
+        """Note that the replica failed a request, here or as the planner says."""
+        self._doubted_until[replica] = now + DOUBTED_S
+
+    def decide(self, replica: str, now: float) -> Telling:
+        """Return what becomes of what has ended at a replica and has not been told."""
+        if now < self._doubted_until.get(replica, now):
+            self._kept_since.pop(replica, None)
+            return Telling.TELL
+        self._doubted_until.pop(replica, None)
+        if now - self._kept_since.setdefault(replica, now) < KEPT_S:
+            return Telling.KEEP
+        del self._kept_since[replica]
+        return Telling.DROP
--- a/packages/policy/src/gradelug_policy/outcomes.py
+++ b/packages/policy/src/gradelug_policy/outcomes.py
@@ -9,7 +9,7 @@
 
 import math
 import typing as t
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
 USUAL = 0.1
@@ -140,12 +140,14 @@
 class Outcomes:
     """What sources told of one replica lately."""
 
-    __slots__ = ("_batches", "_counts", "times")
+    __slots__ = ("_batches", "_counts", "_failing", "times")
 
     def __init__(self) -> None:
         self._batches: deque[Batch] = deque()
         self._counts: dict[str, list[int]] = {EVERYWHERE: [0, 0]}
         """Answered and failed, by hall and in all."""
+        self._failing: Counter[Source] = Counter()
+        """Sources that told of failures, and how many."""
         self.times = Times()
 
     def note(self, batch: Batch) -> None:
@@ -157,6 +159,10 @@
         all_of_them = self._counts[EVERYWHERE]
         all_of_them[0] += sign * batch.good
         all_of_them[1] += sign * batch.bad
+        if batch.bad:
+            self._failing[batch.source] += sign * batch.bad
+            if not self._failing[batch.source]:
+                del self._failing[batch.source]
         hall = batch.source.hall
         if hall == EVERYWHERE:
             return
@@ -179,6 +185,7 @@
         """Forget what sources of a hall, or all, told."""
         told, self._batches = self._batches, deque()
         self._counts = {EVERYWHERE: [0, 0]}
+        self._failing.clear()
         for batch in told:
             if hall not in (EVERYWHERE, batch.source.hall):
                 self.note(batch)
@@ -190,6 +197,8 @@
 
     def counts_since(self, since: float, hall: str = EVERYWHERE) -> tuple[int, int]:
         """Return the same of those that were told of since a moment."""
+        if since == -math.inf:
+            return self.counts(hall)
         good = bad = 0
         for batch in reversed(self._batches):
             if batch.at < since:
@@ -199,13 +208,23 @@
                 bad += batch.bad
         return good, bad
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was told lately."""
+        return not self._batches
+
+    @property
+    def is_doubted(self) -> bool:
+        """Whether several sources saw failures: those of one say nothing to the others."""
+        return len(self._failing) > 1
+
     def sources(self) -> int:
         """Return how many sources told something."""
         return len({batch.source for batch in self._batches})
 
     def failing_sources(self) -> int:
         """Return how many sources saw failures."""
-        return len({batch.source for batch in self._batches if batch.bad})
+        return len(self._failing)
 
     def evidence(
         self, hall: str, span_s: float, has_halls: bool, usual: float = 0.0
--- a/packages/policy/src/gradelug_policy/verdicts.py
+++ b/packages/policy/src/gradelug_policy/verdicts.py
@@ -12,7 +12,6 @@
 import typing as t
 from collections import Counter
 from dataclasses import dataclass
-from enum import Enum
 
 from .outcomes import (
     EVERYWHERE,
@@ -24,10 +23,15 @@
     Source,
     rate,
 )
+from .standings import Phase, Standing
 
 LEAST_SPAN_S = 0.3
 """Failures must be spread over this much more than gateways gather what they tell, in seconds:
 what broke at one moment, as when connections are reset, is over when it is heard of."""
+UNTOLD_GATHERS = 1.0
+"""Of a replica that nobody doubted nothing is told: failures come first, and answers once all have
+heard of these and told in their turn. It is judged then, so many times the gathering later: twice
+as long, at 85 gateways that gather 0.9 s, let a replica that fails 45% be ejected 0.9 s later."""
 FEWEST_COMPARED = 5
 """Outcomes of another replica of the service that say what is usual there."""
 MOST_JUDGED = 32
@@ -37,26 +41,6 @@
 """Others that a replica is compared with: their median is within a few in 100 of that of all."""
 MOST_EJECTED = 0.5
 """Part of a service that may be ejected, in one hall's view as well as in that of all."""
-OPEN_S = 1.0
-"""How long nothing is sent after the first ejection, in seconds: connections and processes that
-come back do so within seconds."""
-MOST_OPEN_S = 8.0
-"""The same after many, each of which doubles it."""
-STRIKE_HALF_LIFE_S = 30.0
-"""An earlier ejection counts half after this, in seconds: a replica that comes and goes does so
-several times a minute."""
-PROBE_S = 0.5
-"""How long one gateway is the prober, in seconds; then another one is, which may have requests."""
-PROBES = 4
-"""Answers without a failure that a replica must give to its probers: one that fails 40% of its
-requests gives them once in eight times, and is ejected for longer after that."""
-UNPROBED_S = 15.0
-"""Nobody had a probe to send in this time, in seconds: so few requests may go there as well."""
-RAMP_S = 2.0
-"""From a replica's return until it gets all of its requests again, in seconds: it is judged anew
-by some requests before many depend on it."""
-RAMP_STEPS = 4
-"""The part that is held back falls in so many steps, so that news are few."""
 ACTIVE_S = 5.0
 """A source that told something this lately may be the prober, and its hall is one of those that
 are told apart."""
@@ -118,127 +102,37 @@
     strikes: float
 
 
-class Phase(Enum):
-    """How much is sent to a replica."""
-
-    CLOSED = "closed"
-    """As usual."""
-    OPEN = "open"
-    """Nothing."""
-    PROBING = "probing"
-    """One gateway's probes."""
-    RAMP = "ramp"
-    """More and more."""
-
-
-class Standing:
-    """A replica's standing in the view of one hall, or of all."""
-
-    __slots__ = (
-        "_open_s",
-        "_prober",
-        "_prober_since",
-        "_probers",
-        "_since",
-        "_strikes",
-        "_strikes_at",
-        "evidence",
-        "phase",
-        "probed",
-    )
-
-    def __init__(self) -> None:
-        self.phase = Phase.CLOSED
-        self.probed = 0
-        self.evidence = Evidence(0, 0.0, 0, 0)
-        """What it was ejected for last."""
-        self._open_s = 0.0
-        self._since = -math.inf
-        self._strikes = 0.0
-        self._strikes_at = 0.0
-        self._prober = ""
-        self._prober_since = -math.inf
-        self._probers: set[str] = set()
-
-    def strikes(self, now: float) -> float:
-        """Return how often it was ejected, earlier times counting less."""
-        return self._strikes * math.exp2(-(now - self._strikes_at) / STRIKE_HALF_LIFE_S)
-
-    def eject(self, evidence: Evidence, now: float) -> None:
-        """Leave the replica alone, longer if that happened before."""
-        strikes = self.strikes(now)
-        self._open_s = min(MOST_OPEN_S, OPEN_S * math.exp2(strikes))
-        self._strikes, self._strikes_at = strikes + 1, now
-        self.evidence = evidence
-        self._enter(Phase.OPEN, now)
-
-    def take(self, source: Source, ended: Ended, now: float) -> None:
-        """Take outcomes into account, if they are a prober's."""
-        if self.phase is not Phase.PROBING or source.name not in self._probers:
-            return
-        if ended.bad:
-            self._enter(Phase.OPEN, now)
-            return
-        self.probed += ended.good
-        if self.probed >= PROBES:
-            self._enter(Phase.RAMP, now)
-
-    def step(self, now: float) -> bool:
-        """Take the time that has passed into account; tell whether the replica has returned."""
-        rested_s = now - self._since
-        if self.phase is Phase.OPEN and rested_s >= self._open_s:
-            self._enter(Phase.PROBING, now)
-        elif self.phase is Phase.PROBING and rested_s >= UNPROBED_S:
-            self._enter(Phase.RAMP, now)
-        elif self.phase is Phase.RAMP and rested_s >= RAMP_S:
-            self._enter(Phase.CLOSED, now)
-            return True
-        return False
-
-    @property
-    def is_ejected(self) -> bool:
-        """Whether nothing but probes goes there."""
-        return self.phase in (Phase.OPEN, Phase.PROBING)
-
-    def held_back(self, now: float) -> float:
-        """Return the part of the requests that are to go elsewhere."""
-        if self.is_ejected:
-            return 1.0
-        if self.phase is Phase.CLOSED:
-            return 0.0
-        steps = math.floor((now - self._since) / RAMP_S * RAMP_STEPS)
-        return max(0.0, 1 - (steps + 1) / (RAMP_STEPS + 1))
-
-    def prober(self, choose: t.Callable[[str], str], now: float) -> str:
-        """Return who may probe now.
+@dataclass(slots=True, frozen=True)
+class _View:
+    """In whose view replicas are judged, and how: see `Outcomes.evidence`.
 
-        Parameters
-        ----------
-        choose : callable
-            Returns the next prober after the one whose turn is over, empty if there is none.
-        """
-        if self.phase is not Phase.PROBING:
-            return ""
-        if not self._prober or now - self._prober_since >= PROBE_S:
-            self._prober, self._prober_since = choose(self._prober), now
-            self._probers.add(self._prober)
-        return self._prober
+    Parameters
+    ----------
+    hall : str
+        Of which hall; of all if empty.
+    span_s : float
+        Failures must be spread over this, in seconds.
+    untold_s : float
+        From the first doubt until answers are told as well as failures, in seconds.
+    has_halls : bool
+        Whether gateways of several halls tell something.
+    """
 
-    def _enter(self, phase: Phase, now: float) -> None:
-        self.phase = phase
-        self._since = now
-        self.probed = 0
-        self._prober = ""
-        self._probers.clear()
+    hall: str
+    span_s: float
+    untold_s: float
+    has_halls: bool
 
 
 class _Record:
     """All that is known of one replica."""
 
-    __slots__ = ("outcomes", "standings")
+    __slots__ = ("doubted_since", "outcomes", "standings")
 
     def __init__(self) -> None:
         self.outcomes = Outcomes()
+        self.doubted_since = math.inf
+        """Since when several sources have seen failures."""
         self.standings: dict[str, Standing] = {}
         """By hall; that in the view of all under `EVERYWHERE`."""
 
@@ -255,6 +149,19 @@
         if ended.good or ended.bad:
             self.outcomes.note(Batch(now, source, ended.good, ended.bad))
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is known of it that counts."""
+        return not self.standings and self.outcomes.is_empty and not self.outcomes.times.number
+
+    def step(self, now: float) -> None:
+        """Take the time that has passed into account."""
+        self.outcomes.trim(now)
+        if not self.outcomes.is_doubted:
+            self.doubted_since = math.inf
+        elif self.doubted_since == math.inf:
+            self.doubted_since = now
+
     def is_ejected(self, hall: str) -> bool:
         """Tell whether it is ejected in a hall's view."""
         return any(
@@ -264,21 +171,32 @@
 
 
 class VerdictPool:
-    """Pools what gateways tell of replicas, and finds which of these are to be left alone."""
+    """Pools what gateways tell of replicas, and finds which of these are to be left alone.
 
-    __slots__ = ("_activity", "_records", "_sources")
+    Parameters
+    ----------
+    is_used : callable
+        Whether requests run at a replica. If nothing is told of it then it does well.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_activity", "_is_used", "_records", "_sources")
+
+    def __init__(self, is_used: t.Callable[[str], bool] = lambda replica: False) -> None:
+        self._is_used = is_used
         self._records: dict[str, _Record] = {}
         self._sources: dict[Source, float] = {}
         """When each told something last."""
         self._activity: Counter[str] = Counter()
         """Requests that each told of since it was the prober last."""
 
+    def hear(self, source: Source, requests: int, now: float) -> None:
+        """Take over that a source has requests, wherever: it may be the prober."""
+        self._sources[source] = now
+        self._activity[source.name] += requests
+
     def note(self, replica: str, source: Source, ended: Ended, now: float) -> None:
         """Take over what a source tells of its requests at a replica."""
-        self._sources[source] = now
-        self._activity[source.name] += ended.good + ended.bad
+        self.hear(source, ended.good + ended.bad, now)
         record = self._records.get(replica)
         if record is None:
             record = self._records[replica] = _Record()
@@ -309,19 +227,23 @@
             By the runtime's clock.
         """
         names = {name for replicas in members.values() for name in replicas}
-        self._records = {name: rec for name, rec in self._records.items() if name in names}
+        for record in self._records.values():
+            record.step(now)
+        self._records = {
+            name: rec for name, rec in self._records.items() if name in names and not rec.is_empty
+        }
         heard = (source.hall for source, at in self._sources.items() if now - at <= ACTIVE_S)
         halls = sorted(set(heard))
         changes: list[Change] = []
+        span_s, untold_s = gather_s + LEAST_SPAN_S, UNTOLD_GATHERS * gather_s
+        has_halls = len(halls) > 1
         for replicas in members.values():
-            known = [name for name in replicas if name in self._records]
-            for name in known:
-                self._records[name].outcomes.trim(now)
+            for name in replicas:
                 changes.extend(self._advance(name, now))
-            for hall in (EVERYWHERE, *halls) if len(halls) > 1 else (EVERYWHERE,):
-                span_s = gather_s + LEAST_SPAN_S
-                most = int(MOST_EJECTED * len(replicas))
-                changes.extend(self._judge(hall, known, most, span_s, len(halls) > 1, now))
+            most = int(MOST_EJECTED * len(replicas))
+            for hall in (EVERYWHERE, *halls) if has_halls else (EVERYWHERE,):
+                view = _View(hall, span_s, untold_s, has_halls)
+                changes.extend(self._judge(view, list(replicas), most, now))
         return changes
 
     def findings(
@@ -338,19 +260,18 @@
                     yield from self._by_hall(name, now)
 
     def _advance(self, name: str, now: float) -> t.Iterator[Change]:
-        for hall, standing in self._records[name].standings.items():
+        record = self._records.get(name)
+        if record is None:
+            return
+        for hall, standing in record.standings.items():
             if standing.step(now):
                 yield _change(name, hall, standing, False, now)
 
     def _judge(
-        self,
-        hall: str,
-        known: t.Sequence[str],
-        most: int,
-        span_s: float,
-        has_halls: bool,
-        now: float,
+        self, view: _View, members: t.Sequence[str], most: int, now: float
     ) -> t.Iterator[Change]:
+        hall = view.hall
+        known = [name for name in members if name in self._records]
         counts = {name: self._records[name].outcomes.counts(hall) for name in known}
         suspects = [name for name in known if counts[name][1] >= FEWEST_FAILED]
         if not suspects:
@@ -361,9 +282,9 @@
             if ejected >= most:
                 return
             record = self._records[name]
-            if record.is_ejected(hall):
+            if record.is_ejected(hall) or now - record.doubted_since < view.untold_s:
                 continue
-            evidence = self._evidence(name, hall, known, span_s, has_halls)
+            evidence = self._evidence(name, view, members)
             if evidence is None:
                 continue
             ejected += 1
@@ -373,32 +294,48 @@
             record.outcomes.drop(hall)
             yield _change(name, hall, standing, True, now)
 
-    def _evidence(
-        self, name: str, hall: str, known: t.Sequence[str], span_s: float, has_halls: bool
-    ) -> Evidence | None:
+    def _evidence(self, name: str, view: _View, members: t.Sequence[str]) -> Evidence | None:
         """Return evidence that a replica fails, beside the others then and in the same moments.
 
         Callers whose requests fail wherever they are sent come in waves: what was usual some
         seconds ago is not by what a replica can be judged in one.
         """
         outcomes = self._records[name].outcomes
-        others = [self._records[other].outcomes for other in self._compared(name, known)]
-        views = (hall, EVERYWHERE)
-        usual = max(_usual(each.counts(view) for each in others) for view in views)
-        evidence = outcomes.evidence(hall, span_s, has_halls, usual)
+        others = self._compared(name, members)
+        usual = max(self._usual(others, view.hall), self._usual(others, EVERYWHERE))
+        evidence = outcomes.evidence(view.hall, view.span_s, view.has_halls, usual)
         if evidence is None:
             return None
         since = evidence.since
-        lately = max(_usual(each.counts_since(since, view) for each in others) for view in views)
+        lately = max(self._usual(others, view.hall, since), self._usual(others, EVERYWHERE, since))
         if lately <= usual:
             return evidence
-        return outcomes.evidence(hall, span_s, has_halls, lately)
+        return outcomes.evidence(view.hall, view.span_s, view.has_halls, lately)
+
+    def _usual(self, others: t.Iterable[str], hall: str, since: float = -math.inf) -> float:
+        """Return which part of the requests fails at some replicas.
+
+        The lower median: where half of them fail that is not usual. Of one that is used and that
+        nobody but one source doubts, nothing but that source's failures is told: it does well.
+        """
+        rates = []
+        for name in others:
+            record = self._records.get(name)
+            if self._is_used(name) and (record is None or not record.outcomes.is_doubted):
+                rates.append(0.0)
+                continue
+            if record is None:
+                continue
+            good, bad = record.outcomes.counts_since(since, hall)
+            if good + bad >= FEWEST_COMPARED:
+                rates.append(rate(good, bad))
+        return statistics.median_low(rates) if rates else 0.0
 
     @staticmethod
-    def _compared(name: str, known: t.Sequence[str]) -> t.Sequence[str]:
+    def _compared(name: str, members: t.Sequence[str]) -> t.Sequence[str]:
         """Return the next others of a service, in its order and from its beginning again."""
-        at = known.index(name)
-        return (*known[at + 1 :], *known[:at])[:MOST_COMPARED]
+        at = members.index(name)
+        return (*members[at + 1 :], *members[:at])[:MOST_COMPARED]
 
     def _mean_time(self, known: t.Iterable[str], now: float) -> float:
         all_times = (self._records[name].outcomes.times for name in known)
@@ -413,8 +350,7 @@
         outcomes = record.outcomes
         took_s = outcomes.times.mean_s(mean_s) if mean_s else 0.0
         # One source's failures say nothing to the others.
-        is_shared = outcomes.counts()[1] > 1 and outcomes.failing_sources() > 1
-        failing = rate(*outcomes.counts()) if is_shared else 0.0
+        failing = rate(*outcomes.counts()) if outcomes.is_doubted else 0.0
         standing = record.standings.get(EVERYWHERE)
         if standing is None or standing.phase is Phase.CLOSED:
             return Finding(name, EVERYWHERE, failing, 0.0, outcomes.sources(), "", took_s)
@@ -456,15 +392,6 @@
         return chosen
 
 
-def _usual(counts: t.Iterable[tuple[int, int]]) -> float:
-    """Return which part of the requests fails at some replicas.
-
-    The lower median: where half of them fail that is not usual.
-    """
-    rates = [rate(good, bad) for good, bad in counts if good + bad >= FEWEST_COMPARED]
-    return statistics.median_low(rates) if rates else 0.0
-
-
 def _change(name: str, hall: str, standing: Standing, ejected: bool, now: float) -> Change:
     seen = standing.evidence
     strikes = standing.strikes(now)
--- a/tests/test_sharedhealth.py
+++ b/tests/test_sharedhealth.py
@@ -71,7 +71,7 @@
     def __init__(self, gateways=9, service="llm", state=None):
         self.now = 0.0
         self.state = state or new_state()
-        self.desk = HealthDesk(service, self.state, lambda: 0.2)
+        self.desk = HealthDesk(service, self.state, {}, lambda: 0.2)
         followers = Followers({}, self.clock)
         self.gateways = [
             Gateway(self.state, f"g{number}", HALLS[number % 3], self.clock, service)
@@ -243,6 +243,76 @@
         assert not pair.desk._pool._sources
 
 
+class TestCalmFleet:
+    """Requests that are answered, as nearly all are, are no matter for messages."""
+
+    def play(self, gateways, engines, failing, steps=40):
+        """Return entries about replicas told by gateways, and by the planner."""
+        pair = Pair(gateways, state=new_state(engines, 0))
+        rng, told, found = random.Random(gateways), 0, 0
+        for _ in range(steps):
+            for gateway in pair.gateways:
+                for number in rng.sample(range(engines), 6):
+                    bad = number < failing and rng.random() < 0.45
+                    gateway.fleet.health(f"e{number}").note(bad, pair.now)
+            pair.now += NEWS_S
+            for gateway, follower in zip(pair.gateways, pair.followers, strict=True):
+                message = gateway.message()
+                told += len(message.ends)
+                pair.desk.take(follower, message, pair.now)
+            news = pb.FromPlanner()
+            pair.desk.fill(news, pair.now)
+            found += len(news.verdicts)
+            for gateway in pair.gateways:
+                gateway.part.take(news)
+        return told, found
+
+    @pytest.mark.parametrize("gateways", [4, 40, 120])
+    def test_a_calm_fleet_tells_nothing(self, gateways):
+        assert self.play(gateways, 40, 0) == (0, 0)
+
+    def test_what_is_told_grows_with_requests_at_failing_replicas_alone(self):
+        """With each engine more, of 40 to 160, no entry more while as many fail."""
+        told = {engines: self.play(40, engines, 1)[0] for engines in (40, 80, 160)}
+        # Each gateway's six requests a step fall on the failing one in 6 of so many.
+        for engines, entries in told.items():
+            at_failing = 40 * 40 * 6 / engines
+            assert 0 < entries <= 1.2 * at_failing
+
+    def test_ten_failing_tell_ten_times_as_much_as_one_and_no_more(self):
+        one, ten = (self.play(40, 80, failing)[0] for failing in (1, 10))
+        assert ten <= 12 * one
+
+    def test_of_replicas_without_engines_all_is_told(self):
+        """Their shares go by the times of their answers."""
+        gateway = Gateway(new_state(), "g", "a", lambda: 1.0)
+        for name in ("e0", "p0"):
+            gateway.fleet.health(name).note(False, 1.0, took_s=0.1)
+        assert [told.replica for told in gateway.message().ends] == ["p0"]
+
+    @pytest.mark.parametrize("part", [{"failing": 0.2}, {"held_back": 0.5}])
+    def test_what_the_planner_doubts_is_told_of_with_what_was_kept(self, part):
+        gateway = Gateway(new_state(), "g", "a", lambda: 1.0)
+        gateway.fleet.health("e0").note(False, 1.0)
+        assert not gateway.message().ends
+        gateway.part.take(pb.FromPlanner(verdicts=[pb.Verdict(replica="e0", **part)]))
+        gateway.fleet.health("e0").note(False, 1.0)
+        assert [told.served for told in gateway.message().ends] == [2]
+
+    def test_a_gateway_with_requests_elsewhere_is_named_to_probe(self):
+        pair = Pair()
+        pair.fail("e1")
+        named = set()
+        for _ in range(60):
+            pair.now += NEWS_S
+            use = pb.Use(replica="e2", model="m", active=1, started=1)
+            pair.desk.take(pair.followers[4], pb.FromGateway(uses=[use]), pair.now)
+            news = pb.FromPlanner()
+            pair.desk.fill(news, pair.now)
+            named |= {verdict.prober for verdict in news.verdicts}
+        assert "g4" in named
+
+
 class TestPlannerWithHealth:
     def make(self, features):
         clock = asyncio.get_running_loop().time
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -6,15 +6,10 @@
 import pytest
 from gradelug_gateway.fleet import FAILURE_COST
 from gradelug_gateway.health import Health
+from gradelug_policy.doubts import DOUBTED_S, KEPT_S, Doubts, Telling
 from gradelug_policy.outcomes import Ended, Evidence, Source, rate
-from gradelug_policy.verdicts import (
-    MOST_EJECTED,
-    MOST_OPEN_S,
-    OPEN_S,
-    Phase,
-    Standing,
-    VerdictPool,
-)
+from gradelug_policy.standings import MOST_OPEN_S, OPEN_S, Phase, Standing
+from gradelug_policy.verdicts import MOST_EJECTED, VerdictPool
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -137,6 +132,49 @@
         return {(change.replica, change.hall) for _, change in self.changes if change.ejected}
 
 
+class Doubted(Pooled):
+    """Gateways tell of doubted replicas alone, and hear a message later what others doubt."""
+
+    def __init__(self):
+        super().__init__()
+        self.pool = VerdictPool(lambda replica: True)
+        self.doubts = {source: Doubts() for source in SOURCES}
+        self.untold = {source: {} for source in SOURCES}
+        self.entries = 0
+
+    def note(self, source, replica, failed, now):
+        Own.note(self, source, replica, failed, now)
+        tally = self.untold[source].setdefault(replica, [0, 0])
+        tally[failed] += 1
+
+    def tell(self, now):
+        for source, untold in self.untold.items():
+            if untold:
+                self.pool.hear(source, len(untold), now)
+            for replica, (good, bad) in list(untold.items()):
+                if bad:
+                    self.doubts[source].doubt(replica, now)
+                telling = self.doubts[source].decide(replica, now)
+                if telling is Telling.KEEP:
+                    continue
+                del untold[replica]
+                if telling is Telling.TELL:
+                    self.entries += 1
+                    self.pool.note(replica, source, Ended(good, bad), now)
+        super().tell(now)
+        for finding in self.found.values():
+            if finding.failing or finding.held_back:
+                for source in SOURCES:
+                    if finding.hall in ("", source.hall):
+                        self.doubts[source].doubt(finding.replica, now)
+
+
+@pytest.fixture(params=[Pooled, Doubted])
+def make(request):
+    """Both ways of telling: of all replicas, as of those without engines, and of doubted ones."""
+    return request.param
+
+
 def play(way, fails, until=12.0, per_s=140.0, seed=1):
     """Return failed requests by replica, and those sent there, by second.
 
@@ -168,32 +206,33 @@
     def test_a_replica_that_fails_nearly_half_is_left_alone_soon(self):
         """With 45 of 100 failing, 85 gateways that learn alone go on sending."""
         counts = {}
-        for make in (Own, PooledRate, Pooled):
+        for make in (Own, PooledRate, Pooled, Doubted):
             seen = [play(make(), grey, seed=seed) for seed in range(5)]
             counts[make] = sum(failed["e3"] for failed, _ in seen) / len(seen)
-        assert counts[Pooled] < 0.4 * counts[Own]
-        assert counts[Pooled] < 25
+        for pooled in (Pooled, Doubted):
+            assert counts[pooled] < 0.4 * counts[Own]
+            assert counts[pooled] < 25
 
     @pytest.mark.parametrize("seed", range(5))
-    def test_it_is_ejected_within_three_seconds_and_stays_so_while_it_fails(self, seed):
-        way = Pooled()
+    def test_it_is_ejected_within_three_seconds_and_stays_so_while_it_fails(self, seed, make):
+        way = make()
         _, sent = play(way, grey, seed=seed)
         first = min(at for at, change in way.changes if change.ejected)
         assert first < 5.0
         assert sum(sent["e3", second] for second in range(6, 12)) < 0.3 * 6 * 14
 
     @pytest.mark.parametrize("seed", range(10))
-    def test_what_fails_three_in_a_hundred_is_not_ejected(self, seed):
-        way = Pooled()
+    def test_what_fails_three_in_a_hundred_is_not_ejected(self, seed, make):
+        way = make()
         play(way, lambda rng, *_: rng.random() < 0.03, until=30.0, seed=seed)
         assert not way.ejected()
 
     @pytest.mark.parametrize("seed", range(5))
-    def test_one_bad_gateway_ejects_nothing(self, seed):
+    def test_one_bad_gateway_ejects_nothing(self, seed, make):
         def fails(rng, source, replica, now):
             return source.name == "g7" or rng.random() < 0.02
 
-        way = Pooled()
+        way = make()
         play(way, fails, until=30.0, seed=seed)
         assert not way.ejected()
 
@@ -224,11 +263,11 @@
         assert not changes
 
     @pytest.mark.parametrize("seed", range(3))
-    def test_a_hall_that_cannot_reach_a_replica_ejects_it_for_itself_alone(self, seed):
+    def test_a_hall_that_cannot_reach_a_replica_ejects_it_for_itself_alone(self, seed, make):
         def fails(rng, source, replica, now):
             return source.hall == "b" and replica == "e4" or rng.random() < 0.02
 
-        way = Pooled()
+        way = make()
         play(way, fails, until=15.0, seed=seed)
         assert way.ejected() == {("e4", "b")}
 
@@ -241,27 +280,27 @@
 
     @pytest.mark.parametrize("seed", range(5))
     @pytest.mark.parametrize("part", [0.45, 0.9])
-    def test_where_all_fail_nobody_is_ejected(self, part, seed):
-        way = Pooled()
+    def test_where_all_fail_nobody_is_ejected(self, part, seed, make):
+        way = make()
         play(way, lambda rng, *_: rng.random() < part, until=30.0, seed=seed)
         assert not way.ejected()
 
     @pytest.mark.parametrize("seed", range(10))
-    def test_a_wave_of_requests_that_fail_wherever_they_are_sent_ejects_nobody(self, seed):
+    def test_a_wave_of_requests_that_fail_wherever_they_are_sent_ejects_nobody(self, seed, make):
         """Of three plain replicas one had 8 of 11 requests failed while all failed a third."""
 
         def fails(rng, source, replica, now):
             return rng.random() < (0.4 if 8.0 < now < 14.0 else 0.05)
 
-        way = Pooled()
+        way = make()
         play(way, fails, until=20.0, seed=seed)
         assert not way.ejected()
 
-    def test_a_replica_that_is_well_again_comes_back_by_steps(self):
+    def test_a_replica_that_is_well_again_comes_back_by_steps(self, make):
         def fails(rng, source, replica, now):
             return replica == "e3" and 2.0 < now < 6.0 and rng.random() < 0.45
 
-        way = Pooled()
+        way = make()
         _, sent = play(way, fails, until=25.0)
         ejected = [at for at, change in way.changes if change.ejected]
         returned = [at for at, change in way.changes if not change.ejected]
@@ -271,11 +310,11 @@
         assert returned[-1] < 15.0
         assert sum(sent["e3", second] for second in range(20, 25)) > 0.7 * 5 * 14
 
-    def test_one_that_flaps_is_left_alone_for_longer_each_time(self):
+    def test_one_that_flaps_is_left_alone_for_longer_each_time(self, make):
         def fails(rng, source, replica, now):
             return replica == "e3" and int(now / 6.0) % 2 == 0
 
-        way = Pooled()
+        way = make()
         play(way, fails, until=60.0)
         strikes = [change.strikes for _, change in way.changes if change.ejected]
         assert len(strikes) >= 3
@@ -336,6 +375,85 @@
             assert all(0.0 <= finding.failing <= 1.0 for finding in findings)
 
 
+class TestDoubts:
+    """Of 10,000 requests a second nearly all are answered, which is of use to nobody."""
+
+    def test_what_ends_well_is_not_told(self):
+        way = Doubted()
+        play(way, lambda *_: False)
+        assert way.entries == 0
+
+    def test_answers_are_told_with_the_failures_beside_them(self):
+        doubts = Doubts()
+        assert doubts.decide("e0", 1.0) is Telling.KEEP
+        assert doubts.decide("e0", 1.0 + KEPT_S - 0.1) is Telling.KEEP
+        doubts.doubt("e0", 1.0 + KEPT_S)
+        assert doubts.decide("e0", 1.0 + KEPT_S) is Telling.TELL
+        assert doubts.decide("e1", 1.0 + KEPT_S) is Telling.KEEP
+
+    def test_old_answers_are_dropped_and_newer_ones_kept(self):
+        doubts = Doubts()
+        told = [doubts.decide("e0", at) for at in (0.0, 1.0, KEPT_S, KEPT_S + 0.1)]
+        assert told == [Telling.KEEP, Telling.KEEP, Telling.DROP, Telling.KEEP]
+
+    def test_a_replica_is_told_of_until_its_last_failure_no_longer_counts(self):
+        doubts = Doubts()
+        doubts.doubt("e0", 0.0)
+        doubts.doubt("e0", 5.0)
+        assert doubts.decide("e0", 5.0 + DOUBTED_S - 0.1) is Telling.TELL
+        assert doubts.decide("e0", 5.0 + DOUBTED_S) is Telling.KEEP
+
+    def test_another_planner_is_told_nothing_of_what_was_doubted_before(self):
+        doubts = Doubts()
+        doubts.doubt("e0", 0.0)
+        doubts.begin()
+        assert doubts.decide("e0", 1.0) is Telling.KEEP
+
+    @pytest.mark.parametrize("is_used", [True, False])
+    def test_replicas_that_nobody_doubts_say_what_is_usual(self, is_used):
+        """Of six of twenty that fail, all that is told of the others is nothing."""
+        pool = VerdictPool(lambda replica: is_used)
+        replicas = [f"e{number}" for number in range(20)]
+        rng, changes = random.Random(4), []
+        for step in range(20):
+            now = step * NEWS_S
+            for replica in replicas[:6]:
+                for source in rng.sample(SOURCES, 4):
+                    bad = rng.random() < 0.45
+                    pool.note(replica, source, Ended(1 - bad, bad), now)
+            changes += pool.step({"llm": replicas}, GATHER_S, now)
+        ejected = {change.replica for change in changes if change.ejected}
+        assert ejected == (set(replicas[:6]) if is_used else set())
+
+    def test_failures_that_are_told_before_answers_are_not_judged_alone(self):
+        """One source is at fault; four others had a failure each, and many more answers untold."""
+        pool, changes = VerdictPool(lambda replica: True), []
+        sources = [Source(f"g{number}", "a") for number in range(40)]
+        for step in range(10):
+            now = step * NEWS_S
+            pool.note("e0", sources[0], Ended(0, 4), now)
+            if step == 5:
+                for source in sources[1:5]:
+                    pool.note("e0", source, Ended(0, 1), now)
+            if step > 5:
+                for source in sources[5:]:
+                    pool.note("e0", source, Ended(1, 0), now)
+            changes += pool.step({"llm": REPLICAS}, GATHER_S, now)
+        assert not changes
+
+    def test_a_gateway_without_doubts_may_be_the_prober(self):
+        pool = VerdictPool(lambda replica: True)
+        for step in range(20):
+            now = step * NEWS_S
+            for source in SOURCES[step * 4 : step * 4 + 4]:
+                pool.note("e0", source, Ended(0, 1), now)
+            pool.step({"llm": REPLICAS}, GATHER_S, now)
+        pool.hear(SOURCES[84], 9, now + 8.0)
+        pool.step({"llm": REPLICAS}, GATHER_S, now + 8.0)
+        (found,) = [each for each in pool.findings({"llm": REPLICAS}, now + 8.0) if not each.hall]
+        assert found.prober == "g84"
+
+
 def _held_back(pool, now):
     found = {f.replica: f.held_back for f in pool.findings({"llm": REPLICAS}, now) if not f.hall}
     return found["e0"]
