Test the argument that switches features off; unknown names are told with those there are

Tests: each feature and all of them off start as a process and serve a stream, an idempotent and another request beside stand-ins; unknown and empty names, several arguments. fleet_soak.Gateway takes arguments for its process.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -156,7 +156,7 @@
 class Gateway:
     """One gateway process, restarted when it ends."""
 
-    def __init__(self, at, folder, store_port, ports, checks_tokens):
+    def __init__(self, at, folder, store_port, ports, checks_tokens, args=()):
         self.front, self.ready, self.peer = ports
         self.log = folder / f"g{at}.log"
         self.settings = folder / f"g{at}.toml"
@@ -170,13 +170,14 @@
             f"StrictRevoke = true\nRevokeMs = {REVOKE_S * 1000:.0f}\n"
             f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
         )
+        self.args = args
         self.process = None
 
     def start(self):
         env = {**os.environ, "GRADELUG_CONFIG": str(self.settings)}
         with self.log.open("ab") as out:
             self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "serve.py")],
+                [sys.executable, str(ROOT / "platform" / "serve.py"), *self.args],
                 env=env,
                 stdout=out,
                 stderr=out,
--- /dev/null
+++ b/tests/test_switches.py
@@ -0,0 +1,168 @@
+"""Features that an operator switches off by an argument of the program."""
+
+import asyncio
+import json
+import subprocess
+import sys
+
+import pytest
+from fleet_soak import CONFIG, PLAIN_TOKENS, ROOT, Gateway, free_ports
+from fleet_stand_in import GATEWAY_HOST, HOST, Ledger, ReplicaStandIn
+from gradelug_config.exceptions import InvalidConfig
+from gradelug_gateway.settings import Feature
+from gradelug_http import (
+    ConnectFailed,
+    HttpPool,
+    HttpServer,
+    OutgoingRequest,
+    ResponseBroken,
+    ServerLimits,
+)
+from gradelug_platform.main import EXIT_BAD_SETTINGS, _without
+from gradelug_platform.settings import load
+from platform_stand_in import StoreStandIn
+
+SERVED_S = 30.0
+ORGANISATION = {
+    "Name": "free",
+    "Unit": "token_stream",
+    "PlainTokens": PLAIN_TOKENS,
+    "ApiKeys": ["key-1"],
+}
+NAMES = [feature.value for feature in Feature]
+
+
+@pytest.fixture
+def settings(tmp_path):
+    return load(Gateway(0, tmp_path, 1, (2, 3, 4), True).settings)
+
+
+def features(settings, *args):
+    return _without(settings, list(args)).gateway.features
+
+
+class TestArgument:
+    def test_all_is_on_by_itself(self, settings):
+        assert features(settings) == set(Feature)
+        assert features(settings, "--check") == set(Feature)
+
+    @pytest.mark.parametrize("feature", Feature)
+    def test_one_that_is_named_is_off_and_the_others_stay_on(self, settings, feature):
+        assert features(settings, f"--without={feature.value}") == set(Feature) - {feature}
+
+    def test_several_are_named_in_one_argument_or_in_several(self, settings):
+        first, second, third = list(Feature)[:3]
+        args = (f"--without={first.value},{second.value}", f"--without={third.value}")
+        assert features(settings, *args) == set(Feature) - {first, second, third}
+
+    @pytest.mark.parametrize("name", ["shared-heath", "", "SHARED_HEALTH", " shared-health"])
+    def test_an_unknown_name_is_told_with_those_there_are(self, settings, name):
+        with pytest.raises(InvalidConfig) as raised:
+            features(settings, f"--without={NAMES[0]},{name}")
+        (finding,) = raised.value.findings
+        assert f"no feature {name!r}, but {', '.join(NAMES)}" in str(finding)
+
+    def test_all_unknown_names_come_at_once(self, settings):
+        with pytest.raises(InvalidConfig) as raised:
+            features(settings, "--without=a,b", "--without=c")
+        assert len(raised.value.findings) == 3
+
+
+class TestProgram:
+    def test_it_ends_with_one_line_on_an_unknown_name(self, tmp_path):
+        path = Gateway(0, tmp_path, 1, (2, 3, 4), True).settings
+        done = subprocess.run(
+            [sys.executable, str(ROOT / "platform" / "serve.py"), "--without=nonsense"],
+            env={"GRADELUG_CONFIG": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        assert done.returncode == EXIT_BAD_SETTINGS
+        (line,) = done.stderr.splitlines()
+        assert "no feature 'nonsense'" in line
+
+    @pytest.mark.parametrize("name", [*NAMES, ",".join(NAMES)])
+    def test_it_starts_and_serves_without(self, tmp_path, name):
+        async def scenario():
+            site = _Site()
+            port = await site.start()
+            gateway = Gateway(0, tmp_path, port, free_ports(3), True, [f"--without={name}"])
+            gateway.start()
+            try:
+                async with asyncio.timeout(SERVED_S):
+                    for target in (b"/s/x", b"/i/x", b"/u/x"):
+                        await site.until_served(gateway.front, target)
+            except TimeoutError:
+                pytest.fail(gateway.log.read_text())
+            finally:
+                gateway.process.terminate()
+                await asyncio.to_thread(gateway.process.wait, SERVED_S)
+                await site.close()
+            assert gateway.process.returncode == 0
+            assert "Traceback" not in gateway.log.read_text()
+            assert site.ledger.faults == []
+
+        asyncio.run(scenario())
+
+
+class _Site:
+    """A store, two engines and a plain replica."""
+
+    def __init__(self):
+        self.clock = asyncio.get_running_loop().time
+        self.store = StoreStandIn()
+        self.pool = HttpPool(self.clock)
+        self.server = HttpServer(self.store.serve, ServerLimits, self.clock)
+        self.ledger = Ledger()
+        self.replicas = []
+        self.asked = 0
+
+    async def start(self):
+        """Return the store's port."""
+        config = {**CONFIG, "Tenants": [ORGANISATION]}
+        await self.store.kv.swap("op/config", json.dumps(config).encode(), 0)
+        for number, service in enumerate(("llm", "llm", "plain")):
+            replica = ReplicaStandIn(f"i-{number}", service, self.store.kv, self.ledger, {})
+            await replica.start()
+            await replica.enter(f"{HOST}:{replica.port}")
+            self.replicas.append(replica)
+        return await self.server.start(HOST, 0)
+
+    async def until_served(self, port, target):
+        """Ask until a request is answered: the program may not listen or know all yet."""
+        while await self._ask(port, target) != 200:
+            await asyncio.sleep(0.05)
+
+    async def _ask(self, port, target):
+        self.asked += 1
+        request_id = f"q{self.asked}"
+        self.ledger.bodies[request_id] = b"body"
+        self.ledger.organisations[request_id] = ORGANISATION["Name"]
+        headers = [
+            (b"Host", b"h"),
+            (b"X-Gradelug-Request-Id", request_id.encode()),
+            (b"X-Gradelug-Deadline-Ms", b"3000"),
+            (b"Authorization", b"Bearer key-1"),
+        ]
+        if target.startswith(b"/s/"):
+            headers.append((b"X-Gradelug-Model", b"m/a1"))
+        conn = None
+        try:
+            conn = await self.pool.acquire(f"{GATEWAY_HOST}:{port}", 1.0)
+            conn.send(OutgoingRequest(b"POST", target, headers, b"body"))
+            head = await conn.head(lambda head: True)
+            await conn.body(100_000)
+            return head.status
+        except (ConnectFailed, ResponseBroken, TimeoutError):
+            return 0
+        finally:
+            if conn is not None:
+                conn.abort()
+
+    async def close(self):
+        self.pool.close()
+        for replica in self.replicas:
+            await replica.leave()
+        await self.server.close()
