Tell on a failure how long each process took to listen

Cause: tests of test_processes waited in vain at a load of 18 to 20, and their report had logs alone, so that a process that hung could not be told from one that had no processor. The cluster's logs now begin with a line for each start: seconds until it listened, processor time used by then, or that it never did; and the machine's load. Looked at from outside, five times a second. tests/test_listening.py; test_processes.py passes as before (14 tests of both files, at a load of about 25).

--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 from gradelug_standins.layout import Layout
+from listening import ListenWatch
 
 BIN = Path(sys.executable).parent
 POLL_S = 0.05
@@ -28,6 +29,7 @@
         self.layout = layout
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.session = aiohttp.ClientSession()
+        self._listening = ListenWatch()
 
     async def __aenter__(self) -> Cluster:
         try:
@@ -53,6 +55,7 @@
         await self.wait_owned()
 
     async def __aexit__(self, *exc_info: t.Any) -> None:
+        self._listening.close()
         await self.session.close()
         for process in self.processes.values():
             if process.poll() is None:
@@ -71,6 +74,7 @@
         command[0] = str(BIN / command[0])
         with (self.layout.folder / f"{name}.log").open("ab") as out:
             self.processes[name] = subprocess.Popen(command, stdout=out, stderr=out)
+        self._listening.note(name, self.processes[name])
 
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a process."""
@@ -145,8 +149,8 @@
             return res.status, await res.text(), res.headers
 
     def logs(self) -> str:
-        """Return every log, for a failure's report."""
-        parts = []
+        """Return every log, for a failure's report, and how long processes took to listen."""
+        parts = [self._listening.report()]
         for name in self.layout.processes:
             path = self.layout.folder / f"{name}.log"
             if path.exists():
