--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -271,11 +271,13 @@
 
     def _watch(self, run: Run) -> None:
         """See to it that a run that goes on elsewhere does not go on where it was left."""
-        job = run.job
+        job, spec = run.job, run.job.service.engine
         is_certain = run.is_gone or run.answer is MoveOutcome.UNREACHED
         has_memory = job.copy is not None and job.copy is not job.used
         if has_memory or is_certain or not self._may_go_on(job):
             return
+        if spec is None or not spec.moves:
+            return
         target = self._stop_target(job, run.replica)
         if target is not None:
             self._left.watch(LeftRun(job, run.replica, target, self._clock()))
--- a/tests/test_left_runs.py
+++ b/tests/test_left_runs.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import math
+from dataclasses import replace
 from unittest import mock
 
 import pytest
+import run_world
 from gradelug_gateway import runs as runs_module
 from gradelug_gateway.model import MoveOutcome, MoveReply, Repeat
 from gradelug_platform.runs import PlatformRuns
@@ -220,6 +222,18 @@
         with mock.patch.object(PlatformRuns, "move", lost):
             run(scenario)
 
+    def test_engines_that_move_no_runs_are_asked_for_none(self):
+        async def scenario():
+            with mock.patch.object(run_world, "SPEC", replace(run_world.SPEC, moves=False)):
+                world = RunWorld(repeat=Repeat.RESUME, replicas=3)
+            client = await begin(world)
+            runner(world, "q1").reset()
+            await asyncio.sleep(5.0)
+            assert is_whole(client)
+            assert not any(what == "move" for _, what, _ in world.ledger.asked)
+
+        run(scenario)
+
     def test_where_it_goes_on_it_is_left_alone(self):
         """With one replica allowed the request is resumed where it was."""
 
