gradelug recovery: a time line of instances that started together, from their logs

What instances wait for after all power is lost was not to be read off anywhere: logs tell it line by line. Ruled out: lines for trace (one request) and lost (counts, no order).

--- a/packages/cli/src/gradelug_cli/main.py
+++ b/packages/cli/src/gradelug_cli/main.py
@@ -40,6 +40,7 @@
 )
 from .explanation import explain
 from .lost import find_losses
+from .recovery import find_recoveries
 from .repository import Repository
 from .status import gather_status
 from .trace import trace
@@ -214,6 +215,12 @@
         if found.unreadable:
             print(f"{found.unreadable} lines could not be read", file=sys.stderr)
 
+    def recovery(self, *files: str, least: int = 2) -> None:
+        """Show what instances that started together waited for, from logs; --least of them."""
+        for found in find_recoveries(_read_logs(files)):
+            if len(found.starts) >= least:
+                print(found)
+
     def _set_draining(self, names: t.Sequence[str], drained: bool) -> None:
         if not names:
             raise CommandError(EXIT_INVALID, "name at least one upstream")
