--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -32,6 +32,8 @@
     """Gateways are told of what they use alone."""
     REFILL = "refill"
     """What an engine held alone is brought elsewhere when the engine is lost."""
+    EARLY_DOOR = "early-door"
+    """Callers find an open door before the program behind it is read."""
 
 
 @dataclass(slots=True, frozen=True)
