Reckon with the parts of prompts that engines keep (first step)

Cause: the choice of an engine took no account of what engines keep of prompts; each copy of an adapter reads the same parts again. What an engine keeps is reckoned from what was sent there: at the planner from the questions it answers, at a gateway from its own sends, with a home by rendezvous hashing for what it does not know.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -32,6 +32,7 @@
 from .fleet import Fleet
 from .freshness import RENEW_PART, Freshness
 from .handover import Handover
+from .kept import Kept, add_gauges
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .parts import GatewayPart
@@ -130,7 +131,8 @@
         has_room = Feature.ENGINE_ROOM in settings.features
         # Instances that draw alike would choose alike.
         rng = random.Random(settings.name)
-        self._fleet = Fleet(self._state, settings.hall, self._clock, rng, has_room)
+        kept = Kept(self._clock, Feature.KEPT_PARTS in settings.features)
+        self._fleet = Fleet(self._state, settings.hall, self._clock, rng, has_room, kept)
         self._duties: dict[str, Duty] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
         executor = None
@@ -443,6 +445,7 @@
 
     def _add_gauges(self) -> None:
         gauge = self._meters.gauge
+        add_gauges(self._meters, self._fleet.kept.parts)
         gauge("requests_in_progress", "Requests now", lambda: self._callers.in_progress)
         gauge("unread_bytes", "Kept for callers that read slowly", lambda: self._callers.held)
         gauge(
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -14,6 +14,7 @@
 from .exceptions import Refused
 from .executing import Executor
 from .fleet import Fleet
+from .kept import encode_chain
 from .link import PlannerLink
 from .model import AdapterKey, Replica
 from .parts import GatewayPart
@@ -196,6 +197,7 @@
                 returning=wish.returning,
                 prompt_tokens=wish.work.prompt_tokens,
                 answer_tokens=wish.work.answer_tokens,
+                prefixes=encode_chain(wish.work.chain),
                 begun=wish.begun,
                 excluded=sorted(excluded),
                 only=_first(only),
@@ -213,6 +215,7 @@
             replica = self._fleet.state.replicas.get(answer.replica)
             if replica is not None and not replica.leaving:
                 self._fleet.add_holding(replica.name, key, answer.version)
+                self._fleet.kept.note_told(replica.name, wish.work.chain, answer.kept_tokens)
                 return replica
             await asyncio.sleep(RECONNECT_S)
 
@@ -249,9 +252,11 @@
         link = self._links.get(service)
         return link is not None and link.ask_first and not link.is_quiet
 
-    def note_begin(self, replica: str, key: AdapterKey, tokens: int) -> None:
-        """Note that a request with a prompt of some tokens is being sent to a replica."""
-        self._note(replica, key, 1, tokens)
+    def note_begin(self, replica: Replica, key: AdapterKey, work: Work) -> None:
+        """Note that a request is being sent to a replica."""
+        memory = self._fleet.terms_of(replica.service).memory_tokens
+        self._fleet.kept.note_sent(replica.name, work, memory, self.gateways)
+        self._note(replica.name, key, 1, work.prompt_tokens)
 
     def note_end(self, replica: str, key: AdapterKey) -> None:
         """Note that a request has left a replica."""
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -209,7 +209,7 @@
     def book(self, gateway: int, work: Work) -> None:
         """Count a request that a gateway was told to send here, until it tells what it has here."""
         load = self._loads.get(gateway, ToldLoad())
-        prompt = (0,) * work.urgency + (work.prompt_tokens,)
+        prompt = (0,) * work.urgency + (work.reading_tokens,)
         queued = add_queues((load.queued, prompt))
         memory = load.memory + work.memory_tokens
         self.take_load(gateway, ToldLoad(load.starting + 1, load.running, queued, memory))
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -7,27 +7,20 @@
 from dataclasses import replace
 
 from gradelug_policy.engine_room import EQUAL, EngineRoom, Terms, expected_s, has_room
-from gradelug_policy.reading import (
-    URGENCIES,
-    Busyness,
-    ReadingSpeeds,
-    Work,
-    add_queues,
-    first_event_s,
-)
+from gradelug_policy.reading import Busyness, ReadingSpeeds, Work, first_event_s
 from gradelug_policy.spread import choose_spread
 
 from .engine_speeds import PauseTally
 from .health import Health
+from .kept import Kept
 from .model import AdapterKey, EngineSpec, FleetState, Holding, Replica, ToldLoad
 from .pacing import FRESH_S, NEWS_S
+from .replica_load import ReplicaLoad
 
 FAILURE_COST = 12.0
 """A replica that always fails is taken for one with so many more requests waiting."""
 OTHER_HALL_COST = 0.3
 """A nearer replica wins among equals only: bytes between halls have a price."""
-RUNNING_COST = 0.06
-"""A running stream slows a new request down by this part of one that waits for its prompt."""
 CHOICES = 16
 """Of more replicas than this a request looks at so many, drawn anew each time."""
 REQUEST_S = 0.1
@@ -37,42 +30,6 @@
 """Two failures one after the other, or more than that part of all."""
 
 
-class ReplicaLoad:
-    """Requests at a replica."""
-
-    __slots__ = ("memory", "others", "running", "starting", "queued", "told_running")
-
-    def __init__(self) -> None:
-        self.memory = 0
-        """What those of this instance hold of its memory when they have ended, in tokens."""
-        self.starting = 0
-        """Sent by this instance, no answer yet."""
-        self.running = 0
-        """Sent by this instance, answers coming."""
-        self.queued = [0] * URGENCIES
-        """Tokens of the prompts of those that are starting, by urgency."""
-        self.others = ToldLoad()
-        """Sent by other instances."""
-        self.told_running = 0
-        """Running of all instances, as the planner last told."""
-
-    def cost(self) -> float:
-        """Return how much is before a new request, in requests."""
-        starting = self.starting + self.others.starting
-        return starting + RUNNING_COST * (self.running + self.others.running)
-
-    def busyness(self) -> Busyness:
-        """Return what the replica does, if it is an engine."""
-        running = self.running + self.others.running
-        starting = self.starting + self.others.starting
-        queued = add_queues([self.queued, self.others.queued])
-        return Busyness(queued, running, starting, self.memory + self.others.memory)
-
-    def own(self) -> ToldLoad:
-        """Return what this instance has there."""
-        return ToldLoad(self.starting, self.running, tuple(self.queued), self.memory)
-
-
 class Fleet:
     """Chooses replicas.
 
@@ -86,6 +43,8 @@
         The runtime's clock.
     has_room : bool
         Whether slots, memory and the own speed of each engine are reckoned with.
+    kept : Kept or None
+        Parts of prompts that engines keep, if they are reckoned with.
     """
 
     __slots__ = (
@@ -102,6 +61,7 @@
         "_reported_change",
         "hall",
         "is_scoped",
+        "kept",
         "news_s",
         "pauses",
         "room",
@@ -116,9 +76,11 @@
         clock: t.Callable[[], float],
         rng: random.Random | None = None,
         has_room: bool = False,
+        kept: Kept | None = None,
     ) -> None:
         self.state = state
         self.hall = hall
+        self.kept = kept or Kept(clock, False)
         self._clock = clock
         self._rng = rng or random.Random(0)
         self._health: dict[str, Health] = {}
@@ -147,6 +109,8 @@
         """Take over what a planner tells of a replica."""
         for key in self._directory.get(replica, ()):
             self._by_key[key].pop(replica, None)
+        for key in self._directory.get(replica, {}).keys() - held.keys():
+            self.kept.parts.forget_weights(replica, key.text)
         self._directory[replica] = held
         for key, version in held.items():
             self._by_key.setdefault(key, {})[replica] = version
@@ -169,6 +133,7 @@
 
     def _forget_life(self, replica: str) -> None:
         self.set_holdings(replica, {})
+        self.kept.parts.forget(replica)
         self._health.pop(replica, None)
         load = self._loads.get(replica)
         if load is not None:
@@ -179,7 +144,8 @@
     def set_homes(self, service: str, key: AdapterKey, homes: dict[str, int]) -> None:
         """Take over on which replicas of a service weights can be used, by version."""
         for name in [name for name in self._by_key.get(key, ()) if self._serves(name, service)]:
-            self._drop_holding(name, key)
+            if homes.get(name) != self._directory[name][key]:
+                self._drop_holding(name, key)
         for name, version in homes.items():
             self.add_holding(name, key, version)
 
@@ -196,6 +162,7 @@
     def _drop_holding(self, name: str, key: AdapterKey) -> None:
         held = self._directory[name]
         held.pop(key, None)
+        self.kept.parts.forget_weights(name, key.text)
         if not held:
             del self._directory[name]
         names = self._by_key[key]
@@ -317,10 +284,15 @@
         closed = [rep for rep in found if self.allows(rep, now)]
         # When all of them fail, some requests still get through.
         usable = closed or found
-        if self.room is None or work is None or self.news_s <= FRESH_S:
+        if work is None:
+            return min(usable, key=lambda rep: self.cost(rep, now), default=None)
+        costs_s = [
+            (rep, REQUEST_S * self.cost(rep, now, at))
+            for rep, at in self.kept.at_each(usable, work)
+        ]
+        if self.room is None or self.news_s <= FRESH_S:
             # The same engine again and again keeps the parts of prompts that come again.
-            return min(usable, key=lambda rep: self.cost(rep, now, work), default=None)
-        costs_s = [(rep, REQUEST_S * self.cost(rep, now, work)) for rep in usable]
+            return min(costs_s, key=lambda item: item[1], default=(None, 0.0))[0]
         return choose_spread(costs_s, self.news_s, self._rng)
 
     def allows(self, replica: Replica, now: float) -> bool:
@@ -356,7 +328,8 @@
         planner may know of an engine with room.
         """
         now, busy = self._clock(), self.load(replica.name).busyness()
-        is_late = now + self.expected_s(replica, busy, work) > target_at
+        at = self.kept.at(replica.name, work)
+        is_late = now + self.expected_s(replica, busy, at) > target_at
         return is_late or self.is_full(replica, work)
 
     def fits(self, service: str, work: Work) -> bool:
@@ -364,12 +337,12 @@
 
         An answer may end before its longest: the prompt alone must be too large.
         """
-        most = self._terms(service).memory_tokens
+        most = self.terms_of(service).memory_tokens
         return self.room is None or not most or work.prompt_tokens <= most
 
     def equalled(self, service: str, work: Work) -> Work:
         """Return what a request asks of an engine, with equal urgency where slots are short."""
-        if self.room is None or not self.room.is_slot_bound(service, self._terms(service)):
+        if self.room is None or not self.room.is_slot_bound(service, self.terms_of(service)):
             return work
         return replace(work, urgency=EQUAL)
 
@@ -379,16 +352,17 @@
             return False
         pace = self.room.pace(replica.service, replica.name, self._clock())
         busy = self.load(replica.name).busyness()
-        return not has_room(busy, work, self._terms(replica.service), pace)
+        return not has_room(busy, work, self.terms_of(replica.service), pace)
 
     def expected_s(self, replica: Replica, busy: Busyness, work: Work) -> float:
         """Return the time to a request's first event on a busy engine, in seconds."""
         if self.room is None:
             return first_event_s(busy, work, self.speeds.speed(replica.service))
         pace = self.room.pace(replica.service, replica.name, self._clock())
-        return expected_s(busy, work, self._terms(replica.service), pace)
+        return expected_s(busy, work, self.terms_of(replica.service), pace)
 
-    def _terms(self, service: str) -> Terms:
+    def terms_of(self, service: str) -> Terms:
+        """Return what engines of a service can run at once."""
         snapshot = self.state.snapshot
         known = snapshot.services.get(service) if snapshot is not None else None
         return terms(known.engine) if known is not None and known.engine is not None else Terms()
@@ -407,6 +381,7 @@
         known = self.state.replicas
         for name in [name for name in self._health if name not in known]:
             del self._health[name]
+        self.kept.parts.forget_all_but(known)
         for name in [name for name in self._lives if name not in known]:
             del self._lives[name]
         for name, load in list(self._loads.items()):
--- a/packages/gateway/src/gradelug_gateway/holders.py
+++ b/packages/gateway/src/gradelug_gateway/holders.py
@@ -4,7 +4,9 @@
 
 import typing as t
 
-from .model import AdapterKey, Holding
+from gradelug_policy.kept_parts import KeptParts
+
+from .model import AdapterKey, Holding, Replica
 
 if t.TYPE_CHECKING:
     from .engines import Engine, Place
@@ -18,11 +20,16 @@
     What engines tell it of themselves is exact: their places and host memories change by way of
     `Places` and `note_cached` alone. An engine whose life is over tells nothing any more: another
     one may have its name.
+
+    Parameters
+    ----------
+    kept : KeptParts or None
+        Is told when what engines keep of prompts is gone.
     """
 
-    __slots__ = ("_by_key", "_cached", "changed_keys", "changed_loads", "inserted")
+    __slots__ = ("_by_key", "_cached", "changed_keys", "changed_loads", "inserted", "kept")
 
-    def __init__(self) -> None:
+    def __init__(self, kept: KeptParts | None = None) -> None:
         self._by_key: dict[AdapterKey, dict[str, Engine]] = {}
         self._cached: dict[Holding, dict[str, Engine]] = {}
         self.changed_loads: set[str] = set()
@@ -31,6 +38,8 @@
         """Weights that came into places or left them since this was emptied."""
         self.inserted: set[AdapterKey] = set()
         """Weights that came into places since this was emptied, for what keeps versions new."""
+        self.kept = kept or KeptParts()
+        """Parts of prompts that engines keep go with the weights, and with a life."""
 
     def with_key(self, key: AdapterKey) -> t.Mapping[str, Engine]:
         """Return the engines that have weights in a place, in whatever phase."""
@@ -58,6 +67,7 @@
         if engine.has_ended:
             return
         _drop(self._by_key, key, engine.replica.name)
+        self.kept.forget_weights(engine.replica.name, key.text)
         self.changed_keys.add(key)
 
     def note_cached(self, engine: Engine, holding: Holding, kept: bool) -> None:
@@ -76,6 +86,7 @@
         for holding in engine.cached:
             self.note_cached(engine, holding, False)
         self.changed_loads.discard(engine.replica.name)
+        self.kept.forget(engine.replica.name)
 
 
 class Places(dict[AdapterKey, "Place"]):
@@ -117,6 +128,11 @@
             self[key] = place
 
 
+def tells_any(replica: Replica, keys: t.Collection[AdapterKey]) -> bool:
+    """Tell whether a replica says of itself that it holds any of some weights."""
+    return any(holding.key in keys for holding in replica.holdings)
+
+
 def _drop(found: dict[V, dict[str, Engine]], key: V, name: str) -> None:
     engines = found.get(key)
     if engines is None:
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -49,6 +49,11 @@
     principal: Principal | None = None
     shows_credentials: bool = False
 
+    @property
+    def owner(self) -> str:
+        """The organisation whose request it is, empty if nobody's."""
+        return self.principal.organisation.name if self.principal is not None else ""
+
     def rank(self, route: Route) -> int:
         """Return the urgency of a request on a route; its organisation's goes first."""
         if self.principal is None or self.principal.organisation.rank is None:
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/kept.py
@@ -0,0 +1,114 @@
+"""Parts of prompts that engines keep, as one instance reckons with them."""
+
+from __future__ import annotations
+
+import typing as t
+from dataclasses import replace
+
+from gradelug_policy.kept_parts import HOME_PART, Chain, KeptParts, Prefix, chain_of, home_of
+from gradelug_policy.reading import Work
+from gradelug_wire import placement_pb2 as pb
+
+from .metrics import Meters
+from .model import Replica, Request
+
+
+class Kept:
+    """Tells how much of a prompt an engine need not read.
+
+    Parameters
+    ----------
+    clock : callable
+        The runtime's clock.
+    is_on : bool
+        Whether kept parts are reckoned with at all.
+    """
+
+    __slots__ = ("_clock", "_is_on", "parts")
+
+    def __init__(self, clock: t.Callable[[], float], is_on: bool = True) -> None:
+        self._clock = clock
+        self._is_on = is_on
+        self.parts = KeptParts()
+        """What engines keep, as far as this instance knows."""
+
+    def chain(self, req: Request, owner: str) -> Chain | None:
+        """Return what of a request's prompt may be kept for others of the same owner."""
+        if not self._is_on or req.key is None:
+            return None
+        return chain_of(req.key.text, owner, req.parts)
+
+    def at(self, replica: str, work: Work) -> Work:
+        """Return what a request asks of a certain engine."""
+        kept = self.parts.kept_tokens(replica, work.chain, self._clock())
+        return work if kept == work.kept_tokens else replace(work, kept_tokens=kept)
+
+    def at_each(self, replicas: t.Collection[Replica], work: Work) -> list[tuple[Replica, Work]]:
+        """Return what a request asks of each of some engines, for a choice among them.
+
+        Most of what is sent there is not seen here: of a chain of which nothing is known some is
+        taken for kept at its home, where all instances send it that find nothing better.
+        """
+        if work.chain is None:
+            return [(rep, work) for rep in replicas]
+        home = home_of(work.chain, (rep.name for rep in replicas))
+        least = int(HOME_PART * work.chain.tokens)
+        found = []
+        for rep in replicas:
+            at = self.at(rep.name, work)
+            if rep.name == home and at.kept_tokens < least:
+                at = replace(at, kept_tokens=least)
+            found.append((rep, at))
+        return found
+
+    def note_sent(self, replica: str, work: Work, memory_tokens: int, gateways: int) -> None:
+        """Note that a request is sent to an engine, which will keep its parts.
+
+        Parameters
+        ----------
+        replica : str
+            Which engine.
+        work : Work
+            What is asked of it there.
+        memory_tokens : int
+            What its memory holds; 0 if that is not known.
+        gateways : int
+            Instances that send like this one; 0 if that is not known.
+        """
+        self.parts.seen_part = 1 / max(1, gateways)
+        self.parts.note_credit(work.chain, work.kept_tokens)
+        self.parts.note_sent(replica, work.prompt_tokens, memory_tokens)
+        self.parts.note(replica, work.chain, self._clock())
+
+    def note_told(self, replica: str, chain: Chain | None, tokens: int) -> None:
+        """Take over what a planner tells of an engine: how much of a chain it keeps."""
+        self.parts.note(replica, chain, self._clock(), tokens)
+
+
+def encode_chain(chain: Chain | None) -> list[pb.Prefix]:
+    """Return a chain for a question to a planner."""
+    if chain is None:
+        return []
+    return [pb.Prefix(mark=prefix.mark, tokens=prefix.tokens) for prefix in chain.prefixes]
+
+
+def decode_chain(weights: str, prefixes: t.Sequence[pb.Prefix]) -> Chain | None:
+    """Return the chain of a question, None if it names none."""
+    if not prefixes:
+        return None
+    return Chain(weights, tuple(Prefix(told.mark, told.tokens) for told in prefixes))
+
+
+def add_gauges(meters: Meters, parts: KeptParts) -> None:
+    """Add what operators see of kept parts."""
+    meters.gauge("kept_parts", "Parts of prompts taken for kept, all engines", lambda: parts.size)
+    meters.gauge(
+        "shared_prompt_tokens",
+        "Tokens of parts that others may have had read, of all requests sent since the start",
+        lambda: parts.shared,
+    )
+    meters.gauge(
+        "credited_prompt_tokens",
+        "Those of them that were taken for kept by the engine they were sent to",
+        lambda: parts.credited,
+    )
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -455,6 +455,6 @@
         question = self._questions.get(answer.ticket)
         if question is None or not answer.HasField("load"):
             return
-        queued = (0,) * question.ask.rank + (question.ask.prompt_tokens,)
+        queued = (0,) * question.ask.rank + (question.ask.prompt_tokens - answer.kept_tokens,)
         memory = question.ask.prompt_tokens + question.ask.answer_tokens
         self._take_load(answer.load, ToldLoad(1, 0, queued, memory))
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from gradelug_http import Header, ServerLimits
+from gradelug_policy.kept_parts import PromptPart
 from gradelug_policy.lasting_runs import CopyTerms
 
 from .organisations import Organisations, Principal
@@ -290,6 +291,8 @@
         How long the caller waits, in seconds.
     prompt_tokens, most_tokens : int
         Size of the prompt and of the longest answer; 0 if not told.
+    parts : tuple of PromptPart
+        The prompt in order, as far as the caller tells; the last part is its own.
     last_event : int
         Last event that the caller has of the stream; 0 for none.
     arrived_at : float
@@ -308,6 +311,7 @@
     wait_s: float = math.inf
     prompt_tokens: int = 0
     most_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
     last_event: int = 0
     credentials: tuple[bytes, ...] = field(default=(), repr=False)
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -31,7 +31,8 @@
 from .engines import Engine, Phase, Place
 from .fleet import terms
 from .followers import Follower, Followers, encode_load
-from .holders import EngineIndex
+from .holders import EngineIndex, tells_any
+from .kept import Kept
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .openings import Openings
@@ -134,7 +135,8 @@
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
-        self.index = EngineIndex()
+        self._kept = Kept(clock)
+        self.index = EngineIndex(self._kept.parts)
         """Finds engines by what they hold."""
         self._cells = Cells()
         self._rng = random.Random(0)
@@ -293,7 +295,7 @@
                     # One that gives no report keeps no other one waiting.
                     engine.asked_at,
                     not engine.is_in_use(),
-                    not _tells(engine, waited),
+                    not tells_any(engine.replica, waited),
                 )
             )
         for engine in unknown[: max(0, room)]:
@@ -384,6 +386,7 @@
         if engine is None:
             return
         self.tokens.note(key.text, now, use.started_tokens)
+        self._kept.parts.note_sent(use.replica, use.started_tokens, self._terms.memory_tokens)
         if self.tokens.rate(key.text, now) > PART_PER_COPY * self.speed:
             self.hot.add(key)
         engine.take_use(follower.number, key, use.active)
@@ -469,8 +472,10 @@
         place = best.places[waiter.key]
         # Until its gateway tells that it is there.
         place.used_at = now + self.followers.pacing.flush_s
-        best.book(waiter.follower.number, waiter.work)
-        waiter.answer(best.replica.name, place.version, encode_load(best.replica.name, best))
+        name, work = best.replica.name, self._kept.at(best.replica.name, waiter.work)
+        best.book(waiter.follower.number, work)
+        self._kept.parts.note(name, work.chain, now)
+        waiter.answer(name, place.version, encode_load(name, best), work.kept_tokens)
         return True
 
     def _holders(self, waiter: Waiter) -> t.Collection[tuple[str, Engine]]:
@@ -487,7 +492,8 @@
 
     def cost_s(self, engine: Engine, waiter: Waiter) -> float:
         """Return what a request costs on an engine that has the adapter, in seconds."""
-        cost = self.wait_s(engine, waiter.work) + self._doubt_s(engine.replica.name, waiter)
+        name = engine.replica.name
+        cost = self.wait_s(engine, self._kept.at(name, waiter.work)) + self._doubt_s(name, waiter)
         if engine.replica.hall != waiter.follower.hall:
             cost += OTHER_HALL_S
         return cost
@@ -663,8 +669,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.error("a planner's task failed", why=repr(task.exception()))
-
-
-def _tells(engine: Engine, keys: t.Collection[AdapterKey]) -> bool:
-    """Tell whether an engine says of itself that it holds any of some weights."""
-    return any(holding.key in keys for holding in engine.replica.holdings)
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -141,6 +141,7 @@
             return Outcome.NOT_SENT
         load = self._fleet.load(replica.name)
         key = job.req.key
+        work = self._fleet.kept.at(replica.name, self._with_urgency(job, replica))
         log.info(
             "placed",
             id=job.req.id,
@@ -150,18 +151,18 @@
             waited_s=round(job.placed_s, 3),
             cost=round(self._fleet.cost(replica, now), 2),
             ahead=load.busyness().ahead(job.work.urgency),
-            prompt=job.work.prompt_tokens,
+            prompt=work.prompt_tokens,
+            kept=work.kept_tokens,
         )
-        work = self._with_urgency(job, replica)
         expected_s = self._fleet.expected_s(replica, load.busyness(), work)
         sending = _Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
         if self._lasting is not None and self._lasting.is_lasting(job):
             sending.run = self._lasting.begin(job, replica)
         load.starting += 1
-        load.queued[work.urgency] += work.prompt_tokens
+        load.queued[work.urgency] += work.reading_tokens
         load.memory += work.memory_tokens
         if key is not None:
-            self._directory.note_begin(replica.name, key, job.work.prompt_tokens)
+            self._directory.note_begin(replica, key, work)
         try:
             outcome = await self._exchange(sending)
         except asyncio.CancelledError:
@@ -198,7 +199,7 @@
                 load.running -= 1
             else:
                 load.starting -= 1
-                load.queued[work.urgency] -= work.prompt_tokens
+                load.queued[work.urgency] -= work.reading_tokens
             if key is not None:
                 self._directory.note_end(replica.name, key)
         self._note_health(sending, outcome)
@@ -389,7 +390,7 @@
         sending.release(self._pool, head)
         if self._fleet.room is not None and job.work.prompt_tokens and not job.req.last_event:
             service = sending.replica.service
-            read_s = job.work.prompt_tokens / self._fleet.speeds.speed(service)
+            read_s = sending.work.reading_tokens / self._fleet.speeds.speed(service)
             self._fleet.room.note_run(service, read_s + self._clock() - sending.first_at)
         if not job.inc.started:
             job.inc.begin(head.status, end_to_end(head.headers))
@@ -402,7 +403,7 @@
     def _note_running(self, sending: _Exchange) -> None:
         load = self._fleet.load(sending.replica.name)
         load.starting -= 1
-        load.queued[sending.work.urgency] -= sending.work.prompt_tokens
+        load.queued[sending.work.urgency] -= sending.work.reading_tokens
         load.running += 1
         sending.running = True
         self._learn_speed(sending)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -217,7 +217,8 @@
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
         self._budgets.note_request(name)
-        work = self._fleet.equalled(name, self._values.work(admission.rank(route), req))
+        chain = self._fleet.kept.chain(req, admission.owner)
+        work = self._fleet.equalled(name, self._values.work(admission.rank(route), req, chain))
         return Job(inc, req, route, service, work, admission)
 
     async def _charge(self, job: Job) -> None:
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -30,6 +30,8 @@
     """Runs go on when their connection or their engine is lost."""
     SCOPED_NEWS = "scoped-news"
     """Gateways are told of what they use alone."""
+    KEPT_PARTS = "kept-parts"
+    """Engines are chosen by what they keep of prompts."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/gateway/src/gradelug_gateway/values.py
+++ b/packages/gateway/src/gradelug_gateway/values.py
@@ -4,6 +4,7 @@
 
 import math
 
+from gradelug_policy.kept_parts import Chain
 from gradelug_policy.reading import LATE, Work
 
 from .model import Request, Route
@@ -34,9 +35,9 @@
         self._mean_size: dict[str, float] = {}
         self._longest_wait: dict[str, float] = {}
 
-    def work(self, rank: int, req: Request) -> Work:
+    def work(self, rank: int, req: Request, chain: Chain | None = None) -> Work:
         """Return what a request of some urgency asks of an engine."""
-        return Work(req.prompt_tokens, min(rank, LATE - 1), req.most_tokens)
+        return Work(req.prompt_tokens, min(rank, LATE - 1), req.most_tokens, chain)
 
     def value(self, route: Route, rank: int, req: Request) -> float:
         """Return what an answer in time is worth, 1 for an ordinary request of rank 0."""
--- a/packages/gateway/src/gradelug_gateway/waiting.py
+++ b/packages/gateway/src/gradelug_gateway/waiting.py
@@ -12,6 +12,7 @@
 from gradelug_wire import placement_pb2 as pb
 
 from .followers import Follower
+from .kept import decode_chain
 from .model import AdapterKey
 
 log = logbook.Logger("waiting")
@@ -51,7 +52,8 @@
         self.asked_at = now
         self.until = now + ask.wait_ms / 1000
         self.target_at = now + ask.target_ms / 1000
-        self.work = Work(ask.prompt_tokens, ask.rank, ask.answer_tokens)
+        chain = decode_chain(self.key.text, ask.prefixes)
+        self.work = Work(ask.prompt_tokens, ask.rank, ask.answer_tokens, chain)
 
     def may_use(self, replica: str) -> bool:
         """Tell whether the request may run on a replica."""
@@ -59,10 +61,16 @@
             return replica == self.ask.only
         return replica not in self.ask.excluded
 
-    def answer(self, replica: str, version: int, load: pb.Load) -> None:
-        """Tell where it can run, and what runs there."""
+    def answer(self, replica: str, version: int, load: pb.Load, kept_tokens: int = 0) -> None:
+        """Tell where it can run, what runs there, and how much of its prompt is kept there."""
         self.follower.answer(
-            pb.Answer(ticket=self.ask.ticket, replica=replica, version=version, load=load)
+            pb.Answer(
+                ticket=self.ask.ticket,
+                replica=replica,
+                version=version,
+                load=load,
+                kept_tokens=kept_tokens,
+            )
         )
 
     def refuse(self, ready_s: float, now: float) -> None:
--- a/packages/policy/src/gradelug_policy/reading.py
+++ b/packages/policy/src/gradelug_policy/reading.py
@@ -11,6 +11,8 @@
 import typing as t
 from dataclasses import dataclass
 
+from .kept_parts import Chain
+
 URGENCIES = 10
 """Engines know so many; 0 goes first."""
 LATE = URGENCIES - 1
@@ -36,16 +38,27 @@
     Parameters
     ----------
     prompt_tokens : int
-        To be read.
+        Length of the prompt.
     urgency : int
         Engines begin with the prompts of the least.
     answer_tokens : int
         Expected to be made.
+    chain : Chain or None
+        What of the prompt may be kept for others.
+    kept_tokens : int
+        What of the prompt need not be read on a certain engine.
     """
 
     prompt_tokens: int = 0
     urgency: int = 0
     answer_tokens: int = 0
+    chain: Chain | None = None
+    kept_tokens: int = 0
+
+    @property
+    def reading_tokens(self) -> int:
+        """What of the prompt is to be read, in tokens."""
+        return max(0, self.prompt_tokens - self.kept_tokens)
 
     @property
     def memory_tokens(self) -> int:
@@ -132,7 +145,7 @@
             From sending to the first event, in seconds.
         """
         known = self._speeds.setdefault(service, _Speed())
-        prompt = work.prompt_tokens
+        prompt = work.reading_tokens
         if not known.mean_prompt:
             known.mean_prompt = prompt
         known.mean_prompt += MEAN_WEIGHT * (prompt - known.mean_prompt)
@@ -145,7 +158,7 @@
 
 def first_event_s(busy: Busyness, work: Work, speed: float) -> float:
     """Return the time until a first event, in seconds."""
-    return (busy.ahead(work.urgency) + work.prompt_tokens) / speed + RUNNING_S * busy.running
+    return (busy.ahead(work.urgency) + work.reading_tokens) / speed + RUNNING_S * busy.running
 
 
 def add_queues(queues: t.Iterable[t.Sequence[int]]) -> tuple[int, ...]:
