--- /dev/null
+++ b/tests/test_kept_gateway.py
@@ -0,0 +1,281 @@
+"""Kept parts of prompts on the platform's wire, at the planner and at gateways."""
+
+import asyncio
+
+import pytest
+from gradelug_gateway.fleet import Fleet
+from gradelug_gateway.kept import Kept, decode_chain, encode_chain
+from gradelug_gateway.link import PlannerLink
+from gradelug_gateway.model import AdapterKey, FleetState, Repeat, Replica, Request, ToldLoad
+from gradelug_policy.engine_room import EngineRoom
+from gradelug_policy.kept_parts import KEPT_S, PromptPart, chain_of
+from gradelug_policy.reading import Busyness, ReadingSpeeds, Work, first_event_s
+from gradelug_wire import placement_pb2 as pb
+from test_planner import Bench as PlannerBench
+from test_planner import run
+from test_planner_room import SPEC as ROOM_SPEC
+from test_serving import ADAPTER, END, HELD, STREAM, Bench, event, route
+
+KEY = AdapterKey("m", "a")
+PARTS = (PromptPart("5c1e", 800), PromptPart("91bd", 410), PromptPart("e440", 250))
+CHAIN = chain_of("m/a", "", PARTS)
+WORK = Work(1_460, 0, 80, CHAIN)
+HEADERS = b"X-Gradelug-Token-Usage: 1460,80\r\nX-Gradelug-Prompt-Prefix: %b\r\n"
+PREFIX = b"5c1e:800,91bd:410,e440:250"
+
+
+class TestWire:
+    @pytest.mark.parametrize(
+        ("text", "parts"),
+        [
+            (PREFIX, PARTS),
+            (b"5c1e:800, 91bd:410 ,e440:250", PARTS),
+            (b"", ()),
+            (b"5c1e", ()),
+            (b"5c1e:800,:410", ()),
+            (b"5c1e:800,91bd:-4", ()),
+            (b"5c1e:800,91bd:4.5", ()),
+            (b"5c1e:800,,e440:250", ()),
+        ],
+    )
+    def test_parts_are_read_and_go_on_as_they_came(self, text, parts):
+        async def scenario():
+            bench = Bench(
+                route(Repeat.RESUME, True, 2, "llm"), [[[STREAM + END]]], HELD, engine=True
+            )
+            seen = []
+
+            class Seeing(Kept):
+                def chain(self, req, owner):
+                    seen.append(req.parts)
+
+            bench.fleet.kept = Seeing(bench.clock)
+            bench.client(4000, ADAPTER + HEADERS % text)
+            await asyncio.sleep(0.1)
+            assert seen == [parts]
+            assert b"X-Gradelug-Prompt-Prefix: " + text.strip() in bench.received("s0")
+
+        run(scenario)
+
+    def test_a_chain_is_told_as_it_is(self):
+        assert decode_chain("m/a", encode_chain(CHAIN)) == CHAIN
+        assert decode_chain("m/a", encode_chain(None)) is None
+
+
+class KeptBench(PlannerBench):
+    """A planner with two engines that hold an adapter both."""
+
+    async def answer(self, **more):
+        ticket = self.ask("a", prompt_tokens=1_460, prefixes=encode_chain(CHAIN), **more)
+        await asyncio.sleep(0.05)
+        return self.collect()[ticket]
+
+
+class TestPlanner:
+    def new_bench(self):
+        return KeptBench(spec=ROOM_SPEC, room=EngineRoom(ReadingSpeeds()))
+
+    def play(self, scenario):
+        async def whole():
+            bench = self.new_bench()
+            await asyncio.sleep(0.5)
+            for name in ("e0", "e1"):
+                begun = bench.planner.load(
+                    KEY, bench.clock(), bench.planner.openings(), lambda other, to=name: other == to
+                )
+                assert begun
+            await asyncio.sleep(0.6)
+            await scenario(bench)
+            await bench.stop()
+
+        run(whole)
+
+    def test_prompts_that_begin_alike_go_to_the_engine_that_keeps_it(self):
+        async def scenario(bench):
+            first = await bench.answer()
+            assert first.kept_tokens == 0
+            # Somewhat more is before it there than elsewhere.
+            bench.load(first.replica, 0)
+            told = pb.Load(replica=first.replica, running=2, queued=[500])
+            bench.planner.take(bench.gateway, pb.FromGateway(loads=[told]))
+            second = await bench.answer()
+            assert (second.replica, second.kept_tokens) == (first.replica, 1_210)
+            assert list(second.load.queued) == [500 + 250]
+
+        self.play(scenario)
+
+    def test_where_it_would_wait_longer_than_it_reads_it_is_read_again_elsewhere(self):
+        async def scenario(bench):
+            first = await bench.answer()
+            bench.load(first.replica, 2)
+            second = await bench.answer()
+            assert second.replica != first.replica
+            assert second.kept_tokens == 0
+
+        self.play(scenario)
+
+    def test_an_engine_that_starts_again_under_its_name_keeps_nothing(self):
+        async def scenario(bench):
+            first = await bench.answer()
+            kept = bench.planner.index.kept
+            assert kept.kept_tokens(first.replica, CHAIN, bench.clock()) == 1_210
+            old = bench.planner.engines[first.replica]
+            bench.planner.begin_life(old, 9)
+            assert kept.kept_tokens(first.replica, CHAIN, bench.clock()) == 0
+
+        self.play(scenario)
+
+    def test_parts_go_with_their_adapter(self):
+        async def scenario(bench):
+            first = await bench.answer()
+            engine = bench.planner.engines[first.replica]
+            engine.take_out(KEY.text)
+            kept = bench.planner.index.kept
+            assert kept.kept_tokens(first.replica, CHAIN, bench.clock()) == 0
+
+        self.play(scenario)
+
+    def test_what_all_gateways_send_makes_parts_give_way(self):
+        async def scenario(bench):
+            first = await bench.answer()
+            use = pb.Use(replica=first.replica, model="m", adapter="a", started_tokens=20_000)
+            bench.planner.take(bench.gateway, pb.FromGateway(uses=[use]))
+            assert (await bench.answer(only=first.replica)).kept_tokens == 0
+
+        self.play(scenario)
+
+    def test_one_that_names_no_parts_is_placed_as_before(self):
+        async def scenario(bench):
+            await bench.answer()
+            ticket = bench.ask("a", prompt_tokens=1_460)
+            await asyncio.sleep(0.05)
+            assert bench.collect()[ticket].kept_tokens == 0
+
+        self.play(scenario)
+
+
+class Clock:
+    now = 5.0
+
+    def __call__(self):
+        return self.now
+
+
+def new_fleet(is_on=True, has_room=False):
+    clock, state = Clock(), FleetState()
+    for name in ("e0", "e1", "e2"):
+        state.replicas[name] = Replica(name, "llm", f"{name}:1", "hall", born=1)
+    fleet = Fleet(state, "hall", clock, has_room=has_room, kept=Kept(clock, is_on))
+    fleet.set_homes("llm", KEY, {"e0": 1, "e1": 1, "e2": 1})
+    fleet.note_lives()
+    return fleet
+
+
+def request(parts=PARTS):
+    return Request("q", "h", "/p", b"POST", b"/p", (), b"", 0.0, key=KEY, parts=parts)
+
+
+class TestGateway:
+    def test_gateways_that_know_nothing_agree_on_an_engine(self):
+        chains = [chain_of("m/a", "", (PromptPart(f"p{n}", 900), PARTS[2])) for n in range(30)]
+        for chain in chains:
+            work = Work(1_150, 0, 80, chain)
+            chosen = {new_fleet().choose(new_fleet().usable("llm"), work=work).name for _ in "ab"}
+            assert len(chosen) == 1
+        names = [
+            new_fleet().choose(new_fleet().usable("llm"), work=Work(1_150, 0, 80, chain)).name
+            for chain in chains
+        ]
+        assert set(names) == {"e0", "e1", "e2"}
+
+    def test_with_old_news_they_agree_once_they_know_that_a_chain_is_rare(self):
+        fleets = [new_fleet(has_room=True) for _ in range(4)]
+        chosen = []
+        for fleet in fleets:
+            fleet.news_s = 0.5
+            for number in range(64):
+                chain = chain_of("m/a", "", (PromptPart(f"p{number}", 900), PARTS[2]))
+                last = fleet.choose(fleet.usable("llm"), work=Work(1_150, 0, 80, chain)).name
+            chosen.append(last)
+        assert len(set(chosen)) == 1
+
+    def test_a_longer_queue_goes_before_what_is_kept(self):
+        fleet = new_fleet()
+        home = fleet.choose(fleet.usable("llm"), work=WORK).name
+        fleet.load(home).others = ToldLoad(3, 0, (4_000,))
+        assert fleet.choose(fleet.usable("llm"), work=WORK).name != home
+
+    def test_what_was_sent_and_what_a_planner_tells_need_not_be_read(self):
+        fleet = new_fleet()
+        assert fleet.kept.at("e0", WORK).reading_tokens == 1_460
+        fleet.kept.note_sent("e0", WORK, 60_000, 1)
+        assert fleet.kept.at("e0", WORK).reading_tokens == 250
+        fleet.kept.note_told("e1", CHAIN, 800)
+        assert fleet.kept.at("e1", WORK).reading_tokens == 660
+        assert first_event_s(Busyness(), fleet.kept.at("e0", WORK), 1_000.0) == 0.25
+        fleet.kept._clock.now += KEPT_S + 1
+        assert fleet.kept.at("e0", WORK).reading_tokens == 1_460
+
+    def test_an_engine_that_starts_again_is_not_credited(self):
+        fleet = new_fleet()
+        fleet.kept.note_sent("e0", WORK, 60_000, 1)
+        fleet.state.replicas["e0"] = Replica("e0", "llm", "e0:1", "hall", born=2)
+        fleet.note_lives()
+        assert fleet.kept.at("e0", WORK).kept_tokens == 0
+
+    def test_parts_go_with_weights_that_left_and_stay_with_those_told_again(self):
+        fleet = new_fleet()
+        for name in ("e0", "e1"):
+            fleet.kept.note_sent(name, WORK, 60_000, 1)
+        fleet.set_homes("llm", KEY, {"e0": 1, "e1": 2})
+        assert fleet.kept.at("e0", WORK).kept_tokens == 1_210
+        assert fleet.kept.at("e1", WORK).kept_tokens == 0
+        fleet.set_holdings("e0", {})
+        assert fleet.kept.at("e0", WORK).kept_tokens == 0
+
+    def test_what_is_booked_at_the_planner_is_not_counted_twice(self):
+        async def scenario():
+            fleet = new_fleet()
+            clock = asyncio.get_running_loop().time
+            link = PlannerLink("llm", "me", "", fleet, clock)
+            ask = pb.Ask(ticket=1, model="m", adapter="a", prompt_tokens=1_460)
+            asking = asyncio.create_task(link.ask(1, ask, clock() + 1.0))
+            await asyncio.sleep(0.01)
+            load = pb.Load(replica="e0", starting=1, queued=[250])
+            answer = pb.Answer(ticket=1, replica="e0", load=load, kept_tokens=1_210)
+            link._take(pb.FromPlanner(answers=[answer]))
+            await asyncio.wait([asking], timeout=0.5)
+            assert sum(fleet.load("e0").others.queued) == 0
+
+        run(scenario)
+
+    @pytest.mark.parametrize("is_on", [True, False])
+    def test_it_can_be_switched_off(self, is_on):
+        fleet = new_fleet(is_on)
+        assert (fleet.kept.chain(request(), "") is not None) is is_on
+        assert fleet.kept.chain(request(()), "") is None
+
+    def test_what_was_read_for_an_organisation_is_not_credited_to_another(self):
+        fleet = new_fleet()
+        one, two = (fleet.kept.chain(request(), owner) for owner in ("one", "two"))
+        fleet.kept.note_sent("e0", Work(1_460, 0, 80, one), 60_000, 1)
+        assert fleet.kept.at("e0", Work(1_460, 0, 80, one)).kept_tokens == 1_210
+        assert fleet.kept.at("e0", Work(1_460, 0, 80, two)).kept_tokens == 0
+
+    def test_queues_hold_what_is_to_be_read_and_are_empty_again(self):
+        async def scenario():
+            bench = Bench(route(Repeat.RESUME, True, 2, "llm"), [[[STREAM]]], HELD, engine=True)
+            bench.fleet.kept = Kept(bench.clock)
+            for _ in range(2):
+                bench.client(4000, ADAPTER + HEADERS % PREFIX)
+                await asyncio.sleep(0.05)
+            load = bench.fleet.load("s0")
+            assert sum(load.queued) == 1_460 + 250
+            for server in bench.servers["s0"]:
+                server.transport.write(event(1) + END)
+            await asyncio.sleep(0.1)
+            assert sum(load.queued) == 0
+            parts = bench.fleet.kept.parts
+            assert (parts.shared, parts.credited) == (2_420, 1_210)
+
+        run(scenario)
