--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -508,8 +508,7 @@
         return len(room.paces.slow(self._clock())) if room is not None else 0
 
     def _count_held(self) -> int:
-        planners = [duty.planner for duty in self._duties.values()]
-        return sum(planner.held() for planner in planners if planner is not None)
+        return sum(planner.held() for planner in self._planners())
 
     def _count_planned(self) -> int:
         return len(self._planners())
--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -12,7 +12,8 @@
 from .directory import Directory
 from .exceptions import Refused
 from .fleet import Fleet
-from .model import Copy, CopyKind, MoveOutcome, MoveReply, Replica
+from .model import Copy, CopyKind, Replica
+from .moves import MoveOutcome, MoveReply
 from .ports import RunTransport
 from .runs import LastingRuns, Run
 from .wishes import begun_wish
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -10,21 +10,11 @@
 import logbook
 from gradelug_policy import Popularity
 from gradelug_policy.cells import Cells
-from gradelug_policy.engine_room import (
-    COPY_USE_S,
-    HOLD_S,
-    EngineRoom,
-    expected_s,
-    has_room,
-)
+from gradelug_policy.engine_room import COPY_USE_S, HOLD_S, EngineRoom, expected_s, has_room
 from gradelug_policy.kept_parts import held_up_s
 from gradelug_policy.quotas import QuotaHome
 from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
-from gradelug_policy.residency import (
-    EnginePlaces,
-    LoadWindow,
-    choose_home,
-)
+from gradelug_policy.residency import EnginePlaces, LoadWindow, choose_home
 from gradelug_wire import placement_pb2 as pb
 
 from .copies import Copies
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -9,13 +9,13 @@
 from .model import (
     Attempt,
     EngineReport,
-    MoveReply,
     Order,
     OrderOutcome,
     Replica,
     Request,
     Verdict,
 )
+from .moves import MoveReply
 
 
 class BadRequest(Exception):
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -24,7 +24,8 @@
 from .fleet import CHOICES, Fleet
 from .job import Job
 from .metrics import Meters
-from .model import Copy, CopyKind, EngineSpec, MoveOutcome, Repeat, Replica
+from .model import Copy, CopyKind, EngineSpec, Repeat, Replica
+from .moves import MoveOutcome
 from .ports import RunTransport
 
 log = logbook.Logger("runs")
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -128,9 +128,8 @@
         job.used = job.copy
         health = self._fleet.health(replica.name)
         health.circuit.note_start(now)
-        repeatable = job.may_repeat()
         try:
-            rested_s = math.inf if repeatable else self._rested_s
+            rested_s = math.inf if job.may_repeat() else self._rested_s
             conn = await self._pool.acquire(replica.address, CONNECT_S, rested_s)
         except ConnectFailed as exc:
             health.note_broken(self._clock())
--- a/tests/test_platform_runs.py
+++ b/tests/test_platform_runs.py
@@ -7,7 +7,8 @@
 
 import pytest
 from gradelug_coordination import KvEntry
-from gradelug_gateway.model import Attempt, Copy, CopyKind, MoveOutcome, Replica, Request
+from gradelug_gateway.model import Attempt, Copy, CopyKind, Replica, Request
+from gradelug_gateway.moves import MoveOutcome
 from gradelug_http import HttpPool
 from gradelug_platform.dialect import PlatformDialect
 from gradelug_platform.entries import PlatformEntries
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -6,7 +6,8 @@
 import pytest
 from gradelug_gateway import runs as runs_module
 from gradelug_gateway.daemon import Daemon
-from gradelug_gateway.model import MoveOutcome, MoveReply, Repeat
+from gradelug_gateway.model import Repeat
+from gradelug_gateway.moves import MoveOutcome, MoveReply
 from gradelug_gateway.settings import Addresses, Bounds, Feature, GatewaySettings
 from gradelug_http import HttpPool
 from gradelug_platform.dialect import PlatformDialect
