--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -445,7 +445,7 @@
 
     def _add_gauges(self) -> None:
         gauge = self._meters.gauge
-        add_gauges(self._meters, self._fleet.kept.parts)
+        add_gauges(self._meters, self._fleet.kept.parts, self._planners)
         gauge("requests_in_progress", "Requests now", lambda: self._callers.in_progress)
         gauge("unread_bytes", "Kept for callers that read slowly", lambda: self._callers.held)
         gauge(
--- a/packages/gateway/src/gradelug_gateway/kept.py
+++ b/packages/gateway/src/gradelug_gateway/kept.py
@@ -14,6 +14,14 @@
 from .metrics import Meters
 from .model import Replica, Request
 
+if t.TYPE_CHECKING:
+    from .planner import Planner
+
+T = t.TypeVar("T")
+CHAIN_HOLDERS = 4
+"""Of the engines that are drawn for a request so many are the same for all that begin alike: drawn
+by chance alone, an engine that keeps its parts is seldom among them."""
+
 
 class Kept:
     """Tells how much of a prompt an engine need not read.
@@ -88,6 +96,16 @@
         self.parts.note(replica, chain, self._clock(), tokens)
 
 
+def sample_holders(
+    found: t.Sequence[T], count: int, chain: Chain | None, rng: random.Random
+) -> list[T]:
+    """Return some of very many engines, some of them the same for all prompts of a chain."""
+    if chain is None:
+        return rng.sample(found, count)
+    own = random.Random(chain.prefixes[-1].mark).sample(found, CHAIN_HOLDERS)
+    return [*own, *rng.sample(found, count - CHAIN_HOLDERS)]
+
+
 def encode_chain(chain: Chain | None) -> list[pb.Prefix]:
     """Return a chain for a question to a planner."""
     if chain is None:
@@ -102,8 +120,10 @@
     return Chain(weights, tuple(Prefix(told.mark, told.tokens) for told in prefixes))
 
 
-def add_gauges(meters: Meters, parts: KeptParts) -> None:
-    """Add what operators see of kept parts."""
+def add_gauges(
+    meters: Meters, parts: KeptParts, planners: t.Callable[[], t.Iterable[Planner]]
+) -> None:
+    """Add what operators see of kept parts, here and at the planners that run here."""
     meters.gauge("kept_parts", "Parts of prompts taken for kept, all engines", lambda: parts.size)
     meters.gauge(
         "shared_prompt_tokens",
@@ -115,3 +135,8 @@
         "Those of them that were taken for kept by the engine they were sent to",
         lambda: parts.credited,
     )
+    meters.gauge(
+        "reread_prompt_tokens",
+        "Tokens of parts that planners here sent elsewhere than to the engine taken to keep them",
+        lambda: sum(planner.index.kept.reread for planner in planners()),
+    )
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -23,7 +23,7 @@
 from .fleet import terms
 from .followers import Follower, Followers, encode_load
 from .holders import EngineIndex, tells_any
-from .kept import Kept
+from .kept import Kept, sample_holders
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .openings import Openings
@@ -448,7 +448,7 @@
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
         best: Engine | None = None
-        least, asked = math.inf, waiter.work
+        least, asked, most_kept = math.inf, waiter.work, 0
         waiter.is_held = False
         newest = self.state.versions.get(waiter.key, 0)
         for name, engine in self._holders(waiter):
@@ -457,6 +457,7 @@
                 continue
             work = self._kept.at(name, waiter.work)
             cost = self._cost_s(engine, waiter, work) - held_up_s(work.kept_tokens, self.speed)
+            most_kept = max(most_kept, work.kept_tokens)
             if place.version >= newest and cost < least:
                 best, least, asked = engine, cost, work
         least += held_up_s(asked.kept_tokens, self.speed)
@@ -467,6 +468,7 @@
         place.used_at = now + self.followers.pacing.flush_s
         best.book(waiter.follower.number, asked)
         name = best.replica.name
+        self._kept.parts.note_credit(asked.chain, asked.kept_tokens, most_kept)
         self._kept.parts.note(name, asked.chain, now)
         waiter.answer(name, place.version, encode_load(name, best), asked.kept_tokens)
         return True
@@ -481,7 +483,7 @@
             return holders.items()
         if waiter.ask.only in holders:
             return [(waiter.ask.only, holders[waiter.ask.only])]
-        return self._rng.sample(list(holders.items()), HOLDERS)
+        return sample_holders(list(holders.items()), HOLDERS, waiter.work.chain, self._rng)
 
     def _cost_s(self, engine: Engine, waiter: Waiter, work: Work) -> float:
         """Return what a request costs on an engine that has the adapter, in seconds."""
--- a/packages/policy/src/gradelug_policy/kept_parts.py
+++ b/packages/policy/src/gradelug_policy/kept_parts.py
@@ -167,7 +167,7 @@
 class KeptParts:
     """What engines keep, from what was sent to them."""
 
-    __slots__ = ("_engines", "credited", "seen_part", "shared")
+    __slots__ = ("_engines", "credited", "reread", "seen_part", "shared")
 
     def __init__(self) -> None:
         self._engines: dict[str, _EngineParts] = {}
@@ -177,6 +177,8 @@
         """Tokens of parts that others may have had read, of all requests sent."""
         self.credited = 0
         """Those of them that were taken for kept."""
+        self.reread = 0
+        """Those that were taken for kept by another engine, where it was chosen."""
 
     @property
     def size(self) -> int:
@@ -227,10 +229,21 @@
             parts.sent += tokens / self.seen_part
             parts.most_sent = KEPT_PART * memory_tokens if memory_tokens else math.inf
 
-    def note_credit(self, chain: Chain | None, kept: int) -> None:
-        """Count a request that is sent, with the tokens that are taken for kept."""
+    def note_credit(self, chain: Chain | None, kept: int, most: int = 0) -> None:
+        """Count a request that is sent.
+
+        Parameters
+        ----------
+        chain : Chain or None
+            How it begins.
+        kept : int
+            Tokens that are taken for kept where it goes.
+        most : int
+            Tokens that are taken for kept at the engine that keeps most of it.
+        """
         self.shared += chain.tokens if chain is not None else 0
         self.credited += kept
+        self.reread += max(0, most - kept)
 
     def forget(self, engine: str) -> None:
         """Forget an engine that is gone or has begun another life."""
--- a/tests/test_kept_gateway.py
+++ b/tests/test_kept_gateway.py
@@ -144,6 +144,25 @@
 
         self.play(scenario)
 
+    def test_of_many_engines_with_a_base_model_few_keep_the_same_parts(self):
+        async def scenario():
+            bench = KeptBench(80, spec=ROOM_SPEC, room=EngineRoom(ReadingSpeeds()))
+            await asyncio.sleep(1.0)
+            replicas = set()
+            for number in range(40):
+                parts = (*PARTS[:2], PromptPart(f"own{number}", 250))
+                prefixes = encode_chain(chain_of("m", "", parts))
+                ticket = bench.ask("", prompt_tokens=1_460, prefixes=prefixes)
+                await asyncio.sleep(0.05)
+                replica = bench.collect()[ticket].replica
+                replicas.add(replica)
+                bench.load(replica, 0)
+            assert len(replicas) <= 4
+            assert bench.planner.index.kept.reread == 0
+            await bench.stop()
+
+        run(scenario)
+
     def test_one_that_names_no_parts_is_placed_as_before(self):
         async def scenario(bench):
             await bench.answer()
