--- a/packages/gateway/src/gradelug_gateway/kept.py
+++ b/packages/gateway/src/gradelug_gateway/kept.py
@@ -18,6 +18,9 @@
     from .planner import Planner
 
 T = t.TypeVar("T")
+HOMES_BELOW = 16
+"""Where there are more engines gateways look at so many, drawn by each anew, and would not agree on
+a home among them."""
 CHAIN_HOLDERS = 4
 """Of the engines that are drawn for a request so many are the same for all that begin alike: drawn
 by chance alone, an engine that keeps its parts is seldom among them."""
@@ -60,11 +63,21 @@
         Most of what is sent there is not seen here, so a chain is taken for kept at its home as
         well, where all instances send it that find nothing better.
         """
+        home = self.home(work, (rep.name for rep in replicas))
+        return [(rep, self.at_least(rep.name, work, home)) for rep in replicas]
+
+    def home(self, work: Work, replicas: t.Iterable[str]) -> str:
+        """Return the home of a request's chain among some engines, empty if it has none."""
         if work.chain is None:
-            return [(rep, work) for rep in replicas]
-        home = home_of(work.chain, (rep.name for rep in replicas))
-        at_home = replace(work, kept_tokens=work.chain.tokens)
-        return [(rep, at_home if rep.name == home else self.at(rep.name, work)) for rep in replicas]
+            return ""
+        names = list(replicas)
+        return home_of(work.chain, names) if len(names) < HOMES_BELOW else ""
+
+    def at_least(self, replica: str, work: Work, home: str) -> Work:
+        """Return what a request asks of an engine if its chain's home keeps the whole of it."""
+        if work.chain is None or replica != home:
+            return self.at(replica, work)
+        return replace(work, kept_tokens=work.chain.tokens)
 
     def mark(self, work: Work, engines: int, rng: random.Random) -> int | None:
         """Return by what a request is drawn to one of some engines, None if by chance alone."""
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -27,6 +27,7 @@
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .openings import Openings
+from .pacing import FRESH_S
 from .parts import PlannerPart
 from .ports import OrderTransport
 from .quota_desk import QuotaDesk
@@ -448,29 +449,35 @@
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
         best: Engine | None = None
-        least, asked, most_kept = math.inf, waiter.work, 0
+        least, most_kept = math.inf, 0
         waiter.is_held = False
-        newest = self.state.versions.get(waiter.key, 0)
-        for name, engine in self._holders(waiter):
+        holders, newest = self._holders(waiter), self.state.versions.get(waiter.key, 0)
+        able = (name for name, one in holders if one.holds(waiter.key) and waiter.may_use(name))
+        # Gateways with fresh news send a chain to its home by themselves.
+        is_fresh = self.followers.pacing.news_s <= FRESH_S
+        home = self._kept.home(waiter.work, able) if is_fresh else ""
+        for name, engine in holders:
             place = engine.places.get(waiter.key)
             if place is None or place.phase is not Phase.READY or not waiter.may_use(name):
                 continue
-            work = self._kept.at(name, waiter.work)
+            work = self._kept.at_least(name, waiter.work, home)
             cost = self._cost_s(engine, waiter, work) - held_up_s(work.kept_tokens, self.speed)
-            most_kept = max(most_kept, work.kept_tokens)
+            most_kept = max(most_kept, work.kept_tokens if name != home else 0)
             if place.version >= newest and cost < least:
-                best, least, asked = engine, cost, work
-        least += held_up_s(asked.kept_tokens, self.speed)
-        if best is None or self._goes_elsewhere(waiter, best, least, now):
+                best, least = engine, cost
+        if best is None:
+            return False
+        work = self._kept.at(best.replica.name, waiter.work)
+        if self._goes_elsewhere(waiter, best, self._cost_s(best, waiter, work), now):
             return False
         place = best.places[waiter.key]
         # Until its gateway tells that it is there.
         place.used_at = now + self.followers.pacing.flush_s
-        best.book(waiter.follower.number, asked)
+        best.book(waiter.follower.number, work)
         name = best.replica.name
-        self._kept.parts.note_credit(asked.chain, asked.kept_tokens, most_kept)
-        self._kept.parts.note(name, asked.chain, now)
-        waiter.answer(name, place.version, encode_load(name, best), asked.kept_tokens)
+        self._kept.parts.note_credit(work.chain, work.kept_tokens, most_kept)
+        self._kept.parts.note(name, work.chain, now)
+        waiter.answer(name, place.version, encode_load(name, best), work.kept_tokens)
         return True
 
     def _holders(self, waiter: Waiter) -> t.Collection[tuple[str, Engine]]:
--- a/tests/test_kept_gateway.py
+++ b/tests/test_kept_gateway.py
@@ -144,6 +144,25 @@
 
         self.play(scenario)
 
+    def test_it_sends_where_gateways_that_do_not_ask_send_such_prompts(self):
+        async def scenario(bench):
+            fleet = new_fleet()
+            del fleet.state.replicas["e2"]
+            homes = set()
+            for number in range(12):
+                chain = chain_of("m/a", "", (PromptPart(f"p{number}", 900), PARTS[2]))
+                ticket = bench.ask("a", prompt_tokens=1_150, prefixes=encode_chain(chain))
+                await asyncio.sleep(0.05)
+                answer = bench.collect()[ticket]
+                assert answer.kept_tokens == 0
+                work = Work(1_150, 0, 80, chain)
+                assert answer.replica == fleet.choose(fleet.usable("llm"), work=work).name
+                homes.add(answer.replica)
+                bench.load(answer.replica, 0)
+            assert homes == {"e0", "e1"}
+
+        self.play(scenario)
+
     def test_of_many_engines_with_a_base_model_few_keep_the_same_parts(self):
         async def scenario():
             bench = KeptBench(80, spec=ROOM_SPEC, room=EngineRoom(ReadingSpeeds()))
