--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -397,7 +397,7 @@
         known = self.state.replicas
         for name in [name for name in self._health if name not in known]:
             del self._health[name]
-        self.kept.parts.forget_all_but(known)
+        self.kept.parts.forget_gone(known, self._clock())
         for name in [name for name in self._lives if name not in known]:
             del self._lives[name]
         for name, load in list(self._loads.items()):
--- a/packages/policy/src/gradelug_policy/kept_parts.py
+++ b/packages/policy/src/gradelug_policy/kept_parts.py
@@ -123,7 +123,7 @@
 class _EngineParts:
     """What one engine keeps, by weights and mark."""
 
-    __slots__ = ("count", "most_sent", "sent", "uses")
+    __slots__ = ("count", "most_sent", "pruned_at", "sent", "uses")
 
     def __init__(self) -> None:
         self.sent = 0.0
@@ -132,6 +132,8 @@
         """After so many more a part that was not used meanwhile is gone."""
         self.uses: dict[str, dict[int, _Use]] = {}
         self.count = 0
+        self.pruned_at = -math.inf
+        """When it was looked last for what is gone."""
 
     def note(self, weights: str, mark: int, now: float) -> None:
         """Note that a part is used."""
@@ -149,6 +151,7 @@
 
     def prune(self, now: float) -> None:
         """Forget what is gone, and the older half if that does not suffice."""
+        self.pruned_at = now
         self._keep(lambda use: self.is_kept(use, now))
         if self.count > MOST_CHAINS:
             sent = sorted(use.sent for marks in self.uses.values() for use in marks.values())
@@ -255,10 +258,13 @@
         if parts is not None:
             parts.forget(weights)
 
-    def forget_all_but(self, engines: t.Container[str]) -> None:
-        """Forget all engines but some."""
+    def forget_gone(self, engines: t.Container[str], now: float) -> None:
+        """Forget all engines but some, and what these keep no more, now and then."""
         for engine in [engine for engine in self._engines if engine not in engines]:
             del self._engines[engine]
+        for parts in self._engines.values():
+            if now - parts.pruned_at > KEPT_S:
+                parts.prune(now)
 
 
 def held_up_s(kept_tokens: int, tokens_per_s: float) -> float:
--- a/tests/test_kept_parts.py
+++ b/tests/test_kept_parts.py
@@ -298,7 +298,14 @@
 
     def test_engines_that_are_gone_are_forgotten(self):
         kept = new_kept()
-        kept.forget_all_but({"e1"})
+        kept.forget_gone({"e1"}, 1.0)
+        assert kept.size == 0
+
+    def test_what_has_aged_takes_no_memory_for_long(self):
+        kept = new_kept()
+        kept.forget_gone({"e0"}, 2.0)
+        assert kept.size == 2
+        kept.forget_gone({"e0"}, 2.1 + KEPT_S)
         assert kept.size == 0
 
 
