--- a/packages/gateway/src/gradelug_gateway/left_runs.py
+++ b/packages/gateway/src/gradelug_gateway/left_runs.py
@@ -11,7 +11,8 @@
 
 from .job import Job
 from .metrics import Meters
-from .model import MoveOutcome, Replica
+from .model import Replica
+from .moves import MoveOutcome
 from .ports import RunTransport
 
 log = logbook.Logger("left runs")
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from gradelug_http import Header, ServerLimits
+from gradelug_policy.kept_parts import PromptPart
 from gradelug_policy.lasting_runs import CopyTerms
 
 from .organisations import Organisations, Principal
@@ -290,6 +291,8 @@
         How long the caller waits, in seconds.
     prompt_tokens, most_tokens : int
         Size of the prompt and of the longest answer; 0 if not told.
+    parts : tuple of PromptPart
+        The prompt in order, as far as the caller tells; the last part is its own.
     last_event : int
         Last event that the caller has of the stream; 0 for none.
     arrived_at : float
@@ -308,6 +311,7 @@
     wait_s: float = math.inf
     prompt_tokens: int = 0
     most_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
     last_event: int = 0
     credentials: tuple[bytes, ...] = field(default=(), repr=False)
 
@@ -383,42 +387,6 @@
     holder: Replica
 
 
-class MoveOutcome(Enum):
-    """What an engine said when it was asked to move a run."""
-
-    COPIED = "copied"
-    """The memory is at the other engine."""
-    NO_ROOM = "no room"
-    """It is not at the other engine; the engine that stopped the run keeps it."""
-    NO_RUN = "no run"
-    """The engine runs no such request."""
-    BUSY = "busy"
-    """Another move of the run is under way."""
-    UNREACHED = "unreached"
-    """Nothing was asked: the engine cannot be reached."""
-    LOST = "lost"
-    """No answer: done, not done, or done later."""
-
-
-@dataclass(slots=True, frozen=True)
-class MoveReply:
-    """An engine's answer to a move.
-
-    Parameters
-    ----------
-    outcome : MoveOutcome
-        What it did.
-    handle : str
-        Under what the memory is kept; empty if it is not.
-    events : int
-        Events that the run had made.
-    """
-
-    outcome: MoveOutcome
-    handle: str = ""
-    events: int = 0
-
-
 class Verdict(Enum):
     """What the head of an answer says of a request."""
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -10,20 +10,11 @@
 import logbook
 from gradelug_policy import Popularity
 from gradelug_policy.cells import Cells
-from gradelug_policy.engine_room import (
-    COPY_USE_S,
-    HOLD_S,
-    EngineRoom,
-    expected_s,
-    has_room,
-)
+from gradelug_policy.engine_room import COPY_USE_S, HOLD_S, EngineRoom, expected_s, has_room
+from gradelug_policy.kept_parts import held_up_s
 from gradelug_policy.quotas import QuotaHome
 from gradelug_policy.reading import ReadingSpeeds, Work, first_event_s
-from gradelug_policy.residency import (
-    EnginePlaces,
-    LoadWindow,
-    choose_home,
-)
+from gradelug_policy.residency import EnginePlaces, LoadWindow, choose_home
 from gradelug_wire import placement_pb2 as pb
 
 from .copies import Copies
@@ -31,10 +22,12 @@
 from .engines import Engine, Phase, Place
 from .fleet import terms
 from .followers import Follower, Followers, encode_load
-from .holders import EngineIndex
+from .holders import EngineIndex, tells_any
+from .kept import Kept, sample_holders
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .openings import Openings
+from .pacing import FRESH_S
 from .parts import PlannerPart
 from .ports import OrderTransport
 from .quota_desk import QuotaDesk
@@ -135,7 +128,8 @@
         self.is_outranked = False
         """Whether an engine has seen a greater token than this planner's."""
         self.engines: dict[str, Engine] = {}
-        self.index = EngineIndex()
+        self._kept = Kept(clock)
+        self.index = EngineIndex(self._kept.parts)
         """Finds engines by what they hold."""
         self._cells = Cells()
         self._rng = random.Random(0)
@@ -298,7 +292,7 @@
                     # One that gives no report keeps no other one waiting.
                     engine.asked_at,
                     not engine.is_in_use(),
-                    not _tells(engine, waited),
+                    not tells_any(engine.replica, waited),
                 )
             )
         for engine in unknown[: max(0, room)]:
@@ -389,6 +383,7 @@
         if engine is None:
             return
         self.tokens.note(key.text, now, use.started_tokens)
+        self._kept.parts.note_sent(use.replica, use.started_tokens, self._terms.memory_tokens)
         if self.tokens.rate(key.text, now) > PART_PER_COPY * self.speed:
             self.hot.add(key)
         engine.take_use(follower.number, key, use.active)
@@ -459,23 +454,35 @@
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
         best: Engine | None = None
-        least = math.inf
+        least, most_kept = math.inf, 0
         waiter.is_held = False
-        newest = self.state.versions.get(waiter.key, 0)
-        for name, engine in self._holders(waiter):
+        holders, newest = self._holders(waiter), self.state.versions.get(waiter.key, 0)
+        able = (name for name, one in holders if one.holds(waiter.key) and waiter.may_use(name))
+        # Gateways with fresh news send a chain to its home by themselves.
+        is_fresh = self.followers.pacing.news_s <= FRESH_S
+        home = self._kept.home(waiter.work, able) if is_fresh else ""
+        for name, engine in holders:
             place = engine.places.get(waiter.key)
             if place is None or place.phase is not Phase.READY or not waiter.may_use(name):
                 continue
-            cost = self.cost_s(engine, waiter)
+            work = self._kept.at_least(name, waiter.work, home, self.speed)
+            cost = self._cost_s(engine, waiter, work) - held_up_s(work.kept_tokens, self.speed)
+            most_kept = max(most_kept, work.kept_tokens if name != home else 0)
             if place.version >= newest and cost < least:
                 best, least = engine, cost
-        if best is None or self._goes_elsewhere(waiter, best, least, now):
+        if best is None:
+            return False
+        work = self._kept.at(best.replica.name, waiter.work)
+        if self._goes_elsewhere(waiter, best, self._cost_s(best, waiter, work), now):
             return False
         place = best.places[waiter.key]
         # Until its gateway tells that it is there.
         place.used_at = now + self.followers.pacing.flush_s
-        best.book(waiter.follower.number, waiter.work)
-        waiter.answer(best.replica.name, place.version, encode_load(best.replica.name, best))
+        best.book(waiter.follower.number, work)
+        name = best.replica.name
+        self._kept.parts.note_credit(work.chain, work.kept_tokens, most_kept)
+        self._kept.parts.note(name, work.chain, now)
+        waiter.answer(name, place.version, encode_load(name, best), work.kept_tokens)
         return True
 
     def _holders(self, waiter: Waiter) -> t.Collection[tuple[str, Engine]]:
@@ -488,11 +495,11 @@
             return holders.items()
         if waiter.ask.only in holders:
             return [(waiter.ask.only, holders[waiter.ask.only])]
-        return self._rng.sample(list(holders.items()), HOLDERS)
+        return sample_holders(list(holders.items()), HOLDERS, waiter.work.chain, self._rng)
 
-    def cost_s(self, engine: Engine, waiter: Waiter) -> float:
+    def _cost_s(self, engine: Engine, waiter: Waiter, work: Work) -> float:
         """Return what a request costs on an engine that has the adapter, in seconds."""
-        cost = self.wait_s(engine, waiter.work) + self._doubt_s(engine.replica.name, waiter)
+        cost = self.wait_s(engine, work) + self._doubt_s(engine.replica.name, waiter)
         if engine.replica.hall != waiter.follower.hall:
             cost += OTHER_HALL_S
         return cost
@@ -668,8 +675,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.error("a planner's task failed", why=repr(task.exception()))
-
-
-def _tells(engine: Engine, keys: t.Collection[AdapterKey]) -> bool:
-    """Tell whether an engine says of itself that it holds any of some weights."""
-    return any(holding.key in keys for holding in engine.replica.holdings)
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -10,13 +10,13 @@
 from .model import (
     Attempt,
     EngineReport,
-    MoveReply,
     Order,
     OrderOutcome,
     Replica,
     Request,
     Verdict,
 )
+from .moves import MoveReply
 
 
 class BadRequest(Exception):
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -26,7 +26,8 @@
 from .job import Job
 from .left_runs import LeftRun, LeftRuns
 from .metrics import Meters
-from .model import Copy, CopyKind, EngineSpec, MoveOutcome, Repeat, Replica
+from .model import Copy, CopyKind, EngineSpec, Repeat, Replica
+from .moves import MoveOutcome
 from .ports import RunTransport
 
 log = logbook.Logger("runs")
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -34,6 +34,8 @@
     """What an engine held alone is brought elsewhere when the engine is lost."""
     EARLY_DOOR = "early-door"
     """Callers find an open door before the program behind it is read."""
+    KEPT_PARTS = "kept-parts"
+    """Engines are chosen by what they keep of prompts."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_left_runs.py
+++ b/tests/test_left_runs.py
@@ -8,7 +8,8 @@
 import pytest
 import run_world
 from gradelug_gateway import runs as runs_module
-from gradelug_gateway.model import MoveOutcome, MoveReply, Repeat
+from gradelug_gateway.model import Repeat
+from gradelug_gateway.moves import MoveOutcome, MoveReply
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.left_runs import (
     ASK_S,
