--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -31,6 +31,7 @@
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
 from .freshness import RENEW_PART, Freshness
+from .gauges import Observed, add_gauges
 from .handover import Handover
 from .metrics import Meters
 from .model import EngineSpec, FleetState
@@ -216,7 +217,17 @@
         )
         self._status = HttpServer(self._serve_status, ServerLimits, self._clock)
         self._peers = Server([PlacementService(self._duties, self._directory.known)])
-        self._add_gauges()
+        observed = Observed(
+            self._callers,
+            self._pool,
+            self._state,
+            self._fleet,
+            self._mirror,
+            self._freshness,
+            self._directory,
+            self._planners,
+        )
+        add_gauges(self._meters, observed, self._clock)
 
     async def run(self) -> bool:
         """Serve until asked to stop; tell whether a background task failed."""
@@ -441,73 +452,9 @@
             return
         inc.respond(200 if self._is_ready() else 503, [], b"")
 
-    def _add_gauges(self) -> None:
-        gauge = self._meters.gauge
-        gauge("requests_in_progress", "Requests now", lambda: self._callers.in_progress)
-        gauge("unread_bytes", "Kept for callers that read slowly", lambda: self._callers.held)
-        gauge(
-            "callers_given_up",
-            "Callers cut since the start because they did not read",
-            lambda: self._callers.shed,
-        )
-        gauge("connections_opened", "Connections opened to replicas", lambda: self._pool.opened)
-        gauge(
-            "connections_doubted",
-            "Idle connections closed because another one had fallen silent",
-            lambda: self._pool.doubted,
-        )
-        gauge("replicas", "Replicas known", lambda: len(self._state.replicas))
-        gauge(
-            "replicas_ejected",
-            "Replicas that a planner has told to leave alone",
-            self._fleet.count_ejected,
-        )
-        gauge("mirror_synced", "1 while the platform's watch runs", lambda: self._mirror.synced)
-        gauge(
-            "config_proof_age_seconds",
-            "Since the configuration in force was known to be the newest",
-            lambda: self._freshness.age_s,
-        )
-        gauge("slow_engines", "Engines taken for slow", self._count_slow)
-        gauge("requests_held", "Requests held until an engine has room", self._count_held)
-        gauge("plans", "Services planned for", lambda: self._count_planned())
-        gauge(
-            "news_age_seconds",
-            "Since a planner that is followed told something, the longest of all",
-            lambda: self._directory.news_age_s,
-        )
-        gauge(
-            "news_scoped",
-            "1 while planners tell of the weights alone that are used here",
-            lambda: self._fleet.is_scoped,
-        )
-        gauge(
-            "weights_located",
-            "Weights of which it is known where they are",
-            lambda: self._fleet.located,
-        )
-        gauge(
-            "engines_unknown",
-            "Engines planned for that have not given their state",
-            lambda: sum(planner.unknown_engines for planner in self._planners()),
-        )
-        gauge(
-            "gateways_behind",
-            "Gateways that have not read the news that the planner here has for them",
-            lambda: sum(planner.followers.behind for planner in self._planners()),
-        )
-
     def _planners(self) -> list[Planner]:
         return [duty.planner for duty in self._duties.values() if duty.planner is not None]
 
-    def _count_slow(self) -> int:
-        room = self._fleet.room
-        return len(room.paces.slow(self._clock())) if room is not None else 0
-
-    def _count_held(self) -> int:
-        planners = [duty.planner for duty in self._duties.values()]
-        return sum(planner.held() for planner in planners if planner is not None)
-
     def _count_planned(self) -> int:
         return len(self._planners())
 
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -0,0 +1,122 @@
+"""Gauges of a daemon: what it holds, knows and plans for at the moment."""
+
+from __future__ import annotations
+
+import typing as t
+from dataclasses import dataclass
+
+from gradelug_coordination import Mirror
+from gradelug_http import HttpPool, HttpServer
+
+from .directory import Directory
+from .fleet import Fleet
+from .freshness import Freshness
+from .metrics import Meters
+from .model import FleetState
+from .planner import Planner
+
+
+@dataclass(slots=True, frozen=True)
+class Observed:
+    """The parts of a daemon of which gauges tell.
+
+    Parameters
+    ----------
+    callers : HttpServer
+        The door for callers.
+    pool : HttpPool
+        Connections to replicas.
+    state : FleetState
+        What the platform has told.
+    fleet : Fleet
+        What is known of replicas.
+    mirror : Mirror
+        The platform's entries.
+    freshness : Freshness
+        When the configuration was known to be the newest.
+    directory : Directory
+        The planners that are followed.
+    planners : callable
+        Returns the planners here.
+    """
+
+    callers: HttpServer
+    pool: HttpPool
+    state: FleetState
+    fleet: Fleet
+    mirror: Mirror
+    freshness: Freshness
+    directory: Directory
+    planners: t.Callable[[], list[Planner]]
+
+
+def add_gauges(meters: Meters, seen: Observed, clock: t.Callable[[], float]) -> None:
+    """Add the gauges of a daemon.
+
+    Parameters
+    ----------
+    clock : callable
+        The runtime's clock.
+    """
+    gauge = meters.gauge
+    gauge("requests_in_progress", "Requests now", lambda: seen.callers.in_progress)
+    gauge("unread_bytes", "Kept for callers that read slowly", lambda: seen.callers.held)
+    gauge(
+        "callers_given_up",
+        "Callers cut since the start because they did not read",
+        lambda: seen.callers.shed,
+    )
+    gauge("connections_opened", "Connections opened to replicas", lambda: seen.pool.opened)
+    gauge(
+        "connections_doubted",
+        "Idle connections closed because another one had fallen silent",
+        lambda: seen.pool.doubted,
+    )
+    gauge("replicas", "Replicas known", lambda: len(seen.state.replicas))
+    gauge(
+        "replicas_ejected",
+        "Replicas that a planner has told to leave alone",
+        seen.fleet.count_ejected,
+    )
+    gauge("mirror_synced", "1 while the platform's watch runs", lambda: seen.mirror.synced)
+    gauge(
+        "config_proof_age_seconds",
+        "Since the configuration in force was known to be the newest",
+        lambda: seen.freshness.age_s,
+    )
+    gauge("slow_engines", "Engines taken for slow", lambda: _count_slow(seen.fleet, clock))
+    gauge(
+        "requests_held",
+        "Requests held until an engine has room",
+        lambda: sum(planner.held() for planner in seen.planners()),
+    )
+    gauge("plans", "Services planned for", lambda: len(seen.planners()))
+    gauge(
+        "news_age_seconds",
+        "Since a planner that is followed told something, the longest of all",
+        lambda: seen.directory.news_age_s,
+    )
+    gauge(
+        "news_scoped",
+        "1 while planners tell of the weights alone that are used here",
+        lambda: seen.fleet.is_scoped,
+    )
+    gauge(
+        "weights_located",
+        "Weights of which it is known where they are",
+        lambda: seen.fleet.located,
+    )
+    gauge(
+        "engines_unknown",
+        "Engines planned for that have not given their state",
+        lambda: sum(planner.unknown_engines for planner in seen.planners()),
+    )
+    gauge(
+        "gateways_behind",
+        "Gateways that have not read the news that the planner here has for them",
+        lambda: sum(planner.followers.behind for planner in seen.planners()),
+    )
+
+
+def _count_slow(fleet: Fleet, clock: t.Callable[[], float]) -> int:
+    return len(fleet.room.paces.slow(clock())) if fleet.room is not None else 0
