--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -31,9 +31,9 @@
 from .feed import LAPSED_GRACE_S, EntryReader, Feed
 from .fleet import Fleet
 from .freshness import Freshness
-from .gauges import add_planner_gauges, add_standing_gauges
+from .gauges import Observed, add_daemon_gauges
 from .handover import Handover
-from .kept import Kept, add_gauges
+from .kept import Kept
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .parts import GatewayPart
@@ -223,7 +223,18 @@
         self._peers = Server([PlacementService(self._duties, self._directory.known)])
         looks = part_looks(self._state, self._mirror, self._directory, self._duties)
         self._standing = Standing(self._clock, looks)
-        self._add_gauges()
+        observed = Observed(
+            self._callers,
+            self._pool,
+            self._state,
+            self._fleet,
+            self._mirror,
+            self._freshness,
+            self._directory,
+            self._standing,
+            self._planners,
+        )
+        add_daemon_gauges(self._meters, observed, self._clock)
 
     async def run(self) -> bool:
         """Serve until asked to stop; tell whether a background task failed."""
@@ -454,61 +465,9 @@
             return
         inc.respond(200 if self._is_ready() else 503, [], b"")
 
-    def _add_gauges(self) -> None:
-        gauge = self._meters.gauge
-        add_gauges(self._meters, self._fleet.kept.parts, self._planners)
-        gauge("requests_in_progress", "Requests now", lambda: self._callers.in_progress)
-        gauge("unread_bytes", "Kept for callers that read slowly", lambda: self._callers.held)
-        gauge(
-            "callers_given_up",
-            "Callers cut since the start because they did not read",
-            lambda: self._callers.shed,
-        )
-        gauge("connections_opened", "Connections opened to replicas", lambda: self._pool.opened)
-        gauge(
-            "connections_doubted",
-            "Idle connections closed because another one had fallen silent",
-            lambda: self._pool.doubted,
-        )
-        gauge("replicas", "Replicas known", lambda: len(self._state.replicas))
-        gauge(
-            "replicas_ejected",
-            "Replicas that a planner has told to leave alone",
-            self._fleet.count_ejected,
-        )
-        gauge("mirror_synced", "1 while the platform's watch runs", lambda: self._mirror.synced)
-        gauge(
-            "config_proof_age_seconds",
-            "Since the configuration in force was known to be the newest",
-            lambda: self._freshness.age_s,
-        )
-        gauge("slow_engines", "Engines taken for slow", self._count_slow)
-        gauge("plans", "Services planned for", lambda: self._count_planned())
-        gauge(
-            "news_age_seconds",
-            "Since a planner that is followed told something, the longest of all",
-            lambda: self._directory.news_age_s,
-        )
-        gauge(
-            "news_scoped",
-            "1 while planners tell of the weights alone that are used here",
-            lambda: self._fleet.is_scoped,
-        )
-        gauge(
-            "weights_located",
-            "Weights of which it is known where they are",
-            lambda: self._fleet.located,
-        )
-        add_planner_gauges(self._meters, self._planners)
-        add_standing_gauges(self._meters, self._standing)
-
     def _planners(self) -> list[Planner]:
         return [duty.planner for duty in self._duties.values() if duty.planner is not None]
 
-    def _count_slow(self) -> int:
-        room = self._fleet.room
-        return len(room.paces.slow(self._clock())) if room is not None else 0
-
     def _count_planned(self) -> int:
         return len(self._planners())
 
