--- a/packages/cli/src/gradelug_cli/main.py
+++ b/packages/cli/src/gradelug_cli/main.py
@@ -43,6 +43,7 @@
 from .repository import Repository
 from .status import gather_status
 from .trace import trace
+from .why import differences, judge
 
 KV_VARIABLE = "GRADELUG_KV"
 LABELLED = ("adapters", "callers", "pools", "services")
@@ -68,6 +69,7 @@
         gradelug explain --caller tax-inspectorate --model valuation-bayanzurkh
         gradelug drain valuation-3
         gradelug status --json
+        gradelug why 4711-2 edge-*.log --beside 4712-1
     """
 
     def __init__(self, kv: str = "") -> None:
@@ -214,6 +216,19 @@
         if found.unreadable:
             print(f"{found.unreadable} lines could not be read", file=sys.stderr)
 
+    def why(self, request_id: str, *files: str, beside: str = "") -> None:
+        """Tell by what a request was refused or placed, --beside another one; 5 if logs lack it."""
+        rows = _read_logs(files)
+        # Identifiers of digits reach a command as numbers.
+        judged = [judge(str(name), rows) for name in (request_id, beside) if name != ""]
+        for judgement in judged:
+            print(judgement)
+        if len(judged) > 1:
+            print("\n".join(["they differ in", *(f"  {row}" for row in differences(*judged))]))
+        missing = [judgement.request for judgement in judged if not judgement.is_known]
+        if missing:
+            raise CommandError(EXIT_NOT_FOUND, f"no line tells of request {', '.join(missing)}")
+
     def _set_draining(self, names: t.Sequence[str], drained: bool) -> None:
         if not names:
             raise CommandError(EXIT_INVALID, "name at least one upstream")
--- a/packages/gateway/src/gradelug_gateway/fair_line.py
+++ b/packages/gateway/src/gradelug_gateway/fair_line.py
@@ -177,7 +177,11 @@
 
     def skips(self, waiter: Waiter, now: float) -> bool:
         """Tell whether one that goes after others need not be tried: none before it found room."""
-        return waiter.key in self._full and now < waiter.target_at and self.yields(waiter)
+        if waiter.key not in self._full or now >= waiter.target_at or not self.yields(waiter):
+            return False
+        # It is no request for a load.
+        waiter.is_held = True
+        return True
 
     def hold_s(self, waiter: Waiter) -> float:
         """Return how long a request is held for room at most, in seconds.
--- /dev/null
+++ b/tests/test_why.py
@@ -0,0 +1,76 @@
+"""By what two requests were judged, from logs."""
+
+import pytest
+from gradelug_cli.exceptions import CommandError
+from gradelug_cli.main import Commands
+from gradelug_cli.why import differences, judge
+from test_trace import line
+
+DAY = "2026-12-03T10:00:"
+STOOD = {"kind": "ask", "urgency": 1, "waiting": 40, "owners": 3, "age_s": 0.1}
+LOGS = [
+    line(
+        f"{DAY}01",
+        "i-1",
+        "share",
+        id="q1",
+        owner="flood",
+        outcome="refused",
+        part=0.61,
+        fair=0.4,
+        yields=True,
+        held_s=0.01,
+        **STOOD,
+    ),
+    line(f"{DAY}01.1", "i-1", "refused", id="q1", why="others wait", weights="m/a", sends=0),
+    line(
+        f"{DAY}01",
+        "i-2",
+        "share",
+        id="q2",
+        owner="small",
+        outcome="placed",
+        part=0.02,
+        fair=0.4,
+        yields=False,
+        held_s=0.05,
+        **STOOD,
+    ),
+    line(f"{DAY}01.1", "i-2", "placed", id="q2", replica="e-1", waited_s=0.06, cost=0.3),
+    line(f"{DAY}03", "i-2", "answered", id="q2", status=200),
+    line(f"{DAY}03", "i-2", "answered", id="q3", status=200),
+    "{broken",
+]
+
+
+class TestWhy:
+    def test_it_tells_how_a_request_ended_and_by_what(self):
+        found = judge("q1", LOGS)
+        assert found.end == "refused: others wait"
+        assert found.value("part") == "0.61"
+        assert found.value("yields") == "True"
+        assert found.value("replica") == "-"
+
+    def test_two_are_set_side_by_side_by_what_differs(self):
+        rows = differences(judge("q1", LOGS), judge("q2", LOGS))
+        assert "whose: flood against small" in rows
+        assert "its owner used, of all: 0.61 against 0.02" in rows
+        assert "where: - against e-1" in rows
+        assert not any(row.startswith("waited for room then") for row in rows)
+
+    def test_the_command_prints_both_and_their_differences(self, tmp_path, capsys):
+        path = tmp_path / "log"
+        path.write_text("\n".join(LOGS))
+        Commands().why("q1", str(path), beside="q2")
+        out = capsys.readouterr().out
+        assert "q1: refused: others wait" in out
+        assert "q2: answered" in out
+        assert "they differ in" in out
+        assert "  went after others: True against False" in out
+
+    def test_a_request_that_no_line_tells_of_is_not_found(self, tmp_path, capsys):
+        path = tmp_path / "log"
+        path.write_text("\n".join(LOGS))
+        with pytest.raises(CommandError, match="q9"):
+            Commands().why("q1", str(path), beside="q9")
+        assert "q1: refused" in capsys.readouterr().out
