--- a/packages/gateway/src/gradelug_gateway/fair_line.py
+++ b/packages/gateway/src/gradelug_gateway/fair_line.py
@@ -144,17 +144,20 @@
     def arrange(self, waiters: list[Waiter], now: float) -> list[Waiter]:
         """Return those that wait, in the order in which they are to be answered."""
         self._full.clear()
-        held = [waiter for waiter in waiters if waiter.is_held]
-        self._waiting = len(held)
-        if not held or not self._is_on:
+        self._waiting = sum(waiter.is_held for waiter in waiters)
+        if not self._waiting or not self._is_on:
             was_arranged, self._board = self._board is not None, None
             return sorted(waiters, key=_arrival) if was_arranged else waiters
-        claims = [_claim(waiter, at) for at, waiter in enumerate(held)]
-        self._owners = len({claim.party.owner for claim in claims})
-        self._board = self._shares.board(claims, self._weigh(), now)
-        self._claimed = frozenset(waiter.key for waiter in held if not self.yields(waiter))
-        everyone = [_claim(waiter, at) for at, waiter in enumerate(waiters)]
-        return [waiters[claim.number] for claim in self._order.arrange(everyone, self._board)]
+        claims = [_claim(waiter, at) for at, waiter in enumerate(waiters)]
+        held = [claim for claim in claims if waiters[claim.number].is_held]
+        self._owners = len({claim.party.owner for claim in held})
+        board = self._board = self._shares.board(held, self._weigh(), now)
+        self._claimed = frozenset(
+            waiters[claim.number].key
+            for claim in held
+            if not board.yields(claim.party, claim.urgency)
+        )
+        return [waiters[claim.number] for claim in self._order.arrange(claims, board)]
 
     def yields(self, waiter: Waiter) -> bool:
         """Tell whether a request goes after others that wait for room."""
--- a/packages/policy/src/gradelug_policy/shares.py
+++ b/packages/policy/src/gradelug_policy/shares.py
@@ -87,7 +87,7 @@
         return 1.0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Claim:
     """A request that waits for room on an engine.
 
@@ -399,10 +399,12 @@
 
     def arrange(self, claims: t.Iterable[Claim], board: Board) -> list[Claim]:
         """Return all of them, the first to be served first."""
+        waiting = list(claims)
+        over = {name for name in {claim.party.owner for claim in waiting} if board.is_over(name)}
         return sorted(
-            claims,
+            waiting,
             key=lambda claim: (
-                board.is_over(claim.party.owner),
+                claim.party.owner in over,
                 claim.urgency,
                 claim.party.kind in board.kinds,
                 claim.since,
--- a/tests/test_fair_line.py
+++ b/tests/test_fair_line.py
@@ -2,12 +2,14 @@
 
 import asyncio
 
+import logbook
 import pytest
 from gradelug_gateway.fair_line import BEYOND_SHARE, QuotaWeights
 from gradelug_gateway.job import Outcome
 from gradelug_gateway.metrics import Meters
 from gradelug_gateway.model import AdapterKey, Snapshot
 from gradelug_gateway.organisations import Organisation, Organisations, Principal, Quota
+from gradelug_gateway.share_log import tell_standing
 from gradelug_gateway.share_tally import MOST_UNTOLD, NOBODY, ShareTally, ShareTeller, party_of
 from gradelug_policy.engine_room import HOLD_S
 from gradelug_policy.reading import Work
@@ -262,3 +264,19 @@
         assert 'gradelug_engine_tokens_total{organisation="o"} 200.0' in text
         assert 'gradelug_engine_tokens_total{organisation=""} 200.0' in text
         assert 'gradelug_engine_wait_seconds_count{organisation="o"} 1.0' in text
+
+    def test_on_another_stream_what_was_not_told_is_forgotten(self, tally):
+        tally.begin(_Job())
+        ShareTeller("llm", tally, lambda: 1.5).begin_stream()
+        assert self.told(tally) == []
+
+
+def test_a_line_tells_by_what_a_request_was_judged():
+    standing = pb.Standing(part=0.61, fair=0.4, yields=True, waiting=9, owners=3, age_ms=120)
+    with logbook.TestHandler() as handler:
+        tell_standing("q1", Party("o", "k"), 2, pb.Answer(standing=standing))
+    (record,) = handler.records
+    assert record.message == "share"
+    assert record.kwargs["id"] == "q1"
+    told = {name: record.kwargs[name] for name in ("owner", "part", "fair", "age_s", "outcome")}
+    assert told == {"owner": "o", "part": 0.61, "fair": 0.4, "age_s": 0.12, "outcome": "refused"}
