--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -47,6 +47,7 @@
 from .sending import Sender
 from .serving import Serving
 from .settings import Feature, GatewaySettings
+from .share_tally import ShareTally, ShareTeller
 from .sharedhealth import EndsTeller
 from .spacing import store_spacing_s
 from .standing import Standing, part_looks
@@ -168,6 +169,7 @@
         )
         self._gateways = GatewayCount(bounds.retry_window_s)
         self._meters = Meters()
+        self._tally = ShareTally(self._clock, self._meters, self._has_organisations)
         lasting = self._handover = None
         if runs is not None and Feature.LASTING_RUNS in settings.features:
             lasting = LastingRuns(
@@ -215,6 +217,7 @@
             lambda: not self._mirror.is_lost,
             Feature.SHARED_HEALTH in settings.features,
             lasting,
+            self._tally,
         )
         self._callers = EarlyServer(
             self._serving.serve, self._limits, self._clock, settings.unread_bytes, pool
@@ -332,6 +335,8 @@
         if fleet.room is not None:
             tally = fleet.pauses.setdefault(service, PauseTally())
             yield SpeedTeller(service, tally, fleet.room.paces, fleet.speeds, self._clock)
+        if Feature.FAIR_SHARES in self.settings.features:
+            yield ShareTeller(service, self._tally, self._clock)
 
     def _new_ownership(self) -> LastingOwnership:
         host, _ = _split(self.settings.addresses.peers)
@@ -468,6 +473,9 @@
     def _planners(self) -> list[Planner]:
         return [duty.planner for duty in self._duties.values() if duty.planner is not None]
 
+    def _has_organisations(self) -> bool:
+        return self._state.snapshot is not None and bool(self._state.snapshot.organisations)
+
     def _count_planned(self) -> int:
         return len(self._planners())
 
