Close what killed processes never began: warnings that struck other tests are gone

Cause: tests on the paused clock kill processes whose tasks then never take their first step. Their coroutines were collected in any later test and told as never awaited, which a filter hides; where that fell into a frame without builtins (the constructor of a named tuple) the telling itself failed (KeyError '__import__') and became an unraisable exception; how many depends on the collector. The loop now keeps the tasks of its processes and closes at its end those never begun. No filter changed.

--- a/tests/world.py
+++ b/tests/world.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextvars
+import inspect
 import itertools
 import json
 import random
@@ -63,6 +64,11 @@
 class FreezableLoop(looptime.LoopTimeEventLoop, asyncio.SelectorEventLoop):
     """Holds back the callbacks of frozen processes."""
 
+    def __init__(self):
+        super().__init__()
+        self.spawned = set()
+        """Tasks of processes that have not ended; those of killed ones never do."""
+
     def call_soon(self, callback, *args, context=None):
         context = context or contextvars.copy_context()
         process = context.get(PROCESS)
@@ -98,6 +104,19 @@
             if not cell[0].cancelled():
                 super().call_soon(callback, *args, context=context)
 
+    def close(self):
+        """Close what a killed or frozen process never began, before its loop is forgotten.
+
+        It would be told as never awaited whenever it is collected, within any other test; where
+        that is in a frame without builtins, as a named tuple's, the telling itself fails.
+        """
+        for task in self.spawned:
+            coro = task.get_coro()
+            if inspect.getcoroutinestate(coro) == inspect.CORO_CREATED:
+                coro.close()
+        self.spawned.clear()
+        super().close()
+
 
 def new_loop():
     loop = FreezableLoop()
@@ -550,6 +569,8 @@
         task = self.loop.create_task(coro, context=context)
         process.tasks.add(task)
         task.add_done_callback(process.tasks.discard)
+        self.loop.spawned.add(task)
+        task.add_done_callback(self.loop.spawned.discard)
         return task
 
     def spawn_outside(self, coro):
