Logs and a counter tell the same request under other ids apart, and how far it had got

Cause sought: replicas end one after the other under load that they bear. Logs could not tell whether one request ends them (its attempts have other ids at each instance), its weights do, or requests are bystanders; nor whether a request had begun at the replica whose answer broke off. Change: a fingerprint of each request in 'placed' and 'broken', the stage that it had reached, when it was sent and last heard of; gradelug_broken_sendings by stage. No decision reads them.

--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/fingerprints.py
@@ -0,0 +1,33 @@
+"""What all sendings of one request have in common, whoever sends it again and where."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from .requests import Request
+
+SIZE = 16
+"""Bytes of a fingerprint: two different requests never share one."""
+SHOWN = 12
+"""Digits of it that logs show."""
+
+
+def fingerprint(req: Request) -> bytes:
+    """Return a digest of whose request it is, of where it goes and of what it says.
+
+    Another attempt of its caller has an identifier, a deadline and a last event of its own, and
+    comes to any instance: none of them counts, so that every instance finds the same digest.
+    """
+    weights = req.key.text if req.key is not None else ""
+    digest = blake2b(digest_size=SIZE)
+    head = (req.method, req.host.encode(), req.target, weights.encode(), *req.credentials)
+    for part in (*head, req.body):
+        # With its length before it no part can be taken for the end of another.
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.digest()
+
+
+def shown(mark: bytes) -> str:
+    """Return a fingerprint as logs show it."""
+    return mark.hex()[:SHOWN]
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -9,6 +9,7 @@
 from gradelug_http import Incoming, ResponseHead
 from gradelug_policy.reading import Work
 
+from .fingerprints import fingerprint
 from .model import Copy, Repeat, Request, Route, Service
 from .organisations import Principal
 from .quotas import Charge
@@ -76,6 +77,7 @@
         "events",
         "excluded",
         "failure",
+        "fingerprint",
         "inc",
         "in_doubt",
         "is_paid",
@@ -110,6 +112,8 @@
         self.charge: Charge | None = None
         """What it counts to its organisation's quota."""
         self.req = req
+        self.fingerprint = fingerprint(req)
+        """What it has in common with its caller's other attempts."""
         self.route = route
         self.service = service
         wait_s = min(req.wait_s - DEADLINE_MARGIN_S, route.timeout_s)
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -15,6 +15,7 @@
     """What the daemon counts."""
 
     __slots__ = (
+        "_broken",
         "_engine_tokens",
         "_engine_waits",
         "_error",
@@ -63,6 +64,12 @@
             buckets=BUCKETS_S,
             registry=self._registry,
         )
+        self._broken = Counter(
+            "gradelug_broken_sendings",
+            "Sendings whose answer broke off, by how far the request had got at its replica",
+            ["stage"],
+            registry=self._registry,
+        )
         self._plain_waits = Counter(
             "gradelug_plain_waits",
             "Requests that waited for room at a service without engines",
@@ -134,6 +141,10 @@
         self._engine_tokens.labels(organisation).inc(tokens)
         self._engine_waits.labels(organisation).observe(waited_s)
 
+    def broken(self, stage: str) -> None:
+        """Count a sending whose answer broke off."""
+        self._broken.labels(stage).inc()
+
     def waited_plain(self) -> None:
         """Count a request that waits for room at a service without engines."""
         self._plain_waits.inc()
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -6,6 +6,7 @@
 import math
 import typing as t
 from dataclasses import replace
+from enum import Enum
 
 import logbook
 from gradelug_http import (
@@ -21,6 +22,7 @@
 
 from .directory import Directory
 from .exceptions import GATEWAY_TIMEOUT
+from .fingerprints import shown
 from .fleet import Fleet
 from .job import Job, Outcome
 from .metrics import Meters
@@ -144,6 +146,7 @@
         log.info(
             "placed",
             id=job.req.id,
+            fingerprint=shown(job.fingerprint),
             route=job.route.name,
             replica=replica.name,
             weights=key.text if key is not None else "",
@@ -170,13 +173,18 @@
             raise
         except ResponseBroken as exc:
             is_callers = job.inc.held_up_s >= SLOW_CALLER_S
+            self._meters.broken(sending.stage.value)
             if not is_callers:
                 self._note_broken(sending, exc)
             log.info(
                 "broken",
                 id=job.req.id,
+                fingerprint=shown(job.fingerprint),
                 replica=replica.name,
                 why=str(exc),
+                stage=sending.stage.value,
+                sent_s=round(self._clock() - sending.sent_at, 3),
+                quiet_s=round(self._clock() - sending.event_at, 3),
                 held_up_s=round(job.inc.held_up_s, 3),
             )
             if not is_callers and (conn.is_silenced or health.heard_at < now):
@@ -476,6 +484,17 @@
         )
 
 
+class Stage(Enum):
+    """How far a request got at a replica, as seen from here."""
+
+    SENT = "sent"
+    """Nothing has come: it may wait there, or run."""
+    BEGUN = "begun"
+    """The head of its answer came, and no event yet."""
+    RUNNING = "running"
+    """Events of its stream came."""
+
+
 class _Exchange:
     """One sending of a request over one connection."""
 
@@ -529,6 +548,13 @@
         """Pauses between events that were longer than the route's bound."""
         self.longest_s = 0.0
 
+    @property
+    def stage(self) -> Stage:
+        """How far the request got."""
+        if self.running:
+            return Stage.RUNNING
+        return Stage.BEGUN if self.status else Stage.SENT
+
     def release(self, pool: HttpPool, head: ResponseHead) -> None:
         """Give the connection back after a whole answer."""
         pool.release(self.conn, head)
