--- /dev/null
+++ b/tests/poison_world.py
@@ -0,0 +1,369 @@
+"""Whole gateways before engines that a request can end, in memory and on a paused clock.
+
+The daemons are the real ones, with the store, the sockets and the streams between them in memory.
+"""
+
+import asyncio
+import contextvars
+import json
+from collections import Counter
+from pipes import Network, RawClient, join
+from unittest import mock
+
+from engine_model import ModelEngine
+from fleet_soak import CONFIG
+from gradelug_gateway import daemon as daemon_module
+from gradelug_gateway import directory as directory_module
+from gradelug_gateway import link as link_module
+from gradelug_gateway.settings import Addresses, Bounds, Feature, GatewaySettings
+from gradelug_http import HttpPool, ServerLimits
+from gradelug_platform.dialect import PlatformDialect
+from gradelug_platform.entries import PlatformEntries
+from gradelug_standins.kv import MemoryKv
+from grpclib.exceptions import StreamTerminatedError
+from world import PROCESS, Process
+
+BEGINS_S = 0.1
+"""An engine begins a request so long after it came."""
+LIVES_S = 0.04
+"""It ends so long after it began one that ends it."""
+BACK_S = 3.0
+"""It is back, under another name, after this."""
+LAPSE_S = 3.6
+"""The entry of one that ended goes after three missed heartbeats."""
+EVENTS, EVENT_S = 10, 0.05
+POISON = b"poison"
+SLOW_POISON = b"slow poison"
+"""It ends an engine after some events."""
+
+
+class Engine:
+    """One start of an engine."""
+
+    def __init__(self, world, name, address):
+        self.world, self.name, self.address = world, name, address
+        self.model = ModelEngine(world.clock, {})
+        self.begun = {}
+        """What it runs, by the request's identifier: the body."""
+        self.is_dead = False
+        self.server = world.net.serve(address, self.serve, ServerLimits, world.clock)
+
+    async def enter(self):
+        data = {
+            "Backend": "llm",
+            "Address": self.address,
+            "Zone": "z",
+            "Slots": 8,
+            "State": "ready",
+            "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+        }
+        await self.world.kv.swap(f"servers/{self.name}", json.dumps(data).encode(), 0)
+
+    async def serve(self, inc):
+        ident = inc.header(b"x-gradelug-request-id").decode()
+        own = [(b"X-Gradelug-Request-Id", ident.encode())]
+        if inc.header(b"x-gradelug-expect-instance") != self.name.encode():
+            inc.respond(421, [*own, (b"X-Gradelug-Instance-Id", self.name.encode())], b"")
+            return
+        self.world.arrived.append((self.world.clock(), inc.body, self.name))
+        await asyncio.sleep(BEGINS_S)
+        self.begun[ident] = inc.body
+        inc.begin(200, [*own, (b"X-Gradelug-Server-Signature", self.name.encode())])
+        first = int(inc.header(b"last-event-id") or 0) + 1
+        try:
+            if inc.body == POISON:
+                await asyncio.sleep(LIVES_S)
+                self.end(inc.body)
+                return
+            for number in range(first, EVENTS + 1):
+                await asyncio.sleep(EVENT_S)
+                await inc.send(b"id: %d\ndata: x\n\n" % number)
+                if inc.body == SLOW_POISON and number == first + 2:
+                    self.end(inc.body)
+                    return
+            inc.finish()
+        finally:
+            self.begun.pop(ident, None)
+
+    def end(self, body=b""):
+        """End at once, with all that runs here."""
+        if self.is_dead:
+            return
+        self.is_dead = True
+        self.world.ended.append((self.world.clock(), body, self.name))
+        self.world.net.servers.pop(self.address, None)
+        for conn in list(self.server.connections):
+            conn.abort()
+        asyncio.get_running_loop().call_later(LAPSE_S, self.world.spawn, self._lapse())
+        asyncio.get_running_loop().call_later(BACK_S, self.world.add_engine, self.address)
+
+    async def _lapse(self):
+        found = self.world.kv.entries().get(f"servers/{self.name}")
+        await self.world.kv.delete(found.key, found.revision)
+
+
+class OrdersToModels:
+    """Carries orders to engines; implements `OrderTransport`."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def may_order(self, replica):
+        return True
+
+    async def order(self, replica, order):
+        await asyncio.sleep(0.002)
+        return self.world.engines[replica.name].model.carry_out(order)
+
+    async def report(self, replica):
+        await asyncio.sleep(0.002)
+        engine = self.world.engines.get(replica.name)
+        return engine.model.report() if engine is not None and not engine.is_dead else None
+
+
+class Stream:
+    """One end of a stream between two instances; `None` stands for its end."""
+
+    def __init__(self, inbox, outbox):
+        self.inbox, self.outbox = inbox, outbox
+
+    async def send_message(self, message):
+        copy = type(message)()
+        copy.CopyFrom(message)
+        self.outbox.put_nowait(copy)
+
+    async def recv_message(self):
+        message = await self.inbox.get()
+        if message is StreamTerminatedError:
+            raise StreamTerminatedError("the other end is gone")
+        return message
+
+
+class Follow:
+    """Opens a stream to the instance at an address; stands for a grpclib method."""
+
+    def __init__(self, world, address):
+        self.world, self.address = world, address
+
+    def open(self):
+        return self
+
+    async def __aenter__(self):
+        peer = self.world.by_peer(self.address)
+        if peer is None:
+            raise OSError(f"nobody at {self.address}")
+        there, here = asyncio.Queue(), asyncio.Queue()
+        self._ends = (there, here)
+        peer.streams.append(self._ends)
+        service = daemon_module.PlacementService(peer.daemon._duties, peer.daemon._directory.known)
+        peer.spawn(self._serve(service, Stream(there, here)))
+        return Stream(here, there)
+
+    async def _serve(self, service, stream):
+        try:
+            await service.Follow(stream)
+        except link_module.GRPCError:
+            stream.outbox.put_nowait(StreamTerminatedError)
+        else:
+            stream.outbox.put_nowait(None)
+
+    async def __aexit__(self, *exc):
+        self._ends[0].put_nowait(None)
+
+
+class Instance:
+    """One gateway: a daemon in a process of its own."""
+
+    def __init__(self, world, at):
+        self.world, self.at = world, at
+        self.name = f"g{at}"
+        self.front, self.peer = f"10.0.0.{at}:80", f"10.0.0.{at}:81"
+        self.streams = []
+
+    def start(self):
+        self.process = Process(self.name)
+        self.spawn(self._start())
+
+    def spawn(self, coro):
+        """Run something as a part of this process."""
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, self.process)
+        task = self.world.loop.create_task(coro, context=context)
+        self.world.tasks.add(task)
+
+    async def _start(self):
+        world = self.world
+        settings = GatewaySettings(
+            self.name,
+            "z",
+            Addresses(self.front, f"10.0.0.{self.at}:82", self.peer),
+            Bounds(fenced=True, retry_extra=10_000.0),
+            features=frozenset(Feature),
+        )
+        self.pool = HttpPool(world.clock, world.net.dial)
+        self.daemon = daemon_module.Daemon(
+            settings,
+            world.kv,
+            PlatformEntries(),
+            PlatformDialect(),
+            OrdersToModels(world),
+            self.pool,
+        )
+        for server in (self.daemon._status, self.daemon._peers, self.daemon._callers):
+            server.start = mock.AsyncMock()
+        await self.daemon._start()
+        world.net.servers[self.front] = self.daemon._callers.new_connection
+
+    def kill(self):
+        """Let it lose power: nothing of it runs any more, and nobody is told."""
+        self.process.dead = True
+        self.world.net.servers.pop(self.front, None)
+        for wire in list(self.pool._wires):
+            wire.transport.abort()
+        for ends in self.streams:
+            for end in ends:
+                end.put_nowait(StreamTerminatedError)
+
+    @property
+    def plans(self):
+        """Whether this instance is the planner."""
+        return any(duty.planner is not None for duty in self.daemon._duties.values())
+
+
+class PoisonWorld:
+    """Gateways, engines, a store, and callers."""
+
+    def __init__(self, gateways=3, engines=8):
+        self.loop = asyncio.get_running_loop()
+        self.clock = self.loop.time
+        self.net = Network()
+        self.kv = MemoryKv()
+        self.tasks = set()
+        self.engines = {}
+        self.names = 0
+        self.arrived = []
+        """Requests that reached engines: when, which body, which engine."""
+        self.ended = []
+        """Engines that ended: when, by which body, which engine."""
+        self.answers = Counter()
+        """What callers got, by body and status."""
+        self.idents = 0
+        self.gateways = [Instance(self, at) for at in range(gateways)]
+        self._patches = [
+            mock.patch.object(link_module, "Channel", lambda host, port: mock.Mock(at=(host, port))),
+            mock.patch.object(link_module, "PlacementStub", self._stub),
+            mock.patch.object(directory_module, "ask_where", mock.AsyncMock(return_value=None)),
+        ]
+        for number in range(engines):
+            self.add_engine(f"10.0.1.{number}:80")
+
+    async def __aenter__(self):
+        for patch in self._patches:
+            patch.start()
+        await self.kv.swap("op/config", json.dumps(CONFIG).encode(), 0)
+        for gateway in self.gateways:
+            gateway.start()
+        await asyncio.sleep(2.0)
+        return self
+
+    async def __aexit__(self, *exc):
+        for patch in self._patches:
+            patch.stop()
+
+    def _stub(self, channel):
+        return mock.Mock(Follow=Follow(self, f"{channel.at[0]}:{channel.at[1]}"))
+
+    def by_peer(self, address):
+        found = [one for one in self.gateways if one.peer == address and not one.process.dead]
+        return found[0] if found else None
+
+    def spawn(self, coro):
+        task = self.loop.create_task(coro)
+        self.tasks.add(task)
+
+    def add_engine(self, address):
+        self.names += 1
+        engine = Engine(self, f"e{self.names}", address)
+        self.engines[engine.name] = engine
+        self.spawn(engine.enter())
+
+    def crash(self, count=1):
+        """Let the engines end that run most, for a reason of their own."""
+        alive = [engine for engine in self.engines.values() if not engine.is_dead]
+        for engine in sorted(alive, key=lambda one: -len(one.begun))[:count]:
+            engine.end()
+
+    async def lose_power(self):
+        """Let all instances lose power, and start them again."""
+        for gateway in self.gateways:
+            gateway.kill()
+        self.gateways = [Instance(self, gateway.at) for gateway in self.gateways]
+        await asyncio.sleep(0.5)
+        for gateway in self.gateways:
+            gateway.start()
+        await asyncio.sleep(1.5)
+
+    async def ask(self, gateway, body, deadline_ms=4000, adapter="a1"):
+        """Send a request by one instance and return the status of its answer, 0 for none."""
+        if gateway.process.dead or gateway.front not in self.net.servers:
+            return 0
+        self.idents += 1
+        client = RawClient()
+        join(client, self.net.servers[gateway.front]())
+        client.transport.write(
+            b"POST /s/x HTTP/1.1\r\nHost: h\r\nX-Gradelug-Request-Id: q%d\r\n"
+            b"X-Gradelug-Deadline-Ms: %d\r\nX-Gradelug-Model: m/%b\r\n"
+            b"X-Gradelug-Token-Usage: 100,20\r\nContent-Length: %d\r\n\r\n%b"
+            % (self.idents, deadline_ms, adapter.encode(), len(body), body)
+        )
+        until = self.clock() + deadline_ms / 1000 + 0.5
+        while self.clock() < until and not client.ended and not _is_whole(client.received):
+            await asyncio.sleep(0.02)
+        client.transport.close()
+        status = int(client.received.split(b" ")[1]) if client.received else 0
+        if status == 200 and not client.received.endswith(b"0\r\n\r\n"):
+            status = 0
+        self.answers[(body, status)] += 1
+        return status
+
+    async def repeat(self, body, pause_s, until, first=0):
+        """Send a request again and again, by each instance in turn."""
+        at = first
+        while self.clock() < until:
+            await self.ask(self.gateways[at % len(self.gateways)], body)
+            at += 1
+            await asyncio.sleep(pause_s)
+
+    async def serve_others(self, pause_s, until, streams=1):
+        """Send requests that harm nobody, each once."""
+        number = 0
+        while self.clock() < until:
+            for _ in range(streams):
+                number += 1
+                body = b"harmless %d" % number
+                gateway = self.gateways[number % len(self.gateways)]
+                self.spawn(self.ask(gateway, body, adapter=f"a{number % 9}"))
+            await asyncio.sleep(pause_s)
+
+    def late_sendings(self, body, contact_s, ends=3):
+        """Return when a request reached engines later than a time after it ended its third."""
+        ended = [at for at, what, _ in self.ended if what == body]
+        if len(ended) < ends:
+            return []
+        return [at for at, what, _ in self.arrived if what == body and at > ended[2] + contact_s]
+
+    def harmless(self):
+        """Return how many harmless requests ended with each status."""
+        found = Counter()
+        for (body, status), count in self.answers.items():
+            if body.startswith(b"harmless"):
+                found[status] += count
+        return found
+
+
+def _is_whole(received):
+    head, _, rest = bytes(received).partition(b"\r\n\r\n")
+    if not rest and b"Content-Length: 0" not in head and b"content-length: 0" not in head:
+        return False
+    return rest.endswith(b"0\r\n\r\n") or b"ontent-" in head and b"chunked" not in head
+
