The daemons run by a clock that goes on while their machine is suspended

Cause: event loops go by the monotonic clock, which stands still while a machine is suspended: an instance that was away for seconds took its lease, its proof of the configuration, its share of the repeats and its distance from the planner's clock for as fresh as before. Change: one clock in runtime, CLOCK_BOOTTIME where there is one, and a loop that goes by it for both daemons; the door and the log's budget use the same one.

--- a/packages/runtime/src/gradelug_runtime/outlet.py
+++ b/packages/runtime/src/gradelug_runtime/outlet.py
@@ -5,12 +5,12 @@
 import asyncio
 import os
 import sys
-import time
 import typing as t
 from collections import deque
 
 import logbook
 
+from .clock import steady_s
 from .logs import JsonFormatter
 
 LINES_PER_S = 150.0
@@ -41,7 +41,7 @@
         self,
         process: str,
         descriptor: int = STDOUT,
-        clock: t.Callable[[], float] = time.monotonic,
+        clock: t.Callable[[], float] = steady_s,
     ) -> None:
         super().__init__(level=logbook.INFO)
         self.formatter = JsonFormatter(process)
--- a/packages/runtime/src/gradelug_runtime/process.py
+++ b/packages/runtime/src/gradelug_runtime/process.py
@@ -12,6 +12,7 @@
 import logbook
 from gradelug_config.exceptions import InvalidConfig
 
+from .clock import run
 from .logs import open_log
 
 if t.TYPE_CHECKING:
@@ -108,7 +109,7 @@
     if check:
         return
     with open_log(cfg.log, cfg.name):
-        raise SystemExit(EXIT_FAILED if asyncio.run(serve(cfg)) else 0)
+        raise SystemExit(EXIT_FAILED if run(serve(cfg)) else 0)
 
 
 def load_or_exit(path: str, load: t.Callable[[Path], S]) -> S:
