A planner that cannot tell its news is replaced, and its error logged; tests and gauges of the guard

Cause: an error in what a planner tells ended the task that tells, and nothing else: its gateways lost it and followed it again, forever, without a line in any log (seen while the guard was built). The class of the incident: one thing that takes down one process after another because nobody looks at what did. Change: the planner ends with its telling, the duty logs why and begins another one. Its test fails on the code before.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -20,6 +20,7 @@
 from gradelug_http import Door, EarlyServer, HttpPool, HttpServer, Incoming, ServerLimits
 from gradelug_policy.quotas import LocalShares
 from gradelug_policy.residency import LoadWindow
+from gradelug_runtime.clock import run as run_steady
 from gradelug_runtime.process import Tasks
 from grpclib.server import Server
 
@@ -247,6 +248,8 @@
             self._freshness,
             self._directory,
             self._standing,
+            self._guard,
+            self._ends,
             self._planners,
         )
         add_daemon_gauges(self._meters, observed, self._clock)
@@ -532,4 +535,4 @@
     async def main() -> bool:
         return await make().run()
 
-    return 1 if asyncio.run(main()) else 0
+    return 1 if run_steady(main()) else 0
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -15,6 +15,8 @@
 from .metrics import Meters
 from .model import FleetState
 from .planner import Planner
+from .poison import PoisonGuard
+from .replica_ends import EndWatch
 from .standing import Part, Standing
 
 
@@ -40,6 +42,10 @@
         The planners that are followed.
     standing : Standing
         How long each part of the state was missing after the start.
+    guard : PoisonGuard
+        Requests that are not to be sent.
+    ends : EndWatch
+        Replicas that ended.
     planners : callable
         Returns the planners here.
     """
@@ -52,6 +58,8 @@
     freshness: Freshness
     directory: Directory
     standing: Standing
+    guard: PoisonGuard
+    ends: EndWatch
     planners: t.Callable[[], list[Planner]]
 
 
@@ -91,6 +99,26 @@
         "Since the configuration in force was known to be the newest",
         lambda: seen.freshness.age_s,
     )
+    gauge(
+        "replicas_ended",
+        "Replicas that ended since the start while they had requests of this instance",
+        lambda: seen.ends.ended,
+    )
+    gauge(
+        "requests_blocked",
+        "Different requests that are sent to no replica, since they end those that run them",
+        lambda: seen.guard.blocked,
+    )
+    gauge(
+        "requests_suspected",
+        "Different requests that one further end of a replica may block",
+        lambda: seen.guard.suspects,
+    )
+    gauge(
+        "sendings_blocked",
+        "Sendings since the start that were not made, since their request is blocked",
+        lambda: seen.guard.refused,
+    )
     gauge("slow_engines", "Engines taken for slow", lambda: _count_slow(seen.fleet, clock))
     gauge(
         "requests_held",
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -98,6 +98,8 @@
             planner.end_term()
             planning.cancel()
             self.planner = None
+            if planning.done() and not planning.cancelled() and planning.exception() is not None:
+                log.error("planner failed", service=planner.service, why=repr(planning.exception()))
 
 
 class PlacementService(PlacementBase):
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -205,6 +205,10 @@
                 self.refresh()
                 self.decide()
                 self.refill.bring(self._clock())
+                if telling.done():
+                    # A planner that tells nothing any more is lost to its gateways, and kept them
+                    # from finding another: they followed it again and again.
+                    telling.result()
                 await asyncio.sleep(TICK_S)
         finally:
             self.end_term()
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -169,8 +169,8 @@
             conn.close()
             return Outcome.NOT_SENT
         try:
-            # One request ended sixteen engines: each gateway, and each try, sent it to the next one.
-            # Asked right before sending, since another gateway may have been the third to see it.
+            # One request ended sixteen engines: each try, at each gateway, went on to the next one.
+            # Asked right before sending, since another gateway may have seen it end its third.
             self.check(job)
         except Refused:
             conn.close()
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
+from unittest import mock
 
+import logbook
 import pytest
 from engine_model import MODEL, SLOTS, ModelEngine
 from gradelug_gateway.engines import Phase, Place
@@ -15,6 +17,7 @@
     Replica,
     ToldLoad,
 )
+from gradelug_gateway.placement import Duty
 from gradelug_gateway.planner import Planner
 from gradelug_policy.pace import FIRST_LOAD_S
 from gradelug_policy.residency import LoadWindow
@@ -626,3 +629,33 @@
     for name in ("e0", "e1", "e2"):
         if name not in bench.state.replicas:
             bench.add(name)
+
+
+class TestDuty:
+    def test_a_planner_that_cannot_tell_its_news_is_replaced_and_the_error_is_logged(self):
+        """Its gateways heard nothing, and followed it again and again: nobody planned."""
+
+        fails = {"tell_news.side_effect": ZeroDivisionError, "has_stronger.return_value": False}
+
+        async def scenario():
+            made = []
+
+            def make():
+                made.append(Bench().planner)
+                if len(made) == 1:
+                    made[0].followers = mock.Mock(pacing=mock.Mock(news_s=0.1), **fails)
+                return made[-1]
+
+            election = mock.Mock(fence=7, run=asyncio.Event().wait)
+            election.may_act.return_value = True
+            duty = Duty(election, make)
+            with logbook.TestHandler().applicationbound() as caught:
+                running = asyncio.create_task(duty.run())
+                await asyncio.sleep(2.0)
+            assert len(made) == 2
+            assert duty.planner is made[1]
+            assert any("planner failed" in record.message for record in caught.records)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+        run(scenario)
