--- a/packages/cli/src/gradelug_cli/trace.py
+++ b/packages/cli/src/gradelug_cli/trace.py
@@ -35,7 +35,7 @@
     Parameters
     ----------
     request_id : str
-        The caller's identifier of the attempt.
+        The caller's identifier of the attempt, or the fingerprint that all its attempts share.
     rows : iterable of str
         Lines of any logs; what stands before a line's JSON object is passed over.
     """
@@ -46,7 +46,7 @@
         line = read_line(row)
         if line is None:
             unreadable += bool(row.strip())
-        elif line.fields.get("id") == request_id:
+        elif request_id in (line.fields.get("id"), line.fields.get("fingerprint")):
             found.append(line)
         elif line.message in PLANNING:
             planning.append(line)
--- a/packages/gateway/src/gradelug_gateway/poison_desk.py
+++ b/packages/gateway/src/gradelug_gateway/poison_desk.py
@@ -95,13 +95,14 @@
         What outlives the planner.
     """
 
-    __slots__ = ("_has_changed", "_ledger", "_record", "_service", "_state", "_told_at")
+    __slots__ = ("_has_changed", "_ledger", "_lifted", "_record", "_service", "_state", "_told_at")
 
     def __init__(self, service: str, state: FleetState, record: PoisonRecord) -> None:
         self._service = service
         self._state = state
         self._record = record
         self._ledger: EndLedger | None = None
+        self._lifted = record.lifted
         self._has_changed = False
         self._told_at = float("-inf")
 
@@ -129,22 +130,23 @@
         """Judge anew, tell all gateways, and have the platform keep it."""
         if self._state.home_service != self._service:
             return
+        if not self._has_changed and now - self._told_at < REPEAT_S:
+            return
+        self._told_at = now
+        if self._lifted != self._record.lifted:
+            self._lifted = self._record.lifted
+            self._ledger = EndLedger()
         ledger = self._opened(now)
-        findings = ledger.judge(now, GATHER_S)
-        for found in findings:
+        for found in ledger.judge(now, GATHER_S):
             log.warning(
                 "blocked",
                 fingerprint=shown(found.mark),
                 ends=found.ends,
                 score=round(found.score, 2),
             )
-        if self._has_changed or findings:
-            # Ends that are still gathered may change it again.
-            self._has_changed = ledger.is_gathering(now, GATHER_S)
-            self._record.save(ledger)
-        elif now - self._told_at < REPEAT_S:
-            return
-        self._told_at = now
+        # Ends that are still gathered may change it again.
+        self._has_changed = ledger.is_gathering(now, GATHER_S)
+        self._record.save(ledger)
         news.poison.SetInParent()
         news.poison.blocked.extend(ledger.blocked)
         news.poison.suspects.extend(ledger.suspects())
--- a/packages/gateway/src/gradelug_gateway/poison_record.py
+++ b/packages/gateway/src/gradelug_gateway/poison_record.py
@@ -36,7 +36,17 @@
         The runtime's clock.
     """
 
-    __slots__ = ("_clock", "_kv", "_ledger", "_mirror", "_seen", "_wanted", "_written", "news")
+    __slots__ = (
+        "_clock",
+        "_kv",
+        "_ledger",
+        "_mirror",
+        "_seen",
+        "_wanted",
+        "_written",
+        "lifted",
+        "news",
+    )
 
     def __init__(self, kv: KeyValue, mirror: Mirror, clock: t.Callable[[], float]) -> None:
         self._kv = kv
@@ -50,6 +60,8 @@
         self._seen = 0
         self.news = NOTHING
         """What the entry says."""
+        self.lifted = 0
+        """How often the entry was taken away: an operator lets all of them be sent again."""
 
     def look(self) -> bool:
         """Read the entry if it has changed; tell whether it has."""
@@ -57,6 +69,9 @@
         revision = entry.revision if entry is not None else 0
         if revision == self._seen:
             return False
+        if entry is None:
+            self.lifted += 1
+            log.warning("taken away: nothing is blocked any more", key=KEY)
         self._seen = revision
         ledger = EndLedger()
         self.restore(ledger, self._clock())
--- a/packages/gateway/src/gradelug_gateway/replica_ends.py
+++ b/packages/gateway/src/gradelug_gateway/replica_ends.py
@@ -72,8 +72,8 @@
     def note_broken(self, replica: Replica, mark: bytes, weight: float) -> None:
         """Note that a request's answer broke off, and how much that would say against it."""
         known = self._state.replicas.get(replica.name)
-        if known is not None and known.leaving:
-            # A planned end is no request's doing.
+        if known is None or known.leaving:
+            # A planned end is no request's doing: it is announced, or the entry goes before.
             return
         doubt = self._doubts.get(_life(replica))
         if doubt is None:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -24,6 +24,7 @@
 from gradelug_wire import placement_pb2 as pb
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from run_world import close
 from world import new_loop
 
 SPEC = EngineSpec((BaseModel("m", 500.0, 0.6, 14.0),), 1000.0, SLOTS, 96, 100_000, 2.0)
@@ -34,7 +35,7 @@
     try:
         return loop.run_until_complete(scenario())
     finally:
-        loop.close()
+        close(loop)
 
 
 class ModelTransport:
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -158,6 +158,22 @@
         run(scenario)
 
 
+class TestOperators:
+    def test_what_is_blocked_is_sent_again_when_its_entry_is_taken_away(self):
+        async def scenario():
+            async with PoisonWorld() as world:
+                await world.repeat(POISON, 0.3, world.clock() + 5.0)
+                arrived = len(world.arrived)
+                entry = world.kv.entries()["gradelug/poison"]
+                await world.kv.delete(entry.key, entry.revision)
+                await asyncio.sleep(4.0)
+                assert "gradelug/poison" not in world.kv.entries()
+                await world.ask(world.gateways[1], POISON)
+                assert len(world.arrived) > arrived
+
+        run(scenario)
+
+
 class TestOthers:
     def test_engines_that_end_by_themselves_again_and_again_turn_nobody_away(self):
         async def scenario():
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -200,9 +200,12 @@
 
         run(scenario)
 
-    def test_a_planned_end_is_no_requests_doing(self):
+    @pytest.mark.parametrize("is_announced", [True, False])
+    def test_a_planned_end_is_no_requests_doing(self, is_announced):
         async def scenario():
-            ends = Ends(leaving=True)
+            ends = Ends(leaving=is_announced)
+            if not is_announced:
+                del ends.state.replicas["e1"]
             ends.watch.note_broken(ends.replica, A, BEGUN)
             await asyncio.sleep(0.1)
             assert ends.found == []
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -35,6 +35,16 @@
         ]
         assert story.unreadable == 3
 
+    def test_all_tries_of_a_request_are_found_by_its_fingerprint(self):
+        logs = [
+            line("10:00:01", "i-1", "placed", id="q1", fingerprint="ab12"),
+            line("10:00:02", "i-2", "placed", id="q2", fingerprint="ab12"),
+            line("10:00:02", "i-2", "placed", id="q3", fingerprint="cd34"),
+            line("10:00:03", "i-3", "blocked", fingerprint="ab12", ends=3),
+        ]
+        story = trace("ab12", logs)
+        assert [told.message for told in story.lines] == ["placed", "placed", "blocked"]
+
     def test_the_command_prints_it_and_says_when_there_is_nothing(self, tmp_path, capsys):
         path = tmp_path / "log"
         path.write_text("\n".join(LOGS))
