The soak sends a request that ends engines; an organisation's request stays the same when its keys change

Found while the soak learned the new trouble: the fingerprint held the key that a caller showed, so each change of an organisation's keys made another request of it. Now the organisation's name tells whose it is.

--- a/packages/gateway/src/gradelug_gateway/fingerprints.py
+++ b/packages/gateway/src/gradelug_gateway/fingerprints.py
@@ -12,15 +12,24 @@
 """Digits of it that logs show."""
 
 
-def fingerprint(req: Request) -> bytes:
+def fingerprint(req: Request, owner: str = "") -> bytes:
     """Return a digest of whose request it is, of where it goes and of what it says.
 
     Another attempt of its caller has an identifier, a deadline and a last event of its own, and
     comes to any instance: none of them counts, so that every instance finds the same digest.
+
+    Parameters
+    ----------
+    req : Request
+        The request.
+    owner : str
+        The organisation that sent it, whose keys may change; if empty, what the caller proves
+        itself with tells whose it is.
     """
     weights = req.key.text if req.key is not None else ""
     digest = blake2b(digest_size=SIZE)
-    head = (req.method, req.host.encode(), req.target, weights.encode(), *req.credentials)
+    whose = (owner.encode(),) if owner else req.credentials
+    head = (req.method, req.host.encode(), req.target, weights.encode(), *whose)
     for part in (*head, req.body):
         # With its length before it no part can be taken for the end of another.
         digest.update(b"%d:" % len(part))
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -112,7 +112,7 @@
         self.charge: Charge | None = None
         """What it counts to its organisation's quota."""
         self.req = req
-        self.fingerprint = fingerprint(req)
+        self.fingerprint = fingerprint(req, admission.owner)
         """What it has in common with its caller's other attempts."""
         self.route = route
         self.service = service
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -16,7 +16,7 @@
 import tempfile
 from pathlib import Path
 
-from fleet_stand_in import EVENTS, GATEWAY_HOST, HOST, Ledger, Proxy, ReplicaStandIn
+from fleet_stand_in import EVENTS, GATEWAY_HOST, HOST, POISON, Ledger, Proxy, ReplicaStandIn
 from gradelug_http import (
     ConnectFailed,
     HttpPool,
@@ -54,6 +54,10 @@
 PLAIN_TOKENS = 10
 LIMITED = {"Name": "limited", "RatePerS": 40, "Burst": 40}
 """Four requests a second, which is less than half of what its callers send."""
+LAPSE_S, BACK_S = 1.0, 1.5
+"""When the entry of a replica that a request ended goes, and when another one takes its place."""
+POISON_S = 0.3
+"""Such a request comes this often, at any instance."""
 QUOTA_SLACK = 100
 """In tokens; ten requests over three instances that come and go."""
 CONFIG = {
@@ -203,10 +207,16 @@
         How long faults go on.
     checks_tokens : bool
         Whether engines check fencing tokens; where they do not, it is watched who orders them.
+    has_poison : bool
+        Whether a request comes again and again that ends each engine which begins it.
     """
 
-    def __init__(self, seed, seconds, checks_tokens=True):
+    def __init__(self, seed, seconds, checks_tokens=True, has_poison=False):
         self.checks_tokens = checks_tokens
+        self.has_poison = has_poison
+        self.ended = []
+        """Engines that it ended."""
+        self.endings = set()
         self.seed = seed
         self.rng = random.Random(seed)
         self.fault_rng = random.Random(seed)
@@ -234,11 +244,16 @@
             clients = [asyncio.create_task(self._client()) for _ in range(6)]
             clients.append(asyncio.create_task(self._supervise()))
             clients.append(asyncio.create_task(self._change_keys()))
+            if self.has_poison:
+                self.ledger.end = self._end_replica
+                clients.append(asyncio.create_task(self._send_poison()))
             try:
                 await self._faults()
                 await self._heal()
                 await asyncio.sleep(SETTLE_S)
+                ended = len(self.ended)
                 self.late_served = await self._probe()
+                self._judge_poison(ended)
             finally:
                 for task in clients:
                     task.cancel()
@@ -289,6 +304,51 @@
             await self._request()
             await asyncio.sleep(self.rng.uniform(0.0, 0.1))
 
+    async def _send_poison(self):
+        """Send the same request again and again, with an identifier of its own each time."""
+        # With a source of chance of its own: what a seed does otherwise stays the same.
+        rng = random.Random(self.seed)
+        while True:
+            request_id = f"p{next(self.numbers)}"
+            self.ledger.bodies[request_id] = POISON
+            self.ledger.organisations[request_id] = "free"
+            key = self.keys.held["free"][0]
+            headers = [
+                (b"Host", b"h"),
+                (b"X-Gradelug-Request-Id", request_id.encode()),
+                (b"X-Gradelug-Deadline-Ms", b"3000"),
+                (b"X-Gradelug-Model", b"m/a1"),
+                # An organisation's keys change, and what it sends stays the same.
+                (b"Authorization", f"Bearer {key}".encode()),
+            ]
+            self.sent[request_id] = (self.clock(), key)
+            out = OutgoingRequest(b"POST", b"/s/x", headers, POISON)
+            asked = await self._ask(rng.choice(self.gateways), out)
+            self.answers[request_id] = ("s", *asked)
+            await asyncio.sleep(POISON_S)
+
+    def _end_replica(self, name):
+        """Let a replica end at once; another one takes its place."""
+        replica = self.replicas.pop(name, None)
+        if replica is not None:
+            self.ended.append(name)
+            task = asyncio.create_task(self._replace_ended(replica, self.proxies.pop(name)))
+            self.endings.add(task)
+            task.add_done_callback(self.endings.discard)
+
+    async def _replace_ended(self, replica, proxy):
+        await proxy.close()
+        await asyncio.sleep(LAPSE_S)
+        await replica.leave()
+        await asyncio.sleep(BACK_S - LAPSE_S)
+        await self._add_replica(replica.service)
+
+    def _judge_poison(self, before):
+        """Note a fault if engines still end when everything has healed long ago."""
+        if self.has_poison and len(self.ended) > before:
+            late = self.ended[before:]
+            self.ledger.faults.append(f"one request ended {late} after {before} engines")
+
     async def _change_keys(self):
         while True:
             await asyncio.sleep(self.keys.rng.uniform(0.5, 2.5))
@@ -391,7 +451,8 @@
         await replica.drain()
         await asyncio.sleep(3.5)
         await replica.leave()
-        await self.proxies.pop(name).close()
+        if name in self.proxies:
+            await self.proxies.pop(name).close()
 
     async def _do_version(self):
         adapter = f"a{self.fault_rng.randint(1, 12)}"
@@ -508,11 +569,11 @@
         self.done = done
 
 
-def soak(seed, seconds, checks_tokens=True):
+def soak(seed, seconds, checks_tokens=True, has_poison=False):
     """Run once and return its `Outcome`."""
 
     async def main():
-        run = Soak(seed, seconds, checks_tokens)
+        run = Soak(seed, seconds, checks_tokens, has_poison)
         faults = await run.run()
         served = sum(answer[1] == 200 for answer in run.answers.values())
         return Outcome(faults, len(run.answers), served, run.done)
@@ -525,7 +586,7 @@
     first, count, duration = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
     checking = "untokened" not in sys.argv[4:]
     for number in range(first, first + count):
-        found = soak(number, duration, checking)
+        found = soak(number, duration, checking, "poison" in sys.argv[4:])
         print(
             f"seed {number}: {found.asked} asked, {found.served} served, "
             f"{len(found.broken)} broken; {' '.join(found.done)}",
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -24,6 +24,10 @@
 """No two instances may order an engine that checks no tokens within this time."""
 EVENT_S = 0.02
 EVENTS = 12
+POISON = b"poison"
+"""A request with this body ends each replica that begins it."""
+LIVES_S = 0.03
+"""So long after it began."""
 
 
 class Ledger:
@@ -35,6 +39,8 @@
         self.organisations = {}
         """Whose key each request carries."""
         self.ran_at = {}
+        self.end = None
+        """Ends a replica at once, by its name; set where requests can do that."""
         self.faults = []
         self.slack_until = 0.0
         """Orders until then may have been held up by a link or a frozen instance."""
@@ -182,6 +188,9 @@
         users[key] = users.get(key, 0) + 1
         try:
             inc.begin(200, [*headers, (b"Content-Type", b"text/event-stream")])
+            if inc.body == POISON:
+                await asyncio.sleep(LIVES_S)
+                self.ledger.end(self.name)
             for number in range(first, EVENTS + 1):
                 await asyncio.sleep(EVENT_S)
                 await inc.send(b"id: %d\ndata: x\n\n" % number)
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -63,6 +63,12 @@
     def test_another_try_of_a_request_has_the_same(self, changes):
         assert fingerprint(request(**changes)) == fingerprint(request())
 
+    def test_an_organisation_that_changes_its_keys_sends_the_same(self):
+        keys = [request(credentials=(key,)) for key in (b"Bearer k1", b"Bearer k2")]
+        assert len({fingerprint(req, "org") for req in keys}) == 1
+        assert fingerprint(keys[0], "org") != fingerprint(keys[0], "other")
+        assert fingerprint(keys[0], "org") != fingerprint(keys[0])
+
     @pytest.mark.parametrize(
         "changes",
         [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,3 +12,9 @@
     found = soak(SEED, SECONDS, checks_tokens)
     assert found.broken == []
     assert found.served > 20
+
+
+def test_a_request_that_ends_engines_is_found_while_processes_are_killed_frozen_and_cut():
+    found = soak(SEED, SECONDS, has_poison=True)
+    assert found.broken == []
+    assert found.served > 20
