A planner's successor that reads the record late keeps what its predecessor wrote

Found by reading: the ledger of a successor whose copy of the store lagged began empty, and replaced the entry as soon as that showed in the copy. Entries of others are taken over before anything is written. Its test failed on the code before.

--- a/packages/gateway/src/gradelug_gateway/poison_record.py
+++ b/packages/gateway/src/gradelug_gateway/poison_record.py
@@ -12,13 +12,14 @@
 import typing as t
 
 import logbook
-from gradelug_coordination import CoordinationError, KeyValue, Mirror
+from gradelug_coordination import CoordinationError, KeyValue, KvEntry, Mirror
 from gradelug_policy.poison import EndLedger
 
 from .poison import NOTHING, PoisonNews
 
 log = logbook.Logger("poison record")
 KEY = "gradelug/poison"
+ABSENT = KvEntry(KEY, b"", 0)
 RETRY_S = 0.5
 """Pause before a write that failed is tried again."""
 
@@ -55,8 +56,8 @@
         self._ledger = EndLedger()
         """What is to be written."""
         self._wanted = asyncio.Event()
-        self._written = (0, b"")
-        """The newest entry that this instance wrote: revision and value."""
+        self._written = ABSENT
+        """The newest entry that this instance wrote or took over."""
         self._seen = 0
         self.news = NOTHING
         """What the entry says."""
@@ -102,24 +103,28 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _write(self) -> None:
-        value = _encode(self._ledger)
         entry = self._mirror.entries.get(KEY)
-        revision, known = self._written
-        if entry is not None and entry.revision > revision:
-            revision, known = entry.revision, entry.value
-        if value == known or (not known and value == _encode(EndLedger())):
+        if entry is not None and entry.revision > self._written.revision:
+            self._take_over(entry)
+        value, written = _encode(self._ledger), self._written
+        if value == (written.value or _encode(EndLedger())):
             return
-        swap = await self._kv.swap(KEY, value, revision)
+        swap = await self._kv.swap(KEY, value, written.revision)
         if swap.swapped:
-            self._written = (swap.revision, value)
+            self._written = KvEntry(KEY, value, swap.revision)
             return
         found = await self._kv.get(KEY)
-        self._written = (found.revision, found.value) if found is not None else (0, b"")
-        if found is not None:
-            # Of an earlier planner, which may have known more.
-            _add(found.value, self._ledger, self._clock())
+        if found is None:
+            self._written = ABSENT
+        else:
+            self._take_over(found)
         self._wanted.set()
 
+    def _take_over(self, entry: KvEntry) -> None:
+        """Add what an earlier planner wrote, which may have known more."""
+        self._written = entry
+        _add(entry.value, self._ledger, self._clock())
+
 
 def _encode(ledger: EndLedger) -> bytes:
     data = {
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -418,6 +418,31 @@
 
         run(scenario)
 
+    def test_a_successor_that_reads_late_keeps_what_its_predecessor_wrote(self):
+        """Its ledger was empty when it began, and replaced the entry as soon as that showed."""
+
+        async def scenario():
+            kv = MemoryKv()
+            (first, _), (second, mirror) = self.records(kv)
+            tasks = [asyncio.create_task(record.run()) for record in (first, second)]
+            known = EndLedger()
+            known.block(A, BEGUN, 0.0)
+            first.save(known)
+            await asyncio.sleep(0.1)
+            ledger = EndLedger()
+            second.restore(ledger, 0.0)
+            second.save(ledger)
+            await asyncio.sleep(0.1)
+            mirror.entries = kv.entries()
+            second.save(ledger)
+            await asyncio.sleep(0.1)
+            assert set(json.loads(kv.entries()[KEY].value)["blocked"]) == {A.hex()}
+            assert set(ledger.blocked) == {A}
+            for task in tasks:
+                task.cancel()
+
+        run(scenario)
+
     def test_two_planners_that_write_at_once_lose_nothing(self):
         async def scenario():
             kv = MemoryKv()
