--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -35,19 +35,15 @@
 from .gauges import Observed, add_daemon_gauges
 from .handover import Handover
 from .kept import Kept
-from .link import REPLACED_S
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .parts import GatewayPart
 from .placement import Duty, PlacementService
 from .planner import Planner
-from .poison import Judge, PoisonGuard
-from .poison_desk import PoisonDesk, PoisonTeller
-from .poison_record import PoisonRecord
+from .poison_control import PoisonControl
 from .ports import Dialect, OrderTransport, RunTransport
 from .quotas import Quotas
 from .relay import OrderRelay
-from .replica_ends import EndWatch
 from .runs import LastingRuns
 from .search import PlannerAddress
 from .sending import Sender
@@ -149,11 +145,17 @@
         if self._ownership is not None:
             executor = Executor(settings.name, self._ownership, self._state, transport)
         shares = LocalShares()
-        self._guard = PoisonGuard(self._clock, self._poison_judge, self._hurry_home)
-        self._poison = PoisonRecord(kv, self._mirror, self._clock)
-        self._ends = EndWatch(pool, self._state, self._clock, self._guard.note_end)
-        if Feature.POISON_GUARD in settings.features:
-            self._mirror.subscribe(self._read_poison)
+        self._poison = PoisonControl(
+            kv,
+            self._mirror,
+            pool,
+            self._state,
+            lambda: self._directory.link_to(self._state.home_service),
+            self._clock,
+        )
+        has_guard = Feature.POISON_GUARD in settings.features
+        if has_guard:
+            self._mirror.subscribe(self._poison.look)
         self._directory = Directory(
             settings.name,
             settings.addresses.peers,
@@ -213,8 +215,8 @@
             self._budgets.has_retry,
             RESTED_S if settings.bounds.forgets_idle else math.inf,
             lasting,
-            self._guard,
-            self._ends if Feature.POISON_GUARD in settings.features else None,
+            self._poison.guard,
+            self._poison.ends if has_guard else None,
         )
         self._serving = Serving(
             dialect,
@@ -248,8 +250,7 @@
             self._freshness,
             self._directory,
             self._standing,
-            self._guard,
-            self._ends,
+            self._poison,
             self._planners,
         )
         add_daemon_gauges(self._meters, observed, self._clock)
@@ -282,7 +283,7 @@
         self._tasks.start(self._mirror.run(), "mirror")
         self._tasks.start(self._upkeep(), "upkeep")
         self._tasks.start(self._standing.run(), "standing")
-        self._tasks.start(self._poison.run(), "poison record")
+        self._tasks.start(self._poison.record.run(), "poison record")
         if self._handover is not None:
             self._tasks.start(self._handover.run(), "handover")
         if self._ownership is not None:
@@ -337,26 +338,6 @@
             if duty.planner is not None:
                 duty.planner.refresh()
 
-    def _read_poison(self) -> None:
-        """Follow what the store tells of requests that end replicas, and of their ends."""
-        if self._poison.look():
-            self._guard.stored = self._poison.news
-        self._ends.look()
-
-    def _poison_judge(self) -> Judge:
-        """Return who decides now which requests must not be sent."""
-        home = self._directory.quota_home()
-        if home is None:
-            return Judge.SELF
-        if not home.is_quiet:
-            return Judge.PLANNER
-        return Judge.NOBODY if home.missed_s < REPLACED_S else Judge.SELF
-
-    def _hurry_home(self) -> None:
-        home = self._directory.quota_home()
-        if home is not None:
-            home.hurry()
-
     def _link_parts(self, service: str) -> t.Iterator[GatewayPart]:
         """Yield what else is told to the planner of a service."""
         if Feature.SHARED_HEALTH in self.settings.features:
@@ -374,9 +355,7 @@
         if Feature.FAIR_SHARES in self.settings.features:
             yield ShareTeller(service, self._tally, self._clock)
         if Feature.POISON_GUARD in self.settings.features:
-            yield PoisonTeller(
-                self._guard, lambda: self._directory.home_service == service, self._clock
-            )
+            yield self._poison.teller(service)
 
     def _new_ownership(self) -> LastingOwnership:
         host, _ = _split(self.settings.addresses.peers)
@@ -444,7 +423,7 @@
         )
         poison = None
         if Feature.POISON_GUARD in self.settings.features:
-            poison = PoisonDesk(service, self._state, self._poison)
+            poison = self._poison.desk(service)
         transport = self._transport if bounds.fenced else OrderRelay(self._transport)
         return Planner(
             service,
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -251,6 +251,10 @@
         """Return the way to the instance that keeps all quotas: one service's planner."""
         return self._links[min(self._links)] if self._links else None
 
+    def link_to(self, service: str) -> PlannerLink | None:
+        """Return the way to the planner of a service, None if there is none."""
+        return self._links.get(service)
+
     @property
     def home_service(self) -> str:
         """The service whose planner is that home, empty if there is none."""
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -15,8 +15,7 @@
 from .metrics import Meters
 from .model import FleetState
 from .planner import Planner
-from .poison import PoisonGuard
-from .replica_ends import EndWatch
+from .poison_control import PoisonControl
 from .standing import Part, Standing
 
 
@@ -42,10 +41,8 @@
         The planners that are followed.
     standing : Standing
         How long each part of the state was missing after the start.
-    guard : PoisonGuard
-        Requests that are not to be sent.
-    ends : EndWatch
-        Replicas that ended.
+    poison : PoisonControl
+        Requests that are not to be sent, and replicas that ended.
     planners : callable
         Returns the planners here.
     """
@@ -58,8 +55,7 @@
     freshness: Freshness
     directory: Directory
     standing: Standing
-    guard: PoisonGuard
-    ends: EndWatch
+    poison: PoisonControl
     planners: t.Callable[[], list[Planner]]
 
 
@@ -102,22 +98,22 @@
     gauge(
         "replicas_ended",
         "Replicas that ended since the start while they had requests of this instance",
-        lambda: seen.ends.ended,
+        lambda: seen.poison.ends.ended,
     )
     gauge(
         "requests_blocked",
         "Different requests that are sent to no replica, since they end those that run them",
-        lambda: seen.guard.blocked,
+        lambda: seen.poison.guard.blocked,
     )
     gauge(
         "requests_suspected",
         "Different requests that one further end of a replica may block",
-        lambda: seen.guard.suspects,
+        lambda: seen.poison.guard.suspects,
     )
     gauge(
         "sendings_blocked",
         "Sendings since the start that were not made, since their request is blocked",
-        lambda: seen.guard.refused,
+        lambda: seen.poison.guard.refused,
     )
     gauge("slow_engines", "Engines taken for slow", lambda: _count_slow(seen.fleet, clock))
     gauge(
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/poison_control.py
@@ -0,0 +1,80 @@
+"""The parts of one instance that keep requests from ending replicas, put together."""
+
+from __future__ import annotations
+
+import typing as t
+
+from gradelug_coordination import KeyValue, Mirror
+from gradelug_http import HttpPool
+
+from .link import REPLACED_S, PlannerLink
+from .model import FleetState
+from .poison import Judge, PoisonGuard
+from .poison_desk import PoisonDesk, PoisonTeller
+from .poison_record import PoisonRecord
+from .replica_ends import EndWatch
+
+
+class PoisonControl:
+    """Puts the guard, the watch over replicas and the platform's entry together.
+
+    Parameters
+    ----------
+    kv : KeyValue
+        The platform's service.
+    mirror : Mirror
+        Its copy here.
+    pool : HttpPool
+        Connections to replicas.
+    state : FleetState
+        What the platform has told.
+    home : callable
+        Returns the link to the planner that all instances tell; None if there is none.
+    clock : callable
+        The runtime's clock.
+    """
+
+    __slots__ = ("_clock", "_home", "_state", "ends", "guard", "record")
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        mirror: Mirror,
+        pool: HttpPool,
+        state: FleetState,
+        home: t.Callable[[], PlannerLink | None],
+        clock: t.Callable[[], float],
+    ) -> None:
+        self._home = home
+        self._state = state
+        self._clock = clock
+        self.guard = PoisonGuard(clock, self._judge, self._hurry)
+        self.record = PoisonRecord(kv, mirror, clock)
+        self.ends = EndWatch(pool, state, clock, self.guard.note_end)
+
+    def look(self) -> None:
+        """Follow what the platform tells: what is blocked, and which replicas are gone."""
+        if self.record.look():
+            self.guard.stored = self.record.news
+        self.ends.look()
+
+    def teller(self, service: str) -> PoisonTeller:
+        """Return what tells the planner of a service, if that is the one that all are told to."""
+        return PoisonTeller(self.guard, lambda: self._state.home_service == service, self._clock)
+
+    def desk(self, service: str) -> PoisonDesk:
+        """Return what a planner of a service here takes that in with."""
+        return PoisonDesk(service, self._state, self.record)
+
+    def _judge(self) -> Judge:
+        home = self._home()
+        if home is None:
+            return Judge.SELF
+        if not home.is_quiet:
+            return Judge.PLANNER
+        return Judge.NOBODY if home.missed_s < REPLACED_S else Judge.SELF
+
+    def _hurry(self) -> None:
+        home = self._home()
+        if home is not None:
+            home.hurry()
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -6,12 +6,10 @@
 import math
 import typing as t
 from dataclasses import replace
-from enum import Enum
 
 import logbook
 from gradelug_http import (
     ConnectFailed,
-    Connection,
     ConnectRefused,
     HttpPool,
     ResponseBroken,
@@ -19,11 +17,11 @@
     end_to_end,
 )
 from gradelug_policy.engine_room import EQUAL
-from gradelug_policy.poison import BEGUN, RUNNING, WAITING
-from gradelug_policy.reading import LATE, Busyness, Work
+from gradelug_policy.reading import LATE, Work
 
 from .directory import Directory
 from .exceptions import GATEWAY_TIMEOUT, Refused
+from .exchange import Exchange
 from .fingerprints import shown
 from .fleet import Fleet
 from .job import Job, Outcome
@@ -32,7 +30,7 @@
 from .poison import PoisonGuard
 from .ports import Dialect
 from .replica_ends import EndWatch
-from .runs import LastingRuns, Run
+from .runs import LastingRuns
 
 log = logbook.Logger("sending")
 T = t.TypeVar("T")
@@ -192,7 +190,7 @@
             kept=work.kept_tokens,
         )
         expected_s = self._fleet.expected_s(replica, load.busyness(), work)
-        sending = _Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
+        sending = Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
         if self._lasting is not None and self._lasting.is_lasting(job):
             sending.run = self._lasting.begin(job, replica)
         load.starting += 1
@@ -251,7 +249,7 @@
             self._guard.note_served(job.fingerprint)
         return outcome
 
-    def _is_unheard(self, sending: _Exchange) -> bool:
+    def _is_unheard(self, sending: Exchange) -> bool:
         """Tell whether a request was not answered though it must have had its turn."""
         if sending.running:
             return False
@@ -263,14 +261,14 @@
         turn_s = max(LATE_TARGETS * job.route.target_s, LATE_TIMES * usual_s)
         return self._clock() - sending.sent_at >= turn_s
 
-    def _note_broken(self, sending: _Exchange, exc: ResponseBroken) -> None:
+    def _note_broken(self, sending: Exchange, exc: ResponseBroken) -> None:
         health, now = self._fleet.health(sending.replica.name), self._clock()
         if isinstance(exc, ReplicaSilent) and not self._is_unheard(sending):
             health.note_late(now)
         else:
             health.note_broken(now)
 
-    def _note_health(self, sending: _Exchange, outcome: Outcome) -> None:
+    def _note_health(self, sending: Exchange, outcome: Outcome) -> None:
         health, now = self._fleet.health(sending.replica.name), self._clock()
         if outcome is Outcome.FULL:
             health.note_full(now)
@@ -292,7 +290,7 @@
             return replace(job.work, urgency=LATE)
         return job.work
 
-    async def _exchange(self, sending: _Exchange) -> Outcome:
+    async def _exchange(self, sending: Exchange) -> Outcome:
         job, replica = sending.job, sending.replica
         attempt = self._attempt(job, replica, sending.work)
         try:
@@ -335,7 +333,7 @@
             job.copy,
         )
 
-    async def _listen(self, sending: _Exchange, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
+    async def _listen(self, sending: Exchange, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
         """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
         health = self._fleet.health(sending.replica.name)
         usual_s, most_s = self._silence_s(sending)
@@ -360,11 +358,11 @@
         health.heard_at = self._clock()
         return task.result()
 
-    def _must_wait(self, sending: _Exchange) -> bool:
+    def _must_wait(self, sending: Exchange) -> bool:
         """Tell whether leaving a silent replica could end a request, or run it twice at once."""
         return sending.run is not None and sending.run.must_be_found
 
-    async def _can_leave(self, sending: _Exchange) -> bool:
+    async def _can_leave(self, sending: Exchange) -> bool:
         """Tell whether a silent run can go on, and stop it if so.
 
         An engine whose memory ran out reads a run anew later, and knows no run until then: five
@@ -374,7 +372,7 @@
         lasting, run = self._lasting, sending.run
         return lasting is not None and run is not None and await lasting.stop_silent(run)
 
-    def _silence_s(self, sending: _Exchange) -> tuple[float | None, float | None]:
+    def _silence_s(self, sending: Exchange) -> tuple[float | None, float | None]:
         job = sending.job
         if job.route.repeat is Repeat.FREELY and job.route.max_replicas > 1:
             return SILENT_TARGETS * job.route.target_s, None
@@ -410,7 +408,7 @@
             return Outcome.ABSENT
         return Outcome.FULL if verdict is Verdict.FULL else Outcome.NOT_RUN
 
-    async def _stream(self, sending: _Exchange, head: ResponseHead) -> Outcome:
+    async def _stream(self, sending: Exchange, head: ResponseHead) -> Outcome:
         job = sending.job
         while True:
             data = await self._listen(sending, sending.conn.chunk())
@@ -446,7 +444,7 @@
         self._note_served(job, head.status)
         return Outcome.DONE
 
-    def _note_running(self, sending: _Exchange) -> None:
+    def _note_running(self, sending: Exchange) -> None:
         load = self._fleet.load(sending.replica.name)
         load.starting -= 1
         load.queued[sending.work.urgency] -= sending.work.reading_tokens
@@ -473,7 +471,7 @@
                 speed=round(self._fleet.speeds.speed(sending.replica.service)),
             )
 
-    def _note_pause(self, sending: _Exchange, events: int) -> None:
+    def _note_pause(self, sending: Exchange, events: int) -> None:
         """Take the pause before an event, or the mean of some that came at once."""
         pause_s = self._clock() - sending.event_at
         gap_s = sending.job.route.gap_s
@@ -484,7 +482,7 @@
         if tally is not None:
             tally.note(sending.replica.name, pause_s, events)
 
-    def _note_pauses(self, sending: _Exchange) -> None:
+    def _note_pauses(self, sending: Exchange) -> None:
         if not sending.pauses:
             return
         log.info(
@@ -498,7 +496,7 @@
             running=self._fleet.load(sending.replica.name).busyness().running,
         )
 
-    def _learn_speed(self, sending: _Exchange) -> None:
+    def _learn_speed(self, sending: Exchange) -> None:
         service, work = sending.replica.service, sending.work
         if not work.prompt_tokens or sending.job.used is not None:
             return
@@ -521,88 +519,3 @@
             sends=job.sends,
             last_event=job.events.last_event,
         )
-
-
-class Stage(Enum):
-    """How far a request got at a replica, as seen from here."""
-
-    SENT = "sent"
-    """Nothing has come: it may wait there, or run."""
-    BEGUN = "begun"
-    """The head of its answer came, and no event yet."""
-    RUNNING = "running"
-    """Events of its stream came."""
-
-
-class _Exchange:
-    """One sending of a request over one connection."""
-
-    __slots__ = (
-        "busy",
-        "conn",
-        "event_at",
-        "expected_s",
-        "first_at",
-        "job",
-        "longest_s",
-        "pauses",
-        "released",
-        "replica",
-        "run",
-        "running",
-        "sent_at",
-        "status",
-        "work",
-    )
-
-    def __init__(
-        self,
-        job: Job,
-        replica: Replica,
-        conn: Connection,
-        work: Work,
-        busy: Busyness,
-        sent_at: float,
-        expected_s: float,
-    ) -> None:
-        self.work = work
-        self.busy = busy
-        """What the replica did when the request was sent."""
-        self.sent_at = sent_at
-        self.expected_s = expected_s
-        """Expected time to the first event when it was sent, in seconds."""
-        self.job = job
-        self.replica = replica
-        self.conn = conn
-        self.running = False
-        self.run: Run | None = None
-        """Its run, where runs can go on."""
-        self.released = False
-        self.status = 0
-        """Of the answer; 0 until there is one."""
-        self.event_at = sent_at
-        """When its newest event came."""
-        self.first_at = sent_at
-        self.pauses = 0
-        """Pauses between events that were longer than the route's bound."""
-        self.longest_s = 0.0
-
-    @property
-    def stage(self) -> Stage:
-        """How far the request got."""
-        if self.running:
-            return Stage.RUNNING
-        return Stage.BEGUN if self.status else Stage.SENT
-
-    @property
-    def weight(self) -> float:
-        """How much it says against the request that its replica ended now."""
-        if self.running:
-            return RUNNING
-        # A stream's head is sent as it begins; of other answers nothing comes before they are made.
-        return WAITING if self.job.route.streaming and not self.status else BEGUN
-
-    def release(self, pool: HttpPool, head: ResponseHead) -> None:
-        """Give the connection back after a whole answer."""
-        pool.release(self.conn, head)
-        self.released = True
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -186,8 +186,8 @@
                 await others
                 await asyncio.sleep(4.5)
                 for gateway in world.gateways:
-                    assert not gateway.daemon._guard.blocked
-                    assert not gateway.daemon._guard.refused
+                    assert not gateway.daemon._poison.guard.blocked
+                    assert not gateway.daemon._poison.guard.refused
                 assert world.harmless()[200] > 0.8 * world.harmless().total()
 
         run(scenario)
