--- a/packages/gateway/src/gradelug_gateway/replica_ends.py
+++ b/packages/gateway/src/gradelug_gateway/replica_ends.py
@@ -13,9 +13,9 @@
 log = logbook.Logger("replica ends")
 CONNECT_S = 0.35
 """A process that ended refuses connections within a round trip; a lost packet is not waited for."""
-WORD_S = 6.0
+WORD_S = 8.0
 """The platform tells within this time of a replica that cannot be reached: its entry goes after
-three missed heartbeats."""
+three missed heartbeats, 3.6 s, and instances of large fleets look 2.2 s apart."""
 NEVER_USED_S = -1.0
 """No connection was idle for less: a new one is opened."""
 
