--- a/packages/gateway/src/gradelug_gateway/poison.py
+++ b/packages/gateway/src/gradelug_gateway/poison.py
@@ -59,14 +59,14 @@
     at: float
 
 
-class PoisonNews(t.NamedTuple):
+class PoisonFindings(t.NamedTuple):
     """What somebody found: requests that are blocked, and those that one more end may block."""
 
     blocked: frozenset[bytes]
     suspects: frozenset[bytes]
 
 
-NOTHING = PoisonNews(frozenset(), frozenset())
+NOTHING = PoisonFindings(frozenset(), frozenset())
 
 
 class PoisonGuard:
--- a/packages/gateway/src/gradelug_gateway/poison_control.py
+++ b/packages/gateway/src/gradelug_gateway/poison_control.py
@@ -55,7 +55,7 @@
     def look(self) -> None:
         """Follow what the platform tells: what is blocked, and which replicas are gone."""
         if self.record.look():
-            self.guard.stored = self.record.news
+            self.guard.stored = self.record.findings
         self.ends.look()
 
     def teller(self, service: str) -> PoisonTeller:
--- a/packages/gateway/src/gradelug_gateway/poison_desk.py
+++ b/packages/gateway/src/gradelug_gateway/poison_desk.py
@@ -14,7 +14,7 @@
 from .fingerprints import shown
 from .followers import Follower
 from .model import FleetState
-from .poison import PoisonGuard, PoisonNews
+from .poison import PoisonFindings, PoisonGuard
 from .poison_record import PoisonRecord
 
 log = logbook.Logger("poison")
@@ -79,7 +79,7 @@
         if not message.HasField("poison") or not self._is_home():
             return
         told = message.poison
-        self._guard.told = PoisonNews(frozenset(told.blocked), frozenset(told.suspects))
+        self._guard.told = PoisonFindings(frozenset(told.blocked), frozenset(told.suspects))
 
 
 class PoisonDesk:
--- a/packages/gateway/src/gradelug_gateway/poison_record.py
+++ b/packages/gateway/src/gradelug_gateway/poison_record.py
@@ -15,7 +15,7 @@
 from gradelug_coordination import CoordinationError, KeyValue, KvEntry, Mirror
 from gradelug_policy.poison import EndLedger
 
-from .poison import NOTHING, PoisonNews
+from .poison import NOTHING, PoisonFindings
 
 log = logbook.Logger("poison record")
 KEY = "gradelug/poison"
@@ -46,7 +46,7 @@
         "_wanted",
         "_written",
         "lifted",
-        "news",
+        "findings",
     )
 
     def __init__(self, kv: KeyValue, mirror: Mirror, clock: t.Callable[[], float]) -> None:
@@ -59,7 +59,7 @@
         self._written = ABSENT
         """The newest entry that this instance wrote or took over."""
         self._seen = 0
-        self.news = NOTHING
+        self.findings = NOTHING
         """What the entry says."""
         self.lifted = 0
         """How often the entry was taken away: an operator lets all of them be sent again."""
@@ -76,7 +76,7 @@
         self._seen = revision
         ledger = EndLedger()
         self.restore(ledger, self._clock())
-        self.news = PoisonNews(frozenset(ledger.blocked), frozenset(ledger.suspects()))
+        self.findings = PoisonFindings(frozenset(ledger.blocked), frozenset(ledger.suspects()))
         return True
 
     def restore(self, ledger: EndLedger, now: float) -> None:
--- a/packages/policy/src/gradelug_policy/poison.py
+++ b/packages/policy/src/gradelug_policy/poison.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import math
 import typing as t
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -165,14 +166,12 @@
         return any(end.at > now - gather_s for end in self._ends.values())
 
     def score(self, mark: bytes) -> float:
-        """Return what speaks against a request."""
-        return sum(
-            end.weights[mark] for end in self._ends_of(mark) if not self._is_explained(end, mark)
-        )
+        """Return what speaks against a request, 0 for one that is blocked."""
+        return self._scores(math.inf).get(mark, 0.0)
 
     def suspects(self) -> dict[bytes, float]:
         """Return the requests that one further end may block, the most suspect first."""
-        scores = self._scores(float("inf"))
+        scores = self._scores(math.inf)
         marks = sorted(scores, key=lambda mark: -scores[mark])[:MOST_SUSPECTS]
         return {mark: scores[mark] for mark in marks if scores[mark] >= SUSPECT}
 
@@ -217,13 +216,10 @@
             scores.pop(mark, None)
         return scores
 
-    def _is_explained(self, end: _End, but: bytes = b"") -> bool:
+    def _is_explained(self, end: _End) -> bool:
         """Tell whether a blocked request was there, as far as it gets before it ends a replica."""
-        if not self._blocked:
-            return False
         return any(
-            mark != but and mark in self._blocked and weight >= self._blocked[mark].weight
-            for mark, weight in end.weights.items()
+            end.weights.get(mark, 0.0) >= blocked.weight for mark, blocked in self._blocked.items()
         )
 
     def _ends_of(self, mark: bytes) -> list[_End]:
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -16,8 +16,8 @@
     MOST_SERVED,
     MOST_SIGHTINGS,
     Judge,
+    PoisonFindings,
     PoisonGuard,
-    PoisonNews,
 )
 from gradelug_gateway.poison_desk import REPEAT_S, PoisonDesk, PoisonTeller
 from gradelug_gateway.poison_record import KEY, PoisonRecord
@@ -96,12 +96,12 @@
     def test_what_the_planner_or_the_store_tells_is_blocked_and_nothing_else(self):
         guard = self.guard()
         guard.check(A)
-        guard.told = PoisonNews(frozenset({A}), frozenset())
+        guard.told = PoisonFindings(frozenset({A}), frozenset())
         with pytest.raises(Blocked) as caught:
             guard.check(A)
         assert caught.value.retry_after_s == BLOCKED_RETRY_S
         guard.check(B)
-        guard.stored = PoisonNews(frozenset({B}), frozenset())
+        guard.stored = PoisonFindings(frozenset({B}), frozenset())
         with pytest.raises(Blocked):
             guard.check(B)
         assert (guard.blocked, guard.refused) == (2, 2)
@@ -121,7 +121,7 @@
         with pytest.raises(Refused) as caught:
             guard.check(A)
         assert caught.value.retry_after_s == HELD_RETRY_S
-        guard.told = PoisonNews(frozenset(), frozenset({B}))
+        guard.told = PoisonFindings(frozenset(), frozenset({B}))
         with pytest.raises(Refused):
             guard.check(B)
 
@@ -142,7 +142,7 @@
         guard.check(A)
         assert not guard.sightings
         assert [mark for _, mark in guard.cleared] == [A]
-        guard.told = PoisonNews(frozenset(), frozenset({B}))
+        guard.told = PoisonFindings(frozenset(), frozenset({B}))
         guard.note_served(B)
         assert [mark for _, mark in guard.cleared] == [A, B]
 
@@ -272,8 +272,8 @@
 class TestDesk:
     def desk(self, service="llm"):
         self.kv = MemoryKv()
-        mirror = Mirror(self.kv, "", None)
-        return PoisonDesk(service, new_state(), PoisonRecord(self.kv, mirror, lambda: 0.0))
+        self.mirror = Mirror(self.kv, "", None)
+        return PoisonDesk(service, new_state(), PoisonRecord(self.kv, self.mirror, lambda: 0.0))
 
     def ended(self, number, *marks):
         end = pb.ReplicaEnd(life=f"e{number}")
@@ -300,6 +300,16 @@
             desk.fill(news, at)
             assert news.HasField("poison") is told
 
+    def test_a_successor_counts_what_its_predecessor_had_found(self):
+        desk = self.desk()
+        suspects = {A.hex(): {"e1@0": BEGUN, "e2@0": BEGUN}}
+        value = json.dumps({"blocked": {B.hex(): BEGUN}, "suspects": suspects}).encode()
+        self.mirror.entries[KEY] = KvEntry(KEY, value, 5)
+        desk.take(Follower, self.ended(3, A), 1.0)
+        news = pb.FromPlanner()
+        desk.fill(news, 1.0 + 2 * GATHER_S)
+        assert set(news.poison.blocked) == {A, B}
+
     def test_suspects_are_told_and_cleared(self):
         desk = self.desk()
         for number in range(2):
@@ -358,7 +368,7 @@
     async def read(self, record, mirror, kv):
         mirror.entries = kv.entries()
         record.look()
-        return record.news
+        return record.findings
 
     def test_what_was_written_is_read_by_others_and_restored_by_a_successor(self):
         async def scenario():
@@ -372,7 +382,7 @@
             writer.save(ledger)
             await asyncio.sleep(0.1)
             news = await self.read(reader, mirror, kv)
-            assert news == PoisonNews(frozenset({A}), frozenset({B}))
+            assert news == PoisonFindings(frozenset({A}), frozenset({B}))
             assert not reader.look()
             successor = EndLedger()
             reader.restore(successor, 1.0)
@@ -468,6 +478,6 @@
             ((record, mirror),) = self.records(MemoryKv(), 1)
             mirror.entries[KEY] = KvEntry(KEY, value, 5)
             assert record.look()
-            assert record.news == PoisonNews(frozenset(), frozenset())
+            assert record.findings == PoisonFindings(frozenset(), frozenset())
 
         run(scenario)
