Sight: what replicas say of their limits is read, logged and counted

Callers saw nothing; two replicas that named 1.3 and 1.1 requests a second got 14 and 17 in 4 s from seven instances, of which each sent 3 to 11 in twenty seconds. No line and no gauge told whether an instance had heard of a limit, so that "nobody reads it" and "each keeps it alone, or hears of it late" looked alike. Now: "limit named", "limit ended", "limit cannot be read", gauges replicas_limited and sent_to_limited. Nothing is decided by it yet.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -35,6 +35,7 @@
 from .gauges import Observed, add_daemon_gauges
 from .handover import Handover
 from .kept import Kept
+from .limits import ReplicaLimits
 from .metrics import Meters
 from .model import EngineSpec, FleetState
 from .parts import GatewayPart
@@ -139,6 +140,7 @@
         rng = random.Random(settings.name)
         kept = Kept(self._clock, Feature.KEPT_PARTS in settings.features)
         self._fleet = Fleet(self._state, settings.hall, self._clock, rng, has_room, kept)
+        self._replica_limits = ReplicaLimits(self._clock)
         self._duties: dict[str, Duty] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
         executor = None
@@ -217,6 +219,7 @@
             lasting,
             self._poison.guard,
             self._poison.ends if has_guard else None,
+            self._replica_limits,
         )
         self._serving = Serving(
             dialect,
@@ -251,6 +254,7 @@
             self._directory,
             self._standing,
             self._poison,
+            self._replica_limits,
             self._planners,
         )
         add_daemon_gauges(self._meters, observed, self._clock)
@@ -325,6 +329,7 @@
     def _on_change(self) -> None:
         for rep in self._fleet.note_lives():
             # Its connections ended with the earlier process.
+            self._replica_limits.forget(rep.name)
             self._pool.doubt(rep.address, self._clock())
         snapshot = self._state.snapshot
         if snapshot is None:
@@ -469,6 +474,7 @@
             self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
             self._serving.forget_gone()
+            self._replica_limits.forget_gone(self._state.replicas)
             if self._lasting is not None:
                 self._lasting.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -12,6 +12,7 @@
 from .fleet import Fleet
 from .freshness import Freshness
 from .kept import add_gauges as add_kept_gauges
+from .limits import ReplicaLimits
 from .metrics import Meters
 from .model import FleetState
 from .planner import Planner
@@ -43,6 +44,8 @@
         How long each part of the state was missing after the start.
     poison : PoisonControl
         Requests that are not to be sent, and replicas that ended.
+    limits : ReplicaLimits
+        Limits that replicas name.
     planners : callable
         Returns the planners here.
     """
@@ -56,6 +59,7 @@
     directory: Directory
     standing: Standing
     poison: PoisonControl
+    limits: ReplicaLimits
     planners: t.Callable[[], list[Planner]]
 
 
@@ -115,6 +119,16 @@
         "Sendings since the start that were not made, since their request is blocked",
         lambda: seen.poison.guard.refused,
     )
+    gauge(
+        "replicas_limited",
+        "Replicas that name how many requests a second they take",
+        lambda: seen.limits.limited,
+    )
+    gauge(
+        "sent_to_limited",
+        "The most requests that this instance sent to one such replica in 4 s",
+        lambda: max(seen.limits.sent().values(), default=0),
+    )
     gauge("slow_engines", "Engines taken for slow", lambda: _count_slow(seen.fleet, clock))
     gauge(
         "requests_held",
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -6,6 +6,7 @@
 
 from gradelug_http import Header, Incoming, OutgoingRequest, ResponseHead
 from gradelug_policy.left_runs import EngineWord
+from gradelug_policy.replica_limits import LimitWord
 
 from .model import (
     Attempt,
@@ -80,6 +81,10 @@
         """Return what an answer's head says."""
         ...
 
+    def limit(self, head: ResponseHead) -> LimitWord:
+        """Return what an answer's head says of the requests a second that its replica takes."""
+        ...
+
     def refusal(
         self, request_id: str, retry_after_s: float | None, wants_key: bool = False
     ) -> list[Header]:
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -25,6 +25,7 @@
 from .fingerprints import shown
 from .fleet import Fleet
 from .job import Job, Outcome
+from .limits import ReplicaLimits
 from .metrics import Meters
 from .model import Attempt, Repeat, Replica, Verdict
 from .poison import PoisonGuard
@@ -94,6 +95,8 @@
         Tells which requests must not be sent.
     ends : EndWatch or None
         Finds out which replicas ended, if given.
+    limits : ReplicaLimits or None
+        Takes what answers say of limits of their replicas.
     """
 
     __slots__ = (
@@ -105,6 +108,7 @@
         "_guard",
         "_has_retry",
         "_lasting",
+        "_limits",
         "_meters",
         "_pool",
         "_rested_s",
@@ -123,7 +127,9 @@
         lasting: LastingRuns | None = None,
         guard: PoisonGuard | None = None,
         ends: EndWatch | None = None,
+        limits: ReplicaLimits | None = None,
     ) -> None:
+        self._limits = limits or ReplicaLimits(clock)
         self._guard = guard or PoisonGuard(clock)
         self._ends = ends
         self._has_retry = has_retry
@@ -299,6 +305,8 @@
             return Outcome.NOT_SENT
         job.sends += 1
         job.tried.add(replica.name)
+        self._limits.note_sent(replica.name)
+        sent_at = self._clock()
         was_in_doubt, job.in_doubt = job.in_doubt, True
         log.debug("sent", id=job.req.id, replica=replica.name, left_s=round(attempt.left_s, 3))
         head = await self._listen(
@@ -308,6 +316,9 @@
         verdict = self._dialect.judge(head, replica)
         if verdict is Verdict.SPOILED:
             raise ResponseBroken("the answer does not come from the replica")
+        if verdict is not Verdict.MISDIRECTED:
+            # Of another replica that has the address by now it says nothing.
+            self._limits.hear(replica.name, self._dialect.limit(head), sent_at)
         if verdict is Verdict.ANSWERED and job.route.streaming:
             return await self._stream(sending, head)
         body = await sending.conn.body(ANSWER_BYTES)
--- /dev/null
+++ b/tests/test_replica_limits.py
@@ -0,0 +1,139 @@
+"""The limits that replicas name: in which order they count, and how much each lets through."""
+
+import math
+
+import logbook
+import pytest
+from gradelug_gateway.limits import ReplicaLimits
+from gradelug_http import ResponseHead
+from gradelug_platform.dialect import PlatformDialect
+from gradelug_policy.replica_limits import OVERTAKEN_S, LimitFact, LimitRecord, LimitWord
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+def head(*values):
+    return ResponseHead(200, tuple((b"Server-Limit", value) for value in values))
+
+
+class TestReading:
+    @pytest.mark.parametrize(
+        ("values", "rate"),
+        [
+            ((), None),
+            ((b"1.4",), 1.4),
+            ((b" 50 ",), 50.0),
+            ((b"0",), 0.0),
+            ((b"0.0",), 0.0),
+            ((b"1e-3",), 0.001),
+            ((b".5",), 0.5),
+            ((b"3", b"2"), 2.0),
+        ],
+    )
+    def test_a_decimal_number_is_a_rate_and_of_several_the_lowest_holds(self, values, rate):
+        assert PlatformDialect().limit(head(*values)) == LimitWord(rate)
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"-1",
+            b"nan",
+            b"inf",
+            b"1e999",
+            b"0x10",
+            b"1_0",
+            b"1,4",
+            b"\xff\xfe",
+            b"1 2",
+            b"-0.1",
+        ],
+    )
+    def test_what_is_no_number_is_told_as_such(self, value):
+        word = PlatformDialect().limit(head(value))
+        assert word.rate is None
+        assert word.unreadable
+
+    def test_one_that_is_no_number_spoils_the_others(self):
+        assert PlatformDialect().limit(head(b"1.5", b"x")).unreadable
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=40))
+    def test_no_bytes_are_read_as_what_is_no_rate(self, value):
+        word = PlatformDialect().limit(head(value))
+        assert word.rate is None or 0 <= word.rate < math.inf
+
+
+class TestRecord:
+    def test_an_answer_without_a_limit_ends_it(self):
+        record = LimitRecord()
+        assert record.note(LimitFact(1.4, 1.0, 2.0))
+        assert record.note(LimitFact(None, 3.0, 3.1))
+        assert record.rate is None
+
+    def test_an_answer_that_was_overtaken_does_not_end_it(self):
+        record = LimitRecord()
+        record.note(LimitFact(1.4, 1.0, 2.0))
+        assert not record.note(LimitFact(None, 1.9, 2.5))
+        assert not record.note(LimitFact(None, 2.0 + OVERTAKEN_S / 2, 2.5))
+        assert record.rate == 1.4
+
+    def test_an_older_answer_does_not_bring_an_ended_limit_back(self):
+        record = LimitRecord()
+        record.note(LimitFact(1.4, 1.0, 2.0))
+        record.note(LimitFact(None, 3.0, 3.1))
+        assert not record.note(LimitFact(1.4, 1.5, 2.9))
+        assert record.note(LimitFact(2.0, 3.2, 3.3))
+
+    def test_of_two_answers_that_may_be_either_the_newer_the_lower_limit_holds(self):
+        record = LimitRecord()
+        record.note(LimitFact(1.4, 1.0, 2.0))
+        assert record.note(LimitFact(1.1, 1.5, 2.1))
+        assert not record.note(LimitFact(1.4, 1.6, 2.2))
+        assert record.note(LimitFact(1.4, 2.3, 2.4))
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.tuples(st.floats(0.1, 9), st.floats(0, 10), st.floats(0, 2)), min_size=1))
+    def test_the_order_in_which_answers_come_never_lets_more_through_than_the_newest(self, answers):
+        record = LimitRecord()
+        for rate, sent_at, took_s in answers:
+            record.note(LimitFact(rate, sent_at, sent_at + took_s))
+        newest = max(answers, key=lambda one: one[1])
+        surely_newest = all(one is newest or one[1] + one[2] <= newest[1] for one in answers)
+        if surely_newest:
+            assert record.rate <= newest[0]
+
+
+class TestHearing:
+    def test_what_cannot_be_read_is_logged_once_and_changes_nothing(self):
+        limits = ReplicaLimits(lambda: 1.0)
+        limits.hear("e1", LimitWord(1.4), 0.5)
+        with logbook.TestHandler() as logs:
+            limits.hear("e1", LimitWord(unreadable="'x'"), 0.9)
+            limits.hear("e1", LimitWord(unreadable="'y'"), 0.9)
+        assert len(logs.records) == 1
+        assert limits.rate("e1") == 1.4
+
+    def test_zero_is_a_limit(self):
+        limits = ReplicaLimits(lambda: 1.0)
+        limits.hear("e1", LimitWord(0.0), 0.5)
+        assert limits.rate("e1") == 0.0
+        assert limits.limited == 1
+
+    def test_replicas_without_a_limit_are_not_kept(self):
+        limits = ReplicaLimits(lambda: 1.0)
+        limits.hear("e1", LimitWord(), 0.5)
+        assert limits.rate("e1") is None
+        assert limits.limited == 0
+
+    def test_another_life_begins_without_a_limit(self):
+        limits = ReplicaLimits(lambda: 1.0)
+        limits.hear("e1", LimitWord(1.4), 0.5)
+        limits.forget("e1")
+        assert limits.rate("e1") is None
+
+    def test_a_replica_that_is_gone_is_forgotten(self):
+        limits = ReplicaLimits(lambda: 1.0)
+        limits.hear("e1", LimitWord(1.4), 0.5)
+        limits.forget_gone({"e2"})
+        assert limits.limited == 0
