--- /dev/null
+++ b/tests/limit_world.py
@@ -0,0 +1,100 @@
+"""Whole gateways before replicas that name how many requests a second they take.
+
+The daemons are the real ones, as in `poison_world`. Replicas note what reaches them.
+"""
+
+import asyncio
+import json
+
+from gradelug_http import ServerLimits
+from poison_world import Engine, PoisonWorld
+
+WINDOW_S = 4.0
+OVERAGE, EXTRA = 1.5, 5
+"""In some window a replica gets at most so many times what it named, and so many requests more."""
+TOLD_S = 0.5
+"""Instances that passed an answer on keep to it after this."""
+ANSWER_S = 0.045
+"""Time of an answer of a plain replica."""
+
+
+class LimitedEngine(Engine):
+    """An engine that may name a limit in its answers."""
+
+    limit = None
+
+    def headers(self, ident):
+        return [*super().headers(ident), *limit_header(self.limit)]
+
+
+class PlainReplica:
+    """A replica without weights that may name a limit in its answers."""
+
+    limit = None
+
+    def __init__(self, world, name, address):
+        self.world, self.name, self.address = world, name, address
+        world.net.serve(address, self.serve, ServerLimits, world.clock)
+
+    async def enter(self):
+        data = {
+            "Backend": "plain",
+            "Address": self.address,
+            "Zone": "z",
+            "Slots": 6,
+            "State": "ready",
+        }
+        await self.world.kv.swap(f"servers/{self.name}", json.dumps(data).encode(), 0)
+
+    async def serve(self, inc):
+        self.world.arrived.append((self.world.clock(), inc.body, self.name))
+        await asyncio.sleep(ANSWER_S)
+        headers = [
+            (b"X-Gradelug-Request-Id", inc.header(b"x-gradelug-request-id")),
+            (b"X-Gradelug-Server-Signature", self.name.encode()),
+            *limit_header(self.limit),
+        ]
+        inc.respond(200, headers, b"whole")
+
+
+class LimitWorld(PoisonWorld):
+    """Gateways before engines and plain replicas that name limits."""
+
+    engine_type = LimitedEngine
+
+    def __init__(self, gateways=7, engines=4, plain=0, without=()):
+        super().__init__(gateways, engines, without)
+        self.plain = {}
+        for number in range(plain):
+            replica = PlainReplica(self, f"p{number}", f"10.0.2.{number}:80")
+            self.plain[replica.name] = replica
+            self.spawn(replica.enter())
+
+    async def load(self, rate, until, path=b"/s/x", adapters=9, first=0):
+        """Send requests evenly, each once, by each instance in turn."""
+        number = first
+        while self.clock() < until:
+            number += 1
+            body = b"harmless %d" % number
+            gateway = self.gateways[number % len(self.gateways)]
+            self.spawn(self.ask(gateway, body, adapter=f"a{number % adapters}", path=path))
+            await asyncio.sleep(1 / rate)
+
+    def most(self, replica, since, window_s=WINDOW_S):
+        """Return the most requests that reached a replica in some window that ends later."""
+        times = [at for at, _, name in self.arrived if name == replica and at >= since]
+        return max((sum(at - window_s < one <= at for one in times) for at in times), default=0)
+
+    def got(self, replica, since):
+        """Return how many requests have reached a replica since a moment."""
+        return sum(name == replica and at >= since for at, _, name in self.arrived)
+
+
+def allowed(rate):
+    """Return how many requests a replica that names a rate may get in a window."""
+    return OVERAGE * WINDOW_S * rate + EXTRA
+
+
+def limit_header(limit):
+    """Return the header that names a limit, none without one."""
+    return [] if limit is None else [(b"Server-Limit", str(limit).encode())]
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -63,9 +63,13 @@
         value = json.dumps(data).encode()
         await self.world.surely(lambda: self.world.kv.swap(f"servers/{self.name}", value, 0))
 
+    def headers(self, ident):
+        """Return what each of its answers carries."""
+        return [(b"X-Gradelug-Request-Id", ident.encode())]
+
     async def serve(self, inc):
         ident = inc.header(b"x-gradelug-request-id").decode()
-        own = [(b"X-Gradelug-Request-Id", ident.encode())]
+        own = self.headers(ident)
         if inc.header(b"x-gradelug-expect-instance") != self.name.encode():
             inc.respond(421, [*own, (b"X-Gradelug-Instance-Id", self.name.encode())], b"")
             return
@@ -252,6 +256,8 @@
 class PoisonWorld:
     """Gateways, engines, a store, and callers."""
 
+    engine_type = Engine
+
     def __init__(self, gateways=3, engines=8, without=()):
         self.loop = asyncio.get_running_loop()
         self.loop.set_task_factory(_new_task)
@@ -312,7 +318,7 @@
 
     def add_engine(self, address):
         self.names += 1
-        engine = Engine(self, f"e{self.names}", address)
+        engine = self.engine_type(self, f"e{self.names}", address)
         self.engines[engine.name] = engine
         self.spawn(engine.enter())
 
@@ -332,7 +338,7 @@
             gateway.start()
         await asyncio.sleep(1.5)
 
-    async def ask(self, gateway, body, deadline_ms=4000, adapter="a1"):
+    async def ask(self, gateway, body, deadline_ms=4000, adapter="a1", path=b"/s/x"):
         """Send a request by one instance and return the status of its answer, 0 for none."""
         if gateway.process.dead or gateway.front not in self.net.servers:
             return 0
@@ -340,10 +346,10 @@
         client = RawClient()
         join(client, self.net.servers[gateway.front]())
         client.transport.write(
-            b"POST /s/x HTTP/1.1\r\nHost: h\r\nX-Gradelug-Request-Id: q%d\r\n"
+            b"POST %b HTTP/1.1\r\nHost: h\r\nX-Gradelug-Request-Id: q%d\r\n"
             b"X-Gradelug-Deadline-Ms: %d\r\nX-Gradelug-Model: m/%b\r\n"
             b"X-Gradelug-Token-Usage: 100,20\r\nContent-Length: %d\r\n\r\n%b"
-            % (self.idents, deadline_ms, adapter.encode(), len(body), body)
+            % (path, self.idents, deadline_ms, adapter.encode(), len(body), body)
         )
         until = self.clock() + deadline_ms / 1000 + 0.5
         while self.clock() < until and not client.ended and not _is_whole(client.received):
