Replicas that name a limit get no more than that from all instances together

What callers saw: nothing at once; replicas in need, which say how many requests a second they take from everybody, got half as much again and more, and some of them end or slow down under that, with all that runs there.

Cause: no instance read the limit, and none could have kept to it alone. Each of seven sent 3 to 11 requests in twenty seconds to a replica that got 56: what is named once for all instances together was nowhere added up. Class: a bound on the whole fleet, decided by each instance by itself.

Change: what an answer names is told to the planner that speaks for the replica, with when its request was sent and its answer came, and by it to all. Whatever brings a request to a replica passes Sender.send, which asks that planner for room; it has one bucket a replica, lets the urgent go first, and refuses at once who cannot be in time, with when there will be room. Room for what the planner places itself comes with its answer. Where no planner grants, each instance has turns of its own that pass if they are not used, so that all of them keep to the limit however many they are. Placement knows how little such a replica takes.

Why it holds: one place gives out what one number allows, by term of office, and starts empty; what it gave out ends within half a second.

--- a/packages/gateway/src/gradelug_gateway/copies.py
+++ b/packages/gateway/src/gradelug_gateway/copies.py
@@ -91,8 +91,11 @@
 
     def _holders(self, key: AdapterKey) -> list[Engine]:
         """Return the engines that have an adapter, or will have it soon."""
-        return [
+        found = [
             engine
             for engine in self._planner.index.with_key(key).values()
             if engine.places[key].phase in (Phase.LOADING, Phase.READY)
         ]
+        # One with a limit takes too little to count as a holder beside others.
+        limits = self._planner.limits
+        return [one for one in found if not limits.is_limited(one.replica.name)] or found
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -35,6 +35,7 @@
 from .gauges import Observed, add_daemon_gauges
 from .handover import Handover
 from .kept import Kept
+from .limit_desk import LimitTeller, planner_for
 from .limits import ReplicaLimits
 from .metrics import Meters
 from .model import EngineSpec, FleetState
@@ -139,8 +140,14 @@
         # Instances that draw alike would choose alike.
         rng = random.Random(settings.name)
         kept = Kept(self._clock, Feature.KEPT_PARTS in settings.features)
-        self._fleet = Fleet(self._state, settings.hall, self._clock, rng, has_room, kept)
-        self._replica_limits = ReplicaLimits(self._clock)
+        limits = ReplicaLimits(
+            self._clock,
+            random.Random(settings.name),
+            Feature.REPLICA_LIMITS in settings.features,
+        )
+        limits.find_desk = self._room_desk
+        self._fleet = Fleet(self._state, settings.hall, self._clock, rng, has_room, kept, limits)
+        self._limit_tellers: dict[str, LimitTeller] = {}
         self._duties: dict[str, Duty] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
         executor = None
@@ -219,7 +226,6 @@
             lasting,
             self._poison.guard,
             self._poison.ends if has_guard else None,
-            self._replica_limits,
         )
         self._serving = Serving(
             dialect,
@@ -254,7 +260,6 @@
             self._directory,
             self._standing,
             self._poison,
-            self._replica_limits,
             self._planners,
         )
         add_daemon_gauges(self._meters, observed, self._clock)
@@ -329,7 +334,6 @@
     def _on_change(self) -> None:
         for rep in self._fleet.note_lives():
             # Its connections ended with the earlier process.
-            self._replica_limits.forget(rep.name)
             self._pool.doubt(rep.address, self._clock())
         snapshot = self._state.snapshot
         if snapshot is None:
@@ -361,6 +365,31 @@
             yield ShareTeller(service, self._tally, self._clock)
         if Feature.POISON_GUARD in self.settings.features:
             yield self._poison.teller(service)
+        if Feature.REPLICA_LIMITS in self.settings.features:
+            yield self._limit_teller(service)
+
+    def _limit_teller(self, service: str) -> LimitTeller:
+        teller = self._limit_tellers[service] = LimitTeller(
+            service,
+            self._fleet.limits,
+            self._state,
+            self._clock,
+            lambda: self._hurry(service),
+        )
+        return teller
+
+    def _hurry(self, service: str) -> None:
+        link = self._directory.link_to(service)
+        if link is not None:
+            link.hurry()
+
+    def _room_desk(self, service: str) -> LimitTeller | None:
+        """Return the way to the planner that grants room at replicas of a service."""
+        planner = planner_for(service, self._state)
+        link = self._directory.link_to(planner)
+        if link is None or link.is_quiet:
+            return None
+        return self._limit_tellers.get(planner)
 
     def _new_ownership(self) -> LastingOwnership:
         host, _ = _split(self.settings.addresses.peers)
@@ -474,12 +503,13 @@
             self._mirror.spacing_s = TELL_SPACING_S if self._tells_store() else self._spacing_s
             self._fleet.forget_gone()
             self._serving.forget_gone()
-            self._replica_limits.forget_gone(self._state.replicas)
             if self._lasting is not None:
                 self._lasting.forget_gone()
             self._pool.prune({rep.address for rep in self._state.replicas.values()})
             told = self._directory.gateways if self._follows() else 0
-            self._budgets.share_among(self._gateways.note(told, self._clock()))
+            count = self._gateways.note(told, self._clock())
+            self._budgets.share_among(count)
+            self._fleet.limits.share_among(count)
 
     def _follows(self) -> bool:
         return any(self._directory.is_followed(service) for service in self._duties)
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -229,6 +229,8 @@
             replica = self._fleet.state.replicas.get(answer.replica)
             if replica is not None and not replica.leaving:
                 self._fleet.add_holding(replica.name, key, answer.version)
+                if answer.has_room:
+                    self._fleet.limits.add_permit(replica.name)
                 self._fleet.kept.note_told(replica.name, wish.work.chain, answer.kept_tokens)
                 return replica
             await asyncio.sleep(RECONNECT_S)
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -14,6 +14,7 @@
 from .engine_speeds import PauseTally
 from .health import Health
 from .kept import Kept
+from .limits import ReplicaLimits
 from .model import AdapterKey, EngineSpec, FleetState, Holding, Replica, ToldLoad
 from .pacing import FRESH_S, NEWS_S
 from .replica_load import ReplicaLoad
@@ -46,6 +47,8 @@
         Whether slots, memory and the own speed of each engine are reckoned with.
     kept : Kept or None
         Parts of prompts that engines keep, if they are reckoned with.
+    limits : ReplicaLimits or None
+        What replicas take that name a limit.
     """
 
     __slots__ = (
@@ -63,6 +66,7 @@
         "hall",
         "is_scoped",
         "kept",
+        "limits",
         "news_s",
         "pauses",
         "room",
@@ -78,8 +82,10 @@
         rng: random.Random | None = None,
         has_room: bool = False,
         kept: Kept | None = None,
+        limits: ReplicaLimits | None = None,
     ) -> None:
         self.state = state
+        self.limits = limits or ReplicaLimits(clock)
         self.hall = hall
         self.kept = kept or Kept(clock, False)
         self._clock = clock
@@ -135,6 +141,7 @@
     def _forget_life(self, replica: str) -> None:
         self.set_holdings(replica, {})
         self.kept.parts.forget(replica)
+        self.limits.forget(replica)
         self._health.pop(replica, None)
         load = self._loads.get(replica)
         if load is not None:
@@ -313,7 +320,12 @@
         return REQUEST_S * self.cost(replica, now, work) - spared_s
 
     def allows(self, replica: Replica, now: float) -> bool:
-        """Tell whether a request may be sent to a replica as far as its health goes."""
+        """Tell whether a request that may go elsewhere is to go to a replica.
+
+        As far as its health goes, and what it takes.
+        """
+        if not self.limits.is_open(replica.name):
+            return False
         health = self.health(replica.name)
         # Chance is drawn on only where it decides.
         chance = self._rng.random() if 0 < health.held_back(now) < 1 else 0.0
@@ -336,6 +348,7 @@
         else:
             cost = self.expected_s(replica, load.busyness(), work) / REQUEST_S
         cost += FAILURE_COST * self.health(replica.name).rate(now)
+        cost += self.limits.delay_s(replica.name) / REQUEST_S
         return cost + (OTHER_HALL_COST if replica.hall != self.hall else 0.0)
 
     def is_late(self, replica: Replica, work: Work, target_at: float) -> bool:
@@ -396,6 +409,7 @@
     def forget_gone(self) -> None:
         """Drop the records of replicas that are gone and at which nothing runs."""
         known = self.state.replicas
+        self.limits.forget_gone(known)
         for name in [name for name in self._health if name not in known]:
             del self._health[name]
         self.kept.parts.forget_gone(known, self._clock())
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -73,6 +73,7 @@
         "peers_told_at",
         "pending",
         "quota_answers",
+        "room_answers",
         "store_away",
         "store_revision",
         "strength",
@@ -89,6 +90,7 @@
         """Where it stands, as it told first."""
         self.answers: list[pb.Answer] = []
         self.quota_answers: list[pb.QuotaAnswer] = []
+        self.room_answers: list[pb.RoomAnswer] = []
         self.echo = pb.Echo()
         """When its newest message was sent, by its clock, and arrived, by the clock here."""
         self.outbox: list[pb.FromPlanner] = []
@@ -129,6 +131,12 @@
         del self.quota_answers[:-MOST_ANSWERS]
         self.wake.set()
 
+    def answer_room(self, answer: pb.RoomAnswer) -> None:
+        """Answer a question for room at a replica soon."""
+        self.room_answers.append(answer)
+        del self.room_answers[:-MOST_ANSWERS]
+        self.wake.set()
+
     def send(self, message: pb.FromPlanner) -> None:
         """Send a message soon."""
         self.outbox.append(message)
@@ -143,12 +151,15 @@
     def take_messages(self) -> list[pb.FromPlanner]:
         """Return what is to be sent, answers first."""
         messages, self.outbox = self.outbox, []
-        if self.answers or self.quota_answers:
+        if self.answers or self.quota_answers or self.room_answers:
             first = pb.FromPlanner(
-                answers=self.answers, quota_answers=self.quota_answers, active=True
+                answers=self.answers,
+                quota_answers=self.quota_answers,
+                room_answers=self.room_answers,
+                active=True,
             )
             messages.insert(0, first)
-            self.answers, self.quota_answers = [], []
+            self.answers, self.quota_answers, self.room_answers = [], [], []
         news = self.pending.take(self)
         if news is not None:
             messages.append(news)
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -12,7 +12,6 @@
 from .fleet import Fleet
 from .freshness import Freshness
 from .kept import add_gauges as add_kept_gauges
-from .limits import ReplicaLimits
 from .metrics import Meters
 from .model import FleetState
 from .planner import Planner
@@ -44,8 +43,6 @@
         How long each part of the state was missing after the start.
     poison : PoisonControl
         Requests that are not to be sent, and replicas that ended.
-    limits : ReplicaLimits
-        Limits that replicas name.
     planners : callable
         Returns the planners here.
     """
@@ -59,7 +56,6 @@
     directory: Directory
     standing: Standing
     poison: PoisonControl
-    limits: ReplicaLimits
     planners: t.Callable[[], list[Planner]]
 
 
@@ -122,12 +118,22 @@
     gauge(
         "replicas_limited",
         "Replicas that name how many requests a second they take",
-        lambda: seen.limits.limited,
+        lambda: len(seen.fleet.limits.named()),
     )
     gauge(
         "sent_to_limited",
         "The most requests that this instance sent to one such replica in 4 s",
-        lambda: max(seen.limits.sent().values(), default=0),
+        lambda: max(seen.fleet.limits.sent().values(), default=0),
+    )
+    gauge(
+        "sendings_limited",
+        "Sendings since the start that were not made, since their replica took no more",
+        lambda: seen.fleet.limits.denied,
+    )
+    gauge(
+        "waiting_for_limited",
+        "Requests that wait for room at replicas that name a limit",
+        lambda: sum(planner.limits.waiting for planner in seen.planners()),
     )
     gauge("slow_engines", "Engines taken for slow", lambda: _count_slow(seen.fleet, clock))
     gauge(
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -28,6 +28,8 @@
     FULL = "full"
     """Not run for want of room."""
     ABSENT = "absent"
+    LIMITED = "limited"
+    """Not sent: its replica takes no more requests a second."""
     RAN = "ran"
     UNKNOWN = "unknown"
 
@@ -70,6 +72,7 @@
         "asked",
         "backup",
         "charge",
+        "chosen_here",
         "config",
         "copy",
         "deadline_at",
@@ -85,6 +88,8 @@
         "principal",
         "rank",
         "req",
+        "room_elsewhere",
+        "room_s",
         "route",
         "sends",
         "service",
@@ -127,6 +132,12 @@
         """The replica that last said it lacks the weights."""
         self.asked = False
         """Whether the planner was to be asked for a better replica than those known here."""
+        self.chosen_here = False
+        """Whether this instance chose its replica by itself, and no planner."""
+        self.room_s = 0.0
+        """When there is room for it at a replica that takes no more now, in seconds."""
+        self.room_elsewhere = False
+        """Whether another replica had room then."""
         self.sends = 0
         self.in_doubt = False
         """Whether it may have run without an answer that reached us."""
--- a/packages/gateway/src/gradelug_gateway/limits.py
+++ b/packages/gateway/src/gradelug_gateway/limits.py
@@ -1,66 +1,258 @@
-"""Limits that replicas name in their answers, as this instance knows them."""
+"""Limits that replicas name in their answers, and leave to send to such a replica.
+
+What a replica takes is for all instances together: the planner of its service grants room for each
+sending (`limit_desk`), or the planner that is the home of the quotas for services without engines.
+"""
 
 from __future__ import annotations
 
+import asyncio
+import random
 import typing as t
 from collections import Counter, deque
 
 import logbook
 from gradelug_policy.replica_limits import LimitFact, LimitRecord, LimitWord
+from gradelug_policy.replica_room import LEAST_RATE, OWN_PART, OwnTurns
+
+from .budgets import GATEWAYS_GUESS
+from .model import Replica
 
 log = logbook.Logger("limits")
 COUNTED_S = 4.0
 """Span over which sendings to a replica with a limit are counted, in seconds."""
 UNREADABLE = 40
 """So much of a limit that is no number is logged, in characters."""
+PERMIT_S = 0.5
+"""Room that was granted with an answer is used within milliseconds; later it is another second's,
+and would come beside what is granted then."""
+POLL_S = 0.05
+"""How often a request that waits for a planner looks whether there is one."""
+MOST_DELAY_S = 2.0
+"""A replica that takes next to nothing is taken for one with so long a wait."""
+LONGEST_RETRY_S = 5.0
+"""A planner that is lost is replaced within this."""
+
+
+class Demand(t.NamedTuple):
+    """How much a request needs room, as a planner is told.
+
+    Parameters
+    ----------
+    until : float
+        How long it waits for room, by the runtime's clock; not at all if it can go elsewhere.
+    rank : int
+        Urgency, 0 first.
+    value : float
+        What an answer in time is worth, 1 for an ordinary urgent one.
+    begun : bool
+        Whether its caller has had a part of the answer.
+    """
+
+    until: float = 0.0
+    rank: int = 0
+    value: float = 1.0
+    begun: bool = False
+
+
+class Denial(t.NamedTuple):
+    """A request may not be sent to a replica.
+
+    Parameters
+    ----------
+    retry_s : float
+        When there will be room for it, in seconds.
+    elsewhere : bool
+        Whether another replica of the service has room.
+    """
+
+    retry_s: float
+    elsewhere: bool = False
+
+
+class RoomDesk(t.Protocol):
+    """The way to the planner that grants room at a replica."""
+
+    async def ask(self, replica: str, demand: Demand) -> Denial | None:
+        """Return None if a request may be sent; raises `NoGrants` or `TimeoutError`."""
+        ...
+
+
+class NoGrants(Exception):
+    """The planner that was asked grants nothing now."""
 
 
 class ReplicaLimits:
-    """What replicas said of their limits, and what was sent to them since.
+    """What replicas said of their limits, and whether this instance may send to them.
 
     Parameters
     ----------
     clock : callable
         The runtime's clock.
+    rng : Random or None
+        Draws at which moments this instance has turns of its own.
+    is_on : bool
+        Whether limits are kept to; otherwise they are only logged.
     """
 
-    __slots__ = ("_clock", "_records", "_sent", "_unreadable")
+    __slots__ = (
+        "_clock",
+        "_is_on",
+        "_listeners",
+        "_own",
+        "_permits",
+        "_records",
+        "_rng",
+        "_sent",
+        "_sharers",
+        "_turns",
+        "_unreadable",
+        "denied",
+        "find_desk",
+    )
 
-    def __init__(self, clock: t.Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: t.Callable[[], float],
+        rng: random.Random | None = None,
+        is_on: bool = True,
+    ) -> None:
         self._clock = clock
+        self._rng = rng or random.Random(0)
+        self._is_on = is_on
+        self.find_desk: t.Callable[[str], RoomDesk | None] = lambda service: None
+        """Returns who grants room at replicas of a service, None while nobody does."""
+        self._listeners: list[t.Callable[[str], None]] = []
         self._records: dict[str, LimitRecord] = {}
+        self._permits: dict[str, list[float]] = {}
+        """Until when room holds that was granted beforehand, by replica."""
+        self._turns: dict[str, OwnTurns] = {}
+        """When this instance offers requests to a replica that could go elsewhere."""
+        self._own: dict[str, OwnTurns] = {}
+        """When it may send to a replica without having asked."""
+        self._sharers = GATEWAYS_GUESS
         self._sent: deque[tuple[float, str]] = deque()
         """Sendings of this instance to replicas with a limit."""
         self._unreadable: set[str] = set()
         """Replicas of which it was logged that their limit cannot be read."""
+        self.denied = 0
+        """Sendings since the start that were not made for want of room."""
+
+    # What is known.
+
+    def subscribe(self, listener: t.Callable[[str], None]) -> None:
+        """Call `listener` with a replica's name when an answer here tells another limit of it."""
+        self._listeners.append(listener)
 
     def hear(self, replica: str, word: LimitWord, sent_at: float) -> None:
         """Take over what an answer to a request sent at a moment says."""
         if word.unreadable:
-            if replica not in self._unreadable:
-                self._unreadable.add(replica)
-                log.warning(
-                    "limit cannot be read", replica=replica, value=word.unreadable[:UNREADABLE]
-                )
+            self._log_unreadable(replica, word)
             return
-        record = self._records.get(replica)
-        if record is None:
-            if word.rate is None:
-                return
-            record = self._records[replica] = LimitRecord()
-        before, since = record.rate, record.since
-        if not record.note(LimitFact(word.rate, sent_at, self._clock())):
+        if word.rate is None and replica not in self._records:
             return
+        if self.take(replica, LimitFact(word.rate, sent_at, self._clock()), "answer"):
+            for listener in self._listeners:
+                listener(replica)
+
+    def take(self, replica: str, fact: LimitFact, source: str) -> bool:
+        """Take over what is known of a limit; tell whether it is another one now."""
+        record = self._records.setdefault(replica, LimitRecord())
+        before, since = record.rate, record.since
+        if not record.note(fact):
+            return False
+        self._turns.pop(replica, None)
+        self._own.pop(replica, None)
         if record.rate is None:
-            log.info("limit ended", replica=replica, after_s=round(self._clock() - since, 2))
+            self._permits.pop(replica, None)
+            after_s = round(self._clock() - since, 2)
+            log.info("limit ended", replica=replica, after_s=after_s, source=source)
         else:
-            log.info("limit named", replica=replica, rate=record.rate, before=before)
+            log.info("limit named", replica=replica, rate=record.rate, before=before, source=source)
+        return True
+
+    def fact(self, replica: str) -> LimitFact | None:
+        """Return the newest that is known of a replica's limit, None if nothing is."""
+        record = self._records.get(replica)
+        return record.fact if record is not None else None
 
     def rate(self, replica: str) -> float | None:
         """Return how many requests a second a replica takes, None if it names no limit."""
         record = self._records.get(replica)
         return record.rate if record is not None else None
 
+    def named(self) -> list[str]:
+        """Return the replicas that name a limit."""
+        return [name for name, record in self._records.items() if record.rate is not None]
+
+    def share_among(self, instances: int) -> None:
+        """Take it that so many instances send to replicas."""
+        if instances != self._sharers:
+            self._sharers = max(1, instances)
+            self._turns.clear()
+            self._own.clear()
+
+    def forget_gone(self, known: t.Container[str]) -> None:
+        """Drop the limits of replicas that are gone."""
+        for name in [name for name in self._records if name not in known]:
+            self.forget(name)
+        self._unreadable = {name for name in self._unreadable if name in known}
+
+    def forget(self, replica: str) -> None:
+        """Drop the limit of a replica that has begun another life."""
+        for kept in (self._records, self._permits, self._turns, self._own):
+            kept.pop(replica, None)
+
+    # Choosing.
+
+    def is_open(self, replica: str) -> bool:
+        """Tell whether a request that could go elsewhere may be offered to a replica now.
+
+        A limited one is offered its part of the requests, and not all: each that it has no room for
+        costs its caller a question.
+        """
+        turns = self._turns_at(replica)
+        return turns is None or turns.is_due(self._clock())
+
+    def delay_s(self, replica: str) -> float:
+        """Return about how long a request would wait for room at a replica, in seconds."""
+        rate = self.rate(replica)
+        if rate is None or not self._is_on or self.is_open(replica):
+            return 0.0
+        return min(MOST_DELAY_S, 1 / max(rate, 1 / MOST_DELAY_S))
+
+    # Leave to send.
+
+    def add_permit(self, replica: str) -> None:
+        """Take over room that a planner has granted beforehand."""
+        self._permits.setdefault(replica, []).append(self._clock() + PERMIT_S)
+
+    async def admit(self, replica: Replica, demand: Demand) -> Denial | None:
+        """Wait for leave to send a request to a replica; return None if it may be sent.
+
+        Parameters
+        ----------
+        replica : Replica
+            Where it is to go.
+        demand : Demand
+            How much it needs room, and how long it waits for it.
+        """
+        name = replica.name
+        if self.rate(name) is None or not self._is_on:
+            return None
+        turns = self._turns_at(name)
+        has_turn = turns is not None and turns.take(self._clock())
+        if self._use_permit(name):
+            return None
+        denial = await self._ask(replica, demand)
+        if denial is None:
+            return None
+        self.denied += 1
+        if turns is not None and has_turn:
+            # Those that were denied together come back one after the other.
+            turns.give_back(self._clock() + denial.retry_s * (1 + self._rng.random()))
+        return denial
+
     def note_sent(self, replica: str) -> None:
         """Count a sending to a replica, if it has a limit."""
         if self.rate(replica) is not None:
@@ -72,16 +264,50 @@
             self._sent.popleft()
         return Counter(name for _, name in self._sent)
 
-    @property
-    def limited(self) -> int:
-        """Number of replicas that name a limit."""
-        return sum(record.rate is not None for record in self._records.values())
+    async def _ask(self, replica: Replica, demand: Demand) -> Denial | None:
+        while True:
+            desk = self.find_desk(replica.service)
+            try:
+                if desk is not None:
+                    return await desk.ask(replica.name, demand)
+            except (NoGrants, TimeoutError):
+                log.info("no room is granted", replica=replica.name)
+            rate = self.rate(replica.name)
+            if rate is None or self._own_at(replica.name, rate).take(self._clock()):
+                return None
+            if self._clock() >= demand.until:
+                return Denial(min(LONGEST_RETRY_S, 1 / max(rate, 1 / LONGEST_RETRY_S)))
+            await asyncio.sleep(POLL_S)
 
-    def forget_gone(self, known: t.Container[str]) -> None:
-        """Drop the limits of replicas that are gone."""
-        self._records = {name: one for name, one in self._records.items() if name in known}
-        self._unreadable = {name for name in self._unreadable if name in known}
+    def _use_permit(self, replica: str) -> bool:
+        now = self._clock()
+        kept = [until for until in self._permits.get(replica, ()) if until > now]
+        if not kept:
+            self._permits.pop(replica, None)
+            return False
+        self._permits[replica] = kept[1:]
+        return True
 
-    def forget(self, replica: str) -> None:
-        """Drop the limit of a replica that has begun another life."""
-        self._records.pop(replica, None)
+    def _turns_at(self, replica: str) -> OwnTurns | None:
+        rate = self.rate(replica)
+        if rate is None or not self._is_on:
+            return None
+        turns = self._turns.get(replica)
+        if turns is None:
+            turns = self._turns[replica] = self._new_turns(rate, 1.0, keeps=True)
+        return turns
+
+    def _own_at(self, replica: str, rate: float) -> OwnTurns:
+        own = self._own.get(replica)
+        if own is None:
+            own = self._own[replica] = self._new_turns(rate, OWN_PART)
+        return own
+
+    def _new_turns(self, rate: float, part: float, keeps: bool = False) -> OwnTurns:
+        share = part * max(rate, LEAST_RATE) / self._sharers
+        return OwnTurns(share, self._rng.random(), self._clock(), keeps)
+
+    def _log_unreadable(self, replica: str, word: LimitWord) -> None:
+        if replica not in self._unreadable:
+            self._unreadable.add(replica)
+            log.warning("limit cannot be read", replica=replica, value=word.unreadable[:UNREADABLE])
--- a/packages/gateway/src/gradelug_gateway/pending.py
+++ b/packages/gateway/src/gradelug_gateway/pending.py
@@ -84,6 +84,7 @@
         verdict for verdict in old.verdicts if (verdict.replica, verdict.hall) not in found
     )
     _keep_newest(old.speeds, merged.speeds)
+    _keep_newest(old.limits, merged.limits)
     if old.HasField("poison") and not new.HasField("poison"):
         merged.poison.CopyFrom(old.poison)
     return merged
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -25,6 +25,7 @@
 from .followers import Follower, Followers, encode_load
 from .holders import EngineIndex, tells_any
 from .kept import Kept, sample_holders
+from .limit_desk import LimitDesk
 from .loading import FIRST_VERSION, Loading, Swap
 from .model import AdapterKey, EngineSpec, FleetState, Term, ToldLoad
 from .openings import Openings
@@ -139,6 +140,8 @@
         health = HealthDesk(service, state, self.engines, lambda: self.followers.pacing.flush_s)
         self._health = health if Feature.SHARED_HEALTH in features else None
         quotas = QuotaHome(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features)
+        self.limits = LimitDesk(service, state, clock, lambda: self.term is not None)
+        """Grants room at replicas that take only so many requests a second."""
         speeds = speeds or ReadingSpeeds()
         is_fair = Feature.FAIR_SHARES in features and room is not None
         self.fair = FairLine(state, lambda: self.followers.pacing.flush_s, is_fair)
@@ -148,6 +151,7 @@
             self.fair,
             *((self._health,) if self._health is not None else ()),
             *((poison,) if poison is not None else ()),
+            *((self.limits,) if Feature.REPLICA_LIMITS in features else ()),
         )
         """What else gateways tell this instance, and are told."""
         if room is not None:
@@ -426,7 +430,7 @@
         now = self._clock()
         self._line.waiters = [
             waiter
-            for waiter in self.fair.arrange(self._line.waiters, now)
+            for waiter in self.limits.put_urgent_first(self.fair.arrange(self._line.waiters, now))
             if now < waiter.until
             and (self.fair.skips(waiter, now) or not self._try_answer(waiter, now))
         ]
@@ -487,7 +491,8 @@
         self._kept.parts.note_credit(work.chain, work.kept_tokens, most_kept)
         self._kept.parts.note(name, work.chain, now)
         load, standing = encode_load(name, best), self.fair.standing(waiter, now)
-        waiter.answer(name, place.version, load, work.kept_tokens, standing)
+        has_room = self.limits.try_take(name, waiter.follower.instance, now)
+        waiter.answer(name, place.version, load, work.kept_tokens, standing, has_room)
         return True
 
     def _holders(self, waiter: Waiter) -> t.Collection[tuple[str, Engine]]:
@@ -504,7 +509,9 @@
 
     def _cost_s(self, engine: Engine, waiter: Waiter, work: Work) -> float:
         """Return what a request costs on an engine that has the adapter, in seconds."""
-        cost = self.wait_s(engine, work) + self._doubt_s(engine.replica.name, waiter)
+        name = engine.replica.name
+        cost = self.wait_s(engine, work) + self._doubt_s(name, waiter)
+        cost += self.limits.delay_s(name, self._clock())
         if engine.replica.hall != waiter.follower.hall:
             cost += OTHER_HALL_S
         return cost
@@ -570,6 +577,8 @@
 
     def _has_room(self, engine: Engine, waiter: Waiter, now: float) -> bool:
         """Tell whether a request neither waits for a slot or memory there nor displaces another."""
+        if self.limits.delay_s(engine.replica.name, now) > 0:
+            return False
         if self._room is None:
             return True
         pace = self._room.pace(self.service, engine.replica.name, now)
@@ -648,7 +657,9 @@
                 opening.free,
                 opening.victims,
                 opening.engine.is_cached(key, version),
-                self.wait_s(opening.engine, work) + self._ejected_s(name),
+                self.wait_s(opening.engine, work)
+                + self._ejected_s(name)
+                + self.limits.home_s(name),
             )
             for name, opening in openings.candidates(key, version, may_use)
         ]
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -25,7 +25,7 @@
 from .fingerprints import shown
 from .fleet import Fleet
 from .job import Job, Outcome
-from .limits import ReplicaLimits
+from .limits import Demand
 from .metrics import Meters
 from .model import Attempt, Repeat, Replica, Verdict
 from .poison import PoisonGuard
@@ -95,8 +95,6 @@
         Tells which requests must not be sent.
     ends : EndWatch or None
         Finds out which replicas ended, if given.
-    limits : ReplicaLimits or None
-        Takes what answers say of limits of their replicas.
     """
 
     __slots__ = (
@@ -108,7 +106,6 @@
         "_guard",
         "_has_retry",
         "_lasting",
-        "_limits",
         "_meters",
         "_pool",
         "_rested_s",
@@ -127,9 +124,7 @@
         lasting: LastingRuns | None = None,
         guard: PoisonGuard | None = None,
         ends: EndWatch | None = None,
-        limits: ReplicaLimits | None = None,
     ) -> None:
-        self._limits = limits or ReplicaLimits(clock)
         self._guard = guard or PoisonGuard(clock)
         self._ends = ends
         self._has_retry = has_retry
@@ -146,16 +141,43 @@
         """Raise `Refused` if a request must not be sent to any replica."""
         self._guard.check(job.fingerprint)
 
-    async def send(self, job: Job, replica: Replica) -> Outcome:
+    async def send(
+        self,
+        job: Job,
+        replica: Replica,
+        demand: Demand = Demand(),  # noqa: B008
+    ) -> Outcome:
         """Send a request to a replica, pass its answer on, and tell how that ended.
 
         Whatever brings a request to a replica comes by here.
 
+        Parameters
+        ----------
+        job : Job
+            The request.
+        replica : Replica
+            Where it is to go.
+        demand : Demand
+            How much it needs room there, should the replica take only so many requests a second.
+
         Raises
         ------
         Refused
             If it must not be sent: it has ended replicas.
         """
+        # Replicas that named a limit got twice that: no gateway kept to it, and what each sent was
+        # little. So each sending asks for what all of them together may send.
+        denial = await self._fleet.limits.admit(replica, demand)
+        if denial is not None:
+            job.room_s, job.room_elsewhere = denial
+            log.info(
+                "no room",
+                id=job.req.id,
+                replica=replica.name,
+                limit=self._fleet.limits.rate(replica.name),
+                retry_s=round(denial.retry_s, 3),
+            )
+            return Outcome.LIMITED
         now = self._clock()
         job.used = job.copy
         health = self._fleet.health(replica.name)
@@ -305,7 +327,7 @@
             return Outcome.NOT_SENT
         job.sends += 1
         job.tried.add(replica.name)
-        self._limits.note_sent(replica.name)
+        self._fleet.limits.note_sent(replica.name)
         sent_at = self._clock()
         was_in_doubt, job.in_doubt = job.in_doubt, True
         log.debug("sent", id=job.req.id, replica=replica.name, left_s=round(attempt.left_s, 3))
@@ -318,7 +340,7 @@
             raise ResponseBroken("the answer does not come from the replica")
         if verdict is not Verdict.MISDIRECTED:
             # Of another replica that has the address by now it says nothing.
-            self._limits.hear(replica.name, self._dialect.limit(head), sent_at)
+            self._fleet.limits.hear(replica.name, self._dialect.limit(head), sent_at)
         if verdict is Verdict.ANSWERED and job.route.streaming:
             return await self._stream(sending, head)
         body = await sending.conn.body(ANSWER_BYTES)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -18,6 +18,7 @@
 from .exceptions import Failed, Limited, Refused, Unauthenticated
 from .fleet import Fleet
 from .job import Job, Outcome
+from .limits import Demand
 from .metrics import Meters
 from .model import AdapterKey, Copy, CopyKind, Repeat, Replica, Request, Service
 from .plain import PlainPlacer
@@ -42,6 +43,9 @@
 """A request that no engine can run had better not come back before the engines are others."""
 RETURNING_PART = 0.97
 """A caller that has less than this part of the usual time was refused before."""
+ROOM_PART = 0.6
+"""A request waits for room no longer than this part of its target; the rest is for its answer."""
+NO_DEMAND = Demand()
 MAX_SENDS = 6
 """Bound on sendings of one request, whatever their outcomes."""
 
@@ -257,15 +261,18 @@
             outcome = Outcome.UNKNOWN
             self._tally.begin(job)
             try:
-                outcome = await self._sender.send(job, replica)
+                outcome = await self._sender.send(job, replica, self._demand(job, replica))
             finally:
                 # Who found no room leaves none behind: all that wait would be sent at once.
-                if outcome is not Outcome.FULL:
+                if outcome not in (Outcome.FULL, Outcome.LIMITED):
                     self._plain.note_end(job.service.name)
                 self._tally.end(job, outcome)
             if outcome is Outcome.DONE:
                 return
-            await self._consider_again(job, replica, outcome)
+            if outcome is Outcome.LIMITED:
+                self._consider_limited(job, replica)
+            else:
+                await self._consider_again(job, replica, outcome)
 
     def _check_key(self, job: Job) -> None:
         """See to it that a key is still good after a change of the configuration."""
@@ -284,10 +291,12 @@
 
     async def _place(self, job: Job) -> Replica:
         key = job.req.key
+        job.chosen_here = False
         if job.copy is not None and key is not None:
             return await self._place_copy(job, job.copy, key)
         if job.service.engine is not None and key is not None:
             return await self._place_weights(job, key)
+        job.chosen_here = True
         return await self._plain.place(job)
 
     async def _place_weights(self, job: Job, key: AdapterKey) -> Replica:
@@ -300,6 +309,7 @@
                 holders, job.excluded, job.candidates(), job.work, job.may_repeat()
             )
             if known is not None and not self._had_better_ask(job, known):
+                job.chosen_here = True
                 return known
         return await self._directory.place(
             job.service.name,
@@ -348,25 +358,79 @@
         job.asked = True
         if self._directory.asks_first(job.service.name) or self._fleet.is_ejected(replica.name):
             return True
+        if self._fleet.limits.rate(replica.name) is not None:
+            return True
         return self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s)
 
     def _wish(self, job: Job) -> Wish:
         route, req = job.route, job.req
         if job.inc.started:
             return begun_wish(job, self._clock(), self._tally.party(job))
-        # Another try of the same caller has less than the whole time left.
-        returning = req.wait_s < RETURNING_PART * self._values.longest_wait(route.name, req.wait_s)
         return Wish(
             rank=job.rank,
             value=self._values.value(route, job.rank, req),
-            returning=returning,
+            returning=self._is_returning(job),
             target_at=req.arrived_at + route.target_s,
-            until=min(job.deadline_at, req.arrived_at + route.patience_s) - PATIENCE_MARGIN_S,
+            until=self._patience_at(job),
             work=job.work,
             party=self._tally.party(job),
             request=req.id,
         )
 
+    # Replicas that take only so many requests a second.
+
+    def _demand(self, job: Job, replica: Replica) -> Demand:
+        """Return how much a request needs room at its replica, and how long it waits for it."""
+        if self._fleet.limits.rate(replica.name) is None:
+            return NO_DEMAND
+        req, route = job.req, job.route
+        value = self._values.value(route, job.rank, req)
+        begun = job.inc.started or job.copy is not None
+        if begun:
+            until = job.deadline_at
+        elif job.chosen_here and self._has_open(job, replica):
+            until = self._clock()
+        elif self._is_returning(job):
+            until = self._patience_at(job)
+        else:
+            # What would be late takes the room of one that would not: it had better come back.
+            until = min(self._patience_at(job), req.arrived_at + ROOM_PART * route.target_s)
+        return Demand(until, job.rank, value, begun)
+
+    def _is_returning(self, job: Job) -> bool:
+        """Tell whether a request is another try of a caller: it has less than all of the time."""
+        req, name = job.req, job.route.name
+        return req.wait_s < RETURNING_PART * self._values.longest_wait(name, req.wait_s)
+
+    def _patience_at(self, job: Job) -> float:
+        """Return until when a request waits before it is sent."""
+        until = min(job.deadline_at, job.req.arrived_at + job.route.patience_s)
+        return until - PATIENCE_MARGIN_S
+
+    def _has_open(self, job: Job, replica: Replica) -> bool:
+        """Tell whether a request may go to another replica, one that names no limit."""
+        only = job.candidates()
+        return any(
+            rep.name != replica.name
+            and rep.name not in job.excluded
+            and (only is None or rep.name in only)
+            and self._fleet.limits.rate(rep.name) is None
+            for rep in self._fleet.usable(job.service.name)
+        )
+
+    def _consider_limited(self, job: Job, replica: Replica) -> None:
+        """Let a request for which a replica has no room go elsewhere, or end it."""
+        job.excluded.add(replica.name)
+        job.sends += 1
+        if job.copy is not None:
+            job.copy, job.backup = job.backup, None
+            if job.copy is None and not job.may_repeat():
+                raise Failed("where its memory is, no more requests are taken")
+            return
+        has_other = job.room_elsewhere or self._has_open(job, replica)
+        if job.sends >= MAX_SENDS or not has_other:
+            raise Refused("its replicas take no more requests a second", job.room_s)
+
     # Sending again.
 
     async def _take_retry(self, job: Job) -> None:
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -38,6 +38,8 @@
     """Callers find an open door before the program behind it is read."""
     POISON_GUARD = "poison-guard"
     """Requests that end the replicas which run them are not sent to further ones."""
+    REPLICA_LIMITS = "replica-limits"
+    """Replicas that name a limit get no more from all gateways together."""
     KEPT_PARTS = "kept-parts"
     """Engines are chosen by what they keep of prompts."""
 
--- a/packages/gateway/src/gradelug_gateway/share_tally.py
+++ b/packages/gateway/src/gradelug_gateway/share_tally.py
@@ -15,7 +15,9 @@
 """Owner of requests that no key tells of, where there are organisations."""
 MOST_UNTOLD = 512
 """So many parties are counted until the next message; what others use is not told."""
-NOT_RUN = frozenset({Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.FULL, Outcome.ABSENT})
+NOT_RUN = frozenset(
+    {Outcome.NOT_SENT, Outcome.NOT_RUN, Outcome.FULL, Outcome.ABSENT, Outcome.LIMITED}
+)
 
 
 class Amount:
--- a/packages/gateway/src/gradelug_gateway/waiting.py
+++ b/packages/gateway/src/gradelug_gateway/waiting.py
@@ -69,8 +69,12 @@
         load: pb.Load,
         kept_tokens: int = 0,
         standing: pb.Standing | None = None,
+        has_room: bool = False,
     ) -> None:
-        """Tell where it can run, what runs and is kept there, and by what it had its turn."""
+        """Tell where it can run, what runs and is kept there, and by what it had its turn.
+
+        Also whether room was taken for it at a replica with a limit.
+        """
         self.follower.answer(
             pb.Answer(
                 ticket=self.ask.ticket,
@@ -79,6 +83,7 @@
                 load=load,
                 kept_tokens=kept_tokens,
                 standing=standing,
+                has_room=has_room,
             )
         )
 
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import json
+import re
+from dataclasses import dataclass
 
 from gradelug_http import ServerLimits
 from poison_world import Engine, PoisonWorld
@@ -18,6 +20,15 @@
 """Time of an answer of a plain replica."""
 
 
+@dataclass(slots=True, frozen=True)
+class Told:
+    """What a caller got: the status, when to come back, and how long that took."""
+
+    status: int
+    retry_s: float
+    took_s: float
+
+
 class LimitedEngine(Engine):
     """An engine that may name a limit in its answers."""
 
@@ -65,11 +76,19 @@
     def __init__(self, gateways=7, engines=4, plain=0, without=()):
         super().__init__(gateways, engines, without)
         self.plain = {}
+        self.told = []
         for number in range(plain):
             replica = PlainReplica(self, f"p{number}", f"10.0.2.{number}:80")
             self.plain[replica.name] = replica
             self.spawn(replica.enter())
 
+    def note_answer(self, body, status, received, took_s):
+        found = re.search(rb"Retry-After: ([\d.]+)", received)
+        self.told.append(Told(status, float(found[1]) if found else 0.0, took_s))
+
+    def replica(self, name):
+        return self.plain.get(name) or self.engines[name]
+
     async def load(self, rate, until, path=b"/s/x", adapters=9, first=0):
         """Send requests evenly, each once, by each instance in turn."""
         number = first
@@ -83,6 +102,10 @@
     def most(self, replica, since, window_s=WINDOW_S):
         """Return the most requests that reached a replica in some window that ends later."""
         times = [at for at, _, name in self.arrived if name == replica and at >= since]
+        return self.most_of(times, window_s)
+
+    def most_of(self, times, window_s=WINDOW_S):
+        """Return the most of some moments that lie in one window."""
         return max((sum(at - window_s < one <= at for one in times) for at in times), default=0)
 
     def got(self, replica, since):
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -247,6 +247,11 @@
             for end in ends:
                 end.put_nowait(StreamTerminatedError)
 
+    @property
+    def limits(self):
+        """What this instance knows of limits of replicas."""
+        return self.daemon._fleet.limits
+
     @property
     def plans(self):
         """Whether this instance is the planner."""
@@ -351,16 +356,22 @@
             b"X-Gradelug-Token-Usage: 100,20\r\nContent-Length: %d\r\n\r\n%b"
             % (path, self.idents, deadline_ms, adapter.encode(), len(body), body)
         )
-        until = self.clock() + deadline_ms / 1000 + 0.5
+        began = self.clock()
+        until = began + deadline_ms / 1000 + 0.5
         while self.clock() < until and not client.ended and not _is_whole(client.received):
             await asyncio.sleep(0.02)
         client.transport.close()
         status = int(client.received.split(b" ")[1]) if client.received else 0
-        if status == 200 and not client.received.endswith(b"0\r\n\r\n"):
+        is_stream = b"chunked" in client.received.partition(b"\r\n\r\n")[0]
+        if status == 200 and is_stream and not client.received.endswith(b"0\r\n\r\n"):
             status = 0
         self.answers[(body, status)] += 1
+        self.note_answer(body, status, bytes(client.received), self.clock() - began)
         return status
 
+    def note_answer(self, body, status, received, took_s):
+        """Note what a caller got, and how long it took."""
+
     async def repeat(self, body, pause_s, until, first=0):
         """Send a request again and again, by each instance in turn."""
         at = first
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -118,13 +118,13 @@
         limits = ReplicaLimits(lambda: 1.0)
         limits.hear("e1", LimitWord(0.0), 0.5)
         assert limits.rate("e1") == 0.0
-        assert limits.limited == 1
+        assert limits.named() == ["e1"]
 
     def test_replicas_without_a_limit_are_not_kept(self):
         limits = ReplicaLimits(lambda: 1.0)
         limits.hear("e1", LimitWord(), 0.5)
         assert limits.rate("e1") is None
-        assert limits.limited == 0
+        assert not limits.named()
 
     def test_another_life_begins_without_a_limit(self):
         limits = ReplicaLimits(lambda: 1.0)
@@ -136,4 +136,4 @@
         limits = ReplicaLimits(lambda: 1.0)
         limits.hear("e1", LimitWord(1.4), 0.5)
         limits.forget_gone({"e2"})
-        assert limits.limited == 0
+        assert not limits.named()
--- /dev/null
+++ b/tests/test_replica_room.py
@@ -0,0 +1,231 @@
+"""Who is let through to a replica with a limit, and how much of the limit each way uses."""
+
+import itertools
+import math
+import random
+
+import pytest
+from gradelug_policy.replica_room import (
+    LEAST_RATE,
+    LONGEST_RETRY_S,
+    OWN_PART,
+    Applicant,
+    OwnTurns,
+    ReplicaRoom,
+)
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from limit_load import WINDOW_S, arrivals, asked, grants, parts, turns
+
+OVERAGE, EXTRA = 1.5, 5
+
+
+def most_allowed(rate):
+    return OVERAGE * WINDOW_S * rate + EXTRA
+
+
+class TestWays:
+    """Four times as much as a replica takes comes to 9, 40 and 370 instances."""
+
+    @pytest.mark.parametrize("instances", [9, 40, 370])
+    @pytest.mark.parametrize("rate", [0.2, 1.4, 50.0])
+    def test_a_planner_that_is_asked_uses_the_limit_and_keeps_to_it(self, instances, rate):
+        found = asked(instances, rate, arrivals(instances, 4 * rate, 60.0, 1))
+        assert found.most() <= most_allowed(rate)
+        assert found.used(rate, 60.0) >= 0.75
+
+    @pytest.mark.parametrize("instances", [9, 40, 370])
+    @pytest.mark.parametrize("rate", [0.2, 1.4, 50.0])
+    def test_turns_of_their_own_keep_to_it_without_a_planner(self, instances, rate):
+        for seed in range(3):
+            found = turns(instances, rate, arrivals(instances, 20 * rate, 60.0, seed))
+            assert found.most() <= most_allowed(rate)
+
+    def test_buckets_of_their_own_break_it_in_a_large_fleet(self):
+        load = arrivals(370, 5.6, 120.0, 1)
+        assert parts(370, 1.4, load).most() > most_allowed(1.4)
+
+    def test_room_given_out_beforehand_lies_idle_in_a_large_fleet(self):
+        load = arrivals(370, 5.6, 120.0, 1)
+        assert grants(370, 1.4, load).used(1.4, 120.0) < 0.1
+
+
+class TestLine:
+    def room(self, rate=1.0):
+        return ReplicaRoom(rate, 0.0)
+
+    def test_there_is_no_room_at_first(self):
+        room = self.room()
+        assert not room.try_take(0.0)
+        assert room.try_take(1.0)
+        assert not room.try_take(1.0)
+
+    def test_those_with_most_to_lose_go_first(self):
+        room = self.room()
+        assert not room.apply(Applicant("late", 9.0, rank=2), 0.0)
+        assert not room.apply(Applicant("dear", 9.0, rank=1, value=3.0), 0.0)
+        assert not room.apply(Applicant("cheap", 9.0, rank=1), 0.0)
+        assert not room.apply(Applicant("begun", 9.0, rank=5, begun=True), 0.0)
+        order = [room.rule(float(at))[0].applicant.ticket for at in range(1, 5)]
+        assert order == ["begun", "dear", "cheap", "late"]
+
+    def test_who_cannot_be_in_time_is_refused_at_once(self):
+        room = self.room()
+        room.apply(Applicant(1, 1.2), 0.0)
+        (refused,) = room.apply(Applicant(2, 1.2), 0.0)
+        assert (refused.applicant.ticket, refused.granted) == (2, False)
+        assert refused.retry_s == pytest.approx(2.0)
+
+    def test_who_is_pushed_back_beyond_its_time_is_refused_at_once(self):
+        room = self.room()
+        room.apply(Applicant("slow", 1.5, rank=2), 0.0)
+        (refused,) = room.apply(Applicant("urgent", 1.5, rank=0), 0.0)
+        assert refused.applicant.ticket == "slow"
+
+    def test_those_who_were_refused_are_told_to_come_one_after_the_other(self):
+        room = self.room()
+        told = [room.apply(Applicant(at, 0.5), 0.0)[0].retry_s for at in range(3)]
+        assert told == sorted(told)
+        assert len(set(told)) == 3
+
+    def test_who_goes_elsewhere_makes_nobody_come_later(self):
+        room = self.room()
+        for at in range(5):
+            room.apply(Applicant(at, 0.0), 0.0)
+        assert room.apply(Applicant("last", 0.5), 0.0)[0].retry_s == pytest.approx(1.0)
+
+    def test_nobody_is_told_to_come_back_much_later(self):
+        room = self.room(0.0)
+        told = [room.apply(Applicant(at, 0.5), 0.0)[0].retry_s for at in range(9)]
+        assert max(told) == LONGEST_RETRY_S
+
+    def test_a_limit_of_none_lets_one_through_now_and_then(self):
+        room = self.room(0.0)
+        assert not room.try_take(0.9 / LEAST_RATE)
+        assert room.try_take(1.1 / LEAST_RATE)
+
+    def test_all_go_when_the_limit_ends(self):
+        room = self.room()
+        room.apply(Applicant(1, 9.0), 0.0)
+        assert [ruling.granted for ruling in room.release()] == [True]
+        assert room.waiting == 0
+
+    def test_one_that_has_left_takes_no_room(self):
+        room = self.room()
+        room.apply(Applicant(1, 9.0), 0.0)
+        room.apply(Applicant(2, 9.0), 0.0)
+        room.withdraw({1})
+        assert [ruling.applicant.ticket for ruling in room.rule(1.0)] == [2]
+
+
+class TestOwnTurns:
+    def test_a_turn_passes_unless_it_is_used(self):
+        own = OwnTurns(0.1, 0.0, 0.0)
+        assert own.is_due(0.5)
+        assert not own.is_due(2.0)
+        assert own.take(10.5)
+        assert not own.take(10.6)
+
+    def test_a_turn_that_is_kept_waits_for_its_use(self):
+        own = OwnTurns(0.1, 0.0, 0.0, keeps=True)
+        assert own.take(7.0)
+        assert not own.take(8.0)
+        assert own.take(17.0)
+
+    def test_one_that_came_to_nothing_is_had_again(self):
+        own = OwnTurns(0.01, 0.0, 0.0, keeps=True)
+        assert own.take(1.0)
+        own.give_back(3.0)
+        assert not own.is_due(2.0)
+        assert own.is_due(3.0)
+
+    @pytest.mark.parametrize("share", [0.001, 0.3, 5.0])
+    def test_never_more_than_the_share(self, share):
+        rng = random.Random(1)
+        own = OwnTurns(share, rng.random(), 0.0)
+        taken, now = 0, 0.0
+        while now < 400.0:
+            now += rng.expovariate(20.0)
+            taken += own.take(now)
+        assert taken <= share * 400.0 + 2
+
+    def test_of_many_instances_no_more_than_the_limit_in_any_span_also_after_a_rest(self):
+        rng, rate = random.Random(2), 1.4
+        own = [OwnTurns(OWN_PART * rate / 370, rng.random(), 0.0) for _ in range(370)]
+        # All of them want to send again and again after nobody did for long.
+        sent = [
+            at for at in (600 + step / 20 for step in range(400)) for one in own if one.take(at)
+        ]
+        most = max(sum(at - WINDOW_S < one <= at for one in sent) for at in sent)
+        assert most <= most_allowed(rate)
+
+
+class Room(RuleBasedStateMachine):
+    """Whatever is asked, the room that is granted keeps to the limits that were in force."""
+
+    def __init__(self):
+        super().__init__()
+        self.now, self.rate = 0.0, 1.0
+        self.room = ReplicaRoom(self.rate, 0.0)
+        self.numbers = itertools.count()
+        self.waiting = {}
+        self.granted = []
+        self.budget = 0.0
+
+    def settle(self, rulings):
+        for ruling in rulings:
+            applicant = self.waiting.pop(ruling.applicant.ticket)
+            if ruling.granted:
+                self.granted.append(self.now)
+            else:
+                assert 0 <= ruling.retry_s <= LONGEST_RETRY_S
+                assert applicant.until < math.inf
+
+    @rule(step=st.floats(0.0, 3.0))
+    def pass_time(self, step):
+        self.now += step
+        self.budget += step * max(LEAST_RATE, self.rate)
+        self.settle(self.room.rule(self.now))
+
+    @rule(wait=st.sampled_from([0.0, 0.5, 5.0, math.inf]), rank=st.integers(0, 3))
+    def ask(self, wait, rank):
+        applicant = Applicant(next(self.numbers), self.now + wait, rank)
+        self.waiting[applicant.ticket] = applicant
+        self.settle(self.room.apply(applicant, self.now))
+
+    @rule()
+    def take(self):
+        was_empty = not self.waiting
+        if self.room.try_take(self.now):
+            assert was_empty
+            self.granted.append(self.now)
+
+    @rule(rate=st.sampled_from([0.0, 0.2, 1.4, 50.0]))
+    def rename(self, rate):
+        self.rate = rate
+        self.room.rename(rate, self.now)
+
+    @rule()
+    def leave(self):
+        if self.waiting:
+            ticket = next(iter(self.waiting))
+            self.room.withdraw({ticket})
+            del self.waiting[ticket]
+
+    @invariant()
+    def no_more_was_granted_than_the_limits_allowed(self):
+        assert len(self.granted) <= self.budget + 1e-6
+
+    @invariant()
+    def nobody_waits_that_is_not_known(self):
+        assert self.room.waiting == len(self.waiting)
+
+    @invariant()
+    def nobody_waits_while_there_is_room(self):
+        if self.waiting:
+            assert self.room.ready_s(self.now) > 0
+
+
+Room.TestCase.settings = settings(derandomize=True, deadline=None, max_examples=200)
+TestRoom = Room.TestCase
