The soak's replicas name limits, other ones, and take them back

Counted as the platform does: windows of 4 s from 3 s after a limit was named, without requests by an instance that was started or woken 3 s before.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -14,9 +14,19 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
-from fleet_stand_in import EVENTS, GATEWAY_HOST, HOST, POISON, Ledger, Proxy, ReplicaStandIn
+from fleet_stand_in import (
+    EVENTS,
+    GATEWAY_HOST,
+    HEARD_S,
+    HOST,
+    POISON,
+    Ledger,
+    Proxy,
+    ReplicaStandIn,
+)
 from gradelug_http import (
     ConnectFailed,
     HttpPool,
@@ -58,6 +68,8 @@
 """When the entry of a replica that a request ended goes, and when another one takes its place."""
 POISON_S = 0.3
 """Such a request comes this often, at any instance."""
+LIMITS = (0.0, 0.5, 2.0, 5.0, None, None)
+"""What a replica names, in requests a second; it would get two to four."""
 QUOTA_SLACK = 100
 """In tokens; ten requests over three instances that come and go."""
 CONFIG = {
@@ -176,8 +188,11 @@
         )
         self.args = args
         self.process = None
+        self.woken = []
+        """When it was started or woken, by the clock of the soak."""
 
     def start(self):
+        self.woken.append(time.monotonic())
         env = {**os.environ, "GRADELUG_CONFIG": str(self.settings)}
         with self.log.open("ab") as out:
             self.process = subprocess.Popen(
@@ -209,11 +224,18 @@
         Whether engines check fencing tokens; where they do not, it is watched who orders them.
     has_poison : bool
         Whether a request comes again and again that ends each engine which begins it.
+    has_limits : bool
+        Whether replicas name how many requests a second they take, and take that back.
     """
 
-    def __init__(self, seed, seconds, checks_tokens=True, has_poison=False):
+    def __init__(self, seed, seconds, checks_tokens=True, has_poison=False, has_limits=False):
         self.checks_tokens = checks_tokens
         self.has_poison = has_poison
+        self.has_limits = has_limits
+        self.takes = {}
+        """What each replica that ever was named and got, by its name."""
+        self.through = {}
+        """By which gateway each request came."""
         self.ended = []
         """Engines that it ended."""
         self.endings = set()
@@ -247,9 +269,14 @@
             if self.has_poison:
                 self.ledger.end = self._end_replica
                 clients.append(asyncio.create_task(self._send_poison()))
+            if self.has_limits:
+                clients.append(asyncio.create_task(self._name_limits()))
             try:
                 await self._faults()
                 await self._heal()
+                for takes in self.takes.values():
+                    takes.end()
+                self.has_limits = False
                 await asyncio.sleep(SETTLE_S)
                 ended = len(self.ended)
                 self.late_served = await self._probe()
@@ -298,6 +325,7 @@
         await proxy.start()
         await replica.enter(f"{HOST}:{proxy.port}")
         self.replicas[name], self.proxies[name] = replica, proxy
+        self.takes[name] = replica.takes
 
     async def _client(self):
         while True:
@@ -327,6 +355,15 @@
             self.answers[request_id] = ("s", *asked)
             await asyncio.sleep(POISON_S)
 
+    async def _name_limits(self):
+        """Let replicas name limits, other ones, and none again."""
+        # With a source of chance of its own: what a seed does otherwise stays the same.
+        rng = random.Random(self.seed)
+        while self.has_limits:
+            takes = self.replicas[rng.choice(list(self.replicas))].takes
+            takes.name(rng.choice(LIMITS))
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+
     def _end_replica(self, name):
         """Let a replica end at once; another one takes its place."""
         replica = self.replicas.pop(name, None)
@@ -372,6 +409,7 @@
         self.sent[request_id] = (self.clock(), key)
         out = OutgoingRequest(b"POST", f"/{kind}/x".encode(), headers, body)
         gateway = self.rng.choice(self.gateways)
+        self.through[request_id] = gateway
         self.answers[request_id] = (kind, *await self._ask(gateway, out))
         return self.answers[request_id]
 
@@ -413,6 +451,7 @@
         gateway.signal(signal.SIGSTOP)
         await asyncio.sleep(self.fault_rng.uniform(0.3, 2.5))
         self._slacken()
+        gateway.woken.append(self.clock())
         gateway.signal(signal.SIGCONT)
 
     async def _do_reset(self):
@@ -509,12 +548,19 @@
                 faults.append(f"{request_id}: ran {len(runs)} times: {runs}")
             if status == 200:
                 faults += self._wrong_answer(request_id, kind, head, body, runs)
+        for name, takes in self.takes.items():
+            faults += takes.faults(name, self._counts)
         faults += self._keys_used_too_late()
         faults += self._beyond_the_quota()
         if self.late_served < PROBES:
             faults.append(f"only {self.late_served} of {PROBES} were served after all had healed")
         return faults
 
+    def _counts(self, request_id, at):
+        """Tell whether a request came by a gateway that had not just started or been frozen."""
+        gateway = self.through.get(request_id)
+        return gateway is None or not any(0 <= at - woken <= HEARD_S for woken in gateway.woken)
+
     def _keys_used_too_late(self):
         faults = []
         for request_id in self.ledger.runs:
@@ -569,11 +615,11 @@
         self.done = done
 
 
-def soak(seed, seconds, checks_tokens=True, has_poison=False):
+def soak(seed, seconds, checks_tokens=True, has_poison=False, has_limits=False):
     """Run once and return its `Outcome`."""
 
     async def main():
-        run = Soak(seed, seconds, checks_tokens, has_poison)
+        run = Soak(seed, seconds, checks_tokens, has_poison, has_limits)
         faults = await run.run()
         served = sum(answer[1] == 200 for answer in run.answers.values())
         return Outcome(faults, len(run.answers), served, run.done)
@@ -586,7 +632,8 @@
     first, count, duration = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
     checking = "untokened" not in sys.argv[4:]
     for number in range(first, first + count):
-        found = soak(number, duration, checking, "poison" in sys.argv[4:])
+        words = sys.argv[4:]
+        found = soak(number, duration, checking, "poison" in words, "limits" in words)
         print(
             f"seed {number}: {found.asked} asked, {found.served} served, "
             f"{len(found.broken)} broken; {' '.join(found.done)}",
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -46,6 +46,54 @@
         """Orders until then may have been held up by a link or a frozen instance."""
 
 
+WINDOW_S = 4.0
+OVERAGE, EXTRA = 1.5, 5
+"""In some window a replica gets at most so many times what it named, and so many requests more."""
+HEARD_S = 3.0
+"""Requests count from so long after it named a limit."""
+
+
+class Takes:
+    """How many requests a second a replica names, and what reached it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.limit = None
+        self.spans = []
+        """Each limit that it named: how much, from when, until when."""
+        self.arrived = []
+        """Requests: when, and which."""
+
+    def name(self, limit):
+        """Name another limit from now on, None for none."""
+        self.end()
+        self.limit = limit
+        if limit is not None:
+            self.spans.append([limit, self.clock(), float("inf")])
+
+    def end(self):
+        """Note that what is named holds no longer."""
+        if self.limit is not None:
+            self.spans[-1][2] = self.clock()
+            self.limit = None
+
+    def headers(self):
+        return [] if self.limit is None else [(b"Server-Limit", str(self.limit).encode())]
+
+    def faults(self, name, counts):
+        """Return what was broken; `counts` tells which requests count."""
+        for limit, since, until in self.spans:
+            times = [
+                at
+                for at, request_id in self.arrived
+                if since + HEARD_S <= at <= until and counts(request_id, at)
+            ]
+            most = max((sum(at - WINDOW_S < one <= at for one in times) for at in times), default=0)
+            if most > OVERAGE * WINDOW_S * limit + EXTRA:
+                return [f"{name} named {limit} a second and got {most} in {WINDOW_S} s"]
+        return []
+
+
 class ReplicaStandIn:
     """One start of a replica, entered in the store while it lives."""
 
@@ -59,6 +107,7 @@
         if service == "llm":
             self.engine = ModelEngine(self.clock, versions, checks_tokens)
         self.last_order = None
+        self.takes = Takes(self.clock)
         self.state = "ready"
         self.draining_at = None
         self.server = HttpServer(self.serve, ServerLimits, self.clock)
@@ -115,6 +164,7 @@
             (b"X-Gradelug-Request-Id", request_id),
             (b"X-Gradelug-Not-Executed", b"1"),
             (b"X-Gradelug-Instance-Id", self.name.encode()),
+            *self.takes.headers(),
         ]
         inc.respond(status, headers, b"")
 
@@ -164,6 +214,7 @@
 
     async def _run(self, inc):
         request_id = inc.header(b"x-gradelug-request-id").decode()
+        self.takes.arrived.append((self.clock(), request_id))
         if self.draining_at is not None and self.clock() - self.draining_at > 3.0:
             self.ledger.faults.append(f"{request_id} reached {self.name} long after it drained")
         model = inc.header(b"x-gradelug-model")
@@ -179,6 +230,7 @@
         headers = [
             (b"X-Gradelug-Request-Id", request_id.encode()),
             (b"X-Gradelug-Server-Signature", f"{self.name}.{request_id}".encode()),
+            *self.takes.headers(),
         ]
         if self.engine is None:
             await asyncio.sleep(EVENT_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,3 +18,9 @@
     found = soak(SEED, SECONDS, has_poison=True)
     assert found.broken == []
     assert found.served > 20
+
+
+def test_what_replicas_name_is_kept_to_while_processes_are_killed_frozen_and_cut():
+    found = soak(SEED, SECONDS, has_limits=True)
+    assert found.broken == []
+    assert found.served > 20
