Operators see limits of replicas: gradelug limits, and why a request was turned away for one

Questions that their request gave up are kept 256 at most: one that the planner had withdrawn was kept until the next stream.

--- a/packages/cli/src/gradelug_cli/main.py
+++ b/packages/cli/src/gradelug_cli/main.py
@@ -39,6 +39,7 @@
     CommandError,
 )
 from .explanation import explain
+from .limits import find_limits
 from .lost import find_losses
 from .recovery import find_recoveries
 from .repository import Repository
@@ -223,6 +224,11 @@
             if len(found.starts) >= least:
                 print(found)
 
+    def limits(self, *files: str) -> None:
+        """Show which replicas named how many requests a second, and what was used, from logs."""
+        for found in find_limits(_read_logs(files)):
+            print(found)
+
     def why(self, request_id: str, *files: str, beside: str = "") -> None:
         """Tell by what a request was refused or placed, --beside another one; 5 if logs lack it."""
         rows = _read_logs(files)
--- a/packages/cli/src/gradelug_cli/why.py
+++ b/packages/cli/src/gradelug_cli/why.py
@@ -11,7 +11,7 @@
 from .loglines import LogLine, read_line
 
 ENDS = ("answered", "refused", "limited", "denied", "failed", "caller left")
-JUDGED = ("placed", "share", "limited", "late first event")
+JUDGED = ("no room", "placed", "share", "limited", "late first event")
 """Lines whose fields tell by what a request was judged, in this order."""
 TOLD: dict[str, str] = {
     "owner": "whose",
@@ -35,6 +35,8 @@
     "tokens": "tokens that it counts",
     "there": "tokens in the bucket",
     "needed": "tokens needed",
+    "limit": "its replica takes a second",
+    "retry_s": "there will be room in, s",
     "config": "configuration",
 }
 """Fields that decide, and what they mean."""
--- a/packages/gateway/src/gradelug_gateway/limit_desk.py
+++ b/packages/gateway/src/gradelug_gateway/limit_desk.py
@@ -45,6 +45,8 @@
 HOME_S = 3.0
 """An engine that takes next to nothing is a home for adapters only if others cost more than this,
 in seconds."""
+MOST_GIVEN_UP = 256
+"""An answer that crosses its question's end comes within a round trip."""
 MOST_AGE_MS = 3_600_000
 MS = 1000.0
 
@@ -70,9 +72,9 @@
         "_cancelled",
         "_clock",
         "_futures",
+        "_given_up",
         "_hurry",
         "_limits",
-        "_replicas",
         "_service",
         "_state",
         "_tickets",
@@ -95,8 +97,8 @@
         self._hurry = hurry
         self._tickets = itertools.count(1)
         self._futures: dict[int, asyncio.Future[pb.RoomAnswer]] = {}
-        self._replicas: dict[int, str] = {}
-        """For which replica each question is, also of those that were given up."""
+        self._given_up: dict[int, str] = {}
+        """Replicas of questions that nobody waits for; they may have been answered meanwhile."""
         self._unsent: list[pb.RoomAsk] = []
         self._cancelled: list[int] = []
         self._untold: set[str] = set()
@@ -124,7 +126,6 @@
             wait_ms=round(min(wait_s * MS, MOST_AGE_MS)),
         )
         fut = self._futures[ticket] = asyncio.get_running_loop().create_future()
-        self._replicas[ticket] = replica
         self._unsent.append(ask)
         self._hurry()
         try:
@@ -145,7 +146,7 @@
             if not fut.done():
                 fut.set_exception(TimeoutError("the planner is lost"))
         self._futures.clear()
-        self._replicas.clear()
+        self._given_up.clear()
         self._unsent.clear()
         self._cancelled.clear()
         self._untold.update(self._limits.named())
@@ -174,7 +175,7 @@
             if rep is not None and rep.born == told.born:
                 self._limits.take(told.replica, _decode(told, self._clock()), "planner")
         for answer in message.room_answers:
-            replica = self._replicas.pop(answer.ticket, "")
+            replica = self._given_up.pop(answer.ticket, "")
             fut = self._futures.pop(answer.ticket, None)
             if fut is not None and not fut.done():
                 fut.set_result(answer)
@@ -191,9 +192,11 @@
         self._futures.pop(ask.ticket, None)
         if ask in self._unsent:
             self._unsent.remove(ask)
-            self._replicas.pop(ask.ticket, None)
-        elif ask.ticket in self._replicas:
-            self._cancelled.append(ask.ticket)
+            return
+        self._cancelled.append(ask.ticket)
+        self._given_up[ask.ticket] = ask.replica
+        if len(self._given_up) > MOST_GIVEN_UP:
+            del self._given_up[next(iter(self._given_up))]
 
 
 @dataclass(slots=True)
