The two ends of limits and the patience of requests have modules of their own; the outage in their test is one

The test of limits without the store set a name that the stand-in does not know, so that no outage happened: it is one now, beside one with the planner lost as well; both hold.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -35,7 +35,8 @@
 from .gauges import Observed, add_daemon_gauges
 from .handover import Handover
 from .kept import Kept
-from .limit_desk import LimitTeller, planner_for
+from .limit_facts import planner_for
+from .limit_teller import LimitTeller
 from .limits import ReplicaLimits
 from .metrics import Meters
 from .model import EngineSpec, FleetState
--- a/packages/gateway/src/gradelug_gateway/limit_desk.py
+++ b/packages/gateway/src/gradelug_gateway/limit_desk.py
@@ -1,35 +1,23 @@
-"""What gateways and a planner tell each other of replicas with a limit, and leave to send to them.
-
-The planner of a service speaks for its engines; the one that is the home of the quotas speaks for
-replicas of services without engines as well.
-"""
+"""A planner's end of what is told and asked of replicas with a limit: it grants room there."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 import typing as t
 from collections import Counter
 from dataclasses import dataclass, field
 
 import logbook
-from gradelug_policy.replica_limits import LimitFact, LimitRecord
-from gradelug_policy.replica_room import Applicant, OwnTurns, ReplicaRoom, Ruling
+from gradelug_policy.replica_limits import LimitRecord
+from gradelug_policy.replica_room import Applicant, ReplicaRoom, Ruling
 from gradelug_wire import placement_pb2 as pb
 
 from .followers import Follower
-from .limits import Demand, Denial, NoGrants, ReplicaLimits
+from .limit_facts import MS, decode_limit, encode_limit, speaks_for
 from .model import FleetState
 from .waiting import Waiter
 
 log = logbook.Logger("limits")
-ANSWER_S = 0.25
-"""An answer takes a round trip of milliseconds; a planner that rests after a decision takes some
-tens. Later than this it may be lost."""
-HURRIED_PER_S = 800.0
-"""Questions of all gateways that go out at once, a second: 0.17 ms each are a seventh of a core of
-the planner. More of them wait for the next message of their gateway, as where all of 600 replicas
-name a limit before 370 gateways."""
 REPEAT_S = 4.0
 """Limits are told this often at least, in seconds, should one have been lost on the way: 4 KB a
 second for 600 replicas."""
@@ -52,193 +40,6 @@
 HOME_S = 3.0
 """An engine that takes next to nothing is a home for adapters only if others cost more than this,
 in seconds."""
-MOST_GIVEN_UP = 256
-"""An answer that crosses its question's end comes within a round trip."""
-MOST_AGE_MS = 3_600_000
-MS = 1000.0
-
-
-class ToldLink(t.Protocol):
-    """The stream to a planner, as far as a part of it needs."""
-
-    @property
-    def flush_s(self) -> float:
-        """How long what is told is gathered, in seconds."""
-        ...
-
-    def hurry(self) -> None:
-        """Have what is to be told go out at once."""
-        ...
-
-    def tell_soon(self) -> None:
-        """Have it go out with the next message."""
-        ...
-
-
-class LimitTeller:
-    """A gateway's end on the link to one planner; implements `parts.GatewayPart`, `RoomDesk`.
-
-    Parameters
-    ----------
-    service : str
-        Whose planner.
-    limits : ReplicaLimits
-        What this gateway knows.
-    state : FleetState
-        What the platform has told.
-    clock : callable
-        The runtime's clock.
-    link : callable
-        Returns the link, None before there is one.
-    """
-
-    __slots__ = (
-        "_cancelled",
-        "_clock",
-        "_futures",
-        "_given_up",
-        "_hurried",
-        "_limits",
-        "_link",
-        "_service",
-        "_state",
-        "_tickets",
-        "_unsent",
-        "_untold",
-    )
-
-    def __init__(
-        self,
-        service: str,
-        limits: ReplicaLimits,
-        state: FleetState,
-        clock: t.Callable[[], float],
-        link: t.Callable[[], ToldLink | None],
-    ) -> None:
-        self._service = service
-        self._limits = limits
-        self._state = state
-        self._clock = clock
-        self._link = link
-        self._hurried: tuple[int, OwnTurns] | None = None
-        """When questions may go out at once, and for how many instances that was reckoned."""
-        self._tickets = itertools.count(1)
-        self._futures: dict[int, asyncio.Future[pb.RoomAnswer]] = {}
-        self._given_up: dict[int, str] = {}
-        """Replicas of questions that nobody waits for; they may have been answered meanwhile."""
-        self._unsent: list[pb.RoomAsk] = []
-        self._cancelled: list[int] = []
-        self._untold: set[str] = set()
-        limits.subscribe(self._note)
-
-    async def ask(self, replica: str, demand: Demand) -> Denial | None:
-        """Return None if a request may be sent to a replica.
-
-        Raises
-        ------
-        NoGrants
-            If the planner grants nothing now.
-        TimeoutError
-            If it does not answer, or is lost.
-        """
-        now = self._clock()
-        ticket = next(self._tickets)
-        wait_s = max(0.0, demand.until - now)
-        ask = pb.RoomAsk(
-            ticket=ticket,
-            replica=replica,
-            rank=demand.rank,
-            value=demand.value,
-            begun=demand.begun,
-            wait_ms=round(min(wait_s * MS, MOST_AGE_MS)),
-        )
-        fut = self._futures[ticket] = asyncio.get_running_loop().create_future()
-        self._unsent.append(ask)
-        gathered_s = self._send_soon(now)
-        try:
-            async with asyncio.timeout_at(now + wait_s + gathered_s + ANSWER_S):
-                answer = await fut
-        except BaseException:
-            self._give_up(ask)
-            raise
-        if answer.granted:
-            return None
-        if not answer.retry_after_ms:
-            raise NoGrants
-        return Denial(answer.retry_after_ms / MS, answer.elsewhere)
-
-    def begin_stream(self) -> None:
-        """Ask another planner, and tell it of all limits: it knows of none."""
-        for fut in self._futures.values():
-            if not fut.done():
-                fut.set_exception(TimeoutError("the planner is lost"))
-        self._futures.clear()
-        self._given_up.clear()
-        self._unsent.clear()
-        self._cancelled.clear()
-        self._untold.update(self._limits.named())
-
-    def fill(self, message: pb.FromGateway) -> None:
-        """Put what was heard and what is asked into a message."""
-        now = self._clock()
-        for name in self._untold:
-            fact, rep = self._limits.fact(name), self._state.replicas.get(name)
-            if (
-                fact is not None
-                and rep is not None
-                and _speaks_for(self._service, name, self._state)
-            ):
-                message.limits.append(_encode(name, rep.born, fact, now))
-        self._untold.clear()
-        message.room_asks.extend(self._unsent)
-        message.room_cancelled.extend(self._cancelled)
-        self._unsent.clear()
-        self._cancelled.clear()
-
-    def take(self, message: pb.FromPlanner) -> None:
-        """Take over limits that others heard of, and hand answers to those who wait."""
-        for told in message.limits:
-            rep = self._state.replicas.get(told.replica)
-            if rep is not None and rep.born == told.born:
-                self._limits.take(told.replica, _decode(told, self._clock()), "planner")
-        for answer in message.room_answers:
-            replica = self._given_up.pop(answer.ticket, "")
-            fut = self._futures.pop(answer.ticket, None)
-            if fut is not None and not fut.done():
-                fut.set_result(answer)
-            elif answer.granted and replica:
-                # Its request has left; another one may use the room.
-                self._limits.add_permit(replica)
-
-    def _note(self, replica: str) -> None:
-        if _speaks_for(self._service, replica, self._state):
-            self._untold.add(replica)
-            link = self._link()
-            if link is not None:
-                link.hurry()
-
-    def _send_soon(self, now: float) -> float:
-        """Have questions go out; return how long they are gathered at the most, in seconds."""
-        link, sharers = self._link(), self._limits.sharers
-        if link is None:
-            return 0.0
-        if self._hurried is None or self._hurried[0] != sharers:
-            self._hurried = (sharers, OwnTurns(HURRIED_PER_S / sharers, 0.0, now, keeps=True))
-        if self._hurried[1].take(now):
-            link.hurry()
-            return 0.0
-        link.tell_soon()
-        return link.flush_s
-
-    def _give_up(self, ask: pb.RoomAsk) -> None:
-        self._futures.pop(ask.ticket, None)
-        if ask in self._unsent:
-            self._unsent.remove(ask)
-            return
-        self._cancelled.append(ask.ticket)
-        self._given_up[ask.ticket] = ask.replica
-        if len(self._given_up) > MOST_GIVEN_UP:
-            del self._given_up[next(iter(self._given_up))]
 
 
 @dataclass(slots=True)
@@ -330,7 +131,7 @@
         for name, limited in self._by_name.items():
             if self._is_due(name, limited, now):
                 limited.told, limited.told_at = limited.record.rate, now
-                news.limits.append(_encode(name, limited.born, limited.record.fact, now))
+                news.limits.append(encode_limit(name, limited.born, limited.record.fact, now))
             if limited.room is not None and now - limited.logged_at >= LOG_S:
                 self._log(name, limited, now)
         self._due.clear()
@@ -389,14 +190,14 @@
         name, rep = told.replica, self._state.replicas.get(told.replica)
         if rep is None or rep.born != told.born:
             return
-        if not _speaks_for(self._service, name, self._state):
+        if not speaks_for(self._service, name, self._state):
             return
         limited = self._by_name.get(name)
         if limited is None or limited.born != told.born:
             if not told.named:
                 return
             limited = self._by_name[name] = _Limited(rep.service, told.born, logged_at=now)
-        fact = _decode(told, now)
+        fact = decode_limit(told, now)
         if limited.record.note(fact):
             self._follow(name, limited, now)
         elif limited.record.rate != fact.rate:
@@ -535,34 +336,3 @@
 
     def __contains__(self, ticket: object) -> bool:
         return isinstance(ticket, tuple) and ticket[0] == self._number
-
-
-def _speaks_for(service: str, replica: str, state: FleetState) -> bool:
-    """Tell whether the planner of a service grants room at a replica."""
-    rep = state.replicas.get(replica)
-    return rep is not None and planner_for(rep.service, state) == service
-
-
-def planner_for(service: str, state: FleetState) -> str:
-    """Return the service whose planner grants room at replicas of a service; empty for none."""
-    return service if state.has_engines(service) else state.home_service
-
-
-def _encode(replica: str, born: int, fact: LimitFact, now: float) -> pb.LimitFact:
-    return pb.LimitFact(
-        replica=replica,
-        born=born,
-        named=fact.rate is not None,
-        rate=fact.rate or 0.0,
-        sent_age_ms=_age_ms(now, fact.sent_at),
-        heard_age_ms=_age_ms(now, fact.heard_at),
-    )
-
-
-def _decode(told: pb.LimitFact, now: float) -> LimitFact:
-    rate = told.rate if told.named else None
-    return LimitFact(rate, now - told.sent_age_ms / MS, now - told.heard_age_ms / MS)
-
-
-def _age_ms(now: float, at: float) -> int:
-    return min(MOST_AGE_MS, max(0, round((now - at) * MS)))
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/limit_facts.py
@@ -0,0 +1,48 @@
+"""Facts of replicas' limits between gateways and planners, and which planner they concern.
+
+The planner of a service speaks for its engines; the one that is the home of the quotas speaks for
+replicas of services without engines as well.
+"""
+
+from __future__ import annotations
+
+from gradelug_policy.replica_limits import LimitFact
+from gradelug_wire import placement_pb2 as pb
+
+from .model import FleetState
+
+MOST_AGE_MS = 3_600_000
+MS = 1000.0
+
+
+def speaks_for(service: str, replica: str, state: FleetState) -> bool:
+    """Tell whether the planner of a service grants room at a replica."""
+    rep = state.replicas.get(replica)
+    return rep is not None and planner_for(rep.service, state) == service
+
+
+def planner_for(service: str, state: FleetState) -> str:
+    """Return the service whose planner grants room at replicas of a service; empty for none."""
+    return service if state.has_engines(service) else state.home_service
+
+
+def encode_limit(replica: str, born: int, fact: LimitFact, now: float) -> pb.LimitFact:
+    """Return what is known of a limit as it is told at a moment."""
+    return pb.LimitFact(
+        replica=replica,
+        born=born,
+        named=fact.rate is not None,
+        rate=fact.rate or 0.0,
+        sent_age_ms=_age_ms(now, fact.sent_at),
+        heard_age_ms=_age_ms(now, fact.heard_at),
+    )
+
+
+def decode_limit(told: pb.LimitFact, now: float) -> LimitFact:
+    """Return what was told of a limit, by the clock of who hears it at a moment."""
+    rate = told.rate if told.named else None
+    return LimitFact(rate, now - told.sent_age_ms / MS, now - told.heard_age_ms / MS)
+
+
+def _age_ms(now: float, at: float) -> int:
+    return min(MOST_AGE_MS, max(0, round((now - at) * MS)))
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -18,9 +18,9 @@
 from .exceptions import Failed, Limited, Refused, Unauthenticated
 from .fleet import Fleet
 from .job import Job, Outcome
-from .limits import Demand
 from .metrics import Meters
 from .model import AdapterKey, Copy, CopyKind, Repeat, Replica, Request, Service
+from .patience import Patience
 from .plain import PlainPlacer
 from .ports import BadRequest, Dialect
 from .quotas import Applicant, Quotas
@@ -29,7 +29,7 @@
 from .sending import Sender
 from .share_tally import ShareTally
 from .values import RequestValues, mark
-from .wishes import PATIENCE_MARGIN_S, begun_wish
+from .wishes import begun_wish
 
 log = logbook.Logger("serving")
 NOT_READY_S = 0.03
@@ -41,11 +41,6 @@
 POLL_S = 0.05
 NEVER_S = 60.0
 """A request that no engine can run had better not come back before the engines are others."""
-RETURNING_PART = 0.97
-"""A caller that has less than this part of the usual time was refused before."""
-ROOM_PART = 0.6
-"""A request waits for room no longer than this part of its target; the rest is for its answer."""
-NO_DEMAND = Demand()
 MAX_SENDS = 6
 """Bound on sendings of one request, whatever their outcomes."""
 
@@ -92,6 +87,7 @@
         "_fleet",
         "_lasting",
         "_meters",
+        "_patience",
         "_plain",
         "_quotas",
         "_refuses_from",
@@ -139,6 +135,7 @@
         self._table_version = -1
         self._refuses_from = math.inf
         self._values = RequestValues()
+        self._patience = Patience(fleet, self._values, clock)
 
     def forget_gone(self) -> None:
         """Drop what is known of replicas that are gone."""
@@ -261,7 +258,7 @@
             outcome = Outcome.UNKNOWN
             self._tally.begin(job)
             try:
-                outcome = await self._sender.send(job, replica, self._demand(job, replica))
+                outcome = await self._sender.send(job, replica, self._patience.demand(job, replica))
             finally:
                 # Who found no room leaves none behind: all that wait would be sent at once.
                 if outcome not in (Outcome.FULL, Outcome.LIMITED):
@@ -369,9 +366,9 @@
         return Wish(
             rank=job.rank,
             value=self._values.value(route, job.rank, req),
-            returning=self._is_returning(job),
+            returning=self._patience.is_returning(job),
             target_at=req.arrived_at + route.target_s,
-            until=self._patience_at(job),
+            until=self._patience.until(job),
             work=job.work,
             party=self._tally.party(job),
             request=req.id,
@@ -379,45 +376,6 @@
 
     # Replicas that take only so many requests a second.
 
-    def _demand(self, job: Job, replica: Replica) -> Demand:
-        """Return how much a request needs room at its replica, and how long it waits for it."""
-        if self._fleet.limits.rate(replica.name) is None:
-            return NO_DEMAND
-        req, route = job.req, job.route
-        value = self._values.value(route, job.rank, req)
-        begun = job.inc.started or job.copy is not None
-        if begun:
-            until = job.deadline_at
-        elif job.chosen_here and self._has_open(job, replica):
-            until = self._clock()
-        elif self._is_returning(job):
-            until = self._patience_at(job)
-        else:
-            # What would be late takes the room of one that would not: it had better come back.
-            until = min(self._patience_at(job), req.arrived_at + ROOM_PART * route.target_s)
-        return Demand(until, job.rank, value, begun)
-
-    def _is_returning(self, job: Job) -> bool:
-        """Tell whether a request is another try of a caller: it has less than all of the time."""
-        req, name = job.req, job.route.name
-        return req.wait_s < RETURNING_PART * self._values.longest_wait(name, req.wait_s)
-
-    def _patience_at(self, job: Job) -> float:
-        """Return until when a request waits before it is sent."""
-        until = min(job.deadline_at, job.req.arrived_at + job.route.patience_s)
-        return until - PATIENCE_MARGIN_S
-
-    def _has_open(self, job: Job, replica: Replica) -> bool:
-        """Tell whether a request may go to another replica, one that names no limit."""
-        only = job.candidates()
-        return any(
-            rep.name != replica.name
-            and rep.name not in job.excluded
-            and (only is None or rep.name in only)
-            and self._fleet.limits.rate(rep.name) is None
-            for rep in self._fleet.usable(job.service.name)
-        )
-
     def _consider_limited(self, job: Job, replica: Replica) -> None:
         """Let a request for which a replica has no room go elsewhere, or end it."""
         job.excluded.add(replica.name)
@@ -427,7 +385,7 @@
             if job.copy is None and not job.may_repeat():
                 raise Failed("where its memory is, no more requests are taken")
             return
-        has_other = job.room_elsewhere or self._has_open(job, replica)
+        has_other = job.room_elsewhere or self._patience.has_open(job, replica)
         if job.sends >= MAX_SENDS or not has_other:
             raise Refused("its replicas take no more requests a second", job.room_s)
 
--- a/tests/test_limit_desk.py
+++ b/tests/test_limit_desk.py
@@ -3,13 +3,14 @@
 import asyncio
 
 import pytest
-from gradelug_gateway import limit_desk
 from gradelug_gateway.followers import Follower
-from gradelug_gateway.limit_desk import CHANGED_S, HURRIED_PER_S, REPEAT_S, LimitDesk, LimitTeller
+from gradelug_gateway.limit_desk import CHANGED_S, REPEAT_S, LimitDesk
+from gradelug_gateway.limit_facts import decode_limit, encode_limit
+from gradelug_gateway.limit_teller import HURRIED_PER_S, LimitTeller
 from gradelug_gateway.limits import Demand, Denial, NoGrants, ReplicaLimits
 from gradelug_gateway.model import FleetState, Replica
 from gradelug_gateway.pending import merge_news
-from gradelug_policy.replica_limits import LimitWord
+from gradelug_policy.replica_limits import LimitFact, LimitWord
 from gradelug_wire import placement_pb2 as pb
 from run_world import close
 from world import new_loop
@@ -372,6 +373,6 @@
 
 
 def test_the_wire_keeps_what_a_limit_of_none_is():
-    told = limit_desk._encode("e0", 3, limit_desk.LimitFact(0.0, 1.0, 2.0), 5.0)
+    told = encode_limit("e0", 3, LimitFact(0.0, 1.0, 2.0), 5.0)
     assert told.named
-    assert limit_desk._decode(told, 5.0) == limit_desk.LimitFact(0.0, 1.0, 2.0)
+    assert decode_limit(told, 5.0) == LimitFact(0.0, 1.0, 2.0)
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -41,6 +41,18 @@
     return world.clock()
 
 
+async def keeps_to_it_while(befall):
+    """Let something befall instances before engines that name a limit; it holds meanwhile."""
+    async with LimitWorld() as world:
+        named_at = name_limit(world, 1.4, *world.engines)
+        sending = asyncio.create_task(world.load(20.0, world.clock() + 16.0))
+        await asyncio.sleep(4.0)
+        await befall(world)
+        await sending
+        for name in world.engines:
+            assert world.most(name, named_at + TOLD_S) <= allowed(1.4)
+
+
 class TestAllInstancesTogether:
     @pytest.mark.parametrize("rate", [0.2, 1.4, 3.0])
     def test_an_engine_gets_no_more_than_it_named(self, rate):
@@ -132,18 +144,36 @@
 
 class TestWhoKnows:
     def test_it_is_kept_to_while_the_planner_is_lost(self):
-        async def scenario():
-            async with LimitWorld() as world:
-                named_at = name_limit(world, 1.4, *world.engines)
-                until = world.clock() + 16.0
-                sending = asyncio.create_task(world.load(20.0, until))
-                await asyncio.sleep(4.0)
-                next(one for one in world.gateways if one.plans).kill()
-                await sending
-                for name in world.engines:
-                    assert world.most(name, named_at + TOLD_S) <= allowed(1.4)
+        async def lose_planner(world):
+            next(one for one in world.gateways if one.plans).kill()
 
-        run(scenario)
+        run(lambda: keeps_to_it_while(lose_planner))
+
+    def test_it_is_kept_to_while_the_store_is_away(self):
+        async def lose_store(world):
+            world.kv.set_down(True)
+            await asyncio.sleep(5.0)
+            world.kv.set_down(False)
+
+        run(lambda: keeps_to_it_while(lose_store))
+
+    def test_it_is_kept_to_while_the_planner_is_lost_and_the_store_is_away(self):
+        async def lose_both(world):
+            world.kv.set_down(True)
+            next(one for one in world.gateways if one.plans).kill()
+            await asyncio.sleep(6.0)
+            world.kv.set_down(False)
+
+        run(lambda: keeps_to_it_while(lose_both))
+
+    def test_it_is_kept_to_by_an_instance_that_starts(self):
+        async def start_again(world):
+            other = next(one for one in world.gateways if not one.plans)
+            other.kill()
+            await asyncio.sleep(0.5)
+            other.start()
+
+        run(lambda: keeps_to_it_while(start_again))
 
     def test_it_is_kept_to_when_all_power_is_lost(self):
         async def scenario():
@@ -164,26 +194,6 @@
 
         run(scenario)
 
-    def test_it_is_kept_to_without_the_store_and_by_an_instance_that_starts(self):
-        async def scenario():
-            async with LimitWorld() as world:
-                named_at = name_limit(world, 1.4, *world.engines)
-                until = world.clock() + 16.0
-                sending = asyncio.create_task(world.load(20.0, until))
-                await asyncio.sleep(3.0)
-                world.kv.outage = True
-                await asyncio.sleep(5.0)
-                world.kv.outage = False
-                other = next(one for one in world.gateways if not one.plans)
-                other.kill()
-                await asyncio.sleep(0.5)
-                other.start()
-                await sending
-                for name in world.engines:
-                    assert world.most(name, named_at + TOLD_S) <= allowed(1.4)
-
-        run(scenario)
-
     def test_an_instance_that_never_heard_an_answer_knows_it_from_the_planner(self):
         async def scenario():
             async with LimitWorld(gateways=4) as world:
