Instances that rest leave connections to the others

What callers saw: at fleets that are large against what a replica takes, requests whose gateway had to open a connection were reset ("not sent", sent to another replica), while connections that nobody used took all the room.

Cause: MaxConns was read from the configuration and used nowhere; each instance kept all connections that it had used. Change: of the connections that a replica takes half may rest, shared evenly among the instances that a planner counts; where that is less than one each, a draw from the instance and the address tells who keeps one. Why it holds: the sum of the shares is at most half, whoever sends; what runs is bounded by slots and queues.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -34,6 +34,7 @@
 from .freshness import Freshness
 from .gauges import Observed, add_daemon_gauges
 from .handover import Handover
+from .idle_connections import IdleConnections
 from .kept import Kept
 from .limit_facts import planner_for
 from .limit_teller import LimitTeller
@@ -186,6 +187,8 @@
             shares,
             self._link_parts,
         )
+        # A replica takes so many from all instances, and resets the next one that is opened.
+        pool.keeps = IdleConnections(settings.name, self._state, lambda: self._directory.gateways)
         bounds = settings.bounds
         self._budgets = RetryBudgets(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s, self._clock
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -43,6 +43,7 @@
         "_resting",
         "_wires",
         "doubted",
+        "keeps",
         "opened",
     )
 
@@ -54,6 +55,8 @@
         self._read_ahead = MOST_READ_AHEAD
         self._resting: dict[Connection, None] = {}
         """All idle connections, the one that was used the longest ago first."""
+        self.keeps: t.Callable[[str], int] = lambda address: MOST_IDLE
+        """Returns how many idle connections to an address are kept."""
         self.opened = 0
         """Connections opened since the start."""
         self.doubted = 0
@@ -105,7 +108,7 @@
 
     def release(self, conn: Connection, head: ResponseHead) -> None:
         """Take a connection back after a whole answer."""
-        if conn.settle(head):
+        if conn.settle(head) and len(self._idle[conn.address]) < self.keeps(conn.address):
             self._idle[conn.address].append(conn)
             self._resting[conn] = None
             self._close_least_used()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -9,6 +9,7 @@
 import copy
 
 import pytest
+from gradelug_policy.connections import IDLE_PART, idle_share
 from limit_world import LimitWorld
 from run_world import close
 from world import new_loop
@@ -31,7 +32,7 @@
 
 
 class TestIdleConnections:
-    @pytest.mark.parametrize(("gateways", "most"), [(12, 10)])
+    @pytest.mark.parametrize(("gateways", "most"), [(12, 10), (40, 20), (3, 20)])
     def test_instances_that_rest_leave_connections_to_others(self, gateways, most):
         async def scenario():
             async with world_of(gateways, most) as world:
@@ -41,3 +42,24 @@
                 assert len(world.plain["p0"].server.connections) < most
 
         run(scenario)
+
+    def test_few_instances_keep_what_they_use(self):
+        async def scenario():
+            async with world_of(3, 100) as world:
+                for _ in range(4):
+                    for gateway in world.gateways:
+                        assert await world.ask(gateway, b"harmless", path=b"/i/x") == 200
+                assert all(one.pool.opened <= 2 for one in world.gateways)
+
+        run(scenario)
+
+
+class TestShare:
+    @pytest.mark.parametrize(
+        ("most", "instances"), [(490, 7), (100, 7), (100, 86), (110, 195), (490, 370), (10, 0)]
+    )
+    def test_all_instances_together_leave_half_to_those_that_open_one(self, most, instances):
+        draws = [(number + 0.5) / max(1, instances) for number in range(max(1, instances))]
+        kept = sum(idle_share(most, instances, draw) for draw in draws)
+        assert kept <= IDLE_PART * most + 1
+        assert kept >= 0.8 * IDLE_PART * most
