--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -467,8 +467,11 @@
     async def _do_silence(self):
         proxy = self.fault_rng.choice([*self.proxies.values(), self.store_proxy])
         proxy.silent = True
+        is_store = proxy is self.store_proxy
+        self.ledger.note_store(is_store, self.clock())
         await asyncio.sleep(self.fault_rng.uniform(0.3, 2.0))
         proxy.silent = False
+        self.ledger.note_store(-is_store, self.clock())
         self._slacken()
 
     async def _do_mute(self):
@@ -480,8 +483,10 @@
 
     async def _do_store(self):
         self.store.status = self.fault_rng.choice([503, 429])
+        self.ledger.note_store(1, self.clock())
         await asyncio.sleep(self.fault_rng.uniform(0.5, 3.0))
         self.store.status = None
+        self.ledger.note_store(-1, self.clock())
 
     async def _do_replace(self):
         name = self.fault_rng.choice(list(self.replicas))
