--- a/packages/gateway/src/gradelug_gateway/limit_desk.py
+++ b/packages/gateway/src/gradelug_gateway/limit_desk.py
@@ -19,8 +19,8 @@
 
 log = logbook.Logger("limits")
 REPEAT_S = 4.0
-"""Limits are told this often at least, in seconds, should one have been lost on the way: 4 KB a
-second for 600 replicas."""
+"""Limits are told this often at least, in seconds, should one have been lost on the way; more often
+all of a large fleet would be most of what gateways are told."""
 TOLD_STEP = 0.05
 """A limit that changes by less than this part is told with the next repetition: what gateways
 reckon from it does not change by more."""
@@ -34,7 +34,7 @@
 MOST_NAMED = 8
 """So many gateways are named in such a line, those that use most."""
 LOOK_S = 0.02
-"""How often it is looked whether other replicas have room: of 600 it takes 0.2 ms."""
+"""How often it is looked at most whether other replicas have room: there may be hundreds."""
 LEAST_PAUSE_S = 0.001
 """It is not looked for room more often than this: what is earned in less may be rounded away."""
 HOME_S = 3.0
