--- a/packages/gateway/src/gradelug_gateway/limit_teller.py
+++ b/packages/gateway/src/gradelug_gateway/limit_teller.py
@@ -17,9 +17,9 @@
 """An answer takes a round trip of milliseconds; a planner that rests after a decision takes some
 tens. Later than this it may be lost."""
 HURRIED_PER_S = 800.0
-"""Questions of all gateways that go out at once, a second: each is a message that the planner takes.
-More of them wait for the next message of their gateway, as where all replicas of a large fleet name
-a limit."""
+"""Questions of all gateways that go out at once, a second: each is a message for the planner. More
+of them wait for the next message of their gateway, as where all replicas of a large fleet name a
+limit."""
 MOST_GIVEN_UP = 256
 """An answer that crosses its question's end comes within a round trip."""
 
