--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -34,6 +34,7 @@
 from gradelug_policy.lasting_runs import CopyTerms
 from gradelug_policy.quotas import LocalShares
 from run_engines import TICK_S, Ledger, RunEngine
+from world import new_loop
 
 LOAD_S = 0.3
 DRAIN_S = 3.0
@@ -187,6 +188,15 @@
         return client
 
 
+def run(scenario):
+    """Run a coroutine function on a paused clock of its own, and return what it returns."""
+    loop = new_loop()
+    try:
+        return loop.run_until_complete(scenario())
+    finally:
+        close(loop)
+
+
 def close(loop):
     """Cancel whatever is left, and close a loop."""
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -11,16 +11,7 @@
 import pytest
 from gradelug_policy.connections import IDLE_PART, idle_share
 from limit_world import LimitWorld
-from run_world import close
-from world import new_loop
-
-
-def run(scenario):
-    loop = new_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        close(loop)
+from run_world import run
 
 
 def world_of(gateways, most):
--- a/tests/test_left_runs.py
+++ b/tests/test_left_runs.py
@@ -19,20 +19,11 @@
     may_wait,
     next_ask_s,
 )
-from run_world import RunWorld, close, events, is_whole, runner
-from world import new_loop
+from run_world import RunWorld, events, is_whole, run, runner
 
 CALM = EngineWord(0, 2, frozenset({"q1", "q2"}))
 
 
-def run(scenario):
-    loop = new_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        close(loop)
-
-
 async def begin(world, ident="q1"):
     client = world.ask(ident)
     await asyncio.sleep(0.67)
--- a/tests/test_limit_desk.py
+++ b/tests/test_limit_desk.py
@@ -12,22 +12,13 @@
 from gradelug_gateway.pending import merge_news
 from gradelug_policy.replica_limits import LimitFact, LimitWord
 from gradelug_wire import placement_pb2 as pb
-from run_world import close
-from world import new_loop
+from run_world import run
 
 FLUSH_S = 0.4
 SERVICE = ""
 """Without engines the home of all is the service without a name."""
 
 
-def run(scenario):
-    loop = new_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        close(loop)
-
-
 class Link:
     """Counts what goes out at once and what with the next message."""
 
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -19,21 +19,12 @@
 import pytest
 from gradelug_gateway.settings import Feature
 from limit_world import TOLD_S, LimitWorld, allowed
-from run_world import close
-from world import new_loop
+from run_world import run
 
 ENOUGH = 0.5
 """Part of its limit that a replica gets at least while more is asked for."""
 
 
-def run(scenario):
-    loop = new_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        close(loop)
-
-
 def name_limit(world, rate, *names):
     """Let replicas name a limit from now on; return when that is."""
     for name in names:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -24,20 +24,11 @@
 from gradelug_wire import placement_pb2 as pb
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from run_world import close
-from world import new_loop
+from run_world import run
 
 SPEC = EngineSpec((BaseModel("m", 500.0, 0.6, 14.0),), 1000.0, SLOTS, 96, 100_000, 2.0)
 
 
-def run(scenario):
-    loop = new_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        close(loop)
-
-
 class ModelTransport:
     """Carries orders to engines, and loses or delays some."""
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -19,8 +19,7 @@
 
 import pytest
 from poison_world import POISON, SLOW_POISON, PoisonWorld
-from run_world import close
-from world import new_loop
+from run_world import run
 
 CONTACT_S = 3.0
 """All instances know within this time after its third engine that a request ends engines."""
@@ -28,14 +27,6 @@
 """So often may it reach engines after that."""
 
 
-def run(scenario):
-    loop = new_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        close(loop)
-
-
 class TestRepeatedSendings:
     def test_a_request_that_ended_three_engines_is_not_sent_on_by_any_gateway(self):
         async def scenario():
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -26,21 +26,12 @@
 from gradelug_policy.poison import BEGUN, GATHER_S, WAITING, EndLedger
 from gradelug_standins.kv import MemoryKv
 from gradelug_wire import placement_pb2 as pb
-from run_world import close
+from run_world import run
 from test_sharedhealth import SPEC
-from world import new_loop
 
 A, B = b"a" * 16, b"b" * 16
 
 
-def run(scenario):
-    loop = new_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        close(loop)
-
-
 def request(**changes):
     told = {
         "id": "q1",
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -15,20 +15,11 @@
 from gradelug_policy.engine_room import FIRST_HOLD_S, EngineRoom
 from gradelug_policy.lasting_runs import LEAST_RISK
 from run_engines import EVENTS
-from run_world import RunWorld, close, events, is_whole, runner, status
-from world import new_loop
+from run_world import RunWorld, events, is_whole, run, runner, status
 
 ALL = list(range(1, EVENTS + 1))
 
 
-def run(scenario):
-    loop = new_loop()
-    try:
-        return loop.run_until_complete(scenario())
-    finally:
-        close(loop)
-
-
 @pytest.fixture
 def copied():
     """Every stream is copied, whatever the risk."""
