--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -165,8 +165,7 @@
         Refused
             If it must not be sent: it has ended replicas.
         """
-        # Replicas that named a limit got twice that: no gateway kept to it, and what each sent was
-        # little. So each sending asks for what all of them together may send.
+        # The limit is one for all gateways, so each sending asks for room.
         denial = await self._fleet.limits.admit(replica, demand)
         if denial is not None:
             job.room_s, job.room_elsewhere = denial
@@ -195,8 +194,7 @@
             conn.close()
             return Outcome.NOT_SENT
         try:
-            # One request ended sixteen engines: each try, at each gateway, went on to the next one.
-            # Asked right before sending, since another gateway may have seen it end its third.
+            # Checked right before sending, since another gateway may have blocked it meanwhile.
             self.check(job)
         except Refused:
             conn.close()
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -1,18 +1,4 @@
-"""Replicas in need that name how many requests a second they take from all instances together.
-
-Two engines of nine named 1.3 and 1.1 requests a second in their answers. Ten seconds later they
-still got what they had got before: 14 and 17 requests in four seconds, where 13 and 12 are borne.
-Seven instances sent them, none more than eleven in twenty seconds: what each sent was less than the
-limit, and nobody knew the sum. No instance read what the answers said, and one that had kept to it
-alone would have let the others send as much again.
-
-What settled it: of the requests that reached one of them in twenty seconds, 56, by seven instances
-11, 11, 9, 8, 7, 5 and 5 had been sent; all were "placed" by what runs there and how it answers, and
-before and after it named its limit it got as many a second:
-
-    placed ... replica=i-3e36172c6c cost=0.3 ahead=0
-    0 1 8 3 3 2 5 5 | 4 4 3 2 6 3 1 3 5 1 7
-"""
+"""Replicas that name how many requests a second they take from all instances together."""
 
 import asyncio
 
