--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -7,6 +7,7 @@
 from gradelug_http import Header, Incoming, OutgoingRequest, ResponseHead
 from gradelug_policy.left_runs import EngineWord
 from gradelug_policy.replica_limits import LimitWord
+from gradelug_policy.rests import RestWord
 
 from .model import (
     Attempt,
@@ -85,6 +86,14 @@
         """Return what an answer's head says of the requests a second that its replica takes."""
         ...
 
+    def leaves(self, head: ResponseHead) -> bool:
+        """Tell whether an answer's head says that its replica leaves."""
+        ...
+
+    def rest(self, head: ResponseHead) -> RestWord:
+        """Return for how long the replica of an answer asks not to be sent anything."""
+        ...
+
     def refusal(
         self, request_id: str, retry_after_s: float | None, wants_key: bool = False
     ) -> list[Header]:
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -338,7 +338,7 @@
             raise ResponseBroken("the answer does not come from the replica")
         if verdict is not Verdict.MISDIRECTED:
             # Of another replica that has the address by now it says nothing.
-            self._fleet.limits.hear(replica.name, self._dialect.limit(head), sent_at)
+            self._hear(replica, head, sent_at)
         if verdict is Verdict.ANSWERED and job.route.streaming:
             return await self._stream(sending, head)
         body = await sending.conn.body(ANSWER_BYTES)
@@ -347,6 +347,15 @@
             job.in_doubt = was_in_doubt
         return self._conclude(job, replica, verdict, head, body)
 
+    def _hear(self, replica: Replica, head: ResponseHead, sent_at: float) -> None:
+        """Take over what an answer says of its replica."""
+        self._fleet.limits.hear(replica.name, self._dialect.limit(head), sent_at)
+        if self._dialect.leaves(head):
+            log.info("answer says that its replica leaves", replica=replica.name)
+        rest = self._dialect.rest(head)
+        if rest.rest_s or rest.unreadable:
+            log.info("answer asks for rest", replica=replica.name, rest_s=rest.rest_s)
+
     def _attempt(self, job: Job, replica: Replica, work: Work) -> Attempt:
         version = 0
         if job.req.key is not None:
