A replica whose answers say that it leaves gets no new requests

Callers saw: requests reached an engine up to 7.3 s after its answers had said that it leaves (2 s are borne); where it ends before they do, they are lost.

Cause: the platform's store was the only source of a departure, and it was away from 7.0 to 19.8 s; the engine said so at 7.5 s and the store took it at 20.2 s. Instances did not read Server-Leaving, and the planner went on loading adapters there until 16.1 s. Class: a fact that arrives by two ways and is read on one.

Change: a departure belongs to a life of a replica (name and start) and is kept once, in the fleet's state, whoever told: the store, an answer, a planner. Nothing takes it back; another life begins without. The feed applies it to every entry that comes later, the sender asks it right before sending, placement drops the engine as it does for the store's word. The instance that passed the answer on decides by itself; planner and other instances hear of it on the streams that exist.

Why it works: every place that chooses a replica reads this one state, and the sender asks it after the last wait.

Evidence: tests/test_departures.py, whole daemons on a paused clock.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -26,6 +26,7 @@
 
 from .admitting import Admitter
 from .budgets import GatewayCount, RetryBudgets
+from .departures import DepartureDesk, DepartureTeller
 from .directory import Directory
 from .engine_speeds import PauseTally, SpeedTeller
 from .executing import Executor
@@ -40,7 +41,7 @@
 from .limit_teller import LimitTeller
 from .limits import ReplicaLimits
 from .metrics import Meters
-from .model import EngineSpec, FleetState
+from .model import EngineSpec, FleetState, Replica
 from .parts import GatewayPart
 from .placement import Duty, PlacementService
 from .planner import Planner
@@ -230,6 +231,7 @@
             lasting,
             self._poison.guard,
             self._poison.ends if has_guard else None,
+            self._note_leaving,
         )
         self._serving = Serving(
             dialect,
@@ -371,6 +373,12 @@
             yield self._poison.teller(service)
         if Feature.REPLICA_LIMITS in self.settings.features:
             yield self._limit_teller(service)
+        if Feature.SAID_DEPARTURES in self.settings.features:
+            yield DepartureTeller(service, self._feed, lambda: self._directory.link_to(service))
+
+    def _note_leaving(self, replica: Replica) -> None:
+        if Feature.SAID_DEPARTURES in self.settings.features:
+            self._feed.take_leaving(replica.name, replica.born, "answer")
 
     def _limit_teller(self, service: str) -> LimitTeller:
         teller = self._limit_tellers[service] = LimitTeller(
@@ -472,8 +480,14 @@
             self.settings.features,
             self._fleet.room.with_own_paces() if self._fleet.room is not None else None,
             poison,
+            self._departure_desk(service),
         )
 
+    def _departure_desk(self, service: str) -> DepartureDesk | None:
+        if Feature.SAID_DEPARTURES not in self.settings.features:
+            return None
+        return DepartureDesk(service, self._feed)
+
     def _engine_spec(self, service: str) -> EngineSpec:
         snapshot = self._state.snapshot
         found = snapshot.services.get(service) if snapshot is not None else None
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/departures.py
@@ -0,0 +1,108 @@
+"""Replicas that leave by their own word, told between gateways and planners."""
+
+from __future__ import annotations
+
+import typing as t
+
+from gradelug_wire import placement_pb2 as pb
+
+from .feed import Feed
+from .followers import Follower
+from .limit_facts import speaks_for
+from .limit_teller import ToldLink
+
+
+class DepartureTeller:
+    """Tells a planner which replicas leave; implements `parts.GatewayPart`.
+
+    Parameters
+    ----------
+    service : str
+        Whose planner.
+    feed : Feed
+        Knows which replicas leave.
+    link : callable
+        Returns the link, None before there is one.
+    """
+
+    __slots__ = ("_feed", "_link", "_service", "_untold")
+
+    def __init__(self, service: str, feed: Feed, link: t.Callable[[], ToldLink | None]) -> None:
+        self._service = service
+        self._feed = feed
+        self._link = link
+        self._untold: set[str] = set()
+        feed.subscribe_leaving(self._note)
+
+    def begin_stream(self) -> None:
+        """Tell another planner of all that leave."""
+        self._untold.update(rep.name for rep in self._feed.state.replicas.values() if rep.leaving)
+
+    def fill(self, message: pb.FromGateway) -> None:
+        """Put what was heard since the last message into this one."""
+        message.leaving.extend(_facts(self._feed, self._service, self._untold))
+        self._untold.clear()
+
+    def take(self, message: pb.FromPlanner) -> None:
+        """Take over what others heard."""
+        for told in message.leaving:
+            self._feed.take_leaving(told.replica, told.born, "planner")
+
+    def _note(self, replica: str) -> None:
+        if not speaks_for(self._service, replica, self._feed.state):
+            return
+        self._untold.add(replica)
+        link = self._link()
+        if link is not None:
+            link.hurry()
+
+
+class DepartureDesk:
+    """Passes on which replicas leave to all gateways; implements `parts.PlannerPart`.
+
+    Parameters
+    ----------
+    service : str
+        The planner's.
+    feed : Feed
+        Knows which replicas leave.
+    """
+
+    __slots__ = ("_due", "_feed", "_known", "_service")
+
+    def __init__(self, service: str, feed: Feed) -> None:
+        self._service = service
+        self._feed = feed
+        self._known: set[int] = set()
+        """Numbers of the gateways that have been told of all."""
+        self._due: set[str] = set()
+
+    def take(self, follower: Follower, message: pb.FromGateway, now: float) -> None:
+        """Take over what a gateway heard."""
+        if follower.number not in self._known:
+            self._known.add(follower.number)
+            replicas = self._feed.state.replicas.values()
+            self._due.update(rep.name for rep in replicas if rep.leaving)
+        for told in message.leaving:
+            if self._feed.take_leaving(told.replica, told.born, "gateway"):
+                self._due.add(told.replica)
+
+    def leave(self, follower: Follower, now: float) -> None:
+        """Forget a gateway."""
+        self._known.discard(follower.number)
+
+    def fill(self, news: pb.FromPlanner, now: float) -> None:
+        """Tell all gateways which replicas leave, once and when a gateway has come."""
+        news.leaving.extend(_facts(self._feed, self._service, self._due))
+        self._due.clear()
+
+    def forget(self, replica: str) -> None:
+        """Nothing is kept of a replica here."""
+
+
+def _facts(feed: Feed, service: str, names: t.Iterable[str]) -> t.Iterator[pb.LeavingFact]:
+    """Yield what is told of those replicas that leave and concern the planner of a service."""
+    for name in names:
+        rep = feed.state.replicas.get(name)
+        if rep is not None and rep.leaving and speaks_for(service, name, feed.state):
+            yield pb.LeavingFact(replica=name, born=rep.born)
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -227,7 +227,10 @@
             if not answer.replica:
                 raise Refused(answer.reason, answer.retry_after_ms / 1000 or REFUSED_RETRY_S)
             replica = self._fleet.state.replicas.get(answer.replica)
-            if replica is not None and not replica.leaving:
+            if replica is not None and replica.leaving:
+                # The planner has yet to hear of it.
+                excluded = {*excluded, replica.name}
+            elif replica is not None:
                 self._fleet.add_holding(replica.name, key, answer.version)
                 if answer.has_room:
                     self._fleet.limits.add_permit(replica.name)
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import logbook
 from gradelug_coordination import KvEntry, Mirror
@@ -73,6 +73,7 @@
 
     __slots__ = (
         "_clock",
+        "_leaving_listeners",
         "_listeners",
         "_mirror",
         "_missing_since",
@@ -98,6 +99,7 @@
         self._names: dict[str, str] = {}
         self._missing_since: dict[str, float] = {}
         self._listeners: list[t.Callable[[], None]] = []
+        self._leaving_listeners: list[t.Callable[[str], None]] = []
         self._revisions: dict[str, int] = {}
         """Revision of the store at which each replica, also one that is gone, was known last."""
         self._told: set[str] = set()
@@ -116,6 +118,10 @@
         """Call `listener` after every change."""
         self._listeners.append(listener)
 
+    def subscribe_leaving(self, listener: t.Callable[[str], None]) -> None:
+        """Call `listener` with the name of each replica that says that it leaves."""
+        self._leaving_listeners.append(listener)
+
     def refresh(self) -> None:
         """Read what has changed."""
         changed = False
@@ -158,6 +164,30 @@
             log.info("replica gone", replica=name, told=True)
         self._told_changed = True
 
+    def take_leaving(self, name: str, born: int, source: str) -> bool:
+        """Take over that a replica said that it leaves; tell whether that is new.
+
+        Parameters
+        ----------
+        name : str
+            Of the replica.
+        born : int
+            Names the life that leaves.
+        source : str
+            Who told, for the log.
+        """
+        if not self.state.departures.note(name, born):
+            return False
+        rep = self.state.replicas.get(name)
+        log.info("replica leaves", replica=name, source=source, known=rep is not None)
+        if rep is not None and rep.born == born:
+            self.state.replicas[name] = replace(rep, leaving=True)
+            self.state.change += 1
+            self._notify()
+        for listener in self._leaving_listeners:
+            listener(name)
+        return True
+
     def take_told_version(self, key: AdapterKey, version: int) -> None:
         """Take over that another instance has seen a version named."""
         self._told_changed |= self._take_version(NewestVersion(key, version))
@@ -235,6 +265,10 @@
 
     def _put_replica(self, rep: Replica) -> None:
         known = self.state.replicas.get(rep.name)
+        if rep.leaving:
+            self.state.departures.note(rep.name, rep.born)
+        elif self.state.departures.has(rep.name, rep.born):
+            rep = replace(rep, leaving=True)
         self.state.replicas[rep.name] = rep
         self.state.change += 1
         if known is not None and known.born and known.born != rep.born:
--- a/packages/gateway/src/gradelug_gateway/pending.py
+++ b/packages/gateway/src/gradelug_gateway/pending.py
@@ -85,6 +85,7 @@
     )
     _keep_newest(old.speeds, merged.speeds)
     _keep_newest(old.limits, merged.limits)
+    _keep_newest(old.leaving, merged.leaving)
     if old.HasField("poison") and not new.HasField("poison"):
         merged.poison.CopyFrom(old.poison)
     return merged
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -18,6 +18,7 @@
 from gradelug_wire import placement_pb2 as pb
 
 from .copies import Copies
+from .departures import DepartureDesk
 from .engine_speeds import SpeedDesk
 from .engines import Engine, Phase, Place
 from .fair_line import FairLine
@@ -108,6 +109,8 @@
         their own speed.
     poison : PoisonDesk or None
         Finds the requests that end replicas, if given.
+    departures : DepartureDesk or None
+        Passes on which replicas leave by their own word, if given.
     """
 
     def __init__(
@@ -125,6 +128,7 @@
         features: frozenset[Feature] = frozenset(Feature),
         room: EngineRoom | None = None,
         poison: PoisonDesk | None = None,
+        departures: DepartureDesk | None = None,
     ) -> None:
         self.service = service
         self.term: Term | None = None
@@ -152,6 +156,7 @@
             *((self._health,) if self._health is not None else ()),
             *((poison,) if poison is not None else ()),
             *((self.limits,) if Feature.REPLICA_LIMITS in features else ()),
+            *((departures,) if departures is not None else ()),
         )
         """What else gateways tell this instance, and are told."""
         if room is not None:
--- a/packages/gateway/src/gradelug_gateway/replicas.py
+++ b/packages/gateway/src/gradelug_gateway/replicas.py
@@ -6,6 +6,8 @@
 import typing as t
 from dataclasses import dataclass, field
 
+from gradelug_policy.departures import Departures
+
 from .services import Snapshot
 
 
@@ -116,12 +118,20 @@
         Newest version of adapters that were renewed.
     change : int
         Grows with every change of the replicas.
+    departures : Departures
+        Lives of replicas that leave.
     """
 
     snapshot: Snapshot | None = None
     replicas: dict[str, Replica] = field(default_factory=dict)
     versions: dict[AdapterKey, int] = field(default_factory=dict)
     change: int = 0
+    departures: Departures = field(default_factory=Departures)
+
+    def is_leaving(self, rep: Replica) -> bool:
+        """Tell whether a replica takes no new work, as far as is known now."""
+        known = self.replicas.get(rep.name, rep)
+        return known.leaving or self.departures.has(rep.name, rep.born)
 
     def has_engines(self, service: str) -> bool:
         """Tell whether a service's replicas are engines."""
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -95,6 +95,8 @@
         Tells which requests must not be sent.
     ends : EndWatch or None
         Finds out which replicas ended, if given.
+    note_leaving : callable
+        Called with each replica whose answer says that it leaves.
     """
 
     __slots__ = (
@@ -107,6 +109,7 @@
         "_has_retry",
         "_lasting",
         "_meters",
+        "_note_leaving",
         "_pool",
         "_rested_s",
     )
@@ -124,7 +127,9 @@
         lasting: LastingRuns | None = None,
         guard: PoisonGuard | None = None,
         ends: EndWatch | None = None,
+        note_leaving: t.Callable[[Replica], None] = lambda replica: None,
     ) -> None:
+        self._note_leaving = note_leaving
         self._guard = guard or PoisonGuard(clock)
         self._ends = ends
         self._has_retry = has_retry
@@ -190,7 +195,8 @@
             health.note_broken(self._clock())
             log.info("not sent", id=job.req.id, replica=replica.name, why=str(exc))
             return Outcome.NOT_SENT
-        if self._fleet.state.replicas.get(replica.name, replica).leaving:
+        if self._fleet.state.is_leaving(replica):
+            log.info("not sent", id=job.req.id, replica=replica.name, why="it leaves")
             conn.close()
             return Outcome.NOT_SENT
         try:
@@ -351,7 +357,7 @@
         """Take over what an answer says of its replica."""
         self._fleet.limits.hear(replica.name, self._dialect.limit(head), sent_at)
         if self._dialect.leaves(head):
-            log.info("answer says that its replica leaves", replica=replica.name)
+            self._note_leaving(replica)
         rest = self._dialect.rest(head)
         if rest.rest_s or rest.unreadable:
             log.info("answer asks for rest", replica=replica.name, rest_s=rest.rest_s)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -40,6 +40,8 @@
     """Requests that end the replicas which run them are not sent to further ones."""
     REPLICA_LIMITS = "replica-limits"
     """Replicas that name a limit get no more from all gateways together."""
+    SAID_DEPARTURES = "said-departures"
+    """A replica whose answers say that it leaves gets no new requests."""
     KEPT_PARTS = "kept-parts"
     """Engines are chosen by what they keep of prompts."""
 
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/departures.py
@@ -0,0 +1,36 @@
+"""Which replicas leave, as their own words and the platform's store tell.
+
+Load pattern: replicas are emptied and replaced one after the other, while the platform's store may
+be away, show an older state, or be read by each instance at another moment.
+"""
+
+from __future__ import annotations
+
+MOST_LIVES = 4096
+"""Lives that are remembered, 0.5 MB: some rollouts of 600 replicas."""
+
+
+class Departures:
+    """Remembers the lives of replicas that leave.
+
+    A life is a replica's name and its start. One that leaves never takes new work again, so
+    whatever is heard of it later takes nothing back; the next life under its name begins without.
+    """
+
+    __slots__ = ("_lives",)
+
+    def __init__(self) -> None:
+        self._lives: dict[tuple[str, int], None] = {}
+
+    def note(self, replica: str, born: int) -> bool:
+        """Note that a life leaves; tell whether that is new."""
+        if self.has(replica, born):
+            return False
+        self._lives[replica, born] = None
+        if len(self._lives) > MOST_LIVES:
+            del self._lives[next(iter(self._lives))]
+        return True
+
+    def has(self, replica: str, born: int) -> bool:
+        """Tell whether a life is known to leave."""
+        return (replica, born) in self._lives
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,216 @@
+"""Replicas that say in their answers that they leave."""
+
+import asyncio
+
+import pytest
+from gradelug_coordination import KvEntry
+from gradelug_gateway.feed import Feed
+from gradelug_gateway.model import FleetState, Replica
+from gradelug_gateway.settings import Feature
+from gradelug_http import ResponseHead
+from gradelug_platform.dialect import PlatformDialect
+from gradelug_platform.entries import PlatformEntries
+from gradelug_policy.departures import MOST_LIVES, Departures
+from limit_world import LimitWorld
+from run_world import run
+
+DRAIN_S = 2.0
+"""Time that instances have to stop sending once they have passed such an answer on."""
+
+
+async def let_leave(world, *names):
+    """Let replicas say that they leave, which the store cannot take; return when that began."""
+    world.kv.set_down(True)
+    await asyncio.sleep(0.5)
+    for name in names:
+        world.replica(name).leaves = True
+    return world.clock()
+
+
+def late(world, name, since):
+    """Return the requests that reached a replica later than instances had to stop sending."""
+    return [at for at, _, where in world.arrived if where == name and at > since + DRAIN_S]
+
+
+class TestRequestsReachAReplicaThatLeaves:
+    # The store, which was the only source, takes nothing of a departure while it is away.
+    @pytest.mark.parametrize(("name", "path"), [("e1", b"/s/x"), ("p1", b"/i/x")])
+    def test_after_its_answer_said_so_while_the_store_is_away(self, name, path):
+        async def scenario():
+            async with LimitWorld(plain=3) as world:
+                sending = asyncio.create_task(world.load(30.0, world.clock() + 9.0, path))
+                await asyncio.sleep(2.0)
+                began = await let_leave(world, name)
+                await sending
+                assert not late(world, name, began)
+                served = world.harmless()
+                assert served[200] >= 0.98 * served.total()
+
+        run(scenario)
+
+    def test_after_the_store_came_back_with_its_older_entry(self):
+        async def scenario():
+            async with LimitWorld(plain=3) as world:
+                sending = asyncio.create_task(world.load(30.0, world.clock() + 10.0, b"/i/x"))
+                await asyncio.sleep(1.0)
+                began = await let_leave(world, "p1")
+                await asyncio.sleep(2.0)
+                world.kv.set_down(False)
+                await sending
+                assert not late(world, "p1", began)
+
+        run(scenario)
+
+    def test_from_instances_that_follow_another_planner_or_start(self):
+        async def scenario():
+            async with LimitWorld() as world:
+                sending = asyncio.create_task(world.load(20.0, world.clock() + 12.0))
+                await asyncio.sleep(1.0)
+                world.replica("e1").leaves = True
+                began = world.clock()
+                await asyncio.sleep(2.0)
+                next(one for one in world.gateways if one.plans).kill()
+                other = next(one for one in world.gateways if not one.process.dead)
+                other.kill()
+                await asyncio.sleep(0.5)
+                other.start()
+                await sending
+                senders = {world.sender(body) for at, body, name in world.arrived if name == "e1"}
+                assert len(senders) == len(world.gateways)
+                restarted = world.gateways.index(other)
+                assert not [
+                    at
+                    for at, body, name in world.arrived
+                    if name == "e1" and at > began + DRAIN_S and world.sender(body) != restarted
+                ]
+
+        run(scenario)
+
+    def test_unless_the_part_is_switched_off(self):
+        async def scenario():
+            async with LimitWorld(plain=3, without=(Feature.SAID_DEPARTURES,)) as world:
+                sending = asyncio.create_task(world.load(30.0, world.clock() + 6.0, b"/i/x"))
+                await asyncio.sleep(1.0)
+                began = await let_leave(world, "p1")
+                await sending
+                assert late(world, "p1", began)
+
+        run(scenario)
+
+
+class TestWhoKnows:
+    def test_instances_that_had_no_such_answer_hear_of_it_from_the_planner(self):
+        async def scenario():
+            async with LimitWorld() as world:
+                await let_leave(world, "e1")
+                await world.load(20.0, world.clock() + 1.0)
+                await asyncio.sleep(0.3)
+                states = [one.daemon._state for one in world.gateways]
+                assert all(state.replicas["e1"].leaving for state in states)
+                planner = next(one for one in world.gateways if one.plans)
+                (duty,) = planner.daemon._duties.values()
+                assert "e1" not in duty.planner.engines
+
+        run(scenario)
+
+    def test_the_last_replica_leaves_and_callers_are_rejected_with_a_time(self):
+        async def scenario():
+            async with LimitWorld(engines=1, plain=1) as world:
+                await let_leave(world, "p0")
+                await world.load(10.0, world.clock() + 4.0, b"/i/x")
+                await asyncio.sleep(1.0)
+                turned_away = [one for one in world.told if one.status == 503]
+                assert turned_away
+                assert all(one.retry_s > 0 and one.took_s < 0.5 for one in turned_away)
+
+        run(scenario)
+
+
+class FixedMirror:
+    """Shows entries, without a store."""
+
+    def __init__(self):
+        self.entries, self.missing, self.revision = {}, set(), 0
+
+    def subscribe(self, listener):
+        pass
+
+    def show(self, revision, state="ready", born=7):
+        value = (
+            b'{"Backend":"s","Address":"10.0.0.1:80","Zone":"z","Slots":1,"State":"%b","born":%d}'
+            % (state.encode(), born)
+        )
+        self.revision = revision
+        self.entries["servers/r"] = KvEntry("servers/r", value, revision)
+
+
+class TestALife:
+    def setup_method(self):
+        self.mirror = FixedMirror()
+        self.feed = Feed(self.mirror, PlatformEntries(), FleetState(), lambda: 0.0)
+        self.mirror.show(1)
+        self.feed.refresh()
+
+    @property
+    def replica(self):
+        return self.feed.state.replicas["r"]
+
+    def test_nothing_that_comes_later_takes_it_back(self):
+        assert self.feed.take_leaving("r", 7, "answer")
+        assert not self.feed.take_leaving("r", 7, "planner")
+        self.mirror.show(2)
+        self.feed.refresh()
+        assert self.replica.leaving
+        self.feed.take_told("r", 9, Replica("r", "s", "10.0.0.1:80", "z", born=7))
+        assert self.replica.leaving
+
+    def test_what_the_store_said_is_not_taken_back_by_an_older_entry(self):
+        self.mirror.show(2, "draining")
+        self.feed.refresh()
+        self.mirror.show(3)
+        self.feed.refresh()
+        assert self.replica.leaving
+
+    def test_it_comes_back_after_its_entry_had_lapsed(self):
+        self.feed.take_leaving("r", 7, "answer")
+        del self.mirror.entries["servers/r"]
+        self.feed.refresh()
+        assert "r" not in self.feed.state.replicas
+        self.mirror.show(5)
+        self.feed.refresh()
+        assert self.replica.leaving
+
+    def test_another_life_begins_without(self):
+        self.feed.take_leaving("r", 7, "answer")
+        self.mirror.show(2, born=8)
+        self.feed.refresh()
+        assert not self.replica.leaving
+
+    def test_word_of_an_earlier_life_does_not_concern_the_present_one(self):
+        self.feed.take_leaving("r", 6, "answer")
+        assert not self.replica.leaving
+
+    def test_a_request_that_was_placed_before_is_not_sent(self):
+        chosen = self.replica
+        self.feed.take_leaving("r", 7, "answer")
+        del self.mirror.entries["servers/r"]
+        self.feed.refresh()
+        assert self.feed.state.is_leaving(chosen)
+
+    def test_what_is_remembered_is_bounded(self):
+        departures = Departures()
+        for number in range(MOST_LIVES + 1):
+            departures.note("r", number)
+        assert not departures.has("r", 0)
+        assert departures.has("r", MOST_LIVES)
+
+
+class TestHeader:
+    @pytest.mark.parametrize(
+        ("values", "leaves"),
+        [((), False), ((b"1",), True), ((b" 1 ",), True), ((b"0",), False), ((b"",), False)]
+        + [((b"0", b"1"), True), ((b"\xff",), False)],
+    )
+    def test_it_says_so_by_a_one(self, values, leaves):
+        head = ResponseHead(200, tuple((b"Server-Leaving", value) for value in values))
+        assert PlatformDialect().leaves(head) is leaves
