A replica that asks an instance for rest gets nothing from it until that is over

Callers saw: while two of nine engines turned requests away and asked for 3 s of rest, their instances went on sending: 6 and 4 requests within such a rest, where 2 are borne. Each of these requests was turned away by one of the two and then by the other, and its caller got 503 though seven engines did not rest.

A full replica was paused for some ms at most. Class: a word of a replica that nobody here reads.

Change: an instance keeps by itself until when each life of a replica rests; of several words the one that ends last holds. Every way of choosing leaves resting replicas out, the planner is asked for another engine, and the sender asks right before sending. If all replicas that may run a request rest, it is rejected at once with the time that is left, also while it waits at the planner. After a rest instances come back spread over 0.5 s. A value that is no number is logged once.

Why it works: the sender, by which every request reaches a replica, asks after its last wait; nothing is sent in a rest.

The planner does not know of rests: it may load adapters on an engine that rests for others (docs/design/departures-and-rests.md).

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -49,6 +49,7 @@
 from .ports import Dialect, OrderTransport, RunTransport
 from .quotas import Quotas
 from .relay import OrderRelay
+from .rests import ReplicaRests
 from .runs import LastingRuns
 from .search import PlannerAddress
 from .sending import Sender
@@ -149,7 +150,14 @@
             Feature.REPLICA_LIMITS in settings.features,
         )
         limits.find_desk = self._room_desk
-        self._fleet = Fleet(self._state, settings.hall, self._clock, rng, has_room, kept, limits)
+        rests = ReplicaRests(
+            self._clock,
+            random.Random(settings.name),
+            Feature.REPLICA_RESTS in settings.features,
+        )
+        self._fleet = Fleet(
+            self._state, settings.hall, self._clock, rng, has_room, kept, limits, rests
+        )
         self._limit_tellers: dict[str, LimitTeller] = {}
         self._duties: dict[str, Duty] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -217,8 +217,17 @@
                 doubted=self._fleet.doubted(),
             )
             try:
-                answer = await link.ask(self._ticket, ask, wish.until, known is not None)
+                answer = await link.ask(
+                    self._ticket,
+                    ask,
+                    wish.until,
+                    known is not None,
+                    lambda: self._fleet.rest_s(service, only) > 0,
+                )
             except TimeoutError:
+                rest_s = self._fleet.rest_s(service, only)
+                if rest_s:
+                    raise Refused("its replicas rest", rest_s) from None
                 if known is not None:
                     return known
                 raise Refused("the weights could not be placed in time", LATE_RETRY_S) from None
@@ -227,8 +236,8 @@
             if not answer.replica:
                 raise Refused(answer.reason, answer.retry_after_ms / 1000 or REFUSED_RETRY_S)
             replica = self._fleet.state.replicas.get(answer.replica)
-            if replica is not None and replica.leaving:
-                # The planner has yet to hear of it.
+            if replica is not None and self._fleet.is_closed(replica):
+                # The planner does not know of it.
                 excluded = {*excluded, replica.name}
             elif replica is not None:
                 self._fleet.add_holding(replica.name, key, answer.version)
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -18,6 +18,7 @@
 from .model import AdapterKey, EngineSpec, FleetState, Holding, Replica, ToldLoad
 from .pacing import FRESH_S, NEWS_S
 from .replica_load import ReplicaLoad
+from .rests import ReplicaRests
 
 FAILURE_COST = 12.0
 """A replica that always fails is taken for one with so many more requests waiting."""
@@ -28,6 +29,8 @@
 REQUEST_S = 0.1
 """Time that a request before a new one stands for where work is reckoned in seconds."""
 NOT_HELD = -1
+MOST_NAMED = 16
+"""Resting replicas that a planner is told of with one question: 200 bytes."""
 DOUBTED_RATE = 0.4
 """Two failures one after the other, or more than that part of all."""
 
@@ -49,6 +52,8 @@
         Parts of prompts that engines keep, if they are reckoned with.
     limits : ReplicaLimits or None
         What replicas take that name a limit.
+    rests : ReplicaRests or None
+        Replicas that asked this instance for rest.
     """
 
     __slots__ = (
@@ -69,6 +74,7 @@
         "limits",
         "news_s",
         "pauses",
+        "rests",
         "room",
         "speeds",
         "state",
@@ -83,8 +89,10 @@
         has_room: bool = False,
         kept: Kept | None = None,
         limits: ReplicaLimits | None = None,
+        rests: ReplicaRests | None = None,
     ) -> None:
         self.state = state
+        self.rests = rests or ReplicaRests(clock)
         self.limits = limits or ReplicaLimits(clock)
         self.hall = hall
         self.kept = kept or Kept(clock, False)
@@ -201,6 +209,10 @@
             and _told_version(known[name].holdings, key) >= newest
         ]
 
+    def is_closed(self, replica: Replica) -> bool:
+        """Tell whether nothing may be sent to a replica now: it leaves or rests."""
+        return self.state.is_leaving(replica) or self.rests.left_s(replica) > 0
+
     def health(self, replica: str) -> Health:
         """Return a replica's record."""
         return self._health.setdefault(replica, Health())
@@ -241,6 +253,23 @@
                     self._by_service.setdefault(rep.service, []).append(rep)
         return self._by_service.get(service, [])
 
+    def rest_s(self, service: str, only: t.Container[str] | None = None) -> float:
+        """Return when a replica of a service may be sent to; 0 if one may be now.
+
+        Parameters
+        ----------
+        only : container of str
+            Replicas that are asked of; None for any.
+        """
+        found = self.usable(service)
+        return self.rests.all_rest_s(rep for rep in found if only is None or rep.name in only)
+
+    def resting(self, service: str, key: AdapterKey) -> list[str]:
+        """Return replicas of a service that rest, those that hold weights first."""
+        found = [rep for rep in self.usable(service) if self.rests.left_s(rep)]
+        found.sort(key=lambda rep: rep.name not in self._by_key.get(key, ()))
+        return [rep.name for rep in found[:MOST_NAMED]]
+
     def holders(self, service: str, key: AdapterKey) -> list[Replica]:
         """Return the replicas of a service on which weights can be used now."""
         newest = self.state.versions.get(key, 0)
@@ -282,7 +311,9 @@
         found = [
             rep
             for rep in replicas
-            if rep.name not in excluded and (only is None or rep.name in only)
+            if rep.name not in excluded
+            and (only is None or rep.name in only)
+            and not self.rests.left_s(rep)
         ]
         if len(found) > CHOICES:
             found = self._rng.sample(found, CHOICES)
@@ -410,6 +441,7 @@
         """Drop the records of replicas that are gone and at which nothing runs."""
         known = self.state.replicas
         self.limits.forget_gone(known)
+        self.rests.drop_over()
         for name in [name for name in self._health if name not in known]:
             del self._health[name]
         self.kept.parts.forget_gone(known, self._clock())
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -135,6 +135,21 @@
         "Requests that wait for room at replicas that name a limit",
         lambda: sum(planner.limits.waiting for planner in seen.planners()),
     )
+    gauge(
+        "replicas_leaving",
+        "Replicas that take no new work, since they leave",
+        lambda: sum(rep.leaving for rep in seen.state.replicas.values()),
+    )
+    gauge(
+        "replicas_resting",
+        "Replicas that asked this instance for rest, until it is over",
+        lambda: seen.fleet.rests.resting,
+    )
+    gauge(
+        "sendings_rested",
+        "Sendings since the start that were not made, since their replica rested",
+        lambda: seen.fleet.rests.denied,
+    )
     gauge("slow_engines", "Engines taken for slow", lambda: _count_slow(seen.fleet, clock))
     gauge(
         "requests_held",
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -29,7 +29,7 @@
     """Not run for want of room."""
     ABSENT = "absent"
     LIMITED = "limited"
-    """Not sent: its replica takes no more requests a second."""
+    """Not sent: its replica takes no more requests a second, or rests."""
     RAN = "ran"
     UNKNOWN = "unknown"
 
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -182,7 +182,12 @@
         return not self.is_followed or self.news_age_s > self.news_s + QUIET_S
 
     async def ask(
-        self, ticket: int, ask: pb.Ask, until: float, has_choice: bool = False
+        self,
+        ticket: int,
+        ask: pb.Ask,
+        until: float,
+        has_choice: bool = False,
+        is_vain: t.Callable[[], bool] = lambda: False,
     ) -> pb.Answer:
         """Return the planner's answer.
 
@@ -197,6 +202,8 @@
         has_choice : bool
             Whether the asker knows what to do without an answer: it is given up as soon as the
             planner may be lost.
+        is_vain : callable
+            Tells whether the answer is of no use any more: it is given up then.
 
         Raises
         ------
@@ -209,7 +216,7 @@
         try:
             async with asyncio.timeout_at(until):
                 while not question.fut.done():
-                    if has_choice and self.is_quiet:
+                    if has_choice and self.is_quiet or is_vain():
                         raise TimeoutError
                     if not self.is_followed and self._clock() >= self._missed_at + REPLACED_S:
                         raise TimeoutError
--- a/packages/gateway/src/gradelug_gateway/patience.py
+++ b/packages/gateway/src/gradelug_gateway/patience.py
@@ -57,13 +57,14 @@
         return Demand(self._room_until(job, replica, begun), job.rank, value, begun)
 
     def has_open(self, job: Job, replica: Replica) -> bool:
-        """Tell whether a request may go to another replica, one that names no limit."""
+        """Tell whether a request may go to another replica, one without a limit or a rest."""
         only = job.candidates()
         return any(
             rep.name != replica.name
             and rep.name not in job.excluded
             and (only is None or rep.name in only)
             and self._fleet.limits.rate(rep.name) is None
+            and not self._fleet.rests.left_s(rep)
             for rep in self._fleet.usable(job.service.name)
         )
 
--- a/packages/gateway/src/gradelug_gateway/plain.py
+++ b/packages/gateway/src/gradelug_gateway/plain.py
@@ -80,6 +80,7 @@
         if full is not None:
             await self.wait(job, full)
         while True:
+            self.check_rest(job)
             replica = self._choose(job)
             if replica is not None:
                 return replica
@@ -87,6 +88,12 @@
                 raise Refused("no replica is usable", RETRY_AFTER_S)
             await asyncio.sleep(POLL_S)
 
+    def check_rest(self, job: Job) -> None:
+        """Raise `Refused` if all replicas that may run a request rest."""
+        rest_s = self._fleet.rest_s(job.service.name, job.candidates())
+        if rest_s:
+            raise Refused("its replicas rest", rest_s)
+
     def note_full(self, replica: Replica) -> None:
         """Note that a replica has said that it has no room."""
         now = self._clock()
@@ -134,7 +141,7 @@
 
     def _full_for(self, job: Job) -> Replica | None:
         """Return the replica that has room next if all of them have said that they have none."""
-        usable, now = self._fleet.usable(job.service.name), self._clock()
+        usable, now = self._awake(job), self._clock()
         if not usable or any(self._full_until.get(rep.name, now) <= now for rep in usable):
             return None
         return min(usable, key=lambda rep: self._full_until[rep.name])
@@ -142,13 +149,18 @@
     def has_other(self, job: Job) -> bool:
         """Tell whether a request may go to a replica that has not failed or refused it."""
         only = job.candidates()
-        usable = self._fleet.usable(job.service.name)
+        usable = self._awake(job)
         return any(
             rep.name not in job.excluded and (only is None or rep.name in only) for rep in usable
         )
 
-    def _choose(self, job: Job) -> Replica | None:
+    def _awake(self, job: Job) -> list[Replica]:
+        """Return the replicas of a request's service that take new work and do not rest."""
         usable = self._fleet.usable(job.service.name)
+        return [rep for rep in usable if not self._fleet.rests.left_s(rep)]
+
+    def _choose(self, job: Job) -> Replica | None:
+        usable = self._awake(job)
         if not self.is_on:
             found = self._fleet.choose(usable, job.excluded, job.candidates())
             if found is None and job.candidates() is None:
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/rests.py
@@ -0,0 +1,91 @@
+"""Replicas that asked this instance for rest: nothing is sent there until it is over.
+
+Rest is asked of one instance and kept by it alone; it is told to nobody.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import typing as t
+
+import logbook
+from gradelug_policy.rests import Rests, RestWord
+
+from .model import Replica
+
+log = logbook.Logger("rests")
+UNREADABLE = 40
+"""So much of a value that is no number is logged, in characters."""
+MOST_UNREADABLE = 1024
+"""Lives of replicas of which it is remembered that their value was logged."""
+
+
+class ReplicaRests:
+    """What replicas asked of this instance, by life: another life begins without a rest.
+
+    Parameters
+    ----------
+    clock : callable
+        The runtime's clock.
+    rng : Random or None
+        Draws when this instance comes back after a rest.
+    is_on : bool
+        Whether rests are kept to; otherwise they are only logged.
+    """
+
+    __slots__ = ("_clock", "_is_on", "_rests", "_unreadable", "denied")
+
+    def __init__(
+        self,
+        clock: t.Callable[[], float],
+        rng: random.Random | None = None,
+        is_on: bool = True,
+    ) -> None:
+        self._clock = clock
+        self._is_on = is_on
+        self._rests = Rests(rng or random.Random(0))
+        self._unreadable: set[tuple[str, int]] = set()
+        self.denied = 0
+        """Sendings since the start that were not made because their replica rested."""
+
+    def hear(self, replica: Replica, word: RestWord) -> None:
+        """Take over what an answer of a replica says."""
+        if word.unreadable:
+            self._log_unreadable(replica, word)
+        elif word.rest_s and self._rests.note(_life(replica), word.rest_s, self._clock()):
+            log.info("replica rests", replica=replica.name, rest_s=word.rest_s, kept=self._is_on)
+
+    def left_s(self, replica: Replica) -> float:
+        """Return for how long nothing may be sent to a replica, in seconds."""
+        if not (self._is_on and self._rests):
+            return 0.0
+        return self._rests.left_s(_life(replica), self._clock())
+
+    def all_rest_s(self, replicas: t.Iterable[Replica]) -> float:
+        """Return when the first of some replicas may be sent to; 0 if one may be now."""
+        least_s = math.inf
+        for rep in replicas if self._rests else ():
+            least_s = min(least_s, self.left_s(rep))
+            if not least_s:
+                break
+        return 0.0 if math.isinf(least_s) else least_s
+
+    def drop_over(self) -> None:
+        """Drop the rests that are over."""
+        self._rests.keep(self._clock())
+
+    @property
+    def resting(self) -> int:
+        """How many replicas rest."""
+        return self._rests.count(self._clock())
+
+    def _log_unreadable(self, replica: Replica, word: RestWord) -> None:
+        if _life(replica) in self._unreadable or len(self._unreadable) >= MOST_UNREADABLE:
+            return
+        self._unreadable.add(_life(replica))
+        log.warning("rest cannot be read", replica=replica.name, value=word.unreadable[:UNREADABLE])
+
+
+def _life(replica: Replica) -> tuple[str, int]:
+    return replica.name, replica.born
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -385,7 +385,7 @@
             for rep in (*holders, *usable)
             if rep.name != source.name and self._fleet.health(rep.name).circuit.allows(now)
             # There the run would wait for room before it goes on.
-            and self._fleet.limits.rate(rep.name) is None
+            and self._fleet.limits.rate(rep.name) is None and not self._fleet.rests.left_s(rep)
         ]
         name = choose_target(targets, most_used)
         return self._fleet.state.replicas[name] if name is not None else None
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -170,6 +170,9 @@
         Refused
             If it must not be sent: it has ended replicas.
         """
+        closed = self._closed(job, replica)
+        if closed is not None:
+            return closed
         # The limit is one for all gateways, so each sending asks for room.
         denial = await self._fleet.limits.admit(replica, demand)
         if denial is not None:
@@ -195,10 +198,10 @@
             health.note_broken(self._clock())
             log.info("not sent", id=job.req.id, replica=replica.name, why=str(exc))
             return Outcome.NOT_SENT
-        if self._fleet.state.is_leaving(replica):
-            log.info("not sent", id=job.req.id, replica=replica.name, why="it leaves")
+        closed = self._closed(job, replica)
+        if closed is not None:
             conn.close()
-            return Outcome.NOT_SENT
+            return closed
         try:
             # Checked right before sending, since another gateway may have blocked it meanwhile.
             self.check(job)
@@ -281,6 +284,19 @@
             self._guard.note_served(job.fingerprint)
         return outcome
 
+    def _closed(self, job: Job, replica: Replica) -> Outcome | None:
+        """Return how a sending ends that must not be made now, None if it may be made."""
+        if self._fleet.state.is_leaving(replica):
+            log.info("not sent", id=job.req.id, replica=replica.name, why="it leaves")
+            return Outcome.NOT_SENT
+        rest_s = self._fleet.rests.left_s(replica)
+        if not rest_s:
+            return None
+        self._fleet.rests.denied += 1
+        job.room_s, job.room_elsewhere = rest_s, False
+        log.info("not sent", id=job.req.id, replica=replica.name, why="it rests", rest_s=rest_s)
+        return Outcome.LIMITED
+
     def _is_unheard(self, sending: Exchange) -> bool:
         """Tell whether a request was not answered though it must have had its turn."""
         if sending.running:
@@ -358,9 +374,7 @@
         self._fleet.limits.hear(replica.name, self._dialect.limit(head), sent_at)
         if self._dialect.leaves(head):
             self._note_leaving(replica)
-        rest = self._dialect.rest(head)
-        if rest.rest_s or rest.unreadable:
-            log.info("answer asks for rest", replica=replica.name, rest_s=rest.rest_s)
+        self._fleet.rests.hear(replica, self._dialect.rest(head))
 
     def _attempt(self, job: Job, replica: Replica, work: Work) -> Attempt:
         version = 0
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -41,6 +41,8 @@
 POLL_S = 0.05
 NEVER_S = 60.0
 """A request that no engine can run had better not come back before the engines are others."""
+COPY_REST_S = 0.5
+"""A run whose engine rests goes on there after so long; its caller waits 2 s for an event."""
 MAX_SENDS = 6
 """Bound on sendings of one request, whatever their outcomes."""
 
@@ -291,6 +293,7 @@
         job.chosen_here = False
         if job.copy is not None and key is not None:
             return await self._place_copy(job, job.copy, key)
+        self._plain.check_rest(job)
         if job.service.engine is not None and key is not None:
             return await self._place_weights(job, key)
         job.chosen_here = True
@@ -312,7 +315,7 @@
             job.service.name,
             key,
             wish=self._wish(job),
-            excluded=job.excluded,
+            excluded={*job.excluded, *self._fleet.resting(job.service.name, key)},
             only=job.candidates(),
             absent=job.absent,
             known=known,
@@ -334,6 +337,10 @@
     async def _place_copy(self, job: Job, copy: Copy, key: AdapterKey) -> Replica:
         """Return the engine that keeps the memory of a run, with the weights on it."""
         holder = copy.holder
+        rest_s = self._fleet.rests.left_s(holder)
+        if rest_s > COPY_REST_S:
+            raise Refused("the engine that keeps its memory rests", rest_s)
+        await asyncio.sleep(rest_s)
         holds = copy.kind is CopyKind.STOPPED or any(
             rep.name == holder.name for rep in self._fleet.holders(job.service.name, key)
         )
@@ -374,7 +381,7 @@
             request=req.id,
         )
 
-    # Replicas that take only so many requests a second.
+    # Replicas that take only so many requests a second, or rest.
 
     def _consider_limited(self, job: Job, replica: Replica) -> None:
         """Let a request for which a replica has no room go elsewhere, or end it."""
@@ -387,7 +394,7 @@
             return
         has_other = job.room_elsewhere or self._patience.has_open(job, replica)
         if job.sends >= MAX_SENDS or not has_other:
-            raise Refused("its replicas take no more requests a second", job.room_s)
+            raise Refused("its replicas take no more requests now", job.room_s)
 
     # Sending again.
 
@@ -405,10 +412,12 @@
                 raise Refused("the budget of repeated sendings is spent", RETRY_AFTER_S)
             await asyncio.sleep(POLL_S)
 
-    def _may_wait(self, job: Job) -> bool:
+    def _may_wait(self, job: Job, replica: Replica) -> bool:
         """Tell whether a request for which there was no room may be sent to a replica again."""
         if not self._plain.is_on or job.service.engine is not None:
             return False
+        if self._fleet.rests.left_s(replica):
+            return False
         return not self._plain.has_other(job) and self._budgets.has_retry(job.service.name)
 
     def _goes_on(self, job: Job, outcome: Outcome) -> bool:
@@ -448,6 +457,8 @@
             job.excluded.add(replica.name)
         if outcome is Outcome.FULL:
             self._plain.note_full(replica)
+            if job.copy is None:
+                self._plain.check_rest(job)
         if self._goes_on(job, outcome):
             return
         if job.used is not None and outcome is not Outcome.RAN:
@@ -462,7 +473,7 @@
             raise Failed("the replica failed it")
         if job.sends >= MAX_SENDS:
             raise Refused("sent too often", RETRY_AFTER_S)
-        if outcome is Outcome.FULL and self._may_wait(job):
+        if outcome is Outcome.FULL and self._may_wait(job, replica):
             await self._plain.wait(job, replica)
             job.excluded.discard(replica.name)
         candidates = job.candidates()
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -42,6 +42,8 @@
     """Replicas that name a limit get no more from all gateways together."""
     SAID_DEPARTURES = "said-departures"
     """A replica whose answers say that it leaves gets no new requests."""
+    REPLICA_RESTS = "replica-rests"
+    """A replica that asks for rest gets nothing until it is over."""
     KEPT_PARTS = "kept-parts"
     """Engines are chosen by what they keep of prompts."""
 
--- a/packages/policy/src/gradelug_policy/rests.py
+++ b/packages/policy/src/gradelug_policy/rests.py
@@ -1,9 +1,18 @@
-"""Rest that replicas ask for when they turn a request away."""
+"""Rest that replicas ask for when they turn a request away.
+
+Load pattern: replicas with long queues turn requests away and ask each instance for some seconds of
+rest, several of a service at once, while callers come back and other replicas have room.
+"""
 
 from __future__ import annotations
 
+import math
+import random
 import typing as t
 
+RETURN_S = 0.5
+"""Instances come back to a replica within this time after its rest, not all at once."""
+
 
 class RestWord(t.NamedTuple):
     """What an answer says of the rest that its replica wants.
@@ -18,3 +27,45 @@
 
     rest_s: float = 0.0
     unreadable: str = ""
+
+
+class Rests:
+    """Until when replicas want nothing from this instance.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Draws when this instance comes back after a rest.
+    """
+
+    __slots__ = ("_rng", "_until")
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._until: dict[t.Hashable, float] = {}
+
+    def note(self, life: t.Hashable, rest_s: float, now: float) -> bool:
+        """Note that a life of a replica asks for rest; tell whether it was not resting before.
+
+        Of several words the one that ends last holds: each of them binds.
+        """
+        was_resting = self.left_s(life, now) > 0
+        back_s = self._rng.uniform(0.0, min(RETURN_S, rest_s))
+        until = now + rest_s + back_s
+        self._until[life] = max(until, self._until.get(life, -math.inf))
+        return not was_resting
+
+    def left_s(self, life: t.Hashable, now: float) -> float:
+        """Return for how long nothing may be sent to a life of a replica, in seconds."""
+        return max(0.0, self._until.get(life, now) - now)
+
+    def __bool__(self) -> bool:
+        return bool(self._until)
+
+    def keep(self, now: float) -> None:
+        """Drop the rests that are over."""
+        self._until = {life: until for life, until in self._until.items() if until > now}
+
+    def count(self, now: float) -> int:
+        """Return how many replicas rest."""
+        return sum(until > now for until in self._until.values())
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -1,6 +1,7 @@
 """Whole gateways before replicas that say something of themselves in their answers.
 
-They name limits, and say that they leave. The daemons are the real ones, as in `poison_world`.
+They name limits, say that they leave, or ask for rest. The daemons are the real ones, as in
+`poison_world`.
 Replicas note what reaches them.
 """
 
@@ -31,10 +32,19 @@
 
 
 class LimitedEngine(Engine):
-    """An engine that may name a limit in its answers, or say that it leaves."""
+    """An engine that may name a limit in its answers, say that it leaves, or ask for rest."""
 
     limit = None
     leaves = False
+    rest = None
+    """What it asks for when it turns a request away, as it stands in the header."""
+
+    async def serve(self, inc):
+        if self.rest is None:
+            await super().serve(inc)
+            return
+        ident = inc.header(b"x-gradelug-request-id").decode()
+        turn_away(self, inc, self.headers(ident))
 
     def headers(self, ident):
         return [*super().headers(ident), *said_headers(self)]
@@ -45,6 +55,7 @@
 
     limit = None
     leaves = False
+    rest = None
 
     def __init__(self, world, name, address):
         self.world, self.name, self.address = world, name, address
@@ -61,13 +72,16 @@
         await self.world.kv.swap(f"servers/{self.name}", json.dumps(data).encode(), 0)
 
     async def serve(self, inc):
-        self.world.arrived.append((self.world.clock(), inc.body, self.name))
-        await asyncio.sleep(ANSWER_S)
         headers = [
             (b"X-Gradelug-Request-Id", inc.header(b"x-gradelug-request-id")),
-            (b"X-Gradelug-Server-Signature", self.name.encode()),
             *said_headers(self),
         ]
+        if self.rest is not None:
+            turn_away(self, inc, headers)
+            return
+        self.world.arrived.append((self.world.clock(), inc.body, self.name))
+        await asyncio.sleep(ANSWER_S)
+        headers.append((b"X-Gradelug-Server-Signature", self.name.encode()))
         inc.respond(200, headers, b"whole")
 
 
@@ -80,6 +94,8 @@
         super().__init__(gateways, engines, without)
         self.plain = {}
         self.told = []
+        self.turned_away = []
+        """Requests that replicas turned away: when, which body, which replica."""
         for number in range(plain):
             replica = PlainReplica(self, f"p{number}", f"10.0.2.{number}:80")
             self.plain[replica.name] = replica
@@ -125,6 +141,15 @@
     return OVERAGE * WINDOW_S * rate + EXTRA
 
 
+def turn_away(replica, inc, headers):
+    """Answer that a request was not run and that the replica wants rest."""
+    world = replica.world
+    world.arrived.append((world.clock(), inc.body, replica.name))
+    world.turned_away.append(world.arrived[-1])
+    rest = [(b"Retry-After", replica.rest.encode())] if replica.rest else []
+    inc.respond(503, [*headers, (b"X-Gradelug-Not-Executed", b"1"), *rest], b"")
+
+
 def said_headers(replica):
     """Return the headers by which a replica says something of itself."""
     limit = [] if replica.limit is None else [(b"Server-Limit", str(replica.limit).encode())]
--- /dev/null
+++ b/tests/test_rests.py
@@ -0,0 +1,242 @@
+"""Replicas that turn a request away and ask the instance that sent it for rest."""
+
+import asyncio
+import random
+import statistics
+
+import pytest
+from gradelug_gateway.model import Replica
+from gradelug_gateway.rests import ReplicaRests
+from gradelug_gateway.settings import Feature
+from gradelug_http import ResponseHead
+from gradelug_platform.dialect import PlatformDialect
+from gradelug_policy.rests import RETURN_S, Rests, RestWord
+from limit_world import LimitWorld
+from run_world import run
+
+ON_THE_WAY_S = 0.5
+"""Requests that were on their way when an answer was made still come."""
+REPLICA = Replica("r", "s", "10.0.0.1:80", "z", born=7)
+
+
+def ask_rest(world, rest, *names):
+    """Let replicas turn requests away and ask for rest, or take requests again."""
+    for name in names:
+        world.replica(name).rest = rest
+
+
+def disturbances(world, rest_s, restarted=()):
+    """Return the most requests that reached a replica while it had asked their sender for rest."""
+    most = 0
+    for asked_at, asked, name in world.turned_away:
+        sender = world.sender(asked)
+        if sender in restarted:
+            continue
+        since, until = asked_at + ON_THE_WAY_S, asked_at + rest_s
+        came = [
+            at
+            for at, body, where in world.arrived
+            if where == name and since < at < until and world.sender(body) == sender
+        ]
+        most = max(most, len(came))
+    return most
+
+
+async def rests_while(befall, restarted=()):
+    """Let something befall instances before two engines that ask for rest; they get it."""
+    async with LimitWorld() as world:
+        sending = asyncio.create_task(world.load(20.0, world.clock() + 9.0))
+        await asyncio.sleep(2.0)
+        ask_rest(world, "3", "e1", "e2")
+        await asyncio.sleep(1.0)
+        await befall(world)
+        await sending
+        assert world.turned_away
+        assert disturbances(world, 3.0, restarted) == 0
+
+
+class TestRequestsReachAReplicaThatAskedForRest:
+    @pytest.mark.parametrize("rest", ["3", "0.8"])
+    def test_engines(self, rest):
+        async def scenario():
+            async with LimitWorld() as world:
+                until = world.clock() + 9.0
+                # The other engines have places for so many adapters.
+                sending = asyncio.create_task(world.load(20.0, until, adapters=5))
+                await asyncio.sleep(2.0)
+                ask_rest(world, rest, "e1", "e2")
+                await sending
+                await asyncio.sleep(4.5)
+                assert world.turned_away
+                assert disturbances(world, float(rest)) == 0
+                served = world.harmless()
+                assert served[200] >= 0.95 * served.total()
+
+        run(scenario)
+
+    def test_plain_replicas(self):
+        async def scenario():
+            async with LimitWorld(engines=1, plain=3) as world:
+                sending = asyncio.create_task(world.load(30.0, world.clock() + 9.0, b"/i/x"))
+                await asyncio.sleep(2.0)
+                ask_rest(world, "3", "p1")
+                await sending
+                await asyncio.sleep(1.0)
+                assert world.turned_away
+                assert disturbances(world, 3.0) == 0
+                served = world.harmless()
+                assert served[200] >= 0.98 * served.total()
+
+        run(scenario)
+
+    def test_while_the_store_is_away(self):
+        async def lose_store(world):
+            world.kv.set_down(True)
+
+        run(lambda: rests_while(lose_store))
+
+    def test_while_the_planner_is_lost(self):
+        lost = []
+
+        async def lose_planner(world):
+            lost.append(next(one for one in world.gateways if one.plans).at)
+            world.gateways[lost[0]].kill()
+
+        run(lambda: rests_while(lose_planner, lost))
+
+    def test_unless_the_part_is_switched_off(self):
+        async def scenario():
+            async with LimitWorld(engines=1, plain=2, without=(Feature.REPLICA_RESTS,)) as world:
+                ask_rest(world, "3", "p0", "p1")
+                await world.load(30.0, world.clock() + 6.0, b"/i/x")
+                assert disturbances(world, 3.0) > 2
+
+        run(scenario)
+
+
+class TestCallers:
+    @pytest.mark.parametrize(("names", "path"), [(["e1", "e2"], b"/s/x"), (["p0"], b"/i/x")])
+    def test_are_rejected_at_once_with_the_time_left_when_all_replicas_rest(self, names, path):
+        async def scenario():
+            async with LimitWorld(engines=2, plain=1) as world:
+                ask_rest(world, "3", *names)
+                await world.load(30.0, world.clock() + 6.0, path, adapters=3)
+                await asyncio.sleep(1.0)
+                turned_away = [one for one in world.told if one.status == 503]
+                assert len(turned_away) > 0.95 * len(world.told)
+                assert max(one.took_s for one in turned_away) < 0.5
+                assert max(one.retry_s for one in turned_away) <= 3.0 + RETURN_S
+                assert min(one.retry_s for one in turned_away) > 0
+                assert statistics.median(one.retry_s for one in turned_away) > 1.0
+
+        run(scenario)
+
+    def test_a_replica_is_used_fully_again_after_its_rest(self):
+        async def scenario():
+            async with LimitWorld(engines=1, plain=2) as world:
+                sending = asyncio.create_task(world.load(40.0, world.clock() + 10.0, b"/i/x"))
+                await asyncio.sleep(1.0)
+                ask_rest(world, "2", "p0")
+                await asyncio.sleep(1.0)
+                ask_rest(world, None, "p0")
+                over_at = world.clock() + 2.0
+                await sending
+                assert world.got("p0", over_at + 2.0) >= 0.3 * 40.0 * 4.0
+
+        run(scenario)
+
+    def test_a_503_without_a_time_asks_for_no_rest(self):
+        async def scenario():
+            async with LimitWorld(engines=1, plain=2) as world:
+                ask_rest(world, "", "p0")
+                await world.load(30.0, world.clock() + 4.0, b"/i/x")
+                assert world.got("p0", 0.0) > 10
+                assert all(not one.daemon._fleet.rests.resting for one in world.gateways)
+
+        run(scenario)
+
+
+class TestRests:
+    def test_of_several_words_the_one_that_ends_last_holds(self):
+        rests = Rests(random.Random(1))
+        assert rests.note("r", 5.0, 0.0)
+        assert not rests.note("r", 1.0, 1.0)
+        assert rests.left_s("r", 4.9) > 0
+        assert not rests.note("r", 3.0, 4.0)
+        assert rests.left_s("r", 6.9) > 0
+        assert rests.left_s("r", 7.0 + RETURN_S) == 0
+
+    def test_a_day_is_kept_to(self):
+        rests = Rests(random.Random(1))
+        rests.note("r", 86_400.0, 0.0)
+        rests.keep(86_000.0)
+        assert rests.left_s("r", 86_399.0) > 0
+
+    @pytest.mark.parametrize("instances", [9, 370])
+    def test_instances_do_not_come_back_together(self, instances):
+        ends = []
+        for number in range(instances):
+            rests = Rests(random.Random(f"g{number}"))
+            rests.note("r", 3.0, 0.0)
+            ends.append(rests.left_s("r", 0.0))
+        assert all(3.0 <= end <= 3.0 + RETURN_S for end in ends)
+        tenths = [sum(0.05 * at <= end - 3.0 < 0.05 * (at + 1) for end in ends) for at in range(10)]
+        assert max(tenths) <= max(4, 0.2 * instances)
+
+    def test_a_short_rest_is_not_stretched_by_more_than_itself(self):
+        rests = Rests(random.Random(1))
+        rests.note("r", 0.1, 0.0)
+        assert rests.left_s("r", 0.2) == 0
+
+    def test_it_belongs_to_a_life(self):
+        now = [0.0]
+        rests = ReplicaRests(lambda: now[0])
+        rests.hear(REPLICA, RestWord(3.0))
+        assert rests.left_s(REPLICA) >= 3.0
+        assert rests.left_s(Replica("r", "s", "10.0.0.1:80", "z", born=8)) == 0
+        assert rests.resting == 1
+        now[0] = 4.0
+        rests.drop_over()
+        assert rests.resting == 0
+
+    def test_the_first_that_may_be_sent_to_tells_when(self):
+        rests = ReplicaRests(lambda: 0.0)
+        other = Replica("o", "s", "10.0.0.2:80", "z")
+        rests.hear(REPLICA, RestWord(3.0))
+        assert rests.all_rest_s([REPLICA, other]) == 0
+        rests.hear(other, RestWord(60.0))
+        assert 3.0 <= rests.all_rest_s([REPLICA, other]) <= 3.0 + RETURN_S
+        assert rests.all_rest_s([]) == 0
+
+
+class TestHeader:
+    @pytest.mark.parametrize(
+        ("status", "values", "rest_s"),
+        [
+            (503, (b"3",), 3.0),
+            (429, (b"0.25",), 0.25),
+            (503, (b" 1e1 ",), 10.0),
+            (503, (b"1", b"4"), 4.0),
+            (503, (b"0",), 0.0),
+            (503, (), 0.0),
+            (500, (b"3",), 0.0),
+            (200, (b"3",), 0.0),
+        ],
+    )
+    def test_seconds_at_a_503_or_429(self, status, values, rest_s):
+        assert PlatformDialect().rest(answer(status, values)) == RestWord(rest_s)
+
+    @pytest.mark.parametrize(
+        "value",
+        [b"", b"-1", b"nan", b"inf", b"1e999", b"0x10", b"\xff", b"Thu, 03 Dec 2026 10:00:00 GMT"],
+    )
+    def test_what_is_no_number_changes_nothing(self, value):
+        word = PlatformDialect().rest(answer(503, (value,)))
+        assert word.unreadable
+        rests = ReplicaRests(lambda: 0.0)
+        rests.hear(REPLICA, word)
+        assert rests.left_s(REPLICA) == 0
+
+
+def answer(status, values):
+    return ResponseHead(status, tuple((b"Retry-After", value) for value in values))
