The soak's store comes back from copies; operators see rests by gradelug why; comments give reasons

The soak has a mode `drills`: the store is away for a moment and comes back from a copy up to some seconds old, operator and replicas write again what they wrote, and the entries of dead replicas lapse. Its replicas say that they leave in each answer. Its operator keeps the number of its configuration, which the store no longer tells for certain. `gradelug why` tells that a request was not sent because its replica rested, and when a refused one may come back. Four comments of limits in plain words; a cheaper look at resting replicas where none rests.

--- a/packages/cli/src/gradelug_cli/why.py
+++ b/packages/cli/src/gradelug_cli/why.py
@@ -11,7 +11,7 @@
 from .loglines import LogLine, read_line
 
 ENDS = ("answered", "refused", "limited", "denied", "failed", "caller left")
-JUDGED = ("no room", "placed", "share", "limited", "late first event")
+JUDGED = ("not sent", "no room", "placed", "share", "limited", "late first event", "refused")
 """Lines whose fields tell by what a request was judged, in this order."""
 TOLD: dict[str, str] = {
     "owner": "whose",
@@ -36,6 +36,7 @@
     "there": "tokens in the bucket",
     "needed": "tokens needed",
     "limit": "its replica takes a second",
+    "rest_s": "its replica rests for, s",
     "retry_s": "there will be room in, s",
     "config": "configuration",
 }
--- a/packages/gateway/src/gradelug_gateway/answering.py
+++ b/packages/gateway/src/gradelug_gateway/answering.py
@@ -75,6 +75,7 @@
             weights=job.req.key.text if job.req.key is not None else "",
             why=str(exc),
             waited_s=round(waited_s, 3),
+            retry_s=round(exc.retry_after_s, 3),
             sends=job.sends,
         )
         self._meters.outcome(job.route.name, "blocked" if isinstance(exc, Blocked) else "refused")
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -266,6 +266,8 @@
 
     def resting(self, service: str, key: AdapterKey) -> list[str]:
         """Return replicas of a service that rest, those that hold weights first."""
+        if not self.rests.resting:
+            return []
         found = [rep for rep in self.usable(service) if self.rests.left_s(rep)]
         found.sort(key=lambda rep: rep.name not in self._by_key.get(key, ()))
         return [rep.name for rep in found[:MOST_NAMED]]
--- a/packages/gateway/src/gradelug_gateway/limit_desk.py
+++ b/packages/gateway/src/gradelug_gateway/limit_desk.py
@@ -28,7 +28,7 @@
 """One that changes again and again is told this often at most, in seconds: room is granted by the
 planner, who knows the newest."""
 ENDED_S = 60.0
-"""That a limit ended is remembered for so long, in seconds: older word of it may still come."""
+"""Seconds to remember a removed limit, so that delayed reports do not restore it."""
 LOG_S = 5.0
 """What is used of a limit is logged this often."""
 MOST_NAMED = 8
@@ -36,7 +36,7 @@
 LOOK_S = 0.02
 """How often it is looked at most whether other replicas have room: there may be hundreds."""
 LEAST_PAUSE_S = 0.001
-"""It is not looked for room more often than this: what is earned in less may be rounded away."""
+"""Lower bound of the timer, in seconds; shorter delays round to zero."""
 HOME_S = 3.0
 """An engine that takes next to nothing is a home for adapters only if others cost more than this,
 in seconds."""
--- a/packages/gateway/src/gradelug_gateway/rests.py
+++ b/packages/gateway/src/gradelug_gateway/rests.py
@@ -64,8 +64,10 @@
 
     def all_rest_s(self, replicas: t.Iterable[Replica]) -> float:
         """Return when the first of some replicas may be sent to; 0 if one may be now."""
+        if not self._rests:
+            return 0.0
         least_s = math.inf
-        for rep in replicas if self._rests else ():
+        for rep in replicas:
             least_s = min(least_s, self.left_s(rep))
             if not least_s:
                 break
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -294,7 +294,9 @@
             return None
         self._fleet.rests.denied += 1
         job.room_s, job.room_elsewhere = rest_s, False
-        log.info("not sent", id=job.req.id, replica=replica.name, why="it rests", rest_s=rest_s)
+        log.info(
+            "not sent", id=job.req.id, replica=replica.name, why="it rests", rest_s=round(rest_s, 3)
+        )
         return Outcome.LIMITED
 
     def _is_unheard(self, sending: Exchange) -> bool:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -340,7 +340,8 @@
         rest_s = self._fleet.rests.left_s(holder)
         if rest_s > COPY_REST_S:
             raise Refused("the engine that keeps its memory rests", rest_s)
-        await asyncio.sleep(rest_s)
+        if rest_s:
+            await asyncio.sleep(rest_s)
         holds = copy.kind is CopyKind.STOPPED or any(
             rep.name == holder.name for rep in self._fleet.holders(job.service.name, key)
         )
--- a/packages/policy/src/gradelug_policy/replica_room.py
+++ b/packages/policy/src/gradelug_policy/replica_room.py
@@ -15,15 +15,13 @@
 """What a replica takes in this time, in seconds, and one request more, may come at once: requests
 come in clumps, and room that nobody wanted for a moment is not lost."""
 LEAST_RATE = 0.1
-"""A replica that takes less, or none, is still sent a request in ten seconds: its answers alone
-tell that it takes more again."""
+"""Keeps one probe every 10 s, because a raised limit is only reported in answers."""
 LONGEST_RETRY_S = 30.0
 """Nobody is told to come back later than this: limits change."""
 OWN_PART = 0.8
 """Part of a limit that instances share while no planner grants room."""
 OWN_S = 1.0
-"""An instance's turn passes if it does not use it within this time, in seconds: turns that were
-saved up would come all at once."""
+"""Seconds until an unused grant expires; saved grants would allow a burst."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -136,6 +136,7 @@
         self.holder = {}
         self.taken_at = {}
         """When the configuration without a key was acknowledged."""
+        self.version = 1
         for name in self.held:
             for _ in range(3):
                 self._give(name)
@@ -156,11 +157,16 @@
         name = self.rng.choice(list(self.held))
         gone = self.held[name].pop(self.rng.randrange(len(self.held[name])))
         self._give(name)
+        self.version += 1
+        await self.write()
+        self.taken_at[gone] = self.clock()
+
+    async def write(self):
+        """Write the configuration, whatever stands there."""
         found = await self.store.kv.get("op/config")
-        version = json.loads(found.value)["Version"] + 1
-        swap = await self.store.kv.swap("op/config", self.config(version), found.revision)
+        expected = found.revision if found is not None else 0
+        swap = await self.store.kv.swap("op/config", self.config(self.version), expected)
         assert swap.swapped
-        self.taken_at[gone] = self.clock()
 
     def choose(self, name):
         """Return a key of an organisation, now and then one that was taken away."""
@@ -226,9 +232,20 @@
         Whether a request comes again and again that ends each engine which begins it.
     has_limits : bool
         Whether replicas name how many requests a second they take, and take that back.
+    has_drills : bool
+        Whether the store comes back from copies some seconds old.
     """
 
-    def __init__(self, seed, seconds, checks_tokens=True, has_poison=False, has_limits=False):
+    def __init__(
+        self,
+        seed,
+        seconds,
+        checks_tokens=True,
+        has_poison=False,
+        has_limits=False,
+        has_drills=False,
+    ):
+        self.has_drills = has_drills
         self.checks_tokens = checks_tokens
         self.has_poison = has_poison
         self.has_limits = has_limits
@@ -252,6 +269,7 @@
         self.sent = {}
         """When each request was sent, and its key."""
         self.replicas = {}
+        self.draining = {}
         self.proxies = {}
         self.answers = {}
         self.numbers = iter(range(1, 1_000_000))
@@ -271,12 +289,14 @@
                 clients.append(asyncio.create_task(self._send_poison()))
             if self.has_limits:
                 clients.append(asyncio.create_task(self._name_limits()))
+            if self.has_drills:
+                clients.append(asyncio.create_task(self._hold_drills()))
             try:
                 await self._faults()
                 await self._heal()
                 for takes in self.takes.values():
                     takes.end()
-                self.has_limits = False
+                self.has_limits = self.has_drills = False
                 await asyncio.sleep(SETTLE_S)
                 ended = len(self.ended)
                 self.late_served = await self._probe()
@@ -364,6 +384,34 @@
             takes.name(rng.choice(LIMITS))
             await asyncio.sleep(rng.uniform(0.5, 3.0))
 
+    async def _hold_drills(self):
+        """Let the store be away for a moment and come back from a copy; all is written again."""
+        # With a source of chance of its own: what a seed does otherwise stays the same.
+        rng = random.Random(self.seed)
+        while self.has_drills:
+            copied = self.store.kv.copy()
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            self.ledger.note_store(1, self.clock())
+            self.store.status = 503
+            await asyncio.sleep(rng.uniform(0.0, 0.8))
+            self.store.kv.go_back(copied)
+            self.store.status = None
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            await self.keys.write()
+            living = {**self.replicas, **self.draining}
+            for replica in living.values():
+                await replica.enter(replica.address)
+            self.ledger.note_store(-1, self.clock())
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+            await self._lapse_copied()
+
+    async def _lapse_copied(self):
+        """Let the entries go that a copy shows and that no replica renews."""
+        for key, entry in self.store.kv.entries().items():
+            name = key.removeprefix("servers/")
+            if name != key and name not in self.replicas and name not in self.draining:
+                await self.store.kv.delete(key, entry.revision)
+
     def _end_replica(self, name):
         """Let a replica end at once; another one takes its place."""
         replica = self.replicas.pop(name, None)
@@ -492,8 +540,10 @@
         name = self.fault_rng.choice(list(self.replicas))
         replica = self.replicas.pop(name)
         await self._add_replica(replica.service)
+        self.draining[name] = replica
         await replica.drain()
         await asyncio.sleep(3.5)
+        del self.draining[name]
         await replica.leave()
         if name in self.proxies:
             await self.proxies.pop(name).close()
@@ -620,11 +670,11 @@
         self.done = done
 
 
-def soak(seed, seconds, checks_tokens=True, has_poison=False, has_limits=False):
+def soak(seed, seconds, checks_tokens=True, has_poison=False, has_limits=False, has_drills=False):
     """Run once and return its `Outcome`."""
 
     async def main():
-        run = Soak(seed, seconds, checks_tokens, has_poison, has_limits)
+        run = Soak(seed, seconds, checks_tokens, has_poison, has_limits, has_drills)
         faults = await run.run()
         served = sum(answer[1] == 200 for answer in run.answers.values())
         return Outcome(faults, len(run.answers), served, run.done)
@@ -638,7 +688,8 @@
     checking = "untokened" not in sys.argv[4:]
     for number in range(first, first + count):
         words = sys.argv[4:]
-        found = soak(number, duration, checking, "poison" in words, "limits" in words)
+        modes = ["poison" in words, "limits" in words, "drills" in words]
+        found = soak(number, duration, checking, *modes)
         print(
             f"seed {number}: {found.asked} asked, {found.served} served, "
             f"{len(found.broken)} broken; {' '.join(found.done)}",
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -190,10 +190,15 @@
             (b"X-Gradelug-Request-Id", request_id),
             (b"X-Gradelug-Not-Executed", b"1"),
             (b"X-Gradelug-Instance-Id", self.name.encode()),
-            *self.takes.headers(),
+            *self._words(),
         ]
         inc.respond(status, headers, b"")
 
+    def _words(self):
+        """Return the headers by which it says something of itself."""
+        leaving = [(b"Server-Leaving", b"1")] if self.state == "draining" else []
+        return [*self.takes.headers(), *leaving]
+
     def _order(self, inc):
         body = json.loads(inc.body)
         key = AdapterKey(body["Model"], body.get("Adapter", ""))
@@ -256,7 +261,7 @@
         headers = [
             (b"X-Gradelug-Request-Id", request_id.encode()),
             (b"X-Gradelug-Server-Signature", f"{self.name}.{request_id}".encode()),
-            *self.takes.headers(),
+            *self._words(),
         ]
         if self.engine is None:
             await asyncio.sleep(EVENT_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,3 +24,10 @@
     found = soak(SEED, SECONDS, has_limits=True)
     assert found.broken == []
     assert found.served > 20
+
+
+@pytest.mark.parametrize("checks_tokens", [True, False])
+def test_promises_hold_while_the_store_comes_back_from_copies(checks_tokens):
+    found = soak(SEED, SECONDS, checks_tokens, has_drills=True)
+    assert found.broken == []
+    assert found.served > 20
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -51,6 +51,16 @@
         assert found.value("yields") == "True"
         assert found.value("replica") == "-"
 
+    def test_it_tells_that_replicas_rested_and_for_how_long(self):
+        logs = [
+            line(f"{DAY}01", "i", "not sent", id="q", replica="e", why="it rests", rest_s=2.5),
+            line(f"{DAY}02", "i", "refused", id="q", why="its replicas rest", retry_s=1.5),
+        ]
+        found = judge("q", logs)
+        assert found.end == "refused: its replicas rest"
+        assert found.value("rest_s") == "2.5"
+        assert found.value("retry_s") == "1.5"
+
     def test_two_are_set_side_by_side_by_what_differs(self):
         rows = differences(judge("q1", LOGS), judge("q2", LOGS))
         assert "whose: flood against small" in rows
