Resting replicas are looked for among those that rest, not among all

Whether all of a service rest is asked only when as many rest as it has, and a planner is told of the first sixteen that are found.

--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import typing as t
 from dataclasses import replace
@@ -262,15 +263,17 @@
             Replicas that are asked of; None for any.
         """
         found = self.usable(service)
+        if only is None and self.rests.most_resting < len(found):
+            return 0.0
         return self.rests.all_rest_s(rep for rep in found if only is None or rep.name in only)
 
     def resting(self, service: str, key: AdapterKey) -> list[str]:
-        """Return replicas of a service that rest, those that hold weights first."""
-        if not self.rests.resting:
+        """Return some replicas of a service that rest, those that hold weights first."""
+        if not self.rests.most_resting:
             return []
-        found = [rep for rep in self.usable(service) if self.rests.left_s(rep)]
-        found.sort(key=lambda rep: rep.name not in self._by_key.get(key, ()))
-        return [rep.name for rep in found[:MOST_NAMED]]
+        candidates = itertools.chain(self.holders(service, key), self.usable(service))
+        names = (rep.name for rep in candidates if self.rests.left_s(rep))
+        return list(dict.fromkeys(itertools.islice(names, MOST_NAMED)))
 
     def holders(self, service: str, key: AdapterKey) -> list[Replica]:
         """Return the replicas of a service on which weights can be used now."""
--- a/packages/gateway/src/gradelug_gateway/rests.py
+++ b/packages/gateway/src/gradelug_gateway/rests.py
@@ -82,6 +82,11 @@
         """How many replicas rest."""
         return self._rests.count(self._clock())
 
+    @property
+    def most_resting(self) -> int:
+        """How many replicas rest at most: rests that have just ended count as well."""
+        return len(self._rests) if self._is_on else 0
+
     def _log_unreadable(self, replica: Replica, word: RestWord) -> None:
         if _life(replica) in self._unreadable or len(self._unreadable) >= MOST_UNREADABLE:
             return
--- a/packages/policy/src/gradelug_policy/rests.py
+++ b/packages/policy/src/gradelug_policy/rests.py
@@ -59,8 +59,8 @@
         """Return for how long nothing may be sent to a life of a replica, in seconds."""
         return max(0.0, self._until.get(life, now) - now)
 
-    def __bool__(self) -> bool:
-        return bool(self._until)
+    def __len__(self) -> int:
+        return len(self._until)
 
     def keep(self, now: float) -> None:
         """Drop the rests that are over."""
