--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -63,6 +63,7 @@
         "_listeners",
         "_lost_at",
         "_prefix",
+        "_proves_from",
         "_regained_at",
         "_rest_until",
         "entries",
@@ -96,6 +97,8 @@
         self._is_polled = is_polled
         self._lapse_s = lapse_s
         self._regained_at = float("-inf")
+        self._proves_from = float("-inf")
+        """Until then a copy may lack what was changed before."""
         self._hurry = asyncio.Event()
         self._interrupted = False
         self._lost_at: float | None = None
@@ -182,10 +185,14 @@
         self.entries = entries
         self.revision = listing.revision
         self.looked_at = asyncio.get_running_loop().time()
-        self.proven_at = asked_at
+        self._note_proven(asked_at)
         self._note_regained()
         self._notify()
 
+    def _note_proven(self, asked_at: float) -> None:
+        if asyncio.get_running_loop().time() >= self._proves_from:
+            self.proven_at = asked_at
+
     def has_gone_back(self, revision: int) -> bool:
         """Tell whether the service came back from a copy between what is known and a position."""
         return bool(self.revision) and era_of(revision) > era_of(self.revision)
@@ -197,6 +204,7 @@
         )
         self._interrupted = True
         self._regained_at = asyncio.get_running_loop().time()
+        self._proves_from = self._regained_at + self._lapse_s
 
     async def _watch(self) -> None:
         """Follow changes until so much time has passed that a listing is less to read."""
@@ -210,7 +218,7 @@
             self.revision = max([self.revision, *(event.revision for event in events)])
             self.looked_at = loop.time()
             if self._is_polled:
-                self.proven_at = asked_at
+                self._note_proven(asked_at)
             self._notify()
             if await self._pause():
                 return
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import json
+import random
 
 import pytest
 from gradelug_coordination import (
@@ -19,7 +20,7 @@
 from gradelug_gateway.model import FleetState
 from gradelug_http import HttpPool, ServerLimits
 from gradelug_platform.entries import PlatformEntries
-from gradelug_platform.store import PlatformStore
+from gradelug_platform.store import WAIT_S, PlatformStore
 from limit_world import LimitWorld
 from platform_stand_in import StoreStandIn
 from run_world import run
@@ -337,6 +338,28 @@
         return KvEntry(key, value, at)
 
 
+class TestProof:
+    def test_a_copy_proves_nothing_until_its_writers_had_time_to_write_again(self):
+        async def scenario():
+            stand_in = StandIn()
+            mirror = Mirror(stand_in.store, "", random.Random(1), 1.0, 0.3, 2.2, True)
+            task = asyncio.create_task(mirror.run())
+            await asyncio.sleep(1.0)
+            copied = stand_in.kv.copy()
+            await stand_in.kv.swap("k", b"1", ABSENT)
+            await asyncio.sleep(1.0)
+            before = asyncio.get_running_loop().time()
+            stand_in.kv.go_back(copied)
+            await asyncio.sleep(2.0)
+            assert "k" not in mirror.entries
+            assert mirror.proven_at <= before + 0.1
+            await asyncio.sleep(LOOK_S + WAIT_S)
+            assert mirror.proven_at > before + 1.0
+            task.cancel()
+
+        run(scenario)
+
+
 class TestReplicas:
     def test_one_that_was_gone_is_not_shown_again_by_the_copy(self):
         shown = Shown()
