--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -310,18 +310,7 @@
         async def scenario():
             fleet = Fleet(3, told_after_s=0.7)
             await asyncio.sleep(2.5)
-            for number, pause_s, what in steps:
-                await disturb(fleet, fleet.instances[number], what)
-                await asyncio.sleep(pause_s)
-                assert not fleet.watching.done()
-            fleet.kv.set_down(False)
-            for instance in fleet.instances:
-                instance.path.cut = False
-                if not instance.is_up:
-                    instance.start()
-            await asyncio.sleep(10.0)
-            assert all(len(names) == 1 for names in fleet.owners().values())
-            await fleet.stop()
+            await endure(fleet, steps, 10.0)
 
         run(scenario)
 
@@ -384,17 +373,7 @@
         async def scenario():
             fleet = Fleet(3, told_after_s=0.7)
             await asyncio.sleep(2.5)
-            for number, pause_s, what in steps:
-                await disturb(fleet, fleet.instances[number], what)
-                await asyncio.sleep(pause_s)
-                assert not fleet.watching.done()
-            fleet.kv.set_down(False)
-            for instance in fleet.instances:
-                if not instance.is_up:
-                    instance.start()
-            await asyncio.sleep(14.0)
-            assert all(len(names) == 1 for names in fleet.owners().values())
-            await fleet.stop()
+            await endure(fleet, steps, 14.0)
 
         run(scenario)
 
@@ -410,22 +389,27 @@
         async def scenario():
             fleet = Fleet(8, 0.7, 0.3, [0.0, 0.0, *[0.35] * 6])
             await asyncio.sleep(6.0)
-            for number, pause_s, what in steps:
-                await disturb(fleet, fleet.instances[number], what)
-                await asyncio.sleep(pause_s)
-                assert not fleet.watching.done()
-            fleet.kv.set_down(False)
-            for instance in fleet.instances:
-                instance.path.cut = False
-                if not instance.is_up:
-                    instance.start()
-            await asyncio.sleep(12.0)
-            assert all(len(names) == 1 for names in fleet.owners().values())
-            await fleet.stop()
+            await endure(fleet, steps, 12.0)
 
         run(scenario)
 
 
+async def endure(fleet, steps, settle_s):
+    """Let steps befall a fleet, heal it, and look at its owners after a time."""
+    for number, pause_s, what in steps:
+        await disturb(fleet, fleet.instances[number], what)
+        await asyncio.sleep(pause_s)
+        assert not fleet.watching.done()
+    fleet.kv.set_down(False)
+    for instance in fleet.instances:
+        instance.path.cut = False
+        if not instance.is_up:
+            instance.start()
+    await asyncio.sleep(settle_s)
+    assert all(len(names) == 1 for names in fleet.owners().values())
+    await fleet.stop()
+
+
 async def disturb(fleet, instance, what):
     if what == "k":
         await instance.kill()
