Comments of departures, rests and eras in plain technical English

Cause: three docstrings were in pictures, one comment told history. Change: comments alone, no code.

--- a/packages/coordination/src/gradelug_coordination/lasting.py
+++ b/packages/coordination/src/gradelug_coordination/lasting.py
@@ -338,7 +338,7 @@
             self._absent_since.clear()
             self._free_since.clear()
         elif self._era is None and era:
-            # Records may have been lost before this process looked.
+            # A recent return cannot be ruled out, so this process waits as after one.
             self._restored_at = self._clock()
         self._era = era
 
--- a/packages/gateway/src/gradelug_gateway/departures.py
+++ b/packages/gateway/src/gradelug_gateway/departures.py
@@ -101,7 +101,7 @@
 
 
 def _facts(feed: Feed, service: str, names: t.Iterable[str]) -> t.Iterator[pb.LeavingFact]:
-    """Yield what is told of those replicas that leave and concern the planner of a service."""
+    """Yield reports of those leaving replicas that a service's planner is notified of."""
     for name in names:
         rep = feed.state.replicas.get(name)
         if rep is not None and rep.leaving and speaks_for(service, name, feed.state):
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -288,7 +288,7 @@
         return True
 
     def _has_ended(self, known: Replica, fact: Replica) -> bool:
-        """Tell whether an entry, of a copy of the store, tells of an earlier life."""
+        """Tell whether an entry restored from a copy describes an earlier life of a replica."""
         return known.born != fact.born and self.state.departures.has(fact.name, fact.born)
 
     def _drop_unreadable(self, entry: KvEntry, exc: MalformedEntry) -> bool:
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -31,7 +31,7 @@
 """Time that a request before a new one stands for where work is reckoned in seconds."""
 NOT_HELD = -1
 MOST_NAMED = 16
-"""Resting replicas that a planner is told of with one question: 200 bytes."""
+"""Upper bound of resting replicas listed in one request to the planner."""
 DOUBTED_RATE = 0.4
 """Two failures one after the other, or more than that part of all."""
 
