How an era is noticed and how resting replicas reject a request stand once

Cause: election, lasting ownership and the poison record each noticed a later era by the same lines, and the check for resting replicas stood with plain services though it serves engines too. No decision differs.

--- a/packages/coordination/src/gradelug_coordination/__init__.py
+++ b/packages/coordination/src/gradelug_coordination/__init__.py
@@ -44,6 +44,7 @@
     from .once import OnceState as OnceState
     from .once import OnceVerdict as OnceVerdict
     from .ownership import Ownership as Ownership
+    from .positions import EraWatch as EraWatch
     from .positions import era_of as era_of
     from .positions import position as position
     from .positions import revision_of as revision_of
@@ -83,6 +84,7 @@
         "OnceState": "once",
         "OnceVerdict": "once",
         "Ownership": "ownership",
+        "EraWatch": "positions",
         "era_of": "positions",
         "position": "positions",
         "revision_of": "positions",
--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -15,7 +15,7 @@
 from .kv import ABSENT, KeyValue, swap_surely
 from .lease import LeaseKeeper
 from .mirror import Mirror
-from .positions import era_of
+from .positions import EraWatch, era_of
 
 log = logbook.Logger("election")
 CAMPAIGN_S = 0.3
@@ -96,6 +96,7 @@
         "_clock",
         "_delay_s",
         "_entered_lease",
+        "_eras",
         "_handicap_s",
         "_hold_off_s",
         "_key",
@@ -109,7 +110,6 @@
         "_resigned",
         "_restored_at",
         "_rng",
-        "_seen_era",
         "_standing",
         "_stands_from",
         "_started_at",
@@ -150,7 +150,7 @@
         """The lease to which the record was tied when this instance was entered."""
         self._lapsed_at: float | None = None
         """Since when the lease is another one than that to which the record was tied."""
-        self._seen_era: int | None = None
+        self._eras = EraWatch()
         self._restored_at = float("-inf")
         """When the service was seen to have come back from a copy."""
         self._resigned = False
@@ -192,7 +192,8 @@
 
     async def step(self) -> float:
         """Do what is due now and return the seconds until the next step."""
-        self._note_era()
+        if self._eras.has_risen(self._mirror.revision):
+            self._restored_at, self._absent_since = self._clock(), None
         if self.fence:
             return await self._keep()
         return await self._stand()
@@ -249,13 +250,6 @@
             return STEP_S
         return delay_s
 
-    def _note_era(self) -> None:
-        era = era_of(self._mirror.revision)
-        if self._seen_era is not None and era > self._seen_era:
-            self._restored_at = self._clock()
-            self._absent_since = None
-        self._seen_era = era
-
     def _may_be_restored(self) -> bool:
         """Tell whether the lease may be gone because the service came back from a copy."""
         now = self._clock()
--- a/packages/coordination/src/gradelug_coordination/lasting.py
+++ b/packages/coordination/src/gradelug_coordination/lasting.py
@@ -32,7 +32,7 @@
 from .kv import ABSENT, KeyValue, KvEntry, swap_surely
 from .lease import LeaseKeeper
 from .mirror import Mirror
-from .positions import era_of
+from .positions import EraWatch, era_of
 from .rendezvous import score
 
 log = logbook.Logger("ownership")
@@ -120,7 +120,7 @@
         "_candidacy",
         "_claims",
         "_clock",
-        "_era",
+        "_eras",
         "_free_since",
         "_hold_off_s",
         "_joined",
@@ -179,8 +179,7 @@
         self._absent_since: dict[LastingRecord, float] = {}
         self._free_since: dict[str, float] = {}
         self._unwanted_since: dict[str, float] = {}
-        self._era: int | None = None
-        """Of the service, as the mirror showed it last."""
+        self._eras = EraWatch()
         self._restored_at = float("-inf")
         """When the service was seen to have come back from a copy."""
 
@@ -331,16 +330,17 @@
             await asyncio.gather(*taking)
 
     def _note_era(self) -> None:
-        era = era_of(self._mirror.revision)
-        if self._era is not None and era > self._era:
-            log.warning("owners may be lost", root=self._root, era=era, claims=len(self._claims))
+        is_first = self._eras.era is None
+        if self._eras.has_risen(self._mirror.revision):
+            log.warning(
+                "owners may be lost", root=self._root, era=self._eras.era, claims=len(self._claims)
+            )
             self._restored_at = self._clock()
             self._absent_since.clear()
             self._free_since.clear()
-        elif self._era is None and era:
+        elif is_first and self._eras.era:
             # A recent return cannot be ruled out, so this process waits as after one.
             self._restored_at = self._clock()
-        self._era = era
 
     def _is_settled(self) -> bool:
         """Tell whether nobody acts any more on what it owned before the service's return."""
@@ -361,7 +361,7 @@
     def _expected(self, claim: Claim | None, record: LastingRecord | None) -> int:
         """Return the position at which a record is to be replaced."""
         record_at = record.fence if record is not None else ABSENT
-        if claim is None or era_of(claim.fence) < (self._era or 0):
+        if claim is None or era_of(claim.fence) < (self._eras.era or 0):
             return record_at
         return max(claim.fence, record_at)
 
@@ -393,7 +393,7 @@
 
     async def _take(self, name: str, expected: int, lease: int) -> None:
         key = f"{self._root}{OWNERS}{name}"
-        data = {"owner": self._name, "era": self._era, "operation": uuid.uuid4().hex}
+        data = {"owner": self._name, "era": self._eras.era, "operation": uuid.uuid4().hex}
         value = json.dumps(data).encode()
         swap = await swap_surely(self._kv, key, value, expected)
         if not swap.swapped:
--- a/packages/coordination/src/gradelug_coordination/positions.py
+++ b/packages/coordination/src/gradelug_coordination/positions.py
@@ -23,3 +23,18 @@
 def revision_of(at: int) -> int:
     """Return the revision of a position, as the service counts it."""
     return at % ERA_STEP
+
+
+class EraWatch:
+    """Detects that the service came back from an older copy."""
+
+    __slots__ = ("era",)
+
+    def __init__(self) -> None:
+        self.era: int | None = None
+        """The latest that was observed, None before the first."""
+
+    def has_risen(self, at: int) -> bool:
+        """Observe a position; tell whether it is of a later era than those before."""
+        before, self.era = self.era, era_of(at)
+        return before is not None and self.era > before
--- a/packages/gateway/src/gradelug_gateway/departures.py
+++ b/packages/gateway/src/gradelug_gateway/departures.py
@@ -1,4 +1,4 @@
-"""Replicas that leave by their own word, told between gateways and planners."""
+"""Reports of leaving replicas between gateways and planners."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class DepartureTeller:
-    """Tells a planner which replicas leave; implements `parts.GatewayPart`.
+    """Reports leaving replicas to a planner; implements `parts.GatewayPart`.
 
     Parameters
     ----------
@@ -35,16 +35,16 @@
         feed.subscribe_leaving(self._note)
 
     def begin_stream(self) -> None:
-        """Tell another planner of all that leave."""
+        """Report all leaving replicas to another planner."""
         self._untold.update(rep.name for rep in self._feed.state.replicas.values() if rep.leaving)
 
     def fill(self, message: pb.FromGateway) -> None:
-        """Put what was heard since the last message into this one."""
+        """Add the reports since the last message."""
         message.leaving.extend(_facts(self._feed, self._service, self._untold))
         self._untold.clear()
 
     def take(self, message: pb.FromPlanner) -> None:
-        """Take over what others heard."""
+        """Apply reports of other gateways."""
         for told in message.leaving:
             self._feed.take_leaving(told.replica, told.born, "planner")
 
@@ -58,7 +58,7 @@
 
 
 class DepartureDesk:
-    """Passes on which replicas leave to all gateways; implements `parts.PlannerPart`.
+    """Forwards reports of leaving replicas to all gateways; implements `parts.PlannerPart`.
 
     Parameters
     ----------
@@ -74,11 +74,11 @@
         self._service = service
         self._feed = feed
         self._known: set[int] = set()
-        """Numbers of the gateways that have been told of all."""
+        """Numbers of the gateways that joined before."""
         self._due: set[str] = set()
 
     def take(self, follower: Follower, message: pb.FromGateway, now: float) -> None:
-        """Take over what a gateway heard."""
+        """Apply the reports of a gateway, and repeat all of them if it has just joined."""
         if follower.number not in self._known:
             self._known.add(follower.number)
             replicas = self._feed.state.replicas.values()
@@ -92,7 +92,7 @@
         self._known.discard(follower.number)
 
     def fill(self, news: pb.FromPlanner, now: float) -> None:
-        """Tell all gateways which replicas leave, once and when a gateway has come."""
+        """Add the reports that are due."""
         news.leaving.extend(_facts(self._feed, self._service, self._due))
         self._due.clear()
 
--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -265,7 +265,7 @@
         found = self.usable(service)
         if only is None and self.rests.most_resting < len(found):
             return 0.0
-        return self.rests.all_rest_s(rep for rep in found if only is None or rep.name in only)
+        return self.rests.least_left_s(rep for rep in found if only is None or rep.name in only)
 
     def resting(self, service: str, key: AdapterKey) -> list[str]:
         """Return some replicas of a service that rest, those that hold weights first."""
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -187,7 +187,7 @@
         ask: pb.Ask,
         until: float,
         has_choice: bool = False,
-        is_vain: t.Callable[[], bool] = lambda: False,
+        should_give_up: t.Callable[[], bool] = lambda: False,
     ) -> pb.Answer:
         """Return the planner's answer.
 
@@ -202,8 +202,8 @@
         has_choice : bool
             Whether the asker knows what to do without an answer: it is given up as soon as the
             planner may be lost.
-        is_vain : callable
-            Tells whether the answer is of no use any more: it is given up then.
+        should_give_up : callable
+            Polled while waiting; the question is given up once it returns true.
 
         Raises
         ------
@@ -216,7 +216,7 @@
         try:
             async with asyncio.timeout_at(until):
                 while not question.fut.done():
-                    if has_choice and self.is_quiet or is_vain():
+                    if has_choice and self.is_quiet or should_give_up():
                         raise TimeoutError
                     if not self.is_followed and self._clock() >= self._missed_at + REPLACED_S:
                         raise TimeoutError
--- a/packages/gateway/src/gradelug_gateway/plain.py
+++ b/packages/gateway/src/gradelug_gateway/plain.py
@@ -21,6 +21,7 @@
 from .job import Job
 from .metrics import Meters
 from .model import Replica
+from .resting import check_rest
 
 log = logbook.Logger("plain")
 PAUSE_PART = 0.4
@@ -80,7 +81,7 @@
         if full is not None:
             await self.wait(job, full)
         while True:
-            self.check_rest(job)
+            check_rest(self._fleet, job)
             replica = self._choose(job)
             if replica is not None:
                 return replica
@@ -88,12 +89,6 @@
                 raise Refused("no replica is usable", RETRY_AFTER_S)
             await asyncio.sleep(POLL_S)
 
-    def check_rest(self, job: Job) -> None:
-        """Raise `Refused` if all replicas that may run a request rest."""
-        rest_s = self._fleet.rest_s(job.service.name, job.candidates())
-        if rest_s:
-            raise Refused("its replicas rest", rest_s)
-
     def note_full(self, replica: Replica) -> None:
         """Note that a replica has said that it has no room."""
         now = self._clock()
--- a/packages/gateway/src/gradelug_gateway/poison_record.py
+++ b/packages/gateway/src/gradelug_gateway/poison_record.py
@@ -12,7 +12,7 @@
 import typing as t
 
 import logbook
-from gradelug_coordination import CoordinationError, KeyValue, KvEntry, Mirror, era_of
+from gradelug_coordination import CoordinationError, EraWatch, KeyValue, KvEntry, Mirror
 from gradelug_policy.poison import EndLedger
 
 from .poison import NOTHING, PoisonFindings
@@ -39,7 +39,7 @@
 
     __slots__ = (
         "_clock",
-        "_era",
+        "_eras",
         "_kv",
         "_ledger",
         "_mirror",
@@ -60,8 +60,7 @@
         self._written = ABSENT
         """The newest entry that this instance wrote or took over."""
         self._seen = 0
-        self._era: int | None = None
-        """Of the store, as it was seen last."""
+        self._eras = EraWatch()
         self.findings = NOTHING
         """What the entry says."""
         self.lifted = 0
@@ -71,12 +70,10 @@
         """Read the entry if it has changed; tell whether it has."""
         entry = self._mirror.entries.get(KEY)
         revision = entry.revision if entry is not None else 0
-        era = era_of(self._mirror.revision)
-        if self._era is not None and era > self._era:
-            self._era, self._seen = era, revision
+        if self._eras.has_risen(self._mirror.revision):
+            self._seen = revision
             self._write_again(entry)
             return False
-        self._era = era
         if revision == self._seen:
             return False
         if entry is None:
--- a/packages/gateway/src/gradelug_gateway/rests.py
+++ b/packages/gateway/src/gradelug_gateway/rests.py
@@ -62,8 +62,8 @@
             return 0.0
         return self._rests.left_s(_life(replica), self._clock())
 
-    def all_rest_s(self, replicas: t.Iterable[Replica]) -> float:
-        """Return when the first of some replicas may be sent to; 0 if one may be now."""
+    def least_left_s(self, replicas: t.Iterable[Replica]) -> float:
+        """Return the shortest rest left among some replicas, 0 if one of them does not rest."""
         if not self._rests:
             return 0.0
         least_s = math.inf
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -24,6 +24,7 @@
 from .plain import PlainPlacer
 from .ports import BadRequest, Dialect
 from .quotas import Applicant, Quotas
+from .resting import check_rest
 from .routing import RouteTable, choose_service
 from .runs import LastingRuns
 from .sending import Sender
@@ -293,7 +294,7 @@
         job.chosen_here = False
         if job.copy is not None and key is not None:
             return await self._place_copy(job, job.copy, key)
-        self._plain.check_rest(job)
+        check_rest(self._fleet, job)
         if job.service.engine is not None and key is not None:
             return await self._place_weights(job, key)
         job.chosen_here = True
@@ -459,7 +460,7 @@
         if outcome is Outcome.FULL:
             self._plain.note_full(replica)
             if job.copy is None:
-                self._plain.check_rest(job)
+                check_rest(self._fleet, job)
         if self._goes_on(job, outcome):
             return
         if job.used is not None and outcome is not Outcome.RAN:
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -203,10 +203,10 @@
         rests = ReplicaRests(lambda: 0.0)
         other = Replica("o", "s", "10.0.0.2:80", "z")
         rests.hear(REPLICA, RestWord(3.0))
-        assert rests.all_rest_s([REPLICA, other]) == 0
+        assert rests.least_left_s([REPLICA, other]) == 0
         rests.hear(other, RestWord(60.0))
-        assert 3.0 <= rests.all_rest_s([REPLICA, other]) <= 3.0 + RETURN_S
-        assert rests.all_rest_s([]) == 0
+        assert 3.0 <= rests.least_left_s([REPLICA, other]) <= 3.0 + RETURN_S
+        assert rests.least_left_s([]) == 0
 
 
 class TestHeader:
