The soak's replicas ask for rest; its settings and processes have modules of their own

Change: a mode `rests` in which replicas turn requests away for a time and ask for 0.5 to 3 s; a gateway may send no more than two to a replica within a rest, but for what was on its way, troubles of the link and starts and wakes of the gateway. Keys, Gateway and the configuration moved as they were.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -6,15 +6,11 @@
 
 import asyncio
 import json
-import os
 import random
 import shutil
 import signal
-import socket
-import subprocess
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 from fleet_stand_in import (
@@ -36,8 +32,9 @@
     ServerLimits,
 )
 from platform_stand_in import StoreStandIn
+from soak_parts import Gateway, Keys, free_ports
+from soak_settings import LIMITED, PLAIN_TOKENS, REVOKE_S, ROOT
 
-ROOT = Path(__file__).resolve().parent.parent
 GATEWAYS = 3
 SETTLE_S = 6.0
 PROBES = 12
@@ -56,165 +53,19 @@
     "version",
 )
 NOT_RUN = frozenset({401, 408, 421, 429, 503})
-REVOKE_S = 5.0
-"""No request runs that was sent so long after its key was taken away."""
-REVOKED_PART = 0.1
-"""Part of the requests that carry a key which was taken away."""
 QUOTA_WINDOW_S = 8.0
-PLAIN_TOKENS = 10
-LIMITED = {"Name": "limited", "RatePerS": 40, "Burst": 40}
-"""Four requests a second, which is less than half of what its callers send."""
 LAPSE_S, BACK_S = 1.0, 1.5
 """When the entry of a replica that a request ended goes, and when another one takes its place."""
 POISON_S = 0.3
 """Such a request comes this often, at any instance."""
 LIMITS = (0.0, 0.5, 2.0, 5.0, None, None)
 """What a replica names, in requests a second; it would get two to four."""
+RESTS_S = (0.5, 1.0, 2.0, 3.0, 0.0)
+"""For how long replicas ask for rest; 0 if they turn nothing away."""
+REST_ENDS_PART = 0.6
+"""Part of the replicas that turn requests away which takes them again before another one begins."""
 QUOTA_SLACK = 100
 """In tokens; ten requests over three instances that come and go."""
-CONFIG = {
-    "Version": 1,
-    "Routes": [
-        {
-            "Name": "s",
-            "Hostname": "h",
-            "PathPrefix": "/s/",
-            "Kind": "streaming",
-            "TimeoutMs": 8000,
-            "TargetLatencyMs": 1000,
-            "MaxAttempts": 2,
-            "Resumable": True,
-            "Backend": "llm",
-        },
-        {
-            "Name": "u",
-            "Hostname": "h",
-            "PathPrefix": "/u/",
-            "Kind": "non_idempotent",
-            "TimeoutMs": 2000,
-            "TargetLatencyMs": 200,
-            "MaxAttempts": 1,
-            "Backend": "plain",
-        },
-        {
-            "Name": "i",
-            "Hostname": "h",
-            "PathPrefix": "/i/",
-            "Kind": "idempotent",
-            "TimeoutMs": 2000,
-            "TargetLatencyMs": 200,
-            "MaxAttempts": 2,
-            "Backend": "plain",
-        },
-    ],
-    "Services": [
-        {
-            "Name": "llm",
-            "MaxConns": 100,
-            "Engine": {
-                "Slots": 8,
-                "WeightsMb": 1000,
-                "AdapterSlots": 3,
-                "LoadsPerS": 4,
-                "Models": [{"Name": "m", "WeightsMb": 500, "LoadS": 0.6, "AdapterMb": 14}],
-            },
-        },
-        {"Name": "plain", "MaxConns": 100},
-    ],
-}
-
-
-class Keys:
-    """Keys of two organisations, taken away and given out in turn."""
-
-    def __init__(self, store, clock, rng):
-        self.store = store
-        self.clock = clock
-        self.rng = rng
-        self.numbers = iter(range(1, 1_000_000))
-        self.held = {"free": [], "limited": []}
-        self.holder = {}
-        self.taken_at = {}
-        """When the configuration without a key was acknowledged."""
-        self.version = 1
-        for name in self.held:
-            for _ in range(3):
-                self._give(name)
-
-    def _give(self, name):
-        key = f"key-{next(self.numbers)}"
-        self.held[name].append(key)
-        self.holder[key] = name
-
-    def config(self, version):
-        common = {"Unit": "token_stream", "PlainTokens": PLAIN_TOKENS}
-        tenants = [{"Name": "free"}, LIMITED]
-        tenants = [{**item, **common, "ApiKeys": self.held[item["Name"]]} for item in tenants]
-        return json.dumps({**CONFIG, "Version": version, "Tenants": tenants}).encode()
-
-    async def change(self):
-        """Take a key away and give another out."""
-        name = self.rng.choice(list(self.held))
-        gone = self.held[name].pop(self.rng.randrange(len(self.held[name])))
-        self._give(name)
-        self.version += 1
-        await self.write()
-        self.taken_at[gone] = self.clock()
-
-    async def write(self):
-        """Write the configuration, whatever stands there."""
-        found = await self.store.kv.get("op/config")
-        expected = found.revision if found is not None else 0
-        swap = await self.store.kv.swap("op/config", self.config(self.version), expected)
-        assert swap.swapped
-
-    def choose(self, name):
-        """Return a key of an organisation, now and then one that was taken away."""
-        if self.taken_at and self.rng.random() < REVOKED_PART:
-            return self.rng.choice(list(self.taken_at))
-        return self.rng.choice(self.held[name])
-
-
-class Gateway:
-    """One gateway process, restarted when it ends."""
-
-    def __init__(self, at, folder, store_port, ports, checks_tokens, args=()):
-        self.front, self.ready, self.peer = ports
-        self.log = folder / f"g{at}.log"
-        self.settings = folder / f"g{at}.toml"
-        self.settings.write_text(
-            f'Node = "g{at}"\nZone = "z"\nIp = "{GATEWAY_HOST}"\n'
-            f"PortRange = [{self.peer}, {self.peer}]\n"
-            f'[Listen]\nFront = "{GATEWAY_HOST}:{self.front}"\n'
-            f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
-            f"[Bounds]\nGraceS = 4\nBudgetExtra = 400\n"
-            f"RequireFence = {str(checks_tokens).lower()}\n"
-            f"StrictRevoke = true\nRevokeMs = {REVOKE_S * 1000:.0f}\n"
-            f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
-        )
-        self.args = args
-        self.process = None
-        self.woken = []
-        """When it was started or woken, by the clock of the soak."""
-
-    def start(self):
-        self.woken.append(time.monotonic())
-        env = {**os.environ, "GRADELUG_CONFIG": str(self.settings)}
-        with self.log.open("ab") as out:
-            self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "serve.py"), *self.args],
-                env=env,
-                stdout=out,
-                stderr=out,
-            )
-
-    def signal(self, number):
-        if self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def revive(self):
-        if self.process.poll() is not None:
-            self.start()
 
 
 class Soak:
@@ -234,6 +85,8 @@
         Whether replicas name how many requests a second they take, and take that back.
     has_drills : bool
         Whether the store comes back from copies some seconds old.
+    has_rests : bool
+        Whether replicas turn requests away for a time and ask for rest.
     """
 
     def __init__(
@@ -244,13 +97,17 @@
         has_poison=False,
         has_limits=False,
         has_drills=False,
+        has_rests=False,
     ):
         self.has_drills = has_drills
+        self.has_rests = has_rests
         self.checks_tokens = checks_tokens
         self.has_poison = has_poison
         self.has_limits = has_limits
         self.takes = {}
         """What each replica that ever was named and got, by its name."""
+        self.rests = {}
+        """The rests that each replica asked for, and the troubles of its link, by its name."""
         self.through = {}
         """By which gateway each request came."""
         self.ended = []
@@ -291,12 +148,16 @@
                 clients.append(asyncio.create_task(self._name_limits()))
             if self.has_drills:
                 clients.append(asyncio.create_task(self._hold_drills()))
+            if self.has_rests:
+                clients.append(asyncio.create_task(self._ask_rests()))
             try:
                 await self._faults()
                 await self._heal()
                 for takes in self.takes.values():
                     takes.end()
-                self.has_limits = self.has_drills = False
+                self.has_limits = self.has_drills = self.has_rests = False
+                for rests, _ in self.rests.values():
+                    rests.rest_s = 0.0
                 await asyncio.sleep(SETTLE_S)
                 ended = len(self.ended)
                 self.late_served = await self._probe()
@@ -346,6 +207,7 @@
         await replica.enter(f"{HOST}:{proxy.port}")
         self.replicas[name], self.proxies[name] = replica, proxy
         self.takes[name] = replica.takes
+        self.rests[name] = (replica.rests, proxy.troubles)
 
     async def _client(self):
         while True:
@@ -384,6 +246,17 @@
             takes.name(rng.choice(LIMITS))
             await asyncio.sleep(rng.uniform(0.5, 3.0))
 
+    async def _ask_rests(self):
+        """Let replicas turn requests away for a time and ask for rest, several at once."""
+        # With a source of chance of its own: what a seed does otherwise stays the same.
+        rng = random.Random(self.seed)
+        while self.has_rests:
+            rests = self.replicas[rng.choice(list(self.replicas))].rests
+            rests.rest_s = rng.choice(RESTS_S)
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+            if rng.random() < REST_ENDS_PART:
+                rests.rest_s = 0.0
+
     async def _hold_drills(self):
         """Let the store be away for a moment and come back from a copy; all is written again."""
         # With a source of chance of its own: what a seed does otherwise stays the same.
@@ -508,6 +381,7 @@
     async def _do_delay(self):
         proxy = self.fault_rng.choice([*self.proxies.values(), self.store_proxy])
         proxy.delay_s = self.fault_rng.uniform(0.01, 0.3)
+        proxy.note_trouble(1.0)
         await asyncio.sleep(1.0)
         proxy.delay_s = 0.0
         self._slacken()
@@ -517,7 +391,9 @@
         proxy.silent = True
         is_store = proxy is self.store_proxy
         self.ledger.note_store(is_store, self.clock())
-        await asyncio.sleep(self.fault_rng.uniform(0.3, 2.0))
+        lasts_s = self.fault_rng.uniform(0.3, 2.0)
+        proxy.note_trouble(lasts_s)
+        await asyncio.sleep(lasts_s)
         proxy.silent = False
         self.ledger.note_store(-is_store, self.clock())
         self._slacken()
@@ -605,6 +481,8 @@
                 faults += self._wrong_answer(request_id, kind, head, body, runs)
         for name, takes in self.takes.items():
             faults += takes.faults(name, self._counts)
+            rests, troubles = self.rests[name]
+            faults += rests.faults(name, takes.arrived, self.through, troubles)
         faults += self._keys_used_too_late()
         faults += self._beyond_the_quota()
         if self.late_served < PROBES:
@@ -649,17 +527,6 @@
         return [] if body == whole else [f"{request_id}: the answer is not the replica's"]
 
 
-def free_ports(count):
-    """Return ports that the kernel has free."""
-    sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind((GATEWAY_HOST, 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
-    return ports
-
-
 class Outcome:
     """What one run found."""
 
@@ -670,11 +537,11 @@
         self.done = done
 
 
-def soak(seed, seconds, checks_tokens=True, has_poison=False, has_limits=False, has_drills=False):
-    """Run once and return its `Outcome`."""
+def soak(seed, seconds, checks_tokens=True, **modes):
+    """Run once, in modes of `Soak`, and return its `Outcome`."""
 
     async def main():
-        run = Soak(seed, seconds, checks_tokens, has_poison, has_limits, has_drills)
+        run = Soak(seed, seconds, checks_tokens, **modes)
         faults = await run.run()
         served = sum(answer[1] == 200 for answer in run.answers.values())
         return Outcome(faults, len(run.answers), served, run.done)
@@ -688,8 +555,8 @@
     checking = "untokened" not in sys.argv[4:]
     for number in range(first, first + count):
         words = sys.argv[4:]
-        modes = ["poison" in words, "limits" in words, "drills" in words]
-        found = soak(number, duration, checking, *modes)
+        modes = {f"has_{word}": True for word in words if word != "untokened"}
+        found = soak(number, duration, checking, **modes)
         print(
             f"seed {number}: {found.asked} asked, {found.served} served, "
             f"{len(found.broken)} broken; {' '.join(found.done)}",
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -117,6 +117,52 @@
         return []
 
 
+ON_THE_WAY_S = 0.5
+"""Requests that were on their way when a replica asked for rest still come."""
+REST_ALLOWED = 2
+"""Requests that one gateway may send to a replica within its rest."""
+LOST_S = 0.5
+"""An answer counts as heard if its link had no trouble within this."""
+
+
+class Rests:
+    """Which requests a replica turned away, and what rest it asked for."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.rest_s = 0.0
+        """What it asks for now; 0 while it turns nothing away."""
+        self.asked = []
+        """Requests that it turned away: when, which, and for how long it asked."""
+
+    def ask(self, request_id):
+        self.asked.append((self.clock(), request_id, self.rest_s))
+
+    def faults(self, name, arrived, through, troubles):
+        """Return what was broken.
+
+        `arrived` tells when which request came, `through` its gateway, `troubles` from when until
+        when the link to the replica had one.
+        """
+        for asked_at, request_id, rest_s in self.asked:
+            gateway = through.get(request_id)
+            since, until = asked_at + ON_THE_WAY_S, asked_at + rest_s
+            if gateway is None or any(
+                begun - LOST_S <= asked_at <= ended + LOST_S for begun, ended in troubles
+            ):
+                continue
+            if any(asked_at - LOST_S <= woken <= until for woken in gateway.woken):
+                continue
+            came = [
+                other
+                for at, other in arrived
+                if since < at < until and through.get(other) is gateway
+            ]
+            if len(came) > REST_ALLOWED:
+                return [f"{name} asked for {rest_s} s of rest and got {came} by one gateway"]
+        return []
+
+
 class ReplicaStandIn:
     """One start of a replica, entered in the store while it lives."""
 
@@ -131,6 +177,7 @@
             self.engine = ModelEngine(self.clock, versions, checks_tokens)
         self.last_order = None
         self.takes = Takes(self.clock)
+        self.rests = Rests(self.clock)
         self.state = "ready"
         self.draining_at = None
         self.drained_stable = True
@@ -184,13 +231,14 @@
         else:
             await self._run(inc)
 
-    def _refuse(self, inc, status):
+    def _refuse(self, inc, status, more=()):
         request_id = inc.header(b"x-gradelug-request-id") or b""
         headers = [
             (b"X-Gradelug-Request-Id", request_id),
             (b"X-Gradelug-Not-Executed", b"1"),
             (b"X-Gradelug-Instance-Id", self.name.encode()),
             *self._words(),
+            *more,
         ]
         inc.respond(status, headers, b"")
 
@@ -248,6 +296,10 @@
         self.takes.arrived.append((self.clock(), request_id))
         if self._is_late(self.clock()):
             self.ledger.faults.append(f"{request_id} reached {self.name} long after it drained")
+        if self.rests.rest_s:
+            self.rests.ask(request_id)
+            self._refuse(inc, 503, [(b"Retry-After", b"%.1f" % self.rests.rest_s)])
+            return
         model = inc.header(b"x-gradelug-model")
         key = AdapterKey(*model.decode().split("/")) if model else None
         if self.engine is not None and not self.engine.can_run(key):
@@ -307,6 +359,8 @@
         self.delay_s = 0.0
         self.silent = False
         self.generation = 0
+        self.troubles = []
+        """When something befell it: from when, until when."""
         self.port = 0
         self._server = None
         self._writers = set()
@@ -319,8 +373,14 @@
     def mute(self):
         """Swallow all that comes over the connections which are open now; new ones work."""
         self.generation += 1
+        self.note_trouble()
+
+    def note_trouble(self, lasts_s=0.0):
+        now = asyncio.get_running_loop().time()
+        self.troubles.append((now, now + lasts_s))
 
     def reset(self):
+        self.note_trouble()
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -11,7 +11,6 @@
 from unittest import mock
 
 from engine_model import ModelEngine
-from fleet_soak import CONFIG
 from gradelug_coordination import KvUnavailable
 from gradelug_gateway import daemon as daemon_module
 from gradelug_gateway import directory as directory_module
@@ -22,6 +21,7 @@
 from gradelug_platform.entries import PlatformEntries
 from gradelug_standins.kv import MemoryKv
 from grpclib.exceptions import StreamTerminatedError
+from soak_settings import CONFIG
 from world import Process
 
 BEGINS_S = 0.1
--- /dev/null
+++ b/tests/soak_parts.py
@@ -0,0 +1,115 @@
+"""The operator and the processes of a soak."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+
+from fleet_stand_in import GATEWAY_HOST, HOST
+from soak_settings import CONFIG, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_PART, ROOT
+
+
+class Keys:
+    """Keys of two organisations, taken away and given out in turn."""
+
+    def __init__(self, store, clock, rng):
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.numbers = iter(range(1, 1_000_000))
+        self.held = {"free": [], "limited": []}
+        self.holder = {}
+        self.taken_at = {}
+        """When the configuration without a key was acknowledged."""
+        self.version = 1
+        for name in self.held:
+            for _ in range(3):
+                self._give(name)
+
+    def _give(self, name):
+        key = f"key-{next(self.numbers)}"
+        self.held[name].append(key)
+        self.holder[key] = name
+
+    def config(self, version):
+        common = {"Unit": "token_stream", "PlainTokens": PLAIN_TOKENS}
+        tenants = [{"Name": "free"}, LIMITED]
+        tenants = [{**item, **common, "ApiKeys": self.held[item["Name"]]} for item in tenants]
+        return json.dumps({**CONFIG, "Version": version, "Tenants": tenants}).encode()
+
+    async def change(self):
+        """Take a key away and give another out."""
+        name = self.rng.choice(list(self.held))
+        gone = self.held[name].pop(self.rng.randrange(len(self.held[name])))
+        self._give(name)
+        self.version += 1
+        await self.write()
+        self.taken_at[gone] = self.clock()
+
+    async def write(self):
+        """Write the configuration, whatever stands there."""
+        found = await self.store.kv.get("op/config")
+        expected = found.revision if found is not None else 0
+        swap = await self.store.kv.swap("op/config", self.config(self.version), expected)
+        assert swap.swapped
+
+    def choose(self, name):
+        """Return a key of an organisation, now and then one that was taken away."""
+        if self.taken_at and self.rng.random() < REVOKED_PART:
+            return self.rng.choice(list(self.taken_at))
+        return self.rng.choice(self.held[name])
+
+
+class Gateway:
+    """One gateway process, restarted when it ends."""
+
+    def __init__(self, at, folder, store_port, ports, checks_tokens, args=()):
+        self.front, self.ready, self.peer = ports
+        self.log = folder / f"g{at}.log"
+        self.settings = folder / f"g{at}.toml"
+        self.settings.write_text(
+            f'Node = "g{at}"\nZone = "z"\nIp = "{GATEWAY_HOST}"\n'
+            f"PortRange = [{self.peer}, {self.peer}]\n"
+            f'[Listen]\nFront = "{GATEWAY_HOST}:{self.front}"\n'
+            f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
+            f"[Bounds]\nGraceS = 4\nBudgetExtra = 400\n"
+            f"RequireFence = {str(checks_tokens).lower()}\n"
+            f"StrictRevoke = true\nRevokeMs = {REVOKE_S * 1000:.0f}\n"
+            f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
+        )
+        self.args = args
+        self.process = None
+        self.woken = []
+        """When it was started or woken, by the clock of the soak."""
+
+    def start(self):
+        self.woken.append(time.monotonic())
+        env = {**os.environ, "GRADELUG_CONFIG": str(self.settings)}
+        with self.log.open("ab") as out:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "serve.py"), *self.args],
+                env=env,
+                stdout=out,
+                stderr=out,
+            )
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def revive(self):
+        if self.process.poll() is not None:
+            self.start()
+
+
+def free_ports(count):
+    """Return ports that the kernel has free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for found in sockets:
+        found.bind((GATEWAY_HOST, 0))
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
--- /dev/null
+++ b/tests/soak_settings.py
@@ -0,0 +1,62 @@
+"""What a soak configures, and its organisations."""
+
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+REVOKE_S = 5.0
+"""No request runs that was sent so long after its key was taken away."""
+REVOKED_PART = 0.1
+"""Part of the requests that carry a key which was taken away."""
+PLAIN_TOKENS = 10
+LIMITED = {"Name": "limited", "RatePerS": 40, "Burst": 40}
+"""Four requests a second, which is less than half of what its callers send."""
+CONFIG = {
+    "Version": 1,
+    "Routes": [
+        {
+            "Name": "s",
+            "Hostname": "h",
+            "PathPrefix": "/s/",
+            "Kind": "streaming",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 1000,
+            "MaxAttempts": 2,
+            "Resumable": True,
+            "Backend": "llm",
+        },
+        {
+            "Name": "u",
+            "Hostname": "h",
+            "PathPrefix": "/u/",
+            "Kind": "non_idempotent",
+            "TimeoutMs": 2000,
+            "TargetLatencyMs": 200,
+            "MaxAttempts": 1,
+            "Backend": "plain",
+        },
+        {
+            "Name": "i",
+            "Hostname": "h",
+            "PathPrefix": "/i/",
+            "Kind": "idempotent",
+            "TimeoutMs": 2000,
+            "TargetLatencyMs": 200,
+            "MaxAttempts": 2,
+            "Backend": "plain",
+        },
+    ],
+    "Services": [
+        {
+            "Name": "llm",
+            "MaxConns": 100,
+            "Engine": {
+                "Slots": 8,
+                "WeightsMb": 1000,
+                "AdapterSlots": 3,
+                "LoadsPerS": 4,
+                "Models": [{"Name": "m", "WeightsMb": 500, "LoadS": 0.6, "AdapterMb": 14}],
+            },
+        },
+        {"Name": "plain", "MaxConns": 100},
+    ],
+}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,3 +31,9 @@
     found = soak(SEED, SECONDS, checks_tokens, has_drills=True)
     assert found.broken == []
     assert found.served > 20
+
+
+def test_replicas_get_the_rest_they_ask_for_while_processes_are_killed_frozen_and_cut():
+    found = soak(SEED, SECONDS, has_rests=True)
+    assert found.broken == []
+    assert found.served > 20
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -6,7 +6,6 @@
 import sys
 
 import pytest
-from fleet_soak import CONFIG, PLAIN_TOKENS, ROOT, Gateway, free_ports
 from fleet_stand_in import GATEWAY_HOST, HOST, Ledger, ReplicaStandIn
 from gradelug_config.exceptions import InvalidConfig
 from gradelug_gateway.settings import Feature
@@ -21,6 +20,8 @@
 from gradelug_platform.main import EXIT_BAD_SETTINGS, _without
 from gradelug_platform.settings import load
 from platform_stand_in import StoreStandIn
+from soak_parts import Gateway, free_ports
+from soak_settings import CONFIG, PLAIN_TOKENS, ROOT
 
 SERVED_S = 30.0
 ORGANISATION = {
