Sight: logs, a metric and gradelug why tell the versions of runs

Cause: no log line named a version that was asked for, nor one under which a run began or went on, so the hypotheses of the incident could not be told apart; what answers say of the weights was read by nobody. Change: the version asked for (placed, replica refused), the versions of a run's memory (run stopped, run goes on, run went on), what engines name in answers and at events; gradelug_runs_went_on{weights=same|other|unknown}; the same in gradelug why. No decision changes.

--- a/packages/cli/src/gradelug_cli/why.py
+++ b/packages/cli/src/gradelug_cli/why.py
@@ -11,7 +11,17 @@
 from .loglines import LogLine, read_line
 
 ENDS = ("answered", "refused", "limited", "denied", "failed", "caller left")
-JUDGED = ("not sent", "no room", "placed", "share", "limited", "late first event", "refused")
+JUDGED = (
+    "not sent",
+    "no room",
+    "placed",
+    "share",
+    "limited",
+    "late first event",
+    "run goes on",
+    "run went on",
+    "refused",
+)
 """Lines whose fields tell by what a request was judged, in this order."""
 TOLD: dict[str, str] = {
     "owner": "whose",
@@ -21,6 +31,9 @@
     "rank": "urgency within the quota, 0 first",
     "weights": "weights",
     "replica": "where",
+    "asked": "version asked for, 0 for any",
+    "memory": "its memory's versions, base model and adapter",
+    "told": "base model of the engine where it went on",
     "waited_s": "waited for a place, s",
     "held_s": "waited at the planner, s",
     "cost": "requests before it there",
--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -203,7 +203,9 @@
         try:
             reply = await self._ask(run, target, last=True)
             if reply.outcome is MoveOutcome.COPIED and reply.handle:
-                found = Copy(CopyKind.MOVED, run.replica.address, reply.handle, target)
+                found = Copy(
+                    CopyKind.MOVED, run.replica.address, reply.handle, target, run.versions
+                )
         finally:
             run.handover.set_result(found)
         if found is not None and not self._is_on(run) and run.taken is not found:
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -29,6 +29,7 @@
         "_plain_waits",
         "_ratio",
         "_registry",
+        "_weights",
     )
 
     def __init__(self) -> None:
@@ -109,6 +110,12 @@
             ["end"],
             registry=self._registry,
         )
+        self._weights = Counter(
+            "gradelug_runs_went_on",
+            "Runs that went on from their memory, by whether the engine has its base model",
+            ["weights"],
+            registry=self._registry,
+        )
         self._ratio = Histogram(
             "gradelug_first_event_ratio",
             "Time to a stream's first event to the time that was expected",
@@ -157,9 +164,10 @@
         """Take the time of a stream's first event."""
         self._first.observe(seconds)
 
-    def went_on(self, how: str, pause_s: float) -> None:
-        """Take the pause of a run that went on."""
+    def went_on(self, how: str, pause_s: float, weights: str) -> None:
+        """Take the pause of a run that went on, and whether that was under the same weights."""
         self._pauses.labels(how).observe(pause_s)
+        self._weights.labels(weights).inc()
 
     def left_run(self, end: str) -> None:
         """Count the end of a run that may have gone on where it was left."""
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -8,6 +8,7 @@
 from gradelug_policy.left_runs import EngineWord
 from gradelug_policy.replica_limits import LimitWord
 from gradelug_policy.rests import RestWord
+from gradelug_policy.run_versions import VersionWord
 
 from .model import (
     Attempt,
@@ -94,6 +95,14 @@
         """Return for how long the replica of an answer asks not to be sent anything."""
         ...
 
+    def weights(self, head: ResponseHead) -> VersionWord:
+        """Return what an answer's head says of the version of its replica's base model."""
+        ...
+
+    def event_weights(self, events: bytes) -> VersionWord:
+        """Return what whole events say of it; the last one counts, since it may change."""
+        ...
+
     def refusal(
         self, request_id: str, retry_after_s: float | None, wants_key: bool = False
     ) -> list[Header]:
--- a/packages/gateway/src/gradelug_gateway/requests.py
+++ b/packages/gateway/src/gradelug_gateway/requests.py
@@ -8,6 +8,7 @@
 
 from gradelug_http import Header
 from gradelug_policy.kept_parts import PromptPart
+from gradelug_policy.run_versions import MemoryVersions
 
 from .organisations import Principal
 from .replicas import AdapterKey, Replica
@@ -121,12 +122,15 @@
         Under what it is kept: a handle, or the request's identifier.
     holder : Replica
         Where it is.
+    versions : MemoryVersions
+        Of the weights that made it.
     """
 
     kind: CopyKind
     source: str
     ident: str
     holder: Replica
+    versions: MemoryVersions = MemoryVersions()
 
 
 class Verdict(Enum):
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -21,6 +21,7 @@
     wants_copy,
 )
 from gradelug_policy.left_runs import ASK_S, may_wait
+from gradelug_policy.run_versions import NOT_TOLD, MemoryVersions, VersionWord, compare
 
 from .fleet import CHOICES, Fleet
 from .job import Job
@@ -61,7 +62,9 @@
         "since_event",
         "stopped",
         "taken",
+        "versions",
         "was_refused",
+        "word",
     )
 
     def __init__(self, job: Job, replica: Replica, began_at: float) -> None:
@@ -85,6 +88,10 @@
         """Whether its engine could not send its memory elsewhere."""
         self.taken: Copy | None = None
         """The memory from which it goes on."""
+        self.versions = job.copy.versions if job.copy is not None else MemoryVersions()
+        """Of the weights that made its memory."""
+        self.word = VersionWord()
+        """What its engine said of its base model as the run began."""
 
     @property
     def events(self) -> int:
@@ -166,6 +173,35 @@
         job.backup = self._choose_backup(job, replica) if job.copy is None else None
         return Run(job, replica, self._clock())
 
+    def note_asked(self, run: Run, version: int) -> None:
+        """Note the version that a run was sent with, which its engine checks."""
+        key = run.job.req.key
+        if key is None or run.job.copy is not None or not version:
+            return
+        model, adapter = (NOT_TOLD, version) if key.adapter else (version, NOT_TOLD)
+        run.versions = MemoryVersions(model, adapter)
+
+    def note_weights(self, run: Run, word: VersionWord) -> None:
+        """Note what the engine of a run says of its base model as the run begins."""
+        run.word = word
+        if word.unreadable:
+            log.info("version unreadable", replica=run.replica.name, why=word.unreadable)
+        if run.job.used is None:
+            run.versions = run.versions.told(word)
+
+    def note_change(self, run: Run, word: VersionWord) -> None:
+        """Note what an event of a run says of its engine's base model."""
+        if word == VersionWord():
+            return
+        run.versions = run.versions.told(word)
+        log.info(
+            "weights of a run changed",
+            id=run.job.req.id,
+            replica=run.replica.name,
+            memory=run.versions.text,
+            why=word.unreadable,
+        )
+
     def note_event(self, run: Run) -> None:
         """Note that events of a run have come."""
         now = self._clock()
@@ -174,7 +210,7 @@
             run.first_at = now
             self.runs.setdefault(run.replica.name, set()).add(run)
             if job.used is not None:
-                self._note_gone_on(job, job.used, now)
+                self._note_gone_on(run, job.used, now)
         job.event_at = now
         run.is_left = False
 
@@ -317,15 +353,16 @@
             outcome=reply.outcome.value,
             events=reply.events,
             last_event=job.events.last_event,
+            memory=run.versions.text,
             took_s=round(self._clock() - began, 3),
         )
         if not reply.handle:
             return None
         known = self._fleet.state.replicas.get(source.name)
         if reply.outcome is MoveOutcome.COPIED and (known is None or known.leaving):
-            return Copy(CopyKind.MOVED, source.address, reply.handle, target)
+            return Copy(CopyKind.MOVED, source.address, reply.handle, target, run.versions)
         # It answers, and has the weights.
-        return Copy(CopyKind.STOPPED, source.address, reply.handle, source)
+        return Copy(CopyKind.STOPPED, source.address, reply.handle, source, run.versions)
 
     def _stop_target(self, job: Job, source: Replica) -> Replica | None:
         """Return the engine to name where a run is stopped; without room there it stays."""
@@ -341,15 +378,20 @@
     def _record_of(self, service: str) -> BreakRecord:
         return self._records.setdefault(service, BreakRecord())
 
-    def _note_gone_on(self, job: Job, copy: Copy, now: float) -> None:
+    def _note_gone_on(self, run: Run, copy: Copy, now: float) -> None:
+        job = run.job
         pause_s = now - job.event_at
-        self._meters.went_on(copy.kind.value, pause_s)
+        weights = compare(copy.versions, run.word)
+        self._meters.went_on(copy.kind.value, pause_s, weights)
         log.info(
             "run went on",
             id=job.req.id,
             how=copy.kind.value,
             replica=copy.holder.name,
             event=job.events.last_event,
+            memory=copy.versions.text,
+            told=run.word.version,
+            weights=weights,
             pause_s=round(pause_s, 3),
         )
 
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -218,6 +218,7 @@
             route=job.route.name,
             replica=replica.name,
             weights=key.text if key is not None else "",
+            asked=self._version(job),
             waited_s=round(job.placed_s, 3),
             cost=round(self._fleet.cost(replica, now), 2),
             ahead=load.busyness().ahead(job.work.urgency),
@@ -343,6 +344,8 @@
     async def _exchange(self, sending: Exchange) -> Outcome:
         job, replica = sending.job, sending.replica
         attempt = self._attempt(job, replica, sending.work)
+        if sending.run is not None and self._lasting is not None:
+            self._lasting.note_asked(sending.run, attempt.version)
         try:
             sending.conn.send(self._dialect.outgoing(job.req, attempt))
         except ConnectFailed:
@@ -364,6 +367,8 @@
             # Of another replica that has the address by now it says nothing.
             self._hear(replica, head, sent_at)
         if verdict is Verdict.ANSWERED and job.route.streaming:
+            if sending.run is not None and self._lasting is not None:
+                self._lasting.note_weights(sending.run, self._dialect.weights(head))
             return await self._stream(sending, head)
         body = await sending.conn.body(ANSWER_BYTES)
         sending.release(self._pool, head)
@@ -379,14 +384,11 @@
         self._fleet.rests.hear(replica, self._dialect.rest(head))
 
     def _attempt(self, job: Job, replica: Replica, work: Work) -> Attempt:
-        version = 0
-        if job.req.key is not None:
-            version = self._fleet.state.versions.get(job.req.key, 0)
         left_s = job.deadline_at - self._clock()
         return Attempt(
             replica,
             left_s,
-            version,
+            self._version(job),
             work.urgency,
             job.events.last_event,
             job.principal,
@@ -395,6 +397,10 @@
             job.copy,
         )
 
+    def _version(self, job: Job) -> int:
+        """Return the version that a replica's weights must have for a request, 0 for any."""
+        return self._fleet.state.versions.get(job.req.key, 0) if job.req.key is not None else 0
+
     async def _listen(self, sending: Exchange, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
         """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
         health = self._fleet.health(sending.replica.name)
@@ -458,6 +464,7 @@
             replica=replica.name,
             why=verdict.value,
             status=head.status,
+            asked=self._version(job),
         )
         if verdict is Verdict.FAILED:
             job.failure = (head, body)
@@ -487,6 +494,7 @@
                 sending.first_at = self._clock()
             sending.event_at = self._clock()
             if sending.run is not None and self._lasting is not None:
+                self._lasting.note_change(sending.run, self._dialect.event_weights(events))
                 self._lasting.note_event(sending.run)
             if not job.inc.started:
                 job.inc.begin(head.status, end_to_end(head.headers))
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -443,6 +443,7 @@
             id=job.req.id,
             how=job.copy.kind.value,
             replica=job.copy.holder.name,
+            memory=job.copy.versions.text,
             after=outcome.value,
             last_event=job.events.last_event,
             pause_s=round(self._clock() - job.event_at, 3),
--- a/tests/test_platform_runs.py
+++ b/tests/test_platform_runs.py
@@ -9,12 +9,13 @@
 from gradelug_coordination import KvEntry
 from gradelug_gateway.model import Attempt, Copy, CopyKind, Replica, Request
 from gradelug_gateway.moves import MoveOutcome
-from gradelug_http import HttpPool
+from gradelug_http import HttpPool, ResponseHead
 from gradelug_platform.dialect import PlatformDialect
 from gradelug_platform.entries import PlatformEntries
 from gradelug_platform.names import SET_BY_US
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.left_runs import EngineWord
+from gradelug_policy.run_versions import VersionWord
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from run_world import close
@@ -189,3 +190,41 @@
         spec = self.read()
         assert not spec.moves
         assert not spec.backups
+
+
+def head(*values):
+    headers = [(b"X-Gradelug-Weight-Versions", value) for value in values]
+    return ResponseHead(200, tuple(headers))
+
+
+class TestWeights:
+    @pytest.mark.parametrize(
+        ("values", "version"),
+        [
+            ((b"3",), 3),
+            ((b" 3 ", b"3"), 3),
+            ((), 0),
+            ((b"3", b"4"), 0),
+            ((b"new",), 0),
+            ((b"0",), 0),
+        ],
+    )
+    def test_an_answer_tells_the_version_of_the_base_model(self, values, version):
+        assert PlatformDialect().weights(head(*values)).version == version
+
+    def test_what_cannot_be_read_is_told(self):
+        assert PlatformDialect().weights(head(b"new")).unreadable == "'new'"
+        assert "3" in PlatformDialect().weights(head(b"3", b"4")).unreadable
+
+    def test_the_first_line_of_an_event_tells_a_change(self):
+        told = b"x-gradelug-weight-versions: 4\nid: 7\ndata: a\n\n"
+        tell = PlatformDialect().event_weights
+        assert tell(told).version == 4
+        assert tell(b"id: 6\ndata: a\n\n" + told).version == 4
+        assert tell(told + told.replace(b" 4", b" 2")).version == 2
+        assert tell(told.replace(b" 4", b" x")).unreadable
+
+    def test_an_event_that_only_contains_the_name_tells_nothing(self):
+        tell = PlatformDialect().event_weights
+        assert tell(b"id: 6\ndata: x-gradelug-weight-versions: 4\n\n") == VersionWord()
+        assert tell(b"id: 6\ndata: a\nx-gradelug-weight-versions: 4\n\n") == VersionWord()
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -84,3 +84,11 @@
         with pytest.raises(CommandError, match="q9"):
             Commands().why("q1", str(path), beside="q9")
         assert "q1: refused" in capsys.readouterr().out
+
+    def test_it_tells_under_which_weights_a_run_went_on(self):
+        logs = [
+            line(f"{DAY}01", "i", "placed", id="q", replica="e", asked=2),
+            line(f"{DAY}02", "i", "run went on", id="q", replica="f", memory="2/?", told=3),
+        ]
+        found = judge("q", logs)
+        assert [found.value(name) for name in ("asked", "memory", "told")] == ["2", "2/?", "3"]
