A failing test: runs go on under other weights than their memory's

Change: engines in memory hold versions of a base model and of adapters, name the base model's in answers, check the adapter's when asked, unload when no run uses the weights, and keep a stopped run's memory through that; a version can be named meanwhile.

--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -8,11 +8,14 @@
 from gradelug_gateway.model import AdapterKey
 from gradelug_http import ServerLimits
 
+MODEL = AdapterKey("m")
 KEY = AdapterKey("m", "a1")
 EVENTS = 40
 EVENT_S = 0.05
 BACKUP_S = 0.2
 COPY_S = 0.02
+LOAD_S = 0.3
+MODEL_S = 0.6
 REPORT_AGE_S = 0.3
 """A report shows what was so long ago."""
 TICK_S = 0.05
@@ -25,6 +28,9 @@
     ident: str
     line: str
     made: int
+    key: AdapterKey = KEY
+    versions: tuple = (1, 1)
+    """Of the model and the adapter under which its memory was made."""
     pause_s: float = 0.0
     """It is preempted for so long."""
     waits: bool = False
@@ -63,7 +69,12 @@
 
     def __init__(self, world, name, address):
         self.world, self.name, self.address = world, name, address
-        self.holds = {KEY}
+        self.holds = {KEY: 1}
+        """Adapters, by version."""
+        self.base = 1
+        """Version of its base model, 0 while it has none."""
+        self.ordered = None
+        """What an order under way is for: the model or an adapter."""
         self.runs = {}
         self.kept = {}
         """Memory of runs that are not at work, by what asks for it."""
@@ -127,6 +138,59 @@
         self.world.enter(self, leaving=True)
         asyncio.get_running_loop().call_later(remaining_s, self.end)
 
+    async def load(self, key):
+        """Load the newest version of weights, and of their model if that is not there."""
+        while self.ordered is not None:
+            await asyncio.sleep(TICK_S)
+        if self.version(key):
+            await self.unload(key)
+        if not self.base:
+            await self._bring(MODEL)
+        if not self.version(key):
+            await self._bring(key)
+
+    async def unload(self, key):
+        """Unload weights when no run uses them; a model's adapters go with it."""
+        self.ordered = key
+        while any(key in (MODEL, work.key) for work in (*self.runs.values(), *self.waiting)):
+            await asyncio.sleep(TICK_S / 10)
+        if key == MODEL:
+            self.base = 0
+            self.holds.clear()
+        else:
+            del self.holds[key]
+        self.ordered = None
+        self.world.enter(self)
+
+    async def _bring(self, key):
+        self.ordered = key
+        await asyncio.sleep(LOAD_S if key.adapter else MODEL_S)
+        self.ordered = None
+        if key == MODEL:
+            self.base = self.world.newest(key)
+        else:
+            self.holds[key] = self.world.newest(key)
+        if not self.dead:
+            self.world.enter(self)
+
+    def lacks(self, key):
+        """Tell whether the newest version of weights is not there."""
+        return not self.base or self.version(key) < self.world.newest(key)
+
+    def version(self, key):
+        """Return the version of weights that it holds, 0 for none."""
+        return self.base if key == MODEL else self.holds.get(key, 0)
+
+    def start(self, work):
+        """Do something beside, until it is lost."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def versions(self, key):
+        """Return the versions of the model and of an adapter that it holds."""
+        return self.base, self.version(key)
+
     def end(self):
         if not self.dead:
             self.crash()
@@ -157,7 +221,14 @@
             inc.respond(200, [], b"")
         else:
             queued, runs = self.past[0] if self.past else (0, [])
-            report = {"Queued": queued, "Active": len(runs), "Runs": runs}
+            adapters = [f"{key.adapter}@{version}" for key, version in self.holds.items()]
+            model = {"Name": MODEL.model, "Version": self.base, "Adapters": adapters}
+            report = {
+                "Queued": queued,
+                "Active": len(runs),
+                "Runs": runs,
+                "Models": [model] if self.base else [],
+            }
             if self.ends_at is not None:
                 report["RemainingMs"] = round((self.ends_at - self.world.clock()) * 1000)
             inc.respond(200, [], json.dumps(report).encode())
@@ -174,7 +245,7 @@
         if asked["Last"]:
             work.stop.set()
             self.runs.pop(work.ident, None)
-            self.kept[f"{self.address}/{handle}"] = (work.ident, work.line)
+            self.kept[f"{self.address}/{handle}"] = (work.ident, work.line, work.versions)
         if target is None or target.dead or not target.room:
             self._answer(inc, "move", 503, answer if asked["Last"] else {})
             return
@@ -186,7 +257,7 @@
         if target.dead:
             self._answer(inc, "move", 503, answer if asked["Last"] else {})
             return
-        target.kept[f"{self.address}/{handle}"] = (work.ident, work.line)
+        target.kept[f"{self.address}/{handle}"] = (work.ident, work.line, work.versions)
         self._answer(inc, "move", 200, answer)
 
     def _answer(self, inc, what, status, body):
@@ -204,17 +275,27 @@
         if inc.header(b"x-gradelug-expect-instance") != self.name.encode():
             inc.respond(421, [*own, (b"X-Gradelug-Instance-Id", self.name.encode())], b"")
             return
-        if KEY not in self.holds:
+        model, _, adapter = inc.header(b"x-gradelug-model").decode().partition("/")
+        key = AdapterKey(model, adapter)
+        if self.ordered is not None and self.ordered in (MODEL, key):
+            ledger.asked.append((self.name, "run", 503))
+            inc.respond(503, not_run, b"")
+            return
+        asked = int(inc.header(b"x-gradelug-expect-version") or 0)
+        if not self.version(key) or asked not in (0, self.version(key)):
             ledger.asked.append((self.name, "run", 421))
             inc.respond(421, own, b"")
             return
+        versions = self.versions(key)
         if path:
             found = self.kept.pop(path, None)
             if found is None:
                 ledger.asked.append((self.name, "from", 503))
                 inc.respond(503, not_run, b"")
                 return
-            kept_ident, line = found
+            kept_ident, line, made_under = found
+            if made_under != versions:
+                ledger.wrong.append(f"{ident}: memory of {made_under} goes on under {versions}")
             if inc.header(b"last-event-id") is None:
                 ledger.wrong.append(f"{ident} does not say after which event it goes on")
             if kept_ident != ident:
@@ -224,11 +305,12 @@
             count = ledger.fresh[ident] = ledger.fresh.get(ident, 0) + 1
             line = f"{ident}.{count}"
             ledger.asked.append((self.name, "run", 200))
-        work = Work(ident, line, after)
+        work = Work(ident, line, after, key, versions)
         self.runs[ident] = work
         if path or after:
             self.world.check_alone_later(self, ident)
-        inc.begin(200, [*own, (b"X-Gradelug-Server-Signature", self.name.encode())])
+        told = (b"X-Gradelug-Weight-Versions", b"%d" % versions[0])
+        inc.begin(200, [*own, told, (b"X-Gradelug-Server-Signature", self.name.encode())])
         self._streaming.add(inc._conn)
         try:
             await self._work(work, backup, inc.send)
@@ -291,7 +373,7 @@
     def _copy(self, work, backup):
         target = self.world.by_address(backup)
         if target is not None and not target.dead and target.room:
-            target.kept[f"{self.address}/{work.ident}"] = (work.ident, work.line)
+            target.kept[f"{self.address}/{work.ident}"] = (work.ident, work.line, work.versions)
 
 
 async def _nowhere(data):
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -33,10 +33,9 @@
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.lasting_runs import CopyTerms
 from gradelug_policy.quotas import LocalShares
-from run_engines import TICK_S, Ledger, RunEngine
+from run_engines import LOAD_S, MODEL, TICK_S, Ledger, RunEngine
 from world import new_loop
 
-LOAD_S = 0.3
 DRAIN_S = 3.0
 AT_WORK_S = 0.4
 """Two engines must not be at work on a run this long after it went on elsewhere."""
@@ -52,12 +51,12 @@
         self._world = world
 
     async def place(self, service, key, *, wish, excluded, only, absent, known=None):
-        await asyncio.sleep(LOAD_S)
         for rep in self._fleet.usable(service):
             if rep.name not in excluded and (only is None or rep.name in only):
-                self._world.engines[rep.name].holds.add(key)
-                self._world.enter(self._world.engines[rep.name])
+                engine = self._world.engines[rep.name]
+                await (engine.load(key) if engine.lacks(key) else asyncio.sleep(LOAD_S))
                 return rep
+        await asyncio.sleep(LOAD_S)
         raise Refused("no engine can be used", 0.5)
 
 
@@ -147,12 +146,23 @@
         """Enter an engine as it says of itself."""
         known = self.state.replicas.get(engine.name)
         leaving = leaving or (known is not None and known.leaving)
-        held = tuple(Holding(key, 1) for key in engine.holds)
+        base = {MODEL: engine.base} if engine.base else {}
+        held = tuple(Holding(*item) for item in (base | engine.holds).items())
         self.state.replicas[engine.name] = Replica(
             engine.name, "llm", engine.address, "hall", leaving, holdings=held
         )
         self.state.change += 1
 
+    def newest(self, key):
+        return self.state.versions.get(key, 1)
+
+    def name_version(self, key, version):
+        """Name a version of weights, and order all engines with an older one to unload that."""
+        self.state.versions[key] = version
+        for engine in self.engines.values():
+            if engine.lacks(key) and engine.version(key) and not engine.dead:
+                engine.start(engine.unload(key))
+
     def leave(self, engine):
         if self.state.replicas.pop(engine.name, None) is not None:
             self.state.change += 1
@@ -175,15 +185,15 @@
 
         asyncio.get_running_loop().call_later(AT_WORK_S, check)
 
-    def ask(self, ident, deadline_ms=15_000, most=100):
+    def ask(self, ident, deadline_ms=15_000, most=100, model="m/a1"):
         """Send a request and return its client."""
         client = RawClient()
         join(client, self.server.new_connection())
         client.transport.write(
             b"POST /p HTTP/1.1\r\nHost: h\r\nX-Gradelug-Request-Id: %b\r\n"
-            b"X-Gradelug-Deadline-Ms: %d\r\nX-Gradelug-Model: m/a1\r\n"
+            b"X-Gradelug-Deadline-Ms: %d\r\nX-Gradelug-Model: %b\r\n"
             b"X-Gradelug-Token-Usage: 100,%d\r\nContent-Length: 0\r\n\r\n"
-            % (ident.encode(), deadline_ms, most)
+            % (ident.encode(), deadline_ms, model.encode(), most)
         )
         return client
 
