--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -239,7 +239,7 @@
         """Return an engine on which a run can go on at once."""
         job = run.job
         key = job.req.key
-        target = self._lasting.target(job, run.replica, ANY_ROOM)
+        target = self._lasting.targets.choose(job, run.replica, ANY_ROOM)
         if key is None or target is None:
             return target
         service = job.service.name
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -13,21 +13,20 @@
     ROOM_PART,
     BreakRecord,
     Broken,
-    CopyTarget,
     Pace,
     Way,
-    choose_target,
     choose_way,
     wants_copy,
 )
 from gradelug_policy.left_runs import ASK_S, may_wait
 from gradelug_policy.run_versions import NOT_TOLD, MemoryVersions, VersionWord, compare
 
-from .fleet import CHOICES, Fleet
+from .copy_targets import CopyTargets
+from .fleet import Fleet
 from .job import Job
 from .left_runs import LeftRun, LeftRuns
 from .metrics import Meters
-from .model import Copy, CopyKind, EngineSpec, Repeat, Replica
+from .model import Copy, CopyKind, Repeat, Replica
 from .moves import MoveOutcome
 from .ports import RunTransport
 
@@ -136,9 +135,9 @@
         "_meters",
         "_paces",
         "_records",
-        "_rng",
         "_transport",
         "runs",
+        "targets",
     )
 
     def __init__(
@@ -150,7 +149,6 @@
         has_retry: t.Callable[[str], bool],
         rng: random.Random,
     ) -> None:
-        self._rng = rng
         self._fleet = fleet
         self._transport = transport
         self._meters = meters
@@ -159,6 +157,8 @@
         self._left = LeftRuns(transport, meters, clock)
         self._records: dict[str, BreakRecord] = {}
         self._paces: dict[str, Pace] = {}
+        self.targets = CopyTargets(fleet, self.pace, clock, rng)
+        """Chooses engines for the memory of runs."""
         self.runs: dict[str, set[Run]] = {}
         """Those with events, by replica."""
 
@@ -366,7 +366,9 @@
 
     def _stop_target(self, job: Job, source: Replica) -> Replica | None:
         """Return the engine to name where a run is stopped; without room there it stays."""
-        return self.target(job, source, ANY_ROOM) or self.target(job, source, math.inf)
+        return self.targets.choose(job, source, ANY_ROOM) or self.targets.choose(
+            job, source, math.inf
+        )
 
     def _record(self, run: Run, broken: bool) -> None:
         now = self._clock()
@@ -403,40 +405,7 @@
         left_s = job.req.most_tokens * self.pace(replica.service).token_s
         if not wants_copy(self._record_of(replica.service).risk(replica.name, left_s, now), left_s):
             return None
-        target = self.target(job, replica, ROOM_PART)
+        target = self.targets.choose(job, replica, ROOM_PART)
         if target is None:
             return None
         return Copy(CopyKind.BACKUP, replica.address, job.req.id, target)
-
-    def target(self, job: Job, source: Replica, most_used: float) -> Replica | None:
-        """Return an engine to which a run's memory can be sent; None if none has room."""
-        spec = job.service.engine
-        if spec is None:
-            return None
-        service, key = source.service, job.req.key
-        holders = self._fleet.holders(service, key) if key is not None else []
-        usable = self._fleet.usable(service)
-        if len(usable) > CHOICES:
-            usable = self._rng.sample(usable, CHOICES)
-        held = {rep.name for rep in holders}
-        now = self._clock()
-        targets = [
-            CopyTarget(
-                rep.name, self._used(rep, job, spec), rep.name in held, rep.hall == source.hall
-            )
-            for rep in (*holders, *usable)
-            if rep.name != source.name and self._fleet.health(rep.name).circuit.allows(now)
-            # There the run would wait for room before it goes on.
-            and self._fleet.limits.rate(rep.name) is None and not self._fleet.rests.left_s(rep)
-        ]
-        name = choose_target(targets, most_used)
-        return self._fleet.state.replicas[name] if name is not None else None
-
-    def _used(self, rep: Replica, job: Job, spec: EngineSpec) -> float:
-        """Return the part of an engine's memory in use with a copy of a run in it."""
-        if not spec.kv_tokens:
-            return math.inf
-        load = self._fleet.load(rep.name)
-        runs = load.starting + load.running + load.others.starting + load.others.running
-        copy = job.work.prompt_tokens + job.req.most_tokens
-        return (runs * self.pace(rep.service).mean_tokens + copy) / spec.kv_tokens
