Tests run in eight processes

Cause: each landing waits twice for make test, 669 to 705 s at the last. Tests of whole processes share one worker, since ports are chosen before they are bound.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 EXAMPLE ?= tenger
+# Processes that share the tests; 0 runs them all in one.
+WORKERS ?= 8
 PACKAGES := $(wildcard packages/*)
 
 .PHONY: demo up test bench capacity lint format lock proto clean
@@ -13,7 +15,7 @@
 	$(BIN)/python tools/up.py $(EXAMPLE)
 
 test: $(VENV)/ready
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadgroup
 
 # One JSON object a line on standard output, the comparison on standard error.
 bench: $(VENV)/ready
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,6 +11,9 @@
 from cluster import Cluster, example, scratch
 from gradelug_standins.layout import lay_out
 
+# Ports are chosen before the processes bind them, so two of these tests could choose the same.
+pytestmark = pytest.mark.xdist_group("processes")
+
 MODEL = "valuation-bayanzurkh@7"
 TAX = "tax-inspectorate"
 
