A run goes on under the weights that made its memory, or not from it

Cause: nothing that a run's memory was made under was kept with it. Each sending asked for the newest version in force, also one that goes on from memory; the engine, which had the memory's, answered 421, and the instance had the newest loaded there and went on. A request for an adapter names the adapter's version alone, so the base model below it could be replaced unnoticed. Change: memory carries the versions that made it (Copy.versions: the adapter's that its request asked for, the base model's that the engine named). A sending from memory asks for its version; one that begins asks for the newest that is named or known to be there, so that its run's version is certain. The base model of the engine that keeps memory is asked for right before each sending, but for a run that was just stopped there. Weights are loaded for memory only if the newest are its own; else the next way: the engine that received the memory as the run was stopped, the copy, a resumption without memory, an end. Memory that nothing uses is freed. Copies and moves go to engines with the run's weights. A run whose engine names another base model than its memory's is not passed on. Why it works: the request itself is rejected under another adapter or base model; below an adapter the engine's report, some hundred ms old, is younger than any base model that could have come since, which takes longer to load.

--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -195,12 +195,7 @@
     def reported(self, service: str, key: AdapterKey) -> list[Replica]:
         """Return the replicas of a service that say themselves that weights can be used there."""
         newest, known = self.state.versions.get(key, 0), self.state.replicas
-        if self._reported_change != self.state.change:
-            self._reported_change = self.state.change
-            self._reported = {}
-            for rep in known.values():
-                for holding in rep.holdings:
-                    self._reported.setdefault(holding.key, []).append(rep.name)
+        self._note_reported()
         return [
             known[name]
             for name in self._reported.get(key, ())
@@ -210,6 +205,15 @@
             and _told_version(known[name].holdings, key) >= newest
         ]
 
+    def _note_reported(self) -> None:
+        if self._reported_change == self.state.change:
+            return
+        self._reported_change = self.state.change
+        self._reported = {}
+        for rep in self.state.replicas.values():
+            for holding in rep.holdings:
+                self._reported.setdefault(holding.key, []).append(rep.name)
+
     def is_closed(self, replica: Replica) -> bool:
         """Tell whether nothing may be sent to a replica now: it leaves or rests."""
         return self.state.is_leaving(replica) or self.rests.left_s(replica) > 0
@@ -291,6 +295,27 @@
                 found.append(rep)
         return found
 
+    def told_version(self, replica: str, key: AdapterKey) -> int | None:
+        """Return the version of weights on a replica, as planners or itself told; None if none."""
+        known = self.state.replicas.get(replica)
+        own = _told_version(known.holdings, key) if known is not None else NOT_HELD
+        version = max(own, self._directory.get(replica, {}).get(key, NOT_HELD))
+        return None if version == NOT_HELD else version
+
+    def holders_at(self, service: str, key: AdapterKey, version: int) -> list[Replica]:
+        """Return the replicas of a service that hold weights at a certain version, as last told."""
+        self._note_reported()
+        names = dict.fromkeys((*self._by_key.get(key, ()), *self._reported.get(key, ())))
+        known = self.state.replicas
+        return [
+            known[name]
+            for name in names
+            if name in known
+            and known[name].service == service
+            and not known[name].leaving
+            and self.told_version(name, key) == version
+        ]
+
     def choose(
         self,
         replicas: t.Iterable[Replica],
--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -179,6 +179,8 @@
             target = await self._find(run)
             if target is None:
                 return
+            if not await self._lasting.weights.is_kept(run.job, _copy(run, target)):
+                return
             copied = ""
             left_s = self._ends_at.get(run.replica.name, math.inf) - self._clock()
             if left_s > HURRY_S or run.was_refused:
@@ -203,9 +205,7 @@
         try:
             reply = await self._ask(run, target, last=True)
             if reply.outcome is MoveOutcome.COPIED and reply.handle:
-                found = Copy(
-                    CopyKind.MOVED, run.replica.address, reply.handle, target, run.versions
-                )
+                found = _copy(run, target, reply.handle)
         finally:
             run.handover.set_result(found)
         if found is not None and not self._is_on(run) and run.taken is not found:
@@ -239,11 +239,12 @@
         """Return an engine on which a run can go on at once."""
         job = run.job
         key = job.req.key
-        target = self._lasting.targets.choose(job, run.replica, ANY_ROOM)
+        weights, versions = self._lasting.weights, run.versions
+        target = self._lasting.targets.choose(job, run.replica, versions, ANY_ROOM)
         if key is None or target is None:
             return target
         service = job.service.name
-        if any(rep.name == target.name for rep in self._fleet.holders(service, key)):
+        if weights.holds(target, versions, key):
             return target
         try:
             return await self._directory.place(
@@ -262,6 +263,10 @@
         return run in self._lasting.runs.get(run.replica.name, ())
 
 
+def _copy(run: Run, target: Replica, handle: str = "") -> Copy:
+    return Copy(CopyKind.MOVED, run.replica.address, handle, target, run.versions)
+
+
 def _can_move(run: Run) -> bool:
     spec = run.job.service.engine
     return spec is not None and spec.moves and run.handover is None
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -13,6 +13,7 @@
 from .model import (
     Attempt,
     EngineReport,
+    Holding,
     Order,
     OrderOutcome,
     Replica,
@@ -59,6 +60,10 @@
         """Return what an engine says of the requests that it has; None if that is not told."""
         ...
 
+    async def holdings(self, replica: Replica) -> tuple[Holding, ...] | None:
+        """Return the weights that an engine holds; None if that is not told."""
+        ...
+
     async def free(self, replica: Replica, handle: str) -> None:
         """Have memory that is kept under a handle given up."""
         ...
--- a/packages/gateway/src/gradelug_gateway/requests.py
+++ b/packages/gateway/src/gradelug_gateway/requests.py
@@ -124,6 +124,10 @@
         Where it is.
     versions : MemoryVersions
         Of the weights that made it.
+    kept_at : float
+        When its holder surely held these weights, by the runtime's clock.
+    elsewhere : Replica or None
+        Another engine that has the same memory.
     """
 
     kind: CopyKind
@@ -131,6 +135,8 @@
     ident: str
     holder: Replica
     versions: MemoryVersions = MemoryVersions()
+    kept_at: float = -math.inf
+    elsewhere: Replica | None = None
 
 
 class Verdict(Enum):
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -6,8 +6,10 @@
 import math
 import random
 import typing as t
+from dataclasses import replace
 
 import logbook
+from gradelug_http import ResponseBroken
 from gradelug_policy.lasting_runs import (
     ANY_ROOM,
     ROOM_PART,
@@ -29,6 +31,7 @@
 from .model import Copy, CopyKind, Repeat, Replica
 from .moves import MoveOutcome
 from .ports import RunTransport
+from .run_weights import RunWeights
 
 log = logbook.Logger("runs")
 COPY_AGE_S = 0.5
@@ -62,6 +65,7 @@
         "stopped",
         "taken",
         "versions",
+        "was_mixed",
         "was_refused",
         "word",
     )
@@ -85,6 +89,8 @@
         """Whether its engine has it no more, for certain."""
         self.was_refused = False
         """Whether its engine could not send its memory elsewhere."""
+        self.was_mixed = False
+        """Whether it went on under other weights than those of its memory."""
         self.taken: Copy | None = None
         """The memory from which it goes on."""
         self.versions = job.copy.versions if job.copy is not None else MemoryVersions()
@@ -138,6 +144,7 @@
         "_transport",
         "runs",
         "targets",
+        "weights",
     )
 
     def __init__(
@@ -157,7 +164,9 @@
         self._left = LeftRuns(transport, meters, clock)
         self._records: dict[str, BreakRecord] = {}
         self._paces: dict[str, Pace] = {}
-        self.targets = CopyTargets(fleet, self.pace, clock, rng)
+        self.weights = RunWeights(fleet, transport, clock)
+        """Tells which engines have the weights of a run's memory."""
+        self.targets = CopyTargets(fleet, self.weights, self.pace, clock, rng)
         """Chooses engines for the memory of runs."""
         self.runs: dict[str, set[Run]] = {}
         """Those with events, by replica."""
@@ -179,21 +188,34 @@
         if key is None or run.job.copy is not None or not version:
             return
         model, adapter = (NOT_TOLD, version) if key.adapter else (version, NOT_TOLD)
-        run.versions = MemoryVersions(model, adapter)
+        self._set_versions(run, MemoryVersions(model, adapter))
 
     def note_weights(self, run: Run, word: VersionWord) -> None:
-        """Note what the engine of a run says of its base model as the run begins."""
+        """Note what the engine of a run says of its base model as the run begins.
+
+        Raises
+        ------
+        ResponseBroken
+            If the run goes on under other weights than those of its memory.
+        """
         run.word = word
         if word.unreadable:
             log.info("version unreadable", replica=run.replica.name, why=word.unreadable)
-        if run.job.used is None:
-            run.versions = run.versions.told(word)
+        used = run.job.used
+        if used is None:
+            self._set_versions(run, run.versions.told(word))
+        elif compare(used.versions, word) == "other":
+            run.was_mixed = True
+            self._meters.went_on(used.kind.value, self._clock() - run.job.event_at, "other")
+            raise ResponseBroken(
+                f"the engine has base model {word.version}, the memory is of {used.versions.text}"
+            )
 
     def note_change(self, run: Run, word: VersionWord) -> None:
         """Note what an event of a run says of its engine's base model."""
         if word == VersionWord():
             return
-        run.versions = run.versions.told(word)
+        self._set_versions(run, run.versions.told(word))
         log.info(
             "weights of a run changed",
             id=run.job.req.id,
@@ -202,6 +224,11 @@
             why=word.unreadable,
         )
 
+    def _set_versions(self, run: Run, versions: MemoryVersions) -> None:
+        run.versions = versions
+        if run.job.backup is not None:
+            run.job.backup = replace(run.job.backup, versions=versions)
+
     def note_event(self, run: Run) -> None:
         """Note that events of a run have come."""
         now = self._clock()
@@ -247,6 +274,10 @@
     async def recover(self, run: Run) -> None:
         """Find the memory from which a run whose stream broke can go on."""
         job = run.job
+        if run.was_mixed:
+            job.copy = job.backup = None
+            self._watch(run)
+            return
         if run.handover is not None:
             # Its engine was asked to stop it.
             job.copy = await asyncio.shield(run.handover)
@@ -315,7 +346,7 @@
             return
         if spec is None or not spec.moves:
             return
-        target = self._stop_target(job, run.replica)
+        target = self._stop_target(run)
         if target is not None:
             self._left.watch(LeftRun(job, run.replica, target, self._clock()))
 
@@ -337,7 +368,7 @@
     async def _stop(self, run: Run) -> Copy | None:
         """Stop a run where its engine is still at work, and return the memory that it keeps."""
         job, source = run.job, run.replica
-        target = self._stop_target(job, source)
+        target = self._stop_target(run)
         if target is None:
             return None
         began = self._clock()
@@ -361,13 +392,19 @@
         known = self._fleet.state.replicas.get(source.name)
         if reply.outcome is MoveOutcome.COPIED and (known is None or known.leaving):
             return Copy(CopyKind.MOVED, source.address, reply.handle, target, run.versions)
-        # It answers, and has the weights.
-        return Copy(CopyKind.STOPPED, source.address, reply.handle, source, run.versions)
+        # The engine held the weights until it stopped the run; an order may replace them now.
+        elsewhere = target if reply.outcome is MoveOutcome.COPIED else None
+        return Copy(
+            CopyKind.STOPPED, source.address, reply.handle, source, run.versions, began, elsewhere
+        )
 
-    def _stop_target(self, job: Job, source: Replica) -> Replica | None:
+    def _stop_target(self, run: Run) -> Replica | None:
         """Return the engine to name where a run is stopped; without room there it stays."""
-        return self.targets.choose(job, source, ANY_ROOM) or self.targets.choose(
-            job, source, math.inf
+        job, source, choose = run.job, run.replica, self.targets.choose
+        return (
+            choose(job, source, run.versions, ANY_ROOM)
+            or choose(job, source, run.versions, math.inf)
+            or next((rep for rep in self._fleet.usable(source.service) if rep != source), None)
         )
 
     def _record(self, run: Run, broken: bool) -> None:
@@ -405,7 +442,8 @@
         left_s = job.req.most_tokens * self.pace(replica.service).token_s
         if not wants_copy(self._record_of(replica.service).risk(replica.name, left_s, now), left_s):
             return None
-        target = self.targets.choose(job, replica, ROOM_PART)
+        versions = self.weights.held(replica, job.req.key)
+        target = self.targets.choose(job, replica, versions, ROOM_PART)
         if target is None:
             return None
-        return Copy(CopyKind.BACKUP, replica.address, job.req.id, target)
+        return Copy(CopyKind.BACKUP, replica.address, job.req.id, target, versions)
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -31,6 +31,7 @@
 from .poison import PoisonGuard
 from .ports import Dialect
 from .replica_ends import EndWatch
+from .run_weights import asked_version
 from .runs import LastingRuns
 
 log = logbook.Logger("sending")
@@ -185,8 +186,10 @@
                 retry_s=round(denial.retry_s, 3),
             )
             return Outcome.LIMITED
-        now = self._clock()
         job.used = job.copy
+        if not await self._has_weights(job):
+            return Outcome.NOT_RUN
+        now = self._clock()
         health = self._fleet.health(replica.name)
         health.circuit.note_start(now)
         try:
@@ -218,7 +221,7 @@
             route=job.route.name,
             replica=replica.name,
             weights=key.text if key is not None else "",
-            asked=self._version(job),
+            asked=asked_version(self._fleet, job, replica),
             waited_s=round(job.placed_s, 3),
             cost=round(self._fleet.cost(replica, now), 2),
             ahead=load.busyness().ahead(job.work.urgency),
@@ -285,6 +288,15 @@
             self._guard.note_served(job.fingerprint)
         return outcome
 
+    async def _has_weights(self, job: Job) -> bool:
+        """Tell whether the memory that a request goes on from, if any, is of its engine's weights.
+
+        Asked right before sending, since the engine may have replaced them at any moment.
+        """
+        if job.copy is None or self._lasting is None:
+            return True
+        return await self._lasting.weights.is_kept(job, job.copy)
+
     def _closed(self, job: Job, replica: Replica) -> Outcome | None:
         """Return how a sending ends that must not be made now, None if it may be made."""
         if self._fleet.state.is_leaving(replica):
@@ -388,7 +400,7 @@
         return Attempt(
             replica,
             left_s,
-            self._version(job),
+            asked_version(self._fleet, job, replica),
             work.urgency,
             job.events.last_event,
             job.principal,
@@ -397,10 +409,6 @@
             job.copy,
         )
 
-    def _version(self, job: Job) -> int:
-        """Return the version that a replica's weights must have for a request, 0 for any."""
-        return self._fleet.state.versions.get(job.req.key, 0) if job.req.key is not None else 0
-
     async def _listen(self, sending: Exchange, coming: t.Coroutine[t.Any, t.Any, T]) -> T:
         """Return what comes from a replica next; raises `ResponseBroken` if it stays silent."""
         health = self._fleet.health(sending.replica.name)
@@ -464,7 +472,7 @@
             replica=replica.name,
             why=verdict.value,
             status=head.status,
-            asked=self._version(job),
+            asked=asked_version(self._fleet, job, replica),
         )
         if verdict is Verdict.FAILED:
             job.failure = (head, body)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -6,6 +6,7 @@
 import math
 import random
 import typing as t
+from dataclasses import replace
 
 import logbook
 from gradelug_http import ClientGone, Incoming
@@ -331,7 +332,7 @@
                 if job.copy is None:
                     raise
                 log.info("run cannot go on", id=job.req.id, why=str(exc))
-                job.copy, job.backup = job.backup, None
+                self._drop_copy(job, job.copy)
                 if job.copy is None and not job.may_repeat():
                     raise
 
@@ -343,11 +344,14 @@
             raise Refused("the engine that keeps its memory rests", rest_s)
         if rest_s:
             await asyncio.sleep(rest_s)
-        holds = copy.kind is CopyKind.STOPPED or any(
-            rep.name == holder.name for rep in self._fleet.holders(job.service.name, key)
+        weights = self._lasting.weights if self._lasting is not None else None
+        holds = copy.kind is CopyKind.STOPPED or (
+            weights is not None and weights.holds(holder, copy.versions, key)
         )
         if holds and job.absent != holder.name:
             return holder
+        if weights is None or not weights.can_load(copy, key):
+            raise Refused("other weights would be loaded than those of its memory", RETRY_AFTER_S)
         return await self._directory.place(
             job.service.name,
             key,
@@ -390,7 +394,7 @@
         job.excluded.add(replica.name)
         job.sends += 1
         if job.copy is not None:
-            job.copy, job.backup = job.backup, None
+            self._drop_copy(job, job.copy)
             if job.copy is None and not job.may_repeat():
                 raise Failed("where its memory is, no more requests are taken")
             return
@@ -427,9 +431,11 @@
         if self._lasting is None or not self._lasting.is_lasting(job) or outcome is Outcome.RAN:
             return False
         is_tried = job.copy is not None and job.copy is job.used
-        if is_tried and outcome is not Outcome.ABSENT:
-            # It serves once; where it is not, or nobody answers, there is no other way to it.
+        if is_tried and job.copy is not None and outcome is Outcome.UNKNOWN:
+            # It serves once.
             job.copy = None
+        elif is_tried and job.copy is not None and not self._may_have_loaded(job, outcome):
+            self._drop_copy(job, job.copy)
         if job.copy is None and (outcome is Outcome.UNKNOWN or is_tried):
             job.copy, job.backup = job.backup, None
         if job.copy is None or job.sends >= MAX_SENDS:
@@ -450,6 +456,21 @@
         )
         return True
 
+    def _may_have_loaded(self, job: Job, outcome: Outcome) -> bool:
+        """Tell whether a load at the engine that keeps a run's memory lets it go on there."""
+        if outcome is not Outcome.ABSENT or job.copy is None or self._lasting is None:
+            return False
+        return self._lasting.weights.can_load(job.copy, job.req.key)
+
+    def _drop_copy(self, job: Job, copy: Copy) -> None:
+        """Go on from the next memory of a run, if there is any: from this one it cannot."""
+        if copy.elsewhere is not None:
+            job.copy = replace(copy, kind=CopyKind.MOVED, holder=copy.elsewhere, elsewhere=None)
+            return
+        if self._lasting is not None:
+            self._lasting.weights.give_up(copy)
+        job.copy, job.backup = job.backup, None
+
     async def _consider_again(self, job: Job, replica: Replica, outcome: Outcome) -> None:
         if outcome is Outcome.NOT_SENT:
             job.excluded.add(replica.name)
--- a/packages/policy/src/gradelug_policy/run_versions.py
+++ b/packages/policy/src/gradelug_policy/run_versions.py
@@ -54,6 +54,41 @@
         return replace(self, model=word.version) if word.version else self
 
 
+def is_loadable(memory: MemoryVersions, newest: MemoryVersions) -> bool:
+    """Tell whether loading weights now can bring those of a memory: engines load the newest.
+
+    Parameters
+    ----------
+    memory : MemoryVersions
+        Of the weights that made it.
+    newest : MemoryVersions
+        The newest that were named, `NOT_TOLD` where none was.
+    """
+    return _is_newest(memory.model, newest.model) and _is_newest(memory.adapter, newest.adapter)
+
+
+def _is_newest(version: int, newest: int) -> bool:
+    # A version that is not known is the newest only as long as none was named.
+    return newest == NOT_TOLD if version == NOT_TOLD else newest <= version
+
+
+def is_same(version: int, held: int, newest: int) -> bool:
+    """Tell whether weights in an engine are those of a memory.
+
+    Parameters
+    ----------
+    version : int
+        Of the weights that made the memory.
+    held : int
+        What the engine says that it holds, `NOT_TOLD` if it names no version.
+    newest : int
+        The newest that was named, `NOT_TOLD` if none was.
+    """
+    if version == NOT_TOLD or held == NOT_TOLD:
+        return newest == NOT_TOLD
+    return version == held
+
+
 def compare(memory: MemoryVersions, word: VersionWord) -> str:
     """Return whether an engine that goes on from a memory has its weights, as a metric's label."""
     if not memory.model or not word.version:
--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -73,6 +73,8 @@
         """Adapters, by version."""
         self.base = 1
         """Version of its base model, 0 while it has none."""
+        self.reported_base = None
+        """What it reports instead, if it reports something old."""
         self.ordered = None
         """What an order under way is for: the model or an adapter."""
         self.runs = {}
@@ -222,12 +224,13 @@
         else:
             queued, runs = self.past[0] if self.past else (0, [])
             adapters = [f"{key.adapter}@{version}" for key, version in self.holds.items()]
-            model = {"Name": MODEL.model, "Version": self.base, "Adapters": adapters}
+            base = self.base if self.reported_base is None else self.reported_base
+            model = {"Name": MODEL.model, "Version": base, "Adapters": adapters}
             report = {
                 "Queued": queued,
                 "Active": len(runs),
                 "Runs": runs,
-                "Models": [model] if self.base else [],
+                "Models": [model] if base else [],
             }
             if self.ends_at is not None:
                 report["RemainingMs"] = round((self.ends_at - self.world.clock()) * 1000)
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -5,6 +5,7 @@
 
 import pytest
 from gradelug_gateway import runs as runs_module
+from gradelug_gateway.model import Repeat
 from run_engines import EVENTS, KEY, MODEL
 from run_world import RunWorld, events, is_whole, run, runner
 
@@ -46,3 +47,162 @@
             assert client.ended or is_whole(client)
 
         run(scenario)
+
+    @pytest.mark.parametrize(("model", "renewed"), NAMED)
+    def test_goes_on_where_older_weights_are_still_in_use(self, model, renewed):
+        """A newer version that was named takes nothing from a run whose engine has the older."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world, model)
+            world.state.versions[renewed] = 2
+            first.hush()
+            await asyncio.sleep(5.0)
+            assert not world.ledger.wrong
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
+    def test_goes_on_at_the_engine_that_received_its_memory(self):
+        """Its own engine replaced the weights; another one still has them, and the memory."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.hush()
+            await asyncio.sleep(0.9)
+            world.state.versions[MODEL] = 2
+            first.start(first.unload(MODEL))
+            await asyncio.sleep(5.0)
+            assert not world.ledger.wrong
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
+    def test_frees_its_memory_if_nothing_goes_on_from_it(self):
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.hush()
+            await asyncio.sleep(0.9)
+            world.name_version(MODEL, 2)
+            await asyncio.sleep(3.0)
+            assert client.ended
+            assert not any(engine.kept for engine in world.engines.values())
+
+        run(scenario)
+
+    def test_is_resumed_without_memory_where_its_caller_allows_that(self):
+        async def scenario():
+            world = RunWorld(repeat=Repeat.RESUME)
+            client, first = await begin(world)
+            first.hush()
+            await asyncio.sleep(0.9)
+            world.name_version(MODEL, 2)
+            await asyncio.sleep(6.0)
+            assert not world.ledger.wrong
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
+
+class TestACopy:
+    @pytest.mark.parametrize(("model", "renewed"), NAMED)
+    @pytest.mark.parametrize("at", [0.2, 0.7])
+    def test_is_not_used_under_newer_weights(self, copied, model, renewed, at):
+        """The engine that received it replaced its weights before or after the break."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world, model)
+            world.state.versions[renewed] = 2
+            for engine in world.engines.values():
+                if engine is not first:
+                    engine.start(engine.load(KEY if model != "m" else MODEL))
+            await asyncio.sleep(at)
+            first.crash()
+            await asyncio.sleep(4.0)
+            assert not world.ledger.wrong
+            assert client.ended or is_whole(client)
+
+        run(scenario)
+
+    def test_is_used_where_its_weights_are(self, copied):
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            world.state.versions[MODEL] = 2
+            first.crash()
+            await asyncio.sleep(4.0)
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
+
+class TestAMove:
+    @pytest.mark.parametrize(("model", "renewed"), NAMED)
+    def test_goes_to_engines_with_the_weights_of_the_run(self, model, renewed):
+        """One engine of two that could take the run has newer weights already."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world, model)
+            newer, older = [one for one in world.engines.values() if one is not first]
+            world.state.versions[renewed] = 2
+            if renewed == MODEL:
+                newer.base = 2
+            else:
+                newer.holds[KEY] = 2
+            for engine in (newer, older):
+                world.enter(engine)
+            first.notice(1.0)
+            await asyncio.sleep(4.0)
+            assert not world.ledger.wrong
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
+    def test_is_not_made_where_only_newer_weights_are(self):
+        """Stopped for it, the run could go on nowhere; left alone it may end before its engine."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            world.state.versions[MODEL] = 2
+            for engine in world.engines.values():
+                if engine is not first:
+                    # Its entry in the platform's store is older.
+                    engine.base = 2
+            first.notice(2.0)
+            await asyncio.sleep(4.0)
+            assert not world.ledger.wrong
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
+
+class TestARunThatWasMixed:
+    def test_is_not_passed_on(self, copied):
+        """Its engine's report was older than its weights: the answer's head still tells."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            others = [one for one in world.engines.values() if one is not first]
+            for engine in others:
+                engine.reported_base, engine.base = 1, 2
+            first.crash()
+            await asyncio.sleep(4.0)
+            assert client.ended
+            assert len(events(client)[0]) < EVENTS
+            assert len(set(events(client)[1])) == 1
+            text = world.meters.text()
+            assert b'gradelug_runs_went_on_total{weights="other"} 1.0' in text
+
+        run(scenario)
