Memory that another engine received is checked there

Cause: the moment until which the stopping engine had the weights stayed with the memory as it was taken up at the engine that received it, so that one was not asked. Change: that moment is dropped with the change of engine.

--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -465,7 +465,13 @@
     def _drop_copy(self, job: Job, copy: Copy) -> None:
         """Go on from the next memory of a run, if there is any: from this one it cannot."""
         if copy.elsewhere is not None:
-            job.copy = replace(copy, kind=CopyKind.MOVED, holder=copy.elsewhere, elsewhere=None)
+            job.copy = replace(
+                copy,
+                kind=CopyKind.MOVED,
+                holder=copy.elsewhere,
+                kept_at=-math.inf,
+                elsewhere=None,
+            )
             return
         if self._lasting is not None:
             self._lasting.weights.give_up(copy)
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -14,6 +14,7 @@
 from gradelug_gateway.handover import Handover
 from gradelug_gateway.metrics import Meters
 from gradelug_gateway.model import (
+    BaseModel,
     EngineSpec,
     FleetState,
     Holding,
@@ -33,13 +34,23 @@
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.lasting_runs import CopyTerms
 from gradelug_policy.quotas import LocalShares
-from run_engines import LOAD_S, MODEL, TICK_S, Ledger, RunEngine
+from run_engines import LOAD_S, MODEL, MODEL_S, TICK_S, Ledger, RunEngine
 from world import new_loop
 
 DRAIN_S = 3.0
 AT_WORK_S = 0.4
 """Two engines must not be at work on a run this long after it went on elsewhere."""
-SPEC = EngineSpec((), 1000.0, 6, 96, 100_000, 2.0, True, True, CopyTerms(100_000, 100_000.0, 5.0))
+SPEC = EngineSpec(
+    (BaseModel("m", 1000.0, MODEL_S, 1.0),),
+    1000.0,
+    6,
+    96,
+    100_000,
+    2.0,
+    True,
+    True,
+    CopyTerms(100_000, 100_000.0, 5.0),
+)
 _event_re = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 
 
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -81,6 +81,24 @@
 
         run(scenario)
 
+    def test_does_not_go_on_at_an_engine_that_received_its_memory_and_has_newer_weights(self):
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.hush()
+            await asyncio.sleep(0.9)
+            world.state.versions[MODEL] = 2
+            for engine in world.engines.values():
+                if engine is not first:
+                    # Its entry in the platform's store is older.
+                    engine.base = 2
+            first.start(first.unload(MODEL))
+            await asyncio.sleep(5.0)
+            assert not world.ledger.wrong
+            assert client.ended
+
+        run(scenario)
+
     def test_frees_its_memory_if_nothing_goes_on_from_it(self):
         async def scenario():
             world = RunWorld()
