Weights stay in use while a stopped run waits to go on

What callers saw: nothing yet; found by asking where the same cause acts: between the stop of a silent run and its next sending, some 15 ms, no request used its weights as far as the planner knew, so it could order them out for a newer version or for another adapter, and the memory had no way on. Cause: a use ended with the sending, not with what was kept of it. Change: the use of a run that was stopped and is to go on there lasts until its next sending has begun, or its request has ended.

--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -83,6 +83,7 @@
         "fingerprint",
         "inc",
         "in_doubt",
+        "in_use",
         "is_paid",
         "placed_s",
         "principal",
@@ -150,6 +151,8 @@
         """Where a copy of its run is kept as it grows."""
         self.copy: Copy | None = None
         """From what its run is to go on."""
+        self.in_use = ""
+        """The engine whose weights stay in use for its memory between two sendings."""
         self.is_paid = False
         """Whether its next sending was taken from the budget already."""
         self.used: Copy | None = None
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -27,7 +27,7 @@
 from .job import Job, Outcome
 from .limits import Demand
 from .metrics import Meters
-from .model import Attempt, Repeat, Replica, Verdict
+from .model import AdapterKey, Attempt, CopyKind, Repeat, Replica, Verdict
 from .poison import PoisonGuard
 from .ports import Dialect
 from .replica_ends import EndWatch
@@ -237,6 +237,7 @@
         load.memory += work.memory_tokens
         if key is not None:
             self._directory.note_begin(replica, key, work)
+        self.release_weights(job)
         try:
             outcome = await self._exchange(sending)
         except asyncio.CancelledError:
@@ -282,12 +283,29 @@
                 load.starting -= 1
                 load.queued[work.urgency] -= work.reading_tokens
             if key is not None:
-                self._directory.note_end(replica.name, key)
+                self._note_end(job, replica, key)
         self._note_health(sending, outcome)
         if outcome is Outcome.DONE and sending.status < 300:
             self._guard.note_served(job.fingerprint)
         return outcome
 
+    def _note_end(self, job: Job, replica: Replica, key: AdapterKey) -> None:
+        """Note that a request has left a replica, unless its run goes on there from memory.
+
+        An engine without a use of its weights may be ordered to replace them.
+        """
+        copy = job.copy
+        if copy is not None and copy is not job.used and copy.kind is CopyKind.STOPPED:
+            job.in_use = replica.name
+        else:
+            self._directory.note_end(replica.name, key)
+
+    def release_weights(self, job: Job) -> None:
+        """Note that no memory of a request waits for a sending any more, if any did."""
+        if job.in_use and job.req.key is not None:
+            self._directory.note_end(job.in_use, job.req.key)
+        job.in_use = ""
+
     async def _has_weights(self, job: Job) -> bool:
         """Tell whether the memory that a request goes on from, if any, is of its engine's weights.
 
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -166,7 +166,10 @@
         try:
             async with asyncio.timeout_at(job.deadline_at):
                 await self._charge(job)
-                await self._run(job)
+                try:
+                    await self._run(job)
+                finally:
+                    self._sender.release_weights(job)
         except TimeoutError:
             self._answer.expire(job)
         except Refused as exc:
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -60,6 +60,12 @@
     def __init__(self, world, fleet):
         super().__init__("i", "10.0.0.9:1", fleet, fleet._clock, lambda service: None)
         self._world = world
+        self.uses = {}
+        """Requests that use weights, by engine and weights, after each change."""
+
+    def _note(self, replica, key, change, tokens=0):
+        counts = self.uses.setdefault((replica, key), [0])
+        counts.append(counts[-1] + change)
 
     async def place(self, service, key, *, wish, excluded, only, absent, known=None):
         for rep in self._fleet.usable(service):
@@ -101,7 +107,7 @@
         budgets = RetryBudgets(0.0, budget / BUDGET_SHARE, 1000.0, clock)
         budgets.share_among(1)
         pool = HttpPool(clock, self.net.dial)
-        directory = PlacingDirectory(self, self.fleet)
+        directory = self.directory = PlacingDirectory(self, self.fleet)
         runs = PlatformRuns(HttpPool(clock, self.net.dial))
         self.lasting = self.handover = None
         if lasting:
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -99,6 +99,33 @@
 
         run(scenario)
 
+    def test_keeps_its_weights_in_use_until_it_goes_on(self):
+        """An engine whose weights nobody uses may be ordered to replace them."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.hush()
+            await asyncio.sleep(5.0)
+            assert is_whole(client)
+            assert world.directory.uses[first.name, KEY] == [0, 1, 2, 1, 0]
+
+        run(scenario)
+
+    def test_keeps_no_weights_in_use_when_its_caller_leaves(self):
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.hush()
+            await asyncio.sleep(0.9)
+            world.name_version(KEY, 2)
+            await asyncio.sleep(0.5)
+            client.transport.close()
+            await asyncio.sleep(1.0)
+            assert all(counts[-1] == 0 for counts in world.directory.uses.values())
+
+        run(scenario)
+
     def test_frees_its_memory_if_nothing_goes_on_from_it(self):
         async def scenario():
             world = RunWorld()
