A base model is renewed when no run uses it, on half of the engines at a time

What callers saw: as a new version of a base model was named, all engines were ordered to unload it at once. Cause: only requests for the bare model counted as its users, and all engines were renewed together. Class: as of the incident, what waits between two sendings was not reckoned with. Change: Renewal, out of upkeep.py. An engine is closed first, with the adapters of the model, told as such to gateways, and ordered when no run uses the model or its adapters; half of the engines at a time, but none waits for another longer than 2 s. Its adapters leave the account with the model.

--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -239,6 +239,29 @@
         counts = self.active.get(key)
         return sum(counts.values()) if counts else 0
 
+    def model_users(self, model: str) -> int:
+        """Return how many requests use a base model, with an adapter or without one."""
+        return sum(
+            sum(counts.values()) for key, counts in self.active.items() if key.model == model
+        )
+
+    def has_any_base(self) -> bool:
+        """Tell whether any base model can be used now."""
+        return any(
+            place.phase is Phase.READY for key, place in self.places.items() if not key.adapter
+        )
+
+    def close(self, model: str) -> None:
+        """Take no new requests for the adapters of a base model."""
+        for key, place in self.adapters():
+            if key.model == model and place.phase is Phase.READY:
+                place.phase = Phase.LEAVING
+
+    def drop_adapters(self, model: str) -> None:
+        """Forget the adapters of a base model that is unloaded."""
+        for key in [key for key, _ in self.adapters() if key.model == model]:
+            del self.places[key]
+
     def is_in_use(self) -> bool:
         """Tell whether any request runs there."""
         return bool(self.starting or self.running or self.active)
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -1,4 +1,4 @@
-"""What a planner does without being asked: base models, renewed versions, further copies."""
+"""What a planner does without being asked: base models, new versions, further copies."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from .engines import Engine, Phase, Place
 from .model import AdapterKey, BaseModel, EngineSpec, OrderOutcome, Term
 from .openings import count_copies
+from .renewal import Renewal
 
 if t.TYPE_CHECKING:
     from .planner import Planner
@@ -42,9 +43,8 @@
     __slots__ = (
         "_clock",
         "_coming",
-        "_outdated",
         "_planner",
-        "_seen_versions",
+        "_renewal",
         "_spec",
         "_window",
     )
@@ -62,62 +62,15 @@
         self._clock = clock
         self._coming: dict[str, float] = {}
         """Until when a base model is on its way, by its name."""
-        self._seen_versions: dict[AdapterKey, int] = {}
-        self._outdated: set[AdapterKey] = set()
-        """Weights of which some engine may hold a version that is not the newest."""
+        self._renewal = Renewal(planner, clock)
 
     def do(self, term: Term) -> None:
         """Do what is due in the planner's term."""
-        self._renew_versions(term)
+        self._renewal.do(term)
         self._ensure_models(term)
         self._place_wanted_models(term)
         self._add_copies()
 
-    def _renew_versions(self, term: Term) -> None:
-        self._find_outdated()
-        versions, index = self._planner.state.versions, self._planner.index
-        for key in list(self._outdated):
-            held = {
-                name: engine
-                for name, engine in index.with_key(key).items()
-                if engine.places[key].version < versions[key]
-            }
-            if not held:
-                self._outdated.discard(key)
-            for name, engine in held.items():
-                self._renew(term, name, engine, key)
-
-    def _find_outdated(self) -> None:
-        """Find weights of which a version was named, or that came into a place, since last time."""
-        versions, index = self._planner.state.versions, self._planner.index
-        inserted, index.inserted = index.inserted, set()
-        self._outdated.update(key for key in inserted if key in versions)
-        if versions != self._seen_versions:
-            self._outdated.update(
-                key for key, version in versions.items() if self._seen_versions.get(key) != version
-            )
-            self._seen_versions = dict(versions)
-
-    def _renew(self, term: Term, name: str, engine: Engine, key: AdapterKey) -> None:
-        place = engine.places[key]
-        if place.phase in (Phase.LOADING, Phase.UNLOADING):
-            return
-        if place.phase is Phase.READY:
-            place.phase = Phase.LEAVING
-            self._planner.followers.mark(name)
-        if engine.synced and not engine.users(key):
-            self._planner.start(self._drop(term, engine, key, place))
-
-    async def _drop(self, term: Term, engine: Engine, key: AdapterKey, place: Place) -> None:
-        async with engine.lock:
-            held = engine.places.get(key) is place
-            if term.is_over or not engine.synced or not held:
-                return
-            outcome = await self._planner.loading.order(term, engine, False, key, 0)
-            engine.undo(key, place)
-            if outcome is not OrderOutcome.HOLDS:
-                self._planner.loading.keep_unloading(engine, key, outcome)
-
     def _ensure_models(self, term: Term) -> None:
         for engine in self._planner.engines.values():
             if engine.synced and not engine.places.bases and self._spec.models:
--- a/packages/policy/src/gradelug_policy/run_versions.py
+++ b/packages/policy/src/gradelug_policy/run_versions.py
@@ -29,6 +29,29 @@
     unreadable: str = ""
 
 
+RENEWED_PART = 0.5
+"""Part of the engines that may be without their base model at a time while it is renewed."""
+RENEWAL_S = 2.0
+"""An engine whose runs last longer than this keeps no other one waiting: new versions have to be in
+use within some seconds."""
+
+
+def may_begin_renewal(began: t.Iterable[float], engines: int, now: float) -> bool:
+    """Tell whether another engine may be closed for a new version of its base model.
+
+    Parameters
+    ----------
+    began : iterable of float
+        When those were closed that are not back yet.
+    engines : int
+        All engines of the service.
+    now : float
+        By the same clock.
+    """
+    recent = sum(now - at < RENEWAL_S for at in began)
+    return recent < max(1, int(RENEWED_PART * engines))
+
+
 @dataclass(slots=True, frozen=True)
 class MemoryVersions:
     """Versions of the weights that made a run's memory, each `NOT_TOLD` if it is not known.
--- /dev/null
+++ b/tests/test_model_renewal.py
@@ -0,0 +1,92 @@
+"""A new version of a base model: runs end first, and part of the engines go on meanwhile."""
+
+import asyncio
+
+import pytest
+from engine_model import MODEL
+from gradelug_gateway.model import AdapterKey
+from run_world import run
+from test_planner import Bench
+
+KEY = AdapterKey("m", "a1")
+
+
+def unloads(bench):
+    return [name for name, order in bench.transport.given if not order.load and order.key == MODEL]
+
+
+async def hold(bench, adapter="a1"):
+    """Have an adapter loaded and return the engine that holds it."""
+    ticket = bench.ask(adapter)
+    await asyncio.sleep(0.6)
+    return bench.collect()[ticket].replica
+
+
+class TestRenewal:
+    def test_waits_for_the_runs_of_its_adapters(self):
+        """An engine that was told to unload at once rejected all requests until its runs ended."""
+
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(0.5)
+            name = await hold(bench)
+            bench.use(name, "a1", 1)
+            bench.state.versions[MODEL] = 2
+            await asyncio.sleep(1.0)
+            assert not unloads(bench)
+            bench.use(name, "a1", 0)
+            await asyncio.sleep(2.0)
+            assert unloads(bench) == [name]
+            assert bench.transport.engines[name].held[MODEL] == 2
+            await bench.stop()
+
+        run(scenario)
+
+    def test_sends_no_new_request_to_an_engine_that_waits_for_it(self):
+        async def scenario():
+            bench = Bench(engines=2)
+            await asyncio.sleep(0.5)
+            name = await hold(bench)
+            bench.use(name, "a1", 1)
+            bench.state.versions[MODEL] = 2
+            # The other engine is renewed first.
+            await asyncio.sleep(3.0)
+            ticket = bench.ask("a1", returning=True)
+            await asyncio.sleep(1.5)
+            assert bench.collect()[ticket].replica != name
+            assert not unloads(bench).count(name)
+            await bench.stop()
+
+        run(scenario)
+
+    @pytest.mark.parametrize("engines", [2, 5])
+    def test_leaves_half_of_the_engines_at_work(self, engines):
+        async def scenario():
+            bench = Bench(engines=engines)
+            await asyncio.sleep(0.5)
+            bench.state.versions[MODEL] = 2
+            for _ in range(200):
+                await asyncio.sleep(0.05)
+                able = [one for one in bench.transport.engines.values() if one.can_run(MODEL)]
+                assert len(able) >= engines / 2
+            assert all(one.held[MODEL] == 2 for one in bench.transport.engines.values())
+            await bench.stop()
+
+        run(scenario)
+
+    def test_is_not_held_up_by_runs_that_last(self):
+        """A new version has to be in use within some seconds."""
+
+        async def scenario():
+            bench = Bench(engines=2)
+            await asyncio.sleep(0.5)
+            name = await hold(bench)
+            bench.use(name, "a1", 1)
+            bench.state.versions[MODEL] = 2
+            await asyncio.sleep(4.5)
+            (other,) = [one for at, one in bench.transport.engines.items() if at != name]
+            assert other.held[MODEL] == 2
+            assert not bench.planner.engines[name].holds(KEY)
+            await bench.stop()
+
+        run(scenario)
