Failing tests: what is remembered is used after it stopped holding

Cause: the fault of stale weights (a memory used under weights that were replaced) was looked for in everything else that is remembered between two sendings or two requests. (1) A planner keeps adapters in their places when their base model goes: asked for one it names an engine that has neither. (2) A job that was told once that a replica lacks the weights says so for ever: a run that has since run there, and was stopped, loses its memory. (3) An older answer of a planner undoes newer news. (4) A base model whose load was never begun counts as on its way for its load time and 1.5 s. (5) A job asks a replica that rejected it for the version named here, not for the newer one that the planner told since.

--- /dev/null
+++ b/tests/test_remembered.py
@@ -0,0 +1,159 @@
+"""What is remembered between two sendings, or two requests, is used only while it holds."""
+
+import asyncio
+
+import pytest
+from gradelug_gateway.directory import Directory, Wish
+from gradelug_gateway.model import AdapterKey, Holding, Repeat
+from gradelug_gateway.search import PlannerAddress
+from gradelug_policy.pace import FIRST_LOAD_S
+from gradelug_wire import placement_pb2 as pb
+from run_engines import EVENTS
+from run_engines import KEY as RUN_KEY
+from run_world import RunWorld, events, is_whole, run
+from test_kept_gateway import new_fleet
+from test_planner import SPEC, TWO_MODELS
+from test_planner import Bench as PlannerBench
+from test_serving import ABSENT, ADAPTER, END, STREAM, event, route
+from test_serving import KEY as SERVED_KEY
+from test_serving import Bench as ServingBench
+
+MODEL = AdapterKey("m")
+KEY = AdapterKey("m", "a")
+TICK_S = 0.01
+
+
+class TestAReplicaThatLackedTheWeightsOnce:
+    @pytest.mark.parametrize("lacks_at_first", [False, True])
+    def test_is_not_taken_to_lack_them_after_the_request_has_run_there(self, lacks_at_first):
+        """Its run was stopped there; a newer version that was named takes nothing from it."""
+
+        async def scenario():
+            world = RunWorld(engines=2)
+            first, other = world.engines.values()
+            world.leave(other)
+            if lacks_at_first:
+                # Its entry in the platform's store still tells of the adapter.
+                first.holds.clear()
+            client = world.ask("q1")
+            await asyncio.sleep(0.67)
+            assert len(events(client)[0]) > 3
+            refused = ("s0", "run", 421) in world.ledger.asked
+            assert refused is lacks_at_first
+            world.enter(other)
+            world.state.versions[RUN_KEY] = 2
+            first.hush()
+            await asyncio.sleep(5.0)
+            assert not world.ledger.wrong
+            assert events(client)[0] == list(range(1, EVENTS + 1))
+            assert is_whole(client)
+
+        run(scenario)
+
+    def test_is_asked_for_the_version_that_the_planner_told_since(self):
+        """It rejected version 2 since it had 3 by then; the news of 3 come later."""
+
+        async def scenario():
+            script = [[[ABSENT], [STREAM + event(1) + END]]]
+            held = (Holding(SERVED_KEY, 2),)
+            bench = ServingBench(route(Repeat.RESUME, True, 2, "llm"), script, held, engine=True)
+            bench.state.versions[SERVED_KEY] = 2
+
+            async def place(service, key, **asked):
+                # As `Directory.place` takes an answer.
+                bench.fleet.add_holding("s0", key, 3)
+                return bench.state.replicas["s0"]
+
+            bench.directory.place = place
+            bench.client(4000, ADAPTER)
+            await asyncio.sleep(0.5)
+            asked = [
+                int(part.split(b"\r\n")[0])
+                for part in bench.received("s0").split(b"X-Gradelug-Expect-Version: ")[1:]
+            ]
+            assert asked == [2, 3]
+
+        run(scenario)
+
+
+class TestPlacesOfAPlanner:
+    @pytest.mark.parametrize("is_renewed", [True, False])
+    def test_adapters_go_with_their_base_model(self, is_renewed):
+        """It is replaced by a newer version, or makes way for another base model."""
+
+        async def scenario():
+            bench = PlannerBench(engines=1, spec=SPEC if is_renewed else TWO_MODELS)
+            engine = bench.transport.engines["e0"]
+            await asyncio.sleep(0.5)
+            first = bench.ask("a")
+            await asyncio.sleep(FIRST_LOAD_S + 0.2)
+            assert bench.collect()[first].replica == "e0"
+            # Its run has ended.
+            bench.load("e0", 0)
+            if is_renewed:
+                bench.state.versions[MODEL] = 2
+            else:
+                bench.ask("b", model="n")
+            await asyncio.sleep(0.3)
+            assert not engine.can_run(KEY)
+            again = bench.ask("a")
+            until = bench.clock() + 3.5
+            while again not in bench.collect() and bench.clock() < until:
+                await asyncio.sleep(TICK_S)
+            answer = bench.answers.get(again)
+            if is_renewed:
+                assert answer.replica == "e0"
+            assert answer is None or not answer.replica or engine.can_run(KEY)
+            await bench.stop()
+
+        run(scenario)
+
+    @pytest.mark.parametrize("is_window_full", [False, True])
+    def test_a_base_model_whose_load_was_not_begun_is_not_taken_to_be_on_its_way(
+        self, is_window_full
+    ):
+        """The weight store's limit leaves no room for half a second."""
+
+        async def scenario():
+            bench = PlannerBench(engines=2, spec=TWO_MODELS)
+            await asyncio.sleep(0.5)
+            window = bench.planner._upkeep._window
+            while is_window_full and window.allows(bench.clock()):
+                window.note(bench.clock())
+            ticket = bench.ask("a", model="n")
+            await asyncio.sleep(1.2)
+            loads = [order.key for _, order in bench.transport.given if order.load]
+            assert AdapterKey("n") in loads
+            await asyncio.sleep(1.8)
+            assert bench.collect()[ticket].replica
+            await bench.stop()
+
+        run(scenario)
+
+
+class TestAnAnswerOfAPlanner:
+    def test_does_not_undo_news_that_came_after_it(self):
+        """The adapter made way after the question was answered; both arrive together."""
+
+        async def scenario():
+            fleet = new_fleet()
+            clock = asyncio.get_running_loop().time
+            fleet._clock = clock
+            where = PlannerAddress("p", "10.0.0.8:1", 1)
+            directory = Directory("me", "10.0.0.9:1", fleet, clock, lambda service: where)
+            wish = Wish(0, 1.0, False, clock() + 1.0, clock() + 1.0)
+            placing = asyncio.create_task(
+                directory.place("llm", KEY, wish=wish, excluded=(), only=None, absent="")
+            )
+            await asyncio.sleep(0.01)
+            link = directory.link_to("llm")
+            link._note_followed(where)
+            link._take(
+                pb.FromPlanner(answers=[pb.Answer(ticket=1, replica="e0", version=1)], gateways=1)
+            )
+            link._take(pb.FromPlanner(holdings=[pb.Holdings(replica="e0")], gateways=1))
+            assert (await placing).name == "e0"
+            assert "e0" not in {rep.name for rep in fleet.holders("llm", KEY)}
+            await directory.close()
+
+        run(scenario)
