A replica that lacked the weights is taken to lack them until the planner was told

Cause: Job.absent never ended. Change: it ends with the planner's next answer. After two rejections of a request it asks for the newest that was named alone, as what is known may be older than what is there.

--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -69,6 +69,7 @@
 
     __slots__ = (
         "absent",
+        "absences",
         "asked",
         "backup",
         "charge",
@@ -130,7 +131,9 @@
         self.excluded: set[str] = set()
         """Replicas that failed it."""
         self.absent = ""
-        """The replica that last said it lacks the weights."""
+        """The replica that said it lacks the weights, until the planner was told."""
+        self.absences = 0
+        """How often a replica said so."""
         self.asked = False
         """Whether the planner was to be asked for a better replica than those known here."""
         self.chosen_here = False
--- a/packages/gateway/src/gradelug_gateway/run_weights.py
+++ b/packages/gateway/src/gradelug_gateway/run_weights.py
@@ -14,6 +14,8 @@
 from .ports import RunTransport
 
 log = logbook.Logger("run weights")
+MOST_ABSENCES = 2
+"""After one rejection the planner tells where the weights are, and at which version."""
 RELOAD_PART = 0.5
 """An engine cannot have replaced a base model within this part of the time that loading one takes;
 the rest is a margin for engines that load faster than told."""
@@ -25,8 +27,8 @@
     """Return the version that a replica must have for a request; `NOT_TOLD` for any.
 
     A request that goes on from memory asks for the memory's, another for the newest that was named
-    or is known to be there, so that its run's version is certain. A replica that just rejected the
-    request may hold a newer one, of which nothing was heard here.
+    or is known to be there, so that its run's version is certain. After some rejections what is
+    known may be older than what is there.
     """
     key = job.req.key
     if key is None:
@@ -34,7 +36,7 @@
     if job.copy is not None:
         return job.copy.versions.adapter if key.adapter else job.copy.versions.model
     newest = fleet.state.versions.get(key, NOT_TOLD)
-    if job.absent == replica.name:
+    if job.absences >= MOST_ABSENCES:
         return newest
     return max(newest, fleet.told_version(replica.name, key) or NOT_TOLD)
 
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -500,6 +500,7 @@
             return Outcome.DONE
         if verdict is Verdict.ABSENT:
             job.absent = replica.name
+            job.absences += 1
             return Outcome.ABSENT
         return Outcome.FULL if verdict is Verdict.FULL else Outcome.NOT_RUN
 
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -316,15 +316,29 @@
             if known is not None and not self._had_better_ask(job, known):
                 job.chosen_here = True
                 return known
-        return await self._directory.place(
+        excluded = {*job.excluded, *self._fleet.resting(job.service.name, key)}
+        return await self._ask_planner(job, key, excluded, job.candidates(), known)
+
+    async def _ask_planner(
+        self,
+        job: Job,
+        key: AdapterKey,
+        excluded: t.Collection[str],
+        only: t.Container[str] | None,
+        known: Replica | None = None,
+    ) -> Replica:
+        """Return where the planner places a request; it is told who lacked the weights, once."""
+        replica = await self._directory.place(
             job.service.name,
             key,
             wish=self._wish(job),
-            excluded={*job.excluded, *self._fleet.resting(job.service.name, key)},
-            only=job.candidates(),
+            excluded=excluded,
+            only=only,
             absent=job.absent,
             known=known,
         )
+        job.absent = ""
+        return replica
 
     async def _place_again(self, job: Job) -> Replica:
         """Return where a request is sent next: where its memory is, as long as it has any."""
@@ -355,14 +369,7 @@
             return holder
         if weights is None or not weights.can_load(copy, key):
             raise Refused("other weights would be loaded than those of its memory", RETRY_AFTER_S)
-        return await self._directory.place(
-            job.service.name,
-            key,
-            wish=self._wish(job),
-            excluded=(),
-            only=(holder.name,),
-            absent=job.absent,
-        )
+        return await self._ask_planner(job, key, (), (holder.name,))
 
     def _had_better_ask(self, job: Job, replica: Replica) -> bool:
         """Tell whether the planner may know of a better replica than the one that is known here."""
