A base model whose load was not begun does not count as on its way

Cause: what was noted as on its way lasted its load time and 1.5 s, also where the weight store's limit, or a request that used the engine by then, kept the load from beginning. Change: it is forgotten with the attempt.

--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -176,6 +176,7 @@
     ) -> None:
         """Leave an engine with the base model that it has."""
         engine.undo(key, place)
+        self._coming.pop(key.model, None)
         if victim is not None:
             # It was closed for this; the report tells what can be used.
             engine.synced = False
