A planner's answer does not undo the news that came after it

What callers saw: sendings to an engine that the planner had already told to hold the weights no more; by the code nothing corrected that until the planner told of the engine again. Change: the link notes it as the answer arrives, before the news of the same message. Result: the test in tests/test_remembered.py failed before; test_link, test_scoped_news, test_kept_gateway, test_spread, test_lives passed.

--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -240,7 +240,6 @@
                 # The planner does not know of it.
                 excluded = {*excluded, replica.name}
             elif replica is not None:
-                self._fleet.add_holding(replica.name, key, answer.version)
                 if answer.has_room:
                     self._fleet.limits.add_permit(replica.name)
                 self._fleet.kept.note_told(replica.name, wish.work.chain, answer.kept_tokens)
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -408,6 +408,9 @@
             self._listener.take(message.store, self._ahead_s)
         if message.peers:
             self.peers = list(message.peers)
+        # Answers were made before the news that came with them were gathered.
+        for answer in message.answers:
+            self._take_placement(answer)
         for holdings in message.holdings:
             self._fleet.set_holdings(
                 holdings.replica,
@@ -435,6 +438,13 @@
             if question is not None and not question.fut.done():
                 question.fut.set_result(answer)
 
+    def _take_placement(self, answer: pb.Answer) -> None:
+        """Note that the weights of a question are on the replica that its answer names."""
+        question = self._questions.get(answer.ticket)
+        if question is not None and answer.replica:
+            key = AdapterKey(question.ask.model, question.ask.adapter)
+            self._fleet.add_holding(answer.replica, key, answer.version)
+
     def _take_pacing(self, message: pb.FromPlanner) -> None:
         self.gateways = message.gateways
         # A planner of an earlier version, as in a rolling restart, tells neither.
