What a review of the mend found: later checks, other ways on, repetitions, freed memory

The test of a move that must not be made could not fail: no move was due. It gives notice for 1.6 s now.

--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -247,7 +247,7 @@
         if weights.holds(target, versions, key):
             return target
         try:
-            return await self._directory.place(
+            found = await self._directory.place(
                 service,
                 key,
                 wish=begun_wish(job, self._clock()),
@@ -258,6 +258,8 @@
         except Refused as exc:
             log.info("no engine for a run", id=job.req.id, why=str(exc))
             return None
+        # What was loaded is the newest, of which the name may not have come here.
+        return found if weights.holds(found, versions, key) else None
 
     def _is_on(self, run: Run) -> bool:
         return run in self._lasting.runs.get(run.replica.name, ())
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -30,6 +30,8 @@
     ABSENT = "absent"
     LIMITED = "limited"
     """Not sent: its replica takes no more requests a second, or rests."""
+    STALE = "stale"
+    """Not sent: its memory is of other weights than its replica's."""
     RAN = "ran"
     UNKNOWN = "unknown"
 
--- a/packages/gateway/src/gradelug_gateway/requests.py
+++ b/packages/gateway/src/gradelug_gateway/requests.py
@@ -128,6 +128,8 @@
         When its holder surely held these weights, by the runtime's clock.
     elsewhere : Replica or None
         Another engine that has the same memory.
+    was_loaded : bool
+        Whether weights were loaded at its holder for it.
     """
 
     kind: CopyKind
@@ -137,6 +139,7 @@
     versions: MemoryVersions = MemoryVersions()
     kept_at: float = -math.inf
     elsewhere: Replica | None = None
+    was_loaded: bool = False
 
 
 class Verdict(Enum):
--- a/packages/gateway/src/gradelug_gateway/run_weights.py
+++ b/packages/gateway/src/gradelug_gateway/run_weights.py
@@ -16,9 +16,9 @@
 log = logbook.Logger("run weights")
 MOST_ABSENCES = 2
 """After one rejection the planner tells where the weights are, and at which version."""
-RELOAD_PART = 0.5
-"""An engine cannot have replaced a base model within this part of the time that loading one takes;
-the rest is a margin for engines that load faster than told."""
+JUST_STOPPED_S = 0.1
+"""An engine that stopped a run so lately has the run's base model or none: loading another takes
+some times as long, from its own memory as well."""
 REPORT_TRIES = 2
 """Links silence kept connections: the second call takes a new one."""
 
@@ -112,8 +112,14 @@
         return self._fleet.holders_at(service, key, version)
 
     def can_load(self, copy: Copy, key: AdapterKey | None) -> bool:
-        """Tell whether a load at the engine that keeps a memory can bring its weights."""
-        return is_loadable(copy.versions, self.newest(key))
+        """Tell whether a load at the engine that keeps a memory can bring its weights.
+
+        Not where it was told to have newer ones, of which the name may not have come here, nor
+        after a load that did not bring them.
+        """
+        held = self.held(copy.holder, key)
+        newer = held.model > copy.versions.model or held.adapter > copy.versions.adapter
+        return not (newer or copy.was_loaded) and is_loadable(copy.versions, self.newest(key))
 
     async def is_kept(self, job: Job, copy: Copy) -> bool:
         """Tell whether the engine that keeps a memory has its base model, as it says itself.
@@ -128,7 +134,7 @@
             return versions.model != NOT_TOLD or newest == NOT_TOLD
         if versions.adapter == NOT_TOLD and self.newest(key).adapter != NOT_TOLD:
             return False
-        if self._clock() - copy.kept_at < RELOAD_PART * self._load_s(job, key):
+        if self._clock() - copy.kept_at < JUST_STOPPED_S:
             return True
         held = await self._held_model(copy.holder, key.model)
         kept = held is not None and is_same(versions.model, held, newest)
@@ -152,11 +158,6 @@
                 return next((held.version for held in holdings if held.key == key), None)
         return None
 
-    def _load_s(self, job: Job, key: AdapterKey) -> float:
-        spec = job.service.engine
-        models = spec.models if spec is not None else ()
-        return next((model.load_s for model in models if model.name == key.model), 0.0)
-
     def give_up(self, copy: Copy) -> None:
         """Have memory that nothing goes on from freed, wherever it is.
 
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -179,7 +179,8 @@
     def begin(self, job: Job, replica: Replica) -> Run:
         """Note that a request is being sent, and choose where a copy of its run is to be kept."""
         self._left.note_sending(job, replica)
-        job.backup = self._choose_backup(job, replica) if job.copy is None else None
+        if job.copy is None:
+            job.backup = self._choose_backup(job, replica)
         return Run(job, replica, self._clock())
 
     def note_asked(self, run: Run, version: int) -> None:
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -187,8 +187,6 @@
             )
             return Outcome.LIMITED
         job.used = job.copy
-        if not await self._has_weights(job):
-            return Outcome.NOT_RUN
         now = self._clock()
         health = self._fleet.health(replica.name)
         health.circuit.note_start(now)
@@ -205,6 +203,9 @@
         if closed is not None:
             conn.close()
             return closed
+        if not await self._has_weights(job):
+            conn.close()
+            return Outcome.STALE
         try:
             # Checked right before sending, since another gateway may have blocked it meanwhile.
             self.check(job)
@@ -309,7 +310,7 @@
     async def _has_weights(self, job: Job) -> bool:
         """Tell whether the memory that a request goes on from, if any, is of its engine's weights.
 
-        Asked right before sending, since the engine may have replaced them at any moment.
+        The connection is open by then: what the engine says counts for a moment only.
         """
         if job.copy is None or self._lasting is None:
             return True
@@ -423,7 +424,7 @@
             job.events.last_event,
             job.principal,
             job.shows_credentials,
-            job.backup.holder.address if job.backup is not None else "",
+            job.backup.holder.address if job.backup is not None and job.copy is None else "",
             job.copy,
         )
 
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -170,6 +170,7 @@
                     await self._run(job)
                 finally:
                     self._sender.release_weights(job)
+                    self._free_copies(job)
         except TimeoutError:
             self._answer.expire(job)
         except Refused as exc:
@@ -189,6 +190,11 @@
         else:
             self._meters.latency(job.route.streaming, self._clock() - started)
 
+    def _free_copies(self, job: Job) -> None:
+        """Free the memory that a request leaves behind."""
+        if self._lasting is not None and job.copy is not None and job.copy is not job.used:
+            self._lasting.weights.give_up(job.copy)
+
     async def _await_config(self, req: Request) -> None:
         """Wait for a first configuration that is on its way."""
         until = self._clock() + min(FIRST_CONFIG_S, req.wait_s / 2)
@@ -369,7 +375,9 @@
             return holder
         if weights is None or not weights.can_load(copy, key):
             raise Refused("other weights would be loaded than those of its memory", RETRY_AFTER_S)
-        return await self._ask_planner(job, key, (), (holder.name,))
+        replica = await self._ask_planner(job, key, (), (holder.name,))
+        job.copy = replace(copy, was_loaded=True)
+        return replica
 
     def _had_better_ask(self, job: Job, replica: Replica) -> bool:
         """Tell whether the planner may know of a better replica than the one that is known here."""
@@ -444,7 +452,7 @@
         if is_tried and job.copy is not None and outcome is Outcome.UNKNOWN:
             # It serves once.
             job.copy = None
-        elif is_tried and job.copy is not None and not self._may_have_loaded(job, outcome):
+        elif is_tried and job.copy is not None and not self._can_load(job, outcome):
             self._drop_copy(job, job.copy)
         if job.copy is None and (outcome is Outcome.UNKNOWN or is_tried):
             job.copy, job.backup = job.backup, None
@@ -466,7 +474,7 @@
         )
         return True
 
-    def _may_have_loaded(self, job: Job, outcome: Outcome) -> bool:
+    def _can_load(self, job: Job, outcome: Outcome) -> bool:
         """Tell whether a load at the engine that keeps a run's memory lets it go on there."""
         if outcome is not Outcome.ABSENT or job.copy is None or self._lasting is None:
             return False
@@ -481,6 +489,7 @@
                 holder=copy.elsewhere,
                 kept_at=-math.inf,
                 elsewhere=None,
+                was_loaded=False,
             )
             return
         if self._lasting is not None:
@@ -491,6 +500,9 @@
         if outcome is Outcome.NOT_SENT:
             job.excluded.add(replica.name)
             job.sends += 1
+        elif outcome is Outcome.STALE:
+            # The repetition that was taken for it was not made.
+            job.is_paid = True
         elif outcome is Outcome.ABSENT:
             await asyncio.sleep(NOT_READY_S)
         else:
@@ -523,8 +535,9 @@
             if job.route.repeat is not Repeat.RESUME:
                 raise Failed("no further replica may be tried")
             job.excluded.clear()
-        if outcome is not Outcome.NOT_SENT:
+        if outcome is not Outcome.NOT_SENT and not job.is_paid:
             await self._take_retry(job)
+        job.is_paid = False
         log.info(
             "send again",
             id=job.req.id,
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -1,15 +1,19 @@
 """Runs go on under the weights that made their memory, or not from it."""
 
 import asyncio
+import itertools
 from unittest import mock
 
 import pytest
+import run_engines
+from gradelug_gateway import run_weights
 from gradelug_gateway import runs as runs_module
 from gradelug_gateway.model import Repeat
-from run_engines import EVENTS, KEY, MODEL
+from run_engines import EVENTS, KEY, MODEL, MODEL_S
 from run_world import RunWorld, events, is_whole, run, runner
 
 ALL = list(range(1, EVENTS + 1))
+REPORT_LAG_S = 0.35
 NAMED = [
     pytest.param("m/a1", KEY, id="adapter"),
     pytest.param("m/a1", MODEL, id="base-of-adapter"),
@@ -153,6 +157,139 @@
 
         run(scenario)
 
+    def test_goes_on_at_another_engine_although_its_own_has_unheard_newer_weights(self):
+        """Its engine was asked again and again to load what it could not have any more."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.hush()
+            # Named elsewhere; here its engine's entry alone tells.
+            world.newest = lambda key: 2 if key == KEY else 1
+
+            async def renew():
+                await first.unload(KEY)
+                first.holds[KEY] = 2
+                world.enter(first)
+
+            first.start(renew())
+            await asyncio.sleep(6.0)
+            assert not world.ledger.wrong
+            assert is_whole(client)
+
+        run(scenario)
+
+    def test_goes_on_from_the_copy_received_as_it_grew(self, copied):
+        """Its engine renewed its weights, and no engine had room for memory when it was stopped."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            for engine in world.engines.values():
+                engine.room = False
+            first.hush()
+            await asyncio.sleep(0.9)
+            world.state.versions[KEY] = 2
+            first.start(first.unload(KEY))
+            await asyncio.sleep(6.0)
+            assert not world.ledger.wrong
+            assert is_whole(client)
+
+        run(scenario)
+
+    def test_pays_for_the_sendings_that_are_made(self):
+        """Its engine reports newer weights, so nothing is sent there; one repetition is left."""
+
+        async def scenario():
+            with mock.patch.object(run_weights, "JUST_STOPPED_S", 0.0):
+                world = RunWorld()
+                client, first = await begin(world)
+                first.reported_base = 2
+                first.hush()
+                budgets = type(world.serving._budgets)
+                answers = itertools.chain([True], itertools.repeat(False))
+                with mock.patch.object(budgets, "try_retry", side_effect=answers):
+                    await asyncio.sleep(5.0)
+                assert is_whole(client)
+
+        run(scenario)
+
+    def test_frees_its_memory_if_no_repetition_is_left(self):
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.hush()
+            budgets = type(world.serving._budgets)
+            with mock.patch.object(budgets, "try_retry", return_value=False):
+                await asyncio.sleep(4.0)
+            assert client.ended
+            assert not any(engine.kept for engine in world.engines.values())
+
+        run(scenario)
+
+    def test_keeps_its_versions_when_it_goes_on(self):
+        """Stopped once more it must be checked again."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.hush()
+            await asyncio.sleep(1.6)
+            (again,) = world.lasting.runs[runner(world, "q1").name]
+            assert (again.versions.model, again.versions.adapter) == (1, 1)
+
+        run(scenario)
+
+    def test_is_checked_although_its_engine_lacked_the_adapter_at_first(self):
+        """After a first rejection its version was not asked for, so nothing could be checked."""
+
+        async def scenario():
+            world = RunWorld()
+            for engine in world.engines.values():
+                # Their entries still tell of it.
+                engine.holds.clear()
+            client = world.ask("q1")
+            await asyncio.sleep(0.8)
+            first = runner(world, "q1")
+            first.hush()
+            world.newest = lambda key: 2 if key == KEY else 1
+
+            async def renew():
+                await first.unload(KEY)
+                first.holds[KEY] = 2
+
+            first.start(renew())
+            await asyncio.sleep(6.0)
+            assert not world.ledger.wrong
+            assert client.ended or is_whole(client)
+
+        run(scenario)
+
+    @pytest.mark.parametrize("copy_s", [0.02, 0.2])
+    def test_is_checked_although_its_engine_loads_fast(self, copy_s):
+        """The answer to the stop comes after its memory was copied."""
+
+        async def scenario():
+            with (
+                mock.patch.object(run_engines, "MODEL_S", 0.15),
+                mock.patch.object(run_engines, "LOAD_S", 0.03),
+            ):
+                world = RunWorld()
+                client, first = await begin(world)
+                first.copy_s = copy_s
+                first.hush()
+                world.newest = lambda key: 2 if key == MODEL else 1
+
+                async def renew():
+                    await first.unload(MODEL)
+                    await first.load(KEY)
+
+                first.start(renew())
+                await asyncio.sleep(5.0)
+                assert not world.ledger.wrong
+
+        run(scenario)
+
 
 class TestACopy:
     @pytest.mark.parametrize(("model", "renewed"), NAMED)
@@ -187,6 +324,63 @@
 
         run(scenario)
 
+    def test_is_checked_after_a_connection_is_there(self, copied):
+        """A report of weights is 0.35 s old; opening a connection may take as long again."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            pool = world.serving._sender._pool
+            acquire = type(pool).acquire
+
+            async def acquire_slowly(self, *asked):
+                await asyncio.sleep(0.34 if self is pool else 0.0)
+                return await acquire(self, *asked)
+
+            async def renew(engine):
+                engine.reported_base, engine.base = 1, 0
+                await asyncio.sleep(REPORT_LAG_S)
+                engine.reported_base = None
+                await asyncio.sleep(MODEL_S - REPORT_LAG_S)
+                engine.base = 2
+
+            (holder,) = [one for one in world.engines.values() if one.kept]
+            holder.start(renew(holder))
+            await asyncio.sleep(0.33)
+            with mock.patch.object(type(pool), "acquire", acquire_slowly):
+                first.crash()
+                await asyncio.sleep(4.0)
+            assert not world.ledger.wrong
+
+        run(scenario)
+
+    def test_is_not_used_if_its_engine_does_not_tell_its_weights(self, copied):
+        """Only the engine knows the base model's version, which no request can name."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            for engine in world.engines.values():
+                engine.quiet_calls = 2
+            first.crash()
+            await asyncio.sleep(4.0)
+            assert client.ended
+            assert ("from", 200) not in {row[1:] for row in world.ledger.asked}
+
+        run(scenario)
+
+    def test_is_used_if_its_engine_tells_its_weights_at_the_second_call(self, copied):
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            for engine in world.engines.values():
+                engine.quiet_calls = 1
+            first.crash()
+            await asyncio.sleep(4.0)
+            assert is_whole(client)
+
+        run(scenario)
+
 
 class TestAMove:
     @pytest.mark.parametrize(("model", "renewed"), NAMED)
@@ -223,7 +417,8 @@
                 if engine is not first:
                     # Its entry in the platform's store is older.
                     engine.base = 2
-            first.notice(2.0)
+            # Long enough for the run, and short enough for a move to be due.
+            first.notice(1.6)
             await asyncio.sleep(4.0)
             assert not world.ledger.wrong
             assert events(client)[0] == ALL
@@ -231,6 +426,24 @@
 
         run(scenario)
 
+    def test_is_not_made_to_newer_weights_that_were_loaded_for_it(self):
+        """The newer version was not heard of here."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            for engine in world.engines.values():
+                if engine is not first:
+                    engine.holds.clear()
+                    world.enter(engine)
+            world.newest = lambda key: 2 if key == KEY else 1
+            first.notice(1.6)
+            await asyncio.sleep(4.0)
+            assert not world.ledger.wrong
+            assert is_whole(client)
+
+        run(scenario)
+
 
 class TestARunThatWasMixed:
     def test_is_not_passed_on(self, copied):
