Parts of prompts are not taken for kept after their weights were replaced

What callers saw: nothing but first events that were expected too early, and engines chosen for parts that they had to read again. Cause: what an engine keeps was remembered by model and adapter without a version, and ended only when the weights were told as gone; a newer version told without a gap left it. Change: it ends when another version is told by holdings, an answer or a report.

--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -125,14 +125,17 @@
         """Take over what a planner tells of a replica."""
         for key in self._directory.get(replica, ()):
             self._by_key[key].pop(replica, None)
-        for key in self._directory.get(replica, {}).keys() - held.keys():
-            self.kept.parts.forget_weights(replica, key.text)
+        for key, version in self._directory.get(replica, {}).items():
+            if held.get(key) != version:
+                self.kept.parts.forget_weights(replica, key.text)
         self._directory[replica] = held
         for key, version in held.items():
             self._by_key.setdefault(key, {})[replica] = version
 
     def add_holding(self, replica: str, key: AdapterKey, version: int) -> None:
         """Note weights that a planner says are usable on a replica now."""
+        if self._directory.get(replica, {}).get(key, version) != version:
+            self.kept.parts.forget_weights(replica, key.text)
         self._directory.setdefault(replica, {})[key] = version
         self._by_key.setdefault(key, {})[replica] = version
 
--- a/packages/gateway/src/gradelug_gateway/holders.py
+++ b/packages/gateway/src/gradelug_gateway/holders.py
@@ -110,8 +110,11 @@
         """How many of the weights are base models."""
 
     def __setitem__(self, key: AdapterKey, place: Place) -> None:
-        if key not in self:
+        known = self.get(key)
+        if known is None:
             self.bases += not key.adapter
+        elif known.version != place.version:
+            self._index.kept.forget_weights(self._engine.replica.name, key.text)
         super().__setitem__(key, place)
         self._index.note_placed(self._engine, key)
 
--- a/tests/test_kept_gateway.py
+++ b/tests/test_kept_gateway.py
@@ -6,7 +6,16 @@
 from gradelug_gateway.fleet import Fleet
 from gradelug_gateway.kept import Kept, decode_chain, encode_chain
 from gradelug_gateway.link import PlannerLink
-from gradelug_gateway.model import AdapterKey, FleetState, Repeat, Replica, Request, ToldLoad
+from gradelug_gateway.model import (
+    AdapterKey,
+    EngineReport,
+    FleetState,
+    Holding,
+    Repeat,
+    Replica,
+    Request,
+    ToldLoad,
+)
 from gradelug_policy.engine_room import EngineRoom
 from gradelug_policy.kept_parts import KEPT_S, PromptPart, chain_of
 from gradelug_policy.reading import Busyness, ReadingSpeeds, Work, first_event_s
@@ -135,6 +144,19 @@
 
         self.play(scenario)
 
+    def test_parts_go_with_an_older_version_of_their_adapter(self):
+        """The engine's report tells a newer one in the same place."""
+
+        async def scenario(bench):
+            first = await bench.answer()
+            engine = bench.planner.engines[first.replica]
+            held = (Holding(AdapterKey("m"), 1), Holding(KEY, 2))
+            engine.take_report(EngineReport(9, held, (), frozenset(), False), bench.clock())
+            kept = bench.planner.index.kept
+            assert kept.kept_tokens(first.replica, CHAIN, bench.clock()) == 0
+
+        self.play(scenario)
+
     def test_what_all_gateways_send_makes_parts_give_way(self):
         async def scenario(bench):
             first = await bench.answer()
@@ -271,6 +293,21 @@
         fleet.set_holdings("e0", {})
         assert fleet.kept.at("e0", WORK).kept_tokens == 0
 
+    @pytest.mark.parametrize(
+        "tell",
+        [
+            lambda fleet: fleet.set_holdings("e0", {KEY: 2}),
+            lambda fleet: fleet.add_holding("e0", KEY, 2),
+            lambda fleet: fleet.set_homes("llm", KEY, {"e0": 2}),
+        ],
+        ids=["holdings", "answer", "homes"],
+    )
+    def test_parts_go_with_an_older_version_that_is_told_to_be_replaced(self, tell):
+        fleet = new_fleet()
+        fleet.kept.note_sent("e0", WORK, 60_000, 1)
+        tell(fleet)
+        assert fleet.kept.at("e0", WORK).kept_tokens == 0
+
     def test_what_is_booked_at_the_planner_is_not_counted_twice(self):
         async def scenario():
             fleet = new_fleet()
