Tests of whole processes have a loopback address of their own

What was seen: two tests of test_processes failed in their set-up in one run with eight workers beside other load (1670 passed, 2 errors): a router did not answer within 40 s. Its log tells why: address already in use. Change: each run of such a test, and of make demo, chooses its ports at an address of 127/8 made from its process id; connections that other processes open leave from 127.0.0.1. Result: test_processes passed, beside other load.

--- a/packages/standins/src/gradelug_standins/layout.py
+++ b/packages/standins/src/gradelug_standins/layout.py
@@ -84,18 +84,25 @@
 
 
 class Ports:
-    """Free ports, chosen by the kernel and kept apart until all are chosen."""
+    """Free ports, chosen by the kernel and kept apart until all are chosen.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    host : str
+        Loopback address that they are for.
+    """
+
+    def __init__(self, host: str = HOST) -> None:
+        self._host = host
         self._sockets: list[socket.socket] = []
 
     def take(self) -> str:
         """Return ``IP:port``."""
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((HOST, 0))
+        sock.bind((self._host, 0))
         self._sockets.append(sock)
-        return f"{HOST}:{sock.getsockname()[1]}"
+        return f"{self._host}:{sock.getsockname()[1]}"
 
     def release(self) -> None:
         """Free the ports for the processes that will listen on them."""
@@ -113,6 +120,7 @@
     log_level: str = "info",
     timing: t.Mapping[str, float] | None = None,
     statsd: str = "",
+    host: str = HOST,
 ) -> Layout:
     """Write everything that an example's processes need below `folder`.
 
@@ -132,13 +140,16 @@
         Overrides of the schedulers' periods.
     statsd : str
         ``IP:port`` where counters go.
+    host : str
+        Loopback address of all processes. Ports are chosen before they are bound; until then any
+        connection of another process may take one at the usual address.
     """
     folder.mkdir(parents=True, exist_ok=True)
     configuration = folder / "configuration"
     configuration.mkdir(exist_ok=True)
     adapters.write(source, configuration / "adapters.toml", count)
     document = load([source / "rules.toml", configuration / "adapters.toml"])
-    ports = Ports()
+    ports = Ports(host)
     store, listing, legacy = ports.take(), ports.take(), ports.take()
     layout = Layout(source.name, folder, f"http://{ports.take()}", f"http://{listing}")
     document = _readdress(document, ports, layout, f"http://{legacy}")
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,10 +8,10 @@
 import aiohttp
 import openai
 import pytest
-from cluster import Cluster, example, scratch
+from cluster import Cluster, example, own_host, scratch
 from gradelug_standins.layout import lay_out
 
-# Ports are chosen before the processes bind them, so two of these tests could choose the same.
+# Each of these tests starts a dozen processes.
 pytestmark = pytest.mark.xdist_group("processes")
 
 MODEL = "valuation-bayanzurkh@7"
@@ -21,7 +21,7 @@
 def run_cluster(scenario, name="tenger", count=200, **kwargs):
     async def run():
         folder = scratch(f"test-{scenario.__name__}")
-        cluster = Cluster(lay_out(example(name), folder, count=count, **kwargs))
+        cluster = Cluster(lay_out(example(name), folder, count=count, host=own_host(), **kwargs))
         try:
             async with asyncio.timeout(120), cluster:
                 await scenario(cluster)
@@ -281,7 +281,9 @@
         folder = scratch("test-shared")
 
         async def make():
-            return Cluster(lay_out(example("tenger"), folder, count=50, instances=1))
+            return Cluster(
+                lay_out(example("tenger"), folder, count=50, instances=1, host=own_host())
+            )
 
         cluster = loop.run_until_complete(make())
         loop.run_until_complete(cluster.__aenter__())
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -158,6 +158,12 @@
         return "\n".join(parts)
 
 
+def own_host() -> str:
+    """Return a loopback address that no other process uses."""
+    high, low = divmod(os.getpid(), 256)
+    return f"127.{64 + (high >> 8) % 128}.{high % 256}.{low}"
+
+
 def example(name: str) -> Path:
     """Return the folder of an example."""
     return Path(__file__).resolve().parent.parent / "examples" / name
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,7 +7,7 @@
 import sys
 import typing as t
 
-from cluster import Cluster, example, scratch
+from cluster import Cluster, example, own_host, scratch
 from gradelug_standins.layout import lay_out
 
 MODEL = "valuation-bayanzurkh@7"
@@ -84,7 +84,7 @@
 async def main() -> int:
     """Run the demo; 0 if everything had the result it should have."""
     folder = scratch("demo")
-    layout = lay_out(example("tenger"), folder)
+    layout = lay_out(example("tenger"), folder, host=own_host())
     cluster = Cluster(layout)
     print(f"starting {len(layout.processes)} processes; logs are in .run/{folder.name}")
     try:
