Streams under breaks of all kinds: versions are named meanwhile, for adapters and their base model

Cause: the state machine of breaks named no versions; runs that go on under other weights were found by tests of single sequences alone. Change: rules that name the next version of the adapter or of its base model, at any time or at a break, and order all engines to unload the older one, or some; a rule that loads; requests for the bare model. The engines carry orders out one after another and whether or not their giver still waits; a dead engine is not entered again; an engine that joins holds the newest versions; what fails beside in an engine counts as wrong. Rules, settings and count of examples of before are kept.

--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -140,10 +140,27 @@
         self.world.enter(self, leaving=True)
         asyncio.get_running_loop().call_later(remaining_s, self.end)
 
+    async def renew(self, key):
+        """Load the newest version of weights if it is not there once other orders are done."""
+        await self._wait_for_orders()
+        if self.dead:
+            await asyncio.sleep(LOAD_S)
+        elif self.lacks(key):
+            await self.load(key)
+
+    async def drop_older(self, key):
+        """Unload weights unless their newest version is there once other orders are done."""
+        await self._wait_for_orders()
+        if self.lacks(key) and self.version(key):
+            await self.unload(key)
+
+    async def _wait_for_orders(self):
+        while self.ordered is not None and not self.dead:
+            await asyncio.sleep(TICK_S)
+
     async def load(self, key):
         """Load the newest version of weights, and of their model if that is not there."""
-        while self.ordered is not None:
-            await asyncio.sleep(TICK_S)
+        await self._wait_for_orders()
         if self.version(key):
             await self.unload(key)
         if not self.base:
@@ -184,10 +201,16 @@
         return self.base if key == MODEL else self.holds.get(key, 0)
 
     def start(self, work):
-        """Do something beside, until it is lost."""
+        """Do something beside, until it is lost; return its task."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_done)
+        return task
+
+    def _note_done(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.world.ledger.wrong.append(f"{self.name}: {task.exception()!r}")
 
     def versions(self, key):
         """Return the versions of the model and of an adapter that it holds."""
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -34,7 +34,7 @@
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.lasting_runs import CopyTerms
 from gradelug_policy.quotas import LocalShares
-from run_engines import LOAD_S, MODEL, MODEL_S, TICK_S, Ledger, RunEngine
+from run_engines import KEY, LOAD_S, MODEL, MODEL_S, TICK_S, Ledger, RunEngine
 from world import new_loop
 
 DRAIN_S = 3.0
@@ -65,7 +65,11 @@
         for rep in self._fleet.usable(service):
             if rep.name not in excluded and (only is None or rep.name in only):
                 engine = self._world.engines[rep.name]
-                await (engine.load(key) if engine.lacks(key) else asyncio.sleep(LOAD_S))
+                if engine.lacks(key):
+                    # An engine carries an order out whether or not its giver still waits.
+                    await asyncio.wait({engine.start(engine.renew(key))})
+                else:
+                    await asyncio.sleep(LOAD_S)
                 return rep
         await asyncio.sleep(LOAD_S)
         raise Refused("no engine can be used", 0.5)
@@ -149,6 +153,7 @@
     def add(self):
         at = len(self.engines)
         engine = RunEngine(self, f"s{at}", f"10.0.1.{at}:80")
+        engine.base, engine.holds = self.newest(MODEL), {KEY: self.newest(KEY)}
         self.engines[engine.name] = engine
         self.enter(engine)
         return engine
@@ -167,12 +172,15 @@
     def newest(self, key):
         return self.state.versions.get(key, 1)
 
-    def name_version(self, key, version):
-        """Name a version of weights, and order all engines with an older one to unload that."""
+    def name_version(self, key, version, ordered=None):
+        """Name a version of weights, and order engines with an older one to unload that.
+
+        All are ordered that have one, unless some are given.
+        """
         self.state.versions[key] = version
-        for engine in self.engines.values():
+        for engine in self.engines.values() if ordered is None else ordered:
             if engine.lacks(key) and engine.version(key) and not engine.dead:
-                engine.start(engine.unload(key))
+                engine.start(engine.drop_older(key))
 
     def leave(self, engine):
         if self.state.replicas.pop(engine.name, None) is not None:
--- a/tests/test_run_breaks.py
+++ b/tests/test_run_breaks.py
@@ -9,7 +9,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from run_engines import EVENTS
+from run_engines import EVENTS, KEY, MODEL
 from run_world import RunWorld, close, events, is_whole, status
 from world import new_loop
 
@@ -79,12 +79,12 @@
         return at_work[at % len(at_work)] if at_work else self.engine(at)
 
     @precondition(lambda self: len(self.clients) < MOST_CLIENTS)
-    @rule()
-    def ask(self):
+    @rule(model=st.sampled_from(["m/a1", "m"]))
+    def ask(self, model):
         ident = f"q{len(self.clients)}"
 
         def send():
-            self.clients[ident] = self.world.ask(ident)
+            self.clients[ident] = self.world.ask(ident, model=model)
 
         self.act(send)
 
@@ -125,7 +125,7 @@
     def end_while_a_copy_is_on_its_way(self, at, left_s, ends):
         """Give an engine notice, and end where its runs are copied to, or itself, meanwhile."""
         if len(self.clients) < MOST_CLIENTS:
-            self.ask()
+            self.ask("m/a1")
         self.wait(0.3)
         source = self.busy(at)
         source.copy_s = 0.2
@@ -175,6 +175,51 @@
     def lose_memory(self, at):
         self.engine(at).kept.clear()
 
+    @rule(
+        key=st.sampled_from([KEY, MODEL]),
+        ordered=st.none() | st.sets(st.integers(0, 3), max_size=3),
+    )
+    def name_next_version(self, key, ordered):
+        """Name a version, and have all engines with an older one unload that, or some of them."""
+        world = self.world
+        told = None if ordered is None else [self.engine(at) for at in sorted(ordered)]
+        self.act(lambda: world.name_version(key, world.newest(key) + 1, told))
+
+    @precondition(lambda self: len(self.clients) < MOST_CLIENTS)
+    @rule(
+        model=st.sampled_from(["m/a1", "m"]),
+        key=st.sampled_from([KEY, MODEL]),
+        how=st.sampled_from(["hush", "reset", "notice"]),
+        delay_s=st.sampled_from([0.0, 0.3, 0.9, 1.2]),
+        ordered=st.sampled_from(["all", "one", "others", "none"]),
+    )
+    def name_next_version_at_a_break(self, model, key, how, delay_s, ordered):
+        """Break a run's stream or give its engine notice, and name a version at that time."""
+        self.ask(model)
+        self.wait(0.7)
+        world, broken = self.world, self.busy(0)
+        if how == "notice":
+            self.act(lambda: broken.notice(2.0))
+            self.act(self.add)
+        else:
+            self.act(broken.hush if how == "hush" else broken.reset)
+        self.wait(delay_s)
+        engines = list(world.engines.values())
+        told = {
+            "all": engines,
+            "one": [broken],
+            "others": [one for one in engines if one is not broken],
+            "none": [],
+        }
+        self.act(lambda: world.name_version(key, world.newest(key) + 1, told[ordered]))
+        self.wait(1.5)
+
+    @rule(at=st.integers(0, 3), key=st.sampled_from([KEY, MODEL]))
+    def load(self, at, key):
+        """Have an engine load the newest version of weights, in place of an older one."""
+        engine = self.engine(at)
+        self.act(lambda: engine.start(engine.renew(key)))
+
     @rule(at=st.integers(0, 3), quiet=st.booleans())
     def keep_quiet(self, at, quiet):
         self.engine(at).keeps_quiet = quiet
