A failing test: a left run is not watched once its engine turned its request away

Cause: LeftRuns.note_sending ends the watch over a run when its request is sent to the engine that has the run, before that engine has taken it. It answers 503 (an order under way); the request goes on elsewhere, and the left run, which only waited for memory, is at work beside it. Result: it fails.

--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -224,3 +224,30 @@
             assert b'gradelug_runs_went_on_total{weights="other"} 1.0' in text
 
         run(scenario)
+
+
+class TestALeftRun:
+    def test_is_stopped_after_its_engine_turned_its_request_away(self):
+        """An order there waits for the run, which waits for memory; its request gets 503."""
+
+        async def scenario():
+            world = RunWorld(engines=2, repeat=Repeat.RESUME)
+            client, first = await begin(world, "m")
+            second = next(one for one in world.engines.values() if one is not first)
+            first.keeps_dropped = first.keeps_waiting = first.waits_out = True
+            first.runs["q1"].pause_s = 0.9
+            await asyncio.sleep(0.06)
+            first.reset()
+            first.start(first.unload(MODEL))
+            while not second.runs:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.6)
+            second.reset()
+            await asyncio.sleep(5.0)
+            assert (first.name, "run", 503) in world.ledger.asked
+            assert world.ledger.asked.count((second.name, "run", 200)) == 2
+            assert not world.ledger.wrong
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
