Engines in tests replace a base model while runs wait for memory, and events tell of it

Cause: an event can name the base model from which on a run's weights are others; the code that reads this was tested by its parts alone, not with a run that goes on. Change: an engine may replace its base model while runs wait for memory; such a run is read anew under the newer one, and the next event says so in its first line. Tests: the event reaches the caller whole; a stop after it goes on under the new base model and not under the old; so does a copy. What callers receive is read as chunks of whole events: anything else among them, or a rest, fails.

--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -19,6 +19,8 @@
 REPORT_AGE_S = 0.3
 """A report shows what was so long ago."""
 TICK_S = 0.05
+CHANGE = b"x-gradelug-weight-versions: %d\n"
+"""First line of an event from which on a run's weights are others."""
 
 
 @dataclass(eq=False)
@@ -87,6 +89,8 @@
         """Whether one that waits for memory does so, too: no call tells of it."""
         self.waits_out = False
         """Whether such a run goes on only when there is memory again, and not at once."""
+        self.replaces_waiting = False
+        """Whether its base model is replaced while runs wait for memory; they are read anew."""
         self.waiting = []
         """Runs that wait for memory."""
         self.past = deque(maxlen=round(REPORT_AGE_S / TICK_S))
@@ -171,7 +175,7 @@
     async def unload(self, key):
         """Unload weights when no run uses them; a model's adapters go with it."""
         self.ordered = key
-        while any(key in (MODEL, work.key) for work in (*self.runs.values(), *self.waiting)):
+        while any(key in (MODEL, work.key) for work in self._users(key)):
             await asyncio.sleep(TICK_S / 10)
         if key == MODEL:
             self.base = 0
@@ -181,6 +185,11 @@
         self.ordered = None
         self.world.enter(self)
 
+    def _users(self, key):
+        """Return the runs for which an order to unload weights waits if they use them."""
+        waiting = [] if key == MODEL and self.replaces_waiting else self.waiting
+        return [*self.runs.values(), *waiting]
+
     async def _bring(self, key):
         self.ordered = key
         await asyncio.sleep(LOAD_S if key.adapter else MODEL_S)
@@ -361,11 +370,13 @@
                 await self._wait_for_memory(work)
             while work.made < EVENTS:
                 await asyncio.sleep(EVENT_S)
+                base = work.versions[0]
                 await self._preempt(work)
                 if work.stop.is_set() or self.dead:
                     return
                 work.made += 1
-                await send(b"id: %d\ndata: %b\n\n" % (work.made, work.line.encode()))
+                told = b"" if work.versions[0] == base else CHANGE % work.versions[0]
+                await send(told + b"id: %d\ndata: %b\n\n" % (work.made, work.line.encode()))
                 if backup and self.world.clock() - sent_at >= BACKUP_S:
                     sent_at = self.world.clock()
                     self._copy(work, backup)
@@ -391,8 +402,12 @@
         self.waiting.append(work)
         try:
             await asyncio.sleep(work.waits_until - self.world.clock())
+            while not self.version(work.key):
+                await asyncio.sleep(TICK_S)
         finally:
             self.waiting.remove(work)
+        # What was read under weights that were replaced is read again under the new ones.
+        work.versions = self.versions(work.key)
         work.waits = False
         self.runs[work.ident] = work
 
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -51,7 +51,7 @@
     True,
     CopyTerms(100_000, 100_000.0, 5.0),
 )
-_event_re = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+_event_re = re.compile(rb"(?:x-gradelug-weight-versions: (\d+)\n)?id: (\d+)\ndata: (\S+)")
 
 
 class PlacingDirectory(Directory):
@@ -241,8 +241,31 @@
 
 def events(client):
     """Return the numbers and the lines of the events that a client has."""
-    found = _event_re.findall(bytes(client.received))
-    return [int(number) for number, _ in found], [line.decode() for _, line in found]
+    found = _whole_events(client)
+    return [int(number) for _, number, _ in found], [line.decode() for _, _, line in found]
+
+
+def changes(client):
+    """Return the versions that events tell of, by the event's number."""
+    return {int(number): int(told) for told, number, _ in _whole_events(client) if told}
+
+
+def _whole_events(client):
+    """Return version, number and line of each whole event; nothing else may stand among them."""
+    head, _, coming = bytes(client.received).partition(b"\r\n\r\n")
+    if status(client) != 200:
+        return []
+    assert b"transfer-encoding: chunked" in head.lower()
+    text = b""
+    while coming:
+        size, _, coming = coming.partition(b"\r\n")
+        text += coming[: int(size, 16)]
+        coming = coming[int(size, 16) :].removeprefix(b"\r\n")
+    *whole, rest = text.split(b"\n\n")
+    assert not rest
+    found = [_event_re.fullmatch(event) for event in whole]
+    assert None not in found, whole
+    return [event.groups() for event in found]
 
 
 def is_whole(client):
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -7,7 +7,7 @@
 from gradelug_gateway import runs as runs_module
 from gradelug_gateway.model import Repeat
 from run_engines import EVENTS, KEY, MODEL
-from run_world import RunWorld, events, is_whole, run, runner
+from run_world import RunWorld, changes, events, is_whole, run, runner
 
 ALL = list(range(1, EVENTS + 1))
 NAMED = [
@@ -226,6 +226,88 @@
         run(scenario)
 
 
+class TestAChangeInTheMiddle:
+    """A run that waits for memory is read anew under a base model that came meanwhile."""
+
+    async def begin_and_change(self, world, replaced):
+        """Return the client and engine of a run whose base model is of version 2 from now on."""
+        client, first = await begin(world)
+        first.replaces_waiting = True
+        first.runs["q1"].pause_s = 1.0
+        await asyncio.sleep(0.06)
+        assert not first.runs
+        world.state.versions[MODEL] = 2
+
+        async def replace(engine):
+            await engine.unload(MODEL)
+            await engine.load(KEY)
+
+        for engine in world.engines.values() if replaced == "all" else [first]:
+            engine.start(replace(engine))
+        while not changes(client):
+            await asyncio.sleep(0.01)
+        assert list(changes(client).values()) == [2]
+        return client, first
+
+    def test_reaches_the_caller(self):
+        async def scenario():
+            world = RunWorld()
+            client, _ = await self.begin_and_change(world, "one")
+            await asyncio.sleep(3.0)
+            assert list(changes(client).values()) == [2]
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+            assert not world.ledger.wrong
+
+        run(scenario)
+
+    def test_a_stop_after_it_goes_on_under_the_new_weights(self):
+        async def scenario():
+            world = RunWorld()
+            client, first = await self.begin_and_change(world, "one")
+            first.hush()
+            await asyncio.sleep(5.0)
+            assert not world.ledger.wrong
+            assert (first.name, "from", 200) in world.ledger.asked
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
+    def test_a_stop_after_it_does_not_go_on_under_the_old_weights(self):
+        """Its engine has no weights any more; the others have the memory, and the old weights."""
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await self.begin_and_change(world, "one")
+            first.hush()
+            await asyncio.sleep(0.9)
+            world.state.versions[MODEL] = 3
+            first.start(first.unload(MODEL))
+            await asyncio.sleep(5.0)
+            assert not world.ledger.wrong
+            assert (first.name, "move", 200) in world.ledger.asked
+            assert not any(what == "from" and code == 200 for _, what, code in world.ledger.asked)
+            assert client.ended
+            assert len(events(client)[0]) < EVENTS
+
+        run(scenario)
+
+    def test_a_copy_after_it_is_used_under_the_new_weights(self, copied):
+        async def scenario():
+            world = RunWorld()
+            client, first = await self.begin_and_change(world, "all")
+            await asyncio.sleep(0.3)
+            first.crash()
+            await asyncio.sleep(4.0)
+            assert not world.ledger.wrong
+            assert any(what == "from" and code == 200 for _, what, code in world.ledger.asked)
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
+
 class TestALeftRun:
     def test_is_stopped_after_its_engine_turned_its_request_away(self):
         """An order there waits for the run, which waits for memory; its request gets 503."""
