A failing test: a copy made before a change of weights counts as made after it

Cause: LastingRuns._set_versions gives the copy that is kept elsewhere the versions that an event tells, although nothing that was read under them has been sent there yet. Evidence: the engine with the copy has no room for more, and has the new base model, too; the run's engine ends after the event. The run goes on there: memory of (1, 1) goes on under (2, 1). The stand-in keeps the older copy until the next part arrives; the platform's pages do not say what becomes of it.

--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -307,6 +307,22 @@
 
         run(scenario)
 
+    def test_a_copy_before_it_is_not_used_under_the_new_weights(self, copied):
+        """Nothing was sent to the engine with the copy since; it has the new weights, too."""
+
+        async def scenario():
+            world = RunWorld()
+            for engine in world.engines.values():
+                asyncio.get_running_loop().call_later(0.7, setattr, engine, "room", False)
+            client, first = await self.begin_and_change(world, "all")
+            assert any(engine.kept for engine in world.engines.values())
+            first.crash()
+            await asyncio.sleep(4.0)
+            assert not world.ledger.wrong
+            assert client.ended or is_whole(client)
+
+        run(scenario)
+
 
 class TestALeftRun:
     def test_is_stopped_after_its_engine_turned_its_request_away(self):
