--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -34,7 +34,7 @@
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.lasting_runs import CopyTerms
 from gradelug_policy.quotas import LocalShares
-from run_engines import LOAD_S, MODEL, MODEL_S, TICK_S, Ledger, RunEngine
+from run_engines import KEY, LOAD_S, MODEL, MODEL_S, TICK_S, Ledger, RunEngine
 from world import new_loop
 
 DRAIN_S = 3.0
@@ -51,7 +51,7 @@
     True,
     CopyTerms(100_000, 100_000.0, 5.0),
 )
-_event_re = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+_event_re = re.compile(rb"(?:x-gradelug-weight-versions: (\d+)\n)?id: (\d+)\ndata: (\S+)")
 
 
 class PlacingDirectory(Directory):
@@ -71,7 +71,11 @@
         for rep in self._fleet.usable(service):
             if rep.name not in excluded and (only is None or rep.name in only):
                 engine = self._world.engines[rep.name]
-                await (engine.load(key) if engine.lacks(key) else asyncio.sleep(LOAD_S))
+                if engine.lacks(key):
+                    # An engine carries an order out whether or not its giver still waits.
+                    await asyncio.wait({engine.start(engine.renew(key))})
+                else:
+                    await asyncio.sleep(LOAD_S)
                 return rep
         await asyncio.sleep(LOAD_S)
         raise Refused("no engine can be used", 0.5)
@@ -155,6 +159,7 @@
     def add(self):
         at = len(self.engines)
         engine = RunEngine(self, f"s{at}", f"10.0.1.{at}:80")
+        engine.base, engine.holds = self.newest(MODEL), {KEY: self.newest(KEY)}
         self.engines[engine.name] = engine
         self.enter(engine)
         return engine
@@ -173,12 +178,15 @@
     def newest(self, key):
         return self.state.versions.get(key, 1)
 
-    def name_version(self, key, version):
-        """Name a version of weights, and order all engines with an older one to unload that."""
+    def name_version(self, key, version, ordered=None):
+        """Name a version of weights, and order engines with an older one to unload that.
+
+        All are ordered that have one, unless some are given.
+        """
         self.state.versions[key] = version
-        for engine in self.engines.values():
+        for engine in self.engines.values() if ordered is None else ordered:
             if engine.lacks(key) and engine.version(key) and not engine.dead:
-                engine.start(engine.unload(key))
+                engine.start(engine.drop_older(key))
 
     def leave(self, engine):
         if self.state.replicas.pop(engine.name, None) is not None:
@@ -239,8 +247,31 @@
 
 def events(client):
     """Return the numbers and the lines of the events that a client has."""
-    found = _event_re.findall(bytes(client.received))
-    return [int(number) for number, _ in found], [line.decode() for _, line in found]
+    found = _whole_events(client)
+    return [int(number) for _, number, _ in found], [line.decode() for _, _, line in found]
+
+
+def changes(client):
+    """Return the versions that events tell of, by the event's number."""
+    return {int(number): int(told) for told, number, _ in _whole_events(client) if told}
+
+
+def _whole_events(client):
+    """Return version, number and line of each whole event; nothing else may stand among them."""
+    head, _, coming = bytes(client.received).partition(b"\r\n\r\n")
+    if status(client) != 200:
+        return []
+    assert b"transfer-encoding: chunked" in head.lower()
+    text = b""
+    while coming:
+        size, _, coming = coming.partition(b"\r\n")
+        text += coming[: int(size, 16)]
+        coming = coming[int(size, 16) :].removeprefix(b"\r\n")
+    *whole, rest = text.split(b"\n\n")
+    assert not rest
+    found = [_event_re.fullmatch(event) for event in whole]
+    assert None not in found, whole
+    return [event.groups() for event in found]
 
 
 def is_whole(client):
