A left run is looked for until its engine has taken its request again

Cause: the watch over a run that was left at an engine ended when its request was sent there again. The engine turned it away (an order waited for the run, which waited for memory), the request went on elsewhere, and the left run came back beside it. Change: the watch pauses while the request is being sent there, and ends when the engine begins to answer.

--- a/packages/gateway/src/gradelug_gateway/left_runs.py
+++ b/packages/gateway/src/gradelug_gateway/left_runs.py
@@ -33,13 +33,15 @@
         When it was left, by the runtime's clock.
     """
 
-    __slots__ = ("job", "left_at", "replica", "target", "went_on", "went_on_at")
+    __slots__ = ("is_paused", "job", "left_at", "replica", "target", "went_on", "went_on_at")
 
     def __init__(self, job: Job, replica: Replica, target: Replica, left_at: float) -> None:
         self.job = job
         self.replica = replica
         self.target = target
         self.left_at = left_at
+        self.is_paused = False
+        """Whether its request was sent to its engine, which has not answered yet."""
         self.went_on_at = -math.inf
         """When its request was last sent to go on elsewhere."""
         self.went_on = asyncio.Event()
@@ -95,13 +97,26 @@
 
     def note_sending(self, job: Job, replica: Replica) -> None:
         """Note where a request is sent: what was left there is left alone, the rest is urgent."""
-        for name, (left, task) in self._left.get(job.req.id, {}).items():
+        for name, (left, _) in self._left.get(job.req.id, {}).items():
             if name == replica.name:
-                task.cancel()
+                # Stopped there now, its request's new run could be meant.
+                left.is_paused = True
             elif job.events.last_event:
                 left.went_on_at = self._clock()
                 left.went_on.set()
 
+    def note_begun(self, job: Job, replica: Replica) -> None:
+        """Note that an engine runs a request: what was left there is not looked for any more."""
+        found = self._left.get(job.req.id, {}).get(replica.name)
+        if found is not None:
+            found[1].cancel()
+
+    def note_ended(self, job: Job, replica: Replica) -> None:
+        """Note that a sending to an engine has ended, most of them after it was turned away."""
+        found = self._left.get(job.req.id, {}).get(replica.name)
+        if found is not None:
+            found[0].is_paused = False
+
     def _forget(self, left: LeftRun) -> None:
         of_job = self._left[left.job.req.id]
         del of_job[left.replica.name]
@@ -111,7 +126,7 @@
     async def _watch(self, left: LeftRun) -> None:
         while self._clock() < left.job.deadline_at:
             await self._pause(left)
-            if await self._is_over(left):
+            if not left.is_paused and await self._is_over(left):
                 return
         self._meters.left_run("unknown")
 
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -199,6 +199,7 @@
         ResponseBroken
             If the run goes on under other weights than those of its memory.
         """
+        self._left.note_begun(run.job, run.replica)
         run.word = word
         if word.unreadable:
             log.info("version unreadable", replica=run.replica.name, why=word.unreadable)
@@ -254,6 +255,7 @@
 
     def leave(self, run: Run) -> None:
         """Note that nothing is read of a run any more."""
+        self._left.note_ended(run.job, run.replica)
         runs = self.runs.get(run.replica.name)
         if runs is None:
             return
