A copy is not used after its run's weights changed

Cause: the copy that another engine received as the run grew took over the new version with the run, though it had been sent before. The test that let a later copy serve assumed that it is, as the engines of the tests do; it now holds that none is used, which is stricter for the rule and costs the caller of such a run its second way.

--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -214,10 +214,14 @@
             )
 
     def note_change(self, run: Run, word: VersionWord) -> None:
-        """Note what an event of a run says of its engine's base model."""
+        """Note what an event of a run says of its engine's base model.
+
+        A copy that was received as the run grew is of the former one, in part or whole.
+        """
         if word == VersionWord():
             return
-        self._set_versions(run, run.versions.told(word))
+        run.versions = run.versions.told(word)
+        run.job.backup = None
         log.info(
             "weights of a run changed",
             id=run.job.req.id,
