Names of versions and of their checks say what they are of

Change: names, docstrings; how many engines renew at a time is a module of its own; the version of a rejected sending is logged as sent.

--- a/packages/gateway/src/gradelug_gateway/copy_targets.py
+++ b/packages/gateway/src/gradelug_gateway/copy_targets.py
@@ -7,7 +7,7 @@
 import typing as t
 
 from gradelug_policy.lasting_runs import CopyTarget, Pace, choose_target
-from gradelug_policy.run_versions import MemoryVersions
+from gradelug_policy.run_versions import WeightVersions
 
 from .fleet import CHOICES, Fleet
 from .job import Job
@@ -49,7 +49,7 @@
         self._rng = rng
 
     def choose(
-        self, job: Job, source: Replica, versions: MemoryVersions, most_used: float
+        self, job: Job, source: Replica, versions: WeightVersions, most_used: float
     ) -> Replica | None:
         """Return an engine on which a run can go on from its memory; None if there is none.
 
@@ -59,7 +59,7 @@
             The request.
         source : Replica
             Where it runs.
-        versions : MemoryVersions
+        versions : WeightVersions
             Of the weights that make its memory.
         most_used : float
             Part of the engine's memory that may be in use with the copy, 0 to 1 or more.
@@ -83,7 +83,7 @@
             # There the run would wait for room before it goes on.
             and self._fleet.limits.rate(rep.name) is None
             and not self._fleet.rests.left_s(rep)
-            and self._weights.fits(rep, versions, key)
+            and self._weights.may_hold(rep, versions, key)
         ]
         name = choose_target(targets, most_used)
         return self._fleet.state.replicas[name] if name is not None else None
--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -179,7 +179,7 @@
             target = await self._find(run)
             if target is None:
                 return
-            if not await self._lasting.weights.is_kept(run.job, _copy(run, target)):
+            if not await self._lasting.weights.is_usable(run.job, _copy(run, target)):
                 return
             copied = ""
             left_s = self._ends_at.get(run.replica.name, math.inf) - self._clock()
--- a/packages/gateway/src/gradelug_gateway/renewal.py
+++ b/packages/gateway/src/gradelug_gateway/renewal.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from gradelug_policy.run_versions import may_begin_renewal
+from gradelug_policy.renewal import may_begin_renewal
 
 from .engines import Engine, Phase, Place
 from .model import AdapterKey, OrderOutcome, Term
--- a/packages/gateway/src/gradelug_gateway/requests.py
+++ b/packages/gateway/src/gradelug_gateway/requests.py
@@ -8,7 +8,7 @@
 
 from gradelug_http import Header
 from gradelug_policy.kept_parts import PromptPart
-from gradelug_policy.run_versions import MemoryVersions
+from gradelug_policy.run_versions import WeightVersions
 
 from .organisations import Principal
 from .replicas import AdapterKey, Replica
@@ -122,10 +122,10 @@
         Under what it is kept: a handle, or the request's identifier.
     holder : Replica
         Where it is.
-    versions : MemoryVersions
+    versions : WeightVersions
         Of the weights that made it.
     kept_at : float
-        When its holder surely held these weights, by the runtime's clock.
+        A moment at which its holder had these weights, by the runtime's clock.
     elsewhere : Replica or None
         Another engine that has the same memory.
     was_loaded : bool
@@ -136,7 +136,7 @@
     source: str
     ident: str
     holder: Replica
-    versions: MemoryVersions = MemoryVersions()
+    versions: WeightVersions = WeightVersions()
     kept_at: float = -math.inf
     elsewhere: Replica | None = None
     was_loaded: bool = False
--- a/packages/gateway/src/gradelug_gateway/run_weights.py
+++ b/packages/gateway/src/gradelug_gateway/run_weights.py
@@ -6,7 +6,7 @@
 import typing as t
 
 import logbook
-from gradelug_policy.run_versions import NOT_TOLD, MemoryVersions, is_loadable, is_same
+from gradelug_policy.run_versions import NOT_TOLD, WeightVersions, is_loadable, is_same
 
 from .fleet import Fleet
 from .job import Job
@@ -66,25 +66,25 @@
         self._clock = clock
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def newest(self, key: AdapterKey | None) -> MemoryVersions:
+    def newest(self, key: AdapterKey | None) -> WeightVersions:
         """Return the newest versions that were named of weights and their base model."""
         if key is None:
-            return MemoryVersions()
+            return WeightVersions()
         versions = self._fleet.state.versions
         adapter = versions.get(key, NOT_TOLD) if key.adapter else NOT_TOLD
-        return MemoryVersions(versions.get(AdapterKey(key.model), NOT_TOLD), adapter)
+        return WeightVersions(versions.get(AdapterKey(key.model), NOT_TOLD), adapter)
 
-    def held(self, replica: Replica, key: AdapterKey | None) -> MemoryVersions:
+    def held(self, replica: Replica, key: AdapterKey | None) -> WeightVersions:
         """Return the versions of weights and their base model on an engine, as last told."""
         if key is None:
-            return MemoryVersions()
+            return WeightVersions()
         told = self._fleet.told_version
         adapter = told(replica.name, key) if key.adapter else None
-        return MemoryVersions(
+        return WeightVersions(
             told(replica.name, AdapterKey(key.model)) or NOT_TOLD, adapter or NOT_TOLD
         )
 
-    def fits(self, rep: Replica, versions: MemoryVersions, key: AdapterKey | None) -> bool:
+    def may_hold(self, rep: Replica, versions: WeightVersions, key: AdapterKey | None) -> bool:
         """Tell whether an engine may have a memory's weights, now or after a load."""
         if key is None:
             return True
@@ -93,7 +93,7 @@
             return False
         return self.holds(rep, versions, key) or is_loadable(versions, newest)
 
-    def holds(self, rep: Replica, versions: MemoryVersions, key: AdapterKey | None) -> bool:
+    def holds(self, rep: Replica, versions: WeightVersions, key: AdapterKey | None) -> bool:
         """Tell whether an engine holds what the request of a memory names, as last told."""
         if key is None:
             return True
@@ -104,7 +104,7 @@
             return is_same(versions.adapter, held, newest.adapter)
         return is_same(versions.model, held, newest.model)
 
-    def holders(self, service: str, versions: MemoryVersions, key: AdapterKey) -> list[Replica]:
+    def holders(self, service: str, versions: WeightVersions, key: AdapterKey) -> list[Replica]:
         """Return engines that hold what the request of a memory names, as last told."""
         version = versions.adapter if key.adapter else versions.model
         if version == NOT_TOLD:
@@ -121,10 +121,11 @@
         newer = held.model > copy.versions.model or held.adapter > copy.versions.adapter
         return not (newer or copy.was_loaded) and is_loadable(copy.versions, self.newest(key))
 
-    async def is_kept(self, job: Job, copy: Copy) -> bool:
-        """Tell whether the engine that keeps a memory has its base model, as it says itself.
+    async def is_usable(self, job: Job, copy: Copy) -> bool:
+        """Tell whether a run may go on from memory at the engine that keeps it.
 
-        What the request itself names is left to the engine, which rejects it.
+        The engine says itself which base model it has. What the request names is left to the
+        engine, which rejects another version.
         """
         key, versions = job.req.key, copy.versions
         if key is None:
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -21,7 +21,7 @@
     wants_copy,
 )
 from gradelug_policy.left_runs import ASK_S, may_wait
-from gradelug_policy.run_versions import NOT_TOLD, MemoryVersions, VersionWord, compare
+from gradelug_policy.run_versions import NOT_TOLD, VersionWord, WeightVersions, compare
 
 from .copy_targets import CopyTargets
 from .fleet import Fleet
@@ -61,13 +61,13 @@
         "is_left",
         "job",
         "replica",
+        "reported",
         "since_event",
         "stopped",
         "taken",
         "versions",
         "was_mixed",
         "was_refused",
-        "word",
     )
 
     def __init__(self, job: Job, replica: Replica, began_at: float) -> None:
@@ -93,9 +93,9 @@
         """Whether it went on under other weights than those of its memory."""
         self.taken: Copy | None = None
         """The memory from which it goes on."""
-        self.versions = job.copy.versions if job.copy is not None else MemoryVersions()
+        self.versions = job.copy.versions if job.copy is not None else WeightVersions()
         """Of the weights that made its memory."""
-        self.word = VersionWord()
+        self.reported = VersionWord()
         """What its engine said of its base model as the run began."""
 
     @property
@@ -189,7 +189,7 @@
         if key is None or run.job.copy is not None or not version:
             return
         model, adapter = (NOT_TOLD, version) if key.adapter else (version, NOT_TOLD)
-        self._set_versions(run, MemoryVersions(model, adapter))
+        self._set_versions(run, WeightVersions(model, adapter))
 
     def note_weights(self, run: Run, word: VersionWord) -> None:
         """Note what the engine of a run says of its base model as the run begins.
@@ -200,7 +200,7 @@
             If the run goes on under other weights than those of its memory.
         """
         self._left.note_begun(run.job, run.replica)
-        run.word = word
+        run.reported = word
         if word.unreadable:
             log.info("version unreadable", replica=run.replica.name, why=word.unreadable)
         used = run.job.used
@@ -230,7 +230,7 @@
             why=word.unreadable,
         )
 
-    def _set_versions(self, run: Run, versions: MemoryVersions) -> None:
+    def _set_versions(self, run: Run, versions: WeightVersions) -> None:
         run.versions = versions
         if run.job.backup is not None:
             run.job.backup = replace(run.job.backup, versions=versions)
@@ -427,7 +427,7 @@
     def _note_gone_on(self, run: Run, copy: Copy, now: float) -> None:
         job = run.job
         pause_s = now - job.event_at
-        weights = compare(copy.versions, run.word)
+        weights = compare(copy.versions, run.reported)
         self._meters.went_on(copy.kind.value, pause_s, weights)
         log.info(
             "run went on",
@@ -436,7 +436,7 @@
             replica=copy.holder.name,
             event=job.events.last_event,
             memory=copy.versions.text,
-            told=run.word.version,
+            told=run.reported.version,
             weights=weights,
             pause_s=round(pause_s, 3),
         )
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -314,7 +314,7 @@
         """
         if job.copy is None or self._lasting is None:
             return True
-        return await self._lasting.weights.is_kept(job, job.copy)
+        return await self._lasting.weights.is_usable(job, job.copy)
 
     def _closed(self, job: Job, replica: Replica) -> Outcome | None:
         """Return how a sending ends that must not be made now, None if it may be made."""
@@ -405,7 +405,7 @@
         sending.release(self._pool, head)
         if verdict not in (Verdict.ANSWERED, Verdict.FAILED):
             job.in_doubt = was_in_doubt
-        return self._conclude(job, replica, verdict, head, body)
+        return self._conclude(job, replica, verdict, head, body, attempt.version)
 
     def _hear(self, replica: Replica, head: ResponseHead, sent_at: float) -> None:
         """Take over what an answer says of its replica."""
@@ -478,7 +478,13 @@
         return None, None
 
     def _conclude(
-        self, job: Job, replica: Replica, verdict: Verdict, head: ResponseHead, body: bytes
+        self,
+        job: Job,
+        replica: Replica,
+        verdict: Verdict,
+        head: ResponseHead,
+        body: bytes,
+        asked: int,
     ) -> Outcome:
         if verdict is Verdict.ANSWERED:
             if head.get(b"content-encoding") is not None:
@@ -491,7 +497,7 @@
             replica=replica.name,
             why=verdict.value,
             status=head.status,
-            asked=asked_version(self._fleet, job, replica),
+            asked=asked,
         )
         if verdict is Verdict.FAILED:
             job.failure = (head, body)
--- /dev/null
+++ b/packages/policy/src/gradelug_policy/renewal.py
@@ -0,0 +1,31 @@
+"""How many engines renew their base model at a time.
+
+Load pattern: a new version of a base model is named while all engines run requests of its adapters.
+An engine that renews it takes no requests until its last run has ended and the weights are loaded.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+RENEWED_PART = 0.5
+"""Part of the engines that may be without their base model at a time while it is renewed."""
+RENEWAL_S = 2.0
+"""An engine whose runs last longer than this keeps no other one waiting: new versions have to be in
+use within some seconds."""
+
+
+def may_begin_renewal(began: t.Iterable[float], engines: int, now: float) -> bool:
+    """Tell whether another engine may be closed for a new version of its base model.
+
+    Parameters
+    ----------
+    began : iterable of float
+        When those were closed that are not back yet.
+    engines : int
+        All engines of the service.
+    now : float
+        By the same clock.
+    """
+    recent = sum(now - at < RENEWAL_S for at in began)
+    return recent < max(1, int(RENEWED_PART * engines))
--- a/packages/policy/src/gradelug_policy/run_versions.py
+++ b/packages/policy/src/gradelug_policy/run_versions.py
@@ -29,39 +29,16 @@
     unreadable: str = ""
 
 
-RENEWED_PART = 0.5
-"""Part of the engines that may be without their base model at a time while it is renewed."""
-RENEWAL_S = 2.0
-"""An engine whose runs last longer than this keeps no other one waiting: new versions have to be in
-use within some seconds."""
-
-
-def may_begin_renewal(began: t.Iterable[float], engines: int, now: float) -> bool:
-    """Tell whether another engine may be closed for a new version of its base model.
-
-    Parameters
-    ----------
-    began : iterable of float
-        When those were closed that are not back yet.
-    engines : int
-        All engines of the service.
-    now : float
-        By the same clock.
-    """
-    recent = sum(now - at < RENEWAL_S for at in began)
-    return recent < max(1, int(RENEWED_PART * engines))
-
-
 @dataclass(slots=True, frozen=True)
-class MemoryVersions:
-    """Versions of the weights that made a run's memory, each `NOT_TOLD` if it is not known.
+class WeightVersions:
+    """Versions of a base model and one of its adapters, each `NOT_TOLD` if it is not known.
 
     Parameters
     ----------
     model : int
         Of the base model.
     adapter : int
-        Of the adapter; `NOT_TOLD` too for a run without one.
+        Of the adapter; `NOT_TOLD` too where none is used.
     """
 
     model: int = NOT_TOLD
@@ -72,19 +49,19 @@
         """Its form in logs: base model and adapter."""
         return f"{self.model or '?'}/{self.adapter or '?'}"
 
-    def told(self, word: VersionWord) -> MemoryVersions:
+    def told(self, word: VersionWord) -> WeightVersions:
         """Return the versions after an engine named that of its base model."""
         return replace(self, model=word.version) if word.version else self
 
 
-def is_loadable(memory: MemoryVersions, newest: MemoryVersions) -> bool:
+def is_loadable(memory: WeightVersions, newest: WeightVersions) -> bool:
     """Tell whether loading weights now can bring those of a memory: engines load the newest.
 
     Parameters
     ----------
-    memory : MemoryVersions
+    memory : WeightVersions
         Of the weights that made it.
-    newest : MemoryVersions
+    newest : WeightVersions
         The newest that were named, `NOT_TOLD` where none was.
     """
     return _is_newest(memory.model, newest.model) and _is_newest(memory.adapter, newest.adapter)
@@ -112,7 +89,7 @@
     return version == held
 
 
-def compare(memory: MemoryVersions, word: VersionWord) -> str:
+def compare(memory: WeightVersions, word: VersionWord) -> str:
     """Return whether an engine that goes on from a memory has its weights, as a metric's label."""
     if not memory.model or not word.version:
         return "unknown"
--- a/tests/test_run_versions.py
+++ b/tests/test_run_versions.py
@@ -1,15 +1,8 @@
 """Versions of weights: what is the same, what a load can bring, how many engines renew at once."""
 
 import pytest
-from gradelug_policy.run_versions import (
-    RENEWAL_S,
-    MemoryVersions,
-    VersionWord,
-    compare,
-    is_loadable,
-    is_same,
-    may_begin_renewal,
-)
+from gradelug_policy.renewal import RENEWAL_S, may_begin_renewal
+from gradelug_policy.run_versions import VersionWord, WeightVersions, compare, is_loadable, is_same
 
 
 class TestVersions:
@@ -42,19 +35,19 @@
         ],
     )
     def test_a_load_brings_the_newest(self, memory, newest, loadable):
-        assert is_loadable(MemoryVersions(*memory), MemoryVersions(*newest)) is loadable
+        assert is_loadable(WeightVersions(*memory), WeightVersions(*newest)) is loadable
 
     def test_what_an_engine_names_is_compared(self):
-        memory = MemoryVersions(2, 7)
+        memory = WeightVersions(2, 7)
         assert compare(memory, VersionWord(2)) == "same"
         assert compare(memory, VersionWord(3)) == "other"
         assert compare(memory, VersionWord()) == "unknown"
-        assert compare(MemoryVersions(), VersionWord(3)) == "unknown"
+        assert compare(WeightVersions(), VersionWord(3)) == "unknown"
 
     def test_an_unreadable_word_changes_nothing(self):
-        memory = MemoryVersions(2, 7)
+        memory = WeightVersions(2, 7)
         assert memory.told(VersionWord(unreadable="x")) == memory
-        assert memory.told(VersionWord(3)) == MemoryVersions(3, 7)
+        assert memory.told(VersionWord(3)) == WeightVersions(3, 7)
 
 
 class TestRenewal:
