A run goes on under an older adapter only within the bound for versions

Such a run that must not be repeated is not stopped when it falls silent, since it could not go on; one whose stream breaks takes the next way. The base model below an adapter has no such bound.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -214,6 +214,7 @@
                 self._clock,
                 self._budgets.has_retry,
                 self._rng,
+                settings.bounds.version_s,
             )
             self._handover = Handover(
                 self._fleet,
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -329,6 +329,7 @@
         if fact.version <= self.state.versions.get(fact.key, 0):
             return False
         self.state.versions[fact.key] = fact.version
+        self.state.namings.note(fact.key, fact.version, self._clock())
         log.info("version named", weights=fact.key.text, version=fact.version)
         return True
 
--- a/packages/gateway/src/gradelug_gateway/replicas.py
+++ b/packages/gateway/src/gradelug_gateway/replicas.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from gradelug_policy.departures import Departures
+from gradelug_policy.run_versions import Namings
 
 from .services import Snapshot
 
@@ -120,6 +121,8 @@
         Grows with every change of the replicas.
     departures : Departures
         Lives of replicas that leave.
+    namings : Namings
+        When versions were named.
     """
 
     snapshot: Snapshot | None = None
@@ -127,6 +130,7 @@
     versions: dict[AdapterKey, int] = field(default_factory=dict)
     change: int = 0
     departures: Departures = field(default_factory=Departures)
+    namings: Namings = field(default_factory=Namings)
 
     def is_leaving(self, rep: Replica) -> bool:
         """Tell whether a replica takes no new work, as far as is known now."""
--- a/packages/gateway/src/gradelug_gateway/run_weights.py
+++ b/packages/gateway/src/gradelug_gateway/run_weights.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as t
 
 import logbook
-from gradelug_policy.run_versions import NOT_TOLD, WeightVersions, is_loadable, is_same
+from gradelug_policy.run_versions import (
+    NOT_TOLD,
+    WeightVersions,
+    is_loadable,
+    is_same,
+    may_begin,
+)
 
 from .fleet import Fleet
 from .job import Job
@@ -56,11 +63,21 @@
         Asks engines for the weights that they hold, and frees memory.
     clock : callable
         The runtime's clock.
+    version_s : float
+        No run goes on under an older version of its adapter so long after a newer one was named, in
+        seconds.
     """
 
-    __slots__ = ("_clock", "_fleet", "_tasks", "_transport")
+    __slots__ = ("_clock", "_fleet", "_tasks", "_transport", "_version_s")
 
-    def __init__(self, fleet: Fleet, transport: RunTransport, clock: t.Callable[[], float]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        transport: RunTransport,
+        clock: t.Callable[[], float],
+        version_s: float = math.inf,
+    ) -> None:
+        self._version_s = version_s
         self._fleet = fleet
         self._transport = transport
         self._clock = clock
@@ -111,6 +128,13 @@
             return self._fleet.holders(service, key)
         return self._fleet.holders_at(service, key, version)
 
+    def is_in_time(self, versions: WeightVersions, key: AdapterKey | None) -> bool:
+        """Tell whether a run may still go on under the adapter of its memory."""
+        if key is None or not key.adapter:
+            return True
+        namings = self._fleet.state.namings
+        return may_begin(namings.replaced_s(key, versions.adapter, self._clock()), self._version_s)
+
     def can_load(self, copy: Copy, key: AdapterKey | None) -> bool:
         """Tell whether a load at the engine that keeps a memory can bring its weights.
 
@@ -131,6 +155,9 @@
         if key is None:
             return True
         newest = self.newest(key).model
+        if not self.is_in_time(versions, key):
+            log.info("memory too old", id=job.req.id, memory=versions.text)
+            return False
         if not key.adapter:
             return versions.model != NOT_TOLD or newest == NOT_TOLD
         if versions.adapter == NOT_TOLD and self.newest(key).adapter != NOT_TOLD:
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -131,6 +131,9 @@
         Tells whether a request to a service may be sent again now.
     rng : random.Random
         Of many engines without the weights of a run, some are drawn to choose from.
+    version_s : float
+        No run begins or goes on under an older version of its adapter so long after a newer one was
+        named, in seconds.
     """
 
     __slots__ = (
@@ -155,6 +158,7 @@
         clock: t.Callable[[], float],
         has_retry: t.Callable[[str], bool],
         rng: random.Random,
+        version_s: float = math.inf,
     ) -> None:
         self._fleet = fleet
         self._transport = transport
@@ -164,7 +168,7 @@
         self._left = LeftRuns(transport, meters, clock)
         self._records: dict[str, BreakRecord] = {}
         self._paces: dict[str, Pace] = {}
-        self.weights = RunWeights(fleet, transport, clock)
+        self.weights = RunWeights(fleet, transport, clock, version_s)
         """Tells which engines have the weights of a run's memory."""
         self.targets = CopyTargets(fleet, self.weights, self.pace, clock, rng)
         """Chooses engines for the memory of runs."""
@@ -316,6 +320,9 @@
         job = run.job
         if not self._has_retry(job.service.name):
             return False
+        if not job.may_repeat() and not self.weights.is_in_time(run.versions, job.req.key):
+            # Its memory would be of no use; left alone it may go on by itself.
+            return False
         run.answer = None
         if self._can_stop(run):
             run.stopped = await self._stop(run)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -99,6 +99,9 @@
         Length of the windows in which quotas of organisations are counted, in seconds.
     drain_s : float
         How long a replica goes on after it was said to be leaving, in seconds.
+    version_s : float
+        No request begins under an older version of its adapter so long after a newer one was named,
+        in seconds.
     """
 
     grace_s: float = 8.0
@@ -114,6 +117,7 @@
     revoke_s: float = math.inf
     quota_window_s: float = 8.0
     drain_s: float = 2.0
+    version_s: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/policy/src/gradelug_policy/run_versions.py
+++ b/packages/policy/src/gradelug_policy/run_versions.py
@@ -14,6 +14,13 @@
 """Stands for a version that nobody told."""
 
 
+MOST_NAMINGS = 8
+"""Versions of the same weights whose naming is remembered."""
+BEGIN_MARGIN_S = 2.0
+"""A version is heard of up to 1.3 s after it was named, where instances look at the platform's
+store each 1.2 s, and a busy engine takes half a second to begin what it was sent."""
+
+
 class VersionWord(t.NamedTuple):
     """What an engine says of the version of its base model.
 
@@ -89,6 +96,39 @@
     return version == held
 
 
+class Namings:
+    """When versions of weights were named, as far as was heard here."""
+
+    __slots__ = ("_heard",)
+
+    def __init__(self) -> None:
+        self._heard: dict[t.Hashable, list[tuple[int, float]]] = {}
+
+    def note(self, key: t.Hashable, version: int, now: float) -> None:
+        """Note that a version of some weights was heard of."""
+        heard = self._heard.setdefault(key, [])
+        heard.append((version, now))
+        del heard[:-MOST_NAMINGS]
+
+    def replaced_s(self, key: t.Hashable, version: int, now: float) -> float:
+        """Return since when a newer version is known, in seconds; 0 if none is."""
+        newer = [at for named, at in self._heard.get(key, ()) if named > version]
+        return now - min(newer, default=now)
+
+
+def may_begin(replaced_s: float, bound_s: float) -> bool:
+    """Tell whether a request may still begin under an older version.
+
+    Parameters
+    ----------
+    replaced_s : float
+        Since when a newer one is known, in seconds; 0 if none is.
+    bound_s : float
+        So long after it was named a version must be in use, in seconds.
+    """
+    return replaced_s <= max(0.0, bound_s - BEGIN_MARGIN_S)
+
+
 def compare(memory: WeightVersions, word: VersionWord) -> str:
     """Return whether an engine that goes on from a memory has its weights, as a metric's label."""
     if not memory.model or not word.version:
--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -35,6 +35,8 @@
     """Of the model and the adapter under which its memory was made."""
     pause_s: float = 0.0
     """It is preempted for so long."""
+    stalls_s: float = 0.0
+    """It makes nothing for so long."""
     waits: bool = False
     waits_until: float = 0.0
     stop: asyncio.Event = field(default_factory=asyncio.Event)
@@ -372,6 +374,8 @@
                 await asyncio.sleep(EVENT_S)
                 base = work.versions[0]
                 await self._preempt(work)
+                stalls_s, work.stalls_s = work.stalls_s, 0.0
+                await asyncio.sleep(stalls_s)
                 if work.stop.is_set() or self.dead:
                     return
                 work.made += 1
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import re
 from pipes import Network, RawClient, join
@@ -94,7 +95,15 @@
 class RunWorld:
     """A gateway before engines that can be broken."""
 
-    def __init__(self, engines=3, repeat=Repeat.NEVER, lasting=True, budget=1000.0, replicas=2):
+    def __init__(
+        self,
+        engines=3,
+        repeat=Repeat.NEVER,
+        lasting=True,
+        budget=1000.0,
+        replicas=2,
+        version_s=math.inf,
+    ):
         self.clock = clock = asyncio.get_running_loop().time
         self.net = Network()
         self.ledger = Ledger()
@@ -116,7 +125,7 @@
         self.lasting = self.handover = None
         if lasting:
             self.lasting = LastingRuns(
-                self.fleet, runs, meters, clock, budgets.has_retry, random.Random(1)
+                self.fleet, runs, meters, clock, budgets.has_retry, random.Random(1), version_s
             )
             self.handover = Handover(
                 self.fleet, directory, self.lasting, runs, budgets.try_retry, clock, DRAIN_S
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -9,6 +9,7 @@
 from gradelug_gateway import run_weights
 from gradelug_gateway import runs as runs_module
 from gradelug_gateway.model import Repeat
+from gradelug_policy.run_versions import Namings
 from run_engines import EVENTS, KEY, MODEL, MODEL_S
 from run_world import RunWorld, changes, events, is_whole, run, runner
 
@@ -291,6 +292,48 @@
         run(scenario)
 
 
+class TestARunUnderAnOlderAdapter:
+    """A version that was named must be in use by requests that begin within a bound."""
+
+    @pytest.mark.parametrize(("replaced_s", "goes_on"), [(2.9, True), (3.1, False)])
+    def test_does_not_begin_again_too_late(self, copied, replaced_s, goes_on):
+        async def scenario():
+            world = RunWorld(version_s=5.0)
+            client, first = await begin(world)
+            world.state.versions[KEY] = 2
+            world.state.namings.note(KEY, 2, world.clock() - replaced_s)
+            first.crash()
+            await asyncio.sleep(4.0)
+            assert is_whole(client) is goes_on
+            assert (("from", 200) in {row[1:] for row in world.ledger.asked}) is goes_on
+
+        run(scenario)
+
+    def test_is_not_stopped_when_it_could_not_go_on(self):
+        """It falls silent for some time and goes on by itself."""
+
+        async def scenario():
+            world = RunWorld(version_s=5.0)
+            client, first = await begin(world)
+            world.state.versions[KEY] = 2
+            world.state.namings.note(KEY, 2, world.clock() - 4.0)
+            first.runs["q1"].stalls_s = 1.7
+            await asyncio.sleep(6.0)
+            assert is_whole(client)
+            assert not [row for row in world.ledger.asked if row[1] == "move"]
+
+        run(scenario)
+
+    def test_counts_from_the_first_newer_version(self):
+        namings = Namings()
+        for version, at in ((2, 1.0), (3, 4.0), (4, 9.0)):
+            namings.note(KEY, version, at)
+        assert namings.replaced_s(KEY, 1, 10.0) == 9.0
+        assert namings.replaced_s(KEY, 3, 10.0) == 1.0
+        assert namings.replaced_s(KEY, 4, 10.0) == 0.0
+        assert namings.replaced_s(MODEL, 1, 10.0) == 0.0
+
+
 class TestACopy:
     @pytest.mark.parametrize(("model", "renewed"), NAMED)
     @pytest.mark.parametrize("at", [0.2, 0.7])
