The soak's replicas hold versions of their base model and check the version that is asked for

Cause: the soak named versions of adapters alone; its replicas told version 1 of the base model whatever they held, checked no version that a request asked for and named none in answers. Change: entries, reports and answers tell the base model's version; a request for another version than is there gets 421; the unload of a base model waits for the runs of its adapters, and requests get 503 meanwhile; a load without a version brings the newest that was named.

--- a/tests/engine_model.py
+++ b/tests/engine_model.py
@@ -37,13 +37,21 @@
     def use(self, key, count):
         """Set how many requests use an adapter; one that is to leave goes with the last."""
         self.users[key] = count
-        if not count and key in self.leaving:
-            self.leaving.discard(key)
-            self.held.pop(key, None)
+        for leaving in [one for one in self.leaving if not self._is_used(one)]:
+            self.leaving.discard(leaving)
+            self._drop(leaving)
             self._keep()
 
     def can_run(self, key):
-        return key in self.held and self.ready_at[key] <= self.clock()
+        needed = (key, AdapterKey(key.model)) if key is not None else (key,)
+        return all(one in self.held and self.ready_at[one] <= self.clock() for one in needed)
+
+    def _is_used(self, key):
+        """Tell whether requests use weights; those for adapters use their model's, too."""
+        return any(
+            count and used is not None and key in (used, AdapterKey(used.model))
+            for used, count in self.users.items()
+        )
 
     def report(self):
         at = self.clock() - REPORT_LAG_S
@@ -54,7 +62,7 @@
         _, orders, held, ready_at = seen
         ready = [Holding(key, held[key]) for key in held if ready_at[key] <= at]
         coming = [Holding(key, held[key]) for key in held if ready_at[key] > at]
-        return EngineReport(orders, tuple(ready), tuple(coming), frozenset(), False)
+        return EngineReport(orders, tuple(ready), tuple(coming), frozenset(), MODEL in self.leaving)
 
     def _load(self, order):
         version = order.version or self.versions.get(order.key, 1)
@@ -70,13 +78,17 @@
 
     def _unload(self, order):
         self.orders += 1
-        if self.users.get(order.key):
+        if self._is_used(order.key):
             self.leaving.add(order.key)
             return OrderOutcome.TAKEN
-        self.held.pop(order.key, None)
-        if not order.key.adapter:
-            self.held = {key: at for key, at in self.held.items() if key.model != order.key.model}
+        self._drop(order.key)
         return OrderOutcome.HOLDS
 
+    def _drop(self, dropped):
+        """Drop weights; a model's adapters go with it."""
+        self.held.pop(dropped, None)
+        if not dropped.adapter:
+            self.held = {key: at for key, at in self.held.items() if key.model != dropped.model}
+
     def _keep(self):
         self.past.append((self.clock(), self.orders, dict(self.held), dict(self.ready_at)))
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -23,6 +23,7 @@
     Proxy,
     ReplicaStandIn,
 )
+from gradelug_gateway.model import AdapterKey
 from gradelug_http import (
     ConnectFailed,
     HttpPool,
@@ -52,6 +53,8 @@
     "replace",
     "version",
 )
+MODEL_PART = 0.3
+"""Part of the new versions that are of the base model."""
 NOT_RUN = frozenset({401, 408, 421, 429, 503})
 QUOTA_WINDOW_S = 8.0
 LAPSE_S, BACK_S = 1.0, 1.5
@@ -116,6 +119,8 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.fault_rng = random.Random(seed)
+        # With a source of chance of its own: what a seed does otherwise stays the same.
+        self.model_rng = random.Random(seed)
         self.seconds = seconds
         self.clock = asyncio.get_running_loop().time
         self.ledger = Ledger()
@@ -425,12 +430,16 @@
             await self.proxies.pop(name).close()
 
     async def _do_version(self):
-        adapter = f"a{self.fault_rng.randint(1, 12)}"
-        key = f"op/version/m.{adapter}"
-        found = await self.store.kv.get(key)
-        version = json.loads(found.value)["Version"] + 1 if found else 2
-        data = {"Model": "m", "Adapter": adapter, "Version": version}
-        await self.store.kv.swap(key, json.dumps(data).encode(), found.revision if found else 0)
+        """Name the next version of an adapter, or of the base model."""
+        data = {"Model": "m", "Adapter": f"a{self.fault_rng.randint(1, 12)}"}
+        if self.model_rng.random() < MODEL_PART:
+            del data["Adapter"]
+        name = ".".join(data.values())
+        found = await self.store.kv.get(f"op/version/{name}")
+        data["Version"] = json.loads(found.value)["Version"] + 1 if found else 2
+        value = json.dumps(data).encode()
+        await self.store.kv.swap(f"op/version/{name}", value, found.revision if found else 0)
+        self.versions[AdapterKey("m", data.get("Adapter", ""))] = data["Version"]
 
     async def _heal(self):
         self.store.status = None
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -5,7 +5,7 @@
 import os
 from collections import defaultdict
 
-from engine_model import ModelEngine
+from engine_model import MODEL, ModelEngine
 from gradelug_gateway.model import AdapterKey, Order, OrderOutcome
 from gradelug_http import HttpServer, ServerLimits, find
 
@@ -194,8 +194,7 @@
         holdings = []
         if self.engine is not None:
             held = self.engine.held
-            names = [f"{key.adapter}@{held[key]}" for key in held if key.adapter]
-            holdings = [{"Name": "m", "Version": 1, "Adapters": names}]
+            holdings = _models(held.items())
         data = {
             "Backend": self.service,
             "Address": address,
@@ -282,12 +281,12 @@
 
     def _report(self, inc):
         report = self.engine.report()
-        adapters = [f"{h.key.adapter}@{h.version}" for h in report.holdings if h.key.adapter]
+        coming = [held for held in report.loading if held.key.adapter]
         data = {
-            "Models": [{"Name": "m", "Version": 1, "Adapters": adapters}],
-            "Pending": [f"m/{h.key.adapter}@{h.version}" for h in report.loading],
+            "Models": _models((held.key, held.version) for held in report.holdings),
+            "Pending": [f"m/{held.key.adapter}@{held.version}" for held in coming],
             "Seq": report.orders,
-            "Busy": False,
+            "Busy": report.busy or len(coming) < len(report.loading),
         }
         inc.respond(200, [], json.dumps(data).encode())
 
@@ -302,9 +301,16 @@
             return
         model = inc.header(b"x-gradelug-model")
         key = AdapterKey(*model.decode().split("/")) if model else None
-        if self.engine is not None and not self.engine.can_run(key):
-            self._refuse(inc, 421)
-            return
+        versions = []
+        if self.engine is not None:
+            asked = int(inc.header(b"x-gradelug-expect-version") or 0)
+            if not self.engine.can_run(key) or asked not in (0, self.engine.held[key]):
+                self._refuse(inc, 421)
+                return
+            if MODEL in self.engine.leaving:
+                self._refuse(inc, 503)
+                return
+            versions = [(b"X-Gradelug-Weight-Versions", b"%d" % self.engine.held[MODEL])]
         first = int(find(inc.headers, b"last-event-id") or 0) + 1
         self.ledger.runs[request_id].append((self.name, first))
         if self.ledger.bodies.get(request_id) != inc.body:
@@ -314,13 +320,14 @@
             (b"X-Gradelug-Request-Id", request_id.encode()),
             (b"X-Gradelug-Server-Signature", f"{self.name}.{request_id}".encode()),
             *self._words(),
+            *versions,
         ]
         if self.engine is None:
             await asyncio.sleep(EVENT_S)
             inc.respond(200, headers, b"whole " + inc.body)
             return
         users = self.engine.users
-        users[key] = users.get(key, 0) + 1
+        self.engine.use(key, users.get(key, 0) + 1)
         try:
             inc.begin(200, [*headers, (b"Content-Type", b"text/event-stream")])
             if inc.body == POISON:
@@ -331,7 +338,7 @@
                 await inc.send(b"id: %d\ndata: x\n\n" % number)
             inc.finish()
         finally:
-            users[key] -= 1
+            self.engine.use(key, users[key] - 1)
 
     def _is_late(self, now):
         """Tell whether instances must have known for long that this replica drains.
@@ -351,6 +358,14 @@
             self.ledger.faults.append(f"{request_id} ran with its key")
 
 
+def _models(held):
+    """Return weights as replicas list them, from keys and versions."""
+    held = dict(held)
+    names = [f"{key.adapter}@{version}" for key, version in held.items() if key.adapter]
+    model = {"Name": MODEL.model, "Version": held.get(MODEL), "Adapters": names}
+    return [model] if MODEL in held else []
+
+
 class Proxy:
     """A loopback proxy whose connections can be delayed, reset, silenced for a time or for good."""
 
