Renewing a base model on very many engines takes the planner less time

Cause: whether one more engine may be closed was counted anew for each of them. Change: counted once a look; whether a model is in use is no sum any more.

--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -245,6 +245,10 @@
             sum(counts.values()) for key, counts in self.active.items() if key.model == model
         )
 
+    def uses_model(self, model: str) -> bool:
+        """Tell whether any request uses a base model, with an adapter or without one."""
+        return any(key.model == model for key in self.active)
+
     def has_any_base(self) -> bool:
         """Tell whether any base model can be used now."""
         return any(
--- a/packages/gateway/src/gradelug_gateway/renewal.py
+++ b/packages/gateway/src/gradelug_gateway/renewal.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from gradelug_policy.renewal import may_begin_renewal
+from gradelug_policy.renewal import renewals_left
 
 from .engines import Engine, Phase, Place
 from .model import AdapterKey, OrderOutcome, Term
@@ -81,21 +81,29 @@
 
     def _renew_model(self, term: Term, held: t.Mapping[str, Engine], key: AdapterKey) -> None:
         """Renew a base model engine by engine, those with the fewest runs first."""
+        closed = [one for one in held.values() if one.places[key].phase is Phase.LEAVING]
+        self._close_some(held, key)
+        for engine in closed:
+            # Adapters may have been loaded since.
+            engine.close(key)
+            if engine.synced and not engine.uses_model(key.model):
+                self._planner.start(self._drop(term, engine, key, engine.places[key]))
+
+    def _close_some(self, held: t.Mapping[str, Engine], key: AdapterKey) -> None:
+        """Close engines for the renewal of their base model; gateways have yet to be told."""
         now, engines = self._clock(), self._planner.engines
-        for name, engine in sorted(held.items(), key=lambda item: item[1].model_users(key.model)):
-            place = engine.places[key]
-            if place.phase is Phase.READY:
-                if not may_begin_renewal(self._renewing.values(), len(engines), now):
-                    continue
-                self._renewing[name, key] = now
-                engine.close(key)
-                self._planner.followers.mark(name)
-                # Gateways have yet to be told.
-                continue
-            if place.phase is Phase.LEAVING:
-                engine.close(key)
-                if engine.synced and not engine.model_users(key.model):
-                    self._planner.start(self._drop(term, engine, key, place))
+        left = renewals_left(self._renewing.values(), len(engines), now)
+        if not left:
+            return
+        ready = [
+            (engine.model_users(key.model), name)
+            for name, engine in held.items()
+            if engine.places[key].phase is Phase.READY
+        ]
+        for _, name in sorted(ready)[:left]:
+            self._renewing[name, key] = now
+            engines[name].close(key)
+            self._planner.followers.mark(name)
 
     def _drop_renewed(self) -> None:
         """Forget engines that have a base model again, or are gone."""
--- a/packages/gateway/src/gradelug_gateway/upkeep.py
+++ b/packages/gateway/src/gradelug_gateway/upkeep.py
@@ -151,7 +151,7 @@
         async with engine.lock:
             if engine.places.get(key) is not place:
                 return
-            in_use = victim is not None and engine.model_users(victim.model)
+            in_use = victim is not None and engine.uses_model(victim.model)
             if in_use or not self._window.allows(self._clock()):
                 self._give_up(engine, key, place, victim)
                 return
--- a/packages/policy/src/gradelug_policy/renewal.py
+++ b/packages/policy/src/gradelug_policy/renewal.py
@@ -15,8 +15,8 @@
 use within some seconds."""
 
 
-def may_begin_renewal(began: t.Iterable[float], engines: int, now: float) -> bool:
-    """Tell whether another engine may be closed for a new version of its base model.
+def renewals_left(began: t.Iterable[float], engines: int, now: float) -> int:
+    """Return how many more engines may be closed now for a new version of their base model.
 
     Parameters
     ----------
@@ -28,4 +28,4 @@
         By the same clock.
     """
     recent = sum(now - at < RENEWAL_S for at in began)
-    return recent < max(1, int(RENEWED_PART * engines))
+    return max(0, max(1, int(RENEWED_PART * engines)) - recent)
--- a/tests/test_run_versions.py
+++ b/tests/test_run_versions.py
@@ -1,7 +1,7 @@
 """Versions of weights: what is the same, what a load can bring, how many engines renew at once."""
 
 import pytest
-from gradelug_policy.renewal import RENEWAL_S, may_begin_renewal
+from gradelug_policy.renewal import RENEWAL_S, renewals_left
 from gradelug_policy.run_versions import VersionWord, WeightVersions, compare, is_loadable, is_same
 
 
@@ -53,8 +53,9 @@
 class TestRenewal:
     @pytest.mark.parametrize(("engines", "most"), [(1, 1), (2, 1), (5, 2), (600, 300)])
     def test_part_of_the_engines_renew_at_a_time(self, engines, most):
-        assert may_begin_renewal([0.0] * (most - 1), engines, 0.1)
-        assert not may_begin_renewal([0.0] * most, engines, 0.1)
+        assert renewals_left([], engines, 0.1) == most
+        assert renewals_left([0.0] * (most - 1), engines, 0.1) == 1
+        assert renewals_left([0.0] * most, engines, 0.1) == 0
 
     def test_an_engine_whose_runs_last_keeps_no_other_waiting(self):
-        assert may_begin_renewal([0.0], 2, RENEWAL_S)
+        assert renewals_left([0.0], 2, RENEWAL_S) == 1
