Engines with a run's weights are looked for where they are told soonest

What callers saw: nothing; found on reading the diff. Engines that may go on with a run were found by their own entries as well, which are 1.2 s old, also where the version is the newest, of which planners tell within 0.1 s: a run could be sent to an engine that had just dropped its adapter, at the price of a repetition. Change: the newest version by what planners tell, older ones by what engines tell.

--- a/packages/gateway/src/gradelug_gateway/run_weights.py
+++ b/packages/gateway/src/gradelug_gateway/run_weights.py
@@ -114,19 +114,22 @@
         """Tell whether an engine holds what the request of a memory names, as last told."""
         if key is None:
             return True
-        held, newest = self._fleet.told_version(rep.name, key), self.newest(key)
-        if held is None:
-            return False
-        if key.adapter:
-            return is_same(versions.adapter, held, newest.adapter)
-        return is_same(versions.model, held, newest.model)
+        return any(one.name == rep.name for one in self.holders(rep.service, versions, key))
 
     def holders(self, service: str, versions: WeightVersions, key: AdapterKey) -> list[Replica]:
-        """Return engines that hold what the request of a memory names, as last told."""
+        """Return engines that hold what the request of a memory names, as last told.
+
+        Planners tell of the newest weights alone, and sooner; engines tell of older ones.
+        """
         version = versions.adapter if key.adapter else versions.model
-        if version == NOT_TOLD:
-            return self._fleet.holders(service, key)
-        return self._fleet.holders_at(service, key, version)
+        newest = self._fleet.state.versions.get(key, NOT_TOLD)
+        if version != NOT_TOLD and version < newest:
+            return self._fleet.holders_at(service, key, version)
+        return [
+            rep
+            for rep in self._fleet.holders(service, key)
+            if is_same(version, self._fleet.told_version(rep.name, key) or NOT_TOLD, newest)
+        ]
 
     def is_in_time(self, versions: WeightVersions, key: AdapterKey | None) -> bool:
         """Tell whether a run may still go on under the adapter of its memory."""
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import itertools
+from dataclasses import replace
 from unittest import mock
 
 import pytest
 import run_engines
 from gradelug_gateway import run_weights
 from gradelug_gateway import runs as runs_module
-from gradelug_gateway.model import Repeat
-from gradelug_policy.run_versions import Namings
+from gradelug_gateway.model import Holding, Repeat
+from gradelug_policy.run_versions import Namings, WeightVersions
 from run_engines import EVENTS, KEY, MODEL, MODEL_S
 from run_world import RunWorld, changes, events, is_whole, run, runner
+from test_kept_gateway import KEY as FLEET_KEY
+from test_kept_gateway import new_fleet
 
 ALL = list(range(1, EVENTS + 1))
 REPORT_LAG_S = 0.35
@@ -425,6 +428,23 @@
         run(scenario)
 
 
+class TestEnginesWithTheWeights:
+    def test_those_of_the_newest_version_are_told_by_planners(self):
+        """An engine's own entry is older than what its planner tells."""
+        fleet = new_fleet()
+        for name, rep in list(fleet.state.replicas.items()):
+            fleet.state.replicas[name] = replace(rep, holdings=(Holding(FLEET_KEY, 1),))
+        fleet.state.change += 1
+        weights = run_weights.RunWeights(fleet, None, lambda: 0.0)
+        versions = WeightVersions(1, 1)
+        fleet.set_homes("llm", FLEET_KEY, {"e0": 1, "e1": 2})
+        holders = weights.holders("llm", versions, FLEET_KEY)
+        assert [rep.name for rep in holders] == ["e0"]
+        fleet.state.versions[FLEET_KEY] = 2
+        holders = weights.holders("llm", versions, FLEET_KEY)
+        assert [rep.name for rep in holders] == ["e0", "e2"]
+
+
 class TestAMove:
     @pytest.mark.parametrize(("model", "renewed"), NAMED)
     def test_goes_to_engines_with_the_weights_of_the_run(self, model, renewed):
