--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from pipes import Network, RawServer
 
 import pytest
@@ -314,6 +315,18 @@
 
 
 class TestSettings:
+    @pytest.mark.parametrize(
+        ("text", "version_s"), [("", math.inf), ("[Bounds]\nversion_ms = 5000\n", 5.0)]
+    )
+    def test_the_bound_for_versions_is_read(self, tmp_path, text, version_s):
+        path = tmp_path / "settings.toml"
+        path.write_text(
+            'Node = "n"\nZone = "z"\nIp = "10.0.0.1"\nPortRange = [7380, 7395]\n'
+            '[Listen]\nFront = "10.0.0.1:1"\nReady = "10.0.0.1:2"\n'
+            '[Provider]\nAddress = "10.0.0.2:1"\n' + text
+        )
+        assert load(path).gateway.bounds.version_s == version_s
+
     def test_every_finding_is_told_together(self, tmp_path):
         path = tmp_path / "settings.toml"
         path.write_text('Node = 3\nZone = "z"\nUnknown = 1\n[Bounds]\nGraceS = -1\n')
