--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -333,7 +333,7 @@
         only: t.Container[str] | None,
         known: Replica | None = None,
     ) -> Replica:
-        """Return where the planner places a request; it is told who lacked the weights, once."""
+        """Return where the planner places a request, and report a replica without the weights."""
         replica = await self._directory.place(
             job.service.name,
             key,
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -261,7 +261,7 @@
 
 
 def changes(client):
-    """Return the versions that events tell of, by the event's number."""
+    """Return the versions named in events, by the event's number."""
     return {int(number): int(told) for told, number, _ in _whole_events(client) if told}
 
 
--- a/tests/test_remembered.py
+++ b/tests/test_remembered.py
@@ -33,7 +33,7 @@
             first, other = world.engines.values()
             world.leave(other)
             if lacks_at_first:
-                # Its entry in the platform's store still tells of the adapter.
+                # Its entry in the platform's store still lists the adapter.
                 first.holds.clear()
             client = world.ask("q1")
             await asyncio.sleep(0.67)
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -250,7 +250,7 @@
         async def scenario():
             world = RunWorld()
             for engine in world.engines.values():
-                # Their entries still tell of it.
+                # Their entries still list it.
                 engine.holds.clear()
             client = world.ask("q1")
             await asyncio.sleep(0.8)
