Log and count replicas that are used without an entry in the store

Nothing told a departure that was read late from one that was read and not applied: 'replica removed' did not say for how long the entry had been missing, and 'placed' not on how old a poll of the store it stood.

'placed' has store_age_s and missing, 'replica removed' missing_s, 'store regained' the age of the last failed call; 'replica kept while its entry is missing' is new, and so are the gauges store_age_seconds and replicas_missing.

--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -62,6 +62,8 @@
         "_restore_grace_s",
         "_listeners",
         "_disconnected_at",
+        "_last_failed_at",
+        "_requested_at",
         "_prefix",
         "_proven_from",
         "_reconnected_at",
@@ -102,6 +104,10 @@
         self._poll_requested = asyncio.Event()
         self._interrupted = False
         self._disconnected_at: float | None = None
+        self._requested_at = float("-inf")
+        """When the last call was sent."""
+        self._last_failed_at = float("-inf")
+        """When the last call that failed was sent: since then the service may be back."""
         self._listeners: list[t.Callable[[], None]] = []
         self.entries: dict[str, KvEntry] = {}
         self.missing: set[str] = set()
@@ -151,6 +157,7 @@
     def _note_disconnected(self, exc: CoordinationError) -> None:
         self.synced = False
         self._interrupted = True
+        self._last_failed_at = max(self._requested_at, self.polled_at)
         if self._disconnected_at is None:
             self._disconnected_at = asyncio.get_running_loop().time()
             log.warning("store lost", prefix=self._prefix, revision=self.revision, why=repr(exc))
@@ -169,10 +176,11 @@
             revision=self.revision,
             away_s=round(away_s, 2),
             missing=len(self.missing),
+            last_failure_s=round(self._reconnected_at - self._last_failed_at, 2),
         )
 
     async def _list(self) -> None:
-        requested_at = asyncio.get_running_loop().time()
+        requested_at = self._requested_at = asyncio.get_running_loop().time()
         listing = await self._kv.list(self._prefix)
         if listing.revision < self.revision:
             raise CoordinationError("the service answered with a revision below the mirrored one")
@@ -209,7 +217,7 @@
     async def _watch(self) -> None:
         """Apply changes until the last poll is so old that a listing transfers less data."""
         loop = asyncio.get_running_loop()
-        requested_at = loop.time()
+        self._requested_at = loop.time()
         async for events in self._kv.watch(self._prefix, self.revision):
             for event in events:
                 if event.revision <= self.revision and event.entry is None:
@@ -218,11 +226,11 @@
             self.revision = max([self.revision, *(event.revision for event in events)])
             self.polled_at = loop.time()
             if self._is_polled:
-                self._note_proven(requested_at)
+                self._note_proven(self._requested_at)
             self._notify()
             if await self._wait_for_next_poll():
                 return
-            requested_at = loop.time()
+            self._requested_at = loop.time()
 
     def _apply_event(self, event: KvEvent) -> None:
         self.missing.discard(event.key)
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -152,10 +152,16 @@
             changed |= self._handle_missing_entry(key)
         for key in [key for key in self._missing_since if key in self._mirror.entries]:
             del self._missing_since[key]
+            self.state.missing.discard(self._replica_names.get(key, ""))
         changed |= self._drop_unconfirmed()
+        self.note_store_read(self._mirror.proven_at)
         if changed:
             self._notify()
 
+    def note_store_read(self, at: float) -> None:
+        """Record that the state includes all that a poll of the store started at `at` returned."""
+        self.state.store_read_at = max(self.state.store_read_at, at)
+
     def revision(self, replica: str) -> int:
         """Return the newest store revision applied for a replica; 0 if there is none."""
         return self._revisions.get(replica, 0)
@@ -380,15 +386,25 @@
         if key in self._mirror.missing:
             # The deletion was not observed; the entry is only missing after an outage.
             now = self._clock()
-            missing_since = self._missing_since.setdefault(key, now)
-            if now - missing_since < EXPIRED_ENTRY_GRACE_S:
+            if key not in self._missing_since:
+                self._note_missing(key, now)
+            if now - self._missing_since[key] < EXPIRED_ENTRY_GRACE_S:
                 return False
             self._mirror.missing.discard(key)
         name = self._replica_names.pop(key)
-        self._missing_since.pop(key, None)
+        missing_since = self._missing_since.pop(key, None)
+        self.state.missing.discard(name)
         self._record_removed(key, self._applied_revisions.pop(key, 0))
         if self.state.replicas.pop(name, None) is None:
             return False
         self.state.change += 1
-        log.info("replica removed", replica=name)
+        missing_s = round(self._clock() - missing_since, 3) if missing_since is not None else 0.0
+        log.info("replica removed", replica=name, missing_s=missing_s)
         return True
+
+    def _note_missing(self, key: str, now: float) -> None:
+        self._missing_since[key] = now
+        name = self._replica_names[key]
+        if name in self.state.replicas:
+            self.state.missing.add(name)
+            log.info("replica kept while its entry is missing", replica=name)
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -104,6 +104,16 @@
         "1 while the mirror of the platform store is up to date",
         lambda: sources.mirror.synced,
     )
+    gauge(
+        "store_age_seconds",
+        "Time since the newest poll of the platform store that the view of the replicas includes",
+        lambda: clock() - sources.state.store_read_at,
+    )
+    gauge(
+        "replicas_missing",
+        "Replicas in use although an outage of the store removed their entries",
+        lambda: len(sources.state.missing),
+    )
     gauge(
         "config_proof_age_seconds",
         "Time since the configuration was last confirmed to be current",
--- a/packages/gateway/src/gradelug_gateway/replicas.py
+++ b/packages/gateway/src/gradelug_gateway/replicas.py
@@ -138,6 +138,12 @@
         Incarnations of replicas that are shutting down or have ended.
     namings : VersionAnnouncements
         When newest versions were published.
+    missing : set of str
+        Names of replicas that are in use although an outage of the store removed their entries:
+        they have left, or their entries have only expired.
+    store_read_at : float
+        Start of the newest poll of the store that this view includes, in seconds of the runtime's
+        clock.
     """
 
     snapshot: Snapshot | None = None
@@ -146,6 +152,8 @@
     change: int = 0
     departures: DrainingReplicas = field(default_factory=DrainingReplicas)
     namings: VersionAnnouncements = field(default_factory=VersionAnnouncements)
+    missing: set[str] = field(default_factory=set)
+    store_read_at: float = -math.inf
 
     def is_leaving(self, rep: Replica) -> bool:
         """Return whether a replica accepts no new requests, by the newest known state."""
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -234,6 +234,8 @@
             ahead=load.busyness().tokens_ahead(job.work.urgency),
             prompt=work.prompt_tokens,
             kept=work.kept_tokens,
+            store_age_s=round(now - self._fleet.state.store_read_at, 3),
+            missing=replica.name in self._fleet.state.missing,
         )
         expected_s = self._fleet.expected_s(replica, load.busyness(), work)
         exchange = Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
--- a/packages/gateway/src/gradelug_gateway/store_updates.py
+++ b/packages/gateway/src/gradelug_gateway/store_updates.py
@@ -255,6 +255,7 @@
         if update.HasField("config_entry"):
             self._apply_config(update.config_entry)
         self._feed.notify_remote_changes()
+        self._feed.note_store_read(self._clock() - update.age_ms / 1000)
         self._freshness.note_remote_proof(update.config, update.proven_ms / 1000 - clock_offset_s)
         if self._can_pause():
             pause_until = self._clock() - update.age_ms / 1000 + self._poll_interval_s
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -131,6 +131,7 @@
 
     def __init__(self):
         self.entries, self.missing, self.revision = {}, set(), 0
+        self.proven_at = 0.0
 
     def subscribe(self, listener):
         pass
