Failing test: requests to a replica that left during a partition

Two of three gateways are cut off from the store for 9 s; a replica's entry is removed meanwhile and the replica goes on serving. The last requests of both reach it 2.8 to 3.6 s after the partition ended (3 s: ContactMs), over five phases of their retries; the test has three of the four that fail. The gateway that was not cut off stops within 2 s.

--- a/tests/pipes.py
+++ b/tests/pipes.py
@@ -13,6 +13,8 @@
         self.protocol = protocol
         self.peer = None
         self.closing = False
+        self.silent = False
+        """Whether the connection drops all that either end sends, without an error."""
         self.written = bytearray()
         self._loop = asyncio.get_running_loop()
 
@@ -21,8 +23,12 @@
         if not self.closing:
             self._loop.call_soon(self.peer.deliver, bytes(data))
 
+    def silence(self):
+        """Drop all that either end sends from now on."""
+        self.silent = self.peer.silent = True
+
     def deliver(self, data):
-        if not self.closing:
+        if not self.closing and not self.silent:
             self.protocol.data_received(data)
 
     def close(self):
@@ -57,7 +63,8 @@
             return
         self.closing = True
         self._loop.call_soon(self.protocol.connection_lost, exc)
-        self._loop.call_soon(tell_peer)
+        if not self.silent:
+            self._loop.call_soon(tell_peer)
 
 
 def join(client, server):
--- /dev/null
+++ b/tests/test_store_partition.py
@@ -0,0 +1,38 @@
+"""Replicas that leave while some instances cannot reach the platform store."""
+
+import asyncio
+
+import pytest
+from run_world import run
+from store_partition import PartitionWorld
+
+CONTACT_S = 3.0
+"""Time after the end of a partition from which an instance must not use departed replicas."""
+DRAIN_S = 2.0
+"""Time within which instances that reach the store must stop using a departed replica."""
+OUTAGE_S = 9.0
+CUT_OFF = (1, 2)
+"""Numbers of the instances that are cut off."""
+
+
+class TestPartition:
+    # The removal was delayed relative to the reconnection, not to the end of the partition.
+    @pytest.mark.parametrize("phase_s", [0.0, 0.9, 1.2])
+    def test_no_requests_reach_a_replica_that_left_during_a_partition(self, phase_s):
+        async def scenario():
+            async with PartitionWorld() as world:
+                sending = asyncio.create_task(world.load(60.0, world.clock() + 18.0, b"/i/x"))
+                for number in CUT_OFF:
+                    world.connections[number].cut()
+                await asyncio.sleep(OUTAGE_S / 2)
+                left_at = await world.remove_entry("p1")
+                await asyncio.sleep(OUTAGE_S / 2 + phase_s)
+                healed_at = world.clock()
+                for number in CUT_OFF:
+                    world.connections[number].heal()
+                await sending
+                assert not world.arrivals("p1", left_at + DRAIN_S, {0})
+                assert not world.arrivals("p1", healed_at + CONTACT_S, CUT_OFF)
+                assert all(one.status == 200 for one in world.results)
+
+        run(scenario)
