Count the grace period of missing entries from the last call without an answer

Callers saw nothing; the users saw requests reach a replica 12.3 s after its entry had gone, from an instance that had been cut off from the store.

Cause: an entry that is absent after an outage may only have expired, so its replica was used for 2.2 s more. The time counted from the reconnection, which comes up to 1.5 s after the end of a partition; deletions that were observed in the 2.2 s after it started another 2.2 s, and the removal waited for the next change or for the upkeep. Together up to 4.2 s, where 3 s are allowed.

The store, or the way to it, cannot have been back before the last call without an answer was sent. A second outage does not extend the time of an entry. Polls are not deferred until writers had time to write again, as planners forward no change for an entry that is back unchanged.

--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -9,7 +9,7 @@
 import logbook
 
 from .backoff import Backoff
-from .exceptions import CoordinationError, WatchCompacted
+from .exceptions import CoordinationError, KvThrottled, WatchCompacted
 from .kv import KeyValue, KvEntry, KvEvent
 from .positions import era_of
 
@@ -46,8 +46,9 @@
     spacing_s : float
         Interval between polls for changes, in seconds; each poll is a call.
     restore_grace_s : float
-        Keys that are deleted within this time after an outage, in seconds, count as missing: the
-        outage may have prevented their writers from renewing them, and they write them again.
+        Time after the earliest possible end of an outage for which absent keys count as missing,
+        in seconds: the outage may have prevented their writers from renewing them, and they write
+        them again.
     is_polled : bool
         Whether each step of the service's watch is a call that starts when the next changes are
         requested, so that its answer includes all earlier changes.
@@ -66,7 +67,6 @@
         "_requested_at",
         "_prefix",
         "_proven_from",
-        "_reconnected_at",
         "_deferred_until",
         "entries",
         "polled_at",
@@ -74,6 +74,7 @@
         "proven_at",
         "revision",
         "poll_interval_s",
+        "settled_at",
         "synced",
     )
 
@@ -98,7 +99,8 @@
         """The mirror includes all changes made before this time."""
         self._is_polled = is_polled
         self._restore_grace_s = restore_grace_s
-        self._reconnected_at = float("-inf")
+        self.settled_at = float("-inf")
+        """Keys that are missing from this time on were removed by their writers."""
         self._proven_from = float("-inf")
         """Until this time a restored copy may lack recent changes."""
         self._poll_requested = asyncio.Event()
@@ -107,7 +109,7 @@
         self._requested_at = float("-inf")
         """When the last call was sent."""
         self._last_failed_at = float("-inf")
-        """When the last call that failed was sent: since then the service may be back."""
+        """When the last call without an answer was sent; the service may be back since then."""
         self._listeners: list[t.Callable[[], None]] = []
         self.entries: dict[str, KvEntry] = {}
         self.missing: set[str] = set()
@@ -126,7 +128,13 @@
         return self._disconnected_at is not None
 
     def defer_polls_until(self, at: float) -> None:
-        """Defer polls until a given time, since other instances send the changes to this one."""
+        """Defer polls until a given time, since other instances send the changes to this one.
+
+        Polls after an outage are not deferred: others send no change for a key that was removed
+        here alone and is written again.
+        """
+        if asyncio.get_running_loop().time() < self.settled_at + self._restore_grace_s:
+            return
         self._deferred_until = min(at, self.polled_at + MAX_POLL_DEFERRAL_S)
 
     def subscribe(self, listener: t.Callable[[], None]) -> None:
@@ -157,7 +165,8 @@
     def _note_disconnected(self, exc: CoordinationError) -> None:
         self.synced = False
         self._interrupted = True
-        self._last_failed_at = max(self._requested_at, self.polled_at)
+        if self._disconnected_at is None or not isinstance(exc, KvThrottled):
+            self._last_failed_at = max(self._requested_at, self.polled_at)
         if self._disconnected_at is None:
             self._disconnected_at = asyncio.get_running_loop().time()
             log.warning("store lost", prefix=self._prefix, revision=self.revision, why=repr(exc))
@@ -167,16 +176,18 @@
         self._interrupted = False
         if self._disconnected_at is None:
             return
-        self._reconnected_at = asyncio.get_running_loop().time()
-        away_s = self._reconnected_at - self._disconnected_at
+        now = asyncio.get_running_loop().time()
+        away_s = now - self._disconnected_at
         self._disconnected_at = None
+        self._settle_at(self._last_failed_at + self._restore_grace_s)
         log.info(
             "store regained",
             prefix=self._prefix,
             revision=self.revision,
             away_s=round(away_s, 2),
             missing=len(self.missing),
-            last_failure_s=round(self._reconnected_at - self._last_failed_at, 2),
+            last_failure_s=round(now - self._last_failed_at, 2),
+            settled_in_s=round(self.settled_at - now, 2),
         )
 
     async def _list(self) -> None:
@@ -211,8 +222,15 @@
             "store was restored from a copy", prefix=self._prefix, known=self.revision, now=revision
         )
         self._interrupted = True
-        self._reconnected_at = asyncio.get_running_loop().time()
-        self._proven_from = self._reconnected_at + self._restore_grace_s
+        self._proven_from = asyncio.get_running_loop().time() + self._restore_grace_s
+        self._settle_at(self._proven_from)
+
+    def _settle_at(self, at: float) -> None:
+        """Count absent keys as missing until a given time, and notify listeners then."""
+        loop = asyncio.get_running_loop()
+        self.settled_at = at
+        if at > loop.time():
+            loop.call_at(at + MIN_WAIT_S, self._notify)
 
     async def _watch(self) -> None:
         """Apply changes until the last poll is so old that a listing transfers less data."""
@@ -238,7 +256,7 @@
             self.entries[event.key] = event.entry
             return
         self.entries.pop(event.key, None)
-        if asyncio.get_running_loop().time() - self._reconnected_at < self._restore_grace_s:
+        if asyncio.get_running_loop().time() < self.settled_at:
             self.missing.add(event.key)
 
     async def _wait_for_next_poll(self) -> bool:
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -34,7 +34,7 @@
 from .directory import Directory
 from .engine_speeds import PauseTally, SpeedReporter
 from .executing import Executor
-from .feed import EXPIRED_ENTRY_GRACE_S, EntryReader, Feed
+from .feed import EntryReader, Feed
 from .fleet import Fleet
 from .gauges import GaugeSources, add_daemon_gauges
 from .handover import Handover
@@ -48,7 +48,7 @@
 from .placement import PlacementService, PlannerRole
 from .planner import Planner
 from .poison_control import PoisonControl
-from .poll_interval import store_poll_interval_s
+from .poll_interval import missing_entry_grace_s, store_poll_interval_s
 from .ports import Dialect, OrderTransport, RunTransport
 from .prefix_cache import PrefixCache
 from .quotas import Quotas
@@ -144,7 +144,7 @@
             self._rng,
             MAX_STORE_RETRY_DELAY_S,
             self._poll_interval_s,
-            EXPIRED_ENTRY_GRACE_S,
+            missing_entry_grace_s(settings.bounds),
             is_polled=True,
         )
         self._feed = Feed(self._mirror, reader, self._state, self._clock)
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -25,8 +25,8 @@
 """How long a removed entry that came back with a restored copy of the store is ignored, in seconds:
 if its replica does not run, the entry expires after three heartbeats."""
 EXPIRED_ENTRY_GRACE_S = 2.2
-"""How long a replica is kept after its entry expired during a store outage, in seconds: replicas
-that run write their entries again within about two."""
+"""Time for which replicas are kept after the store lost their entries, in seconds: replicas that
+run write their entries again within about two."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,6 +59,21 @@
         self.replica = replica
 
 
+@dataclass(slots=True, frozen=True)
+class MissingEntry:
+    """An entry that was absent from the store's listing after an outage.
+
+    Parameters
+    ----------
+    since, until : float
+        When the feed first missed it, and until when its replica is used without it, in seconds of
+        the runtime's clock.
+    """
+
+    since: float
+    until: float
+
+
 class EntryReader(t.Protocol):
     """Decodes the entries of the platform store."""
 
@@ -89,7 +104,8 @@
         "_leaving_listeners",
         "_listeners",
         "_mirror",
-        "_missing_since",
+        "_missing",
+        "_overdue_since",
         "_replica_names",
         "_unlogged",
         "_applied_revisions",
@@ -110,7 +126,10 @@
         self._clock = clock
         self._applied_revisions: dict[str, int] = {}
         self._replica_names: dict[str, str] = {}
-        self._missing_since: dict[str, float] = {}
+        self._missing: dict[str, MissingEntry] = {}
+        """Entries of replicas that are used without them, by key."""
+        self._overdue_since: dict[str, float] = {}
+        """When the mirror should have shown the entry of a reported replica, by its name."""
         self._restored_since: dict[str, float] = {}
         """When removed entries came back with a restored copy of the store, by key."""
         self._removed_revisions: dict[str, int] = {}
@@ -150,8 +169,8 @@
                 changed |= self._apply(entry)
         for key in [key for key in self._replica_names if key not in self._mirror.entries]:
             changed |= self._handle_missing_entry(key)
-        for key in [key for key in self._missing_since if key in self._mirror.entries]:
-            del self._missing_since[key]
+        for key in [key for key in self._missing if key in self._mirror.entries]:
+            del self._missing[key]
             self.state.missing.discard(self._replica_names.get(key, ""))
         changed |= self._drop_unconfirmed()
         self.note_store_read(self._mirror.proven_at)
@@ -362,11 +381,11 @@
         """Remove reported replicas whose entries came and went between two polls of the store."""
         for name in self._unconfirmed & set(self._replica_names.values()):
             self._unconfirmed.discard(name)
-            self._missing_since.pop(name, None)
+            self._overdue_since.pop(name, None)
         missed = [name for name in self._unconfirmed if self._is_confirmation_overdue(name)]
         for name in missed:
             self._unconfirmed.discard(name)
-            self._missing_since.pop(name, None)
+            self._overdue_since.pop(name, None)
             if self.state.replicas.pop(name, None) is not None:
                 self.state.change += 1
                 log.info("replica removed", replica=name)
@@ -380,30 +399,30 @@
         if not reported_revision or era_of(reported_revision) == era_of(self._mirror.revision):
             return True
         # A restored store may have lost the entry; a replica that runs writes it again.
-        return now - self._missing_since.setdefault(name, now) >= EXPIRED_ENTRY_GRACE_S
+        return now - self._overdue_since.setdefault(name, now) >= EXPIRED_ENTRY_GRACE_S
 
     def _handle_missing_entry(self, key: str) -> bool:
         if key in self._mirror.missing:
             # The deletion was not observed; the entry is only missing after an outage.
             now = self._clock()
-            if key not in self._missing_since:
+            if key not in self._missing and now < self._mirror.settled_at:
                 self._note_missing(key, now)
-            if now - self._missing_since[key] < EXPIRED_ENTRY_GRACE_S:
+            if key in self._missing and now < self._missing[key].until:
                 return False
             self._mirror.missing.discard(key)
         name = self._replica_names.pop(key)
-        missing_since = self._missing_since.pop(key, None)
+        missing = self._missing.pop(key, None)
         self.state.missing.discard(name)
         self._record_removed(key, self._applied_revisions.pop(key, 0))
         if self.state.replicas.pop(name, None) is None:
             return False
         self.state.change += 1
-        missing_s = round(self._clock() - missing_since, 3) if missing_since is not None else 0.0
+        missing_s = round(self._clock() - missing.since, 3) if missing is not None else 0.0
         log.info("replica removed", replica=name, missing_s=missing_s)
         return True
 
     def _note_missing(self, key: str, now: float) -> None:
-        self._missing_since[key] = now
+        self._missing[key] = MissingEntry(now, self._mirror.settled_at)
         name = self._replica_names[key]
         if name in self.state.replicas:
             self.state.missing.add(name)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -99,6 +99,9 @@
         Length of the windows in which quotas of organisations are counted, in seconds.
     drain_s : float
         Time for which a replica runs on after its removal was announced, in seconds.
+    contact_s : float
+        Time after the end of an outage or partition for which an instance may act on what it knew
+        before, in seconds.
     version_s : float
         Maximum time after the announcement of a newer adapter version in which requests may still
         start under an older one, in seconds.
@@ -117,6 +120,7 @@
     revoke_s: float = math.inf
     quota_window_s: float = 8.0
     drain_s: float = 2.0
+    contact_s: float = 3.0
     version_s: float = math.inf
 
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -10,6 +10,7 @@
     Gossip,
     GrantTracker,
     HolderReport,
+    KvThrottled,
     KvUnavailable,
     LeaseKeeper,
     Member,
@@ -156,6 +157,101 @@
         run(scenario)
 
 
+class StoreOutage:
+    """A mirror of a service that fails until a given time."""
+
+    GRACE_S = 2.5
+
+    def __init__(self):
+        self.kv = MemoryKv()
+        self.mirror = Mirror(
+            self.kv,
+            "p/",
+            random.Random(1),
+            max_retry_delay_s=0.5,
+            poll_interval_s=1.0,
+            restore_grace_s=self.GRACE_S,
+            is_polled=True,
+        )
+        self.failures = []
+        """Start times of calls that failed."""
+        self.exc = KvUnavailable("down")
+        self._list = self.kv.list
+        self.kv.list = self.list
+        self.is_down = False
+
+    async def list(self, prefix):
+        if self.is_down:
+            self.failures.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.2)
+            raise self.exc
+        return await self._list(prefix)
+
+    async def run(self, outage_s):
+        """Interrupt the service for some time, and return soon after the mirror has reconnected."""
+        await self.kv.swap("p/a", b"1", ABSENT)
+        task = asyncio.ensure_future(self.mirror.run())
+        await asyncio.sleep(0.5)
+        self.is_down = True
+        self.kv.set_down(True)
+        await asyncio.sleep(outage_s)
+        self.is_down = False
+        self.kv.set_down(False)
+        await asyncio.sleep(0.8)
+        assert self.mirror.synced
+        return task
+
+
+class TestEndOfOutage:
+    def test_the_grace_period_counts_from_the_last_call_without_an_answer(self):
+        async def scenario():
+            outage = StoreOutage()
+            notified = []
+            task = await outage.run(4.0)
+            outage.mirror.subscribe(
+                lambda: notified.append(asyncio.get_running_loop().time() >= settled_at)
+            )
+            settled_at = outage.mirror.settled_at
+            assert settled_at == outage.failures[-1] + outage.GRACE_S
+            await asyncio.sleep(settled_at - asyncio.get_running_loop().time() + 0.01)
+            assert notified[-1]
+            task.cancel()
+
+        run(scenario)
+
+    def test_throttled_calls_do_not_extend_the_grace_period(self):
+        async def scenario():
+            outage = StoreOutage()
+            outage.exc = KvThrottled(0.5)
+            task = await outage.run(4.0)
+            assert outage.failures
+            assert outage.mirror.settled_at < outage.failures[0] + outage.GRACE_S
+            task.cancel()
+
+        run(scenario)
+
+    def test_polls_are_not_deferred_until_writers_had_time_to_restore_their_keys(self):
+        async def scenario():
+            outage = StoreOutage()
+            task = await outage.run(4.0)
+            mirror, clock = outage.mirror, asyncio.get_running_loop().time
+            while clock() < mirror.settled_at + outage.GRACE_S - 0.1:
+                mirror.defer_polls_until(clock() + 5.0)
+                await asyncio.sleep(0.1)
+            await outage.kv.swap("p/b", b"1", ABSENT)
+            await asyncio.sleep(1.1)
+            assert "p/b" in mirror.entries
+            await outage.kv.swap("p/c", b"1", ABSENT)
+            await asyncio.sleep(0.1)
+            mirror.defer_polls_until(clock() + 5.0)
+            await outage.kv.swap("p/d", b"1", ABSENT)
+            await asyncio.sleep(2.0)
+            assert set(mirror.entries) == {"p/a", "p/b", "p/c"}
+            task.cancel()
+
+        run(scenario)
+
+
 class FailingKv(MemoryKv):
     """Becomes unavailable at the moment an answer is lost."""
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -170,6 +170,7 @@
 class StubMirror(Mirror):
     def __init__(self):
         super().__init__(None, "", None)
+        self.settled_at = EXPIRED_ENTRY_GRACE_S
 
     def set_entries(self, *entries, missing=()):
         self.entries = {item.key: item for item in entries}
@@ -211,6 +212,16 @@
         feed.refresh()
         assert not state.replicas
 
+    def test_repeated_outages_do_not_extend_the_grace_period(self):
+        mirror, state, feed = self.new_feed()
+        mirror.set_entries(entry("servers/i-1", SERVER))
+        mirror.set_entries(missing=["servers/i-1"])
+        mirror.settled_at = 100.0
+        mirror.set_entries(missing=["servers/i-1"])
+        self.now = EXPIRED_ENTRY_GRACE_S + 0.1
+        feed.refresh()
+        assert not state.replicas
+
     def test_a_draining_replica_is_leaving(self):
         mirror, state, _ = self.new_feed()
         mirror.set_entries(entry("servers/i-1", SERVER, 1))
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -322,6 +322,7 @@
     def __init__(self):
         self.now = 0.0
         self.mirror = Mirror(None, "", None)
+        self.mirror.settled_at = EXPIRED_ENTRY_GRACE_S
         self.feed = Feed(self.mirror, PlatformEntries(), FleetState(), lambda: self.now)
 
     def show(self, era, **revisions):
--- a/tests/test_store_partition.py
+++ b/tests/test_store_partition.py
@@ -36,3 +36,42 @@
                 assert all(one.status == 200 for one in world.results)
 
         run(scenario)
+
+    # Deletions shortly after a reconnection were taken for expired entries for too long.
+    def test_no_requests_reach_a_replica_that_leaves_right_after_a_partition(self):
+        async def scenario():
+            async with PartitionWorld() as world:
+                sending = asyncio.create_task(world.load(60.0, world.clock() + 16.0, b"/i/x"))
+                for connection in world.connections:
+                    connection.cut()
+                await asyncio.sleep(OUTAGE_S)
+                for connection in world.connections:
+                    connection.heal()
+                await asyncio.sleep(1.6)
+                left_at = await world.remove_entry("p1")
+                await sending
+                assert not world.arrivals("p1", left_at + DRAIN_S, {0, 1, 2})
+                assert all(one.status == 200 for one in world.results)
+
+        run(scenario)
+
+    def test_replicas_serve_until_their_expired_entries_are_written_again(self):
+        async def scenario():
+            async with PartitionWorld() as world:
+                sending = asyncio.create_task(world.load(60.0, world.clock() + 16.0, b"/i/x"))
+                for connection in world.connections:
+                    connection.cut()
+                await asyncio.sleep(OUTAGE_S)
+                for name in world.plain:
+                    await world.remove_entry(name)
+                for connection in world.connections:
+                    connection.heal()
+                for name in world.plain:
+                    await asyncio.sleep(0.6)
+                    await world.write_entry(name)
+                await sending
+                assert all(one.status == 200 for one in world.results)
+                used = {name for at, _, name in world.arrived if at > world.clock() - 2.0}
+                assert used == set(world.plain)
+
+        run(scenario)
