Do not send requests that waited to a replica that was removed meanwhile

Callers' requests that wait for room at a replica, or for a connection to it, were sent there although its entry had gone while they waited.

Cause: the check before sending looked the replica up in the current state, and fell back to the state from which it had been chosen if it was not there any more. A replica that is unknown by now has left.

--- a/packages/gateway/src/gradelug_gateway/replicas.py
+++ b/packages/gateway/src/gradelug_gateway/replicas.py
@@ -156,8 +156,10 @@
     store_read_at: float = -math.inf
 
     def is_leaving(self, rep: Replica) -> bool:
-        """Return whether a replica accepts no new requests, by the newest known state."""
-        known = self.replicas.get(rep.name, rep)
+        """Return whether a replica accepts no new requests or has left, by the newest state."""
+        known = self.replicas.get(rep.name)
+        if known is None:
+            return True
         return known.leaving or self.departures.has(rep.name, rep.born)
 
     def has_engines(self, service: str) -> bool:
--- a/tests/test_store_partition.py
+++ b/tests/test_store_partition.py
@@ -75,3 +75,33 @@
                 assert used == set(world.plain)
 
         run(scenario)
+
+
+class TestWaitingRequests:
+    # The check before sending looked up the replica, which was unknown by then.
+    def test_requests_that_wait_are_not_sent_to_a_replica_removed_meanwhile(self):
+        async def scenario():
+            async with PartitionWorld() as world:
+                removed_at = {}
+
+                def watch(number, daemon):
+                    def note():
+                        if "p1" not in daemon._state.replicas:
+                            removed_at.setdefault(number, world.clock())
+
+                    daemon._feed.subscribe(note)
+
+                for number, gateway in enumerate(world.gateways):
+                    watch(number, gateway.daemon)
+                for replica in world.plain.values():
+                    replica.limit = 6
+                sending = asyncio.create_task(world.load(40.0, world.clock() + 10.0, b"/i/x"))
+                await asyncio.sleep(4.0)
+                left_at = await world.remove_entry("p1")
+                await sending
+                assert set(removed_at) == {0, 1, 2}
+                for number, at in removed_at.items():
+                    assert world.arrivals("p1", left_at - 4.0, {number})
+                    assert not world.arrivals("p1", at, {number})
+
+        run(scenario)
