Check for a departure after the last wait before sending

A run that goes on from saved memory asks its engine for its weights before it is sent there, over a connection that is open by then. The check for a departure or a rest came before that query, so that a run could be sent to an engine that had said meanwhile that it leaves. Found by reading; no caller was seen to be affected. The check is now the last thing before sending.

--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -205,13 +205,14 @@
             health.note_broken(self._clock())
             log.info("not sent", id=job.req.id, replica=replica.name, why=str(exc))
             return Outcome.NOT_SENT
+        if not await self._has_weights(job):
+            conn.close()
+            return Outcome.STALE
+        # Nothing is awaited between this check and sending.
         unavailable_outcome = self._unavailable_outcome(job, replica)
         if unavailable_outcome is not None:
             conn.close()
             return unavailable_outcome
-        if not await self._has_weights(job):
-            conn.close()
-            return Outcome.STALE
         try:
             # Checked just before sending: another gateway may have blocked the request since.
             self.check(job)
--- a/tests/test_stale_weights.py
+++ b/tests/test_stale_weights.py
@@ -5,11 +5,13 @@
 from dataclasses import replace
 from unittest import mock
 
+import logbook
 import pytest
 import run_engines
 from gradelug_gateway import run_weights
 from gradelug_gateway import runs as runs_module
 from gradelug_gateway.model import Holding, Repeat
+from gradelug_gateway.sending import Sender
 from gradelug_policy.run_versions import VersionAnnouncements, WeightVersions
 from run_engines import EVENTS, KEY, MODEL, MODEL_S
 from run_world import RunWorld, changes, events, is_whole, run, runner
@@ -218,6 +220,33 @@
 
         run(scenario)
 
+    def test_is_not_resumed_on_an_engine_that_leaves_while_its_weights_are_queried(self):
+        handler = logbook.TestHandler()
+        later_records = {}
+        original = Sender._has_weights
+
+        async def has_weights(sender, job):
+            has = await original(sender, job)
+            if job.copy is not None:
+                replicas = sender._fleet.state.replicas
+                name = job.copy.holder.name
+                replicas[name] = replace(replicas[name], leaving=True)
+                later_records.setdefault(name, len(handler.records))
+            return has
+
+        async def scenario():
+            world = RunWorld()
+            client, first = await begin(world)
+            first.silence()
+            await asyncio.sleep(3.0)
+
+        with handler, mock.patch.object(Sender, "_has_weights", has_weights):
+            run(scenario)
+        assert later_records
+        for name, start in later_records.items():
+            placed = [rec for rec in handler.records[start:] if rec.message == "placed"]
+            assert name not in [rec.kwargs["replica"] for rec in placed]
+
     def test_frees_its_memory_without_retry_budget(self):
         async def scenario():
             world = RunWorld()
