Bound the time for which a silent connection hides changes of the store

Callers saw nothing; trials sent requests to a replica up to 3.67 s after it said that it leaves (2 s: DrainMs), where the open connections to the store dropped all packets while new ones worked.

Cause: an instance cannot tell a watch without changes from one whose answer is lost. It waited 1.2 s between polls, then 2.7 s for the watch.

Polls are spaced only after changes, since a watch without them has waited already.

Two fakes of the store take the new parameter.

--- a/packages/backends/src/gradelug_backends/etcd.py
+++ b/packages/backends/src/gradelug_backends/etcd.py
@@ -86,7 +86,9 @@
         """End a lease."""
         await self._call("/v3/lease/revoke", {"ID": str(lease)})
 
-    async def watch(self, prefix: str, after: int) -> t.AsyncIterator[tuple[KvEvent, ...]]:
+    async def watch(
+        self, prefix: str, after: int, wait_s: t.Callable[[], float] | None = None
+    ) -> t.AsyncIterator[tuple[KvEvent, ...]]:
         """Yield the changes below a prefix made after a revision."""
         self.calls += 1
         body = {"create_request": {**_range(prefix), "start_revision": str(after + 1)}}
--- a/packages/coordination/src/gradelug_coordination/kv.py
+++ b/packages/coordination/src/gradelug_coordination/kv.py
@@ -101,9 +101,21 @@
         """End a lease and delete the entries tied to it."""
         ...
 
-    def watch(self, prefix: str, after: int) -> t.AsyncIterator[tuple[KvEvent, ...]]:
+    def watch(
+        self, prefix: str, after: int, wait_s: t.Callable[[], float] | None = None
+    ) -> t.AsyncIterator[tuple[KvEvent, ...]]:
         """Yield the changes below a prefix after a revision; counts as one call.
 
+        Parameters
+        ----------
+        prefix : str
+            Prefix of the keys.
+        after : int
+            Revision of the last known change.
+        wait_s : callable or None
+            Returns how long the next answer may wait for a change, in seconds, where each step is
+            a call; without changes an empty one is yielded then. None for the service's default.
+
         Raises
         ------
         WatchCompacted
--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -20,6 +20,11 @@
 """Longest interval between two polls while polls are deferred because other instances send the
 changes."""
 MIN_RELIST_INTERVAL_S = 1.0
+ANSWER_MARGIN_S = 0.3
+"""An answer to a watch is due this long after the end of the poll interval, in seconds, also
+without changes: a watch whose connection dropped its packets cannot be told from one without
+changes before."""
+MIN_WATCH_WAIT_S = 0.1
 MIN_WAIT_S = 0.001
 """Shorter waits are skipped, since the clock may not resolve them."""
 RELIST_AFTER_INTERVALS = 2.0
@@ -236,7 +241,8 @@
         """Apply changes until the last poll is so old that a listing transfers less data."""
         loop = asyncio.get_running_loop()
         self._requested_at = loop.time()
-        async for events in self._kv.watch(self._prefix, self.revision):
+        wait_s = self._watch_wait_s if self._is_polled else None
+        async for events in self._kv.watch(self._prefix, self.revision, wait_s):
             for event in events:
                 if event.revision <= self.revision and event.entry is None:
                     continue
@@ -246,7 +252,7 @@
             if self._is_polled:
                 self._note_proven(self._requested_at)
             self._notify()
-            if await self._wait_for_next_poll():
+            if await self._wait_for_next_poll(bool(events)):
                 return
             self._requested_at = loop.time()
 
@@ -259,13 +265,21 @@
         if asyncio.get_running_loop().time() < self.settled_at:
             self.missing.add(event.key)
 
-    async def _wait_for_next_poll(self) -> bool:
-        """Wait for the next poll; return whether a listing probably transfers less data by then."""
+    def _watch_wait_s(self) -> float:
+        due_at = self.polled_at + self.poll_interval_s + ANSWER_MARGIN_S
+        return max(MIN_WATCH_WAIT_S, due_at - asyncio.get_running_loop().time())
+
+    async def _wait_for_next_poll(self, has_changes: bool = True) -> bool:
+        """Wait for the next poll; return whether a listing probably transfers less data by then.
+
+        Polls are spaced after changes only: a watch without changes has waited already.
+        """
         if not self.poll_interval_s:
             return False
         loop = asyncio.get_running_loop()
         while not self._poll_requested.is_set():
-            wait_s = max(self.polled_at + self.poll_interval_s, self._deferred_until) - loop.time()
+            spaced_until = self.polled_at + (self.poll_interval_s if has_changes else 0.0)
+            wait_s = max(spaced_until, self._deferred_until) - loop.time()
             if wait_s < MIN_WAIT_S:
                 break
             try:
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -122,6 +122,7 @@
         limit_s: float,
         most_bytes: int,
         whole_s: float = 0.0,
+        rested_s: float = float("inf"),
     ) -> tuple[ResponseHead, bytes]:
         """Send a request and return the head and the whole body of its answer.
 
@@ -142,6 +143,8 @@
             Largest body that is taken.
         whole_s : float
             How long all of it may take, in seconds, where that is longer.
+        rested_s : float
+            Longest time that a connection used again may have been idle, in seconds.
 
         Raises
         ------
@@ -155,7 +158,7 @@
         began_at = asyncio.get_running_loop().time()
         until = began_at + max(limit_s, whole_s)
         async with asyncio.timeout_at(began_at + limit_s) as limit:
-            conn = await self.acquire(address, limit_s)
+            conn = await self.acquire(address, limit_s, rested_s)
             sent_at = self._clock()
             is_whole = False
             try:
--- a/packages/standins/src/gradelug_standins/kv.py
+++ b/packages/standins/src/gradelug_standins/kv.py
@@ -144,7 +144,9 @@
         await self._enter()
         self.lapse(lease)
 
-    async def watch(self, prefix: str, after: int) -> t.AsyncIterator[tuple[KvEvent, ...]]:
+    async def watch(
+        self, prefix: str, after: int, wait_s: t.Callable[[], float] | None = None
+    ) -> t.AsyncIterator[tuple[KvEvent, ...]]:
         """Yield the changes below a prefix made after a revision."""
         await self._enter()
         seen = after
--- a/tests/store_partition.py
+++ b/tests/store_partition.py
@@ -76,6 +76,13 @@
         assert await self.kv.delete(found.key, found.revision)
         return self.clock()
 
+    async def drain_entry(self, name):
+        """Make the entry of a plain replica announce that it leaves; return the time."""
+        found = self.kv.entries()[f"servers/{name}"]
+        value = found.value.replace(b'"ready"', b'"draining"')
+        assert (await self.kv.swap(found.key, value, found.revision)).swapped
+        return self.clock()
+
     async def write_entry(self, name):
         """Write the entry of a plain replica again."""
         await self.plain[name].register()
--- a/tests/test_config_freshness.py
+++ b/tests/test_config_freshness.py
@@ -38,8 +38,8 @@
     async def list(self, prefix):
         return await self._delay(await super().list(prefix))
 
-    async def watch(self, prefix, after):
-        async for events in super().watch(prefix, after):
+    async def watch(self, prefix, after, wait_s=None):
+        async for events in super().watch(prefix, after, wait_s):
             yield await self._delay(events)
 
     async def _delay(self, answer):
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -47,7 +47,7 @@
 
         return forward
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, wait_s=None):
         async for events in self.kv.watch(prefix, after):
             if self.cut:
                 raise KvUnavailable("cut off")
--- a/tests/test_store_partition.py
+++ b/tests/test_store_partition.py
@@ -105,3 +105,24 @@
                     assert not world.arrivals("p1", at, {number})
 
         run(scenario)
+
+
+class TestSilentConnections:
+    # A watch without changes could not be told from one whose connection dropped its packets.
+    @pytest.mark.parametrize("phase_s", [0.0, 0.75, 1.5, 2.25])
+    @pytest.mark.parametrize("silent", [(1,), (0, 1, 2)])
+    def test_no_requests_reach_a_replica_that_left_while_connections_are_silent(
+        self, silent, phase_s
+    ):
+        async def scenario():
+            async with PartitionWorld() as world:
+                sending = asyncio.create_task(world.load(60.0, world.clock() + 8.0, b"/i/x"))
+                await asyncio.sleep(2.0 + phase_s)
+                for number in silent:
+                    world.connections[number].silence()
+                left_at = await world.drain_entry("p1")
+                await sending
+                assert not world.arrivals("p1", left_at + DRAIN_S, {0, 1, 2})
+                assert all(one.status == 200 for one in world.results)
+
+        run(scenario)
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -60,7 +60,7 @@
         self.polls += 1
         return await self.kv.list(prefix)
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, wait_s=None):
         # As on a platform where a watch is a call that returns at the first change.
         while True:
             self.polls += 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -153,7 +153,7 @@
             await asyncio.sleep(2.0)
             raise KvUnavailable("cut off")
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, wait_s=None):
         await self._check()
         watch = self._world.kv.watch(prefix, after)
         while True:
