--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -13,6 +13,7 @@
 import logbook
 from gradelug_coordination import KvEntry, Mirror, era_of, revision_of
 
+from .missing_entries import MissingEntries
 from .model import AdapterKey, FleetState, Replica, Snapshot
 
 log = logbook.Logger("feed")
@@ -59,21 +60,6 @@
         self.replica = replica
 
 
-@dataclass(slots=True, frozen=True)
-class MissingEntry:
-    """An entry that was absent from the store's listing after an outage.
-
-    Parameters
-    ----------
-    since, until : float
-        When the feed first missed it, and until when its replica is used without it, in seconds of
-        the runtime's clock.
-    """
-
-    since: float
-    until: float
-
-
 class EntryReader(t.Protocol):
     """Decodes the entries of the platform store."""
 
@@ -126,8 +112,7 @@
         self._clock = clock
         self._applied_revisions: dict[str, int] = {}
         self._replica_names: dict[str, str] = {}
-        self._missing: dict[str, MissingEntry] = {}
-        """Entries of replicas that are used without them, by key."""
+        self._missing = MissingEntries(mirror, state, clock)
         self._overdue_since: dict[str, float] = {}
         """When the mirror should have shown the entry of a reported replica, by its name."""
         self._restored_since: dict[str, float] = {}
@@ -169,9 +154,7 @@
                 changed |= self._apply(entry)
         for key in [key for key in self._replica_names if key not in self._mirror.entries]:
             changed |= self._handle_missing_entry(key)
-        for key in [key for key in self._missing if key in self._mirror.entries]:
-            del self._missing[key]
-            self.state.missing.discard(self._replica_names.get(key, ""))
+        self._missing.remove_restored()
         changed |= self._drop_unconfirmed()
         self.note_store_read(self._mirror.proven_at)
         if changed:
@@ -402,28 +385,13 @@
         return now - self._overdue_since.setdefault(name, now) >= EXPIRED_ENTRY_GRACE_S
 
     def _handle_missing_entry(self, key: str) -> bool:
-        if key in self._mirror.missing:
-            # The deletion was not observed; the entry is only missing after an outage.
-            now = self._clock()
-            if key not in self._missing and now < self._mirror.settled_at:
-                self._note_missing(key, now)
-            if key in self._missing and now < self._missing[key].until:
-                return False
-            self._mirror.missing.discard(key)
+        if self._missing.keeps(key, self._replica_names[key]):
+            return False
         name = self._replica_names.pop(key)
-        missing = self._missing.pop(key, None)
-        self.state.missing.discard(name)
+        missing_s = self._missing.remove(key)
         self._record_removed(key, self._applied_revisions.pop(key, 0))
         if self.state.replicas.pop(name, None) is None:
             return False
         self.state.change += 1
-        missing_s = round(self._clock() - missing.since, 3) if missing is not None else 0.0
-        log.info("replica removed", replica=name, missing_s=missing_s)
+        log.info("replica removed", replica=name, missing_s=round(missing_s, 3))
         return True
-
-    def _note_missing(self, key: str, now: float) -> None:
-        self._missing[key] = MissingEntry(now, self._mirror.settled_at)
-        name = self._replica_names[key]
-        if name in self.state.replicas:
-            self.state.missing.add(name)
-            log.info("replica kept while its entry is missing", replica=name)
