--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -6,6 +6,7 @@
 import random
 from pipes import Network
 
+import pytest
 from gradelug_coordination import Mirror
 from gradelug_gateway.feed import Feed
 from gradelug_gateway.model import FleetState
@@ -13,7 +14,7 @@
 from gradelug_gateway.settings import Bounds
 from gradelug_http import ServerLimits
 from gradelug_platform.entries import PlatformEntries
-from hypothesis import settings
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from platform_stand_in import FakeStore
@@ -161,10 +162,7 @@
     @precondition(lambda self: self.clock() - self.silenced_at >= SILENCE_SPACING_S)
     @rule()
     def silence(self):
-        now = self.silenced_at = self.clock()
-        if now - self.in_contact_since < CONTACT_S:
-            # A call without an answer after an outage is part of it.
-            self.in_contact_since = now
+        self.silenced_at = self.clock()
         self.connection.silence()
 
     @invariant()
@@ -180,5 +178,56 @@
 
 TestStoreFreshness = StoreFreshness.TestCase
 TestStoreFreshness.settings = settings(
-    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    # Shrinking takes minutes.
+    phases=[Phase.explicit, Phase.generate],
 )
+
+
+SILENT_AFTER_THROTTLING = (
+    lambda machine: machine.begin_outage("silent"),
+    lambda machine: machine.remove("a"),
+    lambda machine: machine.wait(1.0),
+    lambda machine: machine.end_outage(),
+    lambda machine: machine.begin_outage(429),
+    lambda machine: machine.wait(3.0),
+    lambda machine: machine.end_outage(),
+    lambda machine: machine.silence(),
+)
+SILENT_AFTER_REFUSALS = (
+    lambda machine: machine.drain("c"),
+    lambda machine: machine.begin_outage("silent"),
+    lambda machine: machine.remove("a"),
+    lambda machine: machine.silence(),
+    lambda machine: machine.enter("a"),
+    lambda machine: machine.end_outage(),
+    lambda machine: machine.begin_outage(503),
+    lambda machine: machine.wait(3.1245860939955667),
+    lambda machine: machine.remove("b"),
+    lambda machine: machine.end_outage(),
+    lambda machine: machine.begin_outage("silent"),
+    lambda machine: machine.end_outage(),
+    lambda machine: machine.wait(1.6387488506333159),
+    lambda machine: machine.silence(),
+    lambda machine: machine.begin_outage(503),
+    lambda machine: machine.remove("c"),
+    lambda machine: machine.wait(5.08750902736215827),
+    lambda machine: machine.silence(),
+    lambda machine: machine.end_outage(),
+)
+
+
+# The listing after the outage was requested over a connection that had fallen silent.
+@pytest.mark.parametrize("steps", [SILENT_AFTER_THROTTLING, SILENT_AFTER_REFUSALS])
+def test_departures_take_effect_if_connections_fall_silent_as_an_outage_ends(steps):
+    machine = StoreFreshness()
+    try:
+        for step in steps:
+            step(machine)
+        machine.wait(6.0)
+        machine.departures_take_effect_in_time()
+    finally:
+        machine.teardown()
