--- a/packages/coordination/src/gradelug_coordination/mirror.py
+++ b/packages/coordination/src/gradelug_coordination/mirror.py
@@ -22,9 +22,9 @@
 MIN_RELIST_INTERVAL_S = 1.0
 ANSWER_MARGIN_S = 0.3
 """An answer to a watch is due this long after the end of the poll interval, in seconds, also
-without changes: a watch whose connection dropped its packets cannot be told from one without
-changes before."""
+without changes: until then a watch over a silent connection looks like one without changes."""
 MIN_WATCH_WAIT_S = 0.1
+"""Shortest wait for changes; an answer of the service takes some milliseconds."""
 MIN_WAIT_S = 0.001
 """Shorter waits are skipped, since the clock may not resolve them."""
 RELIST_AFTER_INTERVALS = 2.0
@@ -48,8 +48,8 @@
         Source of jitter for retries after an outage.
     max_retry_delay_s : float
         Upper limit of the delay between retries, in seconds.
-    spacing_s : float
-        Interval between polls for changes, in seconds; each poll is a call.
+    poll_interval_s : float
+        Interval between polls after changes, in seconds; each poll is a call.
     restore_grace_s : float
         Time after the earliest possible end of an outage for which absent keys count as missing,
         in seconds: the outage may have prevented their writers from renewing them, and they write
--- a/packages/gateway/src/gradelug_gateway/poll_interval.py
+++ b/packages/gateway/src/gradelug_gateway/poll_interval.py
@@ -12,7 +12,7 @@
 MIN_POLL_INTERVAL_S = 0.2
 """Lower bound of the poll interval, in seconds."""
 MAX_RETRY_CYCLE_S = 1.5
-"""Longest time from a failed call of the store to the end of the next one, in seconds."""
+"""Longest time from the start of a failed call of the store to that of the next one, in seconds."""
 REMOVAL_MARGIN_S = 0.3
 """Time for the last requests to a replica to arrive before it counts as removed, in seconds."""
 
