--- a/tests/crowded_store.py
+++ b/tests/crowded_store.py
@@ -38,7 +38,7 @@
     def held(self):
         return 0
 
-    async def exchange(self, address, out, limit_s, most_bytes, whole_s=0.0):
+    async def exchange(self, address, out, limit_s, most_bytes, whole_s=0.0, rested_s=float("inf")):
         """Handle a call in place of `HttpPool.exchange`."""
         parts = urlsplit(out.target.decode())
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
