Show which replicas an instance cannot connect to

Logs could not tell an instance without links from replicas that are gone: 'not sent' names one replica at a time, and the planner's failed calls are counted nowhere. Metrics: gradelug_replicas_unreachable by service, and gradelug_services_cut_off. No decision reads any of it yet.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 import random
 import signal
@@ -42,6 +43,7 @@
 from .limit_facts import planner_for
 from .limit_teller import LimitClient
 from .limits import ReplicaLimits
+from .link_monitor import LinkMonitor
 from .metrics import GatewayMetrics
 from .model import EngineSpec, FleetState, Replica
 from .parts import GatewayExtension
@@ -177,6 +179,8 @@
             limits,
             backoffs,
         )
+        self._links = LinkMonitor(self._state, self._clock)
+        pool.dial = functools.partial(self._links.connect, pool.dial)
         self._limit_clients: dict[str, LimitClient] = {}
         self._planner_roles: dict[str, PlannerRole] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
@@ -297,6 +301,7 @@
             self._startup_progress,
             self._poison,
             self._planners,
+            self._links,
         )
         add_daemon_gauges(self._meters, sources, self._clock)
 
@@ -560,6 +565,7 @@
                 PUBLISHER_POLL_INTERVAL_S if self._publishes_store() else self._poll_interval_s
             )
             self._fleet.forget_gone()
+            self._links.refresh()
             self._pipeline.forget_gone()
             if self._run_recovery is not None:
                 self._run_recovery.forget_removed_engines()
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -11,6 +11,7 @@
 from .config_freshness import ConfigFreshness
 from .directory import Directory
 from .fleet import Fleet
+from .link_monitor import LinkMonitor
 from .metrics import GatewayMetrics
 from .model import FleetState
 from .planner import Planner
@@ -45,6 +46,8 @@
         Blocked requests, and replicas that ended while running requests.
     planners : callable
         Returns the active planners of this instance.
+    links : LinkMonitor
+        Replicas that this instance can connect to.
     """
 
     callers: HttpServer
@@ -57,6 +60,7 @@
     startup_progress: StartupProgress
     poison: PoisonControl
     planners: t.Callable[[], list[Planner]]
+    links: LinkMonitor
 
 
 def add_daemon_gauges(
@@ -93,6 +97,16 @@
         "Idle connections closed after another connection to the same replica stopped responding",
         lambda: sources.pool.doubted,
     )
+    meters.add_service_gauge(
+        "replicas_unreachable",
+        "Replicas to which the last direct connection attempt of this instance failed",
+        sources.links.count_lost,
+    )
+    gauge(
+        "services_cut_off",
+        "Services to whose replicas this instance has lost its links",
+        lambda: sources.links.cut_off_count,
+    )
     gauge("replicas", "Replicas known", lambda: len(sources.state.replicas))
     gauge(
         "replicas_ejected",
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -6,11 +6,31 @@
 
 from gradelug_policy.contention import URGENCY_LEVELS
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 RATIO_BUCKETS = (0.25, 0.5, 0.7, 0.8, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
 BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0)
 
 
+class _LabelledGauge(Collector):
+    """A gauge with one label whose values are read at each scrape."""
+
+    def __init__(
+        self, name: str, help_text: str, label: str, read: t.Callable[[], t.Mapping[str, float]]
+    ) -> None:
+        self._name = name
+        self._help_text = help_text
+        self._label = label
+        self._read = read
+
+    def collect(self) -> t.Iterator[GaugeMetricFamily]:
+        family = GaugeMetricFamily(self._name, self._help_text, labels=[self._label])
+        for value, number in self._read().items():
+            family.add_metric([value], number)
+        yield family
+
+
 class GatewayMetrics:
     """Metrics of a daemon in a registry of its own."""
 
@@ -128,6 +148,12 @@
         """Add a gauge whose value is read at each scrape."""
         Gauge(f"gradelug_{name}", help_text, registry=self._registry).set_function(read)
 
+    def add_service_gauge(
+        self, name: str, help_text: str, read: t.Callable[[], t.Mapping[str, float]]
+    ) -> None:
+        """Add a gauge with a value for each service, read at each scrape."""
+        self._registry.register(_LabelledGauge(f"gradelug_{name}", help_text, "service", read))
+
     def count_outcome(self, route: str, end: str) -> None:
         """Count a finished request by its outcome."""
         self._outcomes.labels(route, end).inc()
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -14,6 +14,7 @@
 from .headers import Headers as Headers
 from .headers import end_to_end as end_to_end
 from .headers import find as find
+from .pool import Dial as Dial
 from .pool import HttpPool as HttpPool
 from .server import ClientGone as ClientGone
 from .server import HttpServer as HttpServer
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -37,11 +37,11 @@
 
     __slots__ = (
         "_clock",
-        "_dial",
         "_idle",
         "_read_ahead",
         "_resting",
         "_wires",
+        "dial",
         "doubted",
         "keeps",
         "opened",
@@ -49,7 +49,8 @@
 
     def __init__(self, clock: t.Callable[[], float], dial: Dial | None = None) -> None:
         self._clock = clock
-        self._dial = dial or dial_tcp
+        self.dial = dial or dial_tcp
+        """Coroutine function that connects to an address."""
         self._idle: dict[str, list[Connection]] = defaultdict(list)
         self._wires: weakref.WeakSet[Wire] = weakref.WeakSet()
         self._read_ahead = MOST_READ_AHEAD
@@ -249,7 +250,7 @@
         self.opened += 1
         try:
             async with asyncio.timeout(limit_s):
-                wire = await self._dial(address)
+                wire = await self.dial(address)
                 wire.read_ahead = self._read_ahead
                 self._wires.add(wire)
         except ConnectionRefusedError as exc:
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -225,13 +225,13 @@
             Bounds(fenced=True, retry_extra=10_000.0),
             features=world.features,
         )
-        self.pool = HttpPool(world.clock, world.net.dial)
+        self.pool = HttpPool(world.clock, world.connect(self.at))
         self.daemon = daemon_module.Daemon(
             settings,
             ProcessKv(world.store(), self.process),
             PlatformEntries(),
             PlatformDialect(),
-            ModelOrderTransport(world),
+            world.orders(self.at),
             self.pool,
         )
         for server in (
@@ -320,6 +320,14 @@
         """Return the store that an instance connects to."""
         return self.kv
 
+    def connect(self, number):
+        """Return the coroutine function by which an instance connects to replicas."""
+        return self.net.dial
+
+    def orders(self, number):
+        """Return the transport by which an instance sends orders."""
+        return ModelOrderTransport(self)
+
     def instance_at(self, address):
         found = [one for one in self.gateways if one.peer == address and not one.process.dead]
         return found[0] if found else None
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -213,7 +213,7 @@
     def test_the_end_of_an_unreachable_replica_is_read_from_the_store(self, is_restarted):
         async def scenario():
             ends = Ends()
-            ends.detector._pool._dial = ends.never
+            ends.detector._pool.dial = ends.never
             ends.detector.note_broken(ends.replica, A, STARTED_WEIGHT)
             await asyncio.sleep(3.0)
             ends.detector.poll()
@@ -229,7 +229,7 @@
     def test_a_check_without_a_removal_report_expires(self):
         async def scenario():
             ends = Ends()
-            ends.detector._pool._dial = ends.never
+            ends.detector._pool.dial = ends.never
             ends.detector.note_broken(ends.replica, A, STARTED_WEIGHT)
             await asyncio.sleep(REMOVAL_REPORT_S + 0.1)
             ends.detector.poll()
@@ -241,7 +241,7 @@
     def test_a_refused_connection_reports_an_end(self):
         async def scenario():
             ends = Ends()
-            ends.detector._pool._dial = ends.never
+            ends.detector._pool.dial = ends.never
             ends.detector.note_broken(ends.replica, A, STARTED_WEIGHT)
             ends.detector.note_refused(ends.replica)
             assert ends.found == [("e1@7", {A: STARTED_WEIGHT})]
