Failing tests: an instance and a planner that lose their links to replicas

Whole daemons in virtual time, three instances, three engines, two plain replicas; the links of one instance hang for 11 s. First tries from 3 s after the cut on: streams at the cut-off instance are served 1 in 35, all others. If the planner is the one that is cut off and demand moves on to other adapters, none of the first tries is served anywhere.

--- /dev/null
+++ b/tests/test_lost_links.py
@@ -0,0 +1,71 @@
+"""Instances that lose their own links to replicas while callers and peers still reach them."""
+
+import asyncio
+
+from link_world import Cut, LinkWorld
+from run_world import run
+
+CONTACT_S = 3.0
+"""Time from the start of a cut after which callers of the cut-off instances must be served."""
+CUT_S = 11.0
+MIN_SERVED_RATIO = 2 / 3
+"""Minimum served fraction at the cut-off instances, relative to that at the others."""
+MIN_SERVED = 0.9
+"""Minimum served fraction at instances that keep their links."""
+RATE = 40.0
+
+
+async def play_cut(world, cut_off, how, replicas=None, cut_s=CUT_S):
+    """Cut instances off while callers send; return the counted start and end of the cut."""
+    calling = asyncio.create_task(world.call(RATE, world.clock() + 2.0 + cut_s + 5.0))
+    await asyncio.sleep(2.0)
+    cut_at = world.cut(cut_off, how, replicas)
+    await asyncio.sleep(cut_s)
+    healed_at = world.heal()
+    await calling
+    return cut_at + CONTACT_S, healed_at
+
+
+def check_served(world, cut_off, since, until, path=b""):
+    """Check that first tries are served on both sides of a cut."""
+    others = set(range(len(world.gateways))) - set(cut_off)
+    at_others = world.served(others, since, until, path)
+    assert at_others >= MIN_SERVED
+    assert world.served(set(cut_off), since, until, path) >= MIN_SERVED_RATIO * at_others
+
+
+class TestRequests:
+    # A request had no path to a replica except the instance's own connection.
+    def test_requests_fail_at_an_instance_that_lost_its_links_to_replicas(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                since, until = await play_cut(world, (1,), Cut.HANG)
+                for path in (b"/s/", b"/u/", b"/i/"):
+                    check_served(world, (1,), since, until, path)
+
+        run(scenario)
+
+
+class TestPlanner:
+    # A planner kept its role although it could not reach any engine to load weights on.
+    def test_no_weights_are_loaded_while_the_planner_is_cut_off_from_its_engines(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                began_at = world.clock()
+
+                def moving_demand(number, now):
+                    """Name an adapter of a set that changes during a test."""
+                    return f"a{number % 4 + 4 * int((now - began_at) / 5.0)}"
+
+                calling = asyncio.create_task(
+                    world.call(RATE, began_at + 15.0, (b"/s/x",), moving_demand)
+                )
+                await asyncio.sleep(2.0)
+                planner = world.planner()
+                cut_at = world.cut([planner])
+                await asyncio.sleep(CUT_S)
+                healed_at = world.heal()
+                await calling
+                check_served(world, [planner], cut_at + CONTACT_S, healed_at)
+
+        run(scenario)
