Connect to replicas through a peer when this instance's own links are lost

Cause: a request had one path to a replica, the instance's own connection.

Now a dial races a second path: when the direct connection fails, or is not up within 0.1 s, a peer opens a tunnel (CONNECT, on the second port of the instances' range; a key in the platform's store admits instances alone). Bytes pass unchanged, so all decisions on a request stay where they were made: keys, quotas, limits, retries, versions, departures, cancellation. A replica that peers reach and this instance does not is dialled through peers first, probed directly each 0.5 s, and its idle connections are closed. Planners send each gateway a few peers, its hall first, none that is cut off. A refused connection counts as the end of a replica only if a peer is refused too.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import math
 import random
 import signal
@@ -21,7 +20,16 @@
     Mirror,
     PersistentOwnership,
 )
-from gradelug_http import Door, EarlyServer, HttpPool, HttpServer, Incoming, ServerLimits
+from gradelug_http import (
+    Connect,
+    Door,
+    EarlyServer,
+    HttpPool,
+    HttpServer,
+    Incoming,
+    ServerLimits,
+    connect_tcp,
+)
 from gradelug_policy.quotas import LocalShares
 from gradelug_policy.residency import LoadRateLimiter
 from gradelug_runtime.clock import run as run_steady
@@ -43,7 +51,6 @@
 from .limit_facts import planner_for
 from .limit_teller import LimitClient
 from .limits import ReplicaLimits
-from .link_monitor import LinkMonitor
 from .metrics import GatewayMetrics
 from .model import EngineSpec, FleetState, Replica
 from .parts import GatewayExtension
@@ -55,6 +62,7 @@
 from .prefix_cache import PrefixCache
 from .quotas import Quotas
 from .relay import OrderRelay
+from .replica_access import ReplicaAccess
 from .rests import BackoffTracker
 from .runs import RunRecovery
 from .search import PlannerAddress
@@ -116,6 +124,10 @@
         Moves runs between engines; None if the platform does not support it.
     early_socket : Door or None
         Listening socket that was opened before the program was imported, if any.
+    connect : callable
+        Opens TCP connections to replicas and to the tunnel servers of other instances.
+    run_pool, order_pool : HttpPool or None
+        Connections over which runs are moved and orders are sent, if they have pools of their own.
     """
 
     def __init__(
@@ -128,6 +140,9 @@
         pool: HttpPool,
         runs: RunTransport | None = None,
         early_socket: Door | None = None,
+        connect: Connect = connect_tcp,
+        run_pool: HttpPool | None = None,
+        order_pool: HttpPool | None = None,
     ) -> None:
         self._early_socket = early_socket
         self.settings = settings
@@ -179,8 +194,27 @@
             limits,
             backoffs,
         )
-        self._links = LinkMonitor(self._state, self._clock)
-        pool.dial = functools.partial(self._links.connect, pool.dial)
+        self._access = ReplicaAccess(
+            settings.addresses.tunnels if Feature.PEER_TUNNELS in settings.features else "",
+            settings.hall,
+            kv,
+            self._mirror,
+            self._state,
+            connect,
+            self._clock,
+            lambda: bool(self._planners()),
+        )
+        self._access.monitor.on_bypass = lambda address: pool.doubt(address, self._clock())
+        for replica_pool in (pool, run_pool):
+            if replica_pool is not None:
+                replica_pool.dial = (
+                    self._access.dialer.dial
+                    if Feature.PEER_TUNNELS in settings.features
+                    else self._access.dialer.dial_directly
+                )
+        if order_pool is not None:
+            # An order through a peer would count as an order of that instance.
+            order_pool.dial = self._access.dialer.dial_directly
         self._limit_clients: dict[str, LimitClient] = {}
         self._planner_roles: dict[str, PlannerRole] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
@@ -301,7 +335,7 @@
             self._startup_progress,
             self._poison,
             self._planners,
-            self._links,
+            self._access,
         )
         add_daemon_gauges(self._meters, sources, self._clock)
 
@@ -326,6 +360,7 @@
         addresses = self.settings.addresses
         await self._status_server.start(*_split_address(addresses.status))
         await self._peer_server.start(*_split_address(addresses.peers))
+        await self._access.start()
         if self._early_socket is not None:
             await self._caller_server.enter(self._early_socket)
         else:
@@ -334,6 +369,9 @@
         self._tasks.start(self._upkeep(), "upkeep")
         self._tasks.start(self._startup_progress.run(), "standing")
         self._tasks.start(self._poison.record.run(), "poison record")
+        if Feature.PEER_TUNNELS in self.settings.features:
+            self._tasks.start(self._access.key.run(), "tunnel key")
+            self._tasks.start(self._access.dialer.run(), "path probes")
         if self._handover is not None:
             self._tasks.start(self._handover.run(), "handover")
         if self._ownership is not None:
@@ -347,6 +385,7 @@
         started_at = self._stopping_at = self._clock()
         log.info("stopping", requests=self._caller_server.in_progress)
         self._caller_server.draining = True
+        self._access.server.is_draining = True
         self._pipeline.refuse_from(started_at + BALANCER_REMOVAL_S)
         await asyncio.gather(*(role.resign() for role in self._planner_roles.values()))
         end_at = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
@@ -354,7 +393,8 @@
             removed = self._clock() - started_at >= BALANCER_REMOVAL_S
             if removed:
                 self._caller_server.close_idle()
-            if removed and not self._caller_server.in_progress:
+            is_idle = not self._caller_server.in_progress and not self._access.server.connections
+            if removed and is_idle:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         if self._ownership is not None:
@@ -370,6 +410,7 @@
         await self._tasks.cancel()
         await self._caller_server.close()
         await self._status_server.close()
+        await self._access.server.close()
         self._peer_server.close()
         self._pool.close()
 
@@ -414,6 +455,8 @@
             yield self._poison.reporter(service)
         if Feature.REPLICA_LIMITS in self.settings.features:
             yield self._new_limit_client(service)
+        if Feature.PEER_TUNNELS in self.settings.features:
+            yield self._access.reporter(service)
         if Feature.SAID_DEPARTURES in self.settings.features:
             yield DepartureReporter(service, self._feed, lambda: self._directory.link_to(service))
 
@@ -565,7 +608,7 @@
                 PUBLISHER_POLL_INTERVAL_S if self._publishes_store() else self._poll_interval_s
             )
             self._fleet.forget_gone()
-            self._links.refresh()
+            self._access.monitor.refresh()
             self._pipeline.forget_gone()
             if self._run_recovery is not None:
                 self._run_recovery.forget_removed_engines()
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -22,6 +22,7 @@
 from .pending import PendingUpdate, merge_store_updates
 from .scope import MAX_SCOPE_KEYS, Scopes
 from .store_updates import MIN_FOLLOWERS, StorePublisher
+from .tunnel_peers import select_peers
 
 if t.TYPE_CHECKING:
     from .parts import PlannerExtension
@@ -73,6 +74,7 @@
         "has_full_store",
         "last_received_at",
         "instance",
+        "is_cut_off",
         "is_disconnected",
         "knows_store",
         "listed_revision",
@@ -85,6 +87,7 @@
         "store_away",
         "store_revision",
         "strength",
+        "tunnel",
         "wake",
     )
 
@@ -124,6 +127,10 @@
         self.strength = 0.0
         """Fitness of the gateway to be the planner, from its first message; 1 for a fully capable
         one."""
+        self.tunnel = ""
+        """``IP:port`` of the gateway's tunnel server, empty if it has none."""
+        self.is_cut_off = False
+        """Whether the gateway last reported that it lost its links to the replicas of a service."""
         self.wake = asyncio.Event()
 
     @property
@@ -483,9 +490,10 @@
     def _complete(self, follower: Follower, message: pb.FromPlanner) -> None:
         """Add the current state that only this gateway receives."""
         pending = follower.pending
-        peers = self._peers(follower)
-        if peers:
-            message.peers.extend(peers)
+        others = [other for other in self._by_number.values() if other is not follower]
+        if others and self._is_peers_update_due(follower):
+            message.peers.extend(self._peers(follower, others))
+            message.tunnels.extend(select_peers(follower, others))
             message.echo.CopyFrom(follower.echo)
         if message.HasField("store") and not follower.has_full_store and self._store is not None:
             self._add_listing_page(follower, message, self._store)
@@ -533,16 +541,18 @@
             if engine is not None:
                 message.loads.append(encode_load(name, engine))
 
-    def _peers(self, follower: Follower) -> list[str]:
+    def _is_peers_update_due(self, follower: Follower) -> bool:
         now = self._clock()
         if now - follower.peers_sent_at < PEERS_INTERVAL_S:
-            return []
+            return False
         follower.peers_sent_at = now
-        others = [other for other in self._by_number.values() if other is not follower]
+        return True
+
+    def _peers(self, follower: Follower, others: t.Sequence[Follower]) -> list[str]:
         start = follower.number % len(others) if others else 0
         # Gateways that can plan come first: they search for a successor most often.
-        others = sorted(others[start:] + others[:start], key=lambda other: other.strength < 1)
-        return [other.address for other in others if other.address][:MAX_PEERS_PER_MESSAGE]
+        ranked = sorted((*others[start:], *others[:start]), key=lambda other: other.strength < 1)
+        return [other.address for other in ranked if other.address][:MAX_PEERS_PER_MESSAGE]
 
     def _ready_locations(self, key: AdapterKey) -> dict[str, int]:
         """Return the usable versions of weights, by engine name."""
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -11,12 +11,12 @@
 from .config_freshness import ConfigFreshness
 from .directory import Directory
 from .fleet import Fleet
-from .link_monitor import LinkMonitor
 from .metrics import GatewayMetrics
 from .model import FleetState
 from .planner import Planner
 from .poison_control import PoisonControl
 from .prefix_cache import add_gauges as add_prefix_cache_gauges
+from .replica_access import ReplicaAccess
 from .startup_progress import StartupPart, StartupProgress
 
 
@@ -46,8 +46,8 @@
         Blocked requests, and replicas that ended while running requests.
     planners : callable
         Returns the active planners of this instance.
-    links : LinkMonitor
-        Replicas that this instance can connect to.
+    access : ReplicaAccess
+        Paths to replicas, and tunnels for peers.
     """
 
     callers: HttpServer
@@ -60,7 +60,7 @@
     startup_progress: StartupProgress
     poison: PoisonControl
     planners: t.Callable[[], list[Planner]]
-    links: LinkMonitor
+    access: ReplicaAccess
 
 
 def add_daemon_gauges(
@@ -100,12 +100,22 @@
     meters.add_service_gauge(
         "replicas_unreachable",
         "Replicas to which the last direct connection attempt of this instance failed",
-        sources.links.count_lost,
+        sources.access.monitor.count_lost,
+    )
+    gauge(
+        "connections_tunnelled",
+        "Connections to replicas opened through peers since startup",
+        lambda: sources.access.dialer.opened_tunnels,
+    )
+    gauge(
+        "tunnels",
+        "Tunnels to replicas that are open for peers",
+        lambda: len(sources.access.server.connections),
     )
     gauge(
         "services_cut_off",
-        "Services to whose replicas this instance has lost its links",
-        lambda: sources.links.cut_off_count,
+        "Services whose replicas peers reach while this instance has lost its links to them",
+        lambda: len(sources.access.monitor.cut_off),
     )
     gauge("replicas", "Replicas known", lambda: len(sources.state.replicas))
     gauge(
--- a/packages/gateway/src/gradelug_gateway/link_monitor.py
+++ b/packages/gateway/src/gradelug_gateway/link_monitor.py
@@ -7,14 +7,14 @@
 
 import logbook
 from gradelug_http import Dial, Wire
-from gradelug_policy.reachability import PathSummary, ReplicaPaths
+from gradelug_policy.reachability import PathSummary, PeerOutcome, ReplicaPaths
 
 from .model import FleetState
 
 log = logbook.Logger("links")
-HANG_S = 0.3
-"""A connection attempt that is given up after this time or later counts as failed, in seconds;
-earlier, the caller of the request left."""
+HANG_S = 0.1
+"""A connection attempt that is given up after this time or later counts as failed, in seconds: a
+connection takes a few milliseconds."""
 
 
 class LinkMonitor:
@@ -28,7 +28,7 @@
         Returns the time of the runtime's clock, in seconds.
     """
 
-    __slots__ = ("_clock", "_lost_since", "_state", "paths")
+    __slots__ = ("_clock", "_cut_off", "_lost_since", "_refused", "_state", "on_bypass", "paths")
 
     def __init__(self, state: FleetState, clock: t.Callable[[], float]) -> None:
         self._state = state
@@ -36,6 +36,11 @@
         self.paths = ReplicaPaths()
         self._lost_since: dict[str, float] = {}
         """When this instance lost its links to a service, by service."""
+        self._refused: set[str] = set()
+        """Addresses that refused the last direct connection."""
+        self._cut_off: frozenset[str] = frozenset()
+        self.on_bypass: t.Callable[[str], None] = lambda address: None
+        """Called with the address of a replica that peers reach and this instance does not."""
 
     async def connect(self, dial: Dial, address: str) -> Wire:
         """Open a direct connection to a replica and record the outcome.
@@ -57,35 +62,88 @@
             wire = await dial(address)
         except asyncio.CancelledError:
             if self._clock() - began_at >= HANG_S:
-                self._note(address, False, "no response")
+                self.note(address, False, "no response")
             raise
         except OSError as exc:
-            self._note(address, False, repr(exc))
+            self.note(address, False, repr(exc))
+            if isinstance(exc, ConnectionRefusedError):
+                self._refused.add(address)
             raise
-        self._note(address, True)
+        self.note(address, True)
         return wire
 
-    def summaries(self) -> dict[str, PathSummary]:
-        """Return the state of the direct paths to the replicas of each service."""
-        addresses: dict[str, list[str]] = {}
+    def was_refused(self, address: str) -> bool:
+        """Return whether an address refused the last direct connection."""
+        return address in self._refused
+
+    def note(self, address: str, connected: bool, why: str = "") -> None:
+        """Record the outcome of a direct connection attempt.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:port`` of the replica.
+        connected : bool
+            Whether the connection was established.
+        why : str
+            Reason of the failure, for the log.
+        """
+        was_lost = self.paths.is_lost(address)
+        self.paths.note_direct(address, connected, self._clock())
+        self._refused.discard(address)
+        if was_lost == (not connected):
+            return
+        if connected:
+            log.info("replica connected again", address=address)
+        else:
+            log.info("replica cannot be connected", address=address, why=why)
+        self.refresh()
+
+    def note_peer(self, address: str, outcome: PeerOutcome) -> None:
+        """Record the outcome of a peer's attempt to connect to a replica."""
+        was_bypassed = self.paths.is_bypassed(address)
+        self.paths.note_peer(address, outcome, self._clock())
+        if self.paths.is_bypassed(address) == was_bypassed:
+            return
+        if not was_bypassed:
+            log.info("replica reached through a peer", address=address)
+            self.on_bypass(address)
+        self.refresh()
+
+    def due_probes(self) -> list[str]:
+        """Return the addresses of replicas that are to be probed directly."""
+        if not self.paths.has_lost:
+            return []
+        now = self._clock()
+        return [
+            address
+            for addresses in self._addresses().values()
+            for address in self.paths.due_probes(addresses, now)
+        ]
+
+    def _addresses(self) -> dict[str, list[str]]:
+        found: dict[str, list[str]] = {}
         for rep in self._state.replicas.values():
             if not rep.leaving:
-                addresses.setdefault(rep.service, []).append(rep.address)
+                found.setdefault(rep.service, []).append(rep.address)
+        return found
+
+    def summaries(self) -> dict[str, PathSummary]:
+        """Return the state of the direct paths to the replicas of each service."""
         now = self._clock()
-        return {service: self.paths.summary(found, now) for service, found in addresses.items()}
+        return {
+            service: self.paths.summary(addresses, now)
+            for service, addresses in self._addresses().items()
+        }
 
     def count_lost(self) -> dict[str, float]:
         """Return the number of replicas that this instance cannot connect to, by service."""
         return {service: summary.lost for service, summary in self.summaries().items()}
 
     @property
-    def cut_off_count(self) -> int:
-        """Number of services to whose replicas this instance has lost its links."""
-        return len(self._lost_since)
-
-    def is_cut_off(self, service: str) -> bool:
-        """Return whether this instance has lost its links to the replicas of a service."""
-        return service in self._lost_since
+    def cut_off(self) -> frozenset[str]:
+        """Services whose replicas peers reach while this instance has lost its links to them."""
+        return self._cut_off
 
     def refresh(self) -> None:
         """Drop the paths to removed replicas, and update which services are cut off."""
@@ -95,17 +153,9 @@
             del self._lost_since[service]
         for service, summary in summaries.items():
             self._update(service, summary)
-
-    def _note(self, address: str, connected: bool, why: str = "") -> None:
-        was_lost = self.paths.is_lost(address)
-        self.paths.note_direct(address, connected, self._clock())
-        if was_lost == (not connected):
-            return
-        if connected:
-            log.info("replica connected again", address=address)
-        else:
-            log.info("replica cannot be connected", address=address, why=why)
-        self.refresh()
+        self._cut_off = frozenset(
+            service for service, summary in summaries.items() if summary.is_cut_off
+        )
 
     def _update(self, service: str, summary: PathSummary) -> None:
         since = self._lost_since.get(service)
@@ -116,6 +166,7 @@
                 service=service,
                 lost=summary.lost,
                 tried=summary.tried,
+                through_peers=summary.bypassed,
                 replicas=summary.known,
             )
         elif since is not None and not summary.is_mostly_lost:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -389,6 +389,8 @@
         follower.hall = message.hall or follower.hall
         follower.store_revision = message.store_revision or follower.store_revision
         follower.strength = message.strength or follower.strength
+        follower.tunnel = message.tunnel or follower.tunnel
+        follower.is_cut_off = message.cut_off
         self.followers.pacing.count_message(sum(use.started for use in message.uses))
         if self._relay is not None:
             self._relay.handle_message(follower, message)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -44,6 +44,8 @@
     """A replica that announces its removal in a response gets no new requests."""
     REPLICA_RESTS = "replica-rests"
     """A replica that requests a backoff gets no requests until it ends."""
+    PEER_TUNNELS = "peer-tunnels"
+    """Instances that lose their links to replicas connect to them through other instances."""
     KEPT_PARTS = "kept-parts"
     """Engines are selected by the prompt prefixes in their caches."""
 
@@ -60,11 +62,14 @@
         Address for readiness checks and metrics.
     peers : str
         Address for RPCs of other instances.
+    tunnels : str
+        Address for tunnels of other instances; empty to open none for them.
     """
 
     callers: str
     status: str
     peers: str
+    tunnels: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -16,7 +16,14 @@
 from .headers import find as find
 from .pool import Dial as Dial
 from .pool import HttpPool as HttpPool
+from .pool import connect_tcp as connect_tcp
 from .server import ClientGone as ClientGone
 from .server import HttpServer as HttpServer
 from .server import Incoming as Incoming
 from .server import ServerLimits as ServerLimits
+from .tunnel import Connect as Connect
+from .tunnel import TunnelFailed as TunnelFailed
+from .tunnel import TunnelPolicy as TunnelPolicy
+from .tunnel import TunnelServer as TunnelServer
+from .tunnel import TunnelStatus as TunnelStatus
+from .tunnel import open_tunnel as open_tunnel
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -58,6 +58,10 @@
         self.received = bytearray()
         self.ended = False
         self.reset: Exception | None = None
+        self.via = ""
+        """``IP:port`` of the tunnel server that the connection passes through; empty if direct."""
+        self.reuse_until = float("inf")
+        """When the connection must not carry new requests any more, by the runtime's clock."""
         self._waiter: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -128,6 +132,11 @@
         self.used_at = clock()
         self.uses = 0
 
+    @property
+    def via(self) -> str:
+        """``IP:port`` of the tunnel server that it passes through; empty if it is direct."""
+        return self._wire.via
+
     @property
     def is_silenced(self) -> bool:
         """Whether it ended because the upstream could not be reached over it any more."""
@@ -217,7 +226,7 @@
             return False
         self._h11.start_next_cycle()
         self.used_at = self._clock()
-        self.idle_until = self.used_at + _idle_s(head)
+        self.idle_until = min(self.used_at + _idle_s(head), self._wire.reuse_until)
         return True
 
     def abort(self) -> None:
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -14,14 +14,20 @@
 MOST_IDLE = 512
 """Idle connections that are kept, 6.4 KB each: of one to each of 3,000 engines hardly any is used
 again."""
+P = t.TypeVar("P", bound=asyncio.BaseProtocol)
 Dial = t.Callable[[str], t.Awaitable[Wire]]
 
 
+async def connect_tcp(address: str, make: t.Callable[[], P]) -> P:
+    """Connect to ``IP:port`` with a protocol from a factory; raises `OSError`."""
+    host, _, port = address.rpartition(":")
+    _, protocol = await asyncio.get_running_loop().create_connection(make, host, int(port))
+    return protocol
+
+
 async def dial_tcp(address: str) -> Wire:
     """Connect to ``IP:port``; raises `OSError`."""
-    host, _, port = address.rpartition(":")
-    _, wire = await asyncio.get_running_loop().create_connection(Wire, host, int(port))
-    return wire
+    return await connect_tcp(address, Wire)
 
 
 class HttpPool:
--- a/tests/link_world.py
+++ b/tests/link_world.py
@@ -3,7 +3,6 @@
 import asyncio
 import enum
 import errno
-import functools
 from dataclasses import dataclass
 from pipes import join
 
@@ -133,6 +132,12 @@
         self.links = [ReplicaLinks(self) for _ in range(gateways)]
         super().__init__(gateways, engines, plain, without)
         self.tries = []
+        self.paths = {}
+        """Path of each first try, by body."""
+
+    def is_unrepeatable(self, body):
+        """Return whether a request must not run twice."""
+        return self.paths[body] == b"/u/x"
 
     def connect(self, number):
         return self.links[number].connect
@@ -176,6 +181,7 @@
 
     async def _try(self, instance, path, body, adapter):
         sent_at = self.clock()
+        self.paths[body] = path
         deadline_ms = 4000 if path.startswith(b"/s/") else 1500
         gateway = self.gateways[instance]
         status = await self.ask(gateway, body, deadline_ms, adapter, path)
@@ -191,29 +197,3 @@
             and one.path.startswith(path)
         ]
         return sum(found) / len(found)
-
-    def runs(self):
-        """Return how often each request reached a replica."""
-        counts = {}
-        for _, body, _ in self.arrived:
-            counts[body] = counts.get(body, 0) + 1
-        return counts
-
-
-def link_test(**options):
-    """Turn a coroutine function of a `LinkWorld` into a test on a loop with simulated time."""
-
-    def decorate(scenario):
-        @functools.wraps(scenario)
-        def test(self, *args, **kwargs):
-            from run_world import run
-
-            async def play():
-                async with LinkWorld(**options) as world:
-                    await scenario(self, world, *args, **kwargs)
-
-            run(play)
-
-        return test
-
-    return decorate
--- a/tests/pipes.py
+++ b/tests/pipes.py
@@ -52,6 +52,9 @@
     def get_write_buffer_size(self):
         return 0
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
     def pause_reading(self):
         pass
 
@@ -83,14 +86,14 @@
         self.servers: dict[str, object] = {}
         self.dialled: list[str] = []
 
-    async def dial(self, address):
+    async def dial(self, address, make=Wire):
         self.dialled.append(address)
-        make = self.servers.get(address)
-        if make is None:
+        listen = self.servers.get(address)
+        if listen is None:
             raise ConnectionRefusedError(111, "nobody listens")
-        wire = Wire()
-        join(wire, make())
-        return wire
+        protocol = make()
+        join(protocol, listen())
+        return protocol
 
     def serve(self, address, serve, limits, clock):
         server = HttpServer(serve, limits, clock)
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -203,6 +203,7 @@
         self.world, self.at = world, at
         self.name = f"g{at}"
         self.front, self.peer = f"10.0.0.{at}:80", f"10.0.0.{at}:81"
+        self.tunnels = f"10.0.0.{at}:83"
         self.streams = []
         self.process = Process(self.name, dead=True)
 
@@ -221,7 +222,7 @@
         settings = GatewaySettings(
             self.name,
             "z",
-            Addresses(self.front, f"10.0.0.{self.at}:82", self.peer),
+            Addresses(self.front, f"10.0.0.{self.at}:82", self.peer, self.tunnels),
             Bounds(fenced=True, retry_extra=10_000.0),
             features=world.features,
         )
@@ -233,20 +234,26 @@
             PlatformDialect(),
             world.orders(self.at),
             self.pool,
+            connect=world.connect(self.at),
         )
         for server in (
             self.daemon._status_server,
             self.daemon._peer_server,
             self.daemon._caller_server,
+            self.daemon._access.server,
         ):
             server.start = mock.AsyncMock()
         await self.daemon._start()
         world.net.servers[self.front] = self.daemon._caller_server.new_connection
+        world.net.servers[self.tunnels] = self.daemon._access.server.new_connection
 
     def kill(self):
         """Simulate a power loss: all its tasks stop without notice to others."""
         self.process.dead = True
         self.world.net.servers.pop(self.front, None)
+        self.world.net.servers.pop(self.tunnels, None)
+        for conn in list(self.daemon._access.server.connections):
+            conn.abort()
         for wire in list(self.pool._wires):
             wire.transport.abort()
         for task in list(self.process.tasks):
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -5,10 +5,10 @@
 
 import logbook
 import pytest
-from gradelug_gateway.link_monitor import LinkMonitor
+from gradelug_gateway.link_monitor import HANG_S, LinkMonitor
 from gradelug_gateway.metrics import GatewayMetrics
 from gradelug_gateway.model import FleetState, Replica
-from gradelug_policy.reachability import ATTEMPT_VALIDITY_S, ReplicaPaths
+from gradelug_policy.reachability import ATTEMPT_VALIDITY_S, PeerOutcome, ReplicaPaths
 from link_world import Cut, LinkWorld
 from run_world import run
 
@@ -73,10 +73,12 @@
                     await monitor.connect(refuse, address)
 
         run(scenario)
-        assert monitor.is_cut_off("llm")
+        for address in ADDRESSES[:2]:
+            monitor.note_peer(address, PeerOutcome.CONNECTED)
+        assert monitor.cut_off == {"llm"}
         state.replicas.clear()
         monitor.refresh()
-        assert not monitor.is_cut_off("llm")
+        assert not monitor.cut_off
         assert monitor.count_lost() == {}
 
     def test_callers_that_leave_are_no_failure_of_the_link(self):
@@ -88,11 +90,11 @@
                 await asyncio.sleep(60.0)
 
             with pytest.raises(TimeoutError):
-                async with asyncio.timeout(0.1):
+                async with asyncio.timeout(HANG_S / 2):
                     await monitor.connect(hang, ADDRESSES[0])
             assert not monitor.paths.is_lost(ADDRESSES[0])
             with pytest.raises(TimeoutError):
-                async with asyncio.timeout(0.35):
+                async with asyncio.timeout(2 * HANG_S):
                     await monitor.connect(hang, ADDRESSES[0])
             assert monitor.paths.is_lost(ADDRESSES[0])
 
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from link_world import Cut, LinkWorld
 from run_world import run
 
@@ -13,6 +14,8 @@
 MIN_SERVED = 0.9
 """Minimum served fraction at instances that keep their links."""
 RATE = 40.0
+RETURN_S = 2.0
+"""Time after the end of a cut by which an instance uses its own links again."""
 
 
 async def play_cut(world, cut_off, how, replicas=None, cut_s=CUT_S):
@@ -36,15 +39,83 @@
 
 class TestRequests:
     # A request had no path to a replica except the instance's own connection.
-    def test_requests_fail_at_an_instance_that_lost_its_links_to_replicas(self):
+    @pytest.mark.parametrize("how", Cut)
+    @pytest.mark.parametrize("cut_off", [(1,), (1, 2)])
+    def test_requests_fail_at_instances_that_lost_their_links_to_replicas(self, cut_off, how):
         async def scenario():
             async with LinkWorld() as world:
-                since, until = await play_cut(world, (1,), Cut.HANG)
+                since, until = await play_cut(world, cut_off, how)
+                for path in (b"/s/", b"/u/", b"/i/"):
+                    check_served(world, cut_off, since, until, path)
+                unrepeatable = [body for _, body, _ in world.arrived if world.is_unrepeatable(body)]
+                assert len(unrepeatable) == len(set(unrepeatable))
+
+        run(scenario)
+
+    @pytest.mark.parametrize("how", [Cut.HANG, Cut.REFUSE])
+    @pytest.mark.parametrize("replicas", [("e1", "e2", "e3"), ("p0", "p1"), ("e1", "e2", "p0")])
+    def test_requests_fail_at_an_instance_that_lost_its_links_to_some_replicas(self, replicas, how):
+        async def scenario():
+            async with LinkWorld() as world:
+                since, until = await play_cut(world, (1,), how, replicas)
                 for path in (b"/s/", b"/u/", b"/i/"):
                     check_served(world, (1,), since, until, path)
 
         run(scenario)
 
+    @pytest.mark.parametrize("how", [Cut.HANG, Cut.REFUSE])
+    def test_requests_fail_while_links_come_and_go_every_second(self, how):
+        async def scenario():
+            async with LinkWorld() as world:
+                calling = asyncio.create_task(world.call(RATE, world.clock() + 14.0))
+                await asyncio.sleep(2.0)
+                since = world.clock() + CONTACT_S
+                for _ in range(5):
+                    world.cut([1], how)
+                    await asyncio.sleep(1.0)
+                    world.heal()
+                    await asyncio.sleep(1.0)
+                until = world.clock()
+                await calling
+                check_served(world, (1,), since, until)
+
+        run(scenario)
+
+    def test_requests_fail_after_the_links_are_back(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                _, healed_at = await play_cut(world, (1, 2), Cut.HANG)
+                assert world.served({1, 2}, healed_at, healed_at + 5.0) >= MIN_SERVED
+                tunnels = {gateway.tunnels for gateway in world.gateways}
+                late = [
+                    at
+                    for number in (1, 2)
+                    for at, address in world.links[number].opened
+                    if address in tunnels and at > healed_at + RETURN_S
+                ]
+                assert not late
+                assert not world.gateways[0].daemon._access.server.connections
+
+        run(scenario)
+
+    def test_calm_instances_open_tunnels(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                await world.call(RATE, world.clock() + 10.0)
+                opened = [gateway.daemon._access.server.opened for gateway in world.gateways]
+                assert opened == [0, 0, 0]
+                probes = [
+                    address
+                    for links in world.links
+                    for _, address in links.opened
+                    if address.startswith("10.0.1.")
+                ]
+                assert len(probes) <= 10 * 3 * 3
+
+        run(scenario)
+
+        run(scenario)
+
 
 class TestPlanner:
     # A planner kept its role although it could not reach any engine to load weights on.
