A planner that is cut off from its engines gives its role up

Cause: only the store or a greater token ended the role; that its holder reaches no engine did not. Now a planner resigns when peers reach most of the engines that it cannot reach, and a gateway with sound links is connected; it answers until there is a successor. An instance that is cut off leaves a free role to others for 3 s.

--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -38,6 +38,9 @@
 """Interval between polls requested before an instance writes the record, repeated for at most
 `MAX_POLL_WAIT_S`. Without these polls, with regular polls seconds apart, all of 195 instances in
 turn tried to take a role that was already held, each with a lease and several writes."""
+DEFERENCE_S = 3.0
+"""Additional delay before a deferring instance writes the record, in seconds: enough for another
+one to take the role, and less than the time for which the role may stay free."""
 RETRY_DELAY_S = 0.25
 RESTORE_GRACE_S = 1.0
 """Time that the holder has to rewrite its record after the service was restored from a copy, before
@@ -95,6 +98,9 @@
         Whether the holder continues while the service does not answer, see above.
     candidacy_delay_s : float
         Additional delay before this instance tries to take a free role, in seconds.
+    should_defer : callable
+        Returns whether other instances are better suited for the role now; this one then tries to
+        take it only if it stays free.
     """
 
     __slots__ = (
@@ -117,6 +123,7 @@
         "_resigned",
         "_restored_at",
         "_rng",
+        "_should_defer",
         "_is_candidate",
         "_candidate_from",
         "_started_at",
@@ -138,7 +145,9 @@
         first_start: bool,
         outlasts_lease: bool,
         candidacy_delay_s: float = 0.0,
+        should_defer: t.Callable[[], bool] = lambda: False,
     ) -> None:
+        self._should_defer = should_defer
         self._kv = kv
         self._mirror = mirror
         self._key = key
@@ -316,6 +325,8 @@
             )
             self._delay_s = self._candidacy_delay_s + self._rng.uniform(0.0, max_jitter_s)
         due_at = max(self._absent_since, self._restored_at + RESTORE_GRACE_S) + self._delay_s
+        if self._should_defer():
+            due_at += DEFERENCE_S
         if now < due_at:
             return due_at - now
         if self._mirror.polled_at < due_at and now < due_at + MAX_POLL_WAIT_S:
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -536,8 +536,14 @@
             # Engines, or their owners, reject orders of a planner with an older fencing token.
             True,
             0.0 if self._is_strong else WEAK_CANDIDATE_DELAY_S,
+            lambda: service in self._access.monitor.cut_off,
+        )
+        return PlannerRole(
+            election,
+            lambda: self._new_planner(service),
+            self.settings.strength,
+            lambda: service in self._access.monitor.cut_off,
         )
-        return PlannerRole(election, lambda: self._new_planner(service), self.settings.strength)
 
     def _new_planner(self, service: str) -> Planner:
         bounds = self.settings.bounds
--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -309,6 +309,10 @@
         that."""
         return strength < 1 and any(found.strength >= 1 for found in self._by_number.values())
 
+    def has_linked(self) -> bool:
+        """Return whether a gateway has its links to replicas."""
+        return any(not follower.is_cut_off for follower in self._by_number.values())
+
     def resign(self) -> None:
         """Request at once that all gateways search for a successor."""
         self.has_resigned = True
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -42,13 +42,20 @@
     strength : float
         Fitness of this instance to plan: it gives the role up to a fully capable instance (1) if it
         is below that.
+    is_cut_off : callable
+        Returns whether this instance has lost its links to the engines; it then gives the role up.
     """
 
-    __slots__ = ("_make_planner", "_strength", "election", "planner")
+    __slots__ = ("_is_cut_off", "_make_planner", "_strength", "election", "planner")
 
     def __init__(
-        self, election: Election, make: t.Callable[[], Planner], strength: float = 1.0
+        self,
+        election: Election,
+        make: t.Callable[[], Planner],
+        strength: float = 1.0,
+        is_cut_off: t.Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_cut_off = is_cut_off
         self.election = election
         self._make_planner = make
         self._strength = strength
@@ -98,9 +105,10 @@
                     else:
                         planner.end_term()
                     log.info("planner", service=planner.service, fence=fence, acts=may_act)
-                if not has_stepped_aside and planner.followers.has_stronger(self._strength):
+                why = "" if has_stepped_aside else self._why_step_aside(planner)
+                if why:
                     has_stepped_aside = True
-                    log.info("stepping aside for a fully capable instance", service=planner.service)
+                    log.info("stepping aside", service=planner.service, why=why)
                     planner.followers.resign()
                     await self.election.step_down()
                 await asyncio.sleep(ELECTION_CHECK_INTERVAL_S)
@@ -117,6 +125,14 @@
                     "planner failed", service=planner.service, why=repr(planner_task.exception())
                 )
 
+    def _why_step_aside(self, planner: Planner) -> str:
+        """Return why another instance should plan, empty if there is no reason."""
+        if planner.followers.has_stronger(self._strength):
+            return "a fully capable instance is connected"
+        if self._is_cut_off() and planner.followers.has_linked():
+            return "the links to the engines are lost"
+        return ""
+
 
 class PlacementService(PlacementBase):
     """Implements the gRPC service that gateways and peers call.
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -119,7 +119,8 @@
 
 class TestPlanner:
     # A planner kept its role although it could not reach any engine to load weights on.
-    def test_no_weights_are_loaded_while_the_planner_is_cut_off_from_its_engines(self):
+    @pytest.mark.parametrize("how", [Cut.HANG, Cut.REFUSE])
+    def test_no_weights_are_loaded_while_the_planner_is_cut_off_from_its_engines(self, how):
         async def scenario():
             async with LinkWorld() as world:
                 began_at = world.clock()
@@ -133,7 +134,7 @@
                 )
                 await asyncio.sleep(2.0)
                 planner = world.planner()
-                cut_at = world.cut([planner])
+                cut_at = world.cut([planner], how)
                 await asyncio.sleep(CUT_S)
                 healed_at = world.heal()
                 await calling
