Keep the last attempt of a repeatable request while its replica is silent

Sound replicas fall silent for a second or so and go on.

Cause: the silence timeout did not look at whether the route allows a further replica.

--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -17,7 +17,8 @@
 
 T = t.TypeVar("T")
 SILENCE_TIMEOUT_TARGETS = 1.5
-"""Timeout of a repeatable request without a response, in multiples of its target time."""
+"""Timeout of a repeatable request without a response, in multiples of its target time. Its last
+allowed attempt has none: all replicas may be silent for a moment."""
 STREAM_SILENCE_TIMEOUT_S = 1.2
 """Timeout of a resumable stream for its first or next event, after which it continues at another
 replica; callers time out after 2 s or more."""
@@ -127,7 +128,7 @@
 
     def _silence_timeouts_s(self, exchange: Exchange) -> tuple[float | None, float | None]:
         job = exchange.job
-        if job.route.repeat is Repeat.FREELY and job.route.max_replicas > 1:
+        if job.route.repeat is Repeat.FREELY and job.candidates() is None:
             return SILENCE_TIMEOUT_TARGETS * job.route.target_s, None
         if job.route.repeat is Repeat.RESUME:
             return STREAM_SILENCE_TIMEOUT_S, BUSY_STREAM_SILENCE_TIMEOUT_S
--- a/tests/link_world.py
+++ b/tests/link_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import errno
+import math
 from dataclasses import dataclass
 from pipes import join
 
@@ -60,9 +61,11 @@
 
     async def connect(self, address, make=Wire):
         """Open a connection to a replica or to another instance."""
-        world, loop = self.world, asyncio.get_running_loop()
+        world = self.world
+        is_replica = address in world.addresses()
         self.opened.append((world.clock(), address))
-        await asyncio.sleep(2 * DELAY_S)
+        silent_s = world.silent_s() if is_replica and not world.acks_in_silence else 0.0
+        await asyncio.sleep(2 * DELAY_S + silent_s)
         cut = self.cuts.get(address)
         if cut in (Cut.HANG, Cut.HANG_NEW):
             await asyncio.sleep(HANG_S)
@@ -72,15 +75,26 @@
         protocol = make()
         transport = join(protocol, listener())
         self.transports.append((address, transport))
-        send = transport.write
+        transport.write = self._delayed(transport, transport, is_replica)
+        transport.peer.write = self._delayed(transport, transport.peer, is_replica)
+        return protocol
+
+    def _delayed(self, transport, end, is_replica):
+        """Return a function that writes at one end of a connection, as the network delivers it."""
+        world, loop, send = self.world, asyncio.get_running_loop(), end.write
+        delivered_at = -math.inf
 
         def write(data):
-            loop.call_later(DELAY_S, send, data)
-            if transport.silent:
+            nonlocal delivered_at
+            silent_s = world.silent_s() if is_replica else 0.0
+            # Bytes that are delivered at the same time stay in order.
+            delivered_at = max(loop.time() + DELAY_S + silent_s, delivered_at + 1e-6)
+            loop.call_at(delivered_at, send, data)
+            is_lost = silent_s > liveness.UNACKED_S and not world.acks_in_silence
+            if transport.silent or (is_lost and end is transport):
                 loop.call_later(liveness.UNACKED_S, self._time_out, transport)
 
-        transport.write = write
-        return protocol
+        return write
 
     def cut(self, how, addresses):
         """Cut the links to some replicas."""
@@ -132,6 +146,10 @@
         self.links = [ReplicaLinks(self) for _ in range(gateways)]
         super().__init__(gateways, engines, plain, without)
         self.tries = []
+        self.silent_until = -math.inf
+        """Until when all replicas neither read nor respond."""
+        self.acks_in_silence = True
+        """Whether their kernels acknowledge what arrives meanwhile."""
         self.paths = {}
         """Path of each first try, by body."""
 
@@ -162,6 +180,14 @@
             links.heal()
         return self.clock()
 
+    def silence_replicas(self, silent_s, acks):
+        """Silence all replicas for some time."""
+        self.silent_until, self.acks_in_silence = self.clock() + silent_s, acks
+
+    def silent_s(self):
+        """Return how long the replicas stay silent, 0 if they respond."""
+        return max(0.0, self.silent_until - self.clock())
+
     def planner(self):
         """Return the number of the instance that plans."""
         return next(one.at for one in self.gateways if one.is_planner)
