Probe lost paths on a schedule of their own

Cause: a lost path was probed half a second after the last direct attempt to it. The planner's own attempts to give orders came more often, so no probe was ever due, no peer confirmed the loss, and the planner did not count itself as cut off. Probes now have a time of their own, and a peer's failure to connect, which may be the peer's own loss, counts for 0.5 s in place of 2.

--- a/packages/gateway/src/gradelug_gateway/link_monitor.py
+++ b/packages/gateway/src/gradelug_gateway/link_monitor.py
@@ -110,16 +110,21 @@
             self.on_bypass(address)
         self.refresh()
 
-    def due_probes(self) -> list[str]:
-        """Return the addresses of replicas that are to be probed directly."""
-        if not self.paths.has_lost:
-            return []
-        now = self._clock()
-        return [
-            address
-            for addresses in self._addresses().values()
-            for address in self.paths.due_probes(addresses, now)
-        ]
+    def take_due_probes(self, max_count: int) -> list[str]:
+        """Return the addresses of replicas to be probed directly now, at most `max_count`."""
+        found: list[str] = []
+        if self.paths.has_lost:
+            now = self._clock()
+            for addresses in self._addresses().values():
+                found += self.paths.take_due_probes(addresses, now, max_count - len(found))
+        return found
+
+    def others(self, address: str) -> list[str]:
+        """Return the addresses of the other replicas of a service, given one of them."""
+        for addresses in self._addresses().values():
+            if address in addresses:
+                return [other for other in addresses if other != address]
+        return []
 
     def _addresses(self) -> dict[str, list[str]]:
         found: dict[str, list[str]] = {}
--- a/packages/gateway/src/gradelug_gateway/replica_access.py
+++ b/packages/gateway/src/gradelug_gateway/replica_access.py
@@ -57,8 +57,9 @@
         self._address = address
         self.monitor = LinkMonitor(state, clock)
         self.key = TunnelKey(kv, mirror, may_write_key)
-        self.peers = TunnelPeers(address, hall, clock, random.Random(address))
-        self.dialer = ReplicaDialer(connect, self.monitor, self.peers, self.key, clock)
+        rng = random.Random(address)
+        self.peers = TunnelPeers(address, hall, clock, rng)
+        self.dialer = ReplicaDialer(connect, self.monitor, self.peers, self.key, clock, rng)
         gate = TunnelGate(state, self.monitor, self.key)
         self.server = TunnelServer(gate, connect, MAX_TUNNELS)
 
--- a/packages/gateway/src/gradelug_gateway/replica_dialer.py
+++ b/packages/gateway/src/gradelug_gateway/replica_dialer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import random
 import typing as t
 
 import logbook
@@ -20,6 +21,8 @@
 MAX_PROBES_PER_TICK = 16
 """Bound on the direct connection attempts of one tick: they are charged by the replicas."""
 PROBE_TIMEOUT_S = 0.35
+MAX_COMPARED_REPLICAS = 3
+"""Number of other replicas that are tried to find out whether this instance has its links."""
 PEER_OUTCOMES = {
     TunnelStatus.REFUSED: PeerOutcome.REFUSED,
     TunnelStatus.TIMEOUT: PeerOutcome.UNREACHABLE,
@@ -45,9 +48,20 @@
         Authenticates this instance to them.
     clock : callable
         Returns the time of the runtime's clock, in seconds.
+    rng : random.Random
+        Chooses replicas that are compared.
     """
 
-    __slots__ = ("_clock", "_connect", "_key", "_monitor", "_peers", "_probes", "opened_tunnels")
+    __slots__ = (
+        "_clock",
+        "_connect",
+        "_key",
+        "_monitor",
+        "_peers",
+        "_probes",
+        "_rng",
+        "opened_tunnels",
+    )
 
     def __init__(
         self,
@@ -56,7 +70,9 @@
         peers: TunnelPeers,
         key: TunnelKey,
         clock: t.Callable[[], float],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._connect = connect
         self._monitor = monitor
         self._peers = peers
@@ -95,6 +111,27 @@
         """Connect to a replica without a peer; raises `OSError`."""
         return await self._monitor.connect(lambda at: self._connect(at, Wire), address)
 
+    async def has_links(self, address: str) -> bool:
+        """Return whether this instance connects directly to other replicas of a replica's service.
+
+        If it does not, it has probably lost its own links. True also if there are no others.
+        """
+        others = self._monitor.others(address)
+        if not others:
+            return True
+        attempts = [
+            functools.partial(self.dial_directly, other)
+            for other in self._rng.sample(others, min(MAX_COMPARED_REPLICAS, len(others)))
+        ]
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                wire = await connect_first(attempts)
+        except TimeoutError:
+            return False
+        if wire is not None:
+            _abort(wire)
+        return wire is not None
+
     def probe(self, address: str) -> None:
         """Check the path to a replica in the background, unless a check is in progress."""
         if address not in self._probes:
@@ -106,7 +143,7 @@
         """Check the paths that were lost, until cancelled."""
         while True:
             await asyncio.sleep(PROBE_TICK_S)
-            for address in self._monitor.due_probes()[:MAX_PROBES_PER_TICK]:
+            for address in self._monitor.take_due_probes(MAX_PROBES_PER_TICK):
                 self.probe(address)
 
     def _usable_peers(self, address: str) -> list[str]:
--- a/packages/policy/src/gradelug_policy/reachability.py
+++ b/packages/policy/src/gradelug_policy/reachability.py
@@ -20,9 +20,9 @@
 crash."""
 ATTEMPT_VALIDITY_S = 4.0
 """Time for which the outcome of a connection attempt is evidence, in seconds."""
-PEER_VALIDITY_S = 2.0
-"""Time for which a peer's outcome is evidence, in seconds: a replica may crash, and a peer may lose
-its own links, at any time."""
+PEER_VALIDITY_S = 0.5
+"""Time for which a peer's failure to connect is evidence, in seconds: the peer may have lost its
+own links and not know it yet."""
 PROBE_INTERVAL_S = 0.5
 """Interval of direct connection attempts to a replica whose last one failed, in seconds."""
 
@@ -42,6 +42,7 @@
     lost_since: float = math.inf
     """When the first of the latest failed attempts ended; infinite if the last one succeeded."""
     tried_at: float = -math.inf
+    probed_at: float = -math.inf
     peer_outcome: PeerOutcome | None = None
     peer_tried_at: float = -math.inf
 
@@ -133,21 +134,35 @@
         path = self._paths.get(address)
         return path.recent_peer_outcome(now) if path is not None else None
 
-    def due_probes(self, addresses: t.Collection[str], now: float) -> list[str]:
-        """Return the addresses of a service to be probed directly, the longest untried first.
+    def take_due_probes(
+        self, addresses: t.Collection[str], now: float, max_count: int
+    ) -> list[str]:
+        """Return the addresses of a service to be probed now, and record the probes.
 
-        These are the ones whose last attempt failed. If a peer connected to one of them, the
+        These are the ones whose last direct attempt failed. If a peer connected to one of them, the
         others are probed as well: this instance may have lost all of its links.
+
+        Parameters
+        ----------
+        addresses : collection of str
+            Addresses of the service's replicas.
+        now : float
+            Time of the runtime's clock, in seconds.
+        max_count : int
+            Maximum number of addresses, the longest unprobed first.
         """
         known = [(address, self._paths.get(address) or _Path()) for address in addresses]
         is_suspected = any(path.is_bypassed for _, path in known)
-        due = [
-            (path.tried_at, address)
+        due = sorted(
+            (path.probed_at, address)
             for address, path in known
-            if now - path.tried_at >= (PROBE_INTERVAL_S if path.is_lost else ATTEMPT_VALIDITY_S)
-            and (path.is_lost or is_suspected)
-        ]
-        return [address for _, address in sorted(due)]
+            if now - path.probed_at >= PROBE_INTERVAL_S
+            and (path.is_lost or is_suspected and now - path.tried_at >= ATTEMPT_VALIDITY_S)
+        )
+        chosen = [address for _, address in due[:max_count]]
+        for address in chosen:
+            self._paths.setdefault(address, _Path()).probed_at = now
+        return chosen
 
     def is_lost(self, address: str) -> bool:
         """Return whether the last attempt to connect directly failed."""
--- a/tests/link_world.py
+++ b/tests/link_world.py
@@ -103,9 +103,7 @@
             if address not in addresses or transport.is_closing():
                 continue
             if how is Cut.HANG:
-                transport.silence()
-                idle_s = liveness.KEEP_IDLE_S * (1 + liveness.KEEP_PROBES)
-                asyncio.get_running_loop().call_later(idle_s, self._time_out, transport)
+                self._silence(transport)
             elif how is Cut.REFUSE:
                 transport.peer.abort()
 
@@ -113,6 +111,17 @@
         """Let new connections through again."""
         self.cuts.clear()
 
+    def mute(self):
+        """Drop all packets on open connections; new ones work."""
+        for _, transport in self.transports:
+            if not transport.is_closing():
+                self._silence(transport)
+
+    def _silence(self, transport):
+        transport.silence()
+        idle_s = liveness.KEEP_IDLE_S * (1 + liveness.KEEP_PROBES)
+        asyncio.get_running_loop().call_later(idle_s, self._time_out, transport)
+
     def _time_out(self, transport):
         transport.lose(TimeoutError(errno.ETIMEDOUT, "timed out"))
         # The replica notices in the same way.
@@ -120,23 +129,33 @@
 
 
 class CuttableOrderTransport(ModelOrderTransport):
-    """Delivers orders from an instance to engines unless its links are cut."""
+    """Delivers orders from an instance to engines unless its links are cut.
 
-    def __init__(self, world, links):
+    Orders have a connection to each engine, which lives on in some cuts.
+    """
+
+    def __init__(self, world, number):
         super().__init__(world)
-        self.links = links
+        self.number = number
 
     async def order(self, replica, order):
-        if replica.address in self.links.cuts:
-            await asyncio.sleep(ORDER_TIMEOUT_S)
-            return OrderOutcome.LOST
-        return await super().order(replica, order)
+        if await self._is_connected(replica):
+            return await super().order(replica, order)
+        return OrderOutcome.LOST
 
     async def report(self, replica):
-        if replica.address in self.links.cuts:
-            await asyncio.sleep(ORDER_TIMEOUT_S)
-            return None
-        return await super().report(replica)
+        return await super().report(replica) if await self._is_connected(replica) else None
+
+    async def _is_connected(self, replica):
+        if self.world.links[self.number].cuts.get(replica.address) not in (Cut.HANG, Cut.REFUSE):
+            return True
+        dialer = self.world.gateways[self.number].daemon._access.dialer
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                await dialer.dial_directly(replica.address)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(0.0)
+        return False
 
 
 class LinkWorld(LimitWorld):
@@ -161,7 +180,7 @@
         return self.links[number].connect
 
     def orders(self, number):
-        return CuttableOrderTransport(self, self.links[number])
+        return CuttableOrderTransport(self, number)
 
     def addresses(self, replicas=None):
         """Return the addresses of some replicas, of all by default."""
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -14,6 +14,8 @@
 MIN_SERVED = 0.9
 """Minimum served fraction at instances that keep their links."""
 RATE = 40.0
+NOTICE_S = 1.0
+"""Time within which silent connections to replicas are noticed while requests are sent."""
 RETURN_S = 2.0
 """Time after the end of a cut by which an instance uses its own links again."""
 
@@ -117,8 +119,65 @@
         run(scenario)
 
 
+class TestDetection:
+    # Requests used one idle connection after the other that had fallen silent.
+    def test_requests_are_lost_on_silent_connections_until_the_kernel_ends_them(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                world.spawn(world.call(4 * RATE, world.clock() + 1.0))
+                await asyncio.sleep(1.2)
+                calling = asyncio.create_task(world.call(RATE / 2, world.clock() + 6.0))
+                muted_at = world.clock()
+                for links in world.links:
+                    links.mute()
+                await calling
+                for path in (b"/s/", b"/u/", b"/i/"):
+                    assert world.served({0, 1, 2}, muted_at + NOTICE_S, muted_at + 4.0, path) == 1.0
+
+        run(scenario)
+
+    @pytest.mark.parametrize("how", [Cut.HANG, Cut.REFUSE])
+    def test_a_loss_of_all_links_is_noticed_late(self, how):
+        async def scenario():
+            async with LinkWorld() as world:
+                calling = asyncio.create_task(world.call(6.0, world.clock() + 8.0))
+                await asyncio.sleep(4.0)
+                world.cut([1], how)
+                await asyncio.sleep(2 * NOTICE_S)
+                assert world.gateways[1].daemon._access.monitor.cut_off
+                await calling
+
+        run(scenario)
+
+
+class TestReports:
+    # A refused connection counted as the end of its replica, and of the requests there as a cause.
+    def test_replicas_count_as_ended_on_the_word_of_instances_without_links(self):
+        async def scenario():
+            async with LinkWorld(gateways=6) as world:
+                await play_cut(world, (0, 1, 2, 3, 4), Cut.REFUSE)
+                daemons = [gateway.daemon for gateway in world.gateways]
+                assert [daemon._poison.ends.ended for daemon in daemons] == [0] * 6
+                assert all(daemon._fleet.count_ejected() == 0 for daemon in daemons)
+
+        run(scenario)
+
+
 class TestPlanner:
     # A planner kept its role although it could not reach any engine to load weights on.
+    # Its own attempts to give orders delayed the probes of its links.
+    def test_a_planner_among_many_cut_off_instances_keeps_its_role(self):
+        async def scenario():
+            async with LinkWorld(gateways=6, engines=4, plain=3) as world:
+                calling = asyncio.create_task(world.call(100.0, world.clock() + 8.0))
+                await asyncio.sleep(3.0)
+                world.cut([0, 1, 2, 3, 4], Cut.REFUSE)
+                await asyncio.sleep(CONTACT_S)
+                assert world.planner() == 5
+                await calling
+
+        run(scenario)
+
     @pytest.mark.parametrize("how", [Cut.HANG, Cut.REFUSE])
     def test_no_weights_are_loaded_while_the_planner_is_cut_off_from_its_engines(self, how):
         async def scenario():
--- a/tests/test_replica_dialer.py
+++ b/tests/test_replica_dialer.py
@@ -42,7 +42,12 @@
         self.monitor = LinkMonitor(self.state, self.clock)
         self.peers = TunnelPeers(OWN, "z", self.clock, random.Random(1))
         self.dialer = ReplicaDialer(
-            self.connect_from(0), self.monitor, self.peers, FixedKey(), self.clock
+            self.connect_from(0),
+            self.monitor,
+            self.peers,
+            FixedKey(),
+            self.clock,
+            random.Random(1),
         )
         self.servers = []
         known = []
