Do not take a replica for ended by an instance that reaches no other

A refused connection confirmed the end of a replica, and counted against the requests there. An instance without links is refused by all replicas. A silent loss was never taken for an end; the peers' word alone is not enough, since they may be cut off and not know it yet.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -229,6 +229,7 @@
             self._state,
             lambda: self._directory.link_to(self._state.coordinating_service),
             self._clock,
+            self._access.dialer.has_links,
         )
         has_poison_guard = Feature.POISON_GUARD in settings.features
         if has_poison_guard:
--- a/packages/gateway/src/gradelug_gateway/end_detection.py
+++ b/packages/gateway/src/gradelug_gateway/end_detection.py
@@ -54,9 +54,13 @@
         The runtime's clock.
     note_end : callable
         Receives the incarnation of an ended replica, and the requests there with their weights.
+    has_links : callable or None
+        Coroutine function that returns, given the address of a replica, whether this instance can
+        connect to others of its service; a refusal says nothing about the replica otherwise. None
+        to trust every refusal.
     """
 
-    __slots__ = ("_clock", "_checks", "_note_end", "_pool", "_state", "ended")
+    __slots__ = ("_clock", "_checks", "_has_links", "_note_end", "_pool", "_state", "ended")
 
     def __init__(
         self,
@@ -64,7 +68,9 @@
         state: FleetState,
         clock: t.Callable[[], float],
         note_end: t.Callable[[str, t.Mapping[bytes, float]], None],
+        has_links: t.Callable[[str], t.Awaitable[bool]] | None = None,
     ) -> None:
+        self._has_links = has_links
         self._pool = pool
         self._state = state
         self._clock = clock
@@ -90,8 +96,14 @@
     def note_refused(self, replica: Replica) -> None:
         """Record that a replica refuses connections."""
         check = self._checks.get(_incarnation(replica))
-        if check is not None:
+        if check is None or check.has_ended:
+            return
+        if self._has_links is None:
             self._confirm(check, "connection refused")
+            return
+        if check.task is not None:
+            check.task.cancel()
+        check.task = asyncio.create_task(self._confirm_refusal(check))
 
     def poll(self) -> None:
         """Confirm ends that the platform reports, and drop checks that have expired."""
@@ -110,13 +122,24 @@
                 check.replica.address, CHECK_CONNECT_TIMEOUT_S, NEW_CONN_IDLE_S
             )
         except ConnectRefused:
-            self._confirm(check, "connection refused")
+            await self._confirm_refusal(check)
         except ConnectFailed as exc:
             log.info("end of replica not confirmed", replica=check.replica.name, why=str(exc))
         else:
             conn.close()
             self._checks.pop(_incarnation(check.replica), None)
 
+    async def _confirm_refusal(self, check: _EndCheck) -> None:
+        """Confirm the end of a replica that refuses connections, unless all others do too."""
+        if self._has_links is None or await self._has_links(check.replica.address):
+            self._confirm(check, "connection refused")
+        else:
+            log.info(
+                "end of replica not confirmed",
+                replica=check.replica.name,
+                why="no other replica of its service can be connected",
+            )
+
     def _confirm(self, check: _EndCheck, why: str) -> None:
         if check.has_ended:
             return
--- a/packages/gateway/src/gradelug_gateway/poison_control.py
+++ b/packages/gateway/src/gradelug_gateway/poison_control.py
@@ -32,6 +32,8 @@
         Returns the link to the planner of the coordinating service, None if there is none.
     clock : callable
         The runtime's clock.
+    has_links : callable
+        See `EndDetector`.
     """
 
     __slots__ = ("_clock", "_coordinator", "_state", "ends", "guard", "record")
@@ -44,13 +46,14 @@
         state: FleetState,
         link: t.Callable[[], PlannerLink | None],
         clock: t.Callable[[], float],
+        has_links: t.Callable[[str], t.Awaitable[bool]],
     ) -> None:
         self._coordinator = link
         self._state = state
         self._clock = clock
         self.guard = PoisonGuard(clock, self._authority, self._hurry)
         self.record = PoisonRecord(kv, mirror, clock)
-        self.ends = EndDetector(pool, state, clock, self.guard.note_end)
+        self.ends = EndDetector(pool, state, clock, self.guard.note_end, has_links)
 
     def poll(self) -> None:
         """Read the record from the store, and check for replicas that are gone."""
--- a/tests/test_poison_guard.py
+++ b/tests/test_poison_guard.py
@@ -238,6 +238,24 @@
 
         run(scenario)
 
+    # All replicas refuse connections of an instance that lost its links to them.
+    @pytest.mark.parametrize("has_links", [True, False])
+    def test_a_refusal_reports_an_end_without_a_link_to_any_replica(self, has_links):
+        async def scenario():
+            ends = Ends()
+
+            async def find_links(address):
+                return has_links
+
+            ends.detector._has_links = find_links
+            ends.detector._pool.dial = ends.never
+            ends.detector.note_broken(ends.replica, A, STARTED_WEIGHT)
+            ends.detector.note_refused(ends.replica)
+            await asyncio.sleep(0.1)
+            assert ends.found == ([("e1@7", {A: STARTED_WEIGHT})] if has_links else [])
+
+        run(scenario)
+
     def test_a_refused_connection_reports_an_end(self):
         async def scenario():
             ends = Ends()
