Send brittle replicas fewer requests than they can serve

Replicas that say Server-Brittle = N fall over when they reject more than N requests in a second. With demand at twice the capacity of two plain replicas (N = 5, seven instances) they fell over 6 times in 12 s in tests/test_brittle_replicas.py, where 2 are allowed, and nobody was served in between.

Cause: nothing read the header; instances send until a replica rejects. Of the machinery for named limits, the planner's grants serve here: a plain replica that says to be brittle gets a limit, 0.85 of its slots over its mean response time, with a burst that its slots bear (LimitFact.burst). Requests beyond it are refused at once with a time to come back. The time of all instances together was tried for the estimate and counts rejections as long responses: 10 of 60 requests a second for seconds. An instance whose request is rejected pauses for instances / N seconds, so that all of them together stay below N. A replica that comes back, or starts, in a brittle service has the limit from the first request on.

--- a/packages/gateway/src/gradelug_gateway/limit_desk.py
+++ b/packages/gateway/src/gradelug_gateway/limit_desk.py
@@ -217,9 +217,9 @@
                 self._send_decisions(limited, limiter.release())
         elif limited.limiter is None:
             log.info("limit", replica=name, rate=rate)
-            limited.limiter = ReplicaRateLimiter(rate, now)
+            limited.limiter = ReplicaRateLimiter(rate, now, limited.record.burst)
         else:
-            limited.limiter.set_rate(rate, now)
+            limited.limiter.set_rate(rate, now, limited.record.burst)
             self._grant_available(name)
 
     def _handle_ask(self, follower: Follower, ask: pb.RoomAsk, now: float) -> None:
--- a/packages/gateway/src/gradelug_gateway/limit_facts.py
+++ b/packages/gateway/src/gradelug_gateway/limit_facts.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 from gradelug_policy.replica_limits import LimitFact
 from gradelug_wire import placement_pb2 as pb
 
@@ -33,6 +35,7 @@
         born=born,
         named=fact.rate is not None,
         rate=fact.rate or 0.0,
+        burst=fact.burst if math.isfinite(fact.burst) else 0.0,
         sent_age_ms=_age_ms(now, fact.sent_at),
         heard_age_ms=_age_ms(now, fact.received_at),
     )
@@ -41,7 +44,12 @@
 def decode_limit(message: pb.LimitFact, now: float) -> LimitFact:
     """Decode a limit received at `now`, with its times by the local clock."""
     rate = message.rate if message.named else None
-    return LimitFact(rate, now - message.sent_age_ms / MS, now - message.heard_age_ms / MS)
+    return LimitFact(
+        rate,
+        now - message.sent_age_ms / MS,
+        now - message.heard_age_ms / MS,
+        message.burst or math.inf,
+    )
 
 
 def _age_ms(now: float, at: float) -> int:
--- a/packages/gateway/src/gradelug_gateway/limits.py
+++ b/packages/gateway/src/gradelug_gateway/limits.py
@@ -156,7 +156,8 @@
             return
         if word.rate is None and replica not in self._records:
             return
-        if self.apply_fact(replica, LimitFact(word.rate, sent_at, self._clock()), "answer"):
+        fact = LimitFact(word.rate, sent_at, self._clock(), word.burst)
+        if self.apply_fact(replica, fact, "answer"):
             for listener in self._listeners:
                 listener(replica)
 
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -10,6 +10,7 @@
 from gradelug_policy.rests import ReportedBackoff
 from gradelug_policy.run_versions import ReportedVersion
 
+from .brittleness import ReportedTolerance
 from .model import (
     Attempt,
     EngineReport,
@@ -92,6 +93,10 @@
         """Return the request rate limit in the head of a response, in requests per second."""
         ...
 
+    def read_tolerance(self, head: ResponseHead) -> ReportedTolerance:
+        """Return the rejections per second that a brittle replica reports to bear."""
+        ...
+
     def is_leaving(self, head: ResponseHead) -> bool:
         """Return whether the head of a response announces that its replica is leaving."""
         ...
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -23,6 +23,7 @@
 from gradelug_policy.engine_capacity import EQUAL_URGENCY
 from gradelug_policy.prefill import LATE_URGENCY, RequestWork
 
+from .brittleness import BrittlenessTracker
 from .directory import Directory
 from .end_detection import EndDetector
 from .exceptions import GATEWAY_TIMEOUT, Refused
@@ -83,9 +84,12 @@
         Detects ended replicas; None disables that.
     note_leaving : callable
         Called with each replica whose response announces that it is shutting down.
+    is_brittleness_on : bool
+        Whether replicas that report to be brittle get fewer requests.
     """
 
     __slots__ = (
+        "_brittleness",
         "_clock",
         "_dialect",
         "_directory",
@@ -114,7 +118,15 @@
         guard: PoisonGuard | None = None,
         ends: EndDetector | None = None,
         note_leaving: t.Callable[[Replica], None] = lambda replica: None,
+        is_brittleness_on: bool = True,
     ) -> None:
+        self._brittleness = BrittlenessTracker(
+            fleet.state,
+            fleet.limits,
+            fleet.rests,
+            clock,
+            is_brittleness_on,
+        )
         self._note_leaving = note_leaving
         self._guard = guard or PoisonGuard(clock)
         self._ends = ends
@@ -128,6 +140,10 @@
         self._clock = clock
         self._max_idle_s = max_idle_s
 
+    def forget_gone(self) -> None:
+        """Drop the state of removed replicas."""
+        self._brittleness.forget_removed(self._fleet.state.replicas)
+
     def check(self, job: Job) -> None:
         """Raise `Refused` if the poison guard blocks a request."""
         self._guard.check(job.fingerprint)
@@ -159,6 +175,7 @@
         unavailable_outcome = self._unavailable_outcome(job, replica)
         if unavailable_outcome is not None:
             return unavailable_outcome
+        self._brittleness.assume_limit(replica)
         # All gateways share the replica's rate limit, so each attempt requests capacity.
         denial = await self._fleet.limits.admit(replica, demand)
         if denial is not None:
@@ -349,6 +366,8 @@
             health.note_late(now)
             return
         is_whole = outcome is Outcome.DONE and not exchange.job.route.streaming
+        if is_whole:
+            self._brittleness.note_response(exchange.replica, now - exchange.sent_at)
         health.note(outcome is Outcome.RAN, now, now - exchange.sent_at if is_whole else 0.0)
 
     def _with_urgency(self, job: Job, replica: Replica) -> RequestWork:
@@ -387,7 +406,7 @@
             raise ResponseBroken("the response was not produced by the replica")
         if verdict is not Verdict.MISDIRECTED:
             # Otherwise another replica has taken over the address; its headers do not apply.
-            self._apply_response_signals(replica, head, sent_at)
+            self._apply_response_signals(replica, head, sent_at, verdict)
         if verdict is Verdict.ANSWERED and job.route.streaming:
             if exchange.run is not None and self._lasting is not None:
                 self._lasting.note_reported_version(exchange.run, self._dialect.read_version(head))
@@ -398,7 +417,9 @@
             job.may_have_run = may_have_run_before
         return self._conclude(job, replica, verdict, head, body, attempt.version)
 
-    def _apply_response_signals(self, replica: Replica, head: ResponseHead, sent_at: float) -> None:
+    def _apply_response_signals(
+        self, replica: Replica, head: ResponseHead, sent_at: float, verdict: Verdict
+    ) -> None:
         """Apply the rate limit, shutdown notice and backoff that a response announces.
 
         Parameters
@@ -409,8 +430,14 @@
             Status and headers of its response.
         sent_at : float
             When the request was sent, by the event loop's clock.
+        verdict : Verdict
+            What the response indicates about the request.
         """
-        self._fleet.limits.update_from_answer(replica.name, self._dialect.read_limit(head), sent_at)
+        tolerance = self._dialect.read_tolerance(head)
+        limit = self._brittleness.limit(replica, tolerance, self._dialect.read_limit(head))
+        self._fleet.limits.update_from_answer(replica.name, limit, sent_at)
+        if verdict is Verdict.FULL:
+            self._brittleness.note_rejection(replica, tolerance)
         if self._dialect.is_leaving(head):
             self._note_leaving(replica)
         self._fleet.rests.update_from_answer(replica, self._dialect.read_backoff(head))
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -152,6 +152,7 @@
     def forget_gone(self) -> None:
         """Drop the state of removed replicas."""
         self._plain_placer.forget_gone()
+        self._sender.forget_gone()
 
     def refuse_from(self, at: float) -> None:
         """Refuse requests that arrive at or after a time, because the process shuts down.
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -46,6 +46,8 @@
     """A replica that requests a backoff gets no requests until it ends."""
     PEER_TUNNELS = "peer-tunnels"
     """Instances that lose their links to replicas connect to them through other instances."""
+    BRITTLE_REPLICAS = "brittle-replicas"
+    """Replicas that fall over when they reject many requests get fewer than they can serve."""
     KEPT_PARTS = "kept-parts"
     """Engines are selected by the prompt prefixes in their caches."""
 
--- a/packages/policy/src/gradelug_policy/replica_limits.py
+++ b/packages/policy/src/gradelug_policy/replica_limits.py
@@ -22,12 +22,15 @@
     ----------
     rate : float or None
         Requests per second from all instances together; None if the answer reports no limit.
-    unreadable : str
+    invalid_text : str
         Reported value that is not a number; empty if there is none.
+    burst : float
+        Maximum number of requests at once; infinite if only the rate is limited.
     """
 
     rate: float | None = None
     invalid_text: str = ""
+    burst: float = math.inf
 
 
 class LimitFact(t.NamedTuple):
@@ -40,11 +43,14 @@
     sent_at, heard_at : float
         Time at which the request was sent and its answer received, by the runtime's clock. The
         answer was created between the two.
+    burst : float
+        Maximum number of requests at once; infinite if only the rate is limited.
     """
 
     rate: float | None
     sent_at: float
     received_at: float
+    burst: float = math.inf
 
 
 class ReplicaLimit:
@@ -63,6 +69,11 @@
         """Requests per second that the replica accepts, None while it reports no limit."""
         return self.fact.rate
 
+    @property
+    def burst(self) -> float:
+        """Maximum number of requests at once."""
+        return self.fact.burst
+
     def note(self, fact: LimitFact) -> bool:
         """Apply an observation; return whether the limit changed."""
         previous = self.fact.rate
@@ -87,4 +98,5 @@
         if fact.sent_at < self.fact.received_at:
             rate = min(rate, previous)
         heard_at = max(fact.received_at, self.fact.received_at)
-        self.fact = LimitFact(rate, max(fact.sent_at, self.fact.sent_at), heard_at)
+        burst = min(fact.burst, self.fact.burst) if rate != fact.rate else fact.burst
+        self.fact = LimitFact(rate, max(fact.sent_at, self.fact.sent_at), heard_at, burst)
--- a/packages/policy/src/gradelug_policy/replica_room.py
+++ b/packages/policy/src/gradelug_policy/replica_room.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import typing as t
 from dataclasses import dataclass
 
@@ -79,11 +80,14 @@
     now : float
         Current time by the runtime's clock. The initial capacity is 0, since earlier requests
         are unknown.
+    burst : float
+        Maximum number of requests at once.
     """
 
-    __slots__ = ("_at", "_level", "_queue", "_arrivals", "_reserved", "_rate")
+    __slots__ = ("_arrivals", "_at", "_burst", "_level", "_queue", "_rate", "_reserved")
 
-    def __init__(self, rate: float, now: float) -> None:
+    def __init__(self, rate: float, now: float, burst: float = math.inf) -> None:
+        self._burst = max(1.0, burst)
         self._rate = max(MIN_RATE, rate)
         self._at = now
         self._level = 0.0
@@ -97,9 +101,10 @@
         """Number of queued requests."""
         return len(self._queue)
 
-    def set_rate(self, rate: float, now: float) -> None:
-        """Change the rate."""
+    def set_rate(self, rate: float, now: float, burst: float = math.inf) -> None:
+        """Change the rate, and the maximum number of requests at once."""
         self._settle(now)
+        self._burst = max(1.0, burst)
         self._rate = max(MIN_RATE, rate)
         self._level = min(self._level, self._capacity)
 
@@ -168,7 +173,7 @@
 
     @property
     def _capacity(self) -> float:
-        return 1 + BURST_S * self._rate
+        return min(self._burst, 1 + BURST_S * self._rate)
 
     def _settle(self, now: float) -> None:
         refilled = max(0.0, now - self._at) * self._rate
