Owners of engines that are cut off from them give them to others

Where engines check no fencing tokens, each takes orders from one owner. One that loses its links keeps its lease at the store, so its engines got no orders while the cut lasted (tests/test_lost_links.py, 11 s and more). It gives its lease up after a second without links, as one that ends does; others take over after the bound between two owners. The test watches that no two hold an engine within it.

--- a/packages/coordination/src/gradelug_coordination/lasting.py
+++ b/packages/coordination/src/gradelug_coordination/lasting.py
@@ -116,10 +116,14 @@
         Poll interval of the mirror, in seconds.
     candidacy : Candidacy or None
         Decides whether this instance joins; None if it always does.
+    can_act : callable
+        Returns whether this instance reaches the resources. While it does not, it gives up its
+        lease, so that others take over as from an owner that has ended.
     """
 
     __slots__ = (
         "_absent_since",
+        "_can_act",
         "_candidacy",
         "_claims",
         "_clock",
@@ -157,7 +161,9 @@
         on_change: t.Callable[[], None] = lambda: None,
         poll_interval_s: float = 0.0,
         candidacy: Candidacy | None = None,
+        can_act: t.Callable[[], bool] = lambda: True,
     ) -> None:
+        self._can_act = can_act
         self._kv = kv
         self._candidacy = candidacy
         self._joined = asyncio.Event()
@@ -259,11 +265,24 @@
 
     async def _renew(self) -> None:
         await self._joined.wait()
-        await self._lease.run()
+        while True:
+            if self._can_act():
+                delay_s = await self._lease.step()
+            else:
+                await self._suspend()
+                delay_s = STEP_INTERVAL_S
+            await asyncio.sleep(delay_s)
+
+    async def _suspend(self) -> None:
+        """Give up the lease and with it all tokens, without leaving the group."""
+        if self._lease.lease:
+            log.info("suspended", root=self._root, claims=len(self._claims))
+            await self.leave()
+            self._on_change()
 
     async def step(self) -> None:
         """Perform the actions that are due."""
-        if not self._participates():
+        if not self._participates() or not self._can_act():
             return
         if not self._mirror.synced or not self._lease.is_valid() or self.is_cut_off:
             # Owners may continue during an outage, so absence counts from the reconnection.
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -89,6 +89,9 @@
 WEAK_CANDIDATE_DELAY_S = 0.5
 """Delay with which weak instances become candidates for planning and engine ownership: planning
 takes most of half a core at 86 instances."""
+OWNER_CUT_OFF_S = 1.0
+"""Time without links after which an instance gives its engines to others, which begin seconds
+later: shorter losses are over before that."""
 UPKEEP_INTERVAL_S = 0.5
 EXTRA_LOADS_PER_WINDOW = 3
 """Loads allowed per window beyond the rate of the weight store."""
@@ -299,6 +302,7 @@
             self._poison.guard,
             self._poison.ends if has_poison_guard else None,
             self._mark_leaving,
+            Feature.BRITTLE_REPLICAS in settings.features,
         )
         self._pipeline = RequestPipeline(
             dialect,
@@ -501,6 +505,7 @@
             self._on_ownership_change,
             self._poll_interval_s,
             Candidacy(self._clock, self._rng, 0.0 if self._is_strong else WEAK_CANDIDATE_DELAY_S),
+            lambda: not self._access.monitor.has_been_cut_off(OWNER_CUT_OFF_S),
         )
 
     def _engine_names(self) -> list[str]:
--- a/packages/gateway/src/gradelug_gateway/link_monitor.py
+++ b/packages/gateway/src/gradelug_gateway/link_monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as t
 
 import logbook
@@ -28,7 +29,16 @@
         Returns the time of the runtime's clock, in seconds.
     """
 
-    __slots__ = ("_clock", "_cut_off", "_lost_since", "_refused", "_state", "on_bypass", "paths")
+    __slots__ = (
+        "_clock",
+        "_cut_off",
+        "_cut_off_since",
+        "_lost_since",
+        "_refused",
+        "_state",
+        "on_bypass",
+        "paths",
+    )
 
     def __init__(self, state: FleetState, clock: t.Callable[[], float]) -> None:
         self._state = state
@@ -39,6 +49,8 @@
         self._refused: set[str] = set()
         """Addresses that refused the last direct connection."""
         self._cut_off: frozenset[str] = frozenset()
+        self._cut_off_since = math.inf
+        """Since when this instance has been cut off from some service, by the runtime's clock."""
         self.on_bypass: t.Callable[[str], None] = lambda address: None
         """Called with the address of a replica that peers reach and this instance does not."""
 
@@ -145,6 +157,10 @@
         """Return the number of replicas that this instance cannot connect to, by service."""
         return {service: summary.lost for service, summary in self.summaries().items()}
 
+    def has_been_cut_off(self, duration_s: float) -> bool:
+        """Return whether this instance has been cut off from a service for some time."""
+        return self._clock() - self._cut_off_since >= duration_s
+
     @property
     def cut_off(self) -> frozenset[str]:
         """Services whose replicas peers reach while this instance has lost its links to them."""
@@ -161,6 +177,10 @@
         self._cut_off = frozenset(
             service for service, summary in summaries.items() if summary.is_cut_off
         )
+        if not self._cut_off:
+            self._cut_off_since = math.inf
+        elif math.isinf(self._cut_off_since):
+            self._cut_off_since = self._clock()
 
     def _update(self, service: str, summary: PathSummary) -> None:
         since = self._lost_since.get(service)
--- a/tests/link_world.py
+++ b/tests/link_world.py
@@ -161,7 +161,8 @@
 class LinkWorld(LimitWorld):
     """Gateways whose links to replicas can be cut, and callers whose first tries are counted."""
 
-    def __init__(self, gateways=3, engines=3, plain=2, without=()):
+    def __init__(self, gateways=3, engines=3, plain=2, without=(), fenced=True):
+        self.is_fenced = fenced
         self.links = [ReplicaLinks(self) for _ in range(gateways)]
         super().__init__(gateways, engines, plain, without)
         self.tries = []
@@ -207,6 +208,10 @@
         """Return how long the replicas stay silent, 0 if they respond."""
         return max(0.0, self.silent_until - self.clock())
 
+    def held(self, number):
+        """Return the names of the engines that an instance may order."""
+        return self.gateways[number].daemon._ownership.held()
+
     def planner(self):
         """Return the number of the instance that plans."""
         return next(one.at for one in self.gateways if one.is_planner)
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -45,7 +45,7 @@
 
     def __init__(self, world, name, address):
         self.world, self.name, self.address = world, name, address
-        self.model = ModelEngine(world.clock, {})
+        self.model = ModelEngine(world.clock, {}, world.is_fenced)
         self.running = {}
         """Bodies of its running requests, by request identifier."""
         self.has_ended = False
@@ -223,7 +223,7 @@
             self.name,
             "z",
             Addresses(self.front, f"10.0.0.{self.at}:82", self.peer, self.tunnels),
-            Bounds(fenced=True, retry_extra=10_000.0),
+            Bounds(fenced=world.is_fenced, retry_extra=10_000.0),
             features=world.features,
         )
         self.pool = HttpPool(world.clock, world.connect(self.at))
@@ -277,6 +277,8 @@
     """A deployment of gateways and engines with a store and callers."""
 
     engine_type = Engine
+    is_fenced = True
+    """Whether engines check fencing tokens; otherwise each is ordered by one owner."""
     config = CONFIG
 
     def __init__(self, gateways=3, engines=8, without=()):
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -16,6 +16,10 @@
 RATE = 40.0
 NOTICE_S = 1.0
 """Time within which silent connections to replicas are noticed while requests are sent."""
+HOLDER_S = 3.0
+"""Minimum time between the orders of two owners of an engine."""
+TAKEOVER_S = 8.0
+"""Time within which others own the engines of an instance that is cut off."""
 RETURN_S = 2.0
 """Time after the end of a cut by which an instance uses its own links again."""
 
@@ -200,3 +204,38 @@
                 check_served(world, [planner], cut_at + CONTACT_S, healed_at)
 
         run(scenario)
+
+
+class TestOwners:
+    # An owner that could not reach its engine kept it for as long as the store answered.
+    @pytest.mark.parametrize("how", [Cut.HANG, Cut.REFUSE])
+    def test_an_engine_without_fencing_gets_no_orders_while_its_owner_is_cut_off(self, how):
+        async def scenario():
+            async with LinkWorld(fenced=False) as world:
+                calling = asyncio.create_task(world.call(RATE, world.clock() + 22.0))
+                await asyncio.sleep(6.0)
+                owner = max(range(3), key=lambda at: len(world.held(at)))
+                assert world.held(owner)
+                last_held = {}
+
+                async def watch():
+                    while True:
+                        for at in range(3):
+                            for name in world.held(at):
+                                before, when = last_held.get(name, (at, world.clock()))
+                                assert before == at or world.clock() - when >= HOLDER_S
+                                last_held[name] = at, world.clock()
+                        await asyncio.sleep(0.05)
+
+                watching = asyncio.create_task(watch())
+                cut_at = world.cut([owner], how)
+                while len({name for at in range(3) if at != owner for name in world.held(at)}) < 3:
+                    await asyncio.sleep(0.1)
+                    assert world.clock() < cut_at + TAKEOVER_S
+                world.heal()
+                await calling
+                assert not watching.done()
+                watching.cancel()
+                assert {name for at in range(3) for name in world.held(at)} == set(world.engines)
+
+        run(scenario)
