--- a/tests/soak_parts.py
+++ b/tests/soak_parts.py
@@ -10,6 +10,8 @@
 from fleet_stand_in import GATEWAY_HOST, HOST
 from soak_settings import CONFIG, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_SHARE, ROOT
 
+MAX_PORT = 65_535
+
 
 class Keys:
     """Keys of two organisations, taken away and given out in turn."""
@@ -71,7 +73,7 @@
         self.settings = folder / f"g{at}.toml"
         self.settings.write_text(
             f'Node = "g{at}"\nZone = "z"\nIp = "{GATEWAY_HOST}"\n'
-            f"PortRange = [{self.peer}, {self.peer}]\n"
+            f"PortRange = [{self.peer}, {self.peer + 1}]\n"
             f'[Listen]\nFront = "{GATEWAY_HOST}:{self.front}"\n'
             f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
             f"[Bounds]\nGraceS = 4\nBudgetExtra = 400\n"
@@ -105,11 +107,27 @@
 
 
 def free_ports(count):
-    """Return ports that the kernel has free."""
-    sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind((GATEWAY_HOST, 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
-    return ports
+    """Return ports that the kernel has free; the one after the last of them is free as well."""
+    sockets = []
+    try:
+        while len(sockets) < count:
+            found = socket.socket()
+            sockets.append(found)
+            found.bind((GATEWAY_HOST, 0))
+            if len(sockets) == count and not _is_free(found.getsockname()[1] + 1):
+                sockets.pop().close()
+        return [found.getsockname()[1] for found in sockets]
+    finally:
+        for found in sockets:
+            found.close()
+
+
+def _is_free(port):
+    if port > MAX_PORT:
+        return False
+    with socket.socket() as found:
+        try:
+            found.bind((GATEWAY_HOST, port))
+        except OSError:
+            return False
+    return True
