Do not report the end of a tunnel as a failure of its replica

A response over a tunnel also breaks off when the peer ends, freezes or loses its own links. It counted as broken at the replica, in this instance's report to the planner as well. It now counts here alone, like a late response.

--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -352,7 +352,9 @@
 
     def _note_broken(self, exchange: Exchange, exc: ResponseBroken) -> None:
         health, now = self._fleet.health(exchange.replica.name), self._clock()
-        if isinstance(exc, ReplicaSilent) and not self._is_overdue(exchange):
+        is_early = isinstance(exc, ReplicaSilent) and not self._is_overdue(exchange)
+        if is_early or exchange.conn.via:
+            # A tunnel also ends with the peer that it passes through.
             health.note_late(now)
         else:
             health.note_broken(now)
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -4,6 +4,7 @@
 
 import pytest
 from link_world import Cut, LinkWorld
+from poison_world import EVENT_S, EVENTS, START_DELAY_S
 from run_world import run
 
 CONTACT_S = 3.0
@@ -20,6 +21,9 @@
 """Minimum time between the orders of two owners of an engine."""
 TAKEOVER_S = 8.0
 """Time within which others own the engines of an instance that is cut off."""
+GRACE_S = 8.0
+PASS_S = 0.12
+"""Maximum delay of the events of a stream, in seconds."""
 RETURN_S = 2.0
 """Time after the end of a cut by which an instance uses its own links again."""
 
@@ -154,6 +158,96 @@
         run(scenario)
 
 
+class TestPeers:
+    async def _play(self, world, act):
+        """Cut one of three instances off, act on one of its peers meanwhile; return the start."""
+        calling = asyncio.create_task(world.call(RATE, world.clock() + 14.0))
+        await asyncio.sleep(2.0)
+        cut_at = world.cut([1], Cut.HANG)
+        await asyncio.sleep(4.0)
+        peer = max((0, 2), key=lambda at: len(world.gateways[at].daemon._access.server.connections))
+        await act(world.gateways[peer])
+        await calling
+        unrepeatable = [body for _, body, _ in world.arrived if world.is_unrepeatable(body)]
+        assert len(unrepeatable) == len(set(unrepeatable))
+        return cut_at
+
+    # Responses that break off with a peer counted as failures of their replicas.
+    def test_requests_fail_when_a_peer_with_tunnels_is_lost(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                lost_at = []
+
+                async def kill(peer):
+                    lost_at.append(world.clock())
+                    peer.kill()
+
+                await self._play(world, kill)
+                assert world.served({1}, lost_at[0] + 1.0, lost_at[0] + 7.0) >= MIN_SERVED
+                assert world.served({1}, lost_at[0] - 1.0, lost_at[0] + 7.0) >= MIN_SERVED_RATIO
+                health = world.gateways[1].daemon._fleet
+                assert health.count_ejected() == 0
+                assert world.gateways[1].daemon._poison.ends.ended == 0
+
+        run(scenario)
+
+    def test_requests_fail_when_a_peer_with_tunnels_shuts_down(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                drained = []
+
+                async def stop(peer):
+                    began_at = world.clock()
+                    await peer.daemon._drain()
+                    drained.append(world.clock() - began_at)
+                    assert not peer.daemon._access.server.connections
+                    peer.kill()
+
+                cut_at = await self._play(world, stop)
+                assert drained[0] < GRACE_S
+                assert world.served({1}, cut_at + CONTACT_S, cut_at + 12.0) == 1.0
+
+        run(scenario)
+
+    def test_a_replica_works_on_for_a_caller_that_left(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                calling = asyncio.create_task(world.call(RATE, world.clock() + 4.0))
+                await asyncio.sleep(2.0)
+                world.cut([1], Cut.REFUSE)
+                await asyncio.sleep(1.0)
+                asking = asyncio.create_task(world.ask(world.gateways[1], b"left", path=b"/s/x"))
+                await asyncio.sleep(0.25)
+                assert any(b"left" in one.running.values() for one in world.engines.values())
+                conn = next(
+                    conn
+                    for conn in world.gateways[1].daemon._caller_server.connections
+                    if conn.task is not None and conn._body == [b"left"]
+                )
+                conn.transport.peer.abort()
+                await asyncio.sleep(0.05)
+                assert not any(b"left" in one.running.values() for one in world.engines.values())
+                asking.cancel()
+                await calling
+
+        run(scenario)
+
+    def test_events_pass_a_peer_late_or_are_lost(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                calling = asyncio.create_task(world.call(RATE, world.clock() + 4.0))
+                await asyncio.sleep(2.0)
+                world.cut([1], Cut.REFUSE)
+                await asyncio.sleep(1.0)
+                began_at = world.clock()
+                assert await world.ask(world.gateways[1], b"timed", path=b"/s/x") == 200
+                usual_s = START_DELAY_S + EVENTS * EVENT_S
+                assert world.clock() - began_at <= usual_s + PASS_S
+                await calling
+
+        run(scenario)
+
+
 class TestReports:
     # A refused connection counted as the end of its replica, and of the requests there as a cause.
     def test_replicas_count_as_ended_on_the_word_of_instances_without_links(self):
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -252,6 +252,26 @@
 
         run(scenario)
 
+    # A tunnel also ends with the peer that it passes through.
+    @pytest.mark.parametrize(("via", "broken"), [("", 1), ("10.0.0.2:83", 0)])
+    def test_the_end_of_a_tunnel_is_reported_as_a_failure_of_the_replica(self, via, broken):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=1), [[["reset"]]])
+            pool = bench.serving._sender._pool
+
+            async def dial(address):
+                wire = await bench.net.dial(address)
+                wire.via = via
+                return wire
+
+            pool.dial = dial
+            client = bench.client()
+            await asyncio.sleep(0.5)
+            assert status(client) == 502
+            assert bench.fleet.health("s0").tally.broken == broken
+
+        run(scenario)
+
     def test_misdirected_request_is_retried_at_another_replica(self):
         async def scenario():
             bench = Bench(route(Repeat.NEVER), [[[MISDIRECTED]], [[OK]]])
