Close the idle connections over which runs are moved, as those of requests

The pool of moved runs was never pruned. A tunnel that it kept stayed open at the peer, and a peer that shuts down waits for its tunnels: it would have stayed for its whole grace period.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -208,13 +208,13 @@
             lambda: bool(self._planners()),
         )
         self._access.monitor.on_bypass = lambda address: pool.doubt(address, self._clock())
-        for replica_pool in (pool, run_pool):
-            if replica_pool is not None:
-                replica_pool.dial = (
-                    self._access.dialer.dial
-                    if Feature.PEER_TUNNELS in settings.features
-                    else self._access.dialer.dial_directly
-                )
+        self._replica_pools = [pool] if run_pool is None else [pool, run_pool]
+        for replica_pool in self._replica_pools:
+            replica_pool.dial = (
+                self._access.dialer.dial
+                if Feature.PEER_TUNNELS in settings.features
+                else self._access.dialer.dial_directly
+            )
         if order_pool is not None:
             # An order through a peer would count as an order of that instance.
             order_pool.dial = self._access.dialer.dial_directly
@@ -624,7 +624,8 @@
             self._pipeline.forget_gone()
             if self._run_recovery is not None:
                 self._run_recovery.forget_removed_engines()
-            self._pool.prune({rep.address for rep in self._state.replicas.values()})
+            for pool in self._replica_pools:
+                pool.prune({rep.address for rep in self._state.replicas.values()})
             followed_gateways = self._directory.gateways if self._follows_planner() else 0
             count = self._gateway_count.note(followed_gateways, self._clock())
             self._budgets.share_among(count)
--- a/tests/test_replica_dialer.py
+++ b/tests/test_replica_dialer.py
@@ -12,7 +12,15 @@
 from gradelug_gateway.replica_dialer import ReplicaDialer
 from gradelug_gateway.tunnel_gate import TunnelGate
 from gradelug_gateway.tunnel_peers import PAUSE_S, TunnelPeer, TunnelPeers, select_peers
-from gradelug_http import ServerLimits, TunnelServer, TunnelStatus, Wire
+from gradelug_http import (
+    HttpPool,
+    OutgoingRequest,
+    ServerLimits,
+    TunnelServer,
+    TunnelStatus,
+    Wire,
+)
+from gradelug_http.tunnel import REUSE_S
 from gradelug_policy.reachability import PEER_VALIDITY_S, PROBE_INTERVAL_S, PeerOutcome
 from link_world import Cut, LinkWorld
 from run_world import run
@@ -319,3 +327,29 @@
                 assert known != {key.value}
 
         run(scenario)
+
+
+class TestIdleTunnels:
+    # Pools other than that of requests kept their idle connections, tunnels among them.
+    def test_idle_tunnels_of_moved_runs_stay_open(self):
+        async def scenario():
+            async with LinkWorld() as world:
+                daemon = world.gateways[1].daemon
+                run_pool = HttpPool(world.clock)
+                run_pool.dial = daemon._access.dialer.dial
+                daemon._replica_pools.append(run_pool)
+                world.cut([1], Cut.REFUSE)
+                address = world.addresses(["p0"])[0]
+                conn = await run_pool.acquire(address, 1.0)
+                assert conn.via
+                request = OutgoingRequest(
+                    b"GET", b"/i/x", [(b"Host", b"h"), (b"X-Gradelug-Request-Id", b"1")]
+                )
+                conn.send(request)
+                head = await conn.head(lambda head: True)
+                await conn.body(100)
+                run_pool.release(conn, head)
+                await asyncio.sleep(REUSE_S + 1.0)
+                assert not any(one.daemon._access.server.connections for one in world.gateways)
+
+        run(scenario)
