--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -14,7 +14,6 @@
 import logbook
 from gradelug_coordination import (
     Candidacy,
-    Election,
     KeyValue,
     LeaseKeeper,
     Mirror,
@@ -31,7 +30,6 @@
     connect_tcp,
 )
 from gradelug_policy.quotas import LocalShares
-from gradelug_policy.residency import LoadRateLimiter
 from gradelug_runtime.clock import run as run_steady
 from gradelug_runtime.process import Tasks
 from grpclib.server import Server
@@ -39,7 +37,7 @@
 from .admission import AdmissionControl
 from .budgets import GatewayCount, RetryBudgets
 from .config_freshness import ConfigFreshness
-from .departures import DepartureForwarder, DepartureReporter
+from .departures import DepartureReporter
 from .directory import Directory
 from .engine_speeds import PauseTally, SpeedReporter
 from .executing import Executor
@@ -52,16 +50,16 @@
 from .limit_teller import LimitClient
 from .limits import ReplicaLimits
 from .metrics import GatewayMetrics
-from .model import EngineSpec, FleetState, Replica
+from .model import FleetState, Replica
 from .parts import GatewayExtension
 from .placement import PlacementService, PlannerRole
 from .planner import Planner
+from .planner_factory import LEASE_TTL_S, WEAK_CANDIDATE_DELAY_S, PlannerFactory
 from .poison_control import PoisonControl
 from .poll_interval import missing_entry_grace_s, store_poll_interval_s
 from .ports import Dialect, OrderTransport, RunTransport
 from .prefix_cache import PrefixCache
 from .quotas import Quotas
-from .relay import OrderRelay
 from .replica_access import ReplicaAccess
 from .rests import BackoffTracker
 from .runs import RunRecovery
@@ -72,31 +70,20 @@
 from .share_tally import UsageReporter, UsageTally
 from .shared_health import OutcomeReporter
 from .startup_progress import StartupProgress, startup_checks
-from .store_updates import PUBLISHER_POLL_INTERVAL_S, StorePublisher, StoreSubscriber
+from .store_updates import PUBLISHER_POLL_INTERVAL_S, StoreSubscriber
 
 log = logbook.Logger("daemon")
-DUTY_PREFIX = "gradelug/planner/"
 ENGINES_PREFIX = "gradelug/engines/"
-LEASE_TTL_S = 1.2
-"""Time to live of the leases of planners and engine owners; a failed planner is replaced shortly
-after its lease expires."""
 MAX_REUSE_IDLE_S = 1.5
 """Maximum idle time of a connection for requests that must not run twice, where replicas drop idle
 connections silently: a reset would leave the outcome of such a request unknown."""
 MAX_STORE_RETRY_DELAY_S = 0.8
 """Maximum delay before a retry of the platform store: a configuration must be in force 2 s after
 its acceptance, also right after an outage."""
-WEAK_CANDIDATE_DELAY_S = 0.5
-"""Delay with which weak instances become candidates for planning and engine ownership: planning
-takes most of half a core at 86 instances."""
 OWNER_CUT_OFF_S = 1.0
 """Time without links after which an instance gives its engines to others, which begin seconds
 later: shorter losses are over before that."""
 UPKEEP_INTERVAL_S = 0.5
-EXTRA_LOADS_PER_WINDOW = 3
-"""Loads allowed per window beyond the rate of the weight store."""
-LOAD_WINDOW_MARGIN_S = 0.1
-"""Added to the length of a load window, since the delivery time of orders varies."""
 BALANCER_REMOVAL_S = 2.6
 """Time after which the load balancer has seen two failed readiness checks and sends no new
 requests."""
@@ -257,6 +244,20 @@
             shares,
             self._link_parts,
         )
+        self._planner_factory = PlannerFactory(
+            settings,
+            kv,
+            self._mirror,
+            self._feed,
+            self._freshness,
+            self._fleet,
+            transport,
+            self._poison,
+            self._access.monitor,
+            self._clock,
+            self._rng,
+            lambda: self._directory.gateways,
+        )
         # A replica limits the connections of all instances together and resets any beyond that.
         pool.keeps = IdleConnections(settings.name, self._state, lambda: self._directory.gateways)
         bounds = settings.bounds
@@ -431,7 +432,7 @@
             return
         for name, service in snapshot.services.items():
             if service.engine is not None and name not in self._planner_roles:
-                self._planner_roles[name] = self._new_planner_role(name)
+                self._planner_roles[name] = self._planner_factory.new_role(name)
                 self._tasks.start(self._planner_roles[name].run(), f"duty {name}")
         self._directory.ensure_links(self._planner_roles)
         for role in self._planner_roles.values():
@@ -526,79 +527,6 @@
     def _is_strong(self) -> bool:
         return self.settings.strength >= 1
 
-    def _new_planner_role(self, service: str) -> PlannerRole:
-        lease = LeaseKeeper(self._kv, LEASE_TTL_S, self._clock, self._rng)
-        election = Election(
-            self._kv,
-            self._mirror,
-            f"{DUTY_PREFIX}{service}",
-            self.settings.name,
-            self.settings.addresses.peers,
-            lease,
-            self._clock,
-            self._rng,
-            0.0,
-            self.settings.first_start,
-            # Engines, or their owners, reject orders of a planner with an older fencing token.
-            True,
-            0.0 if self._is_strong else WEAK_CANDIDATE_DELAY_S,
-            lambda: service in self._access.monitor.cut_off,
-        )
-        return PlannerRole(
-            election,
-            lambda: self._new_planner(service),
-            self.settings.strength,
-            lambda: service in self._access.monitor.cut_off,
-        )
-
-    def _new_planner(self, service: str) -> Planner:
-        bounds = self.settings.bounds
-        spec = self._engine_spec(service)
-        rate_limiter = LoadRateLimiter(
-            spec.loads_per_s,
-            bounds.load_window_s,
-            bounds.load_overage,
-            EXTRA_LOADS_PER_WINDOW,
-            LOAD_WINDOW_MARGIN_S,
-        )
-        poison = None
-        if Feature.POISON_GUARD in self.settings.features:
-            poison = self._poison.aggregator(service)
-        transport = self._transport if bounds.fenced else OrderRelay(self._transport)
-        return Planner(
-            service,
-            self.settings.name,
-            spec,
-            self._state,
-            transport,
-            rate_limiter,
-            self._clock,
-            self._fleet.speeds,
-            StorePublisher(self._feed, self._mirror, self._clock, self._freshness, self._is_strong),
-            self._directory.gateways,
-            self.settings.features,
-            (
-                self._fleet.engine_estimator.with_separate_slowness()
-                if self._fleet.engine_estimator is not None
-                else None
-            ),
-            poison,
-            self._new_departure_forwarder(service),
-        )
-
-    def _new_departure_forwarder(self, service: str) -> DepartureForwarder | None:
-        if Feature.SAID_DEPARTURES not in self.settings.features:
-            return None
-        return DepartureForwarder(service, self._feed)
-
-    def _engine_spec(self, service: str) -> EngineSpec:
-        snapshot = self._state.snapshot
-        found = snapshot.services.get(service) if snapshot is not None else None
-        if found is None or found.engine is None:
-            # The service was removed from the configuration: nothing may be loaded.
-            return EngineSpec((), 0.0, 0, 1, 0, 0.0)
-        return found.engine
-
     def _locate(self, service: str) -> PlannerAddress | None:
         role = self._planner_roles.get(service)
         return role.address() if role is not None else None
--- a/packages/gateway/src/gradelug_gateway/departures.py
+++ b/packages/gateway/src/gradelug_gateway/departures.py
@@ -7,7 +7,7 @@
 from gradelug_wire import placement_pb2 as pb
 
 from .feed import Feed
-from .followers import Follower
+from .follower import Follower
 from .limit_facts import is_responsible_for
 from .limit_teller import ReportLink
 
--- a/packages/gateway/src/gradelug_gateway/engine_speeds.py
+++ b/packages/gateway/src/gradelug_gateway/engine_speeds.py
@@ -13,7 +13,7 @@
 from gradelug_policy.prefill import PrefillSpeeds
 from gradelug_wire import placement_pb2 as pb
 
-from .followers import Follower
+from .follower import Follower
 
 log = logbook.Logger("engine speeds")
 MS = 1000.0
--- a/packages/gateway/src/gradelug_gateway/fair_queue.py
+++ b/packages/gateway/src/gradelug_gateway/fair_queue.py
@@ -28,7 +28,7 @@
 from gradelug_wire import placement_pb2 as pb
 
 from .engines import Engine
-from .followers import Follower
+from .follower import Follower
 from .model import AdapterKey, FleetState
 from .organisations import Organisations
 from .share_tally import token_cost
--- a/packages/gateway/src/gradelug_gateway/limit_desk.py
+++ b/packages/gateway/src/gradelug_gateway/limit_desk.py
@@ -12,7 +12,7 @@
 from gradelug_policy.replica_room import CapacityDecision, CapacityRequest, ReplicaRateLimiter
 from gradelug_wire import placement_pb2 as pb
 
-from .followers import Follower
+from .follower import Follower
 from .limit_facts import MS, decode_limit, encode_limit, is_responsible_for
 from .model import FleetState
 from .weight_queue import Waiter
--- a/packages/gateway/src/gradelug_gateway/parts.py
+++ b/packages/gateway/src/gradelug_gateway/parts.py
@@ -10,7 +10,7 @@
 
 from gradelug_wire import placement_pb2 as pb
 
-from .followers import Follower
+from .follower import Follower
 
 
 class GatewayExtension(t.Protocol):
--- a/packages/gateway/src/gradelug_gateway/pending.py
+++ b/packages/gateway/src/gradelug_gateway/pending.py
@@ -9,7 +9,7 @@
 from .model import AdapterKey
 
 if t.TYPE_CHECKING:
-    from .followers import Follower
+    from .follower import Follower
 
 
 class ReplicaRecord(t.Protocol):
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -16,7 +16,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
-from .followers import Follower
+from .follower import Follower
 from .planner import Planner
 from .search import PlannerAddress
 
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -33,7 +33,8 @@
 from .engines import Engine, Phase, WeightSlot
 from .fair_queue import FairQueue
 from .fleet import engine_capacity_of
-from .followers import Follower, Followers, encode_load
+from .follower import Follower
+from .followers import Followers, encode_load
 from .limit_desk import LimitAllocator
 from .load_targets import LoadTargets
 from .loader import DEFAULT_VERSION, Loader, PlannedLoad
--- a/packages/gateway/src/gradelug_gateway/poison_desk.py
+++ b/packages/gateway/src/gradelug_gateway/poison_desk.py
@@ -12,7 +12,7 @@
 from gradelug_wire import placement_pb2 as pb
 
 from .fingerprints import format_fingerprint
-from .followers import Follower
+from .follower import Follower
 from .model import FleetState
 from .poison import PoisonFindings, PoisonGuard
 from .poison_record import PoisonRecord
--- a/packages/gateway/src/gradelug_gateway/quota_desk.py
+++ b/packages/gateway/src/gradelug_gateway/quota_desk.py
@@ -9,7 +9,7 @@
 from gradelug_policy.refusals import Caller
 from gradelug_wire import placement_pb2 as pb
 
-from .followers import Follower
+from .follower import Follower
 from .model import FleetState
 from .quotas import MAX_WAIT_S
 
--- a/packages/gateway/src/gradelug_gateway/relay.py
+++ b/packages/gateway/src/gradelug_gateway/relay.py
@@ -14,7 +14,7 @@
 import logbook
 from gradelug_wire import placement_pb2 as pb
 
-from .followers import Follower
+from .follower import Follower
 from .model import EngineReport, Order, OrderOutcome, Replica
 from .ports import OrderTransport
 
--- a/packages/gateway/src/gradelug_gateway/shared_health.py
+++ b/packages/gateway/src/gradelug_gateway/shared_health.py
@@ -21,7 +21,7 @@
 
 from .engines import Engine
 from .fleet import Fleet
-from .followers import Follower
+from .follower import Follower
 from .health import Health, SharedVerdict
 from .model import FleetState
 
--- a/packages/gateway/src/gradelug_gateway/tunnel_peers.py
+++ b/packages/gateway/src/gradelug_gateway/tunnel_peers.py
@@ -14,7 +14,7 @@
 from gradelug_wire import placement_pb2 as pb
 
 if t.TYPE_CHECKING:
-    from .followers import Follower
+    from .follower import Follower
 
 log = logbook.Logger("tunnel peers")
 MAX_SENT_PEERS = 6
--- a/packages/gateway/src/gradelug_gateway/weight_queue.py
+++ b/packages/gateway/src/gradelug_gateway/weight_queue.py
@@ -15,7 +15,7 @@
 from gradelug_policy.prefill import RequestWork
 from gradelug_wire import placement_pb2 as pb
 
-from .followers import Follower
+from .follower import Follower
 from .model import AdapterKey
 from .prefix_cache import decode_chain
 
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -1,7 +1,7 @@
 """Exchange of engine speeds between gateways and planners."""
 
 from gradelug_gateway.engine_speeds import PauseTally, SpeedAggregator, SpeedReporter
-from gradelug_gateway.followers import Follower
+from gradelug_gateway.follower import Follower
 from gradelug_policy.engine_slowness import SlowEngineDetector
 from gradelug_policy.prefill import PrefillSpeeds
 from gradelug_wire import placement_pb2 as pb
--- a/tests/test_limit_desk.py
+++ b/tests/test_limit_desk.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from gradelug_gateway.followers import Follower
+from gradelug_gateway.follower import Follower
 from gradelug_gateway.limit_desk import MIN_REPORT_INTERVAL_S, REPEAT_INTERVAL_S, LimitAllocator
 from gradelug_gateway.limit_facts import decode_limit, encode_limit
 from gradelug_gateway.limit_teller import MAX_URGENT_ASKS_PER_S, LimitClient
--- a/tests/test_scoped_news.py
+++ b/tests/test_scoped_news.py
@@ -7,13 +7,8 @@
 from gradelug_gateway.engine_index import EngineIndex
 from gradelug_gateway.engines import Engine, Phase, WeightSlot
 from gradelug_gateway.fleet import Fleet
-from gradelug_gateway.followers import (
-    MAX_LOCATIONS_PER_KEY,
-    MAX_QUEUED_ANSWERS,
-    MAX_QUEUED_ORDERS,
-    MAX_UNSCOPED_ENGINES,
-    Followers,
-)
+from gradelug_gateway.follower import MAX_QUEUED_ANSWERS, MAX_QUEUED_ORDERS
+from gradelug_gateway.followers import MAX_LOCATIONS_PER_KEY, MAX_UNSCOPED_ENGINES, Followers
 from gradelug_gateway.link import PlannerLink
 from gradelug_gateway.load_targets import MAX_CACHED_CANDIDATES, MAX_CANDIDATES, LoadTargets
 from gradelug_gateway.model import AdapterKey, FleetState, Holding, Replica, ReportedLoad
--- a/tools/limit_capacity.py
+++ b/tools/limit_capacity.py
@@ -10,7 +10,7 @@
 import tracemalloc
 
 from gradelug_gateway import limit_desk
-from gradelug_gateway.followers import Follower
+from gradelug_gateway.follower import Follower
 from gradelug_gateway.limits import ReplicaLimits
 from gradelug_gateway.model import FleetState, Replica
 from gradelug_policy.replica_limits import ReportedLimit
