Take a link for lost only when a probe fails too

A connection that was not up within 0.1 s while a peer's was counted as lost at once: a single lost packet closed the idle connections to that replica, and sent the next requests through peers until a probe. Now the path is probed first; the tunnel that won is used either way.

--- a/packages/gateway/src/gradelug_gateway/link_monitor.py
+++ b/packages/gateway/src/gradelug_gateway/link_monitor.py
@@ -100,7 +100,7 @@
         why : str
             Reason of the failure, for the log.
         """
-        was_lost = self.paths.is_lost(address)
+        was_lost, was_bypassed = self.paths.is_lost(address), self.paths.is_bypassed(address)
         self.paths.note_direct(address, connected, self._clock())
         self._refused.discard(address)
         if was_lost == (not connected):
@@ -109,18 +109,16 @@
             log.info("replica connected again", address=address)
         else:
             log.info("replica cannot be connected", address=address, why=why)
+        self._note_bypass(address, was_bypassed)
         self.refresh()
 
     def note_peer(self, address: str, outcome: PeerOutcome) -> None:
         """Record the outcome of a peer's attempt to connect to a replica."""
         was_bypassed = self.paths.is_bypassed(address)
         self.paths.note_peer(address, outcome, self._clock())
-        if self.paths.is_bypassed(address) == was_bypassed:
-            return
-        if not was_bypassed:
-            log.info("replica reached through a peer", address=address)
-            self.on_bypass(address)
-        self.refresh()
+        if self.paths.is_bypassed(address) != was_bypassed:
+            self._note_bypass(address, was_bypassed)
+            self.refresh()
 
     def take_due_probes(self, max_count: int) -> list[str]:
         """Return the addresses of replicas to be probed directly now, at most `max_count`."""
@@ -182,6 +180,11 @@
         elif math.isinf(self._cut_off_since):
             self._cut_off_since = self._clock()
 
+    def _note_bypass(self, address: str, was_bypassed: bool) -> None:
+        if self.paths.is_bypassed(address) and not was_bypassed:
+            log.info("replica reached through a peer", address=address)
+            self.on_bypass(address)
+
     def _update(self, service: str, summary: PathSummary) -> None:
         since = self._lost_since.get(service)
         if summary.is_mostly_lost and since is None:
--- a/packages/gateway/src/gradelug_gateway/replica_dialer.py
+++ b/packages/gateway/src/gradelug_gateway/replica_dialer.py
@@ -11,7 +11,7 @@
 from gradelug_http import Connect, HttpError, TunnelFailed, TunnelStatus, Wire, open_tunnel
 from gradelug_policy.reachability import PeerOutcome
 
-from .connection_race import ATTEMPT_DELAY_S, connect_first
+from .connection_race import connect_first
 from .link_monitor import LinkMonitor
 from .tunnel_key import TunnelKey
 from .tunnel_peers import TunnelPeers
@@ -99,12 +99,12 @@
             for peer in self._usable_peers(address)
         ]
         is_bypassed = self._monitor.paths.is_bypassed(address)
-        began_at = self._clock()
         wire = await connect_first([*tunnels, direct] if is_bypassed else [direct, *tunnels])
         if wire is None:
             self._raise_unreachable(address)
-        if wire.via and not is_bypassed and self._clock() - began_at >= ATTEMPT_DELAY_S:
-            self._monitor.note(address, False, "slower than a peer")
+        if wire.via and not self._monitor.paths.is_lost(address):
+            # A single lost packet also makes the direct connection slower than the peer's.
+            self.probe(address)
         return wire
 
     async def dial_directly(self, address: str) -> Wire:
--- a/tests/test_replica_dialer.py
+++ b/tests/test_replica_dialer.py
@@ -6,10 +6,10 @@
 
 import pytest
 from gradelug_gateway.connection_race import ATTEMPT_DELAY_S, connect_first
-from gradelug_gateway.followers import Follower
+from gradelug_gateway.follower import Follower
 from gradelug_gateway.link_monitor import LinkMonitor
 from gradelug_gateway.model import FleetState, Replica
-from gradelug_gateway.replica_dialer import ReplicaDialer
+from gradelug_gateway.replica_dialer import PROBE_TIMEOUT_S, ReplicaDialer
 from gradelug_gateway.tunnel_gate import TunnelGate
 from gradelug_gateway.tunnel_peers import PAUSE_S, TunnelPeer, TunnelPeers, select_peers
 from gradelug_http import (
@@ -101,6 +101,7 @@
             began_at = world.clock()
             assert (await world.dialer.dial(ADDRESS)).via == "10.0.0.2:83"
             assert world.clock() - began_at <= ATTEMPT_DELAY_S + 0.01
+            await asyncio.sleep(PROBE_TIMEOUT_S)
             assert world.monitor.paths.is_bypassed(ADDRESS)
             began_at = world.clock()
             await world.dialer.dial(ADDRESS)
@@ -108,6 +109,20 @@
 
         run(scenario)
 
+    def test_a_packet_that_is_lost_makes_no_link_lost(self):
+        async def scenario():
+            world = DialWorld()
+            world.cuts[0] = Cut.HANG
+            dialling = asyncio.create_task(world.dialer.dial(ADDRESS))
+            await asyncio.sleep(ATTEMPT_DELAY_S / 2)
+            world.cuts.clear()
+            assert (await dialling).via
+            await asyncio.sleep(PROBE_TIMEOUT_S)
+            assert not world.monitor.paths.has_lost
+            assert (await world.dialer.dial(ADDRESS)).via == ""
+
+        run(scenario)
+
     @pytest.mark.parametrize("how", [Cut.HANG, Cut.REFUSE])
     def test_a_peer_of_another_hall_connects_when_a_whole_hall_is_cut_off(self, how):
         async def scenario():
