--- a/packages/gateway/src/gradelug_gateway/brittleness.py
+++ b/packages/gateway/src/gradelug_gateway/brittleness.py
@@ -23,6 +23,8 @@
 SERVICE_VALIDITY_S = 5.0
 """Time for which a report is taken to apply to all replicas of the service, in seconds: one that
 fell over is back within that time."""
+MAX_LOGGED_CHARS = 40
+"""Maximum length of an invalid value in the log, in characters."""
 DEFAULT_RESPONSE_S = 0.1
 RESPONSE_WEIGHT = 0.2
 """Weight of the newest response in the average. Times that all instances share include rejections,
@@ -62,7 +64,16 @@
         Whether reports are respected; otherwise they are only logged.
     """
 
-    __slots__ = ("_clock", "_is_on", "_limits", "_responses_s", "_rests", "_services", "_state")
+    __slots__ = (
+        "_clock",
+        "_is_on",
+        "_limits",
+        "_logged_invalid",
+        "_responses_s",
+        "_rests",
+        "_services",
+        "_state",
+    )
 
     def __init__(
         self,
@@ -81,17 +92,15 @@
         """Time of the last report, by service."""
         self._responses_s: dict[str, float] = {}
         """Moving average of response times, in seconds, by name of the replica."""
+        self._logged_invalid: set[str] = set()
+        """Replicas whose invalid report has been logged."""
 
     def limit(
         self, replica: Replica, tolerance: ReportedTolerance, reported: ReportedLimit
     ) -> ReportedLimit:
         """Return the limit of a replica: the reported one, or a lower one if it is brittle."""
         if tolerance.invalid_text:
-            log.warning(
-                "invalid tolerance in a response",
-                replica=replica.name,
-                value=tolerance.invalid_text,
-            )
+            self._log_invalid(replica.name, tolerance.invalid_text)
         if tolerance.rejections is None:
             return reported
         self._note_report(replica.service, tolerance.rejections)
@@ -109,7 +118,8 @@
         self._responses_s[replica.name] = before_s + RESPONSE_WEIGHT * (took_s - before_s)
 
     def forget_removed(self, known: t.Container[str]) -> None:
-        """Drop the response times of replicas that are not in `known`."""
+        """Drop the state of replicas that are not in `known`."""
+        self._logged_invalid = {name for name in self._logged_invalid if name in known}
         self._responses_s = {
             name: took_s for name, took_s in self._responses_s.items() if name in known
         }
@@ -147,6 +157,14 @@
             log.warning("replicas are brittle", service=service, rejections=rejections)
         self._services[service] = now
 
+    def _log_invalid(self, replica: str, value: str) -> None:
+        """Log an invalid report, once for each replica."""
+        if replica not in self._logged_invalid:
+            self._logged_invalid.add(replica)
+            log.warning(
+                "invalid tolerance in a response", replica=replica, value=value[:MAX_LOGGED_CHARS]
+            )
+
     def _derive(self, replica: Replica) -> ReportedLimit:
         response_s = self._responses_s.get(replica.name, DEFAULT_RESPONSE_S)
         rate = safe_rate(replica.slots, response_s, self._limits.rate(replica.name))
--- a/tests/test_brittle_replicas.py
+++ b/tests/test_brittle_replicas.py
@@ -2,12 +2,17 @@
 
 import asyncio
 
+import logbook
 import pytest
 from brittle_world import CONTACT_S, SLOTS, WORK_S, BrittleWorld
-from gradelug_gateway.brittleness import ReportedTolerance
+from gradelug_gateway.brittleness import BrittlenessTracker, ReportedTolerance
+from gradelug_gateway.limits import ReplicaLimits
+from gradelug_gateway.model import FleetState, Replica
+from gradelug_gateway.rests import BackoffTracker
 from gradelug_http import ResponseHead
 from gradelug_platform.dialect import PlatformDialect
 from gradelug_policy.brittleness import MAX_PAUSE_S, pause_s, safe_burst, safe_rate
+from gradelug_policy.replica_limits import ReportedLimit
 from run_world import run
 
 BRITTLE_S = 12.0
@@ -132,3 +137,14 @@
     def test_the_lowest_valid_number_counts(self, values, expected):
         headers = tuple((b"Server-Brittle", value) for value in values)
         assert PlatformDialect().read_tolerance(ResponseHead(200, headers)) == expected
+
+    def test_an_invalid_report_is_logged_with_every_response(self):
+        state = FleetState()
+        tracker = BrittlenessTracker(
+            state, ReplicaLimits(lambda: 0.0), BackoffTracker(lambda: 0.0), lambda: 0.0
+        )
+        replica = Replica("p1", "plain", "10.0.2.1:80", "z")
+        with logbook.TestHandler() as logs:
+            for _ in range(3):
+                tracker.limit(replica, ReportedTolerance(invalid_text="'x'"), ReportedLimit())
+        assert [rec.message for rec in logs.records] == ["invalid tolerance in a response"]
