--- a/tests/test_tunnel.py
+++ b/tests/test_tunnel.py
@@ -243,11 +243,18 @@
             wire.transport.pause_reading()
             head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % len(body)
             wire.transport.write(head + body)
-            await asyncio.sleep(0.5)
-            for conn in tunnels.connections:
-                buffered = conn.transport.get_write_buffer_size()
+            async with asyncio.timeout(10.0):
+                while not any(
+                    conn.transport.get_write_buffer_size() for conn in tunnels.connections
+                ):
+                    await asyncio.sleep(0)
+            for _ in range(1000):
+                await asyncio.sleep(0)
                 # One read of the loop may exceed the limit.
-                assert buffered <= MAX_BUFFERED_BYTES + 262_144
+                assert all(
+                    conn.transport.get_write_buffer_size() <= MAX_BUFFERED_BYTES + 262_144
+                    for conn in tunnels.connections
+                )
             wire.transport.abort()
             await tunnels.close()
             await server.close()
@@ -257,11 +264,12 @@
 
     def test_a_server_that_is_gone_is_reported(self):
         async def scenario():
+            # A port that is bound and not listened on refuses connections.
             with socket.socket() as found:
                 found.bind(("127.0.0.1", 0))
                 proxy = f"127.0.0.1:{found.getsockname()[1]}"
-            with pytest.raises(TunnelFailed) as failed:
-                await open_tunnel(connect_tcp, proxy, TARGET, KEY)
-            assert failed.value.status is None
+                with pytest.raises(TunnelFailed) as failed:
+                    await open_tunnel(connect_tcp, proxy, TARGET, KEY)
+                assert failed.value.status is None
 
         asyncio.run(scenario())
