Log the software version of replicas, and which stream a caller resumes

Streams were joined from engines of two software versions, and no line could tell: a replica's version of software was not read, and a resumed stream was logged like a new one. Replicas carry it now, also where a planner forwards the store; it stands where a replica is logged for a request, and the command `why` prints it together with the attempt that a resumed stream names.

--- a/packages/cli/src/gradelug_cli/why.py
+++ b/packages/cli/src/gradelug_cli/why.py
@@ -12,6 +12,7 @@
 
 ENDS = ("answered", "refused", "limited", "denied", "failed", "caller left")
 JUDGED = (
+    "resuming stream",
     "not sent",
     "no room",
     "placed",
@@ -30,7 +31,10 @@
     "urgency": "urgency, 0 first",
     "rank": "urgency within the quota, 0 first",
     "weights": "weights",
+    "resumes": "attempt that began its stream",
+    "after_event": "resumed after event, 0 for a new stream",
     "replica": "where",
+    "software": "software version there",
     "asked": "version asked for, 0 for any",
     "memory": "its memory's versions, base model and adapter",
     "told": "base model of the engine where it went on",
--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -347,10 +347,23 @@
         new, self._unlogged = self._unlogged, []
         if len(new) > MAX_INDIVIDUAL_LOG_LINES:
             leaving = [rep.name for rep in new if rep.leaving]
-            log.info("replicas", new=len(new), known=len(self.state.replicas), leaving=leaving)
+            software = sorted({rep.software for rep in new})
+            log.info(
+                "replicas",
+                new=len(new),
+                known=len(self.state.replicas),
+                software=software,
+                leaving=leaving,
+            )
             return
         for rep in new:
-            log.info("replica", replica=rep.name, service=rep.service, leaving=rep.leaving)
+            log.info(
+                "replica",
+                replica=rep.name,
+                service=rep.service,
+                software=rep.software,
+                leaving=rep.leaving,
+            )
 
     def _apply_version(self, fact: NewestVersion) -> bool:
         if fact.version <= self.state.versions.get(fact.key, 0):
--- a/packages/gateway/src/gradelug_gateway/replicas.py
+++ b/packages/gateway/src/gradelug_gateway/replicas.py
@@ -60,6 +60,8 @@
     ends_in_s : float
         Time from its shutdown announcement until it is terminated with all that it runs, in
         seconds; infinite if unknown.
+    software : str
+        Version of its software, empty if unknown. Versions are compared for equality only.
     """
 
     name: str
@@ -73,6 +75,7 @@
     cached: frozenset[Holding] = frozenset()
     born: int = 0
     ends_in_s: float = math.inf
+    software: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/gateway/src/gradelug_gateway/requests.py
+++ b/packages/gateway/src/gradelug_gateway/requests.py
@@ -43,6 +43,9 @@
         other requests.
     last_event : int
         Number of the last stream event that the caller has received; 0 for none.
+    resumes : str
+        Identifier of the attempt in which the caller received the first event of the stream that
+        this request resumes; empty if it names none.
     credentials : tuple of bytes
         The caller's keys; never logged.
     """
@@ -61,6 +64,7 @@
     max_answer_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: int = 0
+    resumes: str = ""
     credentials: tuple[bytes, ...] = field(default=(), repr=False)
 
 
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -478,6 +478,7 @@
             id=job.req.id,
             how=copy.kind.value,
             replica=copy.holder.name,
+            software=copy.holder.software,
             event=job.events.last_event,
             memory=copy.versions.text,
             told=run.reported.version,
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -248,6 +248,8 @@
             self._meters.count_outcome(route.name, "refused")
             self._error_responder.answer_without_body(inc, req.id, 503, exc.retry_after_s)
             return None
+        if req.last_event:
+            log.info("resuming stream", id=req.id, resumes=req.resumes, after_event=req.last_event)
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
         self._budgets.note_request(name)
@@ -606,6 +608,7 @@
             id=job.req.id,
             after=outcome.value,
             replica=replica.name,
+            software=replica.software,
             sends=job.sends,
             last_event=job.events.last_event,
         )
--- a/packages/gateway/src/gradelug_gateway/store_updates.py
+++ b/packages/gateway/src/gradelug_gateway/store_updates.py
@@ -190,6 +190,7 @@
             leaving=rep.leaving,
             slots=rep.slots,
             born=rep.born,
+            software=rep.software,
         )
 
 
@@ -301,4 +302,5 @@
         leaving=fact.leaving,
         slots=fact.slots,
         born=fact.born,
+        software=fact.software or known.software,
     )
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -127,6 +127,13 @@
         assert Holding(AdapterKey("m", "a3"), 2) in replica.holdings
         assert replica.cached == {Holding(AdapterKey("m", "a9"), 1)}
 
+    @pytest.mark.parametrize(
+        ("stated", "software"), [("v1.1", "v1.1"), (3, "3"), (None, ""), ("", "")]
+    )
+    def test_the_software_version_of_a_replica_is_decoded(self, stated, software):
+        rep = PlatformEntries().read(entry("servers/e", {**SERVER, "Version": stated}))
+        assert rep.software == software
+
     def test_a_newest_version_is_decoded(self):
         version = PlatformEntries().read(
             entry("op/version/m.a3", {"Model": "m", "Adapter": "a3", "Version": 5})
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -51,6 +51,17 @@
         assert found.value("yields") == "True"
         assert found.value("replica") == "-"
 
+    def test_it_tells_which_software_began_a_stream_and_which_resumed_it(self):
+        logs = [
+            line(f"{DAY}01", "i-1", "placed", id="q1", replica="e-1", software="v1", after_event=0),
+            line(f"{DAY}02", "i-2", "resuming stream", id="q2", resumes="q1", after_event=7),
+            line(f"{DAY}02", "i-2", "placed", id="q2", replica="e-2", software="v2", after_event=7),
+        ]
+        found = judge("q2", logs)
+        assert (found.value("resumes"), found.value("after_event")) == ("q1", "7")
+        assert found.value("software") == "v2"
+        assert judge(found.value("resumes"), logs).value("software") == "v1"
+
     def test_it_tells_that_replicas_rested_and_for_how_long(self):
         logs = [
             line(f"{DAY}01", "i", "not sent", id="q", replica="e", why="it rests", rest_s=2.5),
