--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -51,8 +51,9 @@
         self.has_ended = False
         self.server = world.net.serve(address, self.serve, ServerLimits, world.clock)
 
-    async def register(self):
-        data = {
+    def entry(self):
+        """Return its entry in the store."""
+        return {
             "Backend": "llm",
             "Address": self.address,
             "Zone": "z",
@@ -60,7 +61,13 @@
             "State": "ready",
             "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
         }
-        value = json.dumps(data).encode()
+
+    def event(self, number):
+        """Return one event of its streams."""
+        return b"id: %d\ndata: x\n\n" % number
+
+    async def register(self):
+        value = json.dumps(self.entry()).encode()
         await self.world.retry_write(lambda: self.world.kv.swap(f"servers/{self.name}", value, 0))
 
     def headers(self, ident):
@@ -85,7 +92,7 @@
                 return
             for number in range(first, EVENTS + 1):
                 await asyncio.sleep(EVENT_S)
-                await inc.send(b"id: %d\ndata: x\n\n" % number)
+                await inc.send(self.event(number))
                 if inc.body == SLOW_POISON and number == first + 2:
                     self.end(inc.body)
                     return
