Continue an answer only on engines of the software version that began it

Callers saw streams whose events came from two software versions of an engine, which do not fit together. After a break a retry, a copy of the run's memory or a move took any engine of the service: nothing read the version.

From the first event a request is bound to the version of its engine. One predicate, Job.accepts, restricts every choice: known engines, the planner's choice and its loads (Ask.software), plain replicas, copies and moves; the sender checks it again just before it sends, so a choice that was forgotten ends as a failed attempt and not as a joined stream. Versions are compared for equality only; engines without one equal each other.

--- a/packages/gateway/src/gradelug_gateway/backoff_check.py
+++ b/packages/gateway/src/gradelug_gateway/backoff_check.py
@@ -8,6 +8,7 @@
 from .exceptions import Refused
 from .fleet import Fleet
 from .job import Job
+from .software_check import accepted_candidates
 
 
 def check_backoff(fleet: Fleet, job: Job) -> None:
@@ -25,6 +26,6 @@
     Refused
         With the time until the first of these backoffs ends.
     """
-    rest_s = fleet.rest_s(job.service.name, job.candidates())
+    rest_s = fleet.rest_s(job.service.name, accepted_candidates(fleet, job))
     if rest_s:
         raise Refused("its replicas rest", rest_s)
--- a/packages/gateway/src/gradelug_gateway/copy_targets.py
+++ b/packages/gateway/src/gradelug_gateway/copy_targets.py
@@ -69,7 +69,7 @@
             return None
         service, key = source.service, job.req.key
         holders = self._weights.holders(service, versions, key) if key is not None else []
-        usable = self._fleet.usable(service)
+        usable = [rep for rep in self._fleet.usable(service) if rep.software == source.software]
         if len(usable) > MAX_SAMPLED_REPLICAS:
             usable = self._rng.sample(usable, MAX_SAMPLED_REPLICAS)
         held = {rep.name for rep in holders}
@@ -82,7 +82,9 @@
                 rep.hall == source.hall,
             )
             for rep in (*holders, *usable)
-            if rep.name != source.name and self._fleet.health(rep.name).circuit.allows(now)
+            if rep.name != source.name
+            # Runs do not go on from memory that another software version computed.
+            and rep.software == source.software and self._fleet.health(rep.name).circuit.allows(now)
             # A rate-limited engine would delay the resumed run.
             and self._fleet.limits.rate(rep.name) is None
             and not self._fleet.rests.remaining_s(rep)
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -172,6 +172,7 @@
         only: t.Container[str] | None,
         absent: str,
         known: Replica | None = None,
+        software: str | None = None,
     ) -> Replica:
         """Return a replica on which weights can be used.
 
@@ -192,6 +193,8 @@
         known : Replica or None
             Replica that can run the request according to local state; used if the planner may be
             lost.
+        software : str or None
+            Software version that the replica must have; None for any.
 
         Raises
         ------
@@ -202,7 +205,11 @@
         if known is None and not absent and self._fleet.is_scoped and not link.is_connected:
             # No planner sends the locations of weights that were not used here; replicas report
             # them later.
-            reported = self._fleet.self_reported_holders(service, key)
+            reported = [
+                rep
+                for rep in self._fleet.self_reported_holders(service, key)
+                if software is None or rep.software == software
+            ]
             known = self._fleet.choose(reported, excluded, only, wish.work)
         while True:
             self._ticket += 1
@@ -226,6 +233,7 @@
                 only=_first(only),
                 absent=absent,
                 doubted=self._fleet.doubted(),
+                software=software,
             )
             try:
                 answer = await link.ask(
@@ -249,8 +257,11 @@
             if not answer.replica:
                 raise Refused(answer.reason, answer.retry_after_ms / 1000 or REFUSAL_RETRY_AFTER_S)
             replica = self._fleet.state.replicas.get(answer.replica)
-            if replica is not None and self._fleet.is_unavailable(replica):
-                # The planner is not aware that the replica is unavailable.
+            if replica is not None and (
+                self._fleet.is_unavailable(replica)
+                or (software is not None and replica.software != software)
+            ):
+                # The planner is not aware that the replica must not run the request.
                 excluded = {*excluded, replica.name}
             elif replica is not None:
                 if answer.has_room:
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import typing as t
 from dataclasses import dataclass
 from enum import Enum
 
@@ -10,7 +9,7 @@
 from gradelug_policy.prefill import RequestWork
 
 from .fingerprints import fingerprint
-from .model import KvCopy, Repeat, Request, Route, Service
+from .model import KvCopy, Repeat, Replica, Request, Route, Service
 from .organisations import Principal
 from .quotas import Charge
 from .streams import EventAssembler
@@ -108,6 +107,7 @@
         "principal",
         "rank",
         "req",
+        "software",
         "has_capacity_elsewhere",
         "capacity_retry_s",
         "route",
@@ -160,6 +160,9 @@
         """Time until the replica that last denied it has capacity, in seconds."""
         self.has_capacity_elsewhere = False
         """Whether another replica had capacity when it was denied."""
+        self.software: str | None = None
+        """Software version of the replica that began its stream; None before the first event.
+        Events of two versions do not fit together, so the stream may only go on at this one."""
         self.sends = 0
         self.may_have_run = False
         """Whether a replica may have run it although no response arrived."""
@@ -191,10 +194,14 @@
         if self.charge is not None and self.is_unrun:
             self.charge.refund()
 
+    def accepts(self, replica: Replica) -> bool:
+        """Return whether a replica has the software version that began the stream, if any did."""
+        return self.software is None or replica.software == self.software
+
     def may_repeat(self) -> bool:
         """Return whether the route allows a retry after the request may have run."""
         return self.route.repeat is not Repeat.NEVER
 
-    def candidates(self) -> t.Container[str] | None:
+    def candidates(self) -> set[str] | None:
         """Return the names of the replicas to which it may still be sent; None for any."""
         return self.tried if len(self.tried) >= self.route.max_replicas else None
--- a/packages/gateway/src/gradelug_gateway/plain_placement.py
+++ b/packages/gateway/src/gradelug_gateway/plain_placement.py
@@ -185,7 +185,9 @@
     def _available(self, job: Job) -> list[Replica]:
         """Return the usable replicas of a request's service that are not in backoff."""
         usable = self._fleet.usable(job.service.name)
-        return [rep for rep in usable if not self._fleet.rests.remaining_s(rep)]
+        return [
+            rep for rep in usable if job.accepts(rep) and not self._fleet.rests.remaining_s(rep)
+        ]
 
     def _choose(self, job: Job) -> Replica | None:
         usable = self._available(job)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -408,7 +408,7 @@
         if message.cancelled:
             self._queue.cancel(follower, set(message.cancelled))
         for ask in message.asks:
-            self._handle_ask(Waiter(follower, ask, now), now)
+            self._handle_ask(Waiter(follower, ask, now, self._software_of), now)
         self.schedule_decision()
 
     def _handle_ask(self, waiter: Waiter, now: float) -> None:
@@ -545,12 +545,18 @@
         waiter.answer(name, slot.version, load, work.kept_tokens, standing, has_room)
         return True
 
+    def _software_of(self, name: str) -> str:
+        engine = self.engines.get(name)
+        return engine.replica.software if engine is not None else ""
+
     def _holders(self, waiter: Waiter) -> t.Collection[tuple[str, Engine]]:
         """Return engines that may hold a request's weights, a sample if there are many."""
         if len(self.engines) <= MAX_UNSAMPLED_HOLDERS:
             # In a fixed order: among equals the first is filled first, and others stay free.
             return self.engines.items()
         holders = self.index.engines_holding(waiter.key)
+        if waiter.software is not None:
+            holders = {name: engine for name, engine in holders.items() if waiter.may_use(name)}
         if len(holders) <= MAX_UNSAMPLED_HOLDERS:
             return holders.items()
         if waiter.ask.only in holders:
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -435,10 +435,11 @@
         if not reply.handle:
             return None
         known = self._fleet.state.replicas.get(source.name)
-        if reply.outcome is MoveOutcome.COPIED and (known is None or known.leaving):
+        is_copied = reply.outcome is MoveOutcome.COPIED and target.software == source.software
+        if is_copied and (known is None or known.leaving):
             return KvCopy(KvCopyKind.MOVED, source.address, reply.handle, target, run.versions)
         # The engine held the weights until it stopped the run; they may be replaced from now on.
-        elsewhere = target if reply.outcome is MoveOutcome.COPIED else None
+        elsewhere = target if is_copied else None
         return KvCopy(
             KvCopyKind.STOPPED,
             source.address,
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -325,7 +325,15 @@
         return await self._lasting.weights.is_usable(job, job.copy)
 
     def _unavailable_outcome(self, job: Job, replica: Replica) -> Outcome | None:
-        """Return the outcome if a replica is leaving or in backoff, otherwise None."""
+        """Return the outcome if a replica must not get the request now, otherwise None."""
+        if not job.accepts(replica):
+            log.info(
+                "not sent",
+                id=job.req.id,
+                replica=replica.name,
+                why=f"it runs software {replica.software!r}, not {job.software!r}",
+            )
+            return Outcome.NOT_SENT
         if self._fleet.state.is_leaving(replica):
             log.info(
                 "not sent", id=job.req.id, replica=replica.name, why="the replica is shutting down"
@@ -516,6 +524,8 @@
                     exchange.run, self._dialect.read_event_version(events)
                 )
                 self._lasting.note_event(exchange.run)
+            if job.software is None:
+                job.software = exchange.replica.software
             if not job.inc.started:
                 job.inc.begin(head.status, end_to_end(head.headers))
             await job.inc.send(events)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -32,6 +32,7 @@
 from .runs import RunRecovery
 from .sending import Sender
 from .share_tally import UsageTally
+from .software_check import accepted_candidates, check_software
 from .stream_requests import started_stream_request
 from .values import RequestValuation, attempt_digest
 from .wait_policy import WaitPolicy
@@ -330,6 +331,7 @@
         job.is_chosen_locally = False
         if job.copy is not None and key is not None:
             return await self._place_at_kv_copy(job, job.copy, key)
+        check_software(self._fleet, job)
         check_backoff(self._fleet, job)
         if job.service.engine is not None and key is not None:
             return await self._place_weights(job, key)
@@ -341,7 +343,7 @@
             raise Refused("the prompt exceeds the memory of every engine", OVERSIZED_RETRY_AFTER_S)
         known = None
         if not job.absent:
-            holders = self._fleet.holders(job.service.name, key)
+            holders = filter(job.accepts, self._fleet.holders(job.service.name, key))
             known = self._fleet.choose(
                 holders, job.excluded, job.candidates(), job.work, job.may_repeat()
             )
@@ -349,7 +351,8 @@
                 job.is_chosen_locally = True
                 return known
         excluded = {*job.excluded, *self._fleet.resting(job.service.name, key)}
-        return await self._ask_planner(job, key, excluded, job.candidates(), known)
+        only = accepted_candidates(self._fleet, job)
+        return await self._ask_planner(job, key, excluded, only, known)
 
     async def _ask_planner(
         self,
@@ -382,6 +385,7 @@
             only=only,
             absent=job.absent,
             known=known,
+            software=job.software,
         )
         job.absent = ""
         return replica
@@ -404,6 +408,10 @@
     async def _place_at_kv_copy(self, job: Job, copy: KvCopy, key: AdapterKey) -> Replica:
         """Return the engine that holds a run's saved KV cache, once it has the weights loaded."""
         holder = copy.holder
+        if not job.accepts(holder):
+            raise Refused(
+                "the engine with the saved KV cache runs other software", DEFAULT_RETRY_AFTER_S
+            )
         rest_s = self._fleet.rests.remaining_s(holder)
         if rest_s > MAX_BACKOFF_WAIT_S:
             raise Refused("the engine with the saved KV cache is in backoff", rest_s)
--- a/packages/gateway/src/gradelug_gateway/wait_policy.py
+++ b/packages/gateway/src/gradelug_gateway/wait_policy.py
@@ -68,6 +68,7 @@
             rep.name != replica.name
             and rep.name not in job.excluded
             and (only is None or rep.name in only)
+            and job.accepts(rep)
             and self._fleet.limits.rate(rep.name) is None
             and not self._fleet.rests.remaining_s(rep)
             for rep in self._fleet.usable(job.service.name)
--- a/packages/gateway/src/gradelug_gateway/weight_queue.py
+++ b/packages/gateway/src/gradelug_gateway/weight_queue.py
@@ -54,9 +54,12 @@
         The request, as received.
     now : float
         Current time by the event loop's clock.
+    software_of : callable
+        Returns the software version of an engine, given its name.
     """
 
     __slots__ = (
+        "_software_of",
         "ask",
         "asked_at",
         "follower",
@@ -67,7 +70,14 @@
         "work",
     )
 
-    def __init__(self, follower: Follower, ask: pb.Ask, now: float) -> None:
+    def __init__(
+        self,
+        follower: Follower,
+        ask: pb.Ask,
+        now: float,
+        software_of: t.Callable[[str], str] = lambda name: "",
+    ) -> None:
+        self._software_of = software_of
         self.follower = follower
         self.waits_for_capacity = False
         """Whether its weights are loaded and it waits only for capacity at their engine."""
@@ -79,8 +89,15 @@
         chain = decode_chain(self.key.text, ask.prefixes)
         self.work = RequestWork(ask.prompt_tokens, ask.rank, ask.answer_tokens, chain)
 
+    @property
+    def software(self) -> str | None:
+        """Software version of the engines that may run the request; None for any."""
+        return self.ask.software if self.ask.HasField("software") else None
+
     def may_use(self, replica: str) -> bool:
         """Return whether the request may run at a replica."""
+        if self.software is not None and self._software_of(replica) != self.software:
+            return False
         if self.ask.only:
             return replica == self.ask.only
         return replica not in self.ask.excluded
@@ -244,7 +261,7 @@
         self.waiters = [waiter for waiter in self.waiters if waiter.follower is not follower]
 
     def by_urgency(self, now: float, load_s: float) -> list[Waiter]:
-        """Return one waiter for each kind of weights, the most urgent first.
+        """Return one waiter for each kind of weights and software, the most urgent first.
 
         Parameters
         ----------
@@ -253,14 +270,14 @@
         load_s : float
             Expected time of a load, in seconds.
         """
-        wanted: dict[AdapterKey, Waiter] = {}
+        wanted: dict[tuple[AdapterKey, str | None], Waiter] = {}
         urgency: dict[AdapterKey, float] = Counter()  # type: ignore[assignment]
         for waiter in self.waiters:
             if waiter.waits_for_capacity:
                 continue
-            wanted.setdefault(waiter.key, waiter)
+            wanted.setdefault((waiter.key, waiter.software), waiter)
             urgency[waiter.key] += _gain(waiter, now, load_s)
-        for key in wanted:
+        for key in list(urgency):
             urgency[key] += DEMAND_HORIZON_S * self._popularity.rate(key.text, now)
         return sorted(wanted.values(), key=lambda waiter: -urgency[waiter.key])
 
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -68,8 +68,10 @@
         counts = self.uses.setdefault((replica, key), [0])
         counts.append(counts[-1] + change)
 
-    async def place(self, service, key, *, wish, excluded, only, absent, known=None):
+    async def place(self, service, key, *, wish, excluded, only, absent, known=None, software=None):
         for rep in self._fleet.usable(service):
+            if software not in (None, rep.software):
+                continue
             if rep.name not in excluded and (only is None or rep.name in only):
                 engine = self._world.engines[rep.name]
                 if engine.lacks(key):
@@ -109,6 +111,8 @@
         self.ledger = Ledger()
         self.handles = itertools.count()
         self.engines = {}
+        self.software = {}
+        """Software versions of engines that have one, by name."""
         shares = (Share("llm", 1.0),)
         route = Route("r", "h", "/", shares, True, repeat, 20.0, 0.5, 0.3, replicas, 0)
         self.state = FleetState()
@@ -180,7 +184,13 @@
         base = {MODEL: engine.base} if engine.base else {}
         held = tuple(Holding(*item) for item in (base | engine.holds).items())
         self.state.replicas[engine.name] = Replica(
-            engine.name, "llm", engine.address, "hall", leaving, holdings=held
+            engine.name,
+            "llm",
+            engine.address,
+            "hall",
+            leaving,
+            holdings=held,
+            software=self.software.get(engine.name, ""),
         )
         self.state.change += 1
 
@@ -197,6 +207,12 @@
             if engine.lacks(key) and engine.version(key) and not engine.dead:
                 engine.start(engine.unload_older(key))
 
+    def set_software(self, versions):
+        """Set the software versions of engines, by name."""
+        self.software = versions
+        for name in versions:
+            self.enter(self.engines[name])
+
     def leave(self, engine):
         if self.state.replicas.pop(engine.name, None) is not None:
             self.state.change += 1
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import random
+from unittest import mock
 
-from run_world import run
+import pytest
+from gradelug_gateway import runs as runs_module
+from gradelug_gateway.model import Repeat
+from run_world import RunWorld, run, runner
 from version_world import VersionWorld
 
 STREAMS = 90
@@ -38,6 +42,12 @@
     return first, rng.randrange(first + 1, 9)
 
 
+async def crash_engines(world):
+    while True:
+        await asyncio.sleep(1.3)
+        world.crash()
+
+
 async def reset_engines(world):
     while True:
         await asyncio.sleep(0.7)
@@ -57,15 +67,50 @@
 
 class TestOneAnswer:
     # An engine was chosen for the rest of an answer without regard to its software.
-    def test_an_answer_continues_on_an_engine_of_another_software_version(self):
+    @pytest.mark.parametrize("disturb", [reset_engines, crash_engines])
+    def test_an_answer_continues_on_an_engine_of_another_software_version(self, disturb):
         async def scenario():
             async with VersionWorld() as world:
-                await play(world, stays, reset_engines)
+                await play(world, stays, disturb)
                 check(world)
 
         run(scenario)
 
 
+class TestCopiesOfRuns:
+    # Memory was sent to engines of any software version, and runs went on from it.
+    @pytest.mark.parametrize("repeat", [Repeat.NEVER, Repeat.RESUME])
+    @pytest.mark.parametrize("others", [("v2", "v1"), ("v2", "v2")])
+    def test_a_run_moves_to_an_engine_of_another_software_version(self, repeat, others):
+        async def scenario():
+            world = RunWorld(repeat=repeat)
+            world.handover._drain_s = 0.5
+            world.set_software(dict(zip(("s0", "s1", "s2"), ("v1", *others), strict=True)))
+            world.ask("q1")
+            await asyncio.sleep(0.67)
+            first = runner(world, "q1")
+            assert first.name == "s0"
+            first.notice(0.5)
+            await asyncio.sleep(0.6)
+            found = world.engines_running("q1")
+            assert [engine.name for engine in found] == (["s2"] if "v1" in others else [])
+            assert not any(engine.kept for engine in world.engines.values() if engine.name == "s1")
+
+        run(scenario)
+
+    def test_a_run_is_copied_to_an_engine_of_another_software_version(self):
+        async def scenario():
+            world = RunWorld()
+            world.set_software({"s0": "v1", "s1": "v2", "s2": "v1"})
+            world.ask("q1")
+            await asyncio.sleep(0.67)
+            assert runner(world, "q1").name == "s0"
+            assert [engine.name for engine in world.engines.values() if engine.kept] == ["s2"]
+
+        with mock.patch.object(runs_module, "should_copy", return_value=True):
+            run(scenario)
+
+
 class TestResumedStreams:
     # The instance that a caller resumes its stream at did not know which software began it.
     def test_a_resumed_stream_continues_on_an_engine_of_another_software_version(self):
