Resume a caller's stream at the software version that began it, at any instance

The instance asked had not begun the stream, read no `Resumes`, and took any engine.

Each instance records where it sends a resumable stream, before its first event. While several versions serve, or a route is split, it reports that to the coordinating planner with its usual messages; the planner answers questions, forwards the streams of its own instance to all, and stores all of them in entries that expire with their leases. A request that names an attempt in `Resumes` is bound to the service and version found; if only one version has served for as long as a stream can last, that one is no guess; otherwise it is rejected as not run. Entries end with the caller's deadline, 60 s at most; with one version nothing is reported or stored.

The test world left requests of a killed instance running, which mixed versions where no instance would: these are cancelled with it now.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -51,6 +51,7 @@
 from .limits import ReplicaLimits
 from .metrics import GatewayMetrics
 from .model import FleetState, Replica
+from .origin_record import OriginRecord
 from .parts import GatewayExtension
 from .placement import PlacementService, PlannerRole
 from .planner import Planner
@@ -71,6 +72,7 @@
 from .shared_health import OutcomeReporter
 from .startup_progress import StartupProgress, startup_checks
 from .store_updates import PUBLISHER_POLL_INTERVAL_S, StoreSubscriber
+from .stream_origins import OriginReporter, StreamOrigins
 
 log = logbook.Logger("daemon")
 ENGINES_PREFIX = "gradelug/engines/"
@@ -224,6 +226,7 @@
         has_poison_guard = Feature.POISON_GUARD in settings.features
         if has_poison_guard:
             self._mirror.subscribe(self._poison.poll)
+        self._origin_record = OriginRecord(kv, self._mirror, self._clock)
         self._directory = Directory(
             settings.name,
             settings.addresses.peers,
@@ -253,6 +256,7 @@
             self._fleet,
             transport,
             self._poison,
+            lambda: self._origins,
             self._access.monitor,
             self._clock,
             self._rng,
@@ -267,6 +271,14 @@
         self._gateway_count = GatewayCount(bounds.retry_window_s)
         self._meters = GatewayMetrics()
         self._usage_tally = UsageTally(self._clock, self._meters, self._has_organisations)
+        self._origins = StreamOrigins(
+            self._state,
+            self._origin_record,
+            lambda: self._directory.link_to(self._state.coordinating_service),
+            self._meters,
+            self._clock,
+        )
+        has_origins = Feature.STREAM_ORIGINS in settings.features
         run_recovery = self._handover = None
         if runs is not None and Feature.LASTING_RUNS in settings.features:
             run_recovery = RunRecovery(
@@ -304,6 +316,7 @@
             self._poison.ends if has_poison_guard else None,
             self._mark_leaving,
             Feature.BRITTLE_REPLICAS in settings.features,
+            self._origins if has_origins else None,
         )
         self._pipeline = RequestPipeline(
             dialect,
@@ -320,6 +333,7 @@
             Feature.SHARED_HEALTH in settings.features,
             run_recovery,
             self._usage_tally,
+            self._origins if has_origins else None,
         )
         self._caller_server = EarlyServer(
             self._pipeline.serve, self._limits, self._clock, settings.unread_bytes, pool
@@ -375,6 +389,8 @@
         self._tasks.start(self._upkeep(), "upkeep")
         self._tasks.start(self._startup_progress.run(), "standing")
         self._tasks.start(self._poison.record.run(), "poison record")
+        if Feature.STREAM_ORIGINS in self.settings.features:
+            self._tasks.start(self._origin_record.run(), "stream origins")
         if Feature.PEER_TUNNELS in self.settings.features:
             self._tasks.start(self._access.key.run(), "tunnel key")
             self._tasks.start(self._access.dialer.run(), "path probes")
@@ -427,6 +443,7 @@
         for rep in self._fleet.detect_restarts():
             # Connections to the previous process are closed.
             self._pool.doubt(rep.address, self._clock())
+        self._origins.observe()
         snapshot = self._state.snapshot
         if snapshot is None:
             return
@@ -459,6 +476,8 @@
             yield UsageReporter(service, self._usage_tally, self._clock)
         if Feature.POISON_GUARD in self.settings.features:
             yield self._poison.reporter(service)
+        if Feature.STREAM_ORIGINS in self.settings.features:
+            yield OriginReporter(self._origins, lambda: self._state.coordinating_service == service)
         if Feature.REPLICA_LIMITS in self.settings.features:
             yield self._new_limit_client(service)
         if Feature.PEER_TUNNELS in self.settings.features:
@@ -550,6 +569,7 @@
             self._fleet.forget_gone()
             self._access.monitor.refresh()
             self._pipeline.forget_gone()
+            self._origins.prune()
             if self._run_recovery is not None:
                 self._run_recovery.forget_removed_engines()
             for pool in self._replica_pools:
--- a/packages/gateway/src/gradelug_gateway/follower.py
+++ b/packages/gateway/src/gradelug_gateway/follower.py
@@ -41,6 +41,7 @@
         "knows_store",
         "listed_revision",
         "number",
+        "origin_answers",
         "outbox",
         "peers_sent_at",
         "pending",
@@ -64,6 +65,7 @@
         self.answers: list[pb.Answer] = []
         self.quota_answers: list[pb.QuotaAnswer] = []
         self.room_answers: list[pb.RoomAnswer] = []
+        self.origin_answers: list[pb.OriginAnswer] = []
         self.echo = pb.Echo()
         """Send time of the gateway's newest message by its own clock, and receive time by the local
         clock."""
@@ -118,6 +120,12 @@
         del self.room_answers[:-MAX_QUEUED_ANSWERS]
         self.wake.set()
 
+    def queue_origin_answer(self, answer: pb.OriginAnswer) -> None:
+        """Queue an answer to a question for the origin of a stream."""
+        self.origin_answers.append(answer)
+        del self.origin_answers[:-MAX_QUEUED_ANSWERS]
+        self.wake.set()
+
     def queue_message(self, message: pb.FromPlanner) -> None:
         """Queue a message to be sent without merging."""
         self.outbox.append(message)
@@ -132,15 +140,17 @@
     def take_messages(self) -> list[pb.FromPlanner]:
         """Return and clear the messages to send, answers first."""
         messages, self.outbox = self.outbox, []
-        if self.answers or self.quota_answers or self.room_answers:
+        if self.answers or self.quota_answers or self.room_answers or self.origin_answers:
             first = pb.FromPlanner(
                 answers=self.answers,
                 quota_answers=self.quota_answers,
                 room_answers=self.room_answers,
+                origin_answers=self.origin_answers,
                 active=True,
             )
             messages.insert(0, first)
             self.answers, self.quota_answers, self.room_answers = [], [], []
+            self.origin_answers = []
         update = self.pending.take(self)
         if update is not None:
             messages.append(update)
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -189,6 +189,11 @@
         """Whether it has certainly not run and no attempt is in progress that may run it."""
         return not (self.may_have_run or self.failure is not None or self.inc.started)
 
+    @property
+    def owner(self) -> str:
+        """Name of the organisation that owns it, empty if there is none."""
+        return self.principal.organisation.name if self.principal is not None else ""
+
     def give_back(self) -> None:
         """Refund its quota charge if it has not run."""
         if self.charge is not None and self.is_unrun:
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -50,6 +50,7 @@
         "_first_event_ratio",
         "_registry",
         "_resumed_runs",
+        "_stream_origins",
     )
 
     def __init__(self) -> None:
@@ -136,6 +137,12 @@
             ["weights"],
             registry=self._registry,
         )
+        self._stream_origins = Counter(
+            "gradelug_stream_origins",
+            "Streams resumed by their callers, by where the software that began them was found",
+            ["source"],
+            registry=self._registry,
+        )
         self._first_event_ratio = Histogram(
             "gradelug_first_event_ratio",
             "Actual time to the first event of a stream, divided by the expected time",
@@ -199,6 +206,10 @@
         """Count the end of an abandoned run, which its engine may have continued."""
         self._abandoned_runs.labels(end).inc()
 
+    def count_stream_origin(self, source: str) -> None:
+        """Count a stream that its caller resumes, by where its origin was found."""
+        self._stream_origins.labels(source).inc()
+
     def observe_estimate(self, route: str, actual_s: float, expected_s: float) -> None:
         """Record actual and expected time from sending to the first event, in seconds."""
         self._first_event_error.observe(abs(actual_s - expected_s))
--- a/packages/gateway/src/gradelug_gateway/pending.py
+++ b/packages/gateway/src/gradelug_gateway/pending.py
@@ -100,6 +100,7 @@
     _keep_newest(old.speeds, merged.speeds)
     _keep_newest(old.limits, merged.limits)
     _keep_newest(old.leaving, merged.leaving)
+    merged.streams.extend(old.streams)
     if old.HasField("poison") and not new.HasField("poison"):
         merged.poison.CopyFrom(old.poison)
     return merged
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -40,6 +40,7 @@
 from .loader import DEFAULT_VERSION, Loader, PlannedLoad
 from .maintenance import MAX_PREFILL_FRACTION_PER_COPY, Maintenance
 from .model import AdapterKey, EngineSpec, FleetState, PlannerTerm, ReportedLoad
+from .origin_desk import OriginCollector
 from .pacing import MAX_PLACEMENT_STATE_AGE_S
 from .parts import PlannerExtension
 from .poison_desk import PoisonAggregator
@@ -124,6 +125,8 @@
         Detects requests that crash replicas, if given.
     departures : DepartureForwarder or None
         Distributes which replicas have announced that they are leaving, if given.
+    origins : OriginCollector or None
+        Answers which software version began a stream, if given.
     """
 
     def __init__(
@@ -142,6 +145,7 @@
         room: EngineEstimator | None = None,
         poison: PoisonAggregator | None = None,
         departures: DepartureForwarder | None = None,
+        origins: OriginCollector | None = None,
     ) -> None:
         self.service = service
         self.term: PlannerTerm | None = None
@@ -172,6 +176,7 @@
             *((poison,) if poison is not None else ()),
             *((self.limits,) if Feature.REPLICA_LIMITS in features else ()),
             *((departures,) if departures is not None else ()),
+            *((origins,) if origins is not None else ()),
         )
         """Components that exchange further messages with the gateways."""
         if room is not None:
--- a/packages/gateway/src/gradelug_gateway/planner_factory.py
+++ b/packages/gateway/src/gradelug_gateway/planner_factory.py
@@ -14,6 +14,7 @@
 from .fleet import Fleet
 from .link_monitor import LinkMonitor
 from .model import EngineSpec
+from .origin_desk import OriginCollector
 from .placement import PlannerRole
 from .planner import Planner
 from .poison_control import PoisonControl
@@ -21,6 +22,7 @@
 from .relay import OrderRelay
 from .settings import Feature, GatewaySettings
 from .store_updates import StorePublisher
+from .stream_origins import StreamOrigins
 
 DUTY_PREFIX = "gradelug/planner/"
 LEASE_TTL_S = 1.2
@@ -56,6 +58,8 @@
         Sends orders to engines.
     poison : PoisonControl
         Detects requests that crash replicas.
+    origins : callable
+        Returns the origins of streams that this instance has recorded.
     links : LinkMonitor
         Services from whose replicas this instance is cut off.
     clock : callable
@@ -75,6 +79,7 @@
         "_kv",
         "_links",
         "_mirror",
+        "_origins",
         "_poison",
         "_rng",
         "_settings",
@@ -91,6 +96,7 @@
         fleet: Fleet,
         transport: OrderTransport,
         poison: PoisonControl,
+        origins: t.Callable[[], StreamOrigins],
         links: LinkMonitor,
         clock: t.Callable[[], float],
         rng: random.Random,
@@ -104,6 +110,7 @@
         self._fleet = fleet
         self._transport = transport
         self._poison = poison
+        self._origins = origins
         self._links = links
         self._clock = clock
         self._rng = rng
@@ -153,6 +160,7 @@
         )
         has_poison_guard = Feature.POISON_GUARD in features
         has_departures = Feature.SAID_DEPARTURES in features
+        has_origins = Feature.STREAM_ORIGINS in features
         return Planner(
             service,
             settings.name,
@@ -168,8 +176,13 @@
             estimator.with_separate_slowness() if estimator is not None else None,
             self._poison.aggregator(service) if has_poison_guard else None,
             DepartureForwarder(service, self._feed) if has_departures else None,
+            self._new_origin_collector() if has_origins else None,
         )
 
+    def _new_origin_collector(self) -> OriginCollector:
+        origins = self._origins()
+        return OriginCollector(origins.record, origins.history, self._settings.name, self._clock())
+
     def _engine_spec(self, service: str) -> EngineSpec:
         snapshot = self._fleet.state.snapshot
         found = snapshot.services.get(service) if snapshot is not None else None
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -39,6 +39,7 @@
 from .response_wait import ReplicaSilent, ResponseWaiter
 from .run_weights import expected_version
 from .runs import RunRecovery
+from .stream_origins import StreamOrigins
 
 log = logbook.Logger("sending")
 CONNECT_TIMEOUT_S = 0.35
@@ -86,6 +87,8 @@
         Called with each replica whose response announces that it is shutting down.
     is_brittleness_on : bool
         Whether replicas that report to be brittle get fewer requests.
+    origins : StreamOrigins or None
+        Records which software begins each stream; None disables that.
     """
 
     __slots__ = (
@@ -99,6 +102,7 @@
         "_lasting",
         "_meters",
         "_note_leaving",
+        "_origins",
         "_pool",
         "_max_idle_s",
         "_waiter",
@@ -119,7 +123,9 @@
         ends: EndDetector | None = None,
         note_leaving: t.Callable[[Replica], None] = lambda replica: None,
         is_brittleness_on: bool = True,
+        origins: StreamOrigins | None = None,
     ) -> None:
+        self._origins = origins
         self._brittleness = BrittlenessTracker(
             fleet.state,
             fleet.limits,
@@ -240,6 +246,9 @@
         exchange = Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
         if self._lasting is not None and self._lasting.is_recoverable(job):
             exchange.run = self._lasting.begin(job, replica)
+        if self._origins is not None:
+            # Before the first event: others must know of it even if this instance is lost then.
+            self._origins.note_sent(job, replica)
         load.starting += 1
         load.queued[work.urgency] += work.prefill_tokens
         load.memory += work.memory_tokens
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -33,6 +33,7 @@
 from .sending import Sender
 from .share_tally import UsageTally
 from .software_check import accepted_candidates, check_software
+from .stream_origins import StreamOrigins
 from .stream_requests import started_stream_request
 from .values import RequestValuation, attempt_digest
 from .wait_policy import WaitPolicy
@@ -50,6 +51,8 @@
 """Retry-After of a request that exceeds every engine's memory: only other engines could run it."""
 MAX_BACKOFF_WAIT_S = 0.5
 """Longest backoff of its engine that a run waits out; callers wait 2 s for the next event."""
+MAX_LOGGED_ID = 200
+"""Maximum number of characters of an identifier in logs that a caller chose."""
 MAX_SENDS = 6
 """Maximum number of attempts per request, whatever their outcomes."""
 
@@ -87,6 +90,8 @@
         Continues interrupted runs from their saved KV cache; None disables that.
     tally : UsageTally or None
         Counts the engine use of each party.
+    origins : StreamOrigins or None
+        Finds the software that began a resumed stream; None to resume streams at any.
     """
 
     __slots__ = (
@@ -100,6 +105,7 @@
         "_fleet",
         "_lasting",
         "_meters",
+        "_origins",
         "_wait_policy",
         "_plain_placer",
         "_quotas",
@@ -128,7 +134,9 @@
         uses_shared_health: bool = True,
         lasting: RunRecovery | None = None,
         tally: UsageTally | None = None,
+        origins: StreamOrigins | None = None,
     ) -> None:
+        self._origins = origins
         self._tally = tally or UsageTally(clock, meters, lambda: False)
         self._lasting = lasting
         self._dialect = dialect
@@ -181,6 +189,8 @@
         started = self._clock()
         try:
             async with asyncio.timeout_at(job.deadline_at):
+                if job.route.streaming and req.last_event and self._origins is not None:
+                    await self._origins.bind(job)
                 await self._charge(job)
                 try:
                     await self._run(job)
@@ -250,7 +260,12 @@
             self._error_responder.answer_without_body(inc, req.id, 503, exc.retry_after_s)
             return None
         if req.last_event:
-            log.info("resuming stream", id=req.id, resumes=req.resumes, after_event=req.last_event)
+            log.info(
+                "resuming stream",
+                id=req.id,
+                resumes=req.resumes[:MAX_LOGGED_ID],
+                after_event=req.last_event,
+            )
         name = choose_service(route, self._rng)
         service = snapshot.services.get(name) or Service(name, 1)
         self._budgets.note_request(name)
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -48,6 +48,8 @@
     """Instances that lose their links to replicas connect to them through other instances."""
     BRITTLE_REPLICAS = "brittle-replicas"
     """Replicas that fall over when they reject many requests get fewer than they can serve."""
+    STREAM_ORIGINS = "stream-origins"
+    """Resumed streams go on at the software version that began them, at any instance."""
     KEPT_PARTS = "kept-parts"
     """Engines are selected by the prompt prefixes in their caches."""
 
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -212,6 +212,7 @@
         self.front, self.peer = f"10.0.0.{at}:80", f"10.0.0.{at}:81"
         self.tunnels = f"10.0.0.{at}:83"
         self.streams = []
+        self.daemon = None
         self.process = Process(self.name, dead=True)
 
     def start(self):
@@ -261,6 +262,11 @@
         self.world.net.servers.pop(self.tunnels, None)
         for conn in list(self.daemon._access.server.connections):
             conn.abort()
+        for conn in list(self.daemon._caller_server.connections):
+            # Its requests run in the context of the caller.
+            if conn.task is not None:
+                conn.task.cancel()
+            conn.abort()
         for wire in list(self.pool._wires):
             wire.transport.abort()
         for task in list(self.process.tasks):
@@ -277,6 +283,8 @@
     @property
     def is_planner(self):
         """Whether this instance is the planner."""
+        if self.daemon is None:
+            return False
         return any(duty.planner is not None for duty in self.daemon._planner_roles.values())
 
 
@@ -346,7 +354,7 @@
 
     def instance_at(self, address):
         found = [one for one in self.gateways if one.peer == address and not one.process.dead]
-        return found[0] if found else None
+        return found[0] if found and found[0].daemon is not None else None
 
     def spawn(self, coro):
         task = self.loop.create_task(coro)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,12 +1,16 @@
 """Engines of several software versions side by side: streams must not join events of two."""
 
 import asyncio
+import functools
+import itertools
 import random
+from collections import Counter
 from unittest import mock
 
 import pytest
 from gradelug_gateway import runs as runs_module
 from gradelug_gateway.model import Repeat
+from poison_world import Instance
 from run_world import RunWorld, run, runner
 from version_world import VersionWorld
 
@@ -36,6 +40,11 @@
     return ()
 
 
+def drops(rng):
+    """Callers of which half drop their stream once."""
+    return (rng.randrange(1, 9),) if rng.random() < 0.5 else ()
+
+
 def drops_twice(rng):
     """Callers that drop their stream, and the resumed one again."""
     first = rng.randrange(1, 5)
@@ -111,12 +120,161 @@
             run(scenario)
 
 
+async def restart(world, number):
+    world.gateways[number].kill()
+    world.gateways[number] = Instance(world, world.gateways[number].at)
+    await asyncio.sleep(0.5)
+    world.gateways[number].start()
+
+
+async def kill_planners(world):
+    while True:
+        await asyncio.sleep(2.5)
+        planners = [at for at, gateway in enumerate(world.gateways) if gateway.is_planner]
+        for at in planners[:1]:
+            await restart(world, at)
+
+
+async def kill_instances(world):
+    for at in itertools.cycle(range(len(world.gateways))):
+        await asyncio.sleep(2.0)
+        await restart(world, at)
+
+
+async def lose_power(world):
+    await asyncio.sleep(4.0)
+    await world.lose_power()
+
+
+async def lose_store(world):
+    await asyncio.sleep(2.0)
+    world.kv.set_down(True)
+    await asyncio.sleep(5.0)
+    world.kv.set_down(False)
+
+
+async def lose_store_and_planner(world):
+    await asyncio.sleep(2.0)
+    world.kv.set_down(True)
+    await asyncio.sleep(1.0)
+    world.gateways[[gateway.is_planner for gateway in world.gateways].index(True)].kill()
+    await asyncio.sleep(3.0)
+    world.kv.set_down(False)
+
+
 class TestResumedStreams:
     # The instance that a caller resumes its stream at did not know which software began it.
-    def test_a_resumed_stream_continues_on_an_engine_of_another_software_version(self):
+    @pytest.mark.parametrize(
+        "disturb",
+        [None, kill_planners, kill_instances, lose_power, lose_store, crash_engines],
+    )
+    def test_a_resumed_stream_continues_on_an_engine_of_another_software_version(self, disturb):
         async def scenario():
             async with VersionWorld() as world:
-                await play(world, drops_twice)
+                await play(world, drops_twice, disturb)
                 check(world, min_resumed=20)
 
         run(scenario)
+
+    def test_no_resumed_stream_mixes_versions_while_store_and_planner_are_lost(self):
+        async def scenario():
+            async with VersionWorld() as world:
+                await play(world, drops_twice, lose_store_and_planner)
+                assert len(world.mixed()) <= MAX_MIXED
+                assert world.continued_share() >= MIN_CONTINUED
+
+        run(scenario)
+
+    @pytest.mark.parametrize("disturb", [None, kill_planners, lose_power])
+    def test_with_one_version_streams_are_resumed_without_any_record(self, disturb):
+        async def scenario():
+            async with VersionWorld(software=("v1",)) as world:
+                await play(world, drops_twice, disturb)
+                assert world.continued_share() >= 0.9
+                assert not [key for key in world.kv.entries() if "streams" in key]
+
+        run(scenario)
+
+    def test_streams_are_resumed_after_a_power_loss(self):
+        async def scenario():
+            async with VersionWorld() as world:
+                await play(world, stays, lose_power)
+                assert sum(stream.resumed for stream in world.streams) >= 4
+                assert world.continued_share() >= MIN_CONTINUED
+                assert not world.mixed()
+
+        run(scenario)
+
+    def test_new_streams_begin_on_both_versions_evenly(self):
+        async def scenario():
+            async with VersionWorld() as world:
+                await play(world, drops)
+                begun = Counter(stream.events[0][1] for stream in world.streams if stream.events)
+                assert min(begun["v1"], begun["v2"]) >= 0.25 * STREAMS
+
+        run(scenario)
+
+
+class TestResumeHeaders:
+    """Requests that resume a stream in ways that callers may get wrong."""
+
+    async def _resume(self, world, headers):
+        return await world.stream(0, (3,), headers=lambda stream, last: headers % last)
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            b"Last-Event-Id: %d\r\n",
+            b"Last-Event-Id: %d\r\nResumes: nobody\r\n",
+            b"Last-Event-Id: %%d\r\nResumes: %b\r\n" % (b"x" * 8000),
+        ],
+    )
+    def test_a_stream_of_unknown_origin_is_rejected_as_not_run(self, headers):
+        async def scenario():
+            async with VersionWorld() as world:
+                began = world.clock()
+                stream = await self._resume(world, headers)
+                assert stream.statuses[:2] == [200, 503]
+                assert not stream.continued
+                assert world.clock() - began < 6.0
+
+        run(scenario)
+
+    def test_an_unnamed_stream_continues_if_one_version_served(self):
+        async def scenario():
+            async with VersionWorld(software=("v1",)) as world:
+                stream = await self._resume(world, b"Last-Event-Id: %d\r\n")
+                assert stream.is_whole
+
+        run(scenario)
+
+    def test_a_request_without_a_last_event_is_a_new_stream(self):
+        async def scenario():
+            async with VersionWorld() as world:
+                status = await world.ask(world.gateways[0], b"harmless")
+                assert status == 200
+                stream = await self._resume(world, b"Resumes: nobody\r\nX-After: %d\r\n")
+                assert stream.statuses[:2] == [200, 200]
+
+        run(scenario)
+
+    def test_it_is_rejected_at_once_if_no_engine_of_its_version_is_left(self):
+        async def scenario():
+            async with VersionWorld(engines=2) as world:
+                stream = asyncio.create_task(world.stream(0, (3,)))
+                while not (world.streams and len(world.streams[0].events) >= 3):
+                    await asyncio.sleep(0.005)
+                first = world.streams[0].events[0][1]
+                for engine in world.engines.values():
+                    if engine.software == first:
+                        await world.retry_write(functools.partial(world.remove_entry, engine.name))
+                await asyncio.sleep(1.5)
+                began = world.clock()
+                late = await world.stream(0, headers=None)
+                assert late.is_whole
+                assert late.software != {first}
+                found = await stream
+                assert not [software for _, software in found.events if software != first]
+                assert world.clock() - began < 6.0
+
+        run(scenario)
--- a/tests/version_world.py
+++ b/tests/version_world.py
@@ -39,6 +39,8 @@
     continued: int = 0
     """How often a resumed try brought a further event."""
     statuses: list = field(default_factory=list)
+    tries: list = field(default_factory=list)
+    """Identifiers of its tries."""
 
     @property
     def software(self):
@@ -102,16 +104,21 @@
         found = CallerStream("")
         self.streams.append(found)
         until, breaks = self.clock() + deadline_s, list(breaks)
-        for number in range(MAX_TRIES + len(breaks)):
+        for _ in range(MAX_TRIES + len(breaks)):
+            while not self.is_up(at) and self.clock() < until:
+                await asyncio.sleep(RECONNECT_DELAY_S)
+                at += 1
             self.request_count += 1
             ident = f"q{self.request_count}"
+            found.tries.append(ident)
             resume = b""
             if found.events:
                 found.resumed += 1
                 resume = (headers or resume_headers)(found, found.events[-1][0])
             break_after = breaks.pop(0) if breaks else EVENTS
             before = len(found.events)
-            retry_s = await self._try(at + number, ident, resume, found, break_after, until, path)
+            retry_s = await self._try(at, ident, resume, found, break_after, until, path)
+            at += 1
             if not before and found.events:
                 found.id = ident
             if before and len(found.events) > before:
@@ -124,8 +131,6 @@
     async def _try(self, at, ident, resume, found, break_after, until, path):
         """Send one try and read its events; return the pause until the next one."""
         gateway = self.gateways[at % len(self.gateways)]
-        if gateway.process.dead or gateway.front not in self.net.servers:
-            return RECONNECT_DELAY_S
         client = RawClient()
         join(client, self.net.servers[gateway.front]())
         body = b"harmless " + (found.id or ident).encode()
@@ -155,6 +160,16 @@
         wait = _retry_after_re.search(head)
         return float(wait[1]) if wait else RECONNECT_DELAY_S
 
+    async def remove_entry(self, name):
+        """Remove the entry of an engine from the store, as if it had left."""
+        found = self.kv.entries()[f"servers/{name}"]
+        await self.kv.delete(found.key, found.revision)
+
+    def is_up(self, at):
+        """Return whether an instance accepts connections."""
+        gateway = self.gateways[at % len(self.gateways)]
+        return not gateway.process.dead and gateway.front in self.net.servers
+
     def mixed(self):
         """Return the streams that hold events of two software versions."""
         return [stream for stream in self.streams if len(stream.software) > 1]
