--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -22,6 +22,7 @@
     Ledger,
     Proxy,
     ReplicaStandIn,
+    event,
 )
 from gradelug_gateway.model import AdapterKey
 from gradelug_http import (
@@ -33,10 +34,11 @@
     ServerLimits,
 )
 from platform_stand_in import FakeStore
-from soak_parts import Gateway, Keys, free_ports
+from soak_parts import Gateway, Keys, ResumedStream, free_ports
 from soak_settings import LIMITED, PLAIN_TOKENS, REVOKE_S, ROOT
 
 GATEWAYS = 3
+SOFTWARE = ("v1", "v2")
 SETTLE_S = 6.0
 PROBES = 12
 SLACK_S = 0.5
@@ -90,6 +92,8 @@
         Whether the store comes back from copies some seconds old.
     has_rests : bool
         Whether replicas turn requests away for a time and ask for rest.
+    has_versions : bool
+        Whether engines of two software versions serve, and callers resume streams elsewhere.
     """
 
     def __init__(
@@ -101,7 +105,11 @@
         has_limits=False,
         has_drills=False,
         has_rests=False,
+        has_versions=False,
     ):
+        self.has_versions = has_versions
+        self.resumed = []
+        """Streams that were dropped and resumed by their callers."""
         self.has_drills = has_drills
         self.has_rests = has_rests
         self.checks_tokens = checks_tokens
@@ -153,6 +161,8 @@
                 clients.append(asyncio.create_task(self._name_limits()))
             if self.has_drills:
                 clients.append(asyncio.create_task(self._hold_drills()))
+            if self.has_versions:
+                clients += [asyncio.create_task(self._resume_streams(at)) for at in range(4)]
             if self.has_rests:
                 clients.append(asyncio.create_task(self._ask_rests()))
             try:
@@ -203,8 +213,11 @@
 
     async def _add_replica(self, service):
         name = f"i-{next(self.numbers)}"
+        software = ""
+        if self.has_versions:
+            software = SOFTWARE[len(self.takes) % len(SOFTWARE)]
         replica = ReplicaStandIn(
-            name, service, self.store.kv, self.ledger, self.versions, self.checks_tokens
+            name, service, self.store.kv, self.ledger, self.versions, self.checks_tokens, software
         )
         await replica.start()
         proxy = Proxy(replica.port)
@@ -242,6 +255,17 @@
             self.answers[request_id] = ("s", *asked)
             await asyncio.sleep(POISON_S)
 
+    async def _resume_streams(self, number):
+        """Begin streams, drop each after some events, and resume it through another gateway."""
+        # With a source of chance of its own: what a seed does otherwise stays the same.
+        rng = random.Random(self.seed * 100 + number)
+        while True:
+            stream = ResumedStream()
+            await stream.play(self, rng)
+            if len(stream.tries) > 1:
+                self.resumed.append(stream)
+            await asyncio.sleep(rng.uniform(0.0, 0.2))
+
     async def _name_limits(self):
         """Let replicas name limits, other ones, and none again."""
         # With a source of chance of its own: what a seed does otherwise stays the same.
@@ -492,6 +516,7 @@
             faults += takes.faults(name, self._counts)
             rests, troubles = self.rests[name]
             faults += rests.faults(name, takes.arrived, self.through, troubles)
+        faults += [fault for stream in self.resumed for fault in stream.faults()]
         faults += self._keys_used_too_late()
         faults += self._beyond_the_quota()
         if self.late_served < PROBES:
@@ -532,14 +557,20 @@
             return [f"{request_id}: signed {signature!r}, ran at {runs}"]
         whole = b"whole " + self.ledger.bodies[request_id]
         if kind == "s":
-            whole = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, EVENTS + 1))
+            streams = [
+                b"".join(event(number, software) for number in range(1, EVENTS + 1))
+                for software in ("", *SOFTWARE)
+            ]
+            whole = body if body in streams else streams[0]
         return [] if body == whole else [f"{request_id}: the answer is not the replica's"]
 
 
 class Outcome:
     """What one run found."""
 
-    def __init__(self, broken, asked, served, done):
+    def __init__(self, broken, asked, served, done, resumed=0, continued=0):
+        self.resumed = resumed
+        self.continued = continued
         self.broken = broken
         self.asked = asked
         self.served = served
@@ -553,7 +584,8 @@
         run = Soak(seed, seconds, checks_tokens, **modes)
         faults = await run.run()
         served = sum(answer[1] == 200 for answer in run.answers.values())
-        return Outcome(faults, len(run.answers), served, run.done)
+        continued = sum(stream.continued for stream in run.resumed)
+        return Outcome(faults, len(run.answers), served, run.done, len(run.resumed), continued)
 
     return asyncio.run(main())
 
@@ -568,7 +600,8 @@
         found = soak(number, duration, checking, **modes)
         print(
             f"seed {number}: {found.asked} asked, {found.served} served, "
-            f"{len(found.broken)} broken; {' '.join(found.done)}",
+            f"{len(found.broken)} broken, {found.continued} of {found.resumed} resumed streams "
+            f"went on; {' '.join(found.done)}",
             flush=True,
         )
         for line in found.broken[:5]:
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -166,7 +166,9 @@
 class ReplicaStandIn:
     """One start of a replica, entered in the store while it lives."""
 
-    def __init__(self, name, service, kv, ledger, versions, checks_tokens=True):
+    def __init__(self, name, service, kv, ledger, versions, checks_tokens=True, software=""):
+        self.software = software
+        """Version of its software, which its events name; empty for none."""
         self.name = name
         self.service = service
         self.kv = kv
@@ -203,6 +205,8 @@
             "State": self.state,
             "Models": holdings,
         }
+        if self.software:
+            data["Version"] = self.software
         key = f"servers/{self.name}"
         found = await self.kv.get(key)
         await self.kv.swap(key, json.dumps(data).encode(), found.revision if found else 0)
@@ -335,7 +339,7 @@
                 self.ledger.end(self.name)
             for number in range(first, EVENTS + 1):
                 await asyncio.sleep(EVENT_S)
-                await inc.send(b"id: %d\ndata: x\n\n" % number)
+                await inc.send(event(number, self.software))
             inc.finish()
         finally:
             self.engine.use(key, users[key] - 1)
@@ -358,6 +362,11 @@
             self.ledger.faults.append(f"{request_id} ran with its key")
 
 
+def event(number, software=""):
+    """Return one event of a stream."""
+    return b"id: %d\ndata: %b\n\n" % (number, software.encode() or b"x")
+
+
 def _models(held):
     """Return weights as replicas list them, from keys and versions."""
     held = dict(held)
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -258,6 +258,8 @@
     def kill(self):
         """Simulate a power loss: all its tasks stop without notice to others."""
         self.process.dead = True
+        if self.daemon is None:
+            return
         self.world.net.servers.pop(self.front, None)
         self.world.net.servers.pop(self.tunnels, None)
         for conn in list(self.daemon._access.server.connections):
--- a/tests/soak_parts.py
+++ b/tests/soak_parts.py
@@ -1,16 +1,20 @@
 """The operator and the processes of a soak."""
 
+import asyncio
 import json
 import os
+import re
 import socket
 import subprocess
 import sys
 import time
 
-from fleet_stand_in import GATEWAY_HOST, HOST
+from fleet_stand_in import EVENTS, GATEWAY_HOST, HOST
+from gradelug_http import ConnectFailed, OutgoingRequest, ResponseBroken
 from soak_settings import CONFIG, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_SHARE, ROOT
 
 MAX_PORT = 65_535
+_event_re = re.compile(rb"id: (\d+)\ndata: (\S+)")
 
 
 class Keys:
@@ -64,6 +68,87 @@
         return self.rng.choice(self.held[name])
 
 
+class ResumedStream:
+    """A stream that its caller drops after some events and resumes through another gateway."""
+
+    def __init__(self):
+        self.tries = []
+        """Identifiers of its tries."""
+        self.events = []
+        """Number and software version of each event."""
+        self.continued = False
+        """Whether a later try brought an event."""
+
+    async def play(self, soak, rng):
+        """Receive the stream in two or three tries; drop all but the last after some events."""
+        adapter = b"m/a%d" % rng.randint(1, 12)
+        for last in (False, False, True):
+            gateway = rng.choice(soak.gateways)
+            before, most = len(self.events), EVENTS if last else rng.randint(1, EVENTS // 2)
+            await self._try(soak, gateway, adapter, most)
+            self.continued |= bool(before and len(self.events) > before)
+            if len(self.events) == EVENTS or not self.events:
+                return
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+
+    async def _try(self, soak, gateway, adapter, most):
+        ident = f"r{next(soak.numbers)}"
+        self.tries.append(ident)
+        key = soak.keys.held["free"][0]
+        body = f"body of {self.tries[0]}".encode()
+        soak.ledger.bodies[ident] = body
+        soak.ledger.organisations[ident] = "free"
+        soak.sent[ident] = (soak.clock(), key)
+        soak.through[ident] = gateway
+        headers = [
+            (b"Host", b"h"),
+            (b"X-Gradelug-Request-Id", ident.encode()),
+            (b"X-Gradelug-Deadline-Ms", b"4000"),
+            (b"X-Gradelug-Model", adapter),
+            (b"Authorization", f"Bearer {key}".encode()),
+        ]
+        if self.events:
+            headers.append((b"Last-Event-Id", b"%d" % self.events[-1][0]))
+            headers.append((b"Resumes", self.begun.encode()))
+        out = OutgoingRequest(b"POST", b"/s/x", headers, body)
+        status, conn = 0, None
+        try:
+            async with asyncio.timeout(4.5):
+                conn = await soak.pool.acquire(f"{GATEWAY_HOST}:{gateway.front}", 1.0)
+                conn.send(out)
+                head = await conn.head(lambda head: True)
+                status = head.status
+                if status == 200:
+                    await self._read(conn, ident, most)
+        except (ConnectFailed, ResponseBroken, TimeoutError):
+            pass
+        finally:
+            if conn is not None:
+                conn.abort()
+        if status in (408, 421, 429, 503):
+            soak.answers[ident] = ("r", status, None, b"")
+
+    async def _read(self, conn, ident, most):
+        pending = b""
+        while len(self.events) < most and (data := await conn.chunk()) is not None:
+            *whole, pending = (pending + data).split(b"\n\n")
+            for text in whole:
+                number, software = _event_re.fullmatch(text).groups()
+                if not self.events:
+                    self.begun = ident
+                self.events.append((int(number), software))
+
+    def faults(self):
+        """Return what was broken."""
+        numbers = [number for number, _ in self.events]
+        found = []
+        if numbers != list(range(1, len(numbers) + 1)):
+            found.append(f"{self.tries}: events {numbers}")
+        if len({software for _, software in self.events}) > 1:
+            found.append(f"{self.tries}: events of two versions: {self.events}")
+        return found
+
+
 class Gateway:
     """One gateway process, restarted when it ends."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,3 +37,10 @@
     found = soak(SEED, SECONDS, has_rests=True)
     assert found.broken == []
     assert found.served > 20
+
+
+def test_streams_keep_their_software_version_while_processes_are_killed_frozen_and_cut():
+    found = soak(SEED, SECONDS, has_versions=True)
+    assert found.broken == []
+    assert found.served > 20
+    assert found.continued >= 0.5 * found.resumed > 0
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -10,6 +10,8 @@
 import pytest
 from gradelug_gateway import runs as runs_module
 from gradelug_gateway.model import Repeat
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from poison_world import Instance
 from run_world import RunWorld, run, runner
 from version_world import VersionWorld
@@ -122,9 +124,10 @@
 
 async def restart(world, number):
     world.gateways[number].kill()
-    world.gateways[number] = Instance(world, world.gateways[number].at)
+    successor = world.gateways[number] = Instance(world, world.gateways[number].at)
     await asyncio.sleep(0.5)
-    world.gateways[number].start()
+    if world.gateways[number] is successor:
+        successor.start()
 
 
 async def kill_planners(world):
@@ -278,3 +281,57 @@
                 assert world.clock() - began < 6.0
 
         run(scenario)
+
+
+FAULTS = {
+    "reset": lambda world: world.reset_streams(),
+    "crash": lambda world: world.crash(),
+    "kill": lambda world: world.spawn(restart(world, 1)),
+    "kill planner": lambda world: world.spawn(restart_planner(world)),
+    "power": lambda world: world.spawn(world.lose_power()),
+    "store down": lambda world: world.kv.set_down(True),
+    "store up": lambda world: world.kv.set_down(False),
+}
+
+
+async def restart_planner(world):
+    for at, gateway in enumerate(world.gateways):
+        if gateway.is_planner and not gateway.process.dead:
+            await restart(world, at)
+            return
+
+
+class TestRandomFaults:
+    @settings(max_examples=12, derandomize=True, deadline=None)
+    @given(
+        software=st.lists(st.sampled_from(["", "v1", "v2", "v3"]), min_size=2, max_size=4),
+        faults=st.lists(
+            st.tuples(st.sampled_from(sorted(FAULTS)), st.floats(0.1, 1.5)), max_size=6
+        ),
+        seed=st.integers(0, 1000),
+    )
+    def test_no_stream_holds_events_of_two_versions(self, software, faults, seed):
+        async def disturb(world):
+            for name, pause_s in faults:
+                await asyncio.sleep(pause_s)
+                FAULTS[name](world)
+            await asyncio.sleep(1.0)
+            world.kv.set_down(False)
+
+        async def scenario():
+            async with VersionWorld(software=software) as world:
+                rng = random.Random(seed)
+                disturbing = asyncio.create_task(disturb(world))
+                streams = []
+                for number in range(40):
+                    breaks = drops_twice(rng) if rng.random() < 0.5 else ()
+                    streams.append(asyncio.create_task(world.stream(number, breaks)))
+                    await asyncio.sleep(STREAM_SPACING_S)
+                await asyncio.gather(*streams)
+                await disturbing
+                assert not world.mixed()
+                for stream in world.streams:
+                    numbers = [number for number, _ in stream.events]
+                    assert numbers == list(range(1, len(numbers) + 1))
+
+        run(scenario)
