Log the shared parts of the prompt of a request whose replica broke off

Requests that ended engine after engine had nothing in common in the logs but a part of their prompts, which was not logged. The line broken lists digests of the parts that a request shares with others.

--- a/packages/gateway/src/gradelug_gateway/fingerprints.py
+++ b/packages/gateway/src/gradelug_gateway/fingerprints.py
@@ -37,6 +37,18 @@
     return digest.digest()
 
 
+def part_fingerprints(req: Request) -> tuple[bytes, ...]:
+    """Return digests of the parts that a request's prompt shares with others, in order.
+
+    A part has the same digest in requests of any sender, route and weights. The last part belongs
+    to the request alone and has none.
+    """
+    return tuple(
+        blake2b(b"part:" + part.name.encode(), digest_size=FINGERPRINT_BYTES).digest()
+        for part in req.parts[:-1]
+    )
+
+
 def format_fingerprint(mark: bytes) -> str:
     """Return the prefix of a fingerprint that is written to logs."""
     return mark.hex()[:LOGGED_HEX_DIGITS]
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -8,7 +8,7 @@
 from gradelug_http import Incoming, ResponseHead
 from gradelug_policy.prefill import RequestWork
 
-from .fingerprints import fingerprint
+from .fingerprints import fingerprint, part_fingerprints
 from .model import KvCopy, Repeat, Replica, Request, Route, Service
 from .organisations import Principal
 from .quotas import Charge
@@ -101,6 +101,7 @@
         "fingerprint",
         "inc",
         "may_have_run",
+        "part_fingerprints",
         "weights_in_use_at",
         "has_reserved_retry",
         "placed_s",
@@ -139,6 +140,8 @@
         self.req = req
         self.fingerprint = fingerprint(req, admission.owner)
         """Digest that is the same for all retries of a request by its caller."""
+        self.part_fingerprints = part_fingerprints(req)
+        """Digests of the parts that its prompt shares with other requests."""
         self.route = route
         self.service = service
         wait_s = min(req.wait_s - DEADLINE_MARGIN_S, route.timeout_s)
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -272,6 +272,7 @@
                 "broken",
                 id=job.req.id,
                 fingerprint=format_fingerprint(job.fingerprint),
+                parts=[format_fingerprint(part) for part in job.part_fingerprints],
                 replica=replica.name,
                 software=replica.software,
                 why=str(exc),
