--- a/tests/link_world.py
+++ b/tests/link_world.py
@@ -75,13 +75,15 @@
         protocol = make()
         transport = join(protocol, listener())
         self.transports.append((address, transport))
-        transport.write = self._delayed(transport, transport, is_replica)
-        transport.peer.write = self._delayed(transport, transport.peer, is_replica)
+        for end in (transport, transport.peer):
+            end.write = self._delayed(transport, end, is_replica)
+            # The end of a connection arrives after what was sent before it.
+            end.delay_s = 2 * DELAY_S
         return protocol
 
     def _delayed(self, transport, end, is_replica):
         """Return a function that writes at one end of a connection, as the network delivers it."""
-        world, loop, send = self.world, asyncio.get_running_loop(), end.write
+        world, loop = self.world, asyncio.get_running_loop()
         delivered_at = -math.inf
 
         def write(data):
@@ -89,7 +91,9 @@
             silent_s = world.silent_s() if is_replica else 0.0
             # Bytes that are delivered at the same time stay in order.
             delivered_at = max(loop.time() + DELAY_S + silent_s, delivered_at + 1e-6)
-            loop.call_at(delivered_at, send, data)
+            if not end.closing:
+                end.written += data
+                loop.call_at(delivered_at, end.peer.deliver, bytes(data))
             is_lost = silent_s > liveness.UNACKED_S and not world.acks_in_silence
             if transport.silent or (is_lost and end is transport):
                 loop.call_later(liveness.UNACKED_S, self._time_out, transport)
--- a/tests/pipes.py
+++ b/tests/pipes.py
@@ -16,6 +16,8 @@
         self.silent = False
         """Whether the connection drops all that either end sends, without an error."""
         self.written = bytearray()
+        self.delay_s = 0.0
+        """Time until the other end notices the end of this one, in seconds."""
         self._loop = asyncio.get_running_loop()
 
     def write(self, data):
@@ -67,7 +69,7 @@
         self.closing = True
         self._loop.call_soon(self.protocol.connection_lost, exc)
         if not self.silent:
-            self._loop.call_soon(tell_peer)
+            self._loop.call_later(self.delay_s, tell_peer)
 
 
 def join(client, server):
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -86,7 +86,7 @@
         inc.begin(200, [*own, (b"X-Gradelug-Server-Signature", self.name.encode())])
         first = int(inc.header(b"last-event-id") or 0) + 1
         try:
-            if inc.body.startswith(POISON):
+            if self.crashes_at_start(inc):
                 await asyncio.sleep(CRASH_DELAY_S)
                 self.end(inc.body)
                 return
@@ -100,6 +100,10 @@
         finally:
             self.running.pop(ident, None)
 
+    def crashes_at_start(self, inc):
+        """Return whether a request crashes the engine when it starts."""
+        return inc.body.startswith(POISON)
+
     def end(self, body=b""):
         """Crash at once, with all running requests."""
         if self.has_ended:
@@ -392,8 +396,14 @@
             gateway.start()
         await asyncio.sleep(1.5)
 
-    async def ask(self, gateway, body, deadline_ms=4000, adapter="a1", path=b"/s/x"):
-        """Send a request through one instance; return the status, 0 without a response."""
+    async def ask(self, gateway, body, deadline_ms=4000, adapter="a1", path=b"/s/x", headers=b""):
+        """Send a request through one instance; return the status, 0 without a response.
+
+        Parameters
+        ----------
+        headers : bytes
+            Further headers, each with its line end.
+        """
         if gateway.process.dead or gateway.front not in self.net.servers:
             return 0
         self.request_count += 1
@@ -402,8 +412,8 @@
         client.transport.write(
             b"POST %b HTTP/1.1\r\nHost: h\r\nX-Gradelug-Request-Id: q%d\r\n"
             b"X-Gradelug-Deadline-Ms: %d\r\nX-Gradelug-Model: m/%b\r\n"
-            b"X-Gradelug-Token-Usage: 100,20\r\nContent-Length: %d\r\n\r\n%b"
-            % (path, self.request_count, deadline_ms, adapter.encode(), len(body), body)
+            b"X-Gradelug-Token-Usage: 100,20\r\n%bContent-Length: %d\r\n\r\n%b"
+            % (path, self.request_count, deadline_ms, adapter.encode(), headers, len(body), body)
         )
         began = self.clock()
         until = began + deadline_ms / 1000 + 0.5
