Keep an instance's own refusal when a peer asks for a tunnel to the same replica

A refusal is an end once a peer is refused, too. When a replica crashes all instances ask each other for tunnels to it, and what an instance found for a peer was recorded without its kind: it erased the instance's own refusal before the peer's answer came. The test fails on the code before with "no path".

The monitor is given the error itself now, by whichever way the attempt was made.

--- a/packages/gateway/src/gradelug_gateway/link_monitor.py
+++ b/packages/gateway/src/gradelug_gateway/link_monitor.py
@@ -74,41 +74,41 @@
             wire = await dial(address)
         except asyncio.CancelledError:
             if self._clock() - began_at >= HANG_S:
-                self.note(address, False, "no response")
+                self.note(address, TimeoutError("no response"))
             raise
         except OSError as exc:
-            self.note(address, False, repr(exc))
-            if isinstance(exc, ConnectionRefusedError):
-                self._refused.add(address)
+            self.note(address, exc)
             raise
-        self.note(address, True)
+        self.note(address, None)
         return wire
 
     def was_refused(self, address: str) -> bool:
         """Return whether an address refused the last direct connection."""
         return address in self._refused
 
-    def note(self, address: str, connected: bool, why: str = "") -> None:
+    def note(self, address: str, exc: Exception | None) -> None:
         """Record the outcome of a direct connection attempt.
 
         Parameters
         ----------
         address : str
             ``IP:port`` of the replica.
-        connected : bool
-            Whether the connection was established.
-        why : str
-            Reason of the failure, for the log.
+        exc : Exception or None
+            Why the connection failed; None if it was established.
         """
+        connected = exc is None
         was_lost, was_bypassed = self.paths.is_lost(address), self.paths.is_bypassed(address)
         self.paths.note_direct(address, connected, self._clock())
-        self._refused.discard(address)
+        if isinstance(exc, ConnectionRefusedError):
+            self._refused.add(address)
+        else:
+            self._refused.discard(address)
         if was_lost == (not connected):
             return
         if connected:
             log.info("replica connected again", address=address)
         else:
-            log.info("replica cannot be connected", address=address, why=why)
+            log.info("replica cannot be connected", address=address, why=repr(exc))
         self._note_bypass(address, was_bypassed)
         self.refresh()
 
--- a/packages/gateway/src/gradelug_gateway/tunnel_gate.py
+++ b/packages/gateway/src/gradelug_gateway/tunnel_gate.py
@@ -41,6 +41,6 @@
             return TunnelStatus.UNAVAILABLE
         return TunnelStatus.OPEN
 
-    def note(self, target: str, connected: bool, why: str) -> None:
+    def note(self, target: str, exc: Exception | None) -> None:
         """Record the outcome of a connection attempt to a replica."""
-        self._monitor.note(target, connected, why)
+        self._monitor.note(target, exc)
--- a/packages/http/src/gradelug_http/tunnel.py
+++ b/packages/http/src/gradelug_http/tunnel.py
@@ -77,8 +77,8 @@
         """Return `TunnelStatus.OPEN` if a client with this key may reach the target now."""
         ...
 
-    def note(self, target: str, connected: bool, why: str) -> None:
-        """Record the outcome of a connection attempt to a target."""
+    def note(self, target: str, exc: Exception | None) -> None:
+        """Record the outcome of a connection attempt to a target: its error, None if it connected."""
         ...
 
 
@@ -284,12 +284,12 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._server.connect(target, lambda: end)
         except ConnectionRefusedError as exc:
-            policy.note(target, False, repr(exc))
+            policy.note(target, exc)
             return TunnelStatus.REFUSED
         except (OSError, TimeoutError, ValueError) as exc:
-            policy.note(target, False, repr(exc))
+            policy.note(target, exc)
             return TunnelStatus.TIMEOUT
-        policy.note(target, True, "")
+        policy.note(target, None)
         self.other = end
         return TunnelStatus.OPEN
 
--- a/tests/prompt_world.py
+++ b/tests/prompt_world.py
@@ -1,4 +1,4 @@
-"""Complete gateways with engines that a part of a prompt can crash, whatever else a request holds."""
+"""Complete gateways with engines that a part of a prompt crashes, whatever else is in it."""
 
 import asyncio
 import itertools
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -1,4 +1,4 @@
-"""A part of a prompt that crashes each engine which begins an answer on it, whatever else it holds."""
+"""A part of a prompt that crashes each engine which begins an answer on it."""
 
 import asyncio
 
--- a/tests/test_replica_dialer.py
+++ b/tests/test_replica_dialer.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from pipes import Network, join
+from unittest import mock
 
 import pytest
 from gradelug_gateway.connection_race import ATTEMPT_DELAY_S, connect_first
@@ -176,11 +177,29 @@
 
         run(scenario)
 
+    # The outcome for a peer replaced the own one, and the refusal was forgotten.
+    def test_a_refusal_is_not_confirmed_while_peers_ask_for_the_same_replica(self):
+        async def scenario():
+            world = DialWorld()
+            world.cuts = dict.fromkeys(range(3), Cut.REFUSE)
+            own_gate = TunnelGate(world.state, world.monitor, FixedKey())
+            note_peer = LinkMonitor.note_peer
+
+            def note_both(monitor, address, outcome):
+                own_gate.note(address, ConnectionRefusedError())
+                note_peer(monitor, address, outcome)
+
+            patch = mock.patch.object(LinkMonitor, "note_peer", note_both)
+            with patch, pytest.raises(ConnectionRefusedError):
+                await world.dialer.dial(ADDRESS)
+
+        run(scenario)
+
     def test_a_peer_that_lost_its_own_link_refuses_at_once(self):
         async def scenario():
             world = DialWorld()
             gate = world.servers[0].policy
-            gate.note(ADDRESS, False, "refused")
+            gate.note(ADDRESS, ConnectionRefusedError())
             assert gate.check(ADDRESS, b"secret") is TunnelStatus.OPEN
             gate._monitor.note_peer(ADDRESS, PeerOutcome.CONNECTED)
             assert gate.check(ADDRESS, b"secret") is TunnelStatus.UNAVAILABLE
--- a/tests/test_tunnel.py
+++ b/tests/test_tunnel.py
@@ -40,8 +40,8 @@
             return TunnelStatus.UNAUTHENTICATED
         return TunnelStatus.FORBIDDEN if target == self.forbidden else TunnelStatus.OPEN
 
-    def note(self, target, connected, why):
-        self.noted.append((target, connected))
+    def note(self, target, exc):
+        self.noted.append((target, exc is None))
 
 
 class TunnelNetwork(Network):
