Block parts of prompts that end the replicas which begin an answer on them

Each end is reported with the shared parts of its requests' prompts, and the planner's ledger blames parts beside requests, with the same weights: three ends in at least two requests. Of two parts that explain the same ends the later one is blocked, since the first is in most prompts. An answer, or a stream of 0.5 s, acquits the parts of its prompt: they are not suspected for 10 s, and a blocked one is released. Findings, record and checks are those of blocked requests; the ends that a part explains count against no request.

--- a/packages/gateway/src/gradelug_gateway/exchange.py
+++ b/packages/gateway/src/gradelug_gateway/exchange.py
@@ -54,6 +54,7 @@
         "job",
         "longest_s",
         "pauses",
+        "is_acquitted",
         "is_released",
         "replica",
         "run",
@@ -81,6 +82,8 @@
         self.replica = replica
         self.conn = conn
         self.is_running = False
+        self.is_acquitted = False
+        """Whether the parts of its prompt were recorded as sound."""
         self.run: Run | None = None
         """The run of this attempt; None if the request's runs cannot be continued."""
         self.is_released = False
@@ -108,6 +111,10 @@
         # A stream's head is sent when it starts; other responses arrive only once complete.
         return QUEUED_WEIGHT if self.job.route.streaming and not self.status else STARTED_WEIGHT
 
+    def has_run_for(self, duration_s: float, now: float) -> bool:
+        """Return whether its first event arrived at least some time ago, in seconds."""
+        return self.is_running and now - self.first_at >= duration_s
+
     def release(self, pool: HttpPool, head: ResponseHead) -> None:
         """Return the connection to the pool after a complete response."""
         pool.release(self.conn, head)
--- a/packages/gateway/src/gradelug_gateway/poison_desk.py
+++ b/packages/gateway/src/gradelug_gateway/poison_desk.py
@@ -65,7 +65,9 @@
             if end is None:
                 age_ms = max(0, round((now - observation.at) * 1000))
                 end = ends[observation.end] = pb.ReplicaEnd(life=observation.end, age_ms=age_ms)
-            end.suspects.add(mark=observation.fingerprint, weight=observation.weight)
+            end.suspects.add(
+                mark=observation.fingerprint, weight=observation.weight, parts=observation.parts
+            )
             newest = max(newest, observation.number)
         for number, fingerprint in self._guard.cleared:
             if number > self._last_reported:
@@ -124,9 +126,9 @@
         for end in message.ended:
             at = now - end.age_ms / 1000
             for suspect in end.suspects:
-                ledger.note_end(end.life, suspect.mark, suspect.weight, at)
+                ledger.note_end(end.life, suspect.mark, suspect.weight, at, suspect.parts)
         for fingerprint in message.cleared:
-            if ledger.note_served(fingerprint):
+            if ledger.note_served(fingerprint) | ledger.parts.note_sound(fingerprint, now):
                 log.info(
                     "cleared",
                     fingerprint=format_fingerprint(fingerprint),
@@ -151,6 +153,14 @@
             self._removal_count = self._record.removal_count
             self._ledger = EndLedger()
         ledger = self._open_ledger(now)
+        for blocked in ledger.parts.judge(now, END_GATHER_S):
+            log.warning(
+                "blocked part of prompts",
+                part=format_fingerprint(blocked.part),
+                ends=blocked.ends,
+                requests=blocked.requests,
+                score=round(blocked.score, 2),
+            )
         for found in ledger.judge(now, END_GATHER_S):
             log.warning(
                 "blocked",
@@ -162,8 +172,8 @@
         self._has_changed = ledger.is_gathering(now, END_GATHER_S)
         self._record.save(ledger)
         news.poison.SetInParent()
-        news.poison.blocked.extend(ledger.blocked)
-        news.poison.suspects.extend(ledger.suspects())
+        news.poison.blocked.extend((*ledger.blocked, *ledger.parts.blocked))
+        news.poison.suspects.extend((*ledger.suspects(), *ledger.parts.suspects()))
 
     def _open_ledger(self, now: float) -> EndLedger:
         """Return the ledger, restored from the record on first use."""
--- a/packages/gateway/src/gradelug_gateway/poison_record.py
+++ b/packages/gateway/src/gradelug_gateway/poison_record.py
@@ -14,6 +14,7 @@
 import logbook
 from gradelug_coordination import CoordinationError, EraTracker, KeyValue, KvEntry, Mirror
 from gradelug_policy.poison import EndLedger
+from gradelug_policy.poison_parts import PartSighting
 
 from .poison import NO_FINDINGS, PoisonFindings
 
@@ -82,7 +83,10 @@
         self._seen_revision = revision
         ledger = EndLedger()
         self.restore(ledger, self._clock())
-        self.findings = PoisonFindings(frozenset(ledger.blocked), frozenset(ledger.suspects()))
+        self.findings = PoisonFindings(
+            frozenset((*ledger.blocked, *ledger.parts.blocked)),
+            frozenset((*ledger.suspects(), *ledger.parts.suspects())),
+        )
         return True
 
     def _rewrite_lost(self, entry: KvEntry | None) -> None:
@@ -147,6 +151,12 @@
         "suspects": {
             fingerprint.hex(): ledger.ends_of(fingerprint) for fingerprint in ledger.suspects()
         },
+        "blocked_parts": [part.hex() for part in ledger.parts.blocked],
+        "suspected_parts": [
+            [end, part.hex(), sighting.request.hex(), sighting.position, sighting.weight]
+            for part in ledger.parts.suspects()
+            for end, sighting in ledger.parts.sightings(part)
+        ],
     }
     return json.dumps(data).encode()
 
@@ -167,6 +177,17 @@
             for fingerprint, weights in suspects.items()
             for end, weight in weights.items()
         ]
+        # Entries of earlier releases have no parts.
+        blocked_parts = [bytes.fromhex(part) for part in data.get("blocked_parts", ())]
+        sightings = [
+            (
+                str(end),
+                PartSighting(
+                    bytes.fromhex(part), bytes.fromhex(request), int(position), float(weight)
+                ),
+            )
+            for end, part, request, position, weight in data.get("suspected_parts", ())
+        ]
     except (AttributeError, KeyError, TypeError, ValueError) as exc:
         log.error("malformed entry of another writer", key=KEY, why=repr(exc))
         return
@@ -174,3 +195,7 @@
         ledger.block(fingerprint, weight, now)
     for end, fingerprint, weight in ends:
         ledger.note_end(end, fingerprint, weight, now)
+    for part in blocked_parts:
+        ledger.parts.block(part, now)
+    for end, sighting in sightings:
+        ledger.parts.note_end(end, sighting, now)
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -21,6 +21,7 @@
     end_to_end,
 )
 from gradelug_policy.engine_capacity import EQUAL_URGENCY
+from gradelug_policy.poison_parts import ACQUIT_AFTER_S
 from gradelug_policy.prefill import LATE_URGENCY, RequestWork
 
 from .brittleness import BrittlenessTracker
@@ -152,7 +153,7 @@
 
     def check(self, job: Job) -> None:
         """Raise `Refused` if the poison guard blocks a request."""
-        self._guard.check(job.fingerprint)
+        self._guard.check(job.fingerprint, job.part_fingerprints)
 
     async def send(
         self,
@@ -267,6 +268,7 @@
             if not is_caller_stalled:
                 self._note_broken(exchange, exc)
                 if self._ends is not None:
+                    self._guard.note_parts(job.fingerprint, job.part_fingerprints)
                     self._ends.note_broken(replica, job.fingerprint, exchange.failure_weight)
             log.info(
                 "broken",
@@ -306,6 +308,7 @@
         self._note_health(exchange, outcome)
         if outcome is Outcome.DONE and exchange.status < 300:
             self._guard.note_served(job.fingerprint)
+            self._guard.note_sound(job.part_fingerprints)
         return outcome
 
     def _note_end(self, job: Job, replica: Replica, key: AdapterKey) -> None:
@@ -523,6 +526,9 @@
             events = job.events.feed(data)
             if not events:
                 continue
+            if not exchange.is_acquitted and exchange.has_run_for(ACQUIT_AFTER_S, self._clock()):
+                exchange.is_acquitted = True
+                self._guard.note_sound(job.part_fingerprints)
             if exchange.is_running:
                 self._note_pause(exchange, max(1, job.events.last_event - before))
             else:
--- a/packages/policy/src/gradelug_policy/poison.py
+++ b/packages/policy/src/gradelug_policy/poison.py
@@ -18,6 +18,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from .poison_parts import PartLedger, PartSighting
+
 STARTED_WEIGHT = 1.0
 """Weight of a request that had started and sent no event yet; also of one with an unstreamed
 response, whose progress is unknown."""
@@ -90,11 +92,16 @@
 
 
 class EndLedger:
-    """Stores the requests present when replicas ended, and detects those that caused the ends."""
+    """Stores the requests present when replicas ended, and detects those that caused the ends.
+
+    Ends that a blocked part of prompts explains count against no request.
+    """
 
-    __slots__ = ("_blocked", "_ends")
+    __slots__ = ("_blocked", "_ends", "parts")
 
     def __init__(self) -> None:
+        self.parts = PartLedger()
+        """The parts of the prompts of these requests."""
         self._ends: dict[str, _End] = {}
         self._blocked: dict[bytes, _Blocked] = {}
 
@@ -103,7 +110,9 @@
         """Fingerprints of the requests that must not be sent."""
         return self._blocked.keys()
 
-    def note_end(self, end: str, mark: bytes, weight: float, now: float) -> None:
+    def note_end(
+        self, end: str, mark: bytes, weight: float, now: float, parts: t.Sequence[bytes] = ()
+    ) -> None:
         """Record that a request was present when a replica ended.
 
         Parameters
@@ -116,7 +125,11 @@
             Strength of the evidence: one of the weights above.
         now : float
             Time of the end, by the runtime's clock.
+        parts : sequence of bytes
+            Digests of the parts that its prompt shares with others, in order.
         """
+        for position, part in enumerate(parts):
+            self.parts.note_end(end, PartSighting(part, mark, position, weight), now)
         crashing = self._ends.get(end)
         if crashing is None:
             crashing = self._ends[end] = _End(now)
@@ -221,8 +234,8 @@
     def _scores(self, until: float) -> dict[bytes, float]:
         """Return the scores of the requests that are not blocked."""
         scores: defaultdict[bytes, float] = defaultdict(float)
-        for end in self._ends.values():
-            if end.at > until or self._is_explained(end):
+        for name, end in self._ends.items():
+            if end.at > until or self._is_explained(end) or self.parts.explains(name):
                 continue
             for mark, weight in end.weights.items():
                 scores[mark] += weight
