Do not store ends that a blocked part explains as evidence against others

After a restart the ledger held the ends of suspected parts, but not that a blocked part had explained them: the first part of all prompts of a caller would have been blocked one end later.

--- a/packages/gateway/src/gradelug_gateway/poison.py
+++ b/packages/gateway/src/gradelug_gateway/poison.py
@@ -205,6 +205,11 @@
             self.observations.popleft()
         self._hurry()
 
+    @property
+    def ledger(self) -> EndLedger:
+        """Ledger of this gateway's own observations."""
+        return self._ledger
+
     def note_parts(self, fingerprint: bytes, parts: tuple[bytes, ...]) -> None:
         """Record the parts of a request whose response was interrupted."""
         self._parts.pop(fingerprint, None)
--- a/packages/policy/src/gradelug_policy/poison_parts.py
+++ b/packages/policy/src/gradelug_policy/poison_parts.py
@@ -192,8 +192,10 @@
         return {part: scores[part] for part in parts if scores[part] >= SUSPECT_SCORE}
 
     def sightings(self, part: bytes) -> t.Iterator[tuple[str, PartSighting]]:
-        """Yield the ends at which a part was present, and its requests there."""
+        """Yield the ends that count against a part, and its requests there."""
         for name, end in self._ends_of(part).items():
+            if self._is_explained(end):
+                continue
             presence = end.parts[part]
             for request in presence.requests:
                 yield name, PartSighting(part, request, presence.position, presence.weight)
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+import pytest
 from poison_world import POISON
-from prompt_world import PromptWorld
+from prompt_world import BAD, BAD_PARTS, FIRST_PART, PromptWorld
 from run_world import run
 
 PROPAGATION_S = 3.0
@@ -52,6 +53,91 @@
         run(scenario)
 
 
+async def crash_engines(world):
+    for _ in range(8):
+        await asyncio.sleep(2.0)
+        world.crash()
+
+
+async def lose_store(world):
+    await asyncio.sleep(0.5)
+    world.kv.set_down(True)
+    await asyncio.sleep(8.0)
+    world.kv.set_down(False)
+
+
+async def kill_planner_after_three_crashes(world):
+    while len(world.crashes()) < 3:
+        await asyncio.sleep(0.02)
+    world.gateways[[gateway.is_planner for gateway in world.gateways].index(True)].kill()
+
+
+async def lose_power_after_five_crashes(world):
+    while len(world.crashes()) < 5:
+        await asyncio.sleep(0.02)
+    await world.lose_power()
+
+
+class TestFaultsBeside:
+    @pytest.mark.parametrize(
+        "disturb",
+        [lose_store, kill_planner_after_three_crashes, lose_power_after_five_crashes],
+    )
+    def test_the_part_is_blocked_while_instances_or_the_store_are_lost(self, disturb):
+        async def scenario():
+            async with PromptWorld() as world:
+                check(world, await play(world, disturb=disturb))
+
+        run(scenario)
+
+    @pytest.mark.parametrize("engines", [3, 30])
+    def test_the_part_is_blocked_in_services_of_any_size(self, engines):
+        async def scenario():
+            async with PromptWorld(engines=engines) as world:
+                check(world, await play(world))
+                assert len(world.crashes()) <= 8
+
+        run(scenario)
+
+    def test_two_bad_parts_are_blocked(self):
+        async def scenario():
+            async with PromptWorld(bad_parts=BAD_PARTS) as world:
+                check(world, await play(world))
+
+        run(scenario)
+
+    def test_a_bad_first_part_is_blocked(self):
+        async def scenario():
+            async with PromptWorld() as world:
+                check(world, await play(world, place=0))
+
+        run(scenario)
+
+    def test_engines_that_crash_by_themselves_block_no_part(self):
+        async def scenario():
+            async with PromptWorld() as world:
+                until = world.clock() + 17.0
+                world.spawn(crash_engines(world))
+                await world.send_sound(SOUND_RATE, until)
+                await asyncio.sleep(4.5)
+                guards = [gateway.daemon._poison.guard for gateway in world.gateways]
+                assert not any(guard.planner_findings.blocked for guard in guards)
+
+        run(scenario)
+
+    def test_requests_with_a_blocked_part_are_rejected_at_once(self):
+        async def scenario():
+            async with PromptWorld() as world:
+                await play(world)
+                began, arrived = world.clock(), len(world.arrived)
+                await world.send(BAD, (FIRST_PART, BAD_PARTS[0]))
+                assert world.attempts[-1].status == 503
+                assert world.clock() - began < 0.1
+                assert len(world.arrived) == arrived
+
+        run(scenario)
+
+
 class TestSimultaneousCrashes:
     # Refusals were compared with replicas of the same service alone, which were down as well.
     def test_crashes_of_many_engines_at_once_are_not_counted(self):
