Withdraw waiting requests when they or a part of their prompts become blocked

A blocked request that waited for weights, capacity or a retry was answered when that wait was over, and one in the queue of an engine stayed there and could end it.

--- a/packages/gateway/src/gradelug_gateway/poison.py
+++ b/packages/gateway/src/gradelug_gateway/poison.py
@@ -97,11 +97,12 @@
         "_parts",
         "_served",
         "_sound_at",
+        "_listeners",
+        "_planner_findings",
+        "_stored_findings",
         "cleared",
         "refused_count",
         "observations",
-        "stored_findings",
-        "planner_findings",
     )
 
     def __init__(
@@ -125,13 +126,43 @@
         """This gateway's observations, to be reported to each planner."""
         self.cleared: deque[tuple[int, bytes]] = deque(maxlen=MAX_CLEARED)
         """Suspects that completed, with their sequence numbers among the observations."""
-        self.planner_findings = NO_FINDINGS
-        """Findings received from the planner."""
-        self.stored_findings = NO_FINDINGS
-        """Findings read from the platform's store."""
+        self._planner_findings = NO_FINDINGS
+        self._stored_findings = NO_FINDINGS
+        self._listeners: list[t.Callable[[], None]] = []
         self.refused_count = 0
         """Number of requests that were blocked before being sent."""
 
+    @property
+    def planner_findings(self) -> PoisonFindings:
+        """Findings received from the planner."""
+        return self._planner_findings
+
+    @planner_findings.setter
+    def planner_findings(self, findings: PoisonFindings) -> None:
+        has_more = bool(findings.blocked - self._planner_findings.blocked)
+        self._planner_findings = findings
+        self._notify(has_more)
+
+    @property
+    def stored_findings(self) -> PoisonFindings:
+        """Findings read from the platform's store."""
+        return self._stored_findings
+
+    @stored_findings.setter
+    def stored_findings(self, findings: PoisonFindings) -> None:
+        has_more = bool(findings.blocked - self._stored_findings.blocked)
+        self._stored_findings = findings
+        self._notify(has_more)
+
+    def subscribe(self, listener: t.Callable[[], None]) -> None:
+        """Call `listener` whenever more requests or parts are blocked."""
+        self._listeners.append(listener)
+
+    def _notify(self, has_more: bool) -> None:
+        if has_more:
+            for listener in self._listeners:
+                listener()
+
     @property
     def blocked(self) -> int:
         """Number of fingerprints that are blocked here."""
@@ -142,6 +173,10 @@
         """Number of fingerprints that one more end may block."""
         return len(self.planner_findings.suspects | self.stored_findings.suspects)
 
+    def is_listed(self, fingerprint: bytes, parts: t.Sequence[bytes]) -> bool:
+        """Return whether a request, or a part of its prompt, is blocked for all instances."""
+        return self._is_blocked(fingerprint) or any(map(self._is_blocked, parts))
+
     def check(self, fingerprint: bytes, parts: t.Sequence[bytes] = ()) -> None:
         """Raise `Refused` if a request must not be sent to any replica now.
 
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -151,6 +151,11 @@
         """Drop the state of removed replicas."""
         self._brittleness.forget_removed(self._fleet.state.replicas)
 
+    @property
+    def guard(self) -> PoisonGuard:
+        """Decides whether a request may be sent."""
+        return self._guard
+
     def check(self, job: Job) -> None:
         """Raise `Refused` if the poison guard blocks a request."""
         self._guard.check(job.fingerprint, job.part_fingerprints)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -37,6 +37,7 @@
 from .stream_requests import started_stream_request
 from .values import RequestValuation, attempt_digest
 from .wait_policy import WaitPolicy
+from .withdrawal import WaitingRequests
 
 log = logbook.Logger("serving")
 ABSENT_RETRY_DELAY_S = 0.03
@@ -116,6 +117,7 @@
         "_table_version",
         "_tally",
         "_values",
+        "_waiting",
     )
 
     def __init__(
@@ -137,6 +139,7 @@
         origins: StreamOrigins | None = None,
     ) -> None:
         self._origins = origins
+        self._waiting = WaitingRequests(sender.guard)
         self._tally = tally or UsageTally(clock, meters, lambda: False)
         self._lasting = lasting
         self._dialect = dialect
@@ -188,7 +191,7 @@
             return
         started = self._clock()
         try:
-            async with asyncio.timeout_at(job.deadline_at):
+            async with self._waiting.until_deadline(job):
                 if job.route.streaming and req.last_event and self._origins is not None:
                     await self._origins.bind(job)
                 await self._charge(job)
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import pytest
 from gradelug_coordination import Mirror
@@ -9,6 +10,7 @@
 from gradelug_gateway.poison import BlockAuthority, PoisonFindings, PoisonGuard
 from gradelug_gateway.poison_desk import PoisonAggregator, PoisonReporter
 from gradelug_gateway.poison_record import PoisonRecord
+from gradelug_gateway.withdrawal import WaitingRequests
 from gradelug_policy.poison import QUEUED_WEIGHT, STARTED_WEIGHT, STREAMING_WEIGHT, EndLedger
 from gradelug_policy.poison_parts import MAX_BLOCKED, MIN_REQUESTS, SOUND_S, PartLedger
 from gradelug_standins.kv import MemoryKv
@@ -210,3 +212,42 @@
             assert {found.part for found in restored.parts.judge(3.0)} == {OTHER}
 
         run(scenario)
+
+
+class TestWithdrawal:
+    def job(self, parts, started=False):
+        loop = asyncio.get_running_loop()
+        return SimpleNamespaceJob(
+            deadline_at=loop.time() + 9.0,
+            fingerprint=request(1),
+            part_fingerprints=parts,
+            inc=SimpleNamespace(started=started),
+        )
+
+    async def _wait(self, waiting, job):
+        async with waiting.until_deadline(job):
+            await asyncio.sleep(60.0)
+
+    @pytest.mark.parametrize(
+        ("parts", "started", "withdrawn"),
+        [((FIRST, BAD), False, True), ((FIRST, OTHER), False, False), ((BAD,), True, False)],
+    )
+    def test_waiting_requests_end_when_their_part_is_blocked(self, parts, started, withdrawn):
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            guard = PoisonGuard(clock)
+            waiting, began = WaitingRequests(guard), clock()
+            task = asyncio.create_task(self._wait(waiting, self.job(parts, started)))
+            await asyncio.sleep(0.5)
+            guard.planner_findings = PoisonFindings(frozenset({BAD}), frozenset())
+            with pytest.raises(Blocked if withdrawn else TimeoutError):
+                await task
+            assert (clock() - began < 1.0) is withdrawn
+
+        run(scenario)
+
+
+class SimpleNamespaceJob(SimpleNamespace):
+    """A job by its attributes, compared by identity."""
+
+    __hash__ = object.__hash__
