--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -41,6 +41,7 @@
 from .run_weights import expected_version
 from .runs import RunRecovery
 from .stream_origins import StreamOrigins
+from .stream_progress import StreamProgress
 
 log = logbook.Logger("sending")
 CONNECT_TIMEOUT_S = 0.35
@@ -105,6 +106,7 @@
         "_note_leaving",
         "_origins",
         "_pool",
+        "_progress",
         "_max_idle_s",
         "_waiter",
     )
@@ -137,6 +139,7 @@
         self._note_leaving = note_leaving
         self._guard = guard or PoisonGuard(clock)
         self._ends = ends
+        self._progress = StreamProgress(fleet, meters, clock)
         self._waiter = ResponseWaiter(fleet, clock, has_retry, lasting)
         self._lasting = lasting
         self._dialect = dialect
@@ -302,7 +305,7 @@
             if exchange.run is not None and self._lasting is not None:
                 self._lasting.leave(exchange.run)
             load.memory -= work.memory_tokens
-            self._note_pauses(exchange)
+            self._progress.log_pauses(exchange)
             if exchange.is_running:
                 load.running -= 1
             else:
@@ -535,9 +538,9 @@
                 exchange.is_acquitted = True
                 self._guard.note_sound(job.part_fingerprints)
             if exchange.is_running:
-                self._note_pause(exchange, max(1, job.events.last_event - before))
+                self._progress.note_pause(exchange, max(1, job.events.last_event - before))
             else:
-                self._note_running(exchange)
+                self._progress.note_first_event(exchange)
                 exchange.first_at = self._clock()
             exchange.last_event_at = self._clock()
             if exchange.run is not None and self._lasting is not None:
@@ -553,16 +556,7 @@
         if not job.events.is_between_events:
             raise ResponseBroken("the stream ended within an event")
         exchange.release(self._pool, head)
-        if (
-            self._fleet.engine_estimator is not None
-            and job.work.prompt_tokens
-            and not job.req.last_event
-        ):
-            service = exchange.replica.service
-            read_s = exchange.work.prefill_tokens / self._fleet.speeds.speed(service)
-            self._fleet.engine_estimator.note_run(
-                service, read_s + self._clock() - exchange.first_at
-            )
+        self._progress.note_end(exchange)
         if not job.inc.started:
             job.inc.begin(head.status, end_to_end(head.headers))
         job.inc.finish()
@@ -571,74 +565,6 @@
         self._note_served(job, head.status)
         return Outcome.DONE
 
-    def _note_running(self, exchange: Exchange) -> None:
-        load = self._fleet.load(exchange.replica.name)
-        load.starting -= 1
-        load.queued[exchange.work.urgency] -= exchange.work.prefill_tokens
-        load.running += 1
-        exchange.is_running = True
-        self._update_speed(exchange)
-        if exchange.job.inc.started:
-            return
-        first_s = self._clock() - exchange.job.req.arrived_at
-        self._meters.observe_first_event(first_s)
-        if first_s > exchange.job.route.target_s:
-            log.info(
-                "late first event",
-                id=exchange.job.req.id,
-                replica=exchange.replica.name,
-                first_s=round(first_s, 3),
-                placed_s=round(exchange.job.placed_s, 3),
-                sends=exchange.job.sends,
-                prompt=exchange.work.prompt_tokens,
-                urgency=exchange.work.urgency,
-                expected_s=round(exchange.expected_s, 3),
-                held=exchange.busyness.held,
-                queued=[tokens for tokens in exchange.busyness.queued if tokens],
-                speed=round(self._fleet.speeds.speed(exchange.replica.service)),
-            )
-
-    def _note_pause(self, exchange: Exchange, events: int) -> None:
-        """Record the pause before events.
-
-        Parameters
-        ----------
-        exchange : Exchange
-            The attempt.
-        events : int
-            Number of events that arrived together, among which the pause is divided.
-        """
-        pause_s = self._clock() - exchange.last_event_at
-        gap_s = exchange.job.route.gap_s
-        if gap_s and pause_s > gap_s:
-            exchange.pauses += 1
-            exchange.longest_s = max(exchange.longest_s, pause_s)
-        tally = self._fleet.pauses.get(exchange.replica.service)
-        if tally is not None:
-            tally.note(exchange.replica.name, pause_s, events)
-
-    def _note_pauses(self, exchange: Exchange) -> None:
-        if not exchange.pauses:
-            return
-        log.info(
-            "long pause",
-            id=exchange.job.req.id,
-            replica=exchange.replica.name,
-            pauses=exchange.pauses,
-            longest_s=round(exchange.longest_s, 3),
-            bound_s=exchange.job.route.gap_s,
-            last_event=exchange.job.events.last_event,
-            running=self._fleet.load(exchange.replica.name).busyness().running,
-        )
-
-    def _update_speed(self, exchange: Exchange) -> None:
-        service, work = exchange.replica.service, exchange.work
-        if not work.prompt_tokens or exchange.job.resumed_copy is not None:
-            return
-        took_s = self._clock() - exchange.sent_at
-        self._meters.observe_estimate(exchange.job.route.name, took_s, exchange.expected_s)
-        self._fleet.speeds.note(service, exchange.busyness, work, took_s)
-
     def forward_response(self, job: Job, head: ResponseHead, body: bytes) -> None:
         """Answer the caller with a replica's complete response."""
         job.inc.respond(head.status, end_to_end(head.headers), body)
