Gather the evidence against parts of prompts in one pass

The ledger looked up positions and ends of every part for every candidate, which grows with the square of what it holds.

--- a/packages/policy/src/gradelug_policy/poison_parts.py
+++ b/packages/policy/src/gradelug_policy/poison_parts.py
@@ -31,8 +31,9 @@
 ACQUIT_AFTER_S = 0.5
 """Time from the first event of a stream until its parts are acquitted, in seconds; replicas end
 about 0.1 s after they begin an answer."""
-MAX_PARTS_PER_END = 256
-"""Maximum number of parts stored per end: two or three for each request at an engine."""
+MAX_PARTS_PER_END = 64
+"""Maximum number of parts stored per end, those of the greatest weight. Most parts of the requests
+at an engine were answered lately and are not stored."""
 MAX_ENDS = 128
 MAX_BLOCKED = 64
 MAX_SUSPECTS = 64
@@ -80,6 +81,22 @@
     parts: dict[bytes, _Presence] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class _Evidence:
+    """What counts against a part, over all ends."""
+
+    score: float = 0.0
+    position: int = 0
+    requests: set[bytes] = field(default_factory=set)
+    ends: list[_End] = field(default_factory=list)
+
+    def add(self, end: _End, presence: _Presence) -> None:
+        self.score += presence.weight
+        self.position = max(self.position, presence.position)
+        self.requests |= presence.requests
+        self.ends.append(end)
+
+
 @dataclass(slots=True, frozen=True)
 class BlockedPart:
     """A part that is blocked from now on.
@@ -169,14 +186,8 @@
         self._forget(now)
         findings: list[BlockedPart] = []
         while (part := self._find_cause(now - gather_s)) is not None:
-            findings.append(
-                BlockedPart(
-                    part,
-                    len(self._ends_of(part)),
-                    len(self._requests_of(part)),
-                    self._scores(now - gather_s)[part],
-                )
-            )
+            found = self._gather_evidence(now - gather_s)[part]
+            findings.append(BlockedPart(part, len(found.ends), len(found.requests), found.score))
             self.block(part, now)
         return findings
 
@@ -187,16 +198,20 @@
 
     def suspects(self) -> dict[bytes, float]:
         """Return the scores of the parts that further ends may block, the highest first."""
-        scores = self._scores(float("inf"))
+        scores = {
+            part: found.score
+            for part, found in self._gather_evidence(float("inf")).items()
+            if found.score >= SUSPECT_SCORE
+        }
         parts = sorted(scores, key=lambda part: -scores[part])[:MAX_SUSPECTS]
-        return {part: scores[part] for part in parts if scores[part] >= SUSPECT_SCORE}
+        return {part: scores[part] for part in parts}
 
     def sightings(self, part: bytes) -> t.Iterator[tuple[str, PartSighting]]:
         """Yield the ends that count against a part, and its requests there."""
-        for name, end in self._ends_of(part).items():
-            if self._is_explained(end):
+        for name, end in self._ends.items():
+            presence = end.parts.get(part)
+            if presence is None or self._is_explained(end):
                 continue
-            presence = end.parts[part]
             for request in presence.requests:
                 yield name, PartSighting(part, request, presence.position, presence.weight)
 
@@ -210,46 +225,37 @@
 
     def _find_cause(self, until: float) -> bytes | None:
         """Return a part whose ends no other part explains as well, the most specific one first."""
-        scores = self._scores(until)
-        candidates = [
-            part
-            for part, score in scores.items()
-            if score >= MIN_SCORE and len(self._requests_of(part)) >= MIN_REQUESTS
+        evidence = self._gather_evidence(until)
+        causes = [
+            (found.position, found.score, part)
+            for part, found in evidence.items()
+            if found.score >= MIN_SCORE
+            and len(found.requests) >= MIN_REQUESTS
+            and not self._has_rival(part, evidence)
         ]
-        causes = [part for part in candidates if not self._has_rival(part, scores)]
-        return max(causes, key=lambda part: (self._position(part), scores[part]), default=None)
+        return max(causes)[2] if causes else None
 
-    def _has_rival(self, part: bytes, scores: t.Mapping[bytes, float]) -> bool:
+    def _has_rival(self, part: bytes, evidence: t.Mapping[bytes, _Evidence]) -> bool:
         """Return whether a part that is not more general explains the same ends about as well."""
-        position = self._position(part)
+        own = evidence[part]
+        # All parts at these ends are in the evidence: no blocked part explains the ends.
         return any(
-            other != part
-            and self._position(other) >= position
-            and scores.get(other, 0.0) > scores[part] - MIN_LEAD
-            for end in self._ends_of(part).values()
+            evidence[other].score > own.score - MIN_LEAD
+            and evidence[other].position >= own.position
+            and other != part
+            for end in own.ends
             for other in end.parts
         )
 
-    def _scores(self, until: float) -> dict[bytes, float]:
-        """Return the scores of the parts that are not blocked."""
-        scores: dict[bytes, float] = {}
+    def _gather_evidence(self, until: float) -> dict[bytes, _Evidence]:
+        """Return the evidence against each part, from the ends that no blocked part explains."""
+        evidence: dict[bytes, _Evidence] = {}
         for end in self._ends.values():
             if end.at > until or self._is_explained(end):
                 continue
             for part, presence in end.parts.items():
-                scores[part] = scores.get(part, 0.0) + presence.weight
-        return scores
+                evidence.setdefault(part, _Evidence()).add(end, presence)
+        return evidence
 
     def _is_explained(self, end: _End) -> bool:
         return not end.parts.keys().isdisjoint(self._blocked_since)
-
-    def _position(self, part: bytes) -> int:
-        return max((end.parts[part].position for end in self._ends_of(part).values()), default=0)
-
-    def _requests_of(self, part: bytes) -> set[bytes]:
-        return {
-            request for end in self._ends_of(part).values() for request in end.parts[part].requests
-        }
-
-    def _ends_of(self, part: bytes) -> dict[str, _End]:
-        return {name: end for name, end in self._ends.items() if part in end.parts}
