--- a/packages/gateway/src/gradelug_gateway/stream_origins.py
+++ b/packages/gateway/src/gradelug_gateway/stream_origins.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import typing as t
+from enum import Enum
 
 import logbook
 from gradelug_policy.stream_origins import (
@@ -38,13 +39,16 @@
 """Retry delay if the route no longer leads to the service that began the stream."""
 
 
-class OriginSource:
-    """Labels of where an origin was found, for logs and metrics."""
+class OriginSource(Enum):
+    """Where the origin of a stream was found."""
 
     OWN = "own"
+    """Recorded by this instance, or forwarded to it."""
     RECORD = "record"
+    """In the platform's store."""
     PLANNER = "planner"
     SOLE = "sole version"
+    """Not recorded, but only one version served."""
     UNKNOWN = "unknown"
 
 
@@ -166,12 +170,12 @@
         log.info(
             "origin of stream",
             id=job.req.id,
-            source=source,
+            source=source.value,
             service=origin.service if origin is not None else "",
             software=origin.software if origin is not None else "",
             took_s=round(self._clock() - started_at, 3),
         )
-        self._meters.count_stream_origin(source)
+        self._meters.count_stream_origin(source.value)
         if origin is None:
             raise Refused("the software that began the stream is not known", UNKNOWN_RETRY_S)
         if origin.service not in _allowed_services(job.route):
@@ -184,7 +188,7 @@
             job.service = snapshot.services.get(origin.service, job.service)
         job.software = origin.software
 
-    async def _find(self, job: Job) -> tuple[StreamOrigin | None, str]:
+    async def _find(self, job: Job) -> tuple[StreamOrigin | None, OriginSource]:
         """Return the origin of a resumed stream and its source; None if it is not found in time."""
         mark = stream_mark(job.owner, job.req.resumes) if job.req.resumes else b""
         services = _allowed_services(job.route)
