--- a/packages/gateway/src/gradelug_gateway/stream_origins.py
+++ b/packages/gateway/src/gradelug_gateway/stream_origins.py
@@ -24,7 +24,7 @@
 from .job import Job
 from .link import PlannerLink
 from .metrics import GatewayMetrics
-from .model import FleetState, Repeat, Replica, Route
+from .model import FleetState, Repeat, Replica, Route, Snapshot
 from .origin_record import OriginRecord, split_marks
 
 log = logbook.Logger("stream origins")
@@ -76,6 +76,8 @@
         "_link",
         "_meters",
         "_reported_services",
+        "_split",
+        "_split_snapshot",
         "_state",
         "_ticket",
         "_unreported",
@@ -103,6 +105,9 @@
         """Origins of the streams that were not reported to the planner, by service and mark."""
         self._reported_services: frozenset[str] = frozenset()
         """Services whose streams are reported: those with several origins to choose from."""
+        self._split: frozenset[str] = frozenset()
+        """Services of split routes, by the configuration `_split_snapshot`."""
+        self._split_snapshot: Snapshot | None = None
         self._futures: dict[int, asyncio.Future[pb.OriginAnswer]] = {}
         self._unsent_asks: list[pb.OriginAsk] = []
         self._ticket = 0
@@ -120,9 +125,8 @@
         for rep in self._state.replicas.values():
             self.history.note(rep.service, rep.software, now)
         services = {rep.service for rep in self._state.replicas.values()}
-        self._reported_services = frozenset(
-            {name for name in services if self.history.is_mixed(name, now)} | self._split_services()
-        )
+        mixed = {name for name in services if self.history.is_mixed(name, now)}
+        self._reported_services = self._split_services() | mixed
 
     def prune(self) -> None:
         """Drop expired state."""
@@ -242,15 +246,18 @@
         finally:
             del self._futures[ticket]
 
-    def _split_services(self) -> set[str]:
+    def _split_services(self) -> frozenset[str]:
         """Return the services to which a resumable route leads besides another one."""
-        routes = self._state.snapshot.routes if self._state.snapshot is not None else ()
-        return {
-            share.service
-            for route in routes
-            if route.repeat is Repeat.RESUME and len(route.shares) > 1
-            for share in route.shares
-        }
+        snapshot = self._state.snapshot
+        if snapshot is not self._split_snapshot:
+            self._split_snapshot = snapshot
+            self._split = frozenset(
+                share.service
+                for route in (snapshot.routes if snapshot is not None else ())
+                if route.repeat is Repeat.RESUME and len(route.shares) > 1
+                for share in route.shares
+            )
+        return self._split
 
     # The link to the planner.
 
