--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -72,8 +72,8 @@
     world.gateways[[gateway.is_planner for gateway in world.gateways].index(True)].kill()
 
 
-async def lose_power_after_five_crashes(world):
-    while len(world.crashes()) < 5:
+async def lose_power_after_three_crashes(world):
+    while len(world.crashes()) < 3:
         await asyncio.sleep(0.02)
     await world.lose_power()
 
@@ -81,7 +81,7 @@
 class TestFaultsBeside:
     @pytest.mark.parametrize(
         "disturb",
-        [lose_store, kill_planner_after_three_crashes, lose_power_after_five_crashes],
+        [lose_store, kill_planner_after_three_crashes, lose_power_after_three_crashes],
     )
     def test_the_part_is_blocked_while_instances_or_the_store_are_lost(self, disturb):
         async def scenario():
