--- a/review/1/world.py
+++ b/review/1/world.py
@@ -40,21 +40,25 @@
     share = 0.7
 
 
-def free_ports(count):
-    socks = [socket.create_server((HOST, 0)) for _ in range(count)]
+# Each gateway of each run has an address of its own, so that nobody takes its ports before it listens.
+NET = f"127.{os.getpid() % 199 + 1}.{os.getpid() // 199 % 199}"
+
+
+def free_ports(host, count):
+    socks = [socket.create_server((host, 0)) for _ in range(count)]
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
     return ports
 
 
-def free_pair():
+def free_pair(host):
     while True:
-        (port,) = free_ports(1)
+        (port,) = free_ports(host, 1)
         try:
-            with socket.create_server((HOST, port + 1)):
+            with socket.create_server((host, port + 1)):
                 return port
-        except OSError:
+        except (OSError, OverflowError):
             continue
 
 
@@ -63,15 +67,16 @@
 
     def __init__(self, number, folder, store_port):
         self.name = f"edge-ams-a-{number}"
-        self.front, self.ready, control = free_ports(3)
-        first = free_pair()
+        self.host = host = f"{NET}.{number + 1}"
+        self.front, self.ready, control = free_ports(host, 3)
+        first = free_pair(host)
         self.settings = folder / f"{self.name}.toml"
         self.settings.write_text(f'''
 Node = "{self.name}"
 Role = "gateway"
 MachineClass = "edge"
 Serves = ["edge"]
-Ip = "{HOST}"
+Ip = "{host}"
 Zone = "ams-a"
 Region = "nl-west"
 PortRange = [{first},{first + 1}]
@@ -85,9 +90,9 @@
 [Zones]
 ams-a = "nl-west"
 [Listen]
-Front = "{HOST}:{self.front}"
-Ready = "{HOST}:{self.ready}"
-Control = "{HOST}:{control}"
+Front = "{host}:{self.front}"
+Ready = "{host}:{self.ready}"
+Control = "{host}:{control}"
 [Limits]
 CpuShare = 0.537
 Cores = 2
@@ -154,7 +159,7 @@
 
     async def is_ready(self):
         try:
-            reader, writer = await asyncio.open_connection(HOST, self.ready)
+            reader, writer = await asyncio.open_connection(self.host, self.ready)
             writer.write(b"GET /gradelug/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
             status = await reader.readline()
             writer.close()
@@ -180,7 +185,7 @@
     async def run(self):
         while True:
             try:
-                reader, writer = await asyncio.open_connection(HOST, self.gateway.front)
+                reader, writer = await asyncio.open_connection(self.gateway.host, self.gateway.front)
             except OSError:
                 await asyncio.sleep(0.2)
                 continue
