Log engines that leave a planner, and tracebacks of its errors

The planner's removal of an engine left no trace, and "engine in step" did not tell whether the record that a report was applied to was still the planner's. A planner's error was logged without its traceback.

No decision changes.

--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -116,13 +116,14 @@
             planner.end_term()
             planner_task.cancel()
             self.planner = None
-            if (
-                planner_task.done()
-                and not planner_task.cancelled()
-                and planner_task.exception() is not None
-            ):
+            is_over = planner_task.done() and not planner_task.cancelled()
+            exc = planner_task.exception() if is_over else None
+            if exc is not None:
                 log.error(
-                    "planner failed", service=planner.service, why=repr(planner_task.exception())
+                    "planner failed",
+                    service=planner.service,
+                    why=repr(exc),
+                    exc_info=(type(exc), exc, exc.__traceback__),
                 )
 
     def _why_step_aside(self, planner: Planner) -> str:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -267,6 +267,14 @@
         }
         for name in [name for name in self.engines if name not in reported]:
             departed = self.engines.pop(name)
+            log.info(
+                "engine left",
+                replica=name,
+                born=departed.born,
+                announced=name in self.state.replicas,
+                reporting=departed.syncing,
+                ordered=departed.lock.locked(),
+            )
             self.index.drop(departed)
             self.refill.note_lost(departed, name in self.state.replicas, self._clock())
             self._cells.remove(name)
@@ -759,5 +767,11 @@
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("background task of the planner failed", why=repr(task.exception()))
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            log.error(
+                "background task of the planner failed",
+                service=self.service,
+                why=repr(exc),
+                exc_info=(type(exc), exc, exc.__traceback__),
+            )
