Retire the record of an engine that leaves the planner

Cause: `Planner.refresh` removed the engine from `engines` and from the index, but coroutines still held its `Engine`. A report or an order that was under way was applied afterwards and put the weights back into the index. A newer version made `Renewal` look up the departed name in `Planner.engines`: KeyError in the task of the mirror, which ends the process.

Change: `Engine.retire` removes a record from the index and gives it an index of its own. Whatever still holds the record changes only the record. Restarts used a flag that each change of the index had to check, and departures did not set it; both retire the record now, so no later change of either kind reaches the planner's index.

--- a/packages/gateway/src/gradelug_gateway/engine_index.py
+++ b/packages/gateway/src/gradelug_gateway/engine_index.py
@@ -18,8 +18,8 @@
     """Looks up the engines of one planner by their weights and host caches.
 
     The index is always consistent with the engines, which change their weights and host caches
-    only through `WeightSlots` and `note_cached`. Changes of a replaced engine are ignored, since
-    its successor has the same name.
+    only through `WeightSlots` and `note_cached`. A retired engine has an index of its own, since
+    its name may be in use again (see `Engine.retire`).
 
     Parameters
     ----------
@@ -63,24 +63,18 @@
 
     def note_added(self, engine: Engine, key: AdapterKey) -> None:
         """Record that weights were added to an engine."""
-        if engine.is_replaced:
-            return
         self._by_key.setdefault(key, {})[engine.replica.name] = engine
         self.changed_keys.add(key)
         self.added_keys.add(key)
 
     def note_removed(self, engine: Engine, key: AdapterKey) -> None:
         """Record that weights were removed from an engine."""
-        if engine.is_replaced:
-            return
         _drop(self._by_key, key, engine.replica.name)
         self.prefix_cache.forget_weights(engine.replica.name, key.text)
         self.changed_keys.add(key)
 
     def note_cached(self, engine: Engine, holding: Holding, kept: bool) -> None:
         """Record whether an engine's host memory holds an adapter."""
-        if engine.is_replaced:
-            return
         if kept:
             self._cached.setdefault(holding, {})[engine.replica.name] = engine
         else:
@@ -103,16 +97,13 @@
     ----------
     engine : Engine
         Engine that holds the weights.
-    index : EngineIndex
-        Index to update.
     """
 
-    __slots__ = ("_engine", "_index", "base_model_count")
+    __slots__ = ("_engine", "base_model_count")
 
-    def __init__(self, engine: Engine, index: EngineIndex) -> None:
+    def __init__(self, engine: Engine) -> None:
         super().__init__()
         self._engine = engine
-        self._index = index
         self.base_model_count = 0
         """Number of base models among the weights."""
 
@@ -121,14 +112,14 @@
         if previous is None:
             self.base_model_count += not key.adapter
         elif previous.version != slot.version:
-            self._index.prefix_cache.forget_weights(self._engine.replica.name, key.text)
+            self._engine.index.prefix_cache.forget_weights(self._engine.replica.name, key.text)
         super().__setitem__(key, slot)
-        self._index.note_added(self._engine, key)
+        self._engine.index.note_added(self._engine, key)
 
     def __delitem__(self, key: AdapterKey) -> None:
         super().__delitem__(key)
         self.base_model_count -= not key.adapter
-        self._index.note_removed(self._engine, key)
+        self._engine.index.note_removed(self._engine, key)
 
     def replace(self, slots: t.Mapping[AdapterKey, WeightSlot]) -> None:
         """Replace all weights by those that an engine reports."""
--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -126,14 +126,14 @@
         "sync_started_at",
         "born",
         "cached",
-        "_index",
+        "index",
         "_loads_by_gateway",
         "_unacknowledged_loads",
         "_inherited_loads",
         "_registered_born",
         "_total_load",
         "lock",
-        "is_replaced",
+        "is_retired",
         "orders",
         "weight_slots",
         "replica",
@@ -155,14 +155,14 @@
         """Identifies the incarnation that this object describes; 0 if unknown."""
         self._registered_born = replica.born
         """Incarnation in the platform's last entry, which may be older than the report's."""
-        self.is_replaced = False
-        """Whether the process has restarted: orders decided for this incarnation are not sent."""
+        self.is_retired = False
+        """Whether the engine has left or restarted: orders decided for this record are not sent."""
         self._inherited_loads = tuple(inherited_loads)
         self._unacknowledged_loads: list[UnacknowledgedLoad] = []
         self.spec = spec
-        self._index = index if index is not None else EngineIndex()
+        self.index = index if index is not None else EngineIndex()
         self.orders = 0
-        self.weight_slots = WeightSlots(self, self._index)
+        self.weight_slots = WeightSlots(self)
         self.cached: dict[Holding, None] = {}
         """Adapters in the host memory, least recently added first."""
         self.active: dict[AdapterKey, Counter[int]] = {}
@@ -178,6 +178,15 @@
         self.sync_started_at = -math.inf
         """Time of the last state query."""
 
+    def retire(self) -> None:
+        """Remove this record from the planner's index, when the engine has left or restarted.
+
+        Reports, orders and loads that are still in progress then change nothing but this record.
+        """
+        self.index.drop(self)
+        self.index = EngineIndex()
+        self.is_retired = True
+
     @property
     def starting(self) -> int:
         """Requests before their first event."""
@@ -202,7 +211,7 @@
             self._loads_by_gateway[gateway] = load
         else:
             self._loads_by_gateway.pop(gateway, None)
-        self._index.changed_loads.add(self.replica.name)
+        self.index.changed_loads.add(self.replica.name)
         current = self._total_load
         self._total_load = ReportedLoad(
             current.starting + load.starting - previous.starting,
@@ -363,11 +372,11 @@
         """Add an adapter to the host cache, dropping the oldest ones beyond its size."""
         self.cached.pop(holding, None)
         self.cached[holding] = None
-        self._index.note_cached(self, holding, True)
+        self.index.note_cached(self, holding, True)
         while len(self.cached) > CACHED_ADAPTERS_PER_SLOT * self.spec.adapter_slots:
             oldest = next(iter(self.cached))
             del self.cached[oldest]
-            self._index.note_cached(self, oldest, False)
+            self.index.note_cached(self, oldest, False)
 
     def can_load(self) -> bool:
         """Tell whether the engine can be ordered to load an adapter now."""
@@ -443,7 +452,7 @@
         order = Order(load, key, version, self.orders, owner, term.fence)
         outcome = OrderOutcome.NOT_GIVEN
         for _ in range(MAX_ORDER_ATTEMPTS):
-            if term.has_ended or self.is_replaced:
+            if term.has_ended or self.is_retired:
                 break
             outcome = await transport.order(self.replica, order)
             if outcome is not OrderOutcome.LOST:
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -275,7 +275,7 @@
                 reporting=departed.syncing,
                 ordered=departed.lock.locked(),
             )
-            self.index.drop(departed)
+            departed.retire()
             self.refill.note_lost(departed, name in self.state.replicas, self._clock())
             self._cells.remove(name)
             self.followers.mark_changed(name)
@@ -309,9 +309,8 @@
         """Replace the state of an engine whose process restarted; `born` names the new one."""
         name, now = engine.replica.name, self._clock()
         strays = engine.unacknowledged_loads(now)
-        self.index.drop(engine)
+        engine.retire()
         self.refill.note_lost(engine, True, now)
-        engine.is_replaced = True
         log.info("engine restarted", replica=name, born=born, strays=len(strays))
         replacement = self.engines[name] = Engine(
             engine.replica, self._spec, self.index, strays, born
--- /dev/null
+++ b/tests/test_departed_engines.py
@@ -0,0 +1,112 @@
+"""Tests of work that outlives an engine's entry in the planner: late reports, orders and loads."""
+
+import asyncio
+
+import pytest
+from engine_model import MODEL
+from gradelug_gateway.model import AdapterKey, Holding
+from run_world import run
+from test_planner import Bench
+
+A1 = AdapterKey("m", "a1")
+HOLDINGS = [
+    Holding(AdapterKey("m", f"a{number}"), version) for number in (1, 2) for version in (1, 2)
+]
+
+
+class HeldCalls:
+    """Holds up the answers of one engine until they are released.
+
+    Parameters
+    ----------
+    transport : ModelTransport
+        Transport whose calls are held up.
+    method : str
+        ``"report"`` or ``"order"``.
+    name : str
+        Name of the engine.
+    """
+
+    def __init__(self, transport, method, name):
+        self.released = asyncio.Event()
+        self.waiting = 0
+        self._name = name
+        self._call = getattr(transport, method)
+        setattr(transport, method, self._held_call)
+
+    async def _held_call(self, replica, *args):
+        answer = await self._call(replica, *args)
+        if replica.name == self._name and not self.released.is_set():
+            self.waiting += 1
+            await self.released.wait()
+        return answer
+
+
+def assert_index_matches(planner):
+    """Check that the index lists exactly what the planner's engines hold, by identity."""
+    index = planner.index
+    expected = {
+        (key, name): engine
+        for name, engine in planner.engines.items()
+        for key in engine.weight_slots
+    }
+    actual = {
+        (key, name): engine
+        for key in index.keys
+        for name, engine in index.engines_holding(key).items()
+    }
+    assert actual.keys() == expected.keys()
+    assert all(actual[at] is expected[at] for at in expected)
+    for holding in HOLDINGS:
+        caching = index.engines_caching(holding)
+        assert all(planner.engines.get(name) is engine for name, engine in caching.items())
+
+
+class TestDepartures:
+    @pytest.mark.parametrize("key", [MODEL, A1], ids=["base-model", "adapter"])
+    def test_report_of_a_departed_engine_is_not_indexed(self, key):
+        """Guards against a planner that ends when weights are renewed which only the late report
+        of a departed engine shows."""
+
+        async def scenario():
+            bench = Bench(engines=4)
+            await asyncio.sleep(1.0)
+            ticket = bench.ask("a1")
+            await asyncio.sleep(0.6)
+            name = bench.collect()[ticket].replica
+            reports = HeldCalls(bench.transport, "report", name)
+            bench.planner.engines[name].synced = False
+            await asyncio.sleep(0.5)
+            assert reports.waiting
+            del bench.state.replicas[name]
+            await asyncio.sleep(0.2)
+            reports.released.set()
+            await asyncio.sleep(0.2)
+            assert_index_matches(bench.planner)
+            bench.state.versions[key] = 2
+            await asyncio.sleep(5.0)
+            assert not bench.task.done()
+            assert_index_matches(bench.planner)
+            await bench.stop()
+
+        run(scenario)
+
+    def test_load_that_ends_after_a_departure_is_not_indexed(self):
+        """Guards against choosing a departed engine because a late load order recorded the adapter
+        in its host cache."""
+
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(1.0)
+            orders = HeldCalls(bench.transport, "order", "e0")
+            bench.ask("a1")
+            await asyncio.sleep(0.2)
+            assert orders.waiting
+            del bench.state.replicas["e0"]
+            await asyncio.sleep(0.2)
+            orders.released.set()
+            await asyncio.sleep(2.0)
+            assert_index_matches(bench.planner)
+            await bench.stop()
+
+        run(scenario)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -281,8 +281,7 @@
         rep = Replica("e0", "llm", "10.0.0.1:80", "z", born=1)
         old = Engine(rep, SPEC, index)
         old.weight_slots[A1] = WeightSlot(1, Phase.READY, 0.0)
-        index.drop(old)
-        old.is_replaced = True
+        old.retire()
         replacement = Engine(rep, SPEC, index, (), 2)
         replacement.weight_slots[A1] = WeightSlot(1, Phase.READY, 0.0)
         old.discard(A1, old.weight_slots[A1])
