Replace only an engine's current record when its process restarts

What callers would see: requests placed on an engine that has left, and an engine that has just returned taken for empty and its weights loaded again.

Cause: a report that names another start time replaced whatever record the planner had under the engine's name. If the engine had left while its report was under way, it came back among the planner's engines, without a cell; if it had returned under its name, the late report displaced the new record.

Change: a retired record is not replaced.

Evidence: both tests of TestLateIncarnations fail on the commit before (the departed engine is listed again; another record is in place of the returned one) and pass now.

--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -306,7 +306,12 @@
             self._maintenance.run_due(self.term)
 
     def replace_incarnation(self, engine: Engine, born: int) -> Engine:
-        """Replace the state of an engine whose process restarted; `born` names the new one."""
+        """Replace the record of an engine whose process restarted; `born` names the new one.
+
+        A retired record is returned as it is: its engine has left, or has a newer record.
+        """
+        if engine.is_retired:
+            return engine
         name, now = engine.replica.name, self._clock()
         strays = engine.unacknowledged_loads(now)
         engine.retire()
--- a/tests/test_departed_engines.py
+++ b/tests/test_departed_engines.py
@@ -1,11 +1,13 @@
 """Tests of work that outlives an engine's entry in the planner: late reports, orders and loads."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from engine_model import MODEL
 from gradelug_gateway.model import AdapterKey, Holding
 from run_world import run
+from test_incarnations import entry_with_start
 from test_planner import Bench
 
 A1 = AdapterKey("m", "a1")
@@ -30,6 +32,8 @@
     def __init__(self, transport, method, name):
         self.released = asyncio.Event()
         self.waiting = 0
+        self.change = lambda answer: answer
+        """Applied to the answers that were held up."""
         self._name = name
         self._call = getattr(transport, method)
         setattr(transport, method, self._held_call)
@@ -39,6 +43,7 @@
         if replica.name == self._name and not self.released.is_set():
             self.waiting += 1
             await self.released.wait()
+            return self.change(answer)
         return answer
 
 
@@ -110,3 +115,52 @@
             await bench.stop()
 
         run(scenario)
+
+
+class TestLateIncarnations:
+    def test_late_report_does_not_bring_a_departed_engine_back(self):
+        """Guards against requests placed on a departed engine whose last report named a restart."""
+
+        async def scenario():
+            bench = Bench(engines=2)
+            bench.state.replicas["e0"] = entry_with_start("e0", 1)
+            await asyncio.sleep(1.0)
+            reports = HeldCalls(bench.transport, "report", "e0")
+            reports.change = lambda report: replace(report, born=2)
+            bench.planner.engines["e0"].synced = False
+            await asyncio.sleep(0.5)
+            assert reports.waiting
+            del bench.state.replicas["e0"]
+            bench.planner.refresh()
+            reports.released.set()
+            await asyncio.sleep(0.01)
+            assert list(bench.planner.engines) == ["e1"]
+            await bench.stop()
+
+        run(scenario)
+
+    def test_late_report_does_not_displace_the_returned_engine(self):
+        """Guards against replacing the record of a returned engine because of a report that was
+        requested before it left."""
+
+        async def scenario():
+            bench = Bench(engines=2)
+            bench.state.replicas["e0"] = entry_with_start("e0", 1)
+            await asyncio.sleep(1.0)
+            reports = HeldCalls(bench.transport, "report", "e0")
+            reports.change = lambda report: replace(report, born=2)
+            bench.planner.engines["e0"].synced = False
+            await asyncio.sleep(0.5)
+            assert reports.waiting
+            del bench.state.replicas["e0"]
+            bench.planner.refresh()
+            bench.state.replicas["e0"] = entry_with_start("e0", 3)
+            bench.planner.refresh()
+            returned = bench.planner.engines["e0"]
+            reports.released.set()
+            await asyncio.sleep(0.01)
+            assert bench.planner.engines["e0"] is returned
+            assert_index_matches(bench.planner)
+            await bench.stop()
+
+        run(scenario)
