Keep a slot free for late loads when an engine leaves and returns

What callers would see: an engine that crashes with all its requests, up to 12 s after it has returned under its name. One adapter too many ends an engine, and a load order without an answer may still take effect on its next process.

Cause: the orders were kept with the record of the engine. A restart handed them over to the next record, a departure did not; an order that was under way at a departure or restart was noted on the old record alone.

Change: the planner keeps these orders by the engine's name in a module of its own. A slot stays free for each that was ordered from an earlier record.

--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -9,7 +9,6 @@
 import math
 import typing as t
 from collections import Counter
-from dataclasses import dataclass
 from enum import Enum
 
 import logbook
@@ -28,6 +27,7 @@
     ReportedLoad,
 )
 from .ports import OrderTransport
+from .unacknowledged_loads import UnacknowledgedLoads
 
 log = logbook.Logger("engine")
 CACHED_ADAPTERS_PER_SLOT = 6
@@ -35,9 +35,6 @@
 6 slots and 54 with 9. A load that was wrongly expected to come from there is awaited longer."""
 REPORT_LAG_S = 0.35
 """Maximum age of the state in an engine's report, which is some hundred ms old."""
-UNACKNOWLEDGED_LOAD_TTL_S = 15.0
-"""An order without an answer may take effect up to 12 s later, and may then reach a process that
-has restarted under the engine's name."""
 MAX_CONCURRENT_LOADS = 4
 """Adapters that may be loading on one engine."""
 MAX_ORDER_ATTEMPTS = 3
@@ -58,22 +55,6 @@
     """Unload ordered; the engine still runs requests that use the weights."""
 
 
-@dataclass(slots=True, frozen=True)
-class UnacknowledgedLoad:
-    """A load order without an answer, which may still take effect, also after a restart.
-
-    Parameters
-    ----------
-    expected : int
-        Number of orders that the engine must have accepted for it to take effect.
-    until : float
-        Time until which it may take effect, by the runtime's clock.
-    """
-
-    expected: int
-    until: float
-
-
 class WeightSlot:
     """Weights that an engine holds, loads or unloads, with their phase."""
 
@@ -113,9 +94,10 @@
         Capacity of the engines of its service.
     index : EngineIndex or None
         Updated when the weights, the host cache or the requests of the engine change.
-    inherited_loads : iterable of UnacknowledgedLoad
-        Loads ordered from earlier incarnations. An adapter slot stays free for each while it may
-        still take effect, since one adapter too many crashes the engine.
+    unacknowledged_loads : UnacknowledgedLoads or None
+        The planner's load orders without an answer. An adapter slot stays free for each that was
+        ordered from an earlier record and may still take effect, since one adapter too many crashes
+        the engine.
     born : int
         Start time that identifies the incarnation, if the engine's report names another one than
         its entry; 0 to use the entry's.
@@ -129,7 +111,6 @@
         "index",
         "_loads_by_gateway",
         "_unacknowledged_loads",
-        "_inherited_loads",
         "_registered_born",
         "_total_load",
         "lock",
@@ -147,7 +128,7 @@
         replica: Replica,
         spec: EngineSpec,
         index: EngineIndex | None = None,
-        inherited_loads: t.Iterable[UnacknowledgedLoad] = (),
+        unacknowledged_loads: UnacknowledgedLoads | None = None,
         born: int = 0,
     ) -> None:
         self.replica = replica
@@ -157,8 +138,7 @@
         """Incarnation in the platform's last entry, which may be older than the report's."""
         self.is_retired = False
         """Whether the engine has left or restarted: orders decided for this record are not sent."""
-        self._inherited_loads = tuple(inherited_loads)
-        self._unacknowledged_loads: list[UnacknowledgedLoad] = []
+        self._unacknowledged_loads = unacknowledged_loads or UnacknowledgedLoads()
         self.spec = spec
         self.index = index if index is not None else EngineIndex()
         self.orders = 0
@@ -299,12 +279,9 @@
 
     def free_adapter_slots(self) -> int:
         """Return the number of free adapter slots, less those reserved for inherited loads."""
-        inherited_loads = sum(
-            inherited.expected >= self.orders for inherited in self._inherited_loads
-        )
         return (
             self.spec.adapter_slots
-            - inherited_loads
+            - self._unacknowledged_loads.count_inherited(self)
             - (len(self.weight_slots) - self.weight_slots.base_model_count)
         )
 
@@ -325,31 +302,6 @@
             return False
         return True
 
-    def note_unacknowledged_load(self, expected: int, now: float) -> None:
-        """Record a load order without an answer that had `expected` orders before it."""
-        self._unacknowledged_loads.append(
-            UnacknowledgedLoad(expected, now + UNACKNOWLEDGED_LOAD_TTL_S)
-        )
-
-    def unacknowledged_loads(self, now: float) -> tuple[UnacknowledgedLoad, ...]:
-        """Return the loads of this and earlier incarnations that may still take effect."""
-        self.drop_expired_loads(now)
-        return (
-            *self._inherited_loads,
-            *(pending for pending in self._unacknowledged_loads if pending.until > now),
-        )
-
-    def drop_expired_loads(self, now: float) -> None:
-        """Remove loads that cannot take effect any more."""
-        if self._inherited_loads:
-            self._inherited_loads = tuple(
-                inherited for inherited in self._inherited_loads if inherited.until > now
-            )
-        if self._unacknowledged_loads and self._unacknowledged_loads[0].until <= now:
-            self._unacknowledged_loads = [
-                pending for pending in self._unacknowledged_loads if pending.until > now
-            ]
-
     def loading_count(self) -> int:
         """Return how many adapters are loading."""
         return sum(slot.phase is Phase.LOADING for _, slot in self.adapters())
--- a/packages/gateway/src/gradelug_gateway/loader.py
+++ b/packages/gateway/src/gradelug_gateway/loader.py
@@ -162,7 +162,7 @@
         expected = engine.orders
         outcome = await engine.send_order(self._transport, load, key, version, self._owner, term)
         if outcome is OrderOutcome.LOST and load and key.adapter:
-            engine.note_unacknowledged_load(expected, self._clock())
+            planner.unacknowledged_loads.note(engine, expected, self._clock())
         if outcome is OrderOutcome.OUTRANKED and not planner.is_outranked:
             planner.outranked()
         return outcome
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -52,6 +52,7 @@
 from .settings import Feature
 from .shared_health import SUSPECT_COST_S, HealthAggregator
 from .store_updates import StorePublisher
+from .unacknowledged_loads import UnacknowledgedLoads
 from .weight_queue import Waiter, WeightQueue
 
 log = logbook.Logger("planner")
@@ -156,6 +157,8 @@
         self._prefix_cache = PrefixCache(clock)
         self.index = EngineIndex(self._prefix_cache.parts)
         """Looks up engines by the weights that they hold."""
+        self.unacknowledged_loads = UnacknowledgedLoads()
+        """Load orders without an answer."""
         self._cells = Cells()
         self._rng = random.Random(0)
         health = HealthAggregator(
@@ -284,7 +287,9 @@
         for name, rep in reported.items():
             engine = self.engines.get(name)
             if engine is None:
-                engine = self.engines[name] = Engine(rep, self._spec, self.index)
+                engine = self.engines[name] = Engine(
+                    rep, self._spec, self.index, self.unacknowledged_loads
+                )
                 self._cells.add(name)
                 self._add_reported_cache(engine)
                 if len(reported) > MAX_CONCURRENT_SYNCS:
@@ -296,8 +301,8 @@
                 if engine.update_replica(rep):
                     engine = self.replace_incarnation(engine, rep.born)
                 self._add_reported_cache(engine)
-            engine.drop_expired_loads(self._clock())
         now = self._clock()
+        self.unacknowledged_loads.drop_expired(now)
         self._redirect_tried_at = {
             key: at for key, at in self._redirect_tried_at.items() if at + REDIRECT_RETRY_S > now
         }
@@ -313,13 +318,13 @@
         if engine.is_retired:
             return engine
         name, now = engine.replica.name, self._clock()
-        strays = engine.unacknowledged_loads(now)
         engine.retire()
         self.refill.note_lost(engine, True, now)
-        log.info("engine restarted", replica=name, born=born, strays=len(strays))
         replacement = self.engines[name] = Engine(
-            engine.replica, self._spec, self.index, strays, born
+            engine.replica, self._spec, self.index, self.unacknowledged_loads, born
         )
+        strays = self.unacknowledged_loads.count_inherited(replacement)
+        log.info("engine restarted", replica=name, born=born, strays=strays)
         self.followers.mark_changed(name)
         for part in self.parts:
             part.forget(name)
--- a/tests/test_departed_engines.py
+++ b/tests/test_departed_engines.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 
 import pytest
-from engine_model import MODEL
-from gradelug_gateway.model import AdapterKey, Holding
+from engine_model import MODEL, SLOTS
+from gradelug_gateway.model import AdapterKey, Holding, OrderOutcome
 from run_world import run
 from test_incarnations import entry_with_start
 from test_planner import Bench
@@ -164,3 +164,72 @@
             await bench.stop()
 
         run(scenario)
+
+
+class LateOrders:
+    """Leaves the load orders of one engine unanswered; they can be executed later.
+
+    Parameters
+    ----------
+    bench : Bench
+        The planner and its engines.
+    name : str
+        Name of the engine.
+    """
+
+    def __init__(self, bench, name):
+        self.taken = []
+        self._bench = bench
+        self._name = name
+        self._order = bench.transport.order
+        bench.transport.order = self._leave_unanswered
+
+    async def _leave_unanswered(self, replica, order):
+        if replica.name != self._name or not order.load:
+            return await self._order(replica, order)
+        self.taken.append(order)
+        await asyncio.sleep(0.12)
+        return OrderOutcome.LOST
+
+    def answer_again(self):
+        self._bench.transport.order = self._order
+
+    def execute_first(self):
+        """Execute the first order at the process that has the engine's name now."""
+        self._bench.transport.engines[self._name].carry_out(self.taken[0])
+
+
+class TestLateLoads:
+    @pytest.mark.parametrize("leaves_after_s", [0.2, 1.0], ids=["in-flight", "unanswered"])
+    @pytest.mark.parametrize("how", ["return", "restart"])
+    def test_slot_stays_free_for_a_load_ordered_from_an_earlier_process(self, how, leaves_after_s):
+        """Guards against a crash of a returned engine: a load order from before its departure took
+        effect when all its adapter slots were in use."""
+
+        async def scenario():
+            bench = Bench(engines=1)
+            bench.state.replicas["e0"] = entry_with_start("e0", 1)
+            engine = bench.transport.engines["e0"]
+            engine.orders = SLOTS
+            engine._record_state()
+            await asyncio.sleep(1.0)
+            late = LateOrders(bench, "e0")
+            bench.ask("a1", wait_s=0.3)
+            await asyncio.sleep(leaves_after_s)
+            assert late.taken[0].expected == SLOTS
+            if how == "return":
+                del bench.state.replicas["e0"]
+                bench.planner.refresh()
+            bench.add("e0")
+            bench.state.replicas["e0"] = entry_with_start("e0", 2)
+            bench.planner.refresh()
+            await asyncio.sleep(0.4)
+            late.answer_again()
+            for adapter in ("b1", "b2", "b3"):
+                bench.ask(adapter, returning=True)
+            await asyncio.sleep(3.0)
+            late.execute_first()
+            assert not bench.transport.engines["e0"].is_overfilled
+            await bench.stop()
+
+        run(scenario)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -8,7 +8,7 @@
 from engine_model import SLOTS, ModelEngine
 from gradelug_coordination import KvEntry, Mirror
 from gradelug_gateway.engine_index import EngineIndex
-from gradelug_gateway.engines import UNACKNOWLEDGED_LOAD_TTL_S, Engine, Phase, WeightSlot
+from gradelug_gateway.engines import Engine, Phase, WeightSlot
 from gradelug_gateway.feed import Feed
 from gradelug_gateway.fleet import Fleet
 from gradelug_gateway.model import (
@@ -20,6 +20,10 @@
     ReportedLoad,
 )
 from gradelug_gateway.store_updates import _decode, _published_fields
+from gradelug_gateway.unacknowledged_loads import (
+    UNACKNOWLEDGED_LOAD_TTL_S,
+    UnacknowledgedLoads,
+)
 from gradelug_platform.entries import PlatformEntries
 from gradelug_wire import placement_pb2 as pb
 from hypothesis import given, settings
@@ -258,20 +262,19 @@
         run(scenario)
 
     def test_slot_is_reserved_for_an_unacknowledged_load(self):
-        engine = Engine(Replica("e0", "llm", "10.0.0.1:80", "z", born=1), SPEC)
-        engine.note_unacknowledged_load(2, 10.0)
-        replacement = Engine(
-            engine.replica, SPEC, inherited_loads=engine.unacknowledged_loads(11.0)
-        )
+        loads = UnacknowledgedLoads()
+        rep = Replica("e0", "llm", "10.0.0.1:80", "z", born=1)
+        engine = Engine(rep, SPEC, unacknowledged_loads=loads)
+        loads.note(engine, 2, 10.0)
+        assert engine.free_adapter_slots() == SLOTS
+        loads.drop_expired(11.0)
+        replacement = Engine(rep, SPEC, unacknowledged_loads=loads)
         assert replacement.free_adapter_slots() == SLOTS - 1
         replacement.apply_report(EngineReport(3, (), (), frozenset(), False), 12.0)
         # The engine has accepted more orders than the unacknowledged load expects.
         assert replacement.free_adapter_slots() == SLOTS
-        late = Engine(
-            engine.replica,
-            SPEC,
-            inherited_loads=engine.unacknowledged_loads(10.0 + UNACKNOWLEDGED_LOAD_TTL_S),
-        )
+        loads.drop_expired(10.0 + UNACKNOWLEDGED_LOAD_TTL_S)
+        late = Engine(rep, SPEC, unacknowledged_loads=loads)
         assert late.free_adapter_slots() == SLOTS
         late.weight_slots[A1] = WeightSlot(1, Phase.READY, 0.0)
         assert late.free_adapter_slots() == SLOTS - 1
@@ -282,7 +285,7 @@
         old = Engine(rep, SPEC, index)
         old.weight_slots[A1] = WeightSlot(1, Phase.READY, 0.0)
         old.retire()
-        replacement = Engine(rep, SPEC, index, (), 2)
+        replacement = Engine(rep, SPEC, index, born=2)
         replacement.weight_slots[A1] = WeightSlot(1, Phase.READY, 0.0)
         old.discard(A1, old.weight_slots[A1])
         assert index.engines_holding(A1) == {"e0": replacement}
