End the loads of an engine that has left

What callers would see: a request for a base model waits up to the expected time of its load, 1.5 s and more, although the engine that loaded it has left; other engines get their base model later; adapters wait behind too many concurrent loads of the weight store.

Cause: a load in progress checked whether its slot was still in the record, and a departed record keeps its slots. It went on: it used a load of the window of base models for an order that was not sent, counted a load that nobody saw complete as a success, and kept the model marked as loading.

Change: `Engine.has_slot` is false for a retired record, and loads, unloads and renewals ask it in place of comparing slots; a model whose engine has left may be loaded elsewhere at once; a success is counted only while the engine is there.

--- a/packages/gateway/src/gradelug_gateway/engines.py
+++ b/packages/gateway/src/gradelug_gateway/engines.py
@@ -344,9 +344,13 @@
         del self.weight_slots[key]
         return key
 
+    def has_slot(self, key: AdapterKey, slot: WeightSlot) -> bool:
+        """Tell whether a slot is still in use: not replaced, and the engine has not left."""
+        return not self.is_retired and self.weight_slots.get(key) is slot
+
     def discard(self, key: AdapterKey, slot: WeightSlot) -> None:
         """Remove weights after a failed load, unless another slot has replaced the given one."""
-        if self.weight_slots.get(key) is slot:
+        if self.has_slot(key, slot):
             del self.weight_slots[key]
 
     def forget_gateway(self, gateway: int) -> None:
--- a/packages/gateway/src/gradelug_gateway/loader.py
+++ b/packages/gateway/src/gradelug_gateway/loader.py
@@ -209,7 +209,7 @@
     async def _execute(self, planned: PlannedLoad) -> None:
         term, engine, key, slot = planned.term, planned.engine, planned.key, planned.slot
         async with engine.lock:
-            if term.has_ended or engine.weight_slots.get(key) is not slot:
+            if term.has_ended or not engine.has_slot(key, slot):
                 # The victim was removed from the record but is still on the engine.
                 engine.discard(key, slot)
                 engine.synced = False
@@ -234,15 +234,14 @@
         load_s = self.pace.expected_cached_load_s if planned.cached else self.pace.load_s
         slot.ready_at = slot.acknowledged_at + load_s
         await self._make_ready(engine, key, slot)
-        if slot.store_loads_at_start:
+        if slot.store_loads_at_start and not engine.is_retired:
             self.pace.record_success(
                 slot.store_loads_at_start, slot.was_store_saturated, self._clock()
             )
 
     async def _await_unload(self, engine: Engine, key: AdapterKey, slot: WeightSlot) -> None:
         """Free the slot of an adapter once the engine reports that it is unloaded."""
-        engines, name = self._planner.engines, engine.replica.name
-        while engines.get(name) is engine and engine.weight_slots.get(key) is slot:
+        while engine.has_slot(key, slot):
             await asyncio.sleep(REPORT_LAG_S)
             if engine.request_count(key):
                 continue
@@ -256,7 +255,7 @@
         self._set_ready(engine, key, slot)
 
     def _set_ready(self, engine: Engine, key: AdapterKey, slot: WeightSlot) -> None:
-        if engine.weight_slots.get(key) is not slot:
+        if not engine.has_slot(key, slot):
             return
         slot.phase = Phase.READY
         slot.ready_at = slot.used_at = self._clock()
--- a/packages/gateway/src/gradelug_gateway/maintenance.py
+++ b/packages/gateway/src/gradelug_gateway/maintenance.py
@@ -5,6 +5,7 @@
 import asyncio
 import typing as t
 from collections import Counter
+from dataclasses import dataclass
 
 import logbook
 from gradelug_policy.residency import LoadRateLimiter
@@ -25,6 +26,22 @@
 above it, next to the engine's other adapters, its requests queue behind each other."""
 
 
+@dataclass(slots=True, frozen=True)
+class _ModelLoad:
+    """A base model that is being loaded because requests wait for it.
+
+    Parameters
+    ----------
+    engine : Engine
+        Engine that loads it.
+    until : float
+        Time until which the load is expected to take, by the runtime's clock.
+    """
+
+    engine: Engine
+    until: float
+
+
 class Maintenance:
     """Loads base models and further copies and renews versions, as demand requires.
 
@@ -42,7 +59,7 @@
 
     __slots__ = (
         "_clock",
-        "_loading_until",
+        "_model_loads",
         "_planner",
         "_renewal",
         "_spec",
@@ -60,8 +77,8 @@
         self._spec = spec
         self._window = window
         self._clock = clock
-        self._loading_until: dict[str, float] = {}
-        """Time until which a base model is expected to load, by its name."""
+        self._model_loads: dict[str, _ModelLoad] = {}
+        """Loads in progress by the name of the base model."""
         self._renewal = Renewal(planner, clock)
 
     def run_due(self, term: PlannerTerm) -> None:
@@ -88,12 +105,14 @@
     def _place_requested_models(self, term: PlannerTerm) -> None:
         """Load models that requests wait for and no engine holds."""
         now, index = self._clock(), self._planner.index
-        self._loading_until = {
-            name: until for name, until in self._loading_until.items() if until > now
+        self._model_loads = {
+            name: load
+            for name, load in self._model_loads.items()
+            if load.until > now and not load.engine.is_retired
         }
         missing = {
             name
-            for name in self._planner.requested_models() - self._loading_until.keys()
+            for name in self._planner.requested_models() - self._model_loads.keys()
             if not index.engines_holding(AdapterKey(name))
         }
         copies_by_model = self._count_models() if missing else Counter()
@@ -106,7 +125,8 @@
             if victim is not None:
                 engine.drain_model(victim)
                 self._planner.followers.mark_changed(engine.replica.name)
-            self._loading_until[name] = now + model.load_s + MODEL_REPORT_DELAY_S
+            until = now + model.load_s + MODEL_REPORT_DELAY_S
+            self._model_loads[name] = _ModelLoad(engine, until)
             key = AdapterKey(name)
             slot = engine.weight_slots[key] = WeightSlot(0, Phase.LOADING, self._clock())
             self._planner.start(self._load_model(term, engine, key, slot, model.load_s, victim))
@@ -156,7 +176,7 @@
         victim: AdapterKey | None = None,
     ) -> None:
         async with engine.lock:
-            if engine.weight_slots.get(key) is not slot:
+            if not engine.has_slot(key, slot):
                 return
             in_use = victim is not None and engine.uses_model(victim.model)
             if in_use or not self._window.allows(self._clock()):
@@ -167,6 +187,8 @@
                 if outcome is not OrderOutcome.HOLDS:
                     self._abandon_load(engine, key, slot, victim)
                     return
+                if not engine.has_slot(key, slot):
+                    return
                 engine.drop_model(victim)
                 self._planner.followers.mark_changed(engine.replica.name)
             self._window.note(self._clock())
@@ -183,7 +205,9 @@
     ) -> None:
         """Abandon the load of a base model; the engine keeps the one that it has."""
         engine.discard(key, slot)
-        self._loading_until.pop(key.model, None)
+        load = self._model_loads.get(key.model)
+        if load is not None and load.engine is engine:
+            del self._model_loads[key.model]
         if victim is not None:
             # The victim was closed to new requests; the report shows what can be used.
             engine.synced = False
--- a/packages/gateway/src/gradelug_gateway/renewal.py
+++ b/packages/gateway/src/gradelug_gateway/renewal.py
@@ -123,8 +123,7 @@
         self, term: PlannerTerm, engine: Engine, key: AdapterKey, slot: WeightSlot
     ) -> None:
         async with engine.lock:
-            held = engine.weight_slots.get(key) is slot
-            if term.has_ended or not engine.synced or not held:
+            if term.has_ended or not engine.synced or not engine.has_slot(key, slot):
                 return
             outcome = await self._planner.loader.order(term, engine, False, key, 0)
             engine.discard(key, slot)
--- a/tests/test_departed_engines.py
+++ b/tests/test_departed_engines.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from dataclasses import replace
+from unittest import mock
 
 import pytest
 from engine_model import MODEL, SLOTS
 from gradelug_gateway.model import AdapterKey, Holding, OrderOutcome
 from run_world import run
 from test_incarnations import entry_with_start
-from test_planner import Bench
+from test_planner import TWO_MODELS, Bench
 
 A1 = AdapterKey("m", "a1")
 HOLDINGS = [
@@ -117,6 +118,67 @@
         run(scenario)
 
 
+class TestInterruptedLoads:
+    def test_load_on_a_departed_engine_is_not_counted_as_a_success(self):
+        """Guards against raising the limit of concurrent loads for loads that never completed."""
+
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(1.0)
+            pace = bench.planner.loader.pace
+            bench.planner.loader.pace = mock.Mock(wraps=pace, load_s=pace.load_s)
+            bench.planner.loader.pace.max_concurrent_loads = pace.max_concurrent_loads
+            bench.ask("a1")
+            await asyncio.sleep(0.1)
+            assert bench.transport.given
+            del bench.state.replicas["e0"]
+            await asyncio.sleep(2.0)
+            bench.planner.loader.pace.record_success.assert_not_called()
+            await bench.stop()
+
+        run(scenario)
+
+    def test_base_model_of_a_departed_engine_uses_no_load_of_the_window(self):
+        """Guards against delaying the base models of other engines for a load that was not sent."""
+
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(1.0)
+            maintenance = bench.planner._maintenance
+            window = maintenance._window = mock.Mock(wraps=maintenance._window)
+            engine = bench.planner.engines["e0"]
+            async with engine.lock:
+                engine.drop_model(MODEL)
+                await asyncio.sleep(0.3)
+                assert MODEL in engine.weight_slots
+                del bench.state.replicas["e0"]
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(1.0)
+            window.note.assert_not_called()
+            await bench.stop()
+
+        run(scenario)
+
+    def test_model_is_loaded_elsewhere_when_its_engine_leaves_during_the_load(self):
+        """Guards against requests that wait out the expected time of a load on an engine that has
+        left."""
+
+        async def scenario():
+            bench = Bench(engines=2, spec=TWO_MODELS)
+            await asyncio.sleep(1.0)
+            key = AdapterKey("n")
+            bench.ask("a1", model="n", returning=True, wait_s=8.0)
+            await asyncio.sleep(0.3)
+            (name,) = bench.planner.index.engines_holding(key)
+            del bench.state.replicas[name]
+            await asyncio.sleep(0.5)
+            (other,) = bench.planner.index.engines_holding(key)
+            assert other != name
+            await bench.stop()
+
+        run(scenario)
+
+
 class TestLateIncarnations:
     def test_late_report_does_not_bring_a_departed_engine_back(self):
         """Guards against requests placed on a departed engine whose last report named a restart."""
