Query a returned engine while its earlier query is unanswered

What callers would see: an engine that left and returned under its name while it did not answer gets no requests until the old query has ended.

Cause: the queries in progress were kept by engine name, so the new record counted as being queried already; and a query that waited for its turn was sent although its engine had left, in place of one that is there.

Change: queries are kept by record, and one whose record is retired is dropped.

Evidence: test_returned_engine_is_queried_while_its_earlier_query_is_unanswered fails on the commit before (one query, not two) and passes now.

--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -209,8 +209,8 @@
         self._maintenance = Maintenance(self, spec, window, clock)
         self._spec = spec
         self._sync_semaphore = asyncio.Semaphore(MAX_CONCURRENT_SYNCS)
-        self._syncing: set[str] = set()
-        """Names of engines whose state is being queried, or is about to be."""
+        self._syncing: set[Engine] = set()
+        """Engines whose state is being queried, or is about to be."""
         self._engine_estimator = room
         self._capacity = engine_capacity_of(spec)
         self._redirect_tried_at: dict[AdapterKey, float] = {}
@@ -344,8 +344,8 @@
         """Query engines for their state, engines in use first."""
         unknown = [
             engine
-            for name, engine in self.engines.items()
-            if not engine.synced and name not in self._syncing
+            for engine in self.engines.values()
+            if not engine.synced and engine not in self._syncing
         ]
         room = MAX_PENDING_SYNCS - len(self._syncing)
         if len(unknown) > room:
@@ -359,16 +359,18 @@
                 )
             )
         for engine in unknown[: max(0, room)]:
-            self._syncing.add(engine.replica.name)
+            self._syncing.add(engine)
             self.start(self._sync(engine))
 
     async def _sync(self, engine: Engine) -> None:
         try:
             async with self._sync_semaphore:
+                if engine.is_retired:
+                    return
                 engine.sync_started_at = self._clock()
                 await self.loader.sync(engine)
         finally:
-            self._syncing.discard(engine.replica.name)
+            self._syncing.discard(engine)
 
     def outranked(self) -> None:
         """End the term: another planner has a greater fencing token."""
--- a/tests/test_departed_engines.py
+++ b/tests/test_departed_engines.py
@@ -227,6 +227,27 @@
 
         run(scenario)
 
+    def test_returned_engine_is_queried_while_its_earlier_query_is_unanswered(self):
+        """Guards against an engine that gets no requests after its return until a query from before
+        its departure has timed out."""
+
+        async def scenario():
+            bench = Bench(engines=2)
+            await asyncio.sleep(1.0)
+            reports = HeldCalls(bench.transport, "report", "e0")
+            bench.planner.engines["e0"].synced = False
+            await asyncio.sleep(0.5)
+            assert reports.waiting == 1
+            del bench.state.replicas["e0"]
+            bench.planner.refresh()
+            bench.add("e0")
+            bench.planner.refresh()
+            await asyncio.sleep(0.1)
+            assert reports.waiting == 2
+            await bench.stop()
+
+        run(scenario)
+
 
 class LateOrders:
     """Leaves the load orders of one engine unanswered; they can be executed later.
