Forget the load sent for an engine that has left

What callers would see: gateways take an engine for idle that has returned with the load it left with, and send it more than it can run; and a planner's memory grows with each replica that was ever there.

Cause: `Followers` keeps the load that it last sent for each engine, so as to send changes alone, and never dropped an entry. A new record with the same load looked unchanged.

Change: an engine that leaves or restarts is dropped there.

--- a/packages/gateway/src/gradelug_gateway/followers.py
+++ b/packages/gateway/src/gradelug_gateway/followers.py
@@ -185,6 +185,11 @@
         for follower in self._by_number.values():
             follower.queue_update(update)
 
+    def forget(self, replica: str) -> None:
+        """Record that a replica left or restarted; its load is sent again if it returns."""
+        self._sent_loads.pop(replica, None)
+        self._changed.add(replica)
+
     def mark_changed(self, replica: str) -> None:
         """Record that the weights held by a replica have changed."""
         self._changed.add(replica)
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -281,7 +281,7 @@
             departed.retire()
             self.refill.note_lost(departed, name in self.state.replicas, self._clock())
             self._cells.remove(name)
-            self.followers.mark_changed(name)
+            self.followers.forget(name)
             for part in self.parts:
                 part.forget(name)
         for name, rep in reported.items():
@@ -325,7 +325,7 @@
         )
         strays = self.unacknowledged_loads.count_inherited(replacement)
         log.info("engine restarted", replica=name, born=born, strays=strays)
-        self.followers.mark_changed(name)
+        self.followers.forget(name)
         for part in self.parts:
             part.forget(name)
         return replacement
--- a/tests/test_departed_engines.py
+++ b/tests/test_departed_engines.py
@@ -7,6 +7,11 @@
 import pytest
 from engine_model import MODEL, SLOTS
 from gradelug_gateway.model import AdapterKey, Holding, OrderOutcome
+from gradelug_gateway.unacknowledged_loads import UNACKNOWLEDGED_LOAD_TTL_S
+from gradelug_policy.engine_capacity import EngineEstimator
+from gradelug_policy.prefill import PrefillSpeeds
+from gradelug_wire import placement_pb2 as pb
+from object_graph import paths_to
 from run_world import run
 from test_incarnations import entry_with_start
 from test_planner import TWO_MODELS, Bench
@@ -316,3 +321,72 @@
             await bench.stop()
 
         run(scenario)
+
+
+class TestForgottenNames:
+    def test_no_name_of_a_departed_engine_is_kept(self):
+        """Guards against memory that grows with each replica that was ever there."""
+
+        async def scenario():
+            bench = Bench(engines=4, room=EngineEstimator(PrefillSpeeds()))
+            departed = set()
+            for round_number in range(12):
+                await asyncio.sleep(0.6)
+                ticket = bench.ask(f"a{round_number}")
+                await asyncio.sleep(0.6)
+                name = bench.collect()[ticket].replica
+                report_use(bench, name, f"a{round_number}")
+                await asyncio.sleep(0.3)
+                del bench.state.replicas[name]
+                departed.add(name)
+                bench.add(f"f{round_number}")
+                await asyncio.sleep(0.2)
+                # The gateway's last messages about the engine arrive after its departure.
+                report_use(bench, name, f"a{round_number}")
+                report_use(bench, name, f"a{round_number}", active=0)
+            bench.state.change += 1
+            await asyncio.sleep(UNACKNOWLEDGED_LOAD_TTL_S + 1.0)
+            bench.gateway.take_messages()
+            assert not departed & bench.state.replicas.keys()
+            assert not paths_to(bench.planner, departed, (bench.transport,))
+            await bench.stop()
+
+        run(scenario)
+
+    def test_load_of_a_returned_engine_is_sent_again(self):
+        """Guards against gateways that know no load of an engine which returned as loaded as it
+        left."""
+
+        async def scenario():
+            bench = Bench(engines=1)
+            await asyncio.sleep(1.0)
+            bench.load("e0", 3)
+            await asyncio.sleep(1.0)
+            assert [load.starting for load in sent_loads(bench)][-1] == 3
+            del bench.state.replicas["e0"]
+            bench.planner.refresh()
+            bench.add("e0")
+            bench.planner.refresh()
+            bench.load("e0", 3)
+            await asyncio.sleep(1.0)
+            assert [load.starting for load in sent_loads(bench)] == [3]
+            await bench.stop()
+
+        run(scenario)
+
+
+def report_use(bench, name, adapter, active=1):
+    """Report a request, its load, its pauses and its failure on an engine."""
+    bench.planner.take(
+        bench.gateway,
+        pb.FromGateway(
+            uses=[pb.Use(replica=name, model="m", adapter=adapter, active=active, started=1)],
+            loads=[pb.Load(replica=name, starting=active, queued=[100 * active])],
+            ends=[pb.Ends(replica=name, served=1, failed=3)],
+            speeds=[pb.EngineSpeed(replica=name, step_ms=50.0, samples=8)],
+        ),
+    )
+
+
+def sent_loads(bench):
+    return [load for message in bench.gateway.take_messages() for load in message.loads]
