Forget the slowness of replicas that are gone

Cause: a gateway stores the slowness that planners report by name and dropped none of it; on planners the detector forgets departed engines.

Change: `Fleet.forget_gone` drops what is not among the known replicas.

Evidence: test_gateway_forgets_the_speed_of_a_departed_engine fails on the commit before (the name is kept in two places) and passes now.

--- a/packages/gateway/src/gradelug_gateway/fleet.py
+++ b/packages/gateway/src/gradelug_gateway/fleet.py
@@ -525,6 +525,8 @@
         known = self.state.replicas
         self.limits.forget_removed(known)
         self.rests.drop_expired()
+        if self.engine_estimator is not None:
+            self.engine_estimator.paces.forget_gone(known)
         for name in [name for name in self._health if name not in known]:
             del self._health[name]
         self.prefix_cache.parts.forget_gone(known, self._clock())
--- a/packages/policy/src/gradelug_policy/engine_slowness.py
+++ b/packages/policy/src/gradelug_policy/engine_slowness.py
@@ -10,6 +10,7 @@
 
 import math
 import statistics
+import typing as t
 
 EVENT_HALF_LIFE_S = 0.15
 """Half-life of the weight of events. A slow engine must be detected within a second, although it
@@ -127,6 +128,15 @@
         for engine_events in self._by_service.values():
             engine_events.pop(replica, None)
 
+    def forget_gone(self, replicas: t.Container[str]) -> None:
+        """Drop the state of all engines but those of the given replicas."""
+        names = self._slowness_by_engine.keys() | {
+            name for engine_events in self._by_service.values() for name in engine_events
+        }
+        for name in names:
+            if name not in replicas:
+                self.forget(name)
+
     def _median_pause_s(self, service: str, now: float) -> float:
         """Return the median pause of a service, in seconds; 0 if unknown."""
         median_s, at = self._medians.get(service, (0.0, -math.inf))
--- a/tests/test_departed_engines.py
+++ b/tests/test_departed_engines.py
@@ -6,7 +6,8 @@
 
 import pytest
 from engine_model import MODEL, SLOTS
-from gradelug_gateway.model import AdapterKey, Holding, OrderOutcome
+from gradelug_gateway.fleet import Fleet
+from gradelug_gateway.model import AdapterKey, FleetState, Holding, OrderOutcome
 from gradelug_gateway.unacknowledged_loads import UNACKNOWLEDGED_LOAD_TTL_S
 from gradelug_policy.engine_capacity import EngineEstimator
 from gradelug_policy.prefill import PrefillSpeeds
@@ -374,6 +375,19 @@
 
         run(scenario)
 
+    def test_gateway_forgets_the_speed_of_a_departed_engine(self):
+        """Guards against memory that grows with each slow engine that a planner ever reported."""
+        state = FleetState()
+        state.replicas["e1"] = entry_with_start("e1", 1)
+        fleet = Fleet(state, "hall", lambda: 0.0, has_room=True)
+        paces = fleet.engine_estimator.paces
+        for name in ("e0", "e1"):
+            paces.set_slowness(name, 4.0, 0.0)
+            paces.note("llm", name, 0.1, 5.0, 0.0)
+        fleet.forget_gone()
+        assert not paths_to(paces, {"e0"})
+        assert paces.slowness("llm", "e1", 0.0) == 4.0
+
 
 def report_use(bench, name, adapter, active=1):
     """Report a request, its load, its pauses and its failure on an engine."""
