End a planner, not its gateway, by an error in planning

Cause: whoever called the planner got its error. The task of the mirror ends the process, the planner's task the planner, the timer of a decision nothing.

Change: `Planner.refresh` and `decide` keep an error to the planner: its term ends at once, and its task raises the error. A role whose planner failed makes a new one at once; after a second failure within 30 s it leaves the role to another instance and is a candidate again after 1 to 16 s, jittered. An error in work on one engine makes the planner query that engine again. An election that fails ends its role in place of leaving it as it is. `PlanningErrors` logs each error with its traceback and counts it (`gradelug_planning_errors`, by what it ended).

Weighed: ending the process for each error (every request is lost for a fault that concerns none of them); leaving the role at the first failure (a new planner here is ready sooner than another instance can be elected); no pause (20 planners a second).

--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -112,7 +112,6 @@
         "_eras",
         "_candidacy_delay_s",
         "_hold_off_s",
-        "_key",
         "_kv",
         "_lapsed_at",
         "_lease",
@@ -129,6 +128,7 @@
         "_started_at",
         "_value",
         "fence",
+        "key",
     )
 
     def __init__(
@@ -150,7 +150,7 @@
         self._should_defer = should_defer
         self._kv = kv
         self._mirror = mirror
-        self._key = key
+        self.key = key
         self._name = name
         self._lease = lease
         self._clock = clock
@@ -181,14 +181,14 @@
 
     def record(self) -> ElectionRecord | None:
         """Return the current record according to the mirror, or None."""
-        entry = self._mirror.entries.get(self._key)
+        entry = self._mirror.entries.get(self.key)
         if entry is None:
             return None
         try:
             data = json.loads(entry.value)
             return ElectionRecord(str(data["owner"]), str(data["address"]), entry.revision)
         except (ValueError, KeyError, TypeError) as exc:
-            log.error("invalid election record", key=self._key, why=repr(exc))
+            log.error("invalid election record", key=self.key, why=repr(exc))
             return None
 
     def may_act(self) -> bool:
@@ -232,15 +232,31 @@
         self._candidate_from = self._clock() + STEP_DOWN_PAUSE_S
         await self._give_up_role()
 
+    async def withdraw(self, pause_s: float) -> None:
+        """Give up the role at once, and be a candidate again after a pause.
+
+        Parameters
+        ----------
+        pause_s : float
+            Minimum time until this instance writes the record again, in seconds.
+        """
+        self._candidate_from = self._clock() + pause_s
+        self.fence = 0
+        self._resigned = False
+        await self._release_lease()
+
     async def _give_up_role(self) -> None:
         if self._outlasts_lease and self.fence:
             self._resigned = True
         else:
             self.fence = 0
+        await self._release_lease()
+
+    async def _release_lease(self) -> None:
         try:
             await self._lease.release()
         except CoordinationError as exc:
-            log.info("could not revoke the lease; it will expire", key=self._key, why=repr(exc))
+            log.info("could not revoke the lease; it will expire", key=self.key, why=repr(exc))
 
     async def _step_as_holder(self) -> float:
         delay_s = STEP_INTERVAL_S if self._resigned else await self._lease.step()
@@ -259,7 +275,7 @@
             self._mirror.request_poll()
             return POLL_STEP_S
         if gone or taken or lapsed:
-            log.info("duty lost", key=self._key, fence=self.fence, taken=taken, lapsed=lapsed)
+            log.info("duty lost", key=self.key, fence=self.fence, taken=taken, lapsed=lapsed)
             self.fence = 0
             self._resigned = False
             self._lapsed_at = None
@@ -292,16 +308,16 @@
             return False
         expected = record.fence if record is not None else ABSENT
         try:
-            swap = await swap_and_confirm(self._kv, self._key, self._value, expected, lease)
+            swap = await swap_and_confirm(self._kv, self.key, self._value, expected, lease)
         except CoordinationError as exc:
-            log.info("could not rewrite the election record", key=self._key, why=repr(exc))
+            log.info("could not rewrite the election record", key=self.key, why=repr(exc))
             return True
         if not swap.swapped:
             self._mirror.request_poll()
             return False
         self.fence, self._record_lease, self._lapsed_at = swap.revision, lease, None
         log.info(
-            "role kept after a restore of the store", key=self._key, fence=self.fence, before=before
+            "role kept after a restore of the store", key=self.key, fence=self.fence, before=before
         )
         return True
 
@@ -341,9 +357,9 @@
             if not self._lease.is_valid():
                 return RETRY_DELAY_S
             lease = self._lease.lease
-            swap = await swap_and_confirm(self._kv, self._key, self._value, expected, lease)
+            swap = await swap_and_confirm(self._kv, self.key, self._value, expected, lease)
         except CoordinationError as exc:
-            log.info("could not write the election record", key=self._key, why=repr(exc))
+            log.info("could not write the election record", key=self.key, why=repr(exc))
             return RETRY_DELAY_S
         if not swap.swapped and expected:
             # This instance's own record has expired since the mirror's last poll; other instances
@@ -360,7 +376,7 @@
         )
         log.info(
             "duty taken",
-            key=self._key,
+            key=self.key,
             fence=self.fence,
             acts_in_s=round(self._may_act_from - now, 2),
         )
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -56,6 +56,7 @@
 from .placement import PlacementService, PlannerRole
 from .planner import Planner
 from .planner_factory import LEASE_TTL_S, WEAK_CANDIDATE_DELAY_S, PlannerFactory
+from .planning_errors import PlanningErrors
 from .poison_control import PoisonControl
 from .poll_interval import missing_entry_grace_s, store_poll_interval_s
 from .ports import Dialect, OrderTransport, RunTransport
@@ -247,6 +248,8 @@
             shares,
             self._link_parts,
         )
+        self._meters = GatewayMetrics()
+        errors = PlanningErrors(self._meters.count_planning_error)
         self._planner_factory = PlannerFactory(
             settings,
             kv,
@@ -261,6 +264,7 @@
             self._clock,
             self._rng,
             lambda: self._directory.gateways,
+            errors,
         )
         # A replica limits the connections of all instances together and resets any beyond that.
         pool.keeps = IdleConnections(settings.name, self._state, lambda: self._directory.gateways)
@@ -269,7 +273,6 @@
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s, self._clock
         )
         self._gateway_count = GatewayCount(bounds.retry_window_s)
-        self._meters = GatewayMetrics()
         self._usage_tally = UsageTally(self._clock, self._meters, self._has_organisations)
         self._origins = StreamOrigins(
             self._state,
@@ -340,7 +343,7 @@
         )
         self._status_server = HttpServer(self._serve_status, ServerLimits, self._clock)
         self._peer_server = Server(
-            [PlacementService(self._planner_roles, self._directory.newest_planner)]
+            [PlacementService(self._planner_roles, self._directory.newest_planner, errors)]
         )
         checks = startup_checks(self._state, self._mirror, self._directory, self._planner_roles)
         self._startup_progress = StartupProgress(self._clock, checks)
--- a/packages/gateway/src/gradelug_gateway/loader.py
+++ b/packages/gateway/src/gradelug_gateway/loader.py
@@ -115,7 +115,7 @@
             self._store_loads += 1
             slot.store_loads_at_start = self._store_loads
             slot.was_store_saturated = self._store_loads >= self.pace.max_concurrent_loads
-        self._planner.start(self._run_load(planned))
+        self._planner.start(self._run_load(planned), planned.engine)
 
     def handle_missing(self, replica: str, key: AdapterKey) -> None:
         """Handle a replica's answer that it lacks weights which it was thought to hold."""
@@ -142,7 +142,7 @@
             self.pace.record_late(slot.store_loads_at_start, now - slot.acknowledged_at, now)
         slot.phase = Phase.LOADING
         slot.ready_at = max(now + MIN_LOAD_EXTENSION_S, slot.acknowledged_at + self.pace.load_s)
-        self._planner.start(self._make_ready(engine, key, slot))
+        self._planner.start(self._make_ready(engine, key, slot), engine)
 
     def track_unload(self, engine: Engine, key: AdapterKey, outcome: OrderOutcome) -> None:
         """Keep the slot of an adapter that the engine did not unload at once."""
@@ -152,7 +152,7 @@
             return
         # In use by a request not reported yet; the engine unloads it when its requests end.
         slot = engine.weight_slots[key] = WeightSlot(0, Phase.UNLOADING, self._clock())
-        self._planner.start(self._await_unload(engine, key, slot))
+        self._planner.start(self._await_unload(engine, key, slot), engine)
 
     async def order(
         self, term: PlannerTerm, engine: Engine, load: bool, key: AdapterKey, version: int
--- a/packages/gateway/src/gradelug_gateway/maintenance.py
+++ b/packages/gateway/src/gradelug_gateway/maintenance.py
@@ -94,7 +94,7 @@
                 model = self._least_replicated_model()
                 key = AdapterKey(model.name)
                 slot = engine.weight_slots[key] = WeightSlot(0, Phase.LOADING, self._clock())
-                self._planner.start(self._load_model(term, engine, key, slot, model.load_s))
+                self._planner.start(self._load_model(term, engine, key, slot, model.load_s), engine)
 
     def _least_replicated_model(self) -> BaseModel:
         index = self._planner.index
@@ -129,7 +129,9 @@
             self._model_loads[name] = _ModelLoad(engine, until)
             key = AdapterKey(name)
             slot = engine.weight_slots[key] = WeightSlot(0, Phase.LOADING, self._clock())
-            self._planner.start(self._load_model(term, engine, key, slot, model.load_s, victim))
+            self._planner.start(
+                self._load_model(term, engine, key, slot, model.load_s, victim), engine
+            )
 
     def _count_models(self) -> Counter[str]:
         """Return on how many engines each base model is held or loading."""
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -47,6 +47,7 @@
         "_outcomes",
         "_run_pauses",
         "_plain_waits",
+        "_planning_errors",
         "_first_event_ratio",
         "_registry",
         "_resumed_runs",
@@ -97,6 +98,12 @@
             "Requests that waited for capacity of a service without engines",
             registry=self._registry,
         )
+        self._planning_errors = Counter(
+            "gradelug_planning_errors",
+            "Errors of planners on this instance, by what they ended",
+            ["scope"],
+            registry=self._registry,
+        )
         self._latency = Histogram(
             "gradelug_request_seconds",
             "Time from arrival to the last byte of the response",
@@ -189,6 +196,10 @@
         """Count a request that waits for capacity of a service without engines."""
         self._plain_waits.inc()
 
+    def count_planning_error(self, scope: str) -> None:
+        """Count an error of a planner by its scope."""
+        self._planning_errors.labels(scope).inc()
+
     def observe_latency(self, streaming: bool, seconds: float) -> None:
         """Record the duration of a served request, in seconds."""
         self._latency.labels("stream" if streaming else "whole").observe(seconds)
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import random
 import typing as t
 
 import logbook
-from gradelug_coordination import Election
+from gradelug_coordination import Backoff, Election
 from gradelug_wire import placement_pb2 as pb
 from gradelug_wire.placement_grpc import PlacementBase
 from grpclib.const import Status
@@ -18,12 +20,19 @@
 
 from .follower import Follower
 from .planner import Planner
+from .planning_errors import ErrorScope, PlanningErrors
 from .search import PlannerAddress
 
 log = logbook.Logger("placement")
 SEND_SPACING_S = 0.005
 """Batching interval of messages to a gateway, in seconds."""
 ELECTION_CHECK_INTERVAL_S = 0.05
+FAILURE_MEMORY_S = 30.0
+"""A planner that fails within this time after the last failure has failed repeatedly."""
+MIN_FAILURE_PAUSE_S = 1.0
+MAX_FAILURE_PAUSE_S = 16.0
+"""Limits of the pause of this instance's candidacy after repeated failures, in seconds: another
+instance is elected within about one second."""
 GATEWAY_TIMEOUT_S = 2.5
 """Timeout after which a gateway that sends nothing is disconnected and its requests are dropped, in
 seconds. A gateway sends a message at least every 0.5 s plus its batching interval (0.9 s at 370
@@ -44,9 +53,22 @@
         is below that.
     is_cut_off : callable
         Returns whether this instance has lost its links to the engines; it then gives the role up.
+    errors : PlanningErrors or None
+        Logs and counts errors of planners.
+    rng : random.Random or None
+        Source of jitter.
     """
 
-    __slots__ = ("_is_cut_off", "_make_planner", "_strength", "election", "planner")
+    __slots__ = (
+        "_backoff",
+        "_errors",
+        "_failed_at",
+        "_is_cut_off",
+        "_make_planner",
+        "_strength",
+        "election",
+        "planner",
+    )
 
     def __init__(
         self,
@@ -54,7 +76,13 @@
         make: t.Callable[[], Planner],
         strength: float = 1.0,
         is_cut_off: t.Callable[[], bool] = lambda: False,
+        errors: PlanningErrors | None = None,
+        rng: random.Random | None = None,
     ) -> None:
+        self._errors = errors or PlanningErrors()
+        self._backoff = Backoff(MIN_FAILURE_PAUSE_S, MAX_FAILURE_PAUSE_S, rng or random.Random())
+        self._failed_at = -math.inf
+        """Time of the last failure of a planner, by the runtime's clock."""
         self._is_cut_off = is_cut_off
         self.election = election
         self._make_planner = make
@@ -77,19 +105,25 @@
         election_task = asyncio.create_task(self.election.run())
         try:
             while True:
+                if election_task.done():
+                    # Raise its error: without an election the role would stay as it is.
+                    election_task.result()
                 if self.election.fence:
-                    await self._run_planner()
+                    try:
+                        await self._run_planner(election_task)
+                    except Exception as exc:
+                        await self._handle_failure(exc)
                 await asyncio.sleep(ELECTION_CHECK_INTERVAL_S)
         finally:
             election_task.cancel()
 
-    async def _run_planner(self) -> None:
+    async def _run_planner(self, election_task: asyncio.Task[None]) -> None:
         fence = self.election.fence
         planner = self.planner = self._make_planner()
         planner_task = asyncio.create_task(planner.run())
         was_acting = has_stepped_aside = False
         try:
-            while self.election.fence and not planner_task.done():
+            while self.election.fence and not planner_task.done() and not election_task.done():
                 if self.election.fence != fence:
                     # The role was renewed under a new token without being lost in between.
                     fence, was_acting = self.election.fence, False
@@ -116,15 +150,27 @@
             planner.end_term()
             planner_task.cancel()
             self.planner = None
-            is_over = planner_task.done() and not planner_task.cancelled()
-            exc = planner_task.exception() if is_over else None
-            if exc is not None:
-                log.error(
-                    "planner failed",
-                    service=planner.service,
-                    why=repr(exc),
-                    exc_info=(type(exc), exc, exc.__traceback__),
-                )
+        if planner_task.done():
+            planner_task.result()
+        elif planner.failure is not None:
+            raise planner.failure
+
+    async def _handle_failure(self, exc: Exception) -> None:
+        """Plan again at once after a first failure; let another instance plan after further ones.
+
+        A planner that fails each time would otherwise keep the role from an instance on which
+        planning may work.
+        """
+        self._errors.record(ErrorScope.TERM, exc, key=self.election.key)
+        now = asyncio.get_running_loop().time()
+        is_repeated = now < self._failed_at + FAILURE_MEMORY_S
+        self._failed_at = now
+        if not is_repeated:
+            self._backoff.reset()
+            return
+        pause_s = self._backoff.next_delay()
+        log.info("planning paused", key=self.election.key, pause_s=round(pause_s, 2))
+        await self.election.withdraw(pause_s)
 
     def _why_step_aside(self, planner: Planner) -> str:
         """Return why another instance should plan, empty if there is no reason."""
@@ -144,13 +190,17 @@
         Planner roles by service.
     locate : callable
         Returns the address of a service's planner as known here, or None.
+    errors : PlanningErrors or None
+        Logs and counts errors in messages of gateways.
     """
 
     def __init__(
         self,
         duties: t.Mapping[str, PlannerRole],
         locate: t.Callable[[str], PlannerAddress | None],
+        errors: PlanningErrors | None = None,
     ) -> None:
+        self._errors = errors or PlanningErrors()
         self._duties = duties
         self._locate = locate
 
@@ -185,7 +235,7 @@
         except TimeoutError:
             log.info("gateway timed out", instance=gateway.instance, after_s=GATEWAY_TIMEOUT_S)
         except Exception as exc:
-            log.error("gateway stream failed", instance=gateway.instance, why=repr(exc))
+            self._errors.record(ErrorScope.GATEWAY, exc, instance=gateway.instance)
             raise
         finally:
             sender.cancel()
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -37,12 +37,13 @@
 from .followers import Followers, encode_load
 from .limit_desk import LimitAllocator
 from .load_targets import LoadTargets
-from .loader import DEFAULT_VERSION, Loader, PlannedLoad
+from .loader import DEFAULT_VERSION, REPORT_RETRY_DELAY_S, Loader, PlannedLoad
 from .maintenance import MAX_PREFILL_FRACTION_PER_COPY, Maintenance
 from .model import AdapterKey, EngineSpec, FleetState, PlannerTerm, ReportedLoad
 from .origin_desk import OriginCollector
 from .pacing import MAX_PLACEMENT_STATE_AGE_S
 from .parts import PlannerExtension
+from .planning_errors import ErrorScope, PlanningErrors
 from .poison_desk import PoisonAggregator
 from .ports import OrderTransport
 from .prefix_cache import PrefixCache, sample_holders
@@ -128,6 +129,8 @@
         Distributes which replicas have announced that they are leaving, if given.
     origins : OriginCollector or None
         Answers which software version began a stream, if given.
+    errors : PlanningErrors or None
+        Logs and counts errors of background tasks.
     """
 
     def __init__(
@@ -147,8 +150,12 @@
         poison: PoisonAggregator | None = None,
         departures: DepartureForwarder | None = None,
         origins: OriginCollector | None = None,
+        errors: PlanningErrors | None = None,
     ) -> None:
         self.service = service
+        self._errors = errors or PlanningErrors()
+        self.failure: Exception | None = None
+        """Error that ends this planner, raised by `run`."""
         self.term: PlannerTerm | None = None
         """Current term, under which orders are issued; None while no orders may be issued."""
         self.is_outranked = False
@@ -230,7 +237,7 @@
     # Lifecycle.
 
     async def run(self) -> None:
-        """Plan until cancelled."""
+        """Plan until cancelled; raises the error of any decision, also of one made elsewhere."""
         publishing = asyncio.create_task(self._publish_updates())
         try:
             while True:
@@ -241,6 +248,8 @@
                     # Raise the publisher's error: gateways would otherwise keep reconnecting to
                     # a planner that sends no updates, and not look for another one.
                     publishing.result()
+                if self.failure is not None:
+                    raise self.failure
                 await asyncio.sleep(TICK_S)
         finally:
             self.end_term()
@@ -261,8 +270,22 @@
             self.term.has_ended = True
         self.term = None
 
+    def fail(self, exc: Exception) -> None:
+        """End the term at once and the planner at its next step, because of an error."""
+        self.end_term()
+        self.failure = self.failure or exc
+
     def refresh(self) -> None:
-        """Apply the platform's current list of replicas, then run periodic work."""
+        """Apply the platform's current list of replicas, then run periodic work.
+
+        An error ends this planner, not its caller, which may serve requests.
+        """
+        try:
+            self._refresh()
+        except Exception as exc:
+            self.fail(exc)
+
+    def _refresh(self) -> None:
         reported = {
             rep.name: rep
             for rep in self.state.replicas.values()
@@ -360,7 +383,7 @@
             )
         for engine in unknown[: max(0, room)]:
             self._syncing.add(engine)
-            self.start(self._sync(engine))
+            self.start(self._sync(engine), engine)
 
     async def _sync(self, engine: Engine) -> None:
         try:
@@ -369,6 +392,10 @@
                     return
                 engine.sync_started_at = self._clock()
                 await self.loader.sync(engine)
+        except Exception:
+            # Not queried again before the delay.
+            await asyncio.sleep(REPORT_RETRY_DELAY_S)
+            raise
         finally:
             self._syncing.discard(engine)
 
@@ -480,7 +507,16 @@
             self._decision_timer = loop.call_later(max(DECISION_DELAY_S, idle_s), self.decide)
 
     def decide(self) -> None:
-        """Answer waiting requests, start the most valuable loads, refuse requests out of time."""
+        """Answer waiting requests, start the most valuable loads, refuse requests out of time.
+
+        An error ends this planner, not its caller.
+        """
+        try:
+            self._decide()
+        except Exception as exc:
+            self.fail(exc)
+
+    def _decide(self) -> None:
         if self._decision_timer is not None:
             self._decision_timer.cancel()
             self._decision_timer = None
@@ -770,19 +806,20 @@
 
     # Tasks.
 
-    def start(self, coro: t.Coroutine[t.Any, t.Any, None]) -> None:
-        """Run a coroutine in the background; it is cancelled when the planner ends."""
+    def start(self, coro: t.Coroutine[t.Any, t.Any, None], engine: Engine) -> None:
+        """Run work on an engine in the background; it is cancelled when the planner ends.
+
+        An error leaves the engine's record in doubt, so that its state is queried again.
+        """
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+        task.add_done_callback(lambda task: self._on_task_done(task, engine))
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+    def _on_task_done(self, task: asyncio.Task[None], engine: Engine) -> None:
         self._tasks.discard(task)
         exc = None if task.cancelled() else task.exception()
         if exc is not None:
-            log.error(
-                "background task of the planner failed",
-                service=self.service,
-                why=repr(exc),
-                exc_info=(type(exc), exc, exc.__traceback__),
+            engine.synced = False
+            self._errors.record(
+                ErrorScope.ENGINE, exc, service=self.service, replica=engine.replica.name
             )
--- a/packages/gateway/src/gradelug_gateway/planner_factory.py
+++ b/packages/gateway/src/gradelug_gateway/planner_factory.py
@@ -17,6 +17,7 @@
 from .origin_desk import OriginCollector
 from .placement import PlannerRole
 from .planner import Planner
+from .planning_errors import PlanningErrors
 from .poison_control import PoisonControl
 from .ports import OrderTransport
 from .relay import OrderRelay
@@ -68,10 +69,13 @@
         Source of jitter.
     gateways : callable
         Returns the number of gateways connected to the last planner, 0 if unknown.
+    errors : PlanningErrors
+        Logs and counts errors of planners.
     """
 
     __slots__ = (
         "_clock",
+        "_errors",
         "_feed",
         "_fleet",
         "_freshness",
@@ -101,7 +105,9 @@
         clock: t.Callable[[], float],
         rng: random.Random,
         gateways: t.Callable[[], int],
+        errors: PlanningErrors,
     ) -> None:
+        self._errors = errors
         self._settings = settings
         self._kv = kv
         self._mirror = mirror
@@ -140,7 +146,12 @@
             is_cut_off,
         )
         return PlannerRole(
-            election, lambda: self._new_planner(service), settings.strength, is_cut_off
+            election,
+            lambda: self._new_planner(service),
+            settings.strength,
+            is_cut_off,
+            self._errors,
+            self._rng,
         )
 
     @property
@@ -177,6 +188,7 @@
             self._poison.aggregator(service) if has_poison_guard else None,
             DepartureForwarder(service, self._feed) if has_departures else None,
             self._new_origin_collector() if has_origins else None,
+            self._errors,
         )
 
     def _new_origin_collector(self) -> OriginCollector:
--- a/packages/gateway/src/gradelug_gateway/renewal.py
+++ b/packages/gateway/src/gradelug_gateway/renewal.py
@@ -77,7 +77,7 @@
             slot.phase = Phase.DRAINING
             self._planner.followers.mark_changed(name)
         if engine.synced and not engine.request_count(key):
-            self._planner.start(self._unload(term, engine, key, slot))
+            self._planner.start(self._unload(term, engine, key, slot), engine)
 
     def _renew_model(
         self, term: PlannerTerm, held: t.Mapping[str, Engine], key: AdapterKey
@@ -91,7 +91,9 @@
             # Adapters may have been loaded since the model was closed.
             engine.drain_model(key)
             if engine.synced and not engine.uses_model(key.model):
-                self._planner.start(self._unload(term, engine, key, engine.weight_slots[key]))
+                self._planner.start(
+                    self._unload(term, engine, key, engine.weight_slots[key]), engine
+                )
 
     def _drain_some(self, held: t.Mapping[str, Engine], key: AdapterKey) -> None:
         """Close engines for the renewal of their base model; gateways learn of it later."""
