Let requests end before an instance does whose background task failed

Cause: the daemon skipped the planned stop after a failure.

Change: it drains as for a planned stop, within the same bound, gives up its roles and engines, and exits with status 1. New requests are refused at once, since its view of the fleet may be outdated; a planned stop goes on to serve them until the balancer has noticed. An error while a role is given up is logged and no longer ends the drain.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -374,8 +374,7 @@
         stopped = asyncio.ensure_future(stop.wait())
         await asyncio.wait([stopped, failure], return_when=asyncio.FIRST_COMPLETED)
         failed = failure.done()
-        if not failed:
-            await self._drain()
+        await self._drain(failed)
         await self._close()
         return failed
 
@@ -405,14 +404,24 @@
         read_s = round(self._clock() - opened_at, 3)
         log.info("started", instance=self.settings.name, hall=self.settings.hall, read_s=read_s)
 
-    async def _drain(self) -> None:
-        """Stop accepting requests and finish those in progress, within the grace period."""
+    async def _drain(self, failed: bool) -> None:
+        """Stop accepting requests and finish those in progress, within the grace period.
+
+        Parameters
+        ----------
+        failed : bool
+            Whether a background task failed: new requests are then refused from now on, since this
+            instance's view of the fleet may be outdated.
+        """
         started_at = self._stopping_at = self._clock()
-        log.info("stopping", requests=self._caller_server.in_progress)
+        log.info("stopping", requests=self._caller_server.in_progress, failed=failed)
         self._caller_server.draining = True
         self._access.server.is_draining = True
-        self._pipeline.refuse_from(started_at + BALANCER_REMOVAL_S)
-        await asyncio.gather(*(role.resign() for role in self._planner_roles.values()))
+        self._pipeline.refuse_from(started_at + (0.0 if failed else BALANCER_REMOVAL_S))
+        resignations = (role.resign() for role in self._planner_roles.values())
+        for result in await asyncio.gather(*resignations, return_exceptions=True):
+            if isinstance(result, Exception):
+                log.error("could not resign a planner role", why=repr(result))
         end_at = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
         while self._clock() < end_at:
             removed = self._clock() - started_at >= BALANCER_REMOVAL_S
--- a/tests/test_planning_errors.py
+++ b/tests/test_planning_errors.py
@@ -15,7 +15,7 @@
 )
 from gradelug_gateway.planning_errors import PlanningErrors
 from gradelug_standins.kv import MemoryKv
-from poison_world import PoisonWorld
+from poison_world import EVENT_S, PoisonWorld
 from run_world import run
 from test_election import Candidate, holders
 from test_planner import Bench
@@ -227,3 +227,32 @@
                 assert b'gradelug_planning_errors_total{scope="term"} 1.0' in text
 
         run(scenario)
+
+    def test_requests_end_before_an_instance_does_whose_task_failed(self):
+        """Guards against an instance that cuts the requests it serves because a background task
+        failed."""
+
+        async def scenario():
+            async with PoisonWorld(gateways=2, engines=2) as world:
+                gateway, other = world.gateways
+                daemon = gateway.daemon
+                daemon._start = mock.AsyncMock()
+                daemon._peer_server = mock.Mock()
+                world.loop.add_signal_handler = mock.Mock()
+                ended = asyncio.create_task(daemon.run())
+                await asyncio.sleep(1.0)
+                served = asyncio.create_task(world.ask(gateway, b"long", deadline_ms=8000))
+                await asyncio.sleep(2 * EVENT_S)
+
+                async def fail():
+                    failing()
+
+                daemon._tasks.start(fail(), "own")
+                await asyncio.sleep(0.05)
+                assert not daemon._is_ready()
+                assert await world.ask(gateway, b"new") == 503
+                assert await served == 200
+                assert await asyncio.wait_for(ended, daemon.settings.bounds.grace_s)
+                assert await world.ask(other, b"elsewhere") == 200
+
+        run(scenario)
