Split the planner: the registry of engines and the state queries

`EngineRegistry` holds the current records and what goes with their names, and is the one place that creates, retires and replaces them. No decision changes.

--- a/packages/gateway/src/gradelug_gateway/loader.py
+++ b/packages/gateway/src/gradelug_gateway/loader.py
@@ -162,7 +162,7 @@
         expected = engine.orders
         outcome = await engine.send_order(self._transport, load, key, version, self._owner, term)
         if outcome is OrderOutcome.LOST and load and key.adapter:
-            planner.unacknowledged_loads.note(engine, expected, self._clock())
+            planner.registry.unacknowledged_loads.note(engine, expected, self._clock())
         if outcome is OrderOutcome.OUTRANKED and not planner.is_outranked:
             planner.outranked()
         return outcome
@@ -181,7 +181,7 @@
                     await asyncio.sleep(REPORT_RETRY_DELAY_S)
                     return
                 if engine.update_incarnation(report.born):
-                    self._planner.replace_incarnation(engine, report.born)
+                    self._planner.registry.replace(engine, report.born)
                     return
                 engine.apply_report(report, self._clock())
             log.info(
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -13,7 +13,6 @@
 
 import logbook
 from gradelug_policy import Popularity
-from gradelug_policy.cells import Cells
 from gradelug_policy.engine_capacity import (
     COPY_DEMAND_HORIZON_S,
     EngineEstimator,
@@ -28,7 +27,8 @@
 
 from .adapter_replication import AdapterReplication
 from .departures import DepartureForwarder
-from .engine_index import EngineIndex, reports_any
+from .engine_index import EngineIndex
+from .engine_registry import EngineRegistry
 from .engine_speeds import SpeedAggregator
 from .engines import Engine, Phase, WeightSlot
 from .fair_queue import FairQueue
@@ -37,7 +37,7 @@
 from .followers import Followers, encode_load
 from .limit_desk import LimitAllocator
 from .load_targets import LoadTargets
-from .loader import DEFAULT_VERSION, REPORT_RETRY_DELAY_S, Loader, PlannedLoad
+from .loader import DEFAULT_VERSION, Loader, PlannedLoad
 from .maintenance import MAX_PREFILL_FRACTION_PER_COPY, Maintenance
 from .model import AdapterKey, EngineSpec, FleetState, PlannerTerm, ReportedLoad
 from .origin_desk import OriginCollector
@@ -52,8 +52,8 @@
 from .relay import OrderRelay
 from .settings import Feature
 from .shared_health import SUSPECT_COST_S, HealthAggregator
+from .state_sync import StateSync
 from .store_updates import StorePublisher
-from .unacknowledged_loads import UnacknowledgedLoads
 from .weight_queue import Waiter, WeightQueue
 
 log = logbook.Logger("planner")
@@ -82,12 +82,6 @@
 HOLDER_SAMPLE_SIZE = 32
 """Where more engines hold the same weights, as for a base model, this many are sampled for a
 request: the best of the sample is nearly the best of all."""
-MAX_CONCURRENT_SYNCS = 64
-MAX_PENDING_SYNCS = 128
-"""Limits on state synchronisation: engines queried at a time, and engines selected to be queried,
-those in use first. A new planner would otherwise connect to all engines at once, and requests would
-wait behind the reports of unused ones. If there are more engines than may be queried at a time,
-their entries in the platform's store are trusted until they report, which takes seconds."""
 REDIRECT_RETRY_S = 0.05
 """Minimum interval between searches for another engine for the same weights: a search takes 0.7 ms
 with 45 engines, and held requests are checked after each message."""
@@ -160,13 +154,19 @@
         """Current term, under which orders are issued; None while no orders may be issued."""
         self.is_outranked = False
         """Whether an engine has seen a greater fencing token than this planner's."""
-        self.engines: dict[str, Engine] = {}
         self._prefix_cache = PrefixCache(clock)
         self.index = EngineIndex(self._prefix_cache.parts)
         """Looks up engines by the weights that they hold."""
-        self.unacknowledged_loads = UnacknowledgedLoads()
-        """Load orders without an answer."""
-        self._cells = Cells()
+        self.registry = EngineRegistry(
+            service,
+            spec,
+            state,
+            self.index,
+            clock,
+            self._on_engine_lost,
+            lambda name: self.followers.mark_changed(name),
+        )
+        self.engines = self.registry.engines
         self._rng = random.Random(0)
         health = HealthAggregator(
             service, state, self.engines, lambda: self.followers.pacing.flush_s
@@ -198,7 +198,7 @@
             self.parts,
             self.index,
             Feature.SCOPED_NEWS in features,
-            self._cells,
+            self.registry.cells,
         )
         self.popularity = Popularity(DEMAND_HALF_LIFE_S)
         self.tokens = Popularity(DEMAND_HALF_LIFE_S)
@@ -215,9 +215,7 @@
         self._queue = WeightQueue(self.popularity, clock(), self.loader.pace.rate)
         self._maintenance = Maintenance(self, spec, window, clock)
         self._spec = spec
-        self._sync_semaphore = asyncio.Semaphore(MAX_CONCURRENT_SYNCS)
-        self._syncing: set[Engine] = set()
-        """Engines whose state is being queried, or is about to be."""
+        self._sync = StateSync(self, clock)
         self._engine_estimator = room
         self._capacity = engine_capacity_of(spec)
         self._redirect_tried_at: dict[AdapterKey, float] = {}
@@ -286,119 +284,31 @@
             self.fail(exc)
 
     def _refresh(self) -> None:
-        reported = {
-            rep.name: rep
-            for rep in self.state.replicas.values()
-            if rep.service == self.service and not rep.leaving
-        }
-        for name in [name for name in self.engines if name not in reported]:
-            departed = self.engines.pop(name)
-            log.info(
-                "engine left",
-                replica=name,
-                born=departed.born,
-                announced=name in self.state.replicas,
-                reporting=departed.syncing,
-                ordered=departed.lock.locked(),
-            )
-            departed.retire()
-            self.refill.note_lost(departed, name in self.state.replicas, self._clock())
-            self._cells.remove(name)
-            self.followers.forget(name)
-            for part in self.parts:
-                part.forget(name)
-        for name, rep in reported.items():
-            engine = self.engines.get(name)
-            if engine is None:
-                engine = self.engines[name] = Engine(
-                    rep, self._spec, self.index, self.unacknowledged_loads
-                )
-                self._cells.add(name)
-                self._add_reported_cache(engine)
-                if len(reported) > MAX_CONCURRENT_SYNCS:
-                    engine.assume_registered_holdings(self._clock())
-                    self.followers.mark_changed(name)
-            elif engine.replica is not rep or len(reported) <= MAX_CONCURRENT_SYNCS:
-                # With few engines the reported host cache is applied each time, so that entries
-                # that were dropped here come back.
-                if engine.update_replica(rep):
-                    engine = self.replace_incarnation(engine, rep.born)
-                self._add_reported_cache(engine)
+        self.registry.update()
         now = self._clock()
-        self.unacknowledged_loads.drop_expired(now)
         self._redirect_tried_at = {
             key: at for key, at in self._redirect_tried_at.items() if at + REDIRECT_RETRY_S > now
         }
         if self.term is not None:
-            self._sync_engines()
+            self._sync.start_queries(self._awaited_keys)
             self._maintenance.run_due(self.term)
 
-    def replace_incarnation(self, engine: Engine, born: int) -> Engine:
-        """Replace the record of an engine whose process restarted; `born` names the new one.
+    def _awaited_keys(self) -> set[AdapterKey]:
+        return {waiter.key for waiter in self._queue.waiters}
 
-        A retired record is returned as it is: its engine has left, or has a newer record.
-        """
-        if engine.is_retired:
-            return engine
-        name, now = engine.replica.name, self._clock()
-        engine.retire()
-        self.refill.note_lost(engine, True, now)
-        replacement = self.engines[name] = Engine(
-            engine.replica, self._spec, self.index, self.unacknowledged_loads, born
-        )
-        strays = self.unacknowledged_loads.count_inherited(replacement)
-        log.info("engine restarted", replica=name, born=born, strays=strays)
+    def _on_engine_lost(self, engine: Engine, is_announced: bool) -> None:
+        """Drop what is known of a retired engine by its name."""
+        name = engine.replica.name
+        self.refill.note_lost(engine, is_announced, self._clock())
         self.followers.forget(name)
         for part in self.parts:
             part.forget(name)
-        return replacement
-
-    def _add_reported_cache(self, engine: Engine) -> None:
-        for holding in engine.replica.cached:
-            if holding.key.adapter and holding not in engine.cached:
-                engine.add_cached(holding)
 
     @property
     def unsynced_engine_count(self) -> int:
         """Number of engines whose state is not known yet."""
         return sum(not engine.synced for engine in self.engines.values())
 
-    def _sync_engines(self) -> None:
-        """Query engines for their state, engines in use first."""
-        unknown = [
-            engine
-            for engine in self.engines.values()
-            if not engine.synced and engine not in self._syncing
-        ]
-        room = MAX_PENDING_SYNCS - len(self._syncing)
-        if len(unknown) > room:
-            awaited_keys = {waiter.key for waiter in self._queue.waiters}
-            unknown.sort(
-                key=lambda engine: (
-                    # An engine that does not report must not delay the others.
-                    engine.sync_started_at,
-                    not engine.is_in_use(),
-                    not reports_any(engine.replica, awaited_keys),
-                )
-            )
-        for engine in unknown[: max(0, room)]:
-            self._syncing.add(engine)
-            self.start(self._sync(engine), engine)
-
-    async def _sync(self, engine: Engine) -> None:
-        try:
-            async with self._sync_semaphore:
-                if engine.is_retired:
-                    return
-                engine.sync_started_at = self._clock()
-                await self.loader.sync(engine)
-        except Exception:
-            # Not queried again before the delay.
-            await asyncio.sleep(REPORT_RETRY_DELAY_S)
-            raise
-        finally:
-            self._syncing.discard(engine)
-
     def outranked(self) -> None:
         """End the term: another planner has a greater fencing token."""
         log.info("outranked", service=self.service, fence=self.term.fence if self.term else 0)
@@ -736,7 +646,7 @@
         return LoadTargets(
             self.engines,
             self.index,
-            self._cells,
+            self.registry.cells,
             self.popularity,
             self._transport.may_order,
             self._clock(),
--- a/tests/test_prefix_cache_gateway.py
+++ b/tests/test_prefix_cache_gateway.py
@@ -132,7 +132,7 @@
             kept = bench.planner.index.prefix_cache
             assert kept.estimate_cached_tokens(first.replica, CHAIN, bench.clock()) == 1_210
             old = bench.planner.engines[first.replica]
-            bench.planner.replace_incarnation(old, 9)
+            bench.planner.registry.replace(old, 9)
             assert kept.estimate_cached_tokens(first.replica, CHAIN, bench.clock()) == 0
 
         self.play(scenario)
--- a/tests/test_scoped_news.py
+++ b/tests/test_scoped_news.py
@@ -13,8 +13,8 @@
 from gradelug_gateway.load_targets import MAX_CACHED_CANDIDATES, MAX_CANDIDATES, LoadTargets
 from gradelug_gateway.model import AdapterKey, FleetState, Holding, Replica, ReportedLoad
 from gradelug_gateway.pending import merge_store_updates, merge_updates
-from gradelug_gateway.planner import MAX_CONCURRENT_SYNCS, MAX_PENDING_SYNCS
 from gradelug_gateway.scope import MAX_SCOPE_KEYS, SCOPE_RETENTION_S
+from gradelug_gateway.state_sync import MAX_CONCURRENT_SYNCS, MAX_PENDING_SYNCS
 from gradelug_policy.cells import Cells
 from gradelug_wire import placement_pb2 as pb
 from hypothesis import settings
