Forget suspicions of replicas that are gone

Cause: `SuspectTracker` dropped a suspicion only when outcomes of that replica were to be reported again, which a departed one never has.

Change: the reporter drops what is not among the known replicas.

Evidence: TestForgottenNamesOfGateways.test_no_name_of_a_departed_engine_is_kept searches all that is reachable from two gateways after ten engines came and went; it fails on the commit before (`_suspected_until`) and passes now. Left out of the search is the feed, which keeps removed names on purpose.

--- a/packages/gateway/src/gradelug_gateway/shared_health.py
+++ b/packages/gateway/src/gradelug_gateway/shared_health.py
@@ -90,6 +90,7 @@
     def fill(self, message: pb.FromGateway) -> None:
         """Add the outcomes since the last message, for replicas whose outcomes are needed."""
         now = self._clock()
+        self._doubts.forget_gone(self._fleet.state.replicas)
         for name, health in self._replicas().items():
             decision = self._decide(name, health, now)
             if decision is ReportAction.KEEP:
--- a/packages/policy/src/gradelug_policy/doubts.py
+++ b/packages/policy/src/gradelug_policy/doubts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import typing as t
 from enum import Enum
 
 from .outcomes import WINDOW_S
@@ -51,6 +52,12 @@
         """Record that the replica failed a request, here or according to the planner."""
         self._suspected_until[replica] = now + SUSPICION_TTL_S
 
+    def forget_gone(self, replicas: t.Container[str]) -> None:
+        """Drop the state of all replicas but the given ones."""
+        for state in (self._suspected_until, self._held_since):
+            for replica in [replica for replica in state if replica not in replicas]:
+                del state[replica]
+
     def decide(self, replica: str, now: float) -> ReportAction:
         """Return what to do with the unreported outcomes of requests at a replica."""
         if now < self._suspected_until.get(replica, now):
--- a/tests/test_departed_engines.py
+++ b/tests/test_departed_engines.py
@@ -13,6 +13,7 @@
 from gradelug_policy.prefill import PrefillSpeeds
 from gradelug_wire import placement_pb2 as pb
 from object_graph import paths_to
+from poison_world import PoisonWorld
 from run_world import run
 from test_incarnations import entry_with_start
 from test_planner import TWO_MODELS, Bench
@@ -389,6 +390,34 @@
         assert paces.slowness("llm", "e1", 0.0) == 4.0
 
 
+class TestForgottenNamesOfGateways:
+    def test_no_name_of_a_departed_engine_is_kept(self):
+        """Guards against memory that grows with each replica that failed a request."""
+
+        async def scenario():
+            async with PoisonWorld(gateways=2, engines=4) as world:
+                until = world.clock() + 30.0
+                requests = asyncio.create_task(world.send_harmless(0.1, until, streams=2))
+                departed = set()
+                for number in range(10):
+                    await asyncio.sleep(2.0)
+                    name = next(iter(world.engines))
+                    world.engines.pop(name).end()
+                    departed.add(name)
+                    world.add_engine(f"10.0.2.{number}:80")
+                await requests
+                await asyncio.sleep(20.0)
+                # Checks of ended replicas are dropped at the next change of the store.
+                world.add_engine("10.0.3.1:80")
+                await asyncio.sleep(2.0)
+                for gateway in world.gateways:
+                    daemon = gateway.daemon
+                    skipped = (world, world.kv, world.net, daemon._feed)
+                    assert not paths_to(daemon, departed, skipped)
+
+        run(scenario)
+
+
 def report_use(bench, name, adapter, active=1):
     """Report a request, its load, its pauses and its failure on an engine."""
     bench.planner.take(
