Limit the revisions kept of removed replicas

What callers would see: a gateway's memory grows with each replica that was ever removed.

Cause: the feed keeps the newest revision of removed replicas, so that a late update of a peer does not bring one back, and kept it for good.

Change: as for removed keys, the revisions of 4,096 removed replicas are kept at most; beyond, the older half is dropped.

Evidence: test_revisions_of_removed_replicas_are_limited fails on the commit before (4,296 names for 100 replicas) and passes now.

--- a/packages/gateway/src/gradelug_gateway/feed.py
+++ b/packages/gateway/src/gradelug_gateway/feed.py
@@ -122,7 +122,7 @@
         self._listeners: list[t.Callable[[], None]] = []
         self._leaving_listeners: list[t.Callable[[str], None]] = []
         self._revisions: dict[str, int] = {}
-        """Newest store revision applied for each replica, also for removed ones."""
+        """Newest store revision applied for each replica, also for recently removed ones."""
         self._unconfirmed: set[str] = set()
         """Replicas reported by another instance that the mirror does not show yet."""
         self._has_remote_changes = False
@@ -156,6 +156,7 @@
             changed |= self._handle_missing_entry(key)
         self._missing.remove_restored()
         changed |= self._drop_unconfirmed()
+        self._drop_old_revisions()
         self.note_store_read(self._mirror.proven_at)
         if changed:
             self._notify()
@@ -261,6 +262,15 @@
         del self._removed_revisions[entry.key], self._restored_since[entry.key]
         return False
 
+    def _drop_old_revisions(self) -> None:
+        """Drop the revisions of all removed replicas but the most recent ones."""
+        if len(self._revisions) <= len(self.state.replicas) + MAX_REMOVED_KEYS:
+            return
+        removed = [name for name in self._revisions if name not in self.state.replicas]
+        removed.sort(key=lambda name: self._revisions[name])
+        for name in removed[: -MAX_REMOVED_KEYS // 2]:
+            del self._revisions[name]
+
     def _record_removed(self, key: str, removed_revision: int) -> None:
         self._removed_revisions[key] = removed_revision
         if len(self._removed_revisions) > MAX_REMOVED_KEYS:
--- a/tests/test_departed_engines.py
+++ b/tests/test_departed_engines.py
@@ -6,6 +6,7 @@
 
 import pytest
 from engine_model import MODEL, SLOTS
+from gradelug_gateway.feed import MAX_REMOVED_KEYS
 from gradelug_gateway.fleet import Fleet
 from gradelug_gateway.model import AdapterKey, FleetState, Holding, OrderOutcome
 from gradelug_gateway.unacknowledged_loads import UNACKNOWLEDGED_LOAD_TTL_S
@@ -15,7 +16,7 @@
 from object_graph import paths_to
 from poison_world import PoisonWorld
 from run_world import run
-from test_incarnations import entry_with_start
+from test_incarnations import ENTRY, StoreWriters, entry_with_start
 from test_planner import TWO_MODELS, Bench
 
 A1 = AdapterKey("m", "a1")
@@ -417,6 +418,21 @@
 
         run(scenario)
 
+    def test_revisions_of_removed_replicas_are_limited(self):
+        """Guards against memory that grows with each replica that was ever removed."""
+        writers = StoreWriters()
+        for number in range(MAX_REMOVED_KEYS + 200):
+            writers.write(f"i-{number}", ENTRY)
+            if number >= 100:
+                del writers.mirror.entries[f"servers/i-{number - 100}"]
+        writers.mirror.publish(writers.mirror.entries)
+        assert len(writers.state.replicas) == 100
+        assert len(writers.feed._revisions) <= 100 + MAX_REMOVED_KEYS
+        newest = f"i-{MAX_REMOVED_KEYS + 99}"
+        assert newest not in writers.state.replicas
+        assert writers.feed.revision(newest)
+        assert all(writers.feed.revision(name) for name in writers.state.replicas)
+
 
 def report_use(bench, name, adapter, active=1):
     """Report a request, its load, its pauses and its failure on an engine."""
