Close for a renewal the engines that the index names

`Renewal` took names from the index and looked them up among the planner's engines. Both hold the same records, so the second lookup is left out, and "engine in step" tells by the record itself whether it is current.

--- a/packages/gateway/src/gradelug_gateway/loader.py
+++ b/packages/gateway/src/gradelug_gateway/loader.py
@@ -187,7 +187,7 @@
             log.info(
                 "engine in step",
                 replica=engine.replica.name,
-                is_current=self._planner.engines.get(engine.replica.name) is engine,
+                is_current=not engine.is_retired,
                 synced=engine.synced,
                 orders=engine.orders,
                 holds=[key.text for key in engine.weight_slots],
--- a/packages/gateway/src/gradelug_gateway/renewal.py
+++ b/packages/gateway/src/gradelug_gateway/renewal.py
@@ -97,8 +97,8 @@
 
     def _drain_some(self, held: t.Mapping[str, Engine], key: AdapterKey) -> None:
         """Close engines for the renewal of their base model; gateways learn of it later."""
-        now, engines = self._clock(), self._planner.engines
-        allowed = renewals_allowed(self._renewals.values(), len(engines), now)
+        now = self._clock()
+        allowed = renewals_allowed(self._renewals.values(), len(self._planner.engines), now)
         if not allowed:
             return
         ready = [
@@ -108,7 +108,7 @@
         ]
         for _, name in sorted(ready)[:allowed]:
             self._renewals[name, key] = now
-            engines[name].drain_model(key)
+            held[name].drain_model(key)
             self._planner.followers.mark_changed(name)
 
     def _forget_finished(self) -> None:
