Fail on errors in the logs: soak, tests of processes, and a command

The soak restarted gateways whatever their exit status, and the tests of processes looked at answers alone.

The soak and the tests of processes fail on the same lines, and on an exit status other than of a requested kill or stop.

--- a/packages/cli/src/gradelug_cli/main.py
+++ b/packages/cli/src/gradelug_cli/main.py
@@ -39,6 +39,7 @@
     CommandError,
 )
 from .explanation import explain
+from .failures import find_failures
 from .limits import find_limits
 from .lost import find_losses
 from .recovery import find_recoveries
@@ -218,6 +219,14 @@
         if found.unreadable:
             print(f"{found.unreadable} lines could not be read", file=sys.stderr)
 
+    def failures(self, *files: str) -> None:
+        """List errors that ended a process, a planner or a task, from logs; 1 if there are any."""
+        found = find_failures(_read_logs(files))
+        for failure, count in found.most_common():
+            print(f"{count:6}  {failure.process or '-'}  {failure.message}")
+        if found:
+            raise CommandError(EXIT_FAILED, f"{found.total()} lines tell of errors")
+
     def recovery(self, *files: str, least: int = 2) -> None:
         """Show what instances that started together waited for, from logs; --least of them."""
         for found in find_recoveries(_read_logs(files)):
--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -404,7 +404,7 @@
         read_s = round(self._clock() - opened_at, 3)
         log.info("started", instance=self.settings.name, hall=self.settings.hall, read_s=read_s)
 
-    async def _drain(self, failed: bool) -> None:
+    async def _drain(self, failed: bool = False) -> None:
         """Stop accepting requests and finish those in progress, within the grace period.
 
         Parameters
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -477,7 +477,9 @@
         while True:
             await asyncio.sleep(0.3)
             for gateway in self.gateways:
-                gateway.revive()
+                if not gateway.is_running:
+                    gateway.note_exit()
+                    gateway.start()
 
     async def _probe(self):
         """Return how many of some requests are served one after the other, tried twice at most."""
@@ -494,6 +496,8 @@
     async def _stop(self):
         for gateway in self.gateways:
             gateway.signal(signal.SIGCONT)
+            if not gateway.is_running:
+                gateway.note_exit()
             gateway.signal(signal.SIGKILL)
             gateway.process.wait()
         for replica in self.replicas.values():
@@ -519,6 +523,8 @@
         faults += [fault for stream in self.resumed for fault in stream.faults()]
         faults += self._keys_used_too_late()
         faults += self._beyond_the_quota()
+        for gateway in self.gateways:
+            faults += gateway.faults()
         if self.late_served < PROBES:
             faults.append(f"only {self.late_served} of {PROBES} were served after all had healed")
         return faults
--- a/tests/soak_parts.py
+++ b/tests/soak_parts.py
@@ -4,16 +4,20 @@
 import json
 import os
 import re
+import signal
 import socket
 import subprocess
 import sys
 import time
 
 from fleet_stand_in import EVENTS, GATEWAY_HOST, HOST
+from gradelug_cli.failures import find_failures
 from gradelug_http import ConnectFailed, OutgoingRequest, ResponseBroken
 from soak_settings import CONFIG, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_SHARE, ROOT
 
 MAX_PORT = 65_535
+REQUESTED_EXITS = frozenset({0, -signal.SIGKILL, -signal.SIGTERM})
+"""Statuses of processes that were killed or stopped."""
 _event_re = re.compile(rb"id: (\d+)\ndata: (\S+)")
 
 
@@ -168,6 +172,8 @@
         )
         self.args = args
         self.process = None
+        self.exits = []
+        """Statuses of its processes that ended, without the kill at the end of the run."""
         self.woken = []
         """When it was started or woken, by the clock of the soak."""
 
@@ -186,9 +192,26 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
-    def revive(self):
-        if self.process.poll() is not None:
-            self.start()
+    @property
+    def is_running(self):
+        return self.process.poll() is None
+
+    def note_exit(self):
+        self.exits.append(self.process.returncode)
+
+    def faults(self):
+        """Return the exits that nobody asked for, and the errors in its log."""
+        found = [
+            f"{self.log.name}: ended by itself with status {status}"
+            for status in self.exits
+            if status not in REQUESTED_EXITS
+        ]
+        with self.log.open(errors="replace") as rows:
+            found += [
+                f"{self.log.name}: {failure.message}, {count} times"
+                for failure, count in find_failures(rows).items()
+            ]
+        return found
 
 
 def free_ports(count):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -25,6 +25,7 @@
         try:
             async with asyncio.timeout(120), cluster:
                 await scenario(cluster)
+            assert cluster.failures() == []
         except BaseException:
             print(cluster.logs())
             raise
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import aiohttp
+from gradelug_cli.failures import find_failures
 from gradelug_standins.layout import Layout
 from listening import ListenWatch
 
@@ -19,6 +20,8 @@
 POLL_S = 0.05
 START_LIMIT_S = 40.0
 STOP_LIMIT_S = 15.0
+REQUESTED_EXITS = frozenset({0, -signal.SIGKILL, -signal.SIGTERM})
+"""Exit statuses of processes that were killed or stopped."""
 JSON = dict[str, t.Any]
 
 
@@ -148,6 +151,23 @@
                 return res.status, await res.json(), res.headers
             return res.status, await res.text(), res.headers
 
+    def failures(self) -> list[str]:
+        """Return the exits that nobody asked for, and the errors in the logs."""
+        found = [
+            f"{name}: ended by itself with status {process.returncode}"
+            for name, process in self.processes.items()
+            if process.poll() is not None and process.returncode not in REQUESTED_EXITS
+        ]
+        for name in self.layout.processes:
+            path = self.layout.folder / f"{name}.log"
+            if path.exists():
+                with path.open(errors="replace") as rows:
+                    found += [
+                        f"{name}: {failure.message}, {count} times"
+                        for failure, count in find_failures(rows).items()
+                    ]
+        return found
+
     def logs(self) -> str:
         """Return every log, for a failure's report, and how long processes took to listen."""
         parts = [self._listening.report()]
