Log the errors of abandoned responses

Cause: `ResponseWaiter` cancels its task when the caller leaves or the replica is silent, and nobody read the error with which the task ended all the same.

Change: that error is logged in one line.

Evidence: test_error_of_an_abandoned_response_is_logged fails on the commit before in both orders (the loop's handler of unread errors is called) and passes now.

--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -8,6 +8,7 @@
 import asyncio
 import typing as t
 
+import logbook
 from gradelug_http import ResponseBroken
 
 from .exchange import Exchange
@@ -16,6 +17,7 @@
 from .runs import RunRecovery
 
 T = t.TypeVar("T")
+log = logbook.Logger("sending")
 SILENCE_TIMEOUT_TARGETS = 1.5
 """Timeout of a repeatable request without a response, in multiples of its target time. Its last
 allowed attempt has none: all replicas may be silent for a moment."""
@@ -105,9 +107,11 @@
                 done, _ = await asyncio.wait([task], timeout=STREAM_SILENCE_TIMEOUT_S)
             if not task.done():
                 raise ReplicaSilent("no data from the replica within the silence timeout")
-        finally:
-            if not task.done():
-                task.cancel()
+        except BaseException:
+            # The caller left or the replica is silent: nobody else reads the result.
+            task.add_done_callback(_log_unread_error)
+            task.cancel()
+            raise
         health.last_received_at = self._clock()
         return task.result()
 
@@ -135,3 +139,8 @@
         if exchange.run is not None and exchange.run.first_event_at is not None:
             return SILENCE_TIMEOUT_GAPS * job.route.gap_s, STREAM_SILENCE_TIMEOUT_S
         return None, None
+
+
+def _log_unread_error(task: asyncio.Future[t.Any]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.info("abandoned response broke off", why=repr(task.exception()))
