Tests of departed engines: one check of the index, names in a file of their own

The comparison of the index with the engines stood in two files, and the search for names of departed replicas beside the tests of late work.

--- a/tests/record_machine.py
+++ b/tests/record_machine.py
@@ -8,22 +8,19 @@
 from dataclasses import replace
 
 from engine_model import MODEL
-from gradelug_gateway.model import AdapterKey, Holding, OrderOutcome
+from gradelug_gateway.model import AdapterKey, OrderOutcome
 from gradelug_gateway.planning_errors import PlanningErrors
 from gradelug_wire import placement_pb2 as pb
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from index_checks import ADAPTERS, MAX_VERSION, assert_index_matches
 from test_incarnations import entry_with_start, restart
 from test_planner import Bench
 from world import new_loop
 
 NAMES = tuple(f"e{number}" for number in range(4))
-ADAPTERS = tuple(f"a{number}" for number in range(4))
 MAX_HELD = 24
 """Calls that are held at a time; of more, the oldest is answered."""
-HOLDINGS = [
-    Holding(AdapterKey("m", adapter), version) for adapter in ADAPTERS for version in range(1, 8)
-]
 ANSWER_S = 0.002
 
 
@@ -160,19 +157,25 @@
     async def _refresh(self):
         self.planner.refresh()
 
-    @rule(name=st.sampled_from(NAMES))
-    def returns_while_its_calls_are_held(self, name):
+    @rule(name=st.sampled_from(NAMES), is_requested=st.booleans(), is_renewed=st.booleans())
+    def returns_while_its_calls_are_held(self, name, is_requested, is_renewed):
         """The new record is queried while calls of the earlier one have no answer yet."""
         self.transport.holds = {name}
-        for adapter in ADAPTERS:
+        for adapter in ADAPTERS if is_requested else ():
             self.adapter_is_requested(adapter)
         self.advance(0.3)
-        self.version_is_named(ADAPTERS[0], True)
+        if is_renewed:
+            self.version_is_named(ADAPTERS[0], True)
         self.advance(0.5)
         self.returns_at_once(name)
         self.transport.holds = set()
         self.advance(0.8)
 
+    @rule()
+    def held_calls_are_answered(self):
+        while self.transport.held:
+            self.call_is_answered(0, True)
+
     # Calls.
 
     @rule(names=st.sets(st.sampled_from(NAMES)))
@@ -214,7 +217,7 @@
     def version_is_named(self, adapter, is_model):
         versions = self.bench.state.versions
         key = MODEL if is_model else AdapterKey("m", adapter)
-        versions[key] = min(7, versions.get(key, 1) + 1)
+        versions[key] = min(MAX_VERSION, versions.get(key, 1) + 1)
         self.run(self._refresh())
 
     @rule(is_paused=st.booleans())
@@ -242,26 +245,7 @@
 
     @invariant()
     def index_lists_what_the_engines_hold(self):
-        planner, index = self.planner, self.planner.index
-        held = {
-            (key, name): engine
-            for name, engine in planner.engines.items()
-            for key in engine.weight_slots
-        }
-        listed = {
-            (key, name): engine
-            for key in index.keys
-            for name, engine in index.engines_holding(key).items()
-        }
-        assert listed.keys() == held.keys()
-        assert all(listed[at] is held[at] for at in held)
-        for holding in HOLDINGS:
-            caching = index.engines_caching(holding)
-            cached = {
-                name: engine for name, engine in planner.engines.items() if holding in engine.cached
-            }
-            assert caching.keys() == cached.keys()
-            assert all(caching[name] is cached[name] for name in cached)
+        assert_index_matches(self.planner)
 
     @invariant()
     def names_are_those_of_the_engines(self):
