Log and count attempts that are abandoned to silent replicas

Callers lost answers while replicas were silent, and no log line said that an attempt was given up, for what, and what became of its replica. Four explanations looked the same.

`attempt abandoned` names how long the attempt and its replica were silent, how many replicas of the service are silent and how many send data, how late this instance noticed, and whether the budget has a retry. `broken` says whether the run's engine had been asked to stop it, `failed` how many attempts were abandoned, `silent replica went on` that it was for nothing. New counters gradelug_abandoned_attempts_total{scope} and gradelug_needless_abandonments_total. No decision changes.

--- a/packages/gateway/src/gradelug_gateway/error_responses.py
+++ b/packages/gateway/src/gradelug_gateway/error_responses.py
@@ -127,6 +127,7 @@
             fingerprint=format_fingerprint(job.fingerprint),
             why=str(exc),
             sends=job.sends,
+            abandoned=job.abandoned,
             last_event=job.events.last_event,
             started=job.inc.started,
         )
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -85,6 +85,7 @@
     """
 
     __slots__ = (
+        "abandoned",
         "absent",
         "absent_count",
         "was_planner_asked",
@@ -151,6 +152,8 @@
         """Names of the replicas to which it was sent."""
         self.excluded: set[str] = set()
         """Names of the replicas that failed or refused it."""
+        self.abandoned = 0
+        """Number of its attempts that ended because their replica was silent."""
         self.absent = ""
         """Name of a replica that lacks the weights, until this is reported to the planner."""
         self.absent_count = 0
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -35,6 +35,7 @@
     """Metrics of a daemon in a registry of its own."""
 
     __slots__ = (
+        "_abandoned_attempts",
         "_broken_responses",
         "_engine_tokens",
         "_engine_waits",
@@ -44,6 +45,7 @@
         "_latency",
         "_abandoned_runs",
         "_limited",
+        "_needless_abandonments",
         "_outcomes",
         "_run_pauses",
         "_plain_waits",
@@ -93,6 +95,17 @@
             ["stage"],
             registry=self._registry,
         )
+        self._abandoned_attempts = Counter(
+            "gradelug_abandoned_attempts",
+            "Attempts that ended because their replica was silent, by how much of the service was",
+            ["scope"],
+            registry=self._registry,
+        )
+        self._needless_abandonments = Counter(
+            "gradelug_needless_abandonments",
+            "Attempts that ended because their replica was silent, and whose replica went on later",
+            registry=self._registry,
+        )
         self._plain_waits = Counter(
             "gradelug_plain_waits",
             "Requests that waited for capacity of a service without engines",
@@ -192,6 +205,14 @@
         """Count an attempt whose response broke off."""
         self._broken_responses.labels(stage).inc()
 
+    def count_abandoned_attempt(self, scope: str) -> None:
+        """Count an attempt that ends because its replica is silent."""
+        self._abandoned_attempts.labels(scope).inc()
+
+    def count_needless_abandonments(self, attempts: int) -> None:
+        """Count abandoned attempts whose replica went on."""
+        self._needless_abandonments.inc(attempts)
+
     def count_plain_wait(self) -> None:
         """Count a request that waits for capacity of a service without engines."""
         self._plain_waits.inc()
--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -15,6 +15,7 @@
 from .fleet import Fleet
 from .model import Repeat
 from .runs import RunRecovery
+from .silences import RECENT_ACTIVITY_S, SilenceTracker
 
 T = t.TypeVar("T")
 log = logbook.Logger("sending")
@@ -32,10 +33,6 @@
 there, and would be queued at another replica too."""
 POLL_S = 0.1
 """Interval at which the retry budget is polled for a request whose replica is silent."""
-RECENT_ACTIVITY_S = 0.8
-"""A replica counts as responsive if any data arrived within this time: it covers a gap between
-events, and the half second in which activity seen by other instances is propagated if 170 instances
-are connected to a planner."""
 
 
 class ReplicaSilent(ResponseBroken):
@@ -55,9 +52,11 @@
         Returns whether the retry budget of a service has a retry available.
     lasting : RunRecovery or None
         Continues runs after their connection is lost; None disables that.
+    silences : SilenceTracker
+        Tracks the replicas that owe data.
     """
 
-    __slots__ = ("_clock", "_fleet", "_has_retry", "_lasting")
+    __slots__ = ("_clock", "_fleet", "_has_retry", "_lasting", "_silences")
 
     def __init__(
         self,
@@ -65,7 +64,9 @@
         clock: t.Callable[[], float],
         has_retry: t.Callable[[str], bool],
         lasting: RunRecovery | None,
+        silences: SilenceTracker,
     ) -> None:
+        self._silences = silences
         self._fleet = fleet
         self._clock = clock
         self._has_retry = has_retry
@@ -88,9 +89,13 @@
         """
         health = self._fleet.health(exchange.replica.name)
         silence_timeout_s, busy_timeout_s = self._silence_timeouts_s(exchange)
+        began_at = self._clock()
         task = asyncio.ensure_future(next_part)
         try:
             done, _ = await asyncio.wait([task], timeout=silence_timeout_s)
+            late_s = 0.0
+            if silence_timeout_s is not None:
+                late_s = max(0.0, self._clock() - began_at - silence_timeout_s)
             if not done and busy_timeout_s is not None and silence_timeout_s is not None:
                 is_busy = self._clock() - health.last_received_at < RECENT_ACTIVITY_S
                 if is_busy:
@@ -106,15 +111,48 @@
             ):
                 done, _ = await asyncio.wait([task], timeout=STREAM_SILENCE_TIMEOUT_S)
             if not task.done():
+                self._note_abandoned(exchange, began_at, late_s)
                 raise ReplicaSilent("no data from the replica within the silence timeout")
         except BaseException:
             # The caller left or the replica is silent: nobody else reads the result.
             task.add_done_callback(_log_unread_error)
             task.cancel()
             raise
-        health.last_received_at = self._clock()
+        self._silences.note_data(exchange.replica)
         return task.result()
 
+    def _note_abandoned(self, exchange: Exchange, began_at: float, late_s: float) -> None:
+        """Log and count an attempt that ends because its replica is silent.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The attempt.
+        began_at : float
+            When the wait for its next part began, by the event loop's clock.
+        late_s : float
+            How late this instance noticed the end of the silence timeout, in seconds.
+        """
+        job, replica = exchange.job, exchange.replica
+        scope = self._silences.scope(replica)
+        activity = self._silences.activity(replica.service)
+        log.info(
+            "attempt abandoned",
+            id=job.req.id,
+            replica=replica.name,
+            stage=exchange.stage.value,
+            scope=scope.value,
+            waited_s=round(self._clock() - began_at, 3),
+            late_s=round(late_s, 3),
+            replica_silent_s=round(self._silences.silent_s(replica.name), 3),
+            silent=activity.silent,
+            responsive=activity.responsive,
+            has_retry=self._has_retry(job.service.name),
+            last_event=job.events.last_event,
+        )
+        job.abandoned += 1
+        self._silences.note_abandoned(replica, scope)
+
     def _must_find_run(self, exchange: Exchange) -> bool:
         """Return whether abandoning a silent replica could fail a request or run it twice."""
         return exchange.run is not None and exchange.run.needs_confirmed_stop
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -78,6 +78,7 @@
         "stop_outcome",
         "stopped",
         "versions",
+        "was_stop_requested",
     )
 
     def __init__(self, job: Job, replica: Replica, sent_at: float) -> None:
@@ -93,6 +94,8 @@
         """The memory kept when the run was stopped because its stream had stalled."""
         self.stop_outcome: MoveOutcome | None = None
         """Outcome of the last stop request to its engine."""
+        self.was_stop_requested = False
+        """Whether its engine was asked to stop it, so that its stream may break for that reason."""
         self.is_abandoned = False
         """Whether a stop was attempted and the request can be resumed on another engine."""
         self.is_gone = False
@@ -417,6 +420,7 @@
         if target is None:
             return None
         asked_at = self._clock()
+        run.was_stop_requested = True
         reply = await self._transport.move(source, job.req.id, target, True)
         if reply.outcome is MoveOutcome.LOST:
             # Links drop idle pooled connections silently; the second call opens a new one.
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -40,6 +40,7 @@
 from .response_wait import ReplicaSilent, ResponseWaiter
 from .run_weights import expected_version
 from .runs import RunRecovery
+from .silences import SilenceTracker
 from .stream_origins import StreamOrigins
 from .stream_progress import StreamProgress
 
@@ -108,6 +109,7 @@
         "_pool",
         "_progress",
         "_max_idle_s",
+        "_silences",
         "_waiter",
     )
 
@@ -140,7 +142,8 @@
         self._guard = guard or PoisonGuard(clock)
         self._ends = ends
         self._progress = StreamProgress(fleet, meters, clock)
-        self._waiter = ResponseWaiter(fleet, clock, has_retry, lasting)
+        self._silences = SilenceTracker(fleet, meters, clock)
+        self._waiter = ResponseWaiter(fleet, clock, has_retry, lasting, self._silences)
         self._lasting = lasting
         self._dialect = dialect
         self._fleet = fleet
@@ -153,6 +156,7 @@
     def forget_gone(self) -> None:
         """Drop the state of removed replicas."""
         self._brittleness.forget_removed(self._fleet.state.replicas)
+        self._silences.forget_removed(self._fleet.state.replicas)
 
     @property
     def guard(self) -> PoisonGuard:
@@ -258,6 +262,7 @@
         load.starting += 1
         load.queued[work.urgency] += work.prefill_tokens
         load.memory += work.memory_tokens
+        self._silences.begin(replica)
         if key is not None:
             self._directory.note_begin(replica, key, work)
         self.release_weights(job)
@@ -287,6 +292,8 @@
                 sent_s=round(self._clock() - exchange.sent_at, 3),
                 quiet_s=round(self._clock() - exchange.last_event_at, 3),
                 held_up_s=round(job.inc.held_up_s, 3),
+                stop_asked=exchange.run is not None and exchange.run.was_stop_requested,
+                scope=self._silences.scope(replica).value,
             )
             if not is_caller_stalled and (conn.is_silenced or health.last_received_at < now):
                 self._pool.doubt(replica.address, now)
@@ -302,6 +309,7 @@
             if exchange.run is not None and self._lasting is not None:
                 self._lasting.leave(exchange.run)
             load.memory -= work.memory_tokens
+            self._silences.end(replica)
             self._progress.log_pauses(exchange)
             if exchange.is_running:
                 load.running -= 1
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/silences.py
@@ -0,0 +1,174 @@
+"""Which replicas owe data to attempts of this instance, and which of them have fallen silent.
+
+`Sender` reports each attempt, and `ResponseWaiter` the data that arrives and the attempts that it
+abandons. Logs and metrics show from this whether one replica was silent or most of its service.
+"""
+
+from __future__ import annotations
+
+import math
+import typing as t
+from dataclasses import dataclass
+from enum import Enum
+
+import logbook
+
+from .fleet import Fleet
+from .metrics import GatewayMetrics
+from .model import Replica
+
+log = logbook.Logger("silences")
+RECENT_ACTIVITY_S = 0.8
+"""A replica counts as responsive if any data arrived within this time: it covers a gap between
+events, and the half second in which activity seen by other instances is propagated if 170 instances
+are connected to a planner."""
+
+
+class SilenceScope(Enum):
+    """How much of a service is silent, as far as this instance can tell."""
+
+    STREAM = "stream"
+    """The replica sends data for other requests."""
+    REPLICA = "replica"
+    """The replica sends nothing, and at least as many others of its service do send data."""
+    SERVICE = "service"
+    """Most replicas of the service that owe data send nothing."""
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceActivity:
+    """Replicas of a service by whether they send data.
+
+    Parameters
+    ----------
+    silent : int
+        Replicas that owe data to this instance and have sent none for some time.
+    responsive : int
+        Replicas that any instance has received data from recently.
+    """
+
+    silent: int
+    responsive: int
+
+
+@dataclass(slots=True)
+class _Debt:
+    """Attempts that wait for data from one replica.
+
+    Parameters
+    ----------
+    service : str
+        Service of the replica.
+    since : float
+        When the oldest of them was sent, or the last one before them ended.
+    attempts : int
+        Number of attempts in progress.
+    abandoned : int
+        Attempts abandoned since the replica has sent data last.
+    """
+
+    service: str
+    since: float
+    attempts: int = 0
+    abandoned: int = 0
+
+
+class SilenceTracker:
+    """Tracks the replicas that owe data to attempts of this instance.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The replicas, and when data was received from them last.
+    meters : GatewayMetrics
+        Counts abandoned attempts, and replicas that went on after they were silent.
+    clock : callable
+        Returns the event loop's time, in seconds.
+    """
+
+    __slots__ = ("_clock", "_debts", "_fleet", "_meters")
+
+    def __init__(self, fleet: Fleet, meters: GatewayMetrics, clock: t.Callable[[], float]) -> None:
+        self._fleet = fleet
+        self._meters = meters
+        self._clock = clock
+        self._debts: dict[str, _Debt] = {}
+
+    def begin(self, replica: Replica) -> None:
+        """Record that an attempt was sent to a replica."""
+        debt = self._debts.get(replica.name)
+        if debt is None:
+            debt = self._debts[replica.name] = _Debt(replica.service, self._clock())
+        elif not debt.attempts:
+            debt.since = self._clock()
+        debt.attempts += 1
+
+    def end(self, replica: Replica) -> None:
+        """Record that an attempt at a replica has ended."""
+        debt = self._debts[replica.name]
+        debt.attempts -= 1
+        if not debt.attempts and not debt.abandoned:
+            del self._debts[replica.name]
+
+    def note_data(self, replica: Replica) -> None:
+        """Record that data was received from a replica."""
+        health, now = self._fleet.health(replica.name), self._clock()
+        debt = self._debts.get(replica.name)
+        if debt is not None and debt.abandoned:
+            self._log_resumption(replica, debt, now - health.last_received_at)
+        health.last_received_at = now
+
+    def note_abandoned(self, replica: Replica, scope: SilenceScope) -> None:
+        """Record that an attempt is abandoned because its replica is silent."""
+        self._meters.count_abandoned_attempt(scope.value)
+        debt = self._debts.get(replica.name)
+        if debt is not None:
+            debt.abandoned += 1
+
+    def silent_s(self, replica: str) -> float:
+        """Return for how long a replica has sent no data that it owes, in seconds; 0 for none."""
+        debt = self._debts.get(replica)
+        if debt is None or not debt.attempts:
+            return 0.0
+        return self._clock() - max(debt.since, self._fleet.health(replica).last_received_at)
+
+    def activity(self, service: str) -> ServiceActivity:
+        """Return how many replicas of a service are silent, and how many send data."""
+        now = self._clock()
+        silent = sum(
+            debt.service == service and self.silent_s(name) >= RECENT_ACTIVITY_S
+            for name, debt in self._debts.items()
+        )
+        responsive = sum(
+            now - self._fleet.health(rep.name).last_received_at < RECENT_ACTIVITY_S
+            for rep in self._fleet.usable(service)
+        )
+        return ServiceActivity(silent, responsive)
+
+    def scope(self, replica: Replica) -> SilenceScope:
+        """Return how much of a replica's service is silent together with it."""
+        last_received_at = self._fleet.health(replica.name).last_received_at
+        if self._clock() - last_received_at < RECENT_ACTIVITY_S:
+            return SilenceScope.STREAM
+        activity = self.activity(replica.service)
+        if activity.silent > activity.responsive:
+            return SilenceScope.SERVICE
+        return SilenceScope.REPLICA
+
+    def forget_removed(self, known: t.Container[str]) -> None:
+        """Drop the records of removed replicas that have no attempts."""
+        removed = [
+            name for name, debt in self._debts.items() if not debt.attempts and name not in known
+        ]
+        for name in removed:
+            del self._debts[name]
+
+    def _log_resumption(self, replica: Replica, debt: _Debt, silent_s: float) -> None:
+        self._meters.count_needless_abandonments(debt.abandoned)
+        log.info(
+            "silent replica went on",
+            replica=replica.name,
+            silent_s=round(silent_s, 3) if silent_s < math.inf else None,
+            abandoned=debt.abandoned,
+        )
+        debt.abandoned = 0
