Split the request pipeline: the placement of attempts

RequestPlacer chooses the replica of an attempt, so that a replica can be sought while another attempt is still in progress; the methods are moved as they were. No behaviour changes.

--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -18,23 +18,22 @@
 from .authentication import reauthenticate
 from .backoff_check import check_backoff
 from .budgets import RetryBudgets
-from .directory import Directory, PlacementPriority
+from .directory import Directory
 from .error_responses import DEFAULT_RETRY_AFTER_S, ErrorResponder
 from .exceptions import Failed, Limited, Refused, Unauthenticated
 from .fleet import Fleet
 from .job import Job, Outcome
 from .metrics import GatewayMetrics
-from .model import AdapterKey, KvCopy, KvCopyKind, Repeat, Replica, Request, Service
+from .model import KvCopy, KvCopyKind, Repeat, Replica, Request, Service
 from .plain_placement import PlainPlacer
 from .ports import BadRequest, Dialect
 from .quotas import QuotaApplicant, Quotas
+from .request_placer import RequestPlacer
 from .routing import RouteTable, choose_service
 from .runs import RunRecovery
 from .sending import Sender
 from .share_tally import UsageTally
-from .software_check import accepted_candidates, check_software
 from .stream_origins import StreamOrigins
-from .stream_requests import started_stream_request
 from .values import RequestValuation, attempt_digest
 from .wait_policy import WaitPolicy
 from .withdrawal import WaitingRequests
@@ -48,10 +47,6 @@
 The store sends 1.2 MB for 1,700 routes and 145 replicas, which takes 0.9 s on a 10 Mbit/s link;
 instances that start at the same time share the store's link too."""
 POLL_S = 0.05
-OVERSIZED_RETRY_AFTER_S = 60.0
-"""Retry-After of a request that exceeds every engine's memory: only other engines could run it."""
-MAX_BACKOFF_WAIT_S = 0.5
-"""Longest backoff of its engine that a run waits out; callers wait 2 s for the next event."""
 MAX_LOGGED_ID = 200
 """Maximum number of characters of an identifier in logs that a caller chose."""
 MAX_SENDS = 6
@@ -101,13 +96,13 @@
         "_budgets",
         "_clock",
         "_dialect",
-        "_directory",
         "_expects_config",
         "_fleet",
         "_lasting",
         "_meters",
         "_origins",
         "_wait_policy",
+        "_placer",
         "_plain_placer",
         "_quotas",
         "_shutdown_at",
@@ -144,7 +139,6 @@
         self._lasting = lasting
         self._dialect = dialect
         self._fleet = fleet
-        self._directory = directory
         self._sender = sender
         self._budgets = budgets
         self._meters = meters
@@ -160,6 +154,16 @@
         self._shutdown_at = math.inf
         self._values = RequestValuation()
         self._wait_policy = WaitPolicy(fleet, self._values, clock)
+        self._placer = RequestPlacer(
+            fleet,
+            directory,
+            self._plain_placer,
+            self._values,
+            self._wait_policy,
+            self._tally,
+            clock,
+            lasting,
+        )
 
     def forget_gone(self) -> None:
         """Drop the state of removed replicas."""
@@ -344,75 +348,11 @@
 
     # Placement.
 
-    async def _place(self, job: Job) -> Replica:
-        key = job.req.key
-        job.is_chosen_locally = False
-        if job.copy is not None and key is not None:
-            return await self._place_at_kv_copy(job, job.copy, key)
-        check_software(self._fleet, job)
-        check_backoff(self._fleet, job)
-        if job.service.engine is not None and key is not None:
-            return await self._place_weights(job, key)
-        job.is_chosen_locally = True
-        return await self._plain_placer.place(job)
-
-    async def _place_weights(self, job: Job, key: AdapterKey) -> Replica:
-        if not self._fleet.fits_memory(job.service.name, job.work):
-            raise Refused("the prompt exceeds the memory of every engine", OVERSIZED_RETRY_AFTER_S)
-        known = None
-        if not job.absent:
-            holders = filter(job.accepts, self._fleet.holders(job.service.name, key))
-            known = self._fleet.choose(
-                holders, job.excluded, job.candidates(), job.work, job.may_repeat()
-            )
-            if known is not None and not self._should_ask_planner(job, known):
-                job.is_chosen_locally = True
-                return known
-        excluded = {*job.excluded, *self._fleet.resting(job.service.name, key)}
-        only = accepted_candidates(self._fleet, job)
-        return await self._ask_planner(job, key, excluded, only, known)
-
-    async def _ask_planner(
-        self,
-        job: Job,
-        key: AdapterKey,
-        excluded: t.Collection[str],
-        only: t.Container[str] | None,
-        known: Replica | None = None,
-    ) -> Replica:
-        """Return the replica that the planner chooses, and report one that lacks the weights.
-
-        Parameters
-        ----------
-        job : Job
-            The request.
-        key : AdapterKey
-            Model and adapter that it needs.
-        excluded : collection of str
-            Replicas that the planner must not choose.
-        only : container of str or None
-            Replicas among which it must choose; None for any.
-        known : Replica or None
-            The best replica that this instance knows of.
-        """
-        replica = await self._directory.place(
-            job.service.name,
-            key,
-            wish=self._build_wish(job),
-            excluded=excluded,
-            only=only,
-            absent=job.absent,
-            known=known,
-            software=job.software,
-        )
-        job.absent = ""
-        return replica
-
     async def _place_with_fallback(self, job: Job) -> Replica:
         """Return the next replica, preferring one that holds the run's saved KV cache."""
         while True:
             try:
-                return await self._place(job)
+                return await self._placer.place(job)
             except Refused as exc:
                 if job.copy is None:
                     raise
@@ -423,64 +363,6 @@
                 if job.copy is None and not job.may_repeat():
                     raise
 
-    async def _place_at_kv_copy(self, job: Job, copy: KvCopy, key: AdapterKey) -> Replica:
-        """Return the engine that holds a run's saved KV cache, once it has the weights loaded."""
-        holder = copy.holder
-        if not job.accepts(holder):
-            raise Refused(
-                "the engine with the saved KV cache runs other software", DEFAULT_RETRY_AFTER_S
-            )
-        rest_s = self._fleet.rests.remaining_s(holder)
-        if rest_s > MAX_BACKOFF_WAIT_S:
-            raise Refused("the engine with the saved KV cache is in backoff", rest_s)
-        if rest_s:
-            await asyncio.sleep(rest_s)
-        weights = self._lasting.weights if self._lasting is not None else None
-        holds = copy.kind is KvCopyKind.STOPPED or (
-            weights is not None and weights.holds(holder, copy.versions, key)
-        )
-        if holds and job.absent != holder.name:
-            return holder
-        if weights is None or not weights.can_load_versions(copy, key):
-            raise Refused(
-                "the weights of the saved KV cache cannot be loaded", DEFAULT_RETRY_AFTER_S
-            )
-        replica = await self._ask_planner(job, key, (), (holder.name,))
-        job.copy = replace(copy, were_weights_loaded=True)
-        return replica
-
-    def _should_ask_planner(self, job: Job, replica: Replica) -> bool:
-        """Return whether the planner may offer a better replica than the one chosen locally."""
-        if (
-            job.was_planner_asked
-            or job.inc.started
-            or not self._directory.is_connected(job.service.name)
-        ):
-            return False
-        job.was_planner_asked = True
-        if self._directory.should_ask_planner(job.service.name) or self._fleet.is_ejected(
-            replica.name
-        ):
-            return True
-        if self._fleet.limits.rate(replica.name) is not None:
-            return True
-        return self._fleet.is_late(replica, job.work, job.req.arrived_at + job.route.target_s)
-
-    def _build_wish(self, job: Job) -> PlacementPriority:
-        route, req = job.route, job.req
-        if job.inc.started:
-            return started_stream_request(job, self._clock(), self._tally.party(job))
-        return PlacementPriority(
-            rank=job.rank,
-            value=self._values.value(route, job.rank, req),
-            returning=self._wait_policy.is_returning(job),
-            target_at=req.arrived_at + route.target_s,
-            until=self._wait_policy.placement_deadline(job),
-            work=job.work,
-            party=self._tally.party(job),
-            request=req.id,
-        )
-
     # Replicas with a rate limit or in backoff.
 
     def _handle_limited(self, job: Job, replica: Replica) -> None:
