Failing tests: answers cut while sound engines were silent

Callers saw: streams of which the engine fell silent for 1.0 to 1.8 s and then went on ended early, as "the retry budget is exhausted" or "the request may have run". Cause, as the tests show: an attempt is ended when the budget has a retry at that moment, and none is held, so that four streams leave for one retry; a paused engine executes the order to stop when it goes on, its handle is lost, and the stream ends with it. Change: engines of the tests can be paused, stall, and end without a sign; what arrives meanwhile is handled in order afterwards. No product code.

--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import json
-from collections import deque
+import math
+import re
+from collections import Counter, deque
+from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 
 from gradelug_gateway.model import AdapterKey
-from gradelug_http import ServerLimits
+from gradelug_http import ClientGone, ServerLimits
 
 MODEL = AdapterKey("m")
 KEY = AdapterKey("m", "a1")
@@ -21,6 +25,9 @@
 TICK_S = 0.05
 VERSION_LINE = b"x-gradelug-weight-versions: %d\n"
 """First line of the event at which the base model of a run changes."""
+END_DELAY_S = 0.01
+"""Time for which an engine handles what it had received before it notices closed connections."""
+_request_id_re = re.compile(rb"^POST /p .*?\r\nx-gradelug-request-id: (\S+)\r\n", re.I | re.S)
 
 
 @dataclass(eq=False)
@@ -52,6 +59,8 @@
     """Descriptions of the violations."""
     asked: list = field(default_factory=list)
     """Calls and requests as tuples of engine name, kind and status."""
+    arrivals: Counter = field(default_factory=Counter)
+    """Number of times that a request arrived at an engine, by request, even if it was not read."""
 
 
 class DelayedWriter:
@@ -105,15 +114,89 @@
         self.copy_s = COPY_S
         self.receiving = 0
         """Number of copies in transit to it."""
+        self.call_delay_s = 0.0
+        """Delay until a call is executed, even if its connection is closed meanwhile."""
+        self.response_delay_s = 0.0
+        """Delay of the responses to calls after their execution."""
         self.dead = False
         self.ends_at = None
+        self._awake = asyncio.Event()
+        self._awake.set()
+        self._paused_until = -math.inf
+        self._resume_timer = None
+        self._received = deque()
+        """What arrived on its connections while it was paused, as functions in order."""
         self._tasks = set()
         self._silenced = set()
         self._streaming = set()
         self.server = world.net.serve(address, self.serve, ServerLimits, world.clock)
+        world.net.servers[address] = self._accept
 
     # Faults and orders.
 
+    @property
+    def is_paused(self):
+        return not self._awake.is_set()
+
+    def pause(self, for_s):
+        """Suspend the engine: it accepts connections, but reads, sends and produces nothing."""
+        self._awake.clear()
+        self._paused_until = max(self._paused_until, self.world.clock() + for_s)
+        if self._resume_timer is not None:
+            self._resume_timer.cancel()
+        if self._paused_until < math.inf:
+            loop = asyncio.get_running_loop()
+            self._resume_timer = loop.call_at(self._paused_until, self._resume)
+
+    def stall(self, for_s):
+        """Produce no event of the current runs for a time, but answer calls and requests."""
+        for work in self.runs.values():
+            work.stall_for_s = for_s
+
+    def vanish(self, removed_after_s=None):
+        """End without closing a connection; remove the entry from the state later, if ever."""
+        self.pause(math.inf)
+        self.dead = True
+        self.runs, self.kept, self.waiting = {}, {}, []
+        for task in list(self._tasks):
+            task.cancel()
+        if removed_after_s is not None:
+            asyncio.get_running_loop().call_later(removed_after_s, self.world.leave, self)
+
+    def _resume(self):
+        self._awake.set()
+        received, self._received = self._received, deque()
+        loop = asyncio.get_running_loop()
+        for is_end, handle in received:
+            if is_end:
+                loop.call_later(END_DELAY_S, handle)
+            else:
+                handle()
+
+    def _accept(self):
+        """Return the protocol of a new connection, whose input waits while the engine is paused."""
+        conn = self.server.new_connection()
+        conn.connection_made = partial(self._connect, conn.connection_made)
+        return conn
+
+    def _connect(self, connection_made, transport):
+        transport.deliver = partial(self._deliver, transport.deliver)
+        transport.end_of_file = partial(self._receive, True, transport.end_of_file)
+        transport.lose = partial(self._receive, True, transport.lose)
+        connection_made(transport)
+
+    def _deliver(self, deliver, data):
+        found = _request_id_re.match(data)
+        if found is not None:
+            self.world.ledger.arrivals[found[1].decode()] += 1
+        self._receive(False, deliver, data)
+
+    def _receive(self, is_end, handle, *args):
+        if self.is_paused:
+            self._received.append((is_end, partial(handle, *args)))
+        else:
+            handle(*args)
+
     def reset(self, mid_event=False):
         """Abort all connections, optionally in the middle of an event."""
         for conn in list(self.server.connections):
@@ -241,10 +324,22 @@
     # HTTP interface.
 
     async def serve(self, inc):
-        target = inc.target.decode()
-        if not target.startswith("/gradelug/"):
+        await self._awake.wait()
+        if not inc.target.startswith(b"/gradelug/"):
             await self._serve_request(inc)
-            return
+        elif self.call_delay_s:
+            await asyncio.shield(self.start(self._serve_late_call(inc)))
+        else:
+            await self._serve_call(inc)
+
+    async def _serve_late_call(self, inc):
+        await asyncio.sleep(self.call_delay_s)
+        await self._awake.wait()
+        with suppress(ClientGone):
+            await self._serve_call(inc)
+
+    async def _serve_call(self, inc):
+        target = inc.target.decode()
         if self.ignores_calls or self.calls_to_ignore:
             self.calls_to_ignore -= bool(self.calls_to_ignore)
             await asyncio.sleep(5.0)
@@ -276,7 +371,7 @@
         work = self.runs.get(asked["Id"])
         target = self.world.by_address(asked["TargetVersion"])
         if work is None:
-            self._answer(inc, "move", 404, {})
+            await self._answer(inc, "move", 404, {})
             return
         handle = f"h{next(self.world.handles)}"
         answer = {"handle": handle, "CreateRevision": work.events_made}
@@ -285,20 +380,24 @@
             self.runs.pop(work.ident, None)
             self.kept[f"{self.address}/{handle}"] = (work.ident, work.line, work.versions)
         if target is None or target.dead or not target.has_capacity:
-            self._answer(inc, "move", 503, answer if asked["Last"] else {})
+            await self._answer(inc, "move", 503, answer if asked["Last"] else {})
             return
         target.receiving += 1
         try:
             await asyncio.sleep(self.copy_s)
+            await self._awake.wait()
         finally:
             target.receiving -= 1
         if target.dead:
-            self._answer(inc, "move", 503, answer if asked["Last"] else {})
+            await self._answer(inc, "move", 503, answer if asked["Last"] else {})
             return
         target.kept[f"{self.address}/{handle}"] = (work.ident, work.line, work.versions)
-        self._answer(inc, "move", 200, answer)
+        await self._answer(inc, "move", 200, answer)
 
-    def _answer(self, inc, what, status, body):
+    async def _answer(self, inc, what, status, body):
+        if self.response_delay_s:
+            await asyncio.sleep(self.response_delay_s)
+            await self._awake.wait()
         self.world.ledger.asked.append((self.name, what, status))
         inc.respond(status, [], json.dumps(body).encode())
 
@@ -381,6 +480,7 @@
                 await self._preempt(work)
                 stall_for_s, work.stall_for_s = work.stall_for_s, 0.0
                 await asyncio.sleep(stall_for_s)
+                await self._awake.wait()
                 if work.stop.is_set() or self.dead:
                     return
                 work.events_made += 1
@@ -413,6 +513,7 @@
         self.waiting.append(work)
         try:
             await asyncio.sleep(work.waiting_until - self.world.clock())
+            await self._awake.wait()
             while not self.version(work.key):
                 await asyncio.sleep(TICK_S)
         finally:
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -105,6 +105,8 @@
         budget=1000.0,
         replicas=2,
         version_s=math.inf,
+        target_s=0.5,
+        gap_s=0.3,
     ):
         self.clock = clock = asyncio.get_running_loop().time
         self.net = Network()
@@ -114,14 +116,14 @@
         self.software = {}
         """Software versions of engines that have one, by name."""
         shares = (Share("llm", 1.0),)
-        route = Route("r", "h", "/", shares, True, repeat, 20.0, 0.5, 0.3, replicas, 0)
+        route = Route("r", "h", "/", shares, True, repeat, 20.0, target_s, gap_s, replicas, 0)
         self.state = FleetState()
         services = {"llm": Service("llm", 100, SPEC)}
         self.state.snapshot = Snapshot(1, (route,), services, ServerLimits())
         self.fleet = Fleet(self.state, "hall", clock)
         meters = self.meters = GatewayMetrics()
         dialect = PlatformDialect()
-        budgets = RetryBudgets(0.0, budget / BUDGET_FRACTION, 1000.0, clock)
+        budgets = self.budgets = RetryBudgets(0.0, budget / BUDGET_FRACTION, 1000.0, clock)
         budgets.share_among(1)
         pool = HttpPool(clock, self.net.dial)
         directory = self.directory = PlacingDirectory(self, self.fleet)
