Let engine stand-ins fall silent and stop runs

Missing: the replica stand-in of the soak knew neither a silence of the engine itself nor `kv-move`; `Proxy.silent` holds only what is on its way while the engine goes on making events.

Change: `Silence` holds requests (and orders, reports and moves where asked); streams go on with the event at which they were held. `MovableRuns` answers `kv-move` and `kv-handle`, keeps the memory of stopped runs for one use, and adds runs to reports. The events of a stream are sent by `_stream`, their interval is an attribute.

--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -8,6 +8,7 @@
 from engine_model import MODEL, ModelEngine
 from gradelug_gateway.model import AdapterKey, Order, OrderOutcome
 from gradelug_http import HttpServer, ServerLimits, find
+from movable_runs import MovableRuns
 
 STATUS = {
     OrderOutcome.TAKEN: 202,
@@ -24,6 +25,9 @@
 """No two instances may order an engine that checks no tokens within this time."""
 EVENT_S = 0.02
 EVENTS = 12
+CALLS = b"/gradelug/"
+ORDER, REPORT, MOVE = CALLS + b"order", CALLS + b"report", CALLS + b"kv-move"
+HANDLES = CALLS + b"kv-handle/"
 POISON = b"poison"
 """A request with this body ends each replica that begins it."""
 LIVES_S = 0.03
@@ -39,6 +43,8 @@
         self.organisations = {}
         """Whose key each request carries."""
         self.ran_at = {}
+        self.engines = {}
+        """Runs of the engines that were entered, by address."""
         self.end = None
         """Ends a replica at once, by its name; set where requests can do that."""
         self.faults = []
@@ -163,10 +169,40 @@
         return []
 
 
+class Silence:
+    """Holds an engine still for a time; it keeps its connections and goes on where it was."""
+
+    def __init__(self):
+        self._holds_control = False
+        self._over = asyncio.Event()
+        self._over.set()
+
+    @property
+    def is_on(self):
+        return not self._over.is_set()
+
+    def begin(self, holds_control=True):
+        """Hold requests, and orders and reports as well if `holds_control`."""
+        self._holds_control = holds_control
+        self._over.clear()
+
+    def end(self):
+        self._over.set()
+
+    async def wait(self, is_control=False):
+        """Wait until it is over, if it holds what asks."""
+        if self._holds_control or not is_control:
+            await self._over.wait()
+
+
 class ReplicaStandIn:
     """One start of a replica, entered in the store while it lives."""
 
     def __init__(self, name, service, kv, ledger, versions, checks_tokens=True, software=""):
+        self.silence = Silence()
+        self.moves = MovableRuns(ledger.engines)
+        self.event_s = EVENT_S
+        """Time between two events of its streams."""
         self.software = software
         """Version of its software, which its events name; empty for none."""
         self.name = name
@@ -193,6 +229,7 @@
     async def enter(self, address):
         """Write the entry, as replicas do when more than their count of orders changes."""
         self.address = address
+        self.moves.enter(address)
         holdings = []
         if self.engine is not None:
             held = self.engine.held
@@ -224,13 +261,18 @@
         await self.server.close()
 
     async def serve(self, inc):
+        await self.silence.wait(is_control=inc.target.startswith(CALLS))
         expected = inc.header(b"x-gradelug-expect-instance")
         if expected != self.name.encode():
             self._refuse(inc, 421)
-        elif inc.target == b"/gradelug/order":
+        elif inc.target == ORDER:
             self._order(inc)
-        elif inc.target == b"/gradelug/report":
+        elif inc.target == REPORT:
             self._report(inc)
+        elif inc.target == MOVE:
+            self.moves.move(inc)
+        elif inc.target.startswith(HANDLES):
+            self.moves.release(inc)
         else:
             await self._run(inc)
 
@@ -291,6 +333,7 @@
             "Pending": [f"m/{held.key.adapter}@{held.version}" for held in coming],
             "Seq": report.orders,
             "Busy": report.busy or len(coming) < len(report.loading),
+            **self.moves.report(),
         }
         inc.respond(200, [], json.dumps(data).encode())
 
@@ -315,6 +358,10 @@
                 self._refuse(inc, 503)
                 return
             versions = [(b"X-Gradelug-Weight-Versions", b"%d" % self.engine.held[MODEL])]
+        memory = inc.header(b"kv-from")
+        if memory is not None and not self.moves.take(request_id, memory.decode()):
+            self._refuse(inc, 503)
+            return
         first = int(find(inc.headers, b"last-event-id") or 0) + 1
         self.ledger.runs[request_id].append((self.name, first))
         if self.ledger.bodies.get(request_id) != inc.body:
@@ -328,21 +375,32 @@
         ]
         if self.engine is None:
             await asyncio.sleep(EVENT_S)
+            await self.silence.wait()
             inc.respond(200, headers, b"whole " + inc.body)
             return
         users = self.engine.users
         self.engine.use(key, users.get(key, 0) + 1)
+        run = self.moves.begin(request_id, first)
         try:
             inc.begin(200, [*headers, (b"Content-Type", b"text/event-stream")])
             if inc.body == POISON:
                 await asyncio.sleep(LIVES_S)
                 self.ledger.end(self.name)
-            for number in range(first, EVENTS + 1):
-                await asyncio.sleep(EVENT_S)
-                await inc.send(event(number, self.software))
-            inc.finish()
+            await self._stream(inc, run)
         finally:
             self.engine.use(key, users[key] - 1)
+            self.moves.end(request_id, run)
+
+    async def _stream(self, inc, run):
+        """Send the events of a run to their end, or until it is stopped."""
+        while run.events < EVENTS:
+            await asyncio.sleep(self.event_s)
+            await self.silence.wait()
+            if run.is_stopped:
+                return
+            run.events += 1
+            await inc.send(event(run.events, self.software))
+        inc.finish()
 
     def _is_late(self, now):
         """Tell whether instances must have known for long that this replica drains.
