--- a/tests/soak_parts.py
+++ b/tests/soak_parts.py
@@ -16,6 +16,7 @@
 from soak_settings import CONFIG, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_SHARE, ROOT
 
 MAX_PORT = 65_535
+BUDGET_EXTRA = 400
 REQUESTED_EXITS = frozenset({0, -signal.SIGKILL, -signal.SIGTERM})
 """Statuses of processes that were killed or stopped."""
 _event_re = re.compile(rb"id: (\d+)\ndata: (\S+)")
@@ -26,6 +27,8 @@
 
     def __init__(self, store, clock, rng):
         self.store = store
+        self.settings = CONFIG
+        """The configuration without organisations and number."""
         self.clock = clock
         self.rng = rng
         self.numbers = iter(range(1, 1_000_000))
@@ -47,7 +50,7 @@
         common = {"Unit": "token_stream", "PlainTokens": PLAIN_TOKENS}
         tenants = [{"Name": "free"}, LIMITED]
         tenants = [{**item, **common, "ApiKeys": self.held[item["Name"]]} for item in tenants]
-        return json.dumps({**CONFIG, "Version": version, "Tenants": tenants}).encode()
+        return json.dumps({**self.settings, "Version": version, "Tenants": tenants}).encode()
 
     async def change(self):
         """Take a key away and give another out."""
@@ -156,7 +159,9 @@
 class Gateway:
     """One gateway process, restarted when it ends."""
 
-    def __init__(self, at, folder, store_port, ports, checks_tokens, args=()):
+    def __init__(
+        self, at, folder, store_port, ports, checks_tokens, args=(), budget_extra=BUDGET_EXTRA
+    ):
         self.front, self.ready, self.peer = ports
         self.log = folder / f"g{at}.log"
         self.settings = folder / f"g{at}.toml"
@@ -165,7 +170,7 @@
             f"PortRange = [{self.peer}, {self.peer + 1}]\n"
             f'[Listen]\nFront = "{GATEWAY_HOST}:{self.front}"\n'
             f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
-            f"[Bounds]\nGraceS = 4\nBudgetExtra = 400\n"
+            f"[Bounds]\nGraceS = 4\nBudgetExtra = {budget_extra}\n"
             f"RequireFence = {str(checks_tokens).lower()}\n"
             f"StrictRevoke = true\nRevokeMs = {REVOKE_S * 1000:.0f}\n"
             f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
