Let retries be reserved before they are sent

Requests looked whether the retry budget has a retry and took it later, so that all requests of one moment saw the same retry. RetryWindow can now reserve one: it counts until it is sent, which is when its time in the window begins, or until it is released. try_retry is both in one step; its tests pass unchanged.

--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/liveness_check.py
@@ -0,0 +1,74 @@
+"""Whether a replica responds, by what it has sent lately or by a call to it."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+from .fleet import Fleet
+from .model import Replica
+from .ports import RunTransport
+from .silences import RECENT_ACTIVITY_S, SilenceTracker
+
+
+class LivenessCheck:
+    """Tells whether replicas respond.
+
+    All requests that ask for the same replica share one call.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        When data was received from each replica last.
+    silences : SilenceTracker
+        Which replicas owe data.
+    transport : RunTransport or None
+        Calls engines; None where no replica can be called.
+    clock : callable
+        Returns the event loop's time, in seconds.
+    """
+
+    __slots__ = ("_calls", "_clock", "_fleet", "_silences", "_transport")
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        silences: SilenceTracker,
+        transport: RunTransport | None,
+        clock: t.Callable[[], float],
+    ) -> None:
+        self._fleet = fleet
+        self._silences = silences
+        self._transport = transport
+        self._clock = clock
+        self._calls: dict[str, asyncio.Task[bool]] = {}
+        """Calls in progress, by the name of the replica."""
+
+    async def responds(self, replica: Replica) -> bool:
+        """Return whether a replica sent data lately or answers a call.
+
+        A replica that cannot be called counts as responsive unless it owes data.
+        """
+        received_at = self._fleet.health(replica.name).last_received_at
+        if self._clock() - received_at < RECENT_ACTIVITY_S:
+            return True
+        if self._transport is None or not self._fleet.state.has_engines(replica.service):
+            return self._silences.silent_s(replica.name) < RECENT_ACTIVITY_S
+        return await self.answers(replica)
+
+    async def answers(self, replica: Replica) -> bool:
+        """Return whether an engine answers a call now."""
+        if self._transport is None:
+            return False
+        call = self._calls.get(replica.name)
+        if call is None:
+            call = self._calls[replica.name] = asyncio.create_task(self._call(replica))
+            call.add_done_callback(lambda _: self._calls.pop(replica.name, None))
+        return await asyncio.shield(call)
+
+    async def _call(self, replica: Replica) -> bool:
+        assert self._transport is not None
+        if not await self._transport.responds(replica):
+            return False
+        self._silences.note_data(replica)
+        return True
--- a/packages/policy/src/gradelug_policy/retries.py
+++ b/packages/policy/src/gradelug_policy/retries.py
@@ -69,7 +69,16 @@
         Length of the window, in seconds.
     """
 
-    __slots__ = ("_ratio", "_requests", "_possibly_run_retries", "_retries", "_window_s", "extra")
+    __slots__ = (
+        "_possibly_run_retries",
+        "_ratio",
+        "_requests",
+        "_reserved",
+        "_reserved_possibly_run",
+        "_retries",
+        "_window_s",
+        "extra",
+    )
 
     def __init__(self, ratio: float, extra: float, window_s: float) -> None:
         self._ratio = ratio
@@ -78,6 +87,10 @@
         self._retries: deque[float] = deque()
         self._possibly_run_retries: deque[float] = deque()
         """Times of the retries of requests that may have run."""
+        self._reserved = 0
+        """Retries that are reserved and not sent yet."""
+        self._reserved_possibly_run = 0
+        """Those of them that are for requests that may have run."""
         self.extra = extra
 
     def note_request(self, now: float) -> None:
@@ -92,30 +105,47 @@
         ----------
         now : float
             Current time by the runtime's clock.
-        unrun : bool
+        not_run : bool
             Whether the request has certainly not run.
         """
         self._forget(now)
-        reserved = (
-            min(len(self._possibly_run_retries), MAX_RESERVED_RETRY_FRACTION * self._allowed)
-            if not_run
-            else 0
-        )
-        return len(self._retries) + 1 + reserved <= self._allowed
-
-    def try_retry(self, now: float, unrun: bool = False) -> bool:
-        """Take a retry from the window if one is available."""
+        precedence = 0.0
+        if not_run:
+            possibly_run = len(self._possibly_run_retries) + self._reserved_possibly_run
+            precedence = min(possibly_run, MAX_RESERVED_RETRY_FRACTION * self._allowed)
+        return len(self._retries) + self._reserved + 1 + precedence <= self._allowed
+
+    def try_reserve(self, now: float, unrun: bool = False) -> bool:
+        """Reserve a retry if one is available; it counts until it is used or released."""
         if not self.has_retry(now, unrun):
             return False
+        self._reserved += 1
+        self._reserved_possibly_run += not unrun
+        return True
+
+    def use_reserved(self, now: float, unrun: bool = False) -> None:
+        """Count a reserved retry as sent now."""
+        self.release_reserved(unrun)
         self._retries.append(now)
         if not unrun:
             self._possibly_run_retries.append(now)
+
+    def release_reserved(self, unrun: bool = False) -> None:
+        """Return a reserved retry that is not sent."""
+        self._reserved -= 1
+        self._reserved_possibly_run -= not unrun
+
+    def try_retry(self, now: float, unrun: bool = False) -> bool:
+        """Take a retry from the window if one is available."""
+        if not self.try_reserve(now, unrun):
+            return False
+        self.use_reserved(now, unrun)
         return True
 
     def next_s(self, now: float) -> float:
         """Return the time until a retry is available, in seconds, if no other request takes it."""
         self._forget(now)
-        missing = len(self._retries) + 1 - self._allowed
+        missing = len(self._retries) + self._reserved + 1 - self._allowed
         allowance_per_s = self._ratio * len(self._requests) / self._window_s
         allowance_s = missing / allowance_per_s if allowance_per_s else self._window_s
         oldest_s = self._retries[0] + self._window_s - now if self._retries else self._window_s
