Do not blame replicas for silences of their whole service

After all replicas of a service had been silent for a second, sound ones were ejected and requests went to the few that were not.

Cause: an attempt that was abandoned, or whose caller left, counted as a failure of its replica, also where most replicas of the service were silent; so did streams that ended because this instance had asked for it. Such breaks say nothing about the replica nor about the request, and are not counted any more. A single silent replica is blamed as before.

--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -41,7 +41,7 @@
 from .response_wait import ReplicaSilent, ResponseWaiter
 from .run_weights import expected_version
 from .runs import RunRecovery, SuccessorFinder
-from .silences import SilenceTracker
+from .silences import SilenceScope, SilenceTracker
 from .stream_origins import StreamOrigins
 from .stream_progress import StreamProgress
 
@@ -278,13 +278,13 @@
         try:
             outcome = await self._exchange(exchange)
         except asyncio.CancelledError:
-            if self._is_overdue(exchange):
+            if self._is_overdue(exchange) and not self._is_service_silent(exchange):
                 health.note_broken(self._clock())
             raise
         except ResponseBroken as exc:
             is_caller_stalled = job.inc.held_up_s >= MIN_CALLER_STALL_S
             self._meters.count_broken_response(exchange.stage.value)
-            if not is_caller_stalled:
+            if not is_caller_stalled and not self._is_excused(exchange):
                 self._note_broken(exchange, exc)
                 if self._ends is not None:
                     self._guard.note_parts(job.fingerprint, job.part_fingerprints)
@@ -396,6 +396,21 @@
         overdue_after_s = max(OVERDUE_TARGETS * job.route.target_s, OVERDUE_FACTOR * usual_s)
         return self._clock() - exchange.sent_at >= overdue_after_s
 
+    def _is_service_silent(self, exchange: Exchange) -> bool:
+        """Return whether most replicas of the service are silent, or were at the abandonment."""
+        scope = exchange.silence_scope or self._silences.scope(exchange.replica)
+        return scope is SilenceScope.SERVICE
+
+    def _is_excused(self, exchange: Exchange) -> bool:
+        """Return whether a break says nothing about the replica or the request.
+
+        The stream ended because this instance asked for it, or it was abandoned while most of the
+        service was silent.
+        """
+        if exchange.run is not None and exchange.run.was_stop_requested:
+            return True
+        return exchange.silence_scope is SilenceScope.SERVICE
+
     def _note_broken(self, exchange: Exchange, exc: ResponseBroken) -> None:
         health, now = self._fleet.health(exchange.replica.name), self._clock()
         is_early = isinstance(exc, ReplicaSilent) and not self._is_overdue(exchange)
