Await the answers to stops of runs on engines that shut down

A run on an engine that shuts down is stopped so that it goes on elsewhere. The order was given up after 0.25 s, three times, although an engine that is silent carries it out when it goes on: the stream ended and its memory was kept under a handle that nobody had read. Hand-overs now use RunStopper like stalled runs.

--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -20,6 +20,7 @@
 from .model import KvCopy, KvCopyKind, Replica
 from .ports import RunTransport
 from .run_moves import MoveOutcome, MoveReply
+from .run_stops import RunStopper
 from .runs import Run, RunRecovery
 from .stream_requests import started_stream_request
 
@@ -69,6 +70,7 @@
         "_lasting",
         "_moving",
         "_seen_change",
+        "_stopper",
         "_tasks",
         "_transport",
     )
@@ -86,6 +88,7 @@
         self._fleet = fleet
         self._directory = directory
         self._lasting = lasting
+        self._stopper = RunStopper(transport)
         self._transport = transport
         self._budgets = budgets
         self._clock = clock
@@ -231,7 +234,7 @@
         reply = MoveReply(MoveOutcome.LOST)
         for _ in range(MOVE_ATTEMPTS):
             asked_at = self._clock()
-            reply = await self._transport.move(run.replica, run.job.req.id, target, last)
+            reply = await self._order_move(run, target, last)
             log.info(
                 "run moved" if last else "run copied",
                 id=run.job.req.id,
@@ -242,11 +245,21 @@
                 last_event=run.job.events.last_event,
                 took_s=round(self._clock() - asked_at, 3),
             )
-            if reply.outcome not in (MoveOutcome.BUSY, MoveOutcome.LOST):
+            is_retried = reply.outcome is MoveOutcome.BUSY or (
+                reply.outcome is MoveOutcome.LOST and not last
+            )
+            if not is_retried:
                 break
             await asyncio.sleep(MOVE_RETRY_S)
         return reply
 
+    async def _order_move(self, run: Run, target: Replica, last: bool) -> MoveReply:
+        if not last:
+            return await self._transport.move(run.replica, run.job.req.id, target, last)
+        return await self._stopper.stop(
+            run.replica, run.job.req.id, target, run.useful_answer_s(self._clock())
+        )
+
     async def _find_target(self, run: Run) -> Replica | None:
         """Return an engine on which a run can be resumed; load its weights there if needed."""
         job = run.job
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -429,10 +429,10 @@
     def test_a_run_that_ends_before_it_is_stopped_leaves_no_memory_behind(self):
         move = PlatformRuns.move
 
-        async def late(self, source, request_id, target, last):
+        async def late(self, source, request_id, target, last, *args):
             if last:
                 return MoveReply(MoveOutcome.NO_RUN)
-            return await move(self, source, request_id, target, last)
+            return await move(self, source, request_id, target, last, *args)
 
         async def scenario():
             world = RunWorld()
