Keep an attempt whose replica went on during the search

How much of the service is silent is read again after the search. Answers to calls show that a replica responds, and are no longer taken for data that it sends.

--- a/packages/gateway/src/gradelug_gateway/liveness_check.py
+++ b/packages/gateway/src/gradelug_gateway/liveness_check.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as t
 
 from .fleet import Fleet
@@ -28,7 +29,7 @@
         Returns the event loop's time, in seconds.
     """
 
-    __slots__ = ("_calls", "_clock", "_fleet", "_silences", "_transport")
+    __slots__ = ("_answered_at", "_calls", "_clock", "_fleet", "_silences", "_transport")
 
     def __init__(
         self,
@@ -43,14 +44,20 @@
         self._clock = clock
         self._calls: dict[str, asyncio.Task[bool]] = {}
         """Calls in progress, by the name of the replica."""
+        self._answered_at: dict[str, float] = {}
+        """When each replica answered a call last. An answer shows that the replica responds, not
+        that it sends data for requests."""
 
     async def responds(self, replica: Replica) -> bool:
         """Return whether a replica sent data lately or answers a call.
 
         A replica that cannot be called counts as responsive unless it owes data.
         """
-        received_at = self._fleet.health(replica.name).last_received_at
-        if self._clock() - received_at < RECENT_ACTIVITY_S:
+        active_at = max(
+            self._fleet.health(replica.name).last_received_at,
+            self._answered_at.get(replica.name, -math.inf),
+        )
+        if self._clock() - active_at < RECENT_ACTIVITY_S:
             return True
         if self._transport is None or not self._fleet.state.has_engines(replica.service):
             return self._silences.silent_s(replica.name) < RECENT_ACTIVITY_S
@@ -70,5 +77,10 @@
         assert self._transport is not None
         if not await self._transport.responds(replica):
             return False
-        self._silences.note_data(replica)
+        self._answered_at[replica.name] = self._clock()
         return True
+
+    def forget_removed(self, known: t.Container[str]) -> None:
+        """Drop the records of removed replicas."""
+        for name in [name for name in self._answered_at if name not in known]:
+            del self._answered_at[name]
--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -155,8 +155,13 @@
                 await asyncio.wait([task], timeout=min(left_s, RECENT_ACTIVITY_S))
                 continue
             if await self._try_prepare(exchange, task):
-                self._note_abandoned(exchange, scope, began_at, late_s)
-                raise ReplicaSilent("no data from the replica within the silence timeout")
+                scope = self._silences.scope(exchange.replica)
+                is_due = self._clock() >= began_at + timeouts.timeout_s(scope)
+                if is_due or (exchange.run is not None and exchange.run.stopped is not None):
+                    self._note_abandoned(exchange, scope, began_at, late_s)
+                    raise ReplicaSilent("no data from the replica within the silence timeout")
+                # The replica went on for others during the search.
+                self._release(exchange)
             interval_s = RETRY_INTERVALS_S[min(searches, len(RETRY_INTERVALS_S) - 1)]
             searches += 1
             await asyncio.wait([task], timeout=interval_s)
@@ -187,7 +192,6 @@
             Whether the request holds all that its next attempt needs; otherwise it holds nothing
             but what an order to stop its run, once sent, may still make it need.
         """
-        job, run = exchange.job, exchange.run
         search = asyncio.ensure_future(self._prepare(exchange))
         try:
             await asyncio.wait([task, search], return_when=asyncio.FIRST_COMPLETED)
@@ -196,11 +200,15 @@
         finally:
             search.add_done_callback(_log_search_error)
             search.cancel()
-        job.successor = None
-        if run is None or not run.was_stop_requested:
-            job.release_retry()
+        self._release(exchange)
         return False
 
+    def _release(self, exchange: Exchange) -> None:
+        """Release what a request holds, but for what an order to stop its run makes it need."""
+        exchange.job.successor = None
+        if exchange.run is None or not exchange.run.was_stop_requested:
+            exchange.job.release_retry()
+
     async def _prepare(self, exchange: Exchange) -> bool:
         successors, run = exchange.successors, exchange.run
         if successors is None:
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -143,6 +143,16 @@
         """Whether abandoning it could end its request or leave two engines working on it."""
         return self.first_event_at is not None or not self.job.may_repeat()
 
+    def useful_answer_s(self, now: float) -> float:
+        """Return how long a late answer to a stop request is of use, in seconds.
+
+        A request that can go on without it does not wait for it.
+        """
+        job = self.job
+        if job.may_repeat() or job.backup is not None:
+            return 0.0
+        return min(job.deadline_at, job.last_event_at + job.route.patience_s) - now
+
     @property
     def request_has_events(self) -> bool:
         """Whether the request has produced events, in this run or in an earlier one."""
@@ -471,9 +481,7 @@
             return None
         asked_at = self._clock()
         run.was_stop_requested = True
-        reply = await self._stopper.stop(
-            source, job.req.id, target, self._useful_answer_s(run, asked_at)
-        )
+        reply = await self._stopper.stop(source, job.req.id, target, run.useful_answer_s(asked_at))
         run.stop_outcome = reply.outcome
         log.info(
             "stop of run requested",
@@ -503,16 +511,6 @@
             elsewhere,
         )
 
-    def _useful_answer_s(self, run: Run, now: float) -> float:
-        """Return how long a late answer to a stop request is of use, in seconds.
-
-        A request that can go on without it does not wait for it.
-        """
-        job = run.job
-        if job.may_repeat() or job.backup is not None:
-            return 0.0
-        return min(job.deadline_at, job.last_event_at + job.route.patience_s) - now
-
     def _choose_stop_target(self, run: Run) -> Replica | None:
         """Return the engine to name as target of a stop; if it is full, the memory stays."""
         job, source, choose = run.job, run.replica, self.targets.choose
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -161,6 +161,7 @@
         """Drop the state of removed replicas."""
         self._brittleness.forget_removed(self._fleet.state.replicas)
         self._silences.forget_removed(self._fleet.state.replicas)
+        self.liveness.forget_removed(self._fleet.state.replicas)
 
     @property
     def guard(self) -> PoisonGuard:
