Compare silences of replicas over the time that their requests wait

One of five sound replicas was ejected for about a second after all had been silent for 1.2 s.

Cause: requests of plain services are abandoned after 0.3 s, and whether other replicas were silent too was read over 0.8 s, so that data from before the silence counted for them. The window is now the shortest silence timeout of the request, and a replica is blamed only if another one of its service has sent data meanwhile, or if it is the only one.

--- a/packages/gateway/src/gradelug_gateway/exchange.py
+++ b/packages/gateway/src/gradelug_gateway/exchange.py
@@ -11,7 +11,6 @@
 from .job import Job
 from .model import Replica
 from .runs import Run, SuccessorFinder
-from .silences import SilenceScope
 
 
 class Stage(Enum):
@@ -56,12 +55,12 @@
         "longest_s",
         "pauses",
         "is_acquitted",
+        "is_excused",
         "is_released",
         "replica",
         "run",
         "is_running",
         "sent_at",
-        "silence_scope",
         "status",
         "successors",
         "work",
@@ -91,8 +90,8 @@
         """The run of this attempt; None if the request's runs cannot be continued."""
         self.successors: SuccessorFinder | None = None
         """Holds what the next attempt needs if this one is abandoned; None to never abandon it."""
-        self.silence_scope: SilenceScope | None = None
-        """How much of the service was silent when it was abandoned; None if it was not."""
+        self.is_excused = False
+        """Whether it was abandoned in a silence that is no evidence against its replica."""
         self.is_released = False
         self.status = 0
         """HTTP status of the response; 0 until its head arrives."""
--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -81,6 +81,11 @@
         """The shortest of the three, in seconds."""
         return min(self.stream_s, self.replica_s, self.service_s)
 
+    @property
+    def window_s(self) -> float:
+        """Time without data after which a replica is silent, in seconds."""
+        return min(RECENT_ACTIVITY_S, self.shortest_s)
+
 
 class ResponseWaiter:
     """Awaits the parts of responses.
@@ -149,16 +154,16 @@
         late_s = await self._wait_on_time(task, timeouts.shortest_s)
         searches = 0
         while not task.done():
-            scope = self._silences.scope(exchange.replica)
+            scope = self._silences.scope(exchange.replica, timeouts.window_s)
             left_s = began_at + timeouts.timeout_s(scope) - self._clock()
             if left_s > CLOCK_RESOLUTION_S:
                 await asyncio.wait([task], timeout=min(left_s, RECENT_ACTIVITY_S))
                 continue
             if await self._try_prepare(exchange, task):
-                scope = self._silences.scope(exchange.replica)
+                scope = self._silences.scope(exchange.replica, timeouts.window_s)
                 is_due = self._clock() >= began_at + timeouts.timeout_s(scope)
                 if is_due or (exchange.run is not None and exchange.run.stopped is not None):
-                    self._note_abandoned(exchange, scope, began_at, late_s)
+                    self._note_abandoned(exchange, scope, timeouts.window_s, began_at, late_s)
                     raise ReplicaSilent("no data from the replica within the silence timeout")
                 # The replica went on for others during the search.
                 self._release(exchange)
@@ -218,7 +223,12 @@
         return await self._lasting.stop_stalled(run, successors)
 
     def _note_abandoned(
-        self, exchange: Exchange, scope: SilenceScope, began_at: float, late_s: float
+        self,
+        exchange: Exchange,
+        scope: SilenceScope,
+        window_s: float,
+        began_at: float,
+        late_s: float,
     ) -> None:
         """Log and count an attempt that ends because its replica is silent.
 
@@ -228,13 +238,15 @@
             The attempt.
         scope : SilenceScope
             How much of the service is silent.
+        window_s : float
+            Time without data after which a replica is silent, in seconds.
         began_at : float
             When the wait for its next part began, by the event loop's clock.
         late_s : float
             How late this instance noticed the end of the silence timeout, in seconds.
         """
         job, replica, run = exchange.job, exchange.replica, exchange.run
-        activity = self._silences.activity(replica.service)
+        activity = self._silences.activity(replica.service, window_s)
         log.info(
             "attempt abandoned",
             id=job.req.id,
@@ -251,7 +263,7 @@
             last_event=job.events.last_event,
         )
         job.abandoned += 1
-        exchange.silence_scope = scope
+        exchange.is_excused = self._silences.is_shared(replica, window_s)
         if run is not None:
             run.is_abandoned = True
         self._silences.note_abandoned(replica, scope)
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -41,7 +41,7 @@
 from .response_wait import ReplicaSilent, ResponseWaiter
 from .run_weights import expected_version
 from .runs import RunRecovery, SuccessorFinder
-from .silences import SilenceScope, SilenceTracker
+from .silences import SilenceTracker
 from .stream_origins import StreamOrigins
 from .stream_progress import StreamProgress
 
@@ -279,7 +279,7 @@
         try:
             outcome = await self._exchange(exchange)
         except asyncio.CancelledError:
-            if self._is_overdue(exchange) and not self._is_service_silent(exchange):
+            if self._is_overdue(exchange) and not self._silences.is_shared(replica):
                 health.note_broken(self._clock())
             raise
         except ResponseBroken as exc:
@@ -397,20 +397,14 @@
         overdue_after_s = max(OVERDUE_TARGETS * job.route.target_s, OVERDUE_FACTOR * usual_s)
         return self._clock() - exchange.sent_at >= overdue_after_s
 
-    def _is_service_silent(self, exchange: Exchange) -> bool:
-        """Return whether most replicas of the service are silent, or were at the abandonment."""
-        scope = exchange.silence_scope or self._silences.scope(exchange.replica)
-        return scope is SilenceScope.SERVICE
-
     def _is_excused(self, exchange: Exchange) -> bool:
-        """Return whether a break says nothing about the replica or the request.
+        """Return whether a break says nothing about the replica nor about the request.
 
-        The stream ended because this instance asked for it, or it was abandoned while most of the
-        service was silent.
+        The stream ended because this instance asked for it, or it was abandoned in a silence that
+        is no evidence against its replica.
         """
-        if exchange.run is not None and exchange.run.was_stop_requested:
-            return True
-        return exchange.silence_scope is SilenceScope.SERVICE
+        was_stopped = exchange.run is not None and exchange.run.was_stop_requested
+        return was_stopped or exchange.is_excused
 
     def _note_broken(self, exchange: Exchange, exc: ResponseBroken) -> None:
         health, now = self._fleet.health(exchange.replica.name), self._clock()
--- a/packages/gateway/src/gradelug_gateway/silences.py
+++ b/packages/gateway/src/gradelug_gateway/silences.py
@@ -136,30 +136,57 @@
             return 0.0
         return self._clock() - max(debt.since, self._fleet.health(replica).last_received_at)
 
-    def activity(self, service: str) -> ServiceActivity:
-        """Return how many replicas of a service are silent, and how many send data."""
+    def activity(self, service: str, window_s: float = RECENT_ACTIVITY_S) -> ServiceActivity:
+        """Return how many replicas of a service are silent, and how many send data.
+
+        Parameters
+        ----------
+        service : str
+            Service of the replicas.
+        window_s : float
+            Time without data after which a replica that owes some is silent, in seconds.
+        """
         now = self._clock()
         silent = sum(
-            debt.service == service and self.silent_s(name) >= RECENT_ACTIVITY_S
+            debt.service == service and self.silent_s(name) >= window_s
             for name, debt in self._debts.items()
         )
         responsive = sum(
-            now - self._fleet.health(rep.name).last_received_at < RECENT_ACTIVITY_S
+            now - self._fleet.health(rep.name).last_received_at < window_s
             for rep in self._fleet.usable(service)
         )
         return ServiceActivity(silent, responsive)
 
-    def scope(self, replica: Replica) -> SilenceScope:
-        """Return how much of a replica's service is silent together with it."""
+    def scope(self, replica: Replica, window_s: float = RECENT_ACTIVITY_S) -> SilenceScope:
+        """Return how much of a replica's service is silent together with it.
+
+        Parameters
+        ----------
+        replica : Replica
+            A replica that owes data.
+        window_s : float
+            Time without data after which a replica is silent, in seconds.
+        """
         last_received_at = self._fleet.health(replica.name).last_received_at
-        if self._clock() - last_received_at < RECENT_ACTIVITY_S:
+        if self._clock() - last_received_at < window_s:
             return SilenceScope.STREAM
-        activity = self.activity(replica.service)
+        activity = self.activity(replica.service, window_s)
         if activity.silent <= activity.responsive:
             return SilenceScope.REPLICA
         # A single silent replica says nothing of those that owe no data.
-        is_alone = activity.silent < min(2, len(self._fleet.usable(replica.service)))
-        return SilenceScope.REPLICA if is_alone else SilenceScope.SERVICE
+        return SilenceScope.SERVICE if activity.silent > 1 else SilenceScope.REPLICA
+
+    def is_shared(self, replica: Replica, window_s: float = RECENT_ACTIVITY_S) -> bool:
+        """Return whether a silence is no evidence against the replica.
+
+        Most of its service is silent, or nothing shows that any other replica sends data.
+        """
+        if len(self._fleet.usable(replica.service)) < 2:
+            return False
+        scope = self.scope(replica, window_s)
+        if scope is not SilenceScope.REPLICA:
+            return scope is SilenceScope.SERVICE
+        return not self.activity(replica.service, window_s).responsive
 
     def forget_removed(self, known: t.Container[str]) -> None:
         """Drop the records of removed replicas that have no attempts."""
