--- a/packages/gateway/src/gradelug_gateway/handover.py
+++ b/packages/gateway/src/gradelug_gateway/handover.py
@@ -296,4 +296,4 @@
 
 def _is_movable(run: Run) -> bool:
     spec = run.job.service.engine
-    return spec is not None and spec.moves and run.handover is None
+    return spec is not None and spec.moves and run.handover is None and run.stop_call is None
--- a/packages/gateway/src/gradelug_gateway/plain_placement.py
+++ b/packages/gateway/src/gradelug_gateway/plain_placement.py
@@ -86,9 +86,16 @@
         self._full_until: dict[str, float] = {}
         """When each replica that reported no capacity is tried again, by its name."""
 
-    async def place(self, job: Job) -> Replica:
+    async def place(self, job: Job, excluded: t.Collection[str]) -> Replica:
         """Return a replica for a request, after a wait if all replicas are full.
 
+        Parameters
+        ----------
+        job : Job
+            The request.
+        excluded : collection of str
+            Names of replicas that are chosen only if there is no other.
+
         Raises
         ------
         Refused
@@ -104,7 +111,7 @@
             await self.wait(job, full)
         while True:
             check_backoff(self._fleet, job)
-            replica = self._choose(job)
+            replica = self._choose(job, excluded)
             if replica is not None:
                 return replica
             if self._clock() >= give_up_at:
@@ -189,16 +196,16 @@
             rep for rep in usable if job.accepts(rep) and not self._fleet.rests.remaining_s(rep)
         ]
 
-    def _choose(self, job: Job) -> Replica | None:
+    def _choose(self, job: Job, excluded: t.Collection[str]) -> Replica | None:
         usable = self._available(job)
         if not self.is_queueing_enabled:
-            found = self._fleet.choose(usable, job.excluded, job.candidates())
+            found = self._fleet.choose(usable, excluded, job.candidates())
             if found is None and job.candidates() is None:
                 found = self._fleet.choose(usable)
             return found
         only = job.candidates()
         allowed = [rep for rep in usable if only is None or rep.name in only]
-        preferred = [rep for rep in allowed if rep.name not in job.excluded]
+        preferred = [rep for rep in allowed if rep.name not in excluded]
         # If the request failed at all replicas, any of them is as good for a retry.
         return self._choose_by_share(job, preferred or (allowed if only is None else []))
 
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -58,7 +58,7 @@
         target: Replica,
         last: bool,
         timeout_s: float = MOVE_TIMEOUT_S,
-        is_repeated: bool = False,
+        over_new_connection: bool = False,
     ) -> MoveReply:
         """Copy the KV cache of a run to another engine.
 
@@ -72,8 +72,8 @@
             Whether the run is stopped as well.
         timeout_s : float
             Longest wait for the answer, in seconds.
-        is_repeated : bool
-            Whether the same call got no answer, so that it needs a new connection.
+        over_new_connection : bool
+            Whether no connection that has been idle is used.
         """
         ...
 
--- a/packages/gateway/src/gradelug_gateway/request_placer.py
+++ b/packages/gateway/src/gradelug_gateway/request_placer.py
@@ -92,29 +92,50 @@
             If no replica can run the request in time.
         """
         key = job.req.key
-        job.is_chosen_locally = False
         if job.copy is not None and key is not None:
+            job.is_chosen_locally = False
             return await self._place_at_kv_copy(job, job.copy, key)
+        return await self.place_new_run(job, job.excluded)
+
+    async def place_new_run(self, job: Job, excluded: t.Collection[str]) -> Replica:
+        """Return a replica for an attempt that uses no saved KV cache.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        excluded : collection of str
+            Names of replicas that must not be chosen.
+
+        Raises
+        ------
+        Refused
+            If no replica can run the request in time.
+        """
+        key = job.req.key
+        job.is_chosen_locally = False
         check_software(self._fleet, job)
         check_backoff(self._fleet, job)
         if job.service.engine is not None and key is not None:
-            return await self._place_weights(job, key)
+            return await self._place_weights(job, key, excluded)
         job.is_chosen_locally = True
-        return await self._plain_placer.place(job)
+        return await self._plain_placer.place(job, excluded)
 
-    async def _place_weights(self, job: Job, key: AdapterKey) -> Replica:
+    async def _place_weights(
+        self, job: Job, key: AdapterKey, excluded: t.Collection[str]
+    ) -> Replica:
         if not self._fleet.fits_memory(job.service.name, job.work):
             raise Refused("the prompt exceeds the memory of every engine", OVERSIZED_RETRY_AFTER_S)
         known = None
         if not job.absent:
             holders = filter(job.accepts, self._fleet.holders(job.service.name, key))
             known = self._fleet.choose(
-                holders, job.excluded, job.candidates(), job.work, job.may_repeat()
+                holders, excluded, job.candidates(), job.work, job.may_repeat()
             )
             if known is not None and not self._should_ask_planner(job, known):
                 job.is_chosen_locally = True
                 return known
-        excluded = {*job.excluded, *self._fleet.resting(job.service.name, key)}
+        excluded = {*excluded, *self._fleet.resting(job.service.name, key)}
         only = accepted_candidates(self._fleet, job)
         return await self._ask_planner(job, key, excluded, only, known)
 
--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -64,11 +64,14 @@
         While the replica sends nothing.
     service_s : float
         While most replicas of the service send nothing.
+    window_s : float
+        Time without data after which a replica counts as silent.
     """
 
     stream_s: float
     replica_s: float
     service_s: float
+    window_s: float = RECENT_ACTIVITY_S
 
     def timeout_s(self, scope: SilenceScope) -> float:
         """Return the timeout in a scope, in seconds."""
@@ -81,11 +84,6 @@
         """The shortest of the three, in seconds."""
         return min(self.stream_s, self.replica_s, self.service_s)
 
-    @property
-    def window_s(self) -> float:
-        """Time without data after which a replica is silent, in seconds."""
-        return min(RECENT_ACTIVITY_S, self.shortest_s)
-
 
 class ResponseWaiter:
     """Awaits the parts of responses.
@@ -142,8 +140,6 @@
             raise
         if task.exception() is None:
             self._silences.note_data(exchange.replica)
-        else:
-            self._silences.note_break(exchange.replica)
         return task.result()
 
     async def _wait(
@@ -200,7 +196,7 @@
         search = asyncio.ensure_future(self._prepare(exchange))
         try:
             await asyncio.wait([task, search], return_when=asyncio.FIRST_COMPLETED)
-            if not task.done() and search.result():
+            if not task.done() and search.exception() is None and search.result():
                 return True
         finally:
             search.add_done_callback(_log_search_error)
@@ -274,7 +270,9 @@
         route = job.route
         if route.repeat is Repeat.FREELY and job.candidates() is None:
             timeout_s = SILENCE_TIMEOUT_TARGETS * route.target_s
-            return SilenceTimeouts(timeout_s, timeout_s, timeout_s)
+            return SilenceTimeouts(
+                timeout_s, timeout_s, timeout_s, min(timeout_s, RECENT_ACTIVITY_S)
+            )
         if route.repeat is Repeat.RESUME:
             return SilenceTimeouts(
                 BUSY_STREAM_SILENCE_TIMEOUT_S,
--- a/packages/gateway/src/gradelug_gateway/run_stops.py
+++ b/packages/gateway/src/gradelug_gateway/run_stops.py
@@ -1,32 +1,16 @@
 """Orders to stop runs whose answers may be late.
 
 An engine that has fallen silent carries out an order when it goes on, and only its answer names the
-memory of the stopped run. An order is therefore not given up while its answer can still be used.
+memory of the stopped run. An order is therefore not given up while its answer can still be used,
+and no second one is sent meanwhile: it would stop the run once more after it was resumed there.
 """
 
 from __future__ import annotations
 
-import asyncio
-import typing as t
-
 from .model import Replica
-from .ports import RunTransport
+from .ports import MOVE_TIMEOUT_S, RunTransport
 from .run_moves import MoveOutcome, MoveReply
 
-PROMPT_ANSWER_S = 0.25
-"""Time for a prompt answer, in seconds: a copy of 0.5 GB takes 12 ms on a link of 370 Gbit/s, plus
-the time for copies queued before it. After it the order is sent once more over a new connection:
-links drop idle pooled connections silently."""
-_RANKS = (
-    MoveOutcome.NO_RUN,
-    MoveOutcome.UNREACHED,
-    MoveOutcome.NO_CAPACITY,
-    MoveOutcome.COPIED,
-    MoveOutcome.BUSY,
-    MoveOutcome.LOST,
-)
-"""Outcomes without a handle, the most conclusive one first."""
-
 
 class RunStopper:
     """Stops runs on their engines.
@@ -47,6 +31,8 @@
     ) -> MoveReply:
         """Order an engine to stop a run, and return its answer.
 
+        Orders take new connections, since links drop idle ones silently.
+
         Parameters
         ----------
         source : Replica
@@ -56,35 +42,11 @@
         target : Replica
             The engine to which its memory is copied.
         answer_s : float
-            How long a late answer is of use, in seconds from now; each of the two orders is awaited
-            for `PROMPT_ANSWER_S` at least.
+            How long a late answer is of use, in seconds from now. If that is no longer than a
+            prompt answer takes, the order is sent once more after that time.
         """
-        until_s = max(answer_s, PROMPT_ANSWER_S)
-        first = asyncio.create_task(self._transport.move(source, request_id, target, True, until_s))
-        calls = {first}
-        try:
-            await asyncio.wait(calls, timeout=PROMPT_ANSWER_S)
-            if not first.done() or first.result().outcome is MoveOutcome.LOST:
-                left_s = max(answer_s - PROMPT_ANSWER_S, PROMPT_ANSWER_S)
-                calls.add(
-                    asyncio.create_task(
-                        self._transport.move(source, request_id, target, True, left_s, True)
-                    )
-                )
-            return await _first_conclusive(calls)
-        finally:
-            for call in calls:
-                call.cancel()
-
-
-async def _first_conclusive(calls: t.Collection[asyncio.Task[MoveReply]]) -> MoveReply:
-    """Return the first reply that names kept memory, otherwise the most conclusive of all."""
-    pending: set[asyncio.Task[MoveReply]] = set(calls)
-    replies: list[MoveReply] = []
-    while pending:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        replies += [call.result() for call in done]
-        named = next((reply for reply in replies if reply.handle), None)
-        if named is not None:
-            return named
-    return min(replies, key=lambda reply: _RANKS.index(reply.outcome))
+        timeout_s = max(answer_s, MOVE_TIMEOUT_S)
+        reply = await self._transport.move(source, request_id, target, True, timeout_s, True)
+        if reply.outcome is MoveOutcome.LOST and answer_s <= MOVE_TIMEOUT_S:
+            return await self._transport.move(source, request_id, target, True, timeout_s, True)
+        return reply
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -41,7 +41,7 @@
 from .metrics import GatewayMetrics
 from .model import KvCopy, KvCopyKind, Repeat, Replica
 from .ports import RunTransport
-from .run_moves import MoveOutcome
+from .run_moves import MoveOutcome, MoveReply
 from .run_stops import RunStopper
 from .run_weights import RunWeights
 
@@ -58,6 +58,10 @@
         """Reserve a retry for a request; return whether it may be sent once more."""
         ...
 
+    def may_reserve(self, job: Job) -> bool:
+        """Return whether a retry could be reserved now."""
+        ...
+
     async def hold(self, job: Job, silent: Replica) -> bool:
         """Hold a retry and a responsive replica other than a silent one; return whether it did."""
         ...
@@ -143,6 +147,17 @@
         """Whether abandoning it could end its request or leave two engines working on it."""
         return self.first_event_at is not None or not self.job.may_repeat()
 
+    @property
+    def has_copy(self) -> bool:
+        """Whether a backup copy of it can be expected, if one was requested.
+
+        It grows with the events: a silence before a break does not count.
+        """
+        first_event_at = self.first_event_at
+        if first_event_at is None or self.job.backup is None:
+            return False
+        return self.job.last_event_at - first_event_at >= COPY_READY_AFTER_S
+
     def useful_answer_s(self, now: float) -> float:
         """Return how long a late answer to a stop request is of use, in seconds.
 
@@ -319,6 +334,8 @@
     def leave(self, run: Run) -> None:
         """Stop tracking a run when reading of its stream has ended."""
         self._abandoned.note_attempt_ended(run.job, run.replica)
+        if run.stop_call is not None:
+            run.stop_call.add_done_callback(lambda _: self._release_unused(run))
         runs = self.runs.get(run.replica.name)
         if runs is None:
             return
@@ -326,6 +343,12 @@
         if not runs:
             del self.runs[run.replica.name]
 
+    def _release_unused(self, run: Run) -> None:
+        """Free the memory of a stopped run from which its request does not go on."""
+        stopped = run.stopped
+        if stopped is not None and stopped not in (run.job.copy, run.job.resumed_copy):
+            self.weights.release(stopped)
+
     def run_statistics(self, service: str) -> RunStatistics:
         """Return the run length statistics of a service."""
         return self._run_statistics.setdefault(service, RunStatistics())
@@ -351,13 +374,13 @@
             self._watch_abandoned(run)
             return
         self._record_stream(run, broken=not run.was_stop_requested)
-        if run.stop_call is not None and not run.stop_call.done():
+        if run.stop_call is not None:
             # The engine ended the stream because it was asked to.
-            await self._request_stop(run)
+            await asyncio.shield(run.stop_call)
         if run.stopped is not None:
             job.copy = run.stopped
             return
-        if run.first_event_at is None or self._clock() - run.first_event_at < COPY_READY_AFTER_S:
+        if not run.has_copy:
             # The copy has probably not arrived. An engine without it rejects the request (145 of
             # 145 runs without an event had none), or restarts it if it loses responses.
             job.backup = None
@@ -389,25 +412,27 @@
         bool
             Whether the request holds all that its next attempt needs.
         """
-        if run.handover is not None:
-            return (await asyncio.shield(run.handover)) is not None
+        if run.handover is not None and await asyncio.shield(run.handover) is not None:
+            return True
         job = run.job
-        if not successors.reserve(job):
+        if not successors.may_reserve(job):
             return False
         if not job.may_repeat() and not self.weights.meets_version_deadline(
             run.versions, job.req.key
         ):
             # Its memory could not be used any more, while the run itself may still continue.
             return False
+        if run.stop_call is None or run.stop_call.done():
+            run.stop_outcome, run.is_gone = None, False
         responds = await successors.answers(run.replica)
-        if responds and self._can_request_stop(run):
+        if responds and self._can_request_stop(run) and successors.reserve(job):
             await self._request_stop(run)
         if run.stopped is not None:
             return True
-        if not self._can_resume_elsewhere(job):
-            return False
         if run.stop_outcome is MoveOutcome.NO_RUN and not await self._confirm_ended(run):
             return False
+        if not job.may_repeat() and not run.has_copy:
+            return False
         return await successors.hold(job, run.replica)
 
     async def _request_stop(self, run: Run) -> KvCopy | None:
@@ -420,8 +445,7 @@
         """
         if run.stop_call is None or run.stop_call.done():
             run.stop_call = asyncio.create_task(self._stop_run(run))
-        run.stopped = await asyncio.shield(run.stop_call) or run.stopped
-        return run.stopped
+        return await asyncio.shield(run.stop_call)
 
     async def _await_requeued(self, run: Run) -> None:
         """Retry the stop of a run that its engine may have requeued, while the caller waits."""
@@ -493,8 +517,16 @@
             memory=run.versions.text,
             took_s=round(self._clock() - asked_at, 3),
         )
+        if reply.outcome in (MoveOutcome.NO_RUN, MoveOutcome.UNREACHED):
+            run.was_stop_requested = False
         if not reply.handle:
             return None
+        run.stopped = self._stopped_copy(run, target, reply, asked_at)
+        return run.stopped
+
+    def _stopped_copy(self, run: Run, target: Replica, reply: MoveReply, asked_at: float) -> KvCopy:
+        """Return the memory that an engine keeps of a run that it has stopped."""
+        source = run.replica
         known = self._fleet.state.replicas.get(source.name)
         is_copied = reply.outcome is MoveOutcome.COPIED and target.software == source.software
         if is_copied and (known is None or known.leaving):
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -305,7 +305,8 @@
                 stop_asked=exchange.run is not None and exchange.run.was_stop_requested,
                 scope=self._silences.scope(replica).value,
             )
-            if not is_caller_stalled and (conn.is_silenced or health.last_received_at < now):
+            was_silent = isinstance(exc, ReplicaSilent) and health.last_received_at < now
+            if not is_caller_stalled and (conn.is_silenced or was_silent):
                 self._pool.doubt(replica.address, now)
             if exchange.run is not None and self._lasting is not None:
                 # Before the connection is closed: most engines cancel a request when its connection
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -165,7 +165,12 @@
             lasting,
         )
         self._successors = Successors(
-            self._placer, budgets, sender.liveness, lasting.weights if lasting is not None else None
+            self._placer,
+            budgets,
+            sender.liveness,
+            fleet,
+            lasting.weights if lasting is not None else None,
+            clock,
         )
 
     def forget_gone(self) -> None:
--- a/packages/gateway/src/gradelug_gateway/silences.py
+++ b/packages/gateway/src/gradelug_gateway/silences.py
@@ -118,10 +118,6 @@
             self._log_resumption(replica, debt, now - health.last_received_at)
         health.last_received_at = now
 
-    def note_break(self, replica: Replica) -> None:
-        """Record that a response broke off: its replica was reached, but sent no data."""
-        self._fleet.health(replica.name).last_received_at = self._clock()
-
     def note_abandoned(self, replica: Replica, scope: SilenceScope) -> None:
         """Record that an attempt is abandoned because its replica is silent."""
         self._meters.count_abandoned_attempt(scope.value)
--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -8,10 +8,13 @@
 
 from __future__ import annotations
 
+import typing as t
+
 import logbook
 
 from .budgets import RetryBudgets
 from .exceptions import Refused
+from .fleet import Fleet
 from .job import MAX_SENDS, Job
 from .liveness_check import LivenessCheck
 from .model import Replica
@@ -34,31 +37,48 @@
         Retry budget of each service.
     liveness : LivenessCheck
         Tells which replicas respond.
+    fleet : Fleet
+        State and load of all replicas.
     weights : RunWeights or None
         Finds the weights of saved KV caches; None if runs are not continued.
+    clock : callable
+        Returns the event loop's time, in seconds.
     """
 
-    __slots__ = ("_budgets", "_liveness", "_placer", "_weights")
+    __slots__ = ("_budgets", "_clock", "_fleet", "_liveness", "_placer", "_weights")
 
     def __init__(
         self,
         placer: RequestPlacer,
         budgets: RetryBudgets,
         liveness: LivenessCheck,
+        fleet: Fleet,
         weights: RunWeights | None,
+        clock: t.Callable[[], float],
     ) -> None:
         self._placer = placer
         self._budgets = budgets
         self._liveness = liveness
+        self._fleet = fleet
         self._weights = weights
+        self._clock = clock
 
     def reserve(self, job: Job) -> bool:
         """Reserve a retry for a request; return whether it may be sent once more."""
         return job.sends < MAX_SENDS and job.reserve_retry(self._budgets)
 
+    def may_reserve(self, job: Job) -> bool:
+        """Return whether a retry could be reserved now."""
+        if job.sends >= MAX_SENDS:
+            return False
+        return job.retry is not None or self._budgets.has_retry(job.service.name)
+
     async def hold(self, job: Job, silent: Replica) -> bool:
         """Hold a retry and a replica for a request's next attempt.
 
+        The retry is reserved last: while most of a service is silent, searches find nothing, and
+        must not keep retries from requests whose replica has ended.
+
         Parameters
         ----------
         job : Job
@@ -71,12 +91,15 @@
         bool
             Whether both are held; otherwise the request had better keep its attempt.
         """
-        if not self.reserve(job):
+        if not self.may_reserve(job):
             return False
         if not job.may_repeat():
-            return await self._can_use_backup(job, silent)
-        job.successor = await self._find(job, silent)
-        return job.successor is not None
+            return await self._can_use_backup(job, silent) and self.reserve(job)
+        successor = await self._find(job, silent)
+        if successor is None or not self.reserve(job):
+            return False
+        job.successor = successor
+        return True
 
     async def answers(self, replica: Replica) -> bool:
         """Return whether an engine answers a call now."""
@@ -84,14 +107,16 @@
 
     async def _can_use_backup(self, job: Job, silent: Replica) -> bool:
         backup = job.backup
-        if backup is None or backup.holder.name == silent.name or self._weights is None:
+        if backup is None or self._weights is None or not self._is_usable(job, backup.holder):
             return False
-        key = job.req.key
-        has_weights = key is None or (
-            self._weights.holds(backup.holder, backup.versions, key)
-            or self._weights.can_load_versions(backup, key)
+        if backup.holder.name == silent.name:
+            return False
+        return await self._liveness.responds(backup.holder) and await self._weights.is_usable(
+            job, backup
         )
-        return has_weights and await self._liveness.responds(backup.holder)
+
+    def _is_usable(self, job: Job, replica: Replica) -> bool:
+        return job.accepts(replica) and not self._fleet.is_unavailable(replica)
 
     async def _find(self, job: Job, silent: Replica) -> Replica | None:
         """Return a responsive replica other than the silent one, if the request may go there."""
@@ -99,18 +124,27 @@
         if only is not None and not only - {silent.name}:
             return None
         # All replicas of a route that allows no further one may be used again.
-        earlier = job.excluded
-        job.excluded = {silent.name} if only is not None else {*earlier, silent.name}
+        excluded = {silent.name} if only is not None else {*job.excluded, silent.name}
         try:
             for _ in range(MAX_CANDIDATES):
-                replica = await self._placer.place(job)
+                replica = await self._placer.place_new_run(job, excluded)
                 if replica.name == silent.name:
                     return None
-                if await self._liveness.responds(replica):
+                if await self._liveness.responds(replica) and self._is_in_time(job, replica):
                     return replica
-                job.excluded.add(replica.name)
+                excluded.add(replica.name)
         except Refused as exc:
-            log.info("no successor", id=job.req.id, replica=silent.name, why=str(exc))
-        finally:
-            job.excluded = earlier
+            log.debug("no successor", id=job.req.id, replica=silent.name, why=str(exc))
         return None
+
+    def _is_in_time(self, job: Job, replica: Replica) -> bool:
+        """Return whether a request's next event can arrive before its caller leaves.
+
+        While few replicas respond, this bounds the requests that go to each of them.
+        """
+        if job.service.engine is None:
+            return True
+        busyness = self._fleet.load(replica.name).busyness()
+        expected_s = self._fleet.expected_s(replica, busyness, job.work)
+        waits_until = min(job.deadline_at, job.last_event_at + job.route.patience_s)
+        return self._clock() + expected_s < waits_until
