--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -166,6 +166,12 @@
     def is_paused(self):
         return not self._awake.is_set()
 
+    @property
+    def executes_calls(self):
+        """Whether it executes each call at once."""
+        is_slow = self.call_delay_s or self.calls_to_ignore or self.ignores_calls
+        return not (is_slow or self.is_paused or self.dead)
+
     def pause(self, for_s):
         """Suspend the engine: it accepts connections, but reads, sends and produces nothing."""
         self._awake.clear()
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -235,9 +235,13 @@
 
     def resume(self, timers_first=False):
         """End a suspension of the gateway."""
+        process, loop = self.process, asyncio.get_running_loop()
+        process.frozen = False
+        parked, process.parked = process.parked, []
         if timers_first:
-            self.process.parked.sort(key=_is_input)
-        asyncio.get_running_loop().thaw(self.process)
+            parked.sort(key=_is_input)
+        for (handle,), callback, args, context in parked:
+            loop.call_soon(_run_unless_cancelled, handle, callback, args, context=context)
 
     def add(self):
         at = len(self.engines)
@@ -300,7 +304,7 @@
             others = [
                 one.name
                 for one in self.engines_running(ident)
-                if one is not engine and not one.ignores_calls and not one.is_paused
+                if one is not engine and one.executes_calls
             ]
             if engine in self.engines_running(ident) and others:
                 self.ledger.wrong.append(f"{ident} executes on {engine.name} and {others}")
@@ -320,6 +324,12 @@
         return client
 
 
+def _run_unless_cancelled(handle, callback, args):
+    """Run a callback that was held back, unless another one has cancelled it meanwhile."""
+    if not handle.cancelled():
+        callback(*args)
+
+
 def _is_input(parked):
     """Return whether a callback that a frozen process holds back handles a connection's input."""
     _, callback, _, _ = parked
--- a/tests/test_silent_runs.py
+++ b/tests/test_silent_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from dataclasses import dataclass, replace
 
 from gradelug_gateway.model import Repeat
@@ -15,7 +16,7 @@
 ALL = list(range(1, EVENTS + 1))
 REPEATS = (Repeat.RESUME, Repeat.NEVER)
 LARGE_BUDGET = 50
-MAX_CLIENTS = 8
+MAX_CLIENTS = 10
 MAX_SILENCE_S = 3.0
 DEADLINE_S = 15.0
 RESUME_TIMEOUT_S = 3.0
@@ -163,6 +164,9 @@
 class SilentRuns(RuleBasedStateMachine):
     """Lets engines and the gateway fall silent while streams run."""
 
+    repeat = Repeat.NEVER
+    budgets = (0, 1, 2)
+
     def __init__(self):
         super().__init__()
         self.loop = new_loop()
@@ -173,21 +177,22 @@
         self.wrong = []
 
     @initialize(
-        repeat=st.sampled_from(REPEATS),
         replicas=st.sampled_from([1, 2, 3]),
-        budget=st.sampled_from([0, 1, 2, LARGE_BUDGET]),
+        budget_index=st.integers(0, 2),
         bounds=st.sampled_from([(0.5, 0.25), (0.5, 0.3), (2.0, 0.3)]),
-        engines=st.sampled_from([2, 4]),
+        engines=st.sampled_from([2, 4, 4]),
         keeps_runs=st.booleans(),
+        has_versions=st.booleans(),
     )
-    def start(self, repeat, replicas, budget, bounds, engines, keeps_runs):
+    def start(self, replicas, budget_index, bounds, engines, keeps_runs, has_versions):
         target_s, gap_s = bounds
+        self.replicas, self.budget = replicas, self.budgets[budget_index % len(self.budgets)]
 
         async def make():
             world = RunWorld.suspendable(
                 engines,
-                repeat,
-                budget=budget,
+                self.repeat,
+                budget=self.budget,
                 replicas=replicas,
                 target_s=target_s,
                 gap_s=gap_s,
@@ -195,9 +200,8 @@
             self.watcher = asyncio.create_task(self.watch())
             return world
 
-        self.repeat, self.replicas, self.budget = repeat, replicas, budget
         self.world = self.loop.run_until_complete(make())
-        self.keeps_runs = keeps_runs
+        self.has_versions = has_versions
         for engine in self.world.engines.values():
             engine.keeps_disconnected_runs = keeps_runs
         self.patience_s = self.world.state.snapshot.routes[0].patience_s
@@ -217,7 +221,7 @@
 
     def watch_overlap(self, ident, caller):
         """Record a run that two engines work on for longer than the gateway takes to stop one."""
-        engines = [one for one in self.world.engines_running(ident) if is_reachable(one)]
+        engines = [one for one in self.world.engines_running(ident) if one.executes_calls]
         if len(engines) < 2 or self.world.process.frozen:
             caller.overlap_since = None
         elif caller.overlap_since is None:
@@ -258,37 +262,30 @@
     def wait(self, delay_s):
         self.loop.run_until_complete(asyncio.sleep(delay_s))
 
-    @rule(which=WHICH, silence_s=SILENCE_S)
-    def pause(self, which, silence_s):
-        """Suspend engines: they neither produce events nor read calls."""
-
-        def begin():
-            for engine in self.chosen(which):
-                engine.pause(silence_s)
-                self.silences.append(Silence(engine.name, self.now, self.now + silence_s))
-
-        self.act(begin)
-
-    @rule(which=WHICH, silence_s=SILENCE_S)
-    def stall(self, which, silence_s):
-        """Let the runs of engines produce nothing while the engines answer calls."""
+    @rule(which=WHICH, silence_s=SILENCE_S, answer_calls=st.booleans())
+    def fall_silent(self, which, silence_s, answer_calls):
+        """Let the runs of engines produce nothing; optionally the engines read nothing either."""
 
         def begin():
-            until = self.now + silence_s + EVENT_S
             for engine in self.chosen(which):
-                engine.stall(silence_s)
+                (engine.stall if answer_calls else engine.pause)(silence_s)
+                until = self.now + silence_s + EVENT_S
                 self.silences.append(Silence(engine.name, self.now, until))
 
         self.act(begin)
 
     @precondition(lambda self: len(self.callers) <= MAX_CLIENTS - 3)
-    @rule(which=WHICH, silence_s=SILENCE_S, calls=st.booleans())
-    def fall_silent_with_streams(self, which, silence_s, calls):
-        """Start three streams, and let engines fall silent in the middle of them."""
+    @rule(which=WHICH, silence_s=SILENCE_S, answer_calls=st.booleans(), is_configured=st.booleans())
+    def fall_silent_with_streams(self, which, silence_s, answer_calls, is_configured):
+        """Let engines fall silent with streams, and optionally a new configuration come."""
         for _ in range(3):
             self.ask("m/a1")
         self.wait(0.6)
-        (self.stall if calls else self.pause)(which, silence_s)
+        self.fall_silent(which, silence_s, answer_calls)
+        if is_configured:
+            state = self.world.state
+            state.snapshot = replace(state.snapshot, version=state.snapshot.version + 1)
+            state.change += 1
         self.wait(silence_s + 0.1)
 
     @precondition(lambda self: len(self.alive()) > 2)
@@ -305,59 +302,23 @@
         }
         for ident in idents | unread:
             self.callers[ident].is_lost = True
+        self.silences.append(Silence(engine.name, self.now, math.inf))
         engine.vanish(REMOVAL_S if is_removed else None)
 
-    @precondition(
-        lambda self: self.repeat is Repeat.RESUME
-        and self.replicas > 1
-        and self.budget == LARGE_BUDGET
-        and len(self.alive()) > 2
-        and len(self.callers) < MAX_CLIENTS
+    @rule(
+        which=WHICH,
+        delay_s=st.sampled_from([0.0, 0.1, 0.4, 1.0]),
+        response_delay_s=st.sampled_from([0.0, 0.1, 0.4]),
+        lost=st.sampled_from([0, 1, 2]),
     )
-    @rule(is_removed=st.booleans())
-    def end_an_engine_while_others_go_on(self, is_removed):
-        """Check that a stream goes on elsewhere after its engine ended in a calm time."""
-        self.obey_calls()
-        self.wait(MAX_SILENCE_S + RECOVERY_S)
-        ident = f"q{len(self.callers)}"
-        self.ask("m/a1")
-        self.wait(0.6)
-        running = self.world.engines_running(ident)
-        if not running:
-            return
-        self.act(lambda: self.end_silently(running[0], is_removed))
-        client = self.callers[ident].client
-        before = len(events(client)[0])
-        self.wait(min(self.patience_s, RESUME_TIMEOUT_S))
-        assert len(events(client)[0]) > before or is_whole(client), f"{ident} did not go on"
-
-    @rule(which=WHICH, delay_s=st.sampled_from([0.1, 0.4, 1.0]))
-    def delay_calls(self, which, delay_s):
+    def disturb_calls(self, which, delay_s, response_delay_s, lost):
+        """Let engines execute calls late, respond to them late, or lose some."""
         for engine in self.chosen(which):
             engine.call_delay_s = delay_s
+            engine.response_delay_s = response_delay_s
+            engine.calls_to_ignore = lost
 
-    @rule(which=WHICH, delay_s=st.sampled_from([0.1, 0.4]))
-    def delay_responses_to_calls(self, which, delay_s):
-        for engine in self.chosen(which):
-            engine.response_delay_s = delay_s
-
-    @rule(which=WHICH, count=st.sampled_from([1, 2]))
-    def lose_calls(self, which, count):
-        for engine in self.chosen(which):
-            engine.calls_to_ignore = count
-
-    @rule()
-    def obey_calls(self):
-        for engine in self.alive():
-            engine.call_delay_s = engine.response_delay_s = 0.0
-            engine.calls_to_ignore = 0
-
-    @rule()
-    def publish_configuration(self):
-        state = self.world.state
-        state.snapshot = replace(state.snapshot, version=state.snapshot.version + 1)
-        state.change += 1
-
+    @precondition(lambda self: self.has_versions)
     @rule(key=st.sampled_from([KEY, MODEL]), is_ordered=st.booleans())
     def publish_weights(self, key, is_ordered):
         world = self.world
@@ -384,9 +345,10 @@
     def runs_are_consistent(self):
         if self.world is None:
             return
-        assert not self.world.ledger.wrong
-        assert not self.wrong
-        assert self.extra_arrivals() <= self.budget
+        wrong = [*self.world.ledger.wrong, *self.wrong]
+        assert not wrong, wrong
+        extra = self.extra_arrivals()
+        assert extra <= self.budget, f"{extra} retries, {self.budget} allowed"
         for ident, caller in self.callers.items():
             numbers, lines = events(caller.client)
             assert numbers == ALL[: len(numbers)]
@@ -404,6 +366,7 @@
         return (
             caller.has_left
             or caller.is_lost
+            or (arrivals and self.world.engines[arrivals[-1]].dead)
             or self.world.ledger.rejections[ident] == len(arrivals)
             or caller.ended_at - caller.asked_at > DEADLINE_S - RECOVERY_S
             or self.longest_silence_s(caller, arrivals) > self.patience_s - MARGIN_S
@@ -420,7 +383,8 @@
             if silence.start > end + RECOVERY_S:
                 start = silence.start
             end = max(end, silence.end)
-            longest_s = max(longest_s, end - max(start, caller.asked_at))
+            waited_s = min(end, caller.ended_at) - max(start, caller.asked_at)
+            longest_s = max(longest_s, waited_s)
         return longest_s
 
     def teardown(self):
@@ -432,7 +396,7 @@
                 self.check_unused_retries()
         finally:
             if self.world is not None and self.world.process.frozen:
-                self.world.resume()
+                self.act(self.world.resume)
             close(self.loop)
 
     def check_unused_retries(self):
@@ -440,19 +404,56 @@
         available = 0
         while self.world.budgets.try_retry("llm"):
             available += 1
-        assert available + self.extra_arrivals() == self.budget
+        used = self.extra_arrivals()
+        assert available + used == self.budget, f"{available} retries left, {used} used"
+
+
+class ResumableRuns(SilentRuns):
+    """Streams that may be resumed at other engines, as often as needed."""
+
+    repeat = Repeat.RESUME
+    budgets = (LARGE_BUDGET,)
+
+    @precondition(
+        lambda self: self.replicas > 1 and len(self.alive()) > 2 and len(self.callers) < MAX_CLIENTS
+    )
+    @rule(is_removed=st.booleans())
+    def end_an_engine_while_others_go_on(self, is_removed):
+        """Check that a stream goes on elsewhere after its engine ended in a calm time."""
+        self.disturb_calls("all", 0.0, 0.0, 0)
+        self.wait(MAX_SILENCE_S + RECOVERY_S)
+        ident = f"q{len(self.callers)}"
+        self.ask("m/a1")
+        self.wait(0.6)
+        running = self.world.engines_running(ident)
+        if not running:
+            return
+        self.act(lambda: self.end_silently(running[0], is_removed))
+        self.wait(EVENT_S)
+        client = self.callers[ident].client
+        before = len(events(client)[0])
+        self.wait(min(self.patience_s, RESUME_TIMEOUT_S))
+        assert len(events(client)[0]) > before or is_whole(client), f"{ident} did not go on"
+
+
+class ResumableRunsWithFewRetries(SilentRuns):
+    """Streams that may be resumed at other engines, as far as the budget allows."""
+
+    repeat = Repeat.RESUME
+
 
+class UnrepeatableRuns(SilentRuns):
+    """Streams that can go on elsewhere only from their saved memory, as often as needed."""
 
-def is_reachable(engine):
-    """Return whether an engine executes calls at once."""
-    is_slow = engine.call_delay_s or engine.calls_to_ignore or engine.ignores_calls
-    return not (is_slow or engine.is_paused or engine.dead)
+    budgets = (LARGE_BUDGET,)
 
 
-TestSilentRuns = SilentRuns.TestCase
-TestSilentRuns.settings = settings(
-    derandomize=True,
-    max_examples=100,
-    stateful_step_count=20,
-    deadline=None,
-)
+SETTINGS = settings(derandomize=True, max_examples=30, stateful_step_count=20, deadline=None)
+TestResumableRuns = ResumableRuns.TestCase
+TestResumableRuns.settings = SETTINGS
+TestResumableRunsWithFewRetries = ResumableRunsWithFewRetries.TestCase
+TestResumableRunsWithFewRetries.settings = SETTINGS
+TestUnrepeatableRuns = UnrepeatableRuns.TestCase
+TestUnrepeatableRuns.settings = SETTINGS
+TestUnrepeatableRunsWithFewRetries = SilentRuns.TestCase
+TestUnrepeatableRunsWithFewRetries.settings = SETTINGS
