One name for the number of engines that are queried at once

`MAX_CONCURRENT_SYNCS` was another name of `MAX_QUERIED_ENGINES`: a reader of either did not see that the two are the same limit. `StateSync` and its test use the latter.

--- a/packages/gateway/src/gradelug_gateway/state_sync.py
+++ b/packages/gateway/src/gradelug_gateway/state_sync.py
@@ -14,11 +14,10 @@
 if t.TYPE_CHECKING:
     from .planner import Planner
 
-MAX_CONCURRENT_SYNCS = MAX_QUERIED_ENGINES
 MAX_PENDING_SYNCS = 128
-"""Limits on state synchronisation: engines queried at a time, and engines selected to be queried,
-those in use first. A new planner would otherwise connect to all engines at once, and requests would
-wait behind the reports of unused ones."""
+"""Engines selected to be queried, those in use first, of which `MAX_QUERIED_ENGINES` are queried at
+a time. A new planner would otherwise connect to all engines at once, and requests would wait behind
+the reports of unused ones."""
 
 
 class StateSync:
@@ -37,7 +36,7 @@
     def __init__(self, planner: Planner, clock: t.Callable[[], float]) -> None:
         self._planner = planner
         self._clock = clock
-        self._semaphore = asyncio.Semaphore(MAX_CONCURRENT_SYNCS)
+        self._semaphore = asyncio.Semaphore(MAX_QUERIED_ENGINES)
         self._pending: set[Engine] = set()
         """Engines whose state is being queried, or is about to be."""
 
--- a/tests/test_scoped_news.py
+++ b/tests/test_scoped_news.py
@@ -5,6 +5,7 @@
 
 import pytest
 from gradelug_gateway.engine_index import EngineIndex
+from gradelug_gateway.engine_registry import MAX_QUERIED_ENGINES
 from gradelug_gateway.engines import Engine, Phase, WeightSlot
 from gradelug_gateway.fleet import Fleet
 from gradelug_gateway.follower import MAX_QUEUED_ANSWERS, MAX_QUEUED_ORDERS
@@ -14,7 +15,7 @@
 from gradelug_gateway.model import AdapterKey, FleetState, Holding, Replica, ReportedLoad
 from gradelug_gateway.pending import merge_store_updates, merge_updates
 from gradelug_gateway.scope import MAX_SCOPE_KEYS, SCOPE_RETENTION_S
-from gradelug_gateway.state_sync import MAX_CONCURRENT_SYNCS, MAX_PENDING_SYNCS
+from gradelug_gateway.state_sync import MAX_PENDING_SYNCS
 from gradelug_policy.cells import Cells
 from gradelug_wire import placement_pb2 as pb
 from hypothesis import settings
@@ -557,7 +558,7 @@
             fleet.planner.refresh()
             fleet.planner.engines[late].update_load(1, ReportedLoad(0, 1))
             await asyncio.sleep(2.0)
-            assert fleet.orders.max_concurrent_reports <= MAX_CONCURRENT_SYNCS
+            assert fleet.orders.max_concurrent_reports <= MAX_QUERIED_ENGINES
             assert asked.index(late) <= 2 * MAX_PENDING_SYNCS
             assert all(engine.synced for engine in fleet.planner.engines.values())
             await fleet.stop()
