Split the planner role's run loop

`PlannerRole._run_planner` started and ended a planner, followed the election, began and ended terms and stepped aside in one function of 40 lines. `_TermKeeper` begins and ends terms, `_follow_election` is the loop, `_step_aside` hands the role over.

--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -118,43 +118,46 @@
             election_task.cancel()
 
     async def _run_planner(self, election_task: asyncio.Task[None]) -> None:
-        fence = self.election.fence
+        """Run a planner until the role is lost or an error ends it; raises its error."""
         planner = self.planner = self._make_planner()
         planner_task = asyncio.create_task(planner.run())
-        was_acting = has_stepped_aside = False
         try:
-            while self.election.fence and not planner_task.done() and not election_task.done():
-                if self.election.fence != fence:
-                    # The role was renewed under a new token without being lost in between.
-                    fence, was_acting = self.election.fence, False
-                    planner.end_term()
-                if planner.is_outranked:
-                    self.election.mark_lost()
-                    return
-                may_act = self.election.may_act()
-                if may_act != was_acting:
-                    was_acting = may_act
-                    if may_act:
-                        planner.begin_term(fence)
-                    else:
-                        planner.end_term()
-                    log.info("planner", service=planner.service, fence=fence, acts=may_act)
-                why = "" if has_stepped_aside else self._why_step_aside(planner)
-                if why:
-                    has_stepped_aside = True
-                    log.info("stepping aside", service=planner.service, why=why)
-                    planner.followers.resign()
-                    await self.election.step_down()
-                await asyncio.sleep(ELECTION_CHECK_INTERVAL_S)
+            await self._follow_election(planner, planner_task, election_task)
         finally:
             planner.end_term()
             planner_task.cancel()
             self.planner = None
+
+    async def _follow_election(
+        self,
+        planner: Planner,
+        planner_task: asyncio.Task[None],
+        election_task: asyncio.Task[None],
+    ) -> None:
+        term = _TermKeeper(planner, self.election)
+        has_stepped_aside = False
+        while self.election.fence and not planner_task.done() and not election_task.done():
+            if planner.is_outranked:
+                self.election.mark_lost()
+                return
+            term.update()
+            has_stepped_aside = has_stepped_aside or await self._step_aside(planner)
+            await asyncio.sleep(ELECTION_CHECK_INTERVAL_S)
         if planner_task.done():
             planner_task.result()
         elif planner.failure is not None:
             raise planner.failure
 
+    async def _step_aside(self, planner: Planner) -> bool:
+        """Hand the role over if another instance should plan; tell whether it does."""
+        why = self._why_step_aside(planner)
+        if not why:
+            return False
+        log.info("stepping aside", service=planner.service, why=why)
+        planner.followers.resign()
+        await self.election.step_down()
+        return True
+
     async def _handle_failure(self, exc: Exception) -> None:
         """Plan again at once after a first failure; let another instance plan after further ones.
 
@@ -181,6 +184,42 @@
         return ""
 
 
+class _TermKeeper:
+    """Begins and ends the terms of a planner as its election allows.
+
+    Parameters
+    ----------
+    planner : Planner
+        The planner.
+    election : Election
+        Elects the instance that holds the planner's role.
+    """
+
+    __slots__ = ("_election", "_fence", "_is_acting", "_planner")
+
+    def __init__(self, planner: Planner, election: Election) -> None:
+        self._planner = planner
+        self._election = election
+        self._fence = election.fence
+        self._is_acting = False
+
+    def update(self) -> None:
+        """Begin or end a term if what the election allows has changed."""
+        if self._election.fence != self._fence:
+            # The role was renewed under a new token without being lost in between.
+            self._fence, self._is_acting = self._election.fence, False
+            self._planner.end_term()
+        may_act = self._election.may_act()
+        if may_act == self._is_acting:
+            return
+        self._is_acting = may_act
+        if may_act:
+            self._planner.begin_term(self._fence)
+        else:
+            self._planner.end_term()
+        log.info("planner", service=self._planner.service, fence=self._fence, acts=may_act)
+
+
 class PlacementService(PlacementBase):
     """Implements the gRPC service that gateways and peers call.
 
