Split the planner: costs of engines, and the choice of one for a request

planner.py both chose the engine of a request and planned loads. The order of comparisons and of random draws is as before; no test changes.

Evidence: the 17 test modules of planners, fair queues, limits, health, prefix caches and engine records pass (305).

--- a/packages/gateway/src/gradelug_gateway/adapter_replication.py
+++ b/packages/gateway/src/gradelug_gateway/adapter_replication.py
@@ -69,7 +69,9 @@
         openings = planner.load_targets()
         for key in sorted(wanted, key=lambda key: -gains[key])[:MAX_COPIES]:
             uses = planner.expected_uses(key, now)
-            min_wait_s = min(planner.wait_s(engine, RequestWork()) for engine in self._holders(key))
+            min_wait_s = min(
+                planner.costs.wait_s(engine, RequestWork()) for engine in self._holders(key)
+            )
             max_wait_s = min_wait_s + gains[key] / uses
             if planner.load(key, now, openings, lambda name: True, max_wait_s, uses=uses):
                 log.info(
--- a/packages/gateway/src/gradelug_gateway/maintenance.py
+++ b/packages/gateway/src/gradelug_gateway/maintenance.py
@@ -218,7 +218,7 @@
         planner, now = self._planner, self._clock()
         if planner.copies is not None:
             planner.copies.load_copies(now)
-        threshold = MAX_PREFILL_FRACTION_PER_COPY * planner.speed
+        threshold = MAX_PREFILL_FRACTION_PER_COPY * planner.performance.speed
         planner.hot = {key for key in planner.hot if planner.tokens.rate(key.text, now) > threshold}
         overloaded = [
             key
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -8,25 +8,20 @@
 
 import asyncio
 import math
-import random
 import typing as t
 
 import logbook
 from gradelug_policy import Popularity
-from gradelug_policy.engine_capacity import (
-    COPY_DEMAND_HORIZON_S,
-    EngineEstimator,
-    expected_first_event_s,
-    has_capacity,
-)
-from gradelug_policy.prefill import PrefillSpeeds, RequestWork, first_event_s
-from gradelug_policy.prefix_cache import prefill_delay_saved_s
+from gradelug_policy.engine_capacity import COPY_DEMAND_HORIZON_S, EngineEstimator
+from gradelug_policy.prefill import PrefillSpeeds, RequestWork
 from gradelug_policy.quotas import QuotaCoordinator
 from gradelug_policy.residency import LoadCandidate, LoadRateLimiter, choose_load_engine
 from gradelug_wire import placement_pb2 as pb
 
 from .adapter_replication import AdapterReplication
 from .departures import DepartureForwarder
+from .engine_choice import EngineChoice, EngineChooser
+from .engine_costs import EngineCosts, EnginePerformance
 from .engine_index import EngineIndex
 from .engine_registry import EngineRegistry
 from .engine_speeds import SpeedAggregator
@@ -41,17 +36,16 @@
 from .maintenance import MAX_PREFILL_FRACTION_PER_COPY, Maintenance
 from .model import AdapterKey, EngineSpec, FleetState, PlannerTerm, ReportedLoad
 from .origin_desk import OriginCollector
-from .pacing import MAX_PLACEMENT_STATE_AGE_S
 from .parts import PlannerExtension
 from .planning_errors import ErrorScope, PlanningErrors
 from .poison_desk import PoisonAggregator
 from .ports import OrderTransport
-from .prefix_cache import PrefixCache, sample_holders
+from .prefix_cache import PrefixCache
 from .quota_desk import QuotaServer
 from .refill import Refill
 from .relay import OrderRelay
 from .settings import Feature
-from .shared_health import SUSPECT_COST_S, HealthAggregator
+from .shared_health import HealthAggregator
 from .state_sync import StateSync
 from .store_updates import StorePublisher
 from .weight_queue import Waiter, WeightQueue
@@ -74,14 +68,6 @@
 0.25 s from the weight store."""
 MIN_REDIRECT_GAIN_S = 0.1
 """Another engine must be faster by at least this: its slot is then missing for other adapters."""
-CROSS_HALL_COST_S = 0.03
-"""Cost of using an engine in another hall: traffic between halls is charged, so that the engine in
-the caller's hall is preferred when both are about equally fast."""
-MAX_UNSAMPLED_HOLDERS = 64
-"""Up to this many engines are all compared for a request."""
-HOLDER_SAMPLE_SIZE = 32
-"""Where more engines hold the same weights, as for a base model, this many are sampled for a
-request: the best of the sample is nearly the best of all."""
 REDIRECT_RETRY_S = 0.05
 """Minimum interval between searches for another engine for the same weights: a search takes 0.7 ms
 with 45 engines, and held requests are checked after each message."""
@@ -167,22 +153,28 @@
             lambda name: self.followers.mark_changed(name),
         )
         self.engines = self.registry.engines
-        self._rng = random.Random(0)
         health = HealthAggregator(
             service, state, self.engines, lambda: self.followers.pacing.flush_s
         )
-        self._health = health if Feature.SHARED_HEALTH in features else None
+        shared_health = health if Feature.SHARED_HEALTH in features else None
         quotas = QuotaCoordinator(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features)
         self.limits = LimitAllocator(service, state, clock, lambda: self.term is not None)
         """Grants capacity of replicas with a limit on requests per second."""
         speeds = speeds or PrefillSpeeds()
+        capacity = engine_capacity_of(spec)
+        self.performance = EnginePerformance(service, capacity, speeds, room)
+        """What the engines can hold, and how fast they are."""
         is_fair = Feature.FAIR_SHARES in features and room is not None
         self.fair_queue = FairQueue(state, lambda: self.followers.pacing.flush_s, is_fair)
         """Orders requests by fair share while engines are full."""
+        self.costs = EngineCosts(
+            self.performance, self.limits, shared_health, self.fair_queue, clock
+        )
+        """Estimates what a request or a load costs on an engine."""
         self.parts: tuple[PlannerExtension, ...] = (
             QuotaServer(quotas, state, lambda: self.term is not None),
             self.fair_queue,
-            *((self._health,) if self._health is not None else ()),
+            *((shared_health,) if shared_health is not None else ()),
             *((poison,) if poison is not None else ()),
             *((self.limits,) if Feature.REPLICA_LIMITS in features else ()),
             *((departures,) if departures is not None else ()),
@@ -200,12 +192,14 @@
             Feature.SCOPED_NEWS in features,
             self.registry.cells,
         )
+        self._chooser = EngineChooser(
+            self.registry, state, self.costs, self.performance, self._prefix_cache, self.followers
+        )
         self.popularity = Popularity(DEMAND_HALF_LIFE_S)
         self.tokens = Popularity(DEMAND_HALF_LIFE_S)
         """Rate of prompt tokens by adapter, in tokens per second."""
         self.hot: set[AdapterKey] = set()
         """Adapters for which a single copy may not suffice."""
-        self._speeds = speeds
         self.state = state
         self._transport = transport
         self._relay = transport if isinstance(transport, OrderRelay) else None
@@ -216,13 +210,11 @@
         self._maintenance = Maintenance(self, spec, window, clock)
         self._spec = spec
         self._sync = StateSync(self, clock)
-        self._engine_estimator = room
-        self._capacity = engine_capacity_of(spec)
         self._redirect_tried_at: dict[AdapterKey, float] = {}
         """Time of the last search for another engine, by weights whose requests have a holder."""
         self.next_placement_at = -math.inf
         """Time before which no such search begins, by the runtime's clock."""
-        self.copies = AdapterReplication(self, self._capacity, room) if room is not None else None
+        self.copies = AdapterReplication(self, capacity, room) if room is not None else None
         """Adds copies of adapters in demand; None without an `EngineEstimator`."""
         self.refill = Refill(self, Feature.REFILL in features)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -393,9 +385,9 @@
             return
         self.tokens.note(key.text, now, use.started_tokens)
         self._prefix_cache.parts.note_sent(
-            use.replica, use.started_tokens, self._capacity.memory_tokens
+            use.replica, use.started_tokens, self.performance.capacity.memory_tokens
         )
-        if self.tokens.rate(key.text, now) > MAX_PREFILL_FRACTION_PER_COPY * self.speed:
+        if self.tokens.rate(key.text, now) > MAX_PREFILL_FRACTION_PER_COPY * self.performance.speed:
             self.hot.add(key)
         engine.update_use(follower.number, key, use.active)
         slot = engine.weight_slots.get(key)
@@ -456,7 +448,7 @@
         targets = self.load_targets()
         queued: list[AdapterKey] = []
         for waiter in ordered:
-            if self._is_loading(waiter):
+            if self._chooser.is_loading(waiter):
                 continue
             tried = len(queued) < MAX_FAILED_LOADS_PER_DECISION
             if not tried or not self.load(
@@ -468,106 +460,50 @@
         return queued
 
     def _try_answer(self, waiter: Waiter, now: float) -> bool:
-        best: Engine | None = None
-        min_cost, max_cached_tokens = math.inf, 0
+        """Answer a request if an engine that holds its weights is to run it now."""
         waiter.waits_for_capacity = False
-        holders, newest = self._holders(waiter), self.state.versions.get(waiter.key, 0)
-        ready_names = (
-            name for name, engine in holders if engine.holds(waiter.key) and waiter.may_use(name)
-        )
-        # With recent updates, gateways send requests with a shared prefix to the preferred engine
-        # of its prefix chain themselves.
-        has_recent_updates = self.followers.pacing.update_interval_s <= MAX_PLACEMENT_STATE_AGE_S
-        preferred_name = (
-            self._prefix_cache.preferred_engine(waiter.work, ready_names)
-            if has_recent_updates
-            else ""
-        )
-        for name, engine in holders:
-            slot = engine.weight_slots.get(waiter.key)
-            if slot is None or slot.phase is not Phase.READY or not waiter.may_use(name):
-                continue
-            work = self._prefix_cache.work_at_preferred(
-                name, waiter.work, preferred_name, self.speed
-            )
-            cost = self._cost_s(engine, waiter, work) - prefill_delay_saved_s(
-                work.kept_tokens, self.speed
-            )
-            max_cached_tokens = max(
-                max_cached_tokens, work.kept_tokens if name != preferred_name else 0
-            )
-            if slot.version >= newest and cost < min_cost:
-                best, min_cost = engine, cost
-        if best is None:
-            return False
-        work = self._prefix_cache.work_at(best.replica.name, waiter.work)
-        if self._should_wait(waiter, best, self._cost_s(best, waiter, work), now):
+        choice = self._chooser.choose(waiter)
+        if choice is None or self._should_wait(waiter, choice, now):
             return False
-        slot = best.weight_slots[waiter.key]
+        self._answer(waiter, choice, now)
+        return True
+
+    def _answer(self, waiter: Waiter, choice: EngineChoice, now: float) -> None:
+        engine, work = choice.engine, choice.work
+        name, slot = engine.replica.name, engine.weight_slots[waiter.key]
         # Keep the slot in use until the gateway reports the request.
         slot.used_at = now + self.followers.pacing.flush_s
-        best.reserve(waiter.follower.number, work)
-        name = best.replica.name
-        self._prefix_cache.parts.note_credit(work.chain, work.kept_tokens, max_cached_tokens)
-        self._prefix_cache.parts.note(name, work.chain, now)
-        load, standing = encode_load(name, best), self.fair_queue.standing(waiter, now)
+        engine.reserve(waiter.follower.number, work)
+        cached_prefixes = self._prefix_cache.parts
+        cached_prefixes.note_credit(work.chain, work.kept_tokens, choice.max_cached_tokens)
+        cached_prefixes.note(name, work.chain, now)
+        load, standing = encode_load(name, engine), self.fair_queue.standing(waiter, now)
         has_room = self.limits.try_take(name, waiter.follower.instance, now)
         waiter.answer(name, slot.version, load, work.kept_tokens, standing, has_room)
-        return True
 
     def _software_of(self, name: str) -> str:
         engine = self.engines.get(name)
         return engine.replica.software if engine is not None else ""
 
-    def _holders(self, waiter: Waiter) -> t.Collection[tuple[str, Engine]]:
-        """Return engines that may hold a request's weights, a sample if there are many."""
-        if len(self.engines) <= MAX_UNSAMPLED_HOLDERS:
-            # In a fixed order: among equals the first is filled first, and others stay free.
-            return self.engines.items()
-        holders = self.index.engines_holding(waiter.key)
-        if waiter.software is not None:
-            holders = {name: engine for name, engine in holders.items() if waiter.may_use(name)}
-        if len(holders) <= MAX_UNSAMPLED_HOLDERS:
-            return holders.items()
-        if waiter.ask.only in holders:
-            return [(waiter.ask.only, holders[waiter.ask.only])]
-        return sample_holders(
-            list(holders.items()), HOLDER_SAMPLE_SIZE, waiter.work.chain, self._rng
-        )
-
-    def _cost_s(self, engine: Engine, waiter: Waiter, work: RequestWork) -> float:
-        """Return the cost of a request on an engine that holds its weights, in seconds."""
-        name = engine.replica.name
-        cost = self.wait_s(engine, work) + self._health_penalty_s(name, waiter)
-        cost += self.limits.delay_s(name, self._clock())
-        if engine.replica.hall != waiter.follower.hall:
-            cost += CROSS_HALL_COST_S
-        return cost
-
-    def _health_penalty_s(self, replica: str, waiter: Waiter) -> float:
-        if self._health is not None:
-            return self._health.failure_penalty_s(replica, waiter.follower, waiter.ask.doubted)
-        return SUSPECT_COST_S if replica in waiter.ask.doubted else 0.0
-
-    def _should_wait(self, waiter: Waiter, best: Engine, min_cost_s: float, now: float) -> bool:
+    def _should_wait(self, waiter: Waiter, choice: EngineChoice, now: float) -> bool:
         """Tell whether a request waits for another engine, or for capacity of the best holder.
 
         It does if it would miss its target there, wait for a batch slot or displace another.
         """
         # A resumed stream has a client that waits for the next event.
-        is_full = not waiter.ask.begun and not self._has_capacity(best, waiter, now)
+        is_full = not waiter.ask.begun and not self.costs.has_capacity(choice.engine, waiter, now)
         if now > waiter.asked_at + (
             self.fair_queue.max_hold_s(waiter) if is_full else MAX_REDIRECT_WAIT_S
         ):
             return False
-        if now + min_cost_s <= waiter.target_at and not is_full:
+        if now + choice.cost_s <= waiter.target_at and not is_full:
             return False
         waiter.waits_for_capacity = is_full
-        if self._is_loading(waiter):
+        if self._chooser.is_loading(waiter):
             return True
-        if self._engine_estimator is not None and not self._may_try_redirect(waiter.key, now):
+        if self.performance.estimator is not None and not self._may_try_redirect(waiter.key, now):
             return is_full
-        max_cost_s = min_cost_s - MIN_REDIRECT_GAIN_S
+        max_cost_s = choice.cost_s - MIN_REDIRECT_GAIN_S
         # Where all holders are full, another copy also serves requests that come later.
         is_shared = is_full and not self.has_pending_loads
         uses = self.expected_uses(waiter.key, now) if is_shared else 1.0
@@ -591,48 +527,15 @@
         self._redirect_tried_at[key] = now
         return True
 
-    @property
-    def speed(self) -> float:
-        """Prefill speed of an engine, in prompt tokens per second."""
-        return self._speeds.speed(self.service)
-
-    def wait_s(self, engine: Engine, work: RequestWork) -> float:
-        """Return the expected time to the first event on an engine with the weights, in seconds."""
-        if self._engine_estimator is None:
-            return first_event_s(engine.busyness(), work, self.speed)
-        pace = self._engine_estimator.pace(self.service, engine.replica.name, self._clock())
-        return expected_first_event_s(engine.busyness(), work, self._capacity, pace)
-
     def _is_prefilling(self, replica: str) -> bool:
         """Tell whether an engine has prompts to prefill; true for unknown engines."""
         engine = self.engines.get(replica)
         return engine is None or engine.starting > 0
 
-    def _has_capacity(self, engine: Engine, waiter: Waiter, now: float) -> bool:
-        """Tell whether a request fits without waiting for a batch slot or memory or displacing."""
-        if self.limits.delay_s(engine.replica.name, now) > 0:
-            return False
-        if self._engine_estimator is None:
-            return True
-        pace = self._engine_estimator.pace(self.service, engine.replica.name, now)
-        completion_interval_s = pace.hold_s / max(1, self._capacity.slots)
-        lead_s = self.fair_queue.dispatch_lead_s(waiter, engine, completion_interval_s, now)
-        return has_capacity(engine.busyness(), waiter.work, self._capacity, pace, lead_s)
-
     def expected_uses(self, key: AdapterKey, now: float) -> float:
         """Return the expected number of requests for a further copy of an adapter, at least 1."""
         return max(1.0, COPY_DEMAND_HORIZON_S * self.popularity.rate(key.text, now))
 
-    def _ejection_penalty_s(self, replica: str) -> float:
-        return self._health.ejection_penalty_s(replica) if self._health is not None else 0.0
-
-    def _is_loading(self, waiter: Waiter) -> bool:
-        for name, engine in self._holders(waiter):
-            slot = engine.weight_slots.get(waiter.key)
-            if slot is not None and slot.phase is Phase.LOADING and waiter.may_use(name):
-                return True
-        return False
-
     def requested_models(self) -> set[str]:
         """Return the base models of all waiting requests."""
         return {waiter.key.model for waiter in self._queue.waiters}
@@ -690,9 +593,7 @@
                 target.free_slots,
                 target.victims,
                 target.engine.is_cached(key, version),
-                self.wait_s(target.engine, work)
-                + self._ejection_penalty_s(name)
-                + self.limits.load_penalty_s(name),
+                self.costs.load_cost_s(target.engine, work),
             )
             for name, target in targets.candidates(key, version, may_use)
         ]
