Group what a planner is given: prior state, components, access to the store

`Planner` took 17 arguments. `PriorState` holds what is known before it starts (speeds, gateways of the previous planner), `PlannerComponents` the components of the instance that exchange further messages with gateways; 12 remain. The first seven, `features` and `room` are as before, so that no test changes. The factory takes `StoreAccess` in place of four arguments. `_new_parts` lists the parts of the planner's messages in the same order. An attribute that nothing read is gone.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -55,7 +55,7 @@
 from .parts import GatewayExtension
 from .placement import PlacementService, PlannerRole
 from .planner import Planner
-from .planner_factory import LEASE_TTL_S, WEAK_CANDIDATE_DELAY_S, PlannerFactory
+from .planner_factory import LEASE_TTL_S, WEAK_CANDIDATE_DELAY_S, PlannerFactory, StoreAccess
 from .planning_errors import PlanningErrors
 from .poison_control import PoisonControl
 from .poll_interval import missing_entry_grace_s, store_poll_interval_s
@@ -252,10 +252,7 @@
         errors = PlanningErrors(self._meters.count_planning_error)
         self._planner_factory = PlannerFactory(
             settings,
-            kv,
-            self._mirror,
-            self._feed,
-            self._freshness,
+            StoreAccess(kv, self._mirror, self._feed, self._freshness),
             self._fleet,
             transport,
             self._poison,
--- a/packages/gateway/src/gradelug_gateway/planner.py
+++ b/packages/gateway/src/gradelug_gateway/planner.py
@@ -13,13 +13,12 @@
 import logbook
 from gradelug_policy import Popularity
 from gradelug_policy.engine_capacity import COPY_DEMAND_HORIZON_S, EngineEstimator
-from gradelug_policy.prefill import PrefillSpeeds, RequestWork
+from gradelug_policy.prefill import RequestWork
 from gradelug_policy.quotas import QuotaCoordinator
 from gradelug_policy.residency import LoadCandidate, LoadRateLimiter, choose_load_engine
 from gradelug_wire import placement_pb2 as pb
 
 from .adapter_replication import AdapterReplication
-from .departures import DepartureForwarder
 from .engine_choice import EngineChoice, EngineChooser
 from .engine_costs import EngineCosts, EnginePerformance
 from .engine_index import EngineIndex
@@ -35,10 +34,9 @@
 from .loader import DEFAULT_VERSION, Loader, PlannedLoad
 from .maintenance import MAX_PREFILL_FRACTION_PER_COPY, Maintenance
 from .model import AdapterKey, EngineSpec, FleetState, PlannerTerm, ReportedLoad
-from .origin_desk import OriginCollector
 from .parts import PlannerExtension
+from .planner_components import PlannerComponents, PriorState
 from .planning_errors import ErrorScope, PlanningErrors
-from .poison_desk import PoisonAggregator
 from .ports import OrderTransport
 from .prefix_cache import PrefixCache
 from .quota_desk import QuotaServer
@@ -47,7 +45,6 @@
 from .settings import Feature
 from .shared_health import HealthAggregator
 from .state_sync import StateSync
-from .store_updates import StorePublisher
 from .weight_queue import Waiter, WeightQueue
 
 log = logbook.Logger("planner")
@@ -92,23 +89,15 @@
         Rate limit of the weight store for loads of base models.
     clock : callable
         The runtime's clock.
-    speeds : PrefillSpeeds or None
-        Prefill speeds by service; None to start with default speeds.
-    store : StorePublisher or None
-        Publishes this instance's view of the platform's store to gateways.
-    expected : int
-        Number of gateways that the previous planner had, 0 if unknown.
     features : frozenset of Feature
         Enabled features.
     room : EngineEstimator or None
         Estimates engine capacity and speed; None to ignore batch slots, memory and the speed of
         single engines.
-    poison : PoisonAggregator or None
-        Detects requests that crash replicas, if given.
-    departures : DepartureForwarder or None
-        Distributes which replicas have announced that they are leaving, if given.
-    origins : OriginCollector or None
-        Answers which software version began a stream, if given.
+    prior : PriorState or None
+        What is known of the service before the planner starts.
+    components : PlannerComponents or None
+        Components that exchange further messages with the gateways.
     errors : PlanningErrors or None
         Logs and counts errors of background tasks.
     """
@@ -122,17 +111,16 @@
         transport: OrderTransport,
         window: LoadRateLimiter,
         clock: t.Callable[[], float],
-        speeds: PrefillSpeeds | None = None,
-        store: StorePublisher | None = None,
-        expected: int = 0,
         features: frozenset[Feature] = frozenset(Feature),
         room: EngineEstimator | None = None,
-        poison: PoisonAggregator | None = None,
-        departures: DepartureForwarder | None = None,
-        origins: OriginCollector | None = None,
+        prior: PriorState | None = None,
+        components: PlannerComponents | None = None,
         errors: PlanningErrors | None = None,
     ) -> None:
+        prior, components = prior or PriorState(), components or PlannerComponents()
         self.service = service
+        self.state = state
+        self._clock = clock
         self._errors = errors or PlanningErrors()
         self.failure: Exception | None = None
         """Error that ends this planner, raised by `run`."""
@@ -157,12 +145,10 @@
             service, state, self.engines, lambda: self.followers.pacing.flush_s
         )
         shared_health = health if Feature.SHARED_HEALTH in features else None
-        quotas = QuotaCoordinator(clock(), expected, urgent_first=Feature.URGENT_QUOTAS in features)
         self.limits = LimitAllocator(service, state, clock, lambda: self.term is not None)
         """Grants capacity of replicas with a limit on requests per second."""
-        speeds = speeds or PrefillSpeeds()
         capacity = engine_capacity_of(spec)
-        self.performance = EnginePerformance(service, capacity, speeds, room)
+        self.performance = EnginePerformance(service, capacity, prior.speeds, room)
         """What the engines can hold, and how fast they are."""
         is_fair = Feature.FAIR_SHARES in features and room is not None
         self.fair_queue = FairQueue(state, lambda: self.followers.pacing.flush_s, is_fair)
@@ -171,22 +157,12 @@
             self.performance, self.limits, shared_health, self.fair_queue, clock
         )
         """Estimates what a request or a load costs on an engine."""
-        self.parts: tuple[PlannerExtension, ...] = (
-            QuotaServer(quotas, state, lambda: self.term is not None),
-            self.fair_queue,
-            *((shared_health,) if shared_health is not None else ()),
-            *((poison,) if poison is not None else ()),
-            *((self.limits,) if Feature.REPLICA_LIMITS in features else ()),
-            *((departures,) if departures is not None else ()),
-            *((origins,) if origins is not None else ()),
-        )
+        self.parts = self._new_parts(features, prior, components, shared_health)
         """Components that exchange further messages with the gateways."""
-        if room is not None:
-            self.parts += (SpeedAggregator(service, room.paces, speeds, self._is_prefilling),)
         self.followers = Followers(
             self.engines,
             clock,
-            store,
+            components.store,
             self.parts,
             self.index,
             Feature.SCOPED_NEWS in features,
@@ -200,15 +176,12 @@
         """Rate of prompt tokens by adapter, in tokens per second."""
         self.hot: set[AdapterKey] = set()
         """Adapters for which a single copy may not suffice."""
-        self.state = state
         self._transport = transport
         self._relay = transport if isinstance(transport, OrderRelay) else None
-        self._clock = clock
         self.loader = Loader(self, owner, transport, clock, spec.max_concurrent_loads)
         """Carries out the loads that are decided here."""
         self._queue = WeightQueue(self.popularity, clock(), self.loader.pace.rate)
         self._maintenance = Maintenance(self, spec, window, clock)
-        self._spec = spec
         self._sync = StateSync(self, clock)
         self._redirect_tried_at: dict[AdapterKey, float] = {}
         """Time of the last search for another engine, by weights whose requests have a holder."""
@@ -224,6 +197,33 @@
         self._last_decision_s = 0.0
         """Duration of the last decision, in seconds."""
 
+    def _new_parts(
+        self,
+        features: frozenset[Feature],
+        prior: PriorState,
+        components: PlannerComponents,
+        shared_health: HealthAggregator | None,
+    ) -> tuple[PlannerExtension, ...]:
+        quotas = QuotaCoordinator(
+            self._clock(), prior.gateways, urgent_first=Feature.URGENT_QUOTAS in features
+        )
+        estimator = self.performance.estimator
+        parts: tuple[PlannerExtension | None, ...] = (
+            QuotaServer(quotas, self.state, lambda: self.term is not None),
+            self.fair_queue,
+            shared_health,
+            components.poison,
+            self.limits if Feature.REPLICA_LIMITS in features else None,
+            components.departures,
+            components.origins,
+            (
+                SpeedAggregator(self.service, estimator.paces, prior.speeds, self._is_prefilling)
+                if estimator is not None
+                else None
+            ),
+        )
+        return tuple(part for part in parts if part is not None)
+
     # Lifecycle.
 
     async def run(self) -> None:
--- a/packages/gateway/src/gradelug_gateway/planner_factory.py
+++ b/packages/gateway/src/gradelug_gateway/planner_factory.py
@@ -17,6 +17,7 @@
 from .origin_desk import OriginCollector
 from .placement import PlannerRole
 from .planner import Planner
+from .planner_components import PlannerComponents, PriorState
 from .planning_errors import PlanningErrors
 from .poison_control import PoisonControl
 from .ports import OrderTransport
@@ -38,21 +39,41 @@
 """Added to the length of a load window, since the delivery time of orders varies."""
 
 
-class PlannerFactory:
-    """Creates planner roles and planners from the components of an instance.
+class StoreAccess:
+    """The platform's key-value store, and what an instance has read from it.
 
     Parameters
     ----------
-    settings : GatewaySettings
-        Settings of the instance.
     kv : KeyValue
-        Client of the platform's key-value store.
+        Client of the store.
     mirror : Mirror
         Local copy of the store.
     feed : Feed
         View of the fleet read from the store.
     freshness : ConfigFreshness
         Last time at which the configuration was confirmed to be current.
+    """
+
+    __slots__ = ("feed", "freshness", "kv", "mirror")
+
+    def __init__(
+        self, kv: KeyValue, mirror: Mirror, feed: Feed, freshness: ConfigFreshness
+    ) -> None:
+        self.kv = kv
+        self.mirror = mirror
+        self.feed = feed
+        self.freshness = freshness
+
+
+class PlannerFactory:
+    """Creates planner roles and planners from the components of an instance.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of the instance.
+    store : StoreAccess
+        The platform's key-value store.
     fleet : Fleet
         State of the replicas, with the speeds that planners start from.
     transport : OrderTransport
@@ -76,27 +97,21 @@
     __slots__ = (
         "_clock",
         "_errors",
-        "_feed",
         "_fleet",
-        "_freshness",
         "_gateways",
-        "_kv",
         "_links",
-        "_mirror",
         "_origins",
         "_poison",
         "_rng",
         "_settings",
+        "_store",
         "_transport",
     )
 
     def __init__(
         self,
         settings: GatewaySettings,
-        kv: KeyValue,
-        mirror: Mirror,
-        feed: Feed,
-        freshness: ConfigFreshness,
+        store: StoreAccess,
         fleet: Fleet,
         transport: OrderTransport,
         poison: PoisonControl,
@@ -109,10 +124,7 @@
     ) -> None:
         self._errors = errors
         self._settings = settings
-        self._kv = kv
-        self._mirror = mirror
-        self._feed = feed
-        self._freshness = freshness
+        self._store = store
         self._fleet = fleet
         self._transport = transport
         self._poison = poison
@@ -124,18 +136,18 @@
 
     def new_role(self, service: str) -> PlannerRole:
         """Return the planner role of a service."""
-        settings = self._settings
+        settings, store = self._settings, self._store
 
         def is_cut_off() -> bool:
             return service in self._links.cut_off
 
         election = Election(
-            self._kv,
-            self._mirror,
+            store.kv,
+            store.mirror,
             f"{DUTY_PREFIX}{service}",
             settings.name,
             settings.addresses.peers,
-            LeaseKeeper(self._kv, LEASE_TTL_S, self._clock, self._rng),
+            LeaseKeeper(store.kv, LEASE_TTL_S, self._clock, self._rng),
             self._clock,
             self._rng,
             0.0,
@@ -160,7 +172,7 @@
 
     def _new_planner(self, service: str) -> Planner:
         settings, estimator = self._settings, self._fleet.engine_estimator
-        bounds, features = settings.bounds, settings.features
+        bounds = settings.bounds
         spec = self._engine_spec(service)
         rate_limiter = LoadRateLimiter(
             spec.loads_per_s,
@@ -169,9 +181,6 @@
             EXTRA_LOADS_PER_WINDOW,
             LOAD_WINDOW_MARGIN_S,
         )
-        has_poison_guard = Feature.POISON_GUARD in features
-        has_departures = Feature.SAID_DEPARTURES in features
-        has_origins = Feature.STREAM_ORIGINS in features
         return Planner(
             service,
             settings.name,
@@ -180,15 +189,23 @@
             self._transport if bounds.fenced else OrderRelay(self._transport),
             rate_limiter,
             self._clock,
-            self._fleet.speeds,
-            StorePublisher(self._feed, self._mirror, self._clock, self._freshness, self._is_strong),
-            self._gateways(),
-            features,
+            settings.features,
             estimator.with_separate_slowness() if estimator is not None else None,
+            PriorState(self._fleet.speeds, self._gateways()),
+            self._new_components(service),
+            self._errors,
+        )
+
+    def _new_components(self, service: str) -> PlannerComponents:
+        features, store = self._settings.features, self._store
+        has_poison_guard = Feature.POISON_GUARD in features
+        has_departures = Feature.SAID_DEPARTURES in features
+        has_origins = Feature.STREAM_ORIGINS in features
+        return PlannerComponents(
+            StorePublisher(store.feed, store.mirror, self._clock, store.freshness, self._is_strong),
             self._poison.aggregator(service) if has_poison_guard else None,
-            DepartureForwarder(service, self._feed) if has_departures else None,
+            DepartureForwarder(service, store.feed) if has_departures else None,
             self._new_origin_collector() if has_origins else None,
-            self._errors,
         )
 
     def _new_origin_collector(self) -> OriginCollector:
