One place that logs invalid values in the responses of replicas

`rests`, `limits` and `brittleness` each kept which replicas' invalid values they had logged, and cut the value in the same way. `InvalidValueLog` does it for the three; messages, loggers, the limit of `rests` and its key by incarnation are as before.

--- a/packages/gateway/src/gradelug_gateway/brittleness.py
+++ b/packages/gateway/src/gradelug_gateway/brittleness.py
@@ -15,6 +15,7 @@
 from gradelug_policy.replica_limits import ReportedLimit
 from gradelug_policy.rests import ReportedBackoff
 
+from .invalid_values import InvalidValueLog
 from .limits import ReplicaLimits
 from .model import FleetState, Replica
 from .rests import BackoffTracker
@@ -23,8 +24,6 @@
 SERVICE_VALIDITY_S = 5.0
 """Time for which a report is taken to apply to all replicas of the service, in seconds: one that
 fell over is back within that time."""
-MAX_LOGGED_CHARS = 40
-"""Maximum length of an invalid value in the log, in characters."""
 DEFAULT_RESPONSE_S = 0.1
 RESPONSE_WEIGHT = 0.2
 """Weight of the newest response in the average. Times that all instances share include rejections,
@@ -66,9 +65,9 @@
 
     __slots__ = (
         "_clock",
+        "_invalid_values",
         "_is_on",
         "_limits",
-        "_logged_invalid",
         "_responses_s",
         "_rests",
         "_services",
@@ -92,15 +91,14 @@
         """Time of the last report, by service."""
         self._responses_s: dict[str, float] = {}
         """Moving average of response times, in seconds, by name of the replica."""
-        self._logged_invalid: set[str] = set()
-        """Replicas whose invalid report has been logged."""
+        self._invalid_values = InvalidValueLog(log, "invalid tolerance in a response")
 
     def limit(
         self, replica: Replica, tolerance: ReportedTolerance, reported: ReportedLimit
     ) -> ReportedLimit:
         """Return the limit of a replica: the reported one, or a lower one if it is brittle."""
         if tolerance.invalid_text:
-            self._log_invalid(replica.name, tolerance.invalid_text)
+            self._invalid_values.note(replica.name, tolerance.invalid_text)
         if tolerance.rejections is None:
             return reported
         self._note_report(replica.service, tolerance.rejections)
@@ -119,7 +117,7 @@
 
     def forget_removed(self, known: t.Container[str]) -> None:
         """Drop the state of replicas that are not in `known`."""
-        self._logged_invalid = {name for name in self._logged_invalid if name in known}
+        self._invalid_values.forget_removed(known)
         self._responses_s = {
             name: took_s for name, took_s in self._responses_s.items() if name in known
         }
@@ -157,14 +155,6 @@
             log.warning("replicas are brittle", service=service, rejections=rejections)
         self._services[service] = now
 
-    def _log_invalid(self, replica: str, value: str) -> None:
-        """Log an invalid report, once for each replica."""
-        if replica not in self._logged_invalid:
-            self._logged_invalid.add(replica)
-            log.warning(
-                "invalid tolerance in a response", replica=replica, value=value[:MAX_LOGGED_CHARS]
-            )
-
     def _derive(self, replica: Replica) -> ReportedLimit:
         response_s = self._responses_s.get(replica.name, DEFAULT_RESPONSE_S)
         rate = safe_rate(replica.slots, response_s, self._limits.rate(replica.name))
--- a/packages/gateway/src/gradelug_gateway/limits.py
+++ b/packages/gateway/src/gradelug_gateway/limits.py
@@ -17,13 +17,12 @@
 from gradelug_policy.replica_room import LOCAL_LIMIT_FRACTION, MIN_RATE, LocalSendSlots
 
 from .budgets import DEFAULT_GATEWAY_COUNT
+from .invalid_values import InvalidValueLog
 from .model import Replica
 
 log = logbook.Logger("limits")
 SEND_COUNT_WINDOW_S = 4.0
 """Window over which requests to a replica with a limit are counted, in seconds."""
-MAX_LOGGED_CHARS = 40
-"""Maximum length of an invalid limit in the log, in characters."""
 PERMIT_TTL_S = 0.5
 """Lifetime of an unused permit, in seconds. A later use would add to the capacity that the planner
 grants by then, and exceed the limit."""
@@ -100,6 +99,7 @@
 
     __slots__ = (
         "_clock",
+        "_invalid_values",
         "_is_on",
         "_listeners",
         "_fallback_turns",
@@ -108,7 +108,6 @@
         "_rng",
         "_recent_sends",
         "_offer_turns",
-        "_logged_unreadable",
         "denied_count",
         "find_client",
         "instance_count",
@@ -138,8 +137,7 @@
         """Number of instances that send requests to replicas."""
         self._recent_sends: deque[tuple[float, str]] = deque()
         """Time and replica of each request that this instance sent to a replica with a limit."""
-        self._logged_unreadable: set[str] = set()
-        """Replicas whose invalid limit has been logged."""
+        self._invalid_values = InvalidValueLog(log, "invalid limit in a response")
         self.denied_count = 0
         """Attempts since the start that were rejected for lack of capacity."""
 
@@ -152,7 +150,7 @@
     def update_from_answer(self, replica: str, word: ReportedLimit, sent_at: float) -> None:
         """Apply the limit in a response to a request that was sent at `sent_at`."""
         if word.invalid_text:
-            self._log_unreadable_limit(replica, word)
+            self._invalid_values.note(replica, word.invalid_text)
             return
         if word.rate is None and replica not in self._records:
             return
@@ -204,7 +202,7 @@
         """Remove the limits of replicas that are not in `known`."""
         for name in [name for name in self._records if name not in known]:
             self.forget(name)
-        self._logged_unreadable = {name for name in self._logged_unreadable if name in known}
+        self._invalid_values.forget_removed(known)
 
     def forget(self, replica: str) -> None:
         """Remove the limit of a replica, for example when a new incarnation starts."""
@@ -316,12 +314,3 @@
     def _new_turns(self, rate: float, part: float, keeps: bool = False) -> LocalSendSlots:
         share = part * max(rate, MIN_RATE) / self.instance_count
         return LocalSendSlots(share, self._rng.random(), self._clock(), keeps)
-
-    def _log_unreadable_limit(self, replica: str, word: ReportedLimit) -> None:
-        if replica not in self._logged_unreadable:
-            self._logged_unreadable.add(replica)
-            log.warning(
-                "invalid limit in a response",
-                replica=replica,
-                value=word.invalid_text[:MAX_LOGGED_CHARS],
-            )
--- a/packages/gateway/src/gradelug_gateway/rests.py
+++ b/packages/gateway/src/gradelug_gateway/rests.py
@@ -12,11 +12,10 @@
 import logbook
 from gradelug_policy.rests import ReplicaBackoffs, ReportedBackoff
 
+from .invalid_values import InvalidValueLog
 from .model import Replica
 
 log = logbook.Logger("rests")
-MAX_LOGGED_CHARS = 40
-"""Maximum length of an invalid value in the log, in characters."""
 MAX_LOGGED_REPLICAS = 1024
 """Maximum number of replicas whose invalid value is logged, once each."""
 
@@ -34,7 +33,7 @@
         Whether backoffs are enforced; otherwise they are only logged.
     """
 
-    __slots__ = ("_clock", "_is_on", "_rests", "_logged_unreadable", "denied_count")
+    __slots__ = ("_clock", "_invalid_values", "_is_on", "_rests", "denied_count")
 
     def __init__(
         self,
@@ -45,14 +44,16 @@
         self._clock = clock
         self._is_on = is_on
         self._rests = ReplicaBackoffs(rng or random.Random(0))
-        self._logged_unreadable: set[tuple[str, int]] = set()
+        self._invalid_values = InvalidValueLog(
+            log, "invalid backoff in a response", MAX_LOGGED_REPLICAS
+        )
         self.denied_count = 0
         """Attempts since the start that were not made because of their replica's backoff."""
 
     def update_from_answer(self, replica: Replica, word: ReportedBackoff) -> None:
         """Apply the backoff in a response of a replica."""
         if word.unreadable:
-            self._log_unreadable_value(replica, word)
+            self._invalid_values.note(replica.name, word.unreadable, replica.born)
         elif word.rest_s and self._rests.note(_incarnation(replica), word.rest_s, self._clock()):
             log.info(
                 "replica requested backoff",
@@ -92,19 +93,6 @@
         """Upper bound of the replicas with an active backoff, including expired, unremoved ones."""
         return len(self._rests) if self._is_on else 0
 
-    def _log_unreadable_value(self, replica: Replica, word: ReportedBackoff) -> None:
-        if (
-            _incarnation(replica) in self._logged_unreadable
-            or len(self._logged_unreadable) >= MAX_LOGGED_REPLICAS
-        ):
-            return
-        self._logged_unreadable.add(_incarnation(replica))
-        log.warning(
-            "invalid backoff in a response",
-            replica=replica.name,
-            value=word.unreadable[:MAX_LOGGED_CHARS],
-        )
-
 
 def _incarnation(replica: Replica) -> tuple[str, int]:
     return replica.name, replica.born
