One formula for the interval of a limited rate

`limits` and `limit_desk` wrote the bounded interval between two requests at a limit three times; `request_interval_s` is it.

--- a/packages/gateway/src/gradelug_gateway/limit_desk.py
+++ b/packages/gateway/src/gradelug_gateway/limit_desk.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 import logbook
-from gradelug_policy.replica_limits import ReplicaLimit
+from gradelug_policy.replica_limits import ReplicaLimit, request_interval_s
 from gradelug_policy.replica_room import CapacityDecision, CapacityRequest, ReplicaRateLimiter
 from gradelug_wire import placement_pb2 as pb
 
@@ -163,9 +163,7 @@
         """Return the penalty for loading an adapter on an engine with a limit, in seconds."""
         limited = self._limited.get(replica)
         rate = limited.record.rate if limited is not None else None
-        return (
-            0.0 if rate is None else min(MAX_LOAD_PENALTY_S, 1 / max(rate, 1 / MAX_LOAD_PENALTY_S))
-        )
+        return 0.0 if rate is None else request_interval_s(rate, MAX_LOAD_PENALTY_S)
 
     def sort_by_urgency(self, waiters: list[Waiter]) -> list[Waiter]:
         """Return waiters for a weight slot in the order in which capacity is granted."""
--- a/packages/gateway/src/gradelug_gateway/limits.py
+++ b/packages/gateway/src/gradelug_gateway/limits.py
@@ -13,7 +13,12 @@
 from collections import Counter, deque
 
 import logbook
-from gradelug_policy.replica_limits import LimitFact, ReplicaLimit, ReportedLimit
+from gradelug_policy.replica_limits import (
+    LimitFact,
+    ReplicaLimit,
+    ReportedLimit,
+    request_interval_s,
+)
 from gradelug_policy.replica_room import LOCAL_LIMIT_FRACTION, MIN_RATE, LocalSendSlots
 
 from .budgets import DEFAULT_GATEWAY_COUNT
@@ -225,7 +230,7 @@
         rate = self.rate(replica)
         if rate is None or not self._is_on or self.may_offer(replica):
             return 0.0
-        return min(MAX_DELAY_S, 1 / max(rate, 1 / MAX_DELAY_S))
+        return request_interval_s(rate, MAX_DELAY_S)
 
     # Admission.
 
@@ -284,7 +289,7 @@
             if rate is None or self._fallback_turns_at(replica.name, rate).take(self._clock()):
                 return None
             if self._clock() >= demand.until:
-                return Denial(min(MAX_RETRY_S, 1 / max(rate, 1 / MAX_RETRY_S)))
+                return Denial(request_interval_s(rate, MAX_RETRY_S))
             await asyncio.sleep(POLL_INTERVAL_S)
 
     def _use_permit(self, replica: str) -> bool:
--- a/packages/policy/src/gradelug_policy/replica_limits.py
+++ b/packages/policy/src/gradelug_policy/replica_limits.py
@@ -100,3 +100,8 @@
         heard_at = max(fact.received_at, self.fact.received_at)
         burst = min(fact.burst, self.fact.burst) if rate != fact.rate else fact.burst
         self.fact = LimitFact(rate, max(fact.sent_at, self.fact.sent_at), heard_at, burst)
+
+
+def request_interval_s(rate: float, max_s: float) -> float:
+    """Return the mean time between two requests at a limit, `max_s` at most, in seconds."""
+    return min(max_s, 1 / max(rate, 1 / max_s))
