Test replicas removed before an attempt, and waits at the OpenAI door

Missing: a replica that goes while a request waits for its weights or for a place at it, or is between two attempts; a timeout that is lengthened while a connection rests; changes while a request waits for weights at the OpenAI door.

Change: a removal that all gateways apply at once, as one that a planner reports, and these tests.

--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -10,7 +10,7 @@
 import h11
 import limit_world
 import pytest
-from gradelug_gateway.model import Repeat, Share, Snapshot
+from gradelug_gateway.model import AdapterKey, Repeat, Share, Snapshot
 from gradelug_http import ServerLimits
 from limit_world import PlainReplica, SignallingEngine
 from link_world import Cut, LinkWorld
@@ -46,6 +46,10 @@
     return config
 
 
+def first_timeouts(config):
+    """Leave the first configuration as it is."""
+
+
 def shorten_idle_timeout(config):
     config["Limits"]["IdleTimeoutMs"] = SHORT_IDLE_S * 1000
 
@@ -166,25 +170,28 @@
             gateway.daemon._caller_server.start_sweeping()
         return self
 
-    async def apply(self, change):
+    async def apply(self, change, version=2):
         """Bring a changed configuration into force at all gateways, without a delay."""
         config = copy.deepcopy(self.config)
         change(config)
-        config["Version"] = 2
+        config["Version"] = version
         known = self.kv.entries()["op/config"]
         await self.kv.swap("op/config", json.dumps(config).encode(), known.revision)
         for gateway in self.gateways:
             feed = gateway.daemon._feed
             feed.apply_remote_config(self.kv.entries()["op/config"])
             feed.notify_remote_changes()
-            assert feed.state.snapshot.version == 2
+            assert feed.state.snapshot.version == version
 
     async def remove(self, name):
-        """Remove a replica's entry; the replica goes on."""
+        """Remove a replica's entry at all gateways, without a delay; the replica goes on."""
         found = self.kv.entries()[f"servers/{name}"]
         await self.kv.delete(found.key, found.revision)
-        while any(name in one.daemon._feed.state.replicas for one in self.gateways):
-            await asyncio.sleep(STEP_S)
+        for gateway in self.gateways:
+            feed = gateway.daemon._feed
+            feed.apply_remote_replica(name, self.kv.revision, None)
+            feed.notify_remote_changes()
+            assert name not in feed.state.replicas
 
     async def until(self, condition, limit_s=3.0):
         until = self.clock() + limit_s
@@ -441,6 +448,18 @@
 
         play(scenario)
 
+    def test_a_resting_connection_is_closed_by_a_timeout_that_was_lengthened_meanwhile(self):
+        async def scenario(world):
+            caller = Caller(world)
+            await world.apply(shorten_idle_timeout)
+            assert await caller.ask(b"/i/x", b"first") == 200
+            await asyncio.sleep(0.5 * SHORT_IDLE_S)
+            await world.apply(first_timeouts, version=3)
+            await asyncio.sleep(0.7 * IDLE_S)
+            assert await caller.ask(b"/i/x", b"later") == 200
+
+        play(scenario)
+
 
 class TestHalfReadHeads:
     @pytest.mark.parametrize("change", CHANGES)
@@ -493,15 +512,44 @@
             caller = await connecting(world)
             address = world.links[0].opened[-1][1]
             name = next(name for name, one in world.plain.items() if one.address == address)
-            state = world.gateways[0].daemon._feed.state
-            del state.replicas[name]
-            state.change += 1
+            await world.remove(name)
             assert await caller.read() == 200
             (other,) = world.names(REQUEST)
             assert other != name
 
         play(scenario)
 
+    def test_a_request_fails_when_the_engine_that_loads_its_weights_is_removed(self):
+        async def scenario(world):
+            caller = await waiting_for_weights(world)
+            key = AdapterKey("m", "a5")
+            (name,) = (name for name, one in world.engines.items() if key in one.model.held)
+            await world.remove(name)
+            assert await caller.read() == 200
+            (other,) = world.names(REQUEST)
+            assert other != name
+
+        play(scenario)
+
+    def test_a_request_that_waits_for_a_place_fails_when_a_full_replica_is_removed(self):
+        async def scenario(world):
+            caller = await waiting_for_a_place(world)
+            await world.remove(world.rejected[0][2])
+            assert await caller.read() == 200
+            assert world.names(REQUEST) == [world.rejected[1][2]]
+
+        play(scenario)
+
+    @pytest.mark.parametrize("name", ["e1", "e2"])
+    def test_a_request_fails_when_a_replica_is_removed_between_its_attempts(self, name):
+        async def scenario(world):
+            caller = await between_attempts(world)
+            await world.remove(name)
+            assert await caller.read() == 200
+            assert name not in world.names(REQUEST)
+
+        play(scenario)
+
 
 def run_config(world, change):
     """Return the second configuration of a `RunWorld`."""
@@ -594,10 +642,35 @@
     return replace(document, pools=[replace(pool, engines=[]) for pool in document.pools])
 
 
+WAITING_STATUSES = {
+    remove_access: 200,
+    shrink_batches: 200,
+    drain_engines: 503,
+    remove_engines: 503,
+}
+"""Statuses of requests that wait for their weights during each change."""
+ROUTER_REJECT_S = 7.0
+"""Maximum time until a request that waits for weights in vain is refused."""
 ROUTER_CHANGES = [remove_access, drain_engines, remove_adapters, shrink_batches, remove_engines]
 
 
 class TestOpenaiDoor:
+    @pytest.mark.parametrize(("change", "status"), WAITING_STATUSES.items())
+    def test_a_new_configuration_cuts_off_a_request_that_waits_for_weights(self, change, status):
+        async def scenario(world):
+            router, *_ = world.routers
+            exchange = FakeExchange("a1", stream=True)
+            task = router.send(exchange)
+            await asyncio.sleep(0.3)
+            assert not world.runs_of(exchange.user)
+            await world.publish(change(world.document))
+            await asyncio.wait([task], timeout=ROUTER_REJECT_S)
+            assert exchange.status == status
+            assert exchange.finished
+            assert not exchange.was_cut
+
+        run_router_world(scenario, spec={"load_s": 1.0})
+
     @pytest.mark.parametrize("change", ROUTER_CHANGES)
     @pytest.mark.parametrize("stream", [True, False])
     def test_a_new_configuration_ends_an_answer_at_the_openai_door(self, stream, change):
