Failing tests: limits of callers' connections follow several versions

What callers saw: with a shorter idle timeout a connection that rested for less than four fifths of the old one is closed on the request that crosses it; with a shorter header timeout a request that began before gets 408; the first request on a connection that rested through a change is read with the old sizes (413, or served although it is too large); a longer head in several pieces gets 431 for the life of the connection.

Cause: `HttpServer._sweep` (packages/http/src/gradelug_http/server.py:147) hands the limits in force to `ServerConnection.check_time` (server.py:277), for rests and requests that began under others; `ServerConnection._limits` is read when the connection opens (server.py:189) and after each answer (server.py:317), not when a request begins; the parser gets its bound of heads when the connection opens (server.py:328).

--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -24,6 +24,10 @@
 IDLE_S = 4.0
 """Idle timeout of the first configuration, in seconds."""
 HEADER_S = 3.0
+MAX_BYTES = 4_000
+"""Maximum size of a head and of a body in the first configuration."""
+LARGE_BYTES = 2 * MAX_BYTES
+SHORT_HEADER_S = 0.3
 SHORT_IDLE_S = 0.4
 SHORT_TIMEOUT_S = 0.1
 """Timeout of all routes in the configuration with shorter timeouts; responses take longer."""
@@ -35,7 +39,12 @@
 
 def first_config():
     config = copy.deepcopy(CONFIG)
-    config["Limits"] = {"IdleTimeoutMs": IDLE_S * 1000, "HeaderTimeoutMs": HEADER_S * 1000}
+    config["Limits"] = {
+        "IdleTimeoutMs": IDLE_S * 1000,
+        "HeaderTimeoutMs": HEADER_S * 1000,
+        "MaxHeaderBytes": MAX_BYTES,
+        "MaxBodyBytes": MAX_BYTES,
+    }
     config["Services"].append({"Name": "other", "MaxConns": 100})
     config["Tenants"] = [{"Name": "office", "ApiKeys": ["k1"]}]
     for route in config["Routes"]:
@@ -64,6 +73,18 @@
         route["TimeoutMs"] = 8000
 
 
+def raise_size_limits(config):
+    config["Limits"] |= {"MaxHeaderBytes": 4 * LARGE_BYTES, "MaxBodyBytes": 4 * LARGE_BYTES}
+
+
+def lower_limits(config):
+    config["Limits"]["MaxBodyBytes"] = MAX_BYTES / 2
+
+
+def shorten_header_timeout(config):
+    config["Limits"]["HeaderTimeoutMs"] = SHORT_HEADER_S * 1000
+
+
 def move_routes(config):
     for route in config["Routes"]:
         del route["TrafficSplit"]
@@ -460,6 +481,48 @@
 
         play(scenario)
 
+    # The sweep applies the timeout in force to connections that began to rest under a longer one.
+    @pytest.mark.parametrize("rested", [0.2, 0.4, 0.7])
+    def test_a_shorter_idle_timeout_closes_a_connection_that_rested_under_a_longer_one(
+        self, rested
+    ):
+        async def scenario(world):
+            caller = Caller(world)
+            assert await caller.ask(b"/i/x", b"first") == 200
+            await asyncio.sleep(rested * IDLE_S)
+            await world.apply(shorten_idle_timeout)
+            await asyncio.sleep(0.1 * IDLE_S)
+            assert await caller.ask(b"/i/x", b"later") == 200
+            assert not caller.client.ended
+
+        play(scenario)
+
+    # A connection reads the limits when it opens and after each answer, but not after a change.
+    @pytest.mark.parametrize(("change", "status"), [(raise_size_limits, 200), (lower_limits, 413)])
+    def test_the_next_request_on_a_resting_connection_is_read_with_old_limits(self, change, status):
+        async def scenario(world):
+            caller = Caller(world)
+            assert await caller.ask(b"/i/x", b"first") == 200
+            await world.apply(change)
+            size = LARGE_BYTES if status == 200 else MAX_BYTES
+            assert await caller.ask(b"/i/x", b"x" * size) == status
+
+        play(scenario)
+
+    # The parser of a connection keeps the bound of heads with which it was created.
+    def test_a_resting_connection_keeps_the_old_bound_of_heads_in_several_pieces(self):
+        async def scenario(world):
+            caller = Caller(world)
+            await world.apply(raise_size_limits)
+            assert await caller.ask(b"/i/x", b"first") == 200
+            data = caller.compose(b"/i/x", b"later", headers=[(b"X-Large", b"x" * LARGE_BYTES)])
+            for start in range(0, len(data), MAX_BYTES):
+                caller.write(data[start : start + MAX_BYTES])
+                await asyncio.sleep(0.01)
+            assert await caller.read() == 200
+
+        play(scenario)
+
 
 class TestHalfReadHeads:
     @pytest.mark.parametrize("change", CHANGES)
@@ -480,6 +543,20 @@
 
         play(scenario)
 
+    # The sweep applies the timeout in force to requests whose first byte came under a longer one.
+    def test_a_shorter_header_timeout_refuses_a_request_that_began_under_a_longer_one(self):
+        async def scenario(world):
+            caller = Caller(world)
+            data = caller.compose(b"/i/x", b"later")
+            caller.write(data[: len(data) // 2])
+            await asyncio.sleep(2 * SHORT_HEADER_S)
+            await world.apply(shorten_header_timeout)
+            await asyncio.sleep(SHORT_HEADER_S)
+            caller.write(data[len(data) // 2 :])
+            assert await caller.read() == 200
+
+        play(scenario)
+
 
 class TestRemovedReplicas:
     @pytest.mark.parametrize("state", [sent, streaming, in_a_tunnel])
