Test changes while requests wait for a quota, for capacity or for a new planner

Missing: a request that asks for a quota or waits for capacity at engines with a rate limit while a version comes; engines and connections that become fewer; a planner that is elected after the change, which knows the newest version alone.

--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -29,6 +29,8 @@
 """Timeout of all routes in the configuration with shorter timeouts; responses take longer."""
 RESPONSE_S = 0.2
 STEP_S = 0.002
+LIMIT = 2.0
+"""Limit of engines that report one, in requests a second."""
 SERVED = {200}
 OLD_SERVICES = {"llm", "plain"}
 
@@ -81,10 +83,21 @@
             share["Weight"] = 1 - share["Weight"]
 
 
+def grant_quota(config):
+    config["Tenants"][0] |= {"RatePerS": 1000, "Burst": 1000, "Unit": "token_stream"}
+
+
 def limit_quota(config):
     config["Tenants"][0] |= {"RatePerS": 1, "Burst": 1, "Unit": "token_stream"}
 
 
+def shrink_services(config):
+    for service in config["Services"]:
+        service["MaxConns"] = 1
+        if "Engine" in service:
+            service["Engine"] |= {"Slots": 1, "AdapterSlots": 1}
+
+
 def drop_routes(config):
     config["Routes"] = []
 
@@ -96,6 +109,7 @@
     remove_services: SERVED,
     change_weights: SERVED,
     limit_quota: SERVED,
+    shrink_services: SERVED,
     drop_routes: {404},
 }
 """Statuses of a request that is sent after each change."""
@@ -279,6 +293,21 @@
 REQUEST = b"under way"
 
 
+async def asking_for_quota(world):
+    await world.apply(grant_quota, version=2)
+    caller = Caller(world, 1 - world.planner())
+    caller.send(b"/s/x", REQUEST)
+    while not _quota_questions(world):
+        await asyncio.sleep(STEP_S / 10)
+    return caller
+
+
+def _quota_questions(world):
+    """Return the questions that the coordinator has not answered."""
+    link = world.gateways[1 - world.planner()].daemon._directory.quota_coordinator_link()
+    return link._quotas._futures
+
+
 async def waiting_for_weights(world):
     caller = Caller(world)
     caller.send(b"/s/x", REQUEST, b"a5")
@@ -303,6 +332,22 @@
     return caller
 
 
+async def waiting_for_capacity(world):
+    for engine in world.engines.values():
+        engine.limit = LIMIT
+    caller = Caller(world)
+    for body in (b"reports the first limit", b"reports the second limit"):
+        assert await Caller(world, 1).ask(b"/s/x", body) == 200
+    earlier = [Caller(world) for _ in range(6)]
+    for number, other in enumerate(earlier):
+        other.send(b"/s/x", b"earlier %d" % number)
+    caller.send(b"/s/x", REQUEST)
+    await asyncio.sleep(0.05)
+    assert world.gateways[0].daemon._caller_server.in_progress > LIMIT
+    assert not world.names(REQUEST)
+    return caller
+
+
 async def connecting(world):
     opened = len(world.links[0].opened)
     world.silence_replicas(0.05, acks=False)
@@ -349,8 +394,10 @@
 
 
 STATES = [
+    asking_for_quota,
     waiting_for_weights,
     waiting_for_a_place,
+    waiting_for_capacity,
     connecting,
     sent,
     streaming,
@@ -387,7 +434,7 @@
         async def scenario(world):
             caller = await state(world)
             before = world.names(REQUEST)
-            await world.apply(change)
+            await world.apply(change, version=3)
             assert await caller.read() == 200
             assert world.services(REQUEST) <= OLD_SERVICES
             if before:
@@ -421,6 +468,21 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("change", [move_routes, remove_services, shrink_services, drop_routes])
+    def test_a_planner_elected_after_the_change_has_no_weights_for_an_older_request(self, change):
+        async def scenario(world):
+            planner = world.planner()
+            caller = Caller(world, 1 - planner)
+            caller.send(b"/s/x", REQUEST, b"a5")
+            await asyncio.sleep(0.05)
+            await world.apply(change)
+            world.gateways[planner].kill()
+            assert not world.names(REQUEST)
+            assert await caller.read() == 200
+            assert world.services(REQUEST) == {"llm"}
+
+        play(scenario)
+
 
 class TestRestingConnections:
     @pytest.mark.parametrize("change", [one for one in CHANGES if one != shorten_idle_timeout])
