Failing tests: requests of a removed service with a newly elected planner

What callers saw: if a service is removed from the configuration and a planner is elected afterwards, a request that was admitted before and waits for weights is held for 3.7 s and refused with 503 (200 after 2.3 s with any other change), and a stream whose attempt is ended for a silence of 1.3 s is broken off ("the weights could not be placed in time") although its replica went on.

Cause: `PlannerFactory._engine_spec` (packages/gateway/src/gradelug_gateway/planner_factory.py:198) gives a service that the newest version lacks engines without adapter slots, so that nothing can be loaded for requests of the version before; they are held until their time is up.

--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -554,6 +554,32 @@
 
         play(scenario)
 
+    # A planner gives a service that the newest version lacks engines without adapter slots.
+    def test_a_planner_that_is_elected_after_a_removal_places_no_request(self):
+        async def scenario(world):
+            planner = world.planner()
+            world.gateways[planner].kill()
+            await asyncio.sleep(0.05)
+            caller = Caller(world, 1 - planner)
+            caller.send(b"/s/x", REQUEST, b"a5")
+            await asyncio.sleep(0.05)
+            await world.apply(remove_services)
+            assert await caller.read() == 200
+
+        play(scenario)
+
+    # The successor of the silent attempt waits for weights that the new planner does not load.
+    @pytest.mark.parametrize("acks", [True, False])
+    def test_a_removed_service_ends_an_answer_while_all_replicas_are_silent(self, acks):
+        async def scenario(world):
+            caller = await in_a_tunnel(world)
+            world.silence_replicas(SILENCE_S, acks)
+            await asyncio.sleep(SILENCE_S / 2)
+            await world.apply(remove_services)
+            assert await caller.read() == 200
+
+        play(scenario)
+
 
 class TestRestingConnections:
     @pytest.mark.parametrize("change", [one for one in CHANGES if one != shorten_idle_timeout])
