Read the limits at the first byte of each request

Callers got 413 on a connection that rested while a configuration with a larger MaxBodyBytes came, and bodies beyond a smaller one were accepted.

Cause: a connection read the limits when it opened and after each answer, and received its next request with them however much later.

Change: the limits are read when the first byte of a request arrives and hold until all of it has arrived, also if it arrives while the answer before it is being sent.

Evidence: both cases of test_the_next_request_on_a_resting_connection_ is_read_with_old_limits failed before and pass.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -188,6 +188,7 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self._limits = server.limits()
+        """Limits of the request that is being received, in force when its first byte came."""
         self._h11 = self._new_parser()
         self._req: h11.Request | None = None
         self._body: list[bytes] = []
@@ -240,7 +241,7 @@
         if self._refused_at is not None:
             return
         if self._began_at is None:
-            self._began_at = self.server.clock()
+            self._note_first_byte()
         self._h11.receive_data(data)
         if self.task is None:
             self._parse()
@@ -317,17 +318,20 @@
             self.close()
             return
         self._h11.start_next_cycle()
-        self._limits = self.server.limits()
         self._req = None
         self._body = []
         self._size = 0
         self._held_up_s = 0.0
         self._rested_at = self.server.clock()
-        self._idle_s = self._limits.idle_s
+        self._idle_s = self.server.limits().idle_s
         waiting = bool(self._h11.trailing_data[0])
         self._began_at = self._rested_at if waiting else None
         self._parse()
 
+    def _note_first_byte(self) -> None:
+        self._began_at = self.server.clock()
+        self._limits = self.server.limits()
+
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.header_bytes)
 
@@ -372,6 +376,9 @@
         began_at = self._began_at if self._began_at is not None else self.server.clock()
         inc = Incoming(self, self._req, b"".join(self._body), began_at)
         self._began_at = None
+        if self._h11.trailing_data[0]:
+            # The next request's first byte came with this request's last one.
+            self._note_first_byte()
         self.task = asyncio.get_running_loop().create_task(self._run(inc))
 
     async def _run(self, inc: Incoming) -> None:
--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -634,7 +634,6 @@
 
         play(scenario)
 
-    # A connection reads the limits when it opens and after each answer, but not after a change.
     @pytest.mark.parametrize(("change", "status"), [(raise_size_limits, 200), (lower_limits, 413)])
     def test_the_next_request_on_a_resting_connection_is_read_with_old_limits(self, change, status):
         async def scenario(world):
