Bound the heads of requests by the limits of their first byte

Callers that took up a connection after a configuration with a larger MaxHeaderBytes got 431 for a head that arrived in several pieces and was longer than the bound that was in force when the connection opened.

Cause: the parser of a connection was created once, and waited for heads only up to the bound of that time.

Change: when a request begins and the bound differs, the parser is replaced between two requests; bytes that it has not parsed yet are passed on. While an answer is being sent, the parser is still needed, so the next request's parser is created after it.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -190,6 +190,8 @@
         self._limits = server.limits()
         """Limits of the request that is being received, in force when its first byte came."""
         self._h11 = self._new_parser()
+        self._max_head_bytes = self._limits.header_bytes
+        """Longest incomplete head for which the parser waits."""
         self._req: h11.Request | None = None
         self._body: list[bytes] = []
         self._size = 0
@@ -326,6 +328,7 @@
             self.close()
             return
         self._h11.start_next_cycle()
+        self._bound_next_head()
         self._req = None
         self._body = []
         self._size = 0
@@ -339,6 +342,20 @@
     def _note_first_byte(self) -> None:
         self._began_at = self.server.clock()
         self._limits = self.server.limits()
+        self._bound_next_head()
+
+    def _bound_next_head(self) -> None:
+        """Replace the parser if it waits for heads of another length than the limits state."""
+        if self._max_head_bytes == self._limits.header_bytes:
+            return
+        if self._h11.their_state is not h11.IDLE:
+            # The parser is still needed for the request before; `finished` replaces it.
+            return
+        received, _ = self._h11.trailing_data
+        self._h11 = self._new_parser()
+        self._max_head_bytes = self._limits.header_bytes
+        if received:
+            self._h11.receive_data(received)
 
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.header_bytes)
--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -645,7 +645,6 @@
 
         play(scenario)
 
-    # The parser of a connection keeps the bound of heads with which it was created.
     def test_a_resting_connection_keeps_the_old_bound_of_heads_in_several_pieces(self):
         async def scenario(world):
             caller = Caller(world)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -367,6 +367,66 @@
 
         run(scenario)
 
+    def test_a_head_in_pieces_is_bounded_by_lowered_limits_after_a_rest(self):
+        async def scenario():
+            door = Door(ServerLimits(header_bytes=2_000))
+            client = door.connect()
+            client.transport.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.01)
+            assert len(door.seen) == 1
+            door.limits = ServerLimits(header_bytes=200)
+            client.received.clear()
+            client.transport.write(b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 300)
+            await asyncio.sleep(0.01)
+            assert client.received.startswith(b"HTTP/1.1 431 ")
+
+        run(scenario)
+
+    @pytest.mark.parametrize(("bound", "later_bound", "status"), [(9, 2, b"200"), (2, 9, b"413")])
+    @pytest.mark.parametrize("is_one_write", [True, False])
+    def test_a_request_sent_ahead_is_read_with_limits_that_came_after_its_first_byte(
+        self, is_one_write, bound, later_bound, status
+    ):
+        async def scenario():
+            door = Door(ServerLimits(body_bytes=later_bound))
+            door.hold = asyncio.Event()
+            client = door.connect()
+            client.transport.write(b"GET / HTTP")
+            await asyncio.sleep(0.01)
+            door.limits = ServerLimits(body_bytes=bound)
+            parts = [
+                b"/1.1\r\nHost: h\r\n\r\n",
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+            ]
+            for data in [b"".join(parts)] if is_one_write else parts:
+                client.transport.write(data)
+                await asyncio.sleep(0.01)
+            door.limits = ServerLimits(body_bytes=later_bound)
+            door.hold.set()
+            await asyncio.sleep(0.01)
+            assert client.received.count(b"HTTP/1.1 ") == 2
+            assert client.received.split(b"HTTP/1.1 ")[2].startswith(status)
+
+        run(scenario)
+
+    def test_a_head_sent_ahead_in_pieces_is_refused_by_the_bound_of_the_request_before(self):
+        async def scenario():
+            door = Door(ServerLimits(header_bytes=200))
+            door.hold = asyncio.Event()
+            client = door.connect()
+            client.transport.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.01)
+            door.limits = ServerLimits(header_bytes=2_000)
+            client.transport.write(b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 300)
+            await asyncio.sleep(0.01)
+            door.hold.set()
+            await asyncio.sleep(0.01)
+            client.transport.write(b"\r\n\r\n")
+            await asyncio.sleep(0.01)
+            assert client.received.count(b"HTTP/1.1 200 ") == 2
+
+        run(scenario)
+
     def test_a_request_that_arrives_too_slowly_is_refused(self):
         async def scenario():
             door = Door(ServerLimits(header_s=1.0))
