Resume streams only at the service that began them

A stream that a caller resumed was sent to another service than began it if a configuration removed its service while its origin was looked up.

Cause: the service was looked up in the newest configuration after the search, and the one that the request had drawn replaced a missing one.

Change: the service is looked up in the configuration that admitted the request. If that has none of the name, the request is refused. A request that drew the right service keeps it.

--- a/packages/gateway/src/gradelug_gateway/stream_origins.py
+++ b/packages/gateway/src/gradelug_gateway/stream_origins.py
@@ -24,7 +24,7 @@
 from .job import Job
 from .link import PlannerLink
 from .metrics import GatewayMetrics
-from .model import FleetState, Repeat, Replica, Route, Snapshot
+from .model import FleetState, Repeat, Replica, Route, Service, Snapshot
 from .origin_record import OriginRecord, split_marks
 
 log = logbook.Logger("stream origins")
@@ -163,6 +163,8 @@
             If these are not found, or the route no longer leads to the service.
         """
         started_at = self._clock()
+        # The request keeps the version that admitted it, whatever comes during the search.
+        snapshot = self._state.snapshot
         origin, source = await self._find(job)
         log.info(
             "origin of stream",
@@ -180,9 +182,8 @@
                 f"the route does not lead to service {origin.service!r}, which began the stream",
                 MOVED_RETRY_S,
             )
-        snapshot = self._state.snapshot
-        if snapshot is not None:
-            job.service = snapshot.services.get(origin.service, job.service)
+        if origin.service != job.service.name:
+            job.service = _find_service(origin.service, snapshot)
         job.software = origin.software
 
     async def _find(self, job: Job) -> tuple[StreamOrigin | None, OriginSource]:
@@ -324,6 +325,14 @@
         self._origins.take(message)
 
 
+def _find_service(name: str, snapshot: Snapshot | None) -> Service:
+    """Return a service of a configuration; raises `Refused` if it has none of that name."""
+    service = snapshot.services.get(name) if snapshot is not None else None
+    if service is None:
+        raise Refused(f"service {name!r}, which began the stream, was removed", MOVED_RETRY_S)
+    return service
+
+
 def _allowed_services(route: Route) -> list[str]:
     """Return the services that a route leads to."""
     return [share.service for share in route.shares if share.weight > 0]
--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -706,7 +706,6 @@
 
 
 class TestResumedStreams:
-    # The service is looked up in the newest configuration, and another one replaces a missing one.
     def test_a_resumed_stream_goes_on_at_another_service_than_began_it(self):
         async def scenario():
             clock = asyncio.get_running_loop().time
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -373,6 +373,42 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("removed", ["llm", "other"])
+    def test_a_stream_moves_to_another_service_when_one_is_removed_during_the_search(self, removed):
+        async def scenario():
+            shares = (Share("other", 0.5), Share("llm", 0.5))
+            state = new_state(("v1", "v2"), shares)
+            origins = new_origins(state, link=False)
+            job = new_job(state, "q2", 3, "q1")
+            job.service = state.snapshot.services["other"]
+            services = dict(state.snapshot.services)
+            begun = new_job(state, "q1")
+            search = asyncio.create_task(origins.bind(job))
+            await asyncio.sleep(0.05)
+            assert not search.done()
+            kept = {name: service for name, service in services.items() if name != removed}
+            state.snapshot = Snapshot(2, (), kept, ServerLimits())
+            origins.note_begun(begun, state.replicas["e0"])
+            await search
+            assert job.service is services["llm"]
+
+        run(scenario)
+
+    def test_a_stream_moves_to_another_service_when_its_own_was_removed_before(self):
+        async def scenario():
+            shares = (Share("other", 0.5), Share("llm", 0.5))
+            state, collector = new_state(("v1",), shares), new_collector()
+            origins = new_origins(state, collector)
+            origins.note_begun(new_job(state, "q1"), state.replicas["e0"])
+            job = new_job(state, "q2", 3, "q1")
+            job.service = state.snapshot.services["other"]
+            del state.snapshot.services["llm"]
+            with pytest.raises(Refused, match="'llm', which began the stream, was removed"):
+                await origins.bind(job)
+            assert job.service.name == "other"
+
+        run(scenario)
+
     @pytest.mark.parametrize(
         "shares", [(Share("other", 1.0),), (Share("llm", 0.0), Share("other", 1.0))]
     )
