Let waiting requests go to other replicas when theirs is removed

A request that waited for a place at a plain replica was refused with "no replica is usable" a quarter of a second after that replica had been removed, though another one had places by then.

Cause: after the wait the request was sent only to the replica for which it had waited; the others that had been full stayed excluded, and its route allowed no further ones.

Change: if the replica is gone after the wait, the others may be used again.

--- a/packages/gateway/src/gradelug_gateway/plain_placement.py
+++ b/packages/gateway/src/gradelug_gateway/plain_placement.py
@@ -148,6 +148,13 @@
                 "all replicas of the plain service are at capacity", DEFAULT_RETRY_AFTER_S
             )
 
+    def allow_again(self, job: Job, replica: Replica) -> None:
+        """Let a request be sent to the replica for which it waited, or to others if it is gone."""
+        job.excluded.discard(replica.name)
+        if not self.has_alternative(job):
+            # The others were full before the wait.
+            job.excluded.clear()
+
     def note_finished(self, service: str) -> None:
         """Release a waiting request of a service, since another one has finished."""
         queue = self._queues.get(service)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -503,7 +503,7 @@
             raise Refused("sent too often", DEFAULT_RETRY_AFTER_S)
         if outcome is Outcome.FULL and self._may_wait(job, replica):
             await self._plain_placer.wait(job, replica)
-            job.excluded.discard(replica.name)
+            self._plain_placer.allow_again(job, replica)
         candidates = job.candidates()
         if candidates is not None and not may_have_run and job.excluded >= job.tried:
             raise Refused("the route allows no further replica", DEFAULT_RETRY_AFTER_S)
--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -791,7 +791,6 @@
 
         play(scenario)
 
-    # After the wait only the replica that it waited for is tried again, not the other full one.
     def test_a_request_that_waits_for_a_place_fails_when_its_replica_is_removed(self):
         async def scenario(world):
             caller = await waiting_for_a_place(world)
