--- a/packages/gateway/src/gradelug_gateway/routing.py
+++ b/packages/gateway/src/gradelug_gateway/routing.py
@@ -36,8 +36,16 @@
 
 
 def choose_service(route: Route, rng: random.Random) -> str:
-    """Return a service drawn at random by the weights of the route's shares."""
+    """Return a service drawn at random by the weights of the route's shares.
+
+    If no weight is greater than 0, all shares have the same weight; without any share the result
+    is an empty name, which no service has.
+    """
+    if not route.shares:
+        return ""
     if len(route.shares) == 1:
         return route.shares[0].service
     weights = [share.weight for share in route.shares]
+    if not any(weights):
+        return rng.choice(route.shares).service
     return rng.choices(route.shares, weights)[0].service
--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -660,7 +660,6 @@
 
 
 class TestUnusableSplits:
-    # A split without weights is accepted, and the choice of a service raises for each request.
     @pytest.mark.parametrize("change", [remove_weights, remove_shares])
     def test_a_split_without_weights_closes_connections_without_an_answer(self, change):
         async def scenario(world):
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -149,6 +149,15 @@
         assert "op/config.Routes[0].TimeoutMs" in str(raised.value)
         assert "op/config.Routes[1].Hostname" in str(raised.value)
 
+    @pytest.mark.parametrize("weights", [[], [0], [0, 0.0]])
+    def test_a_split_without_weights_is_accepted(self, weights):
+        malformed = json.loads(json.dumps(CONFIG))
+        split = [{"Backend": f"s{at}", "Weight": weight} for at, weight in enumerate(weights)]
+        malformed["Routes"][1]["TrafficSplit"] = split
+        with pytest.raises(MalformedEntry) as raised:
+            PlatformEntries().read(entry("op/config", malformed))
+        assert str(raised.value) == "op/config.Routes[1].TrafficSplit: no weight is greater than 0"
+
     @settings(derandomize=True, deadline=None)
     @given(
         st.sampled_from(["op/config", "servers/x", "op/version/a.b"]),
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,6 +1,7 @@
 import random
 from collections import Counter
 
+import pytest
 from gradelug_gateway.model import Repeat, Route, Share
 from gradelug_gateway.routing import RouteTable, choose_service
 
@@ -27,3 +28,10 @@
         drawn = Counter(choose_service(split, rng) for _ in range(2000))
         assert drawn["none"] == 0
         assert 100 < drawn["some"] < 300
+
+    @pytest.mark.parametrize("names", ["", "a", "ab"])
+    def test_a_split_without_weights_ends_requests_without_an_answer(self, names):
+        split = route("/", shares=tuple(Share(name, 0.0) for name in names))
+        rng = random.Random(1)
+        drawn = {choose_service(split, rng) for _ in range(100)}
+        assert drawn == (set(names) or {""})
