Test where a request goes after a wait for a full replica

The tests did not notice that a request which waited for a full replica could go to another one although its own was still there.

Change: a test of both cases.

Evidence: it fails if other replicas are always allowed after the wait, and if they never are.

--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 from gradelug_gateway.health import SharedVerdict
@@ -327,6 +328,23 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(("gone", "excluded"), [("", {"s0"}), ("s1", set())])
+    def test_request_is_sent_to_another_full_replica_only_if_its_own_is_gone(self, gone, excluded):
+        async def scenario():
+            bench = Bench(route(Repeat.NEVER, replicas=2), [[[OK]], [[OK]]])
+            replicas = dict(bench.state.replicas)
+            bench.state.replicas.pop(gone, None)
+            job = SimpleNamespace(
+                service=bench.state.snapshot.services["plain"],
+                excluded=set(replicas),
+                candidates=lambda: set(replicas),
+                accepts=lambda replica: True,
+            )
+            bench.serving._plain_placer.allow_again(job, replicas["s1"])
+            assert job.excluded == excluded
+
+        run(scenario)
+
     def test_request_does_not_wait_after_a_misdirected_response(self):
         async def scenario():
             bench = Bench(route(Repeat.NEVER, replicas=1), [[[MISDIRECTED], [OK]]])
