--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -34,7 +34,8 @@
     header_s : float
         How long a request may take to arrive, in seconds.
     idle_s : float
-        How long a connection may rest, in seconds.
+        How long a connection may rest, in seconds. A change does not shorten a rest that has
+        begun.
     """
 
     header_bytes: int = 16_384
@@ -144,9 +145,9 @@
 
     def _sweep(self) -> None:
         now = self.clock()
-        limits = self.limits()
+        idle_s = self.limits().idle_s
         for conn in list(self.connections):
-            conn.check_time(now, limits)
+            conn.check_time(now, idle_s)
         if self._most_bytes:
             self._keep_within(self._most_bytes)
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
@@ -187,12 +188,17 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self._limits = server.limits()
+        """Limits of the request that is being received, in force when its first byte came."""
         self._h11 = self._new_parser()
+        self._max_head_bytes = self._limits.header_bytes
+        """Longest incomplete head for which the parser waits."""
         self._req: h11.Request | None = None
         self._body: list[bytes] = []
         self._size = 0
         self._began_at: float | None = None
         self._rested_at = server.clock()
+        self._idle_s = self._limits.idle_s
+        """Idle timeout that was in force when the connection began to rest."""
         self._refused_at: float | None = None
         self._drained: asyncio.Future[None] | None = None
         self.paused_since: float | None = None
@@ -237,7 +243,7 @@
         if self._refused_at is not None:
             return
         if self._began_at is None:
-            self._began_at = self.server.clock()
+            self._note_first_byte()
         self._h11.receive_data(data)
         if self.task is None:
             self._parse()
@@ -274,17 +280,25 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def check_time(self, now: float, limits: ServerLimits) -> None:
-        """Refuse a request that arrives too slowly, close a connection that rests too long."""
+    def check_time(self, now: float, idle_s: float) -> None:
+        """Refuse a request that arrives too slowly, close a connection that rests too long.
+
+        Parameters
+        ----------
+        now : float
+            Time by the runtime's clock.
+        idle_s : float
+            Idle timeout in force, in seconds.
+        """
         if self._refused_at is not None:
             if now - self._refused_at > LINGER_S:
                 self.close()
         elif self.task is not None:
             return
         elif self._began_at is not None:
-            if now - self._began_at > limits.header_s:
+            if now - self._began_at > self._limits.header_s:
                 self._refuse(408)
-        elif now - self._rested_at > limits.idle_s * IDLE_SLACK:
+        elif now - self._rested_at > max(self._idle_s, idle_s) * IDLE_SLACK:
             self.close()
 
     def write(self, data: bytes | None) -> None:
@@ -314,16 +328,35 @@
             self.close()
             return
         self._h11.start_next_cycle()
-        self._limits = self.server.limits()
+        self._bound_next_head()
         self._req = None
         self._body = []
         self._size = 0
         self._held_up_s = 0.0
         self._rested_at = self.server.clock()
+        self._idle_s = self.server.limits().idle_s
         waiting = bool(self._h11.trailing_data[0])
         self._began_at = self._rested_at if waiting else None
         self._parse()
 
+    def _note_first_byte(self) -> None:
+        self._began_at = self.server.clock()
+        self._limits = self.server.limits()
+        self._bound_next_head()
+
+    def _bound_next_head(self) -> None:
+        """Replace the parser if it waits for heads of another length than the limits state."""
+        if self._max_head_bytes == self._limits.header_bytes:
+            return
+        if self._h11.their_state is not h11.IDLE:
+            # The parser is still needed for the request before; `finished` replaces it.
+            return
+        received, _ = self._h11.trailing_data
+        self._h11 = self._new_parser()
+        self._max_head_bytes = self._limits.header_bytes
+        if received:
+            self._h11.receive_data(received)
+
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.header_bytes)
 
@@ -368,6 +401,9 @@
         began_at = self._began_at if self._began_at is not None else self.server.clock()
         inc = Incoming(self, self._req, b"".join(self._body), began_at)
         self._began_at = None
+        if self._h11.trailing_data[0]:
+            # The next request's first byte came with this request's last one.
+            self._note_first_byte()
         self.task = asyncio.get_running_loop().create_task(self._run(inc))
 
     async def _run(self, inc: Incoming) -> None:
