--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -448,6 +448,30 @@
         with mock.patch.object(PlatformRuns, "move", late):
             run(scenario)
 
+    def test_run_was_cut_because_its_ending_engine_read_the_order_to_stop_late(self):
+        move, paused = PlatformRuns.move, []
+
+        async def scenario():
+            world = RunWorld()
+            client = await begin(world)
+            engine = runner(world, "q1")
+
+            async def pausing(self, source, request_id, target, last, *args):
+                if last and not paused:
+                    paused.append(source.name)
+                    engine.pause(1.0)
+                return await move(self, source, request_id, target, last, *args)
+
+            with mock.patch.object(PlatformRuns, "move", pausing):
+                engine.notice(3.0)
+                world.handover._drain_s = 0.5
+                world.enter(engine)
+                await asyncio.sleep(5.0)
+            assert paused == [engine.name]
+            assert_resumed(client)
+
+        run(scenario)
+
     def test_an_unresponsive_engine_does_not_interrupt_its_run(self):
         async def scenario():
             world = RunWorld()
