--- a/packages/gateway/src/gradelug_gateway/liveness_check.py
+++ b/packages/gateway/src/gradelug_gateway/liveness_check.py
@@ -51,7 +51,8 @@
     async def responds(self, replica: Replica) -> bool:
         """Return whether a replica sent data lately or answers a call.
 
-        A replica that cannot be called counts as responsive unless it owes data.
+        A replica that cannot be called counts as responsive unless it has owed data for
+        `RECENT_ACTIVITY_S`.
         """
         active_at = max(
             self._fleet.health(replica.name).last_received_at,
--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -26,8 +26,8 @@
 """Timeout of a repeatable request without a response, in multiples of its target time. Its last
 allowed attempt has none: all replicas may be silent for a moment."""
 STREAM_SILENCE_TIMEOUT_S = 1.2
-"""Timeout of a resumable stream for its first or next event, after which it continues at another
-replica; callers time out after 2 s or more."""
+"""Timeout of a resumable stream for its first or next event, after which another replica is sought;
+callers time out after 2 s or more."""
 SILENCE_TIMEOUT_GAPS = 2.0
 """Timeout of a started stream that is not repeatable but whose engine keeps its KV cache, in
 multiples of the longest pause between events that the route allows."""
@@ -40,7 +40,7 @@
 RETRY_INTERVALS_S = (0.2, 0.4, 0.8)
 """Intervals between attempts to find another replica; the last one repeats."""
 CLOCK_RESOLUTION_S = 0.001
-"""A shorter rest of a timeout is over: the clock need not advance by so little."""
+"""Timeouts that have less than this left have ended: waits for less need not advance the clock."""
 MAX_TIMER_DELAY_S = 0.1
 """A timeout that ends later than this shows that this instance was suspended or overloaded, and may
 not have read what has arrived."""
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -63,7 +63,8 @@
         ...
 
     async def hold(self, job: Job, silent: Replica) -> bool:
-        """Hold a retry and a responsive replica other than a silent one; return whether it did."""
+        """Hold a retry, and a responsive replica other than a silent one or a usable backup copy;
+        return whether it did."""
         ...
 
     async def answers(self, replica: Replica) -> bool:
@@ -80,7 +81,7 @@
         The request being executed.
     replica : Replica
         The engine that executes it.
-    began_at : float
+    sent_at : float
         Time at which the request was sent, by the runtime's clock.
     """
 
@@ -121,9 +122,10 @@
         self.stop_outcome: MoveOutcome | None = None
         """Outcome of the last stop request to its engine."""
         self.was_stop_requested = False
-        """Whether its engine was asked to stop it, so that its stream may break for that reason."""
+        """Whether an order to stop it was sent and may be carried out, or was: its stream may break
+        for that reason."""
         self.is_abandoned = False
-        """Whether a stop was attempted and the request can be resumed on another engine."""
+        """Whether its attempt was abandoned, so that its request goes on at another engine."""
         self.is_gone = False
         """Whether its engine is known to have dropped it."""
         self.copy_failed = False
@@ -462,7 +464,10 @@
         return run.is_gone
 
     def _can_resume_elsewhere(self, job: Job) -> bool:
-        """Return whether a request can be resumed without a reply from its engine."""
+        """Return whether a request can be resumed without a reply from its engine.
+
+        A retry is reserved for it if there is one.
+        """
         return self._choose_recovery(job, can_stop=False) is not RecoveryAction.END
 
     def _watch_abandoned(self, run: Run) -> None:
--- a/packages/gateway/src/gradelug_gateway/silences.py
+++ b/packages/gateway/src/gradelug_gateway/silences.py
@@ -30,7 +30,8 @@
     STREAM = "stream"
     """The replica sends data for other requests."""
     REPLICA = "replica"
-    """The replica sends nothing, and at least as many others of its service do send data."""
+    """The replica sends nothing; at least as many others of its service send data as are silent, or
+    no other one is known to be silent."""
     SERVICE = "service"
     """Most replicas of the service that owe data send nothing."""
 
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -154,8 +154,8 @@
         rested_s : float
             Longest time that a connection used again may have been idle, in seconds.
         answer_s : float
-            How long the answer may take to begin once the request is sent, in seconds, where that
-            is longer than `limit_s`.
+            How long the whole exchange may take once the request is sent, in seconds, where that is
+            longer than `limit_s`, which then bounds only the opening of the connection.
 
         Raises
         ------
