Fail soaks whose gateways end by kills or stops that nobody sent

Missing: no test ran a whole soak whose gateway ends by itself, and an exit with status 0, SIGTERM or SIGKILL counted as requested even if the soak had sent no signal to that process.

Change: `Gateway` notes the statuses that its signals allow, for each process, and counts others as ended by itself. A whole soak without faults, whose first gateway gets a signal that the soak did not send, has to fail.

--- a/tests/soak_parts.py
+++ b/tests/soak_parts.py
@@ -17,8 +17,12 @@
 
 MAX_PORT = 65_535
 BUDGET_EXTRA = 400
-REQUESTED_EXITS = frozenset({0, -signal.SIGKILL, -signal.SIGTERM})
-"""Statuses of processes that were killed or stopped."""
+EXITS = {
+    signal.SIGKILL: frozenset({-signal.SIGKILL}),
+    signal.SIGTERM: frozenset({0, -signal.SIGTERM}),
+}
+"""Statuses of processes that were killed or stopped, by the signal that they were sent."""
+REQUESTED_EXITS = frozenset().union(*EXITS.values())
 _event_re = re.compile(rb"id: (\d+)\ndata: (\S+)")
 
 
@@ -179,11 +183,16 @@
         self.process = None
         self.exits = []
         """Statuses of its processes that ended, without the kill at the end of the run."""
+        self.unrequested = []
+        """Those of them that look like a kill or a stop which nobody sent."""
+        self._expected = set()
+        """Statuses with which its process may end."""
         self.woken = []
         """When it was started or woken, by the clock of the soak."""
 
     def start(self):
         self.woken.append(time.monotonic())
+        self._expected = set()
         env = {**os.environ, "GRADELUG_CONFIG": str(self.settings)}
         with self.log.open("ab") as out:
             self.process = subprocess.Popen(
@@ -195,6 +204,7 @@
 
     def signal(self, number):
         if self.process.poll() is None:
+            self._expected |= EXITS.get(number, frozenset())
             self.process.send_signal(number)
 
     @property
@@ -202,14 +212,17 @@
         return self.process.poll() is None
 
     def note_exit(self):
-        self.exits.append(self.process.returncode)
+        status = self.process.returncode
+        self.exits.append(status)
+        if status in REQUESTED_EXITS - self._expected:
+            self.unrequested.append(status)
 
     def faults(self):
         """Return the exits that nobody asked for, and the errors in its log."""
+        others = [status for status in self.exits if status not in REQUESTED_EXITS]
         found = [
             f"{self.log.name}: ended by itself with status {status}"
-            for status in self.exits
-            if status not in REQUESTED_EXITS
+            for status in [*others, *self.unrequested]
         ]
         with self.log.open(errors="replace") as rows:
             found += [
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -5,11 +5,18 @@
 only what the store takes while it is stable; the soak counted from the writing.
 """
 
+import asyncio
+import signal
+
+import fleet_soak
 import pytest
+from fleet_soak import Soak
 from fleet_stand_in import DRAIN_S, HEARD_S, Ledger, ReplicaStandIn
 from run_world import close
 from world import new_loop
 
+SETTLE_S = 1.5
+
 
 def late(ledger, drained_at, at, note=()):
     """Tell whether a request is late that reaches a replica at a moment after it drained."""
@@ -54,3 +61,22 @@
         ledger.note_store(1, 5.0)
         ledger.note_store(-1, 8.0)
         assert not late(ledger, 9.0, 9.0 + DRAIN_S + 0.1)
+
+
+class TestProcesses:
+    # A gateway that ended by itself made no soak fail.
+    @pytest.mark.parametrize("number", [signal.SIGABRT, signal.SIGKILL])
+    def test_a_soak_fails_if_a_gateway_process_ends_by_itself(self, number, monkeypatch):
+        monkeypatch.setattr(fleet_soak, "SETTLE_S", SETTLE_S)
+
+        class BrittleSoak(Soak):
+            async def _faults(self):
+                self.gateways[0].process.send_signal(number)
+
+            def _keep(self, folder, faults):
+                """Keep nothing of a run that is to fail."""
+
+        async def main():
+            return await BrittleSoak(1, 0.0).run()
+
+        assert f"g0.log: ended by itself with status {-number}" in asyncio.run(main())
