Let engines fall silent in the soak and go on: mode `silences`

Missing: the soak silenced links one at a time. All or many engines that fall silent at once and go on, while processes are killed, frozen and cut and the configuration changes, were not played, and no check asked that answers which sound engines had begun are whole.

Change: mode `silences` holds all, some or one of the engines for 0.3 to 3 s, with or without orders, reports and moves, with or without a proxy that stops reading; from a source of chance of its own. Its engines keep the memory of runs. It counts as broken an answer that is not whole although an engine which had begun it went on in time and lived, unless its link was broken or its gateway killed or frozen meanwhile, and two engines that work on one run for more than 0.4 s beyond a silence. A replica's requests count from when they arrive, not from the end of a silence that holds them.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -35,7 +35,8 @@
 )
 from platform_stand_in import FakeStore
 from soak_parts import Gateway, Keys, ResumedStream, free_ports
-from soak_settings import LIMITED, PLAIN_TOKENS, REVOKE_S, ROOT
+from soak_settings import DEADLINE_MS, LIMITED, MOVING_SERVICES, PLAIN_TOKENS, REVOKE_S, ROOT
+from soak_silences import EngineSilences
 
 GATEWAYS = 3
 SOFTWARE = ("v1", "v2")
@@ -94,6 +95,8 @@
         Whether replicas turn requests away for a time and ask for rest.
     has_versions : bool
         Whether engines of two software versions serve, and callers resume streams elsewhere.
+    has_silences : bool
+        Whether engines fall silent for a time, several at once, and all that went on is whole.
     """
 
     def __init__(
@@ -106,7 +109,9 @@
         has_drills=False,
         has_rests=False,
         has_versions=False,
+        has_silences=False,
     ):
+        self.has_silences = has_silences
         self.has_versions = has_versions
         self.resumed = []
         """Streams that were dropped and resumed by their callers."""
@@ -136,12 +141,16 @@
         self.store = FakeStore()
         # With a source of chance of its own: what a seed does otherwise stays the same.
         self.keys = Keys(self.store, self.clock, random.Random(seed))
+        self.silences = EngineSilences(seed, self.ledger)
+        if has_silences:
+            self.keys.settings = {**self.keys.settings, "Services": MOVING_SERVICES}
         self.sent = {}
         """When each request was sent, and its key."""
         self.replicas = {}
         self.draining = {}
         self.proxies = {}
         self.answers = {}
+        self.answered_at = {}
         self.numbers = iter(range(1, 1_000_000))
         self.pool = HttpPool(self.clock)
         self.late_served = 0
@@ -165,6 +174,8 @@
                 clients += [asyncio.create_task(self._resume_streams(at)) for at in range(4)]
             if self.has_rests:
                 clients.append(asyncio.create_task(self._ask_rests()))
+            if self.has_silences:
+                clients.append(asyncio.create_task(self._hold_engines()))
             try:
                 await self._faults()
                 await self._heal()
@@ -221,6 +232,8 @@
         )
         await replica.start()
         proxy = Proxy(replica.port)
+        if self.has_silences:
+            proxy = self.silences.add(replica)
         await proxy.start()
         await replica.enter(f"{HOST}:{proxy.port}")
         self.replicas[name], self.proxies[name] = replica, proxy
@@ -286,6 +299,12 @@
             if rng.random() < REST_ENDS_PART:
                 rests.rest_s = 0.0
 
+    async def _hold_engines(self):
+        """Let engines fall silent for a time, all, some or one of them."""
+        while self.has_silences:
+            await self.silences.hold({**self.replicas, **self.draining})
+            self._slacken()
+
     async def _hold_drills(self):
         """Let the store be away for a moment and come back from a copy; all is written again."""
         # With a source of chance of its own: what a seed does otherwise stays the same.
@@ -347,7 +366,7 @@
         body = f"body of {request_id}".encode()
         self.ledger.bodies[request_id] = body
         headers = [(b"Host", b"h"), (b"X-Gradelug-Request-Id", request_id.encode())]
-        headers.append((b"X-Gradelug-Deadline-Ms", b"3000"))
+        headers.append((b"X-Gradelug-Deadline-Ms", b"%d" % DEADLINE_MS))
         if kind == "s":
             headers.append((b"X-Gradelug-Model", b"m/a%d" % self.rng.randint(1, 12)))
         if organisation is None:
@@ -361,6 +380,7 @@
         gateway = self.rng.choice(self.gateways)
         self.through[request_id] = gateway
         self.answers[request_id] = (kind, *await self._ask(gateway, out))
+        self.answered_at[request_id] = self.clock()
         return self.answers[request_id]
 
     async def _ask(self, gateway, out):
@@ -389,17 +409,22 @@
         await asyncio.gather(*pending)
 
     async def _do_kill(self):
-        self.fault_rng.choice(self.gateways).signal(signal.SIGKILL)
+        gateway = self.fault_rng.choice(self.gateways)
+        gateway.note_trouble()
+        gateway.signal(signal.SIGKILL)
 
     async def _do_term(self):
         gateway = self.fault_rng.choice(self.gateways)
+        gateway.stops.append(self.clock())
         gateway.signal(signal.SIGTERM)
         await asyncio.sleep(4.5)
 
     async def _do_freeze(self):
         gateway = self.fault_rng.choice(self.gateways)
         gateway.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.fault_rng.uniform(0.3, 2.5))
+        lasts_s = self.fault_rng.uniform(0.3, 2.5)
+        gateway.note_trouble(lasts_s + SLACK_S)
+        await asyncio.sleep(lasts_s)
         self._slacken()
         gateway.woken.append(self.clock())
         gateway.signal(signal.SIGCONT)
@@ -467,6 +492,8 @@
 
     async def _heal(self):
         self.store.status = None
+        self.has_silences = False
+        self.silences.end()
         for proxy in [*self.proxies.values(), self.store_proxy]:
             proxy.silent, proxy.delay_s = False, 0.0
         for gateway in self.gateways:
@@ -521,6 +548,7 @@
             rests, troubles = self.rests[name]
             faults += rests.faults(name, takes.arrived, self.through, troubles)
         faults += [fault for stream in self.resumed for fault in stream.faults()]
+        faults += self.silences.faults(self)
         faults += self._keys_used_too_late()
         faults += self._beyond_the_quota()
         for gateway in self.gateways:
@@ -574,7 +602,9 @@
 class Outcome:
     """What one run found."""
 
-    def __init__(self, broken, asked, served, done, resumed=0, continued=0):
+    def __init__(self, broken, asked, served, done, resumed=0, continued=0, held=0):
+        self.held = held
+        """Whole answers that were held up by silences of their engines."""
         self.resumed = resumed
         self.continued = continued
         self.broken = broken
@@ -591,7 +621,10 @@
         faults = await run.run()
         served = sum(answer[1] == 200 for answer in run.answers.values())
         continued = sum(stream.continued for stream in run.resumed)
-        return Outcome(faults, len(run.answers), served, run.done, len(run.resumed), continued)
+        held = run.silences.count_held(run)
+        return Outcome(
+            faults, len(run.answers), served, run.done, len(run.resumed), continued, held
+        )
 
     return asyncio.run(main())
 
@@ -607,7 +640,7 @@
         print(
             f"seed {number}: {found.asked} asked, {found.served} served, "
             f"{len(found.broken)} broken, {found.continued} of {found.resumed} resumed streams "
-            f"went on; {' '.join(found.done)}",
+            f"went on, {found.held} held; {' '.join(found.done)}",
             flush=True,
         )
         for line in found.broken[:5]:
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import socket
 from collections import defaultdict
 
 from engine_model import MODEL, ModelEngine
@@ -34,11 +35,21 @@
 """So long after it began."""
 
 
+class Work:
+    """Work of a replica on a request, from when until when."""
+
+    def __init__(self, replica, since):
+        self.replica = replica
+        self.since = since
+        self.until = float("inf")
+
+
 class Ledger:
     """What replicas ran, by the request's identifier."""
 
     def __init__(self):
         self.runs = defaultdict(list)
+        self.works = defaultdict(list)
         self.bodies = {}
         self.organisations = {}
         """Whose key each request carries."""
@@ -169,6 +180,10 @@
         return []
 
 
+HELD_UP_S = 0.5
+"""What a silence held up arrives within this after its end."""
+
+
 class Silence:
     """Holds an engine still for a time; it keeps its connections and goes on where it was."""
 
@@ -176,17 +191,26 @@
         self._holds_control = False
         self._over = asyncio.Event()
         self._over.set()
+        self.spans = []
+        """From when until when it was on."""
 
     @property
     def is_on(self):
         return not self._over.is_set()
 
+    def has_just_ended(self, now):
+        """Tell whether what it held up may arrive now."""
+        return bool(self.spans) and 0 <= now - self.spans[-1][1] <= HELD_UP_S
+
     def begin(self, holds_control=True):
         """Hold requests, and orders and reports as well if `holds_control`."""
         self._holds_control = holds_control
         self._over.clear()
+        self.spans.append([asyncio.get_running_loop().time(), float("inf")])
 
     def end(self):
+        if self.is_on:
+            self.spans[-1][1] = asyncio.get_running_loop().time()
         self._over.set()
 
     async def wait(self, is_control=False):
@@ -217,6 +241,7 @@
         self.takes = Takes(self.clock)
         self.rests = Rests(self.clock)
         self.state = "ready"
+        self.left_at = None
         self.draining_at = None
         self.drained_stable = True
         """Whether the store was stable when it took that this replica drains."""
@@ -255,12 +280,14 @@
         await self.enter(self.address)
 
     async def leave(self):
+        self.left_at = self.clock()
         found = await self.kv.get(f"servers/{self.name}")
         if found is not None:
             await self.kv.delete(found.key, found.revision)
         await self.server.close()
 
     async def serve(self, inc):
+        arrived_at = self.clock()
         await self.silence.wait(is_control=inc.target.startswith(CALLS))
         expected = inc.header(b"x-gradelug-expect-instance")
         if expected != self.name.encode():
@@ -274,7 +301,7 @@
         elif inc.target.startswith(HANDLES):
             self.moves.release(inc)
         else:
-            await self._run(inc)
+            await self._run(inc, arrived_at)
 
     def _refuse(self, inc, status, more=()):
         request_id = inc.header(b"x-gradelug-request-id") or b""
@@ -337,10 +364,10 @@
         }
         inc.respond(200, [], json.dumps(data).encode())
 
-    async def _run(self, inc):
+    async def _run(self, inc, arrived_at):
         request_id = inc.header(b"x-gradelug-request-id").decode()
-        self.takes.arrived.append((self.clock(), request_id))
-        if self._is_late(self.clock()):
+        self.takes.arrived.append((arrived_at, request_id))
+        if self._is_late(arrived_at):
             self.ledger.faults.append(f"{request_id} reached {self.name} long after it drained")
         if self.rests.rest_s:
             self.rests.ask(request_id)
@@ -373,6 +400,14 @@
             *self._words(),
             *versions,
         ]
+        work = Work(self.name, self.clock())
+        self.ledger.works[request_id].append(work)
+        try:
+            await self._work(inc, request_id, key, first, headers)
+        finally:
+            work.until = self.clock()
+
+    async def _work(self, inc, request_id, key, first, headers):
         if self.engine is None:
             await asyncio.sleep(EVENT_S)
             await self.silence.wait()
@@ -407,7 +442,7 @@
 
         What was written while none of them could reach the store counts from when they can.
         """
-        if self.draining_at is None:
+        if self.draining_at is None or self.silence.has_just_ended(now):
             return False
         return now - self.ledger.told_at(self.draining_at, self.drained_stable) > DRAIN_S
 
@@ -434,35 +469,67 @@
 
 
 class Proxy:
-    """A loopback proxy whose connections can be delayed, reset, silenced for a time or for good."""
+    """A loopback proxy whose connections can be delayed, reset, silenced for a time or for good.
+
+    Parameters
+    ----------
+    port : int
+        Where it passes on.
+    buffer_bytes : int or None
+        Size of its receive buffers; None for the kernel's.
+    """
 
-    def __init__(self, port):
+    def __init__(self, port, buffer_bytes=None):
         self.target = port
+        self._buffer_bytes = buffer_bytes
+        self._is_reading = True
         self.delay_s = 0.0
         self.silent = False
         self.generation = 0
         self.troubles = []
         """When something befell it: from when, until when."""
+        self.breaks = []
+        """When it was reset, muted or closed."""
         self.port = 0
         self._server = None
         self._writers = set()
         self._tasks = set()
 
     async def start(self):
-        self._server = await asyncio.start_server(self._spawn, HOST, 0)
+        listener = socket.socket()
+        if self._buffer_bytes is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._buffer_bytes)
+        listener.bind((HOST, 0))
+        self._server = await asyncio.start_server(self._spawn, sock=listener)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def mute(self):
         """Swallow all that comes over the connections which are open now; new ones work."""
         self.generation += 1
         self.note_trouble()
+        self._note_break()
+
+    def stop_reading(self):
+        """Leave what comes to the kernel, which acknowledges no more than its buffer takes."""
+        self._is_reading = False
+        for writer in self._writers:
+            writer.transport.pause_reading()
+
+    def resume_reading(self):
+        self._is_reading = True
+        for writer in self._writers:
+            writer.transport.resume_reading()
 
     def note_trouble(self, lasts_s=0.0):
         now = asyncio.get_running_loop().time()
         self.troubles.append((now, now + lasts_s))
 
+    def _note_break(self):
+        self.breaks.append(asyncio.get_running_loop().time())
+
     def reset(self):
         self.note_trouble()
+        self._note_break()
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -485,6 +552,8 @@
             writer.transport.abort()
             return
         self._writers |= {writer, up_writer}
+        if not self._is_reading:
+            writer.transport.pause_reading()
         await asyncio.gather(self._pump(reader, up_writer), self._pump(up_reader, writer))
         self._writers -= {writer, up_writer}
 
@@ -495,7 +564,7 @@
                 if self.generation != generation:
                     continue
                 await asyncio.sleep(self.delay_s)
-                while self.silent:
+                while self.silent or not self._is_reading:
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
--- a/tests/soak_parts.py
+++ b/tests/soak_parts.py
@@ -13,7 +13,7 @@
 from fleet_stand_in import EVENTS, GATEWAY_HOST, HOST
 from gradelug_cli.failures import find_failures
 from gradelug_http import ConnectFailed, OutgoingRequest, ResponseBroken
-from soak_settings import CONFIG, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_SHARE, ROOT
+from soak_settings import CONFIG, GRACE_S, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_SHARE, ROOT
 
 MAX_PORT = 65_535
 BUDGET_EXTRA = 400
@@ -174,7 +174,7 @@
             f"PortRange = [{self.peer}, {self.peer + 1}]\n"
             f'[Listen]\nFront = "{GATEWAY_HOST}:{self.front}"\n'
             f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
-            f"[Bounds]\nGraceS = 4\nBudgetExtra = {budget_extra}\n"
+            f"[Bounds]\nGraceS = {GRACE_S}\nBudgetExtra = {budget_extra}\n"
             f"RequireFence = {str(checks_tokens).lower()}\n"
             f"StrictRevoke = true\nRevokeMs = {REVOKE_S * 1000:.0f}\n"
             f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
@@ -187,6 +187,10 @@
         """Those of them that look like a kill or a stop which nobody sent."""
         self._expected = set()
         """Statuses with which its process may end."""
+        self.troubles = []
+        """Its kills and freezes: from when, until when."""
+        self.stops = []
+        """When it was asked to stop."""
         self.woken = []
         """When it was started or woken, by the clock of the soak."""
 
@@ -217,6 +221,10 @@
         if status in REQUESTED_EXITS - self._expected:
             self.unrequested.append(status)
 
+    def note_trouble(self, lasts_s=0.0):
+        now = time.monotonic()
+        self.troubles.append((now, now + lasts_s))
+
     def faults(self):
         """Return the exits that nobody asked for, and the errors in its log."""
         others = [status for status in self.exits if status not in REQUESTED_EXITS]
--- a/tests/soak_settings.py
+++ b/tests/soak_settings.py
@@ -10,6 +10,8 @@
 PLAIN_TOKENS = 10
 LIMITED = {"Name": "limited", "RatePerS": 40, "Burst": 40}
 """Four requests per second, less than half the rate at which its callers send."""
+GRACE_S = 4
+DEADLINE_MS = 3000
 CONFIG = {
     "Version": 1,
     "Routes": [
@@ -60,3 +62,6 @@
         {"Name": "plain", "MaxConns": 100},
     ],
 }
+_llm, _plain = CONFIG["Services"]
+MOVING_SERVICES = [{**_llm, "Engine": {**_llm["Engine"], "Moves": True}}, _plain]
+"""The same services with engines whose runs can be moved."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,3 +44,10 @@
     assert found.broken == []
     assert found.served > 20
     assert found.continued >= 0.5 * found.resumed > 0
+
+
+def test_answers_are_whole_while_engines_fall_silent_and_go_on():
+    found = soak(SEED, SECONDS, has_silences=True)
+    assert found.broken == []
+    assert found.served > 20
+    assert found.held > 0
