--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -70,6 +70,8 @@
 """For how long replicas ask for rest; 0 if they turn nothing away."""
 REST_ENDS_PART = 0.6
 """Part of the replicas that turn requests away which takes them again before another one begins."""
+MORE_CLIENTS = 24
+"""Clients beside the usual six while engines fall silent, so that many requests are under way."""
 QUOTA_SLACK = 100
 """In tokens; ten requests over three instances that come and go."""
 
@@ -176,6 +178,7 @@
                 clients.append(asyncio.create_task(self._ask_rests()))
             if self.has_silences:
                 clients.append(asyncio.create_task(self._hold_engines()))
+                clients += [asyncio.create_task(self._client("free")) for _ in range(MORE_CLIENTS)]
             try:
                 await self._faults()
                 await self._heal()
@@ -211,7 +214,7 @@
         server = HttpServer(self.store.serve, ServerLimits, self.clock)
         self.store_proxy = Proxy(await server.start(HOST, 0))
         await self.store_proxy.start()
-        for service, count in (("llm", 3), ("plain", 2)):
+        for service, count in (("llm", 5 if self.has_silences else 3), ("plain", 2)):
             for _ in range(count):
                 await self._add_replica(service)
         self.gateways = [
@@ -240,9 +243,9 @@
         self.takes[name] = replica.takes
         self.rests[name] = (replica.rests, proxy.troubles)
 
-    async def _client(self):
+    async def _client(self, organisation=None):
         while True:
-            await self._request()
+            await self._request(organisation)
             await asyncio.sleep(self.rng.uniform(0.0, 0.1))
 
     async def _send_poison(self):
