--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -14,8 +14,7 @@
 from fleet_soak import Soak
 from fleet_stand_in import DRAIN_S, HEARD_S, Ledger, ReplicaStandIn, Work
 from run_world import close
-from soak_settings import DEADLINE_MS
-from soak_silences import BOTH_S, EngineSilences
+from soak_silences import BOTH_S, DEADLINE_MS, EngineSilences
 from world import new_loop
 
 SETTLE_S = 1.5
@@ -159,6 +158,11 @@
     def test_an_engine_that_goes_on_too_late_owes_nothing(self):
         assert silent(DEADLINE_MS / 1000 - 0.6, BEGUN) == []
 
+    # Engines whose process stood still for 1.8 s were taken for engines that went on.
+    def test_engines_whose_process_is_held_up_for_too_long_owe_nothing(self):
+        stall = (1.0, DEADLINE_MS / 1000 - 0.6)
+        assert silent(1.0, BEGUN, change=lambda case: case.silences.stalls.append(stall)) == []
+
     @pytest.mark.parametrize(
         "change",
         [
