Describe what the checks of the soak are tested for

The module's description told of drains only, and it now holds checks of processes and of silences as well.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,9 +1,4 @@
-"""What the soak counts as broken, of replicas that say they drain.
-
-Three requests reached a replica 3 s after it had said so, while no instance could reach the store:
-one had lost it at 8.3 s, the others at 9.5 s, and all had it back from 11.9 s on. The rule counts
-only what the store takes while it is stable; the soak counted from the writing.
-"""
+"""What the soak counts as broken: late requests, exits of processes, answers that are cut."""
 
 import asyncio
 import signal
@@ -41,6 +36,8 @@
 
 
 class TestDrain:
+    """Only what the store takes while it is stable counts from the writing."""
+
     def test_it_counts_from_the_writing_while_the_store_is_stable(self):
         assert not late(Ledger(), 10.0, 10.0 + DRAIN_S - 0.1)
         assert late(Ledger(), 10.0, 10.0 + DRAIN_S + 0.1)
