--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -155,6 +155,13 @@
     def test_an_engine_that_goes_on_too_late_owes_nothing(self):
         assert silent(DEADLINE_MS / 1000 - 0.6, BEGUN) == []
 
+    # A silence that began 10 ms after the time for which the work was planned was left out.
+    def test_work_that_a_silence_holds_just_before_its_end_owes_nothing(self):
+        def change(case):
+            case.engine.silence.spans[:] = [(1.6, DEADLINE_MS / 1000 - 0.5)]
+
+        assert silent(1.0, [("i", 0.05, 1.7)], change=change) == []
+
     # Engines whose process stood still for 1.8 s were taken for engines that went on.
     def test_engines_whose_process_is_held_up_for_too_long_owe_nothing(self):
         stall = (1.0, DEADLINE_MS / 1000 - 0.6)
