--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -34,8 +34,11 @@
     ServerLimits,
 )
 from platform_stand_in import FakeStore
-from soak_parts import Gateway, Keys, ResumedStream, free_ports
-from soak_settings import LIMITED, PLAIN_TOKENS, REVOKE_S, ROOT
+from soak_parts import BUDGET_EXTRA, Gateway, Keys, ResumedStream, free_ports
+from soak_settings import DEADLINE_MS, LIMITED, MOVING_SERVICES, PLAIN_TOKENS, REVOKE_S, ROOT
+from soak_silences import BUDGET_EXTRA as SILENT_BUDGET_EXTRA
+from soak_silences import DEADLINE_MS as SILENT_DEADLINE_MS
+from soak_silences import EngineSilences
 
 GATEWAYS = 3
 SOFTWARE = ("v1", "v2")
@@ -69,6 +72,8 @@
 """For how long replicas ask for rest; 0 if they turn nothing away."""
 REST_ENDS_PART = 0.6
 """Part of the replicas that turn requests away which takes them again before another one begins."""
+MORE_CLIENTS = 24
+"""Clients beside the usual six while engines fall silent, so that many requests are under way."""
 QUOTA_SLACK = 100
 """In tokens; ten requests over three instances that come and go."""
 
@@ -94,6 +99,8 @@
         Whether replicas turn requests away for a time and ask for rest.
     has_versions : bool
         Whether engines of two software versions serve, and callers resume streams elsewhere.
+    has_silences : bool
+        Whether engines fall silent for a time, several at once, and all that went on is whole.
     """
 
     def __init__(
@@ -106,7 +113,9 @@
         has_drills=False,
         has_rests=False,
         has_versions=False,
+        has_silences=False,
     ):
+        self.has_silences = has_silences
         self.has_versions = has_versions
         self.resumed = []
         """Streams that were dropped and resumed by their callers."""
@@ -136,12 +145,18 @@
         self.store = FakeStore()
         # With a source of chance of its own: what a seed does otherwise stays the same.
         self.keys = Keys(self.store, self.clock, random.Random(seed))
+        self.silences = EngineSilences(seed, self.ledger)
+        self.deadline_ms = SILENT_DEADLINE_MS if has_silences else DEADLINE_MS
+        self.budget_extra = SILENT_BUDGET_EXTRA if has_silences else BUDGET_EXTRA
+        if has_silences:
+            self.keys.settings = {**self.keys.settings, "Services": MOVING_SERVICES}
         self.sent = {}
         """When each request was sent, and its key."""
         self.replicas = {}
         self.draining = {}
         self.proxies = {}
         self.answers = {}
+        self.answered_at = {}
         self.numbers = iter(range(1, 1_000_000))
         self.pool = HttpPool(self.clock)
         self.late_served = 0
@@ -165,6 +180,10 @@
                 clients += [asyncio.create_task(self._resume_streams(at)) for at in range(4)]
             if self.has_rests:
                 clients.append(asyncio.create_task(self._ask_rests()))
+            if self.has_silences:
+                clients.append(asyncio.create_task(self._hold_engines()))
+                clients.append(asyncio.create_task(self.silences.watch_stalls()))
+                clients += [asyncio.create_task(self._client("free")) for _ in range(MORE_CLIENTS)]
             try:
                 await self._faults()
                 await self._heal()
@@ -200,11 +219,18 @@
         server = HttpServer(self.store.serve, ServerLimits, self.clock)
         self.store_proxy = Proxy(await server.start(HOST, 0))
         await self.store_proxy.start()
-        for service, count in (("llm", 3), ("plain", 2)):
+        for service, count in (("llm", 5 if self.has_silences else 3), ("plain", 2)):
             for _ in range(count):
                 await self._add_replica(service)
         self.gateways = [
-            Gateway(at, folder, self.store_proxy.port, free_ports(3), self.checks_tokens)
+            Gateway(
+                at,
+                folder,
+                self.store_proxy.port,
+                free_ports(3),
+                self.checks_tokens,
+                budget_extra=self.budget_extra,
+            )
             for at in range(GATEWAYS)
         ]
         for gateway in self.gateways:
@@ -221,15 +247,17 @@
         )
         await replica.start()
         proxy = Proxy(replica.port)
+        if self.has_silences:
+            proxy = self.silences.add(replica)
         await proxy.start()
         await replica.enter(f"{HOST}:{proxy.port}")
         self.replicas[name], self.proxies[name] = replica, proxy
         self.takes[name] = replica.takes
         self.rests[name] = (replica.rests, proxy.troubles)
 
-    async def _client(self):
+    async def _client(self, organisation=None):
         while True:
-            await self._request()
+            await self._request(organisation)
             await asyncio.sleep(self.rng.uniform(0.0, 0.1))
 
     async def _send_poison(self):
@@ -286,6 +314,12 @@
             if rng.random() < REST_ENDS_PART:
                 rests.rest_s = 0.0
 
+    async def _hold_engines(self):
+        """Let engines fall silent for a time, all, some or one of them."""
+        while self.has_silences:
+            await self.silences.hold({**self.replicas, **self.draining})
+            self._slacken()
+
     async def _hold_drills(self):
         """Let the store be away for a moment and come back from a copy; all is written again."""
         # With a source of chance of its own: what a seed does otherwise stays the same.
@@ -347,7 +381,7 @@
         body = f"body of {request_id}".encode()
         self.ledger.bodies[request_id] = body
         headers = [(b"Host", b"h"), (b"X-Gradelug-Request-Id", request_id.encode())]
-        headers.append((b"X-Gradelug-Deadline-Ms", b"3000"))
+        headers.append((b"X-Gradelug-Deadline-Ms", b"%d" % self.deadline_ms))
         if kind == "s":
             headers.append((b"X-Gradelug-Model", b"m/a%d" % self.rng.randint(1, 12)))
         if organisation is None:
@@ -361,12 +395,13 @@
         gateway = self.rng.choice(self.gateways)
         self.through[request_id] = gateway
         self.answers[request_id] = (kind, *await self._ask(gateway, out))
+        self.answered_at[request_id] = self.clock()
         return self.answers[request_id]
 
     async def _ask(self, gateway, out):
         conn = None
         try:
-            async with asyncio.timeout(4.0):
+            async with asyncio.timeout(self.deadline_ms / 1000 + 1.0):
                 conn = await self.pool.acquire(f"{GATEWAY_HOST}:{gateway.front}", 1.0)
                 conn.send(out)
                 head = await conn.head(lambda head: True)
@@ -389,17 +424,22 @@
         await asyncio.gather(*pending)
 
     async def _do_kill(self):
-        self.fault_rng.choice(self.gateways).signal(signal.SIGKILL)
+        gateway = self.fault_rng.choice(self.gateways)
+        gateway.note_trouble()
+        gateway.signal(signal.SIGKILL)
 
     async def _do_term(self):
         gateway = self.fault_rng.choice(self.gateways)
+        gateway.stops.append(self.clock())
         gateway.signal(signal.SIGTERM)
         await asyncio.sleep(4.5)
 
     async def _do_freeze(self):
         gateway = self.fault_rng.choice(self.gateways)
         gateway.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.fault_rng.uniform(0.3, 2.5))
+        lasts_s = self.fault_rng.uniform(0.3, 2.5)
+        gateway.note_trouble(lasts_s + SLACK_S)
+        await asyncio.sleep(lasts_s)
         self._slacken()
         gateway.woken.append(self.clock())
         gateway.signal(signal.SIGCONT)
@@ -467,6 +507,8 @@
 
     async def _heal(self):
         self.store.status = None
+        self.has_silences = False
+        self.silences.end()
         for proxy in [*self.proxies.values(), self.store_proxy]:
             proxy.silent, proxy.delay_s = False, 0.0
         for gateway in self.gateways:
@@ -521,6 +563,7 @@
             rests, troubles = self.rests[name]
             faults += rests.faults(name, takes.arrived, self.through, troubles)
         faults += [fault for stream in self.resumed for fault in stream.faults()]
+        faults += self.silences.faults(self)
         faults += self._keys_used_too_late()
         faults += self._beyond_the_quota()
         for gateway in self.gateways:
@@ -574,7 +617,9 @@
 class Outcome:
     """What one run found."""
 
-    def __init__(self, broken, asked, served, done, resumed=0, continued=0):
+    def __init__(self, broken, asked, served, done, resumed=0, continued=0, held=0):
+        self.held = held
+        """Whole answers that were held up by silences of their engines."""
         self.resumed = resumed
         self.continued = continued
         self.broken = broken
@@ -591,7 +636,10 @@
         faults = await run.run()
         served = sum(answer[1] == 200 for answer in run.answers.values())
         continued = sum(stream.continued for stream in run.resumed)
-        return Outcome(faults, len(run.answers), served, run.done, len(run.resumed), continued)
+        held = run.silences.count_held(run)
+        return Outcome(
+            faults, len(run.answers), served, run.done, len(run.resumed), continued, held
+        )
 
     return asyncio.run(main())
 
@@ -607,7 +655,7 @@
         print(
             f"seed {number}: {found.asked} asked, {found.served} served, "
             f"{len(found.broken)} broken, {found.continued} of {found.resumed} resumed streams "
-            f"went on; {' '.join(found.done)}",
+            f"went on, {found.held} held; {' '.join(found.done)}",
             flush=True,
         )
         for line in found.broken[:5]:
--- a/tests/soak_parts.py
+++ b/tests/soak_parts.py
@@ -13,12 +13,16 @@
 from fleet_stand_in import EVENTS, GATEWAY_HOST, HOST
 from gradelug_cli.failures import find_failures
 from gradelug_http import ConnectFailed, OutgoingRequest, ResponseBroken
-from soak_settings import CONFIG, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_SHARE, ROOT
+from soak_settings import CONFIG, GRACE_S, LIMITED, PLAIN_TOKENS, REVOKE_S, REVOKED_SHARE, ROOT
 
 MAX_PORT = 65_535
 BUDGET_EXTRA = 400
-REQUESTED_EXITS = frozenset({0, -signal.SIGKILL, -signal.SIGTERM})
-"""Statuses of processes that were killed or stopped."""
+EXITS = {
+    signal.SIGKILL: frozenset({-signal.SIGKILL}),
+    signal.SIGTERM: frozenset({0, -signal.SIGTERM}),
+}
+"""Statuses of processes that were killed or stopped, by the signal that they were sent."""
+REQUESTED_EXITS = frozenset().union(*EXITS.values())
 _event_re = re.compile(rb"id: (\d+)\ndata: (\S+)")
 
 
@@ -170,7 +174,7 @@
             f"PortRange = [{self.peer}, {self.peer + 1}]\n"
             f'[Listen]\nFront = "{GATEWAY_HOST}:{self.front}"\n'
             f'Ready = "{GATEWAY_HOST}:{self.ready}"\n'
-            f"[Bounds]\nGraceS = 4\nBudgetExtra = {budget_extra}\n"
+            f"[Bounds]\nGraceS = {GRACE_S}\nBudgetExtra = {budget_extra}\n"
             f"RequireFence = {str(checks_tokens).lower()}\n"
             f"StrictRevoke = true\nRevokeMs = {REVOKE_S * 1000:.0f}\n"
             f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
@@ -179,11 +183,20 @@
         self.process = None
         self.exits = []
         """Statuses of its processes that ended, without the kill at the end of the run."""
+        self.unrequested = []
+        """Those of them that look like a kill or a stop which nobody sent."""
+        self._expected = set()
+        """Statuses with which its process may end."""
+        self.troubles = []
+        """Its kills and freezes: from when, until when."""
+        self.stops = []
+        """When it was asked to stop."""
         self.woken = []
         """When it was started or woken, by the clock of the soak."""
 
     def start(self):
         self.woken.append(time.monotonic())
+        self._expected = set()
         env = {**os.environ, "GRADELUG_CONFIG": str(self.settings)}
         with self.log.open("ab") as out:
             self.process = subprocess.Popen(
@@ -195,6 +208,7 @@
 
     def signal(self, number):
         if self.process.poll() is None:
+            self._expected |= EXITS.get(number, frozenset())
             self.process.send_signal(number)
 
     @property
@@ -202,14 +216,21 @@
         return self.process.poll() is None
 
     def note_exit(self):
-        self.exits.append(self.process.returncode)
+        status = self.process.returncode
+        self.exits.append(status)
+        if status in REQUESTED_EXITS - self._expected:
+            self.unrequested.append(status)
+
+    def note_trouble(self, lasts_s=0.0):
+        now = time.monotonic()
+        self.troubles.append((now, now + lasts_s))
 
     def faults(self):
         """Return the exits that nobody asked for, and the errors in its log."""
+        others = [status for status in self.exits if status not in REQUESTED_EXITS]
         found = [
             f"{self.log.name}: ended by itself with status {status}"
-            for status in self.exits
-            if status not in REQUESTED_EXITS
+            for status in [*others, *self.unrequested]
         ]
         with self.log.open(errors="replace") as rows:
             found += [
