Keep attempts whose requests may not be sent again since their key was revoked

Cause: the key is checked again before each attempt, and was not among what a request must hold before it abandons one. No retry is reserved any more for a request whose key is not valid. A key that is revoked between the order to stop a run and its continuation still ends the stream (a quarter of a second at most).

--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -12,8 +12,9 @@
 
 import logbook
 
+from .authentication import reauthenticate
 from .budgets import RetryBudgets
-from .exceptions import Refused
+from .exceptions import Refused, Unauthenticated
 from .fleet import Fleet
 from .job import MAX_SENDS, Job
 from .liveness_check import LivenessCheck
@@ -65,14 +66,27 @@
 
     def reserve(self, job: Job) -> bool:
         """Reserve a retry for a request; return whether it may be sent once more."""
-        return job.sends < MAX_SENDS and job.reserve_retry(self._budgets)
+        return self._may_be_sent(job) and job.reserve_retry(self._budgets)
 
     def may_reserve(self, job: Job) -> bool:
         """Return whether a retry could be reserved now."""
-        if job.sends >= MAX_SENDS:
+        if not self._may_be_sent(job):
             return False
         return job.retry is not None or self._budgets.has_retry(job.service.name)
 
+    def _may_be_sent(self, job: Job) -> bool:
+        """Return whether a further attempt is allowed: its caller's key may have been revoked."""
+        if job.sends >= MAX_SENDS:
+            return False
+        snapshot = self._fleet.state.snapshot
+        if job.principal is None or snapshot is None:
+            return True
+        try:
+            reauthenticate(job.principal, snapshot.organisations)
+        except Unauthenticated:
+            return False
+        return True
+
     async def hold(self, job: Job, silent: Replica) -> bool:
         """Hold a retry and a replica for a request's next attempt.
 
--- a/tests/run_world.py
+++ b/tests/run_world.py
@@ -311,15 +311,15 @@
 
         asyncio.get_running_loop().call_later(MAX_OVERLAP_S, check)
 
-    def ask(self, ident, deadline_ms=15_000, most=100, model="m/a1"):
-        """Send a request and return its client."""
+    def ask(self, ident, deadline_ms=15_000, most=100, model="m/a1", headers=b""):
+        """Send a request, with further header lines if there are any, and return its client."""
         client = RawClient()
         join(client, self.net.own(self.server.new_connection()))
         client.transport.write(
             b"POST /p HTTP/1.1\r\nHost: h\r\nX-Gradelug-Request-Id: %b\r\n"
             b"X-Gradelug-Deadline-Ms: %d\r\nX-Gradelug-Model: %b\r\n"
-            b"X-Gradelug-Token-Usage: 100,%d\r\nContent-Length: 0\r\n\r\n"
-            % (ident.encode(), deadline_ms, model.encode(), most)
+            b"X-Gradelug-Token-Usage: 100,%d\r\n%bContent-Length: 0\r\n\r\n"
+            % (ident.encode(), deadline_ms, model.encode(), most, headers)
         )
         return client
 
--- a/tests/test_silent_searches.py
+++ b/tests/test_silent_searches.py
@@ -1,10 +1,12 @@
 """Searches for another replica while a stream waits for a silent one, and orders to stop runs."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from gradelug_gateway import health as health_module
 from gradelug_gateway.model import Repeat
+from gradelug_gateway.organisations import Organisation, Organisations
 from gradelug_gateway.request_placer import RequestPlacer
 from run_world import RunWorld, events, is_whole, run, runner
 
@@ -22,6 +24,16 @@
     engine._serve_move = lambda inc: asyncio.shield(engine.start(late(inc)))
 
 
+def set_keys(world, keys):
+    """Put a configuration in force in which one organisation has some keys."""
+    snapshot = world.state.snapshot
+    organisations = Organisations([(Organisation("acme"), keys)])
+    world.state.snapshot = replace(
+        snapshot, version=snapshot.version + 1, organisations=organisations
+    )
+    world.state.change += 1
+
+
 class TestStops:
     @pytest.mark.parametrize("delay_s", [0.2, 0.4, 0.7, 1.0])
     @pytest.mark.parametrize("repeat", REPEATS)
@@ -94,6 +106,29 @@
         run(scenario)
 
 
+class TestKeys:
+    @pytest.mark.parametrize("which", ["one", "all", "stalled"])
+    @pytest.mark.parametrize("repeat", REPEATS)
+    def test_stream_was_given_up_after_its_key_was_revoked(self, repeat, which):
+        async def scenario():
+            world = RunWorld(3, repeat=repeat)
+            set_keys(world, ["k1"])
+            client = world.ask("q0", headers=b"Authorization: Bearer k1\r\n")
+            await asyncio.sleep(0.6)
+            engine = runner(world, "q0")
+            if which == "stalled":
+                engine.stall(1.7)
+            else:
+                for one in world.engines.values() if which == "all" else [engine]:
+                    one.pause(1.7)
+            await asyncio.sleep(0.1)
+            set_keys(world, ["k2"])
+            await asyncio.sleep(8.0)
+            assert is_whole(client)
+
+        run(scenario)
+
+
 class TestSearches:
     @pytest.mark.parametrize("replicas", [2, 3, 4])
     def test_stream_resumed_from_memory_was_never_abandoned_again(self, replicas):
