Log which send an answer belongs to, and by what a request counts as not run

What logs and metrics could not tell apart in the incident of the false refusals: whether a refusal is the answer of the send before it or a copy of an earlier one, and whether it carried a proof or only its status.

Connections have a number; `placed`, `broken` and `replica did not answer the request` name it, the number of sends, the answers that were skipped before and the time since sending. The proof (header, status, none) is logged and counted by verdict, and so are skipped answers.

No decision changed. tests/test_serving.py passes with three new cases; the test of the log fails without the fields.

--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -37,6 +37,8 @@
     __slots__ = (
         "_abandoned_attempts",
         "_broken_responses",
+        "_rejections",
+        "_skipped_responses",
         "_engine_tokens",
         "_engine_waits",
         "_first_event_error",
@@ -95,6 +97,17 @@
             ["stage"],
             registry=self._registry,
         )
+        self._rejections = Counter(
+            "gradelug_replica_rejections",
+            "Responses other than success, by what they say about the request and by its proof",
+            ["verdict", "proof"],
+            registry=self._registry,
+        )
+        self._skipped_responses = Counter(
+            "gradelug_skipped_responses",
+            "Responses to other requests that were skipped on connections to replicas",
+            registry=self._registry,
+        )
         self._abandoned_attempts = Counter(
             "gradelug_abandoned_attempts",
             "Attempts that ended because their replica was silent, by how much of the service was",
@@ -205,6 +218,14 @@
         """Count an attempt whose response broke off."""
         self._broken_responses.labels(stage).inc()
 
+    def count_rejection(self, verdict: str, proof: str) -> None:
+        """Count a response other than success, by its verdict and the proof that it did not run."""
+        self._rejections.labels(verdict, proof).inc()
+
+    def count_skipped_responses(self, count: int) -> None:
+        """Count responses to other requests that were skipped on a connection to a replica."""
+        self._skipped_responses.inc(count)
+
     def count_abandoned_attempt(self, scope: str) -> None:
         """Count an attempt that ends because its replica is silent."""
         self._abandoned_attempts.labels(scope).inc()
--- a/packages/gateway/src/gradelug_gateway/model.py
+++ b/packages/gateway/src/gradelug_gateway/model.py
@@ -12,6 +12,7 @@
 from .requests import Attempt as Attempt
 from .requests import KvCopy as KvCopy
 from .requests import KvCopyKind as KvCopyKind
+from .requests import NotRunProof as NotRunProof
 from .requests import Request as Request
 from .requests import Verdict as Verdict
 from .services import BaseModel as BaseModel
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -15,6 +15,7 @@
     Attempt,
     EngineReport,
     Holding,
+    NotRunProof,
     Order,
     OrderOutcome,
     Replica,
@@ -117,6 +118,10 @@
         """Classify a response by its head."""
         ...
 
+    def read_not_run_proof(self, head: ResponseHead) -> NotRunProof:
+        """Return what in the head of a response says that the request was not run."""
+        ...
+
     def read_limit(self, head: ResponseHead) -> ReportedLimit:
         """Return the request rate limit in the head of a response, in requests per second."""
         ...
--- a/packages/gateway/src/gradelug_gateway/requests.py
+++ b/packages/gateway/src/gradelug_gateway/requests.py
@@ -151,6 +151,15 @@
     were_weights_loaded: bool = False
 
 
+class NotRunProof(Enum):
+    """What in a response says that its replica did not run the request."""
+
+    NONE = "none"
+    HEADER = "header"
+    STATUS = "status"
+    """421 without the header: another replica, or one without the weights."""
+
+
 class Verdict(Enum):
     """What the status and headers of a response indicate about a request."""
 
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -263,6 +263,9 @@
             kept=work.kept_tokens,
             store_age_s=round(now - self._fleet.state.store_read_at, 3),
             missing=replica.name in self._fleet.state.missing,
+            conn=conn.number,
+            conn_uses=conn.uses,
+            sends=job.sends,
         )
         expected_s = self._fleet.expected_s(replica, load.busyness(), work)
         exchange = Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
@@ -299,6 +302,8 @@
                 software=replica.software,
                 why=str(exc),
                 stage=exchange.stage.value,
+                conn=conn.number,
+                skipped=conn.skipped,
                 sent_s=round(self._clock() - exchange.sent_at, 3),
                 quiet_s=round(self._clock() - exchange.last_event_at, 3),
                 held_up_s=round(job.inc.held_up_s, 3),
@@ -314,6 +319,7 @@
                 await self._lasting.recover(exchange.run)
             return Outcome.UNKNOWN
         finally:
+            self._meters.count_skipped_responses(conn.skipped)
             # Also on cancellation: the replica stops the request when its connection closes.
             if not exchange.is_released:
                 conn.abort()
@@ -475,7 +481,7 @@
         exchange.release(self._pool, head)
         if verdict not in (Verdict.ANSWERED, Verdict.FAILED):
             job.may_have_run = may_have_run_before
-        return self._conclude(job, replica, verdict, head, body, attempt.version)
+        return self._conclude(exchange, verdict, head, body, attempt.version)
 
     def _apply_response_signals(
         self, replica: Replica, head: ResponseHead, sent_at: float, verdict: Verdict
@@ -518,25 +524,32 @@
 
     def _conclude(
         self,
-        job: Job,
-        replica: Replica,
+        exchange: Exchange,
         verdict: Verdict,
         head: ResponseHead,
         body: bytes,
         requested_version: int,
     ) -> Outcome:
+        job, replica = exchange.job, exchange.replica
         if verdict is Verdict.ANSWERED:
             if head.get(b"content-encoding") is not None:
                 raise ResponseBroken("the response has a content encoding that was not requested")
             self.forward_response(job, head, body)
             return Outcome.DONE
+        proof = self._dialect.read_not_run_proof(head)
+        self._meters.count_rejection(verdict.value, proof.value)
         log.info(
             "replica did not answer the request",
             id=job.req.id,
             replica=replica.name,
             why=verdict.value,
+            proof=proof.value,
             status=head.status,
             asked=requested_version,
+            conn=exchange.conn.number,
+            skipped=exchange.conn.skipped,
+            sends=job.sends,
+            took_s=round(self._clock() - exchange.sent_at, 4),
         )
         if verdict is Verdict.FAILED:
             job.failure = (head, body)
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -118,11 +118,29 @@
         ``IP:port`` of the upstream.
     clock : callable
         The runtime's clock.
+    number : int
+        Identifies the connection among those of its pool.
     """
 
-    __slots__ = ("_clock", "_h11", "_method", "_wire", "address", "idle_until", "used_at", "uses")
-
-    def __init__(self, wire: Wire, address: str, clock: t.Callable[[], float]) -> None:
+    __slots__ = (
+        "_clock",
+        "_h11",
+        "_method",
+        "_wire",
+        "address",
+        "idle_until",
+        "number",
+        "skipped",
+        "used_at",
+        "uses",
+    )
+
+    def __init__(
+        self, wire: Wire, address: str, clock: t.Callable[[], float], number: int = 0
+    ) -> None:
+        self.number = number
+        self.skipped = 0
+        """Answers to other requests that were skipped since the current request was sent."""
         self._wire = wire
         self._clock = clock
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -154,6 +172,7 @@
             headers.append((b"Content-Length", b"%d" % len(req.body)))
         self._method = req.method
         self.uses += 1
+        self.skipped = 0
         data = self._h11.send(
             h11.Request(method=req.method, target=req.target, headers=headers)  # type: ignore
         )
@@ -183,6 +202,7 @@
             head = ResponseHead(event.status_code, tuple(event.headers.raw_items()))
             if is_own(head):
                 return head
+            self.skipped += 1
             await self._skip_answer()
         raise ResponseBroken("the connection carries answers to other requests")
 
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -260,6 +260,7 @@
 
     async def _open(self, address: str, limit_s: float) -> Connection:
         self.opened += 1
+        number = self.opened
         try:
             async with asyncio.timeout(limit_s):
                 wire = await self.dial(address)
@@ -269,4 +270,4 @@
             raise ConnectRefused(f"{address} cannot be reached: {exc!r}") from exc
         except (OSError, TimeoutError, ValueError) as exc:
             raise ConnectFailed(f"{address} cannot be reached: {exc!r}") from exc
-        return Connection(wire, address, self._clock)
+        return Connection(wire, address, self._clock, number)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -4,6 +4,7 @@
 import random
 from pipes import Network, RawClient, RawServer, join
 
+import logbook
 import pytest
 from gradelug_gateway.admission import AdmissionControl
 from gradelug_gateway.budgets import BUDGET_FRACTION, RetryBudgets
@@ -119,12 +120,19 @@
 
 class Bench:
     def __init__(
-        self, the_route, scripts, holdings=(), engine=False, budget=10.0, uses_shared_health=True
+        self,
+        the_route,
+        scripts,
+        holdings=(),
+        engine=False,
+        budget=10.0,
+        uses_shared_health=True,
+        net=None,
     ):
         clock = asyncio.get_running_loop().time
         self.clock = clock
         self.expects_config = False
-        self.net = Network()
+        self.net = net or Network()
         self.servers = {}
         state = FleetState()
         name = the_route.shares[0].service
@@ -231,6 +239,27 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(
+        ("first", "verdict", "proof"),
+        [(FULL, "full", "header"), (ABSENT, "absent", "status"), (FAILED, "failed", "none")],
+    )
+    def test_log_names_the_connection_and_the_proof_of_a_refusal(self, first, verdict, proof):
+        async def scenario():
+            other = reply(b"not yours", ident=b"q0", extra=SIGNED)
+            with logbook.TestHandler() as logged:
+                bench = Bench(route(Repeat.NEVER, replicas=2), [[[other + first]], [[OK]]])
+                bench.client()
+                await asyncio.sleep(0.2)
+            rows = [row for row in logged.records if row.message.startswith("replica did not")]
+            assert rows[0].kwargs["proof"] == proof
+            assert rows[0].kwargs["conn"] == 1
+            assert rows[0].kwargs["skipped"] == 1
+            metrics = bench.serving._meters.render().decode()
+            assert f'proof="{proof}",verdict="{verdict}"}} 1.0' in metrics
+            assert "gradelug_skipped_responses_total 1.0" in metrics
+
+        run(scenario)
+
     def test_attempts_are_limited_to_the_replicas_that_the_route_allows(self):
         async def scenario():
             # The replica stays full for the retries that it receives until the target time.
