--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -35,6 +35,9 @@
 )
 from platform_stand_in import FakeStore
 from soak_parts import BUDGET_EXTRA, Gateway, Keys, ResumedStream, free_ports
+from soak_refusals import KINDS as REFUSED_KINDS
+from soak_refusals import ROUTES as REFUSED_ROUTES
+from soak_refusals import FalseAnswers
 from soak_settings import DEADLINE_MS, LIMITED, MOVING_SERVICES, PLAIN_TOKENS, REVOKE_S, ROOT
 from soak_silences import BUDGET_EXTRA as SILENT_BUDGET_EXTRA
 from soak_silences import DEADLINE_MS as SILENT_DEADLINE_MS
@@ -58,6 +61,10 @@
     "replace",
     "version",
 )
+KINDS = "ssui"
+STREAMS = "sn"
+RUN_ONCE = "un"
+"""Kinds of requests, by the first part of their paths: streams, and what may run once."""
 MODEL_PART = 0.3
 """Part of the new versions that are of the base model."""
 NOT_RUN = frozenset({401, 408, 421, 429, 503})
@@ -101,6 +108,8 @@
         Whether engines of two software versions serve, and callers resume streams elsewhere.
     has_silences : bool
         Whether engines fall silent for a time, several at once, and all that went on is whole.
+    has_refusals : bool
+        Whether replicas refuse requests, send refusals again, and answer runs as if refused.
     """
 
     def __init__(
@@ -114,7 +123,10 @@
         has_rests=False,
         has_versions=False,
         has_silences=False,
+        has_refusals=False,
     ):
+        self.has_refusals = has_refusals
+        self.kinds = REFUSED_KINDS if has_refusals else KINDS
         self.has_silences = has_silences
         self.has_versions = has_versions
         self.resumed = []
@@ -150,6 +162,8 @@
         self.budget_extra = SILENT_BUDGET_EXTRA if has_silences else BUDGET_EXTRA
         if has_silences:
             self.keys.settings = {**self.keys.settings, "Services": MOVING_SERVICES}
+        if has_refusals:
+            self.keys.settings = {**self.keys.settings, "Routes": REFUSED_ROUTES}
         self.sent = {}
         """When each request was sent, and its key."""
         self.replicas = {}
@@ -189,7 +203,9 @@
                 await self._heal()
                 for takes in self.takes.values():
                     takes.end()
-                self.has_limits = self.has_drills = self.has_rests = False
+                self.has_limits = self.has_drills = self.has_rests = self.has_refusals = False
+                for replica in self.replicas.values():
+                    replica.false_answers = None
                 for rests, _ in self.rests.values():
                     rests.rest_s = 0.0
                 await asyncio.sleep(SETTLE_S)
@@ -245,6 +261,8 @@
         replica = ReplicaStandIn(
             name, service, self.store.kv, self.ledger, self.versions, self.checks_tokens, software
         )
+        if self.has_refusals:
+            replica.false_answers = FalseAnswers(f"{self.seed} {name}")
         await replica.start()
         proxy = Proxy(replica.port)
         if self.has_silences:
@@ -377,12 +395,12 @@
 
     async def _request(self, organisation=None):
         request_id = f"q{next(self.numbers)}"
-        kind = self.rng.choice("ssui")
+        kind = self.rng.choice(self.kinds)
         body = f"body of {request_id}".encode()
         self.ledger.bodies[request_id] = body
         headers = [(b"Host", b"h"), (b"X-Gradelug-Request-Id", request_id.encode())]
         headers.append((b"X-Gradelug-Deadline-Ms", b"%d" % self.deadline_ms))
-        if kind == "s":
+        if kind in STREAMS:
             headers.append((b"X-Gradelug-Model", b"m/a%d" % self.rng.randint(1, 12)))
         if organisation is None:
             key = self.keys.choose(self.keys.rng.choice(("free", "limited")))
@@ -554,7 +572,7 @@
             runs = self.ledger.runs.get(request_id, [])
             if status in NOT_RUN and runs:
                 faults.append(f"{request_id}: answered {status} although it ran at {runs}")
-            if kind == "u" and len(runs) > 1:
+            if kind in RUN_ONCE and len(runs) > 1:
                 faults.append(f"{request_id}: ran {len(runs)} times: {runs}")
             if status == 200:
                 faults += self._wrong_answer(request_id, kind, head, body, runs)
@@ -605,7 +623,7 @@
         if signature not in [f"{name}.{request_id}" for name, _ in runs]:
             return [f"{request_id}: signed {signature!r}, ran at {runs}"]
         whole = b"whole " + self.ledger.bodies[request_id]
-        if kind == "s":
+        if kind in STREAMS:
             streams = [
                 b"".join(event(number, software) for number in range(1, EVENTS + 1))
                 for software in ("", *SOFTWARE)
--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -237,6 +237,8 @@
         self.engine = None
         if service == "llm":
             self.engine = ModelEngine(self.clock, versions, checks_tokens)
+        self.false_answers = None
+        """Makes it refuse, send refusals again and fail after runs; None for never."""
         self.last_order = None
         self.takes = Takes(self.clock)
         self.rests = Rests(self.clock)
@@ -289,6 +291,8 @@
     async def serve(self, inc):
         arrived_at = self.clock()
         await self.silence.wait(is_control=inc.target.startswith(CALLS))
+        if self.false_answers is not None:
+            self.false_answers.send_due(inc._conn)
         expected = inc.header(b"x-gradelug-expect-instance")
         if expected != self.name.encode():
             self._refuse(inc, 421)
@@ -313,6 +317,8 @@
             *more,
         ]
         inc.respond(status, headers, b"")
+        if self.false_answers is not None:
+            self.false_answers.note_refused(inc._conn, status, headers)
 
     def _words(self):
         """Return the headers by which it says something of itself."""
@@ -373,6 +379,10 @@
             self.rests.ask(request_id)
             self._refuse(inc, 503, [(b"Retry-After", b"%.1f" % self.rests.rest_s)])
             return
+        refusal = self.false_answers.refusal() if self.false_answers is not None else None
+        if refusal is not None:
+            self._refuse(inc, refusal)
+            return
         model = inc.header(b"x-gradelug-model")
         key = AdapterKey(*model.decode().split("/")) if model else None
         versions = []
@@ -400,6 +410,10 @@
             *self._words(),
             *versions,
         ]
+        failure = self.false_answers.failure() if self.false_answers is not None else None
+        if failure is not None:
+            inc.respond(failure, headers, b"")
+            return
         work = Work(self.name, self.clock())
         self.ledger.works[request_id].append(work)
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -46,6 +46,12 @@
     assert found.continued >= 0.5 * found.resumed > 0
 
 
+def test_no_refused_request_ran_while_replicas_repeat_refusals_and_answer_runs_as_refused():
+    found = soak(SEED, SECONDS, has_refusals=True)
+    assert found.broken == []
+    assert found.served > 20
+
+
 def test_answers_are_whole_while_engines_fall_silent_and_go_on():
     found = soak(SEED, SECONDS, has_silences=True)
     assert found.broken == []
