Send a request over each connection once, whatever it was answered there

Callers saw: 503 for streams that ran (REFUSED), and requests that must run once ran twice (TWICE). A replica that refuses a request and sends the refusal twice sends the copy where the next answer of that connection is due. The request went out again over the connection released last, the one that brought the refusal, with the same identifier, which is the caller's; so the copy passed for the answer of the second send, which ran.

Connections have numbers; the request's ExecutionRecord keeps those that have carried it, and the pool passes over them and leaves them to other requests. A copy can then only meet another identifier, and is skipped. The record counts the sends that no response proves not run, in place of a flag that was restored.

--- a/packages/gateway/src/gradelug_gateway/error_responses.py
+++ b/packages/gateway/src/gradelug_gateway/error_responses.py
@@ -59,7 +59,7 @@
 
     def expire(self, job: Job) -> None:
         """Answer a request whose deadline has passed."""
-        if job.may_have_run or job.inc.started:
+        if not job.is_unrun:
             self.fail(job, Failed("out of time", GATEWAY_TIMEOUT))
         else:
             self.refuse(job, Refused("out of time before it was sent", DEFAULT_RETRY_AFTER_S))
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -9,6 +9,7 @@
 from gradelug_policy.prefill import RequestWork
 
 from .budgets import RetryBudgets, RetryReservation
+from .execution import ExecutionRecord
 from .fingerprints import fingerprint, part_fingerprints
 from .model import KvCopy, Repeat, Replica, Request, Route, Service
 from .organisations import Principal
@@ -101,10 +102,10 @@
         "last_event_at",
         "events",
         "excluded",
+        "execution",
         "failure",
         "fingerprint",
         "inc",
-        "may_have_run",
         "part_fingerprints",
         "weights_in_use_at",
         "retry",
@@ -174,8 +175,8 @@
         """Software version of the replica that began its stream; None before the first event.
         Events of two versions do not fit together, so the stream may only go on at this one."""
         self.sends = 0
-        self.may_have_run = False
-        """Whether a replica may have run it although no response arrived."""
+        self.execution = ExecutionRecord()
+        """Whether a replica may have run it."""
         self.failure: tuple[ResponseHead, bytes] | None = None
         """A replica's error response, forwarded to the caller unless another attempt succeeds."""
         self.placed_s = 0.0
@@ -199,7 +200,7 @@
     @property
     def is_unrun(self) -> bool:
         """Whether it has certainly not run and no attempt is in progress that may run it."""
-        return not (self.may_have_run or self.failure is not None or self.inc.started)
+        return not (self.execution.may_have_run or self.inc.started)
 
     @property
     def owner(self) -> str:
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -222,7 +222,9 @@
         health.circuit.note_start(now)
         try:
             max_idle_s = math.inf if job.may_repeat() else self._max_idle_s
-            conn = await self._pool.acquire(replica.address, CONNECT_TIMEOUT_S, max_idle_s)
+            conn = await self._pool.acquire(
+                replica.address, CONNECT_TIMEOUT_S, max_idle_s, job.execution.may_use
+            )
         except ConnectFailed as exc:
             if isinstance(exc, ConnectRefused) and self._ends is not None:
                 self._ends.note_refused(replica)
@@ -461,7 +463,7 @@
         job.tried.add(replica.name)
         self._fleet.limits.count_send(replica.name)
         sent_at = self._clock()
-        may_have_run_before, job.may_have_run = job.may_have_run, True
+        job.execution.note_sent(exchange.conn)
         log.debug("sent", id=job.req.id, replica=replica.name, left_s=round(attempt.left_s, 3))
         head = await self._waiter.receive(
             exchange, exchange.conn.head(lambda head: self._dialect.is_response_to(head, job.req))
@@ -479,8 +481,7 @@
             return await self._stream(exchange, head)
         body = await exchange.conn.body(MAX_RESPONSE_BYTES)
         exchange.release(self._pool, head)
-        if verdict not in (Verdict.ANSWERED, Verdict.FAILED):
-            job.may_have_run = may_have_run_before
+        job.execution.note_response(self._dialect.read_not_run_proof(head))
         return self._conclude(exchange, verdict, head, body, attempt.version)
 
     def _apply_response_signals(
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -70,7 +70,11 @@
         """Idle connections closed since the start because another one had fallen silent."""
 
     async def acquire(
-        self, address: str, limit_s: float, rested_s: float = float("inf")
+        self,
+        address: str,
+        limit_s: float,
+        rested_s: float = float("inf"),
+        may_use: t.Callable[[Connection], bool] = lambda conn: True,
     ) -> Connection:
         """Return a connection that is free, opening one if there is none.
 
@@ -82,21 +86,37 @@
             How long opening may take, in seconds.
         rested_s : float
             Longest time that a connection used again may have been idle, in seconds.
+        may_use : callable
+            Whether an idle connection may be used; those that may not are left idle.
 
         Raises
         ------
         ConnectFailed
             If none comes up in time.
         """
+        conn = self._take_idle(address, rested_s, may_use)
+        return conn if conn is not None else await self._open(address, limit_s)
+
+    def _take_idle(
+        self, address: str, rested_s: float, may_use: t.Callable[[Connection], bool]
+    ) -> Connection | None:
+        """Return the idle connection that was used last, closing those that are unfit."""
         now = self._clock()
         idle = self._idle[address]
-        while idle:
+        skipped: list[Connection] = []
+        found = None
+        while idle and found is None:
             conn = idle.pop()
-            self._resting.pop(conn, None)
-            if conn.is_fit(now) and now - conn.used_at <= rested_s:
-                return conn
-            conn.close()
-        return await self._open(address, limit_s)
+            if not (conn.is_fit(now) and now - conn.used_at <= rested_s):
+                self._resting.pop(conn, None)
+                conn.close()
+            elif may_use(conn):
+                self._resting.pop(conn, None)
+                found = conn
+            else:
+                skipped.append(conn)
+        idle.extend(reversed(skipped))
+        return found
 
     @property
     def connections(self) -> int:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -636,7 +636,10 @@
 
     def test_absent_weights_are_reported_to_the_planner(self):
         async def scenario():
-            bench = self.bench([[[ABSENT], [STREAM + event(1) + END]]], Repeat.NEVER, 1)
+            bench = self.bench([[]], Repeat.NEVER, 1)
+            # The second send takes a connection of its own.
+            scripts = iter([[[ABSENT]], [[STREAM + event(1) + END]]])
+            bench.net.servers["10.0.1.0:80"] = lambda: RawServer(next(scripts))
             bench.directory.answers = [bench.state.replicas["s0"]]
             client = bench.client(8000, ADAPTER)
             await asyncio.sleep(0.3)
