Pass on no status that promises not run without a proof

Callers saw: 408, 429 and 503 for requests that had run (REFUSED), which they may then repeat. A replica that runs a request and answers so, without the header that says that it did not run, was counted as run and not sent again, but its status was passed on; to a caller it is a promise.

Statuses that promise are now sent only with a proof (execution.py, NOT_RUN_STATUSES). Without one the caller gets an answer of this gateway, 502, or 504 at its deadline, without the replica's signature, since that says that the status is the replica's. An earlier error of a replica that promises nothing is kept and passed on as before.

--- a/packages/gateway/src/gradelug_gateway/execution.py
+++ b/packages/gateway/src/gradelug_gateway/execution.py
@@ -4,6 +4,9 @@
 did not. A reset, a timeout or a response of another send proves nothing. All attempts of a request
 carry the caller's identifier, so a response is told from those of earlier attempts only by its
 connection: no connection carries the same request twice.
+
+A caller takes some statuses for a promise that the request was not run. They are sent only with
+such a proof; a replica's own status without one is not passed on.
 """
 
 from __future__ import annotations
@@ -12,6 +15,9 @@
 
 from .requests import NotRunProof
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will."""
+
 
 class ExecutionRecord:
     """The sends of one request that may have run it."""
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -178,7 +178,8 @@
         self.execution = ExecutionRecord()
         """Whether a replica may have run it."""
         self.failure: tuple[ResponseHead, bytes] | None = None
-        """A replica's error response, forwarded to the caller unless another attempt succeeds."""
+        """A replica's error response, forwarded to the caller unless another attempt succeeds. Its
+        status does not promise that the request was not run."""
         self.placed_s = 0.0
         self.work = work
         """Prompt size, urgency and memory that it takes at an engine."""
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -29,6 +29,7 @@
 from .end_detection import EndDetector
 from .exceptions import GATEWAY_TIMEOUT, Refused
 from .exchange import Exchange
+from .execution import NOT_RUN_STATUSES
 from .fingerprints import format_fingerprint
 from .fleet import Fleet
 from .job import Job, Outcome
@@ -553,7 +554,8 @@
             took_s=round(self._clock() - exchange.sent_at, 4),
         )
         if verdict is Verdict.FAILED:
-            job.failure = (head, body)
+            if head.status not in NOT_RUN_STATUSES:
+                job.failure = (head, body)
             return Outcome.RAN
         if verdict is Verdict.REJECTED:
             self.forward_response(job, head, body)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -251,6 +251,11 @@
         [
             (200, [(b"X-Gradelug-Server-Signature", b"s")], Verdict.ANSWERED),
             (200, [], Verdict.SPOILED),
+            (
+                200,
+                [(b"X-Gradelug-Server-Signature", b"s"), (b"X-Gradelug-Not-Executed", b"1")],
+                Verdict.SPOILED,
+            ),
             (503, [(b"X-Gradelug-Not-Executed", b"1")], Verdict.FULL),
             (503, [], Verdict.FAILED),
             (400, [(b"X-Gradelug-Not-Executed", b"1")], Verdict.REJECTED),
