Bound the answers that are skipped and those before the final one

What callers saw: nothing found over processes; in memory a replica that sends a surplus answer without end, or informational answers one after the other, is read until the deadline of the request: 24 MB in 1.5 s at 16 MB/s, 37,200 answers of status 103.

Cause: heads, events and collected bodies have a bound, the body of a skipped answer and the number of informational ones had none but time. Now 1 MB and 16; beyond that the connection is closed, and the line `broken` tells why.

Evidence: test_connection_was_read_without_end failed for both kinds of skipped bodies and for informational answers, of 14 places for bytes without end.

--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -22,6 +22,10 @@
 """How long a connection is kept where the upstream states no time."""
 MAX_STRAY_ANSWERS = 3
 """Answers to earlier requests that are skipped before a connection is given up."""
+MAX_SKIPPED_BYTES = 1_048_576
+"""Largest body of an answer that is skipped."""
+MAX_INTERIM_ANSWERS = 16
+"""Informational answers that may precede one answer."""
 _timeout_re = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -194,9 +198,7 @@
             If no answer of its own comes.
         """
         for _ in range(MAX_STRAY_ANSWERS):
-            event = await self._next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event()
+            event = await self._next_final_event()
             if not isinstance(event, h11.Response):
                 raise ResponseBroken("the upstream closed the connection without an answer")
             head = ResponseHead(event.status_code, tuple(event.headers.raw_items()))
@@ -269,9 +271,22 @@
                 return event
             self._h11.receive_data(await self._wire.read())
 
+    async def _next_final_event(self) -> t.Any:
+        """Return the next event that is no informational answer."""
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise ResponseBroken(f"more than {MAX_INTERIM_ANSWERS} informational answers")
+
     async def _skip_answer(self) -> None:
-        while await self.chunk() is not None:
-            continue
+        size = 0
+        while (data := await self.chunk()) is not None:
+            size += len(data)
+            if size > MAX_SKIPPED_BYTES:
+                raise ResponseBroken(
+                    f"an answer to another request exceeds {MAX_SKIPPED_BYTES} bytes"
+                )
         rest, closed = self._h11.trailing_data
         # The parser pairs requests with answers; give it the request once more, unsent.
         again = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
