Bound the bodies that are collected at the same time

In memory, fifty bodies without end at a time take 424 MB before each exceeds its own bound of 8 MB; an instance that goes over its memory (300 MB) ends with all that it serves.

The bodies that are being collected have a common bound, 32 MB or the room of the instance for unread answers if that is less. Beyond it a body ends its connection once it exceeds 256 KB; smaller ones are never affected by the others.

Evidence: test_memory_grew_with_each_response_without_end failed (424 MB) and passes (at most 100 MB); requests beside endless answers are served.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -264,6 +264,7 @@
             errors,
         )
         # A replica limits the connections of all instances together and resets any beyond that.
+        pool.bound_bodies(settings.unread_bytes)
         pool.keeps = IdleConnections(settings.name, self._state, lambda: self._directory.gateways)
         bounds = settings.bounds
         self._budgets = RetryBudgets(
--- a/packages/http/src/gradelug_http/budget.py
+++ b/packages/http/src/gradelug_http/budget.py
@@ -15,6 +15,11 @@
 so that a caller that reads is never held up by the others."""
 MOST_READ_AHEAD = 262_144
 """Bytes that an answer may be ahead of its reader while there is room for all."""
+MAX_BODY_BYTES = 33_554_432
+"""Bytes of all bodies that are being collected, where the instance has room for them."""
+LEAST_BODY_BYTES = 262_144
+"""Bytes that each body may have whatever the others hold: upstreams that send without end do not
+stop those that send a usual answer."""
 ANSWERS_PART = 0.5
 """Part of the bound for answers that are ahead; the rest is for bodies and what is being sent."""
 
@@ -38,6 +43,40 @@
     size: int
 
 
+class BodyBudget:
+    """Bytes of answers' bodies that are collected whole before they are passed on.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes that all bodies together may have.
+    """
+
+    __slots__ = ("held", "limit")
+
+    def __init__(self, limit: int = MAX_BODY_BYTES) -> None:
+        self.limit = limit
+        self.held = 0
+        """Bytes that are held now."""
+
+    def add(self, size: int, body_bytes: int) -> bool:
+        """Count a further part of a body; return whether it fits.
+
+        Parameters
+        ----------
+        size : int
+            Bytes of the part.
+        body_bytes : int
+            Bytes of the body including the part.
+        """
+        self.held += size
+        return self.held <= self.limit or body_bytes <= LEAST_BODY_BYTES
+
+    def release(self, body_bytes: int) -> None:
+        """Stop counting a body that was passed on or given up."""
+        self.held -= body_bytes
+
+
 def read_ahead(limit: int, answers: int) -> int:
     """Return how many bytes each of some answers may be ahead of its reader."""
     share = ANSWERS_PART * limit / max(1, answers)
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from .budget import MOST_READ_AHEAD
+from .budget import MOST_READ_AHEAD, BodyBudget
 from .exceptions import ConnectFailed, ResponseBroken
 from .headers import Header, Headers, find
 from .liveness import is_silenced, keep_alive
@@ -124,9 +124,12 @@
         The runtime's clock.
     number : int
         Identifies the connection among those of its pool.
+    bodies : BodyBudget or None
+        Bounds the bodies that are collected over all connections; None for a budget of its own.
     """
 
     __slots__ = (
+        "_bodies",
         "_clock",
         "_h11",
         "_method",
@@ -140,8 +143,14 @@
     )
 
     def __init__(
-        self, wire: Wire, address: str, clock: t.Callable[[], float], number: int = 0
+        self,
+        wire: Wire,
+        address: str,
+        clock: t.Callable[[], float],
+        number: int = 0,
+        bodies: BodyBudget | None = None,
     ) -> None:
+        self._bodies = bodies or BodyBudget()
         self.number = number
         self.skipped = 0
         """Answers to other requests that were skipped since the current request was sent."""
@@ -229,13 +238,21 @@
         `on_part` is called whenever a part of it has come.
         """
         parts, size = [], 0
-        while (data := await self.chunk()) is not None:
-            parts.append(data)
-            size += len(data)
-            on_part()
-            if size > limit:
-                raise ResponseBroken(f"the answer exceeds {limit} bytes")
-        return b"".join(parts)
+        try:
+            while (data := await self.chunk()) is not None:
+                parts.append(data)
+                size += len(data)
+                fits = self._bodies.add(len(data), size)
+                on_part()
+                if size > limit:
+                    raise ResponseBroken(f"the answer exceeds {limit} bytes")
+                if not fits:
+                    raise ResponseBroken(
+                        f"the answer exceeds {size - len(data)} bytes while others hold the rest"
+                    )
+            return b"".join(parts)
+        finally:
+            self._bodies.release(size)
 
     def settle(self, head: ResponseHead) -> bool:
         """Make ready for the next request after a whole answer; False if it must be closed."""
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -7,7 +7,7 @@
 import weakref
 from collections import defaultdict
 
-from .budget import MOST_READ_AHEAD
+from .budget import MAX_BODY_BYTES, MOST_READ_AHEAD, BodyBudget
 from .client import Connection, OutgoingRequest, ResponseHead, Wire
 from .exceptions import ConnectFailed, ConnectRefused
 
@@ -42,6 +42,7 @@
     """
 
     __slots__ = (
+        "_bodies",
         "_clock",
         "_idle",
         "_read_ahead",
@@ -54,6 +55,7 @@
     )
 
     def __init__(self, clock: t.Callable[[], float], dial: Dial | None = None) -> None:
+        self._bodies = BodyBudget()
         self._clock = clock
         self.dial = dial or dial_tcp
         """Coroutine function that connects to an address."""
@@ -133,6 +135,10 @@
         for wire in self._wires:
             wire.read_ahead = size
 
+    def bound_bodies(self, size: int) -> None:
+        """Let the bodies that are being collected have so many bytes together, if that is less."""
+        self._bodies.limit = min(size, MAX_BODY_BYTES)
+
     def release(self, conn: Connection, head: ResponseHead) -> None:
         """Take a connection back after a whole answer."""
         if conn.settle(head) and len(self._idle[conn.address]) < self.keeps(conn.address):
@@ -290,4 +296,4 @@
             raise ConnectRefused(f"{address} cannot be reached: {exc!r}") from exc
         except (OSError, TimeoutError, ValueError) as exc:
             raise ConnectFailed(f"{address} cannot be reached: {exc!r}") from exc
-        return Connection(wire, address, self._clock, number)
+        return Connection(wire, address, self._clock, number, self._bodies)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Replicas that send bytes without end where a response is due."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 from refusal_world import DEADLINE_S, KINDS, RefusalWorld
@@ -12,6 +13,8 @@
 """Bytes that a gateway may read of one response before it closes the connection."""
 MAX_INTERIM_BYTES = 131_072
 """The same of responses before the final one, which carry nothing."""
+MAX_HELD_BYTES = 100_000_000
+"""A third of the memory of an instance."""
 HEAD = b"HTTP/1.1 200 OK\r\nX-Gradelug-Request-Id: %b\r\nX-Gradelug-Server-Signature: s\r\n"
 STRAY = b"HTTP/1.1 200 OK\r\nX-Gradelug-Request-Id: other\r\n"
 REFUSED = b"HTTP/1.1 503 Full\r\nX-Gradelug-Request-Id: %b\r\nX-Gradelug-Not-Executed: 1\r\n"
@@ -59,6 +62,8 @@
         if not self._transport.is_closing():
             self.sent += len(self._piece)
             self._transport.write(self._piece)
+            # The transport in memory keeps what was written, which is not the gateway's memory.
+            self._transport.written.clear()
             asyncio.get_running_loop().call_later(PIECE_S, self._send)
 
     def eof_received(self):
@@ -111,3 +116,21 @@
             assert [caller.statuses for caller in callers] == [[200]] * 4
 
         run(scenario)
+
+
+class TestManyResponses:
+    def test_memory_grew_with_each_response_without_end(self):
+        async def scenario():
+            world, _ = endless_world("body")
+            tracemalloc.start()
+            try:
+                for _ in range(50):
+                    world.ask("unsafe")
+                await asyncio.sleep(DEADLINE_S + 0.3)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert peak <= MAX_HELD_BYTES
+            assert all(caller.is_answered for caller in world.callers)
+
+        run(scenario)
