Move and stop runs, and take them for ended, over connections of their own

What callers could see: a stream that goes on from the memory of another one, or runs at two engines: found in a test of the adapter, not over processes. A copy of an earlier answer that comes where the next one is due is taken for it: a move gets the handle of another run, a report shows runs that ended or lacks one that began since.

Stops already took new connections, since links drop idle ones. Moves do now too, and the reports by which an engine counts as responsive, a run as ended and weights as held. The time that a leaving engine has left, handles that are released, orders and the planner's reports keep kept connections: orders state the number of orders that they expect, and the next report corrects them.

Evidence: test_copy_of_an_earlier_answer_was_taken_for_that_of_the_next_call failed (h1 in place of h2). test_repeated_answers plays whole gateways before engines that repeat every answer to a call; it passed before too, since a run's two moves happen to take the same connection.

--- a/packages/gateway/src/gradelug_gateway/end_detection.py
+++ b/packages/gateway/src/gradelug_gateway/end_detection.py
@@ -9,7 +9,7 @@
 import typing as t
 
 import logbook
-from gradelug_http import ConnectFailed, ConnectRefused, HttpPool
+from gradelug_http import NEW_CONN_IDLE_S, ConnectFailed, ConnectRefused, HttpPool
 
 from .model import FleetState, Replica
 
@@ -19,8 +19,6 @@
 REMOVAL_REPORT_S = 8.0
 """Time within which the platform reports an unreachable replica as removed: its entry expires after
 three missed heartbeats (3.6 s), and instances of large fleets poll every 2.2 s."""
-NEW_CONN_IDLE_S = -1.0
-"""Idle limit that no pooled connection meets, so that a new one is opened."""
 
 
 class _EndCheck:
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -59,7 +59,6 @@
         target: Replica,
         last: bool,
         timeout_s: float = MOVE_TIMEOUT_S,
-        over_new_connection: bool = False,
     ) -> MoveReply:
         """Copy the KV cache of a run to another engine.
 
@@ -73,8 +72,6 @@
             Whether the run is stopped as well.
         timeout_s : float
             Longest wait for the answer, in seconds.
-        over_new_connection : bool
-            Whether no connection that has been idle is used.
         """
         ...
 
--- a/packages/gateway/src/gradelug_gateway/run_stops.py
+++ b/packages/gateway/src/gradelug_gateway/run_stops.py
@@ -31,8 +31,6 @@
     ) -> MoveReply:
         """Order an engine to stop a run, and return its answer.
 
-        Orders take new connections, since links drop idle ones silently.
-
         Parameters
         ----------
         source : Replica
@@ -46,7 +44,7 @@
             prompt answer takes, the order is sent once more after that time.
         """
         timeout_s = max(answer_s, MOVE_TIMEOUT_S)
-        reply = await self._transport.move(source, request_id, target, True, timeout_s, True)
+        reply = await self._transport.move(source, request_id, target, True, timeout_s)
         if reply.outcome is MoveOutcome.LOST and answer_s <= MOVE_TIMEOUT_S:
-            return await self._transport.move(source, request_id, target, True, timeout_s, True)
+            return await self._transport.move(source, request_id, target, True, timeout_s)
         return reply
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -14,6 +14,7 @@
 from .headers import Headers as Headers
 from .headers import end_to_end as end_to_end
 from .headers import find as find
+from .pool import NEW_CONN_IDLE_S as NEW_CONN_IDLE_S
 from .pool import Dial as Dial
 from .pool import HttpPool as HttpPool
 from .pool import connect_tcp as connect_tcp
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -14,6 +14,8 @@
 MOST_IDLE = 512
 """Idle connections that are kept, 6.4 KB each: of one to each of 3,000 engines hardly any is used
 again."""
+NEW_CONN_IDLE_S = -1.0
+"""Idle limit that no pooled connection meets, so that a new one is opened."""
 P = t.TypeVar("P", bound=asyncio.BaseProtocol)
 Dial = t.Callable[[str], t.Awaitable[Wire]]
 
--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -143,6 +143,10 @@
         """Delay until a call is executed, even if its connection is closed meanwhile."""
         self.response_delay_s = 0.0
         """Delay of the responses to calls after their execution."""
+        self.repeats_answers = False
+        """Whether answers to calls are sent again where the next answer is due."""
+        self._copies = {}
+        """The last answer to a call on each connection."""
         self.dead = False
         self.ends_at = None
         self._context = contextvars.copy_context()
@@ -362,10 +366,16 @@
         await self._awake.wait()
         if not inc.target.startswith(b"/gradelug/"):
             await self._serve_request(inc)
-        elif self.call_delay_s:
+            return
+        if self.repeats_answers:
+            inc._conn.write(self._copies.pop(inc._conn, b""))
+        sent = inc._conn.transport.written
+        before = len(sent)
+        if self.call_delay_s:
             await asyncio.shield(self.start(self._serve_late_call(inc)))
         else:
             await self._serve_call(inc)
+        self._copies[inc._conn] = bytes(sent[before:])
 
     async def _serve_late_call(self, inc):
         await asyncio.sleep(self.call_delay_s)
--- a/tests/test_platform_runs.py
+++ b/tests/test_platform_runs.py
@@ -18,7 +18,7 @@
 from gradelug_policy.run_versions import ReportedVersion
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from run_world import close
+from run_world import close, run
 from world import new_loop
 
 SOURCE = Replica("s0", "llm", "10.0.0.1:80", "hall")
@@ -96,6 +96,37 @@
         assert not reply.handle
 
 
+class TestRepeatedAnswers:
+    # The copy came where the answer to the next call was due.
+    def test_copy_of_an_earlier_answer_was_taken_for_that_of_the_next_call(self):
+        async def scenario():
+            handles = iter(b'{"handle":"h%d"}' % number for number in (1, 2))
+            reports = iter(b'{"Queued":0,"Active":%d,"Runs":[]}' % number for number in (3, 4))
+            net = Network()
+            net.servers[SOURCE.address] = lambda: RepeatingServer(handles, reports)
+            runs = PlatformRuns(HttpPool(asyncio.get_running_loop().time, net.dial))
+            replies = [await runs.move(SOURCE, ident, TARGET, True) for ident in ("q1", "q2")]
+            assert [reply.handle for reply in replies] == ["h1", "h2"]
+            states = [await runs.read_runs(SOURCE) for _ in range(2)]
+            assert [state.active for state in states] == [3, 4]
+
+        run(scenario)
+
+
+class RepeatingServer(RawServer):
+    """Answers calls, and sends each answer again before the next one of its connection."""
+
+    def __init__(self, handles, reports):
+        super().__init__(())
+        self._handles, self._reports = handles, reports
+        self._last = b""
+
+    def data_received(self, data):
+        bodies = self._handles if b"/gradelug/kv-move" in data else self._reports
+        copy, self._last = self._last, answer(200, next(bodies))
+        self.transport.write(copy + self._last)
+
+
 class TestOtherCalls:
     def test_a_handle_is_released(self):
         _, sent = call([[answer(200, b"")]], lambda runs: runs.release(SOURCE, "h1"))
