Take an engine's 408 at the OpenAI door for unknown, not for not run

What callers saw: Gradelug-Outcome: not-run for a request at which an engine ran out of time. Every 4xx with an error of the engine's own counted as a refusal before the run; 408 does not say so. It is answered as unknown now (502), and is not sent again where it may run once.

Evidence: test_timeout_that_an_engine_reports_was_told_as_not_run failed before.

--- a/packages/router/src/gradelug_router/upstream.py
+++ b/packages/router/src/gradelug_router/upstream.py
@@ -19,6 +19,8 @@
 MAX_EVENT_BYTES = 1_000_000
 NOT_RUN_STATUSES = frozenset({404, 409, 429, 503})
 """With these an engine says that it has not begun the request."""
+REQUEST_TIMEOUT = 408
+"""Does not say whether the engine has begun the request."""
 
 
 class HandedOver:
@@ -295,7 +297,7 @@
         if res.status in NOT_RUN_STATUSES:
             # Without the engine's own words anything in between may have answered.
             raise UpstreamBroken(message) from None
-    if res.status in NOT_RUN_STATUSES or 400 <= res.status < 500:
+    if 400 <= res.status < 500 and res.status != REQUEST_TIMEOUT or res.status in NOT_RUN_STATUSES:
         raise UpstreamRefused(res.status, code, message, _retry_after(res))
     raise UpstreamBroken(f"status {res.status}: {message}")
 
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import itertools
+import typing
 from dataclasses import replace
 
+import pytest
+from gradelug_router.exceptions import UpstreamBroken, UpstreamRefused
+from gradelug_router.upstream import _raise_refusal
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -102,6 +106,29 @@
         run(scenario)
 
 
+class EngineError:
+    """An error response of an engine at the OpenAI door."""
+
+    headers: typing.ClassVar = {}
+
+    def __init__(self, status):
+        self.status = status
+
+    async def json(self, content_type):
+        return {"error": {"code": "timeout", "message": "out of time"}}
+
+
+class TestOpenaiDoor:
+    def test_timeout_that_an_engine_reports_was_told_as_not_run(self):
+        for status, error in (
+            (408, UpstreamBroken),
+            (400, UpstreamRefused),
+            (503, UpstreamRefused),
+        ):
+            with pytest.raises(error):
+                asyncio.run(_raise_refusal(EngineError(status)))
+
+
 kinds = st.sampled_from(sorted(KINDS))
 names = st.sampled_from(["s0", "s1"])
 idents = st.sampled_from([None, None, None, b"", b"other"])
