--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -144,9 +144,9 @@
         self.response_delay_s = 0.0
         """Delay of the responses to calls after their execution."""
         self.repeats_answers = False
-        """Whether answers to calls are sent again where the next answer is due."""
+        """Whether answers to calls, and refusals, are sent again where the next answer is due."""
         self._copies = {}
-        """The last answer to a call on each connection."""
+        """What is sent again on each connection."""
         self.dead = False
         self.ends_at = None
         self._context = contextvars.copy_context()
@@ -364,18 +364,20 @@
 
     async def serve(self, inc):
         await self._awake.wait()
-        if not inc.target.startswith(b"/gradelug/"):
-            await self._serve_request(inc)
-            return
         if self.repeats_answers:
             inc._conn.write(self._copies.pop(inc._conn, b""))
         sent = inc._conn.transport.written
         before = len(sent)
-        if self.call_delay_s:
+        is_call = inc.target.startswith(b"/gradelug/")
+        refusals = self.world.ledger.rejections.total()
+        if not is_call:
+            await self._serve_request(inc)
+        elif self.call_delay_s:
             await asyncio.shield(self.start(self._serve_late_call(inc)))
         else:
             await self._serve_call(inc)
-        self._copies[inc._conn] = bytes(sent[before:])
+        if is_call or self.world.ledger.rejections.total() > refusals:
+            self._copies[inc._conn] = bytes(sent[before:])
 
     async def _serve_late_call(self, inc):
         await asyncio.sleep(self.call_delay_s)
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -161,14 +161,18 @@
 class RefusalMachine(RuleBasedStateMachine):
     """Replicas refuse, fail, repeat, delay and lose answers to a gateway that may be suspended."""
 
-    @initialize(replicas=st.integers(1, 2), max_replicas=st.integers(1, 3))
-    def start(self, replicas, max_replicas):
+    @initialize(
+        replicas=st.integers(1, 2),
+        max_replicas=st.integers(1, 3),
+        budget=st.sampled_from([0.0, 2.0, 1000.0]),
+    )
+    def start(self, replicas, max_replicas, budget):
         self.loop = new_loop()
         self.suspended_s = 0.0
-        self.world = self.loop.run_until_complete(self._build(replicas, max_replicas))
+        self.world = self.loop.run_until_complete(self._build(replicas, max_replicas, budget))
 
-    async def _build(self, replicas, max_replicas):
-        return RefusalWorld.in_process(replicas, max_replicas)
+    async def _build(self, *sizes):
+        return RefusalWorld.in_process(*sizes)
 
     def _sleep(self, seconds):
         self.loop.run_until_complete(asyncio.sleep(seconds))
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+import pytest
 from gradelug_gateway.model import Repeat
-from run_engines import EVENTS
+from run_engines import EVENTS, KEY
 from run_world import RunWorld, events, is_whole, run
 
 STREAMS = 12
@@ -25,6 +26,28 @@
     return world, broken
 
 
+class TestRefusals:
+    # An engine without the weights is asked again once they are loaded.
+    @pytest.mark.parametrize("repeat", [Repeat.NEVER, Repeat.RESUME])
+    def test_stream_started_twice_after_a_copy_of_its_refusal(self, repeat):
+        async def scenario():
+            world = RunWorld(engines=1, repeat=repeat)
+            engine = world.engines["s0"]
+            engine.repeats_answers = True
+            first = world.ask("q0")
+            await asyncio.sleep(3.0)
+            # The entry still lists the weights.
+            del engine.holds[KEY]
+            second = world.ask("q1")
+            await asyncio.sleep(6.0)
+            assert world.ledger.rejections["q1"] == 1
+            assert world.ledger.runs_started == {"q0": 1, "q1": 1}
+            assert is_whole(first)
+            assert is_whole(second)
+
+        run(scenario)
+
+
 class TestMoves:
     def test_run_was_resumed_by_the_handle_in_a_copy_of_an_earlier_answer(self):
         async def scenario():
