--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -256,7 +256,8 @@
         """956 requests per day were refused because their route's only replica was full."""
 
         async def scenario():
-            bench = Bench(route(Repeat.NEVER, replicas=1), [[[FULL], [OK]], [[OK]]])
+            bench = Bench(route(Repeat.NEVER, replicas=1), [[], [[OK]]])
+            bench.script_sends("s0", [FULL], [OK])
             client = bench.client()
             await asyncio.sleep(0.1)
             assert status(client) == 200
--- a/tests/test_remembered.py
+++ b/tests/test_remembered.py
@@ -55,9 +55,9 @@
         arrives later."""
 
         async def scenario():
-            script = [[[ABSENT], [STREAM + event(1) + END]]]
             held = (Holding(SERVED_KEY, 2),)
-            bench = ServingBench(route(Repeat.RESUME, True, 2, "llm"), script, held, engine=True)
+            bench = ServingBench(route(Repeat.RESUME, True, 2, "llm"), [[]], held, engine=True)
+            bench.script_sends("s0", [ABSENT], [STREAM + event(1) + END])
             bench.state.versions[SERVED_KEY] = 2
 
             async def place(service, key, **asked):
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -183,6 +183,16 @@
 
         self.net.servers[address] = make
 
+    def script_sends(self, replica, *replies):
+        """Let a replica answer the sends of one request, each of which has its own connection."""
+        scripts = iter([[reply] for reply in replies])
+
+        def make():
+            self.servers[replica].append(RawServer(next(scripts)))
+            return self.servers[replica][-1]
+
+        self.net.servers[self.state.replicas[replica].address] = make
+
     def client(self, deadline_ms=1000, headers=b"", method=b"POST", body=b"body"):
         client = RawClient()
         join(client, self.server.new_connection())
@@ -637,9 +647,7 @@
     def test_absent_weights_are_reported_to_the_planner(self):
         async def scenario():
             bench = self.bench([[]], Repeat.NEVER, 1)
-            # The second send takes a connection of its own.
-            scripts = iter([[[ABSENT]], [[STREAM + event(1) + END]]])
-            bench.net.servers["10.0.1.0:80"] = lambda: RawServer(next(scripts))
+            bench.script_sends("s0", [ABSENT], [STREAM + event(1) + END])
             bench.directory.answers = [bench.state.replicas["s0"]]
             client = bench.client(8000, ADAPTER)
             await asyncio.sleep(0.3)
