Poll engines for abandoned runs over kept connections again

Polls take kept connections again, and what a copy could pass for is checked: a handle that was returned before is a copy, since handles are used once; a report that lacks the run is read again over a connection of its own. Moves, stops, and the reports that prove an end keep connections of their own, which are closed after the call, so that their answers cannot come where a poll's is due.

Evidence: TestRepeatedResponses, two tests, fail with either check taken out.

--- a/packages/gateway/src/gradelug_gateway/abandoned_runs.py
+++ b/packages/gateway/src/gradelug_gateway/abandoned_runs.py
@@ -12,7 +12,12 @@
 import typing as t
 
 import logbook
-from gradelug_policy.abandoned_runs import MAX_REPORT_AGE_S, is_gone, next_poll_s
+from gradelug_policy.abandoned_runs import (
+    MAX_REPORT_AGE_S,
+    EngineRunsReport,
+    is_gone,
+    next_poll_s,
+)
 
 from .job import Job
 from .metrics import GatewayMetrics
@@ -21,6 +26,8 @@
 from .run_moves import MoveOutcome
 
 log = logbook.Logger("left runs")
+MAX_KNOWN_HANDLES = 1_000
+"""Number of handles of stopped runs that are remembered."""
 
 
 class AbandonedRun:
@@ -65,7 +72,7 @@
         The runtime's clock.
     """
 
-    __slots__ = ("_by_request", "_clock", "_meters", "_transport")
+    __slots__ = ("_by_request", "_clock", "_handles", "_meters", "_transport")
 
     def __init__(
         self, transport: RunTransport, meters: GatewayMetrics, clock: t.Callable[[], float]
@@ -75,10 +82,12 @@
         self._clock = clock
         self._by_request: dict[str, dict[str, tuple[AbandonedRun, asyncio.Task[None]]]] = {}
         """Abandoned runs and their polling tasks, by request identifier and replica name."""
+        self._handles: dict[str, None] = {}
+        """Handles of the runs that were stopped last, oldest first."""
 
     async def is_gone(self, job: Job, replica: Replica) -> bool:
         """Return whether a run that its engine does not report has ended, and is not queued."""
-        report = await self._transport.read_runs(replica)
+        report = await self._read_runs(replica, job.req.id, self._clock() - job.last_event_at)
         has_ended = is_gone(report, job.req.id, self._clock() - job.last_event_at)
         log.info(
             "engine reports no such run",
@@ -147,22 +156,47 @@
     async def _stop_or_confirm_ended(self, run: AbandonedRun) -> bool:
         """Try to stop an abandoned run; return whether it has certainly ended."""
         ident, replica = run.job.req.id, run.replica
-        reply = await self._transport.move(replica, ident, run.target, True)
+        reply = await self._transport.move(replica, ident, run.target, True, is_poll=True)
+        if reply.handle in self._handles:
+            # Handles are used once: this is a copy of the response to an earlier poll.
+            return False
         if reply.handle:
+            self._note_handle(reply.handle)
             after_s = round(self._clock() - run.abandoned_at, 3)
             log.info("abandoned run stopped", id=ident, replica=replica.name, after_s=after_s)
             self._meters.count_abandoned_run("stopped")
             await self._transport.release(replica, reply.handle)
             return True
-        has_ended = reply.outcome is MoveOutcome.UNREACHED or (
-            reply.outcome is MoveOutcome.NO_RUN and await self._has_ended_since(run)
-        )
+        has_ended = await self._has_ended(run, reply.outcome)
         if has_ended:
             self._meters.count_abandoned_run("gone")
         return has_ended
 
-    async def _has_ended_since(self, run: AbandonedRun) -> bool:
-        if self._clock() - run.abandoned_at < MAX_REPORT_AGE_S:
+    def _note_handle(self, handle: str) -> None:
+        self._handles[handle] = None
+        if len(self._handles) > MAX_KNOWN_HANDLES:
+            del self._handles[next(iter(self._handles))]
+
+    async def _has_ended(self, run: AbandonedRun, outcome: MoveOutcome) -> bool:
+        """Return whether an engine that stopped nothing certainly does not have the run."""
+        if outcome is MoveOutcome.UNREACHED:
+            return True
+        if outcome is not MoveOutcome.NO_RUN:
+            return False
+        age_s = self._clock() - run.abandoned_at
+        if age_s < MAX_REPORT_AGE_S:
             return False
-        report = await self._transport.read_runs(run.replica)
-        return is_gone(report, run.job.req.id, self._clock() - run.abandoned_at)
+        report = await self._read_runs(run.replica, run.job.req.id, age_s)
+        return is_gone(report, run.job.req.id, age_s)
+
+    async def _read_runs(
+        self, replica: Replica, ident: str, age_s: float
+    ) -> EngineRunsReport | None:
+        """Return the runs that an engine reports, read again if they lack one.
+
+        The response to a poll may be a copy of an earlier one, from before the run began.
+        """
+        report = await self._transport.read_runs(replica, is_poll=True)
+        if not is_gone(report, ident, age_s):
+            return report
+        return await self._transport.read_runs(replica)
--- a/packages/gateway/src/gradelug_gateway/ports.py
+++ b/packages/gateway/src/gradelug_gateway/ports.py
@@ -59,6 +59,7 @@
         target: Replica,
         last: bool,
         timeout_s: float = MOVE_TIMEOUT_S,
+        is_poll: bool = False,
     ) -> MoveReply:
         """Copy the KV cache of a run to another engine.
 
@@ -72,6 +73,9 @@
             Whether the run is stopped as well.
         timeout_s : float
             Longest wait for the answer, in seconds.
+        is_poll : bool
+            Whether a connection that has carried other calls may be used. The response may then be
+            a copy of one to an earlier call.
         """
         ...
 
@@ -83,8 +87,16 @@
         """Return the time until an engine is removed, in seconds; None if unknown."""
         ...
 
-    async def read_runs(self, replica: Replica) -> EngineRunsReport | None:
-        """Return the runs that an engine reports; None if it does not report them."""
+    async def read_runs(self, replica: Replica, is_poll: bool = False) -> EngineRunsReport | None:
+        """Return the runs that an engine reports; None if it does not report them.
+
+        Parameters
+        ----------
+        replica : Replica
+            The engine.
+        is_poll : bool
+            As in `move`.
+        """
         ...
 
     async def read_holdings(self, replica: Replica) -> tuple[Holding, ...] | None:
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -159,6 +159,7 @@
         whole_s: float = 0.0,
         rested_s: float = float("inf"),
         answer_s: float = 0.0,
+        is_single: bool = False,
     ) -> tuple[ResponseHead, bytes]:
         """Send a request and return the head and the whole body of its answer.
 
@@ -184,6 +185,9 @@
         answer_s : float
             How long the whole exchange may take once the request is sent, in seconds, where that is
             longer than `limit_s`, which then bounds only the opening of the connection.
+        is_single : bool
+            Whether the connection carries this request alone: it is opened for it and closed after
+            it, so that no answer to another one can be taken for its own.
 
         Raises
         ------
@@ -197,7 +201,7 @@
         began_at = asyncio.get_running_loop().time()
         until = began_at + max(limit_s, whole_s)
         async with asyncio.timeout_at(began_at + limit_s) as limit:
-            conn = await self.acquire(address, limit_s, rested_s)
+            conn = await self.acquire(address, limit_s, NEW_CONN_IDLE_S if is_single else rested_s)
             sent_at = self._clock()
             is_whole = False
             try:
@@ -209,7 +213,10 @@
                     body = await self._read(conn, most_bytes, limit, limit_s, until)
                 else:
                     body = await conn.body(most_bytes)
-                self.release(conn, head)
+                if is_single:
+                    conn.close()
+                else:
+                    self.release(conn, head)
                 is_whole = True
                 return head, body
             finally:
--- a/tests/test_abandoned_runs.py
+++ b/tests/test_abandoned_runs.py
@@ -3,12 +3,15 @@
 import asyncio
 import math
 from dataclasses import replace
+from types import SimpleNamespace
 from unittest import mock
 
 import pytest
 import run_world
 from gradelug_gateway import runs as runs_module
-from gradelug_gateway.model import Repeat
+from gradelug_gateway.abandoned_runs import AbandonedRun, AbandonedRuns
+from gradelug_gateway.metrics import GatewayMetrics
+from gradelug_gateway.model import Repeat, Replica
 from gradelug_gateway.run_moves import MoveOutcome, MoveReply
 from gradelug_platform.runs import PlatformRuns
 from gradelug_policy.abandoned_runs import (
@@ -135,6 +138,60 @@
             run(scenario)
 
 
+class CopyingEngine:
+    """An engine whose responses to polls are copies of the ones before, and `RunTransport`."""
+
+    def __init__(self):
+        self.last_handle = "h1"
+        self.last_report = EngineRunsReport(0, 0, frozenset())
+        self.report = EngineRunsReport(0, 1, frozenset({"q1"}))
+        self.orders = 0
+
+    async def move(self, source, request_id, target, last, timeout_s=0.0, is_poll=False):
+        self.orders += 1
+        handle, self.last_handle = self.last_handle, f"h{self.orders + 1}"
+        return MoveReply(MoveOutcome.COPIED, handle)
+
+    async def read_runs(self, replica, is_poll=False):
+        return self.last_report if is_poll else self.report
+
+    async def release(self, replica, handle):
+        pass
+
+
+class TestRepeatedResponses:
+    def watch(self, *idents):
+        """Return an engine and the metrics after runs of some requests were abandoned there."""
+        engine, meters = CopyingEngine(), GatewayMetrics()
+
+        async def scenario():
+            clock = asyncio.get_running_loop().time
+            runs = AbandonedRuns(engine, meters, clock)
+            replica = Replica("s0", "llm", "10.0.0.1:80", "hall")
+            for ident in idents:
+                job = SimpleNamespace(
+                    req=SimpleNamespace(id=ident),
+                    deadline_at=clock() + 3.0,
+                    last_event_at=clock() - 1.0,
+                )
+                runs.watch(AbandonedRun(job, replica, replica, clock()))
+                await asyncio.sleep(1.0)
+                engine.last_handle = "h1"
+            return await runs.is_gone(job, replica)
+
+        return engine, meters, run(scenario)
+
+    # The response named the run that an earlier poll had stopped.
+    def test_run_was_taken_for_stopped_by_a_copy_of_an_earlier_response(self):
+        engine, meters, _ = self.watch("q1", "q2")
+        assert b'gradelug_left_runs_total{end="stopped"} 2.0' in meters.render()
+        assert engine.orders == 3
+
+    def test_run_was_taken_for_ended_by_a_copy_of_an_earlier_report(self):
+        _, _, is_gone = self.watch("q1")
+        assert not is_gone
+
+
 class TestRunsWithBrokenStreams:
     @pytest.mark.parametrize("resumes_when_memory_frees", [True, False])
     @pytest.mark.parametrize("silent_s", [0.1, 0.6])
@@ -193,11 +250,11 @@
         run(scenario)
 
     def test_calls_without_response_are_retried(self):
-        async def lost(self, source, request_id, *args):
+        async def lost(self, source, request_id, *args, **kwargs):
             if source.name == "s0" and len(calls) < 4:
                 calls.append(request_id)
                 return MoveReply(MoveOutcome.LOST)
-            return await move(self, source, request_id, *args)
+            return await move(self, source, request_id, *args, **kwargs)
 
         async def scenario():
             world = RunWorld(repeat=Repeat.RESUME, replicas=3)
