--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -49,6 +49,8 @@
 
     def __init__(self):
         self.runs = defaultdict(list)
+        self.begun = defaultdict(int)
+        """Runs that did not go on from the memory of an earlier one, which count as the same."""
         self.works = defaultdict(list)
         self.bodies = {}
         self.organisations = {}
@@ -401,6 +403,7 @@
             return
         first = int(find(inc.headers, b"last-event-id") or 0) + 1
         self.ledger.runs[request_id].append((self.name, first))
+        self.ledger.begun[request_id] += memory is None
         if self.ledger.bodies.get(request_id) != inc.body:
             self.ledger.faults.append(f"{request_id} ran with another body")
         self._look_at_keys(inc, request_id)
