--- a/tests/refusal_world.py
+++ b/tests/refusal_world.py
@@ -264,13 +264,23 @@
         self.replicas = {}
         self.callers = []
         self.process = PROCESS.get()
+        shares = (Share("plain", 1.0),)
         routes = tuple(
             Route(
-                name, "h", f"/{name}/", (Share("plain", 1.0),), streaming, repeat,
-                DEADLINE_S, TARGET_S, GAP_S, max_replicas, 0,
+                name=name,
+                host="h",
+                prefix=f"/{name}/",
+                shares=shares,
+                streaming=streaming,
+                repeat=repeat,
+                timeout_s=DEADLINE_S,
+                target_s=TARGET_S,
+                gap_s=GAP_S,
+                max_replicas=max_replicas,
+                rank=0,
             )
             for name, (repeat, streaming) in KINDS.items()
-        )  # fmt: skip
+        )
         net = GatewayNetwork(contextvars.copy_context())
         super().__init__(routes[0], [None] * replicas, budget=budget, net=net)
         services = {"plain": Service("plain", 10)}
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -27,6 +27,8 @@
 ANSWER_S = DEADLINE_S + 0.3
 """Time within which a request is answered, in seconds."""
 THROTTLED = replace(FULL, status=429)
+BEFORE_STOP = 6
+"""Number of requests before the gateway may refuse further ones because it shuts down."""
 PREFIXES = (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n")
 
 
@@ -206,6 +208,11 @@
     def reset(self, name):
         self._call(self._replica(name).reset)
 
+    @precondition(lambda self: len(self.world.callers) >= BEFORE_STOP)
+    @rule()
+    def stop(self):
+        self.world.serving.refuse_from(self.loop.time())
+
     @precondition(lambda self: not self.world.process.frozen)
     @rule(seconds=st.sampled_from([0.05, 0.5]), timers_first=st.booleans())
     def suspend(self, seconds, timers_first):
