--- a/review/stand-ins-2/rig.py
+++ b/review/stand-ins-2/rig.py
@@ -70,17 +70,41 @@
 
 
 class Door:
-    """One instance's way to the store; `status` makes the store turn the instance away."""
+    """One instance's way to the store, which can turn the instance away."""
 
     def __init__(self, store):
         self._store = store
-        self.status = None
+        self._status = None
+        self._turned = asyncio.Event()
+        self.watched_at = 0.0
+        """When a watch was answered last, by the loop's clock."""
+
+    def turn_away(self, status):
+        """Answer all calls with a status from now on, those that wait too."""
+        self._status = status
+        self._turned.set()
+
+    def open(self):
+        """Serve again."""
+        self._status = None
+        self._turned = asyncio.Event()
 
     async def serve(self, inc):
-        if self.status is not None:
-            inc.respond(self.status, [], b"")
-            return
-        await self._store.serve(inc)
+        if self._status is None:
+            call = asyncio.ensure_future(self._store.serve(inc))
+            turned = asyncio.ensure_future(self._turned.wait())
+            try:
+                await asyncio.wait([call, turned], return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                turned.cancel()
+                if not call.done():
+                    call.cancel()
+            if not call.cancelled() and call.done():
+                call.result()
+                if b"/kv-watch" in inc.target:
+                    self.watched_at = asyncio.get_running_loop().time()
+                return
+        inc.respond(self._status or 503, [], b"")
 
 
 class Instance:
@@ -169,7 +193,7 @@
         self.doors = {}
         self.replicas = []
         self._servers = []
-        self.folder = tempfile.mkdtemp()
+        self.folder = tempfile.mkdtemp(dir=os.environ.get("KEEP"))
 
     async def start_store(self, config):
         await self.store.kv.swap("op/config", json.dumps(config).encode(), 0)
@@ -194,4 +218,5 @@
             instance.end()
         for server in [*self._servers, *(replica.server for replica in self.replicas)]:
             await server.close()
-        shutil.rmtree(self.folder, ignore_errors=True)
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.folder, ignore_errors=True)
