--- a/review/stand-ins-2/rig.py
+++ b/review/stand-ins-2/rig.py
@@ -92,6 +92,8 @@
     async def serve(self, inc):
         if self._status is None:
             call = asyncio.ensure_future(self._store.serve(inc))
+            # A caller that has left meanwhile gets no answer.
+            call.add_done_callback(lambda done: done.cancelled() or done.exception())
             turned = asyncio.ensure_future(self._turned.wait())
             try:
                 await asyncio.wait([call, turned], return_when=asyncio.FIRST_COMPLETED)
@@ -116,19 +118,22 @@
         self._record = record
         self._log = Path(folder) / f"{name}.log"
         self._path = Path(folder) / f"{name}.toml"
-        self._path.write_text(
+        self._settings = (
             f'Node = "{name}"\nRole = "gateway"\nMachineClass = "edge"\nZone = "z"\n'
-            f'Ip = "{HOST}"\nPortRange = [{self.peer}, {self.peer + 1}]\nBootstrap = false\n'
+            f'Ip = "{HOST}"\nPortRange = [{self.peer}, {self.peer + 1}]\nBootstrap = %s\n'
             f'HeartbeatMs = 1200\n[Listen]\nFront = "{HOST}:{self.front}"\n'
             f'Ready = "{HOST}:{self.ready}"\n[Limits]\nCpuShare = 0.537\nCores = 2\n'
             f"MemoryMb = 300\nMaxFds = 4100\nLinkMbps = 1000.0\n[Bounds]\n{bounds}"
-            f'[Provider]\nAddress = "{HOST}:{store_port}"\n'
+            f'[Provider]\nAddress = "{HOST}:{store_port}"\nWritesPerS = 400\n'
+            "ReadsPerS = 2000\nHistoryS = 20\nValueBytes = 1048576\nTtlMinMs = 1000\n"
         )
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self._command = deploy["roles"]["gateway"]["run"].split()
         self.process = None
 
     def start(self):
+        # True only as the whole system starts for the first time.
+        self._path.write_text(self._settings % ("true" if self.process is None else "false"))
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         env |= {
             "GRADELUG_CONFIG": str(self._path),
