--- a/review/stand-ins-2/rig.py
+++ b/review/stand-ins-2/rig.py
@@ -22,12 +22,15 @@
 sys.path[:0] = [str(ROOT / "tests")]
 sys.path += [str(path) for path in sorted((ROOT / "packages").glob("*/src"))]
 
-from fleet_stand_in import Ledger, ReplicaStandIn  # noqa: E402
+from fleet_stand_in import GATEWAY_HOST, Ledger, ReplicaStandIn  # noqa: E402
 from gradelug_gateway.model import AdapterKey, Order, OrderOutcome  # noqa: E402
 from gradelug_http import HttpServer, ServerLimits  # noqa: E402
 from platform_stand_in import FakeStore  # noqa: E402
 
 HOST = "127.0.0.1"
+# Instances have a loopback address of the run for themselves: while one is down, nobody else takes
+# its ports.
+INSTANCE_HOST = GATEWAY_HOST
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 STATUS = {
@@ -58,10 +61,10 @@
     found = []
     while len(found) < count:
         with socket.socket() as one, socket.socket() as behind:
-            one.bind((HOST, 0))
+            one.bind((INSTANCE_HOST, 0))
             port = one.getsockname()[1]
             try:
-                behind.bind((HOST, port + 1))
+                behind.bind((INSTANCE_HOST, port + 1))
             except OSError:
                 continue
             if not {port, port + 1, port - 1} & set(found):
@@ -120,9 +123,9 @@
         self._path = Path(folder) / f"{name}.toml"
         self._settings = (
             f'Node = "{name}"\nRole = "gateway"\nMachineClass = "edge"\nZone = "z"\n'
-            f'Ip = "{HOST}"\nPortRange = [{self.peer}, {self.peer + 1}]\nBootstrap = %s\n'
-            f'HeartbeatMs = 1200\n[Listen]\nFront = "{HOST}:{self.front}"\n'
-            f'Ready = "{HOST}:{self.ready}"\n[Limits]\nCpuShare = 0.537\nCores = 2\n'
+            f'Ip = "{INSTANCE_HOST}"\nPortRange = [{self.peer}, {self.peer + 1}]\nBootstrap = %s\n'
+            f'HeartbeatMs = 1200\n[Listen]\nFront = "{INSTANCE_HOST}:{self.front}"\n'
+            f'Ready = "{INSTANCE_HOST}:{self.ready}"\n[Limits]\nCpuShare = 0.537\nCores = 2\n'
             f"MemoryMb = 300\nMaxFds = 4100\nLinkMbps = 1000.0\n[Bounds]\n{bounds}"
             f'[Provider]\nAddress = "{HOST}:{store_port}"\nWritesPerS = 400\n'
             "ReadsPerS = 2000\nHistoryS = 20\nValueBytes = 1048576\nTtlMinMs = 1000\n"
@@ -225,3 +228,18 @@
             await server.close()
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
+
+
+async def _run_until_stopped(main):
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await main()
+
+
+def run(main):
+    """Run a script to its end, or end its processes if it is stopped; return its exit status."""
+    try:
+        return asyncio.run(_run_until_stopped(main))
+    except asyncio.CancelledError:
+        return NOT_RUN
