Log and count how connections of callers end, and a loop that was held up

What could not be told apart: why a caller's connection ended, how far its request was, how late the loop was and which configuration was in force. The server wrote no line when it closed a connection on a request.

Each end has a cause now (EndCause) and the state of the request on it (RequestState); gradelug_connection_ends_total counts them, and an end by the server on a request without a whole answer is logged with the configuration. No decision changes.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -37,6 +37,7 @@
 from .admission import AdmissionControl
 from .budgets import GatewayCount, RetryBudgets
 from .config_freshness import ConfigFreshness
+from .connection_log import ConnectionLog
 from .departures import DepartureReporter
 from .directory import Directory
 from .engine_speeds import PauseTally, SpeedReporter
@@ -337,7 +338,12 @@
             self._origins if has_origins else None,
         )
         self._caller_server = EarlyServer(
-            self._pipeline.serve, self._limits, self._clock, settings.unread_bytes, pool
+            self._pipeline.serve,
+            self._limits,
+            self._clock,
+            settings.unread_bytes,
+            pool,
+            ConnectionLog(self._meters, self._state).note_end,
         )
         self._status_server = HttpServer(self._serve_status, ServerLimits, self._clock)
         self._peer_server = Server(
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -87,6 +87,11 @@
         "Callers disconnected since startup because they read too slowly",
         lambda: sources.callers.shed,
     )
+    gauge(
+        "longest_loop_delay_seconds",
+        "Longest time by which a periodic check of callers' connections was late",
+        lambda: sources.callers.longest_delay_s,
+    )
     gauge(
         "connections_opened",
         "Connections to replicas opened since startup",
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -37,6 +37,7 @@
     __slots__ = (
         "_abandoned_attempts",
         "_broken_responses",
+        "_connection_ends",
         "_rejections",
         "_skipped_responses",
         "_engine_tokens",
@@ -97,6 +98,12 @@
             ["stage"],
             registry=self._registry,
         )
+        self._connection_ends = Counter(
+            "gradelug_connection_ends",
+            "Connections of callers that ended, by cause and by the state of their request",
+            ["cause", "request"],
+            registry=self._registry,
+        )
         self._rejections = Counter(
             "gradelug_replica_rejections",
             "Responses other than success, by what they say about the request and by its proof",
@@ -218,6 +225,10 @@
         """Count an attempt whose response broke off."""
         self._broken_responses.labels(stage).inc()
 
+    def count_connection_end(self, cause: str, request: str) -> None:
+        """Count a caller's connection that ended, by cause and by the state of its request."""
+        self._connection_ends.labels(cause, request).inc()
+
     def count_rejection(self, verdict: str, proof: str) -> None:
         """Count a response other than success, by its verdict and the proof that it did not run."""
         self._rejections.labels(verdict, proof).inc()
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -4,6 +4,9 @@
 from .client import OutgoingRequest as OutgoingRequest
 from .client import ResponseHead as ResponseHead
 from .client import Wire as Wire
+from .connection_ends import ConnectionEnd as ConnectionEnd
+from .connection_ends import EndCause as EndCause
+from .connection_ends import RequestState as RequestState
 from .early import Door as Door
 from .early import EarlyServer as EarlyServer
 from .exceptions import ConnectFailed as ConnectFailed
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -10,6 +10,7 @@
 import logbook
 
 from .budget import SlowReader, read_ahead, to_shed
+from .connection_ends import ConnectionEnd, EndCause, RequestState
 from .exceptions import ClientGone
 from .headers import Header, Headers, find
 
@@ -17,6 +18,8 @@
 IDLE_SLACK = 1.25
 """Idle connections are closed this much later than stated, for clients that are slow to know."""
 SWEEP_S = 0.25
+MAX_SWEEP_DELAY_S = 0.25
+"""A sweep that is later than this is logged: the process was suspended or busy meanwhile."""
 LINGER_S = 0.5
 """After a refusal, what still arrives is read this long so that the client sees its answer."""
 READ_AHEAD_BYTES = 262_144
@@ -79,6 +82,8 @@
         Bytes that may be kept for all callers together; 0 for no bound.
     upstreams : Upstreams or None
         Where answers come from, if what they are ahead counts.
+    on_end : callable
+        Called with the end of each connection.
     """
 
     def __init__(
@@ -88,7 +93,9 @@
         clock: t.Callable[[], float],
         most_bytes: int = 0,
         upstreams: Upstreams | None = None,
+        on_end: t.Callable[[ConnectionEnd], None] = lambda end: None,
     ) -> None:
+        self.on_end = on_end
         self._most_bytes = most_bytes
         self._upstreams = upstreams
         self.held = 0
@@ -103,6 +110,9 @@
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
+        self._sweep_due_at: float | None = None
+        self.longest_delay_s = 0.0
+        """Longest time by which a sweep was late, in seconds."""
 
     async def start(self, host: str, port: int) -> int:
         """Listen, and return the port."""
@@ -145,13 +155,29 @@
 
     def _sweep(self) -> None:
         now = self.clock()
+        self._note_delay(now)
         idle_s = self.limits().idle_s
         for conn in list(self.connections):
             conn.check_time(now, idle_s)
         if self._most_bytes:
             self._keep_within(self._most_bytes)
+        self._sweep_due_at = now + SWEEP_S
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
+    def _note_delay(self, now: float) -> None:
+        """Log a sweep that is late."""
+        if self._sweep_due_at is None:
+            return
+        delay_s = now - self._sweep_due_at
+        self.longest_delay_s = max(self.longest_delay_s, delay_s)
+        if delay_s > MAX_SWEEP_DELAY_S:
+            log.info(
+                "event loop was held up",
+                delay_s=round(delay_s, 3),
+                connections=len(self.connections),
+                in_progress=self.in_progress,
+            )
+
     @property
     def is_full(self) -> bool:
         """Whether no further body can be kept."""
@@ -177,7 +203,7 @@
                 size=reader.size,
                 held=self.held,
             )
-            conns[reader.number].abort()
+            conns[reader.number].abort(EndCause.UNREAD)
 
 
 class ServerConnection(asyncio.Protocol):
@@ -205,6 +231,11 @@
         """Since when the client does not read, None if it does."""
         self._held_up_s = 0.0
         self._gone = False
+        self._incoming: Incoming | None = None
+        self._opened_at = self._read_at = server.clock()
+        self._answered = 0
+        self._end: ConnectionEnd | None = None
+        """How the server ended it, None if it did not."""
 
     # Called by the transport.
 
@@ -217,6 +248,8 @@
         """End the request that is being served."""
         self._gone = True
         self.server.connections.discard(self)
+        cause = EndCause.CLIENT if exc is None else EndCause.LOST
+        self.server.on_end(self._end or self._describe_end(cause))
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
         if self.task is not None:
@@ -242,6 +275,7 @@
         """Parse what came."""
         if self._refused_at is not None:
             return
+        self._read_at = self.server.clock()
         if self._began_at is None:
             self._note_first_byte()
         self._h11.receive_data(data)
@@ -249,7 +283,7 @@
             self._parse()
         elif len(self._h11.trailing_data[0]) > READ_AHEAD_BYTES:
             # Far more than a next request, sent before this one's answer.
-            self.abort()
+            self.abort(EndCause.AHEAD)
 
     # Used by the server and by requests.
 
@@ -270,16 +304,41 @@
         """Tell whether nothing is being received or served."""
         return self.task is None and self._began_at is None
 
-    def close(self) -> None:
+    def close(self, cause: EndCause = EndCause.STOP) -> None:
         """Close after what was written has been sent."""
+        self._note_end(cause)
         if self.transport is not None:
             self.transport.close()
 
-    def abort(self) -> None:
+    def abort(self, cause: EndCause = EndCause.STOP) -> None:
         """Close at once."""
+        self._note_end(cause)
         if self.transport is not None:
             self.transport.abort()
 
+    def _note_end(self, cause: EndCause) -> None:
+        if self._end is None and self.transport is not None and not self.transport.is_closing():
+            self._end = self._describe_end(cause)
+
+    def _describe_end(self, cause: EndCause) -> ConnectionEnd:
+        now = self.server.clock()
+        is_read_whole = self._h11.their_state in (h11.DONE, h11.MUST_CLOSE)
+        return ConnectionEnd(
+            cause,
+            self._request_state(),
+            self._size,
+            len(self._h11.trailing_data[0]) if is_read_whole else 0,
+            now - self._opened_at,
+            now - self._read_at,
+            self._answered,
+        )
+
+    def _request_state(self) -> RequestState:
+        inc = self._incoming
+        if inc is not None and not inc.ended:
+            return RequestState.ANSWERING if inc.started else RequestState.READ
+        return RequestState.NONE if self._began_at is None else RequestState.ARRIVING
+
     def check_time(self, now: float, idle_s: float) -> None:
         """Refuse a request that arrives too slowly, close a connection that rests too long.
 
@@ -292,14 +351,14 @@
         """
         if self._refused_at is not None:
             if now - self._refused_at > LINGER_S:
-                self.close()
+                self.close(EndCause.REFUSED)
         elif self.task is not None:
             return
         elif self._began_at is not None:
             if now - self._began_at > self._limits.header_s:
                 self._refuse(408)
         elif now - self._rested_at > max(self._idle_s, idle_s) * IDLE_SLACK:
-            self.close()
+            self.close(EndCause.IDLE)
 
     def write(self, data: bytes | None) -> None:
         """Send bytes; raises `ClientGone`."""
@@ -322,10 +381,11 @@
     def finished(self) -> None:
         """Go on with the connection's next request after a whole answer."""
         self.task = None
+        self._answered += 1
         if self._gone:
             return
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
-            self.close()
+            self.close(EndCause.ANSWERED)
             return
         self._h11.start_next_cycle()
         self._bound_next_head()
@@ -399,7 +459,7 @@
     def _start(self) -> None:
         assert self._req is not None
         began_at = self._began_at if self._began_at is not None else self.server.clock()
-        inc = Incoming(self, self._req, b"".join(self._body), began_at)
+        inc = self._incoming = Incoming(self, self._req, b"".join(self._body), began_at)
         self._began_at = None
         if self._h11.trailing_data[0]:
             # The next request's first byte came with this request's last one.
@@ -411,24 +471,24 @@
         await asyncio.sleep(0)
         if self._gone or self.transport is None or self.transport.is_closing():
             self.task = None
-            self.abort()
+            self.abort(EndCause.CLIENT)
             return
         try:
             await self.server.serve(inc)
         except ClientGone:
-            self.abort()
+            self.abort(EndCause.CLIENT)
         except asyncio.CancelledError:
             self.abort()
             raise
         except Exception:
             # Whatever was sent so far must not look complete.
-            self.abort()
+            self.abort(EndCause.ERROR)
             raise
         if inc.ended:
             self.finished()
         else:
             self.task = None
-            self.abort()
+            self.abort(EndCause.INCOMPLETE)
 
     def _refuse(self, status: int) -> None:
         self._refused_at = self.server.clock()
