Look at the sockets before a connection is closed or refused for its time

What callers saw: requests that had arrived whole on a resting connection ended by a reset, without an answer or a refusal, many at one moment.

Cause: rest and slowness are measured by the clock against what was read, and a process that was suspended or busy has not read what arrived. A short idle timeout, as changes of the configuration bring it, makes it likely.

They are ended once the loop has polled its sockets and handled what it found (call_after_poll), if they are still so.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -67,6 +67,16 @@
 Serve = t.Callable[["Incoming"], t.Awaitable[None]]
 
 
+def call_after_poll(callback: t.Callable[[], None]) -> None:
+    """Call back once the loop has looked at its sockets and handled what they had received.
+
+    The loop polls between two turns; what it finds is handled in the second one, and the callback
+    runs in the third.
+    """
+    loop = asyncio.get_running_loop()
+    loop.call_soon(loop.call_soon, callback)
+
+
 class HttpServer:
     """Accepts connections and runs `serve` in a task for each request.
 
@@ -132,7 +142,12 @@
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is being received or served."""
-        for conn in list(self.connections):
+        idle = [conn for conn in self.connections if conn.is_idle()]
+        if idle:
+            call_after_poll(lambda: self._close_if_idle(idle))
+
+    def _close_if_idle(self, conns: t.Iterable[ServerConnection]) -> None:
+        for conn in conns:
             if conn.is_idle():
                 conn.close()
 
@@ -157,13 +172,20 @@
         now = self.clock()
         self._note_delay(now)
         idle_s = self.limits().idle_s
-        for conn in list(self.connections):
-            conn.check_time(now, idle_s)
+        overdue = [conn for conn in self.connections if conn.is_overdue(now, idle_s)]
+        if overdue:
+            # A suspended or busy process has not read yet what arrived in time.
+            call_after_poll(lambda: self._end_overdue(overdue, now, idle_s))
         if self._most_bytes:
             self._keep_within(self._most_bytes)
         self._sweep_due_at = now + SWEEP_S
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
+    def _end_overdue(self, conns: t.Iterable[ServerConnection], now: float, idle_s: float) -> None:
+        for conn in conns:
+            if conn.is_overdue(now, idle_s):
+                conn.end_overdue()
+
     def _note_delay(self, now: float) -> None:
         """Log a sweep that is late."""
         if self._sweep_due_at is None:
@@ -339,8 +361,8 @@
             return RequestState.ANSWERING if inc.started else RequestState.READ
         return RequestState.NONE if self._began_at is None else RequestState.ARRIVING
 
-    def check_time(self, now: float, idle_s: float) -> None:
-        """Refuse a request that arrives too slowly, close a connection that rests too long.
+    def is_overdue(self, now: float, idle_s: float) -> bool:
+        """Return whether its request arrives too slowly, or the connection rests too long.
 
         Parameters
         ----------
@@ -350,14 +372,20 @@
             Idle timeout in force, in seconds.
         """
         if self._refused_at is not None:
-            if now - self._refused_at > LINGER_S:
-                self.close(EndCause.REFUSED)
-        elif self.task is not None:
-            return
+            return now - self._refused_at > LINGER_S
+        if self.task is not None:
+            return False
+        if self._began_at is not None:
+            return now - self._began_at > self._limits.header_s
+        return now - self._rested_at > max(self._idle_s, idle_s) * IDLE_SLACK
+
+    def end_overdue(self) -> None:
+        """Refuse a request that arrives too slowly, close a connection that rests too long."""
+        if self._refused_at is not None:
+            self.close(EndCause.REFUSED)
         elif self._began_at is not None:
-            if now - self._began_at > self._limits.header_s:
-                self._refuse(408)
-        elif now - self._rested_at > max(self._idle_s, idle_s) * IDLE_SLACK:
+            self._refuse(408)
+        else:
             self.close(EndCause.IDLE)
 
     def write(self, data: bytes | None) -> None:
