Answer 500 where serving a request raises an unexpected error

What callers saw: a request that was read whole ends with a closed connection.

Cause: an exception that serve does not expect ended the task, and the connection was aborted; the error was printed only when the task was collected. An answer that the parser rejects (a header that HTTP does not allow) is such an error, too.

Change: if no answer has begun, the caller gets 500 and the connection ends; 500 promises nothing, as the request may have run. The error is logged with its traceback at once. An answer counts as begun once its head was accepted. An answer that had begun is cut as before.

Evidence: three tests of test_unanswered_errors failed before (nothing received, nothing logged). test_connection_ends expected such an end to be one without an answer, which it no longer is.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -22,6 +22,10 @@
 """A sweep that is later than this is logged: the process was suspended or busy meanwhile."""
 LINGER_S = 0.5
 """After a refusal, what still arrives is read this long so that the client sees its answer."""
+ERROR_RESPONSE = (
+    b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+"""The answer to a request whose serving raised an unexpected error."""
 READ_AHEAD_BYTES = 262_144
 """What a client may send ahead while a request of its is being served."""
 
@@ -509,15 +513,27 @@
             self.abort()
             raise
         except Exception:
-            # Whatever was sent so far must not look complete.
-            self.abort(EndCause.ERROR)
-            raise
+            log.exception("serving a request failed", started=inc.started, ended=inc.ended)
+            self._end_failed(inc)
+            return
         if inc.ended:
             self.finished()
         else:
             self.task = None
             self.abort(EndCause.INCOMPLETE)
 
+    def _end_failed(self, inc: Incoming) -> None:
+        """End the connection of a request whose serving failed, with an answer if none began."""
+        self.task = None
+        if inc.started or self._gone or self.transport is None or self.transport.is_closing():
+            # Whatever was sent so far must not look complete.
+            self.abort(EndCause.ERROR)
+            return
+        # The parser may have rejected the answer and accept no other.
+        self.transport.write(ERROR_RESPONSE)
+        inc.started = inc.ended = True
+        self.close(EndCause.ERROR)
+
     def _refuse(self, status: int) -> None:
         self._refused_at = self.server.clock()
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -605,5 +621,5 @@
         sent = [*headers]
         if self._conn.server.draining:
             sent.append((b"Connection", b"close"))
-        self.started = True
         self._conn.send_event(h11.Response(status_code=status, headers=sent))
+        self.started = True
