--- a/tests/test_unanswered_errors.py
+++ b/tests/test_unanswered_errors.py
@@ -4,7 +4,9 @@
 from pipes import RawClient, join
 
 import pytest
+from gradelug_gateway.ports import BadRequest
 from gradelug_http import HttpServer, ServerLimits
+from gradelug_platform.dialect import PlatformDialect
 from logbook import TestHandler as LogHandler
 from world import new_loop
 
@@ -56,3 +58,39 @@
     assert not received.endswith(b"0\r\n\r\n")
     assert ended
     assert messages == ["serving a request failed"]
+
+
+class OddRequest:
+    """A request with given headers."""
+
+    method = b"POST"
+    target = b"/s/"
+    body = b""
+    arrived_at = 0.0
+
+    def __init__(self, **headers):
+        self.headers = [(b"X-Gradelug-Request-Id", b"q1")]
+        self.headers += [
+            (name.replace("_", "-").encode(), value) for name, value in headers.items()
+        ]
+
+    def header(self, name):
+        return next((value for key, value in self.headers if key.lower() == name.lower()), None)
+
+
+class TestOddHeaders:
+    @pytest.mark.parametrize(
+        "number", [b"\xb2", b"9" * 5000, b"2147483648", b"-1", b"1e3", b"", b"1,2,3"]
+    )
+    def test_an_odd_number_of_tokens_ends_a_request(self, number):
+        tokens = OddRequest(X_Gradelug_Token_Usage=number + b",80")
+        assert PlatformDialect().read_request(tokens).prompt_tokens == 0
+        parts = OddRequest(X_Gradelug_Prompt_Prefix=b"ab:" + number)
+        assert PlatformDialect().read_request(parts).parts == ()
+
+    @pytest.mark.parametrize("number", [b"\xb2", b"9" * 5000, b"-1", b"1e3"])
+    def test_an_odd_deadline_ends_a_request(self, number):
+        with pytest.raises(BadRequest, match="is not a whole number"):
+            PlatformDialect().read_request(OddRequest(X_Gradelug_Deadline_Ms=number))
+        with pytest.raises(BadRequest, match="is not a whole number"):
+            PlatformDialect().read_request(OddRequest(Last_Event_Id=number))
