Accept odd numbers in replicas' answers without an error

What callers saw: a closed connection, or a stream cut, in place of an answer that had come whole.

Cause: a Keep-Alive time or an event number of thousands of digits exceeds what int or a float takes; the error ended the request.

Change: Keep-Alive times are read up to nine digits; an event number of more than 15 digits is no number, as any other text is none.

Evidence: both tests of TestOddAnswers failed before with ValueError.

--- a/packages/gateway/src/gradelug_gateway/streams.py
+++ b/packages/gateway/src/gradelug_gateway/streams.py
@@ -11,7 +11,7 @@
 from gradelug_http import ResponseBroken
 
 MAX_EVENT_BYTES = 1_000_000
-_id_re = re.compile(rb"(?m)^id:[ ]?(\d+)\r?$")
+_id_re = re.compile(rb"(?m)^id:[ ]?(\d{1,15})\r?$")
 _end_re = re.compile(rb"\r?\n\r?\n")
 
 
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -26,7 +26,7 @@
 """Largest body of an answer that is skipped."""
 MAX_INTERIM_ANSWERS = 16
 """Informational answers that may precede one answer."""
-_timeout_re = re.compile(rb"timeout\s*=\s*(\d+)")
+_timeout_re = re.compile(rb"timeout\s*=\s*(\d{1,9})")
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_unanswered_errors.py
+++ b/tests/test_unanswered_errors.py
@@ -1,11 +1,12 @@
 """Requests whose serving raises an error that nobody foresaw."""
 
 import asyncio
-from pipes import RawClient, join
+from pipes import Network, RawClient, RawServer, join
 
 import pytest
 from gradelug_gateway.ports import BadRequest
-from gradelug_http import HttpServer, ServerLimits
+from gradelug_gateway.streams import EventAssembler
+from gradelug_http import HttpPool, HttpServer, OutgoingRequest, ServerLimits
 from gradelug_platform.dialect import PlatformDialect
 from logbook import TestHandler as LogHandler
 from world import new_loop
@@ -94,3 +95,25 @@
             PlatformDialect().read_request(OddRequest(X_Gradelug_Deadline_Ms=number))
         with pytest.raises(BadRequest, match="is not a whole number"):
             PlatformDialect().read_request(OddRequest(Last_Event_Id=number))
+
+
+class TestOddAnswers:
+    def test_an_odd_keep_alive_time_ends_a_whole_answer(self):
+        async def scenario():
+            net = Network()
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=%b\r\n\r\nok"
+            net.servers["10.0.0.1:80"] = lambda: RawServer([[answer % (b"9" * 5000)]])
+            pool = HttpPool(asyncio.get_running_loop().time, net.dial)
+            request = OutgoingRequest(b"GET", b"/", [(b"Host", b"h")])
+            _, body = await pool.exchange("10.0.0.1:80", request, 1.0, 1000)
+            assert body == b"ok"
+
+        loop = new_loop()
+        try:
+            loop.run_until_complete(scenario())
+        finally:
+            loop.close()
+
+    def test_an_odd_event_number_ends_a_stream(self):
+        events = b"id: %b\ndata: x\n\n" % (b"9" * 5000)
+        assert EventAssembler(0).feed(events) == events
