Let a begun stream wait for a retry while its caller waits

What callers saw: a stream ends within its answer, with the log line 'the retry budget is exhausted'.

Cause: the budget is divided among all instances. On 82 instances each has two retries in ten seconds beside a share of its own requests, and a stream that broke off when none was left was cut at once, although the next one came before its caller would leave. Requests that had not run waited already.

Change: a begun stream waits for a retry until its caller gives up waiting for the next event or its deadline passes, and is cut at once if none can come before that. Requests that are not begun are answered at once as before: their callers' own retries are free.

The new test of test_serving failed before (cut within 0.2 s although a retry came after 1 s).

--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -590,6 +590,7 @@
                     exchange.run, self._dialect.read_event_version(events)
                 )
                 self._lasting.note_event(exchange.run)
+            job.last_event_at = exchange.last_event_at
             if not job.inc.started:
                 self._note_begun(exchange)
                 job.inc.begin(head.status, end_to_end(head.headers))
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -395,23 +395,19 @@
     # Retries.
 
     async def _reserve_retry(self, job: Job) -> None:
-        """Reserve a retry for the next attempt.
-
-        A request that has not run waits for a retry until its target time, and is refused
-        immediately only if none becomes available by then.
-
-        Raises
-        ------
-        Refused
-            If the budget has no retry in time.
-        """
-        service, unrun = job.service.name, job.is_unrun
-        until = job.req.arrived_at + job.route.target_s if unrun else -math.inf
+        """Reserve a retry for the next attempt; raises `Refused` if none is available in time."""
+        if not await self._await_retry(job, job.is_unrun):
+            # The caller's own retry is a new request and takes nothing from the budget.
+            raise Refused("the retry budget is exhausted", DEFAULT_RETRY_AFTER_S)
+
+    async def _await_retry(self, job: Job, unrun: bool) -> bool:
+        """Wait for a retry while it is of use to the caller; return whether one is reserved."""
+        service, until = job.service.name, _retry_wait_end(job, unrun)
         while not job.reserve_retry(self._budgets, unrun):
             if self._clock() + self._budgets.seconds_to_retry(service) >= until:
-                # The caller's own retry is a new request and takes nothing from the budget.
-                raise Refused("the retry budget is exhausted", DEFAULT_RETRY_AFTER_S)
+                return False
             await asyncio.sleep(POLL_S)
+        return True
 
     def _may_wait(self, job: Job, replica: Replica) -> bool:
         """Return whether a request may wait for capacity at a replica that was full."""
@@ -423,7 +419,7 @@
             job.service.name
         )
 
-    def _try_continue_run(self, job: Job, outcome: Outcome) -> bool:
+    async def _try_continue_run(self, job: Job, outcome: Outcome) -> bool:
         """Select the saved KV cache from which a run continues, and take a retry for it.
 
         Returns
@@ -443,7 +439,7 @@
             job.copy, job.backup = job.backup, None
         if job.copy is None or job.sends >= MAX_SENDS:
             return False
-        if not job.reserve_retry(self._budgets):
+        if not await self._await_retry(job, unrun=False):
             return False
         job.events.restart()
         log.info(
@@ -492,7 +488,7 @@
             self._plain_placer.note_full(replica)
             if job.copy is None:
                 check_backoff(self._fleet, job)
-        if self._try_continue_run(job, outcome):
+        if await self._try_continue_run(job, outcome):
             return
         if job.resumed_copy is not None and outcome is not Outcome.RAN:
             # The continued run had already started, and its result is unknown.
@@ -527,3 +523,17 @@
             sends=job.sends,
             last_event=job.events.last_event,
         )
+
+
+def _retry_wait_end(job: Job, unrun: bool) -> float:
+    """Return until when a request waits for a retry, by the event loop's clock.
+
+    A request that has not run waits until its target time, and a stream that has begun for as long
+    as its caller waits for the next event: without a retry it is cut. All others are answered at
+    once, since their callers can retry them.
+    """
+    if unrun:
+        return job.req.arrived_at + job.route.target_s
+    if job.inc.started:
+        return min(job.deadline_at, job.last_event_at + job.route.patience_s)
+    return -math.inf
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -623,6 +623,33 @@
 
         run(scenario)
 
+    # Each of many instances has a few retries only, and the next one was not awaited.
+    @pytest.mark.parametrize(("retry_after_s", "is_served"), [(1.0, True), (6.0, False)])
+    def test_a_begun_stream_is_cut_although_a_retry_is_available_soon(
+        self, monkeypatch, retry_after_s, is_served
+    ):
+        async def scenario():
+            bench = self.bench(
+                [[[STREAM + event(1), "reset"]], [[STREAM + event(2) + END]]], budget=0.0
+            )
+            budgets = bench.serving._budgets
+            monkeypatch.setattr(
+                RetryBudgets,
+                "seconds_to_retry",
+                lambda self, service: max(0.0, available_at - bench.clock()),
+            )
+            available_at = bench.clock() + retry_after_s
+            asyncio.get_running_loop().call_at(
+                available_at, lambda: setattr(budgets._window("llm"), "extra", 1.0)
+            )
+            client = bench.client(9000, ADAPTER)
+            await asyncio.sleep(0.2)
+            assert client.ended is not is_served
+            await asyncio.sleep(retry_after_s + 0.2)
+            assert client.received.endswith(END) is is_served
+
+        run(scenario)
+
     def test_nonresumable_stream_is_aborted_without_its_end_marker(self):
         async def scenario():
             bench = self.bench([[[STREAM + event(1), "reset"]], [[STREAM + END]]], Repeat.NEVER)
