Answer 500 where serving a request is cancelled from inside

What callers saw: nothing yet; the mechanism was found by review. A closed connection and the log line 'caller left' in place of an answer.

Cause: a request that awaits a future or a task which somebody else cancels is cancelled with it, and the server took any cancellation for the end of the connection.

Change: a cancellation counts as that only if the connection is gone or the server ends (is_closing); any other is logged as an error and answered as one.

Evidence: the new test failed before (empty answer). No await of this kind is known in the gateway.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -121,6 +121,8 @@
         self.clock = clock
         self.draining = False
         """Whether each connection is closed after its next answer."""
+        self.is_closing = False
+        """Whether requests in progress are cancelled because the server ends."""
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -157,6 +159,7 @@
 
     async def close(self) -> None:
         """Stop listening and end everything at once."""
+        self.is_closing = True
         if self._sweeper is not None:
             self._sweeper.cancel()
         if self._server is not None:
@@ -510,6 +513,10 @@
         except ClientGone:
             self.abort(EndCause.CLIENT)
         except asyncio.CancelledError:
+            if not (self._gone or self.server.is_closing):
+                log.error("serving a request was cancelled", started=inc.started)
+                self._end_failed(inc)
+                return
             self.abort()
             raise
         except Exception:
--- a/tests/test_unanswered_errors.py
+++ b/tests/test_unanswered_errors.py
@@ -19,6 +19,10 @@
     if what == b"begun":
         inc.begin(200, [])
         await inc.send(b"part")
+    if what == b"cancelled":
+        shared = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_soon(shared.cancel)
+        await shared
     if what == b"header":
         inc.respond(200, [(b"X-Bad", b"a\nb")], b"")
     raise LookupError("no service of this name")
@@ -61,6 +65,14 @@
     assert messages == ["serving a request failed"]
 
 
+# It was taken for the end of the connection, by the server or by the client.
+def test_a_request_that_awaits_what_is_cancelled_is_unanswered():
+    received, ended, messages = answer_to(b"cancelled")
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert ended
+    assert messages == ["serving a request was cancelled"]
+
+
 class OddRequest:
     """A request with given headers."""
 
