Let an answer reach its caller if serving fails after its end

What callers saw: nothing yet, found by review. An answer that was whole but not sent to its last byte was dropped by an error behind it, and so was the next request on the connection.

Change: after a whole answer the connection goes on as after any other.

Evidence: the new test failed before (the connection ended).

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -531,6 +531,10 @@
 
     def _end_failed(self, inc: Incoming) -> None:
         """End the connection of a request whose serving failed, with an answer if none began."""
+        if inc.ended:
+            # The answer is whole, and a part of it may not be sent yet.
+            self.finished()
+            return
         self.task = None
         if inc.started or self._gone or self.transport is None or self.transport.is_closing():
             # Whatever was sent so far must not look complete.
--- a/tests/test_unanswered_errors.py
+++ b/tests/test_unanswered_errors.py
@@ -19,6 +19,8 @@
     if what == b"begun":
         inc.begin(200, [])
         await inc.send(b"part")
+    if what == b"whole":
+        inc.respond(200, [], b"whole")
     if what == b"cancelled":
         shared = asyncio.get_running_loop().create_future()
         asyncio.get_running_loop().call_soon(shared.cancel)
@@ -65,6 +67,15 @@
     assert messages == ["serving a request failed"]
 
 
+# Whatever of the answer was not sent yet was dropped, and so was the next request.
+def test_an_answer_is_cut_by_an_error_after_its_end():
+    received, ended, messages = answer_to(b"whole")
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.endswith(b"whole")
+    assert not ended
+    assert messages == ["serving a request failed"]
+
+
 # It was taken for the end of the connection, by the server or by the client.
 def test_a_request_that_awaits_what_is_cancelled_is_unanswered():
     received, ended, messages = answer_to(b"cancelled")
