Backdate a first request on an early connection only if it had arrived

What callers saw: streams out of time before their deadlines, and 408 for a request in two pieces, after a start that took long.

Cause: the first request of each connection that came in the first 0.1 s counted as old as the listening socket, however late it came, also for the header timeout; and the limits in force at its first byte were not taken.

Change: only what is read at once after the connection was accepted counts as that old, and only for its deadline. Requests that wait in the accept queue cannot be told from older ones and are still backdated.

Evidence: the new test of test_start failed before (408).

--- a/packages/http/src/gradelug_http/early.py
+++ b/packages/http/src/gradelug_http/early.py
@@ -10,7 +10,7 @@
 import socket
 from dataclasses import dataclass
 
-from .server import HttpServer, ServerConnection
+from .server import HttpServer, ServerConnection, call_after_poll
 
 ACCEPT_S = 0.1
 """Connections that came before the process was whole are taken within this after it is."""
@@ -57,16 +57,33 @@
 class EarlyConnection(ServerConnection):
     """A connection that may have come before the process was whole.
 
-    Its first request counts as come when the door was opened: nobody knows better, and so it is
-    answered or given up within its time for certain.
+    A first request that had arrived by then counts as come when the door was opened: nobody knows
+    better, and so it is answered or given up within its time for certain.
     """
 
     def __init__(self, server: HttpServer, since: float) -> None:
         super().__init__(server)
-        self._since: float | None = since
-
-    def data_received(self, data: bytes) -> None:
-        """Parse what came."""
-        if self._since is not None:
-            self._began_at, self._since = self._since, None
-        super().data_received(data)
+        self._opened_before = since
+        self._is_read_at_once = True
+        """Whether what is read now had arrived before the connection was accepted."""
+        self._first_arrived_at: float | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport over."""
+        super().connection_made(transport)
+        call_after_poll(self._note_read)
+
+    def _note_read(self) -> None:
+        self._is_read_at_once = False
+
+    def _note_first_byte(self) -> None:
+        super()._note_first_byte()
+        if self._is_read_at_once:
+            self._is_read_at_once = False
+            self._first_arrived_at = self._opened_before
+
+    def _request_arrived_at(self) -> float:
+        if self._first_arrived_at is None:
+            return super()._request_arrived_at()
+        arrived_at, self._first_arrived_at = self._first_arrived_at, None
+        return arrived_at
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -493,14 +493,19 @@
 
     def _start(self) -> None:
         assert self._req is not None
-        began_at = self._began_at if self._began_at is not None else self.server.clock()
-        inc = self._incoming = Incoming(self, self._req, b"".join(self._body), began_at)
+        inc = self._incoming = Incoming(
+            self, self._req, b"".join(self._body), self._request_arrived_at()
+        )
         self._began_at = None
         if self._h11.trailing_data[0]:
             # The next request's first byte came with this request's last one.
             self._note_first_byte()
         self.task = asyncio.get_running_loop().create_task(self._run(inc))
 
+    def _request_arrived_at(self) -> float:
+        """Return when the first byte of the request came, by the runtime's clock."""
+        return self._began_at if self._began_at is not None else self.server.clock()
+
     async def _run(self, inc: Incoming) -> None:
         # The end of a client that left before its request was read is read after the request.
         await asyncio.sleep(0)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -117,6 +117,42 @@
         assert second > first
         assert third >= began
 
+    # Each first request counted as old as the listening socket.
+    def test_a_request_on_an_early_connection_is_out_of_time_although_it_came_late(
+        self, tmp_path, monkeypatch
+    ):
+        self.settings(tmp_path, monkeypatch, '[Listen]\nFront = "127.0.0.1:0"\n')
+        opened = door.open_early_socket([])
+        arrivals = []
+
+        async def serve(inc):
+            arrivals.append(inc.arrived_at)
+            inc.respond(200, [], b"here")
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            limits = ServerLimits(header_s=0.5)
+            early = socket.create_connection(opened.sock.getsockname())
+            halved = socket.create_connection(opened.sock.getsockname())
+            halved.setblocking(False)
+            early.setblocking(False)
+            halved.sendall(b"GET / HTTP/1.1\r\n")
+            server = EarlyServer(serve, lambda: limits, loop.time)
+            await server.enter(Door(opened.sock, opened.since - 2.0))
+            await asyncio.sleep(0.3)
+            halved.sendall(b"Host: x\r\n\r\n")
+            sent_at = loop.time()
+            early.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            for client in (halved, early):
+                assert b" 200 " in await loop.sock_recv(client, 1000)
+                client.close()
+            await server.close()
+            return sent_at
+
+        sent_at = asyncio.run(scenario())
+        assert sorted(arrivals)[0] == opened.since - 2.0
+        assert sorted(arrivals)[1] >= sent_at
+
     @pytest.mark.parametrize(
         "text",
         [
