End an overdue connection whose end raises an error, and go on with the others

Callers saw: no timeout held any more, memory stayed counted, 503 to every body.

`_refuse` now aborts a connection whose client has left, in place of writing to nobody, and an error while one connection is ended is logged and ends that connection alone.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -191,7 +191,14 @@
     def _end_overdue(self, conns: t.Iterable[ServerConnection], now: float, idle_s: float) -> None:
         for conn in conns:
             if conn.is_overdue(now, idle_s):
-                conn.end_overdue()
+                self._end_one_overdue(conn)
+
+    def _end_one_overdue(self, conn: ServerConnection) -> None:
+        try:
+            conn.end_overdue()
+        except Exception:
+            log.exception("could not close or refuse a connection that is overdue")
+            conn.abort(EndCause.ERROR)
 
     def _note_delay(self, now: float) -> None:
         """Log a sweep that is late."""
@@ -552,6 +559,10 @@
 
     def _refuse(self, status: int) -> None:
         self._refused_at = self.server.clock()
+        if self._gone or self.transport is None or self.transport.is_closing():
+            # The client has left: nobody reads the refusal.
+            self.abort(EndCause.CLIENT)
+            return
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
             self.write(self._h11.send(h11.Response(status_code=status, headers=headers)))
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -1,12 +1,13 @@
 """The regular check of all connections of an HTTP server."""
 
 import asyncio
-from pipes import RawClient, join
+from pipes import MemoryTransport, RawClient, join
 
 from gradelug_http import HttpServer, ServerLimits
 from test_unread import UnreadTransport, connect, run
 
 HEADER_S = 1.0
+IDLE_S = 4.0
 HALF_HEAD = b"GET /x HTTP/1.1\r\nHost:"
 WHOLE_HEAD = HALF_HEAD + b" h\r\n\r\n"
 LARGE_BYTES = 100_000
@@ -42,7 +43,7 @@
 
 def new_server(most_bytes=0):
     clock = asyncio.get_running_loop().time
-    limits = ServerLimits(header_s=HEADER_S)
+    limits = ServerLimits(header_s=HEADER_S, idle_s=IDLE_S)
     server = HttpServer(respond_large, lambda: limits, clock, most_bytes)
     server.start_sweeping()
     return server
@@ -77,3 +78,29 @@
             assert server.held < LARGE_BYTES * 2
 
         run(scenario)
+
+
+class Faulty(MemoryTransport):
+    """Raises whenever it is closed."""
+
+    def close(self):
+        raise RuntimeError("cannot be closed")
+
+
+# Which connections were checked depended on their order in a set.
+def test_an_error_of_one_connection_kept_the_others_open_beyond_their_timeouts():
+    async def scenario():
+        server = new_server()
+        for _ in range(4):
+            client, conn = RawClient(), server.new_connection()
+            near, far = MemoryTransport(client), Faulty(conn)
+            near.peer, far.peer = far, near
+            conn.connection_made(far)
+        clients = [RawClient() for _ in range(8)]
+        for client in clients:
+            join(client, server.new_connection())
+        await asyncio.sleep(2 * IDLE_S)
+        assert all(client.ended for client in clients)
+        assert not server.connections
+
+    run(scenario)
