--- a/packages/http/src/gradelug_http/exceptions.py
+++ b/packages/http/src/gradelug_http/exceptions.py
@@ -21,3 +21,19 @@
 
 class ClientGone(HttpError):
     """The client has closed its connection."""
+
+
+class MalformedRequest(HttpError):
+    """A client sent what is no request or exceeds a limit.
+
+    Parameters
+    ----------
+    status : int
+        Status of the refusal.
+    reason : str
+        What is wrong.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
