Count what is kept for callers as it arrives, and hold back requests before memory grows

Callers saw: the process went over its memory and was killed, with all requests on it. A body that came while the count was over the bound was refused, however ordinary, and bodies that had stopped were kept.

Each connection now tells the server of each change of what it keeps (bytes that wait to be read, the body, the body of a request under way, the unsent answer). Above the bound, requests of more than 16 KB that still arrive are held back (their reading pauses), and callers that neither read nor send for 0.5 s are given up, the longest first. After 0.5 s of shortage those held back are refused with 503, the slowest first and of equals the oldest, until three quarters of the bound are kept; the others go on. A body that begins while memory would be short without all arriving ones is refused at once. Above one and a half times the bound everything that arrives is refused. Time held back does not count against a request, up to its time limit once more.

--- a/packages/http/src/gradelug_http/budget.py
+++ b/packages/http/src/gradelug_http/budget.py
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SlowReader:
-    """A caller that does not read.
+    """A caller that does not read, or sends nothing of a request that it has begun.
 
     Parameters
     ----------
@@ -83,6 +83,46 @@
     return round(min(MOST_READ_AHEAD, max(LEAST_READ_AHEAD, share)))
 
 
+@dataclass(slots=True, frozen=True)
+class SlowSender:
+    """A caller whose request arrives.
+
+    Parameters
+    ----------
+    number : int
+        Names its connection.
+    rate : float
+        Bytes per second at which the request has arrived so far.
+    size : int
+        Bytes that are kept for it.
+    """
+
+    number: int
+    rate: float
+    size: int
+
+
+def to_refuse(limit: int, held: int, senders: t.Iterable[SlowSender]) -> list[SlowSender]:
+    """Return the callers whose requests are refused so that what is kept fits, the slowest first.
+
+    Parameters
+    ----------
+    limit : int
+        Most bytes that may be kept.
+    held : int
+        Bytes that are kept for all callers.
+    senders : iterable of SlowSender
+        Those whose requests arrive.
+    """
+    refused = []
+    for sender in sorted(senders, key=lambda sender: sender.rate):
+        if held <= limit:
+            break
+        refused.append(sender)
+        held -= sender.size
+    return refused
+
+
 def to_shed(limit: int, held: int, readers: t.Iterable[SlowReader]) -> list[SlowReader]:
     """Return the callers to give up so that what is kept fits, the longest unread first.
 
@@ -93,7 +133,7 @@
     held : int
         Bytes that are kept for all callers.
     readers : iterable of SlowReader
-        Those that do not read now. Who reads is never given up.
+        Those that do not read or send now. Who does is never given up.
     """
     shed = []
     for reader in sorted(readers, key=lambda reader: reader.since):
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -9,7 +9,7 @@
 import h11
 import logbook
 
-from .budget import SlowReader, read_ahead, to_shed
+from .budget import SlowReader, SlowSender, read_ahead, to_refuse, to_shed
 from .connection_ends import ConnectionEnd, EndCause, RequestState
 from .exceptions import ClientGone, MalformedRequest
 from .headers import Header, Headers, find
@@ -28,6 +28,20 @@
     b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 """The answer to a request whose serving raised an unexpected error."""
+STALL_S = 0.5
+"""A caller that sends nothing of its request for this long may be given up when memory is short."""
+MIN_ARRIVING_S = 0.05
+"""Requests that arrive within this are taken for equally fast."""
+MAX_SHORTAGE_S = 0.5
+"""When memory has been short for this long, the slowest requests are refused."""
+EASE_PART = 0.75
+"""Part of the bound below which memory is no longer short."""
+EXCESS_PART = 1.5
+"""Part of the bound above which everything that arrives is refused."""
+SMALL_BYTES = 16_384
+"""A request that is not longer goes on arriving while memory is short."""
+DECODE_FACTOR = 4
+"""Multiple of the time for a request within which it must have arrived and be decoded."""
 MAX_BACKLOG_BYTES = 65_536
 """Bytes that may wait for the decoder before reading pauses."""
 READ_AHEAD_BYTES = 262_144
@@ -116,10 +130,15 @@
         self.on_end = on_end
         self._most_bytes = most_bytes
         self._upstreams = upstreams
-        self.held = 0
-        """Bytes kept for all callers, as last counted."""
+        self._held_for_callers = 0
+        self._arriving = 0
+        """Bytes of them that belong to requests which are not whole yet."""
+        self._held_upstream = 0
+        """Bytes that came from upstreams and were not read, as last counted."""
+        self._short_since: float | None = None
+        """Since when memory is short, None if it is not."""
         self.shed = 0
-        """Callers given up since the start because they did not read."""
+        """Callers given up since the start because they did not read or send."""
         self.serve = serve
         self.limits = limits
         self.clock = clock
@@ -220,32 +239,119 @@
                 in_progress=self.in_progress,
             )
 
+    @property
+    def held(self) -> int:
+        """Bytes kept for all callers."""
+        return self._held_for_callers + self._held_upstream
+
     @property
     def is_full(self) -> bool:
         """Whether no further body can be kept."""
         return 0 < self._most_bytes < self.held
 
+    @property
+    def is_short(self) -> bool:
+        """Whether requests that are not small have to wait for memory."""
+        return self._short_since is not None
+
+    @property
+    def _eased_bytes(self) -> int:
+        return round(EASE_PART * self._most_bytes)
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether nothing at all can be kept any more."""
+        return 0 < EXCESS_PART * self._most_bytes < self.held
+
+    @property
+    def has_no_room(self) -> bool:
+        """Whether memory would be short even without the requests that are not whole yet."""
+        return 0 < self._eased_bytes < self.held - self._arriving
+
+    def count(self, change: int, arriving: int) -> None:
+        """Count what is kept for a caller in addition, or no longer.
+
+        Parameters
+        ----------
+        change : int
+            Change of the bytes that are kept.
+        arriving : int
+            Change of those of them that belong to a request which is not whole yet.
+        """
+        self._held_for_callers += change
+        self._arriving += arriving
+        if self.is_full and not self.is_short:
+            self._short_since = self.clock()
+            self._pace_all()
+            # A process that was held up has not read yet what arrived in time.
+            call_after_poll(self._relieve)
+        elif self.is_short and self.held <= self._eased_bytes:
+            self._short_since = None
+            asyncio.get_running_loop().call_soon(self._pace_all)
+
+    def _pace_all(self) -> None:
+        for conn in list(self.connections):
+            conn.pace_reading()
+
     def _keep_within(self, most_bytes: int) -> None:
-        """Count what is kept for callers and give up those that do not read if it is too much."""
-        conns = list(self.connections)
-        self.held = sum(conn.held for conn in conns)
+        """Count what is kept for callers and give some of them up if it is too much."""
+        for conn in list(self.connections):
+            conn.recount()
         if self._upstreams is not None:
-            self.held += self._upstreams.held()
+            self._held_upstream = self._upstreams.held()
             self._upstreams.bound_read_ahead(read_ahead(most_bytes, self._upstreams.connections))
-        readers = [
-            SlowReader(number, conn.paused_since, conn.held)
+        self.count(0, 0)
+        if self.is_short:
+            self._relieve()
+
+    def _relieve(self) -> None:
+        """Give up callers while memory is short."""
+        self._shed_stalled()
+        if self._short_since is None or self.clock() - self._short_since < MAX_SHORTAGE_S:
+            return
+        self._refuse_slowest()
+        if self.is_short:
+            self._short_since = self.clock()
+
+    def _shed_stalled(self) -> None:
+        """Give up callers that neither read nor send, the longest first."""
+        now = self.clock()
+        conns = list(self.connections)
+        stalled = [
+            SlowReader(number, since, conn.held)
             for number, conn in enumerate(conns)
-            if conn.paused_since is not None
+            if (since := conn.stalled_since(now)) is not None
         ]
-        for reader in to_shed(most_bytes, self.held, readers):
+        limit = self._eased_bytes if self.is_short else self._most_bytes
+        for reader in to_shed(limit, self.held, stalled):
             self.shed += 1
             log.warning(
-                "caller given up, it does not read",
-                unread_s=round(self.clock() - reader.since, 3),
+                "caller given up, it neither reads nor sends",
+                stalled_s=round(now - reader.since, 3),
                 size=reader.size,
                 held=self.held,
             )
-            conns[reader.number].abort(EndCause.UNREAD)
+            conns[reader.number].give_up()
+
+    def _refuse_slowest(self) -> None:
+        """Refuse requests that arrive, the slowest first, until memory is no longer short."""
+        now = self.clock()
+        # Of equally slow ones, the first is refused that had the most time.
+        conns = sorted(self.connections, key=lambda conn: conn.began_at or now)
+        senders = [
+            SlowSender(number, conn.arrival_rate(now), conn.held)
+            for number, conn in enumerate(conns)
+            if conn.is_held_back
+        ]
+        for sender in to_refuse(self._eased_bytes, self.held, senders):
+            self.shed += 1
+            log.warning(
+                "request refused, memory is short",
+                rate=round(sender.rate),
+                size=sender.size,
+                held=self.held,
+            )
+            conns[sender.number].give_up()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -259,6 +365,12 @@
         """Limits of the request that is being received, in force when its first byte came."""
         self._reader = RequestReader(self._limits.header_bytes)
         self._is_reading_paused = False
+        self._counted = 0
+        """Bytes that the server has counted for it."""
+        self._counted_arriving = 0
+        self._held_back_at: float | None = None
+        """Since when its request waits for memory, None if it does not."""
+        self._held_back_s = 0.0
         self._began_at: float | None = None
         self._rested_at = server.clock()
         self._idle_s = self._limits.idle_s
@@ -287,6 +399,7 @@
         self._gone = True
         self.server.connections.discard(self)
         self.server.turns.discard(self)
+        self.recount()
         cause = EndCause.CLIENT if exc is None else EndCause.LOST
         self.server.on_end(self._end or self._describe_end(cause))
         if self._drained is not None and not self._drained.done():
@@ -318,11 +431,15 @@
         if self._began_at is None:
             self._note_first_byte()
         self._reader.buffer += data
-        if self in self.server.turns:
-            self._pace_reading()
-        elif self.task is None:
+        if self.server.is_exhausted:
+            self.give_up()
+            return
+        if self.task is not None or self in self.server.turns:
+            self.pace_reading()
+        else:
             self.read_on()
-        elif len(self._reader.buffer) > READ_AHEAD_BYTES:
+        self.recount()
+        if len(self._reader.buffer) > READ_AHEAD_BYTES and self.task is not None:
             # Far more than a next request, sent before this one's answer.
             self.abort(EndCause.AHEAD)
 
@@ -330,10 +447,58 @@
 
     @property
     def held(self) -> int:
-        """Bytes of the request's body, and of the answer that was not sent yet."""
+        """Bytes of requests that arrived, and of the answer that was not sent yet."""
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
         served = len(self._incoming.body) if self._incoming is not None else 0
-        return len(self._reader.body) + served + unsent
+        return self._reader.size + served + unsent
+
+    def recount(self) -> None:
+        """Tell the server what is kept for this caller."""
+        held = 0 if self._gone else self.held
+        arriving = 0 if self._gone or self.task is not None else self._reader.size
+        if (held, arriving) == (self._counted, self._counted_arriving):
+            return
+        changes = held - self._counted, arriving - self._counted_arriving
+        self._counted, self._counted_arriving = held, arriving
+        self.server.count(*changes)
+
+    def stalled_since(self, now: float) -> float | None:
+        """Return since when the caller neither reads nor sends, None if it does."""
+        if self.paused_since is not None:
+            return self.paused_since
+        is_sending = self.task is None and self._began_at is not None
+        if not is_sending or self._is_reading_paused or self in self.server.turns:
+            return None
+        return self._read_at if now - self._read_at > STALL_S else None
+
+    @property
+    def began_at(self) -> float | None:
+        """When the first byte of the request that arrives came, None if there is none."""
+        return self._began_at
+
+    @property
+    def is_held_back(self) -> bool:
+        """Whether its request waits for memory."""
+        return self._held_back_at is not None
+
+    def arrival_rate(self, now: float) -> float:
+        """Return the bytes per second at which the current request has arrived."""
+        if self._began_at is None:
+            return 0.0
+        arriving_s = now - self._began_at - self._waited_s(now)
+        return self._reader.size / max(arriving_s, MIN_ARRIVING_S)
+
+    def _waited_s(self, now: float) -> float:
+        """Return how long the current request has waited for memory."""
+        held_back = now - self._held_back_at if self._held_back_at is not None else 0.0
+        return self._held_back_s + held_back
+
+    def give_up(self) -> None:
+        """Refuse the request that arrives, or close at once if one is being answered."""
+        if self.task is None and self.paused_since is None:
+            self._refuse(503)
+        else:
+            self.abort(EndCause.UNREAD)
 
     @property
     def held_up_s(self) -> float:
@@ -395,12 +560,17 @@
         if self.task is not None:
             return False
         if self._began_at is not None:
-            # The client is not late while bytes of its wait for the decoder.
-            return self not in self.server.turns and self._is_late(now)
+            return self._is_late(now)
         return now - self._rested_at > max(self._idle_s, idle_s) * IDLE_SLACK
 
     def _is_late(self, now: float) -> bool:
-        return self._began_at is not None and now - self._began_at > self._limits.header_s
+        if self._began_at is None:
+            return False
+        waited_s = min(self._waited_s(now), self._limits.header_s)
+        arriving_s = now - self._began_at - waited_s
+        # The client is not late while bytes of its wait for the decoder.
+        factor = DECODE_FACTOR if self in self.server.turns else 1
+        return arriving_s > factor * self._limits.header_s
 
     def end_overdue(self) -> None:
         """Refuse a request that arrives too slowly, close a connection that rests too long."""
@@ -417,6 +587,7 @@
             raise ClientGone("the client has closed its connection")
         if data:
             self.transport.write(data)
+            self.recount()
 
     def send_event(self, event: t.Any) -> None:
         """Send a part of an answer; raises `ClientGone`."""
@@ -441,11 +612,13 @@
             return
         self._reader.start_next()
         self._incoming = None
+        self._held_back_s = 0.0
         self._held_up_s = 0.0
         self._rested_at = self.server.clock()
         self._idle_s = self.server.limits().idle_s
         self._began_at = self._rested_at if self._reader.buffer else None
         self.read_on()
+        self.recount()
 
     def _note_first_byte(self) -> None:
         self._began_at = self.server.clock()
@@ -455,6 +628,7 @@
     def read_on(self) -> None:
         """Read what arrived, up to one step of a body."""
         while self.task is None and self._refused_at is None:
+            before = len(self._reader.body)
             try:
                 step = self._reader.step()
             except MalformedRequest as exc:
@@ -463,7 +637,7 @@
             if step is Step.HEAD:
                 self._check_head()
                 continue
-            self._check_body()
+            self._check_body(before)
             if step is Step.END:
                 self._start()
             elif step is Step.MORE:
@@ -472,19 +646,33 @@
             else:
                 self._continue_body()
                 break
-        self._pace_reading()
+        self.recount()
+        self.pace_reading()
 
-    def _pace_reading(self) -> None:
-        """Read no further bytes while many wait for the decoder."""
+    def pace_reading(self) -> None:
+        """Stop reading while there is no use for further bytes, and go on afterwards."""
+        self._note_held_back()
         is_far = self in self.server.turns and len(self._reader.buffer) > MAX_BACKLOG_BYTES
-        if is_far == self._is_reading_paused or self.transport is None:
+        must_pause = is_far or self.is_held_back
+        if must_pause == self._is_reading_paused or self.transport is None:
             return
-        self._is_reading_paused = is_far
-        if is_far:
+        self._is_reading_paused = must_pause
+        if must_pause:
             self.transport.pause_reading()
         else:
+            self._read_at = self.server.clock()
             self.transport.resume_reading()
 
+    def _note_held_back(self) -> None:
+        """Note whether the request that arrives has to wait for memory."""
+        is_arriving = self.task is None and self._refused_at is None
+        must_wait = is_arriving and self.server.is_short and self._reader.size > SMALL_BYTES
+        if must_wait and self._held_back_at is None:
+            self._held_back_at = self.server.clock()
+        elif not must_wait and self._held_back_at is not None:
+            self._held_back_s += self.server.clock() - self._held_back_at
+            self._held_back_at = None
+
     def _check_head(self) -> None:
         req = self._reader.req
         assert req is not None
@@ -495,12 +683,19 @@
             # The reader bounds only what it has to keep waiting.
             self._refuse(431)
 
-    def _check_body(self) -> None:
+    def _check_body(self, before: int) -> None:
+        """Refuse a body that is too long, or begins while there is no memory for it.
+
+        Parameters
+        ----------
+        before : int
+            Bytes of it that had been read before.
+        """
         size = len(self._reader.body)
-        if size and self.server.is_full:
-            self._refuse(503)
-        elif size > self._limits.body_bytes:
+        if size > self._limits.body_bytes:
             self._refuse(413)
+        elif self.server.is_full and not before and size > SMALL_BYTES and self.server.has_no_room:
+            self._refuse(503)
 
     def _continue_body(self) -> None:
         """Ask for the body if the client waits to be asked."""
@@ -577,8 +772,11 @@
             # The client has left: nobody reads the refusal.
             self.abort(EndCause.CLIENT)
             return
-        parser = self._reader.parser
+        self.server.turns.discard(self)
         self._reader.clear()
+        self.recount()
+        self.pace_reading()
+        parser = self._reader.parser
         if parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
             self.write(parser.send(h11.Response(status_code=status, headers=headers)))
--- a/tests/pipes.py
+++ b/tests/pipes.py
@@ -72,6 +72,79 @@
             self._loop.call_later(self.delay_s, tell_peer)
 
 
+class PacedTransport(MemoryTransport):
+    """Keeps what arrives while its end does not read, and what its end writes to one that does not.
+
+    Parameters
+    ----------
+    protocol : asyncio.Protocol
+        Its end.
+    high_bytes : int
+        Unsent bytes above which its end is told to write no more.
+    """
+
+    def __init__(self, protocol, high_bytes=65_536):
+        super().__init__(protocol)
+        self.is_paused = False
+        self.unread = []
+        """Pieces that arrived and were not read."""
+        self.unsent = bytearray()
+        self._high_bytes = high_bytes
+        self._is_full = False
+
+    def deliver(self, data):
+        if self.closing:
+            return
+        if self.is_paused:
+            self.unread.append(data)
+        else:
+            self.protocol.data_received(data)
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+        self._loop.call_soon(self._deliver_unread)
+
+    def _deliver_unread(self):
+        while self.unread and not self.is_paused and not self.closing:
+            self.protocol.data_received(self.unread.pop(0))
+        if not self.is_paused:
+            self.peer.flush()
+
+    def write(self, data):
+        if self.closing or not self.peer.is_paused:
+            super().write(data)
+            return
+        self.unsent += data
+        if len(self.unsent) > self._high_bytes and not self._is_full:
+            self._is_full = True
+            self.protocol.pause_writing()
+
+    def flush(self):
+        """Send what is unsent, once the other end reads again."""
+        if not self.unsent or self.closing:
+            return
+        data, self.unsent = bytes(self.unsent), bytearray()
+        super().write(data)
+        if self._is_full:
+            self._is_full = False
+            self.protocol.resume_writing()
+
+    def get_write_buffer_size(self):
+        return len(self.unsent)
+
+
+def join_paced(client, server):
+    """Connect two protocols by ends that keep what is not read, and return both ends."""
+    near, far = PacedTransport(client), PacedTransport(server)
+    near.peer, far.peer = far, near
+    client.connection_made(near)
+    server.connection_made(far)
+    return near, far
+
+
 def join(client, server):
     """Connect two protocols and return the client's end."""
     ends = MemoryTransport(client), MemoryTransport(server)
