Bound the receive buffers of callers' connections, and count those that are not read

Callers saw: the platform counts what has arrived and was not read, and the kernel lets the buffer of a fast connection grow (1.8 MB in the test, up to 33 MB by the settings of this machine): a hundred bodies over the limit left 250 MB there.

A caller's connection gets a buffer of 128 KB, beyond the first 128 connections one of 64 KB, and while its reading pauses the buffer counts as kept.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import typing as t
 from dataclasses import dataclass
 
@@ -40,6 +41,11 @@
 """Part of the bound above which everything that arrives is refused."""
 SMALL_BYTES = 16_384
 """A request that is not longer goes on arriving while memory is short."""
+RECEIVE_BUFFER_BYTES = 131_072
+"""Bytes of one caller that the kernel may keep before they are read."""
+NARROW_BUFFER_BYTES = 65_536
+"""The same of connections beyond the first `WIDE_CONNECTIONS` that are open at a time."""
+WIDE_CONNECTIONS = 128
 DECODE_FACTOR = 4
 """Multiple of the time for a request within which it must have arrived and be decoded."""
 MAX_BACKLOG_BYTES = 65_536
@@ -244,6 +250,11 @@
         """Bytes kept for all callers."""
         return self._held_for_callers + self._held_upstream
 
+    @property
+    def bounds_memory(self) -> bool:
+        """Whether what is kept for callers has a bound."""
+        return self._most_bytes > 0
+
     @property
     def is_full(self) -> bool:
         """Whether no further body can be kept."""
@@ -365,6 +376,8 @@
         """Limits of the request that is being received, in force when its first byte came."""
         self._reader = RequestReader(self._limits.header_bytes)
         self._is_reading_paused = False
+        self._receive_buffer = 0
+        """Bytes that the kernel may keep for it, where that is bounded."""
         self._counted = 0
         """Bytes that the server has counted for it."""
         self._counted_arriving = 0
@@ -393,6 +406,8 @@
         """Take the transport over."""
         self.transport = t.cast(asyncio.Transport, transport)
         self.server.connections.add(self)
+        if self.server.bounds_memory:
+            self._bound_receive_buffer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request that is being served."""
@@ -443,19 +458,32 @@
             # Far more than a next request, sent before this one's answer.
             self.abort(EndCause.AHEAD)
 
+    def _bound_receive_buffer(self) -> None:
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None:
+            return
+        is_wide = len(self.server.connections) <= WIDE_CONNECTIONS
+        self._receive_buffer = RECEIVE_BUFFER_BYTES if is_wide else NARROW_BUFFER_BYTES
+        # The kernel doubles what is asked for.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer // 2)
+
     # Used by the server and by requests.
 
     @property
     def held(self) -> int:
-        """Bytes of requests that arrived, and of the answer that was not sent yet."""
+        """Bytes of requests that arrived, and of the answer that was not sent yet.
+
+        While reading pauses, the kernel may keep as many as its buffer takes.
+        """
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
         served = len(self._incoming.body) if self._incoming is not None else 0
-        return self._reader.size + served + unsent
+        in_kernel = self._receive_buffer if self._is_reading_paused else 0
+        return self._reader.size + served + unsent + in_kernel
 
     def recount(self) -> None:
         """Tell the server what is kept for this caller."""
         held = 0 if self._gone else self.held
-        arriving = 0 if self._gone or self.task is not None else self._reader.size
+        arriving = 0 if self._gone or self.task is not None else held
         if (held, arriving) == (self._counted, self._counted_arriving):
             return
         changes = held - self._counted, arriving - self._counted_arriving
@@ -662,6 +690,7 @@
         else:
             self._read_at = self.server.clock()
             self.transport.resume_reading()
+        self.recount()
 
     def _note_held_back(self) -> None:
         """Note whether the request that arrives has to wait for memory."""
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -1,10 +1,14 @@
 """What is kept for callers: counted as it arrives, and who is given up when it is too much."""
 
+import array
 import asyncio
+import fcntl
+import termios
 from pipes import RawClient, join_paced
 
 from gradelug_http import HttpServer, ServerLimits
 from gradelug_http.budget import SlowSender, to_refuse
+from gradelug_http.server import RECEIVE_BUFFER_BYTES
 from hypothesis import given
 from hypothesis import strategies as st
 from test_unread import run
@@ -168,3 +172,31 @@
             assert left + refused[-1].size > limit
             kept = [sender for sender in slow if sender not in refused]
             assert all(refused[-1].rate <= sender.rate for sender in kept)
+
+
+def test_what_the_kernel_keeps_of_a_caller_is_bounded():
+    async def scenario():
+        async def serve(inc):
+            inc.respond(200, [], b"")
+
+        clock = asyncio.get_running_loop().time
+        server = HttpServer(serve, ServerLimits, clock, 100 * MOST_BYTES)
+        port = await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        # The kernel lets the buffers of fast connections grow.
+        for _ in range(8):
+            writer.write(head(4_000_000) + b"x" * 4_000_000)
+            assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+        (conn,) = server.connections
+        conn.transport.pause_reading()
+        for _ in range(200):
+            writer.write(b"x" * RECEIVE_BUFFER_BYTES)
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.2)
+        count = array.array("i", [0])
+        fcntl.ioctl(conn.transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
+        writer.transport.abort()
+        await server.close()
+        assert 0 < count[0] <= RECEIVE_BUFFER_BYTES
+
+    asyncio.run(scenario())
