Refuse an announced body over the limit at its head, and bound what is read after a refusal

Callers saw: a body announced over the limit was read up to the limit before its 413, also by a client that had asked first (`Expect: 100-continue` was answered with 100), and after any refusal whatever a client sent was read for half a second, hundreds of megabytes over a fast link.

The announced length is compared with the limit when the head has been read. After a refusal as many bytes are read as the longest body has, so that a client within the limits sees its refusal; then reading pauses until the connection is closed.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -381,6 +381,8 @@
         self._counted = 0
         """Bytes that the server has counted for it."""
         self._counted_arriving = 0
+        self._discarded = 0
+        """Bytes that arrived after a refusal."""
         self._held_back_at: float | None = None
         """Since when its request waits for memory, None if it does not."""
         self._held_back_s = 0.0
@@ -441,6 +443,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse what came."""
         if self._refused_at is not None:
+            self._discarded += len(data)
+            self.pace_reading()
             return
         self._read_at = self.server.clock()
         if self._began_at is None:
@@ -681,7 +685,9 @@
         """Stop reading while there is no use for further bytes, and go on afterwards."""
         self._note_held_back()
         is_far = self in self.server.turns and len(self._reader.buffer) > MAX_BACKLOG_BYTES
-        must_pause = is_far or self.is_held_back
+        # A client that sends a whole body before it reads sees its refusal.
+        is_discarded = self._discarded > self._limits.body_bytes
+        must_pause = is_far or is_discarded or self.is_held_back
         if must_pause == self._is_reading_paused or self.transport is None:
             return
         self._is_reading_paused = must_pause
@@ -711,6 +717,8 @@
         elif _head_bytes(req) > self._limits.header_bytes:
             # The reader bounds only what it has to keep waiting.
             self._refuse(431)
+        elif self._reader.announced_bytes > self._limits.body_bytes:
+            self._refuse(413)
 
     def _check_body(self, before: int) -> None:
         """Refuse a body that is too long, or begins while there is no memory for it.
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -6,6 +6,7 @@
 import termios
 from pipes import RawClient, join_paced
 
+import pytest
 from gradelug_http import HttpServer, ServerLimits
 from gradelug_http.budget import SlowSender, to_refuse
 from gradelug_http.server import RECEIVE_BUFFER_BYTES
@@ -28,10 +29,10 @@
 class Crowd:
     """A server with little memory, and its clients."""
 
-    def __init__(self):
+    def __init__(self, most_bytes=MOST_BYTES):
         self.served = []
         clock = asyncio.get_running_loop().time
-        self.server = HttpServer(self._serve, ServerLimits, clock, MOST_BYTES)
+        self.server = HttpServer(self._serve, ServerLimits, clock, most_bytes)
         self.server.start_sweeping()
         self.ends = []
 
@@ -174,6 +175,36 @@
             assert all(refused[-1].rate <= sender.rate for sender in kept)
 
 
+class TestRefusedBodies:
+    @pytest.mark.parametrize("expects", [b"", b"Expect: 100-continue\r\n"])
+    def test_an_announced_body_over_the_limit_was_read_up_to_the_limit(self, expects):
+        async def scenario():
+            crowd = Crowd()
+            client, near = crowd.connect()
+            near.write(head(4_194_305).replace(b"\r\n\r\n", b"\r\n" + expects + b"\r\n"))
+            await asyncio.sleep(0.01)
+            assert status(client) == b"413"
+            assert crowd.server.held == 0
+
+        run(scenario)
+
+    def test_a_refused_body_was_read_for_as_long_as_its_client_sent(self):
+        async def scenario():
+            crowd = Crowd(100 * MOST_BYTES)
+            client, near = crowd.connect()
+            near.write(b"POST /body HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(200):
+                near.write(b"%x\r\n%b\r\n" % (PIECE_BYTES, b"x" * PIECE_BYTES))
+                await asyncio.sleep(0.001)
+            (far,) = crowd.ends
+            assert status(client) == b"413"
+            assert far.is_paused
+            await asyncio.sleep(2.0)
+            assert client.ended
+
+        run(scenario)
+
+
 def test_what_the_kernel_keeps_of_a_caller_is_bounded():
     async def scenario():
         async def serve(inc):
