Serve a request sent ahead once its client has read the answers before it

Callers saw: the process went over its memory. A client that sends many requests ahead and reads no answer had one after the other served, and all answers were kept (200 clients with 1,500 requests each: 234 MB at MemoryMb 160). One that sent more than 256 KB ahead, as an ordinary body of 300 KB is, lost its connection with all requests on it. A connection whose last answer nobody reads stayed open for good, also one that was being closed.

The next request waits until its client has read all but 16 KB of the answers before it. More than 16 KB ahead pauses reading and no longer closes the connection (the cause `ahead` of an end is gone). A whole answer of which nothing is read for the idle timeout ends the connection.

--- a/packages/http/src/gradelug_http/connection_ends.py
+++ b/packages/http/src/gradelug_http/connection_ends.py
@@ -25,8 +25,6 @@
     """Serving a request raised an unexpected error."""
     UNREAD = "unread"
     """The client did not read its answers."""
-    AHEAD = "ahead"
-    """The client sent too much before its answers."""
     STOP = "stop"
     """The server stops."""
 
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -50,8 +50,8 @@
 """Multiple of the time for a request within which it must have arrived and be decoded."""
 MAX_BACKLOG_BYTES = 65_536
 """Bytes that may wait for the decoder before reading pauses."""
-READ_AHEAD_BYTES = 262_144
-"""What a client may send ahead while a request of its is being served."""
+MAX_AHEAD_BYTES = 16_384
+"""Bytes that are read of requests sent ahead of the answer to the one before them."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -381,6 +381,13 @@
         self._counted = 0
         """Bytes that the server has counted for it."""
         self._counted_arriving = 0
+        self._is_waiting_for_reader = False
+        """Whether the next request waits until the client has read enough of its answers."""
+        self._unsent = 0
+        self._sent_at = server.clock()
+        """When the unsent bytes were last seen to become fewer."""
+        self._is_unread = False
+        """Whether the client has stopped reading whole answers for too long."""
         self._discarded = 0
         """Bytes that arrived after a refusal."""
         self._held_back_at: float | None = None
@@ -439,6 +446,8 @@
         self.paused_since = None
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
+        if self._is_waiting_for_reader:
+            self._begin_next()
 
     def data_received(self, data: bytes) -> None:
         """Parse what came."""
@@ -453,14 +462,11 @@
         if self.server.is_exhausted:
             self.give_up()
             return
-        if self.task is not None or self in self.server.turns:
+        if self._is_busy or self in self.server.turns:
             self.pace_reading()
         else:
             self.read_on()
         self.recount()
-        if len(self._reader.buffer) > READ_AHEAD_BYTES and self.task is not None:
-            # Far more than a next request, sent before this one's answer.
-            self.abort(EndCause.AHEAD)
 
     def _bound_receive_buffer(self) -> None:
         sock = self.transport.get_extra_info("socket") if self.transport is not None else None
@@ -498,7 +504,7 @@
         """Return since when the caller neither reads nor sends, None if it does."""
         if self.paused_since is not None:
             return self.paused_since
-        is_sending = self.task is None and self._began_at is not None
+        is_sending = not self._is_busy and self._began_at is not None
         if not is_sending or self._is_reading_paused or self in self.server.turns:
             return None
         return self._read_at if now - self._read_at > STALL_S else None
@@ -541,7 +547,12 @@
 
     def is_idle(self) -> bool:
         """Tell whether nothing is being received or served."""
-        return self.task is None and self._began_at is None
+        return not self._is_busy and self._began_at is None
+
+    @property
+    def _is_busy(self) -> bool:
+        """Whether a request is being served, or its answer lies unread before a next one."""
+        return self.task is not None or self._is_waiting_for_reader
 
     def close(self, cause: EndCause = EndCause.STOP) -> None:
         """Close after what was written has been sent."""
@@ -587,14 +598,32 @@
         idle_s : float
             Idle timeout in force, in seconds.
         """
-        if self._refused_at is not None:
-            return now - self._refused_at > LINGER_S
         if self.task is not None:
+            self._sent_at = now
+            return False
+        self._note_unsent(now, idle_s)
+        if self._is_unread:
+            return True
+        if self._refused_at is not None:
+            return now - self._refused_at > LINGER_S and not self._is_closing
+        if self._is_waiting_for_reader:
             return False
         if self._began_at is not None:
             return self._is_late(now)
         return now - self._rested_at > max(self._idle_s, idle_s) * IDLE_SLACK
 
+    @property
+    def _is_closing(self) -> bool:
+        return self.transport is not None and self.transport.is_closing()
+
+    def _note_unsent(self, now: float, idle_s: float) -> None:
+        """Note whether the client has read nothing of whole answers for the idle timeout."""
+        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        if not unsent or unsent < self._unsent:
+            self._sent_at = now
+        self._unsent = unsent
+        self._is_unread = now - self._sent_at > max(self._idle_s, idle_s) * IDLE_SLACK
+
     def _is_late(self, now: float) -> bool:
         if self._began_at is None:
             return False
@@ -606,7 +635,9 @@
 
     def end_overdue(self) -> None:
         """Refuse a request that arrives too slowly, close a connection that rests too long."""
-        if self._refused_at is not None:
+        if self._is_unread:
+            self.abort(EndCause.UNREAD)
+        elif self._refused_at is not None:
             self.close(EndCause.REFUSED)
         elif self._began_at is not None:
             self._refuse(408)
@@ -648,9 +679,18 @@
         self._held_up_s = 0.0
         self._rested_at = self.server.clock()
         self._idle_s = self.server.limits().idle_s
-        self._began_at = self._rested_at if self._reader.buffer else None
+        self._began_at = None
+        if self.paused_since is not None:
+            self._is_waiting_for_reader = True
+            self.recount()
+            return
+        self._begin_next()
+
+    def _begin_next(self) -> None:
+        """Read on with what was sent ahead."""
+        self._is_waiting_for_reader = False
+        self._began_at = self.server.clock() if self._reader.buffer else None
         self.read_on()
-        self.recount()
 
     def _note_first_byte(self) -> None:
         self._began_at = self.server.clock()
@@ -659,7 +699,7 @@
 
     def read_on(self) -> None:
         """Read what arrived, up to one step of a body."""
-        while self.task is None and self._refused_at is None:
+        while not self._is_busy and self._refused_at is None:
             before = len(self._reader.body)
             try:
                 step = self._reader.step()
@@ -687,7 +727,8 @@
         is_far = self in self.server.turns and len(self._reader.buffer) > MAX_BACKLOG_BYTES
         # A client that sends a whole body before it reads sees its refusal.
         is_discarded = self._discarded > self._limits.body_bytes
-        must_pause = is_far or is_discarded or self.is_held_back
+        is_ahead = self._is_busy and len(self._reader.buffer) > MAX_AHEAD_BYTES
+        must_pause = is_far or is_ahead or is_discarded or self.is_held_back
         if must_pause == self._is_reading_paused or self.transport is None:
             return
         self._is_reading_paused = must_pause
@@ -700,7 +741,7 @@
 
     def _note_held_back(self) -> None:
         """Note whether the request that arrives has to wait for memory."""
-        is_arriving = self.task is None and self._refused_at is None
+        is_arriving = not self._is_busy and self._refused_at is None
         must_wait = is_arriving and self.server.is_short and self._reader.size > SMALL_BYTES
         if must_wait and self._held_back_at is None:
             self._held_back_at = self.server.clock()
--- a/tests/pipes.py
+++ b/tests/pipes.py
@@ -91,6 +91,7 @@
         self.unsent = bytearray()
         self._high_bytes = high_bytes
         self._is_full = False
+        self._is_ending = False
 
     def deliver(self, data):
         if self.closing:
@@ -122,6 +123,18 @@
             self._is_full = True
             self.protocol.pause_writing()
 
+    def close(self):
+        if not self.unsent:
+            super().close()
+        self._is_ending = True
+
+    def is_closing(self):
+        return self.closing or self._is_ending
+
+    def abort(self):
+        self.unsent.clear()
+        super().abort()
+
     def flush(self):
         """Send what is unsent, once the other end reads again."""
         if not self.unsent or self.closing:
@@ -131,6 +144,8 @@
         if self._is_full:
             self._is_full = False
             self.protocol.resume_writing()
+        if self._is_ending:
+            super().close()
 
     def get_write_buffer_size(self):
         return len(self.unsent)
