Keep half of the descriptors beside those for files from callers' connections

Callers saw: connections that send nothing took all descriptors of the process (700 at MaxFds 600: 596 sockets); it could reach neither replicas nor the store nor peers, and nobody was accepted until the idle timeout, 20 s in the test. Each look at the listening socket without descriptors tried to accept as often as its backlog is long (1,024 times from `start`, 100 from `enter`), logged each failure and set a timer for each.

Callers may have half of the descriptors (RLIMIT_NOFILE at the start) that are left beside 200 for files. Above, a connection that has rested for a second is closed for the new one, as all resting ones are closed (after a look at the sockets): first those on which nothing was answered yet, then the longest resting; if there is none, the new one is closed unread. The cause of these ends is `crowded`. Accepting is tried 64 times in a turn; the queue of the early socket is as long as that of others (1,024; `enter` had shortened it to 100).

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -28,6 +28,7 @@
     Incoming,
     ServerLimits,
     connect_tcp,
+    max_caller_connections,
 )
 from gradelug_policy.quotas import LocalShares
 from gradelug_runtime.clock import run as run_steady
@@ -344,6 +345,7 @@
             settings.unread_bytes,
             pool,
             ConnectionLog(self._meters, self._state).note_end,
+            max_caller_connections(),
         )
         self._status_server = HttpServer(self._serve_status, ServerLimits, self._clock)
         self._peer_server = Server(
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -7,6 +7,7 @@
 from .connection_ends import ConnectionEnd as ConnectionEnd
 from .connection_ends import EndCause as EndCause
 from .connection_ends import RequestState as RequestState
+from .connection_limit import max_caller_connections as max_caller_connections
 from .early import Door as Door
 from .early import EarlyServer as EarlyServer
 from .exceptions import ConnectFailed as ConnectFailed
--- a/packages/http/src/gradelug_http/connection_ends.py
+++ b/packages/http/src/gradelug_http/connection_ends.py
@@ -25,6 +25,8 @@
     """Serving a request raised an unexpected error."""
     UNREAD = "unread"
     """The client did not read its answers."""
+    CROWDED = "crowded"
+    """There were too many connections."""
     STOP = "stop"
     """The server stops."""
 
--- a/packages/http/src/gradelug_http/early.py
+++ b/packages/http/src/gradelug_http/early.py
@@ -42,9 +42,7 @@
         """Serve who waits at a door and who comes; return its port."""
         self._since = door.since
         self._until = self.clock() + ACCEPT_S
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self.new_connection, sock=door.sock)
-        self.start_sweeping()
+        await self.listen(door.sock)
         return int(door.sock.getsockname()[1])
 
     def new_connection(self) -> ServerConnection:
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -12,6 +12,7 @@
 
 from .budget import SlowReader, SlowSender, read_ahead, to_refuse, to_shed
 from .connection_ends import ConnectionEnd, EndCause, RequestState
+from .connection_limit import RestingConnections
 from .exceptions import ClientGone, MalformedRequest
 from .headers import Header, Headers, find
 from .request_reader import RequestReader, Step
@@ -39,6 +40,9 @@
 """Part of the bound below which memory is no longer short."""
 EXCESS_PART = 1.5
 """Part of the bound above which everything that arrives is refused."""
+BACKLOG = 1024
+"""Connections that may wait to be accepted."""
+ACCEPTS_PER_TURN = 64
 SMALL_BYTES = 16_384
 """A request that is not longer goes on arriving while memory is short."""
 RECEIVE_BUFFER_BYTES = 131_072
@@ -122,6 +126,8 @@
         Where answers come from, if what they are ahead counts.
     on_end : callable
         Called with the end of each connection.
+    max_connections : int
+        Connections that may be open at the same time; 0 for any number.
     """
 
     def __init__(
@@ -132,7 +138,10 @@
         most_bytes: int = 0,
         upstreams: Upstreams | None = None,
         on_end: t.Callable[[ConnectionEnd], None] = lambda end: None,
+        max_connections: int = 0,
     ) -> None:
+        self._max_connections = max_connections
+        self._resting: RestingConnections[ServerConnection] = RestingConnections()
         self.on_end = on_end
         self._most_bytes = most_bytes
         self._upstreams = upstreams
@@ -163,10 +172,20 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen, and return the port."""
+        sock = socket.create_server((host, port), backlog=BACKLOG)
+        await self.listen(sock)
+        return int(sock.getsockname()[1])
+
+    async def listen(self, sock: socket.socket) -> None:
+        """Accept connections at a socket."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self.new_connection, host, port, backlog=1024)
+        # The backlog is the number of attempts to accept in one turn as well, each of which is
+        # logged while the process has no descriptors left.
+        self._server = await loop.create_server(
+            self.new_connection, sock=sock, backlog=ACCEPTS_PER_TURN
+        )
+        sock.listen(BACKLOG)
         self.start_sweeping()
-        return int(self._server.sockets[0].getsockname()[1])
 
     @property
     def in_progress(self) -> int:
@@ -177,6 +196,16 @@
         """Return the protocol of a connection that is about to come up."""
         return ServerConnection(self)
 
+    def make_room(self, newcomer: ServerConnection) -> None:
+        """Close a resting connection for a new one, or the new one, if there are too many."""
+        if not 0 < self._max_connections < len(self.connections):
+            return
+        resting = self._resting.take(self.connections, self.clock())
+        if resting is None:
+            newcomer.abort(EndCause.CROWDED)
+        else:
+            call_after_poll(lambda: resting.close_if_idle(EndCause.CROWDED))
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is being received or served."""
         idle = [conn for conn in self.connections if conn.is_idle()]
@@ -415,6 +444,7 @@
         """Take the transport over."""
         self.transport = t.cast(asyncio.Transport, transport)
         self.server.connections.add(self)
+        self.server.make_room(self)
         if self.server.bounds_memory:
             self._bound_receive_buffer()
 
@@ -470,7 +500,7 @@
 
     def _bound_receive_buffer(self) -> None:
         sock = self.transport.get_extra_info("socket") if self.transport is not None else None
-        if sock is None:
+        if sock is None or self._is_closing:
             return
         is_wide = len(self.server.connections) <= WIDE_CONNECTIONS
         self._receive_buffer = RECEIVE_BUFFER_BYTES if is_wide else NARROW_BUFFER_BYTES
@@ -549,6 +579,21 @@
         """Tell whether nothing is being received or served."""
         return not self._is_busy and self._began_at is None
 
+    def close_if_idle(self, cause: EndCause) -> None:
+        """Close if nothing is being received or served."""
+        if self.is_idle():
+            self.close(cause)
+
+    @property
+    def rested_at(self) -> float:
+        """When it began to rest, if it does."""
+        return self._rested_at
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether no request has been answered on it yet."""
+        return not self._answered
+
     @property
     def _is_busy(self) -> bool:
         """Whether a request is being served, or its answer lies unread before a next one."""
