Answer requests that are on their way when a gateway stops

What callers saw: in a planned stop in calm, requests on new connections, on connections that had rested, and behind another request on the same connection ended without an answer, by an orderly close or by a reset.

Cause: from 2.6 s after SIGTERM on, each connection without a request was closed every 0.05 s, also those accepted a moment before whose first bytes were still to come. Closing the listening socket reset the connections in the kernel's accept queue, and the event loop dropped those that it had accepted and not yet made a transport of. An answer said `Connection: close` although further requests had been read behind it. Half a request was closed without an answer, and so was an answer whose last bytes had not been sent.

Fix: connections stay open while the gateway works. At the end the server takes what the accept queue holds in the same step in which it closes the listening socket, reads and answers for 0.3 s what is on its way, refuses what has arrived in part with 503, and ends each connection by a half-close, after which it reads until the client closes, for at most 0.2 s: unread bytes would reset the connection. An answer announces the close only if nothing has arrived behind it. The process has its answers and closes behind it 0.1 s before it is killed; work ends 0.6 s before, so that there is time for that.

tests/test_held_up_loop.py: `close_idle` is gone. The test asks the same of `finish` with no time left, which is stricter: the listening socket closes too.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -91,7 +91,10 @@
 BALANCER_REMOVAL_S = 2.6
 """Time after which the load balancer has seen two failed readiness checks and sends no new
 requests."""
-EXIT_MARGIN_S = 0.4
+CLOSE_S = 0.6
+"""Time before the process would be killed at which requests have to end: their answers are sent
+and the connections closed by then."""
+EXIT_MARGIN_S = 0.1
 """The process exits this long before it would be killed."""
 DRAIN_POLL_INTERVAL_S = 0.05
 METRICS_PATH = b"/metrics"
@@ -426,27 +429,27 @@
         for result in await asyncio.gather(*resignations, return_exceptions=True):
             if isinstance(result, Exception):
                 log.error("could not resign a planner role", why=repr(result))
-        end_at = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
-        while self._clock() < end_at:
+        killed_at = started_at + self.settings.bounds.grace_s
+        while self._clock() < killed_at - CLOSE_S:
             removed = self._clock() - started_at >= BALANCER_REMOVAL_S
-            if removed:
-                self._caller_server.close_idle()
-            is_idle = not self._caller_server.in_progress and not self._access.server.connections
+            is_idle = not self._caller_server.is_busy and not self._access.server.connections
             if removed and is_idle:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        self._pipeline.refuse_from(min(self._clock(), started_at + BALANCER_REMOVAL_S))
+        cut = await self._caller_server.finish(killed_at - EXIT_MARGIN_S)
         if self._ownership is not None:
             await self._ownership.leave()
         log.info(
             "stopped",
             after_s=round(self._clock() - started_at, 2),
-            cut=self._caller_server.in_progress,
+            cut=cut,
         )
 
     async def _close(self) -> None:
+        await self._caller_server.close()
         await self._directory.close()
         await self._tasks.cancel()
-        await self._caller_server.close()
         await self._status_server.close()
         await self._access.server.close()
         self._peer_server.close()
--- a/packages/http/src/gradelug_http/early.py
+++ b/packages/http/src/gradelug_http/early.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from dataclasses import dataclass
 
@@ -42,10 +41,7 @@
         """Serve who waits at a door and who comes; return its port."""
         self._since = door.since
         self._until = self.clock() + ACCEPT_S
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self.new_connection, sock=door.sock)
-        self.start_sweeping()
-        return int(door.sock.getsockname()[1])
+        return await self._listen(door.sock)
 
     def new_connection(self) -> ServerConnection:
         """Return the protocol of a connection that is about to come up."""
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import typing as t
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 
 from .budget import SlowReader, read_ahead, to_shed
 from .connection_ends import ConnectionEnd, EndCause, RequestState
+from .draining import close_listener, drain, open_listener
 from .exceptions import ClientGone
 from .headers import Header, Headers, find
 
@@ -20,6 +22,8 @@
 SWEEP_S = 0.25
 MAX_SWEEP_DELAY_S = 0.25
 """A sweep that is later than this is logged: the process was suspended or busy meanwhile."""
+BACKLOG = 1024
+"""Connections that the kernel keeps until they are accepted."""
 LINGER_S = 0.5
 """After a refusal, what still arrives is read this long so that the client sees its answer."""
 ERROR_RESPONSE = (
@@ -120,9 +124,11 @@
         self.limits = limits
         self.clock = clock
         self.draining = False
-        """Whether each connection is closed after its next answer."""
+        """Whether each connection is closed after its next answer, unless a further request has
+        begun to arrive by then."""
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._sweep_due_at: float | None = None
         self.longest_delay_s = 0.0
@@ -130,10 +136,7 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen, and return the port."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self.new_connection, host, port, backlog=1024)
-        self.start_sweeping()
-        return int(self._server.sockets[0].getsockname()[1])
+        return await self._listen(open_listener(host, port))
 
     @property
     def in_progress(self) -> int:
@@ -144,16 +147,57 @@
         """Return the protocol of a connection that is about to come up."""
         return ServerConnection(self)
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is being received or served."""
-        idle = [conn for conn in self.connections if conn.is_idle()]
-        if idle:
-            call_after_poll(lambda: self._close_if_idle(idle))
+    async def _listen(self, listener: socket.socket) -> int:
+        """Accept connections from a bound socket, and return its port."""
+        self._listener = listener
+        self._server = await asyncio.get_running_loop().create_server(
+            self.new_connection, sock=listener, backlog=BACKLOG
+        )
+        self.start_sweeping()
+        return int(listener.getsockname()[1])
 
-    def _close_if_idle(self, conns: t.Iterable[ServerConnection]) -> None:
-        for conn in conns:
-            if conn.is_idle():
-                conn.close()
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or served, or an answer is not sent yet."""
+        return any(conn.is_busy for conn in self.connections)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer is not sent yet."""
+        return any(conn.unsent for conn in self.connections)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether any connection is open."""
+        return bool(self.connections)
+
+    async def stop_listening(self) -> None:
+        """Take the connections that wait to be accepted, and accept no more."""
+        if self._server is not None and self._listener is not None:
+            listener, self._listener = self._listener, None
+            await close_listener(self._server, listener, self.new_connection)
+
+    def end_connections(self) -> None:
+        """Close the connections on which no request is being served."""
+        for conn in list(self.connections):
+            conn.end()
+
+    async def finish(self, until: float) -> int:
+        """Stop listening, answer what is on its way, and close all connections.
+
+        Parameters
+        ----------
+        until : float
+            Time by which this ends, by the runtime's clock.
+
+        Returns
+        -------
+        int
+            Requests that were cut off.
+        """
+        cut = await drain(self, until)
+        await self.close()
+        return cut
 
     async def close(self) -> None:
         """Stop listening and end everything at once."""
@@ -316,8 +360,12 @@
     @property
     def held(self) -> int:
         """Bytes of the request's body, and of the answer that was not sent yet."""
-        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
-        return self._size + unsent
+        return self._size + self.unsent
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that were not sent yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
     @property
     def held_up_s(self) -> float:
@@ -330,6 +378,41 @@
         """Tell whether nothing is being received or served."""
         return self.task is None and self._began_at is None
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or served, or an answer is not sent yet."""
+        is_receiving = self._began_at is not None and self._refused_at is None
+        return self.task is not None or is_receiving or self.unsent > 0
+
+    @property
+    def is_last(self) -> bool:
+        """Whether the connection is closed after the current request."""
+        return self.server.draining and not self._h11.trailing_data[0]
+
+    def end(self) -> None:
+        """Close the connection unless a request is being served, refusing one that has begun."""
+        if self.task is not None or self._gone or self.transport is None:
+            return
+        if self._began_at is not None and self._refused_at is None:
+            self._refuse(503)
+        self.linger(EndCause.STOP if self._refused_at is None else EndCause.REFUSED)
+
+    def linger(self, cause: EndCause) -> None:
+        """Send the end of the connection, and discard what arrives until the client closes it.
+
+        Closing it with unread bytes would reset it, and the client might lose its answer.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._note_end(cause)
+        if self._refused_at is None:
+            self._refused_at = self.server.clock()
+        try:
+            self.transport.write_eof()
+        except OSError as exc:
+            log.info("connection was lost before it was closed", why=str(exc))
+            self.abort(cause)
+
     def close(self, cause: EndCause = EndCause.STOP) -> None:
         """Close after what was written has been sent."""
         self._note_end(cause)
@@ -417,7 +500,10 @@
         if self._gone:
             return
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
-            self.close(EndCause.ANSWERED)
+            if self.server.draining:
+                self.linger(EndCause.ANSWERED)
+            else:
+                self.close(EndCause.ANSWERED)
             return
         self._h11.start_next_cycle()
         self._bound_next_head()
@@ -619,7 +705,7 @@
 
     def _head(self, status: int, headers: Headers) -> None:
         sent = [*headers]
-        if self._conn.server.draining:
+        if self._conn.is_last:
             sent.append((b"Connection", b"close"))
         self._conn.send_event(h11.Response(status_code=status, headers=sent))
         self.started = True
--- a/tests/pipes.py
+++ b/tests/pipes.py
@@ -43,6 +43,17 @@
         if not self.closing and not self.protocol.eof_received():
             self.lose(None)
 
+    def write_eof(self):
+        """Send the end of this direction; the connection ends once the other end closes too."""
+        self._loop.call_later(self.delay_s, self._end_direction)
+
+    def _end_direction(self):
+        if self.silent or self.peer.closing:
+            return
+        self.peer.end_of_file()
+        if self.peer.closing:
+            self.end_of_file()
+
     def lose(self, exc):
         if not self.closing:
             self.closing = True
--- /dev/null
+++ b/tests/test_daemon_stop.py
@@ -0,0 +1,159 @@
+"""Planned stops of whole gateways, in virtual time."""
+
+import asyncio
+import copy
+from pipes import RawClient, join
+from unittest import mock
+
+import pytest
+from gradelug_gateway.daemon import BALANCER_REMOVAL_S
+from limit_world import LimitWorld, PlainReplica
+from run_world import run
+from soak_settings import CONFIG
+
+GRACE_S = 8.0
+"""Grace period of the worlds' gateways."""
+LONG_S = 20.0
+"""Timeouts and deadlines that exceed the grace period."""
+WORK_S = 0.3
+TARGET_S = 1.0
+
+
+class Worker(PlainReplica):
+    """A replica that works on a request as long as the request says."""
+
+    def __init__(self, world, name, address):
+        super().__init__(world, name, address)
+        self.deadlines = {}
+        """The time handed over with each request, in seconds, by its identifier."""
+
+    async def serve(self, inc):
+        ident = inc.header(b"x-gradelug-request-id")
+        self.world.arrived.append((self.world.clock(), inc.body, self.name))
+        self.deadlines[ident] = int(inc.header(b"x-gradelug-deadline-ms")) / 1000
+        await asyncio.sleep(float(inc.header(b"x-work-s")))
+        signature = (b"X-Gradelug-Server-Signature", self.name.encode())
+        inc.respond(200, [(b"X-Gradelug-Request-Id", ident), signature], b"whole")
+
+
+class StopWorld(LimitWorld):
+    """Gateways before plain replicas, one of which is stopped."""
+
+    config = copy.deepcopy(CONFIG)
+    for route in config["Routes"]:
+        route |= {"TimeoutMs": LONG_S * 1000, "TargetLatencyMs": TARGET_S * 1000}
+
+    def __init__(self, gateways=1, workers=2):
+        super().__init__(gateways, engines=0)
+        self.numbers = iter(range(1, 1000))
+        self.exited_after_s = None
+        self.workers = [
+            Worker(self, f"p{number}", f"10.0.2.{number}:80") for number in range(workers)
+        ]
+        for worker in self.workers:
+            self.spawn(worker.register())
+
+    @property
+    def daemon(self):
+        return self.gateways[0].daemon
+
+    async def stop(self):
+        """Stop the first gateway, as its process does on SIGTERM."""
+        began_at = self.clock()
+        # The servers are not started in memory, and this one does not allow to be closed then.
+        self.daemon._peer_server.close = mock.Mock()
+        await self.daemon._drain()
+        await self.daemon._close()
+        self.exited_after_s = self.clock() - began_at
+
+    def client(self):
+        client = RawClient()
+        join(client, self.net.servers[self.gateways[0].front]())
+        return client
+
+    def send(self, path=b"/u/x", work_s=WORK_S, deadline_s=LONG_S, client=None):
+        """Send a request; return its client."""
+        client = client or self.client()
+        client.transport.write(self.request(path, work_s, deadline_s))
+        return client
+
+    def request(self, path=b"/u/x", work_s=WORK_S, deadline_s=LONG_S):
+        number = next(self.numbers)
+        return (
+            b"POST %b HTTP/1.1\r\nHost: h\r\nX-Gradelug-Request-Id: q%d\r\n"
+            b"X-Gradelug-Deadline-Ms: %d\r\nX-Work-S: %.3f\r\nContent-Length: 4\r\n\r\n%04d"
+            % (path, number, deadline_s * 1000, work_s, number)
+        )
+
+
+def statuses(client):
+    """Return the statuses of the answers that a client has received."""
+    return [int(part.split(b" ")[0]) for part in bytes(client.received).split(b"HTTP/1.1 ")[1:]]
+
+
+def play(scenario, **options):
+    async def main():
+        async with StopWorld(**options) as world:
+            await scenario(world)
+
+    run(main)
+
+
+class TestConnections:
+    @pytest.mark.parametrize("at_s", [0.1, 1.0, 2.5, 2.7, 3.5, 4.9])
+    @pytest.mark.parametrize("was_used", [False, True])
+    def test_a_resting_connection_is_closed_while_the_gateway_listens(self, at_s, was_used):
+        async def scenario(world):
+            client = world.client()
+            if was_used:
+                world.send(client=client)
+                await asyncio.sleep(2 * WORK_S)
+            busy = world.send(work_s=5.5)
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(world.stop())
+            await asyncio.sleep(at_s)
+            world.send(deadline_s=2.0, client=client)
+            await stopping
+            served = [200] if at_s < BALANCER_REMOVAL_S else [503]
+            assert statuses(client) == [200] * was_used + served
+            assert statuses(busy) == [200]
+            assert client.ended
+
+        play(scenario)
+
+    def test_requests_that_were_sent_ahead_are_dropped(self):
+        async def scenario(world):
+            client = world.client()
+            requests = [world.request(deadline_s=4.0) for _ in range(3)]
+            client.transport.write(b"".join(requests))
+            await world.stop()
+            assert statuses(client) == [200, 200, 200]
+
+        play(scenario)
+
+    @pytest.mark.parametrize("rest_s", [1.0, 2.7, None])
+    def test_half_a_request_is_lost(self, rest_s):
+        async def scenario(world):
+            client, data = world.client(), world.request(deadline_s=4.0)
+            busy = world.send(work_s=6.0)
+            client.transport.write(data[:60])
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(world.stop())
+            if rest_s is not None:
+                await asyncio.sleep(rest_s)
+                client.transport.write(data[60:])
+            await stopping
+            assert statuses(client) == [200 if rest_s == 1.0 else 503]
+            assert statuses(busy) == [200]
+
+        play(scenario)
+
+
+class TestExit:
+    def test_an_idle_gateway_stays_until_the_end_of_the_grace_period(self):
+        async def scenario(world):
+            world.client()
+            await world.stop()
+            assert BALANCER_REMOVAL_S <= world.exited_after_s < BALANCER_REMOVAL_S + 0.5
+
+        play(scenario)
--- a/tests/test_held_up_loop.py
+++ b/tests/test_held_up_loop.py
@@ -89,10 +89,11 @@
             await asyncio.sleep(0.05)
             held_up.client.sendall(REQUEST)
             held_up.server.draining = True
-            held_up.server.close_idle()
+            finishing = asyncio.ensure_future(held_up.server.finish(until=held_up.now))
             answer = await held_up.read()
             assert b" 200 " in answer
             assert b"connection: close" in answer.lower()
+            await finishing
 
     asyncio.run(scenario())
 
