Refuse requests that might not end before a gateway stops

What callers saw: requests that came while the balancer still sent some were passed on although they could not end within the grace period, and at its end they were cut without an answer, among them requests that must not run twice.

Cause: until 2.6 s after SIGTERM everything was admitted, retries began at any time, and replicas were given the caller's whole deadline. What was still in progress at the end of the grace period was aborted with its connection, even if it had never been sent.

Fix: a `ShutdownSchedule` holds the times of a stop, and a `ShutdownGate` refuses with 503 and a retry elsewhere what might not end until `work_until`: a request that must not run twice if its deadline is later, any other if the longest recent work of its route, times 1.5, takes longer. The gate is asked on arrival, before each attempt, while a request waits for a replica, quota or weights, and before a silent replica is given up for another one. Deadlines, also those handed to replicas, end at `work_until` at the latest: what is in progress then is answered, 503 if it certainly has not run and 504 otherwise. Only an answer that has begun is broken off.

Tests call `shut_down` in place of `refuse_from`; with an infinite `work_until` it does the same. The machine of test_false_refusals also draws short ones and withdraws late requests, and still expects each to be answered.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -72,6 +72,7 @@
 from .settings import Feature, GatewaySettings
 from .share_tally import UsageReporter, UsageTally
 from .shared_health import OutcomeReporter
+from .shutdown import ShutdownSchedule
 from .startup_progress import StartupProgress, startup_checks
 from .store_updates import PUBLISHER_POLL_INTERVAL_S, StoreSubscriber
 from .stream_origins import OriginReporter, StreamOrigins
@@ -88,14 +89,6 @@
 """Time without links after which an instance gives its engines to others, which begin seconds
 later: shorter losses are over before that."""
 UPKEEP_INTERVAL_S = 0.5
-BALANCER_REMOVAL_S = 2.6
-"""Time after which the load balancer has seen two failed readiness checks and sends no new
-requests."""
-CLOSE_S = 0.6
-"""Time before the process would be killed at which requests have to end: their answers are sent
-and the connections closed by then."""
-EXIT_MARGIN_S = 0.1
-"""The process exits this long before it would be killed."""
 DRAIN_POLL_INTERVAL_S = 0.05
 METRICS_PATH = b"/metrics"
 
@@ -422,29 +415,28 @@
         """
         started_at = self._stopping_at = self._clock()
         log.info("stopping", requests=self._caller_server.in_progress, failed=failed)
+        schedule = ShutdownSchedule.plan(started_at, self.settings.bounds.grace_s, failed)
         self._caller_server.draining = True
         self._access.server.is_draining = True
-        self._pipeline.refuse_from(started_at + (0.0 if failed else BALANCER_REMOVAL_S))
+        self._pipeline.shut_down(schedule)
         resignations = (role.resign() for role in self._planner_roles.values())
         for result in await asyncio.gather(*resignations, return_exceptions=True):
             if isinstance(result, Exception):
                 log.error("could not resign a planner role", why=repr(result))
-        killed_at = started_at + self.settings.bounds.grace_s
-        while self._clock() < killed_at - CLOSE_S:
-            removed = self._clock() - started_at >= BALANCER_REMOVAL_S
-            is_idle = not self._caller_server.is_busy and not self._access.server.connections
-            if removed and is_idle:
-                break
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        self._pipeline.refuse_from(min(self._clock(), started_at + BALANCER_REMOVAL_S))
-        cut = await self._caller_server.finish(killed_at - EXIT_MARGIN_S)
+        await self._finish_requests(schedule)
+        cut = await self._caller_server.finish(schedule.exit_at)
         if self._ownership is not None:
             await self._ownership.leave()
-        log.info(
-            "stopped",
-            after_s=round(self._clock() - started_at, 2),
-            cut=cut,
-        )
+        log.info("stopped", after_s=round(self._clock() - started_at, 2), cut=cut)
+
+    async def _finish_requests(self, schedule: ShutdownSchedule) -> None:
+        """Wait until all requests and tunnels have ended, or until they have to end."""
+        while self._clock() < schedule.work_until:
+            self._pipeline.withdraw_late()
+            is_idle = not self._caller_server.is_busy and not self._access.server.connections
+            if self._clock() >= schedule.refuse_at and is_idle:
+                return
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     async def _close(self) -> None:
         await self._caller_server.close()
--- a/packages/gateway/src/gradelug_gateway/error_responses.py
+++ b/packages/gateway/src/gradelug_gateway/error_responses.py
@@ -10,7 +10,7 @@
 import logbook
 from gradelug_http import Incoming
 
-from .admission import AdmissionControl
+from .admission import OTHER_INSTANCE_RETRY_AFTER_S, AdmissionControl
 from .exceptions import GATEWAY_TIMEOUT, Blocked, Failed, Limited, Refused
 from .fingerprints import format_fingerprint
 from .job import Job
@@ -59,11 +59,21 @@
 
     def expire(self, job: Job) -> None:
         """Answer a request whose deadline has passed."""
-        if not job.is_unrun:
+        if job.is_cut_short:
+            self._end_early(job)
+        elif not job.is_unrun:
             self.fail(job, Failed("out of time", GATEWAY_TIMEOUT))
         else:
             self.refuse(job, Refused("out of time before it was sent", DEFAULT_RETRY_AFTER_S))
 
+    def _end_early(self, job: Job) -> None:
+        """Answer a request that did not end before this instance shuts down."""
+        why = "this instance shuts down before the request has ended"
+        if job.is_unrun:
+            self.refuse(job, Refused(why, OTHER_INSTANCE_RETRY_AFTER_S))
+        else:
+            self.fail(job, Failed(why, GATEWAY_TIMEOUT))
+
     def refuse(self, job: Job, exc: Refused) -> None:
         """Answer 503 to a request that was not run; if it may have run, answer as a failure."""
         if not job.is_unrun:
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -94,6 +94,7 @@
         "absent_count",
         "was_planner_asked",
         "backup",
+        "caller_deadline_at",
         "charge",
         "is_chosen_locally",
         "config",
@@ -151,7 +152,10 @@
         self.route = route
         self.service = service
         wait_s = min(req.wait_s - DEADLINE_MARGIN_S, route.timeout_s)
-        self.deadline_at = req.arrived_at + wait_s
+        self.caller_deadline_at = req.arrived_at + wait_s
+        """The deadline of its caller and its route, by the event loop's clock."""
+        self.deadline_at = self.caller_deadline_at
+        """When it has to end; earlier than its caller's deadline if this instance shuts down."""
         self.events = EventAssembler(req.last_event)
         self.tried: set[str] = set()
         """Names of the replicas to which it was sent."""
@@ -208,6 +212,15 @@
         """Name of the organisation that owns it, empty if there is none."""
         return self.principal.organisation.name if self.principal is not None else ""
 
+    @property
+    def is_cut_short(self) -> bool:
+        """Whether it has to end before its caller's deadline."""
+        return self.deadline_at < self.caller_deadline_at
+
+    def limit_deadline(self, until: float) -> None:
+        """End it by a time, by the event loop's clock, if its deadline is later."""
+        self.deadline_at = min(self.deadline_at, until)
+
     def give_back(self) -> None:
         """Refund its quota charge if it has not run."""
         if self.charge is not None and self.is_unrun:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -33,6 +33,7 @@
 from .runs import RunRecovery
 from .sending import Sender
 from .share_tally import UsageTally
+from .shutdown import ShutdownGate, ShutdownSchedule
 from .stream_origins import StreamOrigins
 from .successors import Successors
 from .values import RequestValuation, attempt_digest
@@ -97,6 +98,7 @@
         "_dialect",
         "_expects_config",
         "_fleet",
+        "_gate",
         "_lasting",
         "_meters",
         "_origins",
@@ -104,7 +106,6 @@
         "_placer",
         "_plain_placer",
         "_quotas",
-        "_shutdown_at",
         "_successors",
         "_rng",
         "_sender",
@@ -151,7 +152,7 @@
         self._error_responder = ErrorResponder(dialect, sender, admitter, meters, clock)
         self._table = RouteTable(())
         self._table_version = -1
-        self._shutdown_at = math.inf
+        self._gate = ShutdownGate(clock)
         self._values = RequestValuation()
         self._wait_policy = WaitPolicy(fleet, self._values, clock)
         self._placer = RequestPlacer(
@@ -171,6 +172,7 @@
             fleet,
             lasting.weights if lasting is not None else None,
             clock,
+            self._gate.may_begin,
         )
 
     def forget_gone(self) -> None:
@@ -178,15 +180,17 @@
         self._plain_placer.forget_gone()
         self._sender.forget_gone()
 
-    def refuse_from(self, at: float) -> None:
-        """Refuse requests that arrive at or after a time, because the process shuts down.
+    def shut_down(self, schedule: ShutdownSchedule) -> None:
+        """Let the requests in progress end by the schedule of a stop, and refuse the others."""
+        self._gate.begin(schedule)
+        self._waiting.end_by(schedule.work_until)
 
-        Parameters
-        ----------
-        at : float
-            Event loop time, in seconds.
-        """
-        self._shutdown_at = at
+    def withdraw_late(self) -> None:
+        """Refuse the requests that were not sent in time to end before the process does."""
+        now = self._clock()
+        for job in self._waiting.jobs():
+            self._gate.durations.note(job.route.name, now - job.req.arrived_at)
+        self._waiting.withdraw(self._gate.check)
 
     async def serve(self, inc: Incoming) -> None:
         """Serve one request and answer it."""
@@ -196,7 +200,7 @@
             log.info("rejected", why=str(exc))
             self._error_responder.answer_without_body(inc, "", 400, None)
             return
-        if self._fleet.state.snapshot is None:
+        if self._fleet.state.snapshot is None and not self._gate.is_closed:
             await self._await_config(req)
         job = self._admit(inc, req)
         if job is None:
@@ -204,6 +208,7 @@
         started = self._clock()
         try:
             async with self._waiting.until_deadline(job):
+                self._gate.check(job)
                 if job.route.streaming and req.last_event and self._origins is not None:
                     await self._origins.bind(job)
                 await self._charge(job)
@@ -230,7 +235,9 @@
             log.info("caller left", id=req.id, sends=job.sends)
             raise
         else:
-            self._meters.observe_latency(job.route.streaming, self._clock() - started)
+            duration_s = self._clock() - started
+            self._meters.observe_latency(job.route.streaming, duration_s)
+            self._gate.durations.note(job.route.name, duration_s)
 
     def _release_kv_copy(self, job: Job) -> None:
         """Release the saved KV cache of a request that ended without using it."""
@@ -247,7 +254,7 @@
 
     def _admit(self, inc: Incoming, req: Request) -> Job | None:
         snapshot = self._fleet.state.snapshot
-        if self._clock() >= self._shutdown_at:
+        if self._gate.is_closed:
             log.info("refused", id=req.id, why="this instance is shutting down")
             self._error_responder.answer_without_body(
                 inc, req.id, 503, OTHER_INSTANCE_RETRY_AFTER_S
@@ -326,6 +333,8 @@
             outcome = Outcome.UNKNOWN
             self._tally.begin(job)
             try:
+                # It may have waited, and a retry may begin late.
+                self._gate.check(job)
                 outcome = await self._sender.send(
                     job, replica, self._wait_policy.demand(job, replica), self._successors
                 )
--- /dev/null
+++ b/packages/gateway/src/gradelug_gateway/shutdown.py
@@ -0,0 +1,140 @@
+"""A planned stop: which requests may still begin, and when those in progress have to end."""
+
+from __future__ import annotations
+
+import typing as t
+from dataclasses import dataclass
+
+from .admission import OTHER_INSTANCE_RETRY_AFTER_S
+from .exceptions import Refused
+from .job import Job
+from .model import Repeat, Route
+
+BALANCER_REMOVAL_S = 2.6
+"""Time after which the load balancer has seen two failed readiness checks and sends no new
+requests."""
+CLOSE_S = 0.6
+"""Time before the process would be killed at which requests have to end: their answers are sent
+and the connections closed by then."""
+EXIT_MARGIN_S = 0.1
+"""The process exits this long before it would be killed."""
+DURATION_WINDOW_S = 30.0
+"""Durations of requests are remembered for one to two such times."""
+DURATION_FACTOR = 1.5
+"""A request is expected to take no longer than the longest recent one times this."""
+
+
+@dataclass(slots=True, frozen=True)
+class ShutdownSchedule:
+    """The times of a planned stop, by the event loop's clock.
+
+    Parameters
+    ----------
+    refuse_at : float
+        All requests that arrive from then on are refused.
+    work_until : float
+        Requests in progress have to end by then.
+    exit_at : float
+        The process exits by then.
+    """
+
+    refuse_at: float
+    work_until: float
+    exit_at: float
+
+    @classmethod
+    def plan(cls, now: float, grace_s: float, is_failing: bool = False) -> ShutdownSchedule:
+        """Return the schedule of a stop that begins now.
+
+        Parameters
+        ----------
+        now : float
+            Event loop time, in seconds.
+        grace_s : float
+            Time until the process is killed, in seconds.
+        is_failing : bool
+            Whether new requests are refused at once, since this instance's view of the fleet may be
+            outdated.
+        """
+        work_until = now + max(0.0, grace_s - CLOSE_S)
+        refuse_at = now if is_failing else min(work_until, now + BALANCER_REMOVAL_S)
+        return cls(refuse_at, work_until, max(work_until, now + grace_s - EXIT_MARGIN_S))
+
+
+class RouteDurations:
+    """The longest recent duration of requests on each route.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the event loop's time, in seconds.
+    """
+
+    __slots__ = ("_clock", "_earlier", "_recent", "_turned_at")
+
+    def __init__(self, clock: t.Callable[[], float]) -> None:
+        self._clock = clock
+        self._recent: dict[str, float] = {}
+        self._earlier: dict[str, float] = {}
+        self._turned_at = clock()
+
+    def note(self, route: str, duration_s: float) -> None:
+        """Record how long a request on a route took, in seconds."""
+        now = self._clock()
+        if now - self._turned_at > DURATION_WINDOW_S:
+            self._earlier, self._recent, self._turned_at = self._recent, {}, now
+        self._recent[route] = max(duration_s, self._recent.get(route, 0.0))
+
+    def longest_s(self, route: Route) -> float:
+        """Return the longest recent duration on a route, its target time if there was none."""
+        known = [
+            found[route.name] for found in (self._recent, self._earlier) if route.name in found
+        ]
+        return max(known, default=route.target_s)
+
+
+class ShutdownGate:
+    """Refuses the requests that would not end before the process does.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the event loop's time, in seconds.
+    """
+
+    __slots__ = ("_clock", "_schedule", "durations")
+
+    def __init__(self, clock: t.Callable[[], float]) -> None:
+        self._clock = clock
+        self._schedule: ShutdownSchedule | None = None
+        self.durations = RouteDurations(clock)
+
+    def begin(self, schedule: ShutdownSchedule) -> None:
+        """Follow the schedule of a stop from now on."""
+        self._schedule = schedule
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether all requests that arrive are refused."""
+        return self._schedule is not None and self._clock() >= self._schedule.refuse_at
+
+    def may_begin(self, job: Job) -> bool:
+        """Return whether a request that is sent now ends in the time left.
+
+        A request that must not run twice needs its whole time until the deadline; others need
+        somewhat longer than recent requests on their route. An answer that has begun goes on in any
+        case.
+        """
+        if self._schedule is None or job.inc.started:
+            return True
+        needed_s = job.caller_deadline_at - self._clock()
+        if job.route.repeat is not Repeat.NEVER:
+            needed_s = min(needed_s, DURATION_FACTOR * self.durations.longest_s(job.route))
+        return self._clock() + needed_s <= self._schedule.work_until
+
+    def check(self, job: Job) -> None:
+        """Raise `Refused` if a request is not to be sent any more."""
+        if not self.may_begin(job):
+            raise Refused(
+                "it might not end before this instance shuts down", OTHER_INSTANCE_RETRY_AFTER_S
+            )
--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -44,9 +44,19 @@
         Finds the weights of saved KV caches; None if runs are not continued.
     clock : callable
         Returns the event loop's time, in seconds.
+    may_begin : callable
+        Returns whether a request may be sent now, which it may not if this instance shuts down.
     """
 
-    __slots__ = ("_budgets", "_clock", "_fleet", "_liveness", "_placer", "_weights")
+    __slots__ = (
+        "_budgets",
+        "_clock",
+        "_fleet",
+        "_liveness",
+        "_may_begin",
+        "_placer",
+        "_weights",
+    )
 
     def __init__(
         self,
@@ -56,7 +66,9 @@
         fleet: Fleet,
         weights: RunWeights | None,
         clock: t.Callable[[], float],
+        may_begin: t.Callable[[Job], bool] = lambda job: True,
     ) -> None:
+        self._may_begin = may_begin
         self._placer = placer
         self._budgets = budgets
         self._liveness = liveness
@@ -76,7 +88,7 @@
 
     def _may_be_sent(self, job: Job) -> bool:
         """Return whether a further attempt is allowed: its caller's key may have been revoked."""
-        if job.sends >= MAX_SENDS:
+        if job.sends >= MAX_SENDS or not self._may_begin(job):
             return False
         snapshot = self._fleet.state.snapshot
         if job.principal is None or snapshot is None:
--- a/tests/test_daemon_stop.py
+++ b/tests/test_daemon_stop.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 import pytest
-from gradelug_gateway.daemon import BALANCER_REMOVAL_S
+from gradelug_gateway.shutdown import BALANCER_REMOVAL_S
 from limit_world import LimitWorld, PlainReplica
 from run_world import run
 from soak_settings import CONFIG
@@ -99,6 +99,69 @@
     run(main)
 
 
+class TestArrivals:
+    def test_a_request_that_must_not_run_twice_is_begun_and_cut(self):
+        async def scenario(world):
+            stopping = asyncio.ensure_future(world.stop())
+            await asyncio.sleep(1.0)
+            client = world.send(b"/u/x", work_s=LONG_S - 1)
+            await asyncio.sleep(0.1)
+            assert statuses(client) == [503]
+            assert b"Retry-After: 0.05" in client.received
+            assert world.arrived == []
+            await stopping
+
+        play(scenario)
+
+    def test_a_request_that_ends_in_time_is_refused_before_the_balancer_is_done(self):
+        async def scenario(world):
+            stopping = asyncio.ensure_future(world.stop())
+            await asyncio.sleep(2.0)
+            once = world.send(b"/u/x", deadline_s=5.0)
+            repeatable = world.send(b"/i/x", deadline_s=LONG_S)
+            await asyncio.sleep(2 * WORK_S)
+            assert (statuses(once), statuses(repeatable)) == ([200], [200])
+            await stopping
+
+        play(scenario)
+
+    def test_work_as_long_as_recent_work_is_begun_too_late(self):
+        async def scenario(world):
+            world.send(b"/i/x", work_s=6.5)
+            await asyncio.sleep(7.0)
+            count = len(world.arrived)
+            stopping = asyncio.ensure_future(world.stop())
+            await asyncio.sleep(1.0)
+            client = world.send(b"/i/x", work_s=6.5)
+            await stopping
+            assert statuses(client) == [503]
+            assert len(world.arrived) == count
+
+        play(scenario)
+
+    def test_a_request_without_time_left_is_answered_by_a_closed_connection(self):
+        async def scenario(world):
+            once = world.send(b"/u/x", work_s=LONG_S - 1)
+            repeatable = world.send(b"/i/x", work_s=LONG_S - 1)
+            await asyncio.sleep(0.5)
+            await world.stop()
+            assert (statuses(once), statuses(repeatable)) == ([504], [504])
+            assert world.exited_after_s < GRACE_S
+
+        play(scenario)
+
+    def test_replicas_work_beyond_the_end_of_the_process(self):
+        async def scenario(world):
+            stopping = asyncio.ensure_future(world.stop())
+            await asyncio.sleep(2.0)
+            world.send(b"/i/x")
+            await stopping
+            (left_s,) = [left_s for one in world.workers for left_s in one.deadlines.values()]
+            assert left_s <= GRACE_S - 2.0
+
+        play(scenario)
+
+
 class TestConnections:
     @pytest.mark.parametrize("at_s", [0.1, 1.0, 2.5, 2.7, 3.5, 4.9])
     @pytest.mark.parametrize("was_used", [False, True])
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import itertools
+import math
 import typing
 from dataclasses import replace
 
 import pytest
+from gradelug_gateway.shutdown import ShutdownSchedule
 from gradelug_router.exceptions import UpstreamBroken, UpstreamRefused
 from gradelug_router.upstream import _raise_refusal
 from hypothesis import settings
@@ -209,9 +211,15 @@
         self._call(self._replica(name).reset)
 
     @precondition(lambda self: len(self.world.callers) >= BEFORE_STOP)
+    @rule(grace_s=st.sampled_from([math.inf, 0.0, 0.1, 0.5]))
+    def stop(self, grace_s):
+        now = self.loop.time()
+        schedule = ShutdownSchedule(now, now + grace_s, now + grace_s)
+        self._call(self.world.serving.shut_down, schedule)
+
     @rule()
-    def stop(self):
-        self.world.serving.refuse_from(self.loop.time())
+    def withdraw_late(self):
+        self._call(self.world.serving.withdraw_late)
 
     @precondition(lambda self: not self.world.process.frozen)
     @rule(seconds=st.sampled_from([0.05, 0.5]), timers_first=st.booleans())
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -23,3 +23,11 @@
         assert fleet.cut() == []
         assert fleet.broken_promises() == []
         assert fleet.gateway.faults() == []
+
+    def test_work_longer_than_the_grace_period_is_begun_and_cut(self, tmp_path):
+        fleet = play(tmp_path, 3, callers=30, long_part=0.5)
+        assert fleet.unanswered() == []
+        assert fleet.cut() == []
+        assert fleet.broken_promises() == []
+        assert fleet.given_up() == []
+        assert fleet.gateway.faults() == []
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -1,6 +1,7 @@
 """The gateway's request pipeline, over in-memory connections to scripted replicas."""
 
 import asyncio
+import math
 import random
 from pipes import Network, RawClient, RawServer, join
 
@@ -27,6 +28,7 @@
 from gradelug_gateway.quotas import Quotas
 from gradelug_gateway.sending import Sender
 from gradelug_gateway.serving import FIRST_CONFIG_WAIT_S, RequestPipeline
+from gradelug_gateway.shutdown import ShutdownSchedule
 from gradelug_http import HttpPool, ServerLimits
 from gradelug_platform.dialect import PlatformDialect
 from gradelug_policy.quotas import LocalShares
@@ -460,7 +462,7 @@
     def test_shutting_down_instance_refuses_new_requests(self):
         async def scenario():
             bench = Bench(route(Repeat.NEVER), [[[OK]]])
-            bench.serving.refuse_from(bench.clock())
+            bench.serving.shut_down(ShutdownSchedule(bench.clock(), math.inf, math.inf))
             client = bench.client()
             await asyncio.sleep(0.05)
             assert status(client) == 503
