Leave the fleet within the grace period when the store responds late

What callers saw: a gateway that was still answering could be killed at the end of its grace period, because it then waited for the store.

Cause: the resignation of planner roles was awaited before the wait for requests, and the lease of the owned engines was revoked after it, up to 0.7 s for a call, when 0.4 s were left.

Fix: roles are resigned while requests end, the lease is revoked while the connections are closed, and whatever has no response 0.1 s before the process would be killed is given up with a log line; the lease expires by itself. The task that renews the lease is stopped before, as it would acquire another one.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -208,6 +208,7 @@
         self._limit_clients: dict[str, LimitClient] = {}
         self._planner_roles: dict[str, PlannerRole] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
+        self._ownership_task: asyncio.Task[t.Any] | None = None
         executor = None
         if self._ownership is not None:
             executor = Executor(settings.name, self._ownership, self._state, transport)
@@ -399,7 +400,7 @@
         if self._handover is not None:
             self._tasks.start(self._handover.run(), "handover")
         if self._ownership is not None:
-            self._tasks.start(self._ownership.run(), "ownership")
+            self._ownership_task = self._tasks.start(self._ownership.run(), "ownership")
         opened_at = self._early_socket.since if self._early_socket is not None else self._clock()
         read_s = round(self._clock() - opened_at, 3)
         log.info("started", instance=self.settings.name, hall=self.settings.hall, read_s=read_s)
@@ -419,14 +420,12 @@
         self._caller_server.draining = True
         self._access.server.is_draining = True
         self._pipeline.shut_down(schedule)
-        resignations = (role.resign() for role in self._planner_roles.values())
-        for result in await asyncio.gather(*resignations, return_exceptions=True):
-            if isinstance(result, Exception):
-                log.error("could not resign a planner role", why=repr(result))
+        # The store may respond late, so its calls are made while requests end.
+        resigning = asyncio.create_task(self._resign())
         await self._finish_requests(schedule)
+        leaving = asyncio.create_task(self._leave())
         cut = await self._caller_server.finish(schedule.exit_at)
-        if self._ownership is not None:
-            await self._ownership.leave()
+        await self._end_calls({resigning, leaving}, schedule.exit_at)
         log.info("stopped", after_s=round(self._clock() - started_at, 2), cut=cut)
 
     async def _finish_requests(self, schedule: ShutdownSchedule) -> None:
@@ -438,6 +437,33 @@
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
+    async def _resign(self) -> None:
+        resignations = (role.resign() for role in self._planner_roles.values())
+        for result in await asyncio.gather(*resignations, return_exceptions=True):
+            if isinstance(result, Exception):
+                log.error("could not resign a planner role", why=repr(result))
+
+    async def _leave(self) -> None:
+        """Give up the engines that this instance owns."""
+        if self._ownership is None or self._ownership_task is None:
+            return
+        # Its task would acquire another lease.
+        self._ownership_task.cancel()
+        await asyncio.gather(self._ownership_task, return_exceptions=True)
+        await self._ownership.leave()
+
+    async def _end_calls(self, calls: set[asyncio.Task[None]], until: float) -> None:
+        """Wait for calls to the store, and cancel those that have no response by a time."""
+        ended, late = await asyncio.wait(calls, timeout=max(0.0, until - self._clock()))
+        for call in late:
+            log.warning("the store did not respond before the exit")
+            call.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
+        for call in ended:
+            exc = call.exception()
+            if exc is not None:
+                log.error("could not leave the fleet", why=repr(exc))
+
     async def _close(self) -> None:
         await self._caller_server.close()
         await self._directory.close()
--- a/tests/test_daemon_stop.py
+++ b/tests/test_daemon_stop.py
@@ -220,3 +220,24 @@
             assert BALANCER_REMOVAL_S <= world.exited_after_s < BALANCER_REMOVAL_S + 0.5
 
         play(scenario)
+
+    @pytest.mark.parametrize("work_s", [0.0, LONG_S - 1])
+    def test_the_process_is_killed_because_the_store_does_not_respond(self, work_s):
+        async def scenario(world):
+            client = world.send(work_s=work_s) if work_s else None
+            await asyncio.sleep(1.0)
+
+            async def hang(*args):
+                await asyncio.sleep(60.0)
+
+            world.kv.revoke_lease = hang
+            await world.stop()
+            assert world.exited_after_s < GRACE_S
+            if client is not None:
+                assert statuses(client) == [504]
+
+        StopWorld.is_fenced, was_fenced = False, StopWorld.is_fenced
+        try:
+            play(scenario)
+        finally:
+            StopWorld.is_fenced = was_fenced
