Answer requests that are on their way when a router stops

What callers saw: in a planned stop at the OpenAI door, connections that the kernel had accepted were reset, half a request was closed without an answer, requests that had not ended within `stop_s` were cut without an answer, and a request on a kept connection could arrive as it was closed.

The listening socket was closed over its accept queue, answers did not announce the close, and when nothing was in progress all connections were closed at once, whatever was still to be read or sent.

Answers close their connection from the stop on unless a further request has arrived behind them; half a request gets 503. Requests in progress at the end of `stop_s` are answered 504 if their answer has not begun. Deadlines of later requests end there too, and one that may be run at most once and has a later deadline is refused with 503 and not-run.

--- a/packages/router/src/gradelug_router/door.py
+++ b/packages/router/src/gradelug_router/door.py
@@ -17,6 +17,7 @@
 from .guard import Guard
 from .openai import error_body
 from .settings import Limits
+from .stopping import yield_turns
 
 log = logbook.Logger("door")
 SWEEP_S = 0.5
@@ -62,6 +63,7 @@
         self.started = True
         res = self._res
         res.status = status
+        res.close = res.close or self._door.is_last(self.sock)
         for name, value in headers.items():
             res.headers[name] = value
         res.body = body
@@ -75,6 +77,7 @@
         self.started = True
         res = self._res
         res.status = status
+        res.close = res.close or self._door.is_last(self.sock)
         for name, value in headers.items():
             res.headers[name] = value
         res.stream = True
@@ -135,6 +138,9 @@
         self._draining: dict[t.Any, asyncio.Future[None]] = {}
         self._sweeper: asyncio.TimerHandle | None = None
         self._was_sweep_skipped = False
+        self.is_draining = False
+        """Whether each connection is closed after its next answer, unless a further request has
+        begun to arrive by then."""
         self.tree = Root(self._loop)
         self._poller = LoopPoller(self._loop).register(self.tree)
         self._web = BaseServer(address, display_banner=False, bufsize=READ_BYTES)
@@ -154,6 +160,46 @@
         """Requests being served."""
         return len(self._tasks)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer is not sent yet."""
+        return any(self._web.server._buffers.values())
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or served, or an answer is not sent yet."""
+        return bool(self._tasks) or self.has_unsent or self.guard.is_receiving
+
+    def is_last(self, sock: t.Any) -> bool:
+        """Return whether a connection is closed after its current request."""
+        return self.is_draining and not self.guard.has_next(sock)
+
+    async def stop_listening(self) -> None:
+        """Take the connections that wait to be accepted, and accept no more."""
+        self.is_draining = True
+        sock = self._web.server._sock
+        if sock is None:
+            return
+        self._poller.discard(sock)
+        # The library accepts in a later turn what it was told of before.
+        await yield_turns()
+        self._accept_queued(sock)
+        self.close_listener()
+
+    def _accept_queued(self, listener: t.Any) -> None:
+        """Accept what the kernel has queued; closing the listening socket would reset it."""
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as exc:
+                log.warning("connections are left in the accept queue: {}", exc)
+                return
+            self._web.server._on_accept_done(sock)
+
     def close_listener(self) -> None:
         """Accept no further connections."""
         sock = self._web.server._sock
@@ -162,14 +208,19 @@
             sock.close()
             self._web.server._sock = None
 
-    async def close(self) -> None:
-        """End everything at once."""
-        if self._sweeper is not None:
-            self._sweeper.cancel()
+    async def cancel_requests(self) -> int:
+        """Cancel the requests being served; return their number."""
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        return len(tasks)
+
+    async def close(self) -> None:
+        """End everything at once."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        await self.cancel_requests()
         self.close_listener()
         for sock in list(self._web.server._clients):
             self._web.server._close(sock)
--- a/packages/router/src/gradelug_router/guard.py
+++ b/packages/router/src/gradelug_router/guard.py
@@ -43,6 +43,11 @@
     """Length of the whole request, once its head has told it; 0 before, and if chunked."""
     pipelined: bytearray = field(default_factory=bytearray)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has arrived in part."""
+        return bool(self.received) and not (self.busy or self.refused)
+
 
 class Guard(BaseComponent):
     """Stands before the HTTP component and refuses what exceeds the limits.
@@ -133,6 +138,22 @@
         if pipelined:
             self.fire(read(sock, pipelined), "web")
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has arrived in part."""
+        return any(conn.is_receiving for conn in self._connections.values())
+
+    def has_next(self, sock: Socket) -> bool:
+        """Return whether a further request has begun to arrive behind the current one."""
+        conn = self._connections.get(sock)
+        return conn is not None and bool(conn.pipelined)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that have arrived in part, because the process stops."""
+        for sock, conn in list(self._connections.items()):
+            if conn.is_receiving:
+                self._refuse(sock, ApiError(503, "stopping", "the router stops", retry_after_s=1))
+
     def sweep(self) -> None:
         """Refuse senders that are too slow, close connections that are idle."""
         now = self._clock()
--- a/packages/router/src/gradelug_router/main.py
+++ b/packages/router/src/gradelug_router/main.py
@@ -11,6 +11,7 @@
 from gradelug_runtime import Metrics, Tasks, run_daemon, settle_garbage, wait_for_end
 from gradelug_wire import Peers
 
+from . import stopping
 from .acquire import Accountant, Acquirer
 from .door import Door
 from .levels import Levels
@@ -102,14 +103,15 @@
 
     async def stop(self) -> None:
         """Take nothing new, let what runs end, give the last accounts."""
-        self.serving.stopping = True
         log.info("stopping: {} requests in progress", self.door.in_progress)
+        give_up_at = asyncio.get_running_loop().time() + NOTICE_S + self._cfg.timing.stop_s
+        self.serving.stop(give_up_at)
+        self.door.is_draining = True
         await asyncio.sleep(NOTICE_S)
-        self.door.close_listener()
-        loop = asyncio.get_running_loop()
-        give_up_at = loop.time() + self._cfg.timing.stop_s
-        while self.door.in_progress and loop.time() < give_up_at:
-            await asyncio.sleep(0.05)
+        await stopping.let_end(self.door, give_up_at)
+        self.serving.is_ending = True
+        cancelled = await stopping.end(self.door)
+        log.info("stopped: {} requests cancelled", cancelled)
         await self.door.close()
         await self.accountant.send()
         await self.tasks.cancel()
--- a/packages/router/src/gradelug_router/serving.py
+++ b/packages/router/src/gradelug_router/serving.py
@@ -105,12 +105,19 @@
         What it works with.
     """
 
-    __slots__ = ("_budget", "_parts", "stopping")
+    __slots__ = ("_budget", "_parts", "_work_until", "is_ending")
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._budget = RetryBudget()
-        self.stopping = False
+        self._work_until: float | None = None
+        """When all requests have to end, by the runtime's clock; None if the router goes on."""
+        self.is_ending = False
+        """Whether requests are cancelled because the router ends."""
+
+    def stop(self, work_until: float) -> None:
+        """Tell that the router is not ready, and end later requests by a time of its clock."""
+        self._work_until = work_until
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request, whatever becomes of it."""
@@ -124,7 +131,10 @@
             self._parts.metrics.count("callers_gone")
             raise
         except asyncio.CancelledError:
-            raise
+            if not self.is_ending:
+                raise
+            error = ApiError(504, "stopping", "the router stops before it ends", Outcome.UNKNOWN)
+            self._answer_error(exchange, error, request_id)
         except Exception:
             log.exception("request {} failed", request_id)
             error = ApiError(500, "internal", "an internal error", Outcome.UNKNOWN)
@@ -397,7 +407,21 @@
             limit_s = min(limit_s, int(given) / 1000)
         now = self._parts.clock()
         single = bool(key) or repeatable == "no"
-        return Job(request_id, caller, now, now + limit_s, single, key, Progress())
+        deadline = self._limit_deadline(now + limit_s, single)
+        return Job(request_id, caller, now, deadline, single, key, Progress())
+
+    def _limit_deadline(self, deadline: float, single: bool) -> float:
+        """Return when a request has to end, at the latest when the router does.
+
+        One that may be run at most once is refused if its deadline is later.
+        """
+        if self._work_until is None or deadline <= self._work_until:
+            return deadline
+        if single:
+            raise ApiError(
+                503, "stopping", "it might not end before the router stops", retry_after_s=1
+            )
+        return self._work_until
 
     def _require(self, exchange: Exchange, method: str) -> None:
         if exchange.method != method:
@@ -419,7 +443,7 @@
 
     def _answer_ready(self, exchange: Exchange) -> None:
         fresh = self._parts.view.is_fresh(self._parts.cfg.timing.stale_s)
-        ready = fresh and not self.stopping
+        ready = fresh and self._work_until is None
         status, text = (200, b"ready\n") if ready else (503, b"not ready\n")
         revision = str(self._parts.view.head.revision)
         headers = {"Content-Type": "text/plain", "Gradelug-Revision": revision}
