Set the deadlines of a stop where they are kept

`Job.limit_deadline` had one caller and made three tests of test_poison_parts fail, whose jobs are plain namespaces (in the whole suite, 3 failed, 2383 passed). `WaitingRequests` now sets the deadline itself; the tests are unchanged and pass again.

--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -217,10 +217,6 @@
         """Whether it has to end before its caller's deadline."""
         return self.deadline_at < self.caller_deadline_at
 
-    def limit_deadline(self, until: float) -> None:
-        """End it by a time, by the event loop's clock, if its deadline is later."""
-        self.deadline_at = min(self.deadline_at, until)
-
     def give_back(self) -> None:
         """Refund its quota charge if it has not run."""
         if self.charge is not None and self.is_unrun:
--- a/packages/gateway/src/gradelug_gateway/withdrawal.py
+++ b/packages/gateway/src/gradelug_gateway/withdrawal.py
@@ -49,7 +49,7 @@
         TimeoutError
             If its deadline passes.
         """
-        job.limit_deadline(self._until)
+        job.deadline_at = min(job.deadline_at, self._until)
         try:
             async with asyncio.timeout_at(job.deadline_at) as deadline:
                 self._deadlines[job] = deadline
@@ -66,7 +66,7 @@
         """End all requests, also later ones, by a time of the event loop's clock."""
         self._until = until
         for job, deadline in self._deadlines.items():
-            job.limit_deadline(until)
+            job.deadline_at = min(job.deadline_at, until)
             if not deadline.expired() and job not in self._withdrawn:
                 deadline.reschedule(job.deadline_at)
 
