Count answers that were not sent as cut when a server stops

The log line `stopped` told only of requests still being served; an answer whose last bytes its caller had not read was lost without a trace. `cut` now counts both. A half-close that the kernel refuses is followed by an orderly close in place of a reset, which could drop the answer that was just sent.

--- a/packages/http/src/gradelug_http/draining.py
+++ b/packages/http/src/gradelug_http/draining.py
@@ -29,13 +29,8 @@
     clock: t.Callable[[], float]
 
     @property
-    def in_progress(self) -> int:
-        """Requests being served."""
-        ...
-
-    @property
-    def has_unsent(self) -> bool:
-        """Whether a part of an answer is not sent yet."""
+    def unfinished(self) -> int:
+        """Requests being served, and answers of which a part is not sent yet."""
         ...
 
     @property
@@ -65,17 +60,17 @@
     Returns
     -------
     int
-        Requests still being served.
+        Requests still being served, and answers that are not sent yet.
     """
     await server.stop_listening()
     await _wait(server, lambda: False, min(until, server.clock() + IN_FLIGHT_S))
-    await _wait(server, lambda: not (server.in_progress or server.has_unsent), until - LINGER_S)
+    await _wait(server, lambda: not server.unfinished, until - LINGER_S)
     # The time may be over because the process was suspended or busy.
     await _yield_turns(READ_TURNS)
     server.end_connections()
     end_at = min(until, server.clock() + LINGER_S)
     await _wait(server, lambda: not server.is_connected, end_at)
-    return server.in_progress
+    return server.unfinished
 
 
 async def _wait(server: DrainingServer, is_done: t.Callable[[], bool], until: float) -> None:
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -162,9 +162,9 @@
         return any(conn.is_busy for conn in self.connections)
 
     @property
-    def has_unsent(self) -> bool:
-        """Whether a part of an answer is not sent yet."""
-        return any(conn.unsent for conn in self.connections)
+    def unfinished(self) -> int:
+        """Requests being served, and answers of which a part is not sent yet."""
+        return sum(conn.task is not None or conn.unsent > 0 for conn in self.connections)
 
     @property
     def is_connected(self) -> bool:
@@ -193,7 +193,7 @@
         Returns
         -------
         int
-            Requests that were cut off.
+            Requests and answers that were cut off.
         """
         cut = await drain(self, until)
         await self.close()
@@ -411,7 +411,7 @@
             self.transport.write_eof()
         except OSError as exc:
             log.info("connection was lost before it was closed", why=str(exc))
-            self.abort(cause)
+            self.close(cause)
 
     def close(self, cause: EndCause = EndCause.STOP) -> None:
         """Close after what was written has been sent."""
