Expect resumable streams to take twice the mean when a gateway stops

The longest recent stream of a route, times 1.5, is often longer than the grace period, so that from the stop on every resumable stream would be sent to another instance, although nearly all would end in time and the others could be resumed there. They are now expected to take twice the mean of recent ones. Requests without events that may run again keep the longest one, since their callers get nothing of an answer that is broken off.

`RouteDurations` has a module of its own. The new tests of test_shutdown hold each kind of request against the time left.

--- a/packages/gateway/src/gradelug_gateway/shutdown.py
+++ b/packages/gateway/src/gradelug_gateway/shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing as t
 from dataclasses import dataclass
 
@@ -9,6 +10,7 @@
 from .exceptions import Refused
 from .job import Job
 from .model import Repeat, Route
+from .route_durations import RouteDurations
 
 BALANCER_REMOVAL_S = 2.6
 """Time after which the load balancer has seen two failed readiness checks and sends no new
@@ -18,10 +20,10 @@
 and the connections closed by then."""
 EXIT_MARGIN_S = 0.1
 """The process exits this long before it would be killed."""
-DURATION_WINDOW_S = 30.0
-"""Durations of requests are remembered for one to two such times."""
-DURATION_FACTOR = 1.5
+LONGEST_FACTOR = 1.5
 """A request is expected to take no longer than the longest recent one times this."""
+MEAN_FACTOR = 2.0
+"""A stream that can be resumed elsewhere is expected to take no longer than the mean times this."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,38 +63,6 @@
         return cls(refuse_at, work_until, max(work_until, now + grace_s - EXIT_MARGIN_S))
 
 
-class RouteDurations:
-    """The longest recent duration of requests on each route.
-
-    Parameters
-    ----------
-    clock : callable
-        Returns the event loop's time, in seconds.
-    """
-
-    __slots__ = ("_clock", "_earlier", "_recent", "_turned_at")
-
-    def __init__(self, clock: t.Callable[[], float]) -> None:
-        self._clock = clock
-        self._recent: dict[str, float] = {}
-        self._earlier: dict[str, float] = {}
-        self._turned_at = clock()
-
-    def note(self, route: str, duration_s: float) -> None:
-        """Record how long a request on a route took, in seconds."""
-        now = self._clock()
-        if now - self._turned_at > DURATION_WINDOW_S:
-            self._earlier, self._recent, self._turned_at = self._recent, {}, now
-        self._recent[route] = max(duration_s, self._recent.get(route, 0.0))
-
-    def longest_s(self, route: Route) -> float:
-        """Return the longest recent duration on a route, its target time if there was none."""
-        known = [
-            found[route.name] for found in (self._recent, self._earlier) if route.name in found
-        ]
-        return max(known, default=route.target_s)
-
-
 class ShutdownGate:
     """Refuses the requests that would not end before the process does.
 
@@ -121,16 +91,24 @@
     def may_begin(self, job: Job) -> bool:
         """Return whether a request that is sent now ends in the time left.
 
-        A request that must not run twice needs its whole time until the deadline; others need
-        somewhat longer than recent requests on their route. An answer that has begun goes on in any
-        case.
+        An answer that has begun goes on in any case.
         """
         if self._schedule is None or job.inc.started:
             return True
-        needed_s = job.caller_deadline_at - self._clock()
-        if job.route.repeat is not Repeat.NEVER:
-            needed_s = min(needed_s, DURATION_FACTOR * self.durations.longest_s(job.route))
-        return self._clock() + needed_s <= self._schedule.work_until
+        now = self._clock()
+        needed_s = min(job.caller_deadline_at - now, self._expected_s(job.route))
+        return now + needed_s <= self._schedule.work_until
+
+    def _expected_s(self, route: Route) -> float:
+        """Return how long a request on a route may take, in seconds.
+
+        A request that must not run twice may need its whole time until the deadline.
+        """
+        if route.repeat is Repeat.NEVER:
+            return math.inf
+        if route.repeat is Repeat.RESUME:
+            return MEAN_FACTOR * self.durations.mean_s(route)
+        return LONGEST_FACTOR * self.durations.longest_s(route)
 
     def check(self, job: Job) -> None:
         """Raise `Refused` if a request is not to be sent any more."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,7 +4,8 @@
 
 import pytest
 from gradelug_gateway.model import Repeat
-from gradelug_gateway.shutdown import DURATION_WINDOW_S, RouteDurations, ShutdownSchedule
+from gradelug_gateway.route_durations import WINDOW_S, RouteDurations
+from gradelug_gateway.shutdown import ShutdownSchedule
 from test_serving import ADAPTER, FULL, OK, Bench, route, run, status
 
 GRACE_S = 8.0
@@ -102,11 +103,46 @@
         durations = RouteDurations(lambda: now[0])
         one = route(Repeat.FREELY)
         assert durations.longest_s(one) == one.target_s
-        durations.note(one.name, 5.0)
-        durations.note(one.name, 1.0)
-        now[0] += DURATION_WINDOW_S + 1
-        durations.note(one.name, 2.0)
+        durations.note_end(one.name, 5.0)
+        durations.note_end(one.name, 1.0)
+        now[0] += WINDOW_S + 1
+        durations.note_end(one.name, 2.0)
         assert durations.longest_s(one) == 5.0
-        now[0] += DURATION_WINDOW_S + 1
-        durations.note(one.name, 1.0)
+        now[0] += WINDOW_S + 1
+        durations.note_end(one.name, 1.0)
         assert durations.longest_s(one) == 2.0
+
+    def test_running_requests_shorten_the_mean(self):
+        durations = RouteDurations(lambda: 0.0)
+        one = route(Repeat.RESUME)
+        durations.note_running(one.name, 4.0)
+        assert (durations.longest_s(one), durations.mean_s(one)) == (4.0, one.target_s)
+        durations.note_end(one.name, 3.0)
+        durations.note_end(one.name, 1.0)
+        durations.note_running(one.name, 0.5)
+        assert (durations.longest_s(one), durations.mean_s(one)) == (4.0, 2.0)
+
+    @pytest.mark.parametrize(
+        ("repeat", "left_s", "expected"),
+        [
+            (Repeat.NEVER, 19.0, 503),
+            (Repeat.NEVER, 21.0, 200),
+            (Repeat.FREELY, 5.0, 503),
+            (Repeat.FREELY, 7.0, 200),
+            (Repeat.RESUME, 3.5, 503),
+            (Repeat.RESUME, 4.5, 200),
+        ],
+    )
+    def test_a_request_that_takes_as_long_as_others_is_refused_or_cut(
+        self, repeat, left_s, expected
+    ):
+        async def scenario():
+            bench = Bench(route(repeat, timeout_s=TIMEOUT_S), [[[OK]]])
+            for duration_s in (4.0, 1.0, 1.0):
+                bench.serving._gate.durations.note_end("r", duration_s)
+            bench.serving.shut_down(schedule(bench, refuse_in_s=2.0, work_s=left_s))
+            client = bench.client(deadline_ms=DEADLINE_MS)
+            await asyncio.sleep(0.1)
+            assert status(client) == expected
+
+        run(scenario)
