Leave connections at rest unread once they are closed, and work until later

A request that crossed the close of a resting connection was read and discarded: its caller could not tell that it was safe to send it again. Such connections are now closed without reading on; only those whose answer was just sent are read until their client closes.

It now stops listening 0.65 s before, when it refuses everything anyway, and requests in progress end 0.35 s before.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -429,8 +429,8 @@
         log.info("stopped", after_s=round(self._clock() - started_at, 2), cut=cut)
 
     async def _finish_requests(self, schedule: ShutdownSchedule) -> None:
-        """Wait until all requests and tunnels have ended, or until they have to end."""
-        while self._clock() < schedule.work_until:
+        """Wait until all requests and tunnels have ended, or until the process stops listening."""
+        while self._clock() < schedule.close_at:
             self._pipeline.withdraw_late()
             is_idle = not self._caller_server.is_busy and not self._access.server.connections
             if self._clock() >= schedule.refuse_at and is_idle:
--- a/packages/gateway/src/gradelug_gateway/shutdown.py
+++ b/packages/gateway/src/gradelug_gateway/shutdown.py
@@ -15,7 +15,9 @@
 BALANCER_REMOVAL_S = 2.6
 """Time after which the load balancer has seen two failed readiness checks and sends no new
 requests."""
-CLOSE_S = 0.6
+CLOSE_S = 0.65
+"""Time before the process would be killed at which it stops listening."""
+ANSWER_S = 0.35
 """Time before the process would be killed at which requests have to end: their answers are sent
 and the connections closed by then."""
 EXIT_MARGIN_S = 0.1
@@ -34,6 +36,8 @@
     ----------
     refuse_at : float
         All requests that arrive from then on are refused.
+    close_at : float
+        The process stops listening then at the latest.
     work_until : float
         Requests in progress have to end by then.
     exit_at : float
@@ -41,6 +45,7 @@
     """
 
     refuse_at: float
+    close_at: float
     work_until: float
     exit_at: float
 
@@ -58,9 +63,11 @@
             Whether new requests are refused at once, since this instance's view of the fleet may be
             outdated.
         """
-        work_until = now + max(0.0, grace_s - CLOSE_S)
-        refuse_at = now if is_failing else min(work_until, now + BALANCER_REMOVAL_S)
-        return cls(refuse_at, work_until, max(work_until, now + grace_s - EXIT_MARGIN_S))
+        close_at, work_until, exit_at = (
+            now + max(0.0, grace_s - margin_s) for margin_s in (CLOSE_S, ANSWER_S, EXIT_MARGIN_S)
+        )
+        refuse_at = now if is_failing else min(close_at, now + BALANCER_REMOVAL_S)
+        return cls(refuse_at, close_at, work_until, exit_at)
 
 
 class ShutdownGate:
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -393,9 +393,13 @@
         """Close the connection unless a request is being served, refusing one that has begun."""
         if self.task is not None or self._gone or self.transport is None:
             return
-        if self._began_at is not None and self._refused_at is None:
+        if self.is_idle():
+            # What crosses the close stays unread, so that the client may send it again.
+            self.close(EndCause.STOP)
+            return
+        if self._refused_at is None:
             self._refuse(503)
-        self.linger(EndCause.STOP if self._refused_at is None else EndCause.REFUSED)
+        self.linger(EndCause.REFUSED)
 
     def linger(self, cause: EndCause) -> None:
         """Send the end of the connection, and discard what arrives until the client closes it.
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -144,6 +144,20 @@
 
         run(scenario)
 
+    def test_a_request_that_crosses_the_close_is_read_and_dropped(self):
+        async def scenario():
+            door = Door()
+            client = door.connect(GET)
+            await asyncio.sleep(2 * WORK_S)
+            conn = next(iter(door.server.connections))
+            conn.end()
+            client.transport.write(GET)
+            await door.finish()
+            assert conn._read_at < clock() - 0.05
+            assert statuses(client) == [200]
+
+        run(scenario)
+
     def test_a_request_in_progress_is_cut(self):
         async def scenario():
             async def work(inc):
--- a/tests/test_false_refusals.py
+++ b/tests/test_false_refusals.py
@@ -214,7 +214,7 @@
     @rule(grace_s=st.sampled_from([math.inf, 0.0, 0.1, 0.5]))
     def stop(self, grace_s):
         now = self.loop.time()
-        schedule = ShutdownSchedule(now, now + grace_s, now + grace_s)
+        schedule = ShutdownSchedule(now, *[now + grace_s] * 3)
         self._call(self.world.serving.shut_down, schedule)
 
     @rule()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -462,7 +462,7 @@
     def test_shutting_down_instance_refuses_new_requests(self):
         async def scenario():
             bench = Bench(route(Repeat.NEVER), [[[OK]]])
-            bench.serving.shut_down(ShutdownSchedule(bench.clock(), math.inf, math.inf))
+            bench.serving.shut_down(ShutdownSchedule(bench.clock(), math.inf, math.inf, math.inf))
             client = bench.client()
             await asyncio.sleep(0.05)
             assert status(client) == 503
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -15,7 +15,7 @@
 
 def schedule(bench, refuse_in_s=0.0, work_s=1.0):
     now = bench.clock()
-    return ShutdownSchedule(now + refuse_in_s, now + work_s, now + work_s + 0.5)
+    return ShutdownSchedule(now + refuse_in_s, now + work_s, now + work_s, now + work_s + 0.5)
 
 
 def poll(bench):
@@ -91,7 +91,9 @@
     @pytest.mark.parametrize("grace_s", [0.0, 0.5, 2.0, 4.0, 8.0, 30.0])
     def test_a_grace_period_is_too_short_for_the_steps_of_a_stop(self, grace_s):
         plan = ShutdownSchedule.plan(100.0, grace_s)
-        assert 100.0 <= plan.refuse_at <= plan.work_until <= plan.exit_at <= 100.0 + grace_s
+        steps = [100.0, plan.refuse_at, plan.close_at, plan.work_until, plan.exit_at]
+        assert steps == sorted(steps)
+        assert plan.exit_at <= 100.0 + grace_s
 
     def test_a_failing_instance_accepts_requests(self):
         assert ShutdownSchedule.plan(100.0, GRACE_S, is_failing=True).refuse_at == 100.0
