Serve connections that stay with a stopping gateway while that is certain to end

What callers saw: from 2.6 s after SIGTERM until the process left, each request on a connection that had stayed open was refused, although the load balancer moves only new connections and most such requests take milliseconds.

--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -200,7 +200,7 @@
             log.info("rejected", why=str(exc))
             self._error_responder.answer_without_body(inc, "", 400, None)
             return
-        if self._fleet.state.snapshot is None and not self._gate.is_closed:
+        if self._fleet.state.snapshot is None and not self._gate.refuses(inc.connected_at):
             await self._await_config(req)
         job = self._admit(inc, req)
         if job is None:
@@ -254,7 +254,7 @@
 
     def _admit(self, inc: Incoming, req: Request) -> Job | None:
         snapshot = self._fleet.state.snapshot
-        if self._gate.is_closed:
+        if self._gate.refuses(inc.connected_at):
             log.info("refused", id=req.id, why="this instance is shutting down")
             self._error_responder.answer_without_body(
                 inc, req.id, 503, OTHER_INSTANCE_RETRY_AFTER_S
--- a/packages/gateway/src/gradelug_gateway/shutdown.py
+++ b/packages/gateway/src/gradelug_gateway/shutdown.py
@@ -35,9 +35,9 @@
     Parameters
     ----------
     refuse_at : float
-        All requests that arrive from then on are refused.
+        Requests that arrive on new connections from then on are refused.
     close_at : float
-        The process stops listening then at the latest.
+        The process stops listening then at the latest, and refuses all requests that arrive.
     work_until : float
         Requests in progress have to end by then.
     exit_at : float
@@ -90,21 +90,32 @@
         """Follow the schedule of a stop from now on."""
         self._schedule = schedule
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether all requests that arrive are refused."""
-        return self._schedule is not None and self._clock() >= self._schedule.refuse_at
+    def refuses(self, connected_at: float) -> bool:
+        """Return whether all requests that arrive on a connection now are refused.
+
+        Parameters
+        ----------
+        connected_at : float
+            When the connection was opened, by the event loop's clock.
+        """
+        if self._schedule is None or self._clock() < self._schedule.refuse_at:
+            return False
+        # An open connection stays with this instance whatever the load balancer does.
+        return connected_at >= self._schedule.refuse_at or self._clock() >= self._schedule.close_at
 
     def may_begin(self, job: Job) -> bool:
         """Return whether a request that is sent now ends in the time left.
 
-        An answer that has begun goes on in any case.
+        An answer that has begun goes on in any case. A request that arrives once the others are
+        refused has to end in time for certain.
         """
         if self._schedule is None or job.inc.started:
             return True
-        now = self._clock()
-        needed_s = min(job.caller_deadline_at - now, self._expected_s(job.route))
-        return now + needed_s <= self._schedule.work_until
+        if job.caller_deadline_at <= self._schedule.work_until:
+            return True
+        if job.req.arrived_at >= self._schedule.refuse_at:
+            return False
+        return self._clock() + self._expected_s(job.route) <= self._schedule.work_until
 
     def _expected_s(self, route: Route) -> float:
         """Return how long a request on a route may take, in seconds.
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -302,7 +302,7 @@
         self._held_up_s = 0.0
         self._gone = False
         self._incoming: Incoming | None = None
-        self._opened_at = self._read_at = server.clock()
+        self.opened_at = self._read_at = server.clock()
         self._answered = 0
         self._end: ConnectionEnd | None = None
         """How the server ended it, None if it did not."""
@@ -441,7 +441,7 @@
             self._request_state(),
             self._size,
             len(self._h11.trailing_data[0]) if is_read_whole else 0,
-            now - self._opened_at,
+            now - self.opened_at,
             now - self._read_at,
             self._answered,
         )
@@ -686,6 +686,11 @@
         """How long the client has let the answer lie unread, in seconds."""
         return self._conn.held_up_s
 
+    @property
+    def connected_at(self) -> float:
+        """When its connection was opened, by the runtime's clock."""
+        return self._conn.opened_at
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Answer whole; raises `ClientGone`."""
         self._head(status, [*headers, (b"Content-Length", b"%d" % len(body))])
