--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -72,6 +72,7 @@
 from .settings import Feature, GatewaySettings
 from .share_tally import UsageReporter, UsageTally
 from .shared_health import OutcomeReporter
+from .shutdown import ShutdownSchedule
 from .startup_progress import StartupProgress, startup_checks
 from .store_updates import PUBLISHER_POLL_INTERVAL_S, StoreSubscriber
 from .stream_origins import OriginReporter, StreamOrigins
@@ -88,11 +89,6 @@
 """Time without links after which an instance gives its engines to others, which begin seconds
 later: shorter losses are over before that."""
 UPKEEP_INTERVAL_S = 0.5
-BALANCER_REMOVAL_S = 2.6
-"""Time after which the load balancer has seen two failed readiness checks and sends no new
-requests."""
-EXIT_MARGIN_S = 0.4
-"""The process exits this long before it would be killed."""
 DRAIN_POLL_INTERVAL_S = 0.05
 METRICS_PATH = b"/metrics"
 
@@ -212,6 +208,7 @@
         self._limit_clients: dict[str, LimitClient] = {}
         self._planner_roles: dict[str, PlannerRole] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
+        self._ownership_task: asyncio.Task[t.Any] | None = None
         executor = None
         if self._ownership is not None:
             executor = Executor(settings.name, self._ownership, self._state, transport)
@@ -403,7 +400,7 @@
         if self._handover is not None:
             self._tasks.start(self._handover.run(), "handover")
         if self._ownership is not None:
-            self._tasks.start(self._ownership.run(), "ownership")
+            self._ownership_task = self._tasks.start(self._ownership.run(), "ownership")
         opened_at = self._early_socket.since if self._early_socket is not None else self._clock()
         read_s = round(self._clock() - opened_at, 3)
         log.info("started", instance=self.settings.name, hall=self.settings.hall, read_s=read_s)
@@ -419,34 +416,58 @@
         """
         started_at = self._stopping_at = self._clock()
         log.info("stopping", requests=self._caller_server.in_progress, failed=failed)
+        schedule = ShutdownSchedule.plan(started_at, self.settings.bounds.grace_s, failed)
         self._caller_server.draining = True
         self._access.server.is_draining = True
-        self._pipeline.refuse_from(started_at + (0.0 if failed else BALANCER_REMOVAL_S))
+        self._pipeline.shut_down(schedule)
+        # The store may respond late, so its calls are made while requests end.
+        resigning = asyncio.create_task(self._resign())
+        await self._finish_requests(schedule)
+        leaving = asyncio.create_task(self._leave())
+        cut = await self._caller_server.finish(schedule.exit_at)
+        await self._end_calls({resigning, leaving}, schedule.exit_at)
+        log.info("stopped", after_s=round(self._clock() - started_at, 2), cut=cut)
+
+    async def _finish_requests(self, schedule: ShutdownSchedule) -> None:
+        """Wait until all requests and tunnels have ended, or until the process stops listening."""
+        while self._clock() < schedule.close_at:
+            self._pipeline.withdraw_late()
+            is_idle = not self._caller_server.is_busy and not self._access.server.connections
+            if self._clock() >= schedule.refuse_at and is_idle:
+                return
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+    async def _resign(self) -> None:
         resignations = (role.resign() for role in self._planner_roles.values())
         for result in await asyncio.gather(*resignations, return_exceptions=True):
             if isinstance(result, Exception):
                 log.error("could not resign a planner role", why=repr(result))
-        end_at = started_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
-        while self._clock() < end_at:
-            removed = self._clock() - started_at >= BALANCER_REMOVAL_S
-            if removed:
-                self._caller_server.close_idle()
-            is_idle = not self._caller_server.in_progress and not self._access.server.connections
-            if removed and is_idle:
-                break
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        if self._ownership is not None:
-            await self._ownership.leave()
-        log.info(
-            "stopped",
-            after_s=round(self._clock() - started_at, 2),
-            cut=self._caller_server.in_progress,
-        )
+
+    async def _leave(self) -> None:
+        """Give up the engines that this instance owns."""
+        if self._ownership is None or self._ownership_task is None:
+            return
+        # Its task would acquire another lease.
+        self._ownership_task.cancel()
+        await asyncio.gather(self._ownership_task, return_exceptions=True)
+        await self._ownership.leave()
+
+    async def _end_calls(self, calls: set[asyncio.Task[None]], until: float) -> None:
+        """Wait for calls to the store, and cancel those that have no response by a time."""
+        ended, late = await asyncio.wait(calls, timeout=max(0.0, until - self._clock()))
+        for call in late:
+            log.warning("the store did not respond before the exit")
+            call.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
+        for call in ended:
+            exc = call.exception()
+            if exc is not None:
+                log.error("could not leave the fleet", why=repr(exc))
 
     async def _close(self) -> None:
+        await self._caller_server.close()
         await self._directory.close()
         await self._tasks.cancel()
-        await self._caller_server.close()
         await self._status_server.close()
         await self._access.server.close()
         self._peer_server.close()
