--- a/packages/http/src/gradelug_http/early.py
+++ b/packages/http/src/gradelug_http/early.py
@@ -42,8 +42,7 @@
         """Serve who waits at a door and who comes; return its port."""
         self._since = door.since
         self._until = self.clock() + ACCEPT_S
-        await self.listen(door.sock)
-        return int(door.sock.getsockname()[1])
+        return await self._listen(door.sock)
 
     def new_connection(self) -> ServerConnection:
         """Return the protocol of a connection that is about to come up."""
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -13,6 +13,7 @@
 from .budget import SlowReader, SlowSender, read_ahead, to_refuse, to_shed
 from .connection_ends import ConnectionEnd, EndCause, RequestState
 from .connection_limit import RestingConnections
+from .draining import close_listener, drain, open_listener
 from .exceptions import ClientGone, MalformedRequest
 from .headers import Header, Headers, find
 from .request_reader import RequestReader, Step
@@ -24,6 +25,8 @@
 SWEEP_S = 0.25
 MAX_SWEEP_DELAY_S = 0.25
 """A sweep that is later than this is logged: the process was suspended or busy meanwhile."""
+BACKLOG = 1024
+"""Connections that the kernel keeps until they are accepted."""
 LINGER_S = 0.5
 """After a refusal, what still arrives is read this long so that the client sees its answer."""
 ERROR_RESPONSE = (
@@ -40,8 +43,6 @@
 """Part of the bound below which memory is no longer short."""
 EXCESS_PART = 1.5
 """Part of the bound above which everything that arrives is refused."""
-BACKLOG = 1024
-"""Connections that may wait to be accepted."""
 ACCEPTS_PER_TURN = 64
 SMALL_BYTES = 16_384
 """A request that is not longer goes on arriving while memory is short."""
@@ -158,13 +159,15 @@
         self.limits = limits
         self.clock = clock
         self.draining = False
-        """Whether each connection is closed after its next answer."""
+        """Whether each connection is closed after its next answer, unless a further request has
+        begun to arrive by then."""
         self.is_closing = False
         """Whether requests in progress are cancelled because the server ends."""
         self.connections: set[ServerConnection] = set()
         self.turns = Turns()
         """Connections with more to decode."""
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._sweep_due_at: float | None = None
         self.longest_delay_s = 0.0
@@ -172,20 +175,7 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen, and return the port."""
-        sock = socket.create_server((host, port), backlog=BACKLOG)
-        await self.listen(sock)
-        return int(sock.getsockname()[1])
-
-    async def listen(self, sock: socket.socket) -> None:
-        """Accept connections at a socket."""
-        loop = asyncio.get_running_loop()
-        # The backlog is the number of attempts to accept in one turn as well, each of which is
-        # logged while the process has no descriptors left.
-        self._server = await loop.create_server(
-            self.new_connection, sock=sock, backlog=ACCEPTS_PER_TURN
-        )
-        sock.listen(BACKLOG)
-        self.start_sweeping()
+        return await self._listen(open_listener(host, port))
 
     @property
     def in_progress(self) -> int:
@@ -206,16 +196,60 @@
         else:
             call_after_poll(lambda: resting.close_if_idle(EndCause.CROWDED))
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is being received or served."""
-        idle = [conn for conn in self.connections if conn.is_idle()]
-        if idle:
-            call_after_poll(lambda: self._close_if_idle(idle))
+    async def _listen(self, listener: socket.socket) -> int:
+        """Accept connections from a bound socket, and return its port."""
+        self._listener = listener
+        # The backlog is the number of attempts to accept in one turn as well, each of which is
+        # logged while the process has no descriptors left.
+        self._server = await asyncio.get_running_loop().create_server(
+            self.new_connection, sock=listener, backlog=ACCEPTS_PER_TURN
+        )
+        listener.listen(BACKLOG)
+        self.start_sweeping()
+        return int(listener.getsockname()[1])
 
-    def _close_if_idle(self, conns: t.Iterable[ServerConnection]) -> None:
-        for conn in conns:
-            if conn.is_idle():
-                conn.close()
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or served, or an answer is not sent yet."""
+        return any(conn.is_busy for conn in self.connections)
+
+    @property
+    def unfinished(self) -> int:
+        """Requests being served, and answers of which a part is not sent yet."""
+        return sum(conn.task is not None or conn.unsent > 0 for conn in self.connections)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether any connection is open."""
+        return bool(self.connections)
+
+    async def stop_listening(self) -> None:
+        """Take the connections that wait to be accepted, and accept no more."""
+        if self._server is not None and self._listener is not None:
+            listener, self._listener = self._listener, None
+            await close_listener(self._server, listener, self.new_connection)
+
+    def end_connections(self) -> None:
+        """Close the connections on which no request is being served."""
+        for conn in list(self.connections):
+            conn.end()
+
+    async def finish(self, until: float) -> int:
+        """Stop listening, answer what is on its way, and close all connections.
+
+        Parameters
+        ----------
+        until : float
+            Time by which this ends, by the runtime's clock.
+
+        Returns
+        -------
+        int
+            Requests and answers that were cut off.
+        """
+        cut = await drain(self, until)
+        await self.close()
+        return cut
 
     async def close(self) -> None:
         """Stop listening and end everything at once."""
@@ -433,7 +467,7 @@
         self._held_up_s = 0.0
         self._gone = False
         self._incoming: Incoming | None = None
-        self._opened_at = self._read_at = server.clock()
+        self.opened_at = self._read_at = server.clock()
         self._answered = 0
         self._end: ConnectionEnd | None = None
         """How the server ended it, None if it did not."""
@@ -492,7 +526,7 @@
         if self.server.is_exhausted:
             self.give_up()
             return
-        if self._is_busy or self in self.server.turns:
+        if self._is_serving or self in self.server.turns:
             self.pace_reading()
         else:
             self.read_on()
@@ -515,10 +549,9 @@
 
         While reading pauses, the kernel may keep as many as its buffer takes.
         """
-        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
         served = len(self._incoming.body) if self._incoming is not None else 0
         in_kernel = self._receive_buffer if self._is_reading_paused else 0
-        return self._reader.size + served + unsent + in_kernel
+        return self._reader.size + served + self.unsent + in_kernel
 
     def recount(self) -> None:
         """Tell the server what is kept for this caller."""
@@ -534,7 +567,7 @@
         """Return since when the caller neither reads nor sends, None if it does."""
         if self.paused_since is not None:
             return self.paused_since
-        is_sending = not self._is_busy and self._began_at is not None
+        is_sending = not self._is_serving and self._began_at is not None
         if not is_sending or self._is_reading_paused or self in self.server.turns:
             return None
         return self._read_at if now - self._read_at > STALL_S else None
@@ -568,6 +601,11 @@
         else:
             self.abort(EndCause.UNREAD)
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that were not sent yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     @property
     def held_up_s(self) -> float:
         """How long the client has let what was sent lie unread, in seconds."""
@@ -577,7 +615,7 @@
 
     def is_idle(self) -> bool:
         """Tell whether nothing is being received or served."""
-        return not self._is_busy and self._began_at is None
+        return not self._is_serving and self._began_at is None
 
     def close_if_idle(self, cause: EndCause) -> None:
         """Close if nothing is being received or served."""
@@ -595,10 +633,49 @@
         return not self._answered
 
     @property
-    def _is_busy(self) -> bool:
+    def _is_serving(self) -> bool:
         """Whether a request is being served, or its answer lies unread before a next one."""
         return self.task is not None or self._is_waiting_for_reader
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or served, or an answer is not sent yet."""
+        is_receiving = self._began_at is not None and self._refused_at is None
+        return self.task is not None or is_receiving or self.unsent > 0
+
+    @property
+    def is_last(self) -> bool:
+        """Whether the connection is closed after the current request."""
+        return self.server.draining and not self._reader.buffer
+
+    def end(self) -> None:
+        """Close the connection unless a request is being served, refusing one that has begun."""
+        if self.task is not None or self._gone or self.transport is None:
+            return
+        if self.is_idle():
+            # What crosses the close stays unread, so that the client may send it again.
+            self.close(EndCause.STOP)
+            return
+        if self._refused_at is None:
+            self._refuse(503)
+        self.linger(EndCause.REFUSED)
+
+    def linger(self, cause: EndCause) -> None:
+        """Send the end of the connection, and discard what arrives until the client closes it.
+
+        Closing it with unread bytes would reset it, and the client might lose its answer.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._note_end(cause)
+        if self._refused_at is None:
+            self._refused_at = self.server.clock()
+        try:
+            self.transport.write_eof()
+        except OSError as exc:
+            log.info("connection was lost before it was closed", why=str(exc))
+            self.close(cause)
+
     def close(self, cause: EndCause = EndCause.STOP) -> None:
         """Close after what was written has been sent."""
         self._note_end(cause)
@@ -622,7 +699,7 @@
             self._request_state(),
             len(self._reader.body if self._incoming is None else self._incoming.body),
             len(self._reader.buffer) if self._reader.is_whole else 0,
-            now - self._opened_at,
+            now - self.opened_at,
             now - self._read_at,
             self._answered,
         )
@@ -663,7 +740,7 @@
 
     def _note_unsent(self, now: float, idle_s: float) -> None:
         """Note whether the client has read nothing of whole answers for the idle timeout."""
-        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        unsent = self.unsent
         if not unsent or unsent < self._unsent:
             self._sent_at = now
         self._unsent = unsent
@@ -716,7 +793,10 @@
             return
         parser = self._reader.parser
         if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
-            self.close(EndCause.ANSWERED)
+            if self.server.draining:
+                self.linger(EndCause.ANSWERED)
+            else:
+                self.close(EndCause.ANSWERED)
             return
         self._reader.start_next()
         self._incoming = None
@@ -744,7 +824,7 @@
 
     def read_on(self) -> None:
         """Read what arrived, up to one step of a body."""
-        while not self._is_busy and self._refused_at is None:
+        while not self._is_serving and self._refused_at is None:
             before = len(self._reader.body)
             try:
                 step = self._reader.step()
@@ -772,7 +852,7 @@
         is_far = self in self.server.turns and len(self._reader.buffer) > MAX_BACKLOG_BYTES
         # A client that sends a whole body before it reads sees its refusal.
         is_discarded = self._discarded > self._limits.body_bytes
-        is_ahead = self._is_busy and len(self._reader.buffer) > MAX_AHEAD_BYTES
+        is_ahead = self._is_serving and len(self._reader.buffer) > MAX_AHEAD_BYTES
         must_pause = is_far or is_ahead or is_discarded or self.is_held_back
         if must_pause == self._is_reading_paused or self.transport is None:
             return
@@ -786,7 +866,7 @@
 
     def _note_held_back(self) -> None:
         """Note whether the request that arrives has to wait for memory."""
-        is_arriving = not self._is_busy and self._refused_at is None
+        is_arriving = not self._is_serving and self._refused_at is None
         must_wait = is_arriving and self.server.is_short and self._reader.size > SMALL_BYTES
         if must_wait and self._held_back_at is None:
             self._held_back_at = self.server.clock()
@@ -960,6 +1040,11 @@
         """How long the client has let the answer lie unread, in seconds."""
         return self._conn.held_up_s
 
+    @property
+    def connected_at(self) -> float:
+        """When its connection was opened, by the runtime's clock."""
+        return self._conn.opened_at
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Answer whole; raises `ClientGone`."""
         self._head(status, [*headers, (b"Content-Length", b"%d" % len(body))])
@@ -983,7 +1068,7 @@
 
     def _head(self, status: int, headers: Headers) -> None:
         sent = [*headers]
-        if self._conn.server.draining:
+        if self._conn.is_last:
             sent.append((b"Connection", b"close"))
         self._conn.send_event(h11.Response(status_code=status, headers=sent))
         self.started = True
--- a/tests/pipes.py
+++ b/tests/pipes.py
@@ -43,6 +43,17 @@
         if not self.closing and not self.protocol.eof_received():
             self.lose(None)
 
+    def write_eof(self):
+        """Send the end of this direction; the connection ends once the other end closes too."""
+        self._loop.call_later(self.delay_s, self._end_direction)
+
+    def _end_direction(self):
+        if self.silent or self.peer.closing:
+            return
+        self.peer.end_of_file()
+        if self.peer.closing:
+            self.end_of_file()
+
     def lose(self, exc):
         if not self.closing:
             self.closing = True
@@ -92,6 +103,7 @@
         self._high_bytes = high_bytes
         self._is_full = False
         self._is_ending = False
+        self._has_written_eof = False
 
     def deliver(self, data):
         if self.closing:
@@ -128,6 +140,11 @@
             super().close()
         self._is_ending = True
 
+    def write_eof(self):
+        self._has_written_eof = True
+        if not self.unsent:
+            super().write_eof()
+
     def is_closing(self):
         return self.closing or self._is_ending
 
@@ -146,6 +163,8 @@
             self.protocol.resume_writing()
         if self._is_ending:
             super().close()
+        elif self._has_written_eof:
+            super().write_eof()
 
     def get_write_buffer_size(self):
         return len(self.unsent)
