--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -10,7 +10,8 @@
 import h11
 import logbook
 
-from .budget import SlowReader, SlowSender, read_ahead, to_refuse, to_shed
+from .after_poll import call_after_poll
+from .caller_memory import CallerMemory, Upstreams
 from .connection_ends import ConnectionEnd, EndCause, RequestState
 from .connection_limit import RestingConnections
 from .draining import close_listener, drain, open_listener
@@ -37,12 +38,6 @@
 """A caller that sends nothing of its request for this long may be given up when memory is short."""
 MIN_ARRIVING_S = 0.05
 """Requests that arrive within this are taken for equally fast."""
-MAX_SHORTAGE_S = 0.5
-"""When memory has been short for this long, the slowest requests are refused."""
-EASE_PART = 0.75
-"""Part of the bound below which memory is no longer short."""
-EXCESS_PART = 1.5
-"""Part of the bound above which everything that arrives is refused."""
 ACCEPTS_PER_TURN = 64
 SMALL_BYTES = 16_384
 """A request that is not longer goes on arriving while memory is short."""
@@ -80,36 +75,9 @@
     idle_s: float = 15.0
 
 
-class Upstreams(t.Protocol):
-    """Answers on their way to callers, as a pool of connections keeps them."""
-
-    @property
-    def connections(self) -> int:
-        """Connections that are open."""
-        ...
-
-    def held(self) -> int:
-        """Return the bytes that came and were not read yet."""
-        ...
-
-    def bound_read_ahead(self, size: int) -> None:
-        """Let each answer be so many bytes ahead of its reader."""
-        ...
-
-
 Serve = t.Callable[["Incoming"], t.Awaitable[None]]
 
 
-def call_after_poll(callback: t.Callable[[], None]) -> None:
-    """Call back once the loop has looked at its sockets and handled what they had received.
-
-    The loop polls between two turns; what it finds is handled in the second one, and the callback
-    runs in the third.
-    """
-    loop = asyncio.get_running_loop()
-    loop.call_soon(loop.call_soon, callback)
-
-
 class HttpServer:
     """Accepts connections and runs `serve` in a task for each request.
 
@@ -144,17 +112,6 @@
         self._max_connections = max_connections
         self._resting: RestingConnections[ServerConnection] = RestingConnections()
         self.on_end = on_end
-        self._most_bytes = most_bytes
-        self._upstreams = upstreams
-        self._held_for_callers = 0
-        self._arriving = 0
-        """Bytes of them that belong to requests which are not whole yet."""
-        self._held_upstream = 0
-        """Bytes that came from upstreams and were not read, as last counted."""
-        self._short_since: float | None = None
-        """Since when memory is short, None if it is not."""
-        self.shed = 0
-        """Callers given up since the start because they did not read or send."""
         self.serve = serve
         self.limits = limits
         self.clock = clock
@@ -164,6 +121,8 @@
         self.is_closing = False
         """Whether requests in progress are cancelled because the server ends."""
         self.connections: set[ServerConnection] = set()
+        self.memory = CallerMemory(most_bytes, clock, self.connections, upstreams)
+        """What is kept for all callers."""
         self.turns = Turns()
         """Connections with more to decode."""
         self._server: asyncio.Server | None = None
@@ -277,8 +236,7 @@
         if overdue:
             # A suspended or busy process has not read yet what arrived in time.
             call_after_poll(lambda: self._end_overdue(overdue, now, idle_s))
-        if self._most_bytes:
-            self._keep_within(self._most_bytes)
+        self.memory.check()
         self._sweep_due_at = now + SWEEP_S
         self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
@@ -292,7 +250,7 @@
             conn.end_overdue()
         except Exception:
             log.exception("could not close or refuse a connection that is overdue")
-            conn.abort(EndCause.ERROR)
+            conn.drop()
 
     def _note_delay(self, now: float) -> None:
         """Log a sweep that is late."""
@@ -311,121 +269,12 @@
     @property
     def held(self) -> int:
         """Bytes kept for all callers."""
-        return self._held_for_callers + self._held_upstream
-
-    @property
-    def bounds_memory(self) -> bool:
-        """Whether what is kept for callers has a bound."""
-        return self._most_bytes > 0
-
-    @property
-    def is_full(self) -> bool:
-        """Whether no further body can be kept."""
-        return 0 < self._most_bytes < self.held
-
-    @property
-    def is_short(self) -> bool:
-        """Whether requests that are not small have to wait for memory."""
-        return self._short_since is not None
-
-    @property
-    def _eased_bytes(self) -> int:
-        return round(EASE_PART * self._most_bytes)
+        return self.memory.held
 
     @property
-    def is_exhausted(self) -> bool:
-        """Whether nothing at all can be kept any more."""
-        return 0 < EXCESS_PART * self._most_bytes < self.held
-
-    @property
-    def has_no_room(self) -> bool:
-        """Whether memory would be short even without the requests that are not whole yet."""
-        return 0 < self._eased_bytes < self.held - self._arriving
-
-    def count(self, change: int, arriving: int) -> None:
-        """Count what is kept for a caller in addition, or no longer.
-
-        Parameters
-        ----------
-        change : int
-            Change of the bytes that are kept.
-        arriving : int
-            Change of those of them that belong to a request which is not whole yet.
-        """
-        self._held_for_callers += change
-        self._arriving += arriving
-        if self.is_full and not self.is_short:
-            self._short_since = self.clock()
-            self._pace_all()
-            # A process that was held up has not read yet what arrived in time.
-            call_after_poll(self._relieve)
-        elif self.is_short and self.held <= self._eased_bytes:
-            self._short_since = None
-            asyncio.get_running_loop().call_soon(self._pace_all)
-
-    def _pace_all(self) -> None:
-        for conn in list(self.connections):
-            conn.pace_reading()
-
-    def _keep_within(self, most_bytes: int) -> None:
-        """Count what is kept for callers and give some of them up if it is too much."""
-        for conn in list(self.connections):
-            conn.recount()
-        if self._upstreams is not None:
-            self._held_upstream = self._upstreams.held()
-            self._upstreams.bound_read_ahead(read_ahead(most_bytes, self._upstreams.connections))
-        self.count(0, 0)
-        if self.is_short:
-            self._relieve()
-
-    def _relieve(self) -> None:
-        """Give up callers while memory is short."""
-        self._shed_stalled()
-        if self._short_since is None or self.clock() - self._short_since < MAX_SHORTAGE_S:
-            return
-        self._refuse_slowest()
-        if self.is_short:
-            self._short_since = self.clock()
-
-    def _shed_stalled(self) -> None:
-        """Give up callers that neither read nor send, the longest first."""
-        now = self.clock()
-        conns = list(self.connections)
-        stalled = [
-            SlowReader(number, since, conn.held)
-            for number, conn in enumerate(conns)
-            if (since := conn.stalled_since(now)) is not None
-        ]
-        limit = self._eased_bytes if self.is_short else self._most_bytes
-        for reader in to_shed(limit, self.held, stalled):
-            self.shed += 1
-            log.warning(
-                "caller given up, it neither reads nor sends",
-                stalled_s=round(now - reader.since, 3),
-                size=reader.size,
-                held=self.held,
-            )
-            conns[reader.number].give_up()
-
-    def _refuse_slowest(self) -> None:
-        """Refuse requests that arrive, the slowest first, until memory is no longer short."""
-        now = self.clock()
-        # Of equally slow ones, the first is refused that had the most time.
-        conns = sorted(self.connections, key=lambda conn: conn.began_at or now)
-        senders = [
-            SlowSender(number, conn.arrival_rate(now), conn.held)
-            for number, conn in enumerate(conns)
-            if conn.is_held_back
-        ]
-        for sender in to_refuse(self._eased_bytes, self.held, senders):
-            self.shed += 1
-            log.warning(
-                "request refused, memory is short",
-                rate=round(sender.rate),
-                size=sender.size,
-                held=self.held,
-            )
-            conns[sender.number].give_up()
+    def shed(self) -> int:
+        """Callers given up since the start because they did not read or send."""
+        return self.memory.shed
 
 
 class ServerConnection(asyncio.Protocol):
@@ -479,7 +328,7 @@
         self.transport = t.cast(asyncio.Transport, transport)
         self.server.connections.add(self)
         self.server.make_room(self)
-        if self.server.bounds_memory:
+        if self.server.memory.is_bounded:
             self._bound_receive_buffer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -523,7 +372,7 @@
         if self._began_at is None:
             self._note_first_byte()
         self._reader.buffer += data
-        if self.server.is_exhausted:
+        if self.server.memory.is_exhausted:
             self.give_up()
             return
         if self._is_serving or self in self.server.turns:
@@ -561,7 +410,7 @@
             return
         changes = held - self._counted, arriving - self._counted_arriving
         self._counted, self._counted_arriving = held, arriving
-        self.server.count(*changes)
+        self.server.memory.count(*changes)
 
     def stalled_since(self, now: float) -> float | None:
         """Return since when the caller neither reads nor sends, None if it does."""
@@ -601,6 +450,10 @@
         else:
             self.abort(EndCause.UNREAD)
 
+    def drop(self) -> None:
+        """Close at once after an unexpected error."""
+        self.abort(EndCause.ERROR)
+
     @property
     def unsent(self) -> int:
         """Bytes of answers that were not sent yet."""
@@ -867,7 +720,7 @@
     def _note_held_back(self) -> None:
         """Note whether the request that arrives has to wait for memory."""
         is_arriving = not self._is_serving and self._refused_at is None
-        must_wait = is_arriving and self.server.is_short and self._reader.size > SMALL_BYTES
+        must_wait = is_arriving and self.server.memory.is_short and self._reader.size > SMALL_BYTES
         if must_wait and self._held_back_at is None:
             self._held_back_at = self.server.clock()
         elif not must_wait and self._held_back_at is not None:
@@ -897,7 +750,12 @@
         size = len(self._reader.body)
         if size > self._limits.body_bytes:
             self._refuse(413)
-        elif self.server.is_full and not before and size > SMALL_BYTES and self.server.has_no_room:
+        elif (
+            self.server.memory.is_full
+            and not before
+            and size > SMALL_BYTES
+            and self.server.memory.has_no_room
+        ):
             self._refuse(503)
 
     def _continue_body(self) -> None:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -97,7 +97,7 @@
                 conn.transport.peer.abort()
             await asyncio.sleep(0.1)
             assert crowd.server.held == 0
-            assert not crowd.server.is_short
+            assert not crowd.server.memory.is_short
 
         run(scenario)
 
@@ -136,11 +136,11 @@
             for _ in range(CLIENTS):
                 asyncio.ensure_future(crowd.send(4_000_000, pause_s=0.0))
             await asyncio.sleep(0.1)
-            assert crowd.server.is_short
+            assert crowd.server.memory.is_short
             client, near = crowd.connect()
             near.write(SMALL)
             await asyncio.sleep(0.05)
-            assert crowd.server.is_short
+            assert crowd.server.memory.is_short
             assert status(client) == b"200"
 
         run(scenario)
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -5,7 +5,7 @@
 from pipes import RawClient, join_paced
 
 from gradelug_http import HttpServer, ServerLimits
-from gradelug_http.server import EXCESS_PART
+from gradelug_http.caller_memory import EXCESS_PART
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -184,7 +184,7 @@
     @invariant()
     def counted_bytes_are_what_is_kept(self):
         self.do(asyncio.sleep(0.001))
-        self.was_short |= self.server.is_short or self.server.shed > 0
+        self.was_short |= self.server.memory.is_short or self.server.shed > 0
         open_conns = [caller for caller in self.callers if caller.conn in self.server.connections]
         assert self.server.held >= sum(caller.kept_bytes() for caller in open_conns)
         if not self.server.connections:
