--- a/packages/http/src/gradelug_http/caller_memory.py
+++ b/packages/http/src/gradelug_http/caller_memory.py
@@ -256,4 +256,8 @@
 
     def _give_up(self, caller: Caller) -> None:
         self.shed += 1
-        caller.give_up()
+        try:
+            caller.give_up()
+        except Exception:
+            log.exception("could not refuse a request or close its connection")
+            caller.drop()
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -231,14 +231,15 @@
     def _sweep(self) -> None:
         now = self.clock()
         self._note_delay(now)
+        self._sweep_due_at = now + SWEEP_S
+        # An error below must not end the sweeps.
+        self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
         idle_s = self.limits().idle_s
         overdue = [conn for conn in self.connections if conn.is_overdue(now, idle_s)]
         if overdue:
             # A suspended or busy process has not read yet what arrived in time.
             call_after_poll(lambda: self._end_overdue(overdue, now, idle_s))
         self.memory.check()
-        self._sweep_due_at = now + SWEEP_S
-        self._sweeper = asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
 
     def _end_overdue(self, conns: t.Iterable[ServerConnection], now: float, idle_s: float) -> None:
         for conn in conns:
