Keep a request under way when its client sends a next one while memory is exhausted

Callers would see: a request that is being served ends without an answer, because above one and a half times the bound whatever arrives was given up, and on a connection with a request under way that is an abort.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -373,7 +373,7 @@
         if self._began_at is None:
             self._note_first_byte()
         self._reader.buffer += data
-        if self.server.memory.is_exhausted:
+        if self.server.memory.is_exhausted and not self._is_serving:
             self.give_up()
             return
         if self._is_serving or self in self.server.turns:
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -131,3 +131,30 @@
         assert server.held == 0
 
     run(scenario)
+
+
+def test_a_request_under_way_was_cut_because_a_next_one_came_while_memory_was_exhausted():
+    async def scenario():
+        server = new_server(MOST_BYTES)
+        may_answer = asyncio.Event()
+
+        async def serve(inc):
+            await may_answer.wait()
+            inc.respond(200, [], b"")
+
+        server.serve = serve
+        clients = [RawClient() for _ in range(2)]
+        for client in clients:
+            join(client, server.new_connection())
+            client.transport.write(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 950000\r\n\r\n")
+            client.transport.write(b"x" * 950_000)
+        await asyncio.sleep(0.1)
+        assert server.memory.is_exhausted
+        for client in clients:
+            client.transport.write(WHOLE_HEAD)
+        await asyncio.sleep(0.1)
+        may_answer.set()
+        await asyncio.sleep(0.1)
+        assert all(client.received.count(b" 200 ") == 2 for client in clients)
+
+    run(scenario)
