Count and pace a caller's connection only where something has changed

Each ordinary request was counted five times and its pace checked three times; headers were searched twice for each of two names.

--- a/packages/http/src/gradelug_http/request_reader.py
+++ b/packages/http/src/gradelug_http/request_reader.py
@@ -55,9 +55,11 @@
         "_left",
         "_part",
         "_searched",
+        "announced_bytes",
         "body",
         "buffer",
         "header_bytes",
+        "is_chunked",
         "parser",
         "req",
     )
@@ -72,6 +74,10 @@
         self.body = bytearray()
         """What was read of the body."""
         self.req: h11.Request | None = None
+        self.announced_bytes = 0
+        """Stated length of the body; 0 if none is stated."""
+        self.is_chunked = False
+        """Whether the body comes in chunks."""
         self._part = _Part.HEAD
         self._chunks: ChunkDecoder | None = None
         self._left = 0
@@ -87,12 +93,6 @@
         """Whether all of a request was read."""
         return self._part is _Part.DONE
 
-    @property
-    def announced_bytes(self) -> int:
-        """Stated length of the body; 0 if none is stated."""
-        length = find(self.req.headers, b"content-length") if self.req is not None else None
-        return int(length) if length is not None else 0
-
     def clear(self) -> None:
         """Drop all that is kept."""
         self.buffer = bytearray()
@@ -139,7 +139,10 @@
         event = self._parse(blank.end())
         assert isinstance(event, h11.Request)
         self.req = event
-        if find(event.headers, b"transfer-encoding") is not None:
+        length = find(event.headers, b"content-length")
+        self.announced_bytes = int(length) if length is not None else 0
+        self.is_chunked = find(event.headers, b"transfer-encoding") is not None
+        if self.is_chunked:
             self._chunks = ChunkDecoder()
             self._part = _Part.CHUNKS
         else:
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -409,10 +409,10 @@
             self.give_up()
             return
         if self._is_serving or self in self.server.turns:
+            self.recount()
             self.pace_reading()
         else:
             self.read_on()
-        self.recount()
 
     def _bound_receive_buffer(self) -> None:
         sock = self.transport.get_extra_info("socket") if self.transport is not None else None
@@ -437,6 +437,8 @@
 
     def recount(self) -> None:
         """Tell the server what is kept for this caller."""
+        if not self.server.memory.is_bounded:
+            return
         held = 0 if self._gone else self.held
         arriving = 0 if self._gone or self.task is not None else held
         if (held, arriving) == (self._counted, self._counted_arriving):
@@ -658,7 +660,8 @@
             raise ClientGone("the client has closed its connection")
         if data:
             self.transport.write(data)
-            self.recount()
+            if self.transport.get_write_buffer_size():
+                self.recount()
 
     def send_event(self, event: t.Any) -> None:
         """Send a part of an answer; raises `ClientGone`."""
@@ -700,7 +703,12 @@
     def _begin_next(self) -> None:
         """Read on with what was sent ahead."""
         self._is_waiting_for_reader = False
-        self._began_at = self.server.clock() if self._reader.buffer else None
+        if not self._reader.buffer:
+            self._began_at = None
+            self.recount()
+            self.pace_reading()
+            return
+        self._began_at = self.server.clock()
         self.read_on()
 
     def _note_first_byte(self) -> None:
@@ -734,6 +742,9 @@
 
     def pace_reading(self) -> None:
         """Stop reading while there is no use for further bytes, and go on afterwards."""
+        is_small = len(self._reader.buffer) <= MAX_AHEAD_BYTES and not self._discarded
+        if is_small and not self._is_reading_paused and not self.server.memory.is_short:
+            return
         self._note_held_back()
         is_far = self in self.server.turns and len(self._reader.buffer) > MAX_BACKLOG_BYTES
         # A client that sends a whole body before it reads sees its refusal.
@@ -763,7 +774,7 @@
     def _check_head(self) -> None:
         req = self._reader.req
         assert req is not None
-        if find(req.headers, b"transfer-encoding") and find(req.headers, b"content-length"):
+        if self._reader.is_chunked and find(req.headers, b"content-length") is not None:
             # Whoever stands before us may frame such a request in another way.
             self._refuse(400)
         elif _head_bytes(req) > self._limits.header_bytes:
