Send small parts of answers at once on all connections of callers

Callers saw: an answer on a kept connection came up to 40 ms late. Its head and its body are two writes; without TCP_NODELAY the kernel keeps the second one until the client acknowledges the first, which clients delay. asyncio sets the option only for sockets whose protocol number is TCP's, and the early socket, and since the planned stop all other listeners, are created without it. The connections of callers now set it themselves.

Evidence: test_small_parts_of_answers_were_held_up_for_40_ms failed for both listeners before.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -361,8 +361,13 @@
         self.transport = t.cast(asyncio.Transport, transport)
         self.server.connections.add(self)
         self.server.make_room(self)
+        sock = transport.get_extra_info("socket")
+        if sock is None or self._is_closing:
+            return
+        # The event loop does so only for sockets that were created with the protocol's number.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.server.memory.is_bounded:
-            self._bound_receive_buffer()
+            self._bound_receive_buffer(sock)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request that is being served."""
@@ -414,10 +419,7 @@
         else:
             self.read_on()
 
-    def _bound_receive_buffer(self) -> None:
-        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
-        if sock is None or self._is_closing:
-            return
+    def _bound_receive_buffer(self, sock: socket.socket) -> None:
         is_wide = len(self.server.connections) <= WIDE_CONNECTIONS
         self._receive_buffer = RECEIVE_BUFFER_BYTES if is_wide else NARROW_BUFFER_BYTES
         # The kernel doubles what is asked for.
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,6 +6,7 @@
 import pytest
 from gradelug_http import (
     ConnectFailed,
+    EarlyServer,
     HttpPool,
     HttpServer,
     OutgoingRequest,
@@ -13,6 +14,7 @@
     ServerLimits,
     end_to_end,
 )
+from gradelug_http import Door as ListeningDoor
 from gradelug_http import pool as pool_module
 from gradelug_http.liveness import UNACKED_S
 from gradelug_http.pool import dial_tcp
@@ -309,6 +311,32 @@
 
         asyncio.run(scenario())
 
+    # The body of an answer waited until the client had acknowledged its head.
+    @pytest.mark.parametrize("is_early", [False, True])
+    def test_small_parts_of_answers_were_held_up_for_40_ms(self, is_early):
+        async def scenario():
+            async def serve(inc):
+                inc.respond(200, [], b"")
+
+            loop = asyncio.get_running_loop()
+            server = EarlyServer(serve, ServerLimits, loop.time)
+            if is_early:
+                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                sock.bind(("127.0.0.1", 0))
+                sock.listen()
+                port = await server.enter(ListeningDoor(sock, loop.time()))
+            else:
+                port = await server.start("127.0.0.1", 0)
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            await asyncio.sleep(0.05)
+            (conn,) = server.connections
+            accepted = conn.transport.get_extra_info("socket")
+            assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            writer.close()
+            await server.close()
+
+        asyncio.run(scenario())
+
     def test_method_target_headers_and_body_arrive_unchanged(self):
         async def scenario():
             door = Door()
