--- /dev/null
+++ b/tests/test_bytes_received.py
@@ -0,0 +1,274 @@
+"""Bounds on bytes that replicas, the store and peers send, in memory."""
+
+import asyncio
+import tracemalloc
+from pipes import Network, RawClient, RawServer, join
+
+import pytest
+from gradelug_gateway import streams
+from gradelug_gateway.streams import EventAssembler
+from gradelug_http import (
+    HttpPool,
+    OutgoingRequest,
+    ResponseBroken,
+    TunnelServer,
+    TunnelStatus,
+    connect_tcp,
+    open_tunnel,
+)
+from gradelug_http.client import MAX_HEAD_BYTES
+from gradelug_http.tunnel import MAX_BUFFERED_BYTES
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from run_world import run
+
+ADDRESS = "10.0.1.1:80"
+GET = OutgoingRequest(b"GET", b"/x", [(b"Host", b"h")])
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SHORT = HEAD + b"Content-Length: 2\r\n\r\nok"
+LIMIT_BYTES = 4_000_000
+TUNNELS = 20
+FACTOR = 3
+"""Memory that a body may take, by its bytes."""
+
+
+class Server(RawServer):
+    """A scripted server that notes the end of its connection."""
+
+    is_lost = False
+
+    def connection_lost(self, exc):
+        self.is_lost = True
+
+
+class Bench:
+    """A pool before one scripted server."""
+
+    def __init__(self, script):
+        self.net = Network()
+        self.opened = []
+        self.net.servers[ADDRESS] = self._accept
+        self._script = script
+        self.pool = HttpPool(asyncio.get_running_loop().time, self.net.dial)
+
+    def _accept(self):
+        self.opened.append(Server(self._script))
+        return self.opened[-1]
+
+    async def exchange(self, most_bytes=LIMIT_BYTES):
+        return await self.pool.exchange(ADDRESS, GET, 1.0, most_bytes)
+
+
+class TestHeads:
+    @pytest.mark.parametrize(
+        "head",
+        [
+            HEAD + b"a:b\r\n" * 10_000 + b"Content-Length: 2\r\n\r\nok",
+            HEAD + b"X-Fill: " + b"x" * 2 * MAX_HEAD_BYTES + b"\r\nContent-Length: 2\r\n\r\nok",
+            b"HTTP/1.1 103 Early Hints\r\n" + b"a:b\r\n" * 10_000 + b"\r\n" + SHORT,
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + b"a:b\r\n" * 10_000 + b"\r\n",
+        ],
+        ids=["fields", "bytes", "informational", "trailer"],
+    )
+    def test_a_large_head_that_came_in_one_piece_was_accepted(self, head):
+        async def scenario():
+            bench = Bench([[head]])
+            with pytest.raises(ResponseBroken):
+                await bench.exchange()
+            await asyncio.sleep(0.01)
+            assert bench.opened[0].is_lost
+
+        run(scenario)
+
+    def test_an_announced_body_over_the_limit_is_not_awaited(self):
+        async def scenario():
+            bench = Bench([[HEAD + b"Content-Length: 5000000\r\n\r\n"]])
+            with pytest.raises(ResponseBroken):
+                await bench.exchange()
+
+        run(scenario)
+
+
+class TestBodies:
+    def test_chunks_of_two_bytes_took_many_times_their_size(self):
+        async def scenario():
+            size = 400_000
+            chunks = b"2\r\nxx\r\n" * (size // 2)
+            bench = Bench([[HEAD + b"Transfer-Encoding: chunked\r\n\r\n", 0.01, chunks]])
+            exchange = asyncio.ensure_future(bench.exchange())
+            # The piece is in memory in any case.
+            await asyncio.sleep(0.005)
+            tracemalloc.start()
+            try:
+                await asyncio.sleep(0.5)
+                held, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+                exchange.cancel()
+            assert held <= FACTOR * size
+
+        run(scenario)
+
+    def test_one_body_in_small_chunks_held_up_the_loop(self):
+        async def scenario():
+            chunks = b"2\r\nxx\r\n" * 50_000
+            bench = Bench([[HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks]])
+            exchange = asyncio.ensure_future(bench.exchange())
+            turns = 0
+            while bench.pool.held() == 0:
+                await asyncio.sleep(0)
+            while bench.pool.held() > 0:
+                turns += 1
+                await asyncio.sleep(0)
+            exchange.cancel()
+            # One turn of the loop takes at most a twentieth of what has come.
+            assert turns >= 20
+
+        run(scenario)
+
+
+class TestIdleConnections:
+    def test_bytes_behind_a_whole_answer_were_kept_on_an_idle_connection(self):
+        async def scenario():
+            bench = Bench([[SHORT, 0.5, b"x" * 1000]])
+            await bench.exchange()
+            await asyncio.sleep(0.6)
+            assert bench.opened[0].is_lost
+            assert bench.pool.held() == 0
+
+        run(scenario)
+
+    def test_closed_connections_were_counted_until_they_were_collected(self):
+        async def scenario():
+            bench = Bench([[SHORT + b"x" * 1000]])
+            conn = await bench.pool.acquire(ADDRESS, 1.0)
+            conn.send(GET)
+            await asyncio.sleep(0.01)
+            assert bench.pool.held() > 0
+            conn.abort()
+            await asyncio.sleep(0.01)
+            # The connection is still referenced, as by an exception's traceback.
+            assert bench.pool.held() == 0
+            assert bench.pool.connections == 0
+
+        run(scenario)
+
+
+class CountingPattern:
+    """A pattern that counts the bytes that it was given to search."""
+
+    def __init__(self, pattern):
+        self._pattern = pattern
+        self.searched = 0
+
+    def finditer(self, data, start=0):
+        self.searched += len(data) - start
+        return self._pattern.finditer(data, start)
+
+    def search(self, data, start=0):
+        self.searched += len(data) - start
+        return self._pattern.search(data, start)
+
+
+class TestEvents:
+    @pytest.mark.parametrize("size", [1, 7, 16])
+    def test_an_event_in_small_pieces_was_searched_from_its_start_each_time(
+        self, size, monkeypatch
+    ):
+        pattern = CountingPattern(streams._end_re)
+        monkeypatch.setattr(streams, "_end_re", pattern)
+        assembler, total = EventAssembler(0), 40_000
+        for _ in range(total // size):
+            assembler.feed(b"x" * size)
+        assert pattern.searched <= 8 * total
+
+    @settings(derandomize=True)
+    @given(st.lists(st.integers(1, 9), min_size=1), st.sampled_from([b"\n\n", b"\r\n\r\n"]))
+    def test_ends_of_events_are_found_for_any_chunking(self, sizes, end):
+        raw = b"".join(b"id: %d\ndata: x%b" % (number, end) for number in range(1, 6))
+        assembler, out, start, turn = EventAssembler(0), b"", 0, 0
+        while start < len(raw):
+            size = sizes[turn % len(sizes)]
+            out += assembler.feed(raw[start : start + size])
+            start, turn = start + size, turn + 1
+        assert out == raw
+        assert assembler.is_between_events
+
+
+class OpenPolicy:
+    def check(self, target, key):
+        return TunnelStatus.OPEN
+
+    def note(self, target, exc):
+        pass
+
+
+class TestTunnels:
+    def test_bytes_sent_with_the_request_for_a_tunnel_were_kept(self):
+        async def scenario():
+            net = Network()
+            server = Server([])
+            net.servers[ADDRESS] = lambda: server
+            tunnels = TunnelServer(OpenPolicy(), net.dial, 8)
+            client = RawClient()
+            join(client, tunnels.new_connection())
+            client.transport.write(
+                b"CONNECT 10.0.1.1:80 HTTP/1.1\r\nHost: h\r\n"
+                b"Proxy-Authorization: Bearer k\r\n\r\n" + b"x" * 100_000
+            )
+            await asyncio.sleep(0.1)
+            assert client.ended
+            assert not tunnels.connections
+
+        run(scenario)
+
+    def test_a_head_of_many_fields_opened_a_tunnel(self):
+        async def scenario():
+            net = Network()
+            net.servers[ADDRESS] = lambda: Server([])
+            tunnels = TunnelServer(OpenPolicy(), net.dial, 8)
+            client = RawClient()
+            join(client, tunnels.new_connection())
+            client.transport.write(
+                b"CONNECT 10.0.1.1:80 HTTP/1.1\r\nHost: h\r\n" + b"a:b\r\n" * 10_000 + b"\r\n"
+            )
+            await asyncio.sleep(0.1)
+            assert client.ended
+            assert b" 200 " not in client.received
+
+        run(scenario)
+
+    def test_each_tunnel_buffered_a_whole_read_beyond_its_limit(self):
+        async def scenario():
+            target = await asyncio.start_server(send_without_end, "127.0.0.1", 0)
+            address = f"127.0.0.1:{target.sockets[0].getsockname()[1]}"
+            tunnels = TunnelServer(OpenPolicy(), connect_tcp, TUNNELS)
+            proxy = f"127.0.0.1:{await tunnels.start('127.0.0.1', 0)}"
+            wires = []
+            for _ in range(TUNNELS):
+                wires.append(await open_tunnel(connect_tcp, proxy, address, b"k"))
+                wires[-1].transport.pause_reading()
+                wires[-1].transport.write(b"GET")
+            most = 0
+            for _ in range(200):
+                await asyncio.sleep(0.005)
+                buffers = [conn.transport.get_write_buffer_size() for conn in tunnels.connections]
+                most = max(most, sum(buffers))
+            for wire in wires:
+                wire.transport.abort()
+            await tunnels.close()
+            target.close()
+            return most
+
+        most = asyncio.run(scenario())
+        assert 0 < most <= TUNNELS * MAX_BUFFERED_BYTES
+
+
+async def send_without_end(reader, writer):
+    try:
+        await reader.read(3)
+        while not writer.is_closing():
+            writer.write(b"x" * 262_144)
+            await writer.drain()
+    except ConnectionError:
+        writer.close()
