Connections that this end closed no longer count as held

After a crowd of answers without end had left, a gateway at MemoryMb 160 refused every ordinary request with 503 for the 10 s that were looked at.

HttpPool counts what its wires have received, and a wire leaves the set only when it is collected. An exception that ends an exchange refers to itself through its traceback, so that the wire and what it had received stay until the cyclic collector runs, which in a process at rest may be never; fifty of them exceed the bound, and HttpServer refuses bodies above it.

Closing or aborting a connection now drops what was not read, and wires that this end has closed are not counted.

--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -61,6 +61,8 @@
         memory."""
         self.received = bytearray()
         self.ended = False
+        self.is_dropped = False
+        """Whether this end gave the connection up; nothing that came over it is kept."""
         self.reset: Exception | None = None
         self.via = ""
         """``IP:port`` of the tunnel server that the connection passes through; empty if direct."""
@@ -106,6 +108,11 @@
             raise ResponseBroken(f"the upstream reset the connection: {self.reset!r}")
         return b""
 
+    def drop(self) -> None:
+        """Forget what came and was not read: this end closes the connection."""
+        self.is_dropped = True
+        self.received.clear()
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -270,11 +277,13 @@
 
     def abort(self) -> None:
         """Close at once; whatever is unsent is dropped."""
+        self._wire.drop()
         if self._wire.transport is not None:
             self._wire.transport.abort()
 
     def close(self) -> None:
         """Close an idle connection."""
+        self._wire.drop()
         if self._wire.transport is not None:
             self._wire.transport.close()
 
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -125,7 +125,7 @@
     @property
     def connections(self) -> int:
         """Connections that are open, idle ones included."""
-        return len(self._wires)
+        return sum(not wire.is_dropped for wire in self._wires)
 
     def held(self) -> int:
         """Return the bytes of answers that came and were not read yet."""
