Answers are received and parsed in bounded pieces, with turns between them

Fifty answers in chunks of two bytes held up the gateway's loop for tens of seconds after their callers had left: renewals, health and all other requests waited.

The transport received up to 256 KB at a time beyond the read-ahead limit, all of it went to the parser at once, and the parts of an answer were then taken without a turn of the loop in between, one by one.

Wires now receive into one shared buffer, no more than their read-ahead leaves room for (4 KB at least), the parser takes 16 KB at a time while the rest stays where it is counted, and after 64 parts the loop has a turn.

--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -26,6 +26,16 @@
 """Largest body of an answer that is skipped."""
 MAX_INTERIM_ANSWERS = 16
 """Informational answers that may precede one answer."""
+PARSED_BYTES = 16_384
+"""Bytes that the parser takes at a time; the rest waits where it is counted."""
+EVENTS_PER_TURN = 64
+"""Parts of answers that are parsed before other connections get their turn."""
+RECEIVED_BYTES = 65_536
+"""Most bytes that are received at a time."""
+LEAST_RECEIVED_BYTES = 4_096
+"""The same where a connection has no room left."""
+_receive_buffer = memoryview(bytearray(RECEIVED_BYTES))
+"""Shared by all connections: each copies what came before the next one receives."""
 _timeout_re = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -51,7 +61,7 @@
         return find(self.headers, name)
 
 
-class Wire(asyncio.Protocol):
+class Wire(asyncio.BufferedProtocol):
     """Bytes of one connection, with the difference between a close and a reset kept."""
 
     def __init__(self) -> None:
@@ -75,7 +85,16 @@
         self.transport = t.cast(asyncio.Transport, transport)
         keep_alive(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the transport puts what comes."""
+        room = self.read_ahead + 1 - len(self.received)
+        return _receive_buffer[: max(LEAST_RECEIVED_BYTES, room)]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what the transport has put into the buffer."""
+        self.data_received(_receive_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Keep what came and wake up whoever waits."""
         self.received += data
         if len(self.received) > self.read_ahead and self.transport is not None:
@@ -93,15 +112,19 @@
         self.reset = exc
         self._wake()
 
-    async def read(self) -> bytes:
-        """Return what has come, empty after a proper close; raises `ResponseBroken`."""
+    async def read(self, most: int = PARSED_BYTES) -> bytes:
+        """Return what has come, at most so many bytes of it.
+
+        Nothing is returned after a proper close; raises `ResponseBroken` after a reset.
+        """
         while not self.received and not self.ended:
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         if self.received:
-            data = bytes(self.received)
-            self.received.clear()
-            if self.transport is not None and not self.ended:
+            data = bytes(self.received[:most])
+            del self.received[:most]
+            is_paused = len(self.received) > self.read_ahead
+            if self.transport is not None and not self.ended and not is_paused:
                 self.transport.resume_reading()
             return data
         if self.reset is not None:
@@ -138,6 +161,7 @@
     __slots__ = (
         "_bodies",
         "_clock",
+        "_events",
         "_h11",
         "_method",
         "_wire",
@@ -164,6 +188,8 @@
         self._wire = wire
         self._clock = clock
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._events = 0
+        """Parts of answers that were parsed since others had their turn."""
         self._method = b"GET"
         self.address = address
         self.idle_until = float("inf")
@@ -288,12 +314,16 @@
             self._wire.transport.close()
 
     async def _next_event(self) -> t.Any:
+        if self._events >= EVENTS_PER_TURN:
+            self._events = 0
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
                 raise ResponseBroken(f"the answer is malformed: {exc}") from exc
             if event is not h11.NEED_DATA:
+                self._events += 1
                 return event
             self._h11.receive_data(await self._wire.read())
 
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -16,6 +16,7 @@
     connect_tcp,
     open_tunnel,
 )
+from gradelug_http.budget import LEAST_READ_AHEAD
 from gradelug_http.client import MAX_HEAD_BYTES
 from gradelug_http.tunnel import MAX_BUFFERED_BYTES
 from hypothesis import given, settings
@@ -127,6 +128,29 @@
         run(scenario)
 
 
+class TestReadAhead:
+    def test_each_connection_received_a_whole_read_beyond_its_bound(self):
+        async def scenario():
+            target = await asyncio.start_server(send_without_end, "127.0.0.1", 0)
+            address = f"127.0.0.1:{target.sockets[0].getsockname()[1]}"
+            pool = HttpPool(asyncio.get_running_loop().time)
+            pool.bound_read_ahead(LEAST_READ_AHEAD)
+            conns = [await pool.acquire(address, 1.0) for _ in range(TUNNELS)]
+            for conn in conns:
+                conn.send(GET)
+            most = 0
+            for _ in range(50):
+                await asyncio.sleep(0.005)
+                most = max(most, pool.held())
+            for conn in conns:
+                conn.abort()
+            target.close()
+            return most
+
+        most = asyncio.run(scenario())
+        assert 0 < most <= 2 * TUNNELS * LEAST_READ_AHEAD
+
+
 class TestIdleConnections:
     def test_bytes_behind_a_whole_answer_were_kept_on_an_idle_connection(self):
         async def scenario():
