Heads and trailers of answers have at most 256 fields, however they arrive

A replica's head of up to 512 KB was accepted and kept if it came in one piece, each field of four bytes as several objects, until its body ended.

The parser bounds only what is incomplete, and was given all that had come.

--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -16,6 +16,8 @@
 
 MAX_HEAD_BYTES = 65_536
 """Longest head of an answer; upstreams' heads are a few hundred bytes."""
+MAX_FIELDS = 256
+"""Most fields of a head or a trailer: one of four bytes takes several hundred in memory."""
 IDLE_MARGIN_S = 0.5
 """A connection is left alone this long before the upstream says that it will close it."""
 DEFAULT_IDLE_S = 4.0
@@ -325,6 +327,7 @@
                 raise ResponseBroken(f"the answer is malformed: {exc}") from exc
             if event is not h11.NEED_DATA:
                 self._events += 1
+                _check_fields(event)
                 return event
             self._h11.receive_data(await self._wire.read())
 
@@ -356,6 +359,13 @@
         self._h11 = again
 
 
+def _check_fields(event: t.Any) -> None:
+    """Raise `ResponseBroken` if a head or a trailer has too many fields."""
+    fields = len(getattr(event, "headers", ()))
+    if fields > MAX_FIELDS:
+        raise ResponseBroken(f"a head or a trailer has {fields} fields, more than {MAX_FIELDS}")
+
+
 def _idle_s(head: ResponseHead) -> float:
     stated = _timeout_re.search(head.get(b"keep-alive") or b"")
     if stated is None:
