Answers that announce more than is taken are given up at their head

An answer whose Content-Length exceeds what its caller takes was collected up to that limit, 8 MB for a replica's, before it was given up. It is now given up when its head has come; HEAD, 204 and 304 state a length without a body.

--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -38,6 +38,8 @@
 """The same where a connection has no room left."""
 _receive_buffer = memoryview(bytearray(RECEIVED_BYTES))
 """Shared by all connections: each copies what came before the next one receives."""
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses of answers whose stated length is not that of their body."""
 _timeout_re = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -161,6 +163,7 @@
     """
 
     __slots__ = (
+        "_announced",
         "_bodies",
         "_clock",
         "_events",
@@ -183,6 +186,8 @@
         number: int = 0,
         bodies: BodyBudget | None = None,
     ) -> None:
+        self._announced = 0
+        """Length of the body that the current head states; 0 if none."""
         self._bodies = bodies or BodyBudget()
         self.number = number
         self.skipped = 0
@@ -247,11 +252,18 @@
                 raise ResponseBroken("the upstream closed the connection without an answer")
             head = ResponseHead(event.status_code, tuple(event.headers.raw_items()))
             if is_own(head):
+                self._announced = self._body_length(event)
                 return head
             self.skipped += 1
             await self._skip_answer()
         raise ResponseBroken("the connection carries answers to other requests")
 
+    def _body_length(self, response: h11.Response) -> int:
+        """Return the length that a head states, 0 if none or if there is no body."""
+        if self._method == b"HEAD" or response.status_code in BODILESS_STATUSES:
+            return 0
+        return int(find(list(response.headers), b"content-length") or 0)
+
     async def chunk(self) -> bytes | None:
         """Return the next part of the answer's body, None at its end.
 
@@ -272,6 +284,8 @@
 
         `on_part` is called whenever a part of it has come.
         """
+        if self._announced > limit:
+            raise ResponseBroken(f"the answer of {self._announced} bytes exceeds {limit} bytes")
         # Not a list of parts: each part of two bytes would be an object of fifty.
         whole, size = bytearray(), 0
         try:
