Long numbers in what replicas and the store send break no request

A replica's whole answer was lost, its caller's connection closed, if the time in Keep-Alive had more than 308 digits (OverflowError) or more than 4,300 (ValueError); the number of an event did the same to a stream. A Store-Era of such a length raised ValueError from a call of the store, which no caller of it expects.

The four tests failed before with the errors above.

--- a/packages/gateway/src/gradelug_gateway/streams.py
+++ b/packages/gateway/src/gradelug_gateway/streams.py
@@ -11,6 +11,7 @@
 from gradelug_http import ResponseBroken
 
 MAX_EVENT_BYTES = 1_000_000
+MAX_NUMBER_DIGITS = 15
 _id_re = re.compile(rb"(?m)^id:[ ]?(\d+)\r?$")
 _end_re = re.compile(rb"\r?\n\r?\n")
 
@@ -68,7 +69,10 @@
         found = _id_re.search(event)
         if found is None:
             return True
-        number = int(found.group(1))
+        digits = found.group(1)
+        if len(digits) > MAX_NUMBER_DIGITS:
+            raise ResponseBroken(f"the number of an event has {len(digits)} digits")
+        number = int(digits)
         if number <= self.last_event:
             return False
         if self.last_event and number != self.last_event + 1:
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -40,7 +40,7 @@
 """Shared by all connections: each copies what came before the next one receives."""
 BODILESS_STATUSES = frozenset({204, 304})
 """Statuses of answers whose stated length is not that of their body."""
-_timeout_re = re.compile(rb"timeout\s*=\s*(\d+)")
+_timeout_re = re.compile(rb"timeout\s*=\s*(\d{1,9})")
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -19,6 +19,7 @@
 from gradelug_http.budget import LEAST_READ_AHEAD
 from gradelug_http.client import MAX_HEAD_BYTES
 from gradelug_http.tunnel import MAX_BUFFERED_BYTES
+from gradelug_platform.store import PlatformStore
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from run_world import run
@@ -90,6 +91,34 @@
         run(scenario)
 
 
+class TestLongNumbers:
+    @pytest.mark.parametrize("digits", [400, 5_000])
+    def test_a_long_keep_alive_time_broke_off_a_whole_answer(self, digits):
+        async def scenario():
+            stated = b"Keep-Alive: timeout=" + b"9" * digits + b"\r\n"
+            bench = Bench([[HEAD + stated + b"Content-Length: 2\r\n\r\nok"]])
+            _, body = await bench.exchange()
+            assert body == b"ok"
+
+        run(scenario)
+
+    def test_a_long_event_number_raised_no_broken_response(self):
+        assembler = EventAssembler(0)
+        with pytest.raises(ResponseBroken):
+            assembler.feed(b"id: " + b"9" * 5_000 + b"\ndata: x\n\n")
+
+    def test_a_long_era_ended_the_calls_of_the_store(self):
+        async def scenario():
+            era = b"Store-Era: " + b"9" * 5_000 + b"\r\n"
+            body = b'{"items": [], "StoreRevision": 3}'
+            length = b"Content-Length: %d\r\n\r\n" % len(body)
+            bench = Bench([[HEAD + era + length + body]])
+            listing = await PlatformStore(ADDRESS, bench.pool).list("")
+            assert listing.revision == 3
+
+        run(scenario)
+
+
 class TestBodies:
     def test_chunks_of_two_bytes_took_many_times_their_size(self):
         async def scenario():
