Connections on which bytes come while they are idle are closed at once

What a replica sent behind a whole answer was kept, up to the read-ahead of each of 512 idle connections, until the connection was next considered; those for orders and of the store are never pruned.

A connection now knows that no request is under way, and closes when something comes; it was unfit for another request before as well.

--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -8,12 +8,14 @@
 from dataclasses import dataclass
 
 import h11
+import logbook
 
 from .budget import MOST_READ_AHEAD, BodyBudget
 from .exceptions import ConnectFailed, ResponseBroken
 from .headers import Header, Headers, find
 from .liveness import is_silenced, keep_alive
 
+log = logbook.Logger("client")
 MAX_HEAD_BYTES = 65_536
 """Longest head of an answer; upstreams' heads are a few hundred bytes."""
 MAX_FIELDS = 256
@@ -75,6 +77,8 @@
         memory."""
         self.received = bytearray()
         self.ended = False
+        self.is_idle = False
+        """Whether no request is under way: whatever comes belongs to nobody."""
         self.is_dropped = False
         """Whether this end gave the connection up; nothing that came over it is kept."""
         self.reset: Exception | None = None
@@ -100,6 +104,10 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Keep what came and wake up whoever waits."""
+        if self.is_idle:
+            log.info("bytes on an idle connection", size=len(data), via=self.via)
+            self.abort()
+            return
         self.received += data
         if len(self.received) > self.read_ahead and self.transport is not None:
             self.transport.pause_reading()
@@ -135,8 +143,19 @@
             raise ResponseBroken(f"the upstream reset the connection: {self.reset!r}")
         return b""
 
-    def drop(self) -> None:
-        """Forget what came and was not read: this end closes the connection."""
+    def abort(self) -> None:
+        """Close at once; what is unsent or unread is dropped."""
+        self._drop()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close(self) -> None:
+        """Close after all bytes are sent; what is unread is dropped."""
+        self._drop()
+        if self.transport is not None:
+            self.transport.close()
+
+    def _drop(self) -> None:
         self.is_dropped = True
         self.received.clear()
 
@@ -216,7 +235,7 @@
     def is_fit(self, now: float) -> bool:
         """Tell whether an idle connection may carry another request."""
         wire = self._wire
-        return not wire.ended and not wire.received and now < self.idle_until
+        return not (wire.ended or wire.is_dropped or wire.received) and now < self.idle_until
 
     def send(self, req: OutgoingRequest) -> None:
         """Hand a request over to the connection whole."""
@@ -234,8 +253,9 @@
             parts.append(self._h11.send(h11.Data(data=req.body)) or b"")
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         transport = self._wire.transport
-        if transport is None or self._wire.ended:
+        if transport is None or self._wire.ended or self._wire.is_dropped:
             raise ConnectFailed(f"{self.address} closed the connection before the request")
+        self._wire.is_idle = False
         transport.write(b"".join(parts))
 
     async def head(self, is_own: t.Callable[[ResponseHead], bool]) -> ResponseHead:
@@ -314,21 +334,18 @@
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
+        self._wire.is_idle = True
         self.used_at = self._clock()
         self.idle_until = min(self.used_at + _idle_s(head), self._wire.reuse_until)
         return True
 
     def abort(self) -> None:
         """Close at once; whatever is unsent is dropped."""
-        self._wire.drop()
-        if self._wire.transport is not None:
-            self._wire.transport.abort()
+        self._wire.abort()
 
     def close(self) -> None:
         """Close an idle connection."""
-        self._wire.drop()
-        if self._wire.transport is not None:
-            self._wire.transport.close()
+        self._wire.close()
 
     async def _next_event(self) -> t.Any:
         if self._events >= EVENTS_PER_TURN:
