The end of an event is searched only in what has come since

An event without an end, sent in small pieces, took the loop a time that grew with the square of its size: each piece copied the event and searched it from its start, up to a megabyte.

The pieces are now appended to one buffer, and the search begins where an end that was not whole may have begun.

--- a/packages/gateway/src/gradelug_gateway/streams.py
+++ b/packages/gateway/src/gradelug_gateway/streams.py
@@ -13,6 +13,7 @@
 MAX_EVENT_BYTES = 1_000_000
 MAX_NUMBER_DIGITS = 15
 _id_re = re.compile(rb"(?m)^id:[ ]?(\d+)\r?$")
+LONGEST_END = b"\r\n\r\n"
 _end_re = re.compile(rb"\r?\n\r?\n")
 
 
@@ -25,21 +26,29 @@
         Number of the last event that the caller has received, 0 for none.
     """
 
-    __slots__ = ("_buffer", "last_event")
+    __slots__ = ("_buffer", "_searched", "last_event")
 
     def __init__(self, last_event: int) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0
+        """Bytes of the buffer that hold no end of an event."""
         self.last_event = last_event
 
     def restart(self) -> None:
         """Discard an incomplete event: the next run resumes after the last complete one."""
-        self._buffer = b""
+        self._buffer.clear()
+        self._searched = 0
 
     @property
     def is_between_events(self) -> bool:
         """Whether no incomplete event is buffered."""
         return not self._buffer
 
+    @property
+    def size(self) -> int:
+        """Bytes of the incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that they complete.
 
@@ -57,12 +66,15 @@
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ResponseBroken("an event exceeds the size limit")
         out, start = [], 0
-        for match in _end_re.finditer(self._buffer):
-            event = self._buffer[start : match.end()]
-            start = match.end()
+        # Only an end that has not come whole begins before the new bytes.
+        unsearched = max(0, self._searched - len(LONGEST_END) + 1)
+        for end in [match.end() for match in _end_re.finditer(self._buffer, unsearched)]:
+            event = bytes(self._buffer[start:end])
+            start = end
             if self._is_next(event):
                 out.append(event)
-        self._buffer = self._buffer[start:]
+        del self._buffer[:start]
+        self._searched = len(self._buffer)
         return b"".join(out)
 
     def _is_next(self, event: bytes) -> bool:
