A tunnel buffers no more than 16 KB per direction

512 tunnels are said to take up to 16 MB of buffers, 16 KB for each direction, but each could receive up to 256 KB beyond that before its reading paused.

Ends of tunnels now receive 8 KB at a time and pause above 8 KB.

The test has 20 tunnels before a target that sends without end and clients that do not read: 593,920 bytes were buffered before, 327,680 are allowed.

--- a/packages/http/src/gradelug_http/tunnel.py
+++ b/packages/http/src/gradelug_http/tunnel.py
@@ -26,6 +26,8 @@
 MAX_BUFFERED_BYTES = 16_384
 """Bytes buffered per direction: a few events of a stream, so that a slow reader holds up its
 sender."""
+FORWARDED_BYTES = MAX_BUFFERED_BYTES // 2
+"""Most bytes that are received and forwarded at a time; reading pauses above as many."""
 REUSE_S = 2.0
 """Time for which a tunnel carries new requests. A server that shuts down is then free of tunnels as
 soon as their last requests have ended."""
@@ -155,7 +157,11 @@
     return TunnelStatus(event.status_code)
 
 
-class _TunnelEnd(asyncio.Protocol):
+_receive_buffer = memoryview(bytearray(FORWARDED_BYTES))
+"""Shared by all connections: each forwards what came before the next one receives."""
+
+
+class _TunnelEnd(asyncio.BufferedProtocol):
     """One of the two connections of a tunnel; it writes what it receives to the other."""
 
     def __init__(self) -> None:
@@ -165,9 +171,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Configure the connection."""
         self.transport = t.cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(MAX_BUFFERED_BYTES)
+        self.transport.set_write_buffer_limits(FORWARDED_BYTES)
         keep_alive(transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the transport puts what comes."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what the transport has put into the buffer."""
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Forward bytes."""
         if self.other is not None:
