Tunnels keep no bytes that came with their request, and lose none of its response

Bytes that a peer sent with its request for a tunnel, up to a whole read, stayed in the parser as long as the tunnel and never reached the target; a head of any number of fields that came in one piece opened a tunnel. Bytes that came with the response to the request were lost at the client's side, so that an answer could begin in its middle.

Such requests now end the connection, with a line in the log, and what stands behind the response is left for the connection.

--- a/packages/http/src/gradelug_http/tunnel.py
+++ b/packages/http/src/gradelug_http/tunnel.py
@@ -23,6 +23,8 @@
 HEAD_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.25
 """Time for a connection to the target; the client of a tunnel waits a little longer."""
+MAX_FIELDS = 32
+"""Most fields in the head of a request for a tunnel, which has two."""
 MAX_BUFFERED_BYTES = 16_384
 """Bytes buffered per direction: a few events of a stream, so that a slow reader holds up its
 sender."""
@@ -154,6 +156,7 @@
         parser.receive_data(await wire.read())
     if not isinstance(event, h11.Response):
         raise ValueError("the response to CONNECT has no head")
+    wire.received[:0] = parser.trailing_data[0]
     return TunnelStatus(event.status_code)
 
 
@@ -264,6 +267,10 @@
         if not isinstance(event, h11.Request) or event.method != b"CONNECT":
             self._answer(TunnelStatus.FORBIDDEN)
             return
+        if self._parser.trailing_data[0] or len(event.headers) > MAX_FIELDS:
+            log.info("malformed request for a tunnel", why="many fields, or bytes behind the head")
+            self.abort()
+            return
         self._task = asyncio.get_running_loop().create_task(self._open(event))
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -293,6 +293,16 @@
 
         run(scenario)
 
+    def test_bytes_behind_the_response_to_a_request_for_a_tunnel_were_lost(self):
+        async def scenario():
+            net = Network()
+            net.servers["proxy"] = lambda: Server([[b"HTTP/1.1 200 OK\r\n\r\nextra"]])
+            wire = await open_tunnel(net.dial, "proxy", ADDRESS, b"k")
+            async with asyncio.timeout(1.0):
+                assert await wire.read() == b"extra"
+
+        run(scenario)
+
     def test_each_tunnel_buffered_a_whole_read_beyond_its_limit(self):
         async def scenario():
             target = await asyncio.start_server(send_without_end, "127.0.0.1", 0)
