Error responses kept for a retry and unread answers count with collected bodies

Fifty replicas that fail with 8 MB each took a gateway at MemoryMb 160 to 470 MB while their requests waited for a second replica; fifty callers that did not read answers of 8 MB took it to 195 MB.

A body counted only until it was whole. A replica's error response is then kept for the request's end, and an answer lies in its caller's buffer, which is counted each quarter of a second: hundreds of megabytes come in less.

The lease of a body now lasts until it is handed to the caller, that of a kept error response until its request has ended, and a large body fits only if what waits unread leaves room for it. What each body may have beyond the limit is a share of half of it, no more 256 KB for any number of bodies. An answer that is given up for lack of memory is no evidence against its replica.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -264,7 +264,7 @@
             errors,
         )
         # A replica limits the connections of all instances together and resets any beyond that.
-        pool.bound_bodies(settings.unread_bytes)
+        pool.bound_bodies(settings.unread_bytes, self._unsent_bytes)
         pool.keeps = IdleConnections(settings.name, self._state, lambda: self._directory.gateways)
         bounds = settings.bounds
         self._budgets = RetryBudgets(
@@ -595,6 +595,13 @@
     def _publishes_store(self) -> bool:
         return any(planner.followers.distributes_store for planner in self._planners())
 
+    def _unsent_bytes(self) -> int:
+        """Return the bytes of answers that wait for their callers to read them."""
+        transports = [conn.transport for conn in self._caller_server.connections]
+        return sum(
+            transport.get_write_buffer_size() for transport in transports if transport is not None
+        )
+
     # Readiness and metrics.
 
     def _is_ready(self) -> bool:
--- a/packages/gateway/src/gradelug_gateway/error_responses.py
+++ b/packages/gateway/src/gradelug_gateway/error_responses.py
@@ -136,7 +136,8 @@
             # Without its end marker the caller recognises the answer as incomplete.
             return
         if job.failure is not None:
-            self._sender.forward_response(job, *job.failure)
+            head, body = job.failure
+            self._sender.forward_response(job, head, body.data)
             return
         self.answer_without_body(job.inc, job.req.id, exc.status, None)
 
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from gradelug_http import Incoming, ResponseHead
+from gradelug_http import Incoming, KeptBody, ResponseHead
 from gradelug_policy.prefill import RequestWork
 
 from .budgets import RetryBudgets, RetryReservation
@@ -177,7 +177,7 @@
         self.sends = 0
         self.execution = ExecutionRecord()
         """Whether a replica may have run it."""
-        self.failure: tuple[ResponseHead, bytes] | None = None
+        self.failure: tuple[ResponseHead, KeptBody] | None = None
         """A replica's error response, forwarded to the caller unless another attempt succeeds. Its
         status does not promise that the request was not run."""
         self.placed_s = 0.0
@@ -208,6 +208,17 @@
         """Name of the organisation that owns it, empty if there is none."""
         return self.principal.organisation.name if self.principal is not None else ""
 
+    def keep_failure(self, head: ResponseHead, body: KeptBody) -> None:
+        """Keep a replica's error response until the request has ended."""
+        self.drop_failure()
+        self.failure = (head, body)
+
+    def drop_failure(self) -> None:
+        """Release the error response that is kept, if any."""
+        if self.failure is not None:
+            self.failure[1].release()
+            self.failure = None
+
     def give_back(self) -> None:
         """Refund its quota charge if it has not run."""
         if self.charge is not None and self.is_unrun:
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -16,6 +16,8 @@
     ConnectFailed,
     ConnectRefused,
     HttpPool,
+    KeptBody,
+    NoRoomForAnswer,
     ResponseBroken,
     ResponseHead,
     end_to_end,
@@ -291,7 +293,8 @@
         except ResponseBroken as exc:
             is_caller_stalled = job.inc.held_up_s >= MIN_CALLER_STALL_S
             self._meters.count_broken_response(exchange.stage.value)
-            if not is_caller_stalled and not self._is_excused(exchange):
+            is_excused = self._is_excused(exchange) or isinstance(exc, NoRoomForAnswer)
+            if not is_caller_stalled and not is_excused:
                 self._note_broken(exchange, exc)
                 if self._ends is not None:
                     self._guard.note_parts(job.fingerprint, job.part_fingerprints)
@@ -480,10 +483,14 @@
             if exchange.run is not None and self._lasting is not None:
                 self._lasting.note_reported_version(exchange.run, self._dialect.read_version(head))
             return await self._stream(exchange, head)
-        body = await exchange.conn.body(MAX_RESPONSE_BYTES)
-        exchange.release(self._pool, head)
-        job.execution.note_response(self._dialect.read_not_run_proof(head))
-        return self._conclude(exchange, verdict, head, body, attempt.version)
+        body = await exchange.conn.keep_body(MAX_RESPONSE_BYTES)
+        try:
+            exchange.release(self._pool, head)
+            job.execution.note_response(self._dialect.read_not_run_proof(head))
+            return self._conclude(exchange, verdict, head, body, attempt.version)
+        finally:
+            if job.failure is None or job.failure[1] is not body:
+                body.release()
 
     def _apply_response_signals(
         self, replica: Replica, head: ResponseHead, sent_at: float, verdict: Verdict
@@ -529,14 +536,14 @@
         exchange: Exchange,
         verdict: Verdict,
         head: ResponseHead,
-        body: bytes,
+        body: KeptBody,
         requested_version: int,
     ) -> Outcome:
         job, replica = exchange.job, exchange.replica
         if verdict is Verdict.ANSWERED:
             if head.get(b"content-encoding") is not None:
                 raise ResponseBroken("the response has a content encoding that was not requested")
-            self.forward_response(job, head, body)
+            self.forward_response(job, head, body.data)
             return Outcome.DONE
         proof = self._dialect.read_not_run_proof(head)
         self._meters.count_rejection(verdict.value, proof.value)
@@ -555,10 +562,10 @@
         )
         if verdict is Verdict.FAILED:
             if head.status not in NOT_RUN_STATUSES:
-                job.failure = (head, body)
+                job.keep_failure(head, body)
             return Outcome.RAN
         if verdict is Verdict.REJECTED:
-            self.forward_response(job, head, body)
+            self.forward_response(job, head, body.data)
             return Outcome.DONE
         if verdict is Verdict.ABSENT:
             job.absent = replica.name
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -201,6 +201,13 @@
         job = self._admit(inc, req)
         if job is None:
             return
+        try:
+            await self._serve_job(job)
+        finally:
+            job.drop_failure()
+
+    async def _serve_job(self, job: Job) -> None:
+        req = job.req
         started = self._clock()
         try:
             async with self._waiting.until_deadline(job):
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on the asyncio loop, parsed and framed by h11, with every byte accounted for."""
 
+from .budget import KeptBody as KeptBody
 from .client import Connection as Connection
 from .client import OutgoingRequest as OutgoingRequest
 from .client import ResponseHead as ResponseHead
@@ -9,6 +10,7 @@
 from .exceptions import ConnectFailed as ConnectFailed
 from .exceptions import ConnectRefused as ConnectRefused
 from .exceptions import HttpError as HttpError
+from .exceptions import NoRoomForAnswer as NoRoomForAnswer
 from .exceptions import ResponseBroken as ResponseBroken
 from .headers import Header as Header
 from .headers import Headers as Headers
--- a/packages/http/src/gradelug_http/budget.py
+++ b/packages/http/src/gradelug_http/budget.py
@@ -18,8 +18,10 @@
 MAX_BODY_BYTES = 33_554_432
 """Bytes of all bodies that are being collected, where the instance has room for them."""
 LEAST_BODY_BYTES = 262_144
-"""Bytes that each body may have whatever the others hold: upstreams that send without end do not
-stop those that send a usual answer."""
+"""Bytes that each body may have whatever the others hold, while few are collected: upstreams that
+send without end do not stop those that send a usual answer."""
+LEAST_PART = 0.5
+"""What all bodies may have beyond the limit in this way, as a part of it."""
 ANSWERS_PART = 0.5
 """Part of the bound for answers that are ahead; the rest is for bodies and what is being sent."""
 
@@ -50,31 +52,87 @@
     ----------
     limit : int
         Bytes that all bodies together may have.
+    unsent : callable
+        Returns the bytes of answers that were passed on and wait for their callers to read them.
     """
 
-    __slots__ = ("held", "limit")
+    __slots__ = ("bodies", "held", "limit", "unsent")
 
-    def __init__(self, limit: int = MAX_BODY_BYTES) -> None:
+    def __init__(
+        self, limit: int = MAX_BODY_BYTES, unsent: t.Callable[[], int] = lambda: 0
+    ) -> None:
         self.limit = limit
+        self.unsent = unsent
+        self.bodies = 0
+        """Bodies that are held now."""
         self.held = 0
         """Bytes that are held now."""
 
-    def add(self, size: int, body_bytes: int) -> bool:
-        """Count a further part of a body; return whether it fits.
-
-        Parameters
-        ----------
-        size : int
-            Bytes of the part.
-        body_bytes : int
-            Bytes of the body including the part.
-        """
-        self.held += size
-        return self.held <= self.limit or body_bytes <= LEAST_BODY_BYTES
-
-    def release(self, body_bytes: int) -> None:
-        """Stop counting a body that was passed on or given up."""
-        self.held -= body_bytes
+    def open(self) -> BodyLease:
+        """Begin to count a body."""
+        return BodyLease(self)
+
+    def has_room(self, body_bytes: int) -> bool:
+        """Return whether a body may have so many bytes."""
+        if body_bytes <= LEAST_READ_AHEAD:
+            return True
+        reserve = LEAST_PART * self.limit
+        share = min(LEAST_BODY_BYTES, reserve / max(1, self.bodies))
+        if body_bytes <= share and self.held <= self.limit + reserve:
+            return True
+        return self.held + self.unsent() <= self.limit
+
+
+class BodyLease:
+    """What one body takes of a budget, from its first part until it is released.
+
+    Parameters
+    ----------
+    budget : BodyBudget
+        The budget.
+    """
+
+    __slots__ = ("_budget", "_is_open", "size")
+
+    def __init__(self, budget: BodyBudget) -> None:
+        self._budget = budget
+        self._is_open = True
+        self.size = 0
+        """Bytes of the body so far."""
+        budget.bodies += 1
+
+    def add(self, size: int) -> bool:
+        """Count a further part of the body; return whether it fits."""
+        self.size += size
+        self._budget.held += size
+        return self._budget.has_room(self.size)
+
+    def release(self) -> None:
+        """Stop counting a body that was passed on or given up; further calls do nothing."""
+        if self._is_open:
+            self._is_open = False
+            self._budget.bodies -= 1
+            self._budget.held -= self.size
+
+
+@dataclass(slots=True, frozen=True)
+class KeptBody:
+    """A whole body that counts until it is released.
+
+    Parameters
+    ----------
+    data : bytes
+        The body.
+    lease : BodyLease
+        What it takes of the budget.
+    """
+
+    data: bytes
+    lease: BodyLease
+
+    def release(self) -> None:
+        """Stop counting the body."""
+        self.lease.release()
 
 
 def read_ahead(limit: int, answers: int) -> int:
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -10,8 +10,8 @@
 import h11
 import logbook
 
-from .budget import MOST_READ_AHEAD, BodyBudget
-from .exceptions import ConnectFailed, ResponseBroken
+from .budget import MOST_READ_AHEAD, BodyBudget, KeptBody
+from .exceptions import ConnectFailed, NoRoomForAnswer, ResponseBroken
 from .headers import Header, Headers, find
 from .liveness import is_silenced, keep_alive
 
@@ -304,25 +304,34 @@
 
         `on_part` is called whenever a part of it has come.
         """
+        kept = await self.keep_body(limit, on_part)
+        kept.release()
+        return kept.data
+
+    async def keep_body(self, limit: int, on_part: t.Callable[[], None] = lambda: None) -> KeptBody:
+        """Return the whole body as `body` does; it counts until it is released."""
         if self._announced > limit:
             raise ResponseBroken(f"the answer of {self._announced} bytes exceeds {limit} bytes")
         # Not a list of parts: each part of two bytes would be an object of fifty.
-        whole, size = bytearray(), 0
+        whole, lease = bytearray(), self._bodies.open()
+        is_whole = False
         try:
             while (data := await self.chunk()) is not None:
                 whole += data
-                size += len(data)
-                fits = self._bodies.add(len(data), size)
+                fits = lease.add(len(data))
                 on_part()
-                if size > limit:
+                if lease.size > limit:
                     raise ResponseBroken(f"the answer exceeds {limit} bytes")
                 if not fits:
-                    raise ResponseBroken(
-                        f"the answer exceeds {size - len(data)} bytes while others hold the rest"
+                    held = lease.size - len(data)
+                    raise NoRoomForAnswer(
+                        f"the answer exceeds {held} bytes while others hold the rest"
                     )
-            return bytes(whole)
+            is_whole = True
+            return KeptBody(bytes(whole), lease)
         finally:
-            self._bodies.release(size)
+            if not is_whole:
+                lease.release()
 
     def settle(self, head: ResponseHead) -> bool:
         """Make ready for the next request after a whole answer; False if it must be closed."""
--- a/packages/http/src/gradelug_http/exceptions.py
+++ b/packages/http/src/gradelug_http/exceptions.py
@@ -19,5 +19,9 @@
     """The request was sent and its answer is missing, cut short or malformed."""
 
 
+class NoRoomForAnswer(ResponseBroken):
+    """An answer was given up because this process has no memory for it."""
+
+
 class ClientGone(HttpError):
     """The client has closed its connection."""
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -137,9 +137,13 @@
         for wire in self._wires:
             wire.read_ahead = size
 
-    def bound_bodies(self, size: int) -> None:
-        """Let the bodies that are being collected have so many bytes together, if that is less."""
+    def bound_bodies(self, size: int, unsent: t.Callable[[], int] = lambda: 0) -> None:
+        """Let the bodies that are being collected have so many bytes together, if that is less.
+
+        `unsent` returns the bytes of answers that wait for their callers, which count as well.
+        """
         self._bodies.limit = min(size, MAX_BODY_BYTES)
+        self._bodies.unsent = unsent
 
     def release(self, conn: Connection, head: ResponseHead) -> None:
         """Take a connection back after a whole answer."""
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -16,7 +16,7 @@
     connect_tcp,
     open_tunnel,
 )
-from gradelug_http.budget import LEAST_READ_AHEAD
+from gradelug_http.budget import LEAST_BODY_BYTES, LEAST_PART, LEAST_READ_AHEAD, BodyBudget
 from gradelug_http.client import MAX_HEAD_BYTES
 from gradelug_http.tunnel import MAX_BUFFERED_BYTES
 from gradelug_platform.store import PlatformStore
@@ -159,6 +159,37 @@
         run(scenario)
 
 
+class TestBudget:
+    @settings(derandomize=True)
+    @given(
+        st.integers(0, 2_000_000),
+        st.integers(0, 400_000),
+        st.lists(st.tuples(st.integers(0, 20), st.integers(1, 300_000)), max_size=60),
+    )
+    def test_bodies_exceed_the_limit_only_by_the_share_of_each(self, limit, unsent, parts):
+        budget = BodyBudget(limit, lambda: unsent)
+        leases = {}
+        for number, size in parts:
+            lease = leases.setdefault(number, None) or budget.open()
+            leases[number] = lease
+            if not lease.add(size):
+                lease.release()
+                leases[number] = None
+            # Each body has its share of a half, and 8 KB where that is less.
+            least = len(leases) * LEAST_READ_AHEAD
+            assert budget.held <= limit * (1 + LEAST_PART) + least
+        for lease in leases.values():
+            if lease is not None:
+                lease.release()
+                lease.release()
+        assert (budget.held, budget.bodies) == (0, 0)
+
+    def test_answers_that_callers_do_not_read_leave_no_room_for_large_bodies(self):
+        lease = BodyBudget(4 * LEAST_BODY_BYTES, lambda: 4 * LEAST_BODY_BYTES).open()
+        assert lease.add(LEAST_BODY_BYTES)
+        assert not lease.add(1)
+
+
 class TestReadAhead:
     def test_each_connection_received_a_whole_read_beyond_its_bound(self):
         async def scenario():
