The status port takes heads of 4 KB, bodies of 1 KB, and bounds unread responses

Fifty bodies of 4 MB at the port for readiness and metrics took a gateway at MemoryMb 160 to 245 MB: its server had the limits of callers and no bound of bytes. Its requests have no body.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -94,6 +94,10 @@
 """The process exits this long before it would be killed."""
 DRAIN_POLL_INTERVAL_S = 0.05
 METRICS_PATH = b"/metrics"
+STATUS_LIMITS = ServerLimits(header_bytes=4_096, body_bytes=1_024)
+"""Limits of requests for readiness and metrics, which have no body."""
+STATUS_UNREAD_BYTES = 4_000_000
+"""Maximum size of status responses that were not read, in bytes."""
 
 
 class Daemon:
@@ -339,7 +343,9 @@
         self._caller_server = EarlyServer(
             self._pipeline.serve, self._limits, self._clock, settings.unread_bytes, pool
         )
-        self._status_server = HttpServer(self._serve_status, ServerLimits, self._clock)
+        self._status_server = HttpServer(
+            self._serve_status, lambda: STATUS_LIMITS, self._clock, STATUS_UNREAD_BYTES
+        )
         self._peer_server = Server(
             [PlacementService(self._planner_roles, self._directory.newest_planner, errors)]
         )
