--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -8,14 +8,18 @@
 from dataclasses import dataclass
 
 import h11
+import logbook
 
-from .budget import MOST_READ_AHEAD, BodyBudget
-from .exceptions import ConnectFailed, ResponseBroken
+from .budget import MOST_READ_AHEAD, BodyBudget, KeptBody
+from .exceptions import ConnectFailed, NoRoomForAnswer, ResponseBroken
 from .headers import Header, Headers, find
 from .liveness import is_silenced, keep_alive
 
+log = logbook.Logger("client")
 MAX_HEAD_BYTES = 65_536
 """Longest head of an answer; upstreams' heads are a few hundred bytes."""
+MAX_FIELDS = 256
+"""Most fields of a head or a trailer: one of four bytes takes several hundred in memory."""
 IDLE_MARGIN_S = 0.5
 """A connection is left alone this long before the upstream says that it will close it."""
 DEFAULT_IDLE_S = 4.0
@@ -26,6 +30,18 @@
 """Largest body of an answer that is skipped."""
 MAX_INTERIM_ANSWERS = 16
 """Informational answers that may precede one answer."""
+PARSED_BYTES = 16_384
+"""Bytes that the parser takes at a time; the rest waits where it is counted."""
+EVENTS_PER_TURN = 64
+"""Parts of answers that are parsed before other connections get their turn."""
+RECEIVED_BYTES = 65_536
+"""Most bytes that are received at a time."""
+LEAST_RECEIVED_BYTES = 4_096
+"""The same where a connection has no room left."""
+_receive_buffer = memoryview(bytearray(RECEIVED_BYTES))
+"""Shared by all connections: each copies what came before the next one receives."""
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses of answers whose stated length is not that of their body."""
 _timeout_re = re.compile(rb"timeout\s*=\s*(\d{1,9})")
 
 
@@ -51,7 +67,7 @@
         return find(self.headers, name)
 
 
-class Wire(asyncio.Protocol):
+class Wire(asyncio.BufferedProtocol):
     """Bytes of one connection, with the difference between a close and a reset kept."""
 
     def __init__(self) -> None:
@@ -61,6 +77,10 @@
         memory."""
         self.received = bytearray()
         self.ended = False
+        self.is_idle = False
+        """Whether no request is under way: whatever comes belongs to nobody."""
+        self.is_dropped = False
+        """Whether this end gave the connection up; nothing that came over it is kept."""
         self.reset: Exception | None = None
         self.via = ""
         """``IP:port`` of the tunnel server that the connection passes through; empty if direct."""
@@ -73,8 +93,21 @@
         self.transport = t.cast(asyncio.Transport, transport)
         keep_alive(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the transport puts what comes."""
+        room = self.read_ahead + 1 - len(self.received)
+        return _receive_buffer[: max(LEAST_RECEIVED_BYTES, room)]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what the transport has put into the buffer."""
+        self.data_received(_receive_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Keep what came and wake up whoever waits."""
+        if self.is_idle:
+            log.info("bytes on an idle connection", size=len(data), via=self.via)
+            self.abort()
+            return
         self.received += data
         if len(self.received) > self.read_ahead and self.transport is not None:
             self.transport.pause_reading()
@@ -91,21 +124,41 @@
         self.reset = exc
         self._wake()
 
-    async def read(self) -> bytes:
-        """Return what has come, empty after a proper close; raises `ResponseBroken`."""
+    async def read(self, most: int = PARSED_BYTES) -> bytes:
+        """Return what has come, at most so many bytes of it.
+
+        Nothing is returned after a proper close; raises `ResponseBroken` after a reset.
+        """
         while not self.received and not self.ended:
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         if self.received:
-            data = bytes(self.received)
-            self.received.clear()
-            if self.transport is not None and not self.ended:
+            data = bytes(self.received[:most])
+            del self.received[:most]
+            is_paused = len(self.received) > self.read_ahead
+            if self.transport is not None and not self.ended and not is_paused:
                 self.transport.resume_reading()
             return data
         if self.reset is not None:
             raise ResponseBroken(f"the upstream reset the connection: {self.reset!r}")
         return b""
 
+    def abort(self) -> None:
+        """Close at once; what is unsent or unread is dropped."""
+        self._drop()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close(self) -> None:
+        """Close after all bytes are sent; what is unread is dropped."""
+        self._drop()
+        if self.transport is not None:
+            self.transport.close()
+
+    def _drop(self) -> None:
+        self.is_dropped = True
+        self.received.clear()
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -129,8 +182,10 @@
     """
 
     __slots__ = (
+        "_announced",
         "_bodies",
         "_clock",
+        "_events",
         "_h11",
         "_method",
         "_wire",
@@ -150,6 +205,8 @@
         number: int = 0,
         bodies: BodyBudget | None = None,
     ) -> None:
+        self._announced = 0
+        """Length of the body that the current head states; 0 if none."""
         self._bodies = bodies or BodyBudget()
         self.number = number
         self.skipped = 0
@@ -157,6 +214,8 @@
         self._wire = wire
         self._clock = clock
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._events = 0
+        """Parts of answers that were parsed since others had their turn."""
         self._method = b"GET"
         self.address = address
         self.idle_until = float("inf")
@@ -176,7 +235,7 @@
     def is_fit(self, now: float) -> bool:
         """Tell whether an idle connection may carry another request."""
         wire = self._wire
-        return not wire.ended and not wire.received and now < self.idle_until
+        return not (wire.ended or wire.is_dropped or wire.received) and now < self.idle_until
 
     def send(self, req: OutgoingRequest) -> None:
         """Hand a request over to the connection whole."""
@@ -194,8 +253,9 @@
             parts.append(self._h11.send(h11.Data(data=req.body)) or b"")
         parts.append(self._h11.send(h11.EndOfMessage()) or b"")
         transport = self._wire.transport
-        if transport is None or self._wire.ended:
+        if transport is None or self._wire.ended or self._wire.is_dropped:
             raise ConnectFailed(f"{self.address} closed the connection before the request")
+        self._wire.is_idle = False
         transport.write(b"".join(parts))
 
     async def head(self, is_own: t.Callable[[ResponseHead], bool]) -> ResponseHead:
@@ -212,11 +272,18 @@
                 raise ResponseBroken("the upstream closed the connection without an answer")
             head = ResponseHead(event.status_code, tuple(event.headers.raw_items()))
             if is_own(head):
+                self._announced = self._body_length(event)
                 return head
             self.skipped += 1
             await self._skip_answer()
         raise ResponseBroken("the connection carries answers to other requests")
 
+    def _body_length(self, response: h11.Response) -> int:
+        """Return the length that a head states, 0 if none or if there is no body."""
+        if self._method == b"HEAD" or response.status_code in BODILESS_STATUSES:
+            return 0
+        return int(find(list(response.headers), b"content-length") or 0)
+
     async def chunk(self) -> bytes | None:
         """Return the next part of the answer's body, None at its end.
 
@@ -237,22 +304,34 @@
 
         `on_part` is called whenever a part of it has come.
         """
-        parts, size = [], 0
+        kept = await self.keep_body(limit, on_part)
+        kept.release()
+        return kept.data
+
+    async def keep_body(self, limit: int, on_part: t.Callable[[], None] = lambda: None) -> KeptBody:
+        """Return the whole body as `body` does; it counts until it is released."""
+        if self._announced > limit:
+            raise ResponseBroken(f"the answer of {self._announced} bytes exceeds {limit} bytes")
+        # Not a list of parts: each part of two bytes would be an object of fifty.
+        whole, lease = bytearray(), self._bodies.open()
+        is_whole = False
         try:
             while (data := await self.chunk()) is not None:
-                parts.append(data)
-                size += len(data)
-                fits = self._bodies.add(len(data), size)
+                whole += data
+                fits = lease.add(len(data))
                 on_part()
-                if size > limit:
+                if lease.size > limit:
                     raise ResponseBroken(f"the answer exceeds {limit} bytes")
                 if not fits:
-                    raise ResponseBroken(
-                        f"the answer exceeds {size - len(data)} bytes while others hold the rest"
+                    held = lease.size - len(data)
+                    raise NoRoomForAnswer(
+                        f"the answer exceeds {held} bytes while others hold the rest"
                     )
-            return b"".join(parts)
+            is_whole = True
+            return KeptBody(bytes(whole), lease)
         finally:
-            self._bodies.release(size)
+            if not is_whole:
+                lease.release()
 
     def settle(self, head: ResponseHead) -> bool:
         """Make ready for the next request after a whole answer; False if it must be closed."""
@@ -264,27 +343,31 @@
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
+        self._wire.is_idle = True
         self.used_at = self._clock()
         self.idle_until = min(self.used_at + _idle_s(head), self._wire.reuse_until)
         return True
 
     def abort(self) -> None:
         """Close at once; whatever is unsent is dropped."""
-        if self._wire.transport is not None:
-            self._wire.transport.abort()
+        self._wire.abort()
 
     def close(self) -> None:
         """Close an idle connection."""
-        if self._wire.transport is not None:
-            self._wire.transport.close()
+        self._wire.close()
 
     async def _next_event(self) -> t.Any:
+        if self._events >= EVENTS_PER_TURN:
+            self._events = 0
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
                 raise ResponseBroken(f"the answer is malformed: {exc}") from exc
             if event is not h11.NEED_DATA:
+                self._events += 1
+                _check_fields(event)
                 return event
             self._h11.receive_data(await self._wire.read())
 
@@ -316,6 +399,13 @@
         self._h11 = again
 
 
+def _check_fields(event: t.Any) -> None:
+    """Raise `ResponseBroken` if a head or a trailer has too many fields."""
+    fields = len(getattr(event, "headers", ()))
+    if fields > MAX_FIELDS:
+        raise ResponseBroken(f"a head or a trailer has {fields} fields, more than {MAX_FIELDS}")
+
+
 def _idle_s(head: ResponseHead) -> float:
     stated = _timeout_re.search(head.get(b"keep-alive") or b"")
     if stated is None:
