--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -92,6 +92,10 @@
 UPKEEP_INTERVAL_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.05
 METRICS_PATH = b"/metrics"
+STATUS_LIMITS = ServerLimits(header_bytes=4_096, body_bytes=1_024)
+"""Limits of requests for readiness and metrics, which have no body."""
+STATUS_UNREAD_BYTES = 4_000_000
+"""Maximum size of status responses that were not read, in bytes."""
 
 
 class Daemon:
@@ -263,7 +267,7 @@
             errors,
         )
         # A replica limits the connections of all instances together and resets any beyond that.
-        pool.bound_bodies(settings.unread_bytes)
+        pool.bound_bodies(settings.unread_bytes, self._unsent_bytes)
         pool.keeps = IdleConnections(settings.name, self._state, lambda: self._directory.gateways)
         bounds = settings.bounds
         self._budgets = RetryBudgets(
@@ -344,7 +348,9 @@
             ConnectionLog(self._meters, self._state).note_end,
             max_caller_connections(),
         )
-        self._status_server = HttpServer(self._serve_status, ServerLimits, self._clock)
+        self._status_server = HttpServer(
+            self._serve_status, lambda: STATUS_LIMITS, self._clock, STATUS_UNREAD_BYTES
+        )
         self._peer_server = Server(
             [PlacementService(self._planner_roles, self._directory.newest_planner, errors)]
         )
@@ -624,6 +630,13 @@
     def _publishes_store(self) -> bool:
         return any(planner.followers.distributes_store for planner in self._planners())
 
+    def _unsent_bytes(self) -> int:
+        """Return the bytes of answers that wait for their callers to read them."""
+        transports = [conn.transport for conn in self._caller_server.connections]
+        return sum(
+            transport.get_write_buffer_size() for transport in transports if transport is not None
+        )
+
     # Readiness and metrics.
 
     def _is_ready(self) -> bool:
--- a/packages/http/src/gradelug_http/tunnel.py
+++ b/packages/http/src/gradelug_http/tunnel.py
@@ -23,9 +23,13 @@
 HEAD_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.25
 """Time for a connection to the target; the client of a tunnel waits a little longer."""
+MAX_FIELDS = 32
+"""Most fields in the head of a request for a tunnel, which has two."""
 MAX_BUFFERED_BYTES = 16_384
 """Bytes buffered per direction: a few events of a stream, so that a slow reader holds up its
 sender."""
+FORWARDED_BYTES = MAX_BUFFERED_BYTES // 2
+"""Most bytes that are received and forwarded at a time; reading pauses above as many."""
 REUSE_S = 2.0
 """Time for which a tunnel carries new requests. A server that shuts down is then free of tunnels as
 soon as their last requests have ended."""
@@ -152,10 +156,15 @@
         parser.receive_data(await wire.read())
     if not isinstance(event, h11.Response):
         raise ValueError("the response to CONNECT has no head")
+    wire.received[:0] = parser.trailing_data[0]
     return TunnelStatus(event.status_code)
 
 
-class _TunnelEnd(asyncio.Protocol):
+_receive_buffer = memoryview(bytearray(FORWARDED_BYTES))
+"""Shared by all connections: each forwards what came before the next one receives."""
+
+
+class _TunnelEnd(asyncio.BufferedProtocol):
     """One of the two connections of a tunnel; it writes what it receives to the other."""
 
     def __init__(self) -> None:
@@ -165,9 +174,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Configure the connection."""
         self.transport = t.cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(MAX_BUFFERED_BYTES)
+        self.transport.set_write_buffer_limits(FORWARDED_BYTES)
         keep_alive(transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the transport puts what comes."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what the transport has put into the buffer."""
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Forward bytes."""
         if self.other is not None:
@@ -250,6 +267,10 @@
         if not isinstance(event, h11.Request) or event.method != b"CONNECT":
             self._answer(TunnelStatus.FORBIDDEN)
             return
+        if self._parser.trailing_data[0] or len(event.headers) > MAX_FIELDS:
+            log.info("malformed request for a tunnel", why="many fields, or bytes behind the head")
+            self.abort()
+            return
         self._task = asyncio.get_running_loop().create_task(self._open(event))
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_unanswered_errors.py
+++ b/tests/test_unanswered_errors.py
@@ -6,7 +6,7 @@
 import pytest
 from gradelug_gateway.ports import BadRequest
 from gradelug_gateway.streams import EventAssembler
-from gradelug_http import HttpPool, HttpServer, OutgoingRequest, ServerLimits
+from gradelug_http import HttpPool, HttpServer, OutgoingRequest, ResponseBroken, ServerLimits
 from gradelug_platform.dialect import PlatformDialect
 from logbook import TestHandler as LogHandler
 from world import new_loop
@@ -139,4 +139,5 @@
 
     def test_an_odd_event_number_ends_a_stream(self):
         events = b"id: %b\ndata: x\n\n" % (b"9" * 5000)
-        assert EventAssembler(0).feed(events) == events
+        with pytest.raises(ResponseBroken, match="has 5000 digits"):
+            EventAssembler(0).feed(events)
