Read ownership records that cannot be decoded as those of an unknown owner

What callers saw: a record of the engines' owners nested 100,000 deep, or with an era of 1e999, ended each gateway process with status 1, again after each start. A record that was merely malformed counted as absent: every write for its engine failed for ever, as it expected no record, so nobody ordered the engine again.

Cause: the reader caught ValueError, KeyError and TypeError; RecursionError and OverflowError ended the ownership task.

Records are now decoded by `Record`, which raises `InvalidRecord` and nothing else, and `RecordReader` is the one place that turns it into a skipped entry: one log line per revision.

A record that cannot be read must not count as absent where two owners could act. Ways weighed: ignore it (the former owner goes on below the record's revision, nobody can ever take over); let the former owner rewrite it at once (a newer release's record in an unknown format would have two owners); treat it as the record of an unknown, absent owner. The last is done: the former owner gives up the engine when it sees the record, and others take it over at its revision, after the hold-off and the time to live of a lease, as from any owner that has ended.

--- a/packages/coordination/src/gradelug_coordination/__init__.py
+++ b/packages/coordination/src/gradelug_coordination/__init__.py
@@ -20,6 +20,7 @@
     from .election import Election as Election
     from .election import ElectionRecord as ElectionRecord
     from .exceptions import CoordinationError as CoordinationError
+    from .exceptions import InvalidRecord as InvalidRecord
     from .exceptions import KvThrottled as KvThrottled
     from .exceptions import KvUnavailable as KvUnavailable
     from .exceptions import RevisionConflict as RevisionConflict
@@ -48,6 +49,12 @@
     from .positions import era_of as era_of
     from .positions import position as position
     from .positions import revision_of as revision_of
+    from .records import InvalidEntryLog as InvalidEntryLog
+    from .records import Record as Record
+    from .records import RecordReader as RecordReader
+    from .records import decode_json as decode_json
+    from .records import is_address as is_address
+    from .records import is_text as is_text
 else:
     _HOMES = {
         "Backoff": "backoff",
@@ -60,6 +67,7 @@
         "Election": "election",
         "ElectionRecord": "election",
         "CoordinationError": "exceptions",
+        "InvalidRecord": "exceptions",
         "KvThrottled": "exceptions",
         "KvUnavailable": "exceptions",
         "RevisionConflict": "exceptions",
@@ -88,6 +96,12 @@
         "era_of": "positions",
         "position": "positions",
         "revision_of": "positions",
+        "InvalidEntryLog": "records",
+        "Record": "records",
+        "RecordReader": "records",
+        "decode_json": "records",
+        "is_address": "records",
+        "is_text": "records",
     }
 
     def __getattr__(name):
--- a/packages/coordination/src/gradelug_coordination/exceptions.py
+++ b/packages/coordination/src/gradelug_coordination/exceptions.py
@@ -45,3 +45,20 @@
 
 class CorruptBucket(CoordinationError):
     """A bucket's content does not match its digest."""
+
+
+class InvalidRecord(CoordinationError):
+    """A record of the key-value service cannot be decoded.
+
+    Attributes
+    ----------
+    key : str
+        Key of the record.
+    why : str
+        What is invalid.
+    """
+
+    def __init__(self, key: str, why: str) -> None:
+        self.key = key
+        self.why = why
+        super().__init__(f"the record {key!r} is invalid: {why}")
--- a/packages/coordination/src/gradelug_coordination/lasting.py
+++ b/packages/coordination/src/gradelug_coordination/lasting.py
@@ -29,16 +29,19 @@
 import logbook
 
 from .candidacy import Candidacy
-from .exceptions import CoordinationError
+from .exceptions import CoordinationError, InvalidRecord
 from .kv import ABSENT, KeyValue, KvEntry, swap_and_confirm
 from .lease import LeaseKeeper
 from .mirror import Mirror
 from .positions import EraTracker, era_of
+from .records import Record, RecordReader
 from .rendezvous import score
 
 log = logbook.Logger("ownership")
 PRESENCE_PREFIX = "present/"
 OWNERS_PREFIX = "owners/"
+UNKNOWN_OWNER = ""
+"""Owner of a record that cannot be read; no instance has this name."""
 STEP_INTERVAL_S = 0.1
 TAKEOVER_STAGGER_S = 0.4
 """Additional delay per rank before an instance takes a free resource, on top of the mirror's poll
@@ -138,6 +141,7 @@
         "_on_change",
         "_outage_until",
         "_presence",
+        "_reader",
         "_restored_at",
         "_retry_at",
         "_root",
@@ -181,6 +185,7 @@
         self._retry_at: dict[str, float] = {}
         """Earliest time of the next write of a record that another instance changed first, by
         resource."""
+        self._reader = RecordReader(_decode)
         self._started_at = clock()
         self._ttl_s = lease.ttl_s
         self._outage_until = float("-inf")
@@ -237,19 +242,22 @@
         return frozenset(name for name in self._claims if self.token(name) is not None)
 
     def records(self) -> dict[str, PersistentOwnerRecord]:
-        """Return the ownership records by resource, according to the mirror."""
+        """Return the ownership records by resource, according to the mirror.
+
+        A record that cannot be read has an unknown owner, which is never present: it is taken over
+        as that of an absent owner, by a write at its revision.
+        """
         prefix = f"{self._root}{OWNERS_PREFIX}"
-        found = {}
-        for entry in self._mirror.entries_below(prefix):
-            record = _read_record(entry)
-            if record is not None:
-                found[entry.key.removeprefix(prefix)] = record
-        return found
+        return {
+            entry.key.removeprefix(prefix): self._reader.read(entry) or _unknown_owner(entry)
+            for entry in self._mirror.entries_below(prefix)
+        }
 
     def present(self) -> set[str]:
         """Return the names of the present instances, according to the mirror."""
         prefix = f"{self._root}{PRESENCE_PREFIX}"
-        return {entry.key.removeprefix(prefix) for entry in self._mirror.entries_below(prefix)}
+        names = {entry.key.removeprefix(prefix) for entry in self._mirror.entries_below(prefix)}
+        return names - {UNKNOWN_OWNER}
 
     # Operation.
 
@@ -468,10 +476,13 @@
                 self._unwanted_since[name] = now
 
 
-def _read_record(entry: KvEntry) -> PersistentOwnerRecord | None:
-    try:
-        data = json.loads(entry.value)
-        return PersistentOwnerRecord(str(data["owner"]), entry.revision, int(data.get("era") or 0))
-    except (ValueError, KeyError, TypeError) as exc:
-        log.error("invalid ownership record", key=entry.key, why=repr(exc))
-        return None
+def _decode(entry: KvEntry) -> PersistentOwnerRecord:
+    record = Record(entry.key, entry.value)
+    era = record.integer("era", 0)
+    if era > era_of(entry.revision):
+        raise InvalidRecord(entry.key, f"era {era} is later than that of the record's revision")
+    return PersistentOwnerRecord(record.name("owner"), entry.revision, era)
+
+
+def _unknown_owner(entry: KvEntry) -> PersistentOwnerRecord:
+    return PersistentOwnerRecord(UNKNOWN_OWNER, entry.revision, era_of(entry.revision))
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -1,12 +1,15 @@
 """Tests ownership of engines without token checks: exclusivity, the hold-off and restarts."""
 
 import asyncio
+import json
 import random
 
+import pytest
 from gradelug_coordination import Candidacy, KvUnavailable, LeaseKeeper, Mirror, PersistentOwnership
 from gradelug_standins.kv import MemoryKv
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from odd_values import NESTED
 from world import new_loop
 
 HOLD_OFF_S = 3.0
@@ -250,6 +253,29 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("spacing_s", [0.0, 2.0])
+    @pytest.mark.parametrize("is_cut", [False, True])
+    def test_resources_whose_records_cannot_be_read_have_one_owner_again(self, spacing_s, is_cut):
+        """Guards against records that nobody could replace, and against two owners."""
+
+        async def scenario():
+            fleet = Fleet(3, spacing_s=spacing_s)
+            await asyncio.sleep(6.0)
+            if is_cut:
+                fleet.instances[0].path.cut = True
+            for resource in RESOURCES:
+                found = await fleet.kv.get(f"e/owners/{resource}")
+                assert (await fleet.kv.swap(found.key, NESTED, found.revision)).swapped
+            await asyncio.sleep(15.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            for resource in RESOURCES:
+                found = await fleet.kv.get(f"e/owners/{resource}")
+                owner = json.loads(found.value)["owner"]
+                assert fleet.owners()[resource] == [owner]
+            await fleet.stop()
+
+        run(scenario)
+
     def test_a_token_ends_with_the_lease_under_which_it_was_taken(self):
         async def scenario():
             fleet = Fleet(1)
