Replace election records that cannot be decoded, after their writer's lease

What callers saw: a planner's record nested 100,000 deep ended each gateway process, again after each start. A malformed one counted as absent: the holder gave up the role, and all writes of candidates expected no record and failed, so no planner was elected until somebody deleted the entry. A record with an address that has no valid port ended the link to the planner for good.

The record is decoded by `Record`, with an address. If it cannot be read its owner is unknown. The holder gives up the role, as for a successor's record; candidates replace it at its revision once it has stood for the time to live of a lease, and act after the hold-off. Waiting for it to expire was weighed: a record without a lease never does.

--- a/packages/coordination/src/gradelug_coordination/election.py
+++ b/packages/coordination/src/gradelug_coordination/election.py
@@ -16,10 +16,11 @@
 import logbook
 
 from .exceptions import CoordinationError
-from .kv import ABSENT, KeyValue, swap_and_confirm
+from .kv import ABSENT, KeyValue, KvEntry, swap_and_confirm
 from .lease import LeaseKeeper
 from .mirror import Mirror
 from .positions import EraTracker, era_of
+from .records import Record, RecordReader
 
 log = logbook.Logger("election")
 CANDIDACY_JITTER_S = 0.3
@@ -46,6 +47,9 @@
 """Time that the holder has to rewrite its record after the service was restored from a copy, before
 other instances write theirs; mirrors poll again within 0.8 s after an outage."""
 
+UNKNOWN_OWNER = ""
+"""Owner of a record that cannot be read; no instance has this name."""
+
 
 @dataclass(slots=True, frozen=True)
 class ElectionRecord:
@@ -118,6 +122,7 @@
         "_mirror",
         "_name",
         "_other_holder_seen_at",
+        "_reader",
         "_outlasts_lease",
         "_resigned",
         "_restored_at",
@@ -126,6 +131,8 @@
         "_is_candidate",
         "_candidate_from",
         "_started_at",
+        "_unreadable_fence",
+        "_unreadable_since",
         "_value",
         "fence",
         "key",
@@ -170,6 +177,10 @@
         self._restored_at = float("-inf")
         """When the service was last observed to have been restored from a copy."""
         self._resigned = False
+        self._reader = RecordReader(_decode)
+        self._unreadable_fence = 0
+        """Revision of the unreadable record that this candidate has seen last."""
+        self._unreadable_since = 0.0
         self._is_candidate = True
         self._candidate_from = float("-inf")
         self._started_at = clock()
@@ -180,16 +191,16 @@
         """Fencing token of the record that this instance holds, 0 if none."""
 
     def record(self) -> ElectionRecord | None:
-        """Return the current record according to the mirror, or None."""
+        """Return the current record according to the mirror, None if it is absent or unreadable."""
+        record = self._current_record()
+        return record if record is not None and record.owner != UNKNOWN_OWNER else None
+
+    def _current_record(self) -> ElectionRecord | None:
+        """Return the current record, with an unknown owner if it cannot be read."""
         entry = self._mirror.entries.get(self.key)
         if entry is None:
             return None
-        try:
-            data = json.loads(entry.value)
-            return ElectionRecord(str(data["owner"]), str(data["address"]), entry.revision)
-        except (ValueError, KeyError, TypeError) as exc:
-            log.error("invalid election record", key=self.key, why=repr(exc))
-            return None
+        return self._reader.read(entry) or ElectionRecord(UNKNOWN_OWNER, "", entry.revision)
 
     def may_act(self) -> bool:
         """Return whether this instance holds the role now and may act on it."""
@@ -262,7 +273,7 @@
         delay_s = STEP_INTERVAL_S if self._resigned else await self._lease.step()
         if self._is_from_earlier_era() and await self._rewrite_record():
             return STEP_INTERVAL_S
-        record = self.record()
+        record = self._current_record()
         gone = (
             not self._resigned
             and record is None
@@ -303,7 +314,7 @@
             False if the record belongs to another instance or was changed since the mirror's last
             poll. True also after a failed call, which the next step repeats.
         """
-        record, lease, before = self.record(), self._lease.lease, self.fence
+        record, lease, before = self._current_record(), self._lease.lease, self.fence
         if record is not None and record.owner != self._name:
             return False
         expected = record.fence if record is not None else ABSENT
@@ -325,21 +336,18 @@
         now = self._clock()
         if not self._mirror.synced or not self._is_candidate or now < self._candidate_from:
             return STEP_INTERVAL_S
-        record = self.record()
+        record = self._current_record()
         if record is not None and record.owner != self._name:
             self._other_holder_seen_at = now
             self._absent_since = None
+            if record.owner == UNKNOWN_OWNER:
+                return await self._step_at_unreadable(record.fence)
             return STEP_INTERVAL_S
         if record is not None:
             return await self._campaign(record.fence)
         if self._absent_since is None:
             self._absent_since = now
-            max_jitter_s = (
-                CANDIDACY_JITTER_S
-                if now - self._started_at > RECENT_START_S
-                else RECENT_START_JITTER_S
-            )
-            self._delay_s = self._candidacy_delay_s + self._rng.uniform(0.0, max_jitter_s)
+            self._draw_delay()
         due_at = max(self._absent_since, self._restored_at + RESTORE_GRACE_S) + self._delay_s
         if self._should_defer():
             due_at += DEFERENCE_S
@@ -351,7 +359,27 @@
             return POLL_STEP_S
         return await self._campaign(ABSENT)
 
-    async def _campaign(self, expected: int) -> float:
+    async def _step_at_unreadable(self, fence: int) -> float:
+        """Replace a record that cannot be read once its writer's lease must have expired.
+
+        Such a record does not expire if its writer did not tie it to a lease. A holder whose record
+        it replaced gives up the role when it sees it, as for a successor's record.
+        """
+        now = self._clock()
+        if fence != self._unreadable_fence:
+            self._unreadable_fence, self._unreadable_since = fence, now
+            self._draw_delay()
+        due_at = self._unreadable_since + self._lease.ttl_s + self._delay_s
+        if now < due_at:
+            return min(STEP_INTERVAL_S, due_at - now)
+        return await self._campaign(fence, is_own=False)
+
+    def _draw_delay(self) -> None:
+        is_recent = self._clock() - self._started_at <= RECENT_START_S
+        max_jitter_s = RECENT_START_JITTER_S if is_recent else CANDIDACY_JITTER_S
+        self._delay_s = self._candidacy_delay_s + self._rng.uniform(0.0, max_jitter_s)
+
+    async def _campaign(self, expected: int, is_own: bool = True) -> float:
         try:
             await self._lease.step()
             if not self._lease.is_valid():
@@ -372,7 +400,7 @@
         self._record_lease = lease
         now = self._clock()
         self._may_act_from = (
-            now if expected else max(now, self._other_holder_seen_at + self._hold_off_s)
+            now if expected and is_own else max(now, self._other_holder_seen_at + self._hold_off_s)
         )
         log.info(
             "duty taken",
@@ -381,3 +409,8 @@
             acts_in_s=round(self._may_act_from - now, 2),
         )
         return STEP_INTERVAL_S
+
+
+def _decode(entry: KvEntry) -> ElectionRecord:
+    record = Record(entry.key, entry.value)
+    return ElectionRecord(record.name("owner"), record.address("address"), entry.revision)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -2,6 +2,7 @@
 import contextlib
 import random
 
+import pytest
 from gradelug_coordination import Election, LeaseKeeper, Mirror
 from gradelug_coordination.election import (
     MAX_POLL_WAIT_S,
@@ -9,6 +10,7 @@
     STEP_DOWN_PAUSE_S,
 )
 from gradelug_standins.kv import MemoryKv
+from odd_values import NESTED
 from world import new_loop
 
 KEY = "duty/one"
@@ -92,6 +94,36 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("is_running", [False, True])
+    @pytest.mark.parametrize("value", [NESTED, b'{"owner": "n9", "address": "n9:65536"}'])
+    def test_a_role_whose_record_cannot_be_read_has_one_holder_again(self, is_running, value):
+        """Guards against a record that nobody replaced, and against two holders."""
+
+        async def scenario():
+            kv = MemoryKv()
+            hold_off_s = 1.0
+            if not is_running:
+                await kv.swap(KEY, value, 0)
+            cands = [Candidate(kv, f"n{at}", hold_off_s) for at in range(3)]
+            await asyncio.sleep(3.0 if is_running else 0.0)
+            assert len(holders(cands)) == is_running
+            if is_running:
+                found = await kv.get(KEY)
+                assert (await kv.swap(KEY, value, found.revision, found.lease)).swapped
+            acted_at = {cand.election: cand.clock() for cand in holders(cands)}
+            for _ in range(400):
+                await asyncio.sleep(0.02)
+                for cand in holders(cands):
+                    others = [at for who, at in acted_at.items() if who is not cand.election]
+                    assert all(cand.clock() - at >= hold_off_s for at in others)
+                    acted_at[cand.election] = cand.clock()
+            (holder,) = holders(cands)
+            assert {cand.election.record().fence for cand in cands} == {holder.election.fence}
+            for cand in cands:
+                await cand.die()
+
+        run(scenario)
+
     def test_a_candidate_whose_own_record_expired_retries_immediately(self):
         """Guards against a delay of 0.25 s for all instances after a power failure of the whole
         site."""
