Keep the findings of the last valid entry of blocked requests

What callers saw: an entry nested 100,000 deep, with a weight of 10^400 or a position of 1e999 ended each gateway process, as its reader is called by the mirror; a malformed entry unblocked all blocked requests, which could end further replicas. Weights of NaN and Infinity were accepted, and written back as JSON that is none.

Cause: the reader caught four kinds of errors, and an unreadable entry counted as an empty one.

The entry is decoded whole, by `Record`, before any of it counts. While it cannot be read, the findings of the last valid one stay in force, as with a configuration; deleting it still unblocks all. A planner that stores findings replaces it.

--- a/packages/gateway/src/gradelug_gateway/poison_record.py
+++ b/packages/gateway/src/gradelug_gateway/poison_record.py
@@ -10,21 +10,58 @@
 import asyncio
 import json
 import typing as t
+from dataclasses import dataclass
 
 import logbook
-from gradelug_coordination import CoordinationError, EraTracker, KeyValue, KvEntry, Mirror
+from gradelug_coordination import (
+    CoordinationError,
+    EraTracker,
+    InvalidRecord,
+    KeyValue,
+    KvEntry,
+    Mirror,
+    Record,
+    RecordReader,
+)
+from gradelug_coordination.records import as_integer, as_list, as_number, as_table, as_text
 from gradelug_policy.poison import EndLedger
 from gradelug_policy.poison_parts import PartSighting
 
 from .poison import NO_FINDINGS, PoisonFindings
 
 log = logbook.Logger("poison record")
+MAX_POSITION = 2**31
+"""Upper bound of the position of a part in a prompt."""
 KEY = "gradelug/poison"
 ABSENT = KvEntry(KEY, b"", 0)
 WRITE_RETRY_S = 0.5
 """Delay before a failed write is retried, in seconds."""
 
 
+@dataclass(slots=True, frozen=True)
+class _StoredFindings:
+    """Decoded content of the entry."""
+
+    blocked: t.Mapping[bytes, float]
+    """Blocked requests with their weights."""
+    ends: t.Sequence[tuple[str, bytes, float]]
+    """Ends at which suspects were present, with the suspect and its weight."""
+    blocked_parts: t.Sequence[bytes]
+    sightings: t.Sequence[tuple[str, PartSighting]]
+    """Ends at which suspected parts were present."""
+
+    def add_to(self, ledger: EndLedger, now: float) -> None:
+        """Add the findings to a ledger."""
+        for fingerprint, weight in self.blocked.items():
+            ledger.block(fingerprint, weight, now)
+        for end, fingerprint, weight in self.ends:
+            ledger.note_end(end, fingerprint, weight, now)
+        for part in self.blocked_parts:
+            ledger.parts.block(part, now)
+        for end, sighting in self.sightings:
+            ledger.parts.note_end(end, sighting, now)
+
+
 class PoisonRecord:
     """Reads and writes the entry of blocked requests and suspects.
 
@@ -44,6 +81,7 @@
         "_kv",
         "_ledger",
         "_mirror",
+        "_reader",
         "_seen_revision",
         "_write_requested",
         "_written",
@@ -62,13 +100,17 @@
         """The newest entry that this instance wrote or merged."""
         self._seen_revision = 0
         self._eras = EraTracker()
+        self._reader = RecordReader(_decode)
         self.findings = NO_FINDINGS
         """Findings of the entry."""
         self.removal_count = 0
         """Number of times the entry was deleted, by which an operator unblocks all requests."""
 
     def poll(self) -> bool:
-        """Read the entry if it has changed; return whether the findings were updated."""
+        """Read the entry; return whether it has changed.
+
+        The findings of the last valid entry stay in force while it cannot be read.
+        """
         entry = self._mirror.entries.get(KEY)
         revision = entry.revision if entry is not None else 0
         if self._eras.has_advanced(self._mirror.revision):
@@ -82,7 +124,8 @@
             log.warning("entry deleted by an operator; unblocking all requests", key=KEY)
         self._seen_revision = revision
         ledger = EndLedger()
-        self.restore(ledger, self._clock())
+        if entry is not None and not self._add(entry, ledger, self._clock()):
+            return True
         self.findings = PoisonFindings(
             frozenset((*ledger.blocked, *ledger.parts.blocked)),
             frozenset((*ledger.suspects(), *ledger.parts.suspects())),
@@ -93,14 +136,22 @@
         """Schedule a rewrite of findings lost when the store was restored; they stay in force."""
         self._written = entry or ABSENT
         if entry is not None:
-            _add(entry.value, self._ledger, self._clock())
+            self._add(entry, self._ledger, self._clock())
         self._write_requested.set()
 
     def restore(self, ledger: EndLedger, now: float) -> None:
         """Add the findings of the entry to a ledger."""
         entry = self._mirror.entries.get(KEY)
         if entry is not None:
-            _add(entry.value, ledger, now)
+            self._add(entry, ledger, now)
+
+    def _add(self, entry: KvEntry, ledger: EndLedger, now: float) -> bool:
+        """Add the findings of an entry to a ledger; return False if it cannot be read."""
+        findings = self._reader.read(entry)
+        if findings is None:
+            return False
+        findings.add_to(ledger, now)
+        return True
 
     def save(self, ledger: EndLedger) -> None:
         """Schedule a write of a ledger."""
@@ -140,7 +191,7 @@
     def _merge(self, entry: KvEntry) -> None:
         """Merge the entry of another planner, which may hold more findings."""
         self._written = entry
-        _add(entry.value, self._ledger, self._clock())
+        self._add(entry, self._ledger, self._clock())
 
 
 def _encode(ledger: EndLedger) -> bytes:
@@ -161,41 +212,33 @@
     return json.dumps(data).encode()
 
 
-def _add(value: bytes, ledger: EndLedger, now: float) -> None:
+def _decode(entry: KvEntry) -> _StoredFindings:
+    record = Record(entry.key, entry.value)
     try:
-        data = json.loads(value)
-        blocked = {
-            bytes.fromhex(fingerprint): float(data["blocked"][fingerprint])
-            for fingerprint in data["blocked"]
-        }
-        suspects = {
-            bytes.fromhex(fingerprint): dict(data["suspects"][fingerprint])
-            for fingerprint in data["suspects"]
-        }
-        ends = [
-            (str(end), fingerprint, float(weight))
-            for fingerprint, weights in suspects.items()
-            for end, weight in weights.items()
-        ]
-        # Entries of earlier releases have no parts.
-        blocked_parts = [bytes.fromhex(part) for part in data.get("blocked_parts", ())]
-        sightings = [
-            (
-                str(end),
-                PartSighting(
-                    bytes.fromhex(part), bytes.fromhex(request), int(position), float(weight)
-                ),
-            )
-            for end, part, request, position, weight in data.get("suspected_parts", ())
-        ]
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
-        log.error("malformed entry of another writer", key=KEY, why=repr(exc))
-        return
-    for fingerprint, weight in blocked.items():
-        ledger.block(fingerprint, weight, now)
-    for end, fingerprint, weight in ends:
-        ledger.note_end(end, fingerprint, weight, now)
-    for part in blocked_parts:
-        ledger.parts.block(part, now)
-    for end, sighting in sightings:
-        ledger.parts.note_end(end, sighting, now)
+        return _StoredFindings(
+            {
+                bytes.fromhex(fingerprint): as_number(weight)
+                for fingerprint, weight in record.table("blocked").items()
+            },
+            [
+                (as_text(end), bytes.fromhex(fingerprint), as_number(weight))
+                for fingerprint, weights in record.table("suspects").items()
+                for end, weight in as_table(weights).items()
+            ],
+            # Entries of earlier releases have no parts.
+            [bytes.fromhex(part) for part in record.texts("blocked_parts", [])],
+            [_decode_sighting(row) for row in record.rows("suspected_parts", [])],
+        )
+    except ValueError as exc:
+        raise InvalidRecord(entry.key, str(exc)) from exc
+
+
+def _decode_sighting(row: t.Any) -> tuple[str, PartSighting]:
+    end, part, request, position, weight = as_list(row, 5)
+    sighting = PartSighting(
+        bytes.fromhex(as_text(part)),
+        bytes.fromhex(as_text(request)),
+        as_integer(position, MAX_POSITION),
+        as_number(weight),
+    )
+    return as_text(end), sighting
