Skip records of members that cannot be decoded

A record of a scheduler nested 100,000 deep, or with a list or number for a name or an address, raised RecursionError, TypeError or AttributeError wherever members were listed: the scheduler's tasks ended, and `gradelug status` and the report failed. Fields were not checked.

`Member.decode` raises `InvalidRecord` only, and its readers skip the record with one log line.

--- a/packages/cli/src/gradelug_cli/status.py
+++ b/packages/cli/src/gradelug_cli/status.py
@@ -7,7 +7,7 @@
 from dataclasses import asdict, dataclass, field
 
 from gradelug_backends.keys import LIVE
-from gradelug_coordination import KeyValue
+from gradelug_coordination import KeyValue, RecordReader
 from gradelug_coordination.membership import MEMBERS_PREFIX, Member
 from gradelug_wire import Peers, PeerUnavailable
 from gradelug_wire import control_pb2 as pb
@@ -61,7 +61,8 @@
     """Ask every registered scheduler."""
     listing = await kv.list(f"{LIVE}{MEMBERS_PREFIX}")
     status = Status(revision)
-    members = [Member.decode(entry.value) for entry in listing.entries]
+    reader = RecordReader(lambda entry: Member.decode(entry.value, entry.key))
+    members = [member for member in map(reader.read, listing.entries) if member is not None]
     status.members = [MemberStatus(m.name, m.address, m.hall, m.leaving) for m in members]
     peers = Peers()
     try:
--- a/packages/coordination/src/gradelug_coordination/membership.py
+++ b/packages/coordination/src/gradelug_coordination/membership.py
@@ -6,9 +6,10 @@
 import typing as t
 from dataclasses import asdict, dataclass, replace
 
-from .kv import ABSENT, KeyValue, KvEntry, swap_and_confirm
+from .kv import ABSENT, KeyValue, swap_and_confirm
 from .lease import LeaseKeeper
 from .mirror import Mirror
+from .records import Record, RecordReader
 
 MEMBERS_PREFIX = "members/"
 
@@ -36,9 +37,15 @@
     leaving: bool = False
 
     @classmethod
-    def decode(cls, value: bytes) -> Member:
-        """Decode a member from its stored record."""
-        return cls(**json.loads(value))
+    def decode(cls, value: bytes, key: str = "") -> Member:
+        """Decode a member from its stored record; raises `InvalidRecord`."""
+        record = Record(key, value)
+        return cls(
+            record.name("name"),
+            record.address("address"),
+            record.text("hall", ""),
+            record.flag("leaving"),
+        )
 
     def encode(self) -> bytes:
         """Encode the member as its stored record."""
@@ -62,7 +69,7 @@
         Record of this process.
     """
 
-    __slots__ = ("_kv", "_lease", "_mirror", "_root", "local_member")
+    __slots__ = ("_kv", "_lease", "_mirror", "_reader", "_root", "local_member")
 
     def __init__(
         self, kv: KeyValue, root: str, mirror: Mirror, lease: LeaseKeeper, local_member: Member
@@ -72,13 +79,14 @@
         self._mirror = mirror
         self._lease = lease
         self.local_member = local_member
+        # Records of newer releases in an unknown format are skipped as well.
+        self._reader = RecordReader(lambda entry: Member.decode(entry.value, entry.key))
 
     def all(self) -> dict[str, Member]:
         """Return all members by name, including those that are leaving."""
+        entries = self._mirror.entries_below(f"{self._root}{MEMBERS_PREFIX}")
         return {
-            member.name: member
-            for member in map(_decode, self._mirror.entries_below(f"{self._root}{MEMBERS_PREFIX}"))
-            if member is not None
+            member.name: member for member in map(self._reader.read, entries) if member is not None
         }
 
     def active(self) -> list[str]:
@@ -104,14 +112,6 @@
         await self.register()
 
 
-def _decode(entry: KvEntry) -> Member | None:
-    try:
-        return Member.decode(entry.value)
-    except (TypeError, ValueError):
-        # Written by a newer release in an unknown format: skip this member.
-        return None
-
-
 def names(members: t.Iterable[Member]) -> list[str]:
     """Return the sorted names of members."""
     return sorted(member.name for member in members)
--- a/packages/report/src/gradelug_report/gathering.py
+++ b/packages/report/src/gradelug_report/gathering.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 from gradelug_backends.keys import LIVE
-from gradelug_coordination import KeyValue
+from gradelug_coordination import KeyValue, RecordReader
 from gradelug_coordination.membership import MEMBERS_PREFIX, Member
 from gradelug_objectives import Joined
 from gradelug_wire import Peers, PeerUnavailable
@@ -44,7 +44,8 @@
 async def find_routers(kv: KeyValue) -> list[str]:
     """Return the addresses of the routers that the schedulers have heard from."""
     listing = await kv.list(f"{LIVE}{MEMBERS_PREFIX}")
-    members = [Member.decode(entry.value) for entry in listing.entries]
+    reader = RecordReader(lambda entry: Member.decode(entry.value, entry.key))
+    members = [member for member in map(reader.read, listing.entries) if member is not None]
     peers = Peers()
     found: set[str] = set()
     try:
