Replace records of owned resources that cannot be decoded, after their writer's lease

Any odd record of a resource's owner raised in each step of every scheduler (RecursionError, ValueError, TypeError, KeyError): the reconciling task ended.

As in the other two kinds of ownership, such a record has an unknown owner: the former owner gives the resource up, and a member takes it at the record's revision once it has stood for the time to live of a lease. It does not count as released, so the new owner waits for its predecessor's grants.

--- a/packages/coordination/src/gradelug_coordination/ownership.py
+++ b/packages/coordination/src/gradelug_coordination/ownership.py
@@ -17,6 +17,7 @@
 from .lease import LeaseKeeper
 from .membership import Membership
 from .mirror import Mirror
+from .records import Record, RecordReader
 from .rendezvous import rank
 
 OWNERS_PREFIX = "owners/"
@@ -42,6 +43,8 @@
     """Lease to which the record is tied."""
     predecessors_remaining_s: float = 0.0
     """How long former owners may still act after the record is read, in seconds."""
+    is_readable: bool = True
+    """Whether the record could be decoded; its owner is unknown otherwise."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -101,7 +104,9 @@
         "_root",
         "_handover_delay_s",
         "_rank_delay_s",
+        "_reader",
         "_outranked_since",
+        "_unreadable_since",
         "held",
     )
 
@@ -129,13 +134,16 @@
         self._free_since: dict[str, float] = {}
         self._released_fences: dict[str, int] = {}
         self._outranked_since: dict[str, float] = {}
+        self._reader = RecordReader(_decode)
+        self._unreadable_since: dict[str, tuple[int, float]] = {}
+        """Revision of each unreadable record, and since when it was seen, by resource."""
         self.held: dict[str, Held] = {}
 
     def records(self) -> dict[str, OwnerRecord]:
         """Return the ownership records by resource, according to the mirror."""
         prefix = f"{self._root}{OWNERS_PREFIX}"
         return {
-            entry.key.removeprefix(prefix): _read(entry)
+            entry.key.removeprefix(prefix): self._reader.read(entry) or _unknown_owner(entry)
             for entry in self._mirror.entries_below(prefix)
         }
 
@@ -178,6 +186,9 @@
                 await self._release_if_outranked(resource, active)
                 continue
             record = records.get(resource)
+            if record is not None and not record.is_readable:
+                await self._replace_if_due(resource, active, record)
+                continue
             if record is not None and record.owner:
                 self._free_since.pop(resource, None)
                 self._adopt(resource, record)
@@ -225,6 +236,18 @@
         if self._clock() - since >= rank_index * self._rank_delay_s:
             await self._acquire(resource, free)
 
+    async def _replace_if_due(self, resource: str, active: list[str], record: OwnerRecord) -> None:
+        """Take a resource whose record cannot be read once its writer's lease must have expired."""
+        now = self._clock()
+        fence, since = self._unreadable_since.get(resource, (record.fence, now))
+        if fence != record.fence:
+            since = now
+        self._unreadable_since[resource] = (record.fence, since)
+        if now - since < self._lease.ttl_s:
+            self._free_since.pop(resource, None)
+            return
+        await self._take_if_due(resource, active, record)
+
     async def _acquire(self, resource: str, free: OwnerRecord | None) -> None:
         value = _encode(self._membership.local_member.name)
         lease = self._lease.lease
@@ -233,10 +256,10 @@
         if not outcome.swapped:
             return
         self._free_since.pop(resource, None)
+        self._unreadable_since.pop(resource, None)
         doubt_s = free.predecessors_remaining_s if free else 0.0
-        self.held[resource] = Held(
-            outcome.revision, lease, self._clock(), free is not None, doubt_s
-        )
+        was_released = free is not None and free.is_readable
+        self.held[resource] = Held(outcome.revision, lease, self._clock(), was_released, doubt_s)
 
     def _adopt(self, resource: str, record: OwnerRecord) -> None:
         """Hold a resource whose record this process wrote without receiving the answer."""
@@ -257,6 +280,10 @@
     return json.dumps(data).encode()
 
 
-def _read(entry: KvEntry) -> OwnerRecord:
-    data = json.loads(entry.value)
-    return OwnerRecord(data["owner"], entry.revision, entry.lease, float(data["doubt_s"]))
+def _decode(entry: KvEntry) -> OwnerRecord:
+    record = Record(entry.key, entry.value)
+    return OwnerRecord(record.text("owner"), entry.revision, entry.lease, record.number("doubt_s"))
+
+
+def _unknown_owner(entry: KvEntry) -> OwnerRecord:
+    return OwnerRecord("", entry.revision, entry.lease, is_readable=False)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -27,6 +27,7 @@
 from gradelug_coordination.kv import swap_and_confirm
 from gradelug_coordination.once import MAX_INLINE_RECORDS, digest
 from gradelug_standins.kv import MemoryKv
+from odd_values import NESTED
 from world import new_loop
 
 
@@ -291,6 +292,44 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("is_held", [False, True])
+    def test_a_resource_whose_record_cannot_be_read_has_one_owner_again(self, is_held):
+        """Guards against a resource that no member owns again, and against two owners."""
+
+        async def scenario():
+            kv, clock = MemoryKv(), asyncio.get_running_loop().time
+            tasks, members = [], []
+            for name in ("m1", "m2"):
+                rng = random.Random(name)
+                mirror, lease = Mirror(kv, "r/", rng), LeaseKeeper(kv, 3.0, clock, rng)
+                membership = Membership(kv, "r/", mirror, lease, Member(name, "127.0.0.1:1"))
+                members.append((membership, Ownership(kv, "r/", mirror, lease, membership, clock)))
+                tasks += [asyncio.ensure_future(lease.run()), asyncio.ensure_future(mirror.run())]
+            if not is_held:
+                await kv.swap("r/owners/engine", NESTED, 0)
+            spoilt_at = clock()
+            for step in range(120):
+                await asyncio.sleep(0.1)
+                if step == 40 and is_held:
+                    found = await kv.get("r/owners/engine")
+                    swap = await kv.swap(found.key, NESTED, found.revision, found.lease)
+                    assert swap.swapped
+                    spoilt_at = clock()
+                for membership, ownership in members:
+                    await membership.register()
+                    ownership.drop_lost()
+                    await ownership.reconcile(["engine"])
+                holding = [found for _, found in members if found.holds("engine")]
+                assert len(holding) <= 1
+                if holding and clock() - spoilt_at < 3.0 and (step > 41 or not is_held):
+                    pytest.fail("the record was replaced before its writer's lease had expired")
+            (owner,) = holding
+            assert not owner.held["engine"].was_released
+            for task in tasks:
+                task.cancel()
+
+        run(scenario)
+
     def test_a_released_resource_is_not_adopted_from_an_outdated_mirror(self):
         async def scenario():
             kv, clock, rng = MemoryKv(), asyncio.get_running_loop().time, random.Random(1)
