Skip heads and facts that cannot be decoded

An odd head of the configuration in the store raised in the listener of the scheduler's mirror, whose task ended; an odd head or fact from a peer raised in the exchanges of schedulers and routers. Fields were not checked: an address of any kind reached the code that dials it.

All three raise `InvalidRecord` only. A scheduler keeps the configuration in force and its other facts; a router that is sent an odd head asks the next scheduler.

--- a/packages/coordination/src/gradelug_coordination/documents.py
+++ b/packages/coordination/src/gradelug_coordination/documents.py
@@ -16,6 +16,7 @@
 
 from .exceptions import CoordinationError, CorruptBucket, RevisionConflict
 from .kv import ABSENT, KeyValue, KvEntry, swap_and_confirm
+from .records import Record
 
 HEAD_KEY = "head"
 BUCKETS_PREFIX = "buckets/"
@@ -51,10 +52,15 @@
 
     @classmethod
     def decode(cls, value: bytes) -> Head:
-        """Decode a head from its stored record."""
-        data = json.loads(value)
-        data["retired"] = [(int(revision), digest) for revision, digest in data["retired"]]
-        return cls(**data)
+        """Decode a head from its stored record; raises `InvalidRecord`."""
+        record = Record(HEAD_KEY, value)
+        return cls(
+            record.integer("revision"),
+            record.texts("buckets"),
+            record.text("operation"),
+            record.text("author"),
+            record.pairs("retired"),
+        )
 
     def encode(self) -> bytes:
         """Encode the head as its stored record."""
--- a/packages/router/src/gradelug_router/view.py
+++ b/packages/router/src/gradelug_router/view.py
@@ -12,7 +12,7 @@
 from gradelug_config import Catalog, Document
 from gradelug_config.buckets import read_adapters, read_rules
 from gradelug_config.model import Pool
-from gradelug_coordination import Fact, Gossip, Head
+from gradelug_coordination import Fact, Gossip, Head, InvalidRecord, KvEntry, RecordReader
 from gradelug_coordination.rendezvous import rank
 from gradelug_policy import EngineView, Fleet
 from gradelug_runtime import Metrics
@@ -46,10 +46,12 @@
         "_current",
         "_cursor",
         "_cursor_of",
+        "_engine_facts",
         "_engines",
         "_fleets",
         "_gossip",
         "_lock",
+        "_member_facts",
         "_members",
         "_metrics",
         "_peers",
@@ -76,6 +78,8 @@
         self._metrics = metrics
         self._gossip = Gossip(self._clock, random.Random(), expire_s=FACT_LIFE_S)
         self._contents: dict[str, bytes] = {}
+        self._engine_facts = RecordReader(lambda entry: EngineFact.decode(entry.value))
+        self._member_facts = RecordReader(lambda entry: MemberFact.decode(entry.value))
         self._engines: dict[str, EngineFact] = {}
         self._members: dict[str, MemberFact] = {}
         self._fleets: dict[tuple[str, ...], Fleet] = {}
@@ -192,7 +196,11 @@
         self._cursor = reply.cursor
         self._read_facts()
         if reply.head:
-            await self._adopt(Head.decode(reply.head), address)
+            try:
+                head = Head.decode(reply.head)
+            except InvalidRecord as exc:
+                raise PeerUnavailable(f"the scheduler sent an invalid head: {exc}") from exc
+            await self._adopt(head, address)
         # Made anew when they are asked for: far more questions come than exchanges.
         self._fleets = {}
         self.heard_at = sent_at
@@ -202,11 +210,14 @@
     def _read_facts(self) -> None:
         engines, members = {}, {}
         for fact in self._gossip.facts():
+            entry = KvEntry(fact.key, fact.payload, fact.version)
             engine, member = engine_name(fact.key), member_name(fact.key)
-            if engine is not None:
-                engines[engine] = EngineFact.decode(fact.payload)
-            elif member is not None:
-                members[member] = MemberFact.decode(fact.payload)
+            engine_fact = self._engine_facts.read(entry) if engine is not None else None
+            member_fact = self._member_facts.read(entry) if member is not None else None
+            if engine is not None and engine_fact is not None:
+                engines[engine] = engine_fact
+            if member is not None and member_fact is not None:
+                members[member] = member_fact
         self._engines, self._members = engines, members
         self.leaving_upstreams = frozenset(
             address for fact in members.values() for address in fact.leaving_upstreams
--- a/packages/scheduler/src/gradelug_scheduler/node.py
+++ b/packages/scheduler/src/gradelug_scheduler/node.py
@@ -26,14 +26,17 @@
     Follower,
     Gossip,
     Head,
+    InvalidRecord,
     KeyValue,
     KvBuckets,
+    KvEntry,
     LeaseKeeper,
     Member,
     Membership,
     Mirror,
     OnceShard,
     Ownership,
+    RecordReader,
 )
 from gradelug_coordination.documents import HEAD_KEY
 from gradelug_coordination.once import SHARDS
@@ -143,6 +146,8 @@
         self._pollers: dict[str, asyncio.Task[t.Any]] = {}
         self._leaving_upstreams: list[str] = []
         self._heard_at = self.clock()
+        self._heads = RecordReader(lambda entry: Head.decode(entry.value))
+        self._member_facts = RecordReader(lambda entry: MemberFact.decode(entry.value))
         self._offered: Head | None = None
         self._offered_from = ""
         self._woken = asyncio.Event()
@@ -254,8 +259,9 @@
     def _on_mirror(self) -> None:
         self._heard_at = self.clock()
         entry = self.mirror.entries.get(f"{LIVE}{HEAD_KEY}")
-        if entry is not None:
-            self.offer_head(Head.decode(entry.value))
+        head = self._heads.read(entry) if entry is not None else None
+        if head is not None:
+            self.offer_head(head)
         self._wake()
 
     async def _reconcile_forever(self) -> None:
@@ -385,7 +391,9 @@
         }
         for fact in self.gossip.facts():
             if fact.key.startswith(MEMBER) and fact.key != MEMBER + self.name:
-                addresses.add(MemberFact.decode(fact.payload).address)
+                member = self._member_facts.read(KvEntry(fact.key, fact.payload, fact.version))
+                if member is not None:
+                    addresses.add(member.address)
         if not addresses:
             addresses = set(self.cfg.seeds)
         return sorted(addresses - {self.address})
@@ -467,7 +475,10 @@
             fact = Fact(item.key, item.epoch, item.version, item.payload)
             self.gossip.put(fact, message.address)
         if message.head:
-            self.offer_head(Head.decode(message.head))
+            try:
+                self.offer_head(Head.decode(message.head))
+            except InvalidRecord as exc:
+                log.warning("{} sent a head that cannot be read: {}", message.address, exc)
         if self._outranked():
             self._wake()
 
--- a/packages/wire/src/gradelug_wire/facts.py
+++ b/packages/wire/src/gradelug_wire/facts.py
@@ -5,6 +5,8 @@
 import json
 from dataclasses import asdict, dataclass, field
 
+from gradelug_coordination import Record
+
 ENGINE = "engine/"
 MEMBER = "member/"
 
@@ -47,8 +49,19 @@
 
     @classmethod
     def decode(cls, payload: bytes) -> EngineFact:
-        """Read a payload."""
-        return cls(**json.loads(payload))
+        """Read a payload; raises `InvalidRecord`."""
+        record = Record("engine fact", payload)
+        return cls(
+            record.text("owner"),
+            record.address("address"),
+            record.texts("resident", []),
+            record.texts("loading", []),
+            record.integer("evictable", 0),
+            record.number("coldest", 0.0),
+            record.integer("load", 0),
+            record.integer("waiting", 0),
+            record.flag("leaving"),
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,8 +92,15 @@
 
     @classmethod
     def decode(cls, payload: bytes) -> MemberFact:
-        """Read a payload."""
-        return cls(**json.loads(payload))
+        """Read a payload; raises `InvalidRecord`."""
+        record = Record("member fact", payload)
+        return cls(
+            record.address("address"),
+            record.text("hall", ""),
+            record.flag("leaving"),
+            record.texts("leaving_upstreams", []),
+            record.texts("routers", []),
+        )
 
 
 def engine_name(key: str) -> str | None:
