Fail a reservation whose shard cannot be decoded

An odd record of at-most-once keys ended the task that writes reservations without an answer to those who wait: their requests hung until their deadlines.

Cause: only errors of the service were caught there. The record now raises `InvalidRecord`, one of them: the reservation fails at once and the request is refused. The record isn't replaced: the keys in it may have run.

--- a/packages/coordination/src/gradelug_coordination/once.py
+++ b/packages/coordination/src/gradelug_coordination/once.py
@@ -16,8 +16,13 @@
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum
 
-from .exceptions import CoordinationError, KvUnavailable
-from .kv import ABSENT, KeyValue, KvSwap, swap_and_confirm
+import logbook
+
+from .exceptions import CoordinationError, InvalidRecord, KvUnavailable
+from .kv import ABSENT, KeyValue, KvEntry, KvSwap, swap_and_confirm
+from .records import Record, as_list, as_number, as_text, decode_json
+
+log = logbook.Logger("once")
 
 SHARDS = 16
 MAX_INLINE_RECORDS = 400
@@ -79,9 +84,16 @@
         return [self.key, self.body, self.state.value, round(self.at, 1), self.attempt]
 
     @classmethod
-    def from_row(cls, row: list[t.Any]) -> OnceRecord:
-        """Decode a stored record."""
-        return cls(row[0], row[1], OnceState(row[2]), float(row[3]), row[4])
+    def from_row(cls, row: t.Any) -> OnceRecord:
+        """Decode a stored record; raises `ValueError`."""
+        key, body, state, at, attempt = as_list(row, 5)
+        return cls(
+            as_text(key),
+            as_text(body),
+            OnceState(as_text(state)),
+            as_number(at),
+            as_text(attempt),
+        )
 
 
 @dataclass(slots=True)
@@ -98,11 +110,27 @@
         return json.dumps(data, separators=(",", ":")).encode()
 
     @classmethod
-    def decode(cls, value: bytes) -> _ShardRecord:
-        data = json.loads(value)
-        segments = [(name, float(at)) for name, at in data["segments"]]
-        rows = [OnceRecord.from_row(row) for row in data["recent"]]
-        return cls(segments, rows, data["operation"])
+    def decode(cls, entry: KvEntry) -> _ShardRecord:
+        """Decode a shard's entry; raises `InvalidRecord`."""
+        record = Record(entry.key, entry.value)
+        try:
+            segments = [_decode_segment_reference(row) for row in record.rows("segments")]
+            recent = [OnceRecord.from_row(row) for row in record.rows("recent")]
+        except ValueError as exc:
+            raise InvalidRecord(entry.key, str(exc)) from exc
+        return cls(segments, recent, record.text("operation"))
+
+
+def _decode_segment_reference(row: t.Any) -> tuple[str, float]:
+    name, at = as_list(row, 2)
+    return as_text(name), as_number(at)
+
+
+def _decode_segment(entry: KvEntry) -> list[OnceRecord]:
+    try:
+        return [OnceRecord.from_row(row) for row in as_list(decode_json(entry.value))]
+    except ValueError as exc:
+        raise InvalidRecord(entry.key, str(exc)) from exc
 
 
 @dataclass(slots=True)
@@ -228,6 +256,7 @@
                 await self._flush(pending, outcomes)
             except (CoordinationError, OSError) as exc:
                 self._fail_reservations(pending, exc)
+                log.warning("reservations not confirmed", key=self._key, why=repr(exc))
                 # Outcomes only improve the answers to repeated requests: without one the key stays
                 # reserved, which is safe.
                 self._revision = None
@@ -321,13 +350,13 @@
         if entry is None:
             self._shard, self._revision = _ShardRecord(), ABSENT
             return
-        shard = _ShardRecord.decode(entry.value)
+        shard = _ShardRecord.decode(entry)
         for name, _ in shard.segments:
             if name in self._loaded_segments:
                 continue
             segment = await self._kv.get(f"{self._key}/{name}")
             if segment is not None:
-                self._index_records([OnceRecord.from_row(row) for row in json.loads(segment.value)])
+                self._index_records(_decode_segment(segment))
             self._loaded_segments.add(name)
         self._shard, self._revision = shard, entry.revision
         self._index_records(shard.recent)
