Dial no address of a planner or peer that has no valid port

An address without a valid port, from a peer's answer or the planner's list of peers, raised ValueError or OverflowError in the task that keeps the link to a planner. Nothing awaits that task before the process stops, so the instance followed no planner of the service any more.

--- a/packages/gateway/src/gradelug_gateway/search.py
+++ b/packages/gateway/src/gradelug_gateway/search.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 import logbook
+from gradelug_coordination import is_address
 from gradelug_wire import placement_pb2 as pb
 from gradelug_wire.placement_grpc import PlacementStub
 from grpclib.client import Channel
@@ -26,6 +27,7 @@
 POLL_BACKOFF_FACTOR = 1.25
 MAX_POLL_INTERVAL_UNKNOWN_FLEET_S = 0.5
 """Maximum polling interval while the number of gateways is unknown, in seconds."""
+MAX_LOGGED_LENGTH = 200
 PEER_TIMEOUT_S = 0.3
 """Timeout of a query to a peer, in seconds; a peer responds within a round trip."""
 
@@ -95,6 +97,9 @@
 
 async def query_planner_address(address: str, service: str) -> PlannerAddress | None:
     """Query a peer for a service's planner; None if it knows none or does not respond."""
+    if not is_address(address):
+        log.error("invalid address of a peer", address=ascii(address)[:MAX_LOGGED_LENGTH])
+        return None
     host, _, port = address.rpartition(":")
     channel = Channel(host, int(port))
     try:
@@ -107,4 +112,8 @@
         channel.close()
     if not reply.address:
         return None
+    if not is_address(reply.address):
+        reported = ascii(reply.address)[:MAX_LOGGED_LENGTH]
+        log.error("peer reported an invalid planner address", peer=address, address=reported)
+        return None
     return PlannerAddress(reply.owner, reply.address, reply.fence)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -30,6 +30,7 @@
 from gradelug_gateway.origin_record import OriginRecord
 from gradelug_gateway.poison_record import KEY as POISON
 from gradelug_gateway.poison_record import PoisonRecord, _encode
+from gradelug_gateway.search import query_planner_address
 from gradelug_gateway.store_updates import StorePublisher
 from gradelug_gateway.tunnel_key import KEY as TUNNELS
 from gradelug_gateway.tunnel_key import TunnelKey
@@ -328,6 +329,26 @@
 
         assert failures(sound, use) == {}
 
+    def test_an_odd_address_of_a_peer_is_not_dialled(self):
+        async def scenario():
+            found = {}
+            for address in (
+                "",
+                "x",
+                ":1",
+                "h:0",
+                "127.0.0.1:65536",
+                "127.0.0.1:-1",
+                "h:" + "9" * 5000,
+            ):
+                try:
+                    assert await query_planner_address(address, "llm") is None
+                except Exception as exc:
+                    found[address[:20]] = repr(exc)[:100]
+            return found
+
+        assert run(scenario) == {}
+
     def test_an_odd_head_escapes_as_invalid_only(self):
         async def scenario():
             kv = OneEntryKv()
