Leave an unreadable record to its former owner while that one is present

With the records of engines made unreadable, and their owner unable to list the store while its lease went on being renewed, another instance took the engines over after the hold-off: two owners acted. A hold-off that starts at the record does not cover an owner that has not seen it.

An instance remembers the owner in the last readable version of each record. While that owner is present, it alone may take the record over, which it does once it sees it; its absence counts as that of any owner. An instance that has never read the record knows no former owner and waits for the hold-off only.

Evidence: test_an_owner_that_cannot_read_its_spoilt_records_stays_the_only_one failed before: the fleet's monitor saw n2 act on r1 0.0 s after n0.

--- a/packages/coordination/src/gradelug_coordination/lasting.py
+++ b/packages/coordination/src/gradelug_coordination/lasting.py
@@ -134,6 +134,7 @@
         "_free_since",
         "_hold_off_s",
         "_joined",
+        "_known_owners",
         "_kv",
         "_lease",
         "_mirror",
@@ -186,6 +187,8 @@
         """Earliest time of the next write of a record that another instance changed first, by
         resource."""
         self._reader = RecordReader(_decode)
+        self._known_owners: dict[str, str] = {}
+        """Owner in the last readable version of each record, by resource."""
         self._started_at = clock()
         self._ttl_s = lease.ttl_s
         self._outage_until = float("-inf")
@@ -245,13 +248,18 @@
         """Return the ownership records by resource, according to the mirror.
 
         A record that cannot be read has an unknown owner, which is never present: it is taken over
-        as that of an absent owner, by a write at its revision.
+        as that of an absent owner, by a write at its revision, see `_may_former_owner_act`.
         """
         prefix = f"{self._root}{OWNERS_PREFIX}"
-        return {
+        found = {
             entry.key.removeprefix(prefix): self._reader.read(entry) or _unknown_owner(entry)
             for entry in self._mirror.entries_below(prefix)
         }
+        self._known_owners = {
+            name: record.owner or self._known_owners.get(name, UNKNOWN_OWNER)
+            for name, record in found.items()
+        }
+        return found
 
     def present(self) -> set[str]:
         """Return the names of the present instances, according to the mirror."""
@@ -425,7 +433,7 @@
                 self._free_since.setdefault(name, now)
                 return True
             return False
-        if record.owner in present:
+        if record.owner in present or self._may_former_owner_act(name, record, present):
             self._absent_since.pop(record, None)
             self._free_since.pop(name, None)
             return False
@@ -435,6 +443,18 @@
         self._free_since.setdefault(name, now)
         return True
 
+    def _may_former_owner_act(
+        self, name: str, record: PersistentOwnerRecord, present: set[str]
+    ) -> bool:
+        """Return whether the owner before an unreadable record may not have seen that record yet.
+
+        While it is present it renews its lease, so it takes the record over itself once it sees it.
+        """
+        if record.owner != UNKNOWN_OWNER:
+            return False
+        former = self._known_owners.get(name, UNKNOWN_OWNER)
+        return former != self._name and former in present
+
     def _may_take_now(self, name: str, present: set[str], counts: Counter[str]) -> bool:
         order = sorted(present, key=lambda member: (counts[member], -score(member, name)))
         counts[order[0]] += 1
--- a/tests/test_lasting.py
+++ b/tests/test_lasting.py
@@ -31,6 +31,7 @@
     def __init__(self, kv):
         self.kv = kv
         self.cut = False
+        self.reads_cut = False
         self.answers_to_lose = 0
         self.swaps = 0
 
@@ -38,7 +39,7 @@
         call = getattr(self.kv, name)
 
         async def forward(*args):
-            if self.cut:
+            if self.cut or (self.reads_cut and name == "list"):
                 await asyncio.sleep(0.05)
                 raise KvUnavailable("cut off")
             self.swaps += name == "swap"
@@ -52,7 +53,7 @@
 
     async def watch(self, prefix, after, wait_s=None):
         async for events in self.kv.watch(prefix, after):
-            if self.cut:
+            if self.cut or self.reads_cut:
                 raise KvUnavailable("cut off")
             yield events
 
@@ -276,6 +277,24 @@
 
         run(scenario)
 
+    def test_an_owner_that_cannot_read_its_spoilt_records_stays_the_only_one(self):
+        """Guards against a takeover from an owner whose lease is renewed but whose mirror lags."""
+
+        async def scenario():
+            fleet = Fleet(3)
+            await asyncio.sleep(6.0)
+            fleet.instances[0].path.reads_cut = True
+            for resource in RESOURCES:
+                found = await fleet.kv.get(f"e/owners/{resource}")
+                assert (await fleet.kv.swap(found.key, NESTED, found.revision)).swapped
+            await asyncio.sleep(15.0)
+            fleet.instances[0].path.reads_cut = False
+            await asyncio.sleep(15.0)
+            assert all(len(names) == 1 for names in fleet.owners().values())
+            await fleet.stop()
+
+        run(scenario)
+
     def test_a_token_ends_with_the_lease_under_which_it_was_taken(self):
         async def scenario():
             fleet = Fleet(1)
