--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,6 +7,7 @@
 import random
 from pipes import Network, RawServer
 
+import logbook
 import pytest
 from gradelug_coordination import (
     CoordinationError,
@@ -179,6 +180,21 @@
 
         assert run_failures(make_use, OWNER) == {}
 
+    def test_an_odd_record_is_logged_once_for_each_revision(self):
+        async def scenario():
+            parts = Parts()
+            ownership = parts.ownership()
+            with logbook.TestHandler().applicationbound() as handler:
+                for _ in range(2):
+                    parts.put(f"{ROOT}owners/r", b"[" * 100_000)
+                    for _ in range(5):
+                        ownership.records()
+            lines = [line for line in handler.records if line.channel == "records"]
+            assert [line.kwargs["key"] for line in lines] == [f"{ROOT}owners/r"] * 2
+            assert lines[0].kwargs["revision"] < lines[1].kwargs["revision"]
+
+        run(scenario)
+
     def test_an_odd_election_record_names_no_holder(self):
         def make_use():
             parts = Parts()
