Close kept connections that rest once the load balancer is done

A caller whose connection had rested was told 503 with its next request, and came back on a new connection 0.05 s later; with the connection closed before it opens a new one at once, at an instance that stays.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -90,6 +90,8 @@
 later: shorter losses are over before that."""
 UPKEEP_INTERVAL_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.05
+REST_S = 0.5
+"""Connections that rest for this long are closed early in a stop: no request follows at once."""
 METRICS_PATH = b"/metrics"
 STATUS_LIMITS = ServerLimits(header_bytes=4_096, body_bytes=1_024)
 """Limits of requests for readiness and metrics, which have no body."""
@@ -438,9 +440,11 @@
         """Wait until all requests and tunnels have ended, or until the process stops listening."""
         while self._clock() < schedule.close_at:
             self._pipeline.withdraw_late()
-            is_idle = not self._caller_server.is_busy and not self._access.server.connections
-            if self._clock() >= schedule.refuse_at and is_idle:
-                return
+            if self._clock() >= schedule.refuse_at:
+                # Callers open others, through the load balancer, in place of a refusal.
+                self._caller_server.close_rested(REST_S)
+                if not self._caller_server.is_busy and not self._access.server.connections:
+                    return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     async def _resign(self) -> None:
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -173,6 +173,17 @@
         """Whether any connection is open."""
         return bool(self.connections)
 
+    def close_rested(self, rest_s: float) -> None:
+        """Close the connections that rest for some time since their last answer, in seconds."""
+        rested = [conn for conn in self.connections if conn.has_rested(rest_s)]
+        if rested:
+            call_after_poll(lambda: self._close_rested(rested, rest_s))
+
+    def _close_rested(self, conns: t.Iterable[ServerConnection], rest_s: float) -> None:
+        for conn in conns:
+            if conn.has_rested(rest_s):
+                conn.close()
+
     async def stop_listening(self) -> None:
         """Take the connections that wait to be accepted, and accept no more."""
         if self._server is not None and self._listener is not None:
@@ -381,6 +392,11 @@
         """Tell whether nothing is being received or served."""
         return self.task is None and self._began_at is None
 
+    def has_rested(self, rest_s: float) -> bool:
+        """Tell whether it has rested for some time since its last answer, in seconds."""
+        is_used = self._answered > 0 and self._refused_at is None
+        return is_used and self.is_idle() and self.server.clock() - self._rested_at >= rest_s
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is being received or served, or an answer is not sent yet."""
--- a/tests/test_held_up_loop.py
+++ b/tests/test_held_up_loop.py
@@ -82,6 +82,22 @@
 
 
 def test_a_request_that_arrives_as_idle_connections_are_closed_is_unanswered():
+    async def scenario():
+        async with HeldUpServer() as held_up:
+            held_up.client.sendall(REQUEST)
+            assert b" 200 " in await held_up.read()
+            await asyncio.sleep(0.05)
+            held_up.client.sendall(REQUEST)
+            held_up.server.draining = True
+            held_up.server.close_rested(0.0)
+            answer = await held_up.read()
+            assert b" 200 " in answer
+            assert b"connection: close" in answer.lower()
+
+    asyncio.run(scenario())
+
+
+def test_a_request_that_arrives_as_a_server_without_time_left_ends_is_unanswered():
     async def scenario():
         async with HeldUpServer() as held_up:
             held_up.client.sendall(REQUEST)
