--- a/tests/test_daemon_stop.py
+++ b/tests/test_daemon_stop.py
@@ -7,7 +7,7 @@
 
 import pytest
 from gradelug_gateway.daemon import REST_S
-from gradelug_gateway.shutdown import ANSWER_S, BALANCER_REMOVAL_S
+from gradelug_gateway.shutdown import ANSWER_S, BALANCER_REMOVAL_S, CLOSE_S
 from limit_world import LimitWorld, PlainReplica
 from run_world import run
 from soak_settings import CONFIG
@@ -166,8 +166,9 @@
 class TestConnections:
     @pytest.mark.parametrize("at_s", [0.1, 1.0, 2.5, 2.7, 3.5, 4.9])
     @pytest.mark.parametrize("deadline_s", [1.0, 4.0])
+    @pytest.mark.parametrize("path", [b"/u/x", b"/i/x"])
     def test_a_connection_without_a_request_is_closed_while_the_gateway_listens(
-        self, at_s, deadline_s
+        self, path, at_s, deadline_s
     ):
         async def scenario(world):
             client = world.client()
@@ -175,7 +176,7 @@
             await asyncio.sleep(0.05)
             stopping = asyncio.ensure_future(world.stop())
             await asyncio.sleep(at_s)
-            world.send(deadline_s=deadline_s, client=client)
+            world.send(path, deadline_s=deadline_s, client=client)
             await stopping
             expected = 200 if at_s + deadline_s < GRACE_S - ANSWER_S else 503
             assert statuses(client) == [expected]
@@ -233,6 +234,19 @@
 
         play(scenario)
 
+    def test_a_request_is_served_while_the_connections_are_closed(self):
+        async def scenario(world):
+            client = world.client()
+            busy = world.send(work_s=LONG_S - 1)
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(world.stop())
+            await asyncio.sleep(GRACE_S - CLOSE_S + 0.05)
+            world.send(deadline_s=0.1, work_s=0.01, client=client)
+            await stopping
+            assert (statuses(client), statuses(busy)) == ([503], [504])
+
+        play(scenario)
+
     @pytest.mark.parametrize("at_s", [2.7, 3.5, 4.9])
     def test_new_connections_keep_a_gateway_at_work(self, at_s):
         async def scenario(world):
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -91,8 +91,9 @@
             for client in clients:
                 client.sendall(GET)
                 client.settimeout(10.0)
-            # The loop accepts them in this iteration, and makes their transports in the next one.
-            await asyncio.sleep(0)
+            # The loop accepts them in its next turn, and makes their transports in a later one.
+            for _ in range(2):
+                await asyncio.sleep(0)
             await server.finish(time.monotonic() + 10.0)
             answers = [client.recv(1000) for client in clients]
             for client in clients:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -47,6 +47,18 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("repeat", list(Repeat))
+    def test_a_request_that_cannot_end_is_placed_before_it_is_refused(self, repeat):
+        async def scenario():
+            bench = Bench(route(repeat, timeout_s=TIMEOUT_S), [[[OK]]], engine=True)
+            bench.serving.shut_down(schedule(bench, refuse_in_s=0.1, work_s=0.1))
+            client = bench.client(DEADLINE_MS, ADAPTER)
+            await asyncio.sleep(0.01)
+            assert status(client) == 503
+            assert bench.directory.asked == []
+
+        run(scenario)
+
     def test_a_request_that_may_have_run_is_refused(self):
         async def scenario():
             bench = Bench(route(Repeat.FREELY, timeout_s=TIMEOUT_S), [[[]]])
