--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -189,7 +189,7 @@
         """Refuse the requests that were not sent in time to end before the process does."""
         now = self._clock()
         for job in self._waiting.jobs():
-            self._gate.durations.note_running(job.route.name, now - job.req.arrived_at)
+            self._gate.durations.note(job.route.name, now - job.req.arrived_at)
         self._waiting.withdraw(self._gate.check)
 
     async def serve(self, inc: Incoming) -> None:
@@ -244,7 +244,7 @@
         else:
             duration_s = self._clock() - started
             self._meters.observe_latency(job.route.streaming, duration_s)
-            self._gate.durations.note_end(job.route.name, duration_s)
+            self._gate.durations.note(job.route.name, duration_s)
 
     def _release_kv_copy(self, job: Job) -> None:
         """Release the saved KV cache of a request that ended without using it."""
--- a/packages/gateway/src/gradelug_gateway/shutdown.py
+++ b/packages/gateway/src/gradelug_gateway/shutdown.py
@@ -23,9 +23,8 @@
 EXIT_MARGIN_S = 0.1
 """The process exits this long before it would be killed."""
 LONGEST_FACTOR = 1.5
-"""A request is expected to take no longer than the longest recent one times this."""
-MEAN_FACTOR = 2.0
-"""A stream that can be resumed elsewhere is expected to take no longer than the mean times this."""
+"""A request that may run again is expected to take no longer than the longest recent one times
+this."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,12 +119,13 @@
     def _expected_s(self, route: Route) -> float:
         """Return how long a request on a route may take, in seconds.
 
-        A request that must not run twice may need its whole time until the deadline.
+        A request that must not run twice may need its whole time until the deadline. A stream that
+        is broken off can be resumed, and needs no margin.
         """
         if route.repeat is Repeat.NEVER:
             return math.inf
         if route.repeat is Repeat.RESUME:
-            return MEAN_FACTOR * self.durations.mean_s(route)
+            return self.durations.longest_s(route)
         return LONGEST_FACTOR * self.durations.longest_s(route)
 
     def check(self, job: Job) -> None:
