--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -94,6 +94,9 @@
 """The process exits this long before it would be killed."""
 DRAIN_POLL_INTERVAL_S = 0.05
 METRICS_PATH = b"/metrics"
+CALL_BODY_BYTES = 2_097_152
+"""Maximum size of all responses to orders, and of those to calls that move or list runs, that are
+being received at a time, in bytes; a report has some kilobytes."""
 STATUS_LIMITS = ServerLimits(header_bytes=4_096, body_bytes=1_024)
 """Limits of requests for readiness and metrics, which have no body."""
 STATUS_UNREAD_BYTES = 4_000_000
@@ -212,6 +215,9 @@
         if order_pool is not None:
             # An order through a peer would count as an order of that instance.
             order_pool.dial = self._access.dialer.dial_directly
+        for call_pool in (run_pool, order_pool):
+            if call_pool is not None:
+                call_pool.bound_bodies(CALL_BODY_BYTES)
         self._limit_clients: dict[str, LimitClient] = {}
         self._planner_roles: dict[str, PlannerRole] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -137,6 +137,11 @@
         for wire in self._wires:
             wire.read_ahead = size
 
+    @property
+    def body_limit(self) -> int:
+        """Bytes that the bodies that are being collected may have together."""
+        return self._bodies.limit
+
     def bound_bodies(self, size: int, unsent: t.Callable[[], int] = lambda: 0) -> None:
         """Let the bodies that are being collected have so many bytes together, if that is less.
 
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -6,6 +6,7 @@
 
 import pytest
 from gradelug_gateway import streams
+from gradelug_gateway.settings import BASE_MEMORY_MB, Addresses, Bounds, GatewaySettings
 from gradelug_gateway.streams import EventAssembler
 from gradelug_http import (
     HttpPool,
@@ -19,6 +20,8 @@
 from gradelug_http.budget import LEAST_BODY_BYTES, LEAST_PART, LEAST_READ_AHEAD, BodyBudget
 from gradelug_http.client import MAX_HEAD_BYTES
 from gradelug_http.tunnel import MAX_BUFFERED_BYTES
+from gradelug_platform import main
+from gradelug_platform.settings import PlatformSettings
 from gradelug_platform.store import PlatformStore
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -190,6 +193,29 @@
         assert not lease.add(1)
 
 
+class TestSums:
+    @pytest.mark.parametrize("memory_mb", [160, 200, 300])
+    def test_bounds_of_all_pools_exceeded_the_memory_of_an_instance(self, memory_mb, monkeypatch):
+        pools = []
+
+        class RecordedPool(HttpPool):
+            def __init__(self, *args):
+                super().__init__(*args)
+                pools.append(self)
+
+        async def scenario():
+            monkeypatch.setattr(main, "HttpPool", RecordedPool)
+            addresses = Addresses("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+            gateway = GatewaySettings("i", "h", addresses, Bounds(), memory_mb=memory_mb)
+            main._new_daemon(PlatformSettings(gateway, "127.0.0.1:4"), None)
+            bodies = sum(pool.body_limit for pool in pools) * (1 + LEAST_PART)
+            base = BASE_MEMORY_MB * 1_000_000
+            assert len(pools) == 4
+            assert base + gateway.unread_bytes + bodies <= memory_mb * 1_000_000
+
+        run(scenario)
+
+
 class TestReadAhead:
     def test_each_connection_received_a_whole_read_beyond_its_bound(self):
         async def scenario():
