Messages of peers are bounded, and awaited for a limited time

Five messages of 20 MB at the port for peers took a gateway at MemoryMb 160 to 187 MB. grpclib collects a message of any length that its sender states, and the first message of a stream was awaited without a limit of time.

Servers and channels between gateways now refuse messages over 8 MB, and over 16 MB for all that are being received by a process, with RESOURCE_EXHAUSTED and a line in the log; the first message is awaited as long as the later ones, 2.5 s.

The stand-in for the channel in poison_world.py patches the new name.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -32,7 +32,7 @@
 from gradelug_policy.quotas import LocalShares
 from gradelug_runtime.clock import run as run_steady
 from gradelug_runtime.process import Tasks
-from grpclib.server import Server
+from gradelug_wire.bounded import BoundedServer
 
 from .admission import AdmissionControl
 from .budgets import GatewayCount, RetryBudgets
@@ -352,7 +352,7 @@
         self._status_server = HttpServer(
             self._serve_status, lambda: STATUS_LIMITS, self._clock, STATUS_UNREAD_BYTES
         )
-        self._peer_server = Server(
+        self._peer_server = BoundedServer(
             [PlacementService(self._planner_roles, self._directory.newest_planner, errors)]
         )
         checks = startup_checks(self._state, self._mirror, self._directory, self._planner_roles)
--- a/packages/gateway/src/gradelug_gateway/link.py
+++ b/packages/gateway/src/gradelug_gateway/link.py
@@ -15,8 +15,8 @@
 from gradelug_policy.prefill import subtract_queue
 from gradelug_policy.quotas import LocalShares
 from gradelug_wire import placement_pb2 as pb
+from gradelug_wire.bounded import BoundedChannel
 from gradelug_wire.placement_grpc import PlacementStub
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from .executing import Executor
@@ -298,7 +298,7 @@
     async def follow(self, planner: PlannerAddress) -> None:
         """Exchange messages with a planner until the stream breaks or times out."""
         host, _, port = planner.address.rpartition(":")
-        channel = Channel(host, int(port))
+        channel = BoundedChannel(host, int(port))
         for pending in self._pending_requests.values():
             pending.sent = False
         self._changed.update(self.active)
--- a/packages/gateway/src/gradelug_gateway/placement.py
+++ b/packages/gateway/src/gradelug_gateway/placement.py
@@ -245,7 +245,7 @@
 
     async def Locate(self, stream: t.Any) -> None:  # noqa: N802
         """Return the planner address known to this instance."""
-        request = await stream.recv_message()
+        request = await _receive_message(stream)
         found = self._locate(request.service) if request is not None else None
         reply = pb.Planner()
         if found is not None:
@@ -254,7 +254,7 @@
 
     async def Follow(self, stream: t.Any) -> None:  # noqa: N802
         """Exchange messages with a gateway until either side closes the stream."""
-        first = await stream.recv_message()
+        first = await _receive_message(stream)
         if first is None:
             return
         duty = self._duties.get(first.service)
@@ -273,6 +273,8 @@
             log.info("gateway disconnected", instance=gateway.instance, why=str(exc))
         except TimeoutError:
             log.info("gateway timed out", instance=gateway.instance, after_s=GATEWAY_TIMEOUT_S)
+        except GRPCError:
+            raise
         except Exception as exc:
             self._errors.record(ErrorScope.GATEWAY, exc, instance=gateway.instance)
             raise
@@ -281,10 +283,14 @@
             planner.leave(gateway)
 
 
-async def _receive_message(stream: t.Any) -> pb.FromGateway | None:
-    """Return a gateway's next message; raises `TimeoutError` if none arrives in time."""
-    async with asyncio.timeout(GATEWAY_TIMEOUT_S):
-        return t.cast("pb.FromGateway | None", await stream.recv_message())
+async def _receive_message(stream: t.Any) -> t.Any:
+    """Return a peer's next message; raises `TimeoutError` if none arrives in time."""
+    try:
+        async with asyncio.timeout(GATEWAY_TIMEOUT_S):
+            return await stream.recv_message()
+    except GRPCError as exc:
+        log.warning("message of a peer refused", why=str(exc))
+        raise
 
 
 async def _send_messages(stream: t.Any, gateway: Follower) -> None:
--- a/packages/gateway/src/gradelug_gateway/search.py
+++ b/packages/gateway/src/gradelug_gateway/search.py
@@ -13,8 +13,8 @@
 
 import logbook
 from gradelug_wire import placement_pb2 as pb
+from gradelug_wire.bounded import BoundedChannel
 from gradelug_wire.placement_grpc import PlacementStub
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 log = logbook.Logger("search")
@@ -96,7 +96,7 @@
 async def query_planner_address(address: str, service: str) -> PlannerAddress | None:
     """Query a peer for a service's planner; None if it knows none or does not respond."""
     host, _, port = address.rpartition(":")
-    channel = Channel(host, int(port))
+    channel = BoundedChannel(host, int(port))
     try:
         async with asyncio.timeout(PEER_TIMEOUT_S):
             reply = await PlacementStub(channel).Locate(pb.Where(service=service))
--- a/tests/poison_world.py
+++ b/tests/poison_world.py
@@ -323,7 +323,7 @@
         self.request_count = 0
         self.gateways = [Instance(self, at) for at in range(gateways)]
         self._patches = [
-            mock.patch.object(link_module, "Channel", lambda *at: mock.Mock(at=at)),
+            mock.patch.object(link_module, "BoundedChannel", lambda *at: mock.Mock(at=at)),
             mock.patch.object(link_module, "PlacementStub", self._stub),
             mock.patch.object(
                 directory_module, "query_planner_address", mock.AsyncMock(return_value=None)
