A broken answer's connection and fields are freed with its error

A gateway that received fifty heads of 13,000 fields peaked at 121 MB although each was refused as it came: the error that ended an exchange referred through its traceback to the task that it came from, and so to itself, and kept the parsed fields and the connection's buffers until the cyclic collector ran.

The task leaves the frame with the result, and the fields leave theirs before the error is raised.

In memory: ten of ten broken answers were still referenced before, none but the last now.

--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -140,7 +140,11 @@
             raise
         if task.exception() is None:
             self._silences.note_data(exchange.replica)
-        return task.result()
+        try:
+            return task.result()
+        finally:
+            # An error refers to this frame: with the task in it, it would refer to itself.
+            del task
 
     async def _wait(
         self, exchange: Exchange, task: asyncio.Future[t.Any], timeouts: SilenceTimeouts
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -367,8 +367,14 @@
                 raise ResponseBroken(f"the answer is malformed: {exc}") from exc
             if event is not h11.NEED_DATA:
                 self._events += 1
-                _check_fields(event)
-                return event
+                fields = _field_count(event)
+                if fields <= MAX_FIELDS:
+                    return event
+                # The error refers to this frame, which must not keep the fields.
+                del event
+                raise ResponseBroken(
+                    f"a head or a trailer has {fields} fields, more than {MAX_FIELDS}"
+                )
             self._h11.receive_data(await self._wire.read())
 
     async def _next_final_event(self) -> t.Any:
@@ -399,11 +405,9 @@
         self._h11 = again
 
 
-def _check_fields(event: t.Any) -> None:
-    """Raise `ResponseBroken` if a head or a trailer has too many fields."""
-    fields = len(getattr(event, "headers", ()))
-    if fields > MAX_FIELDS:
-        raise ResponseBroken(f"a head or a trailer has {fields} fields, more than {MAX_FIELDS}")
+def _field_count(event: t.Any) -> int:
+    """Return the number of fields in a head or a trailer; 0 for other parts."""
+    return len(getattr(event, "headers", ()))
 
 
 def _idle_s(head: ResponseHead) -> float:
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -1,11 +1,17 @@
 """Bounds on bytes that replicas, the store and peers send, in memory."""
 
 import asyncio
+import contextlib
+import gc
 import tracemalloc
+import weakref
 from pipes import Network, RawClient, RawServer, join
+from types import SimpleNamespace
 
 import pytest
 from gradelug_gateway import streams
+from gradelug_gateway.model import Repeat
+from gradelug_gateway.response_wait import ResponseWaiter
 from gradelug_gateway.settings import BASE_MEMORY_MB, Addresses, Bounds, GatewaySettings
 from gradelug_gateway.streams import EventAssembler
 from gradelug_http import (
@@ -162,6 +168,36 @@
         run(scenario)
 
 
+class Held:
+    """Stands for what the frames of a broken answer refer to."""
+
+
+class TestBrokenAnswers:
+    def test_what_a_broken_answer_held_waited_for_the_collector(self):
+        refs = []
+
+        async def break_off():
+            held = Held()
+            refs.append(weakref.ref(held))
+            raise ResponseBroken("cut")
+
+        async def scenario():
+            route = SimpleNamespace(repeat=Repeat.NEVER)
+            exchange = SimpleNamespace(job=SimpleNamespace(route=route), run=None)
+            waiter = ResponseWaiter(asyncio.get_running_loop().time, None, None)
+            for _ in range(10):
+                with contextlib.suppress(ResponseBroken):
+                    await waiter.receive(exchange, break_off())
+                await asyncio.sleep(0.01)
+
+        gc.disable()
+        try:
+            run(scenario)
+            assert [ref() for ref in refs[:-1]] == [None] * 9
+        finally:
+            gc.enable()
+
+
 class TestBudget:
     @settings(derandomize=True)
     @given(
