Events without an end count with collected bodies

Each stream of a faulty replica kept up to a megabyte of an event whose end did not come, beside every bound: fifty took 57 MB.

The part of an event that waits for its end now counts in the budget of bodies, and a stream whose event finds no room there is broken.

In memory, fifty streams with a bound of 2 MB: 57 MB before, 20 MB allowed.

--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -13,6 +13,7 @@
 
 import logbook
 from gradelug_http import (
+    BodyLease,
     ConnectFailed,
     ConnectRefused,
     HttpPool,
@@ -574,6 +575,15 @@
         return Outcome.FULL if verdict is Verdict.FULL else Outcome.NOT_RUN
 
     async def _stream(self, exchange: Exchange, head: ResponseHead) -> Outcome:
+        lease = exchange.conn.open_lease()
+        try:
+            return await self._forward_events(exchange, head, lease)
+        finally:
+            lease.release()
+
+    async def _forward_events(
+        self, exchange: Exchange, head: ResponseHead, lease: BodyLease
+    ) -> Outcome:
         job = exchange.job
         while True:
             data = await self._waiter.receive(exchange, exchange.conn.chunk())
@@ -581,6 +591,8 @@
                 break
             before = job.events.last_event
             events = job.events.feed(data)
+            if not lease.resize(job.events.size):
+                raise NoRoomForAnswer(f"there is no room for an event of {lease.size} bytes")
             if not events:
                 continue
             if not exchange.is_acquitted and exchange.has_run_for(ACQUIT_AFTER_S, self._clock()):
--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on the asyncio loop, parsed and framed by h11, with every byte accounted for."""
 
+from .budget import BodyLease as BodyLease
 from .budget import KeptBody as KeptBody
 from .client import Connection as Connection
 from .client import OutgoingRequest as OutgoingRequest
--- a/packages/http/src/gradelug_http/budget.py
+++ b/packages/http/src/gradelug_http/budget.py
@@ -84,7 +84,7 @@
 
 
 class BodyLease:
-    """What one body takes of a budget, from its first part until it is released.
+    """What one body takes of a budget until it is released.
 
     Parameters
     ----------
@@ -92,27 +92,27 @@
         The budget.
     """
 
-    __slots__ = ("_budget", "_is_open", "size")
+    __slots__ = ("_budget", "size")
 
     def __init__(self, budget: BodyBudget) -> None:
         self._budget = budget
-        self._is_open = True
         self.size = 0
         """Bytes of the body so far."""
-        budget.bodies += 1
+
+    def resize(self, size: int) -> bool:
+        """Count a body as so many bytes; return whether it fits."""
+        self._budget.bodies += (size > 0) - (self.size > 0)
+        self._budget.held += size - self.size
+        self.size = size
+        return not size or self._budget.has_room(size)
 
     def add(self, size: int) -> bool:
         """Count a further part of the body; return whether it fits."""
-        self.size += size
-        self._budget.held += size
-        return self._budget.has_room(self.size)
+        return self.resize(self.size + size)
 
     def release(self) -> None:
         """Stop counting a body that was passed on or given up; further calls do nothing."""
-        if self._is_open:
-            self._is_open = False
-            self._budget.bodies -= 1
-            self._budget.held -= self.size
+        self.resize(0)
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -10,7 +10,7 @@
 import h11
 import logbook
 
-from .budget import MOST_READ_AHEAD, BodyBudget, KeptBody
+from .budget import MOST_READ_AHEAD, BodyBudget, BodyLease, KeptBody
 from .exceptions import ConnectFailed, NoRoomForAnswer, ResponseBroken
 from .headers import Header, Headers, find
 from .liveness import is_silenced, keep_alive
@@ -308,12 +308,16 @@
         kept.release()
         return kept.data
 
+    def open_lease(self) -> BodyLease:
+        """Begin to count what its caller keeps of an answer together with collected bodies."""
+        return self._bodies.open()
+
     async def keep_body(self, limit: int, on_part: t.Callable[[], None] = lambda: None) -> KeptBody:
         """Return the whole body as `body` does; it counts until it is released."""
         if self._announced > limit:
             raise ResponseBroken(f"the answer of {self._announced} bytes exceeds {limit} bytes")
         # Not a list of parts: each part of two bytes would be an object of fifty.
-        whole, lease = bytearray(), self._bodies.open()
+        whole, lease = bytearray(), self.open_lease()
         is_whole = False
         try:
             while (data := await self.chunk()) is not None:
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 import pytest
+import test_serving
 from gradelug_gateway import streams
 from gradelug_gateway.model import Repeat
 from gradelug_gateway.response_wait import ResponseWaiter
@@ -31,7 +32,10 @@
 from gradelug_platform.store import PlatformStore
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from refusal_world import DEADLINE_S
 from run_world import run
+from test_endless_responses import CHUNK, CHUNKED, RESPONSES, endless_world
+from test_endless_responses import HEAD as ENDLESS_HEAD
 
 ADDRESS = "10.0.1.1:80"
 GET = OutgoingRequest(b"GET", b"/x", [(b"Host", b"h")])
@@ -39,6 +43,8 @@
 SHORT = HEAD + b"Content-Length: 2\r\n\r\nok"
 LIMIT_BYTES = 4_000_000
 TUNNELS = 20
+STREAMS = 50
+BOUND_BYTES = 2_000_000
 FACTOR = 3
 """Memory that a body may take, by its bytes."""
 
@@ -343,6 +349,32 @@
         assert assembler.is_between_events
 
 
+class TestUnfinishedEvents:
+    def test_events_without_an_end_were_not_counted(self, monkeypatch):
+        class BoundedPool(HttpPool):
+            def __init__(self, *args):
+                super().__init__(*args)
+                self.bound_bodies(BOUND_BYTES)
+
+        async def scenario():
+            monkeypatch.setattr(test_serving, "HttpPool", BoundedPool)
+            monkeypatch.setitem(RESPONSES, "event", (ENDLESS_HEAD + CHUNKED, CHUNK))
+            world, opened = endless_world("event")
+            tracemalloc.start()
+            try:
+                for _ in range(STREAMS):
+                    world.ask("stream")
+                await asyncio.sleep(DEADLINE_S + 0.3)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert len(opened) == STREAMS
+            assert peak <= 10 * BOUND_BYTES
+            assert all(caller.is_answered for caller in world.callers)
+
+        run(scenario)
+
+
 class OpenPolicy:
     def check(self, target, key):
         return TunnelStatus.OPEN
