Requests that replicas have not read yet count as held

What a replica does not read of a request stays in its connection's buffer, a copy of the body, and nothing counted it.

HttpPool.held now adds what is unsent on each connection to what is unread.

The test sends 32 MB to a server that reads nothing: 0 bytes were held before.

--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -143,6 +143,13 @@
             raise ResponseBroken(f"the upstream reset the connection: {self.reset!r}")
         return b""
 
+    @property
+    def held(self) -> int:
+        """Bytes that came and were not read, and of requests that were not sent yet."""
+        if self.is_dropped or self.transport is None:
+            return 0
+        return len(self.received) + self.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Close at once; what is unsent or unread is dropped."""
         self._drop()
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -128,8 +128,8 @@
         return sum(not wire.is_dropped for wire in self._wires)
 
     def held(self) -> int:
-        """Return the bytes of answers that came and were not read yet."""
-        return sum(len(wire.received) for wire in self._wires)
+        """Return the bytes of answers that were not read yet, and of requests not sent yet."""
+        return sum(wire.held for wire in self._wires)
 
     def bound_read_ahead(self, size: int) -> None:
         """Let each answer be so many bytes ahead of its reader."""
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -21,6 +21,7 @@
     ResponseBroken,
     TunnelServer,
     TunnelStatus,
+    Wire,
     connect_tcp,
     open_tunnel,
 )
@@ -44,6 +45,7 @@
 LIMIT_BYTES = 4_000_000
 TUNNELS = 20
 STREAMS = 50
+UNREAD_BYTES = 32_000_000
 BOUND_BYTES = 2_000_000
 FACTOR = 3
 """Memory that a body may take, by its bytes."""
@@ -281,6 +283,71 @@
         assert 0 < most <= 2 * TUNNELS * LEAST_READ_AHEAD
 
 
+class TestWires:
+    def test_a_read_that_was_cancelled_loses_nothing(self):
+        async def scenario():
+            wire = Wire()
+            read = asyncio.ensure_future(wire.read())
+            await asyncio.sleep(0.01)
+            wire.data_received(b"first")
+            read.cancel()
+            await asyncio.sleep(0.01)
+            wire.data_received(b"second")
+            assert await wire.read() == b"firstsecond"
+            again = asyncio.ensure_future(wire.read())
+            await asyncio.sleep(0.01)
+            wire.data_received(b"third")
+            assert await again == b"third"
+
+        run(scenario)
+
+    def test_what_came_before_a_reset_is_read_from_a_closed_transport(self):
+        async def scenario():
+            target = await asyncio.start_server(send_and_reset, "127.0.0.1", 0)
+            address = f"127.0.0.1:{target.sockets[0].getsockname()[1]}"
+            wire = await connect_tcp(address, Wire)
+            wire.read_ahead = 0
+            wire.transport.write(b"GET")
+            async with asyncio.timeout(5.0):
+                while not wire.received:
+                    await asyncio.sleep(0.001)
+                wire.transport.abort()
+                while not wire.ended:
+                    await asyncio.sleep(0.001)
+                assert await wire.read(3) == b"xxx"
+            target.close()
+
+        asyncio.run(scenario())
+
+    def test_requests_that_replicas_do_not_read_were_not_counted(self):
+        async def scenario():
+            target = await asyncio.start_server(read_nothing, "127.0.0.1", 0)
+            address = f"127.0.0.1:{target.sockets[0].getsockname()[1]}"
+            pool = HttpPool(asyncio.get_running_loop().time)
+            conn = await pool.acquire(address, 1.0)
+            conn.send(OutgoingRequest(b"POST", b"/x", [(b"Host", b"h")], bytes(UNREAD_BYTES)))
+            await asyncio.sleep(0.1)
+            held = pool.held()
+            conn.abort()
+            target.close()
+            return held, pool.held()
+
+        held, after = asyncio.run(scenario())
+        assert held >= UNREAD_BYTES // 4
+        assert after == 0
+
+
+async def send_and_reset(reader, writer):
+    await reader.read(3)
+    writer.write(b"x" * 1000)
+    await writer.drain()
+    await reader.read()
+
+
+async def read_nothing(reader, writer):
+    writer.transport.pause_reading()
+
+
 class TestIdleConnections:
     def test_bytes_behind_a_whole_answer_were_kept_on_an_idle_connection(self):
         async def scenario():
