--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -33,7 +33,7 @@
 from gradelug_policy.quotas import LocalShares
 from gradelug_runtime.clock import run as run_steady
 from gradelug_runtime.process import Tasks
-from grpclib.server import Server
+from gradelug_wire.bounded import BoundedServer
 
 from .admission import AdmissionControl
 from .budgets import GatewayCount, RetryBudgets
@@ -94,6 +94,9 @@
 REST_S = 0.5
 """Connections that rest for this long are closed early in a stop: no request follows at once."""
 METRICS_PATH = b"/metrics"
+CALL_BODY_BYTES = 2_097_152
+"""Maximum size of all responses to orders, and of those to calls that move or list runs, that are
+being received at a time, in bytes; a report has some kilobytes."""
 STATUS_LIMITS = ServerLimits(header_bytes=4_096, body_bytes=1_024)
 """Limits of requests for readiness and metrics, which have no body."""
 STATUS_UNREAD_BYTES = 4_000_000
@@ -212,6 +215,9 @@
         if order_pool is not None:
             # An order through a peer would count as an order of that instance.
             order_pool.dial = self._access.dialer.dial_directly
+        for call_pool in (run_pool, order_pool):
+            if call_pool is not None:
+                call_pool.bound_bodies(CALL_BODY_BYTES)
         self._limit_clients: dict[str, LimitClient] = {}
         self._planner_roles: dict[str, PlannerRole] = {}
         self._ownership = None if settings.bounds.fenced else self._new_ownership()
@@ -353,7 +359,7 @@
         self._status_server = HttpServer(
             self._serve_status, lambda: STATUS_LIMITS, self._clock, STATUS_UNREAD_BYTES
         )
-        self._peer_server = Server(
+        self._peer_server = BoundedServer(
             [PlacementService(self._planner_roles, self._directory.newest_planner, errors)]
         )
         checks = startup_checks(self._state, self._mirror, self._directory, self._planner_roles)
--- a/packages/gateway/src/gradelug_gateway/search.py
+++ b/packages/gateway/src/gradelug_gateway/search.py
@@ -14,8 +14,8 @@
 import logbook
 from gradelug_coordination import is_address
 from gradelug_wire import placement_pb2 as pb
+from gradelug_wire.bounded import BoundedChannel
 from gradelug_wire.placement_grpc import PlacementStub
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 log = logbook.Logger("search")
@@ -101,7 +101,7 @@
         log.error("invalid address of a peer", address=ascii(address)[:MAX_LOGGED_LENGTH])
         return None
     host, _, port = address.rpartition(":")
-    channel = Channel(host, int(port))
+    channel = BoundedChannel(host, int(port))
     try:
         async with asyncio.timeout(PEER_TIMEOUT_S):
             reply = await PlacementStub(channel).Locate(pb.Where(service=service))
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -10,7 +10,7 @@
 import h11
 import logbook
 
-from .budget import MOST_READ_AHEAD, BodyBudget, KeptBody
+from .budget import MOST_READ_AHEAD, BodyBudget, BodyLease, KeptBody
 from .exceptions import ConnectFailed, NoRoomForAnswer, ResponseBroken
 from .headers import Header, Headers, find
 from .liveness import is_silenced, keep_alive
@@ -143,6 +143,13 @@
             raise ResponseBroken(f"the upstream reset the connection: {self.reset!r}")
         return b""
 
+    @property
+    def held(self) -> int:
+        """Bytes that came and were not read, and of requests that were not sent yet."""
+        if self.is_dropped or self.transport is None:
+            return 0
+        return len(self.received) + self.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Close at once; what is unsent or unread is dropped."""
         self._drop()
@@ -308,12 +315,16 @@
         kept.release()
         return kept.data
 
+    def open_lease(self) -> BodyLease:
+        """Begin to count what its caller keeps of an answer together with collected bodies."""
+        return self._bodies.open()
+
     async def keep_body(self, limit: int, on_part: t.Callable[[], None] = lambda: None) -> KeptBody:
         """Return the whole body as `body` does; it counts until it is released."""
         if self._announced > limit:
             raise ResponseBroken(f"the answer of {self._announced} bytes exceeds {limit} bytes")
         # Not a list of parts: each part of two bytes would be an object of fifty.
-        whole, lease = bytearray(), self._bodies.open()
+        whole, lease = bytearray(), self.open_lease()
         is_whole = False
         try:
             while (data := await self.chunk()) is not None:
@@ -367,8 +378,14 @@
                 raise ResponseBroken(f"the answer is malformed: {exc}") from exc
             if event is not h11.NEED_DATA:
                 self._events += 1
-                _check_fields(event)
-                return event
+                fields = _field_count(event)
+                if fields <= MAX_FIELDS:
+                    return event
+                # The error refers to this frame, which must not keep the fields.
+                del event
+                raise ResponseBroken(
+                    f"a head or a trailer has {fields} fields, more than {MAX_FIELDS}"
+                )
             self._h11.receive_data(await self._wire.read())
 
     async def _next_final_event(self) -> t.Any:
@@ -399,11 +416,9 @@
         self._h11 = again
 
 
-def _check_fields(event: t.Any) -> None:
-    """Raise `ResponseBroken` if a head or a trailer has too many fields."""
-    fields = len(getattr(event, "headers", ()))
-    if fields > MAX_FIELDS:
-        raise ResponseBroken(f"a head or a trailer has {fields} fields, more than {MAX_FIELDS}")
+def _field_count(event: t.Any) -> int:
+    """Return the number of fields in a head or a trailer; 0 for other parts."""
+    return len(getattr(event, "headers", ()))
 
 
 def _idle_s(head: ResponseHead) -> float:
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -128,8 +128,8 @@
         return sum(not wire.is_dropped for wire in self._wires)
 
     def held(self) -> int:
-        """Return the bytes of answers that came and were not read yet."""
-        return sum(len(wire.received) for wire in self._wires)
+        """Return the bytes of answers that were not read yet, and of requests not sent yet."""
+        return sum(wire.held for wire in self._wires)
 
     def bound_read_ahead(self, size: int) -> None:
         """Let each answer be so many bytes ahead of its reader."""
@@ -137,6 +137,11 @@
         for wire in self._wires:
             wire.read_ahead = size
 
+    @property
+    def body_limit(self) -> int:
+        """Bytes that the bodies that are being collected may have together."""
+        return self._bodies.limit
+
     def bound_bodies(self, size: int, unsent: t.Callable[[], int] = lambda: 0) -> None:
         """Let the bodies that are being collected have so many bytes together, if that is less.
 
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -1,11 +1,19 @@
 """Bounds on bytes that replicas, the store and peers send, in memory."""
 
 import asyncio
+import contextlib
+import gc
 import tracemalloc
+import weakref
 from pipes import Network, RawClient, RawServer, join
+from types import SimpleNamespace
 
 import pytest
+import test_serving
 from gradelug_gateway import streams
+from gradelug_gateway.model import Repeat
+from gradelug_gateway.response_wait import ResponseWaiter
+from gradelug_gateway.settings import BASE_MEMORY_MB, Addresses, Bounds, GatewaySettings
 from gradelug_gateway.streams import EventAssembler
 from gradelug_http import (
     HttpPool,
@@ -13,16 +21,22 @@
     ResponseBroken,
     TunnelServer,
     TunnelStatus,
+    Wire,
     connect_tcp,
     open_tunnel,
 )
 from gradelug_http.budget import LEAST_BODY_BYTES, LEAST_PART, LEAST_READ_AHEAD, BodyBudget
 from gradelug_http.client import MAX_HEAD_BYTES
 from gradelug_http.tunnel import MAX_BUFFERED_BYTES
+from gradelug_platform import main
+from gradelug_platform.settings import PlatformSettings
 from gradelug_platform.store import PlatformStore
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from refusal_world import DEADLINE_S
 from run_world import run
+from test_endless_responses import CHUNK, CHUNKED, RESPONSES, endless_world
+from test_endless_responses import HEAD as ENDLESS_HEAD
 
 ADDRESS = "10.0.1.1:80"
 GET = OutgoingRequest(b"GET", b"/x", [(b"Host", b"h")])
@@ -30,6 +44,9 @@
 SHORT = HEAD + b"Content-Length: 2\r\n\r\nok"
 LIMIT_BYTES = 4_000_000
 TUNNELS = 20
+STREAMS = 50
+UNREAD_BYTES = 32_000_000
+BOUND_BYTES = 2_000_000
 FACTOR = 3
 """Memory that a body may take, by its bytes."""
 
@@ -159,6 +176,36 @@
         run(scenario)
 
 
+class Held:
+    """Stands for what the frames of a broken answer refer to."""
+
+
+class TestBrokenAnswers:
+    def test_what_a_broken_answer_held_waited_for_the_collector(self):
+        refs = []
+
+        async def break_off():
+            held = Held()
+            refs.append(weakref.ref(held))
+            raise ResponseBroken("cut")
+
+        async def scenario():
+            route = SimpleNamespace(repeat=Repeat.NEVER)
+            exchange = SimpleNamespace(job=SimpleNamespace(route=route), run=None)
+            waiter = ResponseWaiter(asyncio.get_running_loop().time, None, None)
+            for _ in range(10):
+                with contextlib.suppress(ResponseBroken):
+                    await waiter.receive(exchange, break_off())
+                await asyncio.sleep(0.01)
+
+        gc.disable()
+        try:
+            run(scenario)
+            assert [ref() for ref in refs[:-1]] == [None] * 9
+        finally:
+            gc.enable()
+
+
 class TestBudget:
     @settings(derandomize=True)
     @given(
@@ -190,6 +237,29 @@
         assert not lease.add(1)
 
 
+class TestSums:
+    @pytest.mark.parametrize("memory_mb", [160, 200, 300])
+    def test_bounds_of_all_pools_exceeded_the_memory_of_an_instance(self, memory_mb, monkeypatch):
+        pools = []
+
+        class RecordedPool(HttpPool):
+            def __init__(self, *args):
+                super().__init__(*args)
+                pools.append(self)
+
+        async def scenario():
+            monkeypatch.setattr(main, "HttpPool", RecordedPool)
+            addresses = Addresses("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+            gateway = GatewaySettings("i", "h", addresses, Bounds(), memory_mb=memory_mb)
+            main._new_daemon(PlatformSettings(gateway, "127.0.0.1:4"), None)
+            bodies = sum(pool.body_limit for pool in pools) * (1 + LEAST_PART)
+            base = BASE_MEMORY_MB * 1_000_000
+            assert len(pools) == 4
+            assert base + gateway.unread_bytes + bodies <= memory_mb * 1_000_000
+
+        run(scenario)
+
+
 class TestReadAhead:
     def test_each_connection_received_a_whole_read_beyond_its_bound(self):
         async def scenario():
@@ -213,6 +283,71 @@
         assert 0 < most <= 2 * TUNNELS * LEAST_READ_AHEAD
 
 
+class TestWires:
+    def test_a_read_that_was_cancelled_loses_nothing(self):
+        async def scenario():
+            wire = Wire()
+            read = asyncio.ensure_future(wire.read())
+            await asyncio.sleep(0.01)
+            wire.data_received(b"first")
+            read.cancel()
+            await asyncio.sleep(0.01)
+            wire.data_received(b"second")
+            assert await wire.read() == b"firstsecond"
+            again = asyncio.ensure_future(wire.read())
+            await asyncio.sleep(0.01)
+            wire.data_received(b"third")
+            assert await again == b"third"
+
+        run(scenario)
+
+    def test_what_came_before_a_reset_is_read_from_a_closed_transport(self):
+        async def scenario():
+            target = await asyncio.start_server(send_and_reset, "127.0.0.1", 0)
+            address = f"127.0.0.1:{target.sockets[0].getsockname()[1]}"
+            wire = await connect_tcp(address, Wire)
+            wire.read_ahead = 0
+            wire.transport.write(b"GET")
+            async with asyncio.timeout(5.0):
+                while not wire.received:
+                    await asyncio.sleep(0.001)
+                wire.transport.abort()
+                while not wire.ended:
+                    await asyncio.sleep(0.001)
+                assert await wire.read(3) == b"xxx"
+            target.close()
+
+        asyncio.run(scenario())
+
+    def test_requests_that_replicas_do_not_read_were_not_counted(self):
+        async def scenario():
+            target = await asyncio.start_server(read_nothing, "127.0.0.1", 0)
+            address = f"127.0.0.1:{target.sockets[0].getsockname()[1]}"
+            pool = HttpPool(asyncio.get_running_loop().time)
+            conn = await pool.acquire(address, 1.0)
+            conn.send(OutgoingRequest(b"POST", b"/x", [(b"Host", b"h")], bytes(UNREAD_BYTES)))
+            await asyncio.sleep(0.1)
+            held = pool.held()
+            conn.abort()
+            target.close()
+            return held, pool.held()
+
+        held, after = asyncio.run(scenario())
+        assert held >= UNREAD_BYTES // 4
+        assert after == 0
+
+
+async def send_and_reset(reader, writer):
+    await reader.read(3)
+    writer.write(b"x" * 1000)
+    await writer.drain()
+    await reader.read()
+
+
+async def read_nothing(reader, writer):
+    writer.transport.pause_reading()
+
+
 class TestIdleConnections:
     def test_bytes_behind_a_whole_answer_were_kept_on_an_idle_connection(self):
         async def scenario():
@@ -281,6 +416,32 @@
         assert assembler.is_between_events
 
 
+class TestUnfinishedEvents:
+    def test_events_without_an_end_were_not_counted(self, monkeypatch):
+        class BoundedPool(HttpPool):
+            def __init__(self, *args):
+                super().__init__(*args)
+                self.bound_bodies(BOUND_BYTES)
+
+        async def scenario():
+            monkeypatch.setattr(test_serving, "HttpPool", BoundedPool)
+            monkeypatch.setitem(RESPONSES, "event", (ENDLESS_HEAD + CHUNKED, CHUNK))
+            world, opened = endless_world("event")
+            tracemalloc.start()
+            try:
+                for _ in range(STREAMS):
+                    world.ask("stream")
+                await asyncio.sleep(DEADLINE_S + 0.3)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert len(opened) == STREAMS
+            assert peak <= 10 * BOUND_BYTES
+            assert all(caller.is_answered for caller in world.callers)
+
+        run(scenario)
+
+
 class OpenPolicy:
     def check(self, target, key):
         return TunnelStatus.OPEN
