State in each answer for how long its connection may rest

What callers saw: beside a change of the idle timeout, a whole request on a kept connection gets neither an answer nor a refusal: it crosses the close of its connection.

Cause: the operator's clients know a longer idle timeout at once, a gateway up to some seconds later. Until then it closes connections by the shorter one, while clients take them up again: they see the close a link's delay later, and a request sent meanwhile is lost.

Timeouts below a second are not stated.

--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -305,6 +305,7 @@
         "_held_back_s",
         "_held_up_s",
         "_idle_s",
+        "_stated_idle_s",
         "_incoming",
         "_is_reading_paused",
         "_is_unread",
@@ -352,7 +353,9 @@
         self._began_at: float | None = None
         self._rested_at = server.clock()
         self._idle_s = self._limits.idle_s
-        """Idle timeout that was in force when the connection began to rest."""
+        """Idle timeout that was in force or stated when the connection began to rest."""
+        self._stated_idle_s = 0
+        """Idle timeout that the last answer stated, in whole seconds; 0 if none."""
         self._refused_at: float | None = None
         self._drained: asyncio.Future[None] | None = None
         self.paused_since: float | None = None
@@ -554,6 +557,16 @@
         """Whether the connection is closed after the current request."""
         return self.server.draining and not self._reader.buffer
 
+    def keep_alive_headers(self) -> Headers:
+        """Return the headers that state for how long the connection may rest after an answer.
+
+        A client may know a longer idle timeout than this server, whose configuration is older.
+        """
+        self._stated_idle_s = int(self.server.limits().idle_s)
+        if not self._stated_idle_s:
+            return []
+        return [(b"Keep-Alive", b"timeout=%d" % self._stated_idle_s)]
+
     def end(self) -> None:
         """Close the connection unless a request is being served, refusing one that has begun."""
         if self.task is not None or self._gone or self.transport is None:
@@ -710,7 +723,7 @@
         self._held_back_s = 0.0
         self._held_up_s = 0.0
         self._rested_at = self.server.clock()
-        self._idle_s = self.server.limits().idle_s
+        self._idle_s = max(self.server.limits().idle_s, self._stated_idle_s)
         self._began_at = None
         if self.paused_since is not None:
             self._is_waiting_for_reader = True
@@ -990,5 +1003,7 @@
         sent = [*headers]
         if self._conn.is_last:
             sent.append((b"Connection", b"close"))
+        else:
+            sent.extend(self._conn.keep_alive_headers())
         self._conn.send_event(h11.Response(status_code=status, headers=sent))
         self.started = True
