Revert "Keep the attributes of callers' connections in slots"

Tests that record what a process under test reads (run_engines.py) replace methods of single connections, which slots do not allow: tests/test_abandoned_runs.py and others of the run recovery failed.

--- a/packages/http/src/gradelug_http/early.py
+++ b/packages/http/src/gradelug_http/early.py
@@ -58,8 +58,6 @@
     better, and so it is answered or given up within its time for certain.
     """
 
-    __slots__ = ("_first_arrived_at", "_is_read_at_once", "_opened_before")
-
     def __init__(self, server: HttpServer, since: float) -> None:
         super().__init__(server)
         self._opened_before = since
--- a/packages/http/src/gradelug_http/server.py
+++ b/packages/http/src/gradelug_http/server.py
@@ -281,38 +281,6 @@
 class ServerConnection(asyncio.Protocol):
     """One client's connection."""
 
-    __slots__ = (
-        "_answered",
-        "_began_at",
-        "_counted",
-        "_counted_arriving",
-        "_discarded",
-        "_drained",
-        "_end",
-        "_gone",
-        "_held_back_at",
-        "_held_back_s",
-        "_held_up_s",
-        "_idle_s",
-        "_incoming",
-        "_is_reading_paused",
-        "_is_unread",
-        "_is_waiting_for_reader",
-        "_limits",
-        "_read_at",
-        "_reader",
-        "_receive_buffer",
-        "_refused_at",
-        "_rested_at",
-        "_sent_at",
-        "_unsent",
-        "opened_at",
-        "paused_since",
-        "server",
-        "task",
-        "transport",
-    )
-
     def __init__(self, server: HttpServer) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
