Keep callers' connections to half of the descriptors that the settings allow

What callers saw: nothing yet. Where the limit of the process exceeds MaxFds of its machine, callers' connections were bounded by the former alone, and could take the descriptors that replicas, store and peers need.

Change: the smaller one of both counts.

Evidence: the new test of test_connection_limit (100,000 descriptors of the process, 4,100 of the settings) had nothing to call before.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -354,7 +354,7 @@
             settings.unread_bytes,
             pool,
             ConnectionLog(self._meters, self._state).note_end,
-            max_caller_connections(),
+            max_caller_connections(settings.max_fds),
         )
         self._status_server = HttpServer(
             self._serve_status, lambda: STATUS_LIMITS, self._clock, STATUS_UNREAD_BYTES
--- a/packages/gateway/src/gradelug_gateway/settings.py
+++ b/packages/gateway/src/gradelug_gateway/settings.py
@@ -153,6 +153,8 @@
         Bandwidth of its network link, in megabits per second.
     memory_mb : float
         Memory limit of the process, in megabytes.
+    max_fds : int
+        Maximum number of open descriptors; 0 if only the limit of the process counts.
     features : frozenset of Feature
         Enabled features.
     """
@@ -165,6 +167,7 @@
     cores: float = 1.0
     link_mbps: float = 1_000.0
     memory_mb: float = 1_000.0
+    max_fds: int = 0
     features: frozenset[Feature] = frozenset(Feature)
 
     @property
--- a/packages/http/src/gradelug_http/connection_limit.py
+++ b/packages/http/src/gradelug_http/connection_limit.py
@@ -15,12 +15,19 @@
 SCAN_INTERVAL_S = 0.25
 
 
-def max_caller_connections() -> int:
-    """Return how many connections of callers the process may have, 0 for any number."""
+def max_caller_connections(max_fds: int = 0) -> int:
+    """Return how many connections of callers the process may have, 0 for any number.
+
+    Parameters
+    ----------
+    max_fds : int
+        Descriptors that its settings allow; 0 if only the limit of the process counts.
+    """
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if limit == resource.RLIM_INFINITY:
+    limits = [count for count in (limit, max_fds) if count not in (0, resource.RLIM_INFINITY)]
+    if not limits:
         return 0
-    return max(1, round(CALLERS_PART * (limit - FILE_DESCRIPTORS)))
+    return max(1, round(CALLERS_PART * (min(limits) - FILE_DESCRIPTORS)))
 
 
 class Resting(t.Protocol):
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -153,3 +153,22 @@
         await server.close()
 
     asyncio.run(scenario())
+
+
+# The process may open more descriptors than its machine allows.
+@pytest.mark.parametrize(
+    ("process", "settings", "allowed"),
+    [
+        (4_100, 0, 1_950),
+        (100_000, 4_100, 1_950),
+        (600, 4_100, 200),
+        (resource.RLIM_INFINITY, 600, 200),
+        (resource.RLIM_INFINITY, 0, 0),
+        (100, 0, 1),
+    ],
+)
+def test_descriptors_that_the_settings_do_not_allow_went_to_callers(
+    monkeypatch, process, settings, allowed
+):
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (process, process))
+    assert max_caller_connections(settings) == allowed
