Give connections of callers and their requests modules of their own

No statement changes; the names that the package exports are the same. Two tests import constants from their new place.

--- a/packages/http/src/gradelug_http/__init__.py
+++ b/packages/http/src/gradelug_http/__init__.py
@@ -12,6 +12,7 @@
 from .connection_limit import max_caller_connections as max_caller_connections
 from .early import Door as Door
 from .early import EarlyServer as EarlyServer
+from .exceptions import ClientGone as ClientGone
 from .exceptions import ConnectFailed as ConnectFailed
 from .exceptions import ConnectRefused as ConnectRefused
 from .exceptions import HttpError as HttpError
@@ -21,13 +22,12 @@
 from .headers import Headers as Headers
 from .headers import end_to_end as end_to_end
 from .headers import find as find
+from .incoming import Incoming as Incoming
 from .pool import NEW_CONN_IDLE_S as NEW_CONN_IDLE_S
 from .pool import Dial as Dial
 from .pool import HttpPool as HttpPool
 from .pool import connect_tcp as connect_tcp
-from .server import ClientGone as ClientGone
 from .server import HttpServer as HttpServer
-from .server import Incoming as Incoming
 from .server import ServerLimits as ServerLimits
 from .tunnel import Connect as Connect
 from .tunnel import TunnelFailed as TunnelFailed
--- a/packages/http/src/gradelug_http/early.py
+++ b/packages/http/src/gradelug_http/early.py
@@ -10,7 +10,9 @@
 import socket
 from dataclasses import dataclass
 
-from .server import HttpServer, ServerConnection, call_after_poll
+from .after_poll import call_after_poll
+from .server import HttpServer
+from .server_connection import ServerConnection
 
 ACCEPT_S = 0.1
 """Connections that came before the process was whole are taken within this after it is."""
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -9,7 +9,7 @@
 import pytest
 from gradelug_http import HttpServer, ServerLimits
 from gradelug_http.budget import SlowSender, to_refuse
-from gradelug_http.server import RECEIVE_BUFFER_BYTES
+from gradelug_http.server_connection import RECEIVE_BUFFER_BYTES
 from hypothesis import given
 from hypothesis import strategies as st
 from test_unread import run
--- a/tests/test_requests_ahead.py
+++ b/tests/test_requests_ahead.py
@@ -4,7 +4,7 @@
 from pipes import RawClient, join_paced
 
 from gradelug_http import HttpServer, ServerLimits
-from gradelug_http.server import IDLE_SLACK, MAX_AHEAD_BYTES
+from gradelug_http.server_connection import IDLE_SLACK, MAX_AHEAD_BYTES
 from test_unread import run
 
 LARGE_BYTES = 200_000
