--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -113,7 +113,7 @@
 
 
 class Exhausted(socket.socket):
-    """Accepts nothing for want of descriptors until it is told otherwise."""
+    """Fails to accept, as without free descriptors, until `is_exhausted` is cleared."""
 
     is_exhausted = True
     refusals = 0
