Log and count requests that fail long before their deadlines

Logs could not tell a request that failed with its whole time before it from one that reached its deadline, nor a reset of a kept connection from one of a new connection, nor the refusal of a successor from any other.

`failed` says how much time was left, `broken` how often its connection had been used, a refusal how many attempts had been abandoned before it, and gradelug_early_failures_total counts failures with more than three tenths of the time left. A test checks the lines and the metric.

--- a/packages/gateway/src/gradelug_gateway/error_responses.py
+++ b/packages/gateway/src/gradelug_gateway/error_responses.py
@@ -22,6 +22,8 @@
 log = logbook.Logger("answering")
 DEFAULT_RETRY_AFTER_S = 0.3
 """Retry-After of refusals for which no better estimate exists."""
+EARLY_FAILURE_FRACTION = 0.3
+"""A request that fails with more than this fraction of its time left counts as failed early."""
 
 
 class ErrorResponder:
@@ -131,6 +133,8 @@
 
     def fail(self, job: Job, exc: Failed) -> None:
         """End a request that may have run and has no complete response."""
+        left_s = job.caller_deadline_at - self._clock()
+        is_early = left_s > EARLY_FAILURE_FRACTION * (job.caller_deadline_at - job.req.arrived_at)
         log.info(
             "failed",
             id=job.req.id,
@@ -140,8 +144,11 @@
             abandoned=job.abandoned,
             last_event=job.events.last_event,
             started=job.inc.started,
+            left_s=round(left_s, 3),
         )
         self._meters.count_outcome(job.route.name, "failed")
+        if is_early:
+            self._meters.count_early_failure(job.inc.started, job.abandoned > 0)
         if job.inc.started:
             # Without its end marker the caller recognises the answer as incomplete.
             return
--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -38,6 +38,7 @@
         "_abandoned_attempts",
         "_broken_responses",
         "_connection_ends",
+        "_early_failures",
         "_rejections",
         "_skipped_responses",
         "_engine_tokens",
@@ -126,6 +127,13 @@
             "Attempts that ended because their replica was silent, and whose replica went on later",
             registry=self._registry,
         )
+        self._early_failures = Counter(
+            "gradelug_early_failures",
+            "Requests that failed long before their deadlines, by whether their answer had begun and"
+            " whether one of their attempts had been abandoned",
+            ["started", "abandoned"],
+            registry=self._registry,
+        )
         self._plain_waits = Counter(
             "gradelug_plain_waits",
             "Requests that waited for capacity of a service without engines",
@@ -245,6 +253,10 @@
         """Count abandoned attempts whose replica went on."""
         self._needless_abandonments.inc(attempts)
 
+    def count_early_failure(self, started: bool, abandoned: bool) -> None:
+        """Count a request that failed long before its deadline."""
+        self._early_failures.labels(str(started).lower(), str(abandoned).lower()).inc()
+
     def count_plain_wait(self) -> None:
         """Count a request that waits for capacity of a service without engines."""
         self._plain_waits.inc()
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -310,6 +310,7 @@
                 why=str(exc),
                 stage=exchange.stage.value,
                 conn=conn.number,
+                conn_uses=conn.uses,
                 skipped=conn.skipped,
                 sent_s=round(self._clock() - exchange.sent_at, 3),
                 quiet_s=round(self._clock() - exchange.last_event_at, 3),
@@ -559,6 +560,7 @@
             conn=exchange.conn.number,
             skipped=exchange.conn.skipped,
             sends=job.sends,
+            abandoned=job.abandoned,
             took_s=round(self._clock() - exchange.sent_at, 4),
         )
         if verdict is Verdict.FAILED:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -272,6 +272,25 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(("failing_after_s", "early"), [(0.0, True), (0.8, False)])
+    def test_log_and_metric_tell_an_early_failure_from_one_near_the_deadline(
+        self, failing_after_s, early
+    ):
+        async def scenario():
+            with logbook.TestHandler() as logged:
+                bench = Bench(route(Repeat.NEVER), [[[failing_after_s, "reset"]], [[OK]]])
+                bench.client(deadline_ms=1000)
+                await asyncio.sleep(1.0)
+            (row,) = [row for row in logged.records if row.message == "failed"]
+            assert row.kwargs["left_s"] == pytest.approx(0.988 - failing_after_s, abs=0.01)
+            (broken,) = [row for row in logged.records if row.message == "broken"]
+            assert broken.kwargs["conn_uses"] == 1
+            metrics = bench.serving._meters.render().decode()
+            counted = 'gradelug_early_failures_total{abandoned="false",started="false"} 1.0'
+            assert (counted in metrics) is early
+
+        run(scenario)
+
     def test_attempts_are_limited_to_the_replicas_that_the_route_allows(self):
         async def scenario():
             # The replica stays full for the retries that it receives until the target time.
