--- a/packages/gateway/src/gradelug_gateway/metrics.py
+++ b/packages/gateway/src/gradelug_gateway/metrics.py
@@ -129,8 +129,8 @@
         )
         self._early_failures = Counter(
             "gradelug_early_failures",
-            "Requests that failed long before their deadlines, by whether their answer had begun and"
-            " whether one of their attempts had been abandoned",
+            "Requests that failed long before their deadlines, by whether their answer had begun"
+            " and whether an attempt had been abandoned",
             ["started", "abandoned"],
             registry=self._registry,
         )
