--- a/packages/gateway/src/gradelug_gateway/budgets.py
+++ b/packages/gateway/src/gradelug_gateway/budgets.py
@@ -98,6 +98,11 @@
         self._clock = clock
         self._is_open = True
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it was neither used nor released."""
+        return self._is_open
+
     def use(self) -> None:
         """Count the retry as sent now."""
         if self._is_open:
--- a/packages/gateway/src/gradelug_gateway/directory.py
+++ b/packages/gateway/src/gradelug_gateway/directory.py
@@ -230,7 +230,7 @@
                 kind=wish.party.kind,
                 urgency=wish.rank,
                 excluded=sorted(excluded),
-                only=_first(only),
+                only=_first(only, excluded),
                 absent=absent,
                 doubted=self._fleet.doubted(),
                 software=software,
@@ -424,5 +424,12 @@
                 return
 
 
-def _first(names: t.Container[str] | None) -> str:
-    return "" if names is None else next(iter(t.cast(t.Collection[str], names)), "")
+def _first(names: t.Container[str] | None, excluded: t.Container[str]) -> str:
+    """Return the first of the allowed names that is not excluded, if there is one.
+
+    A message to a planner holds one name; an empty one allows any.
+    """
+    if names is None:
+        return ""
+    allowed = t.cast(t.Collection[str], names)
+    return next((name for name in allowed if name not in excluded), next(iter(allowed), ""))
--- a/packages/gateway/src/gradelug_gateway/exchange.py
+++ b/packages/gateway/src/gradelug_gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from .job import Job
 from .model import Replica
+from .offers import Offer
 from .runs import Run, SuccessorFinder
 
 
@@ -53,6 +54,7 @@
         "first_at",
         "job",
         "longest_s",
+        "offer",
         "pauses",
         "is_acquitted",
         "is_excused",
@@ -90,6 +92,8 @@
         """The run of this attempt; None if the request's runs cannot be continued."""
         self.successors: SuccessorFinder | None = None
         """Holds what the next attempt needs if this one is abandoned; None to never abandon it."""
+        self.offer: Offer | None = None
+        """The offer by which it is made; None if no other attempt was in progress then."""
         self.is_excused = False
         """Whether it was abandoned in a silence that is no evidence against its replica."""
         self.is_released = False
@@ -109,6 +113,11 @@
             return Stage.RUNNING
         return Stage.BEGUN if self.status else Stage.SENT
 
+    @property
+    def is_secondary(self) -> bool:
+        """Whether another attempt of its request is kept while this one waits for an answer."""
+        return self.offer is not None and not self.offer.is_accepted
+
     @property
     def failure_weight(self) -> float:
         """Evidence that the request is the cause if its replica ends now."""
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import typing as t
 from dataclasses import dataclass
 from enum import Enum
 
@@ -16,6 +17,9 @@
 from .quotas import Charge
 from .streams import EventAssembler
 
+if t.TYPE_CHECKING:
+    from .offers import Offer
+
 DEADLINE_MARGIN_S = 0.012
 """The final answer is sent this long before the caller's deadline."""
 MAX_SENDS = 6
@@ -100,6 +104,7 @@
         "config",
         "copy",
         "deadline_at",
+        "declined",
         "last_event_at",
         "events",
         "excluded",
@@ -110,7 +115,7 @@
         "part_fingerprints",
         "weights_in_use_at",
         "retry",
-        "successor",
+        "offer",
         "placed_s",
         "principal",
         "rank",
@@ -195,8 +200,10 @@
         """Name of the engine whose weights are reserved for its KV cache between two attempts."""
         self.retry: RetryReservation | None = None
         """The retry that is reserved for its next attempt; used once that is sent."""
-        self.successor: Replica | None = None
-        """The replica that was chosen for its next attempt while the last one was in progress."""
+        self.offer: Offer | None = None
+        """Its attempt at a successor of the replica of its current attempt."""
+        self.declined: set[str] = set()
+        """Names of the successors that did not take it during its current attempt."""
         self.resumed_copy: KvCopy | None = None
         """The saved KV cache from which its last attempt continued."""
         self.last_event_at = req.arrived_at
@@ -259,6 +266,12 @@
             self.retry.release()
             self.retry = None
 
+    def withdraw_offer(self) -> None:
+        """End its attempt at a successor, if there is one."""
+        if self.offer is not None:
+            self.offer.withdraw()
+            self.offer = None
+
     def accepts(self, replica: Replica) -> bool:
         """Return whether a replica has the software version that began the stream, if any did."""
         return self.software is None or replica.software == self.software
--- a/packages/gateway/src/gradelug_gateway/request_placer.py
+++ b/packages/gateway/src/gradelug_gateway/request_placer.py
@@ -97,6 +97,10 @@
             return await self._place_at_kv_copy(job, job.copy, key)
         return await self.place_new_run(job, job.excluded)
 
+    def note_full(self, replica: Replica) -> None:
+        """Record that a replica reported no capacity."""
+        self._plain_placer.note_full(replica)
+
     async def place_new_run(self, job: Job, excluded: t.Collection[str]) -> Replica:
         """Return a replica for an attempt that uses no saved KV cache.
 
--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -2,8 +2,8 @@
 
 `Sender` uses it for the head and for each chunk of a response. A replica that has fallen silent may
 go on at any moment, and a request that gives it up needs a retry and another replica. So an attempt
-is abandoned only once its request holds both; otherwise it is kept, however long its replica is
-silent.
+is abandoned only once another replica has begun to answer; otherwise it is kept, however long its
+replica is silent.
 """
 
 from __future__ import annotations
@@ -162,7 +162,9 @@
             if await self._try_prepare(exchange, task):
                 scope = self._silences.scope(exchange.replica, timeouts.window_s)
                 is_due = self._clock() >= began_at + timeouts.timeout_s(scope)
-                if is_due or (exchange.run is not None and exchange.run.stopped is not None):
+                is_taken = exchange.job.offer is not None and exchange.job.offer.is_accepted
+                was_stopped = exchange.run is not None and exchange.run.stopped is not None
+                if is_due or is_taken or was_stopped:
                     self._note_abandoned(exchange, scope, timeouts.window_s, began_at, late_s)
                     raise ReplicaSilent("no data from the replica within the silence timeout")
                 # The replica went on for others during the search.
@@ -205,16 +207,20 @@
         finally:
             search.add_done_callback(_log_search_error)
             search.cancel()
-        self._release(exchange)
+        if not exchange.is_secondary and not _has_failed(task):
+            self._release(exchange)
         return False
 
     def _release(self, exchange: Exchange) -> None:
         """Release what a request holds, but for what an order to stop its run makes it need."""
-        exchange.job.successor = None
+        exchange.job.withdraw_offer()
         if exchange.run is None or not exchange.run.was_stop_requested:
             exchange.job.release_retry()
 
     async def _prepare(self, exchange: Exchange) -> bool:
+        if exchange.is_secondary:
+            # Its request still has the attempt before it.
+            return True
         successors, run = exchange.successors, exchange.run
         if successors is None:
             return False
@@ -259,7 +265,8 @@
             silent=activity.silent,
             responsive=activity.responsive,
             stopped=run is not None and run.stopped is not None,
-            successor=job.successor.name if job.successor is not None else "",
+            secondary=exchange.is_secondary,
+            successor=job.offer.replica.name if job.offer is not None else "",
             last_event=job.events.last_event,
         )
         job.abandoned += 1
@@ -295,6 +302,10 @@
     return max(shortest_s, SILENT_SERVICE_PATIENCE_FRACTION * route.patience_s)
 
 
+def _has_failed(task: asyncio.Future[t.Any]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is not None
+
+
 def _log_search_error(search: asyncio.Future[bool]) -> None:
     if not search.cancelled() and search.exception() is not None:
         log.info("search for another replica failed", why=repr(search.exception()))
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -52,7 +52,7 @@
 
 
 class SuccessorFinder(t.Protocol):
-    """Holds what the next attempt of a request needs before its current one is abandoned."""
+    """Prepares the next attempt of a request before its current one is abandoned."""
 
     def reserve(self, job: Job) -> bool:
         """Reserve a retry for a request; return whether it may be sent once more."""
@@ -63,8 +63,8 @@
         ...
 
     async def hold(self, job: Job, silent: Replica) -> bool:
-        """Hold a retry, and a responsive replica other than a silent one or a usable backup copy;
-        return whether it did."""
+        """Let a replica other than a silent one begin to answer, or hold a retry and a usable
+        backup copy; return whether the current attempt may be abandoned."""
         ...
 
     async def answers(self, replica: Replica) -> bool:
@@ -97,6 +97,7 @@
         "job",
         "replica",
         "reported",
+        "resumed_copy",
         "resumed_from",
         "stop_call",
         "stop_outcome",
@@ -132,6 +133,8 @@
         """Whether its engine failed to copy its memory to another engine."""
         self.has_weight_mismatch = False
         """Whether it was resumed under weights other than those that produced its memory."""
+        self.resumed_copy = job.copy
+        """The copy of memory with which its request was sent; None if it began anew."""
         self.resumed_from: KvCopy | None = None
         """The copy of its memory from which it is resumed."""
         self.versions = job.copy.versions if job.copy is not None else WeightVersions()
@@ -275,7 +278,7 @@
                 replica=run.replica.name,
                 why=reported_version.unreadable,
             )
-        used = run.job.resumed_copy
+        used = run.resumed_copy
         if used is None:
             self._set_versions(run, run.versions.with_reported(reported_version))
         elif compare_versions(used.versions, reported_version) == "other":
@@ -316,8 +319,8 @@
         if run.first_event_at is None:
             run.first_event_at = now
             self.runs.setdefault(run.replica.name, set()).add(run)
-            if job.resumed_copy is not None:
-                self._note_resumed(run, job.resumed_copy, now)
+            if run.resumed_copy is not None:
+                self._note_resumed(run, run.resumed_copy, now)
         job.last_event_at = now
         run.is_abandoned = False
 
@@ -388,6 +391,7 @@
             job.backup = None
         if (
             not run.is_abandoned
+            and job.offer is None
             and self._choose_recovery(job, self._can_request_stop(run)) is RecoveryAction.STOP
         ):
             # A run without events was still in prefill or queued. Waiting for it would delay
@@ -480,8 +484,12 @@
         if spec is None or not spec.moves:
             return
         target = self._choose_stop_target(run)
-        if target is not None:
-            self._abandoned.watch(AbandonedRun(job, run.replica, target, self._clock()))
+        if target is None:
+            return
+        abandoned = AbandonedRun(job, run.replica, target, self._clock())
+        if job.offer is not None:
+            abandoned.resumed_at = self._clock()
+        self._abandoned.watch(abandoned)
 
     def forget_removed_engines(self) -> None:
         """Discard the break records of engines that were removed."""
@@ -489,7 +497,7 @@
             record.keep_only(self._fleet.state.replicas)
 
     def _choose_recovery(self, job: Job, can_stop: bool) -> RecoveryAction:
-        has_retry = job.reserve_retry(self._budgets)
+        has_retry = job.offer is not None or job.reserve_retry(self._budgets)
         return choose_recovery(
             BrokenRun(can_stop, job.backup is not None, job.may_repeat(), has_retry)
         )
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -40,6 +40,7 @@
 from .liveness_check import LivenessCheck
 from .metrics import GatewayMetrics
 from .model import AdapterKey, Attempt, KvCopyKind, Replica, Verdict
+from .offers import Offer
 from .poison import PoisonGuard
 from .ports import Dialect, RunTransport
 from .response_wait import ReplicaSilent, ResponseWaiter
@@ -57,6 +58,8 @@
 MIN_CALLER_STALL_S = 1.0
 """Replicas abort responses that stay unread for some seconds: once the caller has not read for this
 long, an aborted response does not count as a failure of the replica."""
+FORWARDED_VERDICTS = (Verdict.ANSWERED, Verdict.REJECTED)
+"""What callers get as their answer; after any other response, another replica may be tried."""
 OVERDUE_TARGETS = 1.2
 OVERDUE_FACTOR = 3.0
 """A request without a response is overdue after this many of its target times and this many times
@@ -182,6 +185,7 @@
         replica: Replica,
         demand: Demand = Demand(),  # noqa: B008
         successors: SuccessorFinder | None = None,
+        offer: Offer | None = None,
     ) -> Outcome:
         """Send a request to a replica, forward its response, and return the outcome.
 
@@ -198,6 +202,9 @@
         successors : SuccessorFinder or None
             Holds what the next attempt needs before this one is abandoned to a silent replica; None
             to never abandon it.
+        offer : Offer or None
+            The offer by which the request is sent while another attempt of it is kept; None if
+            there is no other.
 
         Raises
         ------
@@ -276,6 +283,7 @@
         expected_s = self._fleet.expected_s(replica, load.busyness(), work)
         exchange = Exchange(job, replica, conn, work, load.busyness(), now, expected_s)
         exchange.successors = successors
+        exchange.offer = offer
         if self._lasting is not None and self._lasting.is_recoverable(job):
             exchange.run = self._lasting.begin(job, replica)
         load.starting += 1
@@ -465,7 +473,10 @@
         except ConnectFailed:
             return Outcome.NOT_SENT
         job.sends += 1
-        job.use_retry()
+        if exchange.offer is not None:
+            exchange.offer.retry.use()
+        else:
+            job.use_retry()
         job.tried.add(replica.name)
         self._fleet.limits.count_send(replica.name)
         sent_at = self._clock()
@@ -484,9 +495,13 @@
         if verdict is Verdict.ANSWERED and job.route.streaming:
             if exchange.run is not None and self._lasting is not None:
                 self._lasting.note_reported_version(exchange.run, self._dialect.read_version(head))
+            if exchange.offer is not None:
+                await exchange.offer.accept()
             return await self._stream(exchange, head)
         body = await exchange.conn.keep_body(MAX_RESPONSE_BYTES)
         try:
+            if exchange.offer is not None and verdict in FORWARDED_VERDICTS:
+                await exchange.offer.accept()
             exchange.release(self._pool, head)
             job.execution.note_response(self._dialect.read_not_run_proof(head))
             return self._conclude(exchange, verdict, head, body, attempt.version)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -25,6 +25,7 @@
 from .job import MAX_SENDS, Job, Outcome
 from .metrics import GatewayMetrics
 from .model import KvCopy, KvCopyKind, Repeat, Replica, Request, Service
+from .offers import Offer
 from .plain_placement import PlainPlacer
 from .ports import BadRequest, Dialect
 from .quotas import QuotaApplicant, Quotas
@@ -172,6 +173,7 @@
             fleet,
             lasting.weights if lasting is not None else None,
             clock,
+            self._send,
             self._gate.may_begin,
         )
 
@@ -222,6 +224,7 @@
                 try:
                     await self._run(job)
                 finally:
+                    job.withdraw_offer()
                     job.release_retry()
                     self._sender.release_weights(job)
                     self._release_kv_copy(job)
@@ -333,31 +336,82 @@
     async def _run(self, job: Job) -> None:
         while True:
             self._sender.check(job)
-            started_at = self._clock()
-            replica = await self._place_with_fallback(job)
-            job.placed_s += self._clock() - started_at
-            self._revalidate_key(job)
-            outcome = Outcome.UNKNOWN
-            self._tally.begin(job)
-            try:
-                # It may have waited, and a retry may begin late.
-                self._gate.check(job)
-                outcome = await self._sender.send(
-                    job, replica, self._wait_policy.demand(job, replica), self._successors
-                )
-            finally:
-                # A refused attempt frees no capacity: releasing a waiter after it would start a
-                # chain in which all waiting requests are sent at once.
-                if outcome not in (Outcome.FULL, Outcome.LIMITED):
-                    self._plain_placer.note_finished(job.service.name)
-                self._tally.end(job, outcome)
+            replica, outcome = await self._attempt(job)
             if outcome is Outcome.DONE:
                 return
-            if outcome is Outcome.LIMITED:
+            if self._has_successor(job):
+                self._note_succeeded(job, replica)
+            elif outcome is Outcome.LIMITED:
                 self._handle_limited(job, replica)
             else:
                 await self._prepare_retry(job, replica, outcome)
 
+    async def _attempt(self, job: Job) -> tuple[Replica, Outcome]:
+        """Make the next attempt, or complete the one that was offered to a successor."""
+        offer, job.offer = job.offer, None
+        job.declined.clear()
+        if offer is not None:
+            try:
+                outcome = await self._count(job, offer.complete())
+            finally:
+                # It is still open if nothing was sent.
+                if offer.retry.is_open:
+                    job.release_retry()
+                    job.retry = offer.retry
+            return offer.replica, outcome
+        started_at = self._clock()
+        replica = await self._place_with_fallback(job)
+        job.placed_s += self._clock() - started_at
+        self._revalidate_key(job)
+        return replica, await self._count(job, self._send(job, replica))
+
+    async def _count(self, job: Job, attempt: t.Coroutine[t.Any, t.Any, Outcome]) -> Outcome:
+        """Make an attempt, counted for its party; return the outcome."""
+        outcome = Outcome.UNKNOWN
+        self._tally.begin(job)
+        try:
+            outcome = await attempt
+        finally:
+            # A refused attempt frees no capacity: releasing a waiter after it would start a
+            # chain in which all waiting requests are sent at once.
+            if outcome not in (Outcome.FULL, Outcome.LIMITED):
+                self._plain_placer.note_finished(job.service.name)
+            self._tally.end(job, outcome)
+        return outcome
+
+    async def _send(self, job: Job, replica: Replica, offer: Offer | None = None) -> Outcome:
+        # It may have waited, and a retry may begin late.
+        self._gate.check(job)
+        demand = self._wait_policy.demand(job, replica)
+        return await self._sender.send(job, replica, demand, self._successors, offer)
+
+    def _has_successor(self, job: Job) -> bool:
+        """Return whether an attempt that has ended was offered to a successor meanwhile.
+
+        An offer that was not accepted yet is withdrawn if the memory of the run is at hand.
+        """
+        if job.offer is None:
+            return False
+        has_memory = job.copy is not None and job.copy is not job.resumed_copy
+        if has_memory and not job.offer.is_accepted:
+            job.withdraw_offer()
+        return job.offer is not None
+
+    def _note_succeeded(self, job: Job, replica: Replica) -> None:
+        """Let a successor go on alone with a request whose attempt at a replica has ended."""
+        job.excluded.add(replica.name)
+        self._release_kv_copy(job)
+        self._sender.release_weights(job)
+        job.copy = None
+        job.events.restart()
+        log.info(
+            "successor goes on",
+            id=job.req.id,
+            replica=replica.name,
+            successor=job.offer.replica.name if job.offer is not None else "",
+            last_event=job.events.last_event,
+        )
+
     def _revalidate_key(self, job: Job) -> None:
         """Check that the caller's key is still valid if the configuration has changed."""
         snapshot = self._fleet.state.snapshot
@@ -375,9 +429,6 @@
 
     async def _place_with_fallback(self, job: Job) -> Replica:
         """Return the next replica, preferring one that holds the run's saved KV cache."""
-        successor, job.successor = job.successor, None
-        if successor is not None and job.copy is None:
-            return successor
         while True:
             try:
                 return await self._placer.place(job)
--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -1,9 +1,10 @@
-"""What the next attempt of a request needs, held while its current attempt waits for data.
+"""The next attempt of a request, prepared while its current attempt waits for data.
 
-An attempt at a silent replica is abandoned only once a retry is reserved and a replica is chosen
-that responds. Looking whether a retry or a replica is available is not enough: when a service falls
-silent, hundreds of requests look at the same moment, and those that come too late would have given
-up a replica that goes on.
+An attempt at a silent replica is abandoned only once another replica has begun to answer, or, for a
+request that may not be repeated, once a retry is reserved and a copy of its memory is known to be
+usable. Looking whether a retry or a replica is available is not enough: when a service falls
+silent, hundreds of requests look at the same moment, and what is known of a replica may be out of
+date. Those that come too late, or are rejected, would have given up a replica that goes on.
 """
 
 from __future__ import annotations
@@ -16,9 +17,10 @@
 from .budgets import RetryBudgets
 from .exceptions import Refused, Unauthenticated
 from .fleet import Fleet
-from .job import MAX_SENDS, Job
+from .job import MAX_SENDS, Job, Outcome
 from .liveness_check import LivenessCheck
 from .model import Replica
+from .offers import Attempt, Offer
 from .request_placer import RequestPlacer
 from .run_weights import RunWeights
 
@@ -28,7 +30,7 @@
 
 
 class Successors:
-    """Finds replicas for requests whose current replica is silent.
+    """Finds replicas that take the requests of silent ones.
 
     Parameters
     ----------
@@ -44,11 +46,14 @@
         Finds the weights of saved KV caches; None if runs are not continued.
     clock : callable
         Returns the event loop's time, in seconds.
+    attempt : Attempt
+        Sends a request to a replica by an offer.
     may_begin : callable
         Returns whether a request may be sent now, which it may not if this instance shuts down.
     """
 
     __slots__ = (
+        "_attempt",
         "_budgets",
         "_clock",
         "_fleet",
@@ -66,8 +71,10 @@
         fleet: Fleet,
         weights: RunWeights | None,
         clock: t.Callable[[], float],
+        attempt: Attempt,
         may_begin: t.Callable[[Job], bool] = lambda job: True,
     ) -> None:
+        self._attempt = attempt
         self._may_begin = may_begin
         self._placer = placer
         self._budgets = budgets
@@ -100,9 +107,9 @@
         return True
 
     async def hold(self, job: Job, silent: Replica) -> bool:
-        """Hold a retry and a replica for a request's next attempt.
+        """Let another replica begin to answer a request, or find that its memory can be used.
 
-        The retry is reserved last: while most of a service is silent, searches find nothing, and
+        Retries are reserved last: while most of a service is silent, searches find nothing, and
         must not keep retries from requests whose replica has ended.
 
         Parameters
@@ -115,17 +122,44 @@
         Returns
         -------
         bool
-            Whether both are held; otherwise the request had better keep its attempt.
+            Whether the current attempt may be abandoned; otherwise it had better be kept.
         """
         if not self.may_reserve(job):
             return False
         if not job.may_repeat():
             return await self._can_use_backup(job, silent) and self.reserve(job)
         successor = await self._find(job, silent)
-        if successor is None or not self.reserve(job):
+        if successor is None or not self._may_be_sent(job):
             return False
-        job.successor = successor
-        return True
+        retry = self._budgets.reserve(job.service.name)
+        if retry is None:
+            return False
+        return await self._offer(job, silent, Offer(successor, retry))
+
+    async def _offer(self, job: Job, silent: Replica, offer: Offer) -> bool:
+        """Send a request to a successor; return whether that has begun to answer."""
+        if job.copy is job.resumed_copy:
+            # The current attempt has used the copy up.
+            job.copy = None
+        job.offer = offer
+        if await offer.make(self._attempt, job):
+            return True
+        outcome = offer.refusal()
+        job.withdraw_offer()
+        job.declined.add(offer.replica.name)
+        if outcome in (Outcome.NOT_SENT, Outcome.LIMITED):
+            job.sends += 1
+        if outcome is Outcome.FULL:
+            self._placer.note_full(offer.replica)
+        log.info(
+            "successor did not take the request",
+            id=job.req.id,
+            replica=silent.name,
+            successor=offer.replica.name,
+            why=outcome.value,
+            sends=job.sends,
+        )
+        return False
 
     async def answers(self, replica: Replica) -> bool:
         """Return whether an engine answers a call now."""
@@ -147,10 +181,12 @@
     async def _find(self, job: Job, silent: Replica) -> Replica | None:
         """Return a responsive replica other than the silent one, if the request may go there."""
         only = job.candidates()
-        if only is not None and not only - {silent.name}:
+        excluded = {silent.name, *job.declined}
+        if only is None:
+            excluded |= job.excluded
+        elif only <= excluded:
+            # All replicas of a route that allows no further one may be used again.
             return None
-        # All replicas of a route that allows no further one may be used again.
-        excluded = {silent.name} if only is not None else {*job.excluded, silent.name}
         try:
             for _ in range(MAX_CANDIDATES):
                 replica = await self._placer.place_new_run(job, excluded)
