--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -126,6 +126,7 @@
         "route",
         "sends",
         "service",
+        "silent_since",
         "forwards_credentials",
         "tried",
         "resumed_copy",
@@ -202,6 +203,8 @@
         """The retry that is reserved for its next attempt; used once that is sent."""
         self.offer: Offer | None = None
         """Its attempt at a successor of the replica of its current attempt."""
+        self.silent_since: dict[str, float] = {}
+        """When its attempts at silent replicas were abandoned, by the name of the replica."""
         self.declined: set[str] = set()
         """Names of the successors that did not take it during its current attempt."""
         self.resumed_copy: KvCopy | None = None
--- a/packages/gateway/src/gradelug_gateway/liveness_check.py
+++ b/packages/gateway/src/gradelug_gateway/liveness_check.py
@@ -54,16 +54,19 @@
         A replica that cannot be called counts as responsive unless it has owed data for
         `RECENT_ACTIVITY_S`.
         """
-        active_at = max(
-            self._fleet.health(replica.name).last_received_at,
-            self._answered_at.get(replica.name, -math.inf),
-        )
-        if self._clock() - active_at < RECENT_ACTIVITY_S:
+        if self._clock() - self.active_at(replica.name) < RECENT_ACTIVITY_S:
             return True
         if self._transport is None or not self._fleet.state.has_engines(replica.service):
             return self._silences.silent_s(replica.name) < RECENT_ACTIVITY_S
         return await self.answers(replica)
 
+    def active_at(self, replica: str) -> float:
+        """Return when a replica last sent data or answered a call, by the event loop's clock."""
+        return max(
+            self._fleet.health(replica).last_received_at,
+            self._answered_at.get(replica, -math.inf),
+        )
+
     async def answers(self, replica: Replica) -> bool:
         """Return whether an engine answers a call now."""
         if self._transport is None:
--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -270,6 +270,8 @@
             last_event=job.events.last_event,
         )
         job.abandoned += 1
+        if scope is not SilenceScope.STREAM:
+            job.silent_since[replica.name] = self._clock()
         exchange.is_excused = self._silences.is_shared(replica, window_s)
         if run is not None:
             run.is_abandoned = True
@@ -279,6 +281,10 @@
         """Return the silence timeouts of an attempt; None if it is never abandoned."""
         job, run = exchange.job, exchange.run
         route = job.route
+        if exchange.is_secondary:
+            return SilenceTimeouts(
+                BUSY_STREAM_SILENCE_TIMEOUT_S, RECENT_ACTIVITY_S, RECENT_ACTIVITY_S
+            )
         if route.repeat is Repeat.FREELY and job.candidates() is None:
             timeout_s = SILENCE_TIMEOUT_TARGETS * route.target_s
             return SilenceTimeouts(
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -50,6 +50,8 @@
 The store sends 1.2 MB for 1,700 routes and 145 replicas, which takes 0.9 s on a 10 Mbit/s link;
 instances that start at the same time share the store's link too."""
 POLL_S = 0.05
+PLACEMENT_RETRY_S = 0.25
+"""Interval between searches for a replica for a stream that has begun."""
 MAX_LOGGED_ID = 200
 """Maximum number of characters of an identifier in logs that a caller chose."""
 
@@ -430,11 +432,15 @@
     async def _place_with_fallback(self, job: Job) -> Replica:
         """Return the next replica, preferring one that holds the run's saved KV cache."""
         while True:
+            self._successors.readmit(job)
             try:
                 return await self._placer.place(job)
             except Refused as exc:
                 if job.copy is None:
-                    raise
+                    if not await self._may_place_later(job):
+                        raise
+                    log.info("no replica for a begun stream", id=job.req.id, why=str(exc))
+                    continue
                 log.info(
                     "cannot continue the run from its saved KV cache", id=job.req.id, why=str(exc)
                 )
@@ -442,6 +448,21 @@
                 if job.copy is None and not job.may_repeat():
                     raise
 
+    async def _may_place_later(self, job: Job) -> bool:
+        """Wait before another search for a replica; return whether there is time for one.
+
+        Only a stream that has begun is searched for again: without a replica it is cut, while other
+        requests are answered at once.
+        """
+        until = min(job.deadline_at, job.last_event_at + job.route.patience_s)
+        if not (job.inc.started and job.may_repeat()):
+            return False
+        if self._clock() + PLACEMENT_RETRY_S >= until:
+            return False
+        await asyncio.sleep(PLACEMENT_RETRY_S)
+        job.excluded.clear()
+        return True
+
     # Replicas with a rate limit or in backoff.
 
     def _handle_limited(self, job: Job, replica: Replica) -> None:
--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -27,6 +27,8 @@
 log = logbook.Logger("successors")
 MAX_CANDIDATES = 2
 """Replicas that are asked for a sign of life in one search; each may take a call's timeout."""
+MAX_OFFERS = 2
+"""Replicas to which a request is offered in a row; after that its attempt gets time to go on."""
 
 
 class Successors:
@@ -128,13 +130,16 @@
             return False
         if not job.may_repeat():
             return await self._can_use_backup(job, silent) and self.reserve(job)
-        successor = await self._find(job, silent)
-        if successor is None or not self._may_be_sent(job):
-            return False
-        retry = self._budgets.reserve(job.service.name)
-        if retry is None:
-            return False
-        return await self._offer(job, silent, Offer(successor, retry))
+        for _ in range(MAX_OFFERS):
+            successor = await self._find(job, silent)
+            if successor is None or not self._may_be_sent(job):
+                return False
+            retry = self._budgets.reserve(job.service.name)
+            if retry is None:
+                return False
+            if await self._offer(job, silent, Offer(successor, retry)):
+                return True
+        return False
 
     async def _offer(self, job: Job, silent: Replica, offer: Offer) -> bool:
         """Send a request to a successor; return whether that has begun to answer."""
@@ -161,6 +166,13 @@
         )
         return False
 
+    def readmit(self, job: Job) -> None:
+        """Let a request return to the replicas that have responded since it left them as silent."""
+        for name, since in list(job.silent_since.items()):
+            if self._liveness.active_at(name) > since:
+                del job.silent_since[name]
+                job.excluded.discard(name)
+
     async def answers(self, replica: Replica) -> bool:
         """Return whether an engine answers a call now."""
         return await self._liveness.answers(replica)
@@ -180,6 +192,7 @@
 
     async def _find(self, job: Job, silent: Replica) -> Replica | None:
         """Return a responsive replica other than the silent one, if the request may go there."""
+        self.readmit(job)
         only = job.candidates()
         excluded = {silent.name, *job.declined}
         if only is None:
