Reproduce requests cut after their successor did not take them

Callers saw 502, or a stream cut in the middle, with most of their time before them: their replica was silent for 1.3 to 2 s, the attempt at it was abandoned, and the replica chosen next answered 421 or 503, refused, reset or closed the connection, or fell silent in its turn. The replica that was given up went on.

Engines of the test world can refuse requests.

--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -8,6 +8,7 @@
 from collections import Counter, deque
 from contextlib import suppress
 from dataclasses import dataclass, field
+from enum import Enum
 from functools import partial
 
 from gradelug_gateway.model import AdapterKey
@@ -67,6 +68,23 @@
     """Number of times that engines refused to run a request, by request."""
 
 
+class Refusal(Enum):
+    """How an engine that answers calls does not take a request."""
+
+    ABSENT = "absent"
+    """It answers that it lacks the weights."""
+    FULL = "full"
+    RESTING = "resting"
+    """It is full, and asks for a time without requests."""
+    CONNECTION = "connection refused"
+    RESET = "reset"
+    CLOSED = "closed"
+    UNANSWERED = "not answered"
+
+
+REST_S = 0.5
+
+
 class DelayedWriter:
     """Delivers data written to one end of a connection after a delay, in order."""
 
@@ -149,6 +167,8 @@
         """What is sent again on each connection."""
         self.dead = False
         self.ends_at = None
+        self.refusal = None
+        """How it does not take requests; None if it runs them."""
         self._context = contextvars.copy_context()
         """Context of its tasks; they belong to no process that a test can freeze."""
         self._context.run(PROCESS.set, None)
@@ -243,6 +263,15 @@
                 conn.write(b"9\r\nid: 99\nda\r\n")
             conn.abort()
 
+    def refuse(self, refusal):
+        """Take no further requests, or run them again if `refusal` is None."""
+        self.refusal = refusal
+        self.world.net.servers[self.address] = self._accept
+        if refusal is Refusal.CONNECTION:
+            del self.world.net.servers[self.address]
+            for conn in [one for one in self.server.connections if one.task is None]:
+                conn.abort()
+
     def silence(self):
         """Silently drop all further data on its open connections."""
         for conn in list(self.server.connections):
@@ -460,6 +489,9 @@
             ledger.rejections[ident] += 1
             inc.respond(421, [*own, (b"X-Gradelug-Instance-Id", self.name.encode())], b"")
             return
+        if self.refusal is not None:
+            await self._refuse(inc, ident, own, not_run)
+            return
         model, _, adapter = inc.header(b"x-gradelug-model").decode().partition("/")
         key = AdapterKey(model, adapter)
         if self.ordered is not None and self.ordered in (MODEL, key):
@@ -520,6 +552,21 @@
         if work.events_made >= EVENTS and not work.stop.is_set():
             inc.finish()
 
+    async def _refuse(self, inc, ident, own, not_run):
+        if self.refusal is Refusal.UNANSWERED:
+            await asyncio.Event().wait()
+        self.world.ledger.rejections[ident] += 1
+        if self.refusal is Refusal.ABSENT:
+            inc.respond(421, own, b"")
+        elif self.refusal is Refusal.FULL:
+            inc.respond(503, not_run, b"")
+        elif self.refusal is Refusal.RESTING:
+            inc.respond(503, [*not_run, (b"Retry-After", b"%.1f" % REST_S)], b"")
+        elif self.refusal is Refusal.CLOSED:
+            inc._conn.transport.close()
+        else:
+            inc._conn.abort()
+
     async def _work(self, work, backup, send):
         sent_at = self.world.clock()
         try:
