Wait longer for silent replicas where silences ended by themselves, and for full ones

Two ends of begun streams that remained:

Streams were out of time between two replicas that are silent in turn: each attempt was left after the same 1.2 s, though silences of 1.5 s had just ended by themselves. A request that waits in a queue is no silence.

A begun stream whose replica had broken off was cut at once, `the route allows no further replica`, when the second replica that its route allows was full or resting, however much time was left: only the last outcome was looked at, not the whole request.

--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -14,6 +14,7 @@
 
 import logbook
 from gradelug_http import ResponseBroken
+from gradelug_policy.silences import silence_timeout_s
 
 from .exchange import Exchange
 from .model import Repeat, Route
@@ -139,7 +140,7 @@
             task.cancel()
             raise
         if task.exception() is None:
-            self._silences.note_data(exchange.replica)
+            self._silences.note_data(exchange.replica, exchange.is_running)
         try:
             return task.result()
         finally:
@@ -291,18 +292,33 @@
                 timeout_s, timeout_s, timeout_s, min(timeout_s, RECENT_ACTIVITY_S)
             )
         if route.repeat is Repeat.RESUME:
-            return SilenceTimeouts(
-                BUSY_STREAM_SILENCE_TIMEOUT_S,
-                STREAM_SILENCE_TIMEOUT_S,
-                _silent_service_timeout_s(route, STREAM_SILENCE_TIMEOUT_S),
+            return self._stream_timeouts(
+                exchange, BUSY_STREAM_SILENCE_TIMEOUT_S, STREAM_SILENCE_TIMEOUT_S
             )
         if run is not None and run.first_event_at is not None:
             replica_s = SILENCE_TIMEOUT_GAPS * route.gap_s
-            return SilenceTimeouts(
-                STREAM_SILENCE_TIMEOUT_S, replica_s, _silent_service_timeout_s(route, replica_s)
-            )
+            return self._stream_timeouts(exchange, STREAM_SILENCE_TIMEOUT_S, replica_s)
         return None
 
+    def _stream_timeouts(
+        self, exchange: Exchange, stream_s: float, replica_s: float
+    ) -> SilenceTimeouts:
+        """Return the silence timeouts of a stream.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The attempt.
+        stream_s, replica_s : float
+            Timeouts while its replica sends data for other requests, and while it sends nothing
+            and nothing is known of recent silences, in seconds.
+        """
+        latest_s = _silent_service_timeout_s(exchange.job.route, replica_s)
+        longest_s = self._silences.longest_ended_s(exchange.replica.service)
+        return SilenceTimeouts(
+            stream_s, silence_timeout_s(replica_s, latest_s, longest_s), latest_s
+        )
+
 
 def _silent_service_timeout_s(route: Route, shortest_s: float) -> float:
     return max(shortest_s, SILENT_SERVICE_PATIENCE_FRACTION * route.patience_s)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -593,13 +593,8 @@
         if outcome is Outcome.FULL and self._may_wait(job, replica):
             await self._plain_placer.wait(job, replica)
             self._plain_placer.allow_again(job, replica)
-        candidates = job.candidates()
-        if candidates is not None and not may_have_run and job.excluded >= job.tried:
-            raise Refused("the route allows no further replica", DEFAULT_RETRY_AFTER_S)
-        if candidates is not None and may_have_run:
-            if job.route.repeat is not Repeat.RESUME:
-                raise Failed("the route allows no further replica")
-            job.excluded.clear()
+        if job.candidates() is not None:
+            await self._allow_tried_replicas(job, may_have_run)
         if outcome is not Outcome.NOT_SENT:
             await self._reserve_retry(job)
         log.info(
@@ -612,6 +607,34 @@
             last_event=job.events.last_event,
         )
 
+    async def _allow_tried_replicas(self, job: Job, may_have_run: bool) -> None:
+        """Let a request return to the replicas that its route allows; raise if it may not.
+
+        Parameters
+        ----------
+        job : Job
+            A request that was sent to as many replicas as its route allows.
+        may_have_run : bool
+            Whether its last attempt may have run it.
+
+        Raises
+        ------
+        Refused, Failed
+            If no replica is left for it.
+        """
+        is_exhausted = job.excluded >= job.tried
+        if job.route.repeat is Repeat.RESUME and not job.is_unrun:
+            if may_have_run:
+                job.excluded.clear()
+            elif is_exhausted:
+                # A replica that has just refused it would do so again.
+                await asyncio.sleep(PLACEMENT_RETRY_S)
+                job.excluded.clear()
+        elif may_have_run:
+            raise Failed("the route allows no further replica")
+        elif is_exhausted:
+            raise Refused("the route allows no further replica", DEFAULT_RETRY_AFTER_S)
+
 
 def _retry_wait_end(job: Job, unrun: bool) -> float:
     """Return until when a request waits for a retry, by the event loop's clock.
--- a/packages/gateway/src/gradelug_gateway/silences.py
+++ b/packages/gateway/src/gradelug_gateway/silences.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 import logbook
+from gradelug_policy.silences import EndedSilences
 
 from .fleet import Fleet
 from .metrics import GatewayMetrics
@@ -87,13 +88,15 @@
         Returns the event loop's time, in seconds.
     """
 
-    __slots__ = ("_clock", "_debts", "_fleet", "_meters")
+    __slots__ = ("_clock", "_debts", "_ended", "_fleet", "_meters")
 
     def __init__(self, fleet: Fleet, meters: GatewayMetrics, clock: t.Callable[[], float]) -> None:
         self._fleet = fleet
         self._meters = meters
         self._clock = clock
         self._debts: dict[str, _Debt] = {}
+        self._ended: dict[str, EndedSilences] = {}
+        """Silences that ended by themselves, by service."""
 
     def begin(self, replica: Replica) -> None:
         """Record that an attempt was sent to a replica."""
@@ -111,12 +114,26 @@
         if not debt.attempts and not debt.abandoned:
             del self._debts[replica.name]
 
-    def note_data(self, replica: Replica) -> None:
-        """Record that data was received from a replica."""
+    def note_data(self, replica: Replica, is_running: bool = False) -> None:
+        """Record that data was received from a replica.
+
+        Parameters
+        ----------
+        replica : Replica
+            The replica.
+        is_running : bool
+            Whether it belongs to a stream that had begun: a request that has not may have waited
+            in the queue of a replica that was not silent. Where attempts were abandoned, the time
+            since its last data counts in any case.
+        """
         health, now = self._fleet.health(replica.name), self._clock()
+        silent_s = self.silent_s(replica.name) if is_running else 0.0
         debt = self._debts.get(replica.name)
         if debt is not None and debt.abandoned:
-            self._log_resumption(replica, debt, now - health.last_received_at)
+            silent_s = now - health.last_received_at
+            self._log_resumption(replica, debt, silent_s)
+        if silent_s >= RECENT_ACTIVITY_S:
+            self._ended.setdefault(replica.service, EndedSilences()).note(silent_s, now)
         health.last_received_at = now
 
     def note_abandoned(self, replica: Replica, scope: SilenceScope) -> None:
@@ -133,6 +150,22 @@
             return 0.0
         return self._clock() - max(debt.since, self._fleet.health(replica).last_received_at)
 
+    def longest_ended_s(self, service: str) -> float:
+        """Return the longest recent silence of a service's replicas that ended by itself.
+
+        Parameters
+        ----------
+        service : str
+            Service of the replicas.
+
+        Returns
+        -------
+        float
+            Its length in seconds; 0 if there was none.
+        """
+        ended = self._ended.get(service)
+        return ended.longest_s(self._clock()) if ended is not None else 0.0
+
     def activity(self, service: str, window_s: float = RECENT_ACTIVITY_S) -> ServiceActivity:
         """Return how many replicas of a service are silent, and how many send data.
 
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -4,7 +4,7 @@
 
 import pytest
 from gradelug_gateway.model import Repeat
-from run_engines import EVENTS
+from run_engines import EVENTS, Refusal
 from run_world import RunWorld, events, is_whole, run, runner, status
 from test_budgets import take_retry
 
@@ -168,6 +168,23 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("refusal", [Refusal.FULL, Refusal.RESTING, Refusal.ABSENT])
+    def test_begun_stream_was_cut_because_its_second_replica_refused_it(self, refusal):
+        async def scenario():
+            world = RunWorld(2, repeat=Repeat.RESUME, budget=6)
+            client, engine = await begin(world, "q0")
+            (other,) = [one for one in world.engines.values() if one is not engine]
+            await asyncio.sleep(0.2)
+            other.refuse(refusal)
+            engine.crash()
+            await asyncio.sleep(0.4)
+            other.refuse(None)
+            await asyncio.sleep(5.0)
+            assert events(client)[0] == ALL
+            assert is_whole(client)
+
+        run(scenario)
+
     def test_begun_stream_was_cut_because_no_replica_was_left_for_a_moment(self):
         async def scenario():
             world = RunWorld(2, repeat=Repeat.RESUME, budget=3)
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -78,3 +78,23 @@
         assert "gradelug_needless_abandonments_total 2.0" in rendered
         world.wait(0.1, [0])
         assert "gradelug_needless_abandonments_total 2.0" in world.meters.render().decode()
+
+
+class TestEndedSilences:
+    @pytest.mark.parametrize(("is_running", "longest_s"), [(True, 1.5), (False, 0.0)])
+    def test_only_silences_within_streams_are_remembered(self, is_running, longest_s):
+        """A request that has not begun may have waited in the queue of a sound replica."""
+        world = World(2)
+        rep = world.replicas[0]
+        world.tracker.begin(rep)
+        world.wait(1.5)
+        world.tracker.note_data(rep, is_running)
+        assert world.tracker.longest_ended_s("llm") == pytest.approx(longest_s)
+
+    def test_pauses_between_events_are_no_silences(self):
+        world = World(2)
+        rep = world.replicas[0]
+        world.tracker.begin(rep)
+        world.wait(RECENT_ACTIVITY_S / 2)
+        world.tracker.note_data(rep, True)
+        assert world.tracker.longest_ended_s("llm") == 0.0
