--- a/tests/run_engines.py
+++ b/tests/run_engines.py
@@ -66,6 +66,8 @@
     """Names of the engines at which a request arrived, by request, even if it was not read."""
     rejections: Counter = field(default_factory=Counter)
     """Number of times that engines refused to run a request, by request."""
+    breaks: Counter = field(default_factory=Counter)
+    """Those of them that ended the connection without an answer."""
 
 
 class Refusal(Enum):
@@ -77,6 +79,7 @@
     RESTING = "resting"
     """It is full, and asks for a time without requests."""
     CONNECTION = "connection refused"
+    """It accepts no connections, and resets those over which requests come."""
     RESET = "reset"
     CLOSED = "closed"
     UNANSWERED = "not answered"
@@ -269,8 +272,6 @@
         self.world.net.servers[self.address] = self._accept
         if refusal is Refusal.CONNECTION:
             del self.world.net.servers[self.address]
-            for conn in [one for one in self.server.connections if one.task is None]:
-                conn.abort()
 
     def silence(self):
         """Silently drop all further data on its open connections."""
@@ -556,16 +557,16 @@
         if self.refusal is Refusal.UNANSWERED:
             await asyncio.Event().wait()
         self.world.ledger.rejections[ident] += 1
+        is_closed = self.refusal is Refusal.CLOSED
         if self.refusal is Refusal.ABSENT:
             inc.respond(421, own, b"")
         elif self.refusal is Refusal.FULL:
             inc.respond(503, not_run, b"")
         elif self.refusal is Refusal.RESTING:
             inc.respond(503, [*not_run, (b"Retry-After", b"%.1f" % REST_S)], b"")
-        elif self.refusal is Refusal.CLOSED:
-            inc._conn.transport.close()
         else:
-            inc._conn.abort()
+            self.world.ledger.breaks[ident] += 1
+            inc._conn.transport.close() if is_closed else inc._conn.abort()
 
     async def _work(self, work, backup, send):
         sent_at = self.world.clock()
--- a/tests/test_abandoned_attempts.py
+++ b/tests/test_abandoned_attempts.py
@@ -8,17 +8,13 @@
 import pytest
 from gradelug_gateway.model import Repeat, Share
 from gradelug_gateway.shutdown import ShutdownSchedule
-from run_engines import EVENTS, TICK_S, Refusal
-from run_world import MAX_OVERLAP_S, RunWorld, events, is_whole, run, status
+from run_engines import Refusal
+from run_world import is_whole, run, status
+from silent_scene import ARRIVAL_S, Scene
 from test_budgets import take_retry
 from test_serving import FULL, MISDIRECTED, OK, Bench, route
 from test_silent_searches import set_keys
 
-ALL = list(range(1, EVENTS + 1))
-ARRIVAL_S = 0.02
-"""Time until a request has arrived at an engine."""
-BEGUN_S = 0.5
-"""Time until a stream has begun."""
 PAUSES_S = (1.3, 1.6, 2.0)
 BUDGETS = (0, 1, 2)
 END_S = 16.0
@@ -87,96 +83,6 @@
     ]
 
 
-class Scene:
-    """A world in which the first engine falls silent with some streams.
-
-    Parameters
-    ----------
-    engines : int
-        Number of engines.
-    **kwargs
-        Further arguments of `RunWorld`.
-    """
-
-    def __init__(self, engines, **kwargs):
-        self.world = RunWorld(engines, kwargs.pop("repeat", Repeat.RESUME), **kwargs)
-        self.first, *self.others = self.world.engines.values()
-        self.clients = {}
-        self.overlaps = []
-        self._watcher = asyncio.create_task(self._watch_overlaps())
-
-    async def fall_silent(self, pause_s, is_begun, streams=1, **asked):
-        """Ask for streams and suspend the first engine before they begin there, or after."""
-        if not is_begun:
-            self.first.pause(pause_s + ARRIVAL_S)
-        for _ in range(streams):
-            ident = f"q{len(self.clients)}"
-            self.clients[ident] = self.world.ask(ident, **asked)
-        await asyncio.sleep(BEGUN_S if is_begun else ARRIVAL_S)
-        if is_begun:
-            self.first.pause(pause_s)
-        assert self.arrivals("q0") == [self.first.name]
-
-    def arrivals(self, ident):
-        """Return the names of the engines at which a request arrived."""
-        return self.world.ledger.arrivals.get(ident, [])
-
-    def faults(self):
-        """Return what is wrong with the streams, which all have ended."""
-        return [
-            *self.world.ledger.wrong,
-            *self.overlaps,
-            *filter(None, map(self._fault, self.clients)),
-            *self.left(),
-        ]
-
-    def _fault(self, ident):
-        client = self.clients[ident]
-        numbers = events(client)[0]
-        if numbers == ALL and is_whole(client):
-            return ""
-        return f"{ident}: {status(client)} with {len(numbers)} events after {self.arrivals(ident)}"
-
-    def moved(self, *idents):
-        """Return those of some streams, or of all, whose events are not all of their first run."""
-        found = {ident: set(events(self.clients[ident])[1]) for ident in idents or self.clients}
-        return [f"{ident}: {lines}" for ident, lines in found.items() if lines != {f"{ident}.1"}]
-
-    def left(self):
-        """Return what is left of requests that have ended."""
-        world = self.world
-        found = [f"{one.name} runs {list(one.runs)}" for one in world.engines.values() if one.runs]
-        found += [
-            f"{one.name} has {one.server.in_progress} requests"
-            for one in world.engines.values()
-            if one.server.in_progress
-        ]
-        for name, load in world.fleet.loads():
-            counts = (load.starting, load.running, load.memory, *load.queued)
-            if any(counts):
-                found.append(f"load of {name}: {counts}")
-        for (name, key), counts in world.directory.uses.items():
-            if counts[-1]:
-                found.append(f"{counts[-1]} uses of {key.text} at {name}")
-        reserved = sum(window._reserved for window in world.budgets._windows.values())
-        return [*found, f"{reserved} retries reserved"] if reserved else found
-
-    async def _watch_overlaps(self):
-        since = {}
-        while True:
-            await asyncio.sleep(TICK_S)
-            for ident in self.clients:
-                engines = [one for one in self.world.engines_running(ident) if one.executes_calls]
-                if len(engines) < 2:
-                    since.pop(ident, None)
-                    continue
-                now = self.world.clock()
-                if now - since.setdefault(ident, now) > MAX_OVERLAP_S:
-                    names = [one.name for one in engines]
-                    self.overlaps.append(f"{ident} executes on {names}")
-                    since.pop(ident)
-
-
 def faults(case, is_moved_allowed=False):
     """Play a case; return what is wrong."""
 
