Failing test: requests that wait at a slow start are dated back to its begin

A gateway that takes 2 s to start counts a request that came 0.1 s before it was whole as 2 s old: its stream is cut as out of time 1.9 s before its caller's deadline.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -27,6 +27,12 @@
 NOT_NEEDED = ("cattrs", "attr", "gradelug_config.catalog", "gradelug_coordination.once", "fire")
 
 
+def open_listener():
+    sock = socket.create_server(("127.0.0.1", 0), backlog=64)
+    sock.setblocking(False)
+    return sock
+
+
 def exported_names(package):
     """Return the names that a package declares for type checkers, with their modules."""
     tree = ast.parse(Path(package.__file__).read_text())
@@ -153,6 +159,48 @@
         assert sorted(arrivals)[0] == opened.since - 2.0
         assert sorted(arrivals)[1] >= sent_at
 
+    # A slow start made streams out of time before their callers' deadlines.
+    def test_requests_that_wait_at_a_slow_start_count_as_come_when_their_data_came(self):
+        sent, arrived = {}, {}
+
+        async def serve(inc):
+            arrived[inc.target] = inc.arrived_at
+            inc.respond(200, [], b"here")
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            sock = open_listener()
+            since = loop.time()
+            clients = [socket.create_connection(sock.getsockname()) for _ in range(4)]
+
+            def send(client, target, data):
+                before = loop.time()
+                client.sendall(data)
+                sent.setdefault(target, (before, loop.time()))
+
+            first, halved, rested, last = clients
+            send(first, b"/first", b"GET /first HTTP/1.1\r\nHost: x\r\n\r\n")
+            await asyncio.sleep(1.9)
+            send(halved, b"/halved", b"GET /halved HTTP/1.1\r\n")
+            send(rested, b"/rested", b"GET /rested HTTP/1.1\r\nHost: x\r\n\r\n")
+            await asyncio.sleep(0.1)
+            server = EarlyServer(serve, ServerLimits, loop.time)
+            await server.enter(Door(sock, since))
+            await asyncio.sleep(0.05)
+            send(last, b"/last", b"GET /last HTTP/1.1\r\nHost: x\r\n\r\n")
+            send(halved, b"/halved", b"Host: x\r\n\r\n")
+            for client in clients:
+                client.setblocking(False)
+                assert b" 200 " in await loop.sock_recv(client, 1000)
+                client.close()
+            await server.close()
+
+        asyncio.run(scenario())
+        assert set(arrived) == set(sent)
+        for target, (before, after) in sent.items():
+            # The kernel counts in ticks of up to 10 ms.
+            assert before - 0.015 <= arrived[target] <= after + 0.015, target
+
     @pytest.mark.parametrize(
         "text",
         [
