Date requests that wait at a slow start by the kernel's time of their data

The kernel tells how long ago the last data of a connection came (TCP_INFO, tcpi_last_data_recv). Weighed besides: the age of the connection from the same structure, which makes requests on connections that rested first too old; the order in the accept queue, which only bounds a request by its neighbours; time stamps of received segments (SO_TIMESTAMP), which the kernel merges to the last one as well and which follow the wall clock; no dating back, which hands replicas more time than remains. Where the kernel does not tell, the opening of the socket stays the assumption.

--- a/packages/http/src/gradelug_http/early.py
+++ b/packages/http/src/gradelug_http/early.py
@@ -13,6 +13,7 @@
 from .after_poll import call_after_poll
 from .server import HttpServer
 from .server_connection import ServerConnection
+from .socket_info import data_age_s
 
 ACCEPT_S = 0.1
 """Connections that came before the process was whole are taken within this after it is."""
@@ -56,13 +57,18 @@
 class EarlyConnection(ServerConnection):
     """A connection that may have come before the process was whole.
 
-    A first request that had arrived by then counts as come when the door was opened: nobody knows
-    better, and so it is answered or given up within its time for certain.
+    Its first request counts as come when the kernel received the data that are read first. Of
+    several pieces that lie unread the kernel knows the last one: a request that counts as too young
+    is ended by its caller, one that counts as too old would be cut before its deadline. Where the
+    kernel does not tell, a request that had arrived before the connection was accepted counts as
+    come when the door was opened, and so is answered or given up within its time for certain.
     """
 
     def __init__(self, server: HttpServer, since: float) -> None:
         super().__init__(server)
         self._opened_before = since
+        self._is_first = True
+        """Whether no byte was read yet."""
         self._is_read_at_once = True
         """Whether what is read now had arrived before the connection was accepted."""
         self._first_arrived_at: float | None = None
@@ -77,9 +83,17 @@
 
     def _note_first_byte(self) -> None:
         super()._note_first_byte()
-        if self._is_read_at_once:
-            self._is_read_at_once = False
-            self._first_arrived_at = self._opened_before
+        if self._is_first:
+            self._is_first = False
+            self._first_arrived_at = self._data_came_at()
+
+    def _data_came_at(self) -> float | None:
+        """Return when the data that were read first came; None for now."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        age_s = data_age_s(sock) if sock is not None else None
+        if age_s is not None:
+            return max(self._opened_before, self.server.clock() - age_s)
+        return self._opened_before if self._is_read_at_once else None
 
     def _request_arrived_at(self) -> float:
         if self._first_arrived_at is None:
