Let a begun stream go on until its caller has left

Callers saw streams cut 12 ms before their deadlines, came back within the rest of their time, and got 503 or 504 for a stream that nobody could begin any more. The margin is for the final answer of a request; the end of a begun stream sends nothing.

A begun stream now ends 0.1 s after its caller's deadline, as counted by the caller, unless the caller leaves, its route's timeout (exact as before) or a planned stop ends it before. The replica is handed the caller's whole time; one that stops at that deadline is not counted as failing, and the stream is not sent on. A request without a begun answer is answered 12 ms before, as it was.

--- a/packages/gateway/src/gradelug_gateway/exceptions.py
+++ b/packages/gateway/src/gradelug_gateway/exceptions.py
@@ -47,6 +47,10 @@
         self.status = status
 
 
+class OutOfTime(TimeoutError):
+    """The request cannot be served in the time that is left of its deadline."""
+
+
 class Unauthenticated(Exception):
     """The request has no valid key; the message gives the reason without the key itself."""
 
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
+import typing as t
 from dataclasses import dataclass
 from enum import Enum
 
-from gradelug_http import Incoming, KeptBody, ResponseHead
+from gradelug_http import Headers, Incoming, KeptBody, ResponseHead
 from gradelug_policy.prefill import RequestWork
 
 from .budgets import RetryBudgets, RetryReservation
@@ -18,6 +20,11 @@
 
 DEADLINE_MARGIN_S = 0.012
 """The final answer is sent this long before the caller's deadline."""
+LEAVING_S = 0.1
+"""A stream that has begun is ended this long after its caller's deadline: the end of the caller's
+connection arrives before."""
+TIMER_S = 0.001
+"""Replicas are told whole milliseconds, and may stop this much earlier."""
 MAX_SENDS = 6
 """Maximum number of attempts per request, whatever their outcomes."""
 
@@ -95,13 +102,16 @@
         "was_planner_asked",
         "backup",
         "caller_deadline_at",
+        "caller_leaves_at",
         "charge",
         "is_chosen_locally",
         "config",
         "copy",
         "deadline_at",
+        "ends_by",
         "last_event_at",
         "events",
+        "on_begun",
         "excluded",
         "execution",
         "failure",
@@ -155,7 +165,14 @@
         self.caller_deadline_at = req.arrived_at + wait_s
         """The deadline of its caller and its route, by the event loop's clock."""
         self.deadline_at = self.caller_deadline_at
-        """When it has to end; earlier than its caller's deadline if this instance shuts down."""
+        """When it has to end: earlier than its caller's deadline if this instance shuts down, later
+        if its stream has begun."""
+        self.caller_leaves_at = req.arrived_at + min(req.wait_s, route.timeout_s)
+        """When its caller, or its route, stops waiting."""
+        self.ends_by = math.inf
+        """When this instance ends all requests because it shuts down."""
+        self.on_begun: t.Callable[[Job], None] = lambda job: None
+        """Called when its answer begins."""
         self.events = EventAssembler(req.last_event)
         self.tried: set[str] = set()
         """Names of the replicas to which it was sent."""
@@ -217,6 +234,33 @@
         """Whether it has to end before its caller's deadline."""
         return self.deadline_at < self.caller_deadline_at
 
+    @property
+    def run_deadline_at(self) -> float:
+        """When the replica that runs it has to stop."""
+        if self.route.streaming:
+            return min(self.caller_leaves_at, self.ends_by)
+        return self.deadline_at
+
+    def is_over(self, now: float) -> bool:
+        """Return whether its stream has begun and the time of its replica is over."""
+        return self.inc.started and now >= self.run_deadline_at - TIMER_S
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Begin a stream; it may go on until its caller has left.
+
+        Its end sends nothing more: it would only take the caller's last events.
+        """
+        self.inc.begin(status, headers)
+        req, route = self.req, self.route
+        latest_at = req.arrived_at + min(req.wait_s + LEAVING_S, route.timeout_s)
+        self.deadline_at = max(self.deadline_at, min(latest_at, self.ends_by))
+        self.on_begun(self)
+
+    def end_by(self, until: float) -> None:
+        """End it by a time of the event loop's clock, whatever its caller's deadline."""
+        self.ends_by = min(self.ends_by, until)
+        self.deadline_at = min(self.deadline_at, until)
+
     def keep_failure(self, head: ResponseHead, body: KeptBody) -> None:
         """Keep a replica's error response until the request has ended."""
         self.drop_failure()
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -30,7 +30,7 @@
 from .brittleness import BrittlenessTracker
 from .directory import Directory
 from .end_detection import EndDetector
-from .exceptions import GATEWAY_TIMEOUT, Refused
+from .exceptions import GATEWAY_TIMEOUT, OutOfTime, Refused
 from .exchange import Exchange
 from .execution import NOT_RUN_STATUSES
 from .fingerprints import format_fingerprint
@@ -203,6 +203,8 @@
         ------
         Refused
             If the poison guard blocks it.
+        OutOfTime
+            If its replica stopped at its deadline.
         """
         unavailable_outcome = self._unavailable_outcome(job, replica)
         if unavailable_outcome is not None:
@@ -292,6 +294,8 @@
                 health.note_broken(self._clock())
             raise
         except ResponseBroken as exc:
+            if job.is_over(self._clock()):
+                raise OutOfTime(f"replica {replica.name} stopped at its deadline") from exc
             is_caller_stalled = job.inc.held_up_s >= MIN_CALLER_STALL_S
             self._meters.count_broken_response(exchange.stage.value)
             is_excused = self._is_excused(exchange) or isinstance(exc, NoRoomForAnswer)
@@ -520,7 +524,7 @@
         self._fleet.rests.update_from_answer(replica, self._dialect.read_backoff(head))
 
     def _attempt(self, job: Job, replica: Replica, work: RequestWork) -> Attempt:
-        left_s = job.deadline_at - self._clock()
+        left_s = job.run_deadline_at - self._clock()
         return Attempt(
             replica,
             left_s,
@@ -614,14 +618,14 @@
             job.last_event_at = exchange.last_event_at
             if not job.inc.started:
                 self._note_begun(exchange)
-                job.inc.begin(head.status, end_to_end(head.headers))
+                job.begin(head.status, end_to_end(head.headers))
             await job.inc.send(events)
         if not job.events.is_between_events:
             raise ResponseBroken("the stream ended within an event")
         exchange.release(self._pool, head)
         self._progress.note_end(exchange)
         if not job.inc.started:
-            job.inc.begin(head.status, end_to_end(head.headers))
+            job.begin(head.status, end_to_end(head.headers))
         job.inc.finish()
         if exchange.run is not None and self._lasting is not None:
             self._lasting.end(exchange.run)
--- a/packages/gateway/src/gradelug_gateway/withdrawal.py
+++ b/packages/gateway/src/gradelug_gateway/withdrawal.py
@@ -49,7 +49,8 @@
         TimeoutError
             If its deadline passes.
         """
-        job.deadline_at = min(job.deadline_at, self._until)
+        job.end_by(self._until)
+        job.on_begun = self._reschedule
         try:
             async with asyncio.timeout_at(job.deadline_at) as deadline:
                 self._deadlines[job] = deadline
@@ -65,10 +66,15 @@
     def end_by(self, until: float) -> None:
         """End all requests, also later ones, by a time of the event loop's clock."""
         self._until = until
-        for job, deadline in self._deadlines.items():
-            job.deadline_at = min(job.deadline_at, until)
-            if not deadline.expired() and job not in self._withdrawn:
-                deadline.reschedule(job.deadline_at)
+        for job in self._deadlines:
+            job.end_by(until)
+            self._reschedule(job)
+
+    def _reschedule(self, job: Job) -> None:
+        """Follow a deadline that has changed, unless the request is ending."""
+        deadline = self._deadlines[job]
+        if not deadline.expired() and job not in self._withdrawn:
+            deadline.reschedule(job.deadline_at)
 
     def jobs(self) -> t.Collection[Job]:
         """Return all requests in progress."""
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import pytest
 from gradelug_gateway.model import Repeat
-from test_serving import ADAPTER, HELD, STREAM, Bench, event, route, run
+from test_serving import ADAPTER, HELD, STREAM, Bench, event, route, run, status
+from test_shutdown import schedule
 
 DEADLINE_MS = 1000
 
@@ -27,3 +29,64 @@
             assert bench.servers["s0"][0].transport.closing
 
         run(scenario)
+
+    def test_a_stream_that_has_not_begun_is_answered_after_its_callers_deadline(self):
+        async def scenario():
+            bench = stream_bench([STREAM])
+            client = bench.client(DEADLINE_MS, ADAPTER)
+            await asyncio.sleep(0.995)
+            assert status(client) == 504
+
+        run(scenario)
+
+    @pytest.mark.parametrize("deadline_ms", [505, 560, 1000])
+    def test_a_begun_stream_outlives_the_timeout_of_its_route(self, deadline_ms):
+        async def scenario():
+            bench = stream_bench([STREAM + event(1)], timeout_s=0.5)
+            client = bench.client(deadline_ms, ADAPTER)
+            await asyncio.sleep(0.498)
+            assert not client.ended
+            await asyncio.sleep(0.004)
+            assert client.ended
+
+        run(scenario)
+
+    @pytest.mark.parametrize(("work_s", "ends_at_s"), [(0.5, 0.5), (0.995, 0.995), (1.05, 1.05)])
+    def test_a_begun_stream_outlives_a_planned_stop(self, work_s, ends_at_s):
+        async def scenario():
+            bench = stream_bench([STREAM + event(1)])
+            client = bench.client(DEADLINE_MS, ADAPTER)
+            began_at = bench.clock()
+            await asyncio.sleep(0.1)
+            bench.serving.shut_down(schedule(bench, work_s=work_s - 0.1))
+            await asyncio.sleep(began_at + ends_at_s - 0.002 - bench.clock())
+            assert not client.ended
+            await asyncio.sleep(0.004)
+            assert client.ended
+
+        run(scenario)
+
+    @pytest.mark.parametrize("is_first_told", [True, False])
+    def test_a_stream_that_begins_during_a_planned_stop_outlives_it(self, is_first_told):
+        async def scenario():
+            bench = stream_bench([0.2, STREAM + event(1)])
+            client = bench.client(DEADLINE_MS, ADAPTER)
+            await asyncio.sleep(0.1 if is_first_told else 0.3)
+            bench.serving.shut_down(schedule(bench, work_s=0.9))
+            await asyncio.sleep(0.97)
+            assert client.ended
+
+        run(scenario)
+
+    # A replica stops at the deadline that it was handed.
+    @pytest.mark.parametrize("end", ["reset", "close"])
+    def test_the_end_of_a_replica_at_the_deadline_counts_as_its_failure(self, end):
+        async def scenario():
+            bench = stream_bench([STREAM + event(1), 1.005, end], [STREAM + event(2)])
+            client = bench.client(DEADLINE_MS, ADAPTER)
+            await asyncio.sleep(1.2)
+            assert client.ended
+            assert not bench.received("s1")
+            assert bench.fleet.health("s0").rate(bench.clock()) == 0
+
+        run(scenario)
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -1,12 +1,14 @@
 """Detection of parts of prompts that end replicas: ledger, guard, reports and record."""
 
 import asyncio
+import math
 import random
 from types import SimpleNamespace
 
 import pytest
 from gradelug_coordination import Mirror
 from gradelug_gateway.exceptions import Blocked, Refused
+from gradelug_gateway.job import Job
 from gradelug_gateway.poison import BlockAuthority, PoisonFindings, PoisonGuard
 from gradelug_gateway.poison_desk import PoisonAggregator, PoisonReporter
 from gradelug_gateway.poison_record import PoisonRecord
@@ -251,3 +253,5 @@
     """A job by its attributes, compared by identity."""
 
     __hash__ = object.__hash__
+    ends_by = math.inf
+    end_by = Job.end_by
