--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -4,7 +4,7 @@
 
 import pytest
 from gradelug_gateway.model import Repeat
-from test_serving import ADAPTER, HELD, STREAM, Bench, event, route, run, status
+from test_serving import ADAPTER, END, HELD, STREAM, Bench, event, route, run, status
 from test_shutdown import schedule
 
 DEADLINE_MS = 1000
@@ -90,3 +90,30 @@
             assert bench.fleet.health("s0").rate(bench.clock()) == 0
 
         run(scenario)
+
+
+TOKENS = b"X-Gradelug-Token-Usage: 2000,50\r\n"
+"""A prompt that takes an idle engine 0.1 s by the estimate."""
+
+
+class TestTooLittleTime:
+    # It was sent, and its caller got 504 at its deadline instead of 503.
+    def test_a_stream_that_cannot_begin_in_time_is_sent(self):
+        async def scenario():
+            the_route = route(Repeat.RESUME, True, 2, "llm")
+            script = [[0.05, STREAM + event(1) + END]] * 40
+            bench = Bench(the_route, [script], HELD, engine=True)
+            resumed = b"Last-Event-Id: 7\r\n"
+            for _ in range(20):
+                client = bench.client(1000, ADAPTER + TOKENS)
+                await asyncio.sleep(0.1)
+                assert status(client) == 200
+            for headers in (b"", resumed):
+                before = len(bench.received("s0"))
+                client = bench.client(52, ADAPTER + TOKENS + headers)
+                await asyncio.sleep(0.003)
+                assert status(client) == 503
+                assert b"Retry-After: " in client.received
+                assert len(bench.received("s0")) == before
+
+        run(scenario)
