Refuse requests at once that no replica can respond to in time

Callers that came back with 10 to 50 ms left, mostly with resumed streams, had their requests sent to replicas, which answered nothing in that time: 504 at the deadline, which promises nothing, and a place taken at a replica. Nothing compared what was left with what a response takes.

Known are the shortest recent time to a first event or whole answer on the route, the link included (at least 20 of the last one to two minutes), and the estimate for each engine. A request is refused with 503 only if less is left than the shortest time and, at an engine, than the estimate for every engine that might run it: a short or cached prompt may take less than all others, and after a busy minute the shortest time is long. A run that continues from a saved KV cache is only held to its deadline.

--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -48,6 +48,7 @@
 from .silences import SilenceTracker
 from .stream_origins import StreamOrigins
 from .stream_progress import StreamProgress
+from .time_check import TimeCheck
 
 log = logbook.Logger("sending")
 CONNECT_TIMEOUT_S = 0.35
@@ -117,6 +118,7 @@
         "_silences",
         "_waiter",
         "liveness",
+        "time_check",
     )
 
     def __init__(
@@ -151,6 +153,8 @@
         self._silences = SilenceTracker(fleet, meters, clock)
         self.liveness = LivenessCheck(fleet, self._silences, calls, clock)
         """Tells whether replicas respond."""
+        self.time_check = TimeCheck(fleet, clock)
+        """Tells whether a request can be served in the time left."""
         self._waiter = ResponseWaiter(clock, lasting, self._silences)
         self._lasting = lasting
         self._dialect = dialect
@@ -173,8 +177,9 @@
         return self._guard
 
     def check(self, job: Job) -> None:
-        """Raise `Refused` if the poison guard blocks a request."""
+        """Raise `Refused` if the poison guard blocks a request, `OutOfTime` if it is too late."""
         self._guard.check(job.fingerprint, job.part_fingerprints)
+        self.time_check.check(job)
 
     async def send(
         self,
@@ -204,7 +209,7 @@
         Refused
             If the poison guard blocks it.
         OutOfTime
-            If its replica stopped at its deadline.
+            If too little time is left for a response, or its replica stopped at its deadline.
         """
         unavailable_outcome = self._unavailable_outcome(job, replica)
         if unavailable_outcome is not None:
@@ -247,8 +252,9 @@
             return unavailable_outcome
         try:
             # Checked just before sending: another gateway may have blocked the request since.
-            self.check(job)
-        except Refused:
+            self._guard.check(job.fingerprint, job.part_fingerprints)
+            self.time_check.check(job, replica)
+        except (Refused, OutOfTime):
             conn.close()
             raise
         load = self._fleet.load(replica.name)
@@ -444,6 +450,9 @@
             return
         is_whole = outcome is Outcome.DONE and not exchange.job.route.streaming
         if is_whole:
+            self.time_check.times.note(
+                exchange.replica.service, exchange.job.route.name, now - exchange.sent_at
+            )
             self._brittleness.note_response(exchange.replica, now - exchange.sent_at)
         health.note(outcome is Outcome.RAN, now, now - exchange.sent_at if is_whole else 0.0)
 
@@ -609,6 +618,9 @@
             else:
                 self._progress.note_first_event(exchange)
                 exchange.first_at = self._clock()
+                self.time_check.times.note(
+                    exchange.replica.service, job.route.name, exchange.first_at - exchange.sent_at
+                )
             exchange.last_event_at = self._clock()
             if exchange.run is not None and self._lasting is not None:
                 self._lasting.note_version_change(
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -216,6 +216,7 @@
         try:
             async with self._waiting.until_deadline(job):
                 self._gate.check(job)
+                self._sender.time_check.check(job)
                 if job.route.streaming and req.last_event and self._origins is not None:
                     await self._origins.bind(job)
                 await self._charge(job)
