--- a/packages/gateway/src/gradelug_gateway/offers.py
+++ b/packages/gateway/src/gradelug_gateway/offers.py
@@ -14,7 +14,7 @@
 import logbook
 
 from .budgets import RetryReservation
-from .exceptions import Refused
+from .exceptions import OutOfTime, Refused
 from .job import Job, Outcome
 from .model import Replica
 
@@ -91,7 +91,7 @@
         assert self._task is not None
         try:
             return self._task.result()
-        except Refused:
+        except (Refused, OutOfTime):
             return Outcome.NOT_SENT
 
     def withdraw(self) -> None:
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -30,7 +30,7 @@
 from .brittleness import BrittlenessTracker
 from .directory import Directory
 from .end_detection import EndDetector
-from .exceptions import GATEWAY_TIMEOUT, Refused
+from .exceptions import GATEWAY_TIMEOUT, OutOfTime, Refused
 from .exchange import Exchange
 from .execution import NOT_RUN_STATUSES
 from .fingerprints import format_fingerprint
@@ -49,6 +49,7 @@
 from .silences import SilenceTracker
 from .stream_origins import StreamOrigins
 from .stream_progress import StreamProgress
+from .time_check import TimeCheck
 
 log = logbook.Logger("sending")
 CONNECT_TIMEOUT_S = 0.35
@@ -120,6 +121,7 @@
         "_silences",
         "_waiter",
         "liveness",
+        "time_check",
     )
 
     def __init__(
@@ -154,6 +156,8 @@
         self._silences = SilenceTracker(fleet, meters, clock)
         self.liveness = LivenessCheck(fleet, self._silences, calls, clock)
         """Tells whether replicas respond."""
+        self.time_check = TimeCheck(fleet, clock)
+        """Tells whether a request can be served in the time left."""
         self._waiter = ResponseWaiter(clock, lasting, self._silences)
         self._lasting = lasting
         self._dialect = dialect
@@ -176,8 +180,9 @@
         return self._guard
 
     def check(self, job: Job) -> None:
-        """Raise `Refused` if the poison guard blocks a request."""
+        """Raise `Refused` if the poison guard blocks a request, `OutOfTime` if it is too late."""
         self._guard.check(job.fingerprint, job.part_fingerprints)
+        self.time_check.check(job)
 
     async def send(
         self,
@@ -210,6 +215,8 @@
         ------
         Refused
             If the poison guard blocks it.
+        OutOfTime
+            If too little time is left for a response, or its replica stopped at its deadline.
         """
         unavailable_outcome = self._unavailable_outcome(job, replica)
         if unavailable_outcome is not None:
@@ -252,8 +259,9 @@
             return unavailable_outcome
         try:
             # Checked just before sending: another gateway may have blocked the request since.
-            self.check(job)
-        except Refused:
+            self._guard.check(job.fingerprint, job.part_fingerprints)
+            self.time_check.check(job, replica)
+        except (Refused, OutOfTime):
             conn.close()
             raise
         load = self._fleet.load(replica.name)
@@ -300,6 +308,8 @@
                 health.note_broken(self._clock())
             raise
         except ResponseBroken as exc:
+            if job.is_over(self._clock()):
+                raise OutOfTime(f"replica {replica.name} stopped at its deadline") from exc
             is_caller_stalled = job.inc.held_up_s >= MIN_CALLER_STALL_S
             self._meters.count_broken_response(exchange.stage.value)
             is_excused = self._is_excused(exchange) or isinstance(exc, NoRoomForAnswer)
@@ -448,6 +458,9 @@
             return
         is_whole = outcome is Outcome.DONE and not exchange.job.route.streaming
         if is_whole:
+            self.time_check.times.note(
+                exchange.replica.service, exchange.job.route.name, now - exchange.sent_at
+            )
             self._brittleness.note_response(exchange.replica, now - exchange.sent_at)
         health.note(outcome is Outcome.RAN, now, now - exchange.sent_at if is_whole else 0.0)
 
@@ -535,7 +548,7 @@
         self._fleet.rests.update_from_answer(replica, self._dialect.read_backoff(head))
 
     def _attempt(self, job: Job, replica: Replica, work: RequestWork) -> Attempt:
-        left_s = job.deadline_at - self._clock()
+        left_s = job.run_deadline_at - self._clock()
         return Attempt(
             replica,
             left_s,
@@ -620,6 +633,9 @@
             else:
                 self._progress.note_first_event(exchange)
                 exchange.first_at = self._clock()
+                self.time_check.times.note(
+                    exchange.replica.service, job.route.name, exchange.first_at - exchange.sent_at
+                )
             exchange.last_event_at = self._clock()
             if exchange.run is not None and self._lasting is not None:
                 self._lasting.note_version_change(
@@ -629,14 +645,14 @@
             job.last_event_at = exchange.last_event_at
             if not job.inc.started:
                 self._note_begun(exchange)
-                job.inc.begin(head.status, end_to_end(head.headers))
+                job.begin(head.status, end_to_end(head.headers))
             await job.inc.send(events)
         if not job.events.is_between_events:
             raise ResponseBroken("the stream ended within an event")
         exchange.release(self._pool, head)
         self._progress.note_end(exchange)
         if not job.inc.started:
-            job.inc.begin(head.status, end_to_end(head.headers))
+            job.begin(head.status, end_to_end(head.headers))
         job.inc.finish()
         if exchange.run is not None and self._lasting is not None:
             self._lasting.end(exchange.run)
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -220,6 +220,7 @@
         try:
             async with self._waiting.until_deadline(job):
                 self._gate.check(job)
+                self._sender.time_check.check(job)
                 if job.route.streaming and req.last_event and self._origins is not None:
                     await self._origins.bind(job)
                 await self._charge(job)
@@ -337,7 +338,6 @@
 
     async def _run(self, job: Job) -> None:
         while True:
-            self._sender.check(job)
             replica, outcome = await self._attempt(job)
             if outcome is Outcome.DONE:
                 return
@@ -361,6 +361,7 @@
                     job.release_retry()
                     job.retry = offer.retry
             return offer.replica, outcome
+        self._sender.check(job)
         started_at = self._clock()
         replica = await self._place_with_fallback(job)
         job.placed_s += self._clock() - started_at
