Learn from resets how long replicas keep idle connections

Callers saw 502 some milliseconds after their requests were sent: a replica reset a kept connection that it had silently forgotten, and no retry was left. A reset taught nothing: the other idle connections to the same replica, and those to the other replicas of its service, were used and reset in turn.

Connections that rested for a quarter of that rest or longer are not used there, unless the replica answered after such a rest lately; an answer after a longer rest at the same replica refutes the reset. Requests that may not be repeated get new connections meanwhile. Resets after a rest of a moment, late resets and those of tunnels teach nothing.

--- a/packages/gateway/src/gradelug_gateway/daemon.py
+++ b/packages/gateway/src/gradelug_gateway/daemon.py
@@ -276,7 +276,11 @@
         )
         # A replica limits the connections of all instances together and resets any beyond that.
         pool.bound_bodies(settings.unread_bytes, self._unsent_bytes)
-        pool.keeps = IdleConnections(settings.name, self._state, lambda: self._directory.gateways)
+        idle = IdleConnections(settings.name, self._state, lambda: self._directory.gateways)
+        pool.keeps = idle
+        pool.resets.group_of = idle.service
+        if run_pool is not None:
+            run_pool.resets = pool.resets
         bounds = settings.bounds
         self._budgets = RetryBudgets(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s, self._clock
--- a/packages/gateway/src/gradelug_gateway/gauges.py
+++ b/packages/gateway/src/gradelug_gateway/gauges.py
@@ -102,6 +102,16 @@
         "Idle connections closed after another connection to the same replica stopped responding",
         lambda: sources.pool.doubted,
     )
+    gauge(
+        "connections_forgotten",
+        "Idle connections reset since startup when they were used again",
+        lambda: sources.pool.resets.noted,
+    )
+    meters.add_service_gauge(
+        "idle_connection_limit_seconds",
+        "Idle time from which on connections are not used again, learned from resets",
+        sources.pool.resets.limits,
+    )
     meters.add_service_gauge(
         "replicas_unreachable",
         "Replicas to which the last direct connection attempt of this instance failed",
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -227,7 +227,11 @@
         try:
             max_idle_s = math.inf if job.may_repeat() else self._max_idle_s
             conn = await self._pool.acquire(
-                replica.address, CONNECT_TIMEOUT_S, max_idle_s, job.execution.may_use
+                replica.address,
+                CONNECT_TIMEOUT_S,
+                max_idle_s,
+                job.execution.may_use,
+                job.may_repeat(),
             )
         except ConnectFailed as exc:
             if isinstance(exc, ConnectRefused) and self._ends is not None:
@@ -292,6 +296,7 @@
                 health.note_broken(self._clock())
             raise
         except ResponseBroken as exc:
+            self._pool.note_broken(conn)
             is_caller_stalled = job.inc.held_up_s >= MIN_CALLER_STALL_S
             self._meters.count_broken_response(exchange.stage.value)
             is_excused = self._is_excused(exchange) or isinstance(exc, NoRoomForAnswer)
@@ -311,6 +316,7 @@
                 stage=exchange.stage.value,
                 conn=conn.number,
                 conn_uses=conn.uses,
+                rested_s=round(conn.rested_s, 3),
                 skipped=conn.skipped,
                 sent_s=round(self._clock() - exchange.sent_at, 3),
                 quiet_s=round(self._clock() - exchange.last_event_at, 3),
--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -198,7 +198,10 @@
         "_wire",
         "address",
         "idle_until",
+        "is_answered",
         "number",
+        "rested_s",
+        "sent_at",
         "skipped",
         "used_at",
         "uses",
@@ -228,6 +231,18 @@
         self.idle_until = float("inf")
         self.used_at = clock()
         self.uses = 0
+        self.rested_s = 0.0
+        """How long it had been idle when the current request was sent, in seconds."""
+        self.sent_at = self.used_at
+        """When the current request was sent, by the runtime's clock."""
+        self.is_answered = False
+        """Whether any byte has come since then."""
+
+    @property
+    def was_reset_unanswered(self) -> bool:
+        """Whether it was used again, and reset before any byte of an answer."""
+        is_reset = isinstance(self._wire.reset, (ConnectionResetError, BrokenPipeError))
+        return is_reset and self.uses > 1 and not self.is_answered
 
     @property
     def via(self) -> str:
@@ -263,6 +278,9 @@
         if transport is None or self._wire.ended or self._wire.is_dropped:
             raise ConnectFailed(f"{self.address} closed the connection before the request")
         self._wire.is_idle = False
+        self.sent_at = self._clock()
+        self.rested_s = self.sent_at - self.used_at
+        self.is_answered = False
         transport.write(b"".join(parts))
 
     async def head(self, is_own: t.Callable[[ResponseHead], bool]) -> ResponseHead:
@@ -386,7 +404,9 @@
                 raise ResponseBroken(
                     f"a head or a trailer has {fields} fields, more than {MAX_FIELDS}"
                 )
-            self._h11.receive_data(await self._wire.read())
+            data = await self._wire.read()
+            self.is_answered = self.is_answered or bool(data)
+            self._h11.receive_data(data)
 
     async def _next_final_event(self) -> t.Any:
         """Return the next event that is no informational answer."""
--- a/packages/http/src/gradelug_http/pool.py
+++ b/packages/http/src/gradelug_http/pool.py
@@ -10,6 +10,7 @@
 from .budget import MAX_BODY_BYTES, MOST_READ_AHEAD, BodyBudget
 from .client import Connection, OutgoingRequest, ResponseHead, Wire
 from .exceptions import ConnectFailed, ConnectRefused
+from .idle_resets import IdleResets
 
 MOST_IDLE = 512
 """Idle connections that are kept, 6.4 KB each: of one to each of 3,000 engines hardly any is used
@@ -54,6 +55,7 @@
         "doubted",
         "keeps",
         "opened",
+        "resets",
     )
 
     def __init__(self, clock: t.Callable[[], float], dial: Dial | None = None) -> None:
@@ -72,6 +74,8 @@
         """Connections opened since the start."""
         self.doubted = 0
         """Idle connections closed since the start because another one had fallen silent."""
+        self.resets = IdleResets(clock)
+        """Decides how long a connection may have rested when it is used again."""
 
     async def acquire(
         self,
@@ -79,6 +83,7 @@
         limit_s: float,
         rested_s: float = float("inf"),
         may_use: t.Callable[[Connection], bool] = lambda conn: True,
+        may_repeat: bool = True,
     ) -> Connection:
         """Return a connection that is free, opening one if there is none.
 
@@ -92,12 +97,18 @@
             Longest time that a connection used again may have been idle, in seconds.
         may_use : callable
             Whether an idle connection may be used; those that may not are left idle.
+        may_repeat : bool
+            Whether the request may be sent again after a reset. One that may not gets a new
+            connection where kept ones were reset lately.
 
         Raises
         ------
         ConnectFailed
             If none comes up in time.
         """
+        if not may_repeat and self.resets.is_forgetful(address):
+            return await self._open(address, limit_s)
+        rested_s = min(rested_s, self.resets.max_rest_s(address))
         conn = self._take_idle(address, rested_s, may_use)
         return conn if conn is not None else await self._open(address, limit_s)
 
@@ -152,6 +163,8 @@
 
     def release(self, conn: Connection, head: ResponseHead) -> None:
         """Take a connection back after a whole answer."""
+        if conn.uses > 1 and not conn.via:
+            self.resets.note_answer(conn.address, conn.rested_s, conn.sent_at)
         if conn.settle(head) and len(self._idle[conn.address]) < self.keeps(conn.address):
             self._idle[conn.address].append(conn)
             self._resting[conn] = None
@@ -230,6 +243,7 @@
                 return head, body
             finally:
                 if not is_whole:
+                    self.note_broken(conn)
                     conn.abort()
                     self.doubt(address, sent_at)
 
@@ -250,6 +264,23 @@
         extend()
         return await conn.body(most_bytes, extend)
 
+    def note_broken(self, conn: Connection) -> None:
+        """Learn from a connection that broke, and close the idle ones that it shows to be dead."""
+        if not conn.was_reset_unanswered or conn.via:
+            # A tunnel is also reset by the peer that it passes through.
+            return
+        took_s = self._clock() - conn.sent_at
+        if self.resets.note_reset(conn.address, conn.rested_s, took_s):
+            self._close_rested(conn.address, conn.rested_s)
+
+    def _close_rested(self, address: str, rested_s: float) -> None:
+        """Close the idle connections to an address that rested at least so many seconds."""
+        now = self._clock()
+        for conn in [one for one in self._idle.get(address, ()) if now - one.used_at >= rested_s]:
+            self._idle[address].remove(conn)
+            self._resting.pop(conn, None)
+            conn.close()
+
     def doubt(self, address: str, sent_at: float) -> None:
         """Close the idle connections over which nothing has come since a request got no answer.
 
@@ -277,6 +308,7 @@
     def prune(self, addresses: t.Container[str]) -> None:
         """Close what is unfit, and every idle connection to other addresses than these."""
         now = self._clock()
+        self.resets.forget_removed(addresses)
         for address in list(self._idle):
             kept = []
             for conn in self._idle[address]:
