Tests: waits for a retry, and what takes one

Red: requests that may have run and have no event are failed at once though a retry is known to come in time; a request that was refused takes the only retry from a begun stream that waits for one.

--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -64,6 +64,7 @@
 FULL = reply(b"", b"503 Service Unavailable", extra=b"X-Gradelug-Not-Executed: 1\r\n")
 MISDIRECTED = reply(b"", b"421 Misdirected Request", extra=b"X-Gradelug-Instance-Id: other\r\n")
 ABSENT = reply(b"", b"421 Misdirected Request")
+ABSENT_ONCE = reply(b"", b"421 Misdirected Request", extra=b"Connection: close\r\n")
 FAILED = reply(b"no", b"500 Internal Server Error", extra=SIGNED)
 STREAM = (
     b"HTTP/1.1 200 OK\r\nX-Gradelug-Request-Id: q1\r\n" + SIGNED + b"Content-Type: "
@@ -213,6 +214,18 @@
     return int(client.received.split(b" ")[1])
 
 
+def allow_retry_after(bench, monkeypatch, service, delay_s):
+    """Let a retry become available after a delay, of which the budget knows."""
+    available_at = bench.clock() + delay_s
+    monkeypatch.setattr(
+        RetryBudgets,
+        "seconds_to_retry",
+        lambda self, service: max(0.0, available_at - bench.clock()),
+    )
+    window = bench.serving._budgets._window(service)
+    asyncio.get_running_loop().call_at(available_at, lambda: setattr(window, "extra", 1.0))
+
+
 class TestPlainRequests:
     def test_request_and_response_are_forwarded_unchanged_with_the_remaining_deadline(self):
         async def scenario():
@@ -371,6 +384,49 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(("retry_after_s", "expected"), [(0.5, 200), (3.0, 502)])
+    def test_a_repeatable_request_failed_although_a_retry_is_available_soon(
+        self, monkeypatch, retry_after_s, expected
+    ):
+        async def scenario():
+            bench = Bench(route(Repeat.FREELY), [[["reset"]], [[OK]]], budget=0.0)
+            allow_retry_after(bench, monkeypatch, "plain", retry_after_s)
+            client = bench.client(deadline_ms=1000)
+            await asyncio.sleep(0.2)
+            assert client.received[9:12] == (b"502" if expected == 502 else b"")
+            await asyncio.sleep(0.6)
+            assert status(client) == expected
+
+        run(scenario)
+
+    def test_a_request_that_was_not_sent_takes_nothing_from_the_budget(self):
+        async def scenario():
+            # The replica in this instance's hall refuses connections.
+            bench = Bench(route(Repeat.NEVER, replicas=1), [None, [[OK]]], budget=1.0)
+            client = bench.client()
+            await asyncio.sleep(0.2)
+            assert status(client) == 200
+            assert bench.serving._budgets.has_retry("plain")
+
+        run(scenario)
+
+    def test_a_reserved_retry_is_kept_while_replicas_refuse_connections(self):
+        async def scenario():
+            scripts = [[["reset"]], None, None, None, None, [[OK]]]
+            bench = Bench(route(Repeat.FREELY, replicas=3), scripts, budget=1.0)
+            with logbook.TestHandler() as logged:
+                client = bench.client()
+                await asyncio.sleep(0.4)
+            assert status(client) == 200
+            budgets = bench.serving._budgets
+            assert not budgets.has_retry("plain")
+            budgets._window("plain").extra = 2.0
+            assert budgets.has_retry("plain")
+            unsent = [row for row in logged.records if row.message == "not sent"]
+            assert unsent
+
+        run(scenario)
+
     def test_success_without_a_signature_is_rejected(self):
         async def scenario():
             bench = Bench(route(Repeat.NEVER, replicas=1), [[[reply()]]])
@@ -671,6 +727,40 @@
 
         run(scenario)
 
+    # A retry that comes after the caller has left is of no use: the caller can retry by itself.
+    @pytest.mark.parametrize(("retry_after_s", "expected"), [(1.0, 200), (6.0, 502)])
+    def test_a_stream_without_events_failed_although_a_retry_is_available_soon(
+        self, monkeypatch, retry_after_s, expected
+    ):
+        async def scenario():
+            bench = self.bench([[["reset"]], [[STREAM + event(1) + END]]], budget=0.0)
+            allow_retry_after(bench, monkeypatch, "llm", retry_after_s)
+            client = bench.client(9000, ADAPTER)
+            await asyncio.sleep(0.2)
+            assert client.received[9:12] == (b"502" if expected == 502 else b"")
+            await asyncio.sleep(retry_after_s + 0.2)
+            assert status(client) == expected
+
+        run(scenario)
+
+    # Most retries are used by requests that could be sent again by their callers.
+    @pytest.mark.parametrize(
+        "other", [pytest.param(ABSENT_ONCE, id="not run"), pytest.param("reset", id="no event")]
+    )
+    def test_the_only_retry_was_taken_from_a_begun_stream(self, monkeypatch, other):
+        async def scenario():
+            bench = self.bench([[], [[STREAM + event(2) + END]]], budget=0.0)
+            bench.script_sends("s0", *[[other]], [STREAM + event(1), 0.01, "reset"])
+            allow_retry_after(bench, monkeypatch, "llm", 0.145)
+            first = bench.client(9000, ADAPTER)
+            await asyncio.sleep(0.03)
+            begun = bench.client(9000, ADAPTER)
+            await asyncio.sleep(0.6)
+            assert begun.received.endswith(END)
+            assert not first.received.endswith(END)
+
+        run(scenario)
+
     def test_nonresumable_stream_is_aborted_without_its_end_marker(self):
         async def scenario():
             bench = self.bench([[[STREAM + event(1), "reset"]], [[STREAM + END]]], Repeat.NEVER)
