Leave a retry to each begun stream that waits for one

A begun stream whose replica was lost was cut although a retry had become available while it waited: a request that had not run polled the budget some milliseconds earlier and took it. Requests that may have run have precedence over those only by the retries that they used before.

--- a/packages/gateway/src/gradelug_gateway/budgets.py
+++ b/packages/gateway/src/gradelug_gateway/budgets.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import typing as t
 
@@ -155,11 +156,23 @@
         """Count a caller's request, which adds to the budget of its service."""
         self._window(service).note_request(self._clock())
 
-    def has_retry(self, service: str) -> bool:
+    @contextlib.contextmanager
+    def awaiting(self, service: str, begun: bool) -> t.Iterator[None]:
+        """Leave a retry to a request while it waits for one, if its stream has begun."""
+        window = self._window(service)
+        window.awaited += begun
+        try:
+            yield
+        finally:
+            window.awaited -= begun
+
+    def has_retry(self, service: str, begun: bool = False) -> bool:
         """Return whether a retry is available now for a request that may have run."""
-        return self._window(service).has_retry(self._clock())
+        return self._window(service).has_retry(self._clock(), begun=begun)
 
-    def reserve(self, service: str, unrun: bool = False) -> RetryReservation | None:
+    def reserve(
+        self, service: str, unrun: bool = False, begun: bool = False
+    ) -> RetryReservation | None:
         """Reserve a retry if one is available, otherwise return None.
 
         Parameters
@@ -169,9 +182,12 @@
         unrun : bool
             Whether the request has not run; some retries are then reserved for requests that may
             have run, which would otherwise fail.
+        begun : bool
+            Whether the request is a stream of which its caller has events; retries are left to
+            such requests while they wait for one.
         """
         window = self._window(service)
-        if not window.try_reserve(self._clock(), unrun):
+        if not window.try_reserve(self._clock(), unrun, begun):
             return None
         return RetryReservation(window, unrun, self._clock)
 
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -244,7 +244,7 @@
             Whether the request has certainly not run.
         """
         if self.retry is None:
-            self.retry = budgets.reserve(self.service.name, unrun)
+            self.retry = budgets.reserve(self.service.name, unrun, self.inc.started)
         return self.retry is not None
 
     def use_retry(self) -> None:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -419,10 +419,11 @@
     async def _await_retry(self, job: Job, unrun: bool) -> bool:
         """Wait for a retry while it is of use to the caller; return whether one is reserved."""
         service, until = job.service.name, _retry_wait_end(job, unrun)
-        while not job.reserve_retry(self._budgets, unrun):
-            if self._clock() + self._budgets.seconds_to_retry(service) >= until:
-                return False
-            await asyncio.sleep(POLL_S)
+        with self._budgets.awaiting(service, job.inc.started):
+            while not job.reserve_retry(self._budgets, unrun):
+                if self._clock() + self._budgets.seconds_to_retry(service) >= until:
+                    return False
+                await asyncio.sleep(POLL_S)
         return True
 
     def _may_wait(self, job: Job, replica: Replica) -> bool:
--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -84,7 +84,7 @@
         """Return whether a retry could be reserved now."""
         if not self._may_be_sent(job):
             return False
-        return job.retry is not None or self._budgets.has_retry(job.service.name)
+        return job.retry is not None or self._budgets.has_retry(job.service.name, job.inc.started)
 
     def _may_be_sent(self, job: Job) -> bool:
         """Return whether a further attempt is allowed: its caller's key may have been revoked."""
--- a/packages/policy/src/gradelug_policy/retries.py
+++ b/packages/policy/src/gradelug_policy/retries.py
@@ -59,6 +59,9 @@
     weights arrive late. Requests that found them missing used the retries of the first second that
     streams broken off in the next second would have needed.
 
+    Streams that have begun come first: their callers lose the events that they have. Other requests
+    leave a retry to each of them that waits for one.
+
     Parameters
     ----------
     ratio : float
@@ -77,12 +80,15 @@
         "_reserved_possibly_run",
         "_retries",
         "_window_s",
+        "awaited",
         "extra",
     )
 
     def __init__(self, ratio: float, extra: float, window_s: float) -> None:
         self._ratio = ratio
         self._window_s = window_s
+        self.awaited = 0
+        """Streams that have begun and wait for a retry."""
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
         self._possibly_run_retries: deque[float] = deque()
@@ -98,7 +104,7 @@
         self._requests.append(now)
         self._forget(now)
 
-    def has_retry(self, now: float, not_run: bool = False) -> bool:
+    def has_retry(self, now: float, not_run: bool = False, begun: bool = False) -> bool:
         """Return whether a retry is available in the window.
 
         Parameters
@@ -107,17 +113,19 @@
             Current time by the runtime's clock.
         not_run : bool
             Whether the request has certainly not run.
+        begun : bool
+            Whether the request is a stream that has begun.
         """
         self._forget(now)
-        precedence = 0.0
+        precedence = 0.0 if begun else float(self.awaited)
         if not_run:
             possibly_run = len(self._possibly_run_retries) + self._reserved_possibly_run
-            precedence = min(possibly_run, MAX_RESERVED_RETRY_FRACTION * self._allowed)
+            precedence += min(possibly_run, MAX_RESERVED_RETRY_FRACTION * self._allowed)
         return len(self._retries) + self._reserved + 1 + precedence <= self._allowed
 
-    def try_reserve(self, now: float, unrun: bool = False) -> bool:
+    def try_reserve(self, now: float, unrun: bool = False, begun: bool = False) -> bool:
         """Reserve a retry if one is available; it counts until it is used or released."""
-        if not self.has_retry(now, unrun):
+        if not self.has_retry(now, unrun, begun):
             return False
         self._reserved += 1
         self._reserved_possibly_run += not unrun
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -2,6 +2,7 @@
 
 import pytest
 from gradelug_gateway.budgets import (
+    BUDGET_FRACTION,
     COUNT_SETTLE_S,
     DEFAULT_GATEWAY_COUNT,
     FOLLOW_TIMEOUT_S,
@@ -93,6 +94,23 @@
         assert [window.try_retry(0.1, unrun=True) for _ in range(3)] == [True, True, False]
         assert [window.try_retry(0.2) for _ in range(3)] == [True, True, False]
 
+    def test_a_retry_is_left_to_each_begun_stream_that_waits_for_one(self):
+        window = RetryWindow(0.0, 2.0, WINDOW_S)
+        window.awaited = 2
+        assert not window.try_reserve(0.0, unrun=True)
+        assert not window.try_reserve(0.0)
+        assert window.try_reserve(0.0, begun=True)
+        window.awaited = 0
+        assert window.try_reserve(0.0)
+
+    def test_a_retry_is_left_only_while_a_begun_stream_waits(self):
+        budgets = RetryBudgets(0.0, 1.0 / BUDGET_FRACTION, WINDOW_S, lambda: 0.0)
+        budgets.share_among(1)
+        with budgets.awaiting("s", begun=True):
+            assert not budgets.has_retry("s")
+            assert budgets.has_retry("s", begun=True)
+        assert budgets.has_retry("s")
+
     def test_nothing_is_reserved_without_requests_that_may_have_run(self):
         window = RetryWindow(0.0, 6.0, WINDOW_S)
         assert sum(window.try_retry(0.0, unrun=True) for _ in range(9)) == 6
