Let requests without an event wait for a retry while one can come in time

Callers got 502 some milliseconds after a replica had broken off their request, with all their time before them: a request that may have run and whose answer has not begun was failed as soon as the retry budget was empty. Only requests that had not run, and begun streams, waited.

It now waits until an answer could reach its caller no more: the end of its caller's patience or its deadline, less the time in which the best replica can respond. If the budget knows that no retry comes by then, or a replica's error is in hand, it is answered at once, since its caller can retry by itself. Begun streams keep their precedence.

test_a_repeatable_request_failed_although_a_retry_is_available_soon[0.5-200] and test_a_stream_without_events_failed_although_a_retry_is_available_soon [1.0-200] failed before and pass now. The test of the only retry places both streams at the replica that breaks off: with the precedence taken out, both of its cases fail.

--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -418,7 +418,7 @@
 
     async def _await_retry(self, job: Job, unrun: bool) -> bool:
         """Wait for a retry while it is of use to the caller; return whether one is reserved."""
-        service, until = job.service.name, _retry_wait_end(job, unrun)
+        service, until = job.service.name, self._wait_policy.retry_deadline(job, unrun)
         with self._budgets.awaiting(service, job.inc.started):
             while not job.reserve_retry(self._budgets, unrun):
                 if self._clock() + self._budgets.seconds_to_retry(service) >= until:
@@ -540,17 +540,3 @@
             sends=job.sends,
             last_event=job.events.last_event,
         )
-
-
-def _retry_wait_end(job: Job, unrun: bool) -> float:
-    """Return until when a request waits for a retry, by the event loop's clock.
-
-    A request that has not run waits until its target time, and a stream that has begun for as long
-    as its caller waits for the next event: without a retry it is cut. All others are answered at
-    once, since their callers can retry them.
-    """
-    if unrun:
-        return job.req.arrived_at + job.route.target_s
-    if job.inc.started:
-        return min(job.deadline_at, job.last_event_at + job.route.patience_s)
-    return -math.inf
--- a/packages/gateway/src/gradelug_gateway/wait_policy.py
+++ b/packages/gateway/src/gradelug_gateway/wait_policy.py
@@ -1,10 +1,11 @@
-"""How long a request waits for its placement, and for capacity at a rate-limited replica.
+"""How long a request waits for its placement, for capacity at a replica, and for a retry.
 
 The request pipeline uses it before each attempt.
 """
 
 from __future__ import annotations
 
+import math
 import typing as t
 
 from .fleet import Fleet
@@ -53,6 +54,35 @@
         latest_at = min(job.deadline_at, job.req.arrived_at + job.route.patience_s)
         return latest_at - START_MARGIN_S
 
+    def retry_deadline(self, job: Job, unrun: bool) -> float:
+        """Return until when a retry is of use to a request, by the event loop's clock.
+
+        A request that has not run waits until its target time: it can be refused, and its caller
+        can send it again. A stream that has begun is cut without a retry, and waits as long as its
+        caller. All others fail without one. They wait while an answer that is late can still reach
+        their caller, unless it is known that none can, or a replica's error is in hand: then their
+        caller can retry at once.
+        """
+        if unrun:
+            return job.req.arrived_at + job.route.target_s
+        if job.failure is not None:
+            return -math.inf
+        latest_at = min(job.deadline_at, job.last_event_at + job.route.patience_s)
+        return latest_at if job.inc.started else latest_at - self._shortest_response_s(job)
+
+    def _shortest_response_s(self, job: Job) -> float:
+        """Return the time to a request's first event, or to its response, at the best replica."""
+        replicas = self._fleet.usable(job.service.name)
+        if job.service.engine is None:
+            now = self._clock()
+            times_s = (self._fleet.health(rep.name).took_s(now) for rep in replicas)
+        else:
+            times_s = (
+                self._fleet.expected_s(rep, self._fleet.load(rep.name).busyness(), job.work)
+                for rep in replicas
+            )
+        return min(times_s, default=0.0)
+
     def demand(self, job: Job, replica: Replica) -> Demand:
         """Return the urgency and the longest wait of a request for capacity at a replica."""
         if self._fleet.limits.rate(replica.name) is None:
