Tests: what a reset of a kept connection teaches the pool, and what not

Connections that rested as long are closed at once; requests that may not be repeated get new ones; a reset within a head, or of a tunnel, teaches nothing.

--- a/tests/test_forgotten_connections.py
+++ b/tests/test_forgotten_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 from pipes import Network, RawServer
 
+import pytest
 from gradelug_http import HttpPool, OutgoingRequest, ResponseBroken
 from limit_world import LimitWorld
 from run_world import run
@@ -75,6 +76,15 @@
             await conn.body(100)
             self.pool.release(conn, head)
 
+    async def break_one(self):
+        """Send a request over an idle connection, and report its break."""
+        conn = await self.pool.acquire(ADDRESS, 1.0)
+        assert conn.uses
+        conn.send(GET)
+        with pytest.raises(ResponseBroken):
+            await conn.head(lambda head: True)
+        self.pool.note_broken(conn)
+
     async def get(self):
         """Return whether a request is answered."""
         try:
@@ -97,6 +107,58 @@
 
         run(scenario)
 
+    def test_idle_connections_that_rested_as_long_are_closed_at_once(self):
+        async def scenario():
+            bench = PoolBench(idle=3)
+            await bench.open_idle()
+            await asyncio.sleep(REST_S)
+            await bench.break_one()
+            assert bench.pool.connections == 1
+            assert bench.pool.resets.noted == 1
+            await bench.get()
+            assert len(bench.net.dialled) == 4
+
+        run(scenario)
+
+    def test_a_request_that_may_not_be_repeated_gets_a_new_connection(self):
+        async def scenario():
+            bench = PoolBench(idle=2)
+            await bench.open_idle()
+            conn = await bench.pool.acquire(ADDRESS, 1.0, may_repeat=False)
+            assert conn.uses == 1
+            await asyncio.sleep(REST_S)
+            await bench.break_one()
+            # The connection that this leaves has rested for a moment only.
+            assert await bench.get()
+            assert (await bench.pool.acquire(ADDRESS, 1.0, may_repeat=False)).uses == 0
+            assert (await bench.pool.acquire(ADDRESS, 1.0)).uses == 1
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("first_bytes", "via"), [(b"HTTP/1.1 2", ""), (b"", "10.0.0.2:83")], ids=["head", "tunnel"]
+    )
+    def test_a_reset_was_taken_for_a_forgotten_connection(self, first_bytes, via):
+        """The upstream had begun to answer, or the tunnel may have ended instead of it."""
+
+        async def scenario():
+            bench = PoolBench(idle=1, forget_s=100.0)
+            bench.net.servers[ADDRESS] = lambda: RawServer([[OK], [first_bytes, "reset"]])
+            dial = bench.net.dial
+
+            async def dial_via(address):
+                wire = await dial(address)
+                wire.via = via
+                return wire
+
+            bench.pool.dial = dial_via
+            await bench.open_idle()
+            await asyncio.sleep(REST_S)
+            await bench.break_one()
+            assert bench.pool.resets.noted == 0
+
+        run(scenario)
+
 
 async def rest(world):
     """Leave idle connections to each plain replica."""
