--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -93,7 +93,7 @@
         """Return whether a retry could be reserved now."""
         if not self._may_be_sent(job):
             return False
-        return job.retry is not None or self._budgets.has_retry(job.service.name)
+        return job.retry is not None or self._budgets.has_retry(job.service.name, job.inc.started)
 
     def _may_be_sent(self, job: Job) -> bool:
         """Return whether a further attempt is allowed: its caller's key may have been revoked."""
@@ -134,7 +134,7 @@
             successor = await self._find(job, silent)
             if successor is None or not self._may_be_sent(job):
                 return False
-            retry = self._budgets.reserve(job.service.name)
+            retry = self._budgets.reserve(job.service.name, begun=job.inc.started)
             if retry is None:
                 return False
             if await self._offer(job, silent, Offer(successor, retry)):
