Reset cut answers to callers of HTTP/1.0

An answer without a length that was cut (its replica broke off, serving it failed, the server stopped, the process was killed) reached callers of HTTP/1.0 as a 200 whose connection was closed in order, which is how such an answer ends when it is whole. Aborting a transport of asyncio closes its socket, and the kernel then sends FIN unless SO_LINGER says otherwise.

The socket now resets on close from before the head of such an answer until its connection is lost with the answer whole and no part of it dropped, so that every end in between, the death of the process included, is a reset. Answers with a length or in chunks are not touched.

--- a/packages/http/src/gradelug_http/incoming.py
+++ b/packages/http/src/gradelug_http/incoming.py
@@ -75,6 +75,7 @@
 
     def begin(self, status: int, headers: Headers) -> None:
         """Begin an answer of unknown length; raises `ClientGone`."""
+        self._conn.begin_unsized()
         self._head(status, headers)
 
     async def send(self, data: bytes) -> None:
--- a/packages/http/src/gradelug_http/server_connection.py
+++ b/packages/http/src/gradelug_http/server_connection.py
@@ -14,6 +14,7 @@
 from .headers import Headers, find
 from .incoming import Incoming
 from .request_reader import RequestReader, Step
+from .reset_on_close import reset_on_close
 
 if t.TYPE_CHECKING:
     from .server import HttpServer
@@ -87,6 +88,10 @@
         self._held_up_s = 0.0
         self._gone = False
         self._incoming: Incoming | None = None
+        self._is_end_marked_by_close = False
+        """Whether only the end of the connection tells that the current answer is whole."""
+        self._has_dropped = False
+        """Whether a part of an answer was not sent because the connection was aborted."""
         self.opened_at = self._read_at = server.clock()
         self._answered = 0
         self._end: ConnectionEnd | None = None
@@ -110,6 +115,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request that is being served."""
         self._gone = True
+        if self._is_end_marked_by_close and exc is None and self._is_answer_sent:
+            assert self.transport is not None
+            reset_on_close(self.transport, False)
         self.server.connections.discard(self)
         self.server.turns.discard(self)
         self.recount()
@@ -328,6 +336,7 @@
     def abort(self, cause: EndCause = EndCause.STOP) -> None:
         """Close at once."""
         self._note_end(cause)
+        self._has_dropped = self._has_dropped or self.unsent > 0
         if self.transport is not None:
             self.transport.abort()
 
@@ -422,6 +431,24 @@
         """Send a part of an answer; raises `ClientGone`."""
         self.write(self._reader.parser.send(event))
 
+    def begin_unsized(self) -> None:
+        """Prepare for an answer of unknown length.
+
+        A caller of HTTP/1.0 takes it for whole if its connection is closed in order, which the
+        kernel does as well when this process ends.
+        """
+        version = self._reader.parser.their_http_version
+        if version is None or version >= b"1.1":
+            return
+        if self.transport is not None and not self._gone:
+            self._is_end_marked_by_close = True
+            reset_on_close(self.transport, True)
+
+    @property
+    def _is_answer_sent(self) -> bool:
+        """Whether the current answer is whole and no part of it was dropped."""
+        return self._incoming is not None and self._incoming.ended and not self._has_dropped
+
     async def wait_sent(self) -> None:
         """Wait until the client has read enough."""
         if self.paused_since is None or self._gone:
