Reset cut answers of the OpenAI door to callers of HTTP/1.0

A stream or an answer of a plain service without a length that was cut reached callers of HTTP/1.0 as a 200 whose connection was closed in order, so that it looked complete. The door closed it as after a whole answer, and the HTTP library shuts a connection down before it closes the socket.

The connection of such an answer is now reset when its socket is closed, until all of a whole answer is sent, and a cut closes the socket without shutting it down. The end of the process resets it as well.

--- a/packages/router/src/gradelug_router/door.py
+++ b/packages/router/src/gradelug_router/door.py
@@ -18,6 +18,7 @@
 from .openai import error_body
 from .settings import Limits
 from .stopping import yield_turns
+from .unsized import UnsizedAnswers
 
 log = logbook.Logger("door")
 SWEEP_S = 0.5
@@ -84,6 +85,8 @@
         # A tuple has no length that the library would state.
         res.body = ()
         res.prepare()
+        if not res.chunked:
+            self._door.begin_unsized(self.sock)
         self._door.send(self.sock, bytes(res) + bytes(res.headers))
 
     async def send(self, data: bytes) -> None:
@@ -111,7 +114,7 @@
 
     def cut(self) -> None:
         """Break an answer off, so that it cannot be taken for whole."""
-        self._door.end(self.sock, True)
+        self._door.cut(self.sock)
 
 
 class Door(BaseComponent):
@@ -136,6 +139,7 @@
         self._serve = serve
         self._tasks: dict[t.Any, asyncio.Task[None]] = {}
         self._draining: dict[t.Any, asyncio.Future[None]] = {}
+        self._unsized = UnsizedAnswers()
         self._sweeper: asyncio.TimerHandle | None = None
         self._was_sweep_skipped = False
         self.is_draining = False
@@ -223,7 +227,10 @@
         await self.cancel_requests()
         self.close_listener()
         for sock in list(self._web.server._clients):
-            self._web.server._close(sock)
+            if sock in self._unsized:
+                self.cut(sock)
+            else:
+                self._web.server._close(sock)
 
     @handler("request")
     def _on_request(self, req: t.Any, res: t.Any, *_: t.Any) -> bool:
@@ -236,6 +243,7 @@
 
     @handler("disconnect")
     def _on_disconnect(self, sock: t.Any) -> None:
+        self._unsized.forget(sock)
         task = self._tasks.get(sock)
         if task is not None:
             task.cancel()
@@ -256,6 +264,7 @@
 
     @handler("_write", priority=-1)
     def _after_write(self, sock: t.Any) -> None:
+        self._close_if_sent(sock)
         fut = self._draining.get(sock)
         if fut is not None and not fut.done() and self._unsent(sock) <= self._limits.unsent_bytes:
             fut.set_result(None)
@@ -289,13 +298,38 @@
             del self._draining[sock]
 
     def end(self, sock: t.Any, close_it: bool) -> None:
-        """End an answer in chunks."""
+        """End an answer in chunks, or without a length."""
         self._web.http._clients.pop(sock, None)
-        if close_it:
+        if sock in self._unsized:
+            self._unsized.end(sock)
+            self._close_if_sent(sock)
+        elif close_it:
             self.fire(close(sock), "web")
         else:
             self.guard.finished(sock)
 
+    def begin_unsized(self, sock: t.Any) -> None:
+        """Prepare for an answer whose end is marked by that of its connection alone."""
+        if sock in self._web.server._clients:
+            self._unsized.begin(sock)
+
+    def cut(self, sock: t.Any) -> None:
+        """End the connection of an answer that is not whole."""
+        self._web.http._clients.pop(sock, None)
+        if sock not in self._unsized:
+            self.fire(close(sock), "web")
+            return
+        self._unsized.forget(sock)
+        # The library would shut the connection down in order before it closes the socket.
+        self._poller.discard(sock)
+        sock.close()
+        self._web.server._close(sock)
+
+    def _close_if_sent(self, sock: t.Any) -> None:
+        """Close the connection of a whole answer without a length once all of it is sent."""
+        if not self._unsent(sock) and self._unsized.note_sent(sock):
+            self.fire(close(sock), "web")
+
     async def _run(self, exchange: Exchange) -> None:
         try:
             await self._serve(exchange)
--- a/tests/test_incomplete_door_answers.py
+++ b/tests/test_incomplete_door_answers.py
@@ -69,6 +69,23 @@
             assert data.partition(b"\r\n\r\n")[2] == b"part" * parts
             assert was_reset, (how, headers, parts)
 
+    def test_what_an_unread_answer_lacks_is_not_taken_for_its_end(self):
+        """The end of the answer waits behind parts that the caller has not read."""
+
+        async def serve(exchange):
+            exchange.begin(200, {})
+            await exchange.send(bytes(UNREAD_BYTES))
+            exchange.finish()
+
+        async def act(door):
+            while not door.has_unsent:
+                await asyncio.sleep(0.01)
+            await door.close()
+
+        data, was_reset = fetch(serve, b"1.0", act=act)
+        assert len(data) < UNREAD_BYTES
+        assert was_reset
+
     @pytest.mark.parametrize("how", HOW)
     def test_a_chunked_answer_cut_short_has_no_last_chunk(self, how):
         data, _ = cut_answer(how, b"1.1", b"", 1)
