Reject a head that continues within another one

Where the head of an answer broke off within its status line or a field value and another answer followed on the connection, the two were read as one head: the status of the first with the fields of the second, which name the request and carry the signature. A replica's 500 reached its caller as a 200 with that replica's signature, and a 200 as a 500.

Such a head has a status line within its reason or a value, which is now an answer that is not whole. A replica whose fields repeat status lines is rejected as well; nothing tells the two apart.

--- a/packages/http/src/gradelug_http/client.py
+++ b/packages/http/src/gradelug_http/client.py
@@ -42,6 +42,7 @@
 """Shared by all connections: each copies what came before the next one receives."""
 BODILESS_STATUSES = frozenset({204, 304})
 """Statuses of answers whose stated length is not that of their body."""
+_status_line_re = re.compile(rb"HTTP/\d\.\d \d{3}(?: |$)")
 _timeout_re = re.compile(rb"timeout\s*=\s*(\d{1,9})")
 
 
@@ -277,6 +278,8 @@
             event = await self._next_final_event()
             if not isinstance(event, h11.Response):
                 raise ResponseBroken("the upstream closed the connection without an answer")
+            if _holds_status_line(event):
+                raise ResponseBroken("a head broke off, and another one follows in the same line")
             head = ResponseHead(event.status_code, tuple(event.headers.raw_items()))
             if is_own(head):
                 self._announced = self._body_length(event)
@@ -416,6 +419,12 @@
         self._h11 = again
 
 
+def _holds_status_line(response: h11.Response) -> bool:
+    """Tell whether the start of one head and the rest of another one were read as a single head."""
+    texts = (response.reason, *(value for _, value in response.headers))
+    return any(map(_status_line_re.search, texts))
+
+
 def _field_count(event: t.Any) -> int:
     """Return the number of fields in a head or a trailer; 0 for other parts."""
     return len(getattr(event, "headers", ()))
--- a/tests/test_truncated_responses.py
+++ b/tests/test_truncated_responses.py
@@ -181,3 +181,16 @@
                 assert b"not yours" not in caller.received
 
         run(scenario)
+
+    def test_a_success_gets_the_status_of_a_truncated_failure(self):
+        stray = reply(b"no", b"500 Internal Server Error", b"q0", SIGNED + b"X-Note: a note\r\n")
+
+        async def scenario():
+            for size in range(1, len(stray)):
+                bench = Bench(route(Repeat.NEVER, replicas=1), [[[stray[:size] + OK]]])
+                caller = ask(bench)
+                await settle(1.5)
+                assert caller.status in (200, 502, 504), (size, bytes(caller.received))
+                assert caller.status != 200 or caller.body() == (b"ok", True)
+
+        run(scenario)
