Send requests to services that may run once only once

When the connection of a GET, PUT, DELETE, HEAD, OPTIONS or TRACE ended before the head of its answer, aiohttp sent it again by itself: a request that its caller or the service's `once` lets run at most once could run twice, and the second sending took nothing from the retry budget. The library's own sending again is off; the relay decides.

tests/test_truncated_upstreams.py, test_a_request_that_may_run_once_is_sent_again: failed before, pass now.

--- a/packages/router/src/gradelug_router/upstream.py
+++ b/packages/router/src/gradelug_router/upstream.py
@@ -107,6 +107,10 @@
             timeout=limits,
             auto_decompress=False,
         )
+        for session in (self._shared, self._once):
+            # Whether a request may be sent again is decided here and not by the library, which
+            # sends those of idempotent methods again, whatever may have become of the first one.
+            session._retry_connection = False
 
     async def close(self) -> None:
         """Close every connection."""
