Count a body of a service cut short of its length against its replica

The relay's read of a body turned the library's error into its own, which passed by the branch that notes a failure for the circuit: a replica that broke off within its bodies was chosen as before. An answer that is too large says nothing of its replica and still does not count.

--- a/packages/router/src/gradelug_router/exceptions.py
+++ b/packages/router/src/gradelug_router/exceptions.py
@@ -81,5 +81,9 @@
     """The request was sent and what came back is no whole answer to it."""
 
 
+class AnswerTooLarge(UpstreamBroken):
+    """An answer exceeds the limit for those that are not streamed."""
+
+
 class CallerGone(Exception):
     """The caller closed its connection, or read too slowly."""
--- a/packages/router/src/gradelug_router/relay.py
+++ b/packages/router/src/gradelug_router/relay.py
@@ -13,7 +13,7 @@
 
 from .acquire import Acquirer
 from .door import Exchange
-from .exceptions import ApiError, NotSent, Outcome, UpstreamBroken
+from .exceptions import AnswerTooLarge, ApiError, NotSent, Outcome, UpstreamBroken
 from .upstream import HandedOver, UpstreamClient
 from .view import View
 
@@ -194,6 +194,11 @@
             circuit.note_failure(self._clock())
             progress.outcome = before
             raise NotSent(f"{target.upstream} cannot be reached") from exc
+        except AnswerTooLarge:
+            raise
+        except UpstreamBroken:
+            circuit.note_failure(self._clock())
+            raise
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             circuit.note_failure(self._clock())
             if exchange.started:
--- a/packages/router/src/gradelug_router/upstream.py
+++ b/packages/router/src/gradelug_router/upstream.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from .exceptions import NotSent, UpstreamBroken, UpstreamRefused
+from .exceptions import AnswerTooLarge, NotSent, UpstreamBroken, UpstreamRefused
 from .openai import DONE
 
 CONNECT_LIMIT_S = 1.0
@@ -186,7 +186,7 @@
             async for chunk in res.content.iter_any():
                 size += len(chunk)
                 if size > self._answer_bytes:
-                    raise UpstreamBroken(f"the answer exceeds {self._answer_bytes} bytes")
+                    raise AnswerTooLarge(f"the answer exceeds {self._answer_bytes} bytes")
                 parts.append(chunk)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise UpstreamBroken(f"the answer broke off: {exc!r}") from exc
