Reproduce streams cut beside pairs of silent engines over processes

Three gateways and nine engines: a pair of engines falls silent for 0.9 to 1.6 s each half second, a new configuration comes each second, and engines lack their adapters for 0.2 to 0.6 s without saying so.

--- a/tests/fleet_stand_in.py
+++ b/tests/fleet_stand_in.py
@@ -241,6 +241,8 @@
             self.engine = ModelEngine(self.clock, versions, checks_tokens)
         self.false_answers = None
         """Makes it refuse, send refusals again and fail after runs; None for never."""
+        self.lost = set()
+        """Adapters that it lacks though its reports and its entry list them."""
         self.last_order = None
         self.takes = Takes(self.clock)
         self.rests = Rests(self.clock)
@@ -390,7 +392,8 @@
         versions = []
         if self.engine is not None:
             asked = int(inc.header(b"x-gradelug-expect-version") or 0)
-            if not self.engine.can_run(key) or asked not in (0, self.engine.held[key]):
+            is_usable = self.engine.can_run(key) and key not in self.lost
+            if not is_usable or asked not in (0, self.engine.held[key]):
                 self._refuse(inc, 421)
                 return
             if MODEL in self.engine.leaving:
--- a/tests/silent_fleet.py
+++ b/tests/silent_fleet.py
@@ -34,6 +34,10 @@
 DEADLINE_MS = 12_000
 SETTLE_S = 2.5
 """Time after the start until all gateways serve."""
+MIN_TIMEOUT_S = 8.0
+"""The shorter one of the route's timeouts."""
+SLACK_S = 0.2
+"""Answers that end this long before the timeout or later are at their deadlines."""
 REFUSED = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request did not run."""
 PAUSE_S = 0.05
@@ -53,6 +57,9 @@
     LOST = "not answered"
 
 
+NOT_WHOLE = (Outcome.FAILED, Outcome.CUT, Outcome.LOST)
+
+
 class StreamCaller:
     """Asks for one stream after the other, over a connection that it keeps.
 
@@ -80,8 +87,12 @@
         turn = 0
         while not self._fleet.is_ending:
             turn += 1
-            outcome = await self._play(f"c{self._number}-{turn}")
+            request_id, asked_at = f"c{self._number}-{turn}", self._fleet.clock()
+            outcome = await self._play(request_id)
             self._fleet.outcomes[outcome] += 1
+            took_s = self._fleet.clock() - asked_at
+            if outcome in NOT_WHOLE and took_s < MIN_TIMEOUT_S - SLACK_S:
+                self._fleet.early.append(f"{request_id}: {outcome.value} after {took_s:.2f} s")
             if outcome is not Outcome.WHOLE:
                 await asyncio.sleep(PAUSE_S)
         self._pool.close()
@@ -131,6 +142,8 @@
         self.clock = asyncio.get_running_loop().time
         self.ledger = Ledger()
         self.outcomes = Counter()
+        self.early = []
+        """Answers that are not whole and ended before their deadlines."""
         self.is_ending = False
         self._store = FakeStore()
         self.keys = Keys(self._store, self.clock, random.Random(0))
@@ -178,21 +191,36 @@
         """Write a new version of the configuration, with other times."""
         self.keys.version += 1
         other = self.keys.version % 2
-        routes = [{**route, "TimeoutMs": 8000 + 500 * other} for route in CONFIG["Routes"]]
+        routes = [
+            {**route, "TimeoutMs": MIN_TIMEOUT_S * 1000 + 500 * other} for route in CONFIG["Routes"]
+        ]
         limits = {"IdleTimeoutMs": 15_000 - 3000 * other}
         self.keys.settings = {**SETTINGS, "Routes": routes, "Limits": limits}
         await self.keys.write()
 
-    async def silence_engines(self, lasts_s):
-        """Hold all engines and what they are sent, and let them go on."""
-        for engine, proxy in zip(self._engines, self._proxies, strict=True):
+    async def silence_engines(self, lasts_s, numbers=None):
+        """Hold some engines, or all, and what they are sent, and let them go on."""
+        chosen = [self._engines[at] for at in numbers] if numbers else self._engines
+        proxies = [self._proxies[at] for at in numbers] if numbers else self._proxies
+        for engine, proxy in zip(chosen, proxies, strict=True):
             engine.silence.begin()
             proxy.silent = True
         await asyncio.sleep(lasts_s)
-        for engine, proxy in zip(self._engines, self._proxies, strict=True):
+        for engine, proxy in zip(chosen, proxies, strict=True):
             engine.silence.end()
             proxy.silent = False
 
+    def is_silent(self, number):
+        """Return whether an engine is held."""
+        return self._engines[number].silence.is_on
+
+    async def lose_weights(self, number, lasts_s):
+        """Let an engine lack all adapters for a time, of which it says nothing."""
+        engine = self._engines[number]
+        engine.lost = {key for key in engine.engine.held if key.adapter}
+        await asyncio.sleep(lasts_s)
+        engine.lost = set()
+
     async def end_calls(self):
         """Let the callers read their last streams to the end."""
         self.is_ending = True
