Break responses without a length that are reset, in router and scheduler

aiohttp takes any end of a connection for the end of a response that has neither a length nor chunks. A plain service's answer that was reset within its body, or right behind its head, reached the caller of the router as a whole 200, and nothing counted against the replica.

The clients of router and scheduler now connect through a connector whose connections hand the reset on to the response that is being received.

tests/test_truncated_upstreams.py, TestEngines and TestServices: failed before, pass now. The sessions of the tests use the connector as well.

--- a/packages/backends/src/gradelug_backends/__init__.py
+++ b/packages/backends/src/gradelug_backends/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's services and the engines' control interface."""
 
+from .connector import new_connector as new_connector
 from .engines import EngineControl as EngineControl
 from .engines import EngineReport as EngineReport
 from .engines import HttpEngineControl as HttpEngineControl
--- a/packages/router/src/gradelug_router/upstream.py
+++ b/packages/router/src/gradelug_router/upstream.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+from gradelug_backends import new_connector
 
 from .exceptions import AnswerTooLarge, NotSent, UpstreamBroken, UpstreamRefused
 from .openai import DONE
@@ -98,12 +99,12 @@
             total=None, sock_connect=CONNECT_LIMIT_S, sock_read=READ_LIMIT_S
         )
         self._shared = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0),
+            connector=new_connector(limit=0, keepalive_timeout=15.0),
             timeout=limits,
             auto_decompress=False,
         )
         self._once = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=new_connector(limit=0, force_close=True),
             timeout=limits,
             auto_decompress=False,
         )
--- a/packages/scheduler/src/gradelug_scheduler/main.py
+++ b/packages/scheduler/src/gradelug_scheduler/main.py
@@ -7,7 +7,7 @@
 import aiohttp
 import fire
 import logbook
-from gradelug_backends import EtcdKeyValue, HttpInstanceList
+from gradelug_backends import EtcdKeyValue, HttpInstanceList, new_connector
 from gradelug_runtime import Metrics, run_daemon, settle_garbage, wait_for_end
 from grpclib.server import Server
 
@@ -37,7 +37,7 @@
 
 
 async def _serve(cfg: SchedulerSettings) -> bool:
-    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+    async with aiohttp.ClientSession(connector=new_connector(limit=0)) as session:
         kv = EtcdKeyValue(session, cfg.platform.kv)
         listing = cfg.platform.instances
         instances = HttpInstanceList(session, listing) if listing else None
--- a/tests/test_truncated_upstreams.py
+++ b/tests/test_truncated_upstreams.py
@@ -12,7 +12,7 @@
 import aiohttp
 import pytest
 from cut_responses import FRAMINGS, build, cuts
-from gradelug_backends import HttpEngineControl, UpstreamUnavailable
+from gradelug_backends import HttpEngineControl, UpstreamUnavailable, new_connector
 from gradelug_backends.etcd import EtcdKeyValue
 from gradelug_config.model import Replica, Service
 from gradelug_coordination import KvUnavailable
@@ -241,7 +241,7 @@
         """Check that a call fails after each cut of its response."""
 
         async def scenario(upstream, address):
-            async with aiohttp.ClientSession() as session:
+            async with aiohttp.ClientSession(connector=new_connector()) as session:
                 for framing in FRAMINGS:
                     answer = build(framing, [json.dumps(body).encode()], HEADERS)
                     for size, ending in sizes(answer) if is_json else cuts(answer, ENDINGS):
