Take cut responses of engines and the key-value service for lost

A response without a length that ended behind its head was read as an empty document, and the report of an engine raised TypeError, a call to the key-value service AttributeError, where their callers expect the errors that say that there was no answer. An order whose response broke off within its body counted as carried out, since the body was not read.

--- a/packages/backends/src/gradelug_backends/engines.py
+++ b/packages/backends/src/gradelug_backends/engines.py
@@ -114,7 +114,14 @@
                     slots=int(data["slots"]),
                     leaving=bool(data.get("leaving", False)),
                 )
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, AttributeError) as exc:
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as exc:
             raise UpstreamUnavailable(f"report: {exc!r}") from exc
 
     async def _order(self, path: str, body: dict[str, t.Any], limit_s: float) -> None:
@@ -122,6 +129,8 @@
         try:
             async with self._session.post(self._address + path, json=body, timeout=limits) as res:
                 if res.status == 200:
+                    # A response that breaks off is no proof that the order was carried out.
+                    await res.read()
                     return
                 data = await res.json(content_type=None)
                 error = data["error"]
--- a/packages/backends/src/gradelug_backends/etcd.py
+++ b/packages/backends/src/gradelug_backends/etcd.py
@@ -115,9 +115,13 @@
         try:
             async with self._session.post(self._address + path, json=body, timeout=limits) as res:
                 _raise_for_status(res)
-                return await res.json(content_type=None)
+                data = await res.json(content_type=None)
         except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
             raise KvUnavailable(f"{path}: {exc!r}") from exc
+        if not isinstance(data, dict):
+            # The body may be empty: one without a length ends with its connection.
+            raise KvUnavailable(f"{path}: the response is not a JSON object")
+        return data
 
 
 def _raise_for_status(res: aiohttp.ClientResponse) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 # The adapter to the platform is not installed: its folder is put on the path, as its launcher does.
 sys.path.insert(0, str(ROOT / "platform"))
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-MOST_KNOWN_RED = 9
+MOST_KNOWN_RED = 6
 MEMORY_FIELD = "memory:"
 """Begins the second field of lines that do not count for the cap."""
 
