Refuse requests that wait for an adapter as soon as no pool may carry it

At the OpenAI door a request that waited for the weights of an adapter which a new configuration removed was not answered before its deadline (60 s where the caller states none): each owner of an engine answered that its pool may not carry the adapter, and the router asked again.

The router knows the configuration itself: before each question for a line of waiting requests it looks whether a pool of the line may still carry the adapter, and else refuses all of them with 503 as not run. Taking the owners' answers for final was weighed: an owner may know an older configuration than the router, which would refuse requests for an adapter that is new.

--- a/packages/router/src/gradelug_router/acquire.py
+++ b/packages/router/src/gradelug_router/acquire.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import logbook
+from gradelug_config import AdapterKey
 from gradelug_policy import Circuit, EngineView, PlacementSettings, choose_engine, judge, priority
 from gradelug_runtime import Metrics
 from gradelug_wire import Peers, PeerUnavailable
@@ -30,6 +31,8 @@
 """After this long without an engine another scheduler is asked which there are: the one that is
 read may have missed an owner's word, which comes again after 10 s only."""
 MAX_RETRY_AFTER_S = 30.0
+NOT_CARRIED_RETRY_S = 1.0
+"""Retry-After where a new configuration lets no pool carry the adapter of a waiting request."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -239,6 +242,10 @@
                     waiter.fut.set_result(Failure(Refused("internal", "the line broke", 1.0)))
 
     async def _ask_once(self, line: _Line) -> None:
+        if not self._is_carried(line):
+            reason = "the configuration no longer lets any pool carry it"
+            self._refuse(line, Refused("unavailable", reason, NOT_CARRIED_RETRY_S))
+            return
         candidates = self._candidates(line.key, line.pools)
         engine = choose_engine(candidates, line.key, self._hall, self._placement)
         if engine is None:
@@ -262,6 +269,13 @@
             return
         await self._take_refusal(line, engine.name, grant)
 
+    def _is_carried(self, line: _Line) -> bool:
+        """Tell whether the configuration in force lets a pool of the line carry its adapter."""
+        catalog = self._view.catalog
+        found = [catalog.pools[name] for name in line.pools if name in catalog.pools]
+        key = AdapterKey.parse(line.key)
+        return any(catalog.carries(pool, key) for pool in found)
+
     async def _ask(self, line: _Line, engine: EngineView, address: str) -> pb.Grant:
         wanted = [waiter.wanted for _, _, waiter in line.heap]
         since = min(waiter.since for _, _, waiter in line.heap)
--- a/tests/test_config_during_requests.py
+++ b/tests/test_config_during_requests.py
@@ -892,10 +892,13 @@
     shrink_batches: 200,
     drain_engines: 503,
     remove_engines: 503,
+    remove_adapters: 503,
 }
 """Statuses of requests that wait for their weights during each change."""
 ROUTER_REJECT_S = 7.0
 """Maximum time until a request that waits for weights in vain is refused."""
+ROUTER_ANSWER_S = 1.5
+"""Maximum time until it is refused if the configuration itself says that it waits in vain."""
 ROUTER_CHANGES = [remove_access, drain_engines, remove_adapters, shrink_batches, remove_engines]
 
 
@@ -916,6 +919,20 @@
 
         run_router_world(scenario, spec={"load_s": 1.0})
 
+    # "Not carried" was not final for a line of waiting requests, which asked until their deadlines.
+    def test_a_request_waits_for_an_adapter_that_was_removed_until_its_deadline(self):
+        async def scenario(world):
+            router, *_ = world.routers
+            exchange = FakeExchange("a1", stream=True)
+            task = router.send(exchange)
+            await asyncio.sleep(0.3)
+            await world.publish(remove_adapters(world.document))
+            await asyncio.wait([task], timeout=ROUTER_ANSWER_S)
+            assert exchange.finished
+            assert exchange.outcome == "not-run"
+
+        run_router_world(scenario, spec={"load_s": 1.0})
+
     @pytest.mark.parametrize("change", ROUTER_CHANGES)
     @pytest.mark.parametrize("stream", [True, False])
     def test_a_new_configuration_ends_an_answer_at_the_openai_door(self, stream, change):
