Take the time of data for unknown where the kernel does not count them

A request that waited at a slow start counted as just arrived there, and more time than remains would have been handed to replicas. The time is used only if the kernel has counted received bytes; else the opening of the listening socket stays the assumption.

The new case of test_it_is_unknown_where_the_kernel_does_not_tell failed before (0.0 for None).

--- a/packages/http/src/gradelug_http/socket_info.py
+++ b/packages/http/src/gradelug_http/socket_info.py
@@ -6,9 +6,8 @@
 import struct
 import typing as t
 
-LAST_DATA_OFFSET = 52
-"""Offset of `tcpi_last_data_recv` in Linux's `struct tcp_info`, an unsigned 32-bit integer."""
-_last_data = struct.Struct("=I")
+_tcp_info = struct.Struct("=52x I 72x Q")
+"""`tcpi_last_data_recv` and `tcpi_bytes_received` in Linux's `struct tcp_info`."""
 MS = 1000.0
 
 
@@ -36,12 +35,12 @@
     option = getattr(socket, "TCP_INFO", None)
     if option is None:
         return None
-    size = LAST_DATA_OFFSET + _last_data.size
     try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, option, size)
+        info = sock.getsockopt(socket.IPPROTO_TCP, option, _tcp_info.size)
     except OSError:
         return None
-    if len(info) < size:
+    if len(info) < _tcp_info.size:
         return None
-    (age_ms,) = _last_data.unpack_from(info, LAST_DATA_OFFSET)
-    return float(age_ms) / MS
+    age_ms, received_bytes = _tcp_info.unpack(info)
+    # A kernel that does not even count them leaves their time at zero as well.
+    return float(age_ms) / MS if received_bytes else None
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -261,7 +261,13 @@
         def getsockopt(self, level, option, size):
             return bytes(size - 1)
 
-    @pytest.mark.parametrize("sock", [Refusing(), Short()])
+    class Blank:
+        """A kernel that fills in none of the counters and times, as emulated ones do."""
+
+        def getsockopt(self, level, option, size):
+            return bytes(size)
+
+    @pytest.mark.parametrize("sock", [Refusing(), Short(), Blank()])
     def test_it_is_unknown_where_the_kernel_does_not_tell(self, sock):
         assert data_age_s(sock) is None
 
