--- a/packages/backends/src/gradelug_backends/connector.py
+++ b/packages/backends/src/gradelug_backends/connector.py
@@ -28,8 +28,7 @@
 def new_connector(**options: t.Any) -> aiohttp.TCPConnector:
     """Return a connector with such connections; `options` are those of the client's own."""
     connector = aiohttp.TCPConnector(**options)
+    factory = functools.partial(ResetAwareHandler, loop=asyncio.get_running_loop())
     # The client has no public option for the class of its connections.
-    connector._factory = functools.partial[ResponseHandler](
-        ResetAwareHandler, loop=asyncio.get_running_loop()
-    )
+    connector._factory = t.cast("functools.partial[ResponseHandler]", factory)
     return connector
