--- a/packages/gateway/src/gradelug_gateway/exchange.py
+++ b/packages/gateway/src/gradelug_gateway/exchange.py
@@ -116,7 +116,7 @@
     @property
     def is_secondary(self) -> bool:
         """Whether another attempt of its request is kept while this one waits for an answer."""
-        return self.offer is not None and not self.offer.is_accepted
+        return self.offer is not None and self.offer.is_secondary
 
     @property
     def failure_weight(self) -> float:
--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -49,6 +49,12 @@
     UNKNOWN = "unknown"
 
 
+REFUSALS = frozenset(
+    {Outcome.NOT_SENT, Outcome.LIMITED, Outcome.FULL, Outcome.ABSENT, Outcome.NOT_RUN}
+)
+"""Outcomes of attempts that have certainly not run their request."""
+
+
 @dataclass(slots=True, frozen=True)
 class Admission:
     """The configuration and the principal under which a request was admitted.
@@ -112,6 +118,7 @@
         "copy",
         "deadline_at",
         "declined",
+        "refused_sends",
         "ends_by",
         "last_event_at",
         "events",
@@ -221,8 +228,11 @@
         """Its attempt at a successor of the replica of its current attempt."""
         self.silent_since: dict[str, float] = {}
         """When its attempts at silent replicas were abandoned, by the name of the replica."""
-        self.declined: set[str] = set()
-        """Names of the successors that did not take it during its current attempt."""
+        self.declined: dict[str, float] = {}
+        """When successors did not take it during the present silence, by name."""
+        self.refused_sends = 0
+        """Number of its attempts that were refused, have not run it and do not count as sent: it
+        would be cut if they did."""
         self.resumed_copy: KvCopy | None = None
         """The saved KV cache from which its last attempt continued."""
         self.last_event_at = req.arrived_at
@@ -318,6 +328,16 @@
             self.offer.withdraw()
             self.offer = None
 
+    @property
+    def has_sends_left(self) -> bool:
+        """Whether it may be sent once more."""
+        return self.sends - self.refused_sends < MAX_SENDS
+
+    def take_retry(self) -> RetryReservation | None:
+        """Return the reserved retry, if any, which its next attempt does not hold any more."""
+        retry, self.retry = self.retry, None
+        return retry
+
     def accepts(self, replica: Replica) -> bool:
         """Return whether a replica has the software version that began the stream, if any did."""
         return self.software is None or replica.software == self.software
--- a/packages/gateway/src/gradelug_gateway/offers.py
+++ b/packages/gateway/src/gradelug_gateway/offers.py
@@ -57,6 +57,11 @@
         """Whether the successor has begun to answer."""
         return self._accepted.done()
 
+    @property
+    def is_secondary(self) -> bool:
+        """Whether another attempt of the request is kept while the successor does not answer."""
+        return not (self._accepted.done() or self._continued.done())
+
     async def make(self, attempt: Attempt, job: Job) -> bool:
         """Make the attempt until the successor has begun to answer or the attempt has ended.
 
@@ -68,7 +73,7 @@
             Whether the successor has begun to answer.
         """
         self._task = asyncio.create_task(attempt(job, self.replica, self))
-        self._task.add_done_callback(_log_error)
+        self._task.add_done_callback(self._log_error)
         ends: tuple[asyncio.Future[t.Any], ...] = (self._task, self._accepted)
         await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         return self.is_accepted
@@ -100,7 +105,7 @@
             self._task.cancel()
         self.retry.release()
 
-
-def _log_error(task: asyncio.Task[Outcome]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log.info("offered attempt failed", why=repr(task.exception()))
+    def _log_error(self, task: asyncio.Task[Outcome]) -> None:
+        if self._continued.done() or task.cancelled() or task.exception() is None:
+            return
+        log.info("offered attempt failed", replica=self.replica.name, why=repr(task.exception()))
--- a/packages/gateway/src/gradelug_gateway/response_wait.py
+++ b/packages/gateway/src/gradelug_gateway/response_wait.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing as t
 from dataclasses import dataclass
 
@@ -86,6 +87,10 @@
         return min(self.stream_s, self.replica_s, self.service_s)
 
 
+NO_TIMEOUTS = SilenceTimeouts(math.inf, math.inf, math.inf)
+"""Timeouts of an attempt that is never abandoned."""
+
+
 class ResponseWaiter:
     """Awaits the parts of responses.
 
@@ -140,7 +145,10 @@
             task.cancel()
             raise
         if task.exception() is None:
-            self._silences.note_data(exchange.replica, exchange.is_running)
+            self._silences.note_data(exchange.replica)
+            if not exchange.is_secondary:
+                # Its replica responds again: successors may be asked anew in a later silence.
+                exchange.job.declined.clear()
         try:
             return task.result()
         finally:
@@ -154,34 +162,49 @@
         began_at = self._clock()
         late_s = await self._wait_on_time(task, timeouts.shortest_s)
         searches = 0
+        was_replica_silent = False
         while not task.done():
+            # A successor that goes on alone is waited for as any other replica.
+            timeouts = self._timeouts(exchange) or NO_TIMEOUTS
             scope = self._silences.scope(exchange.replica, timeouts.window_s)
             left_s = began_at + timeouts.timeout_s(scope) - self._clock()
             if left_s > CLOCK_RESOLUTION_S:
                 await asyncio.wait([task], timeout=min(left_s, RECENT_ACTIVITY_S))
                 continue
             if await self._try_prepare(exchange, task):
-                scope = self._silences.scope(exchange.replica, timeouts.window_s)
-                is_due = self._clock() >= began_at + timeouts.timeout_s(scope)
-                is_taken = exchange.job.offer is not None and exchange.job.offer.is_accepted
-                was_stopped = exchange.run is not None and exchange.run.stopped is not None
-                if is_due or is_taken or was_stopped:
+                if self._should_abandon(exchange, timeouts, began_at):
+                    scope = self._silences.scope(exchange.replica, timeouts.window_s)
                     self._note_abandoned(exchange, scope, timeouts.window_s, began_at, late_s)
                     raise ReplicaSilent("no data from the replica within the silence timeout")
                 # The replica went on for others during the search.
                 self._release(exchange)
             interval_s = RETRY_INTERVALS_S[min(searches, len(RETRY_INTERVALS_S) - 1)]
             searches += 1
+            was_replica_silent = scope is not SilenceScope.STREAM
             await asyncio.wait([task], timeout=interval_s)
         if searches:
+            waited_s = self._clock() - began_at
+            if was_replica_silent and exchange.is_running and late_s <= MAX_TIMER_DELAY_S:
+                self._silences.note_ended(exchange.replica.service, waited_s)
             log.info(
                 "silent attempt went on",
                 id=exchange.job.req.id,
                 replica=exchange.replica.name,
-                waited_s=round(self._clock() - began_at, 3),
+                waited_s=round(waited_s, 3),
                 searches=searches,
             )
 
+    def _should_abandon(
+        self, exchange: Exchange, timeouts: SilenceTimeouts, began_at: float
+    ) -> bool:
+        """Return whether an attempt ends now that the next one is prepared."""
+        offer, run = exchange.job.offer, exchange.run
+        is_taken = offer is not None and offer.is_accepted
+        was_stopped = run is not None and run.stopped is not None
+        scope = self._silences.scope(exchange.replica, timeouts.window_s)
+        is_due = self._clock() >= began_at + timeouts.timeout_s(scope)
+        return is_taken or was_stopped or is_due
+
     async def _wait_on_time(self, task: asyncio.Future[t.Any], timeout_s: float) -> float:
         """Wait for a part, longer if this instance itself was late; return how late, in seconds."""
         due_at = self._clock() + timeout_s
@@ -276,7 +299,7 @@
         exchange.is_excused = self._silences.is_shared(replica, window_s)
         if run is not None:
             run.is_abandoned = True
-        self._silences.note_abandoned(replica, scope)
+        self._silences.note_abandoned(replica, scope, is_late=late_s > MAX_TIMER_DELAY_S)
 
     def _timeouts(self, exchange: Exchange) -> SilenceTimeouts | None:
         """Return the silence timeouts of an attempt; None if it is never abandoned."""
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -62,7 +62,7 @@
         """Return whether a retry could be reserved now."""
         ...
 
-    async def hold(self, job: Job, silent: Replica) -> bool:
+    async def hold(self, job: Job, silent: Replica, keeps_retry: bool = False) -> bool:
         """Let a replica other than a silent one begin to answer, or hold a retry and a usable
         backup copy; return whether the current attempt may be abandoned."""
         ...
@@ -439,7 +439,7 @@
             return False
         if not job.may_repeat() and not run.has_copy:
             return False
-        return await successors.hold(job, run.replica)
+        return await successors.hold(job, run.replica, keeps_retry=run.was_stop_requested)
 
     async def _request_stop(self, run: Run) -> KvCopy | None:
         """Stop a run and wait for the answer of its engine; a stop in progress is joined.
@@ -479,7 +479,8 @@
         job, spec = run.job, run.job.service.engine
         has_certainly_ended = run.is_gone or run.stop_outcome is MoveOutcome.UNREACHED
         has_new_copy = job.copy is not None and job.copy is not job.resumed_copy
-        if has_new_copy or has_certainly_ended or not self._can_resume_elsewhere(job):
+        goes_on = job.offer is not None or self._can_resume_elsewhere(job)
+        if has_new_copy or has_certainly_ended or not goes_on:
             return
         if spec is None or not spec.moves:
             return
@@ -491,6 +492,15 @@
             abandoned.resumed_at = self._clock()
         self._abandoned.watch(abandoned)
 
+    def watch_withdrawn(self, run: Run) -> None:
+        """Make sure that a run does not go on after its attempt was ended for another one."""
+        spec = run.job.service.engine
+        target = self._choose_stop_target(run) if spec is not None and spec.moves else None
+        if target is not None:
+            abandoned = AbandonedRun(run.job, run.replica, target, self._clock())
+            abandoned.resumed_at = self._clock()
+            self._abandoned.watch(abandoned)
+
     def forget_removed_engines(self) -> None:
         """Discard the break records of engines that were removed."""
         for record in self._records.values():
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -310,6 +310,9 @@
         except asyncio.CancelledError:
             if self._is_overdue(exchange) and not self._silences.is_shared(replica):
                 health.note_broken(self._clock())
+            is_withdrawn = exchange.is_secondary or (offer is not None and job.offer is offer)
+            if is_withdrawn and exchange.run is not None and self._lasting is not None:
+                self._lasting.watch_withdrawn(exchange.run)
             raise
         except ResponseBroken as exc:
             self._pool.note_broken(conn)
@@ -365,7 +368,9 @@
             else:
                 load.starting -= 1
                 load.queued[work.urgency] -= work.prefill_tokens
-            if key is not None:
+            if key is not None and exchange.is_secondary:
+                self._directory.note_end(replica.name, key)
+            elif key is not None:
                 self._note_end(job, replica, key)
         self._note_health(exchange, outcome)
         if outcome is Outcome.DONE and exchange.status < 300:
--- a/packages/gateway/src/gradelug_gateway/serving.py
+++ b/packages/gateway/src/gradelug_gateway/serving.py
@@ -22,7 +22,7 @@
 from .error_responses import DEFAULT_RETRY_AFTER_S, ErrorResponder
 from .exceptions import Failed, Limited, Refused, Unauthenticated
 from .fleet import Fleet
-from .job import MAX_SENDS, Job, Outcome
+from .job import REFUSALS, Job, Outcome
 from .metrics import GatewayMetrics
 from .model import KvCopy, KvCopyKind, Repeat, Replica, Request, Service
 from .offers import Offer
@@ -403,6 +403,7 @@
     def _note_succeeded(self, job: Job, replica: Replica) -> None:
         """Let a successor go on alone with a request whose attempt at a replica has ended."""
         job.excluded.add(replica.name)
+        job.release_retry()
         self._release_kv_copy(job)
         self._sender.release_weights(job)
         job.copy = None
@@ -478,7 +479,7 @@
         has_alternative = job.has_capacity_elsewhere or self._wait_policy.has_unlimited_alternative(
             job, replica
         )
-        if job.sends >= MAX_SENDS or not has_alternative:
+        if not job.has_sends_left or not has_alternative:
             raise Refused("all replicas are at their rate limit", job.capacity_retry_s)
 
     # Retries.
@@ -527,7 +528,7 @@
             self._drop_kv_copy(job, job.copy)
         if job.copy is None and (outcome is Outcome.UNKNOWN or was_used_last):
             job.copy, job.backup = job.backup, None
-        if job.copy is None or job.sends >= MAX_SENDS:
+        if job.copy is None or not job.has_sends_left:
             return False
         if not await self._await_retry(job, unrun=False):
             return False
@@ -574,6 +575,8 @@
             await asyncio.sleep(ABSENT_RETRY_DELAY_S)
         elif outcome is not Outcome.STALE:
             job.excluded.add(replica.name)
+        if job.inc.started and outcome in REFUSALS:
+            job.refused_sends += 1
         if outcome is Outcome.FULL:
             self._plain_placer.note_full(replica)
             if job.copy is None:
@@ -590,7 +593,7 @@
             raise Failed(f"the request may have run: {outcome.value}")
         if outcome is Outcome.RAN and job.route.repeat is not Repeat.FREELY:
             raise Failed("the replica returned an error")
-        if job.sends >= MAX_SENDS:
+        if not job.has_sends_left:
             raise Refused("sent too often", DEFAULT_RETRY_AFTER_S)
         if outcome is Outcome.FULL and self._may_wait(job, replica):
             await self._plain_placer.wait(job, replica)
@@ -625,13 +628,14 @@
             If no replica is left for it.
         """
         is_exhausted = job.excluded >= job.tried
-        if job.route.repeat is Repeat.RESUME and not job.is_unrun:
-            if may_have_run:
-                job.excluded.clear()
-            elif is_exhausted:
-                # A replica that has just refused it would do so again.
+        is_kept = job.route.repeat is Repeat.RESUME and not job.is_unrun
+        if is_kept or (job.inc.started and job.may_repeat()):
+            if not is_exhausted:
+                return
+            if job.sends > len(job.tried):
+                # The replicas that have just refused or lost it would do so again.
                 await asyncio.sleep(PLACEMENT_RETRY_S)
-                job.excluded.clear()
+            job.excluded.clear()
         elif may_have_run:
             raise Failed("the route allows no further replica")
         elif is_exhausted:
--- a/packages/gateway/src/gradelug_gateway/silences.py
+++ b/packages/gateway/src/gradelug_gateway/silences.py
@@ -67,12 +67,15 @@
         Number of attempts in progress.
     abandoned : int
         Attempts abandoned since the replica has sent data last.
+    abandoned_after_s : float
+        Longest silence after which one of them was abandoned, in seconds; 0 if unknown.
     """
 
     service: str
     since: float
     attempts: int = 0
     abandoned: int = 0
+    abandoned_after_s: float = 0.0
 
 
 class SilenceTracker:
@@ -114,34 +117,52 @@
         if not debt.attempts and not debt.abandoned:
             del self._debts[replica.name]
 
-    def note_data(self, replica: Replica, is_running: bool = False) -> None:
-        """Record that data was received from a replica.
+    def note_data(self, replica: Replica) -> None:
+        """Record that data was received from a replica."""
+        health, now = self._fleet.health(replica.name), self._clock()
+        debt = self._debts.get(replica.name)
+        if debt is not None and debt.abandoned:
+            self._log_resumption(replica, debt, now - health.last_received_at)
+            if debt.abandoned_after_s:
+                # It was silent for longer than that, and since the oldest attempt that waited.
+                since_s = now - max(debt.since, health.last_received_at)
+                self.note_ended(replica.service, max(debt.abandoned_after_s, since_s))
+                debt.abandoned_after_s = 0.0
+        health.last_received_at = now
+
+    def note_ended(self, service: str, lasted_s: float) -> None:
+        """Record that a replica of a service has gone on after a silence.
+
+        Parameters
+        ----------
+        service : str
+            Service of the replica.
+        lasted_s : float
+            Length of the silence, in seconds.
+        """
+        ended = self._ended.setdefault(service, EndedSilences())
+        ended.note(lasted_s, self._clock())
+
+    def note_abandoned(self, replica: Replica, scope: SilenceScope, is_late: bool = False) -> None:
+        """Record that an attempt is abandoned because its replica is silent.
 
         Parameters
         ----------
         replica : Replica
             The replica.
-        is_running : bool
-            Whether it belongs to a stream that had begun: a request that has not may have waited
-            in the queue of a replica that was not silent. Where attempts were abandoned, the time
-            since its last data counts in any case.
+        scope : SilenceScope
+            How much of its service is silent.
+        is_late : bool
+            Whether this instance was itself late, so that it does not know how long the replica
+            was silent.
         """
-        health, now = self._fleet.health(replica.name), self._clock()
-        silent_s = self.silent_s(replica.name) if is_running else 0.0
-        debt = self._debts.get(replica.name)
-        if debt is not None and debt.abandoned:
-            silent_s = now - health.last_received_at
-            self._log_resumption(replica, debt, silent_s)
-        if silent_s >= RECENT_ACTIVITY_S:
-            self._ended.setdefault(replica.service, EndedSilences()).note(silent_s, now)
-        health.last_received_at = now
-
-    def note_abandoned(self, replica: Replica, scope: SilenceScope) -> None:
-        """Record that an attempt is abandoned because its replica is silent."""
         self._meters.count_abandoned_attempt(scope.value)
         debt = self._debts.get(replica.name)
-        if debt is not None:
-            debt.abandoned += 1
+        if debt is None:
+            return
+        debt.abandoned += 1
+        if scope is not SilenceScope.STREAM and not is_late:
+            debt.abandoned_after_s = max(debt.abandoned_after_s, self.silent_s(replica.name))
 
     def silent_s(self, replica: str) -> float:
         """Return for how long a replica has sent no data that it owes, in seconds; 0 for none."""
--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -1,10 +1,10 @@
 """The next attempt of a request, prepared while its current attempt waits for data.
 
-An attempt at a silent replica is abandoned only once another replica has begun to answer, or, for a
-request that may not be repeated, once a retry is reserved and a copy of its memory is known to be
-usable. Looking whether a retry or a replica is available is not enough: when a service falls
-silent, hundreds of requests look at the same moment, and what is known of a replica may be out of
-date. Those that come too late, or are rejected, would have given up a replica that goes on.
+An attempt at a silent replica is abandoned only once another replica has begun to answer. A request
+that may not be repeated goes on there from a copy of its memory. Looking whether a retry or a
+replica is available is not enough: when a service falls silent, hundreds of requests look at the
+same moment, and what is known of a replica may be out of date. Those that come too late, or are
+rejected, would have given up a replica that goes on.
 """
 
 from __future__ import annotations
@@ -14,12 +14,12 @@
 import logbook
 
 from .authentication import reauthenticate
-from .budgets import RetryBudgets
+from .budgets import RetryBudgets, RetryReservation
 from .exceptions import Refused, Unauthenticated
 from .fleet import Fleet
-from .job import MAX_SENDS, Job, Outcome
+from .job import REFUSALS, Job, Outcome
 from .liveness_check import LivenessCheck
-from .model import Replica
+from .model import KvCopy, Replica
 from .offers import Attempt, Offer
 from .request_placer import RequestPlacer
 from .run_weights import RunWeights
@@ -27,6 +27,8 @@
 log = logbook.Logger("successors")
 MAX_CANDIDATES = 2
 """Replicas that are asked for a sign of life in one search; each may take a call's timeout."""
+DECLINED_S = 1.0
+"""Time until a replica that did not take a request is asked again."""
 MAX_OFFERS = 2
 """Replicas to which a request is offered in a row; after that its attempt gets time to go on."""
 
@@ -97,7 +99,7 @@
 
     def _may_be_sent(self, job: Job) -> bool:
         """Return whether a further attempt is allowed: its caller's key may have been revoked."""
-        if job.sends >= MAX_SENDS or not self._may_begin(job):
+        if not job.has_sends_left or not self._may_begin(job):
             return False
         snapshot = self._fleet.state.snapshot
         if job.principal is None or snapshot is None:
@@ -108,7 +110,7 @@
             return False
         return True
 
-    async def hold(self, job: Job, silent: Replica) -> bool:
+    async def hold(self, job: Job, silent: Replica, keeps_retry: bool = False) -> bool:
         """Let another replica begin to answer a request, or find that its memory can be used.
 
         Retries are reserved last: while most of a service is silent, searches find nothing, and
@@ -120,6 +122,9 @@
             The request.
         silent : Replica
             The replica of its current attempt.
+        keeps_retry : bool
+            Whether the retry that is reserved for the request stays so, as its run may end by an
+            order to stop it.
 
         Returns
         -------
@@ -129,21 +134,48 @@
         if not self.may_reserve(job):
             return False
         if not job.may_repeat():
-            return await self._can_use_backup(job, silent) and self.reserve(job)
-        for _ in range(MAX_OFFERS):
-            successor = await self._find(job, silent)
-            if successor is None or not self._may_be_sent(job):
+            backup = job.backup
+            if backup is None or not await self._can_use_backup(job, silent):
                 return False
-            retry = self._budgets.reserve(job.service.name, begun=job.inc.started)
+            retry = self._take_retry(job, keeps_retry)
             if retry is None:
                 return False
+            return await self._offer(job, silent, Offer(backup.holder, retry), backup)
+        for _ in range(MAX_OFFERS):
+            successor = await self._find(job, silent)
+            retry = self._take_retry(job, keeps_retry) if successor is not None else None
+            if successor is None or retry is None:
+                return False
             if await self._offer(job, silent, Offer(successor, retry)):
                 return True
         return False
 
-    async def _offer(self, job: Job, silent: Replica, offer: Offer) -> bool:
-        """Send a request to a successor; return whether that has begun to answer."""
-        if job.copy is job.resumed_copy:
+    def _take_retry(self, job: Job, keeps_retry: bool) -> RetryReservation | None:
+        """Return a retry for an offer, the one that is reserved for the request if it may be."""
+        if not self._may_be_sent(job):
+            return None
+        reserved = None if keeps_retry else job.take_retry()
+        return reserved or self._budgets.reserve(job.service.name, begun=job.inc.started)
+
+    async def _offer(
+        self, job: Job, silent: Replica, offer: Offer, backup: KvCopy | None = None
+    ) -> bool:
+        """Send a request to a successor; return whether that has begun to answer.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        silent : Replica
+            The replica of its current attempt.
+        offer : Offer
+            Names the successor.
+        backup : KvCopy or None
+            The copy of its memory from which it goes on there; None if it begins anew.
+        """
+        if backup is not None:
+            job.copy, job.backup = backup, None
+        elif job.copy is job.resumed_copy:
             # The current attempt has used the copy up.
             job.copy = None
         job.offer = offer
@@ -151,9 +183,11 @@
             return True
         outcome = offer.refusal()
         job.withdraw_offer()
-        job.declined.add(offer.replica.name)
+        job.declined[offer.replica.name] = self._clock()
         if outcome in (Outcome.NOT_SENT, Outcome.LIMITED):
             job.sends += 1
+        if outcome in REFUSALS:
+            job.refused_sends += 1
         if outcome is Outcome.FULL:
             self._placer.note_full(offer.replica)
         log.info(
@@ -194,7 +228,8 @@
         """Return a responsive replica other than the silent one, if the request may go there."""
         self.readmit(job)
         only = job.candidates()
-        excluded = {silent.name, *job.declined}
+        since = self._clock() - DECLINED_S
+        excluded = {silent.name, *(name for name, at in job.declined.items() if at > since)}
         if only is None:
             excluded |= job.excluded
         elif only <= excluded:
--- a/tests/test_bytes_received.py
+++ b/tests/test_bytes_received.py
@@ -191,7 +191,9 @@
 
         async def scenario():
             route = SimpleNamespace(repeat=Repeat.NEVER)
-            exchange = SimpleNamespace(job=SimpleNamespace(route=route), run=None)
+            exchange = SimpleNamespace(
+                job=SimpleNamespace(route=route), run=None, is_secondary=False
+            )
             waiter = ResponseWaiter(asyncio.get_running_loop().time, None, None)
             for _ in range(10):
                 with contextlib.suppress(ResponseBroken):
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -81,20 +81,33 @@
 
 
 class TestEndedSilences:
-    @pytest.mark.parametrize(("is_running", "longest_s"), [(True, 1.5), (False, 0.0)])
-    def test_only_silences_within_streams_are_remembered(self, is_running, longest_s):
-        """A request that has not begun may have waited in the queue of a sound replica."""
-        world = World(2)
+    def abandon(self, world, after_s, scope=SilenceScope.REPLICA, **kwargs):
         rep = world.replicas[0]
         world.tracker.begin(rep)
-        world.wait(1.5)
-        world.tracker.note_data(rep, is_running)
-        assert world.tracker.longest_ended_s("llm") == pytest.approx(longest_s)
+        world.wait(after_s)
+        world.tracker.note_abandoned(rep, scope, **kwargs)
+        world.tracker.end(rep)
 
-    def test_pauses_between_events_are_no_silences(self):
+    def test_silence_of_a_replica_that_goes_on_is_remembered(self):
         world = World(2)
-        rep = world.replicas[0]
-        world.tracker.begin(rep)
-        world.wait(RECENT_ACTIVITY_S / 2)
-        world.tracker.note_data(rep, True)
+        self.abandon(world, 1.3)
+        assert world.tracker.longest_ended_s("llm") == 0.0
+        world.wait(0.2, [0])
+        assert world.tracker.longest_ended_s("llm") == pytest.approx(1.5)
+
+    def test_time_without_requests_is_no_silence(self):
+        world = World(2)
+        self.abandon(world, 1.3)
+        world.wait(60.0)
+        world.tracker.begin(world.replicas[0])
+        world.wait(0.1, [0])
+        assert world.tracker.longest_ended_s("llm") == pytest.approx(1.3)
+
+    @pytest.mark.parametrize(
+        ("scope", "is_late"), [(SilenceScope.STREAM, False), (SilenceScope.REPLICA, True)]
+    )
+    def test_stalled_stream_and_late_instance_show_no_silence(self, scope, is_late):
+        world = World(2)
+        self.abandon(world, 1.3, scope, is_late=is_late)
+        world.wait(0.2, [0])
         assert world.tracker.longest_ended_s("llm") == 0.0
