Bound the refused attempts of one request that do not count as sends

A begun stream whose replicas were all full took every retry of its service (31 arrivals of one request in a test with a budget of 30), since refusals that prove that it did not run had stopped counting as sends. At most six of them are left out of the count now. A refused offer wakes the next request that waits for a plain replica, as any other attempt that has ended.

Evidence: test_begun_stream_took_all_retries_while_its_replicas_were_full, 31 arrivals without the bound, 12 at most with it.

--- a/packages/gateway/src/gradelug_gateway/job.py
+++ b/packages/gateway/src/gradelug_gateway/job.py
@@ -29,7 +29,9 @@
 TIMER_S = 0.001
 """Replicas are told whole milliseconds, and may stop this much earlier."""
 MAX_SENDS = 6
-"""Maximum number of attempts per request, whatever their outcomes."""
+"""Maximum number of attempts per request, refused ones that do not count aside."""
+MAX_REFUSED_SENDS = 6
+"""Maximum number of refused attempts that do not count."""
 
 
 class Outcome(Enum):
@@ -331,7 +333,7 @@
     @property
     def has_sends_left(self) -> bool:
         """Whether it may be sent once more."""
-        return self.sends - self.refused_sends < MAX_SENDS
+        return self.sends - min(self.refused_sends, MAX_REFUSED_SENDS) < MAX_SENDS
 
     def take_retry(self) -> RetryReservation | None:
         """Return the reserved retry, if any, which its next attempt does not hold any more."""
--- a/packages/gateway/src/gradelug_gateway/request_placer.py
+++ b/packages/gateway/src/gradelug_gateway/request_placer.py
@@ -13,7 +13,7 @@
 from .error_responses import DEFAULT_RETRY_AFTER_S
 from .exceptions import Refused
 from .fleet import Fleet
-from .job import Job
+from .job import Job, Outcome
 from .model import AdapterKey, KvCopy, KvCopyKind, Replica
 from .plain_placement import PlainPlacer
 from .runs import RunRecovery
@@ -97,9 +97,12 @@
             return await self._place_at_kv_copy(job, job.copy, key)
         return await self.place_new_run(job, job.excluded)
 
-    def note_full(self, replica: Replica) -> None:
-        """Record that a replica reported no capacity."""
-        self._plain_placer.note_full(replica)
+    def note_refused(self, job: Job, replica: Replica, outcome: Outcome) -> None:
+        """Record that a replica did not take a request that was offered to it."""
+        if outcome is Outcome.FULL:
+            self._plain_placer.note_full(replica)
+        elif outcome is not Outcome.LIMITED:
+            self._plain_placer.note_finished(job.service.name)
 
     async def place_new_run(self, job: Job, excluded: t.Collection[str]) -> Replica:
         """Return a replica for an attempt that uses no saved KV cache.
--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -188,8 +188,7 @@
             job.sends += 1
         if outcome in REFUSALS:
             job.refused_sends += 1
-        if outcome is Outcome.FULL:
-            self._placer.note_full(offer.replica)
+        self._placer.note_refused(job, offer.replica, outcome)
         log.info(
             "successor did not take the request",
             id=job.req.id,
--- a/tests/test_offer_faults.py
+++ b/tests/test_offer_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from gradelug_gateway.job import MAX_REFUSED_SENDS, MAX_SENDS
 from gradelug_gateway.model import Repeat
 from run_engines import DelayedWriter, Refusal
 from run_world import RunWorld, events, is_whole, run
@@ -148,6 +149,20 @@
 
         run(scenario)
 
+    def test_begun_stream_took_all_retries_while_its_replicas_were_full(self):
+        async def scenario():
+            world = RunWorld(4, repeat=Repeat.RESUME, budget=30, replicas=9, gap_s=GAP_S)
+            client, engine = await begin(world, "q0")
+            await asyncio.sleep(0.2)
+            for one in world.engines.values():
+                one.refuse(Refusal.FULL)
+            engine.reset()
+            await asyncio.sleep(6.0)
+            assert not is_whole(client)
+            assert len(world.ledger.arrivals["q0"]) <= MAX_SENDS + MAX_REFUSED_SENDS
+
+        run(scenario)
+
 
 class TestReturn:
     @pytest.mark.parametrize("refusal", [Refusal.CLOSED, Refusal.RESET, Refusal.CONNECTION])
