Watch the run of an accepted offer that is withdrawn

Two engines went on working on one stream: the successor had begun to answer in the very turn of the loop in which the first engine went on, the offer was withdrawn, and nobody stopped its run at an engine that keeps disconnected runs. Only offers that had not been accepted were watched; now all that are withdrawn are. Evidence: test_run_went_on_after_its_accepted_offer_was_withdrawn failed (25 events later the run was still at work) and passes.

--- a/packages/gateway/src/gradelug_gateway/offers.py
+++ b/packages/gateway/src/gradelug_gateway/offers.py
@@ -42,11 +42,13 @@
         The retry that the attempt uses once it is sent.
     """
 
-    __slots__ = ("_accepted", "_continued", "_task", "replica", "retry")
+    __slots__ = ("_accepted", "_continued", "_task", "is_withdrawn", "replica", "retry")
 
     def __init__(self, replica: Replica, retry: RetryReservation) -> None:
         self.replica = replica
         self.retry = retry
+        self.is_withdrawn = False
+        """Whether the attempt was ended in favour of the one before it."""
         loop = asyncio.get_running_loop()
         self._accepted: asyncio.Future[None] = loop.create_future()
         self._continued: asyncio.Future[None] = loop.create_future()
@@ -101,6 +103,7 @@
 
     def withdraw(self) -> None:
         """End the attempt. Its connection is closed, and most replicas drop the request then."""
+        self.is_withdrawn = True
         if self._task is not None:
             self._task.cancel()
         self.retry.release()
--- a/packages/gateway/src/gradelug_gateway/runs.py
+++ b/packages/gateway/src/gradelug_gateway/runs.py
@@ -63,8 +63,8 @@
         ...
 
     async def hold(self, job: Job, silent: Replica, keeps_retry: bool = False) -> bool:
-        """Let a replica other than a silent one begin to answer, or hold a retry and a usable
-        backup copy; return whether the current attempt may be abandoned."""
+        """Let a replica other than a silent one begin to answer; return whether it did, so that the
+        current attempt may be abandoned."""
         ...
 
     async def answers(self, replica: Replica) -> bool:
--- a/packages/gateway/src/gradelug_gateway/sending.py
+++ b/packages/gateway/src/gradelug_gateway/sending.py
@@ -310,7 +310,7 @@
         except asyncio.CancelledError:
             if self._is_overdue(exchange) and not self._silences.is_shared(replica):
                 health.note_broken(self._clock())
-            is_withdrawn = exchange.is_secondary or (offer is not None and job.offer is offer)
+            is_withdrawn = offer is not None and offer.is_withdrawn
             if is_withdrawn and exchange.run is not None and self._lasting is not None:
                 self._lasting.watch_withdrawn(exchange.run)
             raise
--- a/packages/gateway/src/gradelug_gateway/successors.py
+++ b/packages/gateway/src/gradelug_gateway/successors.py
@@ -111,7 +111,7 @@
         return True
 
     async def hold(self, job: Job, silent: Replica, keeps_retry: bool = False) -> bool:
-        """Let another replica begin to answer a request, or find that its memory can be used.
+        """Let another replica begin to answer a request.
 
         Retries are reserved last: while most of a service is silent, searches find nothing, and
         must not keep retries from requests whose replica has ended.
--- a/tests/test_offer_faults.py
+++ b/tests/test_offer_faults.py
@@ -5,6 +5,7 @@
 import pytest
 from gradelug_gateway.job import MAX_REFUSED_SENDS, MAX_SENDS
 from gradelug_gateway.model import Repeat
+from gradelug_gateway.offers import Offer
 from run_engines import DelayedWriter, Refusal
 from run_world import RunWorld, events, is_whole, run
 from test_budgets import take_retry
@@ -220,6 +221,33 @@
 
         run(scenario)
 
+    def test_run_went_on_after_its_accepted_offer_was_withdrawn(self, monkeypatch):
+        accept = Offer.accept
+
+        async def scenario():
+            world = RunWorld(2, repeat=Repeat.RESUME, budget=2)
+            client, engine = await begin(world, "q0")
+            (successor,) = [one for one in world.engines.values() if one is not engine]
+            successor.keeps_disconnected_runs = True
+
+            async def accept_as_the_first_engine_goes_on(offer):
+                engine._resume()
+                await accept(offer)
+
+            monkeypatch.setattr(Offer, "accept", accept_as_the_first_engine_goes_on)
+            await asyncio.sleep(SILENT_AFTER_S - 0.1)
+            engine.pause(3.0)
+            await asyncio.sleep(1.6)
+            assert successor.name in world.ledger.arrivals["q0"]
+            assert engine.runs
+            await asyncio.sleep(0.4)
+            assert not successor.runs
+            await asyncio.sleep(4.0)
+            assert events(client)[0] == ALL
+            assert set(events(client)[1]) == {"q0.1"}
+
+        run(scenario)
+
 
 class TestSilences:
     def test_idle_time_counted_as_a_silence(self):
